--- /dev/null
+++ b/guavagate/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP interface."""
--- /dev/null
+++ b/guavagate/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/guavagate/const.py
@@ -0,0 +1,17 @@
+"""Names and defaults that more than one part of guavagate uses."""
+
+from typing import Final
+
+HEADER_IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
+HEADER_REQUEST_ID: Final = 'X-Request-Id'
+HEADER_SAMPLER: Final = 'X-Guavagate-Sampler'
+HEADER_VERSIONS: Final = 'X-Guavagate-Versions'
+HEADER_DEADLINE: Final = 'X-Guavagate-Deadline-Ms'
+HEADER_EXCHANGE: Final = 'X-Guavagate-Exchange'
+HEADER_FENCE: Final = 'X-Guavagate-Fence'
+
+ATTR_REASON: Final = 'reason'
+ATTR_NOT_RUN: Final = 'not_run'
+
+DEFAULT_PARTITIONS: Final = 32
+DEFAULT_REPLICAS: Final = 3
--- /dev/null
+++ b/guavagate/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: pure modules without network or clock."""
--- /dev/null
+++ b/guavagate/events/__init__.py
@@ -0,0 +1,10 @@
+"""Numbered log events; docs/events.md is generated from this catalogue.
+
+Each area has its own module and range of numbers: 1000 routing and placement,
+2000 partitions and ledger, 3000 fleet, 4000 settings, 5000 callers' edge,
+6000 runs and weights.
+"""
+
+from guavagate.events._event import Event, catalogue, write
+
+__all__ = ('Event', 'catalogue', 'write')
--- /dev/null
+++ b/guavagate/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that need the runtime."""
--- /dev/null
+++ b/guavagate/integrations/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the systems outside, one folder each."""
--- /dev/null
+++ b/guavagate/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""The ledger of non-idempotent requests."""
--- /dev/null
+++ b/guavagate/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface."""
--- /dev/null
+++ b/guavagate/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Typed ports to everything outside; adapters live in integrations."""
--- /dev/null
+++ b/guavagate/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Training runs: steps, samples, delivery and weights."""
--- /dev/null
+++ b/guavagate/trainers/__init__.py
@@ -0,0 +1,1 @@
+"""The trainers' HTTP interface."""
--- /dev/null
+++ b/guavagate/util/__init__.py
@@ -0,0 +1,1 @@
+"""Pure helpers."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, engines, services, trainers and callers."""
