--- a/guavagate/clock.py
+++ b/guavagate/clock.py
@@ -10,12 +10,12 @@
 import itertools
 import time
 from collections.abc import Callable, Iterator
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeAlias
 
 import gevent
 from gevent.event import Event
 
-Task = gevent.Greenlet
+Task: TypeAlias = gevent.Greenlet
 
 
 # Not an Exception: a retry loop's ``except Exception`` inside the bounded
