Decide admission, order, place and retries for one pool

Cause: the daemon needs one typed state of a pool's queue and slots that a test and the measuring tool can drive with the same calls.

Pool composes pure modules: admission by deadline, start-time fair queues, order, sampler choice by cached prefix within a bounded load, concurrency limit from pace, retry budget, ejection, shares, second copies. Time is an argument; each decision carries its reason and what was turned down.

Ruled out: one queue per sampler (a request would wait behind a slow sampler while another is free) and shares of slots per entry (below one slot at 330).

--- a/guavagate/decisions/__init__.py
+++ b/guavagate/decisions/__init__.py
@@ -1,1 +1,41 @@
-"""Decisions under load: pure modules without network or clock."""
+"""Decisions under load: pure modules; time is an argument, no I/O."""
+
+from guavagate.decisions._sampler import (
+    SamplerInfo,
+    SamplerReport,
+    SamplerState,
+)
+from guavagate.decisions._work import (
+    ALL_SAFEGUARDS,
+    Decision,
+    Kind,
+    Placement,
+    Queued,
+    RefusalReason,
+    Refused,
+    Safeguard,
+    Work,
+)
+from guavagate.decisions.pool import Pool, PoolSettings
+from guavagate.decisions.pools import PoolView, choose_pool
+from guavagate.decisions.tail import weigh_swap
+
+__all__ = (
+    'ALL_SAFEGUARDS',
+    'Decision',
+    'Kind',
+    'Placement',
+    'Pool',
+    'PoolSettings',
+    'PoolView',
+    'Queued',
+    'RefusalReason',
+    'Refused',
+    'Safeguard',
+    'SamplerInfo',
+    'SamplerReport',
+    'SamplerState',
+    'Work',
+    'choose_pool',
+    'weigh_swap',
+)
--- /dev/null
+++ b/guavagate/decisions/placement.py
@@ -0,0 +1,148 @@
+"""Which sampler a piece of work goes to.
+
+Load pattern: a third of all requests share one prompt prefix; others share
+smaller ones; samplers come and go.
+Without it: least connections reads each prompt on every sampler; plain
+hashing keeps prefixes together but puts the hot one's whole load on a single
+sampler and moves nearly all prefixes when one leaves.
+
+Work goes to the sampler that holds the longest part of its prompt, among
+those whose load is within `LOAD_BOUND` of the mean; when none holds any, to
+the first within the bound in the prefix's rendezvous order, so that equal
+prompts meet and only the leaving sampler's prefixes move. A choice is a
+function, so that the candidates of docs/adr/0011-sampler-choice.md are
+measured in the same place.
+"""
+
+import math
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import xxhash
+
+from guavagate.decisions._sampler import SamplerState
+from guavagate.decisions._work import Work, estimate_cost
+from guavagate.models import SamplerId
+
+# The issue allows 1.25 times the mean load; what runs is counted in whole
+# pieces, which needs the difference.
+LOAD_BOUND: Final = 1.2
+_SEED_MASK: Final = 0xFFFFFFFFFFFFFFFF
+
+Choose = Callable[[Work, Sequence[SamplerState]], tuple[SamplerState, str]]
+
+
+def choose_by_prefix(
+    work: Work, samplers: Sequence[SamplerState]
+) -> tuple[SamplerState, str]:
+    """Take the longest cached prefix in the load bound, else rendezvous."""
+    if not work.prefix_keys:
+        return choose_least_loaded(work, samplers)
+    within = _within_bound(work, samplers)
+    best = within[0]
+    matched = 0
+    for state in within:
+        count = state.prefixes.match(work.prefix_keys)
+        nearer = load_of(state) < load_of(best)
+        if count > matched or (matched and count == matched and nearer):
+            best = state
+            matched = count
+    if matched:
+        return best, f'holds {matched} of {len(work.prefix_keys)} prefix keys'
+    key = work.prefix_keys[0]
+    best = max(within, key=lambda state: rank(key, state.id))
+    return best, 'first of the prefix in rendezvous order'
+
+
+def choose_unbounded(
+    work: Work, samplers: Sequence[SamplerState]
+) -> tuple[SamplerState, str]:
+    """Take the longest cached prefix at any load, to show the bound."""
+    if not work.prefix_keys:
+        return choose_least_loaded(work, samplers)
+    matches = [state.prefixes.match(work.prefix_keys) for state in samplers]
+    matched = max(matches)
+    if matched:
+        return samplers[matches.index(matched)], 'holds the prefix'
+    return choose_rendezvous(work, samplers)
+
+
+def choose_rendezvous(
+    work: Work, samplers: Sequence[SamplerState]
+) -> tuple[SamplerState, str]:
+    """Hash the prompt's first prefix, by rendezvous."""
+    key = work.prefix_keys[0] if work.prefix_keys else hash_id(work.id)
+    best = max(samplers, key=lambda state: rank(key, state.id))
+    return best, 'rendezvous order'
+
+
+def choose_least_loaded(
+    work: Work, samplers: Sequence[SamplerState]
+) -> tuple[SamplerState, str]:
+    """Take the least work for its share, the nearer one when they are equal."""
+    best = min(
+        samplers,
+        key=lambda state: (load_of(state), state.info.zone != work.zone),
+    )
+    return best, 'least loaded'
+
+
+def choose_least_of_two(
+    work: Work, samplers: Sequence[SamplerState]
+) -> tuple[SamplerState, str]:
+    """Take the less loaded of two given by the work's own hash."""
+    pick = hash_id(work.id)
+    count = len(samplers)
+    first = samplers[pick % count]
+    second = samplers[(pick // count) % count]
+    best = min(first, second, key=load_of)
+    return best, 'less loaded of two'
+
+
+def choose_least_connections(
+    work: Work, samplers: Sequence[SamplerState]
+) -> tuple[SamplerState, str]:
+    """Take the fewest running; the baseline."""
+    best = min(samplers, key=lambda state: len(state.running))
+    return best, 'fewest connections'
+
+
+def rank(key: int, sampler: SamplerId) -> int:
+    """Return a sampler's place in a key's rendezvous order."""
+    return hash_id(sampler, key)
+
+
+def hash_id(name: str, seed: int = 0) -> int:
+    """Return an id's hash, the same on every instance."""
+    return xxhash.xxh3_64_intdigest(name.encode(), seed & _SEED_MASK)
+
+
+def load_of(state: SamplerState) -> float:
+    """Return running work per slot that the sampler may use."""
+    if state.usable <= 0:
+        return math.inf
+    return (len(state.running) + state.foreign) / state.usable
+
+
+def _within_bound(
+    work: Work, samplers: Sequence[SamplerState]
+) -> Sequence[SamplerState]:
+    running = sum(len(state.running) + state.foreign for state in samplers)
+    usable = sum(state.usable for state in samplers)
+    bound = LOAD_BOUND * (running + 1) / max(usable, 1)
+    within = [
+        state
+        for state in samplers
+        if len(state.running) + state.foreign < math.ceil(bound * state.usable)
+    ]
+    return within or samplers
+
+
+def expect_cost(work: Work, state: SamplerState) -> tuple[float, int]:
+    """Return the work's cost there and how many prefix keys it holds."""
+    keys = work.prefix_keys
+    if not keys:
+        return estimate_cost(work), 0
+    matched = state.prefixes.match(keys)
+    cached = work.prompt_tokens * matched / len(keys)
+    return estimate_cost(work, cached), matched
--- /dev/null
+++ b/tests/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions under load."""
