Measure the decisions under virtual time, twelve patterns

Cause: figures per load pattern were to be had only by reading the code.

script/measure drives the same Pool as the daemon with a small model of a sampler (batch, prefix cache, late cache events with gaps, lagging reports). Baselines: FIFO with least connections, round robin, each safeguard off.

--- a/guavagate/decisions/_attempts.py
+++ b/guavagate/decisions/_attempts.py
@@ -15,13 +15,22 @@
 class Attempts:
     """The attempts at one piece of work."""
 
-    __slots__ = ('arrival', 'copied', 'count', 'entry', 'samplers', 'work')
+    __slots__ = (
+        'arrival',
+        'copied',
+        'count',
+        'entry',
+        'expected_wait',
+        'samplers',
+        'work',
+    )
 
     def __init__(self, work: Work, arrival: float) -> None:
         self.work = work
         self.arrival = arrival
         self.count = 0
         self.copied = False
+        self.expected_wait: float = 0
         self.entry: Entry | None = None
         self.samplers: list[SamplerId] = []
 
--- a/guavagate/decisions/_fleet.py
+++ b/guavagate/decisions/_fleet.py
@@ -85,7 +85,7 @@
             _learn_cache(running, state, cached_tokens)
         pace = (now - running.start) / max(tokens + prompt, 1.0)
         state.health.succeed(pace, now)
-        state.limit.learn(pace, len(state.running) + 1)
+        state.limit.learn(pace, len(state.running) + 1, now)
         self.pace += _SMOOTHING * (pace - self.pace)
 
     def _eject(self, states: list[SamplerState], now: float) -> None:
--- a/guavagate/decisions/admission.py
+++ b/guavagate/decisions/admission.py
@@ -9,13 +9,17 @@
 wrong by a factor of two either way. Two things cope with that: the errors of
 the many requests ahead average out, so the wait uses the mean of actual to
 estimated length; a request's own length does not average out, so its own time
-uses the ninetieth percentile of that ratio. And work is looked at again when
-it reaches the head of the queue: what can no longer be in time is refused
-there, still truly not run.
+uses the ninetieth percentile of that ratio. The expected wait itself is
+corrected by how earlier waits turned out, for each caller. And work is looked
+at again when it reaches the head of the queue: what can no longer be in time
+is refused there, still truly not run.
 """
 
+from collections.abc import Hashable
 from typing import Final
 
+from cachetools import LRUCache
+
 from guavagate.decisions._work import RefusalReason
 
 # A tenth of each answer moves the mean: about twenty answers to follow a
@@ -26,6 +30,16 @@
 OWN_QUANTILE: Final = 0.9
 # Step of the quantile estimate, as a share of its value.
 _QUANTILE_STEP: Final = 0.02
+# Before anything is known, between exact and off by two.
+_FIRST_HIGH: Final = 1.5
+# Of the requests let in, this share shall start before the expected wait:
+# what is let in and refused later has waited for nothing.
+WAIT_QUANTILE: Final = 0.98
+_WAIT_STEP: Final = 0.1
+# Shorter waits are a matter of which slot ends next and say nothing.
+_MIN_WAIT_S: Final = 0.1
+# Callers whose waits are remembered, the least recently served goes first.
+MAX_OWNERS: Final = 1_024
 # A ratio beyond these says more about a broken estimate than about lengths.
 _RATIO_RANGE: Final = (0.1, 10.0)
 # Never ask a caller to return sooner or later than this, in seconds.
@@ -35,21 +49,73 @@
 MAX_QUEUED: Final = 10_000
 
 
+class Quantile:
+    """A quantile of a positive ratio, learnt step by step."""
+
+    __slots__ = ('_share', '_step', 'value')
+
+    def __init__(self, share: float, start: float, step: float) -> None:
+        self._share = share
+        self._step = step
+        self.value = start
+
+    def learn(self, ratio: float) -> None:
+        """Move up a lot when the ratio is above, down a little when below."""
+        low, high = _RATIO_RANGE
+        rise = self._share if ratio > self.value else self._share - 1
+        moved = self.value * (1 + self._step * rise)
+        self.value = min(max(moved, low), high)
+
+
 class LengthEstimate:
     """How actual lengths relate to the estimated ones."""
 
     def __init__(self) -> None:
-        self.mean = 1.0
-        self.high = 1.5
+        self.mean: float = 1
+        self._high = Quantile(OWN_QUANTILE, _FIRST_HIGH, _QUANTILE_STEP)
+
+    @property
+    def high(self) -> float:
+        """Return the ratio that few answers exceed."""
+        return max(self._high.value, self.mean)
 
     def learn(self, estimated: float, actual: float) -> None:
         """Take in one answer's length."""
         low, high = _RATIO_RANGE
-        ratio = min(max(actual / max(estimated, 1.0), low), high)
+        ratio = min(max(actual / max(estimated, 1), low), high)
         self.mean += _SMOOTHING * (ratio - self.mean)
-        # Stochastic quantile: up by q when above, down by 1 - q when below.
-        rise = OWN_QUANTILE if ratio > self.high else OWN_QUANTILE - 1
-        self.high = max(self.high * (1 + _QUANTILE_STEP * rise), self.mean)
+        self._high.learn(ratio)
+
+
+class WaitEstimate:
+    """How actual waits relate to the expected ones, by caller.
+
+    The expected wait counts what is queued; what comes later and is served
+    first is known only by its effect, which differs between callers.
+    """
+
+    def __init__(self) -> None:
+        self._common = self._make(1)
+        self._owners: LRUCache[Hashable, Quantile] = LRUCache(MAX_OWNERS)
+
+    def correct(self, owner: Hashable, wait: float) -> float:
+        """Return the wait that few of this caller's requests exceed."""
+        quantile = self._owners.get(owner, self._common)
+        return wait * quantile.value
+
+    def learn(self, owner: Hashable, expected: float, actual: float) -> None:
+        """Take in one request's wait until it started or was refused."""
+        if expected < _MIN_WAIT_S:
+            return
+        quantile = self._owners.get(owner)
+        if quantile is None:
+            quantile = self._make(self._common.value)
+            self._owners[owner] = quantile
+        quantile.learn(actual / expected)
+        self._common.learn(actual / expected)
+
+    def _make(self, start: float) -> Quantile:
+        return Quantile(WAIT_QUANTILE, start, _WAIT_STEP)
 
 
 def judge(
--- a/guavagate/decisions/fairness.py
+++ b/guavagate/decisions/fairness.py
@@ -25,7 +25,6 @@
 # ninth of all slots still goes to samples, so that a step always advances.
 KIND_WEIGHTS: Final = {Kind.INTERACTIVE: 8.0, Kind.ROLLOUT: 1.0}
 
-_SIZE_CLASSES: Final = 24
 _DUE_SLACK: Final = 64
 
 Path = tuple[Hashable, ...]
@@ -58,7 +57,6 @@
         'name',
         'order',
         'parent',
-        'queued_by_size',
         'sequence',
         'start',
         'virtual',
@@ -83,7 +81,6 @@
         self.entries: list[tuple[float, int, Entry]] = []
         self.idle: dict[Hashable, float] = {}
         self.idle_order: list[tuple[float, int, Hashable]] = []
-        self.queued_by_size: list[float] = []
 
 
 class FairQueue:
@@ -188,8 +185,6 @@
         path: Path,
         weights: tuple[float, ...],
         cost: float,
-        *,
-        by_size: bool,
     ) -> float:
         """Return the queued cost that a new entry would wait for.
 
@@ -206,7 +201,7 @@
             child = flow.children.get(name)
             active = flow.weight_active + (0 if child else weight)
             stretch *= active / weight
-            own = _ahead_of(child, cost, by_size=by_size)
+            own = child.backlog if child else 0
             flow = child
         return min((own + cost) * stretch, self.backlog)
 
@@ -233,13 +228,9 @@
 
     def _account(self, entry: Entry, sign: int) -> None:
         self._size += sign
-        size = _size_class(entry.cost)
         flow = entry.leaf
         while flow is not None:
             flow.backlog = max(flow.backlog + sign * entry.cost, 0)
-            if not flow.queued_by_size:
-                flow.queued_by_size = [0] * _SIZE_CLASSES
-            flow.queued_by_size[size] += sign * entry.cost
             flow = flow.parent
 
     def _charge(self, leaf: Flow, cost: float) -> None:
@@ -310,18 +301,6 @@
                 parent.idle.pop(name)
 
 
-def _size_class(cost: float) -> int:
-    return min(int(cost).bit_length(), _SIZE_CLASSES - 1)
-
-
-def _ahead_of(flow: Flow | None, cost: float, *, by_size: bool) -> float:
-    if flow is None:
-        return 0
-    if not by_size or not flow.queued_by_size:
-        return flow.backlog
-    return sum(flow.queued_by_size[: _size_class(cost) + 1])
-
-
 def _count(flow: Flow) -> int:
     below = sum(_count(child) for child in flow.children.values())
     return below + len(flow.children) + len(flow.idle)
--- a/guavagate/decisions/limits.py
+++ b/guavagate/decisions/limits.py
@@ -5,24 +5,43 @@
 Without it: an engine with more streams than its memory holds swaps them in
 and out; every stream slows down together and nothing finishes.
 
-Seconds per token at a low number of streams is the reference. While the limit
-is in use and the pace stays near the reference, the limit grows by one per
-limit's worth of answers; a pace beyond `TOLERANCE` shrinks it by a tenth.
+Seconds per token are learnt for each number of running streams. The limit
+moves towards the number with the most tokens a second, which batching raises
+and swapping lowers; one more is tried now and then. A pace that doubles at
+the same number is the engine's own slow spell and says nothing about
+numbers: then the others are forgotten and the limit stays, so it needn't be
+found again after the spell.
 """
 
 from typing import Final
 
-# Decode slows by some tens of percent from one stream to a full batch; twice
-# the reference is beyond batching and means that streams evict each other.
-TOLERANCE: Final = 2.0
-_SHRINK: Final = 0.9
+_SMOOTHING: Final = 0.2
+# Answers at a number of streams before its pace counts.
+_MIN_ANSWERS: Final = 6
+# Tokens a second must differ by this share: below it, prompts and lengths do.
+_MARGIN: Final = 0.05
+# Trying one more costs some throughput while it lasts, if it is too much;
+# once a minute and sampler that is little, and a changed engine is found out.
+EXPLORE_EVERY_S: Final = 60.0
+# Twice the pace at the same number of streams is no matter of batching.
+SLOW_SPELL: Final = 2.0
 # Growth ends at this multiple of the configured slots.
-MAX_GROWTH: Final = 4.0
-# The reference rises by this share per answer, so that one lucky measurement
-# or an engine that became slower for good doesn't hold the limit down.
-_REFERENCE_RISE: Final = 0.002
-# The limit shrinks at most once per this many answers per slot.
-_SETTLE_SHARE: Final = 0.5
+MAX_GROWTH: Final = 4
+
+
+class _Level:
+    """The pace at one number of running streams."""
+
+    __slots__ = ('answers', 'pace')
+
+    def __init__(self, pace: float) -> None:
+        self.answers = 0
+        self.pace = pace
+
+    def learn(self, pace: float) -> None:
+        """Take in one answer's pace."""
+        self.answers += 1
+        self.pace += _SMOOTHING * (pace - self.pace)
 
 
 class ConcurrencyLimit:
@@ -31,37 +50,69 @@
     def __init__(self, configured: int, *, learning: bool) -> None:
         self._configured = max(configured, 1)
         self._learning = learning
-        self._limit = float(self._configured)
-        self._reference: float | None = None
-        self._answers: float = 0
-
-    @property
-    def value(self) -> int:
-        """Return how much work may run at once."""
-        return int(self._limit)
+        self._levels: dict[int, _Level] = {}
+        self._explored: float | None = None
+        self.value = self._configured
 
     def configure(self, slots: int) -> None:
         """Take over a changed number of slots."""
         if slots != self._configured and slots > 0:
             self._configured = slots
-            self._limit = float(slots)
+            self.value = slots
+            self._levels.clear()
+
+    def learn(self, pace: float, running: int, now: float) -> None:
+        """Take in one answer's seconds per token.
 
-    def learn(self, pace: float, running: int) -> None:
-        """Take in one answer's seconds per token."""
-        if self._reference is None or pace < self._reference:
-            self._reference = pace
-        self._reference *= 1 + _REFERENCE_RISE
+        Parameters
+        ----------
+        running
+            How many streams ran there, the answer's own included.
+        """
         if not self._learning:
             return
-        self._answers += 1
-        if pace > TOLERANCE * self._reference:
-            self._shrink()
-        elif running >= self.value - 1:
-            top = MAX_GROWTH * self._configured
-            self._limit = min(self._limit + 1 / self._limit, top)
-
-    def _shrink(self) -> None:
-        if self._answers < self._limit * _SETTLE_SHARE:
+        level = self._levels.get(running)
+        if level is None:
+            level = _Level(pace)
+            self._levels[running] = level
+        elif self._is_slow_spell(level, pace):
+            self._levels = {running: _Level(pace)}
             return
-        self._answers = 0
-        self._limit = max(self._limit * _SHRINK, 1.0)
+        level.learn(pace)
+        if running >= self.value:
+            self._move(now)
+
+    def _is_slow_spell(self, level: _Level, pace: float) -> bool:
+        if level.answers < _MIN_ANSWERS:
+            return False
+        return not 1 / SLOW_SPELL < pace / level.pace < SLOW_SPELL
+
+    def _move(self, now: float) -> None:
+        present = self._rate(self.value)
+        if present is None:
+            return
+        known = {
+            count: rate
+            for count in self._levels
+            if (rate := self._rate(count)) is not None
+        }
+        best = max(known, key=lambda count: known[count])
+        if best < self.value and present < known[best] * (1 - _MARGIN):
+            self.value -= 1
+            return
+        if self._explored is None:
+            self._explored = now
+        if now - self._explored >= EXPLORE_EVERY_S:
+            self._explore(now)
+
+    def _explore(self, now: float) -> None:
+        if self.value < MAX_GROWTH * self._configured:
+            self._explored = now
+            self._levels.pop(self.value + 1, None)
+            self.value += 1
+
+    def _rate(self, count: int) -> float | None:
+        level = self._levels.get(count)
+        if level is None or level.answers < _MIN_ANSWERS:
+            return None
+        return count / level.pace
--- a/guavagate/decisions/order.py
+++ b/guavagate/decisions/order.py
@@ -18,6 +18,9 @@
 # time before a later one of the same size passes it. See the ADR's table.
 TARGET_STRETCH: Final = 10.0
 
+# Lengths are estimated within this factor.
+LENGTH_ERROR: Final = 2.0
+
 # Steps and lengths are folded into one key; no step has this many tokens.
 _STEP_SPAN: Final = 1e9
 
@@ -52,7 +55,12 @@
     def order(work: Work, arrival: float, expected: float) -> float:
         if work.kind is Kind.ROLLOUT:
             return order_rollout(work)
-        return arrival + target * expected
+        # What was admitted must not be overtaken until it is late: its last
+        # moment to start, with the length off by two, is its place in line.
+        return min(
+            arrival + target * expected,
+            work.deadline - LENGTH_ERROR * expected,
+        )
 
     return order
 
--- a/guavagate/decisions/placement.py
+++ b/guavagate/decisions/placement.py
@@ -76,6 +76,14 @@
     return best, 'rendezvous order'
 
 
+def choose_modulo(
+    work: Work, samplers: Sequence[SamplerState]
+) -> tuple[SamplerState, str]:
+    """Hash the prompt's first prefix to a position in the list."""
+    key = work.prefix_keys[0] if work.prefix_keys else hash_id(work.id)
+    return samplers[key % len(samplers)], 'position by hash'
+
+
 def choose_least_loaded(
     work: Work, samplers: Sequence[SamplerState]
 ) -> tuple[SamplerState, str]:
--- a/guavagate/decisions/pool.py
+++ b/guavagate/decisions/pool.py
@@ -32,6 +32,7 @@
 )
 from guavagate.decisions.fairness import KIND_WEIGHTS, Entry, FairQueue, Path
 from guavagate.decisions.order import (
+    LENGTH_ERROR,
     Order,
     order_by_arrival,
     order_by_stretch,
@@ -42,6 +43,7 @@
     choose_least_connections,
     choose_unbounded,
 )
+from guavagate.decisions.shares import name_of
 from guavagate.models import RequestId, SamplerId
 
 # Work looked at beyond the first that can't be placed, per call: bounds the
@@ -71,16 +73,13 @@
         self._on = settings.safeguards
         self._max_queued = settings.max_queued
         self._order = settings.order
-        self._choose = settings.choose
         if Safeguard.ORDER not in self._on:
             self._order = order_by_arrival
-        if Safeguard.AFFINITY not in self._on:
-            self._choose = choose_least_connections
-        elif Safeguard.BOUNDED_LOAD not in self._on:
-            self._choose = choose_unbounded
+        self._choose = _choose_with(settings.choose, self._on)
         self._queue = FairQueue()
         self._fleet = Fleet(self._on)
         self._table = AttemptTable(self._fleet, self._on)
+        self._waits = admission.WaitEstimate()
         self._expired: list[Refused] = []
         self.set_samplers(samplers, now)
 
@@ -150,14 +149,16 @@
         if len(self._queue) >= self._max_queued:
             return self._refuse(work, RefusalReason.QUEUE_FULL, now)
         self._table.shares.hear(work, now)
-        wait = self._wait(work)
+        expected = self._wait(work)
+        wait = self._waits.correct(name_of(work), expected)
         if Safeguard.ADMISSION in self._on:
-            own = estimate_cost(work) * self._fleet.pace
-            own *= self._fleet.length.high
+            own = self._own_seconds(work)
             reason = admission.judge(now, work.deadline, wait, own)
             if reason is not None:
                 return self._refuse(work, reason, now)
-        self._enqueue(self._table.open(work, now))
+        attempts = self._table.open(work, now)
+        attempts.expected_wait = expected
+        self._enqueue(attempts)
         return _reasons.queued(work, wait, 'in time by the expected wait')
 
     def adopt(self, work: Work, sampler: SamplerId, now: float) -> None:
@@ -285,12 +286,18 @@
 
     def _wait(self, work: Work) -> float:
         path, weights = self._path(work)
-        by_size = Safeguard.ORDER in self._on
         cost = estimate_cost(work)
-        ahead = self._queue.cost_ahead(path, weights, cost, by_size=by_size)
+        ahead = self._queue.cost_ahead(path, weights, cost)
         rate = max(self.slots, 1) / self._fleet.pace
         return ahead * self._fleet.length.mean / rate
 
+    def _own_seconds(self, work: Work) -> float:
+        seconds = estimate_cost(work) * self._fleet.pace
+        if not len(self._queue) and self._fleet.free():
+            # Idle slots cost nobody anything: the estimate may be too long.
+            return seconds / LENGTH_ERROR
+        return seconds * self._fleet.length.high
+
     def _enqueue(self, attempts: Attempts) -> None:
         work = attempts.work
         cost = estimate_cost(work)
@@ -302,11 +309,19 @@
     def _drop_late(self, entry: Entry, now: float) -> bool:
         if Safeguard.EXPIRY not in self._on or now <= entry.due:
             return False
+        self._learn_wait(entry.work, now)
         self._table.close(entry.work.id, now)
         refused = self._refuse(entry.work, RefusalReason.EXPIRED, now)
         self._expired.append(refused)
         return True
 
+    def _learn_wait(self, work: Work, now: float) -> None:
+        attempts = self._table.get(work.id)
+        if attempts is not None and not attempts.count:
+            actual = now - attempts.arrival
+            expected = attempts.expected_wait
+            self._waits.learn(name_of(work), expected, actual)
+
     def _place_one(
         self, entry: Entry, free: list[SamplerState], now: float
     ) -> Placement | None:
@@ -318,6 +333,7 @@
         attempts = self._table.get(work.id)
         if attempts is None:
             return None
+        self._learn_wait(work, now)
         running = self._table.start(attempts, state, now)
         decision = _reasons.placed(work, state, reason, self.samplers)
         return Placement(
@@ -337,3 +353,14 @@
         wait = self._wait(work)
         after = admission.suggest_retry(wait, work.deadline - now)
         return _reasons.refused(work, reason, wait, after)
+
+
+def _choose_with(choose: Choose, safeguards: frozenset[Safeguard]) -> Choose:
+    """Return the choice without what is switched off."""
+    if choose is not choose_by_prefix:
+        return choose
+    if Safeguard.AFFINITY not in safeguards:
+        return choose_least_connections
+    if Safeguard.BOUNDED_LOAD not in safeguards:
+        return choose_unbounded
+    return choose
--- a/guavagate/decisions/shares.py
+++ b/guavagate/decisions/shares.py
@@ -6,7 +6,7 @@
 still waits for a slot to end, and streams in a full batch, although its own
 share of the slots is unused.
 
-Who runs more than the share of the active weights may not take the last
+Who runs far more than the share of the active weights may not take the last
 `HEADROOM` of the slots. Nobody else's work is needed to fill them: the room
 is for those who come next, so it costs at most that share of the capacity,
 and only while somebody else has been active lately.
@@ -21,6 +21,9 @@
 # An eighth of the slots: one of eight on each sampler stays for those below
 # their share, and the batch stays a little below the full one.
 HEADROOM: Final = 0.125
+# Beyond this multiple of its share: a caller below its share on the mean runs
+# twice that at times, and must not be held back as the hot one is.
+OVER_SHARE: Final = 2.0
 # A caller that was heard of within this many seconds counts as active.
 ACTIVE_S: Final = 10.0
 # Remembered callers; the least recently heard of goes first, and only its
@@ -68,7 +71,7 @@
         if free > HEADROOM * slots or len(self._heard) < 2:
             return False
         share = weight_of(work) / max(self._weights, 1e-9)
-        return self._running.get(name_of(work), 0) >= share * slots
+        return self._running.get(name_of(work), 0) >= OVER_SHARE * share * slots
 
     def _forget(self, now: float) -> None:
         heard = self._heard
--- /dev/null
+++ b/guavagate/measure/__init__.py
@@ -0,0 +1,1 @@
+"""The tool that measures the decisions under virtual time."""
--- /dev/null
+++ b/guavagate/measure/__main__.py
@@ -0,0 +1,51 @@
+"""``script/measure``: one command for each pattern or measurement.
+
+A further measurement adds one line to `_COMMANDS`; its module is loaded only
+when the command is called.
+"""
+
+import importlib
+from typing import Final
+
+import click
+
+from guavagate.measure._patterns import PATTERNS
+
+_COMMANDS: Final = {
+    'list': 'guavagate.measure._commands:list_patterns',
+    'decisions': 'guavagate.measure._commands:decisions',
+    'cost': 'guavagate.measure._cost:cost',
+}
+
+
+class LazyGroup(click.Group):
+    """Loads a command's module when it is called."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return [*_COMMANDS, *PATTERNS]
+
+    def get_command(
+        self, ctx: click.Context, cmd_name: str
+    ) -> click.Command | None:
+        """Return a command by name."""
+        target = _COMMANDS.get(cmd_name)
+        if target is not None:
+            module, _, name = target.partition(':')
+            return getattr(importlib.import_module(module), name)
+        if cmd_name in PATTERNS:
+            from guavagate.measure._commands import (
+                make_command,
+            )
+
+            return make_command(cmd_name)
+        return None
+
+
+@click.command(cls=LazyGroup)
+def main() -> None:
+    """Measure guavagate's decisions; the same seed gives the same figures."""
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/guavagate/measure/_engine.py
@@ -0,0 +1,109 @@
+"""A small model of a sampler under virtual time.
+
+All streams of a batch advance at the same pace, which slows a little with
+each stream (decode is bound by memory bandwidth) and steeply beyond what the
+engine's memory holds. Prompts are read at `PREFILL_SHARE` of a token's time
+for the part that isn't cached. The cache is least recently used first.
+"""
+
+import collections
+import heapq
+import itertools
+from typing import Final
+
+from guavagate.decisions import SamplerInfo, Work
+from guavagate.decisions._work import PREFILL_SHARE
+from guavagate.models import RequestId
+
+# Seconds per token of a single stream; 50 tokens a second is usual.
+PACE: Final = 0.02
+# Each further stream adds this share: a batch of eight is 14 % slower.
+BATCH_SLOWDOWN: Final = 0.02
+# Cached prefixes; a few hundred blocks of some hundred tokens.
+CACHED_KEYS: Final = 300
+
+
+class EngineModel:
+    """One sampler: its batch, its cache and its faults."""
+
+    def __init__(self, info: SamplerInfo, holds: int) -> None:
+        self.info = info
+        self.holds = holds
+        self.slowdown: float = 1
+        self.failing = False
+        self.busy: float = 0
+        self.events: list[tuple[str, int]] = []
+        self.ticket = 0
+        self._progress: float = 0
+        self._last: float = 0
+        self._order = itertools.count()
+        self._streams: dict[RequestId, float] = {}
+        self._ends: list[tuple[float, int, RequestId]] = []
+        self._cache: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return the number of running streams."""
+        return len(self._streams)
+
+    def pace(self) -> float:
+        """Return the present seconds per token of each stream."""
+        count = max(len(self._streams), 1)
+        pace = PACE * self.slowdown * (1 + BATCH_SLOWDOWN * (count - 1))
+        if count > self.holds:
+            pace *= (count / self.holds) ** 2
+        return pace
+
+    def start(self, work: Work, tokens: int, now: float) -> int:
+        """Start a stream; return the cached prompt tokens."""
+        self.advance(now)
+        cached = self._read(work)
+        cost = tokens + (work.prompt_tokens - cached) * PREFILL_SHARE
+        end = self._progress + cost
+        self._streams[work.id] = end
+        heapq.heappush(self._ends, (end, next(self._order), work.id))
+        return cached
+
+    def cancel(self, work_id: RequestId, now: float) -> None:
+        """End a stream early."""
+        self.advance(now)
+        self._streams.pop(work_id, None)
+
+    def advance(self, now: float) -> None:
+        """Let all streams progress until now."""
+        spent = now - self._last
+        if self._streams:
+            self._progress += spent / self.pace()
+            self.busy += spent * len(self._streams)
+        self._last = now
+
+    def next_end(self) -> tuple[float, RequestId] | None:
+        """Return when which stream ends if nothing changes."""
+        while self._ends:
+            end, _, work_id = self._ends[0]
+            if self._streams.get(work_id) == end:
+                left = max(end - self._progress, 0)
+                return self._last + left * self.pace(), work_id
+            heapq.heappop(self._ends)
+        return None
+
+    def take_events(self) -> list[tuple[str, int]]:
+        """Return the cache events since the last call."""
+        events, self.events = self.events, []
+        return events
+
+    def _read(self, work: Work) -> int:
+        keys = work.prefix_keys
+        matched = 0
+        while matched < len(keys) and keys[matched] in self._cache:
+            matched += 1
+        for key in keys:
+            if key not in self._cache:
+                self.events.append(('stored', key))
+            self._cache[key] = None
+            self._cache.move_to_end(key)
+        while len(self._cache) > CACHED_KEYS:
+            evicted, _ = self._cache.popitem(last=False)
+            self.events.append(('evicted', evicted))
+        return work.prompt_tokens * matched // max(len(keys), 1)
--- /dev/null
+++ b/guavagate/measure/_patterns.py
@@ -0,0 +1,175 @@
+"""The patterns by name, with their aims and what they are shown against."""
+
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from guavagate.exceptions import SettingsError
+from guavagate.measure import _faults, _keys, _load, _trainers
+from guavagate.measure._policies import FIFO, Policy
+from guavagate.measure._scenario import Figures
+
+ROUND_ROBIN: Final = 'round-robin'
+
+
+class Aim(msgspec.Struct, frozen=True, kw_only=True):
+    """What a figure should be: at most or at least a limit."""
+
+    figure: str
+    limit: float
+    at_least: bool = False
+
+    def is_met(self, value: float) -> bool:
+        """Return whether a value meets it."""
+        return value >= self.limit if self.at_least else value <= self.limit
+
+    def describe(self) -> str:
+        """Return it as a text."""
+        sign = '≥' if self.at_least else '≤'
+        return f'{self.figure} {sign} {self.limit:g}'
+
+
+class Pattern(msgspec.Struct, frozen=True, kw_only=True):
+    """A load pattern: how it is measured, shown and judged."""
+
+    name: str
+    measure: Callable[[Policy, int], Figures]
+    aims: tuple[Aim, ...] = ()
+    shown: tuple[str, ...] = ()
+    against: tuple[str, ...] = (FIFO, ROUND_ROBIN)
+
+    @property
+    def summary(self) -> str:
+        """Return what the pattern is."""
+        return (self.measure.__doc__ or '').strip()
+
+
+_CALLERS: Final = ('in_time_share', 'refused_share', 'p50_s', 'p99_s')
+
+PATTERNS: Final = {
+    pattern.name: pattern
+    for pattern in (
+        Pattern(
+            name='burst',
+            measure=_load.measure_burst,
+            aims=(
+                Aim(figure='admitted_in_time', limit=1, at_least=True),
+                Aim(figure='refusal_p99_s', limit=0.005),
+            ),
+            shown=('in_time_share', 'p99_s'),
+            against=(FIFO, ROUND_ROBIN, 'without-admission'),
+        ),
+        Pattern(
+            name='hot-caller',
+            measure=_load.measure_hot_caller,
+            aims=(Aim(figure='p99_of_calm', limit=1.15),),
+            shown=('in_time_share', 'p99_s', 'p99_calm_s'),
+            against=(FIFO, 'without-fairness', 'without-headroom'),
+        ),
+        Pattern(
+            name='hot-key',
+            measure=_keys.measure_hot_key,
+            aims=(
+                Aim(figure='hit_of_best', limit=0.9, at_least=True),
+                Aim(figure='load_worst_of_mean', limit=1.25),
+            ),
+            shown=('hit_share', 'p50_s', 'p99_s'),
+            against=(
+                FIFO,
+                'without-affinity',
+                'without-bounded-load',
+                'without-gaps',
+                'choose-two',
+                'choose-rendezvous',
+                'choose-modulo',
+            ),
+        ),
+        Pattern(
+            name='slow-upstream',
+            measure=_faults.measure_slow_upstream,
+            aims=(Aim(figure='p99_of_five', limit=1.5),),
+            shown=('p99_s', 'p99_five_healthy_s', 'extra_work'),
+            against=(FIFO, ROUND_ROBIN, 'without-ejection', 'without-hedging'),
+        ),
+        Pattern(
+            name='long-among-short',
+            measure=_load.measure_long_among_short,
+            aims=(
+                Aim(figure='short_stretch_p95', limit=3),
+                Aim(figure='long_worst_of_fifo', limit=2),
+            ),
+            shown=('short_stretch_p99', 'p50_s', 'p99_s'),
+            against=(FIFO, 'without-order', 'order-deadline', 'order-shortest'),
+        ),
+        Pattern(
+            name='overload',
+            measure=_load.measure_overload,
+            aims=(
+                Aim(figure='in_time_of_capacity', limit=0.95, at_least=True),
+            ),
+            shown=('admitted_in_time', 'refusal_p99_s', 'p99_s', 'jain'),
+            against=(FIFO, ROUND_ROBIN, 'without-admission', 'without-expiry'),
+        ),
+        Pattern(
+            name='flapping',
+            measure=_faults.measure_flapping,
+            shown=('in_time_share', 'extra_work', 'p99_s'),
+            against=(FIFO, 'without-ejection'),
+        ),
+        Pattern(
+            name='retry-storm',
+            measure=_faults.measure_retry_storm,
+            aims=(
+                Aim(figure='extra_work', limit=0.1),
+                Aim(figure='normal_after_s', limit=5),
+            ),
+            shown=_CALLERS,
+            against=(FIFO, 'without-retry-budget', 'without-ejection'),
+        ),
+        Pattern(
+            name='stragglers',
+            measure=_trainers.measure_stragglers,
+            aims=(
+                Aim(figure='step_of_bound', limit=1.1),
+                Aim(figure='trainer_idle_share', limit=0.03),
+            ),
+            shown=('staleness_mean', 'staleness_max', 'copies'),
+            against=(FIFO, 'without-tail', 'without-order', 'without-ejection'),
+        ),
+        Pattern(
+            name='two-trainers',
+            measure=_trainers.measure_two_trainers,
+            shown=('first_to_second', 'jain_by_weight'),
+            against=(FIFO, 'without-fairness'),
+        ),
+        Pattern(
+            name='sampler-leaves',
+            measure=_faults.measure_sampler_leaves,
+            aims=(Aim(figure='cut', limit=0),),
+            shown=('in_time_share', 'hit_share_before', 'hit_share_after'),
+            against=(FIFO, 'choose-modulo'),
+        ),
+        Pattern(
+            name='cold-start',
+            measure=_load.measure_cold_start,
+            shown=('first_10s_in_time', 'in_time_share', 'p99_s'),
+            against=(FIFO, 'without-admission'),
+        ),
+    )
+}
+
+
+def get_pattern(name: str) -> Pattern:
+    """Return a pattern by name.
+
+    Raises
+    ------
+    SettingsError
+        There is none of this name.
+    """
+    pattern = PATTERNS.get(name)
+    if pattern is None:
+        known = ', '.join(PATTERNS)
+        raise SettingsError(f'no pattern {name!r}', f'use one of {known}')
+    return pattern
--- /dev/null
+++ b/guavagate/measure/_plot.py
@@ -0,0 +1,40 @@
+"""Plots of a pattern's figures."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import matplotlib as mpl
+
+from guavagate.measure._patterns import Pattern
+from guavagate.measure._runs import Result
+from guavagate.measure._table import shown_figures
+
+
+def draw(pattern: Pattern, results: Sequence[Result], path: Path) -> None:
+    """Write a plot: a panel for each figure, a dot for each seed."""
+    mpl.use('Agg')
+    # Loaded after the backend is chosen, and only when a plot is asked for.
+    from matplotlib import pyplot as plt
+
+    figures = shown_figures(pattern)
+    canvas, panels = plt.subplots(
+        1, len(figures), figsize=(4 * len(figures), 4), squeeze=False
+    )
+    aims = {aim.figure: aim for aim in pattern.aims}
+    for panel, figure in zip(panels[0], figures, strict=True):
+        for place, result in enumerate(results):
+            values = result.values(figure)
+            panel.scatter([place] * len(values), values, s=12)
+        if figure in aims:
+            panel.axhline(aims[figure].limit, linestyle='--', color='grey')
+        panel.set_title(figure)
+        panel.set_xticks(
+            range(len(results)),
+            [result.policy for result in results],
+            rotation=60,
+            ha='right',
+        )
+    canvas.suptitle(f'{pattern.name}: {pattern.summary}')
+    canvas.tight_layout()
+    canvas.savefig(path)
+    plt.close(canvas)
--- /dev/null
+++ b/guavagate/measure/_record.py
@@ -0,0 +1,80 @@
+"""What happened to each request, seen from its caller."""
+
+import enum
+from typing import Final
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from guavagate.decisions import Work
+
+# Histograms count microseconds up to an hour, to three digits.
+_LOWEST: Final = 1
+_HIGHEST: Final = 3_600_000_000
+_DIGITS: Final = 3
+_MICRO: Final = 1_000_000
+
+
+class Outcome(enum.Enum):
+    """How a request ended."""
+
+    IN_TIME = 'in_time'
+    LATE = 'late'
+    REFUSED = 'refused'
+    OPEN = 'open'
+
+
+class Request(msgspec.Struct, frozen=True, kw_only=True):
+    """A request to come: `tokens` is its true length."""
+
+    at: float
+    work: Work
+    tokens: int
+    alone: float
+
+
+class Record(msgspec.Struct, kw_only=True):
+    """One request's way, in seconds of virtual time."""
+
+    request: Request
+    outcome: Outcome = Outcome.OPEN
+    admitted: bool = False
+    started: float | None = None
+    ended: float = 0
+    attempts: int = 0
+    copies: int = 0
+    prompt: int = 0
+    cached: int = 0
+
+    @property
+    def latency(self) -> float:
+        """Return the seconds from arrival to the end."""
+        return self.ended - self.request.at
+
+    @property
+    def stretch(self) -> float:
+        """Return the latency divided by the time alone on a sampler."""
+        return self.latency / self.request.alone
+
+
+def percentile(seconds: list[float], share: float) -> float:
+    """Return a percentile by histogram; zero of nothing."""
+    if not seconds:
+        return 0
+    histogram = HdrHistogram(_LOWEST, _HIGHEST, _DIGITS)
+    for value in seconds:
+        histogram.record_value(max(int(value * _MICRO), _LOWEST))
+    return histogram.get_value_at_percentile(share) / _MICRO
+
+
+def mean(values: list[float]) -> float:
+    """Return the mean; zero of nothing."""
+    return sum(values) / len(values) if values else 0
+
+
+def jain(values: list[float]) -> float:
+    """Return Jain's index of fairness: 1 when all are equal."""
+    squares = sum(value * value for value in values)
+    if not squares:
+        return 1
+    return sum(values) ** 2 / (len(values) * squares)
--- /dev/null
+++ b/guavagate/measure/_runs.py
@@ -0,0 +1,76 @@
+"""Runs patterns over seeds and policies, several at a time."""
+
+import itertools
+from collections.abc import Iterable
+from concurrent.futures import ProcessPoolExecutor
+from typing import Final
+
+import msgspec
+
+from guavagate.measure._patterns import Pattern, get_pattern
+from guavagate.measure._policies import get_policy
+from guavagate.measure._scenario import Figures
+
+# Half of a small machine: other work goes on beside a measurement.
+WORKERS: Final = 6
+
+
+class Job(msgspec.Struct, frozen=True, kw_only=True):
+    """One run."""
+
+    pattern: str
+    policy: str
+    seed: int
+
+
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """One policy's figures over all seeds, in the seeds' order."""
+
+    policy: str
+    runs: tuple[Figures, ...]
+
+    def values(self, figure: str) -> list[float]:
+        """Return a figure's value for each seed."""
+        return [run[figure] for run in self.runs]
+
+
+def run_job(job: Job) -> Figures:
+    """Run one pattern with one policy and seed."""
+    policy = get_policy(job.policy)
+    return get_pattern(job.pattern).measure(policy, job.seed)
+
+
+def run_pattern(
+    pattern: Pattern, policies: Iterable[str], seeds: Iterable[int]
+) -> list[Result]:
+    """Run a pattern with each policy over all seeds."""
+    return run_all({pattern.name: tuple(policies)}, tuple(seeds))[pattern.name]
+
+
+def run_all(
+    wanted: dict[str, tuple[str, ...]], seeds: tuple[int, ...]
+) -> dict[str, list[Result]]:
+    """Run several patterns, each with its policies, over all seeds."""
+    for policies in wanted.values():
+        for policy in policies:
+            get_policy(policy)
+    jobs = [
+        Job(pattern=pattern, policy=policy, seed=seed)
+        for pattern, policies in wanted.items()
+        for policy, seed in itertools.product(policies, seeds)
+    ]
+    figures = iter(_map(jobs))
+    return {
+        pattern: [
+            Result(policy=policy, runs=tuple(next(figures) for _ in seeds))
+            for policy in policies
+        ]
+        for pattern, policies in wanted.items()
+    }
+
+
+def _map(jobs: list[Job]) -> list[Figures]:
+    if len(jobs) == 1:
+        return [run_job(jobs[0])]
+    with ProcessPoolExecutor(min(WORKERS, len(jobs))) as workers:
+        return list(workers.map(run_job, jobs))
--- /dev/null
+++ b/guavagate/measure/_workload.py
@@ -0,0 +1,122 @@
+"""Requests to come, drawn from a seeded generator."""
+
+import math
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+import numpy as np
+
+from guavagate.decisions import Kind, Work
+from guavagate.decisions._work import PREFILL_SHARE
+from guavagate.measure._engine import BATCH_SLOWDOWN, PACE
+from guavagate.measure._record import Request
+from guavagate.models import CallerId, RequestId, TeamId
+
+TEAM: Final = TeamId('trust')
+# Estimated lengths are off by up to this factor either way.
+ERROR_FACTOR: Final = 2.0
+# Callers limit the length (``max_tokens``) to this multiple of the mean.
+LENGTH_LIMIT: Final = 4
+# Prefix keys of one prompt: some shared, the last its own.
+SHARED_KEYS: Final = 3
+_KEY_SPAN: Final = 1 << 20
+
+Rng = np.random.Generator
+
+
+class Stream(msgspec.Struct, frozen=True, kw_only=True):
+    """One caller's requests: `patience` is the time to the deadline."""
+
+    caller: str
+    rate: float
+    tokens: float = 100
+    sigma: float = 0.5
+    patience: float = 10
+    prompt: int = 0
+    weight: float = 1
+    idempotent: bool = True
+
+
+def capacity(
+    streams_tokens: float,
+    samplers: int,
+    slots: int,
+    prompt: float = 0,
+) -> float:
+    """Return the requests a second that all samplers answer, full."""
+    pace = PACE * (1 + BATCH_SLOWDOWN * (slots - 1))
+    cost = streams_tokens + prompt * PREFILL_SHARE
+    return samplers * slots / (cost * pace)
+
+
+def draw_times(rng: Rng, rate: float, start: float, end: float) -> np.ndarray:
+    """Return the arrival times of a Poisson process."""
+    count = int(rng.poisson(rate * (end - start)))
+    return np.sort(rng.uniform(start, end, count))
+
+
+def draw_lengths(rng: Rng, count: int, mean: float, sigma: float) -> np.ndarray:
+    """Return lognormal lengths of a given mean, cut at the callers' limit."""
+    mu = math.log(mean) - sigma * sigma / 2
+    lengths = rng.lognormal(mu, sigma, count)
+    limit = LENGTH_LIMIT * mean
+    return np.clip(lengths.round(), 1, limit).astype(int)
+
+
+def draw_errors(rng: Rng, count: int) -> np.ndarray:
+    """Return factors by which estimates are off, up to twice either way."""
+    return ERROR_FACTOR ** rng.uniform(-1, 1, count)
+
+
+def draw_requests(
+    rng: Rng,
+    stream: Stream,
+    start: float,
+    end: float,
+    prefixes: Callable[[int], np.ndarray] | None = None,
+) -> list[Request]:
+    """Return a caller's requests between two times."""
+    times = draw_times(rng, stream.rate, start, end)
+    lengths = draw_lengths(rng, len(times), stream.tokens, stream.sigma)
+    errors = draw_errors(rng, len(times))
+    picks = prefixes(len(times)) if prefixes else np.zeros(len(times), int)
+    requests: list[Request] = []
+    for at, tokens, error, pick in zip(
+        times, lengths, errors, picks, strict=True
+    ):
+        name = f'{stream.caller}-{start:g}-{len(requests)}'
+        keys: tuple[int, ...] = ()
+        if prefixes:
+            own = int(rng.integers(_KEY_SPAN, _KEY_SPAN**2))
+            keys = (*share_keys(int(pick)), own)
+        work = Work(
+            id=RequestId(name),
+            team=TEAM,
+            caller=CallerId(stream.caller),
+            kind=Kind.INTERACTIVE,
+            deadline=float(at) + stream.patience,
+            prefix_keys=keys,
+            prompt_tokens=stream.prompt,
+            expected_tokens=guess_length(tokens * error, stream.tokens),
+            weight=stream.weight,
+            idempotent=stream.idempotent,
+        )
+        requests.append(make_request(float(at), work, int(tokens)))
+    return requests
+
+
+def guess_length(guess: float, mean: float) -> int:
+    """Return an estimate that keeps the callers' limit."""
+    return max(min(round(float(guess)), int(LENGTH_LIMIT * mean)), 1)
+
+
+def share_keys(prefix: int) -> tuple[int, ...]:
+    """Return the keys of a shared prefix."""
+    return tuple(prefix * SHARED_KEYS + level for level in range(SHARED_KEYS))
+
+
+def make_request(at: float, work: Work, tokens: int) -> Request:
+    """Return a request with its time alone on a sampler."""
+    alone = (tokens + work.prompt_tokens * PREFILL_SHARE) * PACE
+    return Request(at=at, work=work, tokens=tokens, alone=alone)
