Try the concurrency limit one stream up or down, and back

Cause: the limit learnt a pace for each number of streams and stepped down after slow spells of an engine, then waited a minute to try again.

Now a change is made only when it beats the old number measured just before and just after.

--- a/guavagate/decisions/_sampler.py
+++ b/guavagate/decisions/_sampler.py
@@ -43,7 +43,15 @@
 class Running:
     """One piece of work on one sampler."""
 
-    __slots__ = ('cached', 'cached_at', 'cost', 'expected', 'start', 'work')
+    __slots__ = (
+        'cached',
+        'cached_at',
+        'cost',
+        'expected',
+        'level',
+        'start',
+        'work',
+    )
 
     def __init__(
         self, work: Work, cost: float, start: float, expected: float
@@ -54,6 +62,7 @@
         self.expected = expected
         self.cached = 0
         self.cached_at = start
+        self.level = 0
 
 
 class SamplerState:
@@ -112,6 +121,7 @@
     def start(self, running: Running) -> None:
         """Count work that starts here."""
         self.running[running.work.id] = running
+        running.level = len(self.running)
 
     def stop(self, work_id: RequestId, now: float) -> Running | None:
         """Count work that has ended here."""
--- a/guavagate/decisions/limits.py
+++ b/guavagate/decisions/limits.py
@@ -5,53 +5,43 @@
 Without it: an engine with more streams than its memory holds swaps them in
 and out; every stream slows down together and nothing finishes.
 
-Seconds per token are learnt for each number of running streams. The limit
-moves towards the number with the most tokens a second, which batching raises
-and swapping lowers; one more is tried now and then. A pace that doubles at
-the same number is the engine's own slow spell and says nothing about
-numbers: then the others are forgotten and the limit stays, so it needn't be
-found again after the spell.
+While a sampler is full, one stream more or fewer is tried now and then; the
+change is made when it gave more tokens a second than the old number did both
+just before and just after. So a slow spell of the engine moves nothing, and
+nothing has to be recovered from after it: a pace that is worse at the same
+number of streams says nothing about the number.
 """
 
 from typing import Final
 
-_SMOOTHING: Final = 0.2
-# Answers at a number of streams before its pace counts.
-_MIN_ANSWERS: Final = 6
-# Tokens a second must differ by this share: below it, prompts and lengths do.
-_MARGIN: Final = 0.05
-# Trying one more costs some throughput while it lasts, if it is too much;
-# once a minute and sampler that is little, and a changed engine is found out.
-EXPLORE_EVERY_S: Final = 60.0
-# Twice the pace at the same number of streams is no matter of batching.
-SLOW_SPELL: Final = 2.0
+# Answers that make a measurement: a full sampler gives them in seconds.
+_ANSWERS: Final = 8
+# A change must give this share more tokens a second, or it is taken back.
+_GAIN: Final = 0.02
+# A trial costs at most one stream's share of the throughput while it lasts.
+# After a success the next follows at once; each failure doubles the pause.
+FIRST_PAUSE_S: Final = 60.0
+LONGEST_PAUSE_S: Final = 960.0
+# Beyond this multiple of the best pace, fewer streams are tried first: decode
+# slows by some tens of percent in a full batch, not by a half.
+_SUSPICIOUS: Final = 1.5
 # Growth ends at this multiple of the configured slots.
 MAX_GROWTH: Final = 4
 
 
-class _Level:
-    """The pace at one number of running streams."""
-
-    __slots__ = ('answers', 'pace')
-
-    def __init__(self, pace: float) -> None:
-        self.answers = 0
-        self.pace = pace
-
-    def learn(self, pace: float) -> None:
-        """Take in one answer's pace."""
-        self.answers += 1
-        self.pace += _SMOOTHING * (pace - self.pace)
-
-
 class ConcurrencyLimit:
     """One sampler's limit."""
 
     def __init__(self, configured: int, *, learning: bool) -> None:
         self._configured = max(configured, 1)
         self._learning = learning
-        self._levels: dict[int, _Level] = {}
-        self._explored: float | None = None
+        self._paces: list[float] = []
+        self._best: float | None = None
+        self._base: float | None = None
+        self._tried: float | None = None
+        self._step = 0
+        self._pause = FIRST_PAUSE_S
+        self._next_trial: float | None = None
         self.value = self._configured
 
     def configure(self, slots: int) -> None:
@@ -59,7 +49,9 @@
         if slots != self._configured and slots > 0:
             self._configured = slots
             self.value = slots
-            self._levels.clear()
+            self._base = None
+            self._tried = None
+            self._paces.clear()
 
     def learn(self, pace: float, running: int, now: float) -> None:
         """Take in one answer's seconds per token.
@@ -67,52 +59,50 @@
         Parameters
         ----------
         running
-            How many streams ran there, the answer's own included.
+            How many streams ran there all the while, its own included.
         """
         if not self._learning:
             return
-        level = self._levels.get(running)
-        if level is None:
-            level = _Level(pace)
-            self._levels[running] = level
-        elif self._is_slow_spell(level, pace):
-            self._levels = {running: _Level(pace)}
+        if self._best is None or pace < self._best:
+            self._best = pace
+        if running != self.value:
             return
-        level.learn(pace)
-        if running >= self.value:
-            self._move(now)
-
-    def _is_slow_spell(self, level: _Level, pace: float) -> bool:
-        if level.answers < _MIN_ANSWERS:
-            return False
-        return not 1 / SLOW_SPELL < pace / level.pace < SLOW_SPELL
-
-    def _move(self, now: float) -> None:
-        present = self._rate(self.value)
-        if present is None:
+        if self._next_trial is None:
+            self._next_trial = now + self._pause
+        self._paces.append(pace)
+        if len(self._paces) < _ANSWERS:
             return
-        known = {
-            count: rate
-            for count in self._levels
-            if (rate := self._rate(count)) is not None
-        }
-        best = max(known, key=lambda count: known[count])
-        if best < self.value and present < known[best] * (1 - _MARGIN):
-            self.value -= 1
+        rate = self.value * _ANSWERS / sum(self._paces)
+        self._paces.clear()
+        if self._base is None:
+            self._begin(rate, now)
+        elif self._tried is None:
+            self._tried = rate
+            self.value -= self._step
+        else:
+            self._judge(max(self._base, rate), self._tried, now)
+
+    def _begin(self, rate: float, now: float) -> None:
+        if self._next_trial is None or now < self._next_trial:
             return
-        if self._explored is None:
-            self._explored = now
-        if now - self._explored >= EXPLORE_EVERY_S:
-            self._explore(now)
-
-    def _explore(self, now: float) -> None:
-        if self.value < MAX_GROWTH * self._configured:
-            self._explored = now
-            self._levels.pop(self.value + 1, None)
-            self.value += 1
-
-    def _rate(self, count: int) -> float | None:
-        level = self._levels.get(count)
-        if level is None or level.answers < _MIN_ANSWERS:
-            return None
-        return count / level.pace
+        if not self._step:
+            pace = self.value / rate
+            slow = pace > _SUSPICIOUS * (self._best or pace)
+            self._step = -1 if slow else 1
+        top = MAX_GROWTH * self._configured
+        if not 1 <= self.value + self._step <= top:
+            self._step = -self._step
+        self._base = rate
+        self.value += self._step
+
+    def _judge(self, base: float, tried: float, now: float) -> None:
+        self._base = None
+        self._tried = None
+        if tried > base * (1 + _GAIN):
+            self.value += self._step
+            self._pause = FIRST_PAUSE_S
+            self._next_trial = now
+            return
+        self._step = -self._step
+        self._next_trial = now + self._pause
+        self._pause = min(2 * self._pause, LONGEST_PAUSE_S)
