Leave slots to short work and correct what admission expects

Cause: long jobs took every slot in moments without short ones queued, and no order helps against work that runs. And admission capped the expected wait by what is queued now, although others' work to come is served before it.

The wait under fair shares is no longer capped, and the high length quantile is used only behind a real queue.

--- a/guavagate/decisions/_attempts.py
+++ b/guavagate/decisions/_attempts.py
@@ -5,9 +5,15 @@
 from guavagate.decisions import retries
 from guavagate.decisions._fleet import Fleet
 from guavagate.decisions._sampler import Running, SamplerState
-from guavagate.decisions._work import RefusalReason, Safeguard, Work
+from guavagate.decisions._work import (
+    RefusalReason,
+    Safeguard,
+    Work,
+    estimate_cost,
+)
 from guavagate.decisions.fairness import Entry
 from guavagate.decisions.placement import expect_cost
+from guavagate.decisions.reserve import Reserve
 from guavagate.decisions.shares import Shares
 from guavagate.models import RequestId, SamplerId
 
@@ -47,6 +53,8 @@
 
     def __init__(self, fleet: Fleet, safeguards: frozenset[Safeguard]) -> None:
         self.shares = Shares()
+        self.reserve = Reserve()
+        self._long_running: set[RequestId] = set()
         self.hedges = retries.Budget(retries.HEDGE_SHARE)
         self._retries = retries.Budget(retries.RETRY_SHARE)
         self._fleet = fleet
@@ -57,6 +65,22 @@
         """Return the attempts at some work."""
         return self._attempts.get(work_id)
 
+    def keeps_back(
+        self, work: Work, free: list[SamplerState], now: float
+    ) -> bool:
+        """Return whether free slots are left to others' or shorter work."""
+        count = sum(state.free for state in free)
+        slots = self._fleet.slots
+        if Safeguard.HEADROOM in self._on:
+            if self.shares.exceeds(work, count, slots):
+                return True
+        if Safeguard.RESERVE not in self._on:
+            return False
+        if not self.reserve.is_long(work, estimate_cost(work)):
+            return False
+        size = self.reserve.size(slots, self._fleet.pace, now)
+        return len(self._long_running) >= slots - size
+
     def open(self, work: Work, now: float) -> Attempts:
         """Enter new work."""
         attempts = Attempts(work, now)
@@ -84,6 +108,8 @@
         state.start(running)
         state.prefixes.store(work.prefix_keys, now)
         self.shares.start(work)
+        if self.reserve.is_long(work, cost):
+            self._long_running.add(work.id)
         attempts.entry = None
         attempts.count += 1
         attempts.samplers.append(state.id)
@@ -112,6 +138,7 @@
         for sampler in others:
             self.stop(work_id, sampler, now)
         self._attempts.pop(work_id)
+        self._long_running.discard(work_id)
         return others
 
     def deny_retry(
--- a/guavagate/decisions/_work.py
+++ b/guavagate/decisions/_work.py
@@ -36,6 +36,7 @@
     EXPIRY = 'expiry'
     FAIRNESS = 'fairness'
     HEADROOM = 'headroom'
+    RESERVE = 'reserve'
     ORDER = 'order'
     AFFINITY = 'affinity'
     BOUNDED_LOAD = 'bounded-load'
--- a/guavagate/decisions/admission.py
+++ b/guavagate/decisions/admission.py
@@ -9,7 +9,7 @@
 wrong by a factor of two either way. Two things cope with that: the errors of
 the many requests ahead average out, so the wait uses the mean of actual to
 estimated length; a request's own length does not average out, so its own time
-uses the ninetieth percentile of that ratio. The expected wait itself is
+uses a high quantile of that ratio. The expected wait itself is
 corrected by how earlier waits turned out, for each caller. And work is looked
 at again when it reaches the head of the queue: what can no longer be in time
 is refused there, still truly not run.
@@ -25,11 +25,11 @@
 # A tenth of each answer moves the mean: about twenty answers to follow a
 # change, which a busy sampler gives in seconds.
 _SMOOTHING: Final = 0.1
-# The percentile that a request's own time is planned with: nine in ten of
-# those admitted at the very edge are still in time.
-OWN_QUANTILE: Final = 0.9
+# The share of requests whose own time is no longer than planned: one in
+# fifty of those admitted at the very edge is late.
+OWN_QUANTILE: Final = 0.98
 # Step of the quantile estimate, as a share of its value.
-_QUANTILE_STEP: Final = 0.02
+_QUANTILE_STEP: Final = 0.05
 # Before anything is known, between exact and off by two.
 _FIRST_HIGH: Final = 1.5
 # Of the requests let in, this share shall start before the expected wait:
@@ -42,6 +42,8 @@
 MAX_OWNERS: Final = 1_024
 # A ratio beyond these says more about a broken estimate than about lengths.
 _RATIO_RANGE: Final = (0.1, 10.0)
+# A shorter expected wait is no queue: a slot ends now and then.
+QUEUE_S: Final = 0.5
 # Never ask a caller to return sooner or later than this, in seconds.
 RETRY_AFTER_RANGE: Final = (0.1, 30.0)
 # Memory of a home: 4 KB an entry would be 40 MB at this length of queue, of
--- a/guavagate/decisions/fairness.py
+++ b/guavagate/decisions/fairness.py
@@ -189,8 +189,8 @@
         """Return the queued cost that a new entry would wait for.
 
         Under fair shares a flow waits for its own backlog, stretched by the
-        weights of all others that have any, and never for more than the whole
-        queue.
+        weights of all others that have any. That may be more than all that is
+        queued now: others' work to come has its share before it, too.
         """
         flow: Flow | None = self._root
         stretch: float = 1
@@ -203,7 +203,7 @@
             stretch *= active / weight
             own = child.backlog if child else 0
             flow = child
-        return min((own + cost) * stretch, self.backlog)
+        return (own + cost) * stretch if self._size else 0
 
     def _open(self, parent: Flow, name: Hashable, weight: float) -> Flow:
         flow = Flow(name, parent, max(weight, 1e-6))
--- a/guavagate/decisions/pool.py
+++ b/guavagate/decisions/pool.py
@@ -149,10 +149,11 @@
         if len(self._queue) >= self._max_queued:
             return self._refuse(work, RefusalReason.QUEUE_FULL, now)
         self._table.shares.hear(work, now)
+        self._table.reserve.hear(work, estimate_cost(work), now)
         expected = self._wait(work)
         wait = self._waits.correct(name_of(work), expected)
         if Safeguard.ADMISSION in self._on:
-            own = self._own_seconds(work)
+            own = self._own_seconds(work, wait)
             reason = admission.judge(now, work.deadline, wait, own)
             if reason is not None:
                 return self._refuse(work, reason, now)
@@ -291,9 +292,9 @@
         rate = max(self.slots, 1) / self._fleet.pace
         return ahead * self._fleet.length.mean / rate
 
-    def _own_seconds(self, work: Work) -> float:
+    def _own_seconds(self, work: Work, wait: float) -> float:
         seconds = estimate_cost(work) * self._fleet.pace
-        if not len(self._queue) and self._fleet.free():
+        if wait < admission.QUEUE_S:
             # Idle slots cost nobody anything: the estimate may be too long.
             return seconds / LENGTH_ERROR
         return seconds * self._fleet.length.high
@@ -327,7 +328,7 @@
     ) -> Placement | None:
         work = entry.work
         fitting = [state for state in free if not state.blocks(work)]
-        if not fitting or self._reserved(work, free):
+        if not fitting or self._table.keeps_back(work, free, now):
             return None
         state, reason = self._choose(work, fitting)
         attempts = self._table.get(work.id)
@@ -343,12 +344,6 @@
             decision=decision,
         )
 
-    def _reserved(self, work: Work, free: list[SamplerState]) -> bool:
-        if Safeguard.HEADROOM not in self._on:
-            return False
-        count = sum(state.free for state in free)
-        return self._table.shares.exceeds(work, count, self.slots)
-
     def _refuse(self, work: Work, reason: RefusalReason, now: float) -> Refused:
         wait = self._wait(work)
         after = admission.suggest_retry(wait, work.deadline - now)
--- a/guavagate/measure/_patterns.py
+++ b/guavagate/measure/_patterns.py
@@ -100,7 +100,13 @@
                 Aim(figure='long_worst_of_fifo', limit=2),
             ),
             shown=('short_stretch_p99', 'p50_s', 'p99_s'),
-            against=(FIFO, 'without-order', 'order-deadline', 'order-shortest'),
+            against=(
+                FIFO,
+                'without-order',
+                'without-reserve',
+                'order-deadline',
+                'order-shortest',
+            ),
         ),
         Pattern(
             name='overload',
