--- a/guavagate/links/__init__.py
+++ b/guavagate/links/__init__.py
@@ -6,5 +6,6 @@
 """
 
 from guavagate.links._bus import Bus, Handler, Message
+from guavagate.links._zmq_bus import ZmqBus
 
-__all__ = ('Bus', 'Handler', 'Message')
+__all__ = ('Bus', 'Handler', 'Message', 'ZmqBus')
--- /dev/null
+++ b/guavagate/links/_socket.py
@@ -0,0 +1,158 @@
+"""A task that owns one zmq socket; others hand it frames over a queue."""
+
+from collections.abc import Callable
+from typing import Final
+
+import gevent
+import zmq
+from gevent.event import Event
+from zmq.utils.monitor import parse_monitor_message
+
+Frames = list[bytes]
+
+# One pass hands over at most this many frames before other tasks run.
+_BATCH: Final = 64
+_DROPPED: Final = zmq.EVENT_DISCONNECTED
+_FAILED: Final = zmq.EVENT_CONNECT_RETRIED
+_WATCHED: Final = _DROPPED | _FAILED
+
+
+class SocketOwner:
+    """Reads and writes one socket; nobody else touches it.
+
+    zmq.green's blocking calls wait for the socket alone, not for a queue as
+    well, so the owner waits on one event that both the socket's file
+    descriptor and the queue set.
+
+    Parameters
+    ----------
+    limit
+        Frames that may wait to be taken over by zmq.
+    received
+        Called with each message, without blocking.
+    lost
+        Called when the connection breaks or can't be made.
+    """
+
+    def __init__(
+        self,
+        socket: zmq.Socket,
+        limit: int,
+        received: Callable[[Frames], None],
+        lost: Callable[[], None] | None = None,
+    ) -> None:
+        self._socket = socket
+        self._limit = limit
+        self._received = received
+        self._lost = lost
+        self._outbox: dict[int, Frames] = {}
+        self._sequence = 0
+        self._wake = Event()
+        self._open = True
+        self._monitor: zmq.Socket | None = None
+        if lost is not None:
+            self._monitor = socket.get_monitor_socket(_WATCHED)
+        self._watchers = [
+            self._watch(source)
+            for source in (self._socket, self._monitor)
+            if source is not None
+        ]
+        self._task = gevent.spawn(self._run)
+
+    def put(self, frames: Frames) -> int | None:
+        """Queue a message; nothing when the queue is full or closed."""
+        if not self._open or len(self._outbox) >= self._limit:
+            return None
+        self._sequence += 1
+        self._outbox[self._sequence] = frames
+        self._wake.set()
+        return self._sequence
+
+    def withdraw(self, ticket: int) -> bool:
+        """Take a message back; false when zmq has it already."""
+        return self._outbox.pop(ticket, None) is not None
+
+    def close(self) -> None:
+        """Close the socket; what still waits is dropped."""
+        if not self._open:
+            return
+        self._open = False
+        self._wake.set()
+
+    def join(self, timeout: float) -> None:
+        """Wait until the socket is closed."""
+        self._task.join(timeout)
+
+    def _watch(self, source: zmq.Socket) -> 'gevent._types._WatcherT':
+        watcher = gevent.get_hub().loop.io(source.getsockopt(zmq.FD), 1)
+        watcher.start(self._wake.set)
+        return watcher
+
+    def _run(self) -> None:
+        try:
+            while self._open:
+                self._wake.clear()
+                self._drain()
+                self._wake.wait()
+            self._give_out()
+        finally:
+            self._dispose()
+
+    def _drain(self) -> None:
+        """Move messages both ways until neither side has any.
+
+        The descriptor signals a change once, so leaving a message behind
+        would leave it until the next one.
+        """
+        moved = True
+        while moved and self._open:
+            moved = self._take_in() + self._give_out() > 0
+            self._take_events()
+            if moved:
+                gevent.sleep(0)
+
+    def _take_in(self) -> int:
+        taken = 0
+        while taken < _BATCH and self._open:
+            try:
+                frames = self._socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                break
+            taken += 1
+            self._received(frames)
+        return taken
+
+    def _give_out(self) -> int:
+        given = 0
+        while self._outbox and given < _BATCH:
+            ticket = next(iter(self._outbox))
+            try:
+                self._socket.send_multipart(self._outbox[ticket], zmq.NOBLOCK)
+            except zmq.Again:
+                break
+            except zmq.ZMQError:  # The peer has gone: nobody to answer.
+                given -= 1
+            self._outbox.pop(ticket)
+            given += 1
+        return given
+
+    def _take_events(self) -> None:
+        while self._monitor is not None and self._open:
+            try:
+                frames = self._monitor.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            if parse_monitor_message(frames)['event'] & _WATCHED:
+                self._lost and self._lost()
+
+    def _dispose(self) -> None:
+        for watcher in self._watchers:
+            watcher.stop()
+            watcher.close()
+        if self._monitor is not None:
+            self._socket.disable_monitor()
+            self._monitor.close(linger=0)
+        self._socket.close(linger=_LINGER_MS)
+
+
+_LINGER_MS: Final = 200
--- /dev/null
+++ b/guavagate/membership/_static.py
@@ -0,0 +1,42 @@
+"""Membership without probes: the peers named in the settings."""
+
+from collections.abc import Callable
+
+from guavagate.models import InstanceId
+from guavagate.settings import InstanceSettings, PeerSettings
+
+
+def describe(settings: InstanceSettings) -> PeerSettings:
+    """Return an instance as its peers know it."""
+    return PeerSettings(
+        id=settings.id,
+        availability_zone=settings.availability_zone,
+        region=settings.region,
+        peer_address=settings.peer_address,
+        http_address=settings.http_address,
+    )
+
+
+class StaticMembers:
+    """All configured peers, always usable; for tests of other parts."""
+
+    def __init__(self, settings: InstanceSettings) -> None:
+        known = {peer.id: peer for peer in settings.peers}
+        known[settings.id] = describe(settings)
+        self._known = dict(sorted(known.items()))
+
+    def alive(self) -> list[PeerSettings]:
+        """Return all instances by id."""
+        return list(self._known.values())
+
+    def get(self, instance: InstanceId) -> PeerSettings | None:
+        """Return an instance, or nothing."""
+        return self._known.get(instance)
+
+    def address(self, instance: InstanceId) -> str | None:
+        """Return where the instance listens for its peers."""
+        peer = self._known.get(instance)
+        return None if peer is None else peer.peer_address
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        """Accept a callback; nothing here ever changes."""
