Check settings at the edge; add tokens, log forms and recent decisions

The daemon needs its own file, the teams' subtrees, token checks, logging and a decision log before anything can be wired.

msgspec stops at the first error, so a walk over msgspec.inspect's schema collects all of them with file, path, value and remedy; pydantic was ruled out because the structs are there and the walk is 150 lines. RecentDecisions is a ring of packed records, indexed by subject.

Role and Literal fields stay strings to their readers.

--- /dev/null
+++ b/guavagate/explain/__init__.py
@@ -0,0 +1,5 @@
+"""Decisions with their reasons, kept for a while and found by id."""
+
+from guavagate.explain._recent import Decision, RecentDecisions
+
+__all__ = ('Decision', 'RecentDecisions')
--- a/guavagate/settings/__init__.py
+++ b/guavagate/settings/__init__.py
@@ -1,12 +1,30 @@
 """Settings: the daemon's own file and the teams' subtrees."""
 
+from guavagate.settings._check import Problem, SettingsProblemsError
+from guavagate.settings._documents import (
+    load_instance_settings,
+    parse_instance_settings,
+    parse_team_settings,
+    render_settings,
+)
+from guavagate.settings._force import TeamsInForce
+from guavagate.settings._record import (
+    Change,
+    SettingsRecord,
+    decode_record,
+    encode_record,
+    history_path,
+    settings_path,
+)
 from guavagate.settings._schema import (
     CallerSettings,
     DeploymentSettings,
     DeploymentWeights,
     InstanceSettings,
+    OperatorSettings,
     PeerSettings,
     PlatformSettings,
+    Role,
     SamplerSettings,
     ServiceSettings,
     TeamSettings,
@@ -15,13 +33,28 @@
 
 __all__ = (
     'CallerSettings',
+    'Change',
     'DeploymentSettings',
     'DeploymentWeights',
     'InstanceSettings',
+    'OperatorSettings',
     'PeerSettings',
     'PlatformSettings',
+    'Problem',
+    'Role',
     'SamplerSettings',
     'ServiceSettings',
+    'SettingsProblemsError',
+    'SettingsRecord',
     'TeamSettings',
+    'TeamsInForce',
     'UpstreamSettings',
+    'decode_record',
+    'encode_record',
+    'history_path',
+    'load_instance_settings',
+    'parse_instance_settings',
+    'parse_team_settings',
+    'render_settings',
+    'settings_path',
 )
--- /dev/null
+++ b/guavagate/settings/_kinds.py
@@ -0,0 +1,141 @@
+"""What a settings value means beyond its type: durations, addresses, ids."""
+
+import enum
+import ipaddress
+import re
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from guavagate.exceptions import SettingsError
+from guavagate.util.units import parse_duration, parse_size
+
+_ID: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+_HASH: Final = re.compile('sha256:[0-9a-f]{64}')
+_MAX_PORT: Final = 65535
+# TOML knows infinity; no number of ours means anything beyond this.
+_MOST: Final = 1_000_000
+
+
+class Kind(enum.StrEnum):
+    """The kinds of text that settings hold."""
+
+    ID = 'id'
+    DURATION = 'duration'
+    SIZE = 'size'
+    ADDRESS = 'host:port'
+    IP_ADDRESS = 'ip:port'
+    URL = 'URL'
+    TOKEN_HASH = 'token hash'
+
+
+def describe(
+    text: str,
+    kind: Kind | None = None,
+    *,
+    above: float | None = None,
+    least: float | None = None,
+) -> msgspec.Meta:
+    """Return the annotation of one settings field.
+
+    Parameters
+    ----------
+    text
+        What the field says, for docs/settings.md.
+    kind
+        What the text in it means.
+    above, least
+        Exclusive or inclusive lower bound of a number.
+    """
+    if above is not None:
+        return msgspec.Meta(description=text, gt=above, le=_MOST)
+    if least is not None:
+        return msgspec.Meta(description=text, ge=least, le=_MOST)
+    extra = {'kind': kind} if kind else None
+    return msgspec.Meta(description=text, extra=extra)
+
+
+def check_kind(kind: Kind, text: str) -> None:
+    """Raise when the text is not of the kind.
+
+    Raises
+    ------
+    SettingsError
+        Its remedy shows an example.
+    """
+    _CHECKS[kind](text)
+
+
+def _check_id(text: str) -> None:
+    if not _ID.fullmatch(text):
+        raise SettingsError(
+            f'{text!r} is not an id',
+            'use 1 to 64 letters, digits, dots, dashes or underscores,'
+            ' a letter or digit first',
+        )
+
+
+def _check_address(text: str) -> None:
+    host, _, port = text.rpartition(':')
+    if not host or '/' in host or not _is_port(port):
+        raise SettingsError(
+            f'{text!r} is not an address',
+            'write host:port, such as 10.0.0.7:8000',
+        )
+
+
+def _check_ip_address(text: str) -> None:
+    host, _, port = text.rpartition(':')
+    if not _is_ip(host.strip('[]')) or not _is_port(port):
+        raise SettingsError(
+            f'{text!r} is not an IP address with a port',
+            'write an IP number and a port, such as 10.0.0.7:8000',
+        )
+
+
+def _check_url(text: str) -> None:
+    scheme, separator, rest = text.rpartition('://')
+    if separator and scheme not in {'http', 'https'}:
+        raise SettingsError(
+            f'{text!r} has the unknown scheme {scheme!r}',
+            'write http://host:port or https://host:port',
+        )
+    _check_address(rest.split('/')[0])
+
+
+def _check_token_hash(text: str) -> None:
+    if not _HASH.fullmatch(text):
+        raise SettingsError(
+            'this is not the hash of a token',
+            'make a token and its hash with `guavagate token`, and write the'
+            ' hash here: sha256: and 64 hex digits',
+        )
+
+
+def _is_port(text: str) -> bool:
+    return text.isascii() and text.isdigit() and 0 < int(text) <= _MAX_PORT
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _check_duration(text: str) -> None:
+    if parse_duration(text) <= 0:
+        raise SettingsError(f'{text!r} is no time at all', 'write more than 0')
+
+
+_CHECKS: Final[dict[Kind, Callable[[str], object]]] = {
+    Kind.ID: _check_id,
+    Kind.DURATION: _check_duration,
+    Kind.SIZE: parse_size,
+    Kind.ADDRESS: _check_address,
+    Kind.IP_ADDRESS: _check_ip_address,
+    Kind.URL: _check_url,
+    Kind.TOKEN_HASH: _check_token_hash,
+}
--- a/guavagate/settings/_schema.py
+++ b/guavagate/settings/_schema.py
@@ -1,5 +1,8 @@
 """The typed form of all settings."""
 
+import enum
+from typing import Annotated, Literal
+
 import msgspec
 
 from guavagate.models import (
@@ -13,6 +16,15 @@
     UpstreamId,
     ZoneId,
 )
+from guavagate.settings._kinds import Kind, describe
+
+
+class Role(enum.StrEnum):
+    """What the holder of a token may do within its team."""
+
+    CALLER = 'caller'
+    TRAINER = 'trainer'
+    OPERATOR = 'operator'
 
 
 class _Settings(
@@ -24,95 +36,162 @@
 class PlatformSettings(_Settings, frozen=True, kw_only=True):
     """Where the platform's object API and instance list are."""
 
-    object_api: str
-    credentials_file: str = ''
+    object_api: Annotated[str, describe('Base URL of the object API', Kind.URL)]
+    credentials_file: Annotated[
+        str, describe('File that holds the platform credential')
+    ] = ''
 
 
 class PeerSettings(_Settings, frozen=True, kw_only=True):
     """A peer known at start, before the instance list has been read."""
 
-    id: InstanceId
-    availability_zone: ZoneId
-    region: RegionId
-    peer_address: str
-    http_address: str
+    id: Annotated[InstanceId, describe('Id of the instance', Kind.ID)]
+    availability_zone: Annotated[
+        ZoneId, describe('Availability zone it runs in', Kind.ID)
+    ]
+    region: Annotated[RegionId, describe('Region it runs in', Kind.ID)]
+    peer_address: Annotated[
+        str, describe('Where other instances reach it', Kind.IP_ADDRESS)
+    ]
+    http_address: Annotated[
+        str, describe('Where the balancer reaches it', Kind.IP_ADDRESS)
+    ]
 
 
-class InstanceSettings(_Settings, frozen=True, kw_only=True):
-    """One instance's own TOML file; addresses are ``host:port``."""
+class OperatorSettings(_Settings, frozen=True, kw_only=True):
+    """An operator of the fleet: every team's subtree, and the instances."""
+
+    id: Annotated[CallerId, describe('Name shown in the history', Kind.ID)]
+    token_hash: Annotated[
+        str, describe('Hash from `guavagate token`', Kind.TOKEN_HASH)
+    ]
 
-    id: InstanceId
-    availability_zone: ZoneId
-    region: RegionId
-    http_address: str
-    peer_address: str
+
+class InstanceSettings(_Settings, frozen=True, kw_only=True):
+    """One instance's own TOML file; addresses are ``ip:port``."""
+
+    id: Annotated[InstanceId, describe('Id of the instance', Kind.ID)]
+    availability_zone: Annotated[
+        ZoneId, describe('Availability zone it runs in', Kind.ID)
+    ]
+    region: Annotated[RegionId, describe('Region it runs in', Kind.ID)]
+    http_address: Annotated[str, describe('Address for HTTP', Kind.IP_ADDRESS)]
+    peer_address: Annotated[
+        str, describe('Address for other instances', Kind.IP_ADDRESS)
+    ]
     platform: PlatformSettings
     peers: tuple[PeerSettings, ...] = ()
-    data_folder: str = ''
-    log_format: str = 'human'
-    stop_limit: str = '30s'
+    operators: tuple[OperatorSettings, ...] = ()
+    data_folder: Annotated[
+        str, describe('Folder for bulk data; empty keeps nothing on disk')
+    ] = ''
+    data_limit: Annotated[
+        str, describe('Most that the data folder may hold', Kind.SIZE)
+    ] = '1GB'
+    log_format: Annotated[
+        Literal['human', 'json'], describe('Form of the log lines')
+    ] = 'human'
+    stop_limit: Annotated[
+        str, describe('Longest planned stop', Kind.DURATION)
+    ] = '30s'
+    settings_limit: Annotated[
+        str,
+        describe(
+            'Time without the store and every peer before the instance fails'
+            ' its readiness check',
+            Kind.DURATION,
+        ),
+    ] = '15s'
 
 
 class SamplerSettings(_Settings, frozen=True, kw_only=True):
     """One sampler: a model engine of a deployment."""
 
-    id: SamplerId
-    address: str
-    availability_zone: ZoneId
-    slots: int = 8
+    id: Annotated[SamplerId, describe('Id of the sampler', Kind.ID)]
+    address: Annotated[str, describe('Where it serves', Kind.ADDRESS)]
+    availability_zone: Annotated[
+        ZoneId, describe('Availability zone it runs in', Kind.ID)
+    ]
+    slots: Annotated[int, describe('Requests it works on at once', least=1)] = 8
 
 
 class DeploymentWeights(_Settings, frozen=True, kw_only=True):
     """What the deployment weighs: staleness against trainer idle time."""
 
-    staleness: float = 1.0
-    idle: float = 1.0
+    staleness: Annotated[
+        float, describe('Weight of the age of samples', least=0)
+    ] = 1.0
+    idle: Annotated[
+        float, describe('Weight of the trainer waiting', least=0)
+    ] = 1.0
 
 
 class DeploymentSettings(_Settings, frozen=True, kw_only=True):
     """A model deployment: samplers, and the bounds for their samples."""
 
-    id: DeploymentId
+    id: Annotated[DeploymentId, describe('Id of the deployment', Kind.ID)]
     samplers: tuple[SamplerSettings, ...]
-    max_staleness: int = 2
+    max_staleness: Annotated[
+        int, describe('Versions a delivered sample may be behind', least=0)
+    ] = 2
     weights: DeploymentWeights = DeploymentWeights()
-    token_timeout: str = '5s'
-    scoring_service: str = ''
-    fences_orders: bool = True
+    token_timeout: Annotated[
+        str, describe('Longest wait between two tokens', Kind.DURATION)
+    ] = '5s'
+    scoring_service: Annotated[
+        str, describe('Id of the service of this team that scores samples')
+    ] = ''
+    fences_orders: Annotated[
+        bool, describe('Whether its engines refuse an old fencing number')
+    ] = True
 
 
 class UpstreamSettings(_Settings, frozen=True, kw_only=True):
     """One upstream of a plain service."""
 
-    id: UpstreamId
-    address: str
-    availability_zone: ZoneId
+    id: Annotated[UpstreamId, describe('Id of the upstream', Kind.ID)]
+    address: Annotated[str, describe('Where it serves', Kind.ADDRESS)]
+    availability_zone: Annotated[
+        ZoneId, describe('Availability zone it runs in', Kind.ID)
+    ]
 
 
 class ServiceSettings(_Settings, frozen=True, kw_only=True):
     """A plain service; `idempotent` lists the methods that may be repeated."""
 
-    id: ServiceId
+    id: Annotated[ServiceId, describe('Id of the service', Kind.ID)]
     upstreams: tuple[UpstreamSettings, ...]
-    idempotent: tuple[str, ...] = ('GET', 'HEAD', 'OPTIONS')
-    timeout: str = '10s'
-    concurrency: int = 16
+    idempotent: Annotated[
+        tuple[str, ...], describe('HTTP methods that may be repeated')
+    ] = ('GET', 'HEAD', 'OPTIONS')
+    timeout: Annotated[
+        str, describe('Longest wait for an answer', Kind.DURATION)
+    ] = '10s'
+    concurrency: Annotated[
+        int, describe('Requests each upstream works on at once', least=1)
+    ] = 16
 
 
 class CallerSettings(_Settings, frozen=True, kw_only=True):
     """One declared caller; the token is stored as a hash."""
 
-    id: CallerId
-    token_hash: str
-    role: str = 'caller'
-    weight: float = 1.0
+    id: Annotated[CallerId, describe('Id of the caller', Kind.ID)]
+    token_hash: Annotated[
+        str, describe('Hash from `guavagate token`', Kind.TOKEN_HASH)
+    ]
+    role: Annotated[Role, describe('What the token allows')] = Role.CALLER
+    weight: Annotated[
+        float, describe('Share within the team when full', above=0)
+    ] = 1.0
 
 
 class TeamSettings(_Settings, frozen=True, kw_only=True):
     """All that one team declares: one object in the store."""
 
-    team: TeamId
-    weight: float = 1.0
+    team: Annotated[TeamId, describe('Id of the team', Kind.ID)]
+    weight: Annotated[
+        float, describe('Share among the teams when full', above=0)
+    ] = 1.0
     callers: tuple[CallerSettings, ...] = ()
     deployments: tuple[DeploymentSettings, ...] = ()
     services: tuple[ServiceSettings, ...] = ()
--- /dev/null
+++ b/guavagate/settings/_table.py
@@ -0,0 +1,101 @@
+"""The settings in force on this instance: one revision for each team."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from guavagate.events import settings as events
+from guavagate.events import write
+from guavagate.exceptions import SettingsError
+from guavagate.models import Revision, TeamId
+from guavagate.settings._documents import parse_team_settings
+from guavagate.settings._record import SettingsRecord, settings_path
+from guavagate.settings._schema import TeamSettings
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class InForce(msgspec.Struct, frozen=True):
+    """A team's record with its settings parsed."""
+
+    record: SettingsRecord
+    settings: TeamSettings
+
+
+class SettingsTable:
+    """Holds the newest accepted revision of each team; it never goes down."""
+
+    def __init__(self) -> None:
+        self._teams: dict[TeamId, InForce] = {}
+        self._subscribers: list[Callable[[TeamId], None]] = []
+
+    def get(self, team: TeamId) -> TeamSettings | None:
+        """Return the settings in force for a team."""
+        found = self._teams.get(team)
+        return found.settings if found else None
+
+    def all(self) -> list[TeamSettings]:
+        """Return every team's settings in force, by team."""
+        return [self._teams[team].settings for team in sorted(self._teams)]
+
+    def record(self, team: TeamId) -> SettingsRecord | None:
+        """Return the record in force for a team."""
+        found = self._teams.get(team)
+        return found.record if found else None
+
+    def records(self) -> list[SettingsRecord]:
+        """Return every record in force, by team."""
+        return [self._teams[team].record for team in sorted(self._teams)]
+
+    def revision(self, team: TeamId) -> Revision:
+        """Return the revision in force, 0 for an unknown team."""
+        found = self._teams.get(team)
+        return found.record.revision if found else Revision(0)
+
+    def revisions(self) -> dict[TeamId, Revision]:
+        """Return each team's revision in force."""
+        return {
+            team: found.record.revision for team, found in self._teams.items()
+        }
+
+    def subscribe(self, changed: Callable[[TeamId], None]) -> None:
+        """Call back, without blocking, after each change."""
+        self._subscribers.append(changed)
+
+    def offer(self, record: SettingsRecord) -> bool:
+        """Put a record in force if it is newer; return whether it was.
+
+        An older one comes from a late message, a store that answers from an
+        old copy or a relay that slept: taking it would undo an accepted
+        change. Comparing revisions is enough, because each revision of a team
+        is written by one conditional update.
+        """
+        if record.revision <= self.revision(record.team):
+            return False
+        try:
+            settings = parse_team_settings(
+                record.toml, settings_path(record.team)
+            )
+        except SettingsError as error:
+            # A newer release may know keys that this one does not.
+            write(
+                _LOGGER,
+                events.UNREADABLE,
+                team=record.team,
+                revision=record.revision,
+                error=str(error),
+            )
+            return False
+        self._teams[record.team] = InForce(record, settings)
+        write(
+            _LOGGER,
+            events.IN_FORCE,
+            team=record.team,
+            revision=record.revision,
+            who=record.change.who,
+            why=record.change.why,
+        )
+        for changed in self._subscribers:
+            changed(record.team)
+        return True
--- /dev/null
+++ b/tests/test_settings_documents.py
@@ -0,0 +1,97 @@
+"""Tests of settings texts at the edge."""
+
+import pathlib
+
+import pytest
+
+from guavagate.auth import hash_token
+from guavagate.settings import (
+    SettingsProblemsError,
+    load_instance_settings,
+    parse_team_settings,
+    render_settings,
+)
+
+_BAD_TEAM = """
+team = "authority"
+wieght = 2
+[[callers]]
+id = "portal"
+token_hash = "secret-in-plain-text"
+role = "boss"
+[[deployments]]
+id = "consent-llm"
+max_staleness = -1
+token_timeout = "5 sec"
+scoring_service = "scores"
+samplers = [
+  {id = "s1", address = "10.0.0.1", availability_zone = "ilala-hall"},
+  {id = "s1", address = "10.0.0.1:80", availability_zone = "ilala-hall"},
+]
+"""
+
+
+def _problems(text: str) -> dict[str, str]:
+    with pytest.raises(SettingsProblemsError) as caught:
+        parse_team_settings(text, 'team.toml')
+    assert 'secret-in-plain-text' not in str(caught.value)
+    return {problem.path: str(problem) for problem in caught.value.problems}
+
+
+def test_all_problems_are_told_at_once() -> None:
+    """Six mistakes give six lines with file, path, value and remedy."""
+    problems = _problems(_BAD_TEAM)
+    assert set(problems) == {
+        'wieght',
+        'callers[0].token_hash',
+        'callers[0].role',
+        'deployments[0].max_staleness',
+        'deployments[0].token_timeout',
+        'deployments[0].samplers[0].address',
+    }
+    assert "did you mean 'weight'?" in problems['wieght']
+    assert problems['deployments[0].token_timeout'].startswith(
+        "team.toml: deployments[0].token_timeout = '5 sec': "
+    )
+    assert "'trainer'" in problems['callers[0].role']
+
+
+def test_references_and_duplicates_are_checked() -> None:
+    """With the types right, ids that clash or lead nowhere are found."""
+    text = (
+        _BAD_TEAM.replace('wieght', 'weight')
+        .replace('secret-in-plain-text', hash_token('x'))
+        .replace('boss', 'caller')
+        .replace('-1', '1')
+        .replace('5 sec', '5s')
+        .replace('0.1"', '0.1:90"')
+    )
+    assert set(_problems(text)) == {
+        'deployments[0].samplers[1].id',
+        'deployments[0].scoring_service',
+    }
+    settings = parse_team_settings(
+        text.replace('scoring_service = "scores"', '').replace('s1', 's2', 1)
+    )
+    assert parse_team_settings(render_settings(settings)) == settings
+
+
+@pytest.mark.parametrize(
+    'text', ['team = "a" b', 'team = 3', 'callers = 3', '', 'team = "a/b"']
+)
+def test_malformed_texts_are_refused(text: str) -> None:
+    """Whatever is wrong, the answer is a list of problems."""
+    assert _problems(text)
+
+
+def test_an_instance_file_names_itself_in_errors(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The daemon's own file is checked the same way."""
+    file = tmp_path / 'instance.toml'
+    file.write_text('id = "i1"\nhttp_address = "localhost:80"\n')
+    with pytest.raises(SettingsProblemsError) as caught:
+        load_instance_settings(file)
+    lines = str(caught.value).splitlines()
+    assert len(lines) == 5
+    assert all(line.startswith(str(file)) for line in lines)
