Speak to model engines, and stand in for them and the object API

Cause: the daemon needs an engine adapter and something to run against. Ruled out: telling whole from cut by the terminal event alone; with crossed streams both end by it and both have a gap, so the engine's total is compared.

--- /dev/null
+++ b/guavagate/integrations/model_engine/_client.py
@@ -0,0 +1,226 @@
+"""The adapter from the engine port to HTTP."""
+
+import contextlib
+import logging
+from collections.abc import Generator, Iterator
+from typing import NoReturn, TypeVar
+
+import msgspec
+
+from guavagate.clock import Clock
+from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.integrations._http import Connections, Response
+from guavagate.integrations.model_engine import const
+from guavagate.integrations.model_engine._wire import (
+    StreamCheck,
+    decode_event,
+    encode_request,
+    malformed,
+    read_code,
+)
+from guavagate.integrations.model_engine.models import (
+    CacheEvents,
+    StreamEvent,
+)
+from guavagate.ports.engine import (
+    EngineOrder,
+    EngineReport,
+    Generation,
+    Piece,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+_Answer = TypeVar('_Answer')
+
+
+class HttpModelEngine:
+    """Speaks to all engines of one instance.
+
+    Parameters
+    ----------
+    clock
+        Bounds every wait.
+
+    Attributes
+    ----------
+    dropped
+        Pieces dropped because they belonged to another exchange.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._connections = Connections(clock)
+        self._clock = clock
+        self.dropped = 0
+
+    def generate(
+        self,
+        address: str,
+        generation: Generation,
+        token_timeout: float,
+    ) -> Iterator[Piece]:
+        """Stream the pieces; iterate to the end, or close to cancel.
+
+        Nothing is sent before the first piece is asked for.
+
+        Raises
+        ------
+        UpstreamNotStartedError
+            The engine certainly has not started.
+        UpstreamError
+            It may have: the stream is broken, silent or not whole.
+        """
+        running = True
+        stream = self._stream(address, generation, token_timeout)
+        try:
+            with contextlib.closing(stream):
+                for piece in stream:
+                    running = piece.finish is None
+                    yield piece
+        except UpstreamNotStartedError:
+            running = False
+            raise
+        finally:
+            if running:
+                self._clock.spawn(self._cancel, address, generation.exchange)
+
+    def report(self, address: str, timeout: float) -> EngineReport:
+        """Return the engine's report."""
+        return self._ask(
+            address, 'GET', const.PATH_REPORT, b'', EngineReport, timeout
+        )
+
+    def order(self, address: str, order: EngineOrder, timeout: float) -> None:
+        """Give an order; a refused one raises `UpstreamError`."""
+        body = msgspec.json.encode(order)
+        self._ask(address, 'POST', const.PATH_ORDERS, body, dict, timeout)
+
+    def cache_events(
+        self, address: str, since: int, timeout: float
+    ) -> CacheEvents:
+        """Return the cache events from a number on; numbers have gaps."""
+        path = f'{const.PATH_CACHE_EVENTS}{since}'
+        return self._ask(address, 'GET', path, b'', CacheEvents, timeout)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._connections.close()
+
+    def _stream(
+        self, address: str, generation: Generation, token_timeout: float
+    ) -> Generator[Piece, None, None]:
+        """Send the request and yield the pieces up to the terminal one."""
+        answer = self._connections.send(
+            address,
+            'POST',
+            const.PATH_COMPLETIONS,
+            body=encode_request(generation),
+            headers={'Content-Type': 'application/json'},
+            timeout=token_timeout,
+        )
+        try:
+            if answer.status_code != 200:
+                self._refuse(address, answer, token_timeout)
+            yield from self._take(address, answer, generation, token_timeout)
+        finally:
+            answer.release()
+
+    def _take(
+        self,
+        address: str,
+        answer: Response,
+        generation: Generation,
+        token_timeout: float,
+    ) -> Iterator[Piece]:
+        """Yield the events that belong to the exchange."""
+        check = StreamCheck(address, generation)
+        for event in self._read_events(address, answer, token_timeout):
+            if event.id != generation.exchange:
+                check.take_stray()
+                self._drop(address, generation, event)
+                continue
+            piece = check.take(event)
+            yield piece
+            if piece.finish is not None:
+                self._drain(address, answer)
+                return
+        raise UpstreamError(
+            f'{address} ended its stream without a terminal event',
+            'ask again from the last piece received',
+        )
+
+    def _read_events(
+        self, address: str, answer: Response, token_timeout: float
+    ) -> Iterator[StreamEvent]:
+        """Yield each event until the stream ends."""
+        while line := self._connections.read_line(
+            address, answer, token_timeout
+        ):
+            if not line.startswith(const.DATA_MARK):
+                continue
+            data = line[len(const.DATA_MARK) :].strip()
+            if data == const.DONE_MARK:
+                return
+            yield decode_event(address, data)
+
+    def _drain(self, address: str, answer: Response) -> None:
+        """Read the rest, so that the connection can be used again."""
+        try:
+            self._connections.read(address, answer, const.DRAIN_SECONDS)
+        except UpstreamError as error:
+            _LOGGER.debug('Connection not kept: %s', error)
+
+    def _drop(
+        self, address: str, generation: Generation, event: StreamEvent
+    ) -> None:
+        """Count a piece of another exchange."""
+        self.dropped += 1
+        _LOGGER.warning(
+            'Dropped a piece of exchange %s that %s sent to exchange %s',
+            event.id,
+            address,
+            generation.exchange,
+        )
+
+    def _refuse(
+        self, address: str, answer: Response, timeout: float
+    ) -> NoReturn:
+        """Raise for an answer that is no stream."""
+        code = read_code(self._connections.read(address, answer, timeout))
+        if answer.status_code == 503 and code in const.NOT_STARTED_CODES:
+            raise UpstreamNotStartedError(
+                f'{address} is {code}', 'ask another sampler'
+            )
+        raise UpstreamError(
+            f'{address} answered {answer.status_code} {code}',
+            'check the engine and the request',
+        )
+
+    def _ask(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        kind: type[_Answer],
+        timeout: float,
+    ) -> _Answer:
+        """Send a small request and decode its answer."""
+        answer = self._connections.send(
+            address, method, path, body=body, timeout=timeout
+        )
+        if answer.status_code >= 300:
+            self._refuse(address, answer, timeout)
+        data = self._connections.read(address, answer, timeout)
+        try:
+            return msgspec.json.decode(data, type=kind)
+        except msgspec.MsgspecError as error:
+            raise malformed(address, error) from error
+
+    def _cancel(self, address: str, exchange: str) -> None:
+        """Tell the engine to stop an exchange; it may be gone already."""
+        path = f'{const.PATH_CANCEL}{exchange}'
+        try:
+            self._ask(address, 'POST', path, b'', dict, const.CANCEL_SECONDS)
+        except UpstreamError as error:
+            _LOGGER.debug('Exchange %s not cancelled: %s', exchange, error)
--- /dev/null
+++ b/guavagate/integrations/model_engine/_wire.py
@@ -0,0 +1,108 @@
+"""Encodes requests and checks each streamed event."""
+
+import msgspec
+
+from guavagate.exceptions import UpstreamError
+from guavagate.integrations.model_engine.models import (
+    ErrorAnswer,
+    StreamEvent,
+)
+from guavagate.models import WeightVersion
+from guavagate.ports.engine import Generation, Piece
+
+_EVENT = msgspec.json.Decoder(StreamEvent)
+
+
+def encode_request(generation: Generation) -> bytes:
+    """Return a generation as the engine's request body."""
+    body = msgspec.to_builtins(generation)
+    body['request_id'] = body.pop('exchange')
+    body['stream'] = True
+    return msgspec.json.encode(body)
+
+
+def decode_event(address: str, data: bytes) -> StreamEvent:
+    """Return one event; a malformed one raises `UpstreamError`."""
+    try:
+        return _EVENT.decode(data)
+    except msgspec.MsgspecError as error:
+        raise malformed(address, error) from error
+
+
+def malformed(address: str, error: Exception) -> UpstreamError:
+    """Return the error of an answer that can't be read."""
+    return UpstreamError(
+        f'{address} sent what is no answer ({error})',
+        'check that the address is a model engine of this protocol',
+    )
+
+
+def read_code(data: bytes) -> str:
+    """Return the code of an error body, or nothing."""
+    try:
+        return msgspec.json.decode(data, type=ErrorAnswer).error.code
+    except msgspec.MsgspecError:
+        return ''
+
+
+class StreamCheck:
+    """Checks that a stream's pieces are whole and state their version.
+
+    Parameters
+    ----------
+    address
+        Named in errors.
+    generation
+        What was asked for.
+    """
+
+    def __init__(self, address: str, generation: Generation) -> None:
+        self._address = address
+        self._exchange = generation.exchange
+        self._tokens = 0
+        self._strays = 0
+
+    def take_stray(self) -> None:
+        """Note a piece of another exchange."""
+        self._strays += 1
+
+    def take(self, event: StreamEvent) -> Piece:
+        """Return the event's piece.
+
+        Raises
+        ------
+        UpstreamError
+            It states no version, or the terminal event shows that a piece
+            went missing.
+        """
+        if event.weight_version is None or not event.choices:
+            raise UpstreamError(
+                f'{self._address} does not say which version made its text',
+                'have the engine state weight_version on each event',
+            )
+        choice = event.choices[0]
+        self._tokens += event.usage.tokens
+        if choice.finish_reason is not None:
+            self._check_whole(event.usage.completion_tokens)
+        return Piece(
+            exchange=self._exchange,
+            text=choice.text,
+            tokens=event.usage.tokens,
+            version=WeightVersion(event.weight_version),
+            finish=choice.finish_reason,
+            cached_tokens=event.usage.cached_tokens,
+        )
+
+    def _check_whole(self, total: int | None) -> None:
+        """Compare the engine's total with what has arrived.
+
+        When two streams were crossed, our missing piece went to the other
+        one: the caller would see a gap although the terminal event is there.
+        Without a total, a stray piece alone makes the answer doubtful.
+        """
+        gap = self._strays > 0 if total is None else total != self._tokens
+        if gap:
+            raise UpstreamError(
+                f'{self._address} left out a piece of {self._exchange}',
+                'ask again from the start',
+            )
--- /dev/null
+++ b/guavagate/integrations/model_engine/const.py
@@ -0,0 +1,20 @@
+"""Names and limits of the engines' protocol."""
+
+from typing import Final
+
+PATH_COMPLETIONS: Final = '/v1/completions'
+PATH_CANCEL: Final = '/cancel/'
+PATH_REPORT: Final = '/report'
+PATH_ORDERS: Final = '/orders'
+PATH_CACHE_EVENTS: Final = '/cache/events?since='
+
+DATA_MARK: Final = b'data: '
+DONE_MARK: Final = b'[DONE]'
+
+NOT_STARTED_CODES: Final = frozenset(('leaving', 'overloaded'))
+CANCEL_SECONDS: Final = 2.0
+DRAIN_SECONDS: Final = 0.2
+MAX_STRAY_PIECES: Final = 10_000
+
+# Engines name a cached prefix by a digest over whole blocks of the prompt.
+PREFIX_BLOCK: Final = 64
--- /dev/null
+++ b/guavagate/integrations/model_engine/models.py
@@ -0,0 +1,68 @@
+"""The engines' protocol, as it is on the wire."""
+
+import msgspec
+import xxhash
+
+from guavagate.integrations.model_engine.const import PREFIX_BLOCK
+
+
+class Choice(msgspec.Struct):
+    """One choice of a streamed event."""
+
+    text: str = ''
+    finish_reason: str | None = None
+
+
+class Usage(msgspec.Struct):
+    """Tokens of one event; `completion_tokens` totals the exchange."""
+
+    tokens: int = 0
+    cached_tokens: int = 0
+    completion_tokens: int | None = None
+
+
+class StreamEvent(msgspec.Struct):
+    """One server-sent event; an engine may leave the version out."""
+
+    id: str
+    choices: list[Choice]
+    usage: Usage = msgspec.field(default_factory=Usage)
+    weight_version: int | None = None
+
+
+class ErrorBody(msgspec.Struct):
+    """What an error says."""
+
+    code: str = ''
+    message: str = ''
+
+
+class ErrorAnswer(msgspec.Struct):
+    """An error's body."""
+
+    error: ErrorBody = msgspec.field(default_factory=ErrorBody)
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """A prefix that an engine has stored or evicted; numbers have gaps."""
+
+    seq: int
+    kind: str
+    prefix: str
+
+
+class CacheEvents(msgspec.Struct):
+    """Cache events and the number to ask from next."""
+
+    next: int
+    events: list[CacheEvent]
+
+
+def prefix_ids(prompt: str) -> list[str]:
+    """Return the ids of a prompt's prefixes, the shortest first."""
+    ids = []
+    digest = xxhash.xxh64()
+    for end in range(PREFIX_BLOCK, len(prompt) + 1, PREFIX_BLOCK):
+        digest.update(prompt[end - PREFIX_BLOCK : end].encode())
+        ids.append(digest.hexdigest())
+    return ids
--- /dev/null
+++ b/standins/object_api/__init__.py
@@ -0,0 +1,6 @@
+"""The platform's object API and list of instances, as a stand-in."""
+
+from standins.object_api._app import ObjectApiOptions, make_app
+from standins.object_api._store import Store
+
+__all__ = ('ObjectApiOptions', 'Store', 'make_app')
--- /dev/null
+++ b/standins/object_api/_faults.py
@@ -0,0 +1,89 @@
+"""The object API's faults and limits."""
+
+import random
+import time
+from typing import Any
+
+import msgspec
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """What ``POST /control/faults`` sets; what it leaves out is healthy."""
+
+    outage: bool = False
+    slow_ms: float = 0
+    lose_answers: float = 0
+    stale_reads: bool = False
+    list_lag_s: float = 0
+    hide: list[str] = []
+    ghosts: list[dict[str, Any]] = []
+
+
+class Bucket:
+    """A rate limit of so many calls a second, with a second's burst.
+
+    Parameters
+    ----------
+    rate
+        Calls a second; 0 for no limit.
+    """
+
+    def __init__(self, rate: float) -> None:
+        self._rate = rate
+        self._left = rate
+        self._at = time.monotonic()
+
+    def take(self) -> bool:
+        """Take one call, or say that there is none left."""
+        if not self._rate:
+            return True
+        now = time.monotonic()
+        self._left += (now - self._at) * self._rate
+        self._left = min(self._left, self._rate)
+        self._at = now
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
+
+
+class Instances:
+    """The platform's list of instances, which lags.
+
+    Parameters
+    ----------
+    faults
+        Hidden and invented entries, and the lag.
+    """
+
+    def __init__(self) -> None:
+        self._live: dict[str, dict[str, Any]] = {}
+        self._past: list[tuple[float, list[dict[str, Any]]]] = []
+
+    def put(self, instance: str, entry: dict[str, Any]) -> None:
+        """Enter an instance, or change its state."""
+        self._live[instance] = {'state': 'live', **entry, 'id': instance}
+        self._keep()
+
+    def delete(self, instance: str) -> None:
+        """Take an instance off the list."""
+        self._live.pop(instance, None)
+        self._keep()
+
+    def show(self, faults: Faults) -> list[dict[str, Any]]:
+        """Return the list as it was before the lag, with its errors."""
+        until = time.monotonic() - faults.list_lag_s
+        seen = [entries for at, entries in self._past if at <= until]
+        entries = seen[-1] if seen else []
+        shown = [entry for entry in entries if entry['id'] not in faults.hide]
+        return shown + faults.ghosts
+
+    def _keep(self) -> None:
+        """Keep the list as it is now."""
+        self._past.append((time.monotonic(), list(self._live.values())))
+        self._past = self._past[-100:]
+
+
+def loses(faults: Faults, draw: random.Random) -> bool:
+    """Tell whether this answer is lost on its way."""
+    return draw.random() < faults.lose_answers
