Add small fakes and the events of histories

Cause: tests of failures need instances that pause and die on the paused clock, a lossy network and a store with outages; callers, trainers and upstreams need one form in which to record what they saw.

How others use it: `from guavagate.measure.fakes import World`; `World().add ('a', 'zone-0')` gives a Host (`.clock`, `.pause()`...), `world.bus('a')` a Bus, `world.store_of('a')` an ObjectStore, `world.members['a']` Members, `world.kill/pause/resume`, `world.network.blocked/loss/duplicates`, `world.store.outage/slow/lose_next/serve_stale`. Histories: `guavagate.measure.history` has the event structs, `read_history`, `write_history` and `check(history) -> list[Violation]`.

Ruled out: one shared clock for all instances; a paused one would then go on by its timers, which is just the fault that fencing is for.

Conclusion: seams in place; judges cover at most once, own answers, not run, delivery, versions and staleness.

--- /dev/null
+++ b/guavagate/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: patterns, models and checkers behind script/measure."""
--- /dev/null
+++ b/guavagate/measure/_checks.py
@@ -0,0 +1,232 @@
+"""How each promise is judged from a history."""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from typing import Final, TypeAlias, TypeVar
+
+from guavagate.measure import _events as hist
+
+_Kind = TypeVar('_Kind', bound=hist.Event)
+_History: TypeAlias = list[hist.Event]
+
+
+def judge_runs(events: _History) -> Iterator[hist.Violation]:
+    """Find non-idempotent requests that ran more than once."""
+    once = {
+        event.request
+        for event in _pick(events, hist.SentRequest)
+        if not event.idempotent
+    }
+    runs = Counter(ran.request for ran in _pick(events, hist.RanAtUpstream))
+    for request, count in runs.items():
+        if request in once and count > 1:
+            yield hist.Violation(
+                hist.Promise.RUN_AT_MOST_ONCE,
+                request,
+                f'it ran {count} times',
+                _about(events, request),
+            )
+
+
+def judge_answers(events: _History) -> Iterator[hist.Violation]:
+    """Find answers that no upstream gave whole to that very request."""
+    given: dict[str, set[str]] = defaultdict(set)
+    for answer in _pick(events, hist.AnsweredByUpstream):
+        given[answer.request].add(answer.answer)
+    told: Counter[str] = Counter()
+    for received in _pick(events, hist.Received):
+        told[received.attempt] += 1
+        if received.answer not in given[received.request]:
+            yield hist.Violation(
+                hist.Promise.OWN_WHOLE_ANSWER,
+                received.request,
+                f'no upstream gave it the answer {received.answer!r}',
+                _about(events, received.request),
+            )
+    for attempt, count in told.items():
+        if count > 1:
+            yield hist.Violation(
+                hist.Promise.OWN_WHOLE_ANSWER,
+                attempt,
+                f'one attempt was answered {count} times',
+                _about(events, attempt),
+            )
+
+
+def judge_refusals(events: _History) -> Iterator[hist.Violation]:
+    """Find refusals that say "not run" of a request that ran.
+
+    An attempt's refusal speaks of its request as a whole up to then when
+    the request carries a key, and never of a run that a later attempt made.
+    """
+    runs: dict[str, list[float]] = defaultdict(list)
+    for ran in _pick(events, hist.RanAtUpstream):
+        runs[ran.request].append(ran.at)
+    sent = {one.attempt: one for one in _pick(events, hist.SentRequest)}
+    starts: dict[str, list[float]] = defaultdict(list)
+    for attempt in sent.values():
+        starts[attempt.request].append(attempt.at)
+    for refusal in _pick(events, hist.ReceivedRefusal):
+        if refusal.not_run != 'true':
+            continue
+        others = [
+            start
+            for start in starts[refusal.request]
+            if start != sent[refusal.attempt].at
+        ]
+        limit = min(
+            (start for start in others if start >= refusal.at),
+            default=float('inf'),
+        )
+        if any(ran < limit for ran in runs[refusal.request]):
+            yield hist.Violation(
+                hist.Promise.NOT_RUN_IS_TRUE,
+                refusal.request,
+                'a refusal said that it did not run, but it ran',
+                _about(events, refusal.request),
+            )
+
+
+def judge_deliveries(events: _History) -> Iterator[hist.Violation]:
+    """Find samples taken in twice, and whole steps that lack some.
+
+    A batch counts as delivered when its cursor is acknowledged; a repeated
+    pull at the same cursor must bring the same samples.
+    """
+    batches: dict[tuple[str, str, str], hist.PulledBatch] = {}
+    for batch in _pick(events, hist.PulledBatch):
+        place = (batch.run, batch.step, batch.follows)
+        first = batches.setdefault(place, batch)
+        if _names(first) != _names(batch):
+            yield hist.Violation(
+                hist.Promise.DELIVERED_ONCE,
+                batch.step,
+                f'cursor {batch.follows} names two different batches',
+                (first, batch),
+            )
+    yield from _judge_steps(events, batches)
+
+
+def judge_versions(events: _History) -> Iterator[hist.Violation]:
+    """Find samples whose versions are not those of their pieces."""
+    made: dict[str, dict[str, list[hist.GeneratedPiece]]] = defaultdict(dict)
+    for piece in _pick(events, hist.GeneratedPiece):
+        made[piece.sample].setdefault(piece.exchange, []).append(piece)
+    for batch in _pick(events, hist.PulledBatch):
+        for sample in batch.samples:
+            pieces = [
+                piece
+                for exchange in sample.exchanges
+                for piece in made[sample.sample].get(exchange, [])
+            ]
+            if sample.exchanges and not _can_have_made(sample, pieces):
+                yield hist.Violation(
+                    hist.Promise.TRUE_VERSIONS,
+                    sample.sample,
+                    f'it names versions {sample.versions}',
+                    (batch, *pieces),
+                )
+
+
+def judge_staleness(events: _History) -> Iterator[hist.Violation]:
+    """Find samples older than the bound when they were handed out.
+
+    A version whose publication was confirmed before the pull was sent
+    counts; one confirmed while the pull was under way does not.
+    """
+    bounds: dict[str, int] = {}
+    for event in events:
+        if isinstance(event, hist.PublishedVersion):
+            bounds[event.run] = event.max_staleness
+        if not isinstance(event, hist.PulledBatch):
+            continue
+        bound = bounds.get(event.run)
+        for sample in event.samples:
+            oldest = min(sample.versions, default=event.newest)
+            if bound is not None and event.newest - oldest > bound:
+                yield hist.Violation(
+                    hist.Promise.FRESH,
+                    sample.sample,
+                    f'version {oldest} handed out at {event.newest}',
+                    (event,),
+                )
+
+
+def _judge_steps(
+    events: _History,
+    batches: dict[tuple[str, str, str], hist.PulledBatch],
+) -> Iterator[hist.Violation]:
+    """Judge what each step's trainer took in."""
+    taken: dict[tuple[str, str], Counter[str]] = defaultdict(Counter)
+    acked = {
+        (one.run, one.step, one.cursor) for one in _pick(events, hist.Acked)
+    }
+    for place in acked & batches.keys():
+        taken[place[:2]].update(_names(batches[place]))
+    for (_, step), samples in taken.items():
+        doubled = [name for name, count in samples.items() if count > 1]
+        if doubled:
+            yield hist.Violation(
+                hist.Promise.DELIVERED_ONCE,
+                step,
+                f'delivered more than once: {doubled[:3]}',
+            )
+    wanted = {
+        (one.run, one.step): one.groups * one.samples_per_group
+        for one in _pick(events, hist.SubmittedStep)
+    }
+    for done in _pick(events, hist.StepDone):
+        place_of_step = (done.run, done.step)
+        got = len(taken[place_of_step])
+        if got != wanted.get(place_of_step):
+            yield hist.Violation(
+                hist.Promise.DELIVERED_ONCE,
+                done.step,
+                f'{got} of {wanted.get(place_of_step)} samples delivered',
+                (done,),
+            )
+
+
+def _can_have_made(
+    sample: hist.PulledSample,
+    pieces: list[hist.GeneratedPiece],
+) -> bool:
+    """Say whether the pieces hold the text and the versions."""
+    known = {piece.version for piece in pieces}
+    if not set(sample.versions) <= known:
+        return False
+    whole = ''.join(piece.text for piece in pieces)
+    if len(sample.exchanges) == 1 and sample.text == whole:
+        return set(sample.versions) == known
+    return True
+
+
+def _names(batch: hist.PulledBatch) -> list[str]:
+    """Return the names of a batch's samples."""
+    return [sample.sample for sample in batch.samples]
+
+
+def _pick(events: _History, kind: type[_Kind]) -> list[_Kind]:
+    """Return the events of one kind."""
+    return [event for event in events if isinstance(event, kind)]
+
+
+def _about(events: _History, subject: str) -> tuple[hist.Event, ...]:
+    """Return the events of one request, with the faults between them."""
+    return tuple(
+        event
+        for event in events
+        if isinstance(event, hist.FaultInjected)
+        or subject
+        in {getattr(event, 'request', ''), getattr(event, 'attempt', '')}
+    )
+
+
+JUDGES: Final[tuple[Callable[[_History], Iterator[hist.Violation]], ...]] = (
+    judge_runs,
+    judge_answers,
+    judge_refusals,
+    judge_deliveries,
+    judge_versions,
+    judge_staleness,
+)
--- /dev/null
+++ b/guavagate/measure/fakes/__init__.py
@@ -0,0 +1,28 @@
+"""Small fakes at the interfaces, on one paused clock; a seed replays exactly.
+
+``World`` makes ``Host`` objects; each has its own clock, bus, store and
+members, so that one instance can be paused or killed while others run.
+"""
+
+from guavagate.measure.fakes._bus import FakeBus, Network
+from guavagate.measure.fakes._host import Host, HostClock
+from guavagate.measure.fakes._store import MemoryStore, StoreState
+from guavagate.measure.fakes._world import (
+    FakeMembers,
+    FakeTeams,
+    NoDecisions,
+    World,
+)
+
+__all__ = (
+    'FakeBus',
+    'FakeMembers',
+    'FakeTeams',
+    'Host',
+    'HostClock',
+    'MemoryStore',
+    'Network',
+    'NoDecisions',
+    'StoreState',
+    'World',
+)
--- /dev/null
+++ b/guavagate/measure/fakes/_bus.py
@@ -0,0 +1,216 @@
+"""A network of fake buses: delay, loss, duplicates and one-way partitions."""
+
+import functools
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+from gevent.event import AsyncResult
+
+from guavagate.clock import PausedClock
+from guavagate.exceptions import (
+    GuavagateError,
+    LinkError,
+    LinkRefusedError,
+)
+from guavagate.links import Handler, Message
+from guavagate.measure.fakes._host import Host
+from guavagate.models import InstanceId
+
+_Reply = TypeVar('_Reply', bound=Message)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class Network:
+    """What lies between the instances.
+
+    Parameters
+    ----------
+    delay
+        Bounds of the one-way delay, in seconds.
+
+    Attributes
+    ----------
+    loss
+        Share of messages and of replies lost.
+    duplicates
+        Share of one-way messages that arrive twice; requests are answered
+        once, but a late one may be handled after its asker gave up.
+    blocked
+        Pairs (from, to) between which nothing passes.
+    messages, sent_bytes
+        Counted by kind.
+    """
+
+    def __init__(
+        self,
+        clock: PausedClock,
+        rng: random.Random,
+        delay: tuple[float, float] = (0.0005, 0.002),
+    ) -> None:
+        self.clock = clock
+        self.random = rng
+        self.delay = delay
+        self.loss = float(0)
+        self.duplicates = float(0)
+        self.blocked: set[tuple[InstanceId, InstanceId]] = set()
+        self.messages: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
+        self.buses: dict[InstanceId, FakeBus] = {}
+        self.watcher: Callable[[Host, str, Message], None] | None = None
+
+    def join(self, host: Host) -> 'FakeBus':
+        """Give an instance its bus; a restarted one gets a new bus."""
+        bus = FakeBus(self, host)
+        self.buses[host.instance] = bus
+        return bus
+
+    def carry(
+        self,
+        source: InstanceId,
+        target: InstanceId,
+        kind: str,
+        size: int,
+        arrive: Callable[[], None],
+    ) -> bool:
+        """Let something arrive later; say whether it will."""
+        self.messages[kind] += 1
+        self.sent_bytes[kind] += size
+        if (source, target) in self.blocked:
+            return False
+        if self.random.random() < self.loss:
+            return False
+        wait = self.random.uniform(*self.delay)
+        self.clock.call_at(self.clock.now() + wait, arrive)
+        return True
+
+
+class FakeBus:
+    """The bus of one instance; see `guavagate.links.Bus`."""
+
+    def __init__(self, network: Network, host: Host) -> None:
+        self._network = network
+        self.host = host
+        self._handlers: dict[str, tuple[type[Message], Handler]] = {}
+
+    def register(self, kind: type[Message], handler: Handler) -> None:
+        """Call the handler, in a task of its own, for each such message."""
+        self._handlers[kind.__name__] = kind, handler
+
+    def request(
+        self,
+        peer: InstanceId,
+        message: Message,
+        reply: type[_Reply],
+        timeout: float,
+    ) -> _Reply:
+        """Ask a peer and wait for its reply."""
+        self._watch(message)
+        if peer not in self._network.buses:
+            raise LinkRefusedError(
+                f'{peer} is not known', 'wait until it has joined'
+            )
+        waiter: AsyncResult[Any] = AsyncResult()
+        raw = _ENCODER.encode(message)
+        kind = type(message).__name__
+
+        def answer(outcome: bytes | GuavagateError) -> None:
+            size = len(outcome) if isinstance(outcome, bytes) else 1
+            self._network.carry(
+                peer,
+                self.host.instance,
+                f'{kind}.reply',
+                size,
+                lambda: self.host.deliver(lambda: waiter.set(outcome)),
+            )
+
+        self._network.carry(
+            self.host.instance,
+            peer,
+            kind,
+            len(raw),
+            lambda: self._arrive(peer, kind, raw, answer),
+        )
+        with self.host.clock.timeout(timeout, lambda: _no_reply(peer, kind)):
+            outcome = waiter.get()
+        if isinstance(outcome, GuavagateError):
+            raise outcome
+        return msgspec.msgpack.decode(outcome, type=reply)
+
+    def send(self, peer: InstanceId, message: Message) -> None:
+        """Send one way; nothing says whether it arrived."""
+        self._watch(message)
+        raw = _ENCODER.encode(message)
+        kind = type(message).__name__
+        copies = 1
+        if self._network.random.random() < self._network.duplicates:
+            copies = 2
+        arrive = functools.partial(self._arrive, peer, kind, raw, None)
+        for _ in range(copies):
+            self._network.carry(
+                self.host.instance, peer, kind, len(raw), arrive
+            )
+
+    def handle(
+        self,
+        source: InstanceId,
+        kind: str,
+        raw: bytes,
+        answer: Callable[[bytes | GuavagateError], None] | None,
+    ) -> None:
+        """Run the handler in a task of this instance."""
+        found = self._handlers.get(kind)
+        if found is None:
+            if answer is not None:
+                answer(
+                    LinkRefusedError(
+                        f'{kind} has no handler', 'start its component'
+                    )
+                )
+            return
+        self.host.clock.spawn(_call, found, source, raw, answer)
+
+    def _arrive(
+        self,
+        peer: InstanceId,
+        kind: str,
+        raw: bytes,
+        answer: Callable[[bytes | GuavagateError], None] | None,
+    ) -> None:
+        """Hand a message to whatever has the peer's name by then."""
+        bus = self._network.buses.get(peer)
+        if bus is None:
+            return
+        source = self.host.instance
+        bus.host.deliver(lambda: bus.handle(source, kind, raw, answer))
+
+    def _watch(self, message: Message) -> None:
+        """Let a test act at the very step at which a message is sent."""
+        if self._network.watcher is not None:
+            kind = type(message).__name__
+            self._network.watcher(self.host, kind, message)
+
+
+def _call(
+    found: tuple[type[Message], Handler],
+    source: InstanceId,
+    raw: bytes,
+    answer: Callable[[bytes | GuavagateError], None] | None,
+) -> None:
+    """Decode, handle and answer."""
+    kind, handler = found
+    try:
+        reply = handler(source, msgspec.msgpack.decode(raw, type=kind))
+    except GuavagateError as error:
+        if answer is not None:
+            answer(error)
+        return
+    if answer is not None and reply is not None:
+        answer(_ENCODER.encode(reply))
+
+
+def _no_reply(peer: InstanceId, kind: str) -> LinkError:
+    """Make the error of a request that got no reply."""
+    return LinkError(f'{peer} gave no reply to {kind}', 'ask again')
--- /dev/null
+++ b/guavagate/measure/fakes/_store.py
@@ -0,0 +1,190 @@
+"""The object API in memory, with the faults the platform's has."""
+
+import dataclasses
+import random
+from collections import Counter
+from typing import Final
+
+from gevent.event import Event
+
+from guavagate.clock import Clock
+from guavagate.exceptions import (
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from guavagate.models import Revision
+from guavagate.ports.store import (
+    StoreChange,
+    StoredObject,
+    WatchCompactedError,
+)
+
+_CALL: Final = 0.003
+_OUTAGE: Final = 0.2
+
+
+@dataclasses.dataclass
+class StoreState:
+    """What all instances share: the objects and the faults in force.
+
+    Attributes
+    ----------
+    outage
+        Every call fails, after `_OUTAGE` seconds.
+    slow
+        Seconds added to each call.
+    lose_answers
+        Share of writes that take effect though their answer is lost.
+    lose_next
+        Number of next writes whose answer is lost.
+    calls
+        Counted by name; a waiting watch counts once.
+    """
+
+    rng: random.Random = dataclasses.field(
+        default_factory=lambda: random.Random(0)
+    )
+    outage: bool = False
+    slow: float = 0
+    lose_answers: float = 0
+    lose_next: int = 0
+    revision: int = 0
+    compacted: int = 0
+    calls: 'Counter[str]' = dataclasses.field(default_factory=Counter)
+    writes: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    objects: dict[str, StoredObject] = dataclasses.field(default_factory=dict)
+    changes: list[StoreChange] = dataclasses.field(default_factory=list)
+    old: dict[str, StoredObject] | None = None
+    changed: Event = dataclasses.field(default_factory=Event)
+
+    def serve_stale(self, on: bool) -> None:
+        """Answer reads from today's copy from now on, or no longer."""
+        self.old = dict(self.objects) if on else None
+
+    def readable(self) -> dict[str, StoredObject]:
+        """Return the objects that reads see."""
+        return self.objects if self.old is None else self.old
+
+    def check(self, path: str, expected: Revision | None) -> None:
+        """Refuse a write that expects another version."""
+        current = self.objects.get(path)
+        version = current.version if current else 0
+        if expected is not None and version != expected:
+            raise StoreConflictError(
+                f'{path} is at version {version}, not {expected}',
+                'read it and decide again',
+            )
+
+    def change(self, path: str, value: bytes | None) -> Revision:
+        """Write or delete, and wake the watches."""
+        self.revision += 1
+        version = Revision(self.revision)
+        if value is None:
+            self.objects.pop(path, None)
+        else:
+            self.objects[path] = StoredObject(path, value, version)
+        self.changes.append(StoreChange(path, value, version))
+        self.changed.set()
+        self.changed.clear()
+        return version
+
+    def answer(self) -> None:
+        """Lose the answer to a write that has taken effect."""
+        lost = self.rng.random() < self.lose_answers
+        if self.lose_next:
+            self.lose_next -= 1
+            lost = True
+        if lost:
+            raise _unavailable()
+
+
+class MemoryStore:
+    """The object API as one instance calls it; see `ObjectStore`."""
+
+    def __init__(self, clock: Clock, state: StoreState | None = None) -> None:
+        self.clock = clock
+        self.state = state or StoreState()
+
+    def get(self, path: str) -> StoredObject | None:
+        """Return the object, or nothing."""
+        self._call('get')
+        return self.state.readable().get(path)
+
+    def list_under(self, prefix: str) -> tuple[list[StoredObject], Revision]:
+        """Return all objects under a prefix and the revision of the list."""
+        self._call('list')
+        found = sorted(self.state.readable().items())
+        return (
+            [one for path, one in found if path.startswith(prefix)],
+            Revision(self.state.revision),
+        )
+
+    def put(
+        self,
+        path: str,
+        value: bytes,
+        expected: Revision | None,
+    ) -> Revision:
+        """Write if the object's version is as expected."""
+        self._call('put', path)
+        self.state.check(path, expected)
+        version = self.state.change(path, value)
+        self.state.answer()
+        return version
+
+    def delete(self, path: str, expected: Revision | None) -> None:
+        """Delete under the same condition."""
+        self._call('delete', path)
+        self.state.check(path, expected)
+        if path in self.state.objects:
+            self.state.change(path, None)
+        self.state.answer()
+
+    def watch(
+        self,
+        prefix: str,
+        since: Revision,
+        timeout: float,
+    ) -> tuple[list[StoreChange], Revision]:
+        """Wait for changes after a revision."""
+        self._call('watch')
+        if since < self.state.compacted:
+            raise WatchCompactedError
+        end = self.clock.now() + timeout
+        while self.clock.now() < end and not self.state.outage:
+            changes = [
+                change
+                for change in self.state.changes
+                if change.version > since and change.path.startswith(prefix)
+            ]
+            if changes:
+                return changes, Revision(self.state.revision)
+            self._wait(end)
+        if self.state.outage:
+            raise _unavailable()
+        return [], Revision(self.state.revision)
+
+    def _wait(self, end: float) -> None:
+        """Wait for any change."""
+        try:
+            with self.clock.timeout(end - self.clock.now(), TimeoutError):
+                self.state.changed.wait()
+        except TimeoutError:
+            return
+
+    def _call(self, name: str, path: str = '') -> None:
+        """Count a call, take its time, fail in an outage."""
+        state = self.state
+        state.calls[name] += 1
+        if path:
+            state.writes.append((self.clock.now(), path))
+        self.clock.sleep(_OUTAGE if state.outage else _CALL + state.slow)
+        if state.outage:
+            raise _unavailable()
+
+
+def _unavailable() -> StoreUnavailableError:
+    """Make the error of an outage or a lost answer."""
+    return StoreUnavailableError(
+        'the object API gave no answer', 'read back before writing again'
+    )
--- /dev/null
+++ b/guavagate/measure/fakes/_world.py
@@ -0,0 +1,199 @@
+"""A handful of fake instances on one paused clock."""
+
+import random
+from collections.abc import Callable
+
+from guavagate.clock import PausedClock
+from guavagate.measure.fakes._bus import FakeBus, Network
+from guavagate.measure.fakes._host import Host
+from guavagate.measure.fakes._store import MemoryStore, StoreState
+from guavagate.models import InstanceId, RegionId, TeamId, ZoneId
+from guavagate.settings import (
+    InstanceSettings,
+    PeerSettings,
+    PlatformSettings,
+    TeamSettings,
+)
+
+
+class FakeMembers:
+    """Who is alive, learned `World.detect` seconds late; see `Members`."""
+
+    def __init__(self, peers: dict[InstanceId, PeerSettings]) -> None:
+        self.peers = dict(peers)
+        self._subscribers: list[Callable[[], None]] = []
+
+    def alive(self) -> list[PeerSettings]:
+        """Return all usable instances, this one included, by id."""
+        return [self.peers[name] for name in sorted(self.peers)]
+
+    def get(self, instance: InstanceId) -> PeerSettings | None:
+        """Return a usable instance, or nothing."""
+        return self.peers.get(instance)
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        """Call back after each change."""
+        self._subscribers.append(changed)
+
+    def update(self, peer: PeerSettings, *, alive: bool) -> None:
+        """Take in one change."""
+        if alive == (peer.id in self.peers):
+            return
+        if alive:
+            self.peers[peer.id] = peer
+        else:
+            self.peers.pop(peer.id)
+        for changed in self._subscribers:
+            changed()
+
+
+class FakeTeams:
+    """Teams' settings that a test puts in force; see `Teams`."""
+
+    def __init__(self, teams: list[TeamSettings] | None = None) -> None:
+        self.teams = {one.team: one for one in teams or []}
+        self._subscribers: list[Callable[[TeamId], None]] = []
+
+    def get(self, team: TeamId) -> TeamSettings | None:
+        """Return the settings in force for a team."""
+        return self.teams.get(team)
+
+    def all(self) -> list[TeamSettings]:
+        """Return every team's settings in force."""
+        return list(self.teams.values())
+
+    def subscribe(self, changed: Callable[[TeamId], None]) -> None:
+        """Call back after each change."""
+        self._subscribers.append(changed)
+
+    def put(self, settings: TeamSettings) -> None:
+        """Put settings in force."""
+        self.teams[settings.team] = settings
+        for changed in self._subscribers:
+            changed(settings.team)
+
+
+class NoDecisions:
+    """Keeps decisions in a list; see `DecisionLog`."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[str, str, str, str]] = []
+
+    def record(
+        self,
+        subject: str,
+        kind: str,
+        choice: str,
+        reason: str,
+        turned_down: dict[str, str] | None = None,
+    ) -> None:
+        """Keep a decision."""
+        self.lines.append((subject, kind, choice, reason))
+
+
+class World:
+    """Instances, their network and their store.
+
+    Parameters
+    ----------
+    detect
+        Seconds after which the others take a killed, paused or returned
+        instance for what it is.
+    """
+
+    def __init__(self, seed: int = 0, detect: float = 2.0) -> None:
+        self.clock = PausedClock()
+        self.random = random.Random(seed)
+        self.network = Network(self.clock, self.random)
+        self.store = StoreState(rng=self.random)
+        self.detect = detect
+        self.hosts: dict[InstanceId, Host] = {}
+        self.members: dict[InstanceId, FakeMembers] = {}
+        self.peers: dict[InstanceId, PeerSettings] = {}
+        self._changes: dict[InstanceId, int] = {}
+
+    def add(self, name: str, zone: str = '') -> Host:
+        """Start an instance, or start one again under the same id."""
+        instance = InstanceId(name)
+        host = Host(instance, self.clock)
+        self.hosts[instance] = host
+        self.peers[instance] = PeerSettings(
+            id=instance,
+            availability_zone=ZoneId(zone or f'zone-{len(self.peers) % 3}'),
+            region=RegionId('region-a'),
+            peer_address='127.0.0.1:1',
+            http_address='127.0.0.1:2',
+        )
+        self.network.join(host)
+        up = {
+            peer: self.peers[peer]
+            for peer, other in self.hosts.items()
+            if not other.dead
+        }
+        self.members[instance] = FakeMembers(up)
+        self.tell(instance, alive=True, after=0.1)
+        return host
+
+    def bus(self, name: str) -> FakeBus:
+        """Return an instance's bus."""
+        return self.network.buses[InstanceId(name)]
+
+    def store_of(self, name: str) -> MemoryStore:
+        """Return the store as an instance calls it."""
+        return MemoryStore(self.hosts[InstanceId(name)].clock, self.store)
+
+    def settings_of(self, name: str) -> InstanceSettings:
+        """Return an instance's own settings."""
+        peer = self.peers[InstanceId(name)]
+        return InstanceSettings(
+            id=peer.id,
+            availability_zone=peer.availability_zone,
+            region=peer.region,
+            http_address=peer.http_address,
+            peer_address=peer.peer_address,
+            platform=PlatformSettings(object_api='127.0.0.1:3'),
+        )
+
+    def kill(self, name: str) -> None:
+        """Kill an instance; the others notice later."""
+        self.hosts[InstanceId(name)].kill()
+        self.tell(InstanceId(name), alive=False, after=self.detect)
+
+    def pause(self, name: str) -> None:
+        """Pause an instance; the others take it for dead later."""
+        self.hosts[InstanceId(name)].pause()
+        self.tell(InstanceId(name), alive=False, after=self.detect)
+
+    def resume(self, name: str) -> None:
+        """Resume an instance; the others take it back later."""
+        self.hosts[InstanceId(name)].resume()
+        self.tell(InstanceId(name), alive=True, after=self.detect / 2)
+
+    def tell(self, instance: InstanceId, *, alive: bool, after: float) -> None:
+        """Let each other instance learn of a change, unless it is undone."""
+        number = self._changes.get(instance, 0) + 1
+        self._changes[instance] = number
+        for other in list(self.hosts):
+            if other != instance:
+                self._tell_one(other, instance, number, alive, after)
+
+    def _tell_one(
+        self,
+        other: InstanceId,
+        instance: InstanceId,
+        number: int,
+        alive: bool,
+        after: float,
+    ) -> None:
+        """Let one instance learn of a change."""
+        wait = after + self.random.uniform(0, 0.2)
+
+        def learn() -> None:
+            if self._changes[instance] == number:
+                members, peer = self.members[other], self.peers[instance]
+                members.update(peer, alive=alive)
+
+        self.clock.call_at(
+            self.clock.now() + wait,
+            lambda: self.hosts[other].deliver(learn),
+        )
--- /dev/null
+++ b/guavagate/measure/history.py
@@ -0,0 +1,81 @@
+"""Histories: what callers, trainers and upstreams sent, ran and received.
+
+A history is a list of events, recorded outside guavagate by those it serves;
+in files it is JSON lines. `check` judges each promise from it alone.
+"""
+
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from guavagate.measure._checks import JUDGES
+from guavagate.measure._events import (
+    Acked,
+    AnsweredByUpstream,
+    BrokeOff,
+    Event,
+    FaultInjected,
+    GeneratedPiece,
+    Promise,
+    PublishedVersion,
+    PulledBatch,
+    PulledSample,
+    RanAtUpstream,
+    Received,
+    ReceivedRefusal,
+    SentRequest,
+    StepDone,
+    SubmittedStep,
+    Violation,
+)
+
+__all__ = (
+    'Acked',
+    'AnsweredByUpstream',
+    'BrokeOff',
+    'Event',
+    'FaultInjected',
+    'GeneratedPiece',
+    'Promise',
+    'PublishedVersion',
+    'PulledBatch',
+    'PulledSample',
+    'RanAtUpstream',
+    'Received',
+    'ReceivedRefusal',
+    'SentRequest',
+    'StepDone',
+    'SubmittedStep',
+    'Violation',
+    'check',
+    'read_history',
+    'write_history',
+)
+
+
+def write_history(path: Path, history: Iterable[Event]) -> None:
+    """Write a history as JSON lines."""
+    with path.open('wb') as lines:
+        for event in history:
+            lines.write(msgspec.json.encode(event))
+            lines.write(b'\n')
+
+
+def read_history(*paths: Path) -> list[Event]:
+    """Read histories of several recorders and order them by time."""
+    decoder = msgspec.json.Decoder(Event)
+    events: list[Event] = []
+    for path in paths:
+        lines = path.read_bytes().splitlines()
+        events.extend(decoder.decode(line) for line in lines if line)
+    return sorted(events, key=lambda event: event.at)
+
+
+def check(history: Iterable[Event]) -> list[Violation]:
+    """Judge every promise from a history.
+
+    Events may come in any order; they are taken by time.
+    """
+    ordered = sorted(history, key=lambda event: event.at)
+    return [violation for judge in JUDGES for violation in judge(ordered)]
