Put accepted settings in force on every instance, and keep them there

TeamsInForce followed the store's watch alone: one watch for each instance, nothing during an outage, and an old copy of the store could hand out old settings.

Now a change is one conditional update that carries its own id, so a lost answer is settled by reading back; the text it replaces is kept first, so every revision can be rolled back to. The committing instance tells all others through a tree of fan-out 8; one relay per availability zone, by rendezvous hashing, holds the watch; digests of constant size to two random peers a second find whatever was missed. A record is taken only if its revision is higher. At start, store and peers are asked side by side and the newest wins. A store set back to an old copy gets the accepted record back under the condition that an old read fails.

Ruled out: a watch per instance (its cost grows with the fleet), heartbeats that list every team's revision (grow with the teams), taking the first answer at start (an old store may answer first).

The constructor is now TeamsInForce(settings, clock, bus, store, members, decisions).

--- a/guavagate/events/settings.py
+++ b/guavagate/events/settings.py
@@ -18,3 +18,33 @@
     'the settings could not be read from the store; peers still tell them',
     'check the object API; nothing is to be done on the instance',
 )
+RESTORED: Final = Event(
+    4004,
+    logging.WARNING,
+    'the store had lost accepted settings; they have been written back',
+    'ask the platform why the object API went back to an old copy',
+)
+NOT_KNOWN: Final = Event(
+    4005,
+    logging.WARNING,
+    'the settings are not known yet; the instance is not ready',
+    'start the object API or any instance that has the settings',
+)
+KNOWN: Final = Event(4006, logging.INFO, 'the settings are known')
+RELAY_STARTED: Final = Event(
+    4007,
+    logging.INFO,
+    "this instance holds its availability zone's watch of the settings",
+)
+RELAY_STOPPED: Final = Event(
+    4008,
+    logging.INFO,
+    "another instance holds the availability zone's watch of the settings",
+)
+CHANGED: Final = Event(4009, logging.INFO, 'a change of settings is accepted')
+BROKEN_RECORD: Final = Event(
+    4010,
+    logging.ERROR,
+    'an object of the store is no settings record; it is passed over',
+    'delete the object, then apply the settings with `guavagate settings`',
+)
--- /dev/null
+++ b/guavagate/measure/settings.py
@@ -0,0 +1,225 @@
+"""Settings in force on a fleet under virtual time: fleet and measurement."""
+
+import functools
+import random
+from typing import Final
+
+import msgspec
+
+from guavagate.exceptions import GuavagateError
+from guavagate.measure.fakes import NoDecisions, World
+from guavagate.models import InstanceId, Revision, TeamId
+from guavagate.settings import (
+    SettingsRecord,
+    TeamsInForce,
+    Wanted,
+    settings_path,
+)
+
+TEAM: Final = TeamId('authority')
+_SETTLE: Final = 5.0
+_LIMIT: Final = 19.0
+
+
+class Spread(msgspec.Struct, frozen=True, kw_only=True):
+    """What a run of changes showed; times in seconds.
+
+    Parameters
+    ----------
+    reverts
+        Times that an instance's revision went down.
+    late
+        Changes that were not in force everywhere within the limit.
+    """
+
+    instances: int
+    changes: int
+    median: float
+    p99: float
+    longest: float
+    late: int
+    reverts: int
+    digest_bytes: float
+    tell_bytes: float
+    watches: float
+
+
+class SettingsFleet:
+    """Instances that run `TeamsInForce` and nothing else.
+
+    Attributes
+    ----------
+    took_effect
+        When each instance put each revision in force.
+    reverts
+        Times that an instance's revision went down.
+    """
+
+    def __init__(self, names: list[str], seed: int = 0) -> None:
+        self.world = World(seed)
+        self.teams: dict[str, TeamsInForce] = {}
+        self.decisions: dict[str, NoDecisions] = {}
+        self.took_effect: dict[tuple[str, Revision], float] = {}
+        self.reverts = 0
+        self._newest: dict[str, Revision] = {}
+        for name in names:
+            self.world.add(name)
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> TeamsInForce:
+        """Start the component on an instance that has been added."""
+        decisions = NoDecisions()
+        teams = TeamsInForce(
+            self.world.settings_of(name),
+            self.world.hosts[InstanceId(name)].clock,
+            self.world.bus(name),
+            self.world.store_of(name),
+            self.world.members[InstanceId(name)],
+            decisions,
+        )
+        self.teams[name] = teams
+        self.decisions[name] = decisions
+        teams.subscribe(lambda team: self._note(name, team))
+        teams.start()
+        return teams
+
+    def restart(self, name: str) -> TeamsInForce:
+        """Kill an instance and start it again under the same id."""
+        zone = self.world.peers[InstanceId(name)].availability_zone
+        self.world.kill(name)
+        self.world.add(name, zone)
+        return self.start(name)
+
+    def change(
+        self,
+        name: str,
+        base: int,
+        weight: float,
+        **wanted: str,
+    ) -> SettingsRecord | GuavagateError:
+        """Have an operator change the team's weight through an instance."""
+        task = self.world.clock.spawn(self._change, name, base, weight, wanted)
+        self.world.clock.run_until(task.ready, limit=60)
+        outcome: SettingsRecord | GuavagateError = task.get(block=False)
+        return outcome
+
+    def revision(self, name: str) -> int:
+        """Return the revision in force, 0 when the instance knows none."""
+        teams = self.teams[name]
+        if teams.get(TEAM) is None:
+            return 0
+        return teams.table.revision(TEAM)
+
+    def revisions(self, *names: str) -> set[int]:
+        """Return the revisions in force on some instances, or on all."""
+        return {self.revision(name) for name in names or self.teams}
+
+    def stored(self) -> bytes:
+        """Return the team's object in the store."""
+        return self.world.store.objects[settings_path(TEAM)].value
+
+    def _change(
+        self, name: str, base: int, weight: float, wanted: dict[str, str]
+    ) -> SettingsRecord | GuavagateError:
+        try:
+            return self.teams[name].change(
+                Wanted(
+                    team=TEAM,
+                    toml=f'team = "{TEAM}"\nweight = {weight}\n',
+                    base=Revision(base),
+                    who=wanted.get('who', 'amina'),
+                    why=wanted.get('why', 'more room'),
+                    change_id=wanted.get('change_id', ''),
+                )
+            )
+        except GuavagateError as error:
+            return error
+
+    def _note(self, name: str, team: TeamId) -> None:
+        revision = self.teams[name].table.revision(team)
+        self.reverts += revision < self._newest.get(name, 0)
+        self._newest[name] = revision
+        now = self.world.clock.now()
+        self.took_effect.setdefault((name, revision), now)
+
+
+def measure_spread(
+    instances: int = 9, changes: int = 200, seed: int = 0
+) -> Spread:
+    """Make changes with one instance killed and one paused on the way.
+
+    Both come back a tenth of the run later. A change counts as in force when
+    every instance that runs has it, counted from the operator's request; one
+    that was started or woken counts from the next change on, whatever it had
+    missed.
+    """
+    names = [f'i{number:03}' for number in range(instances)]
+    fleet = SettingsFleet(names, seed)
+    world = fleet.world
+    world.clock.advance(_SETTLE)
+    dice = random.Random(seed)
+    times: list[float] = []
+    late = 0
+    started = world.clock.now()
+    for number in range(changes):
+        _disturb(fleet, names, number, changes)
+        running = [name for name in names if _runs(fleet, name)] or names
+        submitted = world.clock.now()
+        outcome = fleet.change(dice.choice(running), number, 1 + number % 7)
+        if not isinstance(outcome, SettingsRecord):
+            raise outcome
+        target = outcome.revision
+        reached = world.clock.run_until(
+            functools.partial(_is_everywhere, fleet, running, target), _LIMIT
+        )
+        late += not reached
+        times.append(world.clock.now() - submitted)
+        world.clock.advance(dice.uniform(0, 1))
+    times.sort()
+    seconds = world.clock.now() - started
+    return Spread(
+        instances=instances,
+        changes=changes,
+        median=times[len(times) // 2],
+        p99=times[int(len(times) * 0.99) - 1],
+        longest=times[-1],
+        late=late,
+        reverts=fleet.reverts,
+        digest_bytes=_sent(fleet, 'SettingsDigest') / seconds / instances,
+        tell_bytes=_sent(fleet, 'SettingsTell') / changes / instances,
+        watches=world.store.calls['watch'] / seconds,
+    )
+
+
+def _disturb(
+    fleet: SettingsFleet, names: list[str], number: int, changes: int
+) -> None:
+    """Kill and pause on the way, and undo both a tenth of the run later."""
+    killed, paused = names[len(names) // 3], names[-1]
+    tenth = changes // 10
+    if number == 2 * tenth:
+        fleet.world.kill(killed)
+    elif number == 3 * tenth:
+        zone = fleet.world.peers[InstanceId(killed)].availability_zone
+        fleet.world.add(killed, zone)
+        fleet.start(killed)
+    elif number == 4 * tenth:
+        fleet.world.pause(paused)
+    elif number == 5 * tenth:
+        fleet.world.resume(paused)
+
+
+def _runs(fleet: SettingsFleet, name: str) -> bool:
+    host = fleet.world.hosts[InstanceId(name)]
+    return not host.dead and not host.paused and fleet.revision(name) > 0
+
+
+def _is_everywhere(
+    fleet: SettingsFleet, names: list[str], revision: Revision
+) -> bool:
+    return all(fleet.revision(name) >= revision for name in names)
+
+
+def _sent(fleet: SettingsFleet, kind: str) -> int:
+    return fleet.world.network.sent_bytes[kind]
--- a/guavagate/settings/__init__.py
+++ b/guavagate/settings/__init__.py
@@ -7,6 +7,10 @@
     parse_team_settings,
     render_settings,
 )
+from guavagate.settings._errors import (
+    SettingsConflictError,
+    SettingsUnsureError,
+)
 from guavagate.settings._force import TeamsInForce
 from guavagate.settings._record import (
     Change,
@@ -30,6 +34,8 @@
     TeamSettings,
     UpstreamSettings,
 )
+from guavagate.settings._status import InstanceStatus
+from guavagate.settings._writer import SettingsWriter, Wanted
 
 __all__ = (
     'CallerSettings',
@@ -37,6 +43,7 @@
     'DeploymentSettings',
     'DeploymentWeights',
     'InstanceSettings',
+    'InstanceStatus',
     'OperatorSettings',
     'PeerSettings',
     'PlatformSettings',
@@ -44,11 +51,15 @@
     'Role',
     'SamplerSettings',
     'ServiceSettings',
+    'SettingsConflictError',
     'SettingsProblemsError',
     'SettingsRecord',
+    'SettingsUnsureError',
+    'SettingsWriter',
     'TeamSettings',
     'TeamsInForce',
     'UpstreamSettings',
+    'Wanted',
     'decode_record',
     'encode_record',
     'history_path',
--- /dev/null
+++ b/guavagate/settings/_exchange.py
@@ -0,0 +1,126 @@
+"""Peers compare what is in force, and fetch what they lack.
+
+Each instance sends a digest of constant size to a few random peers each
+second. Where two differ, the receiver asks for the revisions, fetches the
+newer ones and tells back what the sender lacks. Whoever missed a revision is
+thus found within a second or two, however it was missed: a dead instance in
+the tree, a pause, a gap in a watch, a store that is down or old.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+from guavagate.clock import Clock
+from guavagate.exceptions import LinkError
+from guavagate.links import Bus, Message
+from guavagate.models import InstanceId, TeamId
+from guavagate.settings._messages import (
+    SettingsDigest,
+    SettingsFetch,
+    SettingsFetched,
+    SettingsRevisions,
+    SettingsRevisionsAsk,
+    SettingsTell,
+)
+from guavagate.settings._table import SettingsTable
+
+DIGEST_EVERY: Final = 1.0
+DIGEST_PEERS: Final = 2
+ASK_TIMEOUT: Final = 1.0
+_FETCH_TIMEOUT: Final = 3.0
+
+
+class Exchange:
+    """Compares this instance's settings with its peers'."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        bus: Bus,
+        table: SettingsTable,
+        peers: Callable[[], list[InstanceId]],
+        report: Callable[[TeamId | None], SettingsRevisions],
+        heard: Callable[[], None],
+        dice: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._bus = bus
+        self._table = table
+        self._peers = peers
+        self._report = report
+        self._heard = heard
+        self._dice = dice
+        self._busy: set[InstanceId] = set()
+        bus.register(SettingsDigest, self._handle_digest)
+        bus.register(SettingsRevisionsAsk, self._handle_ask)
+        bus.register(SettingsFetch, self._handle_fetch)
+
+    def run(self) -> None:
+        """Send digests; never returns."""
+        while True:
+            self._send_digests()
+            self._clock.sleep(DIGEST_EVERY)
+
+    def learn_from(self, peer: InstanceId) -> bool:
+        """Fetch what a peer has newer; return whether it knew the settings.
+
+        Raises
+        ------
+        LinkError
+            The peer gave no answer.
+        """
+        theirs = self._bus.request(
+            peer, SettingsRevisionsAsk(), SettingsRevisions, ASK_TIMEOUT
+        )
+        newest = {**theirs.revisions, **theirs.unreadable}
+        for team, revision in sorted(newest.items()):
+            if revision > self._table.newest_seen(team):
+                self._fetch(peer, team)
+        for record in self._table.records():
+            if record.revision > newest.get(record.team, 0):
+                self._bus.send(peer, SettingsTell(record=record))
+        return theirs.known
+
+    def _send_digests(self) -> None:
+        peers = self._peers()
+        chosen = self._dice.sample(peers, min(DIGEST_PEERS, len(peers)))
+        digest = SettingsDigest(
+            digest=self._table.digest(), known=self._report(None).known
+        )
+        for peer in chosen:
+            self._bus.send(peer, digest)
+
+    def _fetch(self, peer: InstanceId, team: TeamId) -> None:
+        fetched = self._bus.request(
+            peer, SettingsFetch(team=team), SettingsFetched, _FETCH_TIMEOUT
+        )
+        if fetched.record is not None:
+            self._table.offer(fetched.record)
+
+    def _handle_digest(self, sender: InstanceId, message: Message) -> None:
+        assert isinstance(message, SettingsDigest)
+        if message.known:
+            self._heard()
+        if message.digest == self._table.digest() or sender in self._busy:
+            return
+        self._busy.add(sender)
+        try:
+            self.learn_from(sender)
+        except LinkError:
+            # The next digest, of this peer or another, brings a new attempt.
+            return
+        finally:
+            self._busy.discard(sender)
+
+    def _handle_ask(
+        self, sender: InstanceId, message: Message
+    ) -> SettingsRevisions:
+        assert isinstance(message, SettingsRevisionsAsk)
+        return self._report(message.team)
+
+    def _handle_fetch(
+        self, sender: InstanceId, message: Message
+    ) -> SettingsFetched:
+        assert isinstance(message, SettingsFetch)
+        return SettingsFetched(record=self._table.newest(message.team))
--- a/guavagate/settings/_force.py
+++ b/guavagate/settings/_force.py
@@ -1,85 +1,242 @@
-"""The teams' settings in force, loaded from the store."""
+"""The teams' settings in force on one instance, kept up by peers and store."""
 
-import logging
+import random
 from collections.abc import Callable
-from typing import Final
+from typing import Protocol
 
 from guavagate.clock import Clock, Task
 from guavagate.events import settings as events
 from guavagate.events import write
-from guavagate.exceptions import StoreError
-from guavagate.models import Revision, TeamId
-from guavagate.ports.store import (
-    ObjectStore,
-    StoreChange,
-    StoredObject,
-    WatchCompactedError,
+from guavagate.links import Bus
+from guavagate.models import InstanceId, Revision, TeamId
+from guavagate.ports.store import ObjectStore
+from guavagate.settings._exchange import Exchange
+from guavagate.settings._freshness import Freshness
+from guavagate.settings._messages import SettingsRevisions
+from guavagate.settings._record import SettingsRecord
+from guavagate.settings._relay import Relay, choose_relay
+from guavagate.settings._schema import (
+    InstanceSettings,
+    PeerSettings,
+    TeamSettings,
 )
-from guavagate.settings._record import SETTINGS_PREFIX, decode_record
-from guavagate.settings._schema import TeamSettings
-from guavagate.settings._table import SettingsTable
+from guavagate.settings._spread import Spreader
+from guavagate.settings._start import learn_settings
+from guavagate.settings._status import InstanceStatus, collect_status
+from guavagate.settings._table import LOGGER, SettingsTable
+from guavagate.settings._writer import DEFAULT_LIMIT, SettingsWriter, Wanted
+from guavagate.util.units import parse_duration
 
-_LOGGER = logging.getLogger(__name__)
 
-WATCH_TIMEOUT: Final = 20.0
-RETRY_PAUSE: Final = 1.0
+class _Members(Protocol):
+    def alive(self) -> list[PeerSettings]: ...
 
 
-class TeamsInForce:
-    """Keeps the teams' settings in force; implements `runtime.Teams`."""
+class _Decisions(Protocol):
+    def record(
+        self, subject: str, kind: str, choice: str, reason: str
+    ) -> None: ...
+
 
-    def __init__(self, clock: Clock, store: ObjectStore) -> None:
+class TeamsInForce:
+    """Keeps the teams' settings in force; implements `runtime.Teams`.
+
+    Until the settings are known from the store or a peer there are none: an
+    instance that starts must not serve by what one lagging source says.
+    """
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        clock: Clock,
+        bus: Bus,
+        store: ObjectStore,
+        members: _Members,
+        decisions: _Decisions,
+    ) -> None:
         self.table = SettingsTable()
+        self.writer = SettingsWriter(clock, store, self.table)
+        self._settings = settings
         self._clock = clock
+        self._bus = bus
         self._store = store
-        self._task: Task | None = None
+        self._members = members
+        self._decisions = decisions
+        self._known = False
+        self._tasks: list[Task] = []
+        self._subscribers: list[Callable[[TeamId], None]] = []
+        self._dice = random.Random(settings.id)
+        self._spreader = Spreader(bus, self.table)
+        self._freshness = Freshness(
+            clock, parse_duration(settings.settings_limit)
+        )
+        self._exchange = Exchange(
+            clock,
+            bus,
+            self.table,
+            self._peer_ids,
+            self.report,
+            self._freshness.hear_peer,
+            self._dice,
+        )
+        self._relay = Relay(
+            clock,
+            store,
+            self.table,
+            self.writer,
+            self._is_relay,
+            self._freshness.hear_store,
+            self._tell_zone,
+        )
+        self.table.subscribe(self._pass_on_change)
 
     def start(self) -> None:
-        """Start following the store."""
-        self._task = self._clock.spawn(self._follow)
+        """Learn the settings, then follow their changes."""
+        self._tasks = [self._clock.spawn(self._run)]
 
     def stop(self) -> None:
-        """Stop following the store."""
-        if self._task is not None:
-            self._task.kill()
+        """Stop following changes."""
+        for task in self._tasks:
+            task.kill()
 
     def get(self, team: TeamId) -> TeamSettings | None:
         """Return the settings in force for a team."""
-        return self.table.get(team)
+        return self.table.get(team) if self._known else None
 
     def all(self) -> list[TeamSettings]:
         """Return every team's settings in force."""
-        return self.table.all()
+        return self.table.all() if self._known else []
 
     def subscribe(self, changed: Callable[[TeamId], None]) -> None:
         """Call back, without blocking, after each change."""
-        self.table.subscribe(changed)
-
-    def _follow(self) -> None:
-        while True:
-            try:
-                self._list_and_watch()
-            except WatchCompactedError:
-                continue
-            except StoreError as error:
-                write(_LOGGER, events.WATCH_FAILED, error=str(error))
-                self._clock.sleep(RETRY_PAUSE)
-
-    def _list_and_watch(self) -> None:
-        objects, since = self._store.list_under(SETTINGS_PREFIX)
-        for found in objects:
-            self._take(found)
-        while True:
-            since = self._watch_once(since)
-
-    def _watch_once(self, since: Revision) -> Revision:
-        changes, reached = self._store.watch(
-            SETTINGS_PREFIX, since, WATCH_TIMEOUT
+        self._subscribers.append(changed)
+
+    def change(
+        self, wanted: Wanted, limit: float = DEFAULT_LIMIT
+    ) -> SettingsRecord:
+        """Have a change accepted and tell it to all instances.
+
+        Raises what `SettingsWriter.change` raises.
+        """
+        record = self.writer.change(wanted, limit)
+        self._spreader.tell(record, self._peer_ids())
+        self.writer.forget_oldest(record)
+        write(
+            LOGGER,
+            events.CHANGED,
+            team=record.team,
+            revision=record.revision,
+            who=record.change.who,
+            change_id=record.change.change_id,
+        )
+        return record
+
+    def waits_for(self) -> tuple[str, ...]:
+        """Return why this instance is not ready; nothing when it is."""
+        if not self._known:
+            return (
+                'settings: waiting for the object API at'
+                f' {self._settings.platform.object_api} or a peer that knows'
+                ' them; none has answered yet',
+            )
+        unreadable = tuple(
+            f'settings: this release cannot read revision {revision} of'
+            f' {team!r}; replace the instance by a newer release'
+            for team, revision in sorted(self.table.unreadable().items())
+        )
+        return unreadable + self._freshness.waits_for()
+
+    def report(self, team: TeamId | None) -> SettingsRevisions:
+        """Return what is in force here, for a peer or an operator."""
+        revisions = self.table.revisions()
+        if team is not None:
+            revisions = {team: self.table.revision(team)}
+        return SettingsRevisions(
+            revisions={
+                name: int(revision) for name, revision in revisions.items()
+            },
+            known=self._known,
+            is_relay=self._relay.is_active,
+            heard_store=self._freshness.since_store(),
+            heard_peers=self._freshness.since_peers(),
+            waits_for=self.waits_for(),
+            unreadable=_plain(self.table.unreadable()),
+        )
+
+    def status(self, team: TeamId) -> list[InstanceStatus]:
+        """Return the revision in force on each instance, and who lags why."""
+        return collect_status(
+            self._bus,
+            team,
+            self._settings.id,
+            self.report(team),
+            self._known_peers(),
+        )
+
+    def _run(self) -> None:
+        self._learn()
+        self._known = True
+        write(LOGGER, events.KNOWN, teams=len(self.table.records()))
+        for record in self.table.records():
+            self._pass_on_change(record.team)
+        self._tasks.append(self._clock.spawn(self._exchange.run))
+        self._relay.run()
+
+    def _learn(self) -> None:
+        learn_settings(
+            self._clock,
+            self._store,
+            self.table,
+            self._exchange,
+            self._freshness,
+            self._peer_ids,
+            self._dice,
+        )
+
+    def _pass_on_change(self, team: TeamId) -> None:
+        if not self._known:
+            return
+        record = self.table.record(team)
+        if record is not None:
+            self._decisions.record(
+                f'settings/{team}/{record.revision}',
+                'settings',
+                'in force',
+                f'{record.change.who}: {record.change.why}',
+            )
+        for changed in self._subscribers:
+            changed(team)
+
+    def _is_relay(self) -> bool:
+        chosen = choose_relay(
+            self._settings.availability_zone, self._members.alive()
         )
-        for change in changes:
-            self._take(change)
-        return reached
+        # Alone, or not yet seen as alive by itself: better one watch too many.
+        return chosen in {None, self._settings.id}
+
+    def _tell_zone(self, record: SettingsRecord) -> None:
+        zone = self._settings.availability_zone
+        self._spreader.tell(
+            record,
+            [
+                peer.id
+                for peer in self._members.alive()
+                if peer.availability_zone == zone
+                and peer.id != self._settings.id
+            ],
+        )
+
+    def _peer_ids(self) -> list[InstanceId]:
+        me = self._settings.id
+        return [peer.id for peer in self._members.alive() if peer.id != me]
+
+    def _known_peers(self) -> dict[InstanceId, bool]:
+        """Return every instance known, and whether it is alive."""
+        known = {peer.id: False for peer in self._settings.peers}
+        known.update({peer.id: True for peer in self._members.alive()})
+        known.pop(self._settings.id, None)
+        return known
+
 
-    def _take(self, found: StoredObject | StoreChange) -> None:
-        if found.value is not None:
-            self.table.offer(decode_record(found.value, found.path))
+def _plain(revisions: dict[TeamId, Revision]) -> dict[TeamId, int]:
+    return {team: int(revisions[team]) for team in revisions}
--- a/guavagate/settings/_record.py
+++ b/guavagate/settings/_record.py
@@ -11,6 +11,11 @@
 HISTORY_PREFIX: Final = 'settings-history/'
 
 
+# Each record carries this many earlier changes, and the store keeps as many
+# earlier texts: weeks for a team that changes daily, 3 KB in each record.
+HISTORY_KEPT: Final = 20
+
+
 class Change(msgspec.Struct, frozen=True, kw_only=True):
     """Who changed the settings, when and why.
 
@@ -51,6 +56,12 @@
         return self.change.revision
 
 
+def has_change(record: SettingsRecord, change_id: str) -> bool:
+    """Return whether a change is part of this record or its past."""
+    changes = (record.change, *record.earlier)
+    return any(change.change_id == change_id for change in changes)
+
+
 def settings_path(team: TeamId) -> str:
     """Return where a team's settings are kept."""
     return f'{SETTINGS_PREFIX}{team}'
--- a/guavagate/settings/_table.py
+++ b/guavagate/settings/_table.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import msgspec
+import xxhash
 
 from guavagate.events import settings as events
 from guavagate.events import write
@@ -13,7 +14,7 @@
 from guavagate.settings._record import SettingsRecord, settings_path
 from guavagate.settings._schema import TeamSettings
 
-_LOGGER = logging.getLogger(__name__)
+LOGGER = logging.getLogger('guavagate.settings')
 
 
 class InForce(msgspec.Struct, frozen=True):
@@ -29,6 +30,7 @@
     def __init__(self) -> None:
         self._teams: dict[TeamId, InForce] = {}
         self._subscribers: list[Callable[[TeamId], None]] = []
+        self._unreadable: dict[TeamId, SettingsRecord] = {}
 
     def get(self, team: TeamId) -> TeamSettings | None:
         """Return the settings in force for a team."""
@@ -59,6 +61,21 @@
             team: found.record.revision for team, found in self._teams.items()
         }
 
+    def unreadable(self) -> dict[TeamId, Revision]:
+        """Return the accepted revisions that this release can't read."""
+        return {
+            team: record.revision for team, record in self._unreadable.items()
+        }
+
+    def newest(self, team: TeamId) -> SettingsRecord | None:
+        """Return the newest record seen, readable here or not."""
+        return self._unreadable.get(team) or self.record(team)
+
+    def newest_seen(self, team: TeamId) -> Revision:
+        """Return the newest revision seen, 0 for an unknown team."""
+        record = self.newest(team)
+        return record.revision if record else Revision(0)
+
     def subscribe(self, changed: Callable[[TeamId], None]) -> None:
         """Call back, without blocking, after each change."""
         self._subscribers.append(changed)
@@ -71,25 +88,19 @@
         change. Comparing revisions is enough, because each revision of a team
         is written by one conditional update.
         """
-        if record.revision <= self.revision(record.team):
+        if record.revision <= self.newest_seen(record.team):
             return False
         try:
             settings = parse_team_settings(
                 record.toml, settings_path(record.team)
             )
         except SettingsError as error:
-            # A newer release may know keys that this one does not.
-            write(
-                _LOGGER,
-                events.UNREADABLE,
-                team=record.team,
-                revision=record.revision,
-                error=str(error),
-            )
+            self._refuse(record, error)
             return False
+        self._unreadable.pop(record.team, None)
         self._teams[record.team] = InForce(record, settings)
         write(
-            _LOGGER,
+            LOGGER,
             events.IN_FORCE,
             team=record.team,
             revision=record.revision,
@@ -99,3 +110,21 @@
         for changed in self._subscribers:
             changed(record.team)
         return True
+
+    def digest(self) -> int:
+        """Return a hash over every team's revision."""
+        held = {**self.revisions(), **self.unreadable()}
+        lines = (f'{team}={held[team]}' for team in sorted(held))
+        return xxhash.xxh64_intdigest('\n'.join(lines).encode())
+
+    def _refuse(self, record: SettingsRecord, error: SettingsError) -> None:
+        # A newer release may know keys that this one does not. The revision
+        # is remembered, or every peer would be asked for it each second.
+        self._unreadable[record.team] = record
+        write(
+            LOGGER,
+            events.UNREADABLE,
+            team=record.team,
+            revision=record.revision,
+            error=str(error),
+        )
--- /dev/null
+++ b/tests/test_settings_in_force.py
@@ -0,0 +1,326 @@
+"""Tests of settings in force under the failures they are made for."""
+
+from guavagate.exceptions import StoreUnavailableError
+from guavagate.measure.settings import TEAM, SettingsFleet, measure_spread
+from guavagate.models import InstanceId, Revision
+from guavagate.ports.store import StoredObject
+from guavagate.settings import (
+    SettingsConflictError,
+    SettingsRecord,
+    SettingsUnsureError,
+    settings_path,
+)
+from guavagate.settings._messages import SettingsTell
+from guavagate.settings._relay import choose_relay
+
+_NINE = [f'i{number}' for number in range(9)]
+
+
+def _fleet(revisions: int = 1) -> SettingsFleet:
+    """Return nine instances that have taken some changes."""
+    fleet = SettingsFleet(_NINE)
+    fleet.world.clock.advance(3)
+    for base in range(revisions):
+        assert isinstance(fleet.change('i0', base, 1 + base), SettingsRecord)
+    fleet.world.clock.advance(3)
+    assert fleet.revisions() == {revisions}
+    return fleet
+
+
+def _relay(fleet: SettingsFleet, zone: str = 'zone-0') -> str:
+    alive = fleet.world.members[InstanceId('i0')].alive()
+    relay = choose_relay(zone, alive)
+    assert relay is not None
+    return relay
+
+
+def _others(*but: str) -> list[str]:
+    return [name for name in _NINE if name not in but]
+
+
+def test_of_two_operators_the_later_gets_the_others_change() -> None:
+    """Both edit revision 1; the second is refused, not merged or lost.
+
+    Amina's change is accepted first. Baraka's is made from the same revision
+    through another instance: its conditional update fails, and the error
+    tells who changed what, and why.
+    """
+    fleet = _fleet()
+    assert isinstance(fleet.change('i1', 1, 5, why='spring'), SettingsRecord)
+    refused = fleet.change('i2', 1, 6, who='baraka')
+    assert isinstance(refused, SettingsConflictError)
+    assert refused.other is not None
+    assert (refused.other.who, refused.other.why) == ('amina', 'spring')
+    assert 'weight = 5' in refused.toml
+    fleet.world.clock.advance(3)
+    assert fleet.revisions() == {2}
+
+
+def test_two_changes_at_the_same_moment_leave_one_accepted() -> None:
+    """Reads cross, so both writers believe that they are first.
+
+    Both read revision 1 before either writes. The store takes one; the other
+    reads again and finds a change that is not its own.
+    """
+    fleet = _fleet()
+    clock = fleet.world.clock
+    tasks = [
+        clock.spawn(fleet._change, name, 1, 5, {'who': name})
+        for name in ('i1', 'i2')
+    ]
+    clock.run_until(lambda: all(task.ready() for task in tasks))
+    outcomes = [task.get(block=False) for task in tasks]
+    assert sum(isinstance(one, SettingsRecord) for one in outcomes) == 1
+    assert sum(isinstance(one, SettingsConflictError) for one in outcomes) == 1
+    assert all(task.ready() for task in tasks)
+
+
+def test_a_write_whose_answer_is_lost_is_accepted_once() -> None:
+    """The operator sees success and one new revision.
+
+    The store takes the change, but its answer never comes. Reading back finds
+    the change's own id; without it the writer would report a failure, or take
+    its own change for another operator's.
+    """
+    fleet = _fleet()
+    fleet.world.store.lose_next = 2
+    accepted = fleet.change('i1', 1, 5)
+    assert isinstance(accepted, SettingsRecord)
+    fleet.world.clock.advance(3)
+    assert fleet.revisions() == {2}
+    writes = [p for _, p in fleet.world.store.writes if p.endswith(TEAM)]
+    assert len(writes) == 2
+
+
+def test_a_change_in_doubt_can_be_repeated_under_its_id() -> None:
+    """The operator is told "unsure" and repeats; it is applied once.
+
+    The store takes the write, loses the answer and goes down for a minute, so
+    nobody can tell. After the outage the same id finds the change in place.
+    """
+    fleet = _fleet()
+    store = fleet.world.store
+    store.lose_next = 2
+    fleet.world.network.watcher = None
+    task = fleet.world.clock.spawn(
+        fleet._change, 'i1', 1, 5, {'change_id': 'spring'}
+    )
+    fleet.world.clock.run_until(lambda: store.lose_next == 0)
+    store.outage = True
+    fleet.world.clock.run_until(task.ready, 60)
+    unsure = task.get(block=False)
+    assert isinstance(unsure, SettingsUnsureError)
+    assert 'spring' in unsure.remedy
+    store.outage = False
+    repeated = fleet.change('i2', 1, 5, change_id='spring')
+    assert isinstance(repeated, SettingsRecord)
+    assert repeated.revision == 2
+
+
+def test_in_an_outage_nothing_is_accepted_and_nothing_reverts() -> None:
+    """For an hour changes are refused for sure, and all serve as before."""
+    fleet = _fleet(2)
+    fleet.world.store.outage = True
+    refused = fleet.change('i1', 2, 5)
+    assert isinstance(refused, StoreUnavailableError)
+    fleet.world.clock.advance(600)
+    assert fleet.revisions() == {2}
+    assert not any(teams.waits_for() for teams in fleet.teams.values())
+    fleet.world.store.outage = False
+    fleet.world.clock.advance(5)
+    assert isinstance(fleet.change('i1', 2, 5), SettingsRecord)
+
+
+def test_a_compacted_watch_is_made_up_by_a_new_list() -> None:
+    """A change made while no instance heard the store is found.
+
+    The relays are cut off while the platform writes revision 2 itself; the
+    watch's start is compacted by then, so watching on would miss it.
+    """
+    fleet = _fleet()
+    other = _fleet(2)
+    store = fleet.world.store
+    store.outage = True
+    fleet.world.clock.advance(10)
+    store.change(settings_path(TEAM), other.stored())
+    store.compacted = store.revision + 5
+    store.revision += 10
+    store.outage = False
+    fleet.world.clock.advance(10)
+    assert fleet.revisions() == {2}
+
+
+def test_a_store_with_an_old_copy_reverts_nobody() -> None:
+    """Every instance keeps revision 3 while the store answers with 2.
+
+    One instance restarts meanwhile: it hears both, and takes the newest. A
+    change made then is refused rather than built on the old text.
+    """
+    fleet = _fleet(2)
+    fleet.world.store.serve_stale(on=True)
+    assert isinstance(fleet.change('i0', 2, 5), SettingsRecord)
+    fleet.restart('i4')
+    fleet.world.clock.advance(400)
+    assert fleet.revisions() == {3}
+    refused = fleet.change('i4', 3, 6)
+    assert isinstance(refused, StoreUnavailableError)
+    assert 'revision 2' in str(refused)
+    fleet.world.store.serve_stale(on=False)
+    assert isinstance(fleet.change('i4', 3, 6), SettingsRecord)
+    assert fleet.reverts == 0
+
+
+def test_a_store_set_back_gets_the_accepted_settings_again() -> None:
+    """The platform restores a backup; the newest revision is written back.
+
+    Otherwise an instance that starts when no peer is there would put the
+    earlier settings in force, long after they had been replaced.
+    """
+    fleet = _fleet(3)
+    store = fleet.world.store
+    old = _fleet(1).stored()
+    path = settings_path(TEAM)
+    store.objects[path] = StoredObject(path, old, Revision(1))
+    fleet.world.clock.advance(400)
+    assert b'"revision":3' in fleet.stored()
+    assert fleet.revisions() == {3}
+
+
+def test_an_instance_that_starts_in_an_outage_learns_from_its_peers() -> None:
+    """It is ready within seconds, with the newest revision there is."""
+    fleet = _fleet(2)
+    fleet.world.store.outage = True
+    fleet.restart('i3')
+    fleet.world.add('i9')
+    fleet.start('i9')
+    fleet.world.clock.advance(5)
+    assert fleet.revisions('i3', 'i9') == {2}
+    assert not fleet.teams['i9'].waits_for()
+
+
+def test_an_instance_with_neither_store_nor_peers_says_so() -> None:
+    """It is not ready, serves no team, and names what it waits for.
+
+    With the store back it becomes ready; cut off again from both for longer
+    than the limit, it fails its readiness check instead of serving on.
+    """
+    fleet = SettingsFleet(['alone'])
+    fleet.world.store.outage = True
+    fleet.world.clock.advance(60)
+    reason = ''.join(fleet.teams['alone'].waits_for())
+    assert 'waiting for the object API' in reason
+    fleet.world.store.outage = False
+    fleet.world.clock.advance(10)
+    assert not fleet.teams['alone'].waits_for()
+    fleet.world.store.outage = True
+    fleet.world.clock.advance(20)
+    assert 'neither' in fleet.teams['alone'].waits_for()[0]
+
+
+def test_a_dead_relay_is_replaced_by_one_of_its_zone() -> None:
+    """Changes written past guavagate still arrive; one watch per zone.
+
+    The relay of a zone dies, so its instances would hear of the store no
+    more; the next in rendezvous order takes the watch over by itself.
+    """
+    fleet = _fleet()
+    dead = _relay(fleet)
+    fleet.world.kill(dead)
+    fleet.world.clock.advance(5)
+    relays = [
+        name
+        for name in _others(dead)
+        if fleet.teams[name].report(None).is_relay
+    ]
+    assert len(relays) == 3
+    assert isinstance(fleet.change(_others(dead)[0], 1, 5), SettingsRecord)
+    fleet.world.clock.advance(2)
+    assert fleet.revisions(*_others(dead)) == {2}
+
+
+def test_an_instance_that_was_paused_neither_reverts_nor_serves_on() -> None:
+    """A relay sleeps through two changes and wakes with old news.
+
+    On waking it is not ready: it has heard nobody for longer than the limit.
+    What it still passes on is older than what the others have, so they keep
+    theirs; a digest then tells it what it lacks.
+    """
+    fleet = _fleet()
+    asleep = _relay(fleet)
+    through = _others(asleep)[0]
+    fleet.world.pause(asleep)
+    assert isinstance(fleet.change(through, 1, 5), SettingsRecord)
+    assert isinstance(fleet.change(through, 2, 6), SettingsRecord)
+    fleet.world.clock.advance(60)
+    assert fleet.teams[asleep].waits_for()
+    fleet.world.resume(asleep)
+    fleet.world.clock.advance(3)
+    assert fleet.revisions() == {3}
+    assert not fleet.teams[asleep].waits_for()
+    assert fleet.reverts == 0
+
+
+def test_a_message_that_comes_late_reverts_nobody() -> None:
+    """Revision 1 reaches the others after revision 2, and is dropped.
+
+    Between telling it and its arrival lay a slow link, on which a newer
+    message overtook it. Nobody sees revision 1 again, not even for a moment.
+    """
+    fleet = _fleet()
+    late = fleet.teams['i3'].table.record(TEAM)
+    assert late is not None
+    assert isinstance(fleet.change('i1', 1, 5), SettingsRecord)
+    fleet.world.clock.advance(1)
+    targets = tuple(InstanceId(name) for name in _others('i3', 'i4'))
+    message = SettingsTell(record=late, targets=targets)
+    fleet.world.bus('i3').send(InstanceId('i4'), message)
+    fleet.world.clock.advance(3)
+    assert fleet.world.network.messages['SettingsTell'] > len(targets)
+    assert fleet.revisions() == {2}
+    assert fleet.reverts == 0
+
+
+def test_lost_messages_only_delay_a_change() -> None:
+    """With 40 % of all messages lost, digests bring the rest in seconds."""
+    fleet = _fleet()
+    fleet.world.network.loss = 0.4
+    assert isinstance(fleet.change('i1', 1, 5), SettingsRecord)
+    assert fleet.world.clock.run_until(lambda: fleet.revisions() == {2}, 10)
+
+
+def test_status_names_who_lags_and_why() -> None:
+    """One instance is cut off, one is dead: both are in the answer."""
+    fleet = _fleet()
+    fleet.world.kill('i8')
+    fleet.world.clock.advance(5)
+    names = {(InstanceId('i7'), InstanceId(name)) for name in _NINE}
+    fleet.world.network.blocked = names | {(to, me) for me, to in names}
+    assert isinstance(fleet.change('i1', 1, 5), SettingsRecord)
+    task = fleet.world.clock.spawn(fleet.teams['i1'].status, TEAM)
+    fleet.world.clock.advance(5)
+    status = {one.instance: one for one in task.get(block=False)}
+    assert 'no answer' in status[InstanceId('i7')].lag
+    assert status[InstanceId('i2')].revision == 2
+    assert not status[InstanceId('i2')].lag
+
+
+def test_a_revision_of_a_newer_release_fails_readiness() -> None:
+    """An instance that can't read accepted settings must not serve by old."""
+    fleet = _fleet()
+    store = fleet.world.store
+    newer = fleet.stored().replace(b'weight =', b'gravity =')
+    newer = newer.replace(b'"revision":1', b'"revision":2')
+    store.change(settings_path(TEAM), newer)
+    fleet.world.clock.advance(5)
+    assert fleet.revisions() == {1}
+    assert 'cannot read revision 2' in fleet.teams['i5'].waits_for()[0]
+    fleet.world.network.messages.clear()
+    fleet.world.clock.advance(20)
+    assert not fleet.world.network.messages['SettingsFetch']
+
+
+def test_settings_are_in_force_everywhere_in_time() -> None:
+    """200 changes on nine instances, one killed and one paused in between."""
+    spread = measure_spread(instances=9, changes=200, seed=1)
+    assert spread.p99 <= 2
+    assert (spread.late, spread.reverts) == (0, 0)
