Replicate partitions with views agreed in the object API

Cause: what needs one decider must survive its instance, without a second coordination service and without the store on a request's path.

Every state is also given `CopiesLost`.

Seams changed: `partitions.CopiesLost` is new; ReplicatedState may not raise.

Ruled out: choosing a new primary before sealing (a racing old majority could answer what the new one lacks); instance ids alone as members (a restarted one would complete a sealed primary's majority), hence boot ids.

--- a/guavagate/partitions/__init__.py
+++ b/guavagate/partitions/__init__.py
@@ -3,6 +3,7 @@
 from guavagate.partitions._local import LocalPartitions
 from guavagate.partitions._state import (
     Command,
+    CopiesLost,
     Outcome,
     Partitions,
     ReplicatedState,
@@ -10,6 +11,7 @@
 
 __all__ = (
     'Command',
+    'CopiesLost',
     'LocalPartitions',
     'Outcome',
     'Partitions',
--- /dev/null
+++ b/guavagate/partitions/_replicated.py
@@ -0,0 +1,236 @@
+"""Replicated partitions over the runtime: routes commands to primaries."""
+
+import random
+from typing import Final
+
+import msgspec
+
+from guavagate.clock import Task
+from guavagate.const import DEFAULT_PARTITIONS
+from guavagate.exceptions import (
+    LinkError,
+    LinkRefusedError,
+    NotAppliedError,
+    OutcomeUnknownError,
+)
+from guavagate.models import Epoch, InstanceId, PartitionId
+from guavagate.partitions._hosting import Hosting, StatesFactory
+from guavagate.partitions._keeper import Keeper
+from guavagate.partitions._link import Surroundings, make_id
+from guavagate.partitions._messages import (
+    Entry,
+    Submit,
+    SubmitReply,
+    Verdict,
+)
+from guavagate.partitions._safeguards import Safeguards
+from guavagate.partitions._state import Command, Result
+from guavagate.partitions._view import Member, View, find_partition
+from guavagate.partitions._views import Views
+from guavagate.runtime import Runtime
+
+_ATTEMPT: Final = 1.0
+_PAUSE: Final = 0.05
+_STOP_LIMIT: Final = 10.0
+
+
+class ReplicatedPartitions:
+    """Partitions whose copies are held by several instances; `Partitions`.
+
+    Parameters
+    ----------
+    runtime
+        Its clock, bus, store and members are used.
+    make_states
+        Makes the states of one partition, by the commands they take; every
+        instance must register the same ones in the same order.
+    partitions
+        Number of partitions; the same at every instance, for ever.
+    rng
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        make_states: StatesFactory,
+        *,
+        partitions: int = DEFAULT_PARTITIONS,
+        safeguards: Safeguards | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        guards = safeguards or Safeguards()
+        source = rng or random.Random()
+        self._around = Surroundings(
+            me=Member(runtime.settings.id, _make_boot(rng, guards)),
+            clock=runtime.clock,
+            bus=runtime.bus,
+            alive=runtime.members.alive,
+            safeguards=guards,
+            rng=source,
+            make_id=make_id if rng is None else lambda: _draw_id(source),
+        )
+        views = Views(runtime.store, runtime.clock, guards)
+        self._members = runtime.members
+        self._hosting = Hosting(self._around, views, make_states)
+        self._keeper = Keeper(self._hosting, partitions)
+        self._partitions = partitions
+        self._task: Task | None = None
+
+    def start(self) -> None:
+        """Answer peers and look after partitions, from now on."""
+        self._hosting.register()
+        self._members.subscribe(self._hosting.changed.set)
+        self._task = self._around.clock.spawn(self._keeper.run)
+
+    def stop(self, limit: float = _STOP_LIMIT) -> bool:
+        """Hand over what is decided here; say whether all of it was.
+
+        It goes on answering peers, since callers may still be routed here.
+        """
+        done = self._keeper.hand_all_over(limit)
+        if self._task is not None:
+            self._task.kill(block=False)
+        return done
+
+    def submit(
+        self,
+        key: str,
+        command: Command,
+        outcome: type[Result],
+        timeout: float,
+    ) -> Result:
+        """Have the command applied and held by enough replicas."""
+        entry = Entry(
+            self._around.make_id(),
+            type(command).__name__,
+            msgspec.msgpack.encode(command),
+            command.at,
+        )
+        partition = find_partition(key, self._partitions)
+        end = self._around.clock.now() + timeout
+        raw = self._submit(partition, entry, end)
+        return msgspec.msgpack.decode(raw, type=outcome)
+
+    def primary_of(self, key: str) -> tuple[InstanceId, Epoch] | None:
+        """Return who decides for the key, as far as this instance knows."""
+        view = self._hosting.views.get(find_partition(key, self._partitions))
+        if view is None:
+            return None
+        return view.primary.instance, view.epoch
+
+    def views(self) -> list[View]:
+        """Return the views this instance knows, for operators."""
+        return [view for _, view in sorted(self._hosting.views.items())]
+
+    def decided_here(self) -> list[PartitionId]:
+        """Return the partitions whose primary this instance is."""
+        return sorted(self._hosting.primaries)
+
+    def _submit(
+        self, partition: PartitionId, entry: Entry, end: float
+    ) -> bytes:
+        """Try until there is an outcome or the time is up."""
+        clock = self._around.clock
+        sent = False
+        tries = 0
+        while clock.now() < end:
+            reply, handled = self._try(partition, entry, sent, end, tries)
+            sent = sent or handled
+            if reply is not None and reply.verdict is Verdict.DONE:
+                return reply.outcome
+            if reply is not None and reply.verdict is Verdict.INVALID:
+                if sent:
+                    break
+                raise NotAppliedError(
+                    reply.problem, 'check releases and clocks of the instances'
+                )
+            if reply is not None and reply.verdict is Verdict.FORGOTTEN:
+                break
+            tries += 1
+            pause = self._around.jitter(_PAUSE, _PAUSE * min(tries + 1, 6))
+            clock.sleep(min(pause, max(end - clock.now(), 0)))
+        if sent:
+            raise OutcomeUnknownError(
+                f'partition {partition} gave no outcome in time',
+                'ask again with the same key',
+            )
+        raise NotAppliedError(
+            f'partition {partition} has no primary that answers',
+            'try again in a few seconds',
+        )
+
+    def _try(
+        self,
+        partition: PartitionId,
+        entry: Entry,
+        repeated: bool,
+        end: float,
+        tries: int,
+    ) -> tuple[SubmitReply | None, bool]:
+        """Ask once; return the reply, and whether it may be applied."""
+        view = self._hosting.views.get(partition)
+        if view is None:
+            self._hosting.refresh(partition)
+            return None, False
+        target = self._choose_target(view, tries)
+        if target is None:
+            self._hosting.refresh(partition)
+            return None, False
+        wait = min(end - self._around.clock.now(), _ATTEMPT)
+        request = Submit(
+            partition=partition,
+            entry=entry,
+            epoch=view.epoch,
+            wait=wait,
+            repeated=repeated,
+        )
+        reply, handled = self._ask(target, request)
+        if reply is not None and reply.view is not None:
+            self._hosting.learn(reply.view)
+        if tries and tries % 4 == 0:
+            self._hosting.refresh(partition)
+        return reply, handled
+
+    def _choose_target(self, view: View, tries: int) -> InstanceId | None:
+        """Return the primary, or another member to learn the view from."""
+        alive = [
+            member.instance
+            for member in view.members
+            if self._around.is_alive(member.instance)
+        ]
+        if view.primary.instance in alive and tries % 2 == 0:
+            return view.primary.instance
+        return alive[tries % len(alive)] if alive else None
+
+    def _ask(
+        self, target: InstanceId, request: Submit
+    ) -> tuple[SubmitReply | None, bool]:
+        """Ask one instance; return whether it may have been applied."""
+        try:
+            reply = self._request(target, request)
+        except LinkRefusedError:
+            return None, False
+        except LinkError:
+            return None, True
+        return reply, reply.verdict in {Verdict.DONE, Verdict.UNKNOWN}
+
+    def _request(self, target: InstanceId, request: Submit) -> SubmitReply:
+        """Ask this instance or another."""
+        if target == self._around.me.instance:
+            return self._hosting.submit(request)
+        return self._around.bus.request(
+            target, request, SubmitReply, request.wait
+        )
+
+
+def _make_boot(rng: random.Random | None, guards: Safeguards) -> str:
+    """Return what tells this process from earlier ones of its id."""
+    if not guards.boot_ids:
+        return 'any'
+    return make_id()[:8] if rng is None else _draw_id(rng)[:8]
+
+
+def _draw_id(rng: random.Random) -> str:
+    """Return an id that a seed replays."""
+    return f'{rng.getrandbits(128):032x}'
--- a/guavagate/partitions/_state.py
+++ b/guavagate/partitions/_state.py
@@ -26,11 +26,22 @@
 Result = TypeVar('Result', bound=Outcome)
 
 
+class CopiesLost(Command, frozen=True, kw_only=True):
+    """Copies that held answered commands may have been lost.
+
+    Every state of the partition is told, without registering for it. From
+    then on it must say "unknown" about whatever it does not hold and that
+    may be older than `at`. It may come more than once with the same time.
+    """
+
+
 class ReplicatedState(Protocol):
     """A deterministic part of a partition's state.
 
     Two replicas that apply the same commands in the same order are equal;
-    nothing in here reads a clock, draws a random number or does I/O.
+    nothing in here reads a clock, draws a random number, raises or does I/O.
+    Iterate over dicts and lists only: the order of a set differs between
+    processes.
     """
 
     def apply(self, command: Command) -> Outcome:
