--- /dev/null
+++ b/guavagate/integrations/plain_service/__init__.py
@@ -0,0 +1,5 @@
+"""Speaks to the upstreams of plain services over HTTP."""
+
+from guavagate.integrations.plain_service._client import HttpPlainService
+
+__all__ = ('HttpPlainService',)
--- /dev/null
+++ b/guavagate/integrations/plain_service/_client.py
@@ -0,0 +1,132 @@
+"""The adapter from the plain services' port to HTTP."""
+
+import logging
+
+import msgspec
+
+from guavagate.clock import Clock
+from guavagate.const import HEADER_EXCHANGE, HEADER_IDEMPOTENCY_KEY
+from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.integrations._errors import make_error, make_malformed
+from guavagate.integrations._http import Connections, Response
+from guavagate.integrations.plain_service import const
+from guavagate.integrations.plain_service.models import pass_on
+from guavagate.models import RequestId
+from guavagate.ports.plain_service import (
+    ServiceAnswer,
+    ServiceReport,
+    ServiceRequest,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class HttpPlainService:
+    """Speaks to the upstreams of all plain services of one instance.
+
+    Parameters
+    ----------
+    clock
+        Bounds every wait.
+
+    Attributes
+    ----------
+    dropped
+        Answers dropped because they belonged to another exchange.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._connections = Connections(clock)
+        self._clock = clock
+        self.dropped = 0
+
+    def call(
+        self,
+        address: str,
+        request: ServiceRequest,
+        timeout: float,
+    ) -> ServiceAnswer:
+        """Send the request once and return the whole answer.
+
+        Raises
+        ------
+        UpstreamNotStartedError
+            The upstream certainly has not started.
+        UpstreamError
+            It may have run.
+        """
+        until = self._clock.now() + timeout
+        answer = self._connections.send(
+            address,
+            request.method,
+            request.path,
+            body=request.body,
+            headers=_make_headers(request),
+            timeout=timeout,
+            reuse=request.repeatable,
+        )
+        left = max(until - self._clock.now(), 0)
+        body = self._connections.read(address, answer, left)
+        self._check_exchange(address, request.exchange, answer)
+        if answer.status_code == 503:
+            _raise_not_started(address, body)
+        return ServiceAnswer(
+            status=answer.status_code,
+            headers=pass_on(answer.items()),
+            body=body,
+        )
+
+    def report(self, address: str, timeout: float) -> ServiceReport:
+        """Return the upstream's report."""
+        answer = self._connections.send(
+            address, 'GET', const.PATH_REPORT, timeout=timeout
+        )
+        data = self._connections.read(address, answer, timeout)
+        if answer.status_code != 200:
+            raise make_error(address, answer.status_code, data)
+        try:
+            return msgspec.json.decode(data, type=ServiceReport)
+        except msgspec.MsgspecError as error:
+            raise make_malformed(address, error) from error
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._connections.close()
+
+    def _check_exchange(
+        self, address: str, exchange: RequestId, answer: Response
+    ) -> None:
+        """Drop an answer that names another exchange than ours."""
+        named = answer.get(HEADER_EXCHANGE)
+        if named is None or named == exchange:
+            return
+        self.dropped += 1
+        _LOGGER.warning(
+            'Dropped the answer to exchange %s that %s sent to exchange %s',
+            named,
+            address,
+            exchange,
+        )
+        raise UpstreamError(
+            f'{address} answered exchange {named} instead of {exchange}',
+            'check what lies between here and the upstream',
+        )
+
+
+def _make_headers(request: ServiceRequest) -> dict[str, str]:
+    """Return the headers to send; repeated ones become one list."""
+    headers: dict[str, str] = {}
+    for name, value in pass_on(request.headers):
+        known = headers.get(name)
+        headers[name] = value if known is None else f'{known}, {value}'
+    headers[HEADER_EXCHANGE] = request.exchange
+    if request.key:
+        headers[HEADER_IDEMPOTENCY_KEY] = request.key
+    return headers
+
+
+def _raise_not_started(address: str, body: bytes) -> None:
+    """Raise when a 503 says that the upstream has not started."""
+    error = make_error(address, 503, body)
+    if isinstance(error, UpstreamNotStartedError):
+        raise error
--- /dev/null
+++ b/guavagate/integrations/plain_service/models.py
@@ -0,0 +1,20 @@
+"""What an answer of a plain service carries besides its own content."""
+
+from collections.abc import Iterable
+
+from guavagate.integrations.plain_service.const import CONNECTION_HEADERS
+
+HeaderPairs = tuple[tuple[str, str], ...]
+
+
+def pass_on(headers: Iterable[tuple[str, str]]) -> HeaderPairs:
+    """Return the headers that do not belong to one connection alone."""
+    pairs = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == 'connection'
+        for token in value.split(',')
+    }
+    dropped = CONNECTION_HEADERS | named
+    return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
--- a/standins/_roles.py
+++ b/standins/_roles.py
@@ -9,7 +9,7 @@
 import gevent
 import msgspec
 
-from standins import engine, object_api
+from standins import engine, object_api, plain, scoring, weights
 from standins._web import serve
 
 Maker = tuple[type[msgspec.Struct], Callable[[Any], falcon.App]]
@@ -17,6 +17,9 @@
 ROLES: dict[str, Maker] = {
     'object-api': (object_api.ObjectApiOptions, object_api.make_app),
     'engine': (engine.EngineOptions, engine.make_app),
+    'plain': (plain.PlainOptions, plain.make_app),
+    'scoring': (scoring.ScoringOptions, scoring.make_app),
+    'weights': (weights.WeightStoreOptions, weights.make_app),
 }
 
 
--- a/standins/engine/_app.py
+++ b/standins/engine/_app.py
@@ -8,8 +8,8 @@
 
 from guavagate.ports.engine import EngineOrder
 from standins._web import read_json, refuse, reset, route, write_json
-from standins.engine._engine import Engine, Request
-from standins.engine._options import EngineFaults, EngineOptions
+from standins.engine._engine import Engine
+from standins.engine._options import EngineFaults, EngineOptions, Request
 from standins.engine._orders import obey
 
 _DONE: Final = b'data: [DONE]\n\n'
@@ -45,7 +45,7 @@
         write_json(resp, {'cancelled': engine.cancel(exchange)})
 
     route(app, '/v1/completions', post=complete)
-    route(app, '/cancel/{exchange}', post=cancel)
+    route(app, '/cancel/{exchange:path}', post=cancel)
 
 
 def _stream(
--- a/standins/engine/_options.py
+++ b/standins/engine/_options.py
@@ -3,7 +3,9 @@
 import msgspec
 
 
-class EngineOptions(msgspec.Struct, frozen=True, kw_only=True):
+class EngineOptions(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """How an engine behaves; times in seconds.
 
     Parameters
@@ -73,3 +75,17 @@
     silent_versions: bool = False
     overloaded: bool = False
     leaving: bool = False
+
+
+class Request(msgspec.Struct, kw_only=True):
+    """What is asked for; `max_tokens` includes the resumed tokens."""
+
+    request_id: str
+    prompt: str
+    max_tokens: int
+    temperature: float = 1.0
+    seed: int | None = None
+    stop: list[str] = []
+    stream: bool = True
+    resume_text: str = ''
+    resume_tokens: int = 0
--- a/standins/history.py
+++ b/standins/history.py
@@ -1,11 +1,18 @@
 """The record of what a stand-in sent, ran and received."""
 
 import os
+import time
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
+from guavagate.measure.history import Event
+
+
+def now() -> float:
+    """Return seconds on the machine's clock, the same in all processes."""
+    return time.monotonic()
+
 
 class Recorder:
     """Writes events as JSON lines, one file per process and name.
@@ -25,7 +32,7 @@
             path.parent.mkdir(parents=True, exist_ok=True)
             self._file = path.open('ab', buffering=0)
 
-    def record(self, event: Any) -> None:
+    def record(self, event: Event) -> None:
         """Write one event in a single call, so that a kill cuts none."""
         if self._file is not None:
             self._file.write(b'%b\n' % msgspec.json.encode(event))
--- a/standins/object_api/_app.py
+++ b/standins/object_api/_app.py
@@ -10,8 +10,9 @@
 import gevent
 import msgspec
 
+from standins._bucket import Bucket
 from standins._web import read_json, refuse, reset, route, write_json
-from standins.object_api._faults import Bucket, Faults, Instances, loses
+from standins.object_api._faults import Faults, Instances, loses
 from standins.object_api._store import (
     KEPT_CHANGES,
     MAX_VALUE,
@@ -21,7 +22,9 @@
 )
 
 
-class ObjectApiOptions(msgspec.Struct, frozen=True, kw_only=True):
+class ObjectApiOptions(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
     """How the stand-in behaves; rates are calls a second, 0 for no limit."""
 
     reads: float = 2000
--- /dev/null
+++ b/standins/scoring.py
@@ -0,0 +1,69 @@
+"""A scoring service as a stand-in."""
+
+import falcon
+import gevent
+import msgspec
+import xxhash
+
+from guavagate.integrations.scoring_service.models import (
+    ScoreRequest,
+)
+from standins._web import read_json, refuse, reset, route, write_json
+
+
+class ScoringOptions(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """How the service behaves; `score_s` is in seconds."""
+
+    id: str = 'scoring-1'
+    score_s: float = 0.005
+
+
+class ScoringFaults(msgspec.Struct, forbid_unknown_fields=True):
+    """What ``POST /control/faults`` sets; what it leaves out is healthy.
+
+    Parameters
+    ----------
+    crash
+        Reset each connection without an answer.
+    crossed
+        Answer for another sample.
+    """
+
+    crash: bool = False
+    slow_s: float = 0
+    crossed: bool = False
+    overloaded: bool = False
+
+
+def score_text(text: str) -> float:
+    """Return a score between 0 and 1 that depends on the text alone."""
+    return (xxhash.xxh64_intdigest(text.encode()) % 1000) / 1000
+
+
+def make_app(options: ScoringOptions | None = None) -> falcon.App:
+    """Return the stand-in as a WSGI application."""
+    settings = options or ScoringOptions()
+    faults = [ScoringFaults()]
+
+    def score(req: falcon.Request, resp: falcon.Response) -> None:
+        wanted: ScoreRequest = read_json(req, ScoreRequest)
+        fault = faults[0]
+        if fault.overloaded:
+            refuse(resp, 503, 'overloaded')
+            return
+        gevent.sleep(settings.score_s + fault.slow_s)
+        if fault.crash:
+            reset(req)
+        named = 'another' if fault.crossed else wanted.sample_id
+        write_json(resp, {'sample_id': named, 'score': score_text(wanted.text)})
+
+    def set_faults(req: falcon.Request, resp: falcon.Response) -> None:
+        faults[0] = read_json(req, ScoringFaults)
+        write_json(resp, {})
+
+    app = falcon.App()
+    route(app, '/v1/score', post=score)
+    route(app, '/control/faults', post=set_faults)
+    return app
