--- /dev/null
+++ b/standins/_http.py
@@ -0,0 +1,69 @@
+"""Plain HTTP calls of the stand-ins that act as callers and trainers."""
+
+from typing import Any
+
+import msgspec
+
+from guavagate.clock import SystemClock
+from guavagate.exceptions import UpstreamError
+from guavagate.integrations._http import Connections
+
+Headers = dict[str, str]
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def decode(self) -> Any:
+        """Return the decoded body; nothing when it is no JSON."""
+        try:
+            return msgspec.json.decode(self.body)
+        except msgspec.MsgspecError:
+            return {}
+
+
+CLOCK = SystemClock()
+CONNECTIONS = Connections(CLOCK)
+
+
+def ask(
+    address: str,
+    method: str,
+    path: str,
+    body: Any = None,
+    *,
+    headers: Headers | None = None,
+    timeout: float = 10.0,
+) -> Answer:
+    """Send one request, once; a body that is no bytes goes as JSON.
+
+    Raises
+    ------
+    UpstreamError
+        No whole answer came.
+    """
+    data = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    answer = CONNECTIONS.send(
+        address,
+        method,
+        path,
+        body=b'' if body is None else data,
+        headers=headers,
+        timeout=timeout,
+        reuse=method == 'GET',
+    )
+    received = CONNECTIONS.read(address, answer, timeout)
+    names = {name.lower(): value for name, value in answer.items()}
+    return Answer(answer.status_code, names, received)
+
+
+def is_ready(address: str) -> bool:
+    """Tell whether an instance takes requests."""
+    try:
+        return ask(address, 'GET', '/readyz', timeout=1.0).status == 200
+    except UpstreamError:
+        return False
--- a/standins/_roles.py
+++ b/standins/_roles.py
@@ -8,11 +8,21 @@
 import falcon
 import gevent
 import msgspec
+from gevent.event import Event
 
-from standins import engine, object_api, plain, scoring, weights
+from standins import (
+    caller,
+    engine,
+    object_api,
+    plain,
+    scoring,
+    trainer,
+    weights,
+)
 from standins._web import serve
 
 Maker = tuple[type[msgspec.Struct], Callable[[Any], falcon.App]]
+Actor = tuple[type[msgspec.Struct], Callable[[Any, Event], None]]
 
 ROLES: dict[str, Maker] = {
     'object-api': (object_api.ObjectApiOptions, object_api.make_app),
@@ -23,32 +33,49 @@
 }
 
 
-def make_role(role: str, pairs: dict[str, str]) -> falcon.App:
-    """Return a role's application with options given as text."""
-    options, make = ROLES[role]
+ACTORS: dict[str, Actor] = {
+    'caller': (caller.CallerOptions, caller.run),
+    'trainer': (trainer.TrainerOptions, trainer.run),
+}
+
+
+def read_options(
+    role: str, kind: type[msgspec.Struct], pairs: dict[str, str]
+) -> msgspec.Struct:
+    """Return a role's options, given as text."""
     try:
-        return make(msgspec.convert(pairs, options, strict=False))
+        return msgspec.convert(pairs, kind, strict=False)
     except msgspec.ValidationError as error:
-        names = ', '.join(options.__struct_fields__)
+        names = ', '.join(kind.__struct_fields__)
         raise click.BadParameter(
             f'{error}; the options of {role} are {names}'
         ) from error
 
 
 @click.command()
-@click.argument('role', type=click.Choice(sorted(ROLES)))
-@click.option('--listen', required=True, help='127.0.0.1:PORT, 0 for any')
+@click.argument('role', type=click.Choice(sorted((*ROLES, *ACTORS))))
+@click.option('--listen', default='', help='127.0.0.1:PORT, 0 for any')
 @click.argument('options', nargs=-1, metavar='[OPTION=VALUE …]')
 def main(role: str, listen: str, options: tuple[str, ...]) -> None:
-    """Run one stand-in until SIGINT or SIGTERM; print its address first."""
-    pairs = dict(option.split('=', 1) for option in options)
-    host, _, port = listen.rpartition(':')
-    if host != '127.0.0.1':
-        raise click.BadParameter('stand-ins listen on 127.0.0.1 only')
-    server = serve(make_role(role, pairs), int(port))
-    stopped = gevent.event.Event()
+    """Run one stand-in until SIGINT or SIGTERM.
+
+    A role that listens prints its address first; callers and trainers do not
+    listen, and finish what is outstanding before they end.
+    """
+    pairs = dict(option.partition('=')[::2] for option in options)
+    stopped = Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         gevent.signal_handler(number, stopped.set)
+    if role in ACTORS:
+        kind, act = ACTORS[role]
+        click.echo(role)
+        act(read_options(role, kind, pairs), stopped)
+        return
+    kind, make = ROLES[role]
+    host, _, port = listen.rpartition(':')
+    if host != '127.0.0.1':
+        raise click.BadParameter('--listen takes 127.0.0.1:PORT only')
+    server = serve(make(read_options(role, kind, pairs)), int(port))
     click.echo(server.address)
     stopped.wait()
     server.stop()
--- /dev/null
+++ b/standins/fleet/__init__.py
@@ -0,0 +1,22 @@
+"""Fleets of real processes: instances and stand-ins on the loopback."""
+
+from standins.fleet._fleet import CREDENTIAL, Fleet
+from standins.fleet._plan import (
+    CallerPlan,
+    DeploymentPlan,
+    FleetPlan,
+    load_plan,
+)
+from standins.fleet._process import Process
+from standins.fleet._teams import make_token
+
+__all__ = (
+    'CREDENTIAL',
+    'CallerPlan',
+    'DeploymentPlan',
+    'Fleet',
+    'FleetPlan',
+    'Process',
+    'load_plan',
+    'make_token',
+)
--- /dev/null
+++ b/standins/fleet/_plan.py
@@ -0,0 +1,141 @@
+"""What a fleet file describes: instances, platform, stand-ins and teams."""
+
+import tomllib
+from pathlib import Path
+
+import click
+import msgspec
+
+from guavagate.models import (
+    CallerId,
+    DeploymentId,
+    RegionId,
+    RunId,
+    ServiceId,
+    TeamId,
+    ZoneId,
+)
+from guavagate.settings import DeploymentWeights
+
+
+class _Plan(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Base: keyword-only, unchangeable, unknown keys refused."""
+
+
+class PlatformPlan(_Plan, frozen=True, kw_only=True):
+    """The object API's limits, in calls a second."""
+
+    reads: float = 2000
+    writes: float = 400
+
+
+class WeightStorePlan(_Plan, frozen=True, kw_only=True):
+    """The weight store's limit, in fetches a second."""
+
+    rate: float = 12
+    fetch_s: float = 0.05
+
+
+class EnginePlan(_Plan, frozen=True, kw_only=True):
+    """How every engine behaves."""
+
+    token_s: float = 0.01
+    slowdown: float = 1.0
+    swap_s: float = 0.1
+    piece_tokens: int = 1
+
+
+class ServiceUpstreamPlan(_Plan, frozen=True, kw_only=True):
+    """How every upstream of a plain service behaves."""
+
+    work_s: float = 0.02
+
+
+class TrainerPlan(_Plan, frozen=True, kw_only=True):
+    """A trainer's steps and how often it publishes."""
+
+    run: RunId
+    groups: int = 12
+    samples: int = 4
+    max_tokens: int = 48
+    publish_every_s: float = 6.0
+
+
+class DeploymentPlan(_Plan, frozen=True, kw_only=True):
+    """A deployment; `samplers` is how many it has."""
+
+    id: DeploymentId
+    samplers: int = 6
+    slots: int = 8
+    max_staleness: int = 2
+    token_timeout: str = '5s'
+    scoring_service: str = ''
+    fences_orders: bool = True
+    weights: DeploymentWeights = DeploymentWeights()
+    trainer: TrainerPlan | None = None
+
+
+class ServicePlan(_Plan, frozen=True, kw_only=True):
+    """A plain service, or a scoring service."""
+
+    id: ServiceId
+    upstreams: int = 3
+    idempotent: tuple[str, ...] = ('GET', 'HEAD', 'OPTIONS')
+    timeout: str = '10s'
+    scoring: bool = False
+
+
+class MixPlan(_Plan, frozen=True, kw_only=True):
+    """Shares of the kinds of request that a caller sends."""
+
+    completion: float = 0
+    chat: float = 0
+    read: float = 0
+    write: float = 0
+
+
+class CallerPlan(_Plan, frozen=True, kw_only=True):
+    """A caller; `rate` is requests a second."""
+
+    id: CallerId
+    rate: float = 10.0
+    weight: float = 1.0
+    model: str = ''
+    service: str = ''
+    mix: MixPlan = MixPlan()
+
+
+class TeamPlan(_Plan, frozen=True, kw_only=True):
+    """One team."""
+
+    team: TeamId
+    weight: float = 1.0
+    deployments: tuple[DeploymentPlan, ...] = ()
+    services: tuple[ServicePlan, ...] = ()
+    callers: tuple[CallerPlan, ...] = ()
+
+
+class FleetPlan(_Plan, frozen=True, kw_only=True):
+    """A whole fleet file."""
+
+    region: RegionId
+    availability_zones: tuple[ZoneId, ...]
+    instances: int = 7
+    platform: PlatformPlan = PlatformPlan()
+    weight_store: WeightStorePlan = WeightStorePlan()
+    engine: EnginePlan = EnginePlan()
+    service: ServiceUpstreamPlan = ServiceUpstreamPlan()
+    teams: tuple[TeamPlan, ...] = ()
+
+
+def load_plan(path: Path) -> FleetPlan:
+    """Return the plan in a fleet file."""
+    try:
+        plain = tomllib.loads(path.read_text(encoding='utf-8'))
+        return msgspec.convert(plain, FleetPlan)
+    except (OSError, ValueError) as error:
+        raise click.ClickException(
+            f'{path}: {error}; compare it with examples/authority.toml'
+        ) from error
--- /dev/null
+++ b/standins/fleet/_process.py
@@ -0,0 +1,127 @@
+"""Processes that a fleet starts, watches and stops."""
+
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any, Final
+
+import gevent
+from gevent import subprocess
+
+_RUN_DAEMON: Final = 'from guavagate.daemon import main; main()'
+_KILL_SECONDS: Final = 5.0
+
+
+class Process:
+    """One process, started by us and ended by its pid.
+
+    Parameters
+    ----------
+    role
+        ``guavagated`` or a stand-in's role.
+    name
+        Unique in the fleet.
+    """
+
+    def __init__(self, role: str, name: str, zone: str = '') -> None:
+        self.role = role
+        self.name = name
+        self.zone = zone
+        self.addresses: dict[str, str] = {}
+        self._child: subprocess.Popen[bytes] | None = None
+
+    def start(self, command: list[str], log: Path) -> None:
+        """Start the command; its output goes to a file."""
+        log.parent.mkdir(parents=True, exist_ok=True)
+        env = {**os.environ, 'PYTHONPATH': os.pathsep.join(sys.path)}
+        with log.open('ab') as errors:
+            self._child = subprocess.Popen(
+                [sys.executable, *command],
+                stdout=subprocess.PIPE if self._prints() else errors,
+                stderr=errors,
+                env=env,
+                start_new_session=True,
+            )
+
+    @property
+    def pid(self) -> int:
+        """Return the process's id."""
+        return self._child.pid if self._child else 0
+
+    def read_address(self) -> str:
+        """Return the address that a stand-in prints first."""
+        if self._child is None or self._child.stdout is None:
+            return ''
+        address = self._child.stdout.readline().decode().strip()
+        self.addresses = {'http': address}
+        return address
+
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self._child is not None and self._child.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
+        if self._child is not None and self.is_running():
+            self._child.send_signal(number)
+
+    def wait(self, timeout: float) -> int | None:
+        """Wait for the end; return the exit code, or nothing if it runs."""
+        if self._child is None:
+            return None
+        try:
+            return self._child.wait(timeout)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def stop(self, timeout: float = _KILL_SECONDS) -> None:
+        """End the process, by force if it takes too long."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        if self.wait(timeout) is None:
+            self.send(signal.SIGKILL)
+            self.wait(timeout)
+
+    def describe(self) -> dict[str, Any]:
+        """Return what the fleet's first line says of it."""
+        return {
+            'role': self.role,
+            'id': self.name,
+            'availability_zone': self.zone,
+            'addresses': self.addresses,
+            'pid': self.pid,
+        }
+
+    def _prints(self) -> bool:
+        """Tell whether the first line is an address."""
+        return self.role != 'guavagated'
+
+
+def standin_command(role: str, options: dict[str, Any]) -> list[str]:
+    """Return the command of a stand-in."""
+    pairs = [f'{name}={_show(value)}' for name, value in options.items()]
+    return ['-m', 'standins', role, '--listen', '127.0.0.1:0', *pairs]
+
+
+def daemon_command(settings: Path) -> list[str]:
+    """Return the command of an instance."""
+    return ['-c', _RUN_DAEMON, '--settings', str(settings)]
+
+
+def free_address() -> str:
+    """Return an address that nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def _show(value: Any) -> str:
+    """Return an option's value as text."""
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def stop_all(processes: list[Process]) -> None:
+    """End processes side by side."""
+    gevent.joinall([gevent.spawn(process.stop) for process in processes])
--- /dev/null
+++ b/standins/fleet/_teams.py
@@ -0,0 +1,135 @@
+"""Turns a plan's teams into the settings that operators would apply."""
+
+from collections.abc import Mapping
+
+from guavagate.auth import hash_token
+from guavagate.models import Revision, SamplerId, UpstreamId, ZoneId
+from guavagate.settings import (
+    CallerSettings,
+    Change,
+    DeploymentSettings,
+    Role,
+    SamplerSettings,
+    ServiceSettings,
+    SettingsRecord,
+    TeamSettings,
+    UpstreamSettings,
+    encode_record,
+    render_settings,
+)
+from standins.fleet._plan import DeploymentPlan, ServicePlan, TeamPlan
+
+# Stand-in name to its address and availability zone.
+Places = Mapping[str, tuple[str, ZoneId]]
+
+
+def make_token(team: str, caller: str) -> str:
+    """Return the token of a caller; fleets run on the loopback only."""
+    return f'gg_fleet-{team}-{caller}'
+
+
+def list_tokens(plan: TeamPlan) -> dict[str, str]:
+    """Return the token of each caller, trainer and the operator."""
+    names = [caller.id for caller in plan.callers]
+    runs = [one.trainer.run for one in plan.deployments if one.trainer]
+    return {
+        name: make_token(plan.team, name)
+        for name in (*names, *runs, 'operator')
+    }
+
+
+def make_settings(plan: TeamPlan, places: Places) -> TeamSettings:
+    """Return a team's settings with the addresses of its stand-ins."""
+    return TeamSettings(
+        team=plan.team,
+        weight=plan.weight,
+        callers=_make_callers(plan),
+        deployments=tuple(
+            _make_deployment(deployment, places)
+            for deployment in plan.deployments
+        ),
+        services=tuple(
+            _make_service(service, places) for service in plan.services
+        ),
+    )
+
+
+def make_record(settings: TeamSettings, revision: int, at: float) -> bytes:
+    """Return the object that the store holds for a team."""
+    change = Change(
+        revision=Revision(revision),
+        change_id=f'fleet-{settings.team}-{revision}',
+        who='fleet',
+        at=at,
+        why='first settings',
+    )
+    return encode_record(
+        SettingsRecord(
+            team=settings.team,
+            toml=render_settings(settings),
+            change=change,
+        )
+    )
+
+
+def _make_callers(plan: TeamPlan) -> tuple[CallerSettings, ...]:
+    """Return the callers, trainers and operator with their hashes."""
+    weights = {caller.id: caller.weight for caller in plan.callers}
+    return tuple(
+        CallerSettings(
+            id=name,  # type: ignore[arg-type]
+            token_hash=hash_token(token),
+            role=_role(name, weights),  # type: ignore[arg-type]
+            weight=weights.get(name, 1.0),  # type: ignore[call-overload]
+        )
+        for name, token in list_tokens(plan).items()
+    )
+
+
+def _role(name: str, callers: Mapping[str, float]) -> Role:
+    """Return what a token allows."""
+    if name in callers:
+        return Role.CALLER
+    return Role.OPERATOR if name == 'operator' else Role.TRAINER
+
+
+def _make_deployment(
+    plan: DeploymentPlan, places: Places
+) -> DeploymentSettings:
+    """Return a deployment with its samplers' addresses."""
+    names = [f'{plan.id}-{number}' for number in range(1, plan.samplers + 1)]
+    return DeploymentSettings(
+        id=plan.id,
+        samplers=tuple(
+            SamplerSettings(
+                id=SamplerId(name),
+                address=places[name][0],
+                availability_zone=places[name][1],
+                slots=plan.slots,
+            )
+            for name in names
+        ),
+        max_staleness=plan.max_staleness,
+        weights=plan.weights,
+        token_timeout=plan.token_timeout,
+        scoring_service=plan.scoring_service,
+        fences_orders=plan.fences_orders,
+    )
+
+
+def _make_service(plan: ServicePlan, places: Places) -> ServiceSettings:
+    """Return a service with its upstreams' addresses."""
+    names = [f'{plan.id}-{number}' for number in range(1, plan.upstreams + 1)]
+    return ServiceSettings(
+        id=plan.id,
+        upstreams=tuple(
+            UpstreamSettings(
+                id=UpstreamId(name),
+                address=places[name][0],
+                availability_zone=places[name][1],
+            )
+            for name in names
+        ),
+        idempotent=plan.idempotent,
+        timeout=plan.timeout,
+    )
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -1,8 +1,8 @@
 """An upstream of a plain service as a stand-in.
 
-It records each run by exchange and idempotency key. It does not drop repeats
-by their key: that a request which may not be repeated runs once is what the
-system in front of it promises.
+The last part of the path names the request. Each run is recorded, and repeats
+are not dropped by their idempotency key: that a request which may not be
+repeated runs once is what the system in front of it promises.
 """
 
 import random
@@ -13,14 +13,12 @@
 import msgspec
 from gevent.lock import BoundedSemaphore
 
-from guavagate.const import HEADER_EXCHANGE, HEADER_IDEMPOTENCY_KEY
+from guavagate.const import HEADER_EXCHANGE
 from guavagate.measure.history import AnsweredByUpstream, RanAtUpstream
 from guavagate.ports.plain_service import ServiceReport
 from standins._web import read_json, refuse, reset, route, write_json
 from standins.history import Recorder, now
 
-HEADER_REQUEST: str = 'X-Standin-Request'
-
 
 class PlainOptions(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
@@ -113,8 +111,7 @@
 ) -> None:
     """Do the work and answer; the answer may get lost or crossed."""
     exchange = req.get_header(HEADER_EXCHANGE) or ''
-    key = req.get_header(HEADER_IDEMPOTENCY_KEY) or ''
-    request = req.get_header(HEADER_REQUEST) or key or exchange
+    request = req.path.rpartition('/')[2]
     who = state.options.id
     state.recorder.record(
         RanAtUpstream(
--- a/standins/text.py
+++ b/standins/text.py
@@ -74,12 +74,16 @@
 
 
 def find_fault(prompt: str, text: str) -> str:
-    """Return what is wrong with an answer's text, or nothing."""
+    """Return what is wrong with an answer's text, or nothing.
+
+    Without a prompt, all tokens must be of the same one.
+    """
     try:
         tokens = read_tokens(text)
     except ValueError:
         return 'text holds what no engine made'
-    if any(token.mark != mark_prompt(prompt) for token in tokens):
+    mark = mark_prompt(prompt) if prompt else text[1 : _MARK_SIZE + 1]
+    if any(token.mark != mark for token in tokens):
         return 'text of another prompt'
     indexes = [token.index for token in tokens]
     if indexes != list(range(len(tokens))):
--- a/tests/test_plain_service.py
+++ b/tests/test_plain_service.py
@@ -43,10 +43,10 @@
     request = ServiceRequest(
         exchange=RequestId(exchange),
         method='POST',
-        path='/slots?day=1',
+        path=f'/slots/{exchange}?day=1',
         headers=(('Connection', 'x-hop'), ('X-Hop', '1'), ('X-End', '2')),
         body=b'slot 9',
-        key=f'key-{exchange}',
+        key='key',
     )
     return HttpPlainService(SystemClock()).call(
         server.address, request, _TIMEOUT
@@ -54,7 +54,7 @@
 
 
 def _runs(folder: Path) -> list[str]:
-    """Return the keys of the requests that ran."""
+    """Return the names of the requests that ran."""
     history = read_history(*folder.glob('*.jsonl'))
     return [one.request for one in history if isinstance(one, RanAtUpstream)]
 
@@ -64,8 +64,8 @@
     [
         (b'{"leaving": true}', [], True),
         (b'{"reset": 1}', [], False),
-        (b'{"crash_after_run": 1}', ['key-b'], False),
-        (b'{"crossed": 1}', ['key-b'], False),
+        (b'{"crash_after_run": 1}', ['b'], False),
+        (b'{"crossed": 1}', ['b'], False),
     ],
 )
 def test_a_failed_call_says_whether_it_may_have_run(
@@ -82,12 +82,12 @@
     ran, or answers under another exchange. Only the refusal is known to be
     "not started": a reset looks the same before and after the run.
     """
-    assert _call(server, 'a').body == b'key-a POST /slots slot 9'
+    assert _call(server, 'a').body == b'a POST /slots/a slot 9'
     _set_faults(server, fault)
     with pytest.raises(UpstreamError) as caught:
         _call(server, 'b')
     assert isinstance(caught.value, UpstreamNotStartedError) is not_started
-    assert _runs(tmp_path) == ['key-a', *ran]
+    assert _runs(tmp_path) == ['a', *ran]
 
 
 def test_a_score_of_another_sample_is_refused() -> None:
