--- a/guavagate/callers/__init__.py
+++ b/guavagate/callers/__init__.py
@@ -1,1 +1,26 @@
 """The callers' HTTP interface."""
+
+import re
+
+import falcon
+
+from guavagate.callers._completions import (
+    ChatResource,
+    Completions,
+    CompletionsResource,
+)
+from guavagate.callers._services import Services, ServicesSink
+
+SERVICE_ROUTE = re.compile(r'^/v1/services/(?P<service>[^/]+)/?(?P<path>.*)$')
+
+
+def add_routes(
+    app: falcon.App, completions: Completions, services: Services
+) -> None:
+    """Add the callers' routes."""
+    app.add_route('/v1/completions', CompletionsResource(completions))
+    app.add_route('/v1/chat/completions', ChatResource(completions))
+    app.add_sink(ServicesSink(services), SERVICE_ROUTE)
+
+
+__all__ = ('Completions', 'Services', 'add_routes')
--- /dev/null
+++ b/guavagate/callers/_completions.py
@@ -0,0 +1,273 @@
+"""``/v1/completions`` and ``/v1/chat/completions``."""
+
+import logging
+from collections.abc import Iterator
+
+import falcon
+import msgspec
+
+from guavagate.auth import Access
+from guavagate.callers import _render
+from guavagate.callers._request import (
+    CallerRequest,
+    find_caller,
+    open_request,
+)
+from guavagate.callers._shapes import (
+    DEFAULT_MAX_TOKENS,
+    ChatBody,
+    CompletionBody,
+    join_messages,
+    list_stops,
+)
+from guavagate.const import HEADER_REQUEST_ID, HEADER_SAMPLER, HEADER_VERSIONS
+from guavagate.decisions import Work
+from guavagate.events import write
+from guavagate.events.edge import (
+    CALLER_GONE,
+    REQUEST_ANSWERED,
+    REQUEST_REFUSED,
+)
+from guavagate.exceptions import RefusalError
+from guavagate.models import DeploymentId
+from guavagate.permits import (
+    AnswerSource,
+    PermitClient,
+    PoolChooser,
+    PoolHomes,
+    Progress,
+    estimate_tokens,
+    exhaust,
+    hash_prefixes,
+    stream_answer,
+)
+from guavagate.ports.engine import Generation, ModelEngine, Piece
+from guavagate.runtime import Runtime
+from guavagate.settings import DeploymentSettings, TeamSettings
+from guavagate.util.units import parse_duration
+from guavagate.web import decode_body, read_body, refusal_body
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Completions(msgspec.Struct, frozen=True, kw_only=True):
+    """What both routes work with."""
+
+    runtime: Runtime
+    access: Access
+    homes: PoolHomes
+    permits: PermitClient
+    chooser: PoolChooser
+    engine: ModelEngine
+
+
+class _Ask(msgspec.Struct, frozen=True, kw_only=True):
+    """One parsed request, whatever route it came by."""
+
+    model: DeploymentId
+    prompt: str
+    max_tokens: int
+    temperature: float
+    seed: int | None
+    stops: tuple[str, ...]
+    stream: bool
+    chat: bool
+
+
+class CompletionsResource:
+    """``POST /v1/completions``."""
+
+    def __init__(self, parts: Completions) -> None:
+        self._parts = parts
+
+    def on_post(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Answer a completion request."""
+        opened = _open(self._parts, request)
+        body = decode_body(read_body(request), CompletionBody)
+        ask = _Ask(
+            model=body.model,
+            prompt=body.prompt,
+            max_tokens=body.max_tokens,
+            temperature=body.temperature,
+            seed=body.seed,
+            stops=list_stops(body.stop),
+            stream=body.stream,
+            chat=False,
+        )
+        answer_ask(self._parts, opened, ask, response)
+
+
+class ChatResource:
+    """``POST /v1/chat/completions``."""
+
+    def __init__(self, parts: Completions) -> None:
+        self._parts = parts
+
+    def on_post(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Answer a chat request."""
+        opened = _open(self._parts, request)
+        body = decode_body(read_body(request), ChatBody)
+        limit = body.max_completion_tokens or body.max_tokens
+        ask = _Ask(
+            model=body.model,
+            prompt=join_messages(body.messages),
+            max_tokens=limit or DEFAULT_MAX_TOKENS,
+            temperature=body.temperature,
+            seed=body.seed,
+            stops=list_stops(body.stop),
+            stream=body.stream,
+            chat=True,
+        )
+        answer_ask(self._parts, opened, ask, response)
+
+
+def answer_ask(
+    parts: Completions,
+    opened: CallerRequest,
+    ask: _Ask,
+    response: falcon.Response,
+) -> None:
+    """Run a request and answer it, whole or as a stream."""
+    progress = Progress()
+    pieces = _start(parts, opened, ask, progress)
+    try:
+        # The first piece is awaited before the status is sent, so that a
+        # refusal is a refusal and not a broken stream.
+        first = next(pieces)
+    except RefusalError as refusal:
+        write(
+            _LOGGER,
+            REQUEST_REFUSED,
+            request=opened.id,
+            reason=refusal.reason,
+            not_run=refusal.not_run.value,
+        )
+        raise
+    style = _render.Style(
+        request_id=opened.id,
+        model=ask.model,
+        created=int(parts.runtime.clock.wall()),
+        chat=ask.chat,
+    )
+    response.set_header(HEADER_REQUEST_ID, opened.id)
+    response.set_header(HEADER_SAMPLER, ','.join(progress.samplers))
+    if ask.stream:
+        response.content_type = 'text/event-stream'
+        response.stream = _stream(opened, style, progress, first, pieces)
+        return
+    exhaust(pieces)
+    _log_answer(opened, progress)
+    response.content_type = falcon.MEDIA_JSON
+    versions = ','.join(f'{version}' for version, _ in progress.versions)
+    response.set_header(HEADER_VERSIONS, versions)
+    response.set_header(HEADER_SAMPLER, ','.join(progress.samplers))
+    response.data = _render.render_whole(style, progress)
+
+
+def _open(parts: Completions, request: falcon.Request) -> CallerRequest:
+    return open_request(request, parts.access, parts.runtime.clock)
+
+
+def _start(
+    parts: Completions,
+    opened: CallerRequest,
+    ask: _Ask,
+    progress: Progress,
+) -> Iterator[Piece]:
+    team, deployment = _find_deployment(parts, opened, ask.model)
+    work = _describe(parts, opened, team, ask)
+    pool = parts.chooser.choose(
+        parts.homes.specs(), team.team, deployment.id, work
+    )
+    source = AnswerSource(
+        client=parts.permits,
+        engine=parts.engine,
+        pool=pool,
+        token_timeout=parse_duration(deployment.token_timeout),
+    )
+    generation = Generation(
+        exchange=opened.id,
+        prompt=ask.prompt,
+        max_tokens=ask.max_tokens,
+        temperature=ask.temperature,
+        seed=ask.seed,
+        stop=ask.stops,
+    )
+    return stream_answer(source, work, generation, progress)
+
+
+def _find_deployment(
+    parts: Completions,
+    opened: CallerRequest,
+    model: DeploymentId,
+) -> tuple[TeamSettings, DeploymentSettings]:
+    team = parts.runtime.teams.get(opened.identity.team)
+    if team is not None:
+        for deployment in team.deployments:
+            if deployment.id == model:
+                return team, deployment
+    raise RefusalError(
+        f'model {model!r} is no deployment of your team',
+        'use the id of a deployment; `guavagate deployments` lists them',
+        reason='unknown_deployment',
+        status=404,
+    )
+
+
+def _describe(
+    parts: Completions,
+    opened: CallerRequest,
+    team: TeamSettings,
+    ask: _Ask,
+) -> Work:
+    caller = find_caller(team, opened.identity)
+    return Work(
+        id=opened.id,
+        team=team.team,
+        caller=opened.identity.caller,
+        deadline=opened.deadline,
+        prefix_keys=hash_prefixes(ask.prompt),
+        prompt_tokens=estimate_tokens(ask.prompt),
+        expected_tokens=ask.max_tokens,
+        weight=caller.weight if caller else 1.0,
+        team_weight=team.weight,
+        zone=parts.runtime.settings.availability_zone,
+    )
+
+
+def _stream(
+    opened: CallerRequest,
+    style: _render.Style,
+    progress: Progress,
+    first: Piece,
+    pieces: Iterator[Piece],
+) -> Iterator[bytes]:
+    try:
+        yield _render.render_event(style, first)
+        for piece in pieces:
+            yield _render.render_event(style, piece)
+        yield _render.render_end(style, progress)
+        _log_answer(opened, progress)
+    except RefusalError as refusal:
+        # The status has been sent; the stream says so and lacks its terminal
+        # event, so that no caller takes the part for the whole.
+        yield b'data: %b\n\n' % refusal_body(refusal)
+    finally:
+        if progress.finish is None:
+            write(_LOGGER, CALLER_GONE, request=opened.id)
+        pieces.close()  # type: ignore[attr-defined]
+
+
+def _log_answer(opened: CallerRequest, progress: Progress) -> None:
+    write(
+        _LOGGER,
+        REQUEST_ANSWERED,
+        request=opened.id,
+        samplers=progress.samplers,
+        versions=progress.versions,
+        tokens=progress.tokens,
+    )
--- /dev/null
+++ b/guavagate/callers/_request.py
@@ -0,0 +1,87 @@
+"""What every caller's request has: identity, id, deadline."""
+
+import uuid
+from typing import Final
+
+import falcon
+import msgspec
+
+from guavagate.auth import Access, Identity
+from guavagate.clock import Clock
+from guavagate.const import HEADER_DEADLINE, HEADER_REQUEST_ID
+from guavagate.exceptions import RefusalError
+from guavagate.models import RequestId
+from guavagate.settings import CallerSettings, TeamSettings
+
+DEFAULT_DEADLINE: Final = 60.0
+MAX_DEADLINE: Final = 3600.0
+MAX_REQUEST_ID: Final = 128
+
+
+class CallerRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """An authenticated request; `deadline` is in the clock's seconds."""
+
+    id: RequestId
+    identity: Identity
+    deadline: float
+
+
+def open_request(
+    request: falcon.Request,
+    access: Access,
+    clock: Clock,
+) -> CallerRequest:
+    """Authenticate a request, and give it an id and a deadline.
+
+    Raises
+    ------
+    RefusalError
+        The token is not known, or a header is malformed.
+    """
+    identity = access.identify(request.get_header('Authorization'))
+    return CallerRequest(
+        id=_read_id(request),
+        identity=identity,
+        deadline=clock.now() + _read_deadline(request),
+    )
+
+
+def find_caller(
+    team: TeamSettings,
+    identity: Identity,
+) -> CallerSettings | None:
+    """Return the settings of the caller, if it is still declared."""
+    for caller in team.callers:
+        if caller.id == identity.caller:
+            return caller
+    return None
+
+
+def _read_id(request: falcon.Request) -> RequestId:
+    # A caller's own id is kept for its logs, but made unique: two requests
+    # under one id would share a permit, and get each other's answers.
+    own = (request.get_header(HEADER_REQUEST_ID) or '')[:MAX_REQUEST_ID]
+    unique = uuid.uuid4().hex
+    return RequestId(f'{own}-{unique}' if own else f'req-{unique}')
+
+
+def _read_deadline(request: falcon.Request) -> float:
+    text = request.get_header(HEADER_DEADLINE)
+    if text is None:
+        return DEFAULT_DEADLINE
+    try:
+        seconds = int(text) / 1000
+    except ValueError as error:
+        raise _refuse_deadline(text) from error
+    if not 0 < seconds <= MAX_DEADLINE:
+        raise _refuse_deadline(text)
+    return seconds
+
+
+def _refuse_deadline(text: str) -> RefusalError:
+    return RefusalError(
+        f'{HEADER_DEADLINE}: {text!r} is no usable deadline',
+        'give whole milliseconds from 1 to 3600000',
+        reason='bad_deadline',
+        status=400,
+    )
--- /dev/null
+++ b/guavagate/callers/_services.py
@@ -0,0 +1,245 @@
+"""``/v1/services/{service}/…``: plain services, all methods."""
+
+import logging
+
+import falcon
+import msgspec
+
+from guavagate.auth import Access
+from guavagate.callers._request import (
+    CallerRequest,
+    find_caller,
+    open_request,
+)
+from guavagate.const import (
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_REQUEST_ID,
+    HEADER_SAMPLER,
+)
+from guavagate.decisions import Work
+from guavagate.events import write
+from guavagate.events.edge import REQUEST_ANSWERED
+from guavagate.exceptions import (
+    RefusalError,
+    UpstreamError,
+    UpstreamNotStartedError,
+)
+from guavagate.models import NotRun, RequestId, UpstreamId
+from guavagate.permits import (
+    FailedAttempt,
+    Permit,
+    PermitClient,
+    Release,
+    describe_failure,
+)
+from guavagate.ports.plain_service import (
+    PlainService,
+    ServiceAnswer,
+    ServiceRequest,
+)
+from guavagate.runtime import Runtime
+from guavagate.settings import ServiceSettings, TeamSettings
+from guavagate.util.units import parse_duration
+from guavagate.web import read_body
+
+_LOGGER = logging.getLogger(__name__)
+
+# Not passed on: they concern this exchange alone, or are our callers' secret.
+_OWN_HEADERS = frozenset(
+    ('AUTHORIZATION', 'HOST', 'CONNECTION', 'CONTENT-LENGTH', 'EXPECT')
+)
+
+
+class Services(msgspec.Struct, frozen=True, kw_only=True):
+    """What the route works with."""
+
+    runtime: Runtime
+    access: Access
+    permits: PermitClient
+    service: PlainService
+
+
+class ServiceCall(msgspec.Struct, frozen=True, kw_only=True):
+    """One call of a caller, before an upstream is chosen."""
+
+    opened: CallerRequest
+    team: TeamSettings
+    settings: ServiceSettings
+    request: ServiceRequest
+
+
+class ServicesSink:
+    """All methods and paths below a service."""
+
+    def __init__(self, parts: Services) -> None:
+        self._parts = parts
+
+    def __call__(
+        self, req: falcon.Request, resp: falcon.Response, **kwargs: str
+    ) -> None:
+        """Answer one call with the upstream's whole answer."""
+        opened = open_request(
+            req, self._parts.access, self._parts.runtime.clock
+        )
+        team, settings = _find_service(self._parts, opened, kwargs['service'])
+        call = ServiceCall(
+            opened=opened,
+            team=team,
+            settings=settings,
+            request=_read_call(req, opened, settings, kwargs['path']),
+        )
+        answer, upstream = run_call(self._parts, call)
+        resp.status = answer.status
+        for name, value in answer.headers:
+            resp.append_header(name, value)
+        resp.set_header(HEADER_REQUEST_ID, opened.id)
+        resp.set_header(HEADER_SAMPLER, upstream)
+        resp.data = answer.body
+
+
+def run_call(
+    parts: Services,
+    call: ServiceCall,
+) -> tuple[ServiceAnswer, UpstreamId]:
+    """Run a call at most once if it may not be repeated.
+
+    Raises
+    ------
+    RefusalError
+        No whole answer; `not_run` is true only when nothing can have started.
+    """
+    work = _describe(parts, call)
+    pool = f'{call.team.team}/{call.settings.id}/0'
+    failed: FailedAttempt | None = None
+    started = False
+    number = 0
+    while True:
+        permit = _acquire(parts, pool, work, failed, started=started)
+        request = msgspec.structs.replace(
+            call.request, exchange=RequestId(f'{call.opened.id}.{number}')
+        )
+        try:
+            return _exchange(parts, call, permit, request), permit.upstream
+        except UpstreamNotStartedError as error:
+            failed = describe_failure(permit, error)
+        except UpstreamError as error:
+            failed = describe_failure(permit, error)
+            started = True
+            if not call.request.repeatable:
+                raise _refuse_repeat(parts, permit, error) from error
+        number += 1
+
+
+def _acquire(
+    parts: Services,
+    pool: str,
+    work: Work,
+    failed: FailedAttempt | None,
+    *,
+    started: bool,
+) -> Permit:
+    try:
+        return parts.permits.acquire(pool, work, failed)
+    except RefusalError as refusal:
+        if started:
+            refusal.not_run = NotRun.FALSE
+        raise
+
+
+def _exchange(
+    parts: Services,
+    call: ServiceCall,
+    permit: Permit,
+    request: ServiceRequest,
+) -> ServiceAnswer:
+    clock = parts.runtime.clock
+    begun = clock.now()
+    left = max(call.opened.deadline - begun, 0.001)
+    limit = min(parse_duration(call.settings.timeout), left)
+    try:
+        answer = parts.service.call(permit.address, request, limit)
+    except UpstreamError:
+        parts.permits.drop(permit)
+        raise
+    except BaseException:
+        parts.permits.release(permit, Release.CANCELLED)
+        raise
+    seconds = clock.now() - begun
+    parts.permits.release(permit, Release.DONE, tokens=1, seconds=seconds)
+    write(
+        _LOGGER,
+        REQUEST_ANSWERED,
+        request=call.opened.id,
+        samplers=[permit.upstream],
+        status=answer.status,
+    )
+    return answer
+
+
+def _refuse_repeat(
+    parts: Services, permit: Permit, error: UpstreamError
+) -> RefusalError:
+    parts.permits.release(permit, Release.FAILED)
+    return RefusalError(
+        f'the upstream gave no whole answer: {error.problem}',
+        'it may have run; ask the service before you send it again',
+        reason='outcome_unknown',
+        status=502,
+        not_run=NotRun.UNKNOWN,
+    )
+
+
+def _find_service(
+    parts: Services,
+    opened: CallerRequest,
+    service: str,
+) -> tuple[TeamSettings, ServiceSettings]:
+    team = parts.runtime.teams.get(opened.identity.team)
+    if team is not None:
+        for settings in team.services:
+            if settings.id == service:
+                return team, settings
+    raise RefusalError(
+        f'{service!r} is no service of your team',
+        'use the id of a service that your team declares',
+        reason='unknown_service',
+        status=404,
+    )
+
+
+def _read_call(
+    request: falcon.Request,
+    opened: CallerRequest,
+    settings: ServiceSettings,
+    path: str,
+) -> ServiceRequest:
+    query = f'?{request.query_string}' if request.query_string else ''
+    headers = tuple(
+        (name.title(), value)
+        for name, value in request.headers.items()
+        if name not in _OWN_HEADERS
+    )
+    return ServiceRequest(
+        exchange=opened.id,
+        method=request.method,
+        path=f'/{path}{query}',
+        headers=headers,
+        body=read_body(request),
+        key=request.get_header(HEADER_IDEMPOTENCY_KEY) or '',
+        repeatable=request.method in settings.idempotent,
+    )
+
+
+def _describe(parts: Services, call: ServiceCall) -> Work:
+    caller = find_caller(call.team, call.opened.identity)
+    return Work(
+        id=call.opened.id,
+        team=call.team.team,
+        caller=call.opened.identity.caller,
+        deadline=call.opened.deadline,
+        expected_tokens=1,
+        idempotent=call.request.repeatable,
+        weight=caller.weight if caller else 1.0,
+        team_weight=call.team.weight,
+        zone=parts.runtime.settings.availability_zone,
+    )
--- /dev/null
+++ b/guavagate/events/edge.py
@@ -0,0 +1,19 @@
+"""Events of the callers', trainers' and operators' edge: 5000."""
+
+import logging
+
+from guavagate.events._event import Event
+
+UNEXPECTED_ERROR = Event(
+    5001,
+    logging.ERROR,
+    'a request met an error of our own',
+    'report it with the log lines around it',
+)
+REQUEST_ADMITTED = Event(5010, logging.INFO, 'request admitted')
+REQUEST_REFUSED = Event(5011, logging.INFO, 'request refused')
+REQUEST_ANSWERED = Event(5012, logging.INFO, 'request answered')
+CALLER_GONE = Event(5013, logging.INFO, 'caller gone, upstream work cancelled')
+EDGE_LISTENING = Event(5020, logging.INFO, 'edge listens')
+STOP_PROGRESS = Event(5030, logging.INFO, 'planned stop')
+HEADERS_SLOW = Event(5021, logging.INFO, 'connection closed, headers too slow')
--- a/guavagate/exceptions.py
+++ b/guavagate/exceptions.py
@@ -64,6 +64,10 @@
     """The upstream has certainly not started the work."""
 
 
+class UpstreamLeavingError(UpstreamNotStartedError):
+    """The upstream refuses new work because it leaves; nothing started."""
+
+
 class RefusalError(GuavagateError):
     """A caller's request is refused.
 
--- a/guavagate/integrations/_errors.py
+++ b/guavagate/integrations/_errors.py
@@ -4,9 +4,14 @@
 
 import msgspec
 
-from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
-
-NOT_STARTED_CODES: Final = frozenset(('leaving', 'overloaded'))
+from guavagate.exceptions import (
+    UpstreamError,
+    UpstreamLeavingError,
+    UpstreamNotStartedError,
+)
+
+LEAVING_CODE: Final = 'leaving'
+NOT_STARTED_CODES: Final = frozenset((LEAVING_CODE, 'overloaded'))
 _UNAVAILABLE: Final = 503
 
 
@@ -38,6 +43,8 @@
     started; only one that says why is known to be "not started".
     """
     code = read_code(data)
+    if status == _UNAVAILABLE and code == LEAVING_CODE:
+        return UpstreamLeavingError(f'{address} leaves', 'ask another upstream')
     if status == _UNAVAILABLE and code in NOT_STARTED_CODES:
         return UpstreamNotStartedError(
             f'{address} is {code}', 'ask another upstream'
--- a/guavagate/links/_bus.py
+++ b/guavagate/links/_bus.py
@@ -16,6 +16,16 @@
     """
 
 
+Expected = TypeVar('Expected', bound=Message)
+
+
+def expect(message: Message, kind: type[Expected]) -> Expected:
+    """Return the message as the kind that its handler was registered for."""
+    if not isinstance(message, kind):
+        raise TypeError(f'{type(message).__name__} is not a {kind.__name__}')
+    return message
+
+
 Handler = Callable[[InstanceId, 'Message'], 'Message | None']
 Reply = TypeVar('Reply', bound=Message)
 
--- a/guavagate/partitions/_local.py
+++ b/guavagate/partitions/_local.py
@@ -1,14 +1,7 @@
 """Partitions without replicas: one instance alone, and unit tests."""
 
-import msgspec
-
 from guavagate.models import Epoch, InstanceId
-from guavagate.partitions._state import (
-    Command,
-    Outcome,
-    ReplicatedState,
-    Result,
-)
+from guavagate.partitions._state import Command, ReplicatedState, Result
 
 
 class LocalPartitions:
@@ -30,8 +23,10 @@
         timeout: float,
     ) -> Result:
         """Apply the command to the one copy of the state."""
-        answer: Outcome = self._states[type(command)].apply(command)
-        return msgspec.convert(answer, outcome, from_attributes=True)
+        answer = self._states[type(command)].apply(command)
+        if not isinstance(answer, outcome):
+            raise TypeError(f'{answer!r} is not a {outcome.__name__}')
+        return answer
 
     def primary_of(self, key: str) -> tuple[InstanceId, Epoch] | None:
         """Return this instance."""
--- a/guavagate/partitions/_replica.py
+++ b/guavagate/partitions/_replica.py
@@ -84,6 +84,10 @@
         self._applied_bytes = 0
         self._horizon = float('-inf')
 
+    def state_of(self, command: type[Command]) -> ReplicatedState:
+        """Return the state that takes a command."""
+        return self._states[command]
+
     def find(self, command: str) -> Applied | None:
         """Return what a command gave, if it has been applied."""
         if not self._safeguards.deduplicate:
--- a/guavagate/partitions/_replicated.py
+++ b/guavagate/partitions/_replicated.py
@@ -24,7 +24,11 @@
     Verdict,
 )
 from guavagate.partitions._safeguards import Safeguards
-from guavagate.partitions._state import Command, Result
+from guavagate.partitions._state import (
+    Command,
+    ReplicatedState,
+    Result,
+)
 from guavagate.partitions._view import Member, View, find_partition
 from guavagate.partitions._views import Views
 from guavagate.runtime import Runtime
@@ -127,6 +131,19 @@
         """Return the partitions whose primary this instance is."""
         return sorted(self._hosting.primaries)
 
+    def states_of(
+        self, command: type[Command]
+    ) -> list[tuple[Epoch, ReplicatedState]]:
+        """Return the states that take a command, where this is the primary.
+
+        They hold what has been applied here, which may not be held by enough
+        replicas yet: good for planning work, not for answering anyone.
+        """
+        return [
+            (primary.view.epoch, primary.replica.state_of(command))
+            for primary in self._hosting.primaries.values()
+        ]
+
     def _submit(
         self, partition: PartitionId, entry: Entry, end: float
     ) -> bytes:
--- /dev/null
+++ b/guavagate/permits/__init__.py
@@ -0,0 +1,39 @@
+"""Permits: the right to run one piece of work on one upstream."""
+
+from guavagate.permits._choice import (
+    PoolChooser,
+    estimate_tokens,
+    hash_prefixes,
+)
+from guavagate.permits._client import FailedAttempt, PermitClient
+from guavagate.permits._directory import PoolSpec, find_home, list_pools
+from guavagate.permits._generate import (
+    AnswerSource,
+    describe_failure,
+    exhaust,
+    stream_answer,
+)
+from guavagate.permits._home import PoolHomes
+from guavagate.permits._messages import Permit, Release
+from guavagate.permits._progress import Progress
+from guavagate.permits._reports import ReportReader
+
+__all__ = (
+    'AnswerSource',
+    'FailedAttempt',
+    'Permit',
+    'PermitClient',
+    'PoolChooser',
+    'PoolHomes',
+    'PoolSpec',
+    'Progress',
+    'Release',
+    'ReportReader',
+    'describe_failure',
+    'estimate_tokens',
+    'exhaust',
+    'find_home',
+    'hash_prefixes',
+    'list_pools',
+    'stream_answer',
+)
--- /dev/null
+++ b/guavagate/permits/_client.py
@@ -0,0 +1,244 @@
+"""The entry's side of permits: ask the pool's home, hold, give back."""
+
+import logging
+from typing import Final
+
+import msgspec
+
+from guavagate.decisions import Work
+from guavagate.events import write
+from guavagate.events.routing import (
+    HOME_UNREACHABLE,
+    PERMIT_GRANTED,
+    PERMIT_REFUSED,
+)
+from guavagate.exceptions import LinkError, RefusalError
+from guavagate.models import InstanceId, RequestId, UpstreamId
+from guavagate.permits._directory import find_home
+from guavagate.permits._home import PoolHomes
+from guavagate.permits._messages import (
+    AskPermit,
+    HeldPermit,
+    HeldPermits,
+    Permit,
+    PermitReply,
+    Release,
+    ReleasePermit,
+    WithdrawWork,
+)
+from guavagate.runtime import Runtime
+
+_LOGGER = logging.getLogger(__name__)
+
+# An entry asks again at this pace while its work is queued, under the same
+# work id, so that a home that died or moved is found within it. A wait beyond
+# it costs one message every two seconds.
+POLL_SECONDS: Final = 2.0
+LINK_MARGIN: Final = 0.5
+REASK_PAUSE: Final = 0.05
+# How often an entry lists what it holds to each home in use; a release whose
+# message was lost gives its slot back after at most two of these.
+HELD_SECONDS: Final = 5.0
+
+
+class FailedAttempt(msgspec.Struct, frozen=True, kw_only=True):
+    """What the home is told of an attempt before it judges a retry."""
+
+    upstream: UpstreamId
+    started: bool
+    leaving: bool = False
+
+
+class PermitClient:
+    """Holds this instance's permits; one for each daemon."""
+
+    def __init__(self, runtime: Runtime, homes: PoolHomes) -> None:
+        self._runtime = runtime
+        self._homes = homes
+        self._me = runtime.settings.id
+        self._held: dict[str, dict[RequestId, HeldPermit]] = {}
+        self._told: dict[str, InstanceId] = {}
+
+    def start(self) -> None:
+        """Keep homes informed of what is held."""
+        self._runtime.members.subscribe(self._tell_moved)
+        self._runtime.clock.spawn(self._tell_often)
+
+    def now(self) -> float:
+        """Return the runtime's time."""
+        return self._runtime.clock.now()
+
+    def held_count(self) -> int:
+        """Return how many permits are held."""
+        return sum(len(held) for held in self._held.values())
+
+    def acquire(
+        self, pool: str, work: Work, failed: FailedAttempt | None = None
+    ) -> Permit:
+        """Wait for a permit, at most to the work's deadline.
+
+        After a failed attempt the home judges whether there is a retry.
+
+        Raises
+        ------
+        RefusalError
+            The home refused, or no home answered in time; not run.
+        """
+        while True:
+            remaining = work.deadline - self.now()
+            if remaining <= 0:
+                raise self._give_up(pool, work)
+            reply = self._ask(pool, work, remaining, failed)
+            if reply is not None and not reply.not_home:
+                failed = None
+            if reply is None or reply.not_home:
+                self._runtime.clock.sleep(REASK_PAUSE)
+                continue
+            if reply.refusal is not None:
+                raise _refuse(reply)
+            if reply.permit is not None:
+                return self._hold(work, reply.permit)
+
+    def drop(self, permit: Permit) -> None:
+        """Hold a permit no longer; its failure goes with the next request."""
+        self._held.get(permit.pool, {}).pop(permit.work_id, None)
+
+    def release(
+        self,
+        permit: Permit,
+        ended: Release,
+        *,
+        tokens: int = 0,
+        seconds: float = 0,
+        first_token_seconds: float = 0,
+        cached_tokens: int = 0,
+    ) -> None:
+        """Give a permit back with what was measured under it."""
+        self.drop(permit)
+        message = ReleasePermit(
+            pool=permit.pool,
+            work_id=permit.work_id,
+            upstream=permit.upstream,
+            ended=ended,
+            tokens=tokens,
+            seconds=seconds,
+            first_token_seconds=first_token_seconds,
+            cached_tokens=cached_tokens,
+        )
+        home = self._home(permit.pool)
+        if home == self._me:
+            self._homes.release(self._me, message)
+        elif home is not None:
+            self._runtime.bus.send(home, message)
+
+    def _home(self, pool: str) -> InstanceId | None:
+        return find_home(pool, self._runtime.members.alive())
+
+    def _ask(
+        self,
+        pool: str,
+        work: Work,
+        remaining: float,
+        failed: FailedAttempt | None,
+    ) -> PermitReply | None:
+        home = self._home(pool)
+        wait = min(POLL_SECONDS, remaining)
+        ask = AskPermit(
+            pool=pool,
+            work=work,
+            remaining=remaining,
+            wait=wait,
+            failed_upstream=failed.upstream if failed else None,
+            failed_started=failed is not None and failed.started,
+            failed_leaving=failed is not None and failed.leaving,
+        )
+        if home is None:
+            return None
+        if home == self._me:
+            return self._homes.ask(self._me, ask)
+        try:
+            return self._runtime.bus.request(
+                home, ask, PermitReply, wait + LINK_MARGIN
+            )
+        except LinkError as error:
+            write(
+                _LOGGER,
+                HOME_UNREACHABLE,
+                pool=pool,
+                home=home,
+                request=work.id,
+                error=error.problem,
+            )
+            return None
+
+    def _hold(self, work: Work, permit: Permit) -> Permit:
+        held = HeldPermit(work=work, upstream=permit.upstream)
+        self._held.setdefault(permit.pool, {})[work.id] = held
+        self._told.setdefault(permit.pool, self._home(permit.pool) or self._me)
+        write(
+            _LOGGER,
+            PERMIT_GRANTED,
+            request=work.id,
+            pool=permit.pool,
+            upstream=permit.upstream,
+            reason=permit.reason,
+        )
+        return permit
+
+    def _give_up(self, pool: str, work: Work) -> RefusalError:
+        home = self._home(pool)
+        if home == self._me:
+            self._homes.withdraw(self._me, pool, work.id)
+        elif home is not None:
+            self._runtime.bus.send(
+                home, WithdrawWork(pool=pool, work_id=work.id)
+            )
+        return RefusalError(
+            'no upstream was free before the deadline',
+            'retry later, or allow a longer deadline',
+            reason='deadline_passed_in_queue',
+            retry_after=1.0,
+        )
+
+    def _tell_moved(self) -> None:
+        for pool in list(self._told):
+            home = self._home(pool)
+            if home is not None and home != self._told[pool]:
+                self._tell(pool, home)
+
+    def _tell_often(self) -> None:
+        while True:
+            self._runtime.clock.sleep(HELD_SECONDS)
+            for pool in list(self._told):
+                home = self._home(pool)
+                if home is not None:
+                    self._tell(pool, home)
+
+    def _tell(self, pool: str, home: InstanceId) -> None:
+        held = tuple(self._held.get(pool, {}).values())
+        self._told[pool] = home
+        message = HeldPermits(pool=pool, held=held)
+        if home == self._me:
+            self._homes.take_held(self._me, message)
+        else:
+            self._runtime.bus.send(home, message)
+        if not held:
+            self._told.pop(pool)
+
+
+def _refuse(reply: PermitReply) -> RefusalError:
+    refusal = reply.refusal
+    if refusal is None:
+        raise AssertionError('only a refusal is refused')
+    write(
+        _LOGGER,
+        PERMIT_REFUSED,
+        reason=refusal.reason,
+        retry_after=refusal.retry_after,
+    )
+    return RefusalError(
+        refusal.text,
+        f'retry after {refusal.retry_after:.1f} s',
+        reason=refusal.reason,
+        retry_after=refusal.retry_after,
+    )
--- /dev/null
+++ b/guavagate/permits/_directory.py
@@ -0,0 +1,121 @@
+"""Pools of upstreams, and the instance that is home to each.
+
+Load pattern: many entries send work to the same few upstreams, which admit
+all they get. Without one queue for each upstream the entries overfill it, and
+nobody can tell interactive work from samples. One queue for all 730 samplers
+would be one instance's whole processor; one for each sampler leaves work
+waiting behind a long job beside an idle sampler. A pool of at most 16 is the
+smallest at which one long job holds back under a tenth of the slots.
+"""
+
+from typing import Final
+
+import msgspec
+
+from guavagate.models import (
+    DeploymentId,
+    InstanceId,
+    ServiceId,
+    TeamId,
+    UpstreamId,
+    ZoneId,
+)
+from guavagate.settings import (
+    DeploymentSettings,
+    PeerSettings,
+    ServiceSettings,
+    TeamSettings,
+)
+from guavagate.util.rendezvous import weigh
+
+MAX_POOL: Final = 16
+
+
+class PoolMember(msgspec.Struct, frozen=True, kw_only=True):
+    """One upstream of a pool."""
+
+    id: UpstreamId
+    address: str
+    zone: ZoneId
+    slots: int
+
+
+class PoolSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """One pool: part of a deployment's samplers, or a service's upstreams."""
+
+    key: str
+    team: TeamId
+    members: tuple[PoolMember, ...]
+    deployment: DeploymentId | None = None
+    service: ServiceId | None = None
+
+
+def split_deployment(
+    team: TeamId,
+    deployment: DeploymentSettings,
+) -> list[PoolSpec]:
+    """Return the pools of a deployment's samplers."""
+    members = [
+        PoolMember(
+            id=UpstreamId(sampler.id),
+            address=sampler.address,
+            zone=sampler.availability_zone,
+            slots=sampler.slots,
+        )
+        for sampler in deployment.samplers
+    ]
+    count = max(1, -(-len(members) // MAX_POOL))
+    return [
+        PoolSpec(
+            key=f'{team}/{deployment.id}/{place}',
+            team=team,
+            members=tuple(members[place::count]),
+            deployment=deployment.id,
+        )
+        for place in range(count)
+    ]
+
+
+def make_service_pool(team: TeamId, service: ServiceSettings) -> PoolSpec:
+    """Return the pool of a plain service's upstreams."""
+    return PoolSpec(
+        key=f'{team}/{service.id}/0',
+        team=team,
+        members=tuple(
+            PoolMember(
+                id=upstream.id,
+                address=upstream.address,
+                zone=upstream.availability_zone,
+                slots=service.concurrency,
+            )
+            for upstream in service.upstreams
+        ),
+        service=service.id,
+    )
+
+
+def list_pools(teams: list[TeamSettings]) -> dict[str, PoolSpec]:
+    """Return every pool that the settings in force declare, by key."""
+    pools: dict[str, PoolSpec] = {}
+    for team in teams:
+        for deployment in team.deployments:
+            for spec in split_deployment(team.team, deployment):
+                pools[spec.key] = spec
+        for service in team.services:
+            spec = make_service_pool(team.team, service)
+            pools[spec.key] = spec
+    return pools
+
+
+def find_home(key: str, alive: list[PeerSettings]) -> InstanceId | None:
+    """Return the home of a pool among the usable instances.
+
+    Rendezvous hashing: when an instance goes, only its own pools move. Two
+    instances that see the members differently for a moment may name two
+    homes; that costs overfilled slots for that moment, never a promise.
+    """
+    return max(
+        (peer.id for peer in alive),
+        key=lambda name: weigh(key, name),
+        default=None,
+    )
--- /dev/null
+++ b/guavagate/permits/_home.py
@@ -0,0 +1,352 @@
+"""The home of pools: one queue and one count of slots for each.
+
+The home alone decides what runs on its upstreams. It holds only what the
+entries can tell a successor again: when it dies they ask the next home, which
+counts what already runs before it grants anything.
+"""
+
+import logging
+from typing import Final
+
+import gevent
+from gevent.event import AsyncResult
+
+from guavagate.decisions import Pool, PoolSettings, Refused, SamplerInfo
+from guavagate.events import write
+from guavagate.events.routing import (
+    PERMIT_RECLAIMED,
+    POOL_GIVEN_UP,
+    POOL_TAKEN_OVER,
+    UPSTREAM_LEAVING,
+)
+from guavagate.links import Message, expect
+from guavagate.models import InstanceId, RequestId, SamplerId
+from guavagate.permits._directory import PoolSpec, find_home, list_pools
+from guavagate.permits._messages import (
+    AskPermit,
+    HeldPermits,
+    Permit,
+    PermitRefusal,
+    PermitReply,
+    Release,
+    ReleasePermit,
+    WithdrawWork,
+)
+from guavagate.permits._owned import OwnedPool, Seat
+from guavagate.runtime import Runtime
+
+_LOGGER = logging.getLogger(__name__)
+
+# Queued work whose deadline can no longer be met is refused at this pace, so
+# its caller hears at most this long after the queue has decided.
+SWEEP_SECONDS: Final = 0.1
+# A new home grants nothing for this long: entries whose home moved list what
+# they hold at once, and a message takes milliseconds between regions. Without
+# it every takeover would put a second load on engines that are full.
+SETTLE_SECONDS: Final = 0.5
+
+
+class PoolHomes:
+    """All pools that this instance is home to."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        self._runtime = runtime
+        self._me = runtime.settings.id
+        self._specs: dict[str, PoolSpec] = {}
+        self._owned: dict[str, OwnedPool] = {}
+        self._fresh_start = True
+        runtime.bus.register(AskPermit, self._on_ask)
+        runtime.bus.register(ReleasePermit, self._on_release)
+        runtime.bus.register(WithdrawWork, self._on_withdraw)
+        runtime.bus.register(HeldPermits, self._on_held)
+
+    def start(self) -> None:
+        """Follow settings and members, and keep the queues moving."""
+        self._runtime.teams.subscribe(lambda _: self.refresh())
+        self._runtime.members.subscribe(self.refresh)
+        self.refresh()
+        self._fresh_start = False
+        self._runtime.clock.spawn(self._sweep)
+
+    def owned(self) -> list[OwnedPool]:
+        """Return the pools at home here."""
+        return list(self._owned.values())
+
+    def specs(self) -> dict[str, PoolSpec]:
+        """Return every declared pool by key."""
+        return self._specs
+
+    def refresh(self) -> None:
+        """Take over and give up pools after a change."""
+        self._specs = list_pools(self._runtime.teams.all())
+        alive = self._runtime.members.alive()
+        for key in list(self._owned):
+            spec = self._specs.get(key)
+            if spec is None or find_home(key, alive) != self._me:
+                self._give_up(key)
+            else:
+                self._declare(self._owned[key], spec)
+        for key, spec in self._specs.items():
+            if key not in self._owned and find_home(key, alive) == self._me:
+                self._take_over(spec)
+        self._forget_dead(alive_ids={peer.id for peer in alive})
+
+    def ask(self, sender: InstanceId, ask: AskPermit) -> PermitReply:
+        """Answer with a permit, a refusal, or "still queued"."""
+        owned = self._owned.get(ask.pool)
+        if owned is None:
+            return PermitReply(not_home=True)
+        granted = owned.granted.get(ask.work.id)
+        if granted is not None and ask.failed_upstream is None:
+            return PermitReply(permit=granted.permit)
+        refusal = self._offer(owned, sender, ask)
+        if refusal is not None:
+            return PermitReply(refusal=refusal)
+        seat = owned.seats[ask.work.id]
+        seat.asked_at = self._runtime.clock.now()
+        self.move(owned)
+        return self._await_seat(seat, ask.wait)
+
+    def release(self, sender: InstanceId, release: ReleasePermit) -> None:
+        """Free a slot, and learn from how the work ended."""
+        owned = self._owned.get(release.pool)
+        if owned is None:
+            return
+        now = self._runtime.clock.now()
+        sampler = SamplerId(release.upstream)
+        grant = owned.granted.pop(release.work_id, None)
+        if release.ended is Release.LEAVING:
+            self.mark_leaving(owned, sampler)
+        if grant is None:
+            return
+        if release.ended is Release.DONE:
+            owned.pool.finish(
+                release.work_id,
+                sampler,
+                now,
+                tokens=release.tokens,
+                cached_tokens=release.cached_tokens,
+            )
+        elif release.ended in {Release.FAILED, Release.NOT_STARTED}:
+            # The entry does not ask again for this work: it has given up.
+            owned.pool.fail(release.work_id, sampler, now, started=True)
+            owned.pool.cancel(release.work_id, now)
+        else:
+            owned.pool.cancel(release.work_id, now)
+        self.move(owned)
+
+    def withdraw(
+        self, sender: InstanceId, pool: str, work_id: RequestId
+    ) -> None:
+        """Forget work that its entry no longer waits for."""
+        owned = self._owned.get(pool)
+        if owned is None:
+            return
+        owned.seats.pop(work_id, None)
+        owned.granted.pop(work_id, None)
+        owned.pool.cancel(work_id, self._runtime.clock.now())
+        self.move(owned)
+
+    def take_held(self, sender: InstanceId, message: HeldPermits) -> None:
+        """Count what an entry holds, and reclaim what it no longer holds."""
+        owned = self._owned.get(message.pool)
+        if owned is None:
+            return
+        now = self._runtime.clock.now()
+        listed = {held.work.id for held in message.held}
+        for held in message.held:
+            if held.work.id not in owned.granted:
+                owned.adopt(sender, held, now)
+        for work_id in owned.overdue(sender, listed, now):
+            write(_LOGGER, PERMIT_RECLAIMED, request=work_id, entry=sender)
+            owned.granted.pop(work_id)
+            owned.pool.cancel(work_id, now)
+        self.move(owned)
+
+    def mark_leaving(self, owned: OwnedPool, sampler: SamplerId) -> None:
+        """Give an upstream no new work from now on."""
+        if sampler in owned.leaving:
+            return
+        owned.leaving.add(sampler)
+        write(
+            _LOGGER,
+            UPSTREAM_LEAVING,
+            upstream=sampler,
+            pool=owned.spec.key,
+        )
+        self._declare(owned, owned.spec)
+
+    def mark_serving(self, owned: OwnedPool, sampler: SamplerId) -> None:
+        """Let an upstream that reports itself serving have work again."""
+        if sampler in owned.leaving:
+            owned.leaving.discard(sampler)
+            self._declare(owned, owned.spec)
+
+    def move(self, owned: OwnedPool) -> None:
+        """Grant what may start now, and refuse what comes too late."""
+        now = self._runtime.clock.now()
+        for refused in owned.pool.expire(now):
+            seat = owned.seats.pop(refused.work_id, None)
+            if seat is not None:
+                seat.answer.set(PermitReply(refusal=_describe(refused)))
+        if now < owned.grants_from:
+            return
+        for placement in owned.pool.place(now):
+            self._grant(owned, placement.work.id, placement.sampler, now)
+            decision = placement.decision
+            self._runtime.decisions.record(
+                decision.subject,
+                decision.kind,
+                decision.choice,
+                decision.reason,
+                decision.turned_down,
+            )
+
+    def _offer(
+        self, owned: OwnedPool, sender: InstanceId, ask: AskPermit
+    ) -> PermitRefusal | None:
+        now = self._runtime.clock.now()
+        work = owned.localise(ask, now)
+        if ask.failed_upstream is not None:
+            refusal = self._retry(owned, ask, now)
+            if refusal is not None:
+                return refusal
+        if work.id in owned.seats:
+            return None
+        offered = owned.pool.offer(work, now)
+        self._runtime.decisions.record(
+            offered.decision.subject,
+            offered.decision.kind,
+            offered.decision.choice,
+            offered.decision.reason,
+            offered.decision.turned_down,
+        )
+        if isinstance(offered, Refused):
+            return _describe(offered)
+        owned.seats[work.id] = Seat(
+            entry=sender, work=work, answer=AsyncResult(), asked_at=now
+        )
+        return None
+
+    def _retry(
+        self, owned: OwnedPool, ask: AskPermit, now: float
+    ) -> PermitRefusal | None:
+        failed = SamplerId(ask.failed_upstream or '')
+        grant = owned.granted.pop(ask.work.id, None)
+        if ask.failed_leaving:
+            self.mark_leaving(owned, failed)
+        if grant is None:
+            return None
+        retried = owned.pool.fail(
+            ask.work.id, failed, now, started=ask.failed_started
+        )
+        if isinstance(retried, Refused):
+            return _describe(retried)
+        return None
+
+    def _await_seat(self, seat: Seat, wait: float) -> PermitReply:
+        try:
+            with self._runtime.clock.timeout(wait, TimeoutError):
+                return seat.answer.get()
+        except TimeoutError:
+            return PermitReply()
+
+    def _grant(
+        self,
+        owned: OwnedPool,
+        work_id: RequestId,
+        sampler: SamplerId,
+        now: float,
+    ) -> None:
+        seat = owned.seats.pop(work_id, None)
+        if seat is None:
+            owned.pool.cancel(work_id, now)
+            return
+        permit = owned.grant(seat, sampler, now)
+        seat.answer.set(PermitReply(permit=permit))
+
+    def _take_over(self, spec: PoolSpec) -> None:
+        now = self._runtime.clock.now()
+        settle = 0 if self._fresh_start else SETTLE_SECONDS
+        owned = OwnedPool(
+            spec=spec,
+            pool=Pool(PoolSettings(name=spec.key), (), now),
+            grants_from=now + settle,
+        )
+        self._owned[spec.key] = owned
+        self._declare(owned, spec)
+        write(_LOGGER, POOL_TAKEN_OVER, pool=spec.key)
+        self._runtime.decisions.record(
+            spec.key,
+            'home',
+            self._me,
+            'first by rendezvous hash of the members',
+        )
+
+    def _give_up(self, key: str) -> None:
+        owned = self._owned.pop(key)
+        for seat in owned.seats.values():
+            seat.answer.set(PermitReply(not_home=True))
+        write(_LOGGER, POOL_GIVEN_UP, pool=key)
+
+    def _declare(self, owned: OwnedPool, spec: PoolSpec) -> None:
+        owned.spec = spec
+        now = self._runtime.clock.now()
+        owned.pool.set_samplers(
+            [
+                SamplerInfo(
+                    id=SamplerId(member.id),
+                    zone=member.zone,
+                    slots=member.slots,
+                    leaving=member.id in owned.leaving,
+                )
+                for member in spec.members
+            ],
+            now,
+        )
+        self.move(owned)
+
+    def _forget_dead(self, alive_ids: set[InstanceId]) -> None:
+        """Free the slots of entries that have died with their callers."""
+        now = self._runtime.clock.now()
+        for owned in self._owned.values():
+            for work_id in owned.of_dead(alive_ids):
+                owned.granted.pop(work_id, None)
+                owned.seats.pop(work_id, None)
+                owned.pool.cancel(work_id, now)
+            self.move(owned)
+
+    def _sweep(self) -> None:
+        while True:
+            self._runtime.clock.sleep(SWEEP_SECONDS)
+            now = self._runtime.clock.now()
+            for owned in list(self._owned.values()):
+                for work_id in owned.abandoned(now):
+                    owned.seats.pop(work_id)
+                    owned.pool.cancel(work_id, now)
+                self.move(owned)
+            gevent.sleep(0)
+
+    def _on_ask(self, sender: InstanceId, message: Message) -> Message:
+        return self.ask(sender, expect(message, AskPermit))
+
+    def _on_release(self, sender: InstanceId, message: Message) -> None:
+        self.release(sender, expect(message, ReleasePermit))
+
+    def _on_withdraw(self, sender: InstanceId, message: Message) -> None:
+        withdrawal = expect(message, WithdrawWork)
+        self.withdraw(sender, withdrawal.pool, withdrawal.work_id)
+
+    def _on_held(self, sender: InstanceId, message: Message) -> None:
+        self.take_held(sender, expect(message, HeldPermits))
+
+
+def _describe(refused: Refused) -> PermitRefusal:
+    return PermitRefusal(
+        reason=refused.reason.value,
+        text=refused.decision.reason,
+        retry_after=refused.retry_after,
+    )
+
+
+__all__ = ('Permit', 'PoolHomes')
--- /dev/null
+++ b/guavagate/permits/_reports.py
@@ -0,0 +1,104 @@
+"""Reads the load reports of the upstreams that are at home here."""
+
+import logging
+from typing import Final
+
+from guavagate.decisions import SamplerReport
+from guavagate.events import write
+from guavagate.events.routing import REPORT_MISSING
+from guavagate.exceptions import UpstreamError
+from guavagate.models import SamplerId, WeightVersion
+from guavagate.permits._directory import PoolMember
+from guavagate.permits._home import PoolHomes
+from guavagate.permits._owned import OwnedPool
+from guavagate.ports.engine import EngineReport, ModelEngine
+from guavagate.ports.plain_service import PlainService
+from guavagate.runtime import Runtime
+
+_LOGGER = logging.getLogger(__name__)
+
+# A leaving upstream must get no new work after a few seconds: it is seen at
+# the latest by the next report, so within a second and the report's time.
+REPORT_SECONDS: Final = 1.0
+REPORT_TIMEOUT: Final = 0.8
+# Missed reports are logged at the first and then at every thirtieth.
+LOG_EVERY: Final = 30
+# Plain services have no weights.
+NO_VERSION: Final = WeightVersion(0)
+
+
+class ReportReader:
+    """Polls each upstream of the pools at home here."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        homes: PoolHomes,
+        engine: ModelEngine,
+        service: PlainService,
+    ) -> None:
+        self._runtime = runtime
+        self._homes = homes
+        self._engine = engine
+        self._service = service
+        self._missed: dict[str, int] = {}
+        self._reports: dict[str, EngineReport] = {}
+
+    def start(self) -> None:
+        """Poll until the instance stops."""
+        self._runtime.clock.spawn(self._poll)
+
+    def reports(self) -> dict[str, EngineReport]:
+        """Return the newest report of each sampler at home here."""
+        return self._reports
+
+    def _poll(self) -> None:
+        while True:
+            for owned in self._homes.owned():
+                for member in owned.spec.members:
+                    self._runtime.clock.spawn(self._read, owned, member)
+            self._runtime.clock.sleep(REPORT_SECONDS)
+
+    def _read(self, owned: OwnedPool, member: PoolMember) -> None:
+        try:
+            report = self._fetch(owned, member)
+        except UpstreamError as error:
+            self._miss(member, error)
+            return
+        self._missed.pop(member.id, None)
+        self._reports[member.id] = report
+        sampler = SamplerId(member.id)
+        if report.leaving:
+            self._homes.mark_leaving(owned, sampler)
+        else:
+            self._homes.mark_serving(owned, sampler)
+        owned.pool.report(
+            sampler,
+            SamplerReport(
+                at=self._runtime.clock.now(),
+                running=report.running,
+                version=report.version if owned.spec.deployment else None,
+                leaving=report.leaving,
+            ),
+            self._runtime.clock.now(),
+        )
+        self._homes.move(owned)
+
+    def _fetch(self, owned: OwnedPool, member: PoolMember) -> EngineReport:
+        if owned.spec.deployment is not None:
+            return self._engine.report(member.address, REPORT_TIMEOUT)
+        plain = self._service.report(member.address, REPORT_TIMEOUT)
+        return EngineReport(
+            version=NO_VERSION,
+            running=plain.running,
+            queued=plain.queued,
+            slots=plain.slots,
+            leaving=plain.leaving,
+        )
+
+    def _miss(self, member: PoolMember, error: UpstreamError) -> None:
+        missed = self._missed.get(member.id, 0)
+        self._missed[member.id] = missed + 1
+        self._reports.pop(member.id, None)
+        if missed % LOG_EVERY == 0:
+            write(_LOGGER, REPORT_MISSING, upstream=member.id, error=str(error))
--- a/guavagate/runs/__init__.py
+++ b/guavagate/runs/__init__.py
@@ -1,1 +1,45 @@
-"""Training runs: steps, samples, delivery and weights."""
+"""Training runs: steps, samples and their delivery."""
+
+from guavagate.runs._client import RunAddress, RunsClient, partition_key
+from guavagate.runs._commands import (
+    Batch,
+    ConfirmOrder,
+    FinishedSample,
+    FinishSample,
+    GroupSpec,
+    KeepCursor,
+    PublishVersion,
+    PullBatch,
+    RunCommand,
+    RunOutcome,
+    SubmitStep,
+    Verdict,
+)
+from guavagate.runs._driver import Hosted, RunDriver
+from guavagate.runs._state import RUN_COMMANDS, RunsState
+from guavagate.runs._step import PendingSample
+from guavagate.runs._worker import SampleWorker
+
+__all__ = (
+    'RUN_COMMANDS',
+    'Batch',
+    'ConfirmOrder',
+    'FinishSample',
+    'FinishedSample',
+    'GroupSpec',
+    'Hosted',
+    'KeepCursor',
+    'PendingSample',
+    'PublishVersion',
+    'PullBatch',
+    'RunAddress',
+    'RunCommand',
+    'RunDriver',
+    'RunOutcome',
+    'RunsClient',
+    'RunsState',
+    'SampleWorker',
+    'SubmitStep',
+    'Verdict',
+    'partition_key',
+)
--- /dev/null
+++ b/guavagate/runs/_state.py
@@ -0,0 +1,171 @@
+"""The runs of one partition as a replicated state."""
+
+from typing import Final, cast
+
+import msgspec
+
+from guavagate.models import DeploymentId, RunId, WeightVersion
+from guavagate.partitions import Command, Outcome
+from guavagate.runs._commands import (
+    ConfirmOrder,
+    FinishSample,
+    KeepCursor,
+    PublishVersion,
+    PullBatch,
+    RunCommand,
+    RunOutcome,
+    SubmitStep,
+    Verdict,
+)
+from guavagate.runs._cursor import is_older
+from guavagate.runs._run import (
+    Run,
+    is_delivered,
+    is_fresh,
+    pending_samples,
+    pull,
+)
+from guavagate.runs._step import PendingSample, holds_sample, make_step
+
+# A step in work holds its samples in memory on every replica; more steps than
+# this are refused rather than let a trainer that never pulls fill the memory.
+MAX_STEPS_IN_WORK: Final = 16
+# Ids of past steps, so that a submit repeated late is answered as a duplicate.
+MAX_STEP_DIGESTS: Final = 1024
+# Published versions kept; older ones are beyond any bound that settings allow.
+MAX_VERSIONS_KEPT: Final = 256
+
+RUN_COMMANDS: Final[tuple[type[RunCommand], ...]] = (
+    PublishVersion,
+    SubmitStep,
+    FinishSample,
+    PullBatch,
+    KeepCursor,
+    ConfirmOrder,
+)
+
+
+class Lineage(msgspec.Struct, kw_only=True):
+    """The versions published for a deployment, oldest first, and its runs."""
+
+    published: list[WeightVersion] = msgspec.field(default_factory=list)
+    published_at: float = 0
+    runs: dict[RunId, Run] = msgspec.field(default_factory=dict)
+
+
+class _Snapshot(msgspec.Struct, kw_only=True):
+    """The whole state on the wire."""
+
+    lineages: dict[DeploymentId, Lineage]
+
+
+class RunsState:
+    """All deployments' lineages and runs of one partition."""
+
+    def __init__(self) -> None:
+        self.lineages: dict[DeploymentId, Lineage] = {}
+
+    def apply(self, command: Command) -> Outcome:
+        """Apply one command and return its outcome."""
+        if not isinstance(command, RunCommand):
+            # All replicas were lost: the runs are gone with them, and each
+            # trainer's cursor says what it has (see `_run.pull`).
+            return Outcome()
+        lineage = self.lineages.setdefault(command.deployment, Lineage())
+        if isinstance(command, PublishVersion):
+            return _publish(lineage, command)
+        if isinstance(command, ConfirmOrder):
+            return _outcome(lineage, Verdict.ACCEPTED)
+        run = lineage.runs.get(command.run)
+        if run is None:
+            run = Run(run=command.run, incarnation=f'{command.at:.6f}')
+            lineage.runs[command.run] = run
+        if isinstance(command, SubmitStep):
+            return _outcome(lineage, _submit(run, command))
+        if isinstance(command, FinishSample):
+            return _outcome(lineage, _finish(run, command, lineage.published))
+        if isinstance(command, PullBatch):
+            return pull(run, command, lineage.published)
+        return _keep(run, cast(KeepCursor, command), lineage)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state, for a new backup."""
+        return msgspec.msgpack.encode(_Snapshot(lineages=self.lineages))
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the state by a snapshot."""
+        decoded = msgspec.msgpack.decode(snapshot, type=_Snapshot)
+        self.lineages = decoded.lineages
+
+    def newest(self, deployment: DeploymentId) -> WeightVersion | None:
+        """Return the newest published version."""
+        lineage = self.lineages.get(deployment)
+        if lineage is None or not lineage.published:
+            return None
+        return lineage.published[-1]
+
+    def pending(
+        self, deployment: DeploymentId
+    ) -> dict[RunId, list[PendingSample]]:
+        """Return what has still to be generated, by run."""
+        lineage = self.lineages.get(deployment, Lineage())
+        return {run.run: pending_samples(run) for run in lineage.runs.values()}
+
+
+def _outcome(
+    lineage: Lineage, verdict: Verdict, cursor: str = ''
+) -> RunOutcome:
+    newest = lineage.published[-1] if lineage.published else None
+    return RunOutcome(verdict=verdict, newest=newest, cursor=cursor)
+
+
+def _publish(lineage: Lineage, command: PublishVersion) -> RunOutcome:
+    if command.version in lineage.published:
+        return _outcome(lineage, Verdict.DUPLICATE)
+    if lineage.published and command.version < lineage.published[-1]:
+        return _outcome(lineage, Verdict.CONFLICT)
+    lineage.published.append(command.version)
+    lineage.published_at = command.at
+    del lineage.published[:-MAX_VERSIONS_KEPT]
+    return _outcome(lineage, Verdict.ACCEPTED)
+
+
+def _submit(run: Run, command: SubmitStep) -> Verdict:
+    known = run.digests.get(command.step_id)
+    if known is not None:
+        same = known == command.digest
+        return Verdict.DUPLICATE if same else Verdict.CONFLICT
+    if len(run.steps) >= MAX_STEPS_IN_WORK:
+        return Verdict.FULL
+    run.digests[command.step_id] = command.digest
+    if len(run.digests) > MAX_STEP_DIGESTS:
+        run.digests.pop(next(iter(run.digests)))
+    run.steps[command.step_id] = make_step(command)
+    return Verdict.ACCEPTED
+
+
+def _finish(
+    run: Run,
+    command: FinishSample,
+    published: list[WeightVersion],
+) -> Verdict:
+    step = run.steps.get(command.step_id)
+    if step is None or not holds_sample(step, command.sample):
+        return Verdict.UNKNOWN_STEP
+    if is_delivered(run, step, command.sample.group_id):
+        return Verdict.DUPLICATE
+    if command.sample.sample_id in step.finished:
+        return Verdict.DUPLICATE
+    if not is_fresh(command.sample, published, step.max_staleness):
+        run.regenerated += 1
+        return Verdict.STALE
+    step.finished[command.sample.sample_id] = command.sample
+    return Verdict.ACCEPTED
+
+
+def _keep(run: Run, command: KeepCursor, lineage: Lineage) -> RunOutcome:
+    kept = run.kept.get(command.consumer, '')
+    if command.cursor and not is_older(command.cursor, kept):
+        run.kept[command.consumer] = command.cursor
+        kept = command.cursor
+    return _outcome(lineage, Verdict.ACCEPTED, kept)
--- a/guavagate/settings/_schema.py
+++ b/guavagate/settings/_schema.py
@@ -10,6 +10,7 @@
     DeploymentId,
     InstanceId,
     RegionId,
+    RunId,
     SamplerId,
     ServiceId,
     TeamId,
@@ -126,11 +127,21 @@
     ] = 1.0
 
 
+class RunSettings(_Settings, frozen=True, kw_only=True):
+    """A trainer's run on a deployment."""
+
+    id: Annotated[RunId, describe('Id of the run', Kind.ID)]
+    weight: Annotated[
+        float, describe('Share of the samplers among the runs', above=0)
+    ] = 1.0
+
+
 class DeploymentSettings(_Settings, frozen=True, kw_only=True):
     """A model deployment: samplers, and the bounds for their samples."""
 
     id: Annotated[DeploymentId, describe('Id of the deployment', Kind.ID)]
     samplers: tuple[SamplerSettings, ...]
+    runs: tuple[RunSettings, ...] = ()
     max_staleness: Annotated[
         int, describe('Versions a delivered sample may be behind', least=0)
     ] = 2
--- a/guavagate/trainers/__init__.py
+++ b/guavagate/trainers/__init__.py
@@ -1,1 +1,20 @@
 """The trainers' HTTP interface."""
+
+import falcon
+
+from guavagate.trainers._resources import (
+    BatchesResource,
+    StepsResource,
+    Trainers,
+    VersionsResource,
+)
+
+
+def add_routes(app: falcon.App, parts: Trainers) -> None:
+    """Add the trainers' routes."""
+    app.add_route('/v1/runs/{run}/versions', VersionsResource(parts))
+    app.add_route('/v1/runs/{run}/steps', StepsResource(parts))
+    app.add_route('/v1/runs/{run}/batches', BatchesResource(parts))
+
+
+__all__ = ('Trainers', 'add_routes')
--- /dev/null
+++ b/guavagate/trainers/_resources.py
@@ -0,0 +1,236 @@
+"""Versions, steps and batches."""
+
+import logging
+from typing import Annotated, Final
+
+import falcon
+import msgspec
+
+from guavagate.auth import Access, Identity
+from guavagate.events import write
+from guavagate.events.runs import (
+    BATCH_DELIVERED,
+    STEP_SUBMITTED,
+    VERSION_PUBLISHED,
+)
+from guavagate.exceptions import RefusalError
+from guavagate.models import RunId, WeightVersion
+from guavagate.runs import Batch, GroupSpec, RunAddress, RunsClient
+from guavagate.runtime import Runtime
+from guavagate.settings import DeploymentSettings, Role
+from guavagate.web import decode_body, read_body
+
+_LOGGER = logging.getLogger(__name__)
+
+MAX_STEP_SAMPLES: Final = 65_536
+MAX_WAIT: Final = 30.0
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_encode = msgspec.json.Encoder().encode
+
+
+class GroupBody(msgspec.Struct, frozen=True, kw_only=True):
+    """One group of a submitted step."""
+
+    group_id: _Name
+    prompt: str
+    samples: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 8
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=131_072)] = 256
+    temperature: Annotated[float, msgspec.Meta(ge=0, le=2)] = 1.0
+
+
+class StepBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of a submitted step."""
+
+    step_id: _Name
+    deployment: str | None = None
+    groups: Annotated[list[GroupBody], msgspec.Meta(min_length=1)]
+
+
+class VersionBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of a published version."""
+
+    version: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class BatchBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of a pull."""
+
+    cursor: str | None = None
+    consumer: _Name | None = None
+    max_samples: Annotated[int, msgspec.Meta(ge=1, le=65_536)] = 256
+    wait_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_WAIT)] = 0
+
+
+class Trainers(msgspec.Struct, frozen=True, kw_only=True):
+    """What the routes work with."""
+
+    runtime: Runtime
+    access: Access
+    runs: RunsClient
+
+
+class VersionsResource:
+    """``POST /v1/runs/{run}/versions``."""
+
+    def __init__(self, parts: Trainers) -> None:
+        self._parts = parts
+
+    def on_post(
+        self, request: falcon.Request, response: falcon.Response, run: str
+    ) -> None:
+        """Record a published version."""
+        address, _ = _find_run(self._parts, request, run)
+        body = decode_body(read_body(request), VersionBody)
+        version = WeightVersion(body.version)
+        outcome = self._parts.runs.publish(address, version)
+        write(_LOGGER, VERSION_PUBLISHED, run=run, version=version)
+        response.data = _encode(
+            {'verdict': outcome.verdict, 'newest': outcome.newest}
+        )
+
+
+class StepsResource:
+    """``POST /v1/runs/{run}/steps``."""
+
+    def __init__(self, parts: Trainers) -> None:
+        self._parts = parts
+
+    def on_post(
+        self, request: falcon.Request, response: falcon.Response, run: str
+    ) -> None:
+        """Submit a step; the same step again is harmless."""
+        address, deployment = _find_run(self._parts, request, run)
+        body = decode_body(read_body(request), StepBody)
+        _check_step(body, deployment)
+        outcome = self._parts.runs.submit_step(
+            address,
+            body.step_id,
+            tuple(_make_group(group) for group in body.groups),
+            deployment.max_staleness,
+        )
+        write(_LOGGER, STEP_SUBMITTED, run=run, step=body.step_id)
+        response.data = _encode(
+            {'step_id': body.step_id, 'verdict': outcome.verdict}
+        )
+
+
+class BatchesResource:
+    """``POST /v1/runs/{run}/batches``."""
+
+    def __init__(self, parts: Trainers) -> None:
+        self._parts = parts
+
+    def on_post(
+        self, request: falcon.Request, response: falcon.Response, run: str
+    ) -> None:
+        """Hand out what follows the trainer's cursor."""
+        address, _ = _find_run(self._parts, request, run)
+        body = decode_body(read_body(request), BatchBody)
+        cursor = _choose_cursor(self._parts, address, body)
+        batch = self._parts.runs.pull(
+            address, cursor, body.max_samples, body.wait_s
+        )
+        write(
+            _LOGGER,
+            BATCH_DELIVERED,
+            run=run,
+            step=batch.step_id,
+            samples=len(batch.samples),
+            regenerated=batch.regenerated,
+        )
+        response.data = _encode(_render_batch(batch))
+
+
+def _find_run(
+    parts: Trainers, request: falcon.Request, run: str
+) -> tuple[RunAddress, DeploymentSettings]:
+    identity = parts.access.identify(request.get_header('Authorization'))
+    identity.require(Role.TRAINER)
+    return find_run(parts.runtime, identity, RunId(run))
+
+
+def find_run(
+    runtime: Runtime, identity: Identity, run: RunId
+) -> tuple[RunAddress, DeploymentSettings]:
+    """Return a run's address and its deployment.
+
+    Raises
+    ------
+    RefusalError
+        No deployment of the team declares the run.
+    """
+    team = runtime.teams.get(identity.team)
+    for deployment in team.deployments if team else ():
+        if any(declared.id == run for declared in deployment.runs):
+            address = RunAddress(
+                team=identity.team, deployment=deployment.id, run=run
+            )
+            return address, deployment
+    raise RefusalError(
+        f'run {run!r} is not declared by a deployment of your team',
+        'declare it under the deployment with `guavagate settings apply`',
+        reason='unknown_run',
+        status=404,
+    )
+
+
+def _check_step(body: StepBody, deployment: DeploymentSettings) -> None:
+    if body.deployment not in {None, deployment.id}:
+        raise RefusalError(
+            f'the run belongs to deployment {deployment.id!r}',
+            f'name {deployment.id!r}, or leave the deployment out',
+            reason='wrong_deployment',
+            status=422,
+        )
+    names = {group.group_id for group in body.groups}
+    if len(names) < len(body.groups):
+        raise RefusalError(
+            'two groups have the same group_id',
+            'give each group of a step its own group_id',
+            reason='duplicate_group',
+            status=422,
+        )
+    count = sum(group.samples for group in body.groups)
+    if count > MAX_STEP_SAMPLES:
+        raise RefusalError(
+            f'the step has {count} samples',
+            f'submit at most {MAX_STEP_SAMPLES} in a step',
+            reason='step_too_large',
+            status=413,
+        )
+
+
+def _make_group(group: GroupBody) -> GroupSpec:
+    return GroupSpec(
+        group_id=group.group_id,
+        prompt=group.prompt,
+        samples=group.samples,
+        max_tokens=group.max_tokens,
+        temperature=group.temperature,
+    )
+
+
+def _choose_cursor(
+    parts: Trainers, address: RunAddress, body: BatchBody
+) -> str:
+    """Return the cursor to pull with; a consumer's own is kept for it.
+
+    A consumer without a cursor acknowledges by presenting, in its next pull,
+    the cursor of the batch it took; what it presents is kept first, so that
+    the consumer may forget it.
+    """
+    if body.consumer is None:
+        return body.cursor or ''
+    return parts.runs.keep_cursor(address, body.consumer, body.cursor or '')
+
+
+def _render_batch(batch: Batch) -> dict[str, object]:
+    return {
+        'follows': batch.follows or None,
+        'cursor': batch.cursor or None,
+        'step_id': batch.step_id or None,
+        'samples': batch.samples,
+        'complete': batch.complete,
+        'regenerated': batch.regenerated,
+    }
--- a/standins/fleet/_teams.py
+++ b/standins/fleet/_teams.py
@@ -9,6 +9,7 @@
     Change,
     DeploymentSettings,
     Role,
+    RunSettings,
     SamplerSettings,
     ServiceSettings,
     SettingsRecord,
@@ -109,6 +110,7 @@
             )
             for name in names
         ),
+        runs=_make_runs(plan),
         max_staleness=plan.max_staleness,
         weights=plan.weights,
         token_timeout=plan.token_timeout,
@@ -117,6 +119,13 @@
     )
 
 
+def _make_runs(plan: DeploymentPlan) -> tuple[RunSettings, ...]:
+    """Return the run of the deployment's trainer."""
+    if plan.trainer is None:
+        return ()
+    return (RunSettings(id=plan.trainer.run),)
+
+
 def _make_service(plan: ServicePlan, places: Places) -> ServiceSettings:
     """Return a service with its upstreams' addresses."""
     names = [f'{plan.id}-{number}' for number in range(1, plan.upstreams + 1)]
