Add the membership: SWIM-style probes over UDP

Cause: liveness came from a static list; a dead instance stayed in use.

The core takes datagrams and the time and returns datagrams, so its failures are tested in virtual time. UDP on the number of the peer address: probing over the bus would open a connection to every instance. A claim of death by another only counts as a suspicion; the platform's list only adds candidates. Seams: guavagate.membership.Membership implements runtime.Members, with address() for the bus, start_leaving(), boot(), isolated(), set_fact()/facts()/subscribe_facts() and take_list().

--- /dev/null
+++ b/guavagate/events/fleet.py
@@ -0,0 +1,76 @@
+"""Events of the fleet: membership, links and the platform's services."""
+
+import logging
+from typing import Final
+
+from guavagate.events._event import Event
+
+MEMBER_ALIVE: Final = Event(3001, logging.INFO, 'An instance is in use')
+MEMBER_SUSPECT: Final = Event(
+    3002, logging.INFO, 'An instance does not answer; it may still refute'
+)
+MEMBER_DEAD: Final = Event(
+    3003,
+    logging.WARNING,
+    'An instance is out of use',
+    'see operators/lost-instance.md if the platform does not replace it',
+)
+MEMBER_LEAVING: Final = Event(
+    3004, logging.INFO, 'An instance is leaving and gets no new work'
+)
+MEMBER_RESTARTED: Final = Event(
+    3005, logging.INFO, 'An instance has restarted under the same id'
+)
+SUPERSEDED: Final = Event(
+    3006,
+    logging.ERROR,
+    'A later process carries the same instance id; this one is out of use',
+    'stop this process, or give it an id of its own and check its clock',
+)
+ISOLATED: Final = Event(
+    3007,
+    logging.WARNING,
+    'No other instance is heard',
+    'check this instance, its network and the cluster credential',
+)
+HEARD_AGAIN: Final = Event(3008, logging.INFO, 'Other instances are heard')
+PAUSED: Final = Event(
+    3009,
+    logging.WARNING,
+    'This process did not run for a while',
+    'give the instance more processor time if this repeats',
+)
+LINK_SILENT: Final = Event(
+    3101,
+    logging.WARNING,
+    'A connection was silent while a new one worked; it is replaced',
+    'see operators/silent-connection.md if this repeats',
+)
+LINK_SLOW: Final = Event(
+    3102, logging.INFO, 'A peer is slow on a new connection as well'
+)
+FRAME_DROPPED: Final = Event(
+    3103,
+    logging.WARNING,
+    'A frame that does not decode was dropped',
+    'check that only guavagate instances reach the peer address',
+)
+HANDLER_FAILED: Final = Event(
+    3104,
+    logging.ERROR,
+    'A message handler failed unexpectedly',
+    'report the traceback that follows',
+)
+STORE_DOWN: Final = Event(
+    3201,
+    logging.WARNING,
+    'The object API gives no answers; calls are held back',
+    'see operators/store-outage.md; traffic goes on meanwhile',
+)
+STORE_UP: Final = Event(3202, logging.INFO, 'The object API answers again')
+STORE_STALE: Final = Event(
+    3203,
+    logging.WARNING,
+    'The object API answered from an old copy; the answer was refused',
+    'tell the platform if this lasts; nothing older is taken meanwhile',
+)
--- a/guavagate/membership/__init__.py
+++ b/guavagate/membership/__init__.py
@@ -1,5 +1,7 @@
 """Who is alive: probes between instances, seeded by the platform's list."""
 
+from guavagate.membership._members import Membership
+from guavagate.membership._packet import MemberState
 from guavagate.membership._static import StaticMembers, describe
 
-__all__ = ('StaticMembers', 'describe')
+__all__ = ('MemberState', 'Membership', 'StaticMembers', 'describe')
--- /dev/null
+++ b/guavagate/membership/_join.py
@@ -0,0 +1,145 @@
+"""Finding members: joining, comparing tables, healing after a partition."""
+
+import random
+from typing import Final
+
+from guavagate.membership._identity import Identity
+from guavagate.membership._packet import Act, Packet
+from guavagate.membership._probes import HELPERS, Send
+from guavagate.membership._table import Table
+from guavagate.models import InstanceId
+
+CANDIDATE_SECONDS: Final = 2.0
+JOIN_SECONDS: Final = 0.5
+SYNC_SECONDS: Final = 5.0
+PAGE_SIZE: Final = 6
+_START: Final = InstanceId('')
+
+
+class Joiner:
+    """Asks seeds, listed instances and dead members whether they live.
+
+    The platform's list only ever adds candidates here: what it names becomes
+    a member by answering, and what it omits stays one.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        table: Table,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self._identity = identity
+        self._table = table
+        self._random = rng
+        self._known: dict[InstanceId, str] = {}
+        self._queue: list[InstanceId] = []
+        self._candidate_at = now
+        self._sync_at = now + SYNC_SECONDS
+        self._cursor = _START
+        self._whole = False
+
+    def learn(self, addresses: dict[InstanceId, str]) -> None:
+        """Take candidates, replacing the addresses of known ones."""
+        self._known.update(addresses)
+        self._known.pop(self._identity.me.id, None)
+
+    def retain(self, wanted: set[InstanceId]) -> None:
+        """Forget candidates that are no longer named anywhere."""
+        for instance in self._known.keys() - wanted:
+            self._known.pop(instance)
+
+    def on_tick(self, now: float) -> list[Send]:
+        """Try candidates and compare tables when it is time."""
+        sends: list[Send] = []
+        if now >= self._candidate_at:
+            sends += self._try_candidates(now)
+        if now >= self._sync_at:
+            self._sync_at = now + SYNC_SECONDS
+            sends += self._compare()
+        return sends
+
+    def page(self, packet: Packet) -> Packet:
+        """Return the members that follow an id, a few at a time."""
+        ids = sorted(
+            each for each in self._table.members if each > packet.target
+        )
+        updates = tuple(self._table.describe(each) for each in ids[:PAGE_SIZE])
+        # What follows an id is named by it: gossip in the same datagram
+        # must not be taken for the page's end.
+        cursor = updates[-1].id if updates else _START
+        return self._write(Act.PAGE, updates, cursor)
+
+    def accept_page(self, address: str, packet: Packet) -> list[Send]:
+        """Ask for the next page while joining.
+
+        Afterwards one page each time is enough to repair what gossip
+        missed, and costs the same at any size of the fleet.
+        """
+        self._cursor = packet.target
+        if self._cursor == _START:
+            self._whole = True
+        if self._whole:
+            return []
+        return [(address, self._write(Act.SYNC, (), self._cursor))]
+
+    def _try_candidates(self, now: float) -> list[Send]:
+        """Ping some that are known of but not members, or are dead.
+
+        Both sides of a healed partition hold the other side dead; without
+        this neither would ever speak to the other again.
+        """
+        joined = bool(self._table.reachable())
+        wait = CANDIDATE_SECONDS if joined else JOIN_SECONDS
+        self._candidate_at = now + wait
+        if not self._queue:
+            self._queue = self._list_candidates()
+        sends: list[Send] = []
+        for _ in range(min(1 if joined else HELPERS, len(self._queue))):
+            sends += self._try(self._queue.pop(), joined)
+        return sends
+
+    def _try(self, candidate: InstanceId, joined: bool) -> list[Send]:
+        if self._table.find(candidate) is not None:
+            return []
+        address = self._known.get(candidate)
+        if address is None:
+            address = self._table.address(candidate)
+        told = self._table.tell_accused(candidate)
+        ping = self._identity.write_packet(
+            Act.PING,
+            len(self._table.members),
+            (self._identity.describe(), *told),
+        )
+        sends = [(address, ping)]
+        if not joined:
+            sends.append((address, self._write(Act.SYNC, (), _START)))
+        return sends
+
+    def _list_candidates(self) -> list[InstanceId]:
+        dead = {
+            each
+            for each, member in self._table.members.items()
+            if not member.reachable()
+        }
+        chosen = sorted(
+            each
+            for each in dead | self._known.keys()
+            if self._table.find(each) is None
+        )
+        self._random.shuffle(chosen)
+        return chosen
+
+    def _compare(self) -> list[Send]:
+        members = self._table.reachable()
+        if not members:
+            return []
+        chosen = self._random.choice(members)
+        packet = self._write(Act.SYNC, (), self._cursor)
+        return [(self._table.address(chosen), packet)]
+
+    def _write(self, act: Act, updates: tuple, target: InstanceId) -> Packet:
+        return self._identity.write_packet(
+            act, len(self._table.members), updates, target=target
+        )
--- /dev/null
+++ b/guavagate/membership/_members.py
@@ -0,0 +1,244 @@
+"""The task around the failure detector: one UDP socket and the clock."""
+
+import logging
+import secrets
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import gevent
+from gevent import socket
+
+from guavagate.clock import Clock, Task
+from guavagate.events import fleet, write
+from guavagate.exceptions import SettingsError
+from guavagate.membership._detector import Detector
+from guavagate.membership._packet import (
+    MemberState,
+    decode_packet,
+    encode_packet,
+    restore_peer,
+)
+from guavagate.membership._probes import Send
+from guavagate.membership._static import describe
+from guavagate.models import InstanceId
+from guavagate.settings import InstanceSettings, PeerSettings
+
+_LOGGER: Final = logging.getLogger(__name__)
+
+TICK_SECONDS: Final = 0.1
+FACTS_BYTES: Final = 512
+_DATAGRAM_BYTES: Final = 65_536
+_FAREWELLS: Final = 3
+
+
+class Membership:
+    """Who is alive; implements `runtime.Members` over UDP.
+
+    UDP on the port number of `peer_address`: probing a random member each
+    period over the bus would open a connection, with its handshake, to
+    every instance of the fleet.
+
+    Parameters
+    ----------
+    credential
+        The cluster credential; authenticates each datagram.
+    """
+
+    def __init__(
+        self,
+        settings: InstanceSettings,
+        clock: Clock,
+        credential: bytes = b'',
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._credential = credential
+        boot = int(clock.wall() * 1000)
+        self._detector = Detector(
+            describe(settings), boot, clock.now(), secrets.randbits(64)
+        )
+        self._peers = {peer.id: peer.peer_address for peer in settings.peers}
+        self._detector.joiner.learn(self._peers)
+        self._subscribers: list[Callable[[], None]] = []
+        self._fact_subscribers: list[Callable[[InstanceId], None]] = []
+        self._usable: list[PeerSettings] = []
+        self._fingerprint: tuple = ()
+        self._isolated = False
+        self._socket: socket.socket | None = None
+        self._tasks: list[Task] = []
+        self._refresh()
+
+    def start(self) -> None:
+        """Listen, probe and join."""
+        host, port = self._settings.peer_address.rsplit(':', 1)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((host, int(port)))
+        self._tasks = [
+            self._clock.spawn(self._receive),
+            self._clock.spawn(self._tick),
+        ]
+
+    def stop(self) -> None:
+        """Tell others that this instance has left, and close the socket."""
+        if self._socket is None:
+            return
+        gevent.killall(self._tasks)
+        for _ in range(_FAREWELLS):  # Datagrams may be lost.
+            self._send(self._detector.leave(MemberState.DEAD))
+        self._socket.close()
+        self._socket = None
+
+    def start_leaving(self) -> None:
+        """Take this instance out of every `alive()`; it stays reachable."""
+        self._send(self._detector.leave(MemberState.LEAVING))
+        self._refresh()
+
+    def alive(self) -> list[PeerSettings]:
+        """Return all that may be given work, by id.
+
+        Includes this instance and suspected ones; not leaving ones.
+        """
+        return list(self._usable)
+
+    def get(self, instance: InstanceId) -> PeerSettings | None:
+        """Return an instance that may be asked (leaving ones too)."""
+        if instance == self._settings.id:
+            return self._detector.identity.me
+        member = self._detector.table.find(instance)
+        return (
+            None if member is None else restore_peer(instance, member.contact)
+        )
+
+    def address(self, instance: InstanceId) -> str | None:
+        """Return where an instance listens for its peers; for the bus."""
+        member = self._detector.table.find(instance)
+        if member is not None:
+            return member.contact.peer_address
+        if instance == self._settings.id:
+            return self._settings.peer_address
+        return None
+
+    def state(self, instance: InstanceId) -> MemberState | None:
+        """Return what is held of an instance, or nothing."""
+        if instance == self._settings.id:
+            return self._detector.identity.state
+        member = self._detector.table.members.get(instance)
+        return None if member is None else member.state
+
+    def states(self) -> dict[InstanceId, MemberState]:
+        """Return what is held of every instance, dead ones too, by id."""
+        members = self._detector.table.members
+        held = {each: member.state for each, member in members.items()}
+        held[self._settings.id] = self._detector.identity.state
+        return dict(sorted(held.items()))
+
+    def boot(self, instance: InstanceId) -> int | None:
+        """Return a number that differs after each restart of an instance."""
+        if instance == self._settings.id:
+            return self._detector.identity.boot
+        member = self._detector.table.members.get(instance)
+        return None if member is None else member.contact.boot
+
+    def isolated(self) -> bool:
+        """Return whether no other instance is heard, or the id was lost."""
+        superseded = self._detector.identity.superseded
+        return superseded or self._detector.isolated(self._clock.now())
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        """Call back, without blocking, after each change or restart."""
+        self._subscribers.append(changed)
+
+    def set_fact(self, name: str, value: bytes) -> None:
+        """Have a small value carried in this instance's probes and acks.
+
+        Raises
+        ------
+        SettingsError
+            All facts together are larger than `FACTS_BYTES`.
+        """
+        facts = {**self._detector.identity.facts, name: value}
+        size = sum(len(each) + len(facts[each]) for each in facts)
+        if size > FACTS_BYTES:
+            raise SettingsError(
+                f'facts of {size} bytes do not fit into a probe',
+                f'keep all facts under {FACTS_BYTES} bytes; send a digest',
+            )
+        self._detector.identity.facts = facts
+
+    def facts(self, instance: InstanceId) -> dict[str, bytes]:
+        """Return the facts last heard from an instance."""
+        if instance == self._settings.id:
+            return dict(self._detector.identity.facts)
+        return dict(self._detector.heard_facts.get(instance, {}))
+
+    def subscribe_facts(self, changed: Callable[[InstanceId], None]) -> None:
+        """Call back, without blocking, when an instance's facts change."""
+        self._fact_subscribers.append(changed)
+
+    def take_list(self, listed: Iterable[PeerSettings]) -> None:
+        """Take the platform's lagging list: candidates to probe, no more."""
+        addresses = {peer.id: peer.peer_address for peer in listed}
+        self._detector.joiner.retain({*addresses, *self._peers})
+        self._detector.joiner.learn({**self._peers, **addresses})
+
+    def _receive(self) -> None:
+        assert self._socket is not None
+        while True:
+            datagram, (host, port) = self._socket.recvfrom(_DATAGRAM_BYTES)
+            packet = decode_packet(datagram, self._credential)
+            if packet is None:
+                continue
+            before = self._detector.heard_facts.get(packet.sender)
+            self._send(
+                self._detector.on_message(
+                    f'{host}:{port}', packet, self._clock.now()
+                )
+            )
+            self._refresh()
+            after = self._detector.heard_facts.get(packet.sender)
+            if after != before:
+                for changed in self._fact_subscribers:
+                    changed(packet.sender)
+
+    def _tick(self) -> None:
+        while True:
+            self._send(self._detector.on_tick(self._clock.now()))
+            self._refresh()
+            self._log_isolation()
+            self._clock.sleep(TICK_SECONDS)
+
+    def _send(self, sends: list[Send]) -> None:
+        for address, packet in sends:
+            host, port = address.rsplit(':', 1)
+            datagram = encode_packet(packet, self._credential)
+            try:
+                self._socket and self._socket.sendto(
+                    datagram, (host, int(port))
+                )
+            except OSError as error:  # As good as lost on the way.
+                _LOGGER.debug('no datagram to %s: %s', address, error)
+
+    def _refresh(self) -> None:
+        """Rebuild the list of usable instances when anything changed."""
+        table = self._detector.table
+        if (table.changes, self._detector.identity.state) == self._fingerprint:
+            return
+        self._fingerprint = (table.changes, self._detector.identity.state)
+        usable = {
+            each: restore_peer(each, member.contact)
+            for each, member in table.members.items()
+            if member.usable()
+        }
+        identity = self._detector.identity
+        if identity.state is MemberState.ALIVE:
+            usable[identity.me.id] = identity.me
+        self._usable = [usable[each] for each in sorted(usable)]
+        for changed in self._subscribers:
+            changed()
+
+    def _log_isolation(self) -> None:
+        isolated = self.isolated()
+        if isolated != self._isolated:
+            event = fleet.ISOLATED if isolated else fleet.HEARD_AGAIN
+            write(_LOGGER, event, instance=self._settings.id)
+        self._isolated = isolated
--- /dev/null
+++ b/tests/membership/network.py
@@ -0,0 +1,136 @@
+"""A network of detectors in virtual time, with faults for each direction."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+
+from guavagate.membership._detector import Detector
+from guavagate.membership._packet import MemberState, Packet
+from guavagate.membership._probes import Send
+from guavagate.models import InstanceId, RegionId, ZoneId
+from guavagate.settings import PeerSettings
+
+TICK = 0.1
+Delay = Callable[[str, str], float | None]
+
+
+def make_peer(name: str, zone: str = 'ilala-hall') -> PeerSettings:
+    """Return an instance whose address is its name."""
+    return PeerSettings(
+        id=InstanceId(name),
+        availability_zone=ZoneId(zone),
+        region=RegionId('dar-coast'),
+        peer_address=name,
+        http_address=name,
+    )
+
+
+class Network:
+    """Detectors joined by links that delay, lose and cut."""
+
+    def __init__(self, names: Iterable[str], seed: int = 1) -> None:
+        self.now = 1000.0
+        self.random = random.Random(seed)
+        self.paused: dict[str, list[tuple[str, Packet]]] = {}
+        self.delay: Delay = lambda source, target: 0.001
+        self.detectors: dict[str, Detector] = {}
+        self.sent = 0
+        self._sequence = itertools.count()
+        self._events: list[tuple[float, int, str, str, Packet | None]] = []
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str, listed: Iterable[str] = ()) -> None:
+        """Start a process, after the one of the same name if any."""
+        boot = int(self.now * 1000)
+        detector = Detector(
+            make_peer(name), boot, self.now, self.random.getrandbits(32)
+        )
+        known = sorted(self.detectors)[:3] + list(listed)
+        detector.joiner.learn({InstanceId(each): each for each in known})
+        fresh = name not in self.detectors
+        self.detectors[name] = detector
+        if fresh:
+            self._push(self.random.random() * TICK, name, '', None)
+
+    def kill(self, name: str) -> None:
+        """End a process without a word."""
+        self.detectors.pop(name)
+
+    def pause(self, name: str) -> None:
+        """Stop a process; its datagrams wait in the socket."""
+        self.paused[name] = []
+
+    def wake(self, name: str) -> None:
+        """Let a process run on: it first sees all that waited."""
+        for source, packet in self.paused.pop(name)[-200:]:
+            self._receive(source, name, packet)
+
+    def send(self, source: str, sends: list[Send]) -> None:
+        """Put datagrams on their way."""
+        for target, packet in sends:
+            self.sent += 1
+            delay = self.delay(source, target)
+            if delay is not None:
+                self._push(delay, target, source, packet)
+
+    def run(self, seconds: float, done: Callable[[], bool] = bool) -> float:
+        """Let time pass until done; return the seconds that passed."""
+        start = self.now
+        while self._events and self._events[0][0] <= start + seconds:
+            self.now, _, name, source, packet = heapq.heappop(self._events)
+            self._step(name, source, packet)
+            if done():
+                return self.now - start
+        self.now = start + seconds
+        return seconds
+
+    def usable(self, viewer: str) -> set[str]:
+        """Return the others that one instance holds usable."""
+        table = self.detectors[viewer].table
+        return {
+            each for each, member in table.members.items() if member.usable()
+        }
+
+    def agree(self) -> bool:
+        """Return whether each holds exactly the others usable."""
+        return all(
+            self.usable(name) == self.detectors.keys() - {name}
+            for name in self.detectors
+            if name not in self.paused
+        )
+
+    def held(self, viewer: str, name: str) -> MemberState:
+        """Return what one instance holds of another."""
+        table = self.detectors[viewer].table
+        return table.members[InstanceId(name)].state
+
+    def _push(
+        self, wait: float, name: str, source: str, packet: Packet | None
+    ) -> None:
+        event = (self.now + wait, next(self._sequence), name, source, packet)
+        heapq.heappush(self._events, event)
+
+    def _step(self, name: str, source: str, packet: Packet | None) -> None:
+        if packet is None:
+            self._push(TICK, name, '', None)
+            if name in self.detectors and name not in self.paused:
+                sends = self.detectors[name].on_tick(self.now)
+                self.send(name, sends)
+        elif name in self.paused:
+            self.paused[name].append((source, packet))
+        elif name in self.detectors:
+            self._receive(source, name, packet)
+
+    def _receive(self, source: str, name: str, packet: Packet) -> None:
+        sends = self.detectors[name].on_message(source, packet, self.now)
+        self.send(name, sends)
+
+
+def make_network(count: int, seed: int = 1) -> Network:
+    """Return a network whose members all know each other."""
+    network = Network((f'i{number:03}' for number in range(count)), seed)
+    network.run(60, network.agree)
+    assert network.agree()
+    return network
--- /dev/null
+++ b/tests/membership/test_detector.py
@@ -0,0 +1,216 @@
+"""Tests of the failure detector in virtual time."""
+
+import pytest
+
+from guavagate.membership._detector import Detector
+from guavagate.membership._packet import MemberState
+from guavagate.models import InstanceId
+from tests.membership.network import Network, make_network
+
+SEEDS = range(5)
+
+
+def deaths(network: Network) -> list[str]:
+    """Return who is held dead by anyone."""
+    return [
+        f'{instance} by {viewer}'
+        for viewer, detector in network.detectors.items()
+        for instance, member in detector.table.members.items()
+        if member.state is MemberState.DEAD
+    ]
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_a_dead_instance_is_out_of_use_in_three_seconds(seed: int) -> None:
+    """One of nine stops without a word; then it is started again.
+
+    Callers' requests go to it until it is suspected, probed through others
+    and buried. Its successor under the same id is in use within a second
+    or two, as another process, at every instance.
+    """
+    network = make_network(9, seed)
+    network.run(5)
+    network.kill('i004')
+    assert network.run(10, network.agree) <= 3.0
+    network.start('i004')
+    assert network.run(10, network.agree) <= 3.0
+    boot = network.detectors['i004'].identity.boot
+    members = network.detectors['i000'].table.members
+    assert members[InstanceId('i004')].contact.boot == boot
+
+
+@pytest.mark.parametrize('seconds', [1, 10, 60])
+def test_a_paused_process_returns_cleanly(seconds: int) -> None:
+    """A process is stopped by the machine and wakes.
+
+    After one second it was never out of use. After longer it was, and when
+    it wakes its socket is full of old datagrams and its timers have run
+    out: it must neither take others for dead nor stay dead itself.
+    """
+    network = make_network(9)
+    network.run(5)
+    network.pause('i004')
+    network.run(seconds)
+    dead = network.held('i000', 'i004') is MemberState.DEAD
+    assert dead == (seconds > 1)
+    network.wake('i004')
+    assert network.run(10, network.agree) <= 3.0
+    network.run(5, lambda: bool(deaths(network)))
+    assert not deaths(network)
+
+
+@pytest.mark.parametrize('loss', ['one way', 'both ways', 'slow'])
+def test_one_bad_link_kills_nobody(loss: str) -> None:
+    """Two instances don't hear each other, or late; all others do.
+
+    Each misses the other's answers, asks three others to probe, and gets
+    the answer through them: nobody is taken out of use.
+    """
+    network = make_network(9)
+
+    def delay(source: str, target: str) -> float | None:
+        if (source, target) == ('i001', 'i002') or (
+            loss != 'one way' and (source, target) == ('i002', 'i001')
+        ):
+            return 0.6 if loss == 'slow' else None
+        return 0.001
+
+    network.delay = delay
+    network.run(60, lambda: not network.agree())
+    assert network.agree()
+
+
+def test_an_instance_that_hears_nobody_kills_nobody() -> None:
+    """All that is sent to one instance is lost; what it sends arrives.
+
+    It takes everyone for dead after a while and says so to everyone. Were
+    its word taken, healthy instances would drop each other. They probe and
+    refute instead; only the one that can't be reached is out of use. When
+    the network is back, so is it.
+    """
+    network = make_network(9)
+    network.delay = lambda source, target: None if target == 'i001' else 0.001
+    others = network.detectors.keys() - {'i001'}
+
+    def healthy() -> bool:
+        return all(network.usable(each) >= others - {each} for each in others)
+
+    network.run(30, lambda: not healthy())
+    assert healthy()
+    assert network.held('i000', 'i001') is MemberState.DEAD
+    network.delay = lambda source, target: 0.001
+    assert network.run(30, network.agree) <= 10
+
+
+def test_the_list_alone_neither_kills_nor_revives() -> None:
+    """The lagging list names a dead instance and omits a live one.
+
+    The dead one stays dead as it answers no probe; the live one stays in
+    use; one that only the list names joins by answering.
+    """
+    network = make_network(5)
+    listed = {InstanceId(each) for each in ('i000', 'i001', 'i004', 'ghost')}
+    network.kill('i004')
+    network.run(5, network.agree)
+    network.start('i009', listed=['i000'])
+    for detector in network.detectors.values():
+        detector.joiner.learn({each: each for each in listed})
+        detector.joiner.retain(listed)
+    network.run(20)
+    assert network.agree()
+
+
+def test_a_zone_goes_at_once_while_another_instance_is_paused() -> None:
+    """Three of nine are gone and a fourth is stopped for two seconds.
+
+    Helpers are among the dead, so some indirect probes fail too. The three
+    are out of use within four seconds; the paused one is back after it.
+    """
+    network = make_network(9)
+    network.run(5)
+    for name in ('i000', 'i003', 'i006'):
+        network.kill(name)
+    network.pause('i001')
+    assert network.run(10, lambda: _gone(network)) <= 3.5
+    network.wake('i001')
+    assert network.run(10, network.agree) <= 4.0
+
+
+def _gone(network: Network) -> bool:
+    return all(
+        not network.usable(viewer) & {'i000', 'i003', 'i006'}
+        for viewer in network.detectors.keys() - {'i001'}
+    )
+
+
+def test_two_regions_find_each_other_again() -> None:
+    """Nothing passes between two halves for an hour; then it does.
+
+    Each half goes on alone, holding the other dead; as dead members are
+    still tried now and then, both are whole again without anyone's help.
+    """
+    network = make_network(6)
+    left = {'i000', 'i001', 'i002'}
+    network.delay = lambda source, target: (
+        None if (source in left) != (target in left) else 0.001
+    )
+    network.run(60)
+    assert network.usable('i000') == left - {'i000'}
+    network.delay = lambda source, target: 0.001
+    assert network.run(30, network.agree) <= 15
+
+
+def test_a_leaving_instance_gets_no_new_work() -> None:
+    """It says so, answers probes meanwhile, and goes with a farewell."""
+    network = make_network(9)
+    leaver: Detector = network.detectors['i004']
+    network.send('i004', leaver.leave(MemberState.LEAVING))
+
+    def out_of_use() -> bool:
+        return all(
+            'i004' not in network.usable(each) for each in network.detectors
+        )
+
+    assert network.run(10, out_of_use) <= 1.5
+    network.run(20)
+    assert network.held('i000', 'i004') is MemberState.LEAVING
+    network.send('i004', leaver.leave(MemberState.DEAD))
+    network.kill('i004')
+    network.run(1.5)
+    assert network.held('i000', 'i004') is MemberState.DEAD
+
+
+def test_the_replaced_process_gives_way() -> None:
+    """A paused process is replaced under its id at another address.
+
+    When it wakes, both say that they are the instance. The later one is in
+    use; the earlier one falls silent instead of overruling it in turn.
+    """
+    network = make_network(5)
+    network.pause('i002')
+    network.run(5)
+    old = network.detectors['i002']
+    waiting = network.paused.pop('i002')
+    network.start('i002')
+    network.run(10, network.agree)
+    for source, packet in waiting:
+        network.send('i002', old.on_message(source, packet, network.now))
+    network.send('i002', old.on_tick(network.now))
+    claim = network.detectors['i000'].table.describe(InstanceId('i002'))
+    old.take_claims((claim,), network.now)
+    assert old.identity.superseded
+    assert not old.on_tick(network.now + 1)
+    network.run(10)
+    assert network.agree()
+
+
+def test_the_cost_of_a_node_does_not_grow() -> None:
+    """At rest a node of 32 sends as many datagrams as one of 8."""
+    rates = []
+    for count in (8, 32):
+        network = make_network(count)
+        network.run(15)
+        before = network.sent
+        network.run(10)
+        rates.append((network.sent - before) / 10 / count)
+    assert rates[1] == pytest.approx(rates[0], rel=0.1)
