--- /dev/null
+++ b/standins/_roles.py
@@ -0,0 +1,81 @@
+"""The roles that a stand-in process can take."""
+
+import signal
+from collections.abc import Callable
+from typing import Any
+
+import click
+import falcon
+import gevent
+import msgspec
+from gevent.event import Event
+
+from standins import (
+    caller,
+    engine,
+    object_api,
+    plain,
+    scoring,
+    trainer,
+    weights,
+)
+from standins._web import serve
+
+Maker = tuple[type[msgspec.Struct], Callable[[Any], falcon.App]]
+Actor = tuple[type[msgspec.Struct], Callable[[Any, Event], None]]
+
+ROLES: dict[str, Maker] = {
+    'object-api': (object_api.ObjectApiOptions, object_api.make_app),
+    'engine': (engine.EngineOptions, engine.make_app),
+    'plain': (plain.PlainOptions, plain.make_app),
+    'scoring': (scoring.ScoringOptions, scoring.make_app),
+    'weights': (weights.WeightStoreOptions, weights.make_app),
+}
+
+
+ACTORS: dict[str, Actor] = {
+    'caller': (caller.CallerOptions, caller.run),
+    'trainer': (trainer.TrainerOptions, trainer.run),
+}
+
+
+def read_options(
+    role: str, kind: type[msgspec.Struct], pairs: dict[str, str]
+) -> msgspec.Struct:
+    """Return a role's options, given as text."""
+    try:
+        return msgspec.convert(pairs, kind, strict=False)
+    except msgspec.ValidationError as error:
+        names = ', '.join(kind.__struct_fields__)
+        raise click.BadParameter(
+            f'{error}; the options of {role} are {names}'
+        ) from error
+
+
+@click.command()
+@click.argument('role', type=click.Choice(sorted((*ROLES, *ACTORS))))
+@click.option('--listen', default='', help='127.0.0.1:PORT, 0 for any')
+@click.argument('options', nargs=-1, metavar='[OPTION=VALUE …]')
+def main(role: str, listen: str, options: tuple[str, ...]) -> None:
+    """Run one stand-in until SIGINT or SIGTERM.
+
+    A role that listens prints its address first; callers and trainers do not
+    listen, and finish what is outstanding before they end.
+    """
+    pairs = dict(option.partition('=')[::2] for option in options)
+    stopped = Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        gevent.signal_handler(number, stopped.set)
+    if role in ACTORS:
+        kind, act = ACTORS[role]
+        click.echo(role)
+        act(read_options(role, kind, pairs), stopped)
+        return
+    kind, make = ROLES[role]
+    host, _, port = listen.rpartition(':')
+    if host != '127.0.0.1':
+        raise click.BadParameter('--listen takes 127.0.0.1:PORT only')
+    server = serve(make(read_options(role, kind, pairs)), int(port))
+    click.echo(server.address)
+    stopped.wait()
+    server.stop()
