Add the request ledger over replicated partitions

Cause: a keyed request that may not be repeated must run at most once over every entry, retry and takeover, and a retry must get the first run's answer.

Ruled out: refusing with not_run true when the ledger is silent: an earlier attempt under the key may have run.

--- a/guavagate/ledger/__init__.py
+++ b/guavagate/ledger/__init__.py
@@ -1,1 +1,18 @@
-"""The ledger of non-idempotent requests."""
+"""The request ledger: a keyed request runs at most once, over all entries."""
+
+from guavagate.ledger._keys import digest_body, find_key_time
+from guavagate.ledger._ledger import Ledger, OnceRequest
+from guavagate.ledger._messages import Answer, BeginState, LedgerLimits
+from guavagate.ledger._state import LedgerState, make_ledger_states
+
+__all__ = (
+    'Answer',
+    'BeginState',
+    'Ledger',
+    'LedgerLimits',
+    'LedgerState',
+    'OnceRequest',
+    'digest_body',
+    'find_key_time',
+    'make_ledger_states',
+)
--- /dev/null
+++ b/guavagate/ledger/_state.py
@@ -0,0 +1,321 @@
+"""The ledger's part of a partition: one record for each key."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import msgspec
+
+from guavagate.ledger._messages import (
+    CLOCK_MARGIN,
+    Abort,
+    Answer,
+    Begin,
+    BeginOutcome,
+    BeginState,
+    Expire,
+    Finish,
+    LedgerLimits,
+    RecordOutcome,
+    RecordState,
+)
+from guavagate.models import InstanceId, PartitionId
+from guavagate.partitions import (
+    Command,
+    CopiesLost,
+    Outcome,
+    ReplicatedState,
+)
+
+_OVERHEAD: Final = 200
+
+
+class LedgerSafeguards(msgspec.Struct, frozen=True, kw_only=True):
+    """All are on in the daemon; see `guavagate.partitions`' safeguards.
+
+    Parameters
+    ----------
+    compare_digest
+        Another body under a known key is refused.
+    keep_unknown
+        A key whose outcome can't be known is never granted again.
+    keep_answer
+        A key that was answered is not granted again.
+    join
+        A key that is running is not granted again.
+    doubt_after_loss
+        Keys that may have been lost with all copies are not granted.
+    """
+
+    compare_digest: bool = True
+    keep_unknown: bool = True
+    keep_answer: bool = True
+    join: bool = True
+    doubt_after_loss: bool = True
+
+
+class _Record(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of one key."""
+
+    state: RecordState
+    digest: str
+    attempt: str
+    entry: InstanceId
+    at: float
+    answer: Answer | None = None
+
+
+class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """All that makes two copies equal."""
+
+    records: dict[str, _Record]
+    now: float
+    lost_at: float | None
+
+
+class LedgerState:
+    """Records by team, caller and key; a `ReplicatedState`."""
+
+    def __init__(
+        self,
+        limits: LedgerLimits | None = None,
+        safeguards: LedgerSafeguards | None = None,
+    ) -> None:
+        self._limits = limits or LedgerLimits()
+        self._safeguards = safeguards or LedgerSafeguards()
+        self._records: dict[str, _Record] = {}
+        self._bytes = 0
+        self._now = float(0)
+        self._lost_at: float | None = None
+        self._run: dict[type[Command], Callable[[Any], Outcome]] = {
+            Begin: self._begin,
+            Finish: self._finish,
+            Abort: self._abort,
+            Expire: self._expire,
+            CopiesLost: self._lose,
+        }
+
+    def apply(self, command: Command) -> Outcome:
+        """Apply one command."""
+        if not isinstance(command, CopiesLost):
+            self._pass_time(command.at)
+        return self._run[type(command)](command)
+
+    def snapshot(self) -> bytes:
+        """Return all records."""
+        return msgspec.msgpack.encode(
+            _Snapshot(self._records, self._now, self._lost_at)
+        )
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace all records."""
+        held = msgspec.msgpack.decode(snapshot, type=_Snapshot)
+        self._records = held.records
+        self._bytes = sum(
+            _measure(scope, record) for scope, record in held.records.items()
+        )
+        self._now = held.now
+        self._lost_at = held.lost_at
+
+    def _begin(self, command: Begin) -> Outcome:
+        """Grant a run, or say what became of the key."""
+        record = self._records.get(command.scope)
+        if record is None:
+            return self._begin_new(command)
+        if record.state is RecordState.ABORTED:
+            if record.attempt == command.attempt:
+                return BeginOutcome(state=BeginState.ABANDONED)
+            return self._grant(command)
+        differs = record.digest != command.digest
+        if differs and self._safeguards.compare_digest:
+            return BeginOutcome(state=BeginState.CONFLICT)
+        return self._begin_known(command, record)
+
+    def _begin_new(self, command: Begin) -> Outcome:
+        """Grant a key that is not held, unless it was lost or won't fit."""
+        if self._may_be_lost(command):
+            return BeginOutcome(state=BeginState.UNKNOWN)
+        size = len(command.scope) + len(command.digest) + _OVERHEAD
+        if self._bytes + size > self._limits.partition_bytes:
+            return BeginOutcome(state=BeginState.FULL)
+        return self._grant(command)
+
+    def _begin_known(self, command: Begin, record: _Record) -> Outcome:
+        """Say what became of a key that is held."""
+        guards = self._safeguards
+        if record.state is RecordState.STARTED:
+            if record.attempt == command.attempt or not guards.join:
+                return self._grant(command)
+            return BeginOutcome(
+                state=BeginState.JOINED,
+                attempt=record.attempt,
+                entry=record.entry,
+            )
+        if record.state is RecordState.UNKNOWN:
+            if not guards.keep_unknown:
+                return self._grant(command)
+            return BeginOutcome(state=BeginState.UNKNOWN)
+        if not guards.keep_answer:
+            return self._grant(command)
+        if record.answer is None:
+            return BeginOutcome(state=BeginState.ANSWER_NOT_KEPT)
+        return BeginOutcome(state=BeginState.ANSWERED, answer=record.answer)
+
+    def _grant(self, command: Begin) -> Outcome:
+        """Let the attempt run."""
+        self._put(
+            command.scope,
+            _Record(
+                RecordState.STARTED,
+                command.digest,
+                command.attempt,
+                command.entry,
+                command.at,
+            ),
+        )
+        return BeginOutcome(state=BeginState.GRANTED, attempt=command.attempt)
+
+    def _finish(self, command: Finish) -> Outcome:
+        """Keep the answer, also of one whose outcome seemed unknowable."""
+        record = self._records.get(command.scope)
+        if record is not None and record.attempt != command.attempt:
+            return RecordOutcome(state=record.state)
+        at = command.at if record is None else record.at
+        answer = command.answer
+        if answer is not None:
+            answer = self._bound(answer)
+        self._put(
+            command.scope,
+            _Record(
+                RecordState.ANSWERED,
+                command.digest,
+                command.attempt,
+                command.entry,
+                at,
+                answer,
+            ),
+        )
+        return RecordOutcome(state=RecordState.ANSWERED)
+
+    def _abort(self, command: Abort) -> Outcome:
+        """Free the key, as its attempt has not run.
+
+        A key that is not held gets a record too: the attempt's `Begin` may
+        still be on its way, and would be granted to nobody.
+        """
+        record = self._records.get(command.scope)
+        if record is None:
+            record = _Record(
+                RecordState.ABORTED,
+                '',
+                command.attempt,
+                InstanceId(''),
+                command.at,
+            )
+        elif (
+            record.attempt != command.attempt
+            or record.state is RecordState.ANSWERED
+        ):
+            return RecordOutcome(state=record.state)
+        # Another attempt may have been granted after an earlier `Abort` of
+        # this one, by copies that are lost.
+        state = RecordState.ABORTED
+        if self._is_doubtful(record.at):
+            state = RecordState.UNKNOWN
+        self._put(command.scope, msgspec.structs.replace(record, state=state))
+        return RecordOutcome(state=state)
+
+    def _expire(self, command: Expire) -> Outcome:
+        """Note that the outcome of a started attempt can't be known."""
+        record = self._records.get(command.scope)
+        if record is None:
+            return RecordOutcome(state=RecordState.MISSING)
+        started = record.state is RecordState.STARTED
+        if not started or record.attempt != command.attempt:
+            return RecordOutcome(state=record.state)
+        unknown = msgspec.structs.replace(record, state=RecordState.UNKNOWN)
+        self._put(command.scope, unknown)
+        return RecordOutcome(state=RecordState.UNKNOWN)
+
+    def _lose(self, command: CopiesLost) -> Outcome:
+        """Doubt from now on whatever the lost copies may have granted."""
+        if not self._safeguards.doubt_after_loss:
+            return Outcome()
+        self._lost_at = max(command.at, self._lost_at or command.at)
+        for scope, record in list(self._records.items()):
+            if record.state is RecordState.ABORTED:
+                self._put(
+                    scope,
+                    msgspec.structs.replace(record, state=RecordState.UNKNOWN),
+                )
+        return Outcome()
+
+    def _may_be_lost(self, command: Begin) -> bool:
+        """Say whether a key that is not held may have been granted."""
+        if self._lost_at is None:
+            return False
+        limit = self._lost_at + CLOCK_MARGIN
+        if command.at > limit + self._limits.window:
+            return False
+        return command.key_time is None or command.key_time <= limit
+
+    def _is_doubtful(self, at: float) -> bool:
+        """Say whether a record is from before copies were lost."""
+        lost_at = self._lost_at
+        return lost_at is not None and at <= lost_at + CLOCK_MARGIN
+
+    def _bound(self, answer: Answer) -> Answer | None:
+        """Return the answer if there is room for it."""
+        size = len(answer.body)
+        room = self._limits.partition_bytes - self._bytes
+        if size > self._limits.answer_bytes or size > room:
+            return None
+        return answer
+
+    def _put(self, scope: str, record: _Record) -> None:
+        """Replace a record and keep count of the bytes."""
+        old = self._records.get(scope)
+        if old is not None:
+            self._bytes -= _measure(scope, old)
+            if old.at != record.at:
+                self._records.pop(scope)
+        self._records[scope] = record
+        self._bytes += _measure(scope, record)
+
+    def _pass_time(self, at: float) -> None:
+        """Forget the keys whose window has passed, oldest first."""
+        self._now = max(self._now, at)
+        limit = self._now - self._limits.window
+        while self._records:
+            scope, record = next(iter(self._records.items()))
+            if record.at > limit:
+                return
+            self._bytes -= _measure(scope, record)
+            self._records.pop(scope)
+
+
+def make_ledger_states(
+    partition: PartitionId,
+    limits: LedgerLimits | None = None,
+    safeguards: LedgerSafeguards | None = None,
+) -> dict[type[Command], ReplicatedState]:
+    """Make the ledger's state of one partition, by the commands it takes."""
+    state = LedgerState(limits, safeguards)
+    return dict.fromkeys((Begin, Finish, Abort, Expire), state)
+
+
+def _measure(scope: str, record: _Record) -> int:
+    """Return the bytes that a record is counted for."""
+    size = len(scope) + len(record.digest) + _OVERHEAD
+    if record.answer is not None:
+        size += len(record.answer.body)
+        size += sum(
+            len(name) + len(text) for name, text in record.answer.headers
+        )
+    return size
+
+
+def _can_abort(record: _Record, attempt: str) -> bool:
+    """Say whether a record is of this attempt and not yet answered."""
+    if record.attempt != attempt:
+        return False
+    return record.state is not RecordState.ANSWERED
