Run random operations and faults over fakes, judged by their history

Cause: promises through crashes need many orders of events, replayed exactly.

How others add a workload: a class with `record`, `answered`, `make_states`, `start_on`, `drive` (see `guavagate.measure.outcomes.Workload`), passed as `run_once(seed, make_workloads=lambda: [Requests(), Mine()])`.

--- a/guavagate/ledger/_state.py
+++ b/guavagate/ledger/_state.py
@@ -127,7 +127,7 @@
             return self._grant(command)
         differs = record.digest != command.digest
         if differs and self._safeguards.compare_digest:
-            return BeginOutcome(state=BeginState.CONFLICT)
+            return self._refuse_other(record)
         return self._begin_known(command, record)
 
     def _begin_new(self, command: Begin) -> Outcome:
@@ -160,6 +160,16 @@
             return BeginOutcome(state=BeginState.ANSWER_NOT_KEPT)
         return BeginOutcome(state=BeginState.ANSWERED, answer=record.answer)
 
+    def _refuse_other(self, record: _Record) -> Outcome:
+        """Say that the key was used for another request, if that is sure.
+
+        A record that an `Abort` left has no digest, and lost copies may have
+        granted the key anew; then this very request may have run.
+        """
+        if not record.digest or self._is_doubtful(record.at):
+            return BeginOutcome(state=BeginState.UNKNOWN)
+        return BeginOutcome(state=BeginState.CONFLICT)
+
     def _grant(self, command: Begin) -> Outcome:
         """Let the attempt run."""
         self._put(
--- a/guavagate/measure/fakes/_bus.py
+++ b/guavagate/measure/fakes/_bus.py
@@ -107,7 +107,7 @@
         timeout: float,
     ) -> _Reply:
         """Ask a peer and wait for its reply."""
-        self._watch(message)
+        self.watch(type(message).__name__, message)
         if peer not in self._network.buses:
             raise LinkRefusedError(
                 f'{peer} is not known', 'wait until it has joined'
@@ -141,7 +141,7 @@
 
     def send(self, peer: InstanceId, message: Message) -> None:
         """Send one way; nothing says whether it arrived."""
-        self._watch(message)
+        self.watch(type(message).__name__, message)
         raw = _ENCODER.encode(message)
         kind = type(message).__name__
         copies = 1
@@ -170,7 +170,7 @@
                     )
                 )
             return
-        self.host.clock.spawn(_call, found, source, raw, answer)
+        self.host.clock.spawn(_call, self, found, source, raw, answer)
 
     def _arrive(
         self,
@@ -186,14 +186,15 @@
         source = self.host.instance
         bus.host.deliver(lambda: bus.handle(source, kind, raw, answer))
 
-    def _watch(self, message: Message) -> None:
+    def watch(self, kind: str, message: Message) -> None:
         """Let a test act at the very step at which a message is sent."""
         if self._network.watcher is not None:
-            kind = type(message).__name__
             self._network.watcher(self.host, kind, message)
+            self.host.hold()
 
 
 def _call(
+    bus: FakeBus,
     found: tuple[type[Message], Handler],
     source: InstanceId,
     raw: bytes,
@@ -208,6 +209,7 @@
             answer(error)
         return
     if answer is not None and reply is not None:
+        bus.watch(f'{kind.__name__}.reply', reply)
         answer(_ENCODER.encode(reply))
 
 
--- /dev/null
+++ b/guavagate/measure/outcomes/__init__.py
@@ -0,0 +1,18 @@
+"""Random operations and faults over fakes, judged by their history."""
+
+from guavagate.measure.outcomes._faults import FAULTS, Faults
+from guavagate.measure.outcomes._fleet import Fleet
+from guavagate.measure.outcomes._requests import Requests
+from guavagate.measure.outcomes._run import Run, Workload, run_once
+from guavagate.measure.outcomes._upstream import Upstream
+
+__all__ = (
+    'FAULTS',
+    'Faults',
+    'Fleet',
+    'Requests',
+    'Run',
+    'Upstream',
+    'Workload',
+    'run_once',
+)
--- /dev/null
+++ b/guavagate/measure/outcomes/_faults.py
@@ -0,0 +1,319 @@
+"""The faults that a run may hold, each drawn and timed by the seed."""
+
+import functools
+import random
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+from guavagate.measure import history as hist
+from guavagate.measure.fakes import Host
+from guavagate.measure.outcomes._fleet import Fleet
+from guavagate.measure.outcomes._upstream import Stage, Upstream
+from guavagate.models import InstanceId
+
+_STEPS: Final = (
+    'Submit.reply',
+    'Append',
+    'Append.reply',
+    'Seal',
+    'Seal.reply',
+    'Announce',
+    'Install',
+)
+_KEPT: Final = 3
+
+
+class Faults:
+    """Brings faults about in a fleet, and takes them back.
+
+    Attributes
+    ----------
+    held
+        The names of those that happened.
+    """
+
+    def __init__(
+        self, fleet: Fleet, upstream: Upstream, rng: random.Random
+    ) -> None:
+        self.held: list[str] = []
+        self.events: list[hist.Event] = []
+        self._fleet = fleet
+        self._upstream = upstream
+        self._rng = rng
+        self._world = fleet.world
+
+    def bring(self, name: str) -> None:
+        """Bring about one fault now."""
+        FAULTS[name](self)
+
+    def heal(self) -> None:
+        """End every fault that lasts and start the dead again."""
+        world = self._world
+        world.store.outage = False
+        world.store.slow = 0
+        world.store.lose_answers = 0
+        world.store.lose_next = 0
+        world.store.serve_stale(on=False)
+        world.network.blocked.clear()
+        world.network.loss = 0
+        world.network.duplicates = 0
+        world.network.watcher = None
+        self._upstream.at_stage = None
+        for name in list(self._fleet.partitions):
+            if self._fleet.host(name).paused:
+                world.resume(name)
+            if self._fleet.host(name).dead:
+                self._fleet.restart(name)
+
+    def kill(self, name: str) -> None:
+        """Kill an instance; it is started again after a while or at last."""
+        if not name or self._fleet.host(name).dead:
+            return
+        self._note('killed', name)
+        self._world.kill(name)
+        if self._rng.random() < 0.6:
+            self._later(self._rng.uniform(0.2, 8), lambda: self._start(name))
+
+    def pause(self, name: str) -> None:
+        """Pause an instance for a while."""
+        if not name or self._fleet.host(name).paused:
+            return
+        self._note('paused', name)
+        self._world.pause(name)
+        wait = self._rng.choice((0.3, 1.5, 4, 9, 25))
+        self._later(wait, lambda: self._resume(name))
+
+    def pick(self, role: str) -> str:
+        """Return a running instance of a role, or nothing."""
+        primaries = self._fleet.primaries()
+        found = {
+            'primary': primaries,
+            'backup': [
+                name for name in self._fleet.running() if name not in primaries
+            ],
+            'entry': self._fleet.running(),
+        }[role]
+        return self._rng.choice(found) if found else ''
+
+    def holders(self) -> list[str]:
+        """Return the instances that hold one partition, primary first."""
+        for name in self._fleet.primaries():
+            partitions = self._fleet.partitions[name]
+            number = partitions.decided_here()[0]
+            for view in partitions.views():
+                if view.partition == number:
+                    return [str(one.instance) for one in view.members]
+        return []
+
+    def at_step(self, act: Callable[[str], None], role: str) -> None:
+        """Act as some instance sends the nth message of one kind."""
+        kind = self._rng.choice(_STEPS)
+        left = [self._rng.randint(1, 12)]
+
+        def watch(host: Host, sent: str, message: Any) -> None:
+            if sent != kind or left[0] <= 0:
+                return
+            if role == 'primary' and host.instance not in (
+                self._fleet.primaries()
+            ):
+                return
+            left[0] -= 1
+            if not left[0]:
+                self._note(f'{role} at {kind}', host.instance)
+                act(host.instance)
+
+        self._world.network.watcher = watch
+
+    def at_upstream(self, act: Callable[[str], None]) -> None:
+        """Act on an entry before, during or after its upstream call."""
+        wanted = self._rng.choice(Stage)
+        left = [self._rng.randint(1, 6)]
+
+        def reach(host: Host, stage: str) -> None:
+            if stage != wanted or left[0] <= 0:
+                return
+            left[0] -= 1
+            if not left[0]:
+                self._note(f'entry {stage} the upstream call', host.instance)
+                act(host.instance)
+
+        self._upstream.at_stage = reach
+
+    def for_a_while(
+        self, name: str, begin: Callable[[], Any], end: Callable[[], Any]
+    ) -> None:
+        """Let something last for a while."""
+        self._note(name, '')
+        begin()
+        self._later(self._rng.choice((0.5, 2, 6, 20)), end)
+
+    def block_one_way(self) -> None:
+        """Let nothing pass from one instance to another."""
+        names = [InstanceId(name) for name in self._fleet.partitions]
+        pair = tuple(self._rng.sample(names, 2))
+        blocked = self._world.network.blocked
+        self.for_a_while(
+            'one-way partition',
+            lambda: blocked.add((pair[0], pair[1])),
+            lambda: blocked.discard((pair[0], pair[1])),
+        )
+
+    def stop_one(self) -> None:
+        """Stop an instance as planned, then start it again."""
+        name = self.pick('entry')
+        if name:
+            self._note('planned stop', name)
+            host = self._fleet.host(name)
+            host.clock.spawn(self._fleet.partitions[name].stop)
+
+    def set_store(self, **faults: Any) -> None:
+        """Set faults of the store."""
+        for name, how in faults.items():
+            setattr(self._world.store, name, how)
+
+    def set_network(self, **faults: Any) -> None:
+        """Set faults of the network."""
+        for name, how in faults.items():
+            setattr(self._world.network, name, how)
+
+    def store_objects(self) -> dict[str, Any]:
+        """Return what the store holds now."""
+        return self._world.store.objects
+
+    def note(self, name: str) -> None:
+        """Write down a fault."""
+        self._note(name, '')
+
+    def later(self, low: float, high: float, act: Callable[[], Any]) -> None:
+        """Act between two times from now."""
+        self._later(self._rng.uniform(low, high), act)
+
+    def _note(self, name: str, who: str) -> None:
+        """Write down what happened."""
+        now = self._fleet.clock.now()
+        self.held.append(name)
+        self.events.append(
+            hist.FaultInjected(at=now, who=who, fault=f'{name} {who}'.strip())
+        )
+
+    def _later(self, wait: float, act: Callable[[], Any]) -> None:
+        """Act in a task of its own after some time."""
+        clock = self._fleet.clock
+
+        def run() -> None:
+            clock.sleep(wait)
+            act()
+
+        clock.spawn(run)
+
+    def _start(self, name: str) -> None:
+        """Start a dead instance again."""
+        if self._fleet.host(name).dead:
+            self._note('restarted', name)
+            self._fleet.restart(name)
+
+    def _resume(self, name: str) -> None:
+        """Resume a paused instance."""
+        host = self._fleet.host(name)
+        if host.paused and not host.dead:
+            self._world.resume(name)
+
+
+def _kill_several(faults: Faults, count: int) -> None:
+    """Kill holders of one partition, the primary first, shortly after."""
+    for name in faults.holders()[:count]:
+        faults.later(0, 1, functools.partial(faults.kill, name))
+
+
+def _pause_several(faults: Faults, count: int) -> None:
+    """Pause holders of one partition together."""
+    for name in faults.holders()[:count]:
+        faults.pause(name)
+
+
+def _lose_primary_around_outage(faults: Faults, when: str) -> None:
+    """Kill the primary with the store down before, during or after."""
+    begin = {
+        'before': lambda: faults.later(0.5, 2, _outage(faults)),
+        'during': _outage(faults),
+        'after': lambda: faults.later(2, 4, _outage(faults)),
+    }
+    faults.note(f'store down {when} a takeover')
+    begin[when]()
+    faults.kill(faults.pick('primary'))
+
+
+def _outage(faults: Faults) -> Callable[[], None]:
+    """Return what brings an outage about."""
+    return lambda: faults.for_a_while(
+        'store outage',
+        lambda: faults.set_store(outage=True),
+        lambda: faults.set_store(outage=False),
+    )
+
+
+def _race(faults: Faults) -> None:
+    """Let two backups that don't hear each other take over at once."""
+    holders = faults.holders()
+    faults.note('racing takeovers')
+    faults.set_store(slow=0.5)
+    if holders:
+        faults.kill(holders[0])
+    faults.later(6, 9, lambda: faults.set_store(slow=0))
+
+
+FAULTS: Final[dict[str, Callable[[Faults], None]]] = {
+    'entry killed': lambda faults: faults.kill(faults.pick('entry')),
+    'primary killed': lambda faults: faults.kill(faults.pick('primary')),
+    'primary paused': lambda faults: faults.pause(faults.pick('primary')),
+    'backup killed': lambda faults: faults.kill(faults.pick('backup')),
+    'entry paused': lambda faults: faults.pause(faults.pick('entry')),
+    'two copies killed': lambda faults: _kill_several(faults, 2),
+    'all copies killed': lambda faults: _kill_several(faults, _KEPT),
+    'two copies paused': lambda faults: _pause_several(faults, 2),
+    'all copies paused': lambda faults: _pause_several(faults, _KEPT),
+    'killed at a step': lambda faults: faults.at_step(faults.kill, 'any'),
+    'primary killed at a step': lambda faults: faults.at_step(
+        faults.kill, 'primary'
+    ),
+    'primary paused at a step': lambda faults: faults.at_step(
+        faults.pause, 'primary'
+    ),
+    'entry killed at its call': lambda faults: faults.at_upstream(faults.kill),
+    'entry paused at its call': lambda faults: faults.at_upstream(faults.pause),
+    'store outage': lambda faults: _outage(faults)(),
+    'store down before takeover': lambda faults: _lose_primary_around_outage(
+        faults, 'before'
+    ),
+    'store down during takeover': lambda faults: _lose_primary_around_outage(
+        faults, 'during'
+    ),
+    'store down after takeover': lambda faults: _lose_primary_around_outage(
+        faults, 'after'
+    ),
+    'store answers lost': lambda faults: faults.for_a_while(
+        'store answers lost',
+        lambda: faults.set_store(lose_answers=0.7),
+        lambda: faults.set_store(lose_answers=0),
+    ),
+    'store reads stale': lambda faults: faults.for_a_while(
+        'store reads stale',
+        lambda: faults.set_store(old=dict(faults.store_objects())),
+        lambda: faults.set_store(old=None),
+    ),
+    'racing takeovers': _race,
+    'one-way partition': lambda faults: faults.block_one_way(),
+    'messages lost': lambda faults: faults.for_a_while(
+        'messages lost',
+        lambda: faults.set_network(loss=0.1),
+        lambda: faults.set_network(loss=0),
+    ),
+    'planned stop': lambda faults: faults.stop_one(),
+}
+
+
+def draw_faults(rng: random.Random) -> Iterator[tuple[float, str]]:
+    """Draw the faults of a run, with the time of each."""
+    names = sorted(FAULTS)
+    for _ in range(rng.choice((1, 1, 2, 2, 3))):
+        yield rng.uniform(0, 10), rng.choice(names)
--- /dev/null
+++ b/guavagate/measure/outcomes/_run.py
@@ -0,0 +1,140 @@
+"""One run: a seed's operations and faults, and what came of them."""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final, Protocol
+
+import msgspec
+
+from guavagate.clock import Task
+from guavagate.measure import history as hist
+from guavagate.measure.outcomes._faults import Faults, draw_faults
+from guavagate.measure.outcomes._fleet import Fleet
+from guavagate.measure.outcomes._requests import Requests
+from guavagate.measure.outcomes._upstream import Upstream
+from guavagate.partitions.replicated import Safeguards
+from guavagate.runtime import Runtime
+
+_NAMES: Final = 'abcde'
+_WARM_UP: Final = 8.0
+_FAULTY: Final = 30.0
+_LIMIT: Final = 300.0
+_PARTITIONS: Final = 2
+
+
+class Workload(Protocol):
+    """Operations on the fleet, recorded by those who ask for them.
+
+    Attributes
+    ----------
+    record
+        Takes the events.
+    answered
+        Operations that came to their end.
+    """
+
+    record: list[hist.Event]
+    answered: int
+
+    def make_states(self, partition: Any) -> dict[Any, Any]:
+        """Make the partition's states that the workload needs."""
+
+    def start_on(self, runtime: Runtime) -> None:
+        """Start what an instance runs for it."""
+
+    def drive(
+        self, fleet: Fleet, upstream: Upstream, rng: random.Random
+    ) -> list[Task]:
+        """Start the operations; the tasks end when they have."""
+
+
+class Run(msgspec.Struct, frozen=True, kw_only=True):
+    """What came of one seed."""
+
+    seed: int
+    faults: tuple[str, ...]
+    answered: int
+    finished: bool
+    violations: tuple[hist.Violation, ...]
+    events: int
+
+
+def run_once(
+    seed: int,
+    *,
+    safeguards: Safeguards | None = None,
+    make_workloads: Callable[[], list[Workload]] | None = None,
+    faults: tuple[tuple[float, str], ...] | None = None,
+) -> Run:
+    """Run a seed; its faults are drawn unless they are given."""
+    rng = random.Random(seed)
+    workloads = (make_workloads or _make_default)()
+    fleet = Fleet(
+        _NAMES,
+        rng.getrandbits(32),
+        lambda partition: _merge_states(workloads, partition),
+        partitions=_PARTITIONS,
+        safeguards=safeguards,
+        start_on=lambda runtime: _start_all(workloads, runtime),
+    )
+    fleet.clock.advance(_WARM_UP)
+    record = workloads[0].record
+    upstream = Upstream(fleet.world, rng, record)
+    bringer = Faults(fleet, upstream, rng)
+    tasks: list[Task] = []
+    for workload in workloads:
+        workload.record = record
+        tasks.extend(workload.drive(fleet, upstream, rng))
+    drawn = tuple(draw_faults(rng)) if faults is None else faults
+    fleet.clock.spawn(_bring_all, fleet, bringer, sorted(drawn))
+    fleet.clock.advance(_FAULTY)
+    bringer.heal()
+    done = fleet.clock.run_until(
+        lambda: all(task.ready() for task in tasks), _LIMIT
+    )
+    _end(fleet)
+    record.extend(bringer.events)
+    return Run(
+        seed=seed,
+        faults=tuple(sorted(set(bringer.held))),
+        answered=sum(workload.answered for workload in workloads),
+        finished=done,
+        violations=tuple(hist.check(record)),
+        events=len(record),
+    )
+
+
+def _make_default() -> list[Workload]:
+    """Make the workloads that a run has unless told otherwise."""
+    return [Requests()]
+
+
+def _bring_all(
+    fleet: Fleet, faults: Faults, drawn: list[tuple[float, str]]
+) -> None:
+    """Bring each fault about at its time."""
+    start = fleet.clock.now()
+    for at, name in drawn:
+        fleet.clock.sleep(start + at - fleet.clock.now())
+        faults.bring(name)
+
+
+def _merge_states(workloads: list[Workload], partition: Any) -> dict[Any, Any]:
+    """Collect what all workloads keep in a partition."""
+    states: dict[Any, Any] = {}
+    for workload in workloads:
+        states.update(workload.make_states(partition))
+    return states
+
+
+def _start_all(workloads: list[Workload], runtime: Runtime) -> None:
+    """Start what all workloads run on an instance."""
+    for workload in workloads:
+        workload.start_on(runtime)
+
+
+def _end(fleet: Fleet) -> None:
+    """End all instances, so that their tasks can be collected."""
+    for name in list(fleet.partitions):
+        fleet.host(name).kill()
+    fleet.clock.settle()
