Test the object API's stand-in; start stand-ins side by side

Cause: a fleet's fourteen stand-ins started one after the other in 4.4 s. They print their addresses when they listen, so all are started first and the addresses read after. The object API's faults each have a test now.

--- a/standins/demo/_demo.py
+++ b/standins/demo/_demo.py
@@ -100,6 +100,7 @@
             for deployment in team.deployments:
                 if deployment.trainer is not None:
                     self._start_trainer(team.team, deployment)
+        self._fleet.wait_for_addresses()
 
     def _start_caller(self, team: str, plan: CallerPlan) -> None:
         """Start a caller."""
--- a/standins/fleet/_fleet.py
+++ b/standins/fleet/_fleet.py
@@ -72,6 +72,7 @@
                 self._start_deployment(deployment)
             for service in team.services:
                 self._start_service(service)
+        self.wait_for_addresses()
         self._apply_settings()
         for _ in range(instances):
             self.start_instance()
@@ -134,18 +135,25 @@
     def start_standin(
         self, role: str, name: str, options: dict[str, Any], zone: str = ''
     ) -> Process:
-        """Start a stand-in and learn its address."""
+        """Start a stand-in without waiting for its address."""
         process = Process(role, name, zone)
         process.start(standin_command(role, options), self._log(name))
-        address = process.read_address()
-        if not address:
-            raise click.ClickException(
-                f'{name} did not start; see {self._log(name)}'
-            )
-        self._places[name] = (address, ZoneId(zone))
         self.processes.append(process)
         return process
 
+    def wait_for_addresses(self) -> None:
+        """Wait until every stand-in that has been started has its address."""
+        for process in self.processes:
+            if process.name in self._places:
+                continue
+            address = process.read_address()
+            if not address:
+                raise click.ClickException(
+                    f'{process.name} did not start;'
+                    f' see {self._log(process.name)}'
+                )
+            self._places[process.name] = (address, ZoneId(process.zone))
+
     def stop(self) -> None:
         """End all processes."""
         stop_all(self.instances)
@@ -158,6 +166,7 @@
         self.start_standin('object-api', 'object-api', options)
         store = msgspec.to_builtins(self.plan.weight_store)
         self.start_standin('weights', 'weight-store', store)
+        self.wait_for_addresses()
         secret = self.folder / 'platform-credential'
         secret.touch(mode=0o600)
         secret.write_text(CREDENTIAL, encoding='utf-8')
--- /dev/null
+++ b/tests/test_object_api_standin.py
@@ -0,0 +1,101 @@
+"""Tests that the object API's stand-in fails as the platform does."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import gevent
+import pytest
+
+from guavagate.exceptions import UpstreamError
+from standins import object_api
+from standins._http import Answer, ask
+from standins._web import Server, serve
+
+
+@pytest.fixture
+def server() -> Iterator[Server]:
+    """Start an object API that keeps three changes."""
+    options = object_api.ObjectApiOptions(kept_changes=3)
+    running = serve(object_api.make_app(options))
+    yield running
+    running.stop()
+
+
+def _put(server: Server, value: bytes, expected: int | None = None) -> Answer:
+    """Write the object ``a/b``."""
+    headers = {}
+    if expected is not None:
+        headers['X-Expected-Version'] = str(expected)
+    path = '/v1/objects/a/b'
+    return ask(server.address, 'PUT', path, value, headers=headers)
+
+
+def _get(server: Server, path: str) -> Answer:
+    """Read something."""
+    return ask(server.address, 'GET', path)
+
+
+def _set_faults(server: Server, **faults: Any) -> None:
+    """Set the faults."""
+    ask(server.address, 'POST', '/control/faults', faults)
+
+
+def test_a_lost_answer_hides_a_write_that_took_effect(server: Server) -> None:
+    """The writer gets no answer, yet the object is there.
+
+    A conditional retry conflicts with the writer's own first attempt; only
+    reading back tells whose write it was.
+    """
+    _set_faults(server, lose_answers=1)
+    with pytest.raises(UpstreamError):
+        _put(server, b'mine', expected=0)
+    _set_faults(server)
+    assert _put(server, b'mine', expected=0).status == 409
+    assert _get(server, '/v1/objects/a/b').body == b'mine'
+
+
+def test_stale_reads_answer_from_an_old_copy(server: Server) -> None:
+    """Reads show what was there when the fault began; writes go on."""
+    _put(server, b'old')
+    _set_faults(server, stale_reads=True)
+    assert _put(server, b'new').status == 200
+    assert _get(server, '/v1/objects/a/b').body == b'old'
+    _set_faults(server)
+    assert _get(server, '/v1/objects/a/b').body == b'new'
+
+
+def test_a_watch_wakes_for_its_prefix_and_tells_of_compaction(
+    server: Server,
+) -> None:
+    """A waiting watch gets the change; one from too far back gets 410."""
+    path = '/v1/watch?prefix=a/&since=0&timeout=5'
+    watch = gevent.spawn(_get, server, path)
+    gevent.sleep(0)
+    _put(server, b'1')
+    assert watch.get(timeout=5).decode()['changes'][0]['path'] == 'a/b'
+    for number in range(4):
+        _put(server, str(number).encode())
+    assert watch.get().status == 200
+    assert _get(server, path).status == 410
+
+
+def test_the_rate_limit_and_an_outage_refuse(server: Server) -> None:
+    """More calls than the limit get 429; an outage gets 503."""
+    limited = serve(object_api.make_app(object_api.ObjectApiOptions(writes=2)))
+    codes = [_put(limited, b'x').status for _ in range(4)]
+    limited.stop()
+    assert codes == [200, 200, 429, 429]
+    _set_faults(server, outage=True)
+    assert _get(server, '/v1/objects/a/b').status == 503
+
+
+def test_the_list_lags_hides_and_invents(server: Server) -> None:
+    """The platform's list shows the past, not all, and some too many."""
+    entry = {'availability_zone': 'z', 'http_address': '127.0.0.1:1'}
+    for name in ('one', 'two'):
+        ask(server.address, 'PUT', f'/v1/instances/{name}', entry)
+    _set_faults(server, hide=['one'], ghosts=[{'id': 'ghost'}])
+    shown = _get(server, '/v1/instances').decode()['instances']
+    assert [one['id'] for one in shown] == ['two', 'ghost']
+    _set_faults(server, list_lag_s=60)
+    assert _get(server, '/v1/instances').decode()['instances'] == []
