Measure what a request and an event cost an instance

Cause: the aims are processor time per request and event and added latency. The same requests go to a bare engine and through instances at one rate; the cost of an event is the slope between short and long answers, less what the processes use at rest, so that the load generator is in neither. Instances' settings now name all the others.

--- a/standins/engine/_engine.py
+++ b/standins/engine/_engine.py
@@ -123,10 +123,8 @@
         self, request: Request, stopped: Event
     ) -> Iterator[dict[str, Any]]:
         """Yield pieces of tokens up to the terminal one."""
-        draw = request.request_id if request.seed is None else request.seed
-        total = count_tokens(request.prompt, str(draw), request.max_tokens)
         start = min(request.resume_tokens, request.max_tokens)
-        total = max(total, start)
+        total = max(self._draw_length(request), start)
         index = start
         while not stopped.is_set():
             piece, version = self._make_piece(request.prompt, index, total)
@@ -137,6 +135,13 @@
             if index >= total:
                 return
 
+    def _draw_length(self, request: Request) -> int:
+        """Return how long the answer becomes."""
+        if self.options.fixed_length:
+            return request.max_tokens
+        draw = request.request_id if request.seed is None else request.seed
+        return count_tokens(request.prompt, str(draw), request.max_tokens)
+
     def _make_piece(
         self, prompt: str, index: int, total: int
     ) -> tuple[list[str], int]:
--- a/standins/engine/_options.py
+++ b/standins/engine/_options.py
@@ -20,6 +20,8 @@
         Prefix blocks that the cache holds.
     event_gap
         Share of the cache events that are never published.
+    fixed_length
+        Make every answer as long as it may be, for measurements.
     weight_store
         Address from which versions are fetched; without one, any version is
         at hand.
@@ -42,6 +44,7 @@
     weight_store: str = ''
     max_queue: int = 256
     history: str = ''
+    fixed_length: bool = False
     seed: int = 0
 
 
--- a/standins/fleet/__init__.py
+++ b/standins/fleet/__init__.py
@@ -4,7 +4,9 @@
 from standins.fleet._plan import (
     CallerPlan,
     DeploymentPlan,
+    EnginePlan,
     FleetPlan,
+    TeamPlan,
     load_plan,
 )
 from standins.fleet._process import Process
@@ -14,9 +16,11 @@
     'CREDENTIAL',
     'CallerPlan',
     'DeploymentPlan',
+    'EnginePlan',
     'Fleet',
     'FleetPlan',
     'Process',
+    'TeamPlan',
     'load_plan',
     'make_token',
 )
--- a/standins/fleet/_fleet.py
+++ b/standins/fleet/_fleet.py
@@ -74,22 +74,18 @@
                 self._start_service(service)
         self.wait_for_addresses()
         self._apply_settings()
+        # All are entered before the first starts, so that each one's settings
+        # name all the others.
         for _ in range(instances):
-            self.start_instance()
+            self._enter_instance()
+        for process in self.instances:
+            self._run_instance(process)
         self.wait_until_ready(self.instances)
 
     def start_instance(self) -> Process:
-        """Start one more instance and enter it into the platform's list."""
-        name = f'instance-{next(self._numbers)}'
-        process = Process('guavagated', name, next(self._zones))
-        process.addresses = {'http': free_address(), 'peer': free_address()}
-        settings = self._make_settings(process)
-        path = self.folder / 'settings' / f'{name}.toml'
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(render_settings(settings), encoding='utf-8')
-        process.start(daemon_command(path), self._log(name))
-        self.instances.append(process)
-        self._list(process, 'live')
+        """Start one more instance, entered into the platform's list."""
+        process = self._enter_instance()
+        self._run_instance(process)
         return process
 
     def kill(self, process: Process) -> None:
@@ -159,6 +155,23 @@
         stop_all(self.instances)
         stop_all(self.processes)
 
+    def _enter_instance(self) -> Process:
+        """Give an instance its place and enter it into the list."""
+        name = f'instance-{next(self._numbers)}'
+        process = Process('guavagated', name, next(self._zones))
+        process.addresses = {'http': free_address(), 'peer': free_address()}
+        self.instances.append(process)
+        self._list(process, 'live')
+        return process
+
+    def _run_instance(self, process: Process) -> None:
+        """Write an instance's settings and start it."""
+        path = self.folder / 'settings' / f'{process.name}.toml'
+        path.parent.mkdir(parents=True, exist_ok=True)
+        text = render_settings(self._make_settings(process))
+        path.write_text(text, encoding='utf-8')
+        process.start(daemon_command(path), self._log(process.name))
+
     def _start_platform(self) -> None:
         """Start the object API and the weight store."""
         limits = msgspec.to_builtins(self.plan.platform)
@@ -225,7 +238,11 @@
                 object_api=f'http://{self.platform}',
                 credentials_file=str(secret),
             ),
-            peers=tuple(map(self._make_peer, self.instances)),
+            peers=tuple(
+                self._make_peer(other)
+                for other in self.instances
+                if other is not process
+            ),
         )
 
     def _make_peer(self, process: Process) -> PeerSettings:
--- a/standins/fleet/_plan.py
+++ b/standins/fleet/_plan.py
@@ -45,6 +45,7 @@
     slowdown: float = 1.0
     swap_s: float = 0.1
     piece_tokens: int = 1
+    fixed_length: bool = False
 
 
 class ServiceUpstreamPlan(_Plan, frozen=True, kw_only=True):
