Let callers and trainers lose answers on purpose; tell cached tokens

A share of the callers' first attempts is now given up while it runs, and a share of the pulls is taken for lost; both are sent again to another instance. Engines tell the cached tokens.

--- a/standins/caller/_caller.py
+++ b/standins/caller/_caller.py
@@ -37,6 +37,9 @@
         Time for all attempts of one request.
     completion, chat, read, write
         Shares of the kinds of request.
+    impatience
+        Share of the requests whose first attempt is given up after
+        `impatient_s`, while it runs, and sent again to another instance.
     """
 
     id: str
@@ -53,6 +56,8 @@
     max_tokens: int = 32
     timeout_s: float = 10
     limit_s: float = 30
+    impatience: float = 0
+    impatient_s: float = 0.015
     history: str = ''
     seed: int = 0
 
@@ -86,12 +91,15 @@
                 list(self._shares), list(self._shares.values())
             )[0]
             prompt = self._draw.randrange(len(PROMPTS))
-            self._tasks.spawn(self._work, kind, number, prompt)
+            hasty = self._draw.random() < self._options.impatience
+            self._tasks.spawn(self._work, kind, number, prompt, hasty=hasty)
             stopped.wait(self._draw.expovariate(self._options.rate))
         self._tasks.join()
         self._balancer.close()
 
-    def _work(self, kind: str, number: int, prompt: int) -> None:
+    def _work(
+        self, kind: str, number: int, prompt: int, *, hasty: bool
+    ) -> None:
         """See one request through, over as many attempts as it takes."""
         until = time.monotonic() + self._options.limit_s
         avoid = ''
@@ -100,7 +108,10 @@
             attempt += 1
             request = self._make(kind, number, attempt, prompt)
             address = self._balancer.choose(avoid)
-            pause = self._try(address, request, attempt)
+            timeout = self._options.timeout_s
+            if hasty and attempt == 1:
+                timeout = self._options.impatient_s
+            pause = self._try(address, request, attempt, timeout)
             if pause is None:
                 return
             avoid = address
@@ -127,7 +138,7 @@
         )
 
     def _try(
-        self, address: str, request: Request, attempt: int
+        self, address: str, request: Request, attempt: int, timeout: float
     ) -> float | None:
         """Make one attempt; return the pause before another, or nothing."""
         who = self._options.id
@@ -144,12 +155,7 @@
             )
         )
         try:
-            result = send(
-                address,
-                self._options.token,
-                request,
-                self._options.timeout_s,
-            )
+            result = send(address, self._options.token, request, timeout)
         except UpstreamError:
             self._recorder.record(
                 BrokeOff(at=now(), who=who, request=request.name, attempt=name)
--- a/standins/caller/_kinds.py
+++ b/standins/caller/_kinds.py
@@ -17,6 +17,7 @@
     'Plan a session for a clinic group of twelve without equipment',
 )
 _DATA: Final = b'data: '
+_DEADLINE_MS: Final = '10000'
 _DONE: Final = b'[DONE]'
 
 
@@ -55,7 +56,7 @@
     """Send one attempt; raises `UpstreamError` when it breaks off."""
     headers = {
         'Authorization': f'Bearer {token}',
-        HEADER_DEADLINE: str(int(timeout * 1000)),
+        HEADER_DEADLINE: _DEADLINE_MS,
     }
     if request.key:
         headers[HEADER_IDEMPOTENCY_KEY] = request.key
--- a/standins/demo/_demo.py
+++ b/standins/demo/_demo.py
@@ -110,6 +110,7 @@
             'model': plan.model,
             'service': plan.service,
             'rate': plan.rate,
+            'impatience': plan.impatience,
             'id': plan.id,
         }
         self._start_actor('caller', team, plan.id, options)
--- a/standins/engine/_engine.py
+++ b/standins/engine/_engine.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, Final
 
 import gevent
 from gevent.event import Event
@@ -17,6 +17,9 @@
 from standins.history import Recorder
 from standins.text import count_tokens, make_token
 
+# A prompt's tokens are counted roughly, by its characters.
+CHARACTERS_PER_TOKEN: Final = 4
+
 
 class Engine:
     """One engine's state.
@@ -81,8 +84,9 @@
         self._running[request.request_id] = stopped
         trace = Trace(self.recorder, self.options.id, request)
         try:
-            self._prefill(request)
+            cached = self._prefill(request)
             for event in self._decode(request, stopped):
+                event['usage']['cached_tokens'] = cached
                 trace.add(event)
                 yield event
         finally:
@@ -113,11 +117,12 @@
             fence=self.fence,
         )
 
-    def _prefill(self, request: Request) -> None:
-        """Take the time that the uncached part of the prompt takes."""
-        text = request.prompt + request.resume_text
-        missing = len(text) * (1 - self.cache.use(request.prompt))
+    def _prefill(self, request: Request) -> int:
+        """Take the time of the uncached part; return the cached tokens."""
+        cached = len(request.prompt) * self.cache.use(request.prompt)
+        missing = len(request.prompt + request.resume_text) - cached
         gevent.sleep(missing / 1000 * self.options.prefill_s * self.faults.slow)
+        return round(cached / CHARACTERS_PER_TOKEN)
 
     def _decode(
         self, request: Request, stopped: Event
@@ -183,11 +188,7 @@
     ) -> dict[str, Any]:
         """Return one event, with the tokens made so far."""
         finish = 'stop' if done else None
-        usage = {
-            'tokens': len(piece),
-            'cached_tokens': 0,
-            'completion_tokens': made,
-        }
+        usage = {'tokens': len(piece), 'completion_tokens': made}
         event: dict[str, Any] = {
             'id': request.request_id,
             'choices': [{'text': ''.join(piece), 'finish_reason': finish}],
--- a/standins/fleet/_plan.py
+++ b/standins/fleet/_plan.py
@@ -62,6 +62,7 @@
     samples: int = 4
     max_tokens: int = 48
     publish_every_s: float = 6.0
+    lose_answers: float = 0
 
 
 class DeploymentPlan(_Plan, frozen=True, kw_only=True):
@@ -106,6 +107,7 @@
     model: str = ''
     service: str = ''
     mix: MixPlan = MixPlan()
+    impatience: float = 0
 
 
 class TeamPlan(_Plan, frozen=True, kw_only=True):
--- a/standins/trainer/_trainer.py
+++ b/standins/trainer/_trainer.py
@@ -1,5 +1,6 @@
 """Runs step after step and records what was pulled."""
 
+import random
 import time
 
 import gevent
@@ -32,6 +33,9 @@
     ----------
     train_s
         Time that it trains on one batch.
+    lose_answers
+        Share of the pulls whose answer is taken for lost: the same cursor is
+        presented again, at another instance.
     limit_s
         How long it goes on pulling its last step once told to stop.
     """
@@ -49,6 +53,7 @@
     publish_every_s: float = 6
     train_s: float = 0.05
     limit_s: float = 30
+    lose_answers: float = 0
     history: str = ''
     seed: int = 0
 
@@ -69,6 +74,7 @@
         self._api = RunApi(self._balancer, options.run, options.token)
         self._cursor: str | None = None
         self._newest = 0
+        self._draw = random.Random(options.seed)
 
     def run(self, stopped: Event) -> None:
         """Run steps until told to stop, and see the last one through."""
@@ -144,14 +150,17 @@
         if batch is None:
             return False
         if batch.samples:
-            self._take(step, presented, newest, batch)
+            self._note_batch(step, presented, newest, batch)
+            if self._draw.random() < self._options.lose_answers:
+                return False
+            self._take(step, batch)
         self._cursor = batch.cursor
         return batch.complete
 
-    def _take(
+    def _note_batch(
         self, step: str, presented: str | None, newest: int, batch: Batch
     ) -> None:
-        """Record a batch and train on it."""
+        """Record a batch as it came."""
         run = self._options.run
         self._record(
             PulledBatch(
@@ -165,6 +174,10 @@
                 samples=tuple(map(_record_sample, batch.samples)),
             )
         )
+
+    def _take(self, step: str, batch: Batch) -> None:
+        """Take a batch in and train on it."""
+        run = self._options.run
         self._record(
             Acked(at=now(), who=run, run=run, step=step, cursor=batch.cursor)
         )
