Add the operators' HTTP, metrics, health and explain across instances

Operators had no way in: no settings over HTTP, no status, no health for the balancer.

Every route asks for an operator's token; a team's token opens its own subtree only, lists are narrowed to it, and drains and time series need a fleet operator of the instances' own settings. What is collected from all instances names those that gave no answer: an operator shown two of three instances' samplers without a word would take the third's for gone. aioprometheus's registry and renderer need no asyncio loop; its service classes are not used. The runtime gets a metrics field with a default, so nobody's wiring breaks.

Ruled out: falcon error handlers for these routes, since callers get OpenAI's error body from the same app.

--- /dev/null
+++ b/guavagate/metrics/_registry.py
@@ -0,0 +1,114 @@
+"""The metrics' values, held by aioprometheus.
+
+aioprometheus is made for asyncio; its registry, collectors and renderer need
+no event loop, so those are used and its service classes are not.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from guavagate.metrics._metric import Metric, MetricKind, list_metrics
+
+_COLLECTORS: Final[dict[MetricKind, Any]] = {
+    MetricKind.COUNTER: Counter,
+    MetricKind.GAUGE: Gauge,
+    MetricKind.HISTOGRAM: Histogram,
+}
+# A bound for a mistake: values of labels come from settings and code.
+_MAX_LABEL_SETS: Final = 2000
+
+
+class Metrics:
+    """One instance's metrics.
+
+    Parameters
+    ----------
+    const_labels
+        Put on each metric, such as the instance and its availability zone.
+    """
+
+    def __init__(self, const_labels: dict[str, str] | None = None) -> None:
+        self._registry = Registry()
+        self._const_labels = const_labels
+        self._collectors: dict[str, Any] = {}
+        self._refreshers: list[Callable[[], None]] = []
+
+    def count(self, metric: Metric, amount: float = 1, **labels: str) -> None:
+        """Add to a counter."""
+        collector = self._find(metric, labels)
+        if collector is not None:
+            collector.add(labels, amount)
+
+    def set_total(self, metric: Metric, total: float, **labels: str) -> None:
+        """Set a counter that is counted elsewhere, such as by the kernel."""
+        collector = self._find(metric, labels)
+        if collector is not None:
+            collector.set_value(labels, total)
+
+    def set_gauge(self, metric: Metric, level: float, **labels: str) -> None:
+        """Set a gauge."""
+        collector = self._find(metric, labels)
+        if collector is not None:
+            collector.set(labels, level)
+
+    def observe(self, metric: Metric, amount: float, **labels: str) -> None:
+        """Add an observation to a histogram."""
+        collector = self._find(metric, labels)
+        if collector is not None:
+            collector.observe(labels, float(amount))
+
+    def before_reading(self, refresh: Callable[[], None]) -> None:
+        """Call back, without blocking, before the values are read."""
+        self._refreshers.append(refresh)
+
+    def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition and its headers, by the Accept header."""
+        self._refresh()
+        accepts = [part.strip() for part in accept.split(',') if part.strip()]
+        return render(self._registry, accepts)
+
+    def read_plotted(self) -> dict[str, float]:
+        """Return the plotted metrics' values, summed up for histograms."""
+        self._refresh()
+        values: dict[str, float] = {}
+        for metric in list_metrics():
+            collector = self._collectors.get(metric.name)
+            if metric.plotted and collector is not None:
+                values.update(_read(metric, collector))
+        return values
+
+    def _refresh(self) -> None:
+        for refresh in self._refreshers:
+            refresh()
+
+    def _find(self, metric: Metric, labels: dict[str, str]) -> Any:
+        collector = self._collectors.get(metric.name)
+        if collector is None:
+            collector = _COLLECTORS[metric.kind](
+                metric.name,
+                metric.text,
+                const_labels=self._const_labels,
+                registry=self._registry,
+            )
+            self._collectors[metric.name] = collector
+        if labels.keys() != set(metric.labels):
+            raise ValueError(f'{metric.name} has the labels {metric.labels}')
+        if len(collector.values) < _MAX_LABEL_SETS:
+            return collector
+        return collector if labels in collector.values else None
+
+
+def _read(metric: Metric, collector: Any) -> dict[str, float]:
+    values: dict[str, float] = {}
+    for labels, value in collector.get_all():
+        shown = ','.join(f'{name}={labels[name]}' for name in metric.labels)
+        key = f'{metric.name}{{{shown}}}' if shown else metric.name
+        if metric.kind is MetricKind.HISTOGRAM:
+            values[f'{key}:sum'] = float(value['sum'])
+            values[f'{key}:count'] = float(value['count'])
+        else:
+            values[key] = float(value)
+    return values
--- /dev/null
+++ b/guavagate/metrics/names.py
@@ -0,0 +1,98 @@
+"""The metrics that guavagate exports."""
+
+from typing import Final
+
+from guavagate.metrics._metric import Metric, MetricKind
+
+REQUESTS: Final = Metric(
+    name='guavagate_requests_total',
+    kind=MetricKind.COUNTER,
+    text='Requests answered, by outcome',
+    labels=('team', 'outcome'),
+    plotted=True,
+)
+REQUEST_SECONDS: Final = Metric(
+    name='guavagate_request_seconds',
+    kind=MetricKind.HISTOGRAM,
+    text='Time from a request to its whole answer',
+    labels=('team',),
+    plotted=True,
+)
+FIRST_TOKEN_SECONDS: Final = Metric(
+    name='guavagate_first_token_seconds',
+    kind=MetricKind.HISTOGRAM,
+    text='Time from a request to the first piece of its answer',
+    labels=('team',),
+    plotted=True,
+)
+QUEUED: Final = Metric(
+    name='guavagate_queued_requests',
+    kind=MetricKind.GAUGE,
+    text='Requests that wait for a permit at homes on this instance',
+    labels=('deployment',),
+    plotted=True,
+)
+RUNNING: Final = Metric(
+    name='guavagate_running_requests',
+    kind=MetricKind.GAUGE,
+    text='Permits given out by homes on this instance',
+    labels=('deployment',),
+    plotted=True,
+)
+SAMPLES: Final = Metric(
+    name='guavagate_samples_total',
+    kind=MetricKind.COUNTER,
+    text='Samples finished on this instance, by outcome',
+    labels=('run', 'outcome'),
+    plotted=True,
+)
+STALENESS: Final = Metric(
+    name='guavagate_sample_staleness_versions',
+    kind=MetricKind.HISTOGRAM,
+    text='Versions that a delivered sample was behind',
+    labels=('run',),
+)
+IDLE_SECONDS: Final = Metric(
+    name='guavagate_trainer_idle_seconds_total',
+    kind=MetricKind.COUNTER,
+    text='Time that trainers waited for samples',
+    labels=('run',),
+    plotted=True,
+)
+MEMBERS: Final = Metric(
+    name='guavagate_members',
+    kind=MetricKind.GAUGE,
+    text='Instances that this one sees alive',
+    plotted=True,
+)
+PARTITIONS_LED: Final = Metric(
+    name='guavagate_partitions_led',
+    kind=MetricKind.GAUGE,
+    text='Partitions whose primary is on this instance',
+    plotted=True,
+)
+SETTINGS_REVISION: Final = Metric(
+    name='guavagate_settings_revision',
+    kind=MetricKind.GAUGE,
+    text="The team's revision in force on this instance",
+    labels=('team',),
+    plotted=True,
+)
+READY: Final = Metric(
+    name='guavagate_ready',
+    kind=MetricKind.GAUGE,
+    text='1 while the readiness check passes',
+    plotted=True,
+)
+CPU_SECONDS: Final = Metric(
+    name='process_cpu_seconds_total',
+    kind=MetricKind.COUNTER,
+    text='Processor time of the process',
+    plotted=True,
+)
+RESIDENT_BYTES: Final = Metric(
+    name='process_resident_memory_bytes',
+    kind=MetricKind.GAUGE,
+    text='Memory of the process',
+    plotted=True,
+)
--- /dev/null
+++ b/guavagate/operators/_collect.py
@@ -0,0 +1,135 @@
+"""Collects the reports of all instances."""
+
+import enum
+from typing import Final, TypeVar
+
+import msgspec
+from gevent.pool import Pool
+
+from guavagate.exceptions import LinkError
+from guavagate.links import Message
+from guavagate.metrics import Series, SeriesKeeper
+from guavagate.models import InstanceId
+from guavagate.operators._reports import (
+    InstanceReport,
+    LocalReports,
+    RunReport,
+    SamplerReport,
+)
+from guavagate.runtime import Runtime
+
+_TIMEOUT: Final = 2.0
+_AT_ONCE: Final = 32
+
+_Answer = TypeVar('_Answer', bound=Message)
+
+
+class Matter(enum.Enum):
+    """What is asked for."""
+
+    INSTANCE = 'instance'
+    SAMPLERS = 'samplers'
+    RUNS = 'runs'
+    SERIES = 'series'
+
+
+class ReportAsk(Message, frozen=True, kw_only=True):
+    """Asks an instance for one of its reports."""
+
+    matter: str
+
+
+class ReportAnswer(Message, frozen=True, kw_only=True):
+    """The report asked for; the others are empty."""
+
+    instance: InstanceReport | None = None
+    samplers: tuple[SamplerReport, ...] = ()
+    runs: tuple[RunReport, ...] = ()
+    series: tuple[Series, ...] = ()
+
+
+class DrainAsk(Message, frozen=True, kw_only=True):
+    """Asks an instance to begin a planned stop."""
+
+    who: str
+
+
+class DrainBegun(Message, frozen=True, kw_only=True):
+    """The planned stop has begun."""
+
+
+class Collected(msgspec.Struct, frozen=True, kw_only=True):
+    """All answers, and why others are missing."""
+
+    answers: dict[InstanceId, ReportAnswer]
+    missing: dict[InstanceId, str]
+
+
+class Collector:
+    """Answers peers' questions, and asks them all."""
+
+    def __init__(
+        self, runtime: Runtime, reports: LocalReports, series: SeriesKeeper
+    ) -> None:
+        self._runtime = runtime
+        self._reports = reports
+        self._series = series
+        runtime.bus.register(ReportAsk, self._handle_ask)
+        runtime.bus.register(DrainAsk, self._handle_drain)
+
+    def collect(self, matter: Matter) -> Collected:
+        """Return every instance's report; the missing ones are named."""
+        me = self._runtime.settings.id
+        peers = [
+            peer.id for peer in self._runtime.members.alive() if peer.id != me
+        ]
+        asked = Pool(_AT_ONCE).map(lambda peer: self._ask(peer, matter), peers)
+        answers = {me: self._answer(matter)}
+        missing: dict[InstanceId, str] = {}
+        for peer, answer in zip(peers, asked, strict=True):
+            if isinstance(answer, ReportAnswer):
+                answers[peer] = answer
+            else:
+                missing[peer] = answer
+        return Collected(answers=answers, missing=missing)
+
+    def drain(self, instance: InstanceId, who: str) -> None:
+        """Have an instance begin a planned stop.
+
+        Raises
+        ------
+        LinkError
+            It did not answer.
+        """
+        if instance == self._runtime.settings.id:
+            self._reports.start_drain()
+            return
+        self._runtime.bus.request(
+            instance, DrainAsk(who=who), DrainBegun, _TIMEOUT
+        )
+
+    def _ask(self, peer: InstanceId, matter: Matter) -> ReportAnswer | str:
+        try:
+            return self._runtime.bus.request(
+                peer, ReportAsk(matter=matter.value), ReportAnswer, _TIMEOUT
+            )
+        except LinkError as error:
+            return error.problem
+
+    def _answer(self, matter: Matter) -> ReportAnswer:
+        if matter is Matter.INSTANCE:
+            return ReportAnswer(instance=self._reports.describe_instance())
+        if matter is Matter.SAMPLERS:
+            return ReportAnswer(samplers=tuple(self._reports.list_samplers()))
+        if matter is Matter.RUNS:
+            return ReportAnswer(runs=tuple(self._reports.list_runs()))
+        return ReportAnswer(series=tuple(self._series.list_series()))
+
+    def _handle_ask(self, sender: InstanceId, message: Message) -> ReportAnswer:
+        assert isinstance(message, ReportAsk)
+        return self._answer(Matter(message.matter))
+
+    def _handle_drain(self, sender: InstanceId, message: Message) -> DrainBegun:
+        assert isinstance(message, DrainAsk)
+        self._reports.start_drain()
+        return DrainBegun()
--- /dev/null
+++ b/guavagate/operators/_fleet.py
@@ -0,0 +1,270 @@
+"""Instances, samplers, deployments, runs, decisions and drains."""
+
+from typing import Any
+
+import falcon
+import msgspec
+
+from guavagate.exceptions import RefusalError
+from guavagate.metrics import Series
+from guavagate.models import DeploymentId, InstanceId, TeamId, ZoneId
+from guavagate.operators._answers import write_json
+from guavagate.operators._base import Operators, answers_errors
+from guavagate.operators._collect import Collected, Matter
+from guavagate.operators._reports import (
+    InstanceReport,
+    RunReport,
+    SamplerReport,
+)
+
+
+class _Resource:
+    def __init__(self, parts: Operators) -> None:
+        self._parts = parts
+
+
+class InstancesBody(msgspec.Struct, frozen=True, kw_only=True):
+    """All instances, those without an answer too."""
+
+    instances: tuple[InstanceReport, ...]
+
+
+class SamplersBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Samplers by team and deployment; `missing` instances gave no answer."""
+
+    samplers: tuple[SamplerReport, ...]
+    missing: dict[InstanceId, str]
+
+
+class RunsBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Runs by team; `missing` instances gave no answer."""
+
+    runs: tuple[RunReport, ...]
+    missing: dict[InstanceId, str]
+
+
+class SeriesBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The last minutes of each instance's plotted metrics."""
+
+    instances: dict[InstanceId, tuple[Series, ...]]
+    missing: dict[InstanceId, str]
+
+
+class DrainBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The planned stop has begun."""
+
+    instance: InstanceId
+    state: str = 'draining'
+
+
+class DeploymentReport(msgspec.Struct, frozen=True, kw_only=True):
+    """A deployment, summed over its samplers."""
+
+    team: TeamId
+    deployment: DeploymentId
+    samplers: int
+    serving: int
+    running: int
+    slots: int
+    queued: int
+    versions: tuple[int, ...]
+
+
+class DeploymentsBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Deployments by team; `missing` instances gave no answer."""
+
+    deployments: tuple[DeploymentReport, ...]
+    missing: dict[InstanceId, str]
+
+
+class InstancesResource(_Resource):
+    """All instances with their views, roles, load and repairs."""
+
+    @answers_errors
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """List them."""
+        self._parts.identify(request)
+        found = self._parts.collector.collect(Matter.INSTANCE)
+        reports = [
+            answer.instance
+            for answer in found.answers.values()
+            if answer.instance is not None
+        ]
+        reports += [
+            InstanceReport(
+                instance=instance,
+                availability_zone=ZoneId(''),
+                state='no answer',
+                waits_for=(why,),
+            )
+            for instance, why in found.missing.items()
+        ]
+        reports.sort(key=lambda report: report.instance)
+        write_json(response, InstancesBody(instances=tuple(reports)))
+
+
+class SamplersResource(_Resource):
+    """All samplers of the operator's teams."""
+
+    @answers_errors
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """List them."""
+        identity = self._parts.identify(request)
+        found = self._parts.collector.collect(Matter.SAMPLERS)
+        samplers = _list_samplers(found)
+        write_json(
+            response,
+            SamplersBody(
+                samplers=tuple(
+                    report
+                    for report in samplers
+                    if identity.is_fleet or report.team == identity.team
+                ),
+                missing=found.missing,
+            ),
+        )
+
+
+class DeploymentsResource(_Resource):
+    """All deployments of the operator's teams."""
+
+    @answers_errors
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """List them with the sums over their samplers."""
+        identity = self._parts.identify(request)
+        found = self._parts.collector.collect(Matter.SAMPLERS)
+        samplers = _list_samplers(found)
+        deployments = [
+            _sum_up(team.team, deployment.id, samplers)
+            for team in self._parts.teams.all()
+            if identity.is_fleet or team.team == identity.team
+            for deployment in team.deployments
+        ]
+        write_json(
+            response,
+            DeploymentsBody(
+                deployments=tuple(deployments), missing=found.missing
+            ),
+        )
+
+
+class RunsResource(_Resource):
+    """All runs of the operator's teams."""
+
+    @answers_errors
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """List them."""
+        identity = self._parts.identify(request)
+        found = self._parts.collector.collect(Matter.RUNS)
+        runs = sorted(
+            (run for answer in found.answers.values() for run in answer.runs),
+            key=lambda run: (run.team, run.run),
+        )
+        write_json(
+            response,
+            RunsBody(
+                runs=tuple(
+                    run
+                    for run in runs
+                    if identity.is_fleet or run.team == identity.team
+                ),
+                missing=found.missing,
+            ),
+        )
+
+
+class SeriesResource(_Resource):
+    """The last minutes of all instances, for `guavagate report`."""
+
+    @answers_errors
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Return them."""
+        self._parts.identify(request).require_fleet()
+        found = self._parts.collector.collect(Matter.SERIES)
+        instances = {
+            instance: answer.series
+            for instance, answer in found.answers.items()
+        }
+        write_json(
+            response, SeriesBody(instances=instances, missing=found.missing)
+        )
+
+
+class DrainResource(_Resource):
+    """Planned stops."""
+
+    @answers_errors
+    def on_post(
+        self,
+        request: falcon.Request,
+        response: falcon.Response,
+        instance: str,
+    ) -> None:
+        """Have an instance begin one; it ends when its work has."""
+        identity = self._parts.identify(request)
+        identity.require_fleet()
+        name = InstanceId(instance)
+        self._parts.collector.drain(name, identity.caller)
+        write_json(response, DrainBody(instance=name), 202)
+
+
+class ExplainResource(_Resource):
+    """The decisions about an id."""
+
+    @answers_errors
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response, **names: Any
+    ) -> None:
+        """Return them from all instances, oldest first."""
+        identity = self._parts.identify(request)
+        subject = str(names['subject'])
+        if subject.startswith('settings/'):
+            identity.require_team(TeamId(subject.split('/')[1]))
+        explanation = self._parts.explainer.explain(subject)
+        if not explanation.decisions and not explanation.missing:
+            raise RefusalError(
+                f'no instance knows a decision about {subject!r}',
+                'check the id; the newest few thousand are kept in memory, the'
+                ' log has the others',
+                reason='not_found',
+                status=404,
+            )
+        write_json(response, explanation)
+
+
+def _list_samplers(found: Collected) -> list[SamplerReport]:
+    return sorted(
+        (one for answer in found.answers.values() for one in answer.samplers),
+        key=lambda report: (report.team, report.deployment, report.sampler),
+    )
+
+
+def _sum_up(
+    team: TeamId, deployment: DeploymentId, samplers: list[SamplerReport]
+) -> DeploymentReport:
+    own = [
+        report
+        for report in samplers
+        if (report.team, report.deployment) == (team, deployment)
+    ]
+    versions = {report.version for report in own if report.version is not None}
+    return DeploymentReport(
+        team=team,
+        deployment=deployment,
+        samplers=len(own),
+        serving=sum(report.state.value == 'serving' for report in own),
+        running=sum(report.running for report in own),
+        slots=sum(report.slots for report in own),
+        queued=sum(report.queued for report in own),
+        versions=tuple(sorted(versions)),
+    )
--- a/guavagate/runtime.py
+++ b/guavagate/runtime.py
@@ -6,6 +6,7 @@
 
 from guavagate.clock import Clock
 from guavagate.links import Bus
+from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, TeamId
 from guavagate.partitions import Partitions
 from guavagate.ports.store import ObjectStore
@@ -68,3 +69,4 @@
     teams: Teams
     partitions: Partitions
     decisions: DecisionLog
+    metrics: Metrics = dataclasses.field(default_factory=Metrics)
