--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from guavagate.models import InstanceId
+from guavagate.models import InstanceId, TeamId
 from tests.operators_bench import (
     FLEET_TOKEN,
     OTHER_TOKEN,
@@ -76,7 +76,7 @@
         {'toml': team_text('authority', TEAM_TOKEN, 9)},
     )
     assert '+weight = 9' in checked.json['diff']
-    assert bench.fleet.teams['i0'].table.revisions()['authority'] == 1
+    assert bench.fleet.teams['i0'].table.revision(TeamId('authority')) == 1
 
 
 @pytest.mark.parametrize(
