Add the operators' command line with its report page

Operators had HTTP routes and no tool.

guavagate reads and changes settings under paths, lists deployments, samplers, instances and runs, explains an id, begins planned stops and writes one HTML page of plots. A text that get printed names its revision, which apply takes as its base, so a change made in between is a conflict (exit code 4) though nobody typed a number; set makes its change again on top when the other change concerns another path. Each request may be sent to the next instance, since changes carry their own id. matplotlib is imported by the tool alone and only for report: the daemon must stay within 32 MB.

Ruled out: taking the newest revision as the base of apply, which would overwrite whatever came in between.

--- a/guavagate/cli/__init__.py
+++ b/guavagate/cli/__init__.py
@@ -1,1 +1,5 @@
-"""The command-line tool."""
+"""The operators' command-line tool."""
+
+from guavagate.cli._main import main
+
+__all__ = ('main',)
--- /dev/null
+++ b/guavagate/cli/_errors.py
@@ -0,0 +1,53 @@
+"""Errors as the tool ends with them, and its exit codes."""
+
+import enum
+from typing import Final
+
+import click
+
+from guavagate.exceptions import GuavagateError
+
+
+class Exit(enum.IntEnum):
+    """Exit codes; 2 is click's own, for a wrong command line."""
+
+    INVALID = 3
+    CONFLICT = 4
+    UNSURE = 5
+    UNAVAILABLE = 6
+    REFUSED = 7
+    NOT_FOUND = 8
+    LAGGING = 9
+
+
+_BY_CODE: Final = {
+    'invalid_settings': Exit.INVALID,
+    'invalid_body': Exit.INVALID,
+    'body_too_large': Exit.INVALID,
+    'conflict': Exit.CONFLICT,
+    'unsure': Exit.UNSURE,
+    'unauthorized': Exit.REFUSED,
+    'forbidden': Exit.REFUSED,
+    'not_found': Exit.NOT_FOUND,
+}
+
+
+class ToolError(click.ClickException):
+    """Ends the tool with a message and an exit code."""
+
+    def __init__(self, message: str, exit_code: Exit) -> None:
+        super().__init__(message)
+        # click reads it from the instance, but declares it on the class.
+        self.exit_code = exit_code  # type: ignore[misc]
+
+
+def from_error(
+    error: GuavagateError, exit_code: Exit = Exit.INVALID
+) -> ToolError:
+    """Return a guavagate error as the tool shows it."""
+    return ToolError(str(error), exit_code)
+
+
+def find_exit(code: str) -> Exit:
+    """Return the exit code for an answer's error code."""
+    return _BY_CODE.get(code, Exit.UNAVAILABLE)
--- /dev/null
+++ b/guavagate/cli/_fleet.py
@@ -0,0 +1,195 @@
+"""Instances, samplers, deployments, runs, decisions and drains."""
+
+import datetime
+
+import click
+
+from guavagate.cli._context import get_client
+from guavagate.cli._output import (
+    as_json,
+    print_json,
+    print_missing,
+    print_table,
+)
+from guavagate.explain import Decision, Explanation
+from guavagate.models import WeightVersion
+from guavagate.operators import (
+    DeploymentsBody,
+    DrainBody,
+    InstancesBody,
+    PartitionReport,
+    RunsBody,
+    SamplersBody,
+)
+
+
+@click.command()
+@as_json
+def instances(as_json: bool) -> None:
+    """List the instances: state, load, roles, and what is repaired."""
+    body = get_client().get('/instances', InstancesBody)
+    if as_json:
+        print_json(body)
+        return
+    print_table(
+        ('INSTANCE', 'ZONE', 'STATE', 'ACTIVE', 'HOMES', 'PRIMARY/BACKUP'),
+        [
+            (
+                one.instance,
+                one.availability_zone,
+                one.state,
+                one.active_requests,
+                len(one.homes),
+                _count_roles(one.partitions),
+            )
+            for one in body.instances
+        ],
+        'No instance answered.',
+    )
+    for one in body.instances:
+        for note in (*one.waits_for, *one.repairs):
+            click.echo(f'{one.instance}: {note}')
+
+
+@click.command()
+@as_json
+def deployments(as_json: bool) -> None:
+    """List the deployments with their load and weight versions."""
+    body = get_client().get('/deployments', DeploymentsBody)
+    print_missing(body.missing)
+    if as_json:
+        print_json(body)
+        return
+    print_table(
+        ('TEAM', 'DEPLOYMENT', 'SERVING', 'RUNNING', 'QUEUED', 'VERSIONS'),
+        [
+            (
+                one.team,
+                one.deployment,
+                f'{one.serving}/{one.samplers}',
+                f'{one.running}/{one.slots}',
+                one.queued,
+                ','.join(str(version) for version in one.versions),
+            )
+            for one in body.deployments
+        ],
+        'No deployment is declared.',
+    )
+
+
+@click.command()
+@as_json
+def samplers(as_json: bool) -> None:
+    """List the samplers with their home, load and weight version."""
+    body = get_client().get('/samplers', SamplersBody)
+    print_missing(body.missing)
+    if as_json:
+        print_json(body)
+        return
+    print_table(
+        ('DEPLOYMENT', 'SAMPLER', 'STATE', 'RUNNING', 'VERSION', 'HOME'),
+        [
+            (
+                f'{one.team}/{one.deployment}',
+                one.sampler,
+                one.state.value,
+                f'{one.running}/{one.slots}',
+                _tell_version(one.version, one.target),
+                one.home,
+            )
+            for one in body.samplers
+        ],
+        'No sampler has a home; see `guavagate instances`.',
+    )
+
+
+@click.command()
+@as_json
+def runs(as_json: bool) -> None:
+    """List the trainers' runs: version, step and samples."""
+    body = get_client().get('/runs', RunsBody)
+    print_missing(body.missing)
+    if as_json:
+        print_json(body)
+        return
+    print_table(
+        ('TEAM', 'RUN', 'VERSION', 'STEP', 'DONE', 'GIVEN', 'STALE'),
+        [
+            (
+                one.team,
+                one.run,
+                _tell_version(one.version, one.version),
+                '' if one.step is None else one.step,
+                f'{one.samples_finished}/{one.samples_wanted}',
+                one.samples_delivered,
+                one.stale,
+            )
+            for one in body.runs
+        ],
+        'No run has been started.',
+    )
+
+
+@click.command()
+@click.argument('instance')
+@as_json
+def drain(instance: str, as_json: bool) -> None:
+    """Begin a planned stop of INSTANCE: it ends when its work has.
+
+    It leaves the balancer, hands its roles over, finishes the answers it
+    holds and exits, within its `stop_limit`.
+    """
+    path = f'/instances/{instance}/drain'
+    body = get_client().send('POST', path, {}, DrainBody)
+    if as_json:
+        print_json(body)
+    else:
+        click.echo(
+            f'{body.instance} is draining; follow it with `guavagate'
+            ' instances`.'
+        )
+
+
+@click.command()
+@click.argument('subject', metavar='ID')
+@as_json
+def explain(subject: str, as_json: bool) -> None:
+    """Show the decisions about a request, sample, revision or view.
+
+    ID is what an answer or a log line names: a request or sample id,
+    settings/TEAM/REVISION, or partition/NUMBER.
+    """
+    body = get_client().get(f'/explain/{subject}', Explanation)
+    print_missing(body.missing)
+    if as_json:
+        print_json(body)
+        return
+    if body.left_out:
+        click.echo(f'{body.left_out} older decisions are left out')
+    for decision in body.decisions:
+        _print_decision(decision)
+
+
+def _print_decision(decision: Decision) -> None:
+    at = datetime.datetime.fromtimestamp(decision.at, datetime.UTC)
+    click.echo(
+        f'{at:%H:%M:%S.%f} {decision.instance} {decision.kind}:'
+        f' {decision.choice}'
+    )
+    click.echo(f'    because {decision.reason}')
+    for name, why in decision.turned_down.items():
+        click.echo(f'    not {name}: {why}')
+
+
+def _count_roles(partitions: tuple[PartitionReport, ...]) -> str:
+    primaries = sum(one.role == 'primary' for one in partitions)
+    return f'{primaries}/{len(partitions) - primaries}'
+
+
+def _tell_version(
+    version: WeightVersion | None, target: WeightVersion | None
+) -> str:
+    shown = '?' if version is None else str(version)
+    if target is None or target == version:
+        return shown
+    return f'{shown}→{target}'
--- /dev/null
+++ b/guavagate/cli/_output.py
@@ -0,0 +1,45 @@
+"""Tables and JSON."""
+
+from collections.abc import Sequence
+from typing import Any, Final
+
+import click
+import msgspec
+
+_GAP: Final = '  '
+
+as_json: Final = click.option(
+    '--json', 'as_json', is_flag=True, help='Print the whole answer as JSON.'
+)
+
+
+def print_json(body: Any) -> None:
+    """Print a typed answer as JSON, indented."""
+    content = msgspec.json.format(msgspec.json.encode(body), indent=2)
+    click.echo(content.decode())
+
+
+def print_table(
+    heads: Sequence[str], rows: Sequence[Sequence[object]], empty: str
+) -> None:
+    """Print columns as wide as their widest cell; the last one is free."""
+    if not rows:
+        click.echo(empty)
+        return
+    cells = [[str(cell) for cell in row] for row in rows]
+    lines = [list(heads), *cells]
+    widths = [max(len(line[at]) for line in lines) for at in range(len(heads))]
+    for line in lines:
+        padded = [
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ]
+        click.echo(_GAP.join(padded).rstrip())
+
+
+def print_missing(missing: dict[Any, str]) -> None:
+    """Tell on standard error which instances gave no answer."""
+    for instance in sorted(missing):
+        click.echo(
+            f'incomplete: {instance} gave no answer ({missing[instance]})',
+            err=True,
+        )
--- a/guavagate/operators/__init__.py
+++ b/guavagate/operators/__init__.py
@@ -1,7 +1,17 @@
 """Operators' HTTP: settings under paths, status, explain, drain, health."""
 
+from guavagate.operators._answers import ErrorBody, ErrorDetail
 from guavagate.operators._base import Operators
 from guavagate.operators._collect import Collector
+from guavagate.operators._fleet import (
+    DeploymentReport,
+    DeploymentsBody,
+    DrainBody,
+    InstancesBody,
+    RunsBody,
+    SamplersBody,
+    SeriesBody,
+)
 from guavagate.operators._health import add_health_routes
 from guavagate.operators._reports import (
     InstanceReport,
@@ -11,15 +21,42 @@
     SamplerReport,
 )
 from guavagate.operators._routes import add_routes
+from guavagate.operators._settings import (
+    DiffBody,
+    HistoryBody,
+    SettingsBody,
+    SettingsCheck,
+    SettingsPut,
+    SettingsRollback,
+    StatusBody,
+    TeamBody,
+)
 
 __all__ = (
     'Collector',
+    'DeploymentReport',
+    'DeploymentsBody',
+    'DiffBody',
+    'DrainBody',
+    'ErrorBody',
+    'ErrorDetail',
+    'HistoryBody',
     'InstanceReport',
+    'InstancesBody',
     'LocalReports',
     'Operators',
     'PartitionReport',
     'RunReport',
+    'RunsBody',
     'SamplerReport',
+    'SamplersBody',
+    'SeriesBody',
+    'SettingsBody',
+    'SettingsCheck',
+    'SettingsPut',
+    'SettingsRollback',
+    'StatusBody',
+    'TeamBody',
     'add_health_routes',
     'add_routes',
 )
--- a/guavagate/settings/__init__.py
+++ b/guavagate/settings/__init__.py
@@ -4,6 +4,7 @@
 from guavagate.settings._documents import (
     load_instance_settings,
     parse_instance_settings,
+    parse_settings,
     parse_team_settings,
     render_settings,
 )
@@ -12,6 +13,13 @@
     SettingsUnsureError,
 )
 from guavagate.settings._force import TeamsInForce
+from guavagate.settings._kinds import Kind, describe
+from guavagate.settings._paths import (
+    find_value,
+    parse_value,
+    replace_value,
+    split_path,
+)
 from guavagate.settings._record import (
     Change,
     SettingsRecord,
@@ -44,6 +52,7 @@
     'DeploymentWeights',
     'InstanceSettings',
     'InstanceStatus',
+    'Kind',
     'OperatorSettings',
     'PeerSettings',
     'PlatformSettings',
@@ -61,11 +70,17 @@
     'UpstreamSettings',
     'Wanted',
     'decode_record',
+    'describe',
     'encode_record',
+    'find_value',
     'history_path',
     'load_instance_settings',
     'parse_instance_settings',
+    'parse_settings',
     'parse_team_settings',
+    'parse_value',
     'render_settings',
+    'replace_value',
     'settings_path',
+    'split_path',
 )
--- a/guavagate/settings/_documents.py
+++ b/guavagate/settings/_documents.py
@@ -18,7 +18,7 @@
 
 MAX_SETTINGS_BYTES: Final = 512_000
 
-_Schema = TypeVar('_Schema', InstanceSettings, TeamSettings)
+_Schema = TypeVar('_Schema', bound=msgspec.Struct)
 
 
 def load_instance_settings(path: str | pathlib.Path) -> InstanceSettings:
@@ -71,6 +71,13 @@
     return settings
 
 
+def parse_settings(
+    text: str, schema: type[_Schema], source: str = 'settings'
+) -> _Schema:
+    """Return settings of any schema from TOML; see `parse_team_settings`."""
+    return _convert(text, schema, Checker(source))
+
+
 def render_settings(settings: InstanceSettings | TeamSettings) -> str:
     """Return the settings as TOML."""
     return tomli_w.dumps(msgspec.to_builtins(settings))
