--- a/guavagate/measure/__init__.py
+++ b/guavagate/measure/__init__.py
@@ -1,1 +1,1 @@
-"""The tool that measures the decisions under virtual time."""
+"""Measurements: patterns, models and checkers behind script/measure."""
