--- a/guavagate/web/_server.py
+++ b/guavagate/web/_server.py
@@ -3,6 +3,7 @@
 from typing import Any, Final
 
 import gevent
+from gevent import socket
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
@@ -18,6 +19,15 @@
 class BoundedHandler(WSGIHandler):
     """Closes a connection whose headers do not come in time."""
 
+    def handle(self) -> None:
+        """Serve a connection without holding small writes back.
+
+        Otherwise a streamed event waits until the caller has acknowledged the
+        one before it, and callers delay that by up to 40 ms.
+        """
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
     def read_requestline(self) -> Any:
         """Wait for the first byte of a request, then bound its headers."""
         with gevent.Timeout(IDLE_TIMEOUT, exception=False):
--- a/standins/_web.py
+++ b/standins/_web.py
@@ -18,6 +18,15 @@
 class _Handler(WSGIHandler):
     """Hands the connection to the application, which may reset it."""
 
+    def handle(self) -> None:
+        """Send each piece at once.
+
+        Otherwise a streamed piece waits until the client has acknowledged the
+        one before it, which clients delay by 40 ms.
+        """
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
     def get_environ(self) -> dict[str, Any]:
         """Add the socket to the environment."""
         env = super().get_environ()
