Roll out weights, keep keyed requests in the ledger, join the membership

Cause: samples stopped once a third version was published, keyed requests ran again at another entry, and a killed instance stayed a member for good. The rollout confirms its epoch with a majority before each order and paces fetches; leaving entries and workers keep what they hold.

--- a/guavagate/assembly.py
+++ b/guavagate/assembly.py
@@ -1,19 +1,27 @@
 """Wires one instance over real links, clock and platform."""
 
 import logging
+from pathlib import Path
 from typing import Final
 
+from gevent.event import Event
+
+from guavagate import operators
 from guavagate.clock import SystemClock
 from guavagate.events import edge as events
 from guavagate.events import write
-from guavagate.explain import RecentDecisions
+from guavagate.explain import Explainer, RecentDecisions
+from guavagate.gauges import Gauges
 from guavagate.instance import Instance
 from guavagate.integrations.object_api import make_store
+from guavagate.ledger import make_ledger_states
 from guavagate.links import ZmqBus
-from guavagate.membership import StaticMembers
+from guavagate.membership import Membership
+from guavagate.metrics import Metrics, SeriesKeeper
 from guavagate.models import Epoch, PartitionId
 from guavagate.partitions import Command, LocalPartitions, ReplicatedState
 from guavagate.partitions.replicated import ReplicatedPartitions
+from guavagate.reports import Reports
 from guavagate.runs import RUN_COMMANDS, PublishVersion, RunsState
 from guavagate.runtime import Runtime
 from guavagate.settings import InstanceSettings, TeamsInForce
@@ -24,54 +32,143 @@
 # The balancer takes an instance out after it has seen it unready; requests
 # that it still sends meanwhile are served.
 BALANCER_SECONDS: Final = 2.0
+# What others take to hear that this instance leaves, by their probes.
+LEAVING_SECONDS: Final = 1.5
 
 
 class Process:
     """A running instance: its runtime's own parts, and those above it."""
 
-    def __init__(
-        self,
-        runtime: Runtime,
-        bus: ZmqBus,
-        teams: TeamsInForce,
-        partitions: ReplicatedPartitions,
-        instance: Instance,
-    ) -> None:
-        self._runtime = runtime
-        self._bus = bus
-        self._teams = teams
-        self._partitions = partitions
-        self._instance = instance
-        self._stopping = False
+    def __init__(self, settings: InstanceSettings) -> None:
+        clock = SystemClock()
+        credential = _read_credential(settings)
+        self._members = Membership(settings, clock, credential)
+        self._bus = ZmqBus(
+            settings.id,
+            settings.peer_address,
+            self._members.address,
+            clock,
+            credential,
+        )
+        store = make_store(settings.platform, clock)
+        self._decisions = RecentDecisions(clock, settings.id)
+        self._teams = TeamsInForce(
+            settings, clock, self._bus, store, self._members, self._decisions
+        )
+        self._runtime = Runtime(
+            settings=settings,
+            clock=clock,
+            bus=self._bus,
+            store=store,
+            members=self._members,
+            teams=self._teams,
+            partitions=LocalPartitions(settings.id, {}),
+            decisions=self._decisions,
+            metrics=Metrics({'instance': settings.id}),
+        )
+        self._partitions = ReplicatedPartitions(self._runtime, make_states)
+        self._runtime.partitions = self._partitions
+        self._instance = Instance(self._runtime, self._list_hosted)
+        self._series = SeriesKeeper(clock, self._runtime.metrics)
+        self._reports = Reports(
+            self._runtime,
+            self._instance.homes,
+            self._partitions,
+            self._list_hosted,
+            self.ask_to_stop,
+        )
+        self._reports.active = self._instance.active
+        self._reports.waits_for = self.waits_for
+        self._asked = Event()
+        self._add_operators()
 
     def start(self) -> None:
         """Start everything, the callers' edge last."""
+        self._members.start()
         self._bus.start()
         self._teams.start()
         self._partitions.start()
-        self._instance.readiness.add('stop', self._why_stopping)
+        self._series.start()
         self._instance.start()
 
+    def ask_to_stop(self) -> None:
+        """Begin a planned stop; returns at once."""
+        self._asked.set()
+
+    def wait_asked(self) -> None:
+        """Block until a planned stop is asked for."""
+        self._asked.wait()
+
+    def waits_for(self) -> list[str]:
+        """Return why callers should not be sent here."""
+        reasons = list(self._teams.waits_for())
+        if self._asked.is_set():
+            reasons.append('the instance is being stopped')
+        return reasons
+
     def stop(self) -> None:
-        """Stop as planned: cut no request, leave no gap; bounded in time."""
-        limit = parse_duration(self._runtime.settings.stop_limit)
-        end = self._runtime.clock.now() + limit
-        self._stopping = True
-        self._log('not ready; waiting for the balancer')
-        self._runtime.clock.sleep(BALANCER_SECONDS)
+        """Stop as planned: cut no request, leave no gap; bounded in time.
+
+        Callers are kept out first, then peers give no new work here, then
+        what is decided here moves, and only then is the edge closed. Asked
+        the other way round, a request that the balancer still sends would
+        meet a closed edge.
+        """
+        clock = self._runtime.clock
+        end = clock.now() + parse_duration(self._runtime.settings.stop_limit)
+        self._reports.draining = True
+        self._log('not ready, waiting for the balancer')
+        clock.sleep(BALANCER_SECONDS)
         self._instance.active.closing = True
+        self._log('leaving, waiting for peers')
+        self._members.start_leaving()
+        clock.sleep(LEAVING_SECONDS)
         self._log('handing partitions over')
-        self._partitions.stop(max(end - self._runtime.clock.now(), 0) / 2)
-        self._log('finishing held answers', count=self._instance.active.count)
-        self._instance.finish(max(end - self._runtime.clock.now(), 0))
+        whole = self._partitions.stop(max(end - clock.now(), 0) / 2)
+        self._log('finishing what is held', handed_over=whole)
+        self._instance.finish(max(end - clock.now(), 0))
+        self._close()
+
+    def _close(self) -> None:
+        cut = self._instance.active.count
+        self._instance.weights.stop()
+        self._series.stop()
         self._teams.stop()
+        self._members.stop()
         self._bus.stop()
-        self._log('stopped', cut=self._instance.active.count)
+        self._log('stopped', cut=cut)
 
-    def _why_stopping(self) -> str:
-        return 'the instance is being stopped' if self._stopping else ''
+    def _list_hosted(self) -> list[tuple[Epoch, RunsState]]:
+        return [
+            (epoch, state)
+            for epoch, state in self._partitions.states_of(PublishVersion)
+            if isinstance(state, RunsState)
+        ]
 
-    def _log(self, phase: str, **fields: int) -> None:
+    def _add_operators(self) -> None:
+        app = self._instance.app
+        Gauges(
+            self._runtime, self._instance.homes, self._partitions, self._teams
+        ).install()
+        operators.add_health_routes(app, self._runtime.metrics, self.waits_for)
+        operators.add_routes(
+            app,
+            operators.Operators(
+                access=self._instance.access,
+                teams=self._teams,
+                explainer=Explainer(
+                    self._runtime.settings.id,
+                    self._bus,
+                    self._members,
+                    self._decisions,
+                ),
+                collector=operators.Collector(
+                    self._runtime, self._reports, self._series
+                ),
+            ),
+        )
+
+    def _log(self, phase: str, **fields: object) -> None:
         write(_LOGGER, events.STOP_PROGRESS, phase=phase, **fields)
 
 
@@ -83,42 +180,11 @@
     states: dict[type[Command], ReplicatedState] = {}
     for command in RUN_COMMANDS:
         states[command] = runs
+    states.update(make_ledger_states(partition))
     return states
 
 
-def assemble(settings: InstanceSettings) -> Process:
-    """Return a process ready to start.
-
-    Raises
-    ------
-    GuavagateError
-        The settings don't fit this machine.
-    """
-    clock = SystemClock()
-    members = StaticMembers(settings)
-    bus = ZmqBus(settings.id, settings.peer_address, members.address, clock)
-    store = make_store(settings.platform, clock)
-    decisions = RecentDecisions(clock, settings.id)
-    teams = TeamsInForce(settings, clock, bus, store, members, decisions)
-    runtime = Runtime(
-        settings=settings,
-        clock=clock,
-        bus=bus,
-        store=store,
-        members=members,
-        teams=teams,
-        partitions=LocalPartitions(settings.id, {}),
-        decisions=decisions,
-    )
-    partitions = ReplicatedPartitions(runtime, make_states)
-    runtime.partitions = partitions
-
-    def hosted() -> list[tuple[Epoch, RunsState]]:
-        return [
-            (epoch, state)
-            for epoch, state in partitions.states_of(PublishVersion)
-            if isinstance(state, RunsState)
-        ]
-
-    instance = Instance(runtime, hosted)
-    return Process(runtime, bus, teams, partitions, instance)
+def _read_credential(settings: InstanceSettings) -> bytes:
+    if not settings.peer_credential_file:
+        return b''
+    return Path(settings.peer_credential_file).read_bytes().strip()
--- a/guavagate/callers/__init__.py
+++ b/guavagate/callers/__init__.py
@@ -9,6 +9,7 @@
     Completions,
     CompletionsResource,
 )
+from guavagate.callers._once import make_id
 from guavagate.callers._services import Services, ServicesSink
 
 SERVICE_ROUTE = re.compile(r'^/v1/services/(?P<service>[^/]+)/?(?P<path>.*)$')
@@ -23,4 +24,4 @@
     app.add_sink(ServicesSink(services), SERVICE_ROUTE)
 
 
-__all__ = ('Completions', 'Services', 'add_routes')
+__all__ = ('Completions', 'Services', 'add_routes', 'make_id')
--- a/guavagate/callers/_completions.py
+++ b/guavagate/callers/_completions.py
@@ -8,6 +8,7 @@
 
 from guavagate.auth import Access
 from guavagate.callers import _render
+from guavagate.callers._once import describe_once, read_key, run_keyed
 from guavagate.callers._request import (
     CallerRequest,
     find_caller,
@@ -29,7 +30,9 @@
     REQUEST_REFUSED,
 )
 from guavagate.exceptions import RefusalError
-from guavagate.models import DeploymentId
+from guavagate.ledger import Answer, Ledger
+from guavagate.metrics import names
+from guavagate.models import DeploymentId, NotRun
 from guavagate.permits import (
     AnswerSource,
     PermitClient,
@@ -59,6 +62,7 @@
     permits: PermitClient
     chooser: PoolChooser
     engine: ModelEngine
+    ledger: Ledger
 
 
 class _Ask(msgspec.Struct, frozen=True, kw_only=True):
@@ -85,7 +89,8 @@
     ) -> None:
         """Answer a completion request."""
         opened = _open(self._parts, request)
-        body = decode_body(read_body(request), CompletionBody)
+        raw = read_body(request)
+        body = decode_body(raw, CompletionBody)
         ask = _Ask(
             model=body.model,
             prompt=body.prompt,
@@ -96,7 +101,7 @@
             stream=body.stream,
             chat=False,
         )
-        answer_ask(self._parts, opened, ask, response)
+        answer_request(self._parts, request, response, opened, ask, raw)
 
 
 class ChatResource:
@@ -110,7 +115,8 @@
     ) -> None:
         """Answer a chat request."""
         opened = _open(self._parts, request)
-        body = decode_body(read_body(request), ChatBody)
+        raw = read_body(request)
+        body = decode_body(raw, ChatBody)
         limit = body.max_completion_tokens or body.max_tokens
         ask = _Ask(
             model=body.model,
@@ -122,16 +128,53 @@
             stream=body.stream,
             chat=True,
         )
-        answer_ask(self._parts, opened, ask, response)
+        answer_request(self._parts, request, response, opened, ask, raw)
 
 
-def answer_ask(
+def answer_request(
+    parts: Completions,
+    request: falcon.Request,
+    response: falcon.Response,
+    opened: CallerRequest,
+    ask: _Ask,
+    body: bytes,
+) -> None:
+    """Answer a request, through the ledger when it carries a key.
+
+    A generation may run again, so an outcome that the ledger can't tell is no
+    reason to refuse one. A stream is not kept: its key is not looked at.
+    """
+    response.set_header(HEADER_REQUEST_ID, opened.id)
+    key = read_key(request)
+    if ask.stream or not key:
+        _answer_ask(parts, opened, ask, response)
+        return
+    clock = parts.runtime.clock
+    once = describe_once(request, opened, key, body, clock.wall())
+    try:
+        answer = run_keyed(
+            parts.ledger,
+            once,
+            lambda: _run_whole(parts, opened, ask),
+            opened.deadline - clock.now(),
+        )
+    except RefusalError as refusal:
+        if refusal.not_run is not NotRun.UNKNOWN:
+            raise
+        answer = _run_whole(parts, opened, ask)
+    _write_answer(response, answer)
+
+
+def _answer_ask(
     parts: Completions,
     opened: CallerRequest,
     ask: _Ask,
     response: falcon.Response,
 ) -> None:
     """Run a request and answer it, whole or as a stream."""
+    if not ask.stream:
+        _write_answer(response, _run_whole(parts, opened, ask))
+        return
     progress = Progress()
     pieces = _start(parts, opened, ask, progress)
     try:
@@ -147,25 +190,45 @@
             not_run=refusal.not_run.value,
         )
         raise
-    style = _render.Style(
+    response.set_header(HEADER_SAMPLER, ','.join(progress.samplers))
+    response.content_type = 'text/event-stream'
+    style = _make_style(parts, opened, ask)
+    response.stream = _stream(parts, opened, style, progress, first, pieces)
+
+
+def _run_whole(parts: Completions, opened: CallerRequest, ask: _Ask) -> Answer:
+    """Run a request to its end and return its answer."""
+    progress = Progress()
+    exhaust(_start(parts, opened, ask, progress))
+    _log_answer(parts, opened, progress)
+    versions = ','.join(f'{version}' for version, _ in progress.versions)
+    return Answer(
+        status=200,
+        headers=(
+            ('Content-Type', falcon.MEDIA_JSON),
+            (HEADER_VERSIONS, versions),
+            (HEADER_SAMPLER, ','.join(progress.samplers)),
+        ),
+        body=_render.render_whole(_make_style(parts, opened, ask), progress),
+    )
+
+
+def _write_answer(response: falcon.Response, answer: Answer) -> None:
+    response.status = answer.status
+    for name, value in answer.headers:
+        response.set_header(name, value)
+    response.data = answer.body
+
+
+def _make_style(
+    parts: Completions, opened: CallerRequest, ask: _Ask
+) -> _render.Style:
+    return _render.Style(
         request_id=opened.id,
         model=ask.model,
         created=int(parts.runtime.clock.wall()),
         chat=ask.chat,
     )
-    response.set_header(HEADER_REQUEST_ID, opened.id)
-    response.set_header(HEADER_SAMPLER, ','.join(progress.samplers))
-    if ask.stream:
-        response.content_type = 'text/event-stream'
-        response.stream = _stream(opened, style, progress, first, pieces)
-        return
-    exhaust(pieces)
-    _log_answer(opened, progress)
-    response.content_type = falcon.MEDIA_JSON
-    versions = ','.join(f'{version}' for version, _ in progress.versions)
-    response.set_header(HEADER_VERSIONS, versions)
-    response.set_header(HEADER_SAMPLER, ','.join(progress.samplers))
-    response.data = _render.render_whole(style, progress)
 
 
 def _open(parts: Completions, request: falcon.Request) -> CallerRequest:
@@ -240,6 +303,7 @@
 
 
 def _stream(
+    parts: Completions,
     opened: CallerRequest,
     style: _render.Style,
     progress: Progress,
@@ -251,7 +315,7 @@
         for piece in pieces:
             yield _render.render_event(style, piece)
         yield _render.render_end(style, progress)
-        _log_answer(opened, progress)
+        _log_answer(parts, opened, progress)
     except RefusalError as refusal:
         # The status has been sent; the stream says so and lacks its terminal
         # event, so that no caller takes the part for the whole.
@@ -262,7 +326,12 @@
         pieces.close()  # type: ignore[attr-defined]
 
 
-def _log_answer(opened: CallerRequest, progress: Progress) -> None:
+def _log_answer(
+    parts: Completions, opened: CallerRequest, progress: Progress
+) -> None:
+    seconds = parts.runtime.clock.now() - opened.begun
+    team = opened.identity.team
+    parts.runtime.metrics.observe(names.REQUEST_SECONDS, seconds, team=team)
     write(
         _LOGGER,
         REQUEST_ANSWERED,
--- a/guavagate/callers/_request.py
+++ b/guavagate/callers/_request.py
@@ -23,6 +23,7 @@
 
     id: RequestId
     identity: Identity
+    begun: float
     deadline: float
 
 
@@ -39,9 +40,11 @@
         The token is not known, or a header is malformed.
     """
     identity = access.identify(request.get_header('Authorization'))
+    request.context.team = identity.team
     return CallerRequest(
         id=_read_id(request),
         identity=identity,
+        begun=clock.now(),
         deadline=clock.now() + _read_deadline(request),
     )
 
--- a/guavagate/callers/_services.py
+++ b/guavagate/callers/_services.py
@@ -6,13 +6,13 @@
 import msgspec
 
 from guavagate.auth import Access
+from guavagate.callers._once import describe_once, read_key, run_keyed
 from guavagate.callers._request import (
     CallerRequest,
     find_caller,
     open_request,
 )
 from guavagate.const import (
-    HEADER_IDEMPOTENCY_KEY,
     HEADER_REQUEST_ID,
     HEADER_SAMPLER,
 )
@@ -24,7 +24,8 @@
     UpstreamError,
     UpstreamNotStartedError,
 )
-from guavagate.models import NotRun, RequestId, UpstreamId
+from guavagate.ledger import Answer, Ledger
+from guavagate.models import NotRun, RequestId
 from guavagate.permits import (
     FailedAttempt,
     Permit,
@@ -34,7 +35,6 @@
 )
 from guavagate.ports.plain_service import (
     PlainService,
-    ServiceAnswer,
     ServiceRequest,
 )
 from guavagate.runtime import Runtime
@@ -57,6 +57,7 @@
     access: Access
     permits: PermitClient
     service: PlainService
+    ledger: Ledger
 
 
 class ServiceCall(msgspec.Struct, frozen=True, kw_only=True):
@@ -88,19 +89,37 @@
             settings=settings,
             request=_read_call(req, opened, settings, kwargs['path']),
         )
-        answer, upstream = run_call(self._parts, call)
+        answer = self._run(req, call)
         resp.status = answer.status
         for name, value in answer.headers:
             resp.append_header(name, value)
         resp.set_header(HEADER_REQUEST_ID, opened.id)
-        resp.set_header(HEADER_SAMPLER, upstream)
         resp.data = answer.body
 
+    def _run(self, req: falcon.Request, call: ServiceCall) -> Answer:
+        """Run a call, through the ledger when a repeat must find it.
 
-def run_call(
-    parts: Services,
-    call: ServiceCall,
-) -> tuple[ServiceAnswer, UpstreamId]:
+        What may be repeated needs no ledger. What may not, and has no key,
+        runs once since this entry sends it once; only its caller could
+        repeat it, and would be asking for a second run.
+        """
+        parts = self._parts
+        if call.request.repeatable or not call.request.key:
+            return run_call(parts, call)
+        once = describe_once(
+            req,
+            call.opened,
+            call.request.key,
+            call.request.body,
+            parts.runtime.clock.wall(),
+        )
+        left = call.opened.deadline - parts.runtime.clock.now()
+        return run_keyed(
+            parts.ledger, once, lambda: run_call(parts, call), left
+        )
+
+
+def run_call(parts: Services, call: ServiceCall) -> Answer:
     """Run a call at most once if it may not be repeated.
 
     Raises
@@ -119,7 +138,7 @@
             call.request, exchange=RequestId(f'{call.opened.id}.{number}')
         )
         try:
-            return _exchange(parts, call, permit, request), permit.upstream
+            return _exchange(parts, call, permit, request)
         except UpstreamNotStartedError as error:
             failed = describe_failure(permit, error)
         except UpstreamError as error:
@@ -151,7 +170,7 @@
     call: ServiceCall,
     permit: Permit,
     request: ServiceRequest,
-) -> ServiceAnswer:
+) -> Answer:
     clock = parts.runtime.clock
     begun = clock.now()
     left = max(call.opened.deadline - begun, 0.001)
@@ -173,7 +192,12 @@
         samplers=[permit.upstream],
         status=answer.status,
     )
-    return answer
+    named = (HEADER_SAMPLER, str(permit.upstream))
+    return Answer(
+        status=answer.status,
+        headers=(*answer.headers, named),
+        body=answer.body,
+    )
 
 
 def _refuse_repeat(
@@ -225,7 +249,7 @@
         path=f'/{path}{query}',
         headers=headers,
         body=read_body(request),
-        key=request.get_header(HEADER_IDEMPOTENCY_KEY) or '',
+        key=read_key(request),
         repeatable=request.method in settings.idempotent,
     )
 
--- a/guavagate/const.py
+++ b/guavagate/const.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 HEADER_IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
+HEADER_FIRST_ATTEMPT: Final = 'X-Guavagate-First-Attempt'
 HEADER_REQUEST_ID: Final = 'X-Request-Id'
 HEADER_SAMPLER: Final = 'X-Guavagate-Sampler'
 HEADER_VERSIONS: Final = 'X-Guavagate-Versions'
--- a/guavagate/daemon.py
+++ b/guavagate/daemon.py
@@ -14,7 +14,7 @@
 from gevent.event import Event  # noqa: E402
 
 from guavagate import __version__  # noqa: E402
-from guavagate.assembly import Process, assemble  # noqa: E402
+from guavagate.assembly import Process  # noqa: E402
 from guavagate.events import edge as events  # noqa: E402
 from guavagate.events import write  # noqa: E402
 from guavagate.exceptions import GuavagateError  # noqa: E402
@@ -51,7 +51,7 @@
         set_up_logging(
             settings.log_format, logging.getLevelName(log_level.upper())
         )
-        process = assemble(settings)
+        process = Process(settings)
         process.start()
     except (GuavagateError, OSError) as error:
         raise click.ClickException(str(error)) from error
@@ -66,10 +66,11 @@
         if asked.is_set():
             sys.exit(1)
         asked.set()
+        process.ask_to_stop()
 
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, ask)
-    asked.wait()
+    process.wait_asked()
     process.stop()
 
 
--- a/guavagate/instance.py
+++ b/guavagate/instance.py
@@ -1,13 +1,16 @@
-"""One instance: its parts, wired and started in order, stopped in reverse."""
+"""The parts of one instance above its runtime, wired and started in order."""
+
+from typing import Final
 
 import falcon
 from gevent.pywsgi import WSGIServer
 
 from guavagate import callers, trainers
 from guavagate.auth import Access
-from guavagate.health import HealthResource, Readiness, ReadinessResource
+from guavagate.callers import make_id
 from guavagate.integrations.model_engine import HttpModelEngine
 from guavagate.integrations.plain_service import HttpPlainService
+from guavagate.ledger import Ledger
 from guavagate.permits import (
     PermitClient,
     PoolChooser,
@@ -17,7 +20,15 @@
 from guavagate.runs import Hosted, RunDriver, RunsClient, SampleWorker
 from guavagate.runtime import Runtime
 from guavagate.scoring import Scorer
-from guavagate.web import ActiveRequests, install_errors, make_server
+from guavagate.web import (
+    ActiveRequests,
+    CountRequests,
+    install_errors,
+    make_server,
+)
+from guavagate.weights import WeightRollout
+
+FINISH_PAUSE: Final = 0.05
 
 
 class Instance:
@@ -34,8 +45,12 @@
         self.reports = ReportReader(
             runtime, self.homes, self.engine, self.service
         )
+        self.ledger = Ledger(runtime, make_id)
         self.runs = RunsClient(runtime)
         self.driver = RunDriver(runtime, hosted)
+        self.weights = WeightRollout(
+            runtime, self.engine, hosted, self.driver.sample_seconds
+        )
         self.scorer = Scorer(runtime, self.permits)
         self.worker = SampleWorker(
             runtime,
@@ -46,7 +61,6 @@
             self.scorer.score,
             self.runs,
         )
-        self.readiness = Readiness()
         self.app = self._make_app()
         self.active = ActiveRequests(self.app)
         self.server: WSGIServer = make_server(
@@ -58,22 +72,29 @@
         self.homes.start()
         self.permits.start()
         self.reports.start()
+        self.ledger.start()
         self.driver.start()
+        self.weights.start()
         self.server.start()
 
     def finish(self, limit: float) -> None:
         """Answer what is held, then close the edge; bounded in seconds."""
-        self.server.stop_accepting()
         try:
             with self.runtime.clock.timeout(limit, TimeoutError):
-                self.active.wait_idle()
+                self._wait_finished()
         except TimeoutError:
             return
         finally:
             self.server.stop(timeout=1)
 
+    def _wait_finished(self) -> None:
+        """Wait for the answers and samples held, and what they need."""
+        self.active.wait_idle()
+        while self.worker.count() or self.permits.held_count():
+            self.runtime.clock.sleep(FINISH_PAUSE)
+
     def _make_app(self) -> falcon.App:
-        app = falcon.App()
+        app = falcon.App(middleware=[CountRequests(self.runtime.metrics)])
         install_errors(app)
         callers.add_routes(
             app,
@@ -84,12 +105,14 @@
                 permits=self.permits,
                 chooser=self.chooser,
                 engine=self.engine,
+                ledger=self.ledger,
             ),
             callers.Services(
                 runtime=self.runtime,
                 access=self.access,
                 permits=self.permits,
                 service=self.service,
+                ledger=self.ledger,
             ),
         )
         trainers.add_routes(
@@ -98,6 +121,4 @@
                 runtime=self.runtime, access=self.access, runs=self.runs
             ),
         )
-        app.add_route('/healthz', HealthResource())
-        app.add_route('/readyz', ReadinessResource(self.readiness))
         return app
--- a/guavagate/permits/_home.py
+++ b/guavagate/permits/_home.py
@@ -89,7 +89,7 @@
         for key, spec in self._specs.items():
             if key not in self._owned and find_home(key, alive) == self._me:
                 self._take_over(spec)
-        self._forget_dead(alive_ids={peer.id for peer in alive})
+        self._forget_dead()
 
     def ask(self, sender: InstanceId, ask: AskPermit) -> PermitReply:
         """Answer with a permit, a refusal, or "still queued"."""
@@ -306,16 +306,19 @@
         )
         self.move(owned)
 
-    def _forget_dead(self, alive_ids: set[InstanceId]) -> None:
+    def _forget_dead(self) -> None:
         """Free the slots of entries that have died with their callers."""
         now = self._runtime.clock.now()
         for owned in self._owned.values():
-            for work_id in owned.of_dead(alive_ids):
+            for work_id in owned.of_dead(self._is_there):
                 owned.granted.pop(work_id, None)
                 owned.seats.pop(work_id, None)
                 owned.pool.cancel(work_id, now)
             self.move(owned)
 
+    def _is_there(self, entry: InstanceId) -> bool:
+        return self._runtime.members.get(entry) is not None
+
     def _sweep(self) -> None:
         while True:
             self._runtime.clock.sleep(SWEEP_SECONDS)
--- a/guavagate/permits/_owned.py
+++ b/guavagate/permits/_owned.py
@@ -1,6 +1,7 @@
 """One pool at its home: who waits, who holds a permit."""
 
 import math
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -92,17 +93,19 @@
             and now - grant.at > UNLISTED_SECONDS
         ]
 
-    def of_dead(self, alive: set[InstanceId]) -> list[RequestId]:
+    def of_dead(
+        self, is_there: Callable[[InstanceId], bool]
+    ) -> list[RequestId]:
         """Return the work of entries that are gone."""
         seats = [
             work_id
             for work_id, seat in self.seats.items()
-            if seat.entry not in alive
+            if not is_there(seat.entry)
         ]
         grants = [
             work_id
             for work_id, grant in self.granted.items()
-            if grant.entry not in alive
+            if not is_there(grant.entry)
         ]
         return seats + grants
 
--- a/guavagate/runs/__init__.py
+++ b/guavagate/runs/__init__.py
@@ -15,7 +15,8 @@
     SubmitStep,
     Verdict,
 )
-from guavagate.runs._driver import Hosted, RunDriver
+from guavagate.runs._driver import Hosted, RunDriver, find_lineage
+from guavagate.runs._run import Run, count_progress
 from guavagate.runs._state import RUN_COMMANDS, RunsState
 from guavagate.runs._step import PendingSample
 from guavagate.runs._worker import SampleWorker
@@ -32,6 +33,7 @@
     'PendingSample',
     'PublishVersion',
     'PullBatch',
+    'Run',
     'RunAddress',
     'RunCommand',
     'RunDriver',
@@ -41,5 +43,7 @@
     'SampleWorker',
     'SubmitStep',
     'Verdict',
+    'count_progress',
+    'find_lineage',
     'partition_key',
 )
--- a/guavagate/runs/_commands.py
+++ b/guavagate/runs/_commands.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from guavagate.models import DeploymentId, RunId, SampleId, WeightVersion
+from guavagate.models import (
+    DeploymentId,
+    Epoch,
+    RunId,
+    SampleId,
+    WeightVersion,
+)
 from guavagate.partitions import Command, Outcome
 
 VersionTokens = tuple[WeightVersion, int]
@@ -85,6 +91,7 @@
     """The primary proves that it still decides before it orders a swap."""
 
     version: WeightVersion
+    epoch: Epoch = Epoch(0)
 
 
 class Verdict(enum.Enum):
--- a/guavagate/runs/_driver.py
+++ b/guavagate/runs/_driver.py
@@ -46,6 +46,9 @@
 RETRY_PAUSE: Final = 0.2
 MAX_RETRY_PAUSE: Final = 5.0
 
+# Share of a new measurement in the mean time of a sample.
+SMOOTHING: Final = 0.1
+
 Hosted = Callable[[], Iterable[tuple[Epoch, RunsState]]]
 _Key = tuple[DeploymentId, RunId, SampleId]
 
@@ -66,6 +69,7 @@
         self._runtime = runtime
         self._hosted = hosted
         self._assigned: dict[_Key, Assignment] = {}
+        self._seconds: dict[DeploymentId, float] = {}
         runtime.bus.register(SampleEnded, self._on_ended)
 
     def start(self) -> None:
@@ -76,6 +80,10 @@
         """Return how many samples are with workers."""
         return sum(1 for held in self._assigned.values() if held.worker)
 
+    def sample_seconds(self, lineage: DeploymentId) -> float | None:
+        """Return the mean time that a sample takes, once one is measured."""
+        return self._seconds.get(lineage)
+
     def tick(self) -> None:
         """Assign what the windows allow."""
         pending: set[_Key] = set()
@@ -220,9 +228,14 @@
         return counts
 
     def _release_lost(self) -> None:
-        alive = {peer.id for peer in self._runtime.members.alive()}
+        # A leaving worker is still there and finishes what it holds.
+        lost = {
+            worker
+            for worker in {held.worker for held in self._assigned.values()}
+            if worker and self._runtime.members.get(worker) is None
+        }
         for (_, run, sample), held in self._assigned.items():
-            if held.worker and held.worker not in alive:
+            if held.worker in lost:
                 write(
                     _LOGGER,
                     WORKER_LOST,
@@ -238,6 +251,10 @@
         if held is None or held.attempt != ended.attempt:
             return
         held.worker = None
+        if ended.verdict is Verdict.ACCEPTED:
+            took = self._runtime.clock.now() - held.since
+            before = self._seconds.get(ended.lineage, took)
+            self._seconds[ended.lineage] = before + SMOOTHING * (took - before)
         if ended.verdict in {None, Verdict.STALE}:
             pause = RETRY_PAUSE * 2 ** min(held.attempt, 5)
             held.not_before = self._runtime.clock.now() + min(
--- a/guavagate/runs/_run.py
+++ b/guavagate/runs/_run.py
@@ -51,6 +51,7 @@
     confirmed: bool = False
     kept: dict[str, str] = msgspec.field(default_factory=dict)
     regenerated: int = 0
+    delivered: int = 0
 
 
 def lag_of(
@@ -97,12 +98,12 @@
     )
 
 
-def count_ready(run: Run) -> int:
-    """Return how many samples of the first step are in whole groups."""
-    for step in run.steps.values():
-        places = list_ready(step, _bitmap(run.cursor, step), 1 << 30)
-        return sum(step.groups[place].samples for place in places)
-    return 0
+def count_progress(run: Run) -> tuple[int, int]:
+    """Return how many samples of the steps in work are wanted and finished."""
+    wanted = sum(
+        group.samples for step in run.steps.values() for group in step.groups
+    )
+    return wanted, sum(len(step.finished) for step in run.steps.values())
 
 
 def pull(run: Run, command: PullBatch, published: list[WeightVersion]) -> Batch:
@@ -158,6 +159,8 @@
 
 
 def _commit(run: Run, presented: Cursor) -> None:
+    if run.offered is not None:
+        run.delivered += len(run.offered.samples)
     run.cursor = presented
     run.offered = None
     run.confirmed = run.confirmed or presented.incarnation == run.incarnation
--- a/guavagate/runs/_state.py
+++ b/guavagate/runs/_state.py
@@ -50,6 +50,7 @@
 
     published: list[WeightVersion] = msgspec.field(default_factory=list)
     published_at: float = 0
+    publish_seconds: float | None = None
     runs: dict[RunId, Run] = msgspec.field(default_factory=dict)
 
 
@@ -125,6 +126,8 @@
     if lineage.published and command.version < lineage.published[-1]:
         return _outcome(lineage, Verdict.CONFLICT)
     lineage.published.append(command.version)
+    if lineage.published_at:
+        lineage.publish_seconds = command.at - lineage.published_at
     lineage.published_at = command.at
     del lineage.published[:-MAX_VERSIONS_KEPT]
     return _outcome(lineage, Verdict.ACCEPTED)
--- a/guavagate/settings/_schema.py
+++ b/guavagate/settings/_schema.py
@@ -83,6 +83,13 @@
     platform: PlatformSettings
     peers: tuple[PeerSettings, ...] = ()
     operators: tuple[OperatorSettings, ...] = ()
+    peer_credential_file: Annotated[
+        str,
+        describe(
+            'File that holds the credential shared by all instances; empty'
+            ' lets every process that reaches the address take part'
+        ),
+    ] = ''
     data_folder: Annotated[
         str, describe('Folder for bulk data; empty keeps nothing on disk')
     ] = ''
@@ -152,6 +159,10 @@
     scoring_service: Annotated[
         str, describe('Id of the service of this team that scores samples')
     ] = ''
+    prefetch_per_second: Annotated[
+        float,
+        describe('Fetches a second that the weight store allows', above=0),
+    ] = 4.0
     fences_orders: Annotated[
         bool, describe('Whether its engines refuse an old fencing number')
     ] = True
--- a/guavagate/web/__init__.py
+++ b/guavagate/web/__init__.py
@@ -2,11 +2,13 @@
 
 from guavagate.web._active import ActiveRequests
 from guavagate.web._bodies import decode_body, read_body
+from guavagate.web._counting import CountRequests
 from guavagate.web._errors import install_errors, refusal_body
 from guavagate.web._server import make_server
 
 __all__ = (
     'ActiveRequests',
+    'CountRequests',
     'decode_body',
     'install_errors',
     'make_server',
--- /dev/null
+++ b/guavagate/weights/_rollout.py
@@ -0,0 +1,323 @@
+"""Orders samplers to the newest version of each deployment decided here.
+
+Declared target and observed version are separate: the target is in the run's
+replicated state, the version in the engine's own report. Orders repeat until
+the two are equal.
+
+Engines that refuse old fencing numbers get the partition's epoch. For those
+that ignore it an order is sent only within `CONFIRM_SECONDS` of a command that
+a majority took at this epoch, and a new primary waits out that time and the
+longest order first. What remains is a pause of the process between the last
+look at the clock and the send: then an old order may undo a newer one until
+the new primary reads the version back and corrects it. Samples stay true in
+it, since each piece names the version that the engine says made it.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from guavagate.clock import Task
+from guavagate.events import write
+from guavagate.events.runs import (
+    ORDER_WITHHELD,
+    SWAP_FAILED,
+    SWAP_ORDERED,
+    SWAP_SEEN,
+)
+from guavagate.exceptions import PartitionError, UpstreamError
+from guavagate.models import DeploymentId, Epoch, RunId, SamplerId
+from guavagate.ports.engine import EngineOrder, EngineReport, ModelEngine
+from guavagate.runs import (
+    ConfirmOrder,
+    Hosted,
+    RunOutcome,
+    RunsState,
+    find_lineage,
+    partition_key,
+)
+from guavagate.runtime import Runtime
+from guavagate.settings import DeploymentSettings, SamplerSettings
+from guavagate.weights._plan import (
+    OrderKind,
+    SamplerWeights,
+    Situation,
+    WeightOrder,
+    plan_orders,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+# While a sampler is behind, its report is read at this pace; new weights have
+# to be on all samplers within seconds.
+TICK_SECONDS: Final = 0.25
+# When all have the target, reports are only read to find one that restarted.
+IDLE_SECONDS: Final = 2.0
+REPORT_TIMEOUT: Final = 1.0
+ORDER_TIMEOUT: Final = 10.0
+# A confirmation is good for less time than any takeover takes.
+CONFIRM_SECONDS: Final = 1.0
+# Time between versions and of a sample before either has been measured.
+FIRST_STEP_SECONDS: Final = 60.0
+FIRST_SAMPLE_SECONDS: Final = 5.0
+
+
+class _Lineage(msgspec.Struct, kw_only=True):
+    """What this primary knows of one deployment's samplers."""
+
+    epoch: Epoch
+    since: float
+    read_at: float = float('-inf')
+    confirmed_at: float = float('-inf')
+    allowance: float = 0
+    refilled_at: float
+    converged: bool = False
+    reports: dict[SamplerId, EngineReport] = msgspec.field(default_factory=dict)
+    ordered: dict[SamplerId, OrderKind] = msgspec.field(default_factory=dict)
+
+
+class WeightRollout:
+    """Reconciles the samplers of the deployments decided here."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        engine: ModelEngine,
+        hosted: Hosted,
+        sample_seconds: Callable[[DeploymentId], float | None],
+    ) -> None:
+        self._runtime = runtime
+        self._engine = engine
+        self._hosted = hosted
+        self._sample_seconds = sample_seconds
+        self._lineages: dict[DeploymentId, _Lineage] = {}
+        self._task: Task | None = None
+
+    def start(self) -> None:
+        """Reconcile until stopped."""
+        self._task = self._runtime.clock.spawn(self._run)
+
+    def stop(self) -> None:
+        """Give no further orders."""
+        if self._task is not None:
+            self._task.kill()
+
+    def tick(self) -> None:
+        """Look at each deployment decided here once."""
+        seen: set[DeploymentId] = set()
+        for epoch, state in self._hosted():
+            for name in list(state.lineages):
+                seen.add(name)
+                self._look_at(name, epoch, state)
+        for name in [name for name in self._lineages if name not in seen]:
+            self._lineages.pop(name)
+
+    def _run(self) -> None:
+        while True:
+            self._runtime.clock.sleep(TICK_SECONDS)
+            self.tick()
+
+    def _look_at(
+        self, name: DeploymentId, epoch: Epoch, state: RunsState
+    ) -> None:
+        deployment = find_lineage(self._runtime, name)
+        if deployment is None or state.newest(name) is None:
+            return
+        now = self._runtime.clock.now()
+        lineage = self._lineages.get(name)
+        if lineage is None or lineage.epoch != epoch:
+            lineage = _Lineage(epoch=epoch, since=now, refilled_at=now)
+            self._lineages[name] = lineage
+        newest = state.newest(name)
+        versions = {one.version for one in lineage.reports.values()}
+        lineage.converged = versions == {newest} and len(
+            lineage.reports
+        ) == len(deployment.samplers)
+        pause = IDLE_SECONDS if lineage.converged else TICK_SECONDS
+        if now - lineage.read_at < pause:
+            return
+        lineage.read_at = now
+        self._read(lineage, deployment)
+        if self._may_order(lineage, deployment):
+            self._order(name, lineage, deployment, state)
+
+    def _read(self, lineage: _Lineage, deployment: DeploymentSettings) -> None:
+        tasks = [
+            self._runtime.clock.spawn(self._read_one, lineage, sampler)
+            for sampler in deployment.samplers
+        ]
+        for task in tasks:
+            task.join()
+
+    def _read_one(self, lineage: _Lineage, sampler: SamplerSettings) -> None:
+        before = lineage.reports.get(sampler.id)
+        try:
+            report = self._engine.report(sampler.address, REPORT_TIMEOUT)
+        except UpstreamError:
+            lineage.reports.pop(sampler.id, None)
+            return
+        lineage.reports[sampler.id] = report
+        if before is not None and before.version != report.version:
+            write(
+                _LOGGER,
+                SWAP_SEEN,
+                sampler=sampler.id,
+                version=report.version,
+                before=before.version,
+            )
+
+    def _may_order(
+        self, lineage: _Lineage, deployment: DeploymentSettings
+    ) -> bool:
+        """Wait out a former primary's orders where engines don't fence."""
+        if deployment.fences_orders:
+            return True
+        held = self._runtime.clock.now() - lineage.since
+        return held > CONFIRM_SECONDS + ORDER_TIMEOUT
+
+    def _order(
+        self,
+        name: DeploymentId,
+        lineage: _Lineage,
+        deployment: DeploymentSettings,
+        state: RunsState,
+    ) -> None:
+        addresses = {one.id: one.address for one in deployment.samplers}
+        situation = self._describe(name, lineage, deployment, state)
+        known = self._describe_samplers(lineage, deployment)
+        orders = plan_orders(situation, known)
+        if not orders or not self._confirm(name, lineage, orders[0]):
+            return
+        for order in orders:
+            if order.kind is OrderKind.PREFETCH:
+                lineage.allowance -= 1
+            lineage.ordered[order.sampler] = order.kind
+            self._runtime.clock.spawn(
+                self._give, name, lineage, addresses[order.sampler], order
+            )
+
+    def _describe(
+        self,
+        name: DeploymentId,
+        lineage: _Lineage,
+        deployment: DeploymentSettings,
+        state: RunsState,
+    ) -> Situation:
+        now = self._runtime.clock.now()
+        rate = deployment.prefetch_per_second
+        lineage.allowance = min(
+            lineage.allowance + (now - lineage.refilled_at) * rate,
+            max(rate, 1),
+        )
+        lineage.refilled_at = now
+        held = state.lineages[name]
+        return Situation(
+            published=tuple(held.published),
+            max_staleness=deployment.max_staleness,
+            staleness_weight=deployment.weights.staleness,
+            idle_weight=deployment.weights.idle,
+            sample_seconds=self._sample_seconds(name) or FIRST_SAMPLE_SECONDS,
+            step_seconds=held.publish_seconds or FIRST_STEP_SECONDS,
+            prefetches=int(lineage.allowance),
+        )
+
+    def _describe_samplers(
+        self, lineage: _Lineage, deployment: DeploymentSettings
+    ) -> list[SamplerWeights]:
+        return [
+            SamplerWeights(
+                sampler=sampler.id,
+                version=lineage.reports[sampler.id].version,
+                prefetched=frozenset(lineage.reports[sampler.id].prefetched),
+                running=lineage.reports[sampler.id].running,
+                slots=sampler.slots,
+                ordered=lineage.ordered.get(sampler.id),
+            )
+            for sampler in deployment.samplers
+            if sampler.id in lineage.reports
+            and not lineage.reports[sampler.id].leaving
+        ]
+
+    def _confirm(
+        self, name: DeploymentId, lineage: _Lineage, order: WeightOrder
+    ) -> bool:
+        """Have a majority say that this epoch still decides."""
+        asked = self._runtime.clock.now()
+        command = ConfirmOrder(
+            at=self._runtime.clock.wall(),
+            deployment=name,
+            run=RunId(''),
+            version=order.version,
+            epoch=lineage.epoch,
+        )
+        try:
+            outcome = self._runtime.partitions.submit(
+                partition_key(name), command, RunOutcome, CONFIRM_SECONDS
+            )
+        except PartitionError as error:
+            write(_LOGGER, ORDER_WITHHELD, deployment=name, error=str(error))
+            return False
+        holder = self._runtime.partitions.primary_of(partition_key(name))
+        mine = (self._runtime.settings.id, lineage.epoch)
+        if holder != mine or outcome.newest != order.version:
+            return False
+        lineage.confirmed_at = asked
+        return True
+
+    def _give(
+        self,
+        name: DeploymentId,
+        lineage: _Lineage,
+        address: str,
+        order: WeightOrder,
+    ) -> None:
+        try:
+            self._send(name, lineage, address, order)
+        except UpstreamError as error:
+            write(
+                _LOGGER,
+                SWAP_FAILED,
+                sampler=order.sampler,
+                order=order.kind.value,
+                version=order.version,
+                error=str(error),
+            )
+        finally:
+            lineage.ordered.pop(order.sampler, None)
+
+    def _send(
+        self,
+        name: DeploymentId,
+        lineage: _Lineage,
+        address: str,
+        order: WeightOrder,
+    ) -> None:
+        age = self._runtime.clock.now() - lineage.confirmed_at
+        if age > CONFIRM_SECONDS:
+            write(_LOGGER, ORDER_WITHHELD, deployment=name, age=age)
+            return
+        write(
+            _LOGGER,
+            SWAP_ORDERED,
+            sampler=order.sampler,
+            order=order.kind.value,
+            version=order.version,
+            fence=lineage.epoch,
+        )
+        self._runtime.decisions.record(
+            f'{name}/{order.version}',
+            order.kind.value,
+            order.sampler,
+            order.reason,
+        )
+        self._engine.order(
+            address,
+            EngineOrder(
+                action=order.kind.value,
+                version=order.version,
+                fence=lineage.epoch,
+            ),
+            ORDER_TIMEOUT,
+        )
