Add the object API's client and the instance list

Cause: nothing spoke to the platform's store.

Calls go through a rate budget (views and leases before settings before status), a circuit that holds calls back in an outage and probes at jittered times, and jittered backoff. A write is repeated only when it was certainly not seen; StoreUnavailableError gains may_be_written (default true, so earlier callers are right). Versions seen are kept by path, deletions too; an older answer is refused. 'Not found' carries no revision, so for a path seen before it is checked against a list, which does. Ruled out: believing a 503 to mean 'not written', as something between may have sent it.

--- a/guavagate/exceptions.py
+++ b/guavagate/exceptions.py
@@ -37,7 +37,24 @@
 
 
 class StoreUnavailableError(StoreError):
-    """The object API can't be reached; a write may have taken effect."""
+    """The object API can't be reached.
+
+    Parameters
+    ----------
+    may_be_written
+        Whether the write that met it may have taken effect; then read back
+        to learn it. False only when that is certain.
+    """
+
+    def __init__(
+        self,
+        problem: str,
+        remedy: str,
+        *,
+        may_be_written: bool = True,
+    ) -> None:
+        super().__init__(problem, remedy)
+        self.may_be_written = may_be_written
 
 
 class StoreConflictError(StoreError):
--- /dev/null
+++ b/guavagate/integrations/object_api/_budget.py
@@ -0,0 +1,65 @@
+"""One instance's share of the platform's call rate, by priority.
+
+Load pattern: an availability zone goes, and every instance writes views
+while settings and status are written as always. Without priorities, status
+takes the rate that takeovers wait for. The bucket's lower part is kept for
+what is more urgent; grounds: views need a burst of about ten writes.
+"""
+
+from typing import Final
+
+from guavagate.integrations.object_api.models import Priority
+
+# The share of the bucket that must be left after a call is admitted.
+_RESERVED: Final[dict[Priority, float]] = {
+    Priority.VIEWS: 0,
+    Priority.SETTINGS: 0.3,
+    Priority.STATUS: 0.6,
+}
+_BURST_SECONDS: Final = 2.0
+_LEAST_BURST: Final = 10.0
+
+
+class Budget:
+    """A token bucket; time is an argument, seconds.
+
+    Parameters
+    ----------
+    rate
+        Calls a second that this instance may make.
+    """
+
+    def __init__(self, rate: float, now: float) -> None:
+        self._rate = rate
+        self._tokens = self._burst()
+        self._at = now
+
+    def set_rate(self, rate: float, now: float) -> None:
+        """Take another rate; what is left is kept within its burst."""
+        if rate != self._rate:
+            self._fill(now)
+            self._rate = rate
+            self._tokens = min(self._tokens, self._burst())
+
+    def take(self, priority: Priority, now: float) -> float:
+        """Return 0 when admitted, else seconds until it may be."""
+        self._fill(now)
+        floor = _RESERVED[priority] * self._burst()
+        short = floor + 1 - self._tokens
+        if short <= 0:
+            self._tokens -= 1
+            return 0
+        return short / self._rate
+
+    def empty(self, now: float) -> None:
+        """Start from nothing, so that a return of the platform is slow."""
+        self._tokens = 0
+        self._at = now
+
+    def _fill(self, now: float) -> None:
+        grown = self._tokens + (now - self._at) * self._rate
+        self._tokens = min(grown, self._burst())
+        self._at = now
+
+    def _burst(self) -> float:
+        return max(self._rate * _BURST_SECONDS, _LEAST_BURST)
--- /dev/null
+++ b/guavagate/integrations/object_api/_caller.py
@@ -0,0 +1,151 @@
+"""Makes calls within the rate, the circuit and the time limits."""
+
+import logging
+import random
+from collections.abc import Callable
+from typing import Final
+
+from guavagate.clock import Clock
+from guavagate.events import fleet, write
+from guavagate.exceptions import StoreUnavailableError
+from guavagate.integrations.object_api import const
+from guavagate.integrations.object_api._budget import Budget
+from guavagate.integrations.object_api._circuit import Circuit
+from guavagate.integrations.object_api.models import (
+    Answer,
+    Call,
+    NoAnswerError,
+    NotSentError,
+    Priority,
+    Transport,
+)
+
+_LOGGER: Final = logging.getLogger(__name__)
+
+_READ: Final = 'GET'
+_LIMITED: Final = 429
+_SERVER_ERROR: Final = 500
+_FIRST_BACKOFF: Final = 0.05
+_LONGEST_BACKOFF: Final = 1.0
+
+
+class Caller:
+    """One instance's calls to the platform.
+
+    Parameters
+    ----------
+    fleet_size
+        How many instances share the platform's rate.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        clock: Clock,
+        fleet_size: Callable[[], int],
+        rng: random.Random,
+    ) -> None:
+        self._transport = transport
+        self._clock = clock
+        self._fleet_size = fleet_size
+        self._random = rng
+        self._circuit = Circuit(rng)
+        now = clock.now()
+        self._reads = Budget(const.FLEET_READS / fleet_size(), now)
+        self._writes = Budget(const.FLEET_WRITES / fleet_size(), now)
+
+    def is_down(self) -> bool:
+        """Return whether calls are held back as the platform is down."""
+        return self._circuit.is_open()
+
+    def call(self, call: Call, priority: Priority, deadline: float) -> Answer:
+        """Make a call; repeat it while that is safe and in time.
+
+        A read is repeated after any failure; a write only when it was
+        certainly not seen, as one that took effect would meet its own
+        version in the repetition and be taken for another's.
+
+        Raises
+        ------
+        StoreUnavailableError
+            No answer in time; says whether a write may have taken effect.
+        """
+        until = self._clock.now() + deadline
+        backoff = _FIRST_BACKOFF
+        while True:
+            self._wait_turn(call, priority, until)
+            answer, problem = self._try(call)
+            if answer is not None and answer.status != _LIMITED:
+                return answer
+            wait = backoff * self._random.uniform(0.5, 1)
+            if answer is not None:
+                wait = max(wait, answer.retry_after)
+            repeat = call.method == _READ or not problem.may_be_written
+            if not repeat or self._clock.now() + wait >= until:
+                raise problem
+            self._clock.sleep(wait)
+            backoff = min(backoff * 2, _LONGEST_BACKOFF)
+
+    def _wait_turn(self, call: Call, priority: Priority, until: float) -> None:
+        """Wait for the circuit and the rate; give up at the deadline."""
+        if self._circuit.admit(self._clock.now()) > 0:
+            raise _held_back('the platform gives no answers')
+        budget = self._reads if call.method == _READ else self._writes
+        rate = const.FLEET_READS if call.method == _READ else const.FLEET_WRITES
+        budget.set_rate(rate / max(self._fleet_size(), 1), self._clock.now())
+        while True:
+            now = self._clock.now()
+            wait = budget.take(priority, now)
+            if wait == 0:
+                return
+            if now + wait >= until:
+                raise _held_back('the rate of calls is used up')
+            self._clock.sleep(wait)
+
+    def _try(self, call: Call) -> tuple[Answer | None, StoreUnavailableError]:
+        """Make the call once; return what came, or what it means."""
+        try:
+            answer = self._transport(call)
+        except NotSentError as error:
+            self._fail()
+            return None, _unavailable(str(error), may_be_written=False)
+        except NoAnswerError as error:
+            self._fail()
+            return None, _unavailable(str(error), may_be_written=True)
+        if answer.status >= _SERVER_ERROR:
+            self._fail()
+            problem = f'the platform answered {answer.status}'
+            return None, _unavailable(problem, may_be_written=True)
+        if self._circuit.succeed():
+            self._return_slowly()
+        return answer, _unavailable(
+            'the platform refuses more calls', may_be_written=False
+        )
+
+    def _fail(self) -> None:
+        if self._circuit.fail(self._clock.now()):
+            write(_LOGGER, fleet.STORE_DOWN)
+
+    def _return_slowly(self) -> None:
+        """Start from an empty budget when an outage ends.
+
+        What waited for hours would else come from all instances within the
+        same second; so it comes at the rate that the platform can take,
+        views first.
+        """
+        write(_LOGGER, fleet.STORE_UP)
+        for budget in (self._reads, self._writes):
+            budget.empty(self._clock.now())
+
+
+def _unavailable(
+    problem: str, *, may_be_written: bool
+) -> StoreUnavailableError:
+    remedy = 'try again later'
+    if may_be_written:
+        remedy = 'read back before writing again'
+    return StoreUnavailableError(problem, remedy, may_be_written=may_be_written)
+
+
+def _held_back(problem: str) -> StoreUnavailableError:
+    return _unavailable(problem, may_be_written=False)
--- /dev/null
+++ b/guavagate/integrations/object_api/_client.py
@@ -0,0 +1,239 @@
+"""The adapter from the store port to the platform's object API."""
+
+import logging
+import random
+from collections.abc import Callable
+from typing import Final, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from guavagate.clock import Clock
+from guavagate.events import fleet, write
+from guavagate.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from guavagate.integrations.object_api import const
+from guavagate.integrations.object_api._caller import Caller
+from guavagate.integrations.object_api._seen import Seen
+from guavagate.integrations.object_api.models import (
+    Answer,
+    Call,
+    ListBody,
+    Priority,
+    Transport,
+    WatchBody,
+    WrittenBody,
+)
+from guavagate.models import Revision
+from guavagate.ports.store import (
+    StoreChange,
+    StoredObject,
+    WatchCompactedError,
+)
+
+_LOGGER: Final = logging.getLogger(__name__)
+
+_OK: Final = 200
+_MISSING: Final = 404
+_CONFLICT: Final = 409
+_COMPACTED: Final = 410
+# A watch may answer a little after its time; then it counts as lost.
+_WATCH_GRACE: Final = 2.0
+
+_PRIORITIES: Final = (
+    ('views/', Priority.VIEWS),
+    ('leases/', Priority.VIEWS),
+    ('settings/', Priority.SETTINGS),
+)
+
+Body = TypeVar('Body')
+
+
+class ObjectApi:
+    """The platform's object API as an `ObjectStore`.
+
+    Parameters
+    ----------
+    transport
+        Carries one call; `connect_http` makes one.
+    fleet_size
+        How many instances share the platform's rate now.
+    rng
+        Draws the jitter.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        clock: Clock,
+        fleet_size: Callable[[], int],
+        rng: random.Random | None = None,
+    ) -> None:
+        self._caller = Caller(
+            transport, clock, fleet_size, rng or random.Random()
+        )
+        self._seen = Seen()
+
+    def is_down(self) -> bool:
+        """Return whether calls are held back as the platform is down."""
+        return self._caller.is_down()
+
+    def get(self, path: str) -> StoredObject | None:
+        """Return the object, or nothing; never an older one than before."""
+        answer = self._read(_locate(path), classify(path))
+        if answer.status == _MISSING:
+            self._confirm_missing(path)
+            return None
+        _expect(answer, _OK)
+        version = answer.version
+        if version is None or self._seen.is_old(path, version):
+            raise _refuse_old(path)
+        self._seen.note(path, version)
+        return StoredObject(path, answer.body, version)
+
+    def list_under(self, prefix: str) -> tuple[list[StoredObject], Revision]:
+        """Return all objects under a prefix and the revision of the list."""
+        query = urlencode({'prefix': prefix})
+        answer = self._read(f'/v1/objects?{query}', classify(prefix))
+        _expect(answer, _OK)
+        body = _decode(answer, ListBody)
+        if self._seen.is_old_list(body.revision):
+            raise _refuse_old(prefix)
+        self._seen.note_revision(body.revision)
+        objects = []
+        for each in body.objects:
+            self._seen.note(each.path, each.version)
+            value = bytes(each.value)
+            objects.append(StoredObject(each.path, value, each.version))
+        return objects, body.revision
+
+    def put(
+        self, path: str, value: bytes, expected: Revision | None
+    ) -> Revision:
+        """Write if the object's version is as expected (0: not there)."""
+        answer = self._write('PUT', path, value, expected)
+        version = _decode(answer, WrittenBody).version
+        self._seen.note(path, version)
+        return version
+
+    def delete(self, path: str, expected: Revision | None) -> None:
+        """Delete under the same condition."""
+        answer = self._write('DELETE', path, b'', expected)
+        version = _decode(answer, WrittenBody).version
+        self._seen.note(path, version, present=False)
+
+    def watch(
+        self, prefix: str, since: Revision, timeout: float
+    ) -> tuple[list[StoreChange], Revision]:
+        """Wait for changes after a revision; may return none."""
+        query = urlencode(
+            {'prefix': prefix, 'since': since, 'timeout': timeout}
+        )
+        answer = self._read(
+            f'/v1/watch?{query}', classify(prefix), timeout + _WATCH_GRACE
+        )
+        if answer.status == _COMPACTED:
+            raise WatchCompactedError(prefix)
+        _expect(answer, _OK)
+        body = _decode(answer, WatchBody)
+        changes = [
+            StoreChange(each.path, each.value, each.version)
+            for each in body.changes
+            if not self._seen.is_old(each.path, each.version)
+        ]
+        for change in changes:
+            present = change.value is not None
+            self._seen.note(change.path, change.version, present=present)
+        return changes, Revision(max(body.revision, since))
+
+    def _read(
+        self,
+        target: str,
+        priority: Priority,
+        timeout: float = const.CALL_SECONDS,
+    ) -> Answer:
+        call = Call(method='GET', path=target, timeout=timeout)
+        deadline = max(timeout, const.DEADLINE_SECONDS)
+        return self._caller.call(call, priority, deadline)
+
+    def _write(
+        self, method: str, path: str, value: bytes, expected: Revision | None
+    ) -> Answer:
+        headers = {}
+        if expected is not None:
+            headers[const.HEADER_EXPECTED] = str(expected)
+        call = Call(
+            method=method,
+            path=_locate(path),
+            body=value,
+            headers=headers,
+            timeout=const.CALL_SECONDS,
+        )
+        answer = self._caller.call(call, classify(path), const.DEADLINE_SECONDS)
+        if answer.status == _CONFLICT:
+            self._note_conflict(path, answer)
+            raise StoreConflictError(
+                f'{path} has another version than {expected}',
+                'read it and decide again',
+            )
+        _expect(answer, _OK)
+        return answer
+
+    def _note_conflict(self, path: str, answer: Answer) -> None:
+        current = _decode(answer, WrittenBody).version
+        if current:
+            self._seen.note(path, current)
+
+    def _confirm_missing(self, path: str) -> None:
+        """Believe that an object is gone only from a copy that is not old.
+
+        An answer "not found" carries no revision; a list does.
+        """
+        if not self._seen.knows(path):
+            return
+        found, revision = self.list_under(path)
+        if any(each.path == path for each in found):
+            raise _refuse_old(path)
+        self._seen.note(path, revision, present=False)
+
+
+def classify(path: str) -> Priority:
+    """Return the priority of calls about a path."""
+    for prefix, priority in _PRIORITIES:
+        if path.startswith(prefix):
+            return priority
+    return Priority.STATUS
+
+
+def _locate(path: str) -> str:
+    return f'/v1/objects/{quote(path)}'
+
+
+def _expect(answer: Answer, status: int) -> None:
+    if answer.status != status:
+        raise StoreError(
+            f'the platform answered {answer.status}',
+            'check the credentials file, and that values are under 1 MB',
+        )
+
+
+def _decode(answer: Answer, kind: type[Body]) -> Body:
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailableError(
+            f'the platform sent what is no answer ({error})',
+            'check what the object API address leads to',
+        ) from error
+
+
+def _refuse_old(path: str) -> StoreUnavailableError:
+    write(_LOGGER, fleet.STORE_STALE, path=path)
+    return StoreUnavailableError(
+        f'the platform answered for {path} from an old copy',
+        'ask again later; nothing older than what was seen is taken',
+        may_be_written=False,
+    )
--- /dev/null
+++ b/guavagate/integrations/object_api/const.py
@@ -0,0 +1,17 @@
+"""Names and figures of the object API's protocol."""
+
+from typing import Final
+
+HEADER_VERSION: Final = 'X-Version'
+HEADER_EXPECTED: Final = 'X-Expected-Version'
+HEADER_RETRY_AFTER: Final = 'Retry-After'
+
+# What the platform gives to the whole fleet, less a fifth that covers the
+# instances' differing views of how many they are.
+FLEET_READS: Final = 1600.0
+FLEET_WRITES: Final = 240.0
+
+# It answers in milliseconds; one that takes longer is slow, and a call is
+# given up before the caller's own limits are.
+CALL_SECONDS: Final = 2.0
+DEADLINE_SECONDS: Final = 5.0
--- /dev/null
+++ b/tests/test_object_api.py
@@ -0,0 +1,212 @@
+"""Tests of the object API's adapter: its stand-in, and virtual time."""
+
+import random
+from collections.abc import Iterator
+
+import gevent
+import msgspec
+import pytest
+
+from guavagate.clock import PausedClock, SystemClock
+from guavagate.exceptions import StoreConflictError, StoreUnavailableError
+from guavagate.integrations.instance_list import InstanceListPoller
+from guavagate.integrations.object_api import (
+    ObjectApi,
+    Priority,
+    connect_http,
+)
+from guavagate.integrations.object_api._budget import Budget
+from guavagate.integrations.object_api.models import (
+    Answer,
+    Call,
+    NoAnswerError,
+    Transport,
+)
+from guavagate.models import Revision
+from guavagate.ports.store import WatchCompactedError
+from standins import object_api
+from standins._web import Server, serve
+
+CREDENTIAL = 'platform'
+ABSENT = Revision(0)
+
+
+@pytest.fixture(name='server')
+def start_server() -> Iterator[Server]:
+    """Start the stand-in."""
+    options = object_api.ObjectApiOptions(credential=CREDENTIAL, kept_changes=3)
+    server = serve(object_api.make_app(options))
+    yield server
+    server.stop()
+
+
+@pytest.fixture(name='carry')
+def make_transport(server: Server) -> Transport:
+    """Return what carries calls to the stand-in."""
+    return connect_http(f'http://{server.address}', CREDENTIAL, SystemClock())
+
+
+@pytest.fixture(name='store')
+def make_store(carry: Transport) -> ObjectApi:
+    """Return the adapter."""
+    return ObjectApi(carry, SystemClock(), lambda: 9)
+
+
+def set_faults(carry: Transport, **faults: object) -> None:
+    """Set the stand-in's faults."""
+    body = msgspec.json.encode(faults)
+    call = Call(method='POST', path='/control/faults', body=body, timeout=5)
+    assert carry(call).status == 200
+
+
+def test_objects_have_versions_and_conditions(store: ObjectApi) -> None:
+    """A write under another version is a conflict and changes nothing."""
+    first = store.put('views/1', b'a', ABSENT)
+    second = store.put('views/1', b'b', first)
+    with pytest.raises(StoreConflictError):
+        store.put('views/1', b'c', first)
+    found = store.get('views/1')
+    assert found is not None
+    assert (found.value, found.version) == (b'b', second)
+    assert store.list_under('views/') == ([found], second)
+    changes, revision = store.watch('views/', first, 1)
+    assert [change.value for change in changes] == [b'b']
+    store.delete('views/1', second)
+    assert store.get('views/1') is None
+    for number in range(5):
+        store.put('views/2', b'%d' % number, None)
+    with pytest.raises(WatchCompactedError):
+        store.watch('views/', revision, 1)
+
+
+def test_a_lost_answer_is_not_repeated(
+    store: ObjectApi, carry: Transport
+) -> None:
+    """The write takes effect and its answer is lost on the way.
+
+    Repeated, it would meet its own version and be reported as another's.
+    So the writer hears that it may be written, and reads back.
+    """
+    set_faults(carry, lose_answers=1)
+    with pytest.raises(StoreUnavailableError) as caught:
+        store.put('views/1', b'a', ABSENT)
+    assert caught.value.may_be_written
+    set_faults(carry)
+    found = store.get('views/1')
+    assert found is not None
+    assert found.value == b'a'
+
+
+def test_an_old_copy_is_not_believed(
+    store: ObjectApi, carry: Transport
+) -> None:
+    """The platform answers from a copy made before the last writes.
+
+    What was replaced, deleted or not yet there in the copy is refused;
+    what has not changed since is still read.
+    """
+    store.put('settings/same', b'1', None)
+    store.put('settings/new', b'1', None)
+    store.put('settings/gone', b'1', None)
+    set_faults(carry, stale_reads=True)
+    store.put('settings/new', b'2', None)
+    store.put('settings/late', b'1', None)
+    store.delete('settings/gone', None)
+    for path in ('settings/new', 'settings/late', 'settings/gone'):
+        with pytest.raises(StoreUnavailableError, match='old copy'):
+            store.get(path)
+    with pytest.raises(StoreUnavailableError, match='old copy'):
+        store.list_under('settings/')
+    assert store.get('settings/same') is not None
+    set_faults(carry)
+    assert store.get('settings/gone') is None
+
+
+def test_the_list_names_instances(carry: Transport) -> None:
+    """What the platform lists is read; an entry that is broken is not."""
+    entry = {
+        'availability_zone': 'jhb-east',
+        'region': 'gauteng',
+        'peer_address': '127.0.0.1:1',
+        'http_address': '127.0.0.1:2',
+    }
+    body = msgspec.json.encode(entry)
+    call = Call(method='PUT', path='/v1/instances/a', body=body, timeout=5)
+    carry(call)
+    set_faults(carry, ghosts=[{'id': 'b'}, {**entry, 'id': 'c'}])
+    taken: list[str] = []
+    poller = InstanceListPoller(
+        carry, SystemClock(), lambda peers: taken.extend(p.id for p in peers)
+    )
+    listed = poller.poll()
+    assert listed is not None
+    assert [each.to_peer().id for each in listed] == ['a', 'c']
+
+
+class Platform:
+    """A platform in virtual time that is down until told otherwise."""
+
+    def __init__(self, clock: PausedClock) -> None:
+        self.clock = clock
+        self.down = True
+        self.calls: list[float] = []
+        self.paths: list[str] = []
+
+    def carry(self, call: Call) -> Answer:
+        """Answer at once, or time out."""
+        self.calls.append(self.clock.now())
+        self.paths.append(call.path)
+        if self.down:
+            self.clock.sleep(call.timeout)
+            raise NoAnswerError('no answer')
+        return Answer(status=404)
+
+
+def test_an_hour_without_the_store_ends_without_a_stampede() -> None:
+    """Ten instances ask all the time while the platform is down.
+
+    Calls fail at once instead of each waiting out its time limit, and the
+    platform sees a few probes. When it is back, all find out within
+    seconds, and their calls come at the rate they share, not all at once.
+    """
+    clock = PausedClock()
+    platform = Platform(clock)
+    stores = [
+        ObjectApi(platform.carry, clock, lambda: 800, random.Random(seed))
+        for seed in range(10)
+    ]
+    answered: set[ObjectApi] = set()
+
+    def ask(store: ObjectApi) -> None:
+        while True:
+            try:
+                store.get('views/1')
+            except StoreUnavailableError as error:
+                clock.sleep(1 if error.may_be_written else 2)
+            else:
+                answered.add(store)
+
+    tasks = [clock.spawn(ask, store) for store in stores for _ in range(4)]
+    clock.advance(3600)
+    assert all(store.is_down() for store in stores)
+    probes = [at for at in platform.calls if at > clock.now() - 600]
+    assert len(probes) / 600 <= len(stores) / 4.5
+    platform.down = False
+    back = clock.now()
+    clock.advance(10)
+    assert len(answered) == len(stores)
+    seconds = [int(at - back) for at in platform.calls if at > back]
+    assert max(seconds.count(each) for each in range(10)) <= 3 * len(stores)
+    gevent.killall(tasks)
+
+
+def test_views_go_before_settings_before_status() -> None:
+    """When the rate is used up by status, views still get through."""
+    budget = Budget(10, 0)
+    admitted = dict.fromkeys(reversed(Priority), 0)
+    for priority in admitted:
+        while budget.take(priority, 0) == 0:
+            admitted[priority] += 1
+    assert list(admitted.values()) == [8, 6, 6]
+    assert budget.take(Priority.VIEWS, 0.1) == 0
+    assert budget.take(Priority.STATUS, 0.2) > 0
