--- a/guavagate/cli/_client.py
+++ b/guavagate/cli/_client.py
@@ -100,7 +100,7 @@
         detail = msgspec.json.decode(content, type=ErrorBody).error
     except (msgspec.DecodeError, UnicodeDecodeError):
         raise ToolError(
-            f'the answer {status} is not guavagate’s\ncheck that the endpoint'
+            f'the answer {status} is not of guavagate\ncheck that the endpoint'
             ' is an instance or its balancer',
             Exit.UNAVAILABLE,
         ) from None
--- a/guavagate/settings/_schema.py
+++ b/guavagate/settings/_schema.py
@@ -68,7 +68,7 @@
 
 
 class InstanceSettings(_Settings, frozen=True, kw_only=True):
-    """One instance's own TOML file; addresses are ``ip:port``."""
+    """One instance's own TOML file; addresses are ip:port."""
 
     id: Annotated[InstanceId, describe('Id of the instance', Kind.ID)]
     availability_zone: Annotated[
