--- a/standins/engine/_engine.py
+++ b/standins/engine/_engine.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, Final
 
 import gevent
 from gevent.event import Event
@@ -17,6 +17,9 @@
 from standins.history import Recorder
 from standins.text import count_tokens, make_token
 
+# A prompt's tokens are counted roughly, by its characters.
+CHARACTERS_PER_TOKEN: Final = 4
+
 
 class Engine:
     """One engine's state.
@@ -81,8 +84,9 @@
         self._running[request.request_id] = stopped
         trace = Trace(self.recorder, self.options.id, request)
         try:
-            self._prefill(request)
+            cached = self._prefill(request)
             for event in self._decode(request, stopped):
+                event['usage']['cached_tokens'] = cached
                 trace.add(event)
                 yield event
         finally:
@@ -113,20 +117,19 @@
             fence=self.fence,
         )
 
-    def _prefill(self, request: Request) -> None:
-        """Take the time that the uncached part of the prompt takes."""
-        text = request.prompt + request.resume_text
-        missing = len(text) * (1 - self.cache.use(request.prompt))
+    def _prefill(self, request: Request) -> int:
+        """Take the time of the uncached part; return the cached tokens."""
+        cached = len(request.prompt) * self.cache.use(request.prompt)
+        missing = len(request.prompt + request.resume_text) - cached
         gevent.sleep(missing / 1000 * self.options.prefill_s * self.faults.slow)
+        return round(cached / CHARACTERS_PER_TOKEN)
 
     def _decode(
         self, request: Request, stopped: Event
     ) -> Iterator[dict[str, Any]]:
         """Yield pieces of tokens up to the terminal one."""
-        draw = request.request_id if request.seed is None else request.seed
-        total = count_tokens(request.prompt, str(draw), request.max_tokens)
         start = min(request.resume_tokens, request.max_tokens)
-        total = max(total, start)
+        total = max(self._draw_length(request), start)
         index = start
         while not stopped.is_set():
             piece, version = self._make_piece(request.prompt, index, total)
@@ -137,6 +140,13 @@
             if index >= total:
                 return
 
+    def _draw_length(self, request: Request) -> int:
+        """Return how long the answer becomes."""
+        if self.options.fixed_length:
+            return request.max_tokens
+        draw = request.request_id if request.seed is None else request.seed
+        return count_tokens(request.prompt, str(draw), request.max_tokens)
+
     def _make_piece(
         self, prompt: str, index: int, total: int
     ) -> tuple[list[str], int]:
@@ -178,11 +188,7 @@
     ) -> dict[str, Any]:
         """Return one event, with the tokens made so far."""
         finish = 'stop' if done else None
-        usage = {
-            'tokens': len(piece),
-            'cached_tokens': 0,
-            'completion_tokens': made,
-        }
+        usage = {'tokens': len(piece), 'completion_tokens': made}
         event: dict[str, Any] = {
             'id': request.request_id,
             'choices': [{'text': ''.join(piece), 'finish_reason': finish}],
