Wire the operators' routes, metrics and readiness into the instance

The routes, metrics and the settings' readiness existed but no daemon served them.

Callers' requests are timed where they are counted already, streams to their last byte. Bodies are read by guavagate.web, and the second health module is gone: both stood twice.

Metrics that nothing feeds are left out of the catalogue until something does.

--- a/guavagate/assembly.py
+++ b/guavagate/assembly.py
@@ -11,7 +11,9 @@
 from guavagate.integrations.object_api import make_store
 from guavagate.links import ZmqBus
 from guavagate.membership import StaticMembers
+from guavagate.metrics import Metrics
 from guavagate.models import Epoch, PartitionId
+from guavagate.operations import Operations
 from guavagate.partitions import Command, LocalPartitions, ReplicatedState
 from guavagate.partitions.replicated import ReplicatedPartitions
 from guavagate.runs import RUN_COMMANDS, PublishVersion, RunsState
@@ -36,12 +38,14 @@
         teams: TeamsInForce,
         partitions: ReplicatedPartitions,
         instance: Instance,
+        operations: Operations,
     ) -> None:
         self._runtime = runtime
         self._bus = bus
         self._teams = teams
         self._partitions = partitions
         self._instance = instance
+        self._operations = operations
         self._stopping = False
 
     def start(self) -> None:
@@ -50,6 +54,7 @@
         self._teams.start()
         self._partitions.start()
         self._instance.readiness.add('stop', self._why_stopping)
+        self._operations.start()
         self._instance.start()
 
     def stop(self) -> None:
@@ -64,6 +69,7 @@
         self._partitions.stop(max(end - self._runtime.clock.now(), 0) / 2)
         self._log('finishing held answers', count=self._instance.active.count)
         self._instance.finish(max(end - self._runtime.clock.now(), 0))
+        self._operations.stop()
         self._teams.stop()
         self._bus.stop()
         self._log('stopped', cut=self._instance.active.count)
@@ -109,6 +115,12 @@
         teams=teams,
         partitions=LocalPartitions(settings.id, {}),
         decisions=decisions,
+        metrics=Metrics(
+            {
+                'instance': settings.id,
+                'availability_zone': settings.availability_zone,
+            }
+        ),
     )
     partitions = ReplicatedPartitions(runtime, make_states)
     runtime.partitions = partitions
@@ -121,4 +133,7 @@
         ]
 
     instance = Instance(runtime, hosted)
-    return Process(runtime, bus, teams, partitions, instance)
+    operations = Operations(
+        runtime, instance, teams, decisions, hosted, partitions.views
+    )
+    return Process(runtime, bus, teams, partitions, instance, operations)
--- a/guavagate/callers/_request.py
+++ b/guavagate/callers/_request.py
@@ -10,6 +10,7 @@
 from guavagate.clock import Clock
 from guavagate.const import HEADER_DEADLINE, HEADER_REQUEST_ID
 from guavagate.exceptions import RefusalError
+from guavagate.metrics import ENV_TEAM
 from guavagate.models import RequestId
 from guavagate.settings import CallerSettings, TeamSettings
 
@@ -39,6 +40,7 @@
         The token is not known, or a header is malformed.
     """
     identity = access.identify(request.get_header('Authorization'))
+    request.env[ENV_TEAM] = identity.team
     return CallerRequest(
         id=_read_id(request),
         identity=identity,
--- a/guavagate/cli/_errors.py
+++ b/guavagate/cli/_errors.py
@@ -23,6 +23,7 @@
 _BY_CODE: Final = {
     'invalid_settings': Exit.INVALID,
     'invalid_body': Exit.INVALID,
+    'malformed_json': Exit.INVALID,
     'body_too_large': Exit.INVALID,
     'conflict': Exit.CONFLICT,
     'unsure': Exit.UNSURE,
--- a/guavagate/cli/_fleet.py
+++ b/guavagate/cli/_fleet.py
@@ -94,7 +94,7 @@
                 one.sampler,
                 one.state.value,
                 f'{one.running}/{one.slots}',
-                _tell_version(one.version, one.target),
+                _tell_version(one.version),
                 one.home,
             )
             for one in body.samplers
@@ -113,15 +113,15 @@
         print_json(body)
         return
     print_table(
-        ('TEAM', 'RUN', 'VERSION', 'STEP', 'DONE', 'GIVEN', 'STALE'),
+        ('TEAM', 'RUN', 'VERSION', 'STEPS', 'STEP', 'DONE', 'STALE'),
         [
             (
                 one.team,
                 one.run,
-                _tell_version(one.version, one.version),
-                '' if one.step is None else one.step,
-                f'{one.samples_finished}/{one.samples_wanted}',
-                one.samples_delivered,
+                _tell_version(one.version),
+                one.steps,
+                one.step,
+                f'{one.finished}/{one.wanted}',
                 one.stale,
             )
             for one in body.runs
@@ -186,10 +186,5 @@
     return f'{primaries}/{len(partitions) - primaries}'
 
 
-def _tell_version(
-    version: WeightVersion | None, target: WeightVersion | None
-) -> str:
-    shown = '?' if version is None else str(version)
-    if target is None or target == version:
-        return shown
-    return f'{shown}→{target}'
+def _tell_version(version: WeightVersion | None) -> str:
+    return '?' if version is None else str(version)
--- a/guavagate/instance.py
+++ b/guavagate/instance.py
@@ -8,6 +8,7 @@
 from guavagate.health import HealthResource, Readiness, ReadinessResource
 from guavagate.integrations.model_engine import HttpModelEngine
 from guavagate.integrations.plain_service import HttpPlainService
+from guavagate.metrics import make_request_watch
 from guavagate.permits import (
     PermitClient,
     PoolChooser,
@@ -48,7 +49,9 @@
         )
         self.readiness = Readiness()
         self.app = self._make_app()
-        self.active = ActiveRequests(self.app)
+        self.active = ActiveRequests(
+            self.app, make_request_watch(runtime.clock, runtime.metrics)
+        )
         self.server: WSGIServer = make_server(
             self.active, runtime.settings.http_address
         )
--- a/guavagate/metrics/__init__.py
+++ b/guavagate/metrics/__init__.py
@@ -2,9 +2,11 @@
 
 from guavagate.metrics._metric import Metric, MetricKind, list_metrics
 from guavagate.metrics._registry import Metrics
+from guavagate.metrics._requests import ENV_TEAM, make_request_watch
 from guavagate.metrics._series import Point, Series, SeriesKeeper
 
 __all__ = (
+    'ENV_TEAM',
     'Metric',
     'MetricKind',
     'Metrics',
@@ -12,4 +14,5 @@
     'Series',
     'SeriesKeeper',
     'list_metrics',
+    'make_request_watch',
 )
--- a/guavagate/metrics/_registry.py
+++ b/guavagate/metrics/_registry.py
@@ -60,6 +60,12 @@
         if collector is not None:
             collector.observe(labels, float(amount))
 
+    def clear(self, metric: Metric) -> None:
+        """Forget a gauge's values, such as those of pools given up."""
+        collector = self._collectors.get(metric.name)
+        if collector is not None:
+            collector.values.clear()
+
     def before_reading(self, refresh: Callable[[], None]) -> None:
         """Call back, without blocking, before the values are read."""
         self._refreshers.append(refresh)
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -7,8 +7,8 @@
 REQUESTS: Final = Metric(
     name='guavagate_requests_total',
     kind=MetricKind.COUNTER,
-    text='Requests answered, by outcome',
-    labels=('team', 'outcome'),
+    text="Callers' requests answered, by HTTP status",
+    labels=('team', 'status'),
     plotted=True,
 )
 REQUEST_SECONDS: Final = Metric(
@@ -18,45 +18,18 @@
     labels=('team',),
     plotted=True,
 )
-FIRST_TOKEN_SECONDS: Final = Metric(
-    name='guavagate_first_token_seconds',
-    kind=MetricKind.HISTOGRAM,
-    text='Time from a request to the first piece of its answer',
-    labels=('team',),
-    plotted=True,
-)
 QUEUED: Final = Metric(
     name='guavagate_queued_requests',
     kind=MetricKind.GAUGE,
-    text='Requests that wait for a permit at homes on this instance',
-    labels=('deployment',),
+    text='Requests that wait for a permit at pools at home here',
+    labels=('pool',),
     plotted=True,
 )
 RUNNING: Final = Metric(
     name='guavagate_running_requests',
     kind=MetricKind.GAUGE,
-    text='Permits given out by homes on this instance',
-    labels=('deployment',),
-    plotted=True,
-)
-SAMPLES: Final = Metric(
-    name='guavagate_samples_total',
-    kind=MetricKind.COUNTER,
-    text='Samples finished on this instance, by outcome',
-    labels=('run', 'outcome'),
-    plotted=True,
-)
-STALENESS: Final = Metric(
-    name='guavagate_sample_staleness_versions',
-    kind=MetricKind.HISTOGRAM,
-    text='Versions that a delivered sample was behind',
-    labels=('run',),
-)
-IDLE_SECONDS: Final = Metric(
-    name='guavagate_trainer_idle_seconds_total',
-    kind=MetricKind.COUNTER,
-    text='Time that trainers waited for samples',
-    labels=('run',),
+    text='Permits given out by pools at home here',
+    labels=('pool',),
     plotted=True,
 )
 MEMBERS: Final = Metric(
--- /dev/null
+++ b/guavagate/operations.py
@@ -0,0 +1,66 @@
+"""What operators see and do on one instance, wired to its parts."""
+
+from guavagate.explain import Explainer, RecentDecisions
+from guavagate.instance import Instance
+from guavagate.metrics import SeriesKeeper, names
+from guavagate.operators import (
+    Collector,
+    Operators,
+    add_metrics_route,
+    add_routes,
+)
+from guavagate.reports import ListViews, LiveReports, refresh_process
+from guavagate.runs import Hosted
+from guavagate.runtime import Runtime
+from guavagate.settings import TeamsInForce
+
+
+class Operations:
+    """The operators' routes, metrics and time series of one instance."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        instance: Instance,
+        teams: TeamsInForce,
+        recent: RecentDecisions,
+        hosted: Hosted,
+        views: ListViews,
+    ) -> None:
+        self._runtime = runtime
+        self._teams = teams
+        self._reports = LiveReports(runtime, instance, hosted, views)
+        self._series = SeriesKeeper(runtime.clock, runtime.metrics)
+        explainer = Explainer(
+            runtime.settings.id, runtime.bus, runtime.members, recent
+        )
+        runtime.metrics.before_reading(self._refresh)
+        instance.readiness.add('settings', self._why_settings)
+        add_metrics_route(instance.app, runtime.metrics)
+        add_routes(
+            instance.app,
+            Operators(
+                access=instance.access,
+                teams=teams,
+                explainer=explainer,
+                collector=Collector(runtime, self._reports, self._series),
+            ),
+        )
+
+    def start(self) -> None:
+        """Start keeping the time series."""
+        self._series.start()
+
+    def stop(self) -> None:
+        """Stop keeping them."""
+        self._series.stop()
+
+    def _why_settings(self) -> str:
+        return '; '.join(self._teams.waits_for())
+
+    def _refresh(self) -> None:
+        metrics = self._runtime.metrics
+        refresh_process(metrics)
+        self._reports.refresh(metrics)
+        for team, revision in self._teams.table.revisions().items():
+            metrics.set_gauge(names.SETTINGS_REVISION, revision, team=team)
--- a/guavagate/operators/__init__.py
+++ b/guavagate/operators/__init__.py
@@ -3,6 +3,7 @@
 from guavagate.operators._answers import ErrorBody, ErrorDetail
 from guavagate.operators._base import Operators
 from guavagate.operators._collect import Collector
+from guavagate.operators._exposition import add_metrics_route
 from guavagate.operators._fleet import (
     DeploymentReport,
     DeploymentsBody,
@@ -12,7 +13,6 @@
     SamplersBody,
     SeriesBody,
 )
-from guavagate.operators._health import add_health_routes
 from guavagate.operators._reports import (
     InstanceReport,
     LocalReports,
@@ -57,6 +57,6 @@
     'SettingsRollback',
     'StatusBody',
     'TeamBody',
-    'add_health_routes',
+    'add_metrics_route',
     'add_routes',
 )
--- a/guavagate/operators/_answers.py
+++ b/guavagate/operators/_answers.py
@@ -1,7 +1,7 @@
 """JSON answers and errors of the operators' routes."""
 
 import difflib
-from typing import Any, Final, TypeVar
+from typing import Any
 
 import falcon
 import msgspec
@@ -21,11 +21,10 @@
     SettingsUnsureError,
 )
 
-_MAX_BODY: Final = 1_000_000
-_Body = TypeVar('_Body')
 
-
-class ErrorDetail(msgspec.Struct, frozen=True, kw_only=True):
+class ErrorDetail(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True
+):
     """Why something was refused, and what the operator can do.
 
     Parameters
@@ -50,33 +49,6 @@
     error: ErrorDetail
 
 
-def read_json(request: falcon.Request, kind: type[_Body]) -> _Body:
-    """Return the request's body as a typed message.
-
-    Raises
-    ------
-    RefusalError
-        It is too large, no JSON, or lacks a field.
-    """
-    body = request.bounded_stream.read(_MAX_BODY + 1)
-    if len(body) > _MAX_BODY:
-        raise RefusalError(
-            f'the body is larger than {_MAX_BODY} bytes',
-            'send less',
-            reason='body_too_large',
-            status=413,
-        )
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise RefusalError(
-            f'the body is not as docs/api.md has it: {error}',
-            'mend the named field',
-            reason='invalid_body',
-            status=400,
-        ) from error
-
-
 def write_json(response: falcon.Response, body: Any, status: int = 200) -> None:
     """Answer with a typed message."""
     response.status = status
--- a/guavagate/operators/_fleet.py
+++ b/guavagate/operators/_fleet.py
@@ -265,6 +265,6 @@
         serving=sum(report.state.value == 'serving' for report in own),
         running=sum(report.running for report in own),
         slots=sum(report.slots for report in own),
-        queued=sum(report.queued for report in own),
+        queued=sum({one.pool: one.pool_queued for one in own}.values()),
         versions=tuple(sorted(versions)),
     )
--- a/guavagate/operators/_reports.py
+++ b/guavagate/operators/_reports.py
@@ -53,7 +53,14 @@
 
 
 class SamplerReport(msgspec.Struct, frozen=True, kw_only=True):
-    """One sampler as its home sees it."""
+    """One sampler as its home sees it.
+
+    Parameters
+    ----------
+    pool, pool_queued
+        The pool that it is in, and the requests that wait there for any of
+        its samplers.
+    """
 
     team: TeamId
     deployment: DeploymentId
@@ -63,23 +70,33 @@
     state: UpstreamState = UpstreamState.SERVING
     running: int = 0
     slots: int = 0
-    queued: int = 0
+    pool: str = ''
+    pool_queued: int = 0
     version: WeightVersion | None = None
-    target: WeightVersion | None = None
 
 
 class RunReport(msgspec.Struct, frozen=True, kw_only=True):
-    """One trainer's run as its primary sees it."""
+    """One trainer's run as its primary sees it.
+
+    Parameters
+    ----------
+    step, wanted, finished
+        The first step that is not yet delivered whole, and its samples.
+    steps
+        Steps in work.
+    stale
+        Samples that were too old and have been generated again.
+    """
 
     team: TeamId
     run: RunId
     primary: InstanceId
     deployment: DeploymentId = DeploymentId('')
     version: WeightVersion | None = None
-    step: int | None = None
-    samples_wanted: int = 0
-    samples_finished: int = 0
-    samples_delivered: int = 0
+    step: str = ''
+    steps: int = 0
+    wanted: int = 0
+    finished: int = 0
     stale: int = 0
 
 
--- a/guavagate/operators/_settings.py
+++ b/guavagate/operators/_settings.py
@@ -1,11 +1,13 @@
 """Settings under paths, one subtree for each team."""
 
+from typing import Final
+
 import falcon
 import msgspec
 
 from guavagate.exceptions import RefusalError
 from guavagate.models import Revision, TeamId
-from guavagate.operators._answers import diff_texts, read_json, write_json
+from guavagate.operators._answers import diff_texts, write_json
 from guavagate.operators._base import Operators, answers_errors
 from guavagate.settings import (
     Change,
@@ -15,6 +17,9 @@
     parse_team_settings,
     settings_path,
 )
+from guavagate.web import decode_body, read_body
+
+_MAX_BODY: Final = 1_000_000
 
 
 class SettingsPut(msgspec.Struct, frozen=True, kw_only=True):
@@ -149,7 +154,7 @@
     ) -> None:
         """Change them; accepted is in force."""
         known, who = self._enter(request, team)
-        body = read_json(request, SettingsPut)
+        body = decode_body(read_body(request, _MAX_BODY), SettingsPut)
         record = self._parts.teams.change(
             Wanted(
                 team=known,
@@ -172,7 +177,7 @@
     ) -> None:
         """Return the difference to what is in force, or every problem."""
         known, _ = self._enter(request, team)
-        text = read_json(request, SettingsCheck).toml
+        text = decode_body(read_body(request, _MAX_BODY), SettingsCheck).toml
         parse_team_settings(text, settings_path(known))
         record = self._parts.teams.table.record(known)
         revision = record.revision if record else Revision(0)
@@ -239,7 +244,7 @@
     ) -> None:
         """Roll back."""
         known, who = self._enter(request, team)
-        body = read_json(request, SettingsRollback)
+        body = decode_body(read_body(request, _MAX_BODY), SettingsRollback)
         past = self._past(known, body.to)
         record = self._parts.teams.change(
             Wanted(
--- a/guavagate/permits/__init__.py
+++ b/guavagate/permits/__init__.py
@@ -15,12 +15,14 @@
 )
 from guavagate.permits._home import PoolHomes
 from guavagate.permits._messages import Permit, Release
+from guavagate.permits._owned import OwnedPool
 from guavagate.permits._progress import Progress
 from guavagate.permits._reports import ReportReader
 
 __all__ = (
     'AnswerSource',
     'FailedAttempt',
+    'OwnedPool',
     'Permit',
     'PermitClient',
     'PoolChooser',
--- a/guavagate/runs/__init__.py
+++ b/guavagate/runs/__init__.py
@@ -16,6 +16,7 @@
     Verdict,
 )
 from guavagate.runs._driver import Hosted, RunDriver
+from guavagate.runs._run import Run
 from guavagate.runs._state import RUN_COMMANDS, RunsState
 from guavagate.runs._step import PendingSample
 from guavagate.runs._worker import SampleWorker
@@ -32,6 +33,7 @@
     'PendingSample',
     'PublishVersion',
     'PullBatch',
+    'Run',
     'RunAddress',
     'RunCommand',
     'RunDriver',
--- a/guavagate/web/_active.py
+++ b/guavagate/web/_active.py
@@ -6,6 +6,8 @@
 from gevent.event import Event
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+# Called at a request's start; what it returns, with the status at its end.
+Watch = Callable[[dict[str, Any]], Callable[[str], None]]
 
 
 class ActiveRequests:
@@ -15,8 +17,9 @@
     that the balancer sends the next request elsewhere.
     """
 
-    def __init__(self, app: WsgiApp) -> None:
+    def __init__(self, app: WsgiApp, watch: Watch | None = None) -> None:
         self._app = app
+        self._watch = watch or _watch_nothing
         self.count = 0
         self.closing = False
         self._idle = Event()
@@ -42,11 +45,15 @@
     def _answer(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterator[bytes]:
+        end = self._watch(environ)
+        sent = ['']
+
         def start(
             status: str,
             headers: list[tuple[str, str]],
             *args: Any,
         ) -> Any:
+            sent[0] = status
             if self.closing:
                 headers = [*headers, ('Connection', 'close')]
             return start_response(status, headers, *args)
@@ -58,3 +65,8 @@
             close = getattr(body, 'close', None)
             if close is not None:
                 close()
+            end(sent[0])
+
+
+def _watch_nothing(environ: dict[str, Any]) -> Callable[[str], None]:
+    return lambda status: None
