--- a/guavagate/callers/_request.py
+++ b/guavagate/callers/_request.py
@@ -10,6 +10,7 @@
 from guavagate.clock import Clock
 from guavagate.const import HEADER_DEADLINE, HEADER_REQUEST_ID
 from guavagate.exceptions import RefusalError
+from guavagate.metrics import ENV_TEAM
 from guavagate.models import RequestId
 from guavagate.settings import CallerSettings, TeamSettings
 
@@ -23,7 +24,6 @@
 
     id: RequestId
     identity: Identity
-    begun: float
     deadline: float
 
 
@@ -40,11 +40,10 @@
         The token is not known, or a header is malformed.
     """
     identity = access.identify(request.get_header('Authorization'))
-    request.context.team = identity.team
+    request.env[ENV_TEAM] = identity.team
     return CallerRequest(
         id=_read_id(request),
         identity=identity,
-        begun=clock.now(),
         deadline=clock.now() + _read_deadline(request),
     )
 
--- a/guavagate/runs/__init__.py
+++ b/guavagate/runs/__init__.py
@@ -16,7 +16,7 @@
     Verdict,
 )
 from guavagate.runs._driver import Hosted, RunDriver, find_lineage
-from guavagate.runs._run import Run, count_progress
+from guavagate.runs._run import Run
 from guavagate.runs._state import RUN_COMMANDS, RunsState
 from guavagate.runs._step import PendingSample
 from guavagate.runs._worker import SampleWorker
@@ -43,7 +43,6 @@
     'SampleWorker',
     'SubmitStep',
     'Verdict',
-    'count_progress',
     'find_lineage',
     'partition_key',
 )
