--- a/guavagate/instance.py
+++ b/guavagate/instance.py
@@ -1,13 +1,18 @@
-"""One instance: its parts, wired and started in order, stopped in reverse."""
+"""The parts of one instance above its runtime, wired and started in order."""
+
+from typing import Final
 
 import falcon
 from gevent.pywsgi import WSGIServer
 
 from guavagate import callers, trainers
 from guavagate.auth import Access
+from guavagate.callers import make_id
 from guavagate.health import HealthResource, Readiness, ReadinessResource
 from guavagate.integrations.model_engine import HttpModelEngine
 from guavagate.integrations.plain_service import HttpPlainService
+from guavagate.ledger import Ledger
+from guavagate.metrics import make_request_watch
 from guavagate.permits import (
     PermitClient,
     PoolChooser,
@@ -18,6 +23,9 @@
 from guavagate.runtime import Runtime
 from guavagate.scoring import Scorer
 from guavagate.web import ActiveRequests, install_errors, make_server
+from guavagate.weights import WeightRollout
+
+FINISH_PAUSE: Final = 0.05
 
 
 class Instance:
@@ -34,8 +42,12 @@
         self.reports = ReportReader(
             runtime, self.homes, self.engine, self.service
         )
+        self.ledger = Ledger(runtime, make_id)
         self.runs = RunsClient(runtime)
         self.driver = RunDriver(runtime, hosted)
+        self.weights = WeightRollout(
+            runtime, self.engine, hosted, self.driver.sample_seconds
+        )
         self.scorer = Scorer(runtime, self.permits)
         self.worker = SampleWorker(
             runtime,
@@ -48,7 +60,9 @@
         )
         self.readiness = Readiness()
         self.app = self._make_app()
-        self.active = ActiveRequests(self.app)
+        self.active = ActiveRequests(
+            self.app, make_request_watch(runtime.clock, runtime.metrics)
+        )
         self.server: WSGIServer = make_server(
             self.active, runtime.settings.http_address
         )
@@ -58,20 +72,27 @@
         self.homes.start()
         self.permits.start()
         self.reports.start()
+        self.ledger.start()
         self.driver.start()
+        self.weights.start()
         self.server.start()
 
     def finish(self, limit: float) -> None:
         """Answer what is held, then close the edge; bounded in seconds."""
-        self.server.stop_accepting()
         try:
             with self.runtime.clock.timeout(limit, TimeoutError):
-                self.active.wait_idle()
+                self._wait_finished()
         except TimeoutError:
             return
         finally:
             self.server.stop(timeout=1)
 
+    def _wait_finished(self) -> None:
+        """Wait for the answers and samples held, and what they need."""
+        self.active.wait_idle()
+        while self.worker.count() or self.permits.held_count():
+            self.runtime.clock.sleep(FINISH_PAUSE)
+
     def _make_app(self) -> falcon.App:
         app = falcon.App()
         install_errors(app)
@@ -84,12 +105,14 @@
                 permits=self.permits,
                 chooser=self.chooser,
                 engine=self.engine,
+                ledger=self.ledger,
             ),
             callers.Services(
                 runtime=self.runtime,
                 access=self.access,
                 permits=self.permits,
                 service=self.service,
+                ledger=self.ledger,
             ),
         )
         trainers.add_routes(
