--- a/guavagate/measure/outcomes/_requests.py
+++ b/guavagate/measure/outcomes/_requests.py
@@ -28,6 +28,7 @@
 _TRIES: Final = 12
 _AT_ONCE: Final = 0.15
 _GAP: Final = 0.4
+_REUSES: Final = 0.1
 
 
 class Requests:
@@ -76,17 +77,24 @@
         """Send one request after the other."""
         for number in range(self._requests):
             self._fleet.clock.sleep(self._rng.uniform(0, 2 * _GAP))
-            self._call_one(caller, f'{caller}/{number}')
+            request = f'{caller}/{number}'
+            self._call_one(caller, request, request)
+            if self._rng.random() < _REUSES:
+                # A program's fault: another request under the same key.
+                self._call_one(caller, f'{request}-other', request, 1)
 
-    def _call_one(self, caller: str, request: str) -> None:
+    def _call_one(
+        self, caller: str, request: str, key: str, tries: int = _TRIES
+    ) -> None:
         """Send a request until it is answered or its outcome is final."""
-        for attempt in range(_TRIES):
+        for attempt in range(tries):
             copies = 2 if self._rng.random() < _AT_ONCE else 1
             tasks = [
                 self._fleet.clock.spawn(
                     self._attempt,
                     caller,
                     request,
+                    key,
                     f'{request}#{attempt}.{copy}',
                 )
                 for copy in range(copies)
@@ -97,7 +105,9 @@
                 return
             self._fleet.clock.sleep(self._rng.uniform(0, 2 * _GAP))
 
-    def _attempt(self, caller: str, request: str, attempt: str) -> bool:
+    def _attempt(
+        self, caller: str, request: str, key: str, attempt: str
+    ) -> bool:
         """Send one attempt to some instance; say whether it was answered."""
         entry = self._rng.choice(sorted(self._ledgers))
         now = self._fleet.clock.now
@@ -107,11 +117,11 @@
                 who=caller,
                 request=request,
                 attempt=attempt,
-                key=request,
+                key=key,
                 body=request,
             )
         )
-        outcome = self._reach(entry, caller, request)
+        outcome = self._reach(entry, caller, request, key)
         if isinstance(outcome, Answer):
             self.record.append(
                 hist.Received(
@@ -141,14 +151,14 @@
         return False
 
     def _reach(
-        self, entry: str, caller: str, request: str
+        self, entry: str, caller: str, request: str, key: str
     ) -> Answer | RefusalError | None:
         """Send to an instance; nothing comes back when it breaks off."""
         host = self._fleet.host(entry)
         answer: AsyncResult[Answer | RefusalError | None] = AsyncResult()
         host.deliver(
             lambda: host.clock.spawn(
-                self._serve, entry, caller, request, answer
+                self._serve, entry, caller, request, key, answer
             )
         )
         breaks = self._rng.random() < _BREAKS
@@ -164,6 +174,7 @@
         entry: str,
         caller: str,
         request: str,
+        key: str,
         answer: 'AsyncResult[Answer | RefusalError | None]',
     ) -> None:
         """Handle a request at an instance, as its HTTP edge does."""
@@ -171,7 +182,7 @@
         once = OnceRequest(
             team=TeamId('team'),
             caller=CallerId(caller),
-            key=request,
+            key=key,
             digest=request,
         )
         try:
--- a/guavagate/measure/outcomes/_run.py
+++ b/guavagate/measure/outcomes/_run.py
@@ -93,6 +93,10 @@
         lambda: all(task.ready() for task in tasks), _LIMIT
     )
     _end(fleet)
+    for task in tasks:
+        # A driver that fell over would leave a history without faults.
+        if task.exception is not None and done:
+            raise task.exception
     record.extend(bringer.events)
     return Run(
         seed=seed,
