--- a/guavagate/assembly.py
+++ b/guavagate/assembly.py
@@ -1,17 +1,24 @@
 """Wires one instance over real links, clock and platform."""
 
 import logging
+from pathlib import Path
 from typing import Final
 
+from gevent.event import Event
+
 from guavagate.clock import SystemClock
 from guavagate.events import edge as events
 from guavagate.events import write
 from guavagate.explain import RecentDecisions
 from guavagate.instance import Instance
-from guavagate.integrations.object_api import make_store
+from guavagate.integrations.instance_list import InstanceListPoller
+from guavagate.integrations.object_api import ObjectApi, connect_http
+from guavagate.ledger import make_ledger_states
 from guavagate.links import ZmqBus
-from guavagate.membership import StaticMembers
+from guavagate.membership import Membership
+from guavagate.metrics import Metrics
 from guavagate.models import Epoch, PartitionId
+from guavagate.operations import Operations
 from guavagate.partitions import Command, LocalPartitions, ReplicatedState
 from guavagate.partitions.replicated import ReplicatedPartitions
 from guavagate.runs import RUN_COMMANDS, PublishVersion, RunsState
@@ -24,54 +31,129 @@
 # The balancer takes an instance out after it has seen it unready; requests
 # that it still sends meanwhile are served.
 BALANCER_SECONDS: Final = 2.0
+# What others take to hear that this instance leaves, by their probes.
+LEAVING_SECONDS: Final = 1.5
 
 
 class Process:
     """A running instance: its runtime's own parts, and those above it."""
 
-    def __init__(
-        self,
-        runtime: Runtime,
-        bus: ZmqBus,
-        teams: TeamsInForce,
-        partitions: ReplicatedPartitions,
-        instance: Instance,
-    ) -> None:
-        self._runtime = runtime
-        self._bus = bus
-        self._teams = teams
-        self._partitions = partitions
-        self._instance = instance
-        self._stopping = False
+    def __init__(self, settings: InstanceSettings) -> None:
+        clock = SystemClock()
+        credential = _read_secret(settings.peer_credential_file)
+        self._members = Membership(settings, clock, credential)
+        self._bus = ZmqBus(
+            settings.id,
+            settings.peer_address,
+            self._members.address,
+            clock,
+            credential,
+        )
+        carry = connect_http(
+            settings.platform.object_api,
+            _read_secret(settings.platform.credentials_file).decode(),
+            clock,
+        )
+        store = ObjectApi(carry, clock, self._count_members)
+        self._list = InstanceListPoller(carry, clock, self._members.take_list)
+        decisions = RecentDecisions(clock, settings.id)
+        self._teams = TeamsInForce(
+            settings, clock, self._bus, store, self._members, decisions
+        )
+        self._runtime = Runtime(
+            settings=settings,
+            clock=clock,
+            bus=self._bus,
+            store=store,
+            members=self._members,
+            teams=self._teams,
+            partitions=LocalPartitions(settings.id, {}),
+            decisions=decisions,
+            metrics=Metrics(
+                {
+                    'instance': settings.id,
+                    'availability_zone': settings.availability_zone,
+                }
+            ),
+        )
+        self._partitions = ReplicatedPartitions(self._runtime, make_states)
+        self._runtime.partitions = self._partitions
+        self._instance = Instance(self._runtime, self._list_hosted)
+        self._operations = Operations(
+            self._runtime,
+            self._instance,
+            self._teams,
+            decisions,
+            self._list_hosted,
+            self._partitions.views,
+        )
+        self._instance.readiness.add('stop', self._why_stopping)
+        self._asked = Event()
 
     def start(self) -> None:
         """Start everything, the callers' edge last."""
+        self._members.start()
         self._bus.start()
         self._teams.start()
         self._partitions.start()
-        self._instance.readiness.add('stop', self._why_stopping)
+        self._list.start()
+        self._operations.start()
         self._instance.start()
 
+    def ask_to_stop(self) -> None:
+        """Begin a planned stop; returns at once."""
+        self._asked.set()
+
+    def wait_asked(self) -> None:
+        """Block until a planned stop is asked for."""
+        self._asked.wait()
+
     def stop(self) -> None:
-        """Stop as planned: cut no request, leave no gap; bounded in time."""
-        limit = parse_duration(self._runtime.settings.stop_limit)
-        end = self._runtime.clock.now() + limit
-        self._stopping = True
-        self._log('not ready; waiting for the balancer')
-        self._runtime.clock.sleep(BALANCER_SECONDS)
+        """Stop as planned: cut no request, leave no gap; bounded in time.
+
+        Callers are kept out first, then peers give no new work here, then
+        what is decided here moves, and only then is the edge closed. Asked
+        the other way round, a request that the balancer still sends would
+        meet a closed edge.
+        """
+        clock = self._runtime.clock
+        end = clock.now() + parse_duration(self._runtime.settings.stop_limit)
+        self._log('not ready, waiting for the balancer')
+        clock.sleep(BALANCER_SECONDS)
         self._instance.active.closing = True
+        self._log('leaving, waiting for peers')
+        self._members.start_leaving()
+        clock.sleep(LEAVING_SECONDS)
         self._log('handing partitions over')
-        self._partitions.stop(max(end - self._runtime.clock.now(), 0) / 2)
-        self._log('finishing held answers', count=self._instance.active.count)
-        self._instance.finish(max(end - self._runtime.clock.now(), 0))
+        whole = self._partitions.stop(max(end - clock.now(), 0) / 2)
+        self._log('finishing what is held', handed_over=whole)
+        self._instance.finish(max(end - clock.now(), 0))
+        self._close()
+
+    def _close(self) -> None:
+        cut = self._instance.active.count
+        self._instance.weights.stop()
+        self._operations.stop()
+        self._list.stop()
         self._teams.stop()
+        self._members.stop()
         self._bus.stop()
-        self._log('stopped', cut=self._instance.active.count)
+        self._log('stopped', cut=cut)
 
     def _why_stopping(self) -> str:
-        return 'the instance is being stopped' if self._stopping else ''
+        return 'the instance is being stopped' if self._asked.is_set() else ''
+
+    def _count_members(self) -> int:
+        return len(self._members.alive())
+
+    def _list_hosted(self) -> list[tuple[Epoch, RunsState]]:
+        return [
+            (epoch, state)
+            for epoch, state in self._partitions.states_of(PublishVersion)
+            if isinstance(state, RunsState)
+        ]
 
-    def _log(self, phase: str, **fields: int) -> None:
+    def _log(self, phase: str, **fields: object) -> None:
         write(_LOGGER, events.STOP_PROGRESS, phase=phase, **fields)
 
 
@@ -83,42 +165,10 @@
     states: dict[type[Command], ReplicatedState] = {}
     for command in RUN_COMMANDS:
         states[command] = runs
+    states.update(make_ledger_states(partition))
     return states
 
 
-def assemble(settings: InstanceSettings) -> Process:
-    """Return a process ready to start.
-
-    Raises
-    ------
-    GuavagateError
-        The settings don't fit this machine.
-    """
-    clock = SystemClock()
-    members = StaticMembers(settings)
-    bus = ZmqBus(settings.id, settings.peer_address, members.address, clock)
-    store = make_store(settings.platform, clock)
-    decisions = RecentDecisions(clock, settings.id)
-    teams = TeamsInForce(settings, clock, bus, store, members, decisions)
-    runtime = Runtime(
-        settings=settings,
-        clock=clock,
-        bus=bus,
-        store=store,
-        members=members,
-        teams=teams,
-        partitions=LocalPartitions(settings.id, {}),
-        decisions=decisions,
-    )
-    partitions = ReplicatedPartitions(runtime, make_states)
-    runtime.partitions = partitions
-
-    def hosted() -> list[tuple[Epoch, RunsState]]:
-        return [
-            (epoch, state)
-            for epoch, state in partitions.states_of(PublishVersion)
-            if isinstance(state, RunsState)
-        ]
-
-    instance = Instance(runtime, hosted)
-    return Process(runtime, bus, teams, partitions, instance)
+def _read_secret(path: str) -> bytes:
+    """Return a credential from its file; without a file, none."""
+    return Path(path).read_bytes().strip() if path else b''
--- a/guavagate/runs/_run.py
+++ b/guavagate/runs/_run.py
@@ -97,14 +97,6 @@
     )
 
 
-def count_ready(run: Run) -> int:
-    """Return how many samples of the first step are in whole groups."""
-    for step in run.steps.values():
-        places = list_ready(step, _bitmap(run.cursor, step), 1 << 30)
-        return sum(step.groups[place].samples for place in places)
-    return 0
-
-
 def pull(run: Run, command: PullBatch, published: list[WeightVersion]) -> Batch:
     """Hand out what follows the presented cursor."""
     presented = decode_cursor(command.cursor)
