Tell the home of slow streams, and keep slow samplers for rollouts

Cause: the home learnt a sampler's pace from whole answers only, ten times as late when it is ten times as slow. And a slow sampler was taken from trainers too, whose steps want its tokens.

Entries now tell of a stream beyond three times the expected pace (Pool.progress, Placement.expected_pace); the pool ejects for callers' work and copies what runs there. Samples use slow samplers fully, failures still count. Copies compare both paces over the same expected length, and go before a newer step's work when they hold up an older one.

--- a/guavagate/decisions/_attempts.py
+++ b/guavagate/decisions/_attempts.py
@@ -1,5 +1,8 @@
 """Where each piece of work has run and runs, and what else it may cost."""
 
+from typing import Final
+
+from cachetools import LRUCache
 from msgspec import structs
 
 from guavagate.decisions import retries
@@ -15,7 +18,10 @@
 from guavagate.decisions.placement import expect_cost
 from guavagate.decisions.reserve import Reserve
 from guavagate.decisions.shares import Shares
-from guavagate.models import RequestId, SamplerId
+from guavagate.models import RequestId, RunId, SamplerId, TeamId
+
+# Runs whose newest step is remembered, the least recently used goes first.
+MAX_RUNS: Final = 256
 
 
 class Attempts:
@@ -54,6 +60,7 @@
     def __init__(self, fleet: Fleet, safeguards: frozenset[Safeguard]) -> None:
         self.shares = Shares()
         self.reserve = Reserve()
+        self._steps: LRUCache[tuple[TeamId, RunId], int] = LRUCache(MAX_RUNS)
         self._long_running: set[RequestId] = set()
         self.hedges = retries.Budget(retries.HEDGE_SHARE)
         self._retries = retries.Budget(retries.RETRY_SHARE)
@@ -69,11 +76,11 @@
         self, work: Work, free: list[SamplerState], now: float
     ) -> bool:
         """Return whether free slots are left to others' or shorter work."""
-        count = sum(state.free for state in free)
-        slots = self._fleet.slots
-        if Safeguard.HEADROOM in self._on:
-            if self.shares.exceeds(work, count, slots):
-                return True
+        count = sum(max(state.free_for(work), 0) for state in free)
+        slots = self._fleet.slots_for(work)
+        headroom = Safeguard.HEADROOM in self._on
+        if headroom and self.shares.exceeds(work, count, slots):
+            return True
         if Safeguard.RESERVE not in self._on:
             return False
         if not self.reserve.is_long(work, estimate_cost(work)):
@@ -87,6 +94,10 @@
         self._attempts[work.id] = attempts
         return attempts
 
+    def is_straggler(self, work: Work) -> bool:
+        """Return whether its step has no other work left to start."""
+        return work.step < self._steps.get((work.team, work.run), work.step)
+
     def earn(self) -> None:
         """Count a success towards the budgets."""
         self.hedges.earn()
@@ -108,6 +119,9 @@
         state.start(running)
         state.prefixes.store(work.prefix_keys, now)
         self.shares.start(work)
+        if work.run is not None:
+            run = (work.team, work.run)
+            self._steps[run] = max(self._steps.get(run, 0), work.step)
         if self.reserve.is_long(work, cost):
             self._long_running.add(work.id)
         attempts.entry = None
--- a/guavagate/decisions/_copies.py
+++ b/guavagate/decisions/_copies.py
@@ -1,33 +1,58 @@
 """Second copies of slow work: hedges for callers, the tail of a step."""
 
-from guavagate.decisions import _reasons, retries, tail
+from guavagate.decisions import _reasons, ejection, retries, tail
 from guavagate.decisions._attempts import Attempts, AttemptTable
 from guavagate.decisions._fleet import Fleet
 from guavagate.decisions._sampler import Running, SamplerState
 from guavagate.decisions._work import Kind, Placement, Safeguard
-from guavagate.decisions.placement import choose_least_loaded, expect_cost
+from guavagate.decisions.placement import choose_least_loaded
 
 
-def find(
+def find_slow(
     fleet: Fleet,
     table: AttemptTable,
     safeguards: frozenset[Safeguard],
     now: float,
-) -> list[Placement]:
-    """Start the copies that are worth it; the slowest work goes first."""
+    *,
+    idle: bool,
+) -> list[Running]:
+    """Return the work that a copy could speed up, the slowest first.
+
+    Parameters
+    ----------
+    idle
+        Whether nothing is queued; otherwise only samples that keep an older
+        step open are worth a slot.
+    """
     slow = []
     for state in fleet.samplers.values():
         for running in state.running.values():
-            if _is_slow(running, safeguards, now):
-                pace = state.health.pace or fleet.pace
+            if not idle and not table.is_straggler(running.work):
+                continue
+            if _is_slow(running, fleet, safeguards, now):
+                pace = _pace(fleet, state, running)
                 slow.append((tail.remaining(running, pace, now), running))
     slow.sort(key=lambda item: -item[0])
-    copies = (_copy(fleet, table, run, left, now) for left, run in slow)
+    return [running for _, running in slow]
+
+
+def start_all(
+    fleet: Fleet, table: AttemptTable, slow: list[Running], now: float
+) -> list[Placement]:
+    """Start the copies that are worth it and find a free slot."""
+    copies = (_copy(fleet, table, running, now) for running in slow)
     return [copy for copy in copies if copy is not None]
 
 
+def _pace(fleet: Fleet, state: SamplerState, running: Running) -> float:
+    return running.pace or state.health.pace or fleet.pace
+
+
 def _is_slow(
-    running: Running, safeguards: frozenset[Safeguard], now: float
+    running: Running,
+    fleet: Fleet,
+    safeguards: frozenset[Safeguard],
+    now: float,
 ) -> bool:
     if not running.work.idempotent:
         return False
@@ -35,6 +60,9 @@
         return Safeguard.TAIL in safeguards
     if Safeguard.HEDGING not in safeguards:
         return False
+    usual = fleet.median or fleet.pace
+    if running.pace and running.pace > ejection.SLOW_STREAM * usual:
+        return True
     return now - running.start > retries.HEDGE_AFTER * running.expected
 
 
@@ -42,24 +70,28 @@
     fleet: Fleet,
     table: AttemptTable,
     running: Running,
-    left: float,
     now: float,
 ) -> Placement | None:
     work = running.work
     attempts = table.get(work.id)
-    if attempts is None or attempts.copied:
+    if attempts is None or attempts.copied or not attempts.samplers:
+        return None
+    first = fleet.samplers.get(attempts.samplers[0])
+    if first is None:
         return None
     fitting = [
         state
         for state in fleet.free()
-        if state.id not in attempts.samplers and not state.blocks(work)
+        if state.free_for(work) > 0
+        and state.id not in attempts.samplers
+        and not state.blocks(work)
     ]
     if not fitting:
         return None
     state, _ = choose_least_loaded(work, fitting)
-    cost, _ = expect_cost(work, state)
-    pace = state.health.pace or fleet.pace
-    if not tail.gains_from_copy(left, cost * pace):
+    pace = _pace(fleet, first, running)
+    copy_pace = state.health.pace or fleet.pace
+    if not tail.gains_from_copy(running, pace, copy_pace, now):
         return None
     return _start(fleet, table, attempts, state, now)
 
@@ -88,6 +120,7 @@
         work=work,
         sampler=state.id,
         expected_seconds=running.expected,
+        expected_pace=fleet.pace,
         decision=decision,
         duplicate=True,
     )
--- a/guavagate/decisions/_fleet.py
+++ b/guavagate/decisions/_fleet.py
@@ -6,7 +6,7 @@
 
 from guavagate.decisions import ejection
 from guavagate.decisions._sampler import Running, SamplerInfo, SamplerState
-from guavagate.decisions._work import PREFILL_SHARE, Safeguard
+from guavagate.decisions._work import PREFILL_SHARE, Kind, Safeguard, Work
 from guavagate.decisions.admission import LengthEstimate
 from guavagate.models import SamplerId
 
@@ -31,6 +31,7 @@
         self.pace = FIRST_PACE
         self.median: float | None = None
         self.slots = 0
+        self._rollout_slots = 0
 
     def declare(self, infos: Iterable[SamplerInfo], now: float) -> None:
         """Take over the declared samplers; others are gone."""
@@ -53,6 +54,12 @@
         """Return the samplers that may start more work."""
         return [state for state in self.samplers.values() if state.free > 0]
 
+    def slots_for(self, work: Work) -> int:
+        """Return how much of this work's kind may run at once."""
+        if work.kind is Kind.ROLLOUT:
+            return self._rollout_slots
+        return self.slots
+
     def refresh(self, now: float, *, force: bool = False) -> None:
         """Work out anew which sampler may have how much."""
         if not force and now - self._refreshed < REFRESH_S:
@@ -67,6 +74,7 @@
         for state in states:
             state.refresh(now, self.median, ejecting)
         self.slots = sum(state.usable for state in states)
+        self._rollout_slots = sum(state.usable_rollout for state in states)
 
     def learn(
         self,
--- a/guavagate/decisions/_reasons.py
+++ b/guavagate/decisions/_reasons.py
@@ -64,8 +64,8 @@
     blocked = state.blocks(work)
     if blocked:
         return blocked
-    if state.usable <= 0:
+    if state.share <= 0:
         return 'ejected'
-    if state.free <= 0:
+    if state.free_for(work) <= 0:
         return 'no free slot'
     return 'ranked lower'
--- a/guavagate/decisions/_sampler.py
+++ b/guavagate/decisions/_sampler.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from guavagate.decisions._work import Work
+from guavagate.decisions._work import Kind, Work
 from guavagate.decisions.ejection import Health
 from guavagate.decisions.limits import ConcurrencyLimit
 from guavagate.decisions.prefixes import PrefixIndex
@@ -49,6 +49,7 @@
         'cost',
         'expected',
         'level',
+        'pace',
         'start',
         'work',
     )
@@ -63,6 +64,7 @@
         self.cached = 0
         self.cached_at = start
         self.level = 0
+        self.pace: float | None = None
 
 
 class SamplerState:
@@ -82,6 +84,7 @@
         self.foreign = 0
         self.share = 1.0
         self.usable = info.slots
+        self.usable_rollout = info.slots
         self._ended: collections.deque[tuple[float, float]] = collections.deque(
             maxlen=_ENDED_KEPT
         )
@@ -93,16 +96,31 @@
 
     @property
     def free(self) -> int:
-        """Return how many more may start."""
-        return self.usable - len(self.running) - self.foreign
+        """Return how many more of any kind may start."""
+        return max(self.usable, self.usable_rollout) - self.occupied
+
+    @property
+    def occupied(self) -> int:
+        """Return how much runs here, others' work included."""
+        return len(self.running) + self.foreign
+
+    def free_for(self, work: Work) -> int:
+        """Return how many more of this work's kind may start."""
+        if work.kind is Kind.ROLLOUT:
+            return self.usable_rollout - self.occupied
+        return self.usable - self.occupied
 
     def refresh(self, now: float, median: float | None, ejecting: bool) -> None:
         """Work out anew how much work it may have."""
         self.share = self.health.share(now, median) if ejecting else 1.0
-        if self.leaving or self.share <= 0:
-            self.usable = 0
-            return
-        self.usable = max(int(self.limit.value * self.share), 1)
+        rollout = self.health.throughput_share(now) if ejecting else 1.0
+        self.usable = self._slots_of(self.share)
+        self.usable_rollout = self._slots_of(rollout)
+
+    def _slots_of(self, share: float) -> int:
+        if self.leaving or share <= 0:
+            return 0
+        return max(int(self.limit.value * share), 1)
 
     def blocks(self, work: Work) -> str:
         """Return why the work can't run here, or an empty text."""
--- a/guavagate/decisions/_work.py
+++ b/guavagate/decisions/_work.py
@@ -131,11 +131,15 @@
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
-    """Work may start on a sampler now; `duplicate` marks a second copy."""
+    """Work may start on a sampler now; `duplicate` marks a second copy.
+
+    `expected_pace` is in seconds per token of a healthy sampler.
+    """
 
     work: Work
     sampler: SamplerId
     expected_seconds: float
+    expected_pace: float
     decision: Decision
     duplicate: bool = False
 
--- a/guavagate/decisions/ejection.py
+++ b/guavagate/decisions/ejection.py
@@ -6,9 +6,10 @@
 all requests meets it; a failing one is free at once after each failure, so
 least-connections sends it nearly everything.
 
-A sampler's share of work falls with its pace against the pool's median and
-with its failures; below `EJECT_BELOW` it gets nothing for a while, then comes
-back by degrees. A report or an outcome that is old counts less.
+A sampler's share of callers' work falls with its pace against the pool's
+median and with its failures, a trainer's only with its failures. Below
+`EJECT_BELOW` it gets nothing for a while, then comes back by degrees. What
+was seen long ago counts less.
 """
 
 import math
@@ -29,6 +30,11 @@
 RAMP_S: Final = 1.5
 # Evidence fades with this time constant.
 MEMORY_S: Final = 10.0
+# A stream this many times slower than expected is reported while it runs: a
+# full batch and a long prompt stay below it, a stalled or failing one doesn't.
+SLOW_STREAM: Final = 3.0
+# Failures beyond this share were the cause of an ejection, not the pace.
+_FAILING: Final = 0.3
 # Batches and prompt mixes differ; up to this ratio the pace is healthy.
 _HEALTHY_RATIO: Final = 1.5
 
@@ -42,6 +48,7 @@
         self.ejected_until = -math.inf
         self._seen = -math.inf
         self._ejections = 0
+        self._failing = False
 
     def succeed(self, pace: float, now: float) -> None:
         """Take in one answer's seconds per token."""
@@ -67,6 +74,15 @@
             return 0
         return self.quality(now, median) * self._ramp(now)
 
+    def throughput_share(self, now: float) -> float:
+        """Return the share for work that wants throughput, not speed.
+
+        A slow sampler still adds tokens to a step; only failures count.
+        """
+        if now < self.ejected_until and self._failing:
+            return 0
+        return self.quality(now, None)
+
     def quality(self, now: float, median: float | None) -> float:
         """Return how good it is, from 0 to 1, old evidence counting less."""
         quality = (1 - self.failures) ** 2
@@ -80,6 +96,7 @@
         pause = FIRST_EJECTION_S * 2**self._ejections
         self.ejected_until = now + min(pause, LONGEST_EJECTION_S)
         self._ejections = min(self._ejections + 1, 8)
+        self._failing = self.failures > _FAILING
         # The first answers after the return decide, not the ones before.
         self.failures = 0
         self.pace = None
--- a/guavagate/decisions/limits.py
+++ b/guavagate/decisions/limits.py
@@ -20,7 +20,7 @@
 _GAIN: Final = 0.02
 # A trial costs at most one stream's share of the throughput while it lasts.
 # After a success the next follows at once; each failure doubles the pause.
-FIRST_PAUSE_S: Final = 60.0
+FIRST_PAUSE_S: Final = 120.0
 LONGEST_PAUSE_S: Final = 960.0
 # Beyond this multiple of the best pace, fewer streams are tried first: decode
 # slows by some tens of percent in a full batch, not by a half.
--- a/guavagate/decisions/placement.py
+++ b/guavagate/decisions/placement.py
@@ -129,19 +129,19 @@
     """Return running work per slot that the sampler may use."""
     if state.usable <= 0:
         return math.inf
-    return (len(state.running) + state.foreign) / state.usable
+    return state.occupied / state.usable
 
 
 def _within_bound(
     work: Work, samplers: Sequence[SamplerState]
 ) -> Sequence[SamplerState]:
-    running = sum(len(state.running) + state.foreign for state in samplers)
+    running = sum(state.occupied for state in samplers)
     usable = sum(state.usable for state in samplers)
     bound = LOAD_BOUND * (running + 1) / max(usable, 1)
     within = [
         state
         for state in samplers
-        if len(state.running) + state.foreign < math.ceil(bound * state.usable)
+        if state.occupied < math.ceil(bound * state.usable)
     ]
     return within or samplers
 
--- a/guavagate/decisions/pool.py
+++ b/guavagate/decisions/pool.py
@@ -16,6 +16,7 @@
 from guavagate.decisions._attempts import Attempts, AttemptTable
 from guavagate.decisions._fleet import Fleet
 from guavagate.decisions._sampler import (
+    Running,
     SamplerInfo,
     SamplerReport,
     SamplerState,
@@ -81,6 +82,7 @@
         self._table = AttemptTable(self._fleet, self._on)
         self._waits = admission.WaitEstimate()
         self._expired: list[Refused] = []
+        self._slow: list[Running] = []
         self.set_samplers(samplers, now)
 
     @property
@@ -173,7 +175,7 @@
     def place(self, now: float) -> list[Placement]:
         """Return the work that may start now, with its samplers."""
         self._fleet.refresh(now)
-        placements: list[Placement] = []
+        placements = self._start_copies(now)
         parked = 0
         while parked < LOOKAHEAD:
             free = self._fleet.free()
@@ -202,6 +204,23 @@
         expired, self._expired = self._expired, []
         return expired
 
+    def progress(
+        self, work_id: RequestId, sampler: SamplerId, pace: float, now: float
+    ) -> None:
+        """Take in that a stream is slow; `pace` is its seconds per token.
+
+        An entry sees each token, and tells the home when a stream's pace is
+        beyond `ejection.SLOW_STREAM` times the placement's expected one: the
+        home would learn it only from the answer's end, ten times as late.
+        """
+        state = self._fleet.samplers.get(sampler)
+        running = state.running.get(work_id) if state is not None else None
+        if state is None or running is None:
+            return
+        running.pace = pace
+        state.health.suspect(pace, now)
+        self._fleet.refresh(now, force=True)
+
     def finish(
         self,
         work_id: RequestId,
@@ -268,11 +287,16 @@
         return self._table.close(work_id, now)
 
     def hedge(self, now: float) -> list[Placement]:
-        """Return second copies for slow work, in idle slots and budget."""
+        """Return second copies for slow work, in idle slots and budget.
+
+        What finds no free slot is kept for the next calls of `place`: a
+        sample that holds up an older step goes before a newer step's.
+        """
         self._fleet.refresh(now)
-        if len(self._queue):
-            return []
-        return _copies.find(self._fleet, self._table, self._on, now)
+        self._slow = _copies.find_slow(
+            self._fleet, self._table, self._on, now, idle=not self._queue
+        )
+        return self._start_copies(now)
 
     def _path(self, work: Work) -> tuple[Path, tuple[float, ...]]:
         # Work that waits for a version, adapter or other sampler has a flow
@@ -316,6 +340,11 @@
         self._expired.append(refused)
         return True
 
+    def _start_copies(self, now: float) -> list[Placement]:
+        if not self._slow:
+            return []
+        return _copies.start_all(self._fleet, self._table, self._slow, now)
+
     def _learn_wait(self, work: Work, now: float) -> None:
         attempts = self._table.get(work.id)
         if attempts is not None and not attempts.count:
@@ -327,7 +356,11 @@
         self, entry: Entry, free: list[SamplerState], now: float
     ) -> Placement | None:
         work = entry.work
-        fitting = [state for state in free if not state.blocks(work)]
+        fitting = [
+            state
+            for state in free
+            if state.free_for(work) > 0 and not state.blocks(work)
+        ]
         if not fitting or self._table.keeps_back(work, free, now):
             return None
         state, reason = self._choose(work, fitting)
@@ -341,6 +374,7 @@
             work=work,
             sampler=state.id,
             expected_seconds=running.expected,
+            expected_pace=self._fleet.pace,
             decision=decision,
         )
 
--- a/guavagate/decisions/tail.py
+++ b/guavagate/decisions/tail.py
@@ -14,28 +14,41 @@
 
 from guavagate.decisions._sampler import Running
 
-# A second copy must be expected to end this much sooner than the first;
-# half: a length estimate off by two must not make copies worthless.
+# A copy must be expected to take no more than this share of what the first
+# still needs: slow spells pass, and then a copy has cost a slot for nothing.
 MIN_GAIN: Final = 0.5
-# Copies at the same time, as a share of the pool's slots: idle slots are free
-# of charge, but each copy slows the batch that it joins.
-MAX_COPIES: Final = 0.25
+
+
+def expect_tokens(running: Running, pace: float, now: float) -> float:
+    """Return how many tokens running work is expected to have in all.
+
+    Parameters
+    ----------
+    pace
+        The seconds per token where it runs.
+    """
+    done = (now - running.start) / pace
+    # With lengths this uncertain, what has run beyond its estimate is
+    # expected to have about as much again before it.
+    return running.cost if done < running.cost else 2 * done
 
 
 def remaining(running: Running, pace: float, now: float) -> float:
     """Return the seconds that work is expected to need still."""
-    total = running.cost * pace
-    elapsed = now - running.start
-    if elapsed < total:
-        return total - elapsed
-    # Overdue: with lengths this uncertain, what has run for t is expected to
-    # run for about t more.
-    return elapsed
-
-
-def gains_from_copy(left: float, copy: float) -> bool:
-    """Return whether a copy is expected to end well before the first."""
-    return copy < MIN_GAIN * left
+    tokens = expect_tokens(running, pace, now)
+    return tokens * pace - (now - running.start)
+
+
+def gains_from_copy(
+    running: Running, pace: float, copy_pace: float, now: float
+) -> bool:
+    """Return whether a copy is expected to end well before the first.
+
+    The copy starts from nothing and has the same length, so it gains only
+    where the first runs slowly.
+    """
+    copy = expect_tokens(running, pace, now) * copy_pace
+    return copy < MIN_GAIN * remaining(running, pace, now)
 
 
 def weigh_swap(
--- a/guavagate/measure/_engine.py
+++ b/guavagate/measure/_engine.py
@@ -88,6 +88,10 @@
             heapq.heappop(self._ends)
         return None
 
+    def slow_streams(self) -> list[RequestId]:
+        """Return the streams, for their pace to be looked at."""
+        return list(self._streams)
+
     def take_events(self) -> list[tuple[str, int]]:
         """Return the cache events since the last call."""
         events, self.events = self.events, []
--- a/guavagate/measure/_patterns.py
+++ b/guavagate/measure/_patterns.py
@@ -143,6 +143,12 @@
             shown=('staleness_mean', 'staleness_max', 'copies'),
             against=(FIFO, 'without-tail', 'without-order', 'without-ejection'),
         ),
+        Pattern(
+            name='stalled-sampler',
+            measure=_trainers.measure_stalled_sampler,
+            shown=('step_of_bound', 'trainer_idle_share', 'copies'),
+            against=(FIFO, 'without-tail', 'without-ejection'),
+        ),
         Pattern(
             name='two-trainers',
             measure=_trainers.measure_two_trainers,
--- a/guavagate/measure/_simulation.py
+++ b/guavagate/measure/_simulation.py
@@ -13,6 +13,8 @@
     Refused,
     SamplerReport,
 )
+from guavagate.decisions._fleet import FIRST_PACE
+from guavagate.decisions.ejection import SLOW_STREAM
 from guavagate.measure._engine import EngineModel
 from guavagate.measure._record import Outcome, Record, Request
 from guavagate.models import RequestId, SamplerId
@@ -26,6 +28,8 @@
 EVENT_GAPS: Final = 0.2
 REFUSAL_S: Final = 0.01
 BREAK_S: Final = 0.5
+# Tokens that an entry must see before it judges a stream's pace.
+_TOKENS_SEEN: Final = 4
 
 
 class Simulation:
@@ -41,6 +45,7 @@
         self.engines = {engine.info.id: engine for engine in engines}
         self.records: dict[RequestId, Record] = {}
         self.now: float = 0
+        self.expected_pace: float = FIRST_PACE
         self.on_end: Callable[[Record], None] | None = None
         self._rng = rng
         self._order = itertools.count()
@@ -103,6 +108,7 @@
         record = self.records[work.id]
         record.attempts += 1
         record.copies += placement.duplicate
+        self.expected_pace = placement.expected_pace
         engine = self.engines[placement.sampler]
         if engine.failing:
             started = bool(self._rng.integers(2))
@@ -165,10 +171,23 @@
 
     def _hedge(self) -> None:
         self.pump()
+        self._tell_slow()
         for placement in self.pool.hedge(self.now):
             self._start(placement)
         self.at(self.now + HEDGE_EVERY_S, self._hedge)
 
+    def _tell_slow(self) -> None:
+        """Tell of slow streams, as entries do that have seen some tokens."""
+        for engine in self.engines.values():
+            pace = engine.pace()
+            if pace <= SLOW_STREAM * self.expected_pace:
+                continue
+            for work_id in engine.slow_streams():
+                started = self.records[work_id].started or self.now
+                if self.now - started >= _TOKENS_SEEN * pace:
+                    sampler = engine.info.id
+                    self.pool.progress(work_id, sampler, pace, self.now)
+
     def _report(self, engine: EngineModel) -> None:
         report = SamplerReport(at=self.now, running=len(engine))
         sampler = engine.info.id
--- a/guavagate/measure/_trainers.py
+++ b/guavagate/measure/_trainers.py
@@ -31,6 +31,14 @@
 _TOKENS: Final = 200
 _PROMPT: Final = 1_000
 _SLOW: Final = 3.0
+# A stalled sampler: nothing comes for as good as the whole minute.
+_STALLED: Final = 100.0
+_STALL_S: Final = 60.0
+# What the samplers give in all while one of them is slow.
+_HEALTHY: Final = SAMPLERS - 1 + 1 / _SLOW
+# A trainer's time for a step, by the clairvoyant time to generate a mean one:
+# samplers are bought so that a trainer, the dearer part, needn't wait.
+_TRAIN_RATIO: Final = 1.1
 # Steps that a trainer lets be generated ahead: with one in training and one
 # in generation, a sample is at most one version old when it is used.
 _AHEAD: Final = 2
@@ -64,13 +72,34 @@
 def measure_stragglers(policy: Policy, seed: int) -> Figures:
     """Generate steps of 256 long-tailed samples; one sampler is slow."""
     rng = np.random.default_rng(seed)
-    step_s = _full_seconds(256)
+    step_s = _full_seconds(256) * SAMPLERS / _HEALTHY
     trainer = TrainerModel(
-        run='consent', samples=256, steps=8, train_s=1.15 * step_s
+        run='consent', samples=256, steps=16, train_s=_TRAIN_RATIO * step_s
     )
     simulation = _run(policy, [trainer], rng, seed, slow_every=step_s)
     bounds = [
-        _find_bound(requests, SAMPLERS - 1 + 1 / _SLOW)
+        _find_bound(requests, _HEALTHY) for requests in trainer.work.values()
+    ]
+    figures = _summarise(trainer)
+    figures['step_of_bound'] = sum(trainer.step_seconds) / sum(bounds)
+    figures['copies'] = sum(
+        record.copies for record in simulation.records.values()
+    ) / len(simulation.records)
+    return figures
+
+
+def measure_stalled_sampler(policy: Policy, seed: int) -> Figures:
+    """Generate the same steps; each sampler stalls for a minute in turn."""
+    rng = np.random.default_rng(seed)
+    step_s = _full_seconds(256) * SAMPLERS / (SAMPLERS - 1)
+    trainer = TrainerModel(
+        run='consent', samples=256, steps=8, train_s=_TRAIN_RATIO * step_s
+    )
+    simulation = _run(
+        policy, [trainer], rng, seed, slow_every=_STALL_S, slow=_STALLED
+    )
+    bounds = [
+        _find_bound(requests, SAMPLERS - 1)
         for requests in trainer.work.values()
     ]
     figures = _summarise(trainer)
@@ -113,6 +142,7 @@
     rng: Rng,
     seed: int,
     slow_every: float = 0,
+    slow: float = _SLOW,
     until: float = 3600,
 ) -> Simulation:
     by_run = {trainer.run: trainer for trainer in trainers}
@@ -133,7 +163,7 @@
             for _ in range(_AHEAD):
                 _submit(simulation, trainer, rng)
         if slow_every:
-            simulation.at(0, _slow_next, simulation, slow_every, 0)
+            simulation.at(0, _slow_next, simulation, slow_every, slow, 0)
 
     return run_requests(policy, [], until, seed=seed, prepare=prepare)
 
@@ -215,13 +245,14 @@
         _train(simulation, trainer, rng)
 
 
-def _slow_next(simulation: Simulation, every: float, turn: int) -> None:
+def _slow_next(
+    simulation: Simulation, every: float, slow: float, turn: int
+) -> None:
     engines = list(simulation.engines.values())
     simulation.change(engines[(turn - 1) % len(engines)], 1)
-    simulation.change(engines[turn % len(engines)], _SLOW)
-    simulation.at(
-        simulation.now + every, _slow_next, simulation, every, turn + 1
-    )
+    simulation.change(engines[turn % len(engines)], slow)
+    later = simulation.now + every
+    simulation.at(later, _slow_next, simulation, every, slow, turn + 1)
 
 
 def _full_seconds(samples: int) -> float:
