Let answers, not gaps, correct the prefix index

A prefix that an answer did not find still drops all that is older, and event numbers that start again mean an engine process with an empty cache.

--- a/guavagate/decisions/prefixes.py
+++ b/guavagate/decisions/prefixes.py
@@ -4,10 +4,12 @@
 of samples share a prompt.
 Without it: every sampler reads every prompt again.
 
-Cache events come late and with gaps. A gap must not poison the index: after
-one, only what was seen lately is kept. Each answer's count of cached tokens
-is the truth: a prefix expected and not found shows how far the engine has
-evicted, so a lost event costs one prompt read and not wrong choices for good.
+Cache events come late and with gaps. A gap must not poison the index. Each
+answer's count of cached tokens is the truth: a prefix expected and not found
+shows how far the engine has evicted, so a lost event costs one prompt read
+and not wrong choices for good. To forget by age at each gap was tried and
+cost more hits than it saved. Numbers that start again mean a new engine
+process with an empty cache.
 """
 
 import collections
@@ -16,8 +18,6 @@
 
 # Entries per sampler; engines hold some hundreds of distinct prefixes.
 MAX_PREFIXES: Final = 4_096
-# After a gap only entries confirmed within this many seconds are kept.
-KEEP_AFTER_GAP_S: Final = 10.0
 
 
 class PrefixIndex:
@@ -75,18 +75,19 @@
         -------
         Whether events were missing in between.
         """
-        gap = self._next_event is not None and first > self._next_event
-        if gap and self._heal:
-            self._forget_until(now - KEEP_AFTER_GAP_S)
+        known = self._next_event
+        if known is not None and first < known and self._heal:
+            # Numbers start again: the engine has, and with an empty cache.
+            self._seen.clear()
         count = 0
         for kind, key in events:
             count += 1
-            if kind == 'stored':
-                self.store((key,), now)
-            elif kind == 'evicted':
+            if kind == 'evicted':
                 self._seen.pop(key, None)
-        self._next_event = max(first + count, self._next_event or 0)
-        return gap
+            elif kind == 'stored' and key not in self._seen:
+                self.store((key,), now)
+        self._next_event = first + count
+        return known is not None and first != known
 
     def _forget_until(self, moment: float) -> None:
         while self._seen:
