--- a/guavagate/measure/__init__.py
+++ b/guavagate/measure/__init__.py
@@ -1,1 +1,6 @@
-"""Measurements: patterns, models and checkers behind script/measure."""
+"""The tool that measures the decisions under virtual time."""
+
+from guavagate.measure._patterns import PATTERNS
+from guavagate.measure._runs import Job, run_job
+
+__all__ = ('Job', 'PATTERNS', 'run_job')
--- a/guavagate/measure/_simulation.py
+++ b/guavagate/measure/_simulation.py
@@ -46,6 +46,7 @@
         self.records: dict[RequestId, Record] = {}
         self.now: float = 0
         self.expected_pace: float = FIRST_PACE
+        self.stopped = False
         self.on_end: Callable[[Record], None] | None = None
         self._rng = rng
         self._order = itertools.count()
@@ -67,6 +68,8 @@
     def run(self, until: float) -> None:
         """Let time pass."""
         while self._timers and self._timers[0][0] <= until:
+            if self.stopped:
+                return
             self.now, _, run, args = heapq.heappop(self._timers)
             run(*args)
         self.now = until
--- a/guavagate/measure/_trainers.py
+++ b/guavagate/measure/_trainers.py
@@ -241,6 +241,7 @@
     simulation: Simulation, trainer: TrainerModel, rng: Rng
 ) -> None:
     trainer.version += 1
+    simulation.stopped = trainer.version == trainer.steps
     if trainer.trained < trainer.steps:
         _train(simulation, trainer, rng)
 
