Copy a step's slowest samples into idle slots

Cause: a step waited for its slowest sample while slots idled, since nobody acted on the pool's copies. The home offers an idle slot to the entry that holds the work; the worker runs both, the first whole answer wins, the other stream is closed and says nothing (a cancelled copy told as a failure would count against a healthy sampler). Interactive work is not copied: a caller's stream has one source.

--- a/guavagate/permits/__init__.py
+++ b/guavagate/permits/__init__.py
@@ -11,6 +11,7 @@
     AnswerSource,
     describe_failure,
     exhaust,
+    run_copy,
     stream_answer,
 )
 from guavagate.permits._home import PoolHomes
@@ -37,5 +38,6 @@
     'find_home',
     'hash_prefixes',
     'list_pools',
+    'run_copy',
     'stream_answer',
 )
--- a/guavagate/permits/_client.py
+++ b/guavagate/permits/_client.py
@@ -1,6 +1,7 @@
 """The entry's side of permits: ask the pool's home, hold, give back."""
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -13,6 +14,7 @@
     PERMIT_REFUSED,
 )
 from guavagate.exceptions import LinkError, RefusalError
+from guavagate.links import Message, expect
 from guavagate.models import InstanceId, RequestId, UpstreamId
 from guavagate.permits._directory import find_home
 from guavagate.permits._home import PoolHomes
@@ -24,6 +26,7 @@
     PermitReply,
     Release,
     ReleasePermit,
+    RunCopy,
     WithdrawWork,
 )
 from guavagate.runtime import Runtime
@@ -58,6 +61,9 @@
         self._me = runtime.settings.id
         self._held: dict[str, dict[RequestId, HeldPermit]] = {}
         self._told: dict[str, InstanceId] = {}
+        self._copiers: dict[RequestId, Callable[[Permit], None]] = {}
+        homes.take_copy = self._take_copy
+        runtime.bus.register(RunCopy, self._on_copy)
 
     def start(self) -> None:
         """Keep homes informed of what is held."""
@@ -99,6 +105,31 @@
             if reply.permit is not None:
                 return self._hold(work, reply.permit)
 
+    def allow_copies(
+        self, work_id: RequestId, take: Callable[[Permit], None]
+    ) -> None:
+        """Have second copies of some work offered; `take` must not block."""
+        self._copiers[work_id] = take
+
+    def forbid_copies(self, work_id: RequestId) -> None:
+        """Decline further copies of some work."""
+        self._copiers.pop(work_id, None)
+
+    def end_copy(
+        self, permit: Permit, *, tokens: int = 0, seconds: float = 0
+    ) -> None:
+        """Give a copy's permit back; without tokens it has failed."""
+        self._send_release(
+            ReleasePermit(
+                pool=permit.pool,
+                work_id=permit.work_id,
+                upstream=permit.upstream,
+                ended=Release.DONE if tokens else Release.COPY_FAILED,
+                tokens=tokens,
+                seconds=seconds,
+            )
+        )
+
     def drop(self, permit: Permit) -> None:
         """Hold a permit no longer; its failure goes with the next request."""
         self._held.get(permit.pool, {}).pop(permit.work_id, None)
@@ -115,22 +146,33 @@
     ) -> None:
         """Give a permit back with what was measured under it."""
         self.drop(permit)
-        message = ReleasePermit(
-            pool=permit.pool,
-            work_id=permit.work_id,
-            upstream=permit.upstream,
-            ended=ended,
-            tokens=tokens,
-            seconds=seconds,
-            first_token_seconds=first_token_seconds,
-            cached_tokens=cached_tokens,
+        self._send_release(
+            ReleasePermit(
+                pool=permit.pool,
+                work_id=permit.work_id,
+                upstream=permit.upstream,
+                ended=ended,
+                tokens=tokens,
+                seconds=seconds,
+                first_token_seconds=first_token_seconds,
+                cached_tokens=cached_tokens,
+            )
         )
-        home = self._home(permit.pool)
+
+    def _send_release(self, message: ReleasePermit) -> None:
+        home = self._home(message.pool)
         if home == self._me:
             self._homes.release(self._me, message)
         elif home is not None:
             self._runtime.bus.send(home, message)
 
+    def _take_copy(self, permit: Permit) -> None:
+        take = self._copiers.get(permit.work_id, self.end_copy)
+        take(permit)
+
+    def _on_copy(self, sender: InstanceId, message: Message) -> None:
+        self._take_copy(expect(message, RunCopy).permit)
+
     def _home(self, pool: str) -> InstanceId | None:
         return find_home(pool, self._runtime.members.alive())
 
@@ -181,7 +223,6 @@
             request=work.id,
             pool=permit.pool,
             upstream=permit.upstream,
-            reason=permit.reason,
         )
         return permit
 
--- a/guavagate/permits/_generate.py
+++ b/guavagate/permits/_generate.py
@@ -77,6 +77,35 @@
         return
 
 
+def run_copy(
+    source: AnswerSource, permit: Permit, generation: Generation
+) -> Progress:
+    """Generate a second copy of some work, from its start.
+
+    Raises
+    ------
+    UpstreamError
+        The copy failed; its permit has been given back.
+    """
+    progress = Progress()
+    begun = source.client.now()
+    exchange = RequestId(f'{generation.exchange}.copy')
+    asked = msgspec.structs.replace(generation, exchange=exchange)
+    pieces = source.engine.generate(permit.address, asked, source.token_timeout)
+    # A copy that is cancelled because the other was first says nothing: the
+    # pool has closed the work, and a failure told would count against a
+    # healthy sampler.
+    try:
+        for piece in pieces:
+            add_piece(progress, piece, permit.upstream)
+    except UpstreamError:
+        source.client.end_copy(permit)
+        raise
+    seconds = source.client.now() - begun
+    source.client.end_copy(permit, tokens=progress.tokens, seconds=seconds)
+    return progress
+
+
 def exhaust(pieces: Iterator[Piece]) -> None:
     """Read an answer to its end; its progress holds what was read."""
     collections.deque(pieces, maxlen=0)
--- a/guavagate/permits/_home.py
+++ b/guavagate/permits/_home.py
@@ -6,12 +6,20 @@
 """
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
-import gevent
 from gevent.event import AsyncResult
 
-from guavagate.decisions import Pool, PoolSettings, Refused, SamplerInfo
+from guavagate.decisions import (
+    ALL_SAFEGUARDS,
+    Decision,
+    Pool,
+    PoolSettings,
+    Refused,
+    Safeguard,
+    SamplerInfo,
+)
 from guavagate.events import write
 from guavagate.events.routing import (
     PERMIT_RECLAIMED,
@@ -30,6 +38,7 @@
     PermitReply,
     Release,
     ReleasePermit,
+    RunCopy,
     WithdrawWork,
 )
 from guavagate.permits._owned import OwnedPool, Seat
@@ -46,6 +55,11 @@
 SETTLE_SECONDS: Final = 0.5
 
 
+# A caller's stream has one source: a second copy of interactive work would
+# need two, so only the tail of steps is copied.
+POOL_SAFEGUARDS: Final = ALL_SAFEGUARDS - {Safeguard.HEDGING}
+
+
 class PoolHomes:
     """All pools that this instance is home to."""
 
@@ -55,6 +69,7 @@
         self._specs: dict[str, PoolSpec] = {}
         self._owned: dict[str, OwnedPool] = {}
         self._fresh_start = True
+        self.take_copy: Callable[[Permit], None] = self._decline_copy
         runtime.bus.register(AskPermit, self._on_ask)
         runtime.bus.register(ReleasePermit, self._on_release)
         runtime.bus.register(WithdrawWork, self._on_withdraw)
@@ -114,6 +129,9 @@
             return
         now = self._runtime.clock.now()
         sampler = SamplerId(release.upstream)
+        if release.ended is Release.COPY_FAILED:
+            self._end_copy(owned, release, now)
+            return
         grant = owned.granted.pop(release.work_id, None)
         if release.ended is Release.LEAVING:
             self.mark_leaving(owned, sampler)
@@ -193,14 +211,54 @@
             return
         for placement in owned.pool.place(now):
             self._grant(owned, placement.work.id, placement.sampler, now)
-            decision = placement.decision
-            self._runtime.decisions.record(
-                decision.subject,
-                decision.kind,
-                decision.choice,
-                decision.reason,
-                decision.turned_down,
-            )
+            self._record(placement.decision)
+
+    def _end_copy(
+        self, owned: OwnedPool, release: ReleasePermit, now: float
+    ) -> None:
+        """Free a copy's slot; refuse the work if nothing else runs it."""
+        ended = owned.pool.fail(
+            release.work_id, SamplerId(release.upstream), now, started=True
+        )
+        seat = owned.seats.get(release.work_id)
+        if seat is not None and isinstance(ended, Refused):
+            owned.seats.pop(release.work_id)
+            seat.answer.set(PermitReply(refusal=_describe(ended)))
+        self.move(owned)
+
+    def _offer_copies(self, owned: OwnedPool, now: float) -> None:
+        """Offer idle slots to the entries whose work would end last."""
+        for placement in owned.pool.hedge(now):
+            grant = owned.granted.get(placement.work.id)
+            if grant is None:
+                owned.pool.cancel(placement.work.id, now)
+                continue
+            self._record(placement.decision)
+            copy = owned.make_permit(placement.work.id, placement.sampler)
+            if grant.entry == self._me:
+                self.take_copy(copy)
+            else:
+                self._runtime.bus.send(grant.entry, RunCopy(permit=copy))
+
+    def _decline_copy(self, permit: Permit) -> None:
+        self.release(
+            self._me,
+            ReleasePermit(
+                pool=permit.pool,
+                work_id=permit.work_id,
+                upstream=permit.upstream,
+                ended=Release.COPY_FAILED,
+            ),
+        )
+
+    def _record(self, decision: Decision) -> None:
+        self._runtime.decisions.record(
+            decision.subject,
+            decision.kind,
+            decision.choice,
+            decision.reason,
+            decision.turned_down,
+        )
 
     def _offer(
         self, owned: OwnedPool, sender: InstanceId, ask: AskPermit
@@ -214,13 +272,7 @@
         if work.id in owned.seats:
             return None
         offered = owned.pool.offer(work, now)
-        self._runtime.decisions.record(
-            offered.decision.subject,
-            offered.decision.kind,
-            offered.decision.choice,
-            offered.decision.reason,
-            offered.decision.turned_down,
-        )
+        self._record(offered.decision)
         if isinstance(offered, Refused):
             return _describe(offered)
         owned.seats[work.id] = Seat(
@@ -270,7 +322,11 @@
         settle = 0 if self._fresh_start else SETTLE_SECONDS
         owned = OwnedPool(
             spec=spec,
-            pool=Pool(PoolSettings(name=spec.key), (), now),
+            pool=Pool(
+                PoolSettings(name=spec.key, safeguards=POOL_SAFEGUARDS),
+                (),
+                now,
+            ),
             grants_from=now + settle,
         )
         self._owned[spec.key] = owned
@@ -328,7 +384,7 @@
                     owned.seats.pop(work_id)
                     owned.pool.cancel(work_id, now)
                 self.move(owned)
-            gevent.sleep(0)
+                self._offer_copies(owned, now)
 
     def _on_ask(self, sender: InstanceId, message: Message) -> Message:
         return self.ask(sender, expect(message, AskPermit))
--- a/guavagate/permits/_messages.py
+++ b/guavagate/permits/_messages.py
@@ -19,6 +19,7 @@
     NOT_STARTED = 'not_started'
     LEAVING = 'leaving'
     CANCELLED = 'cancelled'
+    COPY_FAILED = 'copy_failed'
 
 
 class AskPermit(Message, frozen=True, kw_only=True):
@@ -55,8 +56,6 @@
     work_id: RequestId
     upstream: UpstreamId
     address: str
-    reason: str
-    expected_seconds: float = 0
 
 
 class PermitRefusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -88,6 +87,12 @@
     cached_tokens: int = 0
 
 
+class RunCopy(Message, frozen=True, kw_only=True):
+    """The home offers an idle slot for a second copy of slow work."""
+
+    permit: Permit
+
+
 class WithdrawWork(Message, frozen=True, kw_only=True):
     """The entry no longer waits; a permit on its way is given back."""
 
--- a/guavagate/permits/_owned.py
+++ b/guavagate/permits/_owned.py
@@ -54,20 +54,23 @@
 
     def grant(self, seat: Seat, sampler: SamplerId, now: float) -> Permit:
         """Enter a permit for a seat's work."""
+        permit = self.make_permit(seat.work.id, sampler)
+        self.granted[seat.work.id] = Grant(
+            entry=seat.entry, permit=permit, at=now
+        )
+        return permit
+
+    def make_permit(self, work_id: RequestId, sampler: SamplerId) -> Permit:
+        """Return a permit with the sampler's address."""
         address = next(
-            (m.address for m in self.spec.members if m.id == sampler), ''
+            (one.address for one in self.spec.members if one.id == sampler), ''
         )
-        permit = Permit(
+        return Permit(
             pool=self.spec.key,
-            work_id=seat.work.id,
+            work_id=work_id,
             upstream=UpstreamId(sampler),
             address=address,
-            reason='placed by its pool',
         )
-        self.granted[seat.work.id] = Grant(
-            entry=seat.entry, permit=permit, at=now
-        )
-        return permit
 
     def adopt(self, entry: InstanceId, held: HeldPermit, now: float) -> None:
         """Count a permit that the pool's former home gave out."""
--- a/guavagate/runs/_worker.py
+++ b/guavagate/runs/_worker.py
@@ -1,7 +1,7 @@
 """A worker: generates samples, has them scored, enters them."""
 
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Final
 
 from guavagate.clock import Task
@@ -31,11 +31,9 @@
     PoolHomes,
     Progress,
     estimate_tokens,
-    exhaust,
     hash_prefixes,
-    stream_answer,
 )
-from guavagate.ports.engine import Generation, ModelEngine, Piece
+from guavagate.ports.engine import Generation, ModelEngine
 from guavagate.runs._client import RunsClient
 from guavagate.runs._commands import FinishedSample, Verdict
 from guavagate.runs._driver import find_lineage
@@ -44,6 +42,7 @@
     GenerateSample,
     SampleEnded,
 )
+from guavagate.runs._race import SampleRace
 from guavagate.runtime import Runtime
 from guavagate.settings import DeploymentSettings
 from guavagate.util.units import parse_duration
@@ -150,7 +149,6 @@
                 'declare it with `guavagate settings apply`',
             )
         work = self._describe(order)
-        progress = Progress()
         write(
             _LOGGER,
             SAMPLE_STARTED,
@@ -158,7 +156,7 @@
             run=order.run,
             attempt=order.attempt,
         )
-        exhaust(self._generate(order, deployment, work, progress))
+        progress = self._generate(order, deployment, work)
         sample = FinishedSample(
             sample_id=order.sample_id,
             group_id=order.group.group_id,
@@ -183,8 +181,7 @@
         order: GenerateSample,
         deployment: DeploymentSettings,
         work: Work,
-        progress: Progress,
-    ) -> Iterator[Piece]:
+    ) -> Progress:
         pool = self._chooser.choose(
             self._homes.specs(), order.team, deployment.id, work
         )
@@ -200,7 +197,8 @@
             max_tokens=order.group.max_tokens,
             temperature=order.group.temperature,
         )
-        return stream_answer(source, work, generation, progress)
+        race = SampleRace(self._runtime.clock, source, work, generation)
+        return race.run()
 
     def _describe(self, order: GenerateSample) -> Work:
         return Work(
--- a/tests/runs/test_delivery.py
+++ b/tests/runs/test_delivery.py
@@ -44,7 +44,7 @@
         self.answers: list[Batch] = []
         self.newest = 0
         self.submitted: list[str] = []
-        self.clock = 0.0
+        self.clock = 0
         self.publish()
 
     def tell(self, kind: type, **fields: object) -> Batch | RunOutcome:
@@ -138,12 +138,8 @@
 
     def expected(self) -> set[str]:
         """Return the ids of all samples submitted."""
-        return {
-            f'{step}/{group.group_id}/{index}'
-            for step in self.submitted
-            for group in _GROUPS
-            for index in range(group.samples)
-        }
+        names = [f'g{place}/{index}' for place in range(3) for index in (0, 1)]
+        return {f'{step}/{name}' for step in self.submitted for name in names}
 
 
 @given(
--- /dev/null
+++ b/tests/runs/test_race.py
@@ -0,0 +1,128 @@
+"""The tail of a step: two copies of one sample, the first whole one wins."""
+
+from collections.abc import Iterator
+
+from guavagate.clock import PausedClock
+from guavagate.decisions import Work
+from guavagate.exceptions import UpstreamError
+from guavagate.models import (
+    CallerId,
+    RequestId,
+    TeamId,
+    UpstreamId,
+    WeightVersion,
+)
+from guavagate.permits import AnswerSource, Permit, Progress
+from guavagate.ports.engine import Generation, Piece
+from guavagate.runs._race import SampleRace
+
+
+class Samplers:
+    """A fake engine and permit client: seconds to an answer by address."""
+
+    def __init__(self, clock: PausedClock, seconds: dict[str, float]) -> None:
+        self.clock = clock
+        self.seconds = seconds
+        self.cancelled: list[str] = []
+        self.ended: list[tuple[str, int]] = []
+        self.take = lambda permit: None
+
+    def now(self) -> float:
+        """Return the virtual time."""
+        return self.clock.now()
+
+    def allow_copies(self, work_id: RequestId, take: object) -> None:
+        """Note whom to offer copies."""
+        self.take = take  # type: ignore[assignment]
+
+    def forbid_copies(self, work_id: RequestId) -> None:
+        """Offer no more."""
+
+    def acquire(self, pool: str, work: Work, failed: object) -> Permit:
+        """Grant the first sampler."""
+        return make_permit('first')
+
+    def release(
+        self, permit: Permit, ended: object, **measured: object
+    ) -> None:
+        """Accept."""
+
+    def drop(self, permit: Permit) -> None:
+        """Accept."""
+
+    def end_copy(self, permit: Permit, **measured: int) -> None:
+        """Note what came of a copy."""
+        self.ended.append((permit.address, measured.get('tokens', 0)))
+
+    def generate(
+        self, address: str, generation: Generation, token_timeout: float
+    ) -> Iterator[Piece]:
+        """Answer after the address's time; a negative one fails."""
+        done = False
+        try:
+            self.clock.sleep(abs(self.seconds[address]))
+            done = True
+        finally:
+            if not done:
+                self.cancelled.append(address)
+        if self.seconds[address] < 0:
+            raise UpstreamError('reset', 'ask another')
+        yield Piece(
+            exchange=generation.exchange,
+            text=address,
+            tokens=1,
+            version=WeightVersion(1),
+            finish='stop',
+        )
+
+
+def make_permit(address: str) -> Permit:
+    """Return a permit for an address."""
+    return Permit(
+        pool='p',
+        work_id=RequestId('w'),
+        upstream=UpstreamId(address),
+        address=address,
+    )
+
+
+def run_race(seconds: dict[str, float]) -> tuple[Progress, Samplers]:
+    """Run a race whose second copy is offered after a second."""
+    clock = PausedClock()
+    samplers = Samplers(clock, seconds)
+    source = AnswerSource(
+        client=samplers,  # type: ignore[arg-type]
+        engine=samplers,  # type: ignore[arg-type]
+        pool='p',
+        token_timeout=5,
+    )
+    work = Work(id=RequestId('w'), team=TeamId('t'), caller=CallerId('c'))
+    generation = Generation(exchange=work.id, prompt='x', max_tokens=4)
+    race = SampleRace(clock, source, work, generation)
+    task = clock.spawn(race.run)
+    clock.advance(1)
+    samplers.take(make_permit('second'))  # type: ignore[arg-type]
+    clock.run_until(task.ready, 100)
+    clock.settle()
+    return task.get(block=False), samplers
+
+
+def test_the_faster_copy_wins_and_the_slower_is_cancelled() -> None:
+    """The sample is the second copy's, whole, and made by it alone.
+
+    The first sampler is stuck. The pool offers an idle slot after a second;
+    that copy is whole first, and the first one's stream is closed.
+    """
+    progress, samplers = run_race({'first': 50, 'second': 2})
+    assert progress.text == 'second'
+    assert progress.samplers == [UpstreamId('second')]
+    assert samplers.cancelled == ['first']
+    assert samplers.ended == [('second', 1)]
+
+
+def test_a_copy_that_loses_or_fails_changes_nothing() -> None:
+    """The first sampler's answer stands; a failed copy gives its slot back."""
+    progress, samplers = run_race({'first': 5, 'second': 50})
+    assert (progress.text, samplers.cancelled) == ('first', ['second'])
+    progress, samplers = run_race({'first': 5, 'second': -1})
+    assert (progress.text, samplers.ended) == ('first', [('second', 0)])
