Count through partitions and misjudge living primaries

Cause: requests alone are too few to show what a partition loses, doubles or forks; each answered addition now has a total that others must not contradict. Two faults more: a living primary taken for dead, and a view write whose answer is lost before the primary dies.

--- a/guavagate/measure/_checks.py
+++ b/guavagate/measure/_checks.py
@@ -148,6 +148,55 @@
                 )
 
 
+def judge_commands(events: _History) -> Iterator[hist.Violation]:
+    """Find counters that lost, doubled or forked additions.
+
+    Each answered addition has a total of its own; one sent after another's
+    answer has a higher one; no total exceeds what was sent by then.
+    """
+    sent = {one.command: one.at for one in _pick(events, hist.SentCommand)}
+    answers = _pick(events, hist.CommandApplied)
+    for answer in answers:
+        rivals = [
+            other
+            for other in answers
+            if _contradicts(answer, other, sent[other.command])
+        ]
+        possible = _count_possible(events, answer)
+        if rivals or answer.total > possible:
+            yield hist.Violation(
+                hist.Promise.APPLIED_ONCE,
+                answer.command,
+                f'total {answer.total} of at most {possible}',
+                (answer, *rivals),
+            )
+
+
+def _contradicts(
+    answer: hist.CommandApplied, other: hist.CommandApplied, sent: float
+) -> bool:
+    """Say whether another answer can't be true beside this one."""
+    if other is answer or other.key != answer.key:
+        return False
+    if other.losses != answer.losses:
+        return False
+    if other.total == answer.total:
+        return True
+    return sent > answer.at and other.total < answer.total
+
+
+def _count_possible(events: _History, answer: hist.CommandApplied) -> int:
+    """Return how many additions can have been applied by an answer."""
+    refused = {one.command for one in _pick(events, hist.CommandRefused)}
+    return sum(
+        1
+        for sent in _pick(events, hist.SentCommand)
+        if sent.key == answer.key
+        and sent.at <= answer.at
+        and sent.command not in refused
+    )
+
+
 def _judge_steps(
     events: _History,
     batches: dict[tuple[str, str, str], hist.PulledBatch],
@@ -244,4 +293,5 @@
     judge_deliveries,
     judge_versions,
     judge_staleness,
+    judge_commands,
 )
--- a/guavagate/measure/_events.py
+++ b/guavagate/measure/_events.py
@@ -156,6 +156,35 @@
     step: str
 
 
+class SentCommand(_Event, frozen=True, kw_only=True):
+    """A client asked a partition to add one to a counter."""
+
+    key: str
+    command: str
+
+
+class CommandApplied(_Event, frozen=True, kw_only=True):
+    """The counter's total after it, as answered.
+
+    Parameters
+    ----------
+    losses
+        How often copies had been lost; totals compare within one number.
+    """
+
+    key: str
+    command: str
+    total: int
+    losses: int = 0
+
+
+class CommandRefused(_Event, frozen=True, kw_only=True):
+    """The command was certainly not applied."""
+
+    key: str
+    command: str
+
+
 class FaultInjected(_Event, frozen=True, kw_only=True):
     """A fault, for the trace alone."""
 
@@ -175,6 +204,9 @@
     | PulledBatch
     | Acked
     | StepDone
+    | SentCommand
+    | CommandApplied
+    | CommandRefused
     | FaultInjected
 )
 
@@ -187,6 +219,7 @@
     NOT_RUN_IS_TRUE = 'a refusal that says not run is true'
     DELIVERED_ONCE = 'every sample is delivered exactly once'
     TRUE_VERSIONS = 'every sample names the versions that made it'
+    APPLIED_ONCE = 'an answered command is applied once and kept'
     FRESH = 'no sample is older than the staleness bound'
 
 
--- a/guavagate/measure/outcomes/__init__.py
+++ b/guavagate/measure/outcomes/__init__.py
@@ -1,5 +1,11 @@
 """Random operations and faults over fakes, judged by their history."""
 
+from guavagate.measure.outcomes._counts import (
+    Add,
+    Counters,
+    Counts,
+    Total,
+)
 from guavagate.measure.outcomes._faults import FAULTS, Faults
 from guavagate.measure.outcomes._fleet import Fleet
 from guavagate.measure.outcomes._requests import Requests
@@ -8,6 +14,10 @@
 
 __all__ = (
     'FAULTS',
+    'Add',
+    'Counters',
+    'Counts',
+    'Total',
     'Faults',
     'Fleet',
     'Requests',
--- /dev/null
+++ b/guavagate/measure/outcomes/_counts.py
@@ -0,0 +1,142 @@
+"""Clients that count through partitions: each answer shows what was kept."""
+
+import random
+from typing import Any, Final
+
+import msgspec
+
+from guavagate.clock import Task
+from guavagate.exceptions import GuavagateError, NotAppliedError
+from guavagate.measure import history as hist
+from guavagate.measure.outcomes._fleet import Fleet
+from guavagate.measure.outcomes._upstream import Upstream
+from guavagate.partitions import Command, CopiesLost, Outcome
+from guavagate.runtime import Runtime
+
+_CLIENTS: Final = 4
+_SECONDS: Final = 28.0
+_PAUSE: Final = (0.05, 0.4)
+_TIMEOUT: Final = 3.0
+
+
+class Add(Command, frozen=True, kw_only=True):
+    """Add to a counter."""
+
+    key: str
+    amount: int = 1
+
+
+class Total(Outcome, frozen=True, kw_only=True):
+    """What the counter shows then, and how often copies were lost."""
+
+    total: int
+    losses: int = 0
+
+
+class Counters:
+    """Counts by key; a `ReplicatedState`."""
+
+    def __init__(self) -> None:
+        self.totals: dict[str, int] = {}
+        self.lost: list[float] = []
+
+    def apply(self, command: Command) -> Outcome:
+        """Add."""
+        if isinstance(command, CopiesLost):
+            if command.at not in self.lost:
+                self.lost.append(command.at)
+            return Outcome()
+        return self._add(command)
+
+    def snapshot(self) -> bytes:
+        """Return all counters."""
+        return msgspec.msgpack.encode((self.totals, self.lost))
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace all counters."""
+        self.totals, self.lost = msgspec.msgpack.decode(snapshot)
+
+    def _add(self, command: Any) -> Outcome:
+        """Add to one counter."""
+        total = self.totals.get(command.key, 0) + command.amount
+        self.totals[command.key] = total
+        return Total(total=total, losses=len(self.lost))
+
+
+class Counts:
+    """The workload of counting clients; see `Workload`."""
+
+    def __init__(self) -> None:
+        self.record: list[hist.Event] = []
+        self.answered = 0
+
+    def make_states(self, partition: Any) -> dict[Any, Any]:
+        """Make the counters."""
+        return {Add: Counters()}
+
+    def start_on(self, runtime: Runtime) -> None:
+        """Start nothing."""
+
+    def drive(
+        self, fleet: Fleet, upstream: Upstream, rng: random.Random
+    ) -> list[Task]:
+        """Start the clients."""
+        self._fleet = fleet
+        self._rng = rng
+        self._number = 0
+        end = fleet.clock.now() + _SECONDS
+        return [
+            fleet.clock.spawn(self._count, f'counter-{number % 2}', end)
+            for number in range(_CLIENTS)
+        ]
+
+    def _count(self, key: str, end: float) -> None:
+        """Add one after the other, at any instance that runs."""
+        clock = self._fleet.clock
+        while clock.now() < end:
+            clock.sleep(self._rng.uniform(*_PAUSE))
+            running = self._fleet.running()
+            if running:
+                self._add(key, self._rng.choice(running))
+
+    def _add(self, key: str, name: str) -> None:
+        """Add one at an instance and record what it answers."""
+        self._number += 1
+        command = f'{key}/{self._number}'
+        clock = self._fleet.clock
+        self.record.append(
+            hist.SentCommand(at=clock.now(), who=name, key=key, command=command)
+        )
+        task = self._fleet.runtimes[name].clock.spawn(self._submit, key, name)
+        try:
+            with clock.timeout(2 * _TIMEOUT, TimeoutError):
+                task.join()
+        except TimeoutError:
+            return
+        total = task.value
+        if isinstance(total, NotAppliedError):
+            self.record.append(
+                hist.CommandRefused(at=clock.now(), key=key, command=command)
+            )
+        if isinstance(total, Total):
+            self.answered += 1
+            self.record.append(
+                hist.CommandApplied(
+                    at=clock.now(),
+                    who=name,
+                    key=key,
+                    command=command,
+                    total=total.total,
+                    losses=total.losses,
+                )
+            )
+
+    def _submit(self, key: str, name: str) -> Total | GuavagateError:
+        """Submit one addition."""
+        command = Add(at=self._fleet.clock.wall(), key=key)
+        try:
+            return self._fleet.partitions[name].submit(
+                key, command, Total, _TIMEOUT
+            )
+        except GuavagateError as error:
+            return error
--- a/guavagate/measure/outcomes/_faults.py
+++ b/guavagate/measure/outcomes/_faults.py
@@ -166,6 +166,20 @@
             host = self._fleet.host(name)
             host.clock.spawn(self._fleet.partitions[name].stop)
 
+    def misjudge(self, name: str) -> None:
+        """Let some others take a living instance for dead for a while."""
+        instance = InstanceId(name)
+        peer = self._world.peers[instance]
+        for other in sorted(self._world.members):
+            if other == instance or self._rng.random() < 0.3:
+                continue
+            members = self._world.members[other]
+            members.update(peer, alive=False)
+            self._later(
+                self._rng.choice((2, 8)),
+                functools.partial(members.update, peer, alive=True),
+            )
+
     def set_store(self, **faults: Any) -> None:
         """Set faults of the store."""
         for name, how in faults.items():
@@ -262,6 +276,36 @@
     faults.later(6, 9, lambda: faults.set_store(slow=0))
 
 
+def _misjudge(faults: Faults) -> None:
+    """Let others take a living primary for dead, with the store slow."""
+    name = faults.pick('primary')
+    if not name:
+        return
+    faults.note('primary falsely taken for dead')
+    faults.set_store(slow=0.2)
+    faults.misjudge(name)
+    faults.later(3, 6, lambda: faults.set_store(slow=0))
+
+
+def _lose_view_write(faults: Faults) -> None:
+    """Kill a backup, lose the answer to the new view, kill the primary."""
+    holders = faults.holders()
+    if len(holders) < 2:
+        return
+    faults.note('primary killed after a lost view write')
+    faults.kill(holders[-1])
+    faults.later(
+        2,
+        2.2,
+        lambda: faults.for_a_while(
+            'store answers lost',
+            lambda: faults.set_store(lose_answers=1),
+            lambda: faults.set_store(lose_answers=0),
+        ),
+    )
+    faults.later(3, 7, lambda: faults.kill(holders[0]))
+
+
 FAULTS: Final[dict[str, Callable[[Faults], None]]] = {
     'entry killed': lambda faults: faults.kill(faults.pick('entry')),
     'primary killed': lambda faults: faults.kill(faults.pick('primary')),
@@ -302,6 +346,8 @@
         lambda: faults.set_store(old=None),
     ),
     'racing takeovers': _race,
+    'primary falsely taken for dead': _misjudge,
+    'primary killed after a lost view write': _lose_view_write,
     'one-way partition': lambda faults: faults.block_one_way(),
     'messages lost': lambda faults: faults.for_a_while(
         'messages lost',
@@ -315,5 +361,5 @@
 def draw_faults(rng: random.Random) -> Iterator[tuple[float, str]]:
     """Draw the faults of a run, with the time of each."""
     names = sorted(FAULTS)
-    for _ in range(rng.choice((1, 1, 2, 2, 3))):
+    for _ in range(rng.choice((1, 1, 2, 2, 3, 4))):
         yield rng.uniform(0, 10), rng.choice(names)
--- a/guavagate/measure/outcomes/_run.py
+++ b/guavagate/measure/outcomes/_run.py
@@ -8,6 +8,7 @@
 
 from guavagate.clock import Task
 from guavagate.measure import history as hist
+from guavagate.measure.outcomes._counts import Counts
 from guavagate.measure.outcomes._faults import Faults, draw_faults
 from guavagate.measure.outcomes._fleet import Fleet
 from guavagate.measure.outcomes._requests import Requests
@@ -15,7 +16,7 @@
 from guavagate.partitions.replicated import Safeguards
 from guavagate.runtime import Runtime
 
-_NAMES: Final = 'abcde'
+_FLEETS: Final = ('abcde', 'abcde', 'abc', 'ab')
 _WARM_UP: Final = 8.0
 _FAULTY: Final = 30.0
 _LIMIT: Final = 300.0
@@ -70,7 +71,7 @@
     rng = random.Random(seed)
     workloads = (make_workloads or _make_default)()
     fleet = Fleet(
-        _NAMES,
+        rng.choice(_FLEETS),
         rng.getrandbits(32),
         lambda partition: _merge_states(workloads, partition),
         partitions=_PARTITIONS,
@@ -110,7 +111,7 @@
 
 def _make_default() -> list[Workload]:
     """Make the workloads that a run has unless told otherwise."""
-    return [Requests()]
+    return [Requests(), Counts()]
 
 
 def _bring_all(
--- a/tests/common.py
+++ b/tests/common.py
@@ -1,57 +1,12 @@
 """A small fleet of fake instances with a counter in its partitions."""
 
-import msgspec
-
 from guavagate.clock import Task
 from guavagate.measure import outcomes
-from guavagate.partitions import (
-    Command,
-    CopiesLost,
-    Outcome,
-    ReplicatedState,
-)
+from guavagate.measure.outcomes import Add, Counters, Total
+from guavagate.partitions import Command, ReplicatedState
 from guavagate.partitions.replicated import Safeguards
 
 
-class Add(Command, frozen=True, kw_only=True):
-    """Add to a counter."""
-
-    key: str
-    amount: int = 1
-
-
-class Total(Outcome, frozen=True, kw_only=True):
-    """What the counter shows then."""
-
-    total: int
-
-
-class Counters:
-    """Counts by key; a `ReplicatedState`."""
-
-    def __init__(self) -> None:
-        self.totals: dict[str, int] = {}
-        self.lost: list[float] = []
-
-    def apply(self, command: Command) -> Outcome:
-        """Add."""
-        if isinstance(command, CopiesLost):
-            self.lost.append(command.at)
-            return Outcome()
-        assert isinstance(command, Add)
-        total = self.totals.get(command.key, 0) + command.amount
-        self.totals[command.key] = total
-        return Total(total=total)
-
-    def snapshot(self) -> bytes:
-        """Return all counters."""
-        return msgspec.msgpack.encode((self.totals, self.lost))
-
-    def restore(self, snapshot: bytes) -> None:
-        """Replace all counters."""
-        self.totals, self.lost = msgspec.msgpack.decode(snapshot)
-
-
 def make_counters(partition: int) -> dict[type[Command], ReplicatedState]:
     """Make the states of one partition."""
     return {Add: Counters()}
