Give the copies of each view their own time to come back

It is kept by epoch now. The checker compared totals over two losses by their count, which begins anew with the state; by the loss's time now.

--- a/guavagate/measure/_checks.py
+++ b/guavagate/measure/_checks.py
@@ -178,7 +178,7 @@
     """Say whether another answer can't be true beside this one."""
     if other is answer or other.key != answer.key:
         return False
-    if other.losses != answer.losses:
+    if other.lost_at != answer.lost_at:
         return False
     if other.total == answer.total:
         return True
--- a/guavagate/measure/_events.py
+++ b/guavagate/measure/_events.py
@@ -168,14 +168,14 @@
 
     Parameters
     ----------
-    losses
-        How often copies had been lost; totals compare within one number.
+    lost_at
+        When copies were last lost; totals compare between two losses.
     """
 
     key: str
     command: str
     total: int
-    losses: int = 0
+    lost_at: float = 0
 
 
 class CommandRefused(_Event, frozen=True, kw_only=True):
--- a/guavagate/measure/outcomes/_counts.py
+++ b/guavagate/measure/outcomes/_counts.py
@@ -27,10 +27,10 @@
 
 
 class Total(Outcome, frozen=True, kw_only=True):
-    """What the counter shows then, and how often copies were lost."""
+    """What the counter shows then, and when copies were last lost."""
 
     total: int
-    losses: int = 0
+    lost_at: float = 0
 
 
 class Counters:
@@ -60,7 +60,7 @@
         """Add to one counter."""
         total = self.totals.get(command.key, 0) + command.amount
         self.totals[command.key] = total
-        return Total(total=total, losses=len(self.lost))
+        return Total(total=total, lost_at=max(self.lost, default=0))
 
 
 class Counts:
@@ -127,7 +127,7 @@
                     key=key,
                     command=command,
                     total=total.total,
-                    losses=total.losses,
+                    lost_at=total.lost_at,
                 )
             )
 
--- a/guavagate/partitions/_takeover.py
+++ b/guavagate/partitions/_takeover.py
@@ -36,7 +36,7 @@
     def __init__(self, hosting: Hosting) -> None:
         self._hosting = hosting
         self._around = hosting.around
-        self._short_since: dict[PartitionId, float] = {}
+        self._short_since: dict[tuple[PartitionId, Epoch], float] = {}
 
     def bootstrap(self, partition: PartitionId) -> None:
         """Create the first view of a partition, held here alone."""
@@ -76,7 +76,6 @@
         self._hosting.learn(agreed)
         if agreed.change != new.change:
             return 'another took it over'
-        self._short_since.pop(partition, None)
         announce(self._hosting, agreed, view)
         return 'taken over'
 
@@ -160,7 +159,10 @@
     ) -> View | None:
         """Begin anew when the missing copies stay away."""
         now = self._around.clock.now()
-        since = self._short_since.setdefault(view.partition, now)
+        # By epoch: copies of a new view have their own time to come back,
+        # however long those of an older one were missed.
+        place = view.partition, view.epoch
+        since = self._short_since.setdefault(place, now)
         missing = [
             member
             for member in view.members
