--- a/guavagate/measure/outcomes/_faults.py
+++ b/guavagate/measure/outcomes/_faults.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 
+from guavagate.clock import Task
 from guavagate.measure import history as hist
 from guavagate.measure.fakes import Host
 from guavagate.measure.outcomes._fleet import Fleet
@@ -163,8 +164,17 @@
         name = self.pick('entry')
         if name:
             self._note('planned stop', name)
-            host = self._fleet.host(name)
-            host.clock.spawn(self._fleet.partitions[name].stop)
+            stop = self._fleet.host(name).clock.spawn(
+                self._fleet.partitions[name].stop
+            )
+            self._fleet.clock.spawn(self._exit, name, stop)
+
+    def _exit(self, name: str, stop: Task) -> None:
+        """End a process that has stopped, and start another later."""
+        stop.join()
+        if not self._fleet.host(name).dead:
+            self._world.kill(name)
+            self._later(self._rng.uniform(0.2, 8), lambda: self._start(name))
 
     def misjudge(self, name: str) -> None:
         """Let some others take a living instance for dead for a while."""
--- a/guavagate/partitions/_keeper.py
+++ b/guavagate/partitions/_keeper.py
@@ -50,11 +50,11 @@
     def run(self) -> None:
         """Look after the partitions until killed."""
         self._load()
-        while not self._stopping:
+        while True:
             self._catch_up()
             self._hosting.changed.clear()
-            for partition in range(self._partitions):
-                self._look_at(PartitionId(partition))
+            if not self._stopping:
+                self._look_at_all()
             self._wait()
 
     def hand_all_over(self, limit: float) -> bool:
@@ -113,6 +113,11 @@
             self._around.clock.spawn(self._load)
             self._refreshed = now
 
+    def _look_at_all(self) -> None:
+        """Start what any partition needs."""
+        for partition in range(self._partitions):
+            self._look_at(PartitionId(partition))
+
     def _look_at(self, partition: PartitionId) -> None:
         """Start what a partition needs, when it is due."""
         if partition in self._busy:
--- a/guavagate/partitions/_replicated.py
+++ b/guavagate/partitions/_replicated.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from guavagate.clock import Task
 from guavagate.const import DEFAULT_PARTITIONS
 from guavagate.exceptions import (
     LinkError,
@@ -79,23 +78,19 @@
         self._hosting = Hosting(self._around, views, make_states)
         self._keeper = Keeper(self._hosting, partitions)
         self._partitions = partitions
-        self._task: Task | None = None
 
     def start(self) -> None:
         """Answer peers and look after partitions, from now on."""
         self._hosting.register()
         self._members.subscribe(self._hosting.changed.set)
-        self._task = self._around.clock.spawn(self._keeper.run)
+        self._around.clock.spawn(self._keeper.run)
 
     def stop(self, limit: float = _STOP_LIMIT) -> bool:
         """Hand over what is decided here; say whether all of it was.
 
         It goes on answering peers, since callers may still be routed here.
         """
-        done = self._keeper.hand_all_over(limit)
-        if self._task is not None:
-            self._task.kill(block=False)
-        return done
+        return self._keeper.hand_all_over(limit)
 
     def submit(
         self,
