Measure settings in force; send the stand-ins' answers without Nagle

The spread was measured by a test's fake network only, and fleets had no fleet operator.

script/measure settings runs virtual time at 9, 64 and 330 instances; settings-real runs processes with one killed and one stopped and woken. It showed 44 ms for every call of the object API's stand-in on a kept connection: headers and body are two writes, and with Nagle's algorithm the second waits for the client's delayed acknowledgement.

--- a/guavagate/measure/__main__.py
+++ b/guavagate/measure/__main__.py
@@ -16,6 +16,8 @@
     'decisions': 'guavagate.measure._commands:decisions',
     'cost': 'guavagate.measure._cost:cost',
     'cost-per-request': 'standins.cost:main',
+    'settings': 'guavagate.measure._settings:settings',
+    'settings-real': 'standins.spread:main',
 }
 
 
--- /dev/null
+++ b/guavagate/measure/_settings.py
@@ -0,0 +1,41 @@
+"""``script/measure settings``: settings in force, in virtual time."""
+
+import logging
+from collections.abc import Sequence
+
+import click
+import msgspec
+
+from guavagate.measure.settings import Spread, measure_spread
+
+
+@click.command()
+@click.option(
+    '--instances',
+    multiple=True,
+    default=(9, 64, 330),
+    show_default=True,
+    help='May be repeated.',
+)
+@click.option('--changes', default=200, show_default=True)
+@click.option('--seed', default=1, show_default=True)
+@click.option('--json', 'as_json', is_flag=True)
+def settings(
+    instances: tuple[int, ...], changes: int, seed: int, *, as_json: bool
+) -> None:
+    """Measure how soon changes of settings are in force everywhere."""
+    logging.disable(logging.CRITICAL)
+    found = [measure_spread(count, changes, seed) for count in instances]
+    if as_json:
+        click.echo(msgspec.json.encode(found).decode())
+        return
+    names = Spread.__struct_fields__
+    _echo_row(names)
+    _echo_row(['---'] * len(names))
+    for spread in found:
+        _echo_row([f'{getattr(spread, name):.4g}' for name in names])
+
+
+def _echo_row(cells: Sequence[str]) -> None:
+    joined = ' | '.join(cells)
+    click.echo(f'| {joined} |')
--- a/standins/_web.py
+++ b/standins/_web.py
@@ -18,6 +18,11 @@
 class _Handler(WSGIHandler):
     """Hands the connection to the application, which may reset it."""
 
+    def handle(self) -> None:
+        """Serve one connection, without Nagle's 40 ms between two writes."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
     def get_environ(self) -> dict[str, Any]:
         """Add the socket to the environment."""
         env = super().get_environ()
--- a/standins/fleet/_fleet.py
+++ b/standins/fleet/_fleet.py
@@ -12,9 +12,11 @@
 import gevent
 import msgspec
 
-from guavagate.models import InstanceId, ZoneId
+from guavagate.auth import hash_token
+from guavagate.models import CallerId, InstanceId, ZoneId
 from guavagate.settings import (
     InstanceSettings,
+    OperatorSettings,
     PeerSettings,
     PlatformSettings,
     render_settings,
@@ -32,6 +34,8 @@
 
 READY_SECONDS: Final = 30.0
 CREDENTIAL: Final = 'fleet-credential'
+# Fleets run on the loopback only.
+FLEET_TOKEN: Final = 'gg_fleet-operator'
 
 
 class Fleet:
@@ -126,6 +130,7 @@
             'tokens': {
                 team.team: list_tokens(team) for team in self.plan.teams
             },
+            'fleet_operator_token': FLEET_TOKEN,
         }
 
     def start_standin(
@@ -238,6 +243,11 @@
                 object_api=f'http://{self.platform}',
                 credentials_file=str(secret),
             ),
+            operators=(
+                OperatorSettings(
+                    id=CallerId('fleet'), token_hash=hash_token(FLEET_TOKEN)
+                ),
+            ),
             peers=tuple(
                 self._make_peer(other)
                 for other in self.instances
