--- a/guavagate/integrations/object_api/__init__.py
+++ b/guavagate/integrations/object_api/__init__.py
@@ -1,5 +1,7 @@
-"""The platform's object API over HTTP."""
+"""Speaks to the platform's object API over HTTP."""
 
-from guavagate.integrations.object_api._client import make_store
+from guavagate.integrations.object_api._client import ObjectApi
+from guavagate.integrations.object_api._transport import connect_http
+from guavagate.integrations.object_api.models import Priority
 
-__all__ = ('make_store',)
+__all__ = ('ObjectApi', 'Priority', 'connect_http')
--- a/standins/_web.py
+++ b/standins/_web.py
@@ -19,7 +19,11 @@
     """Hands the connection to the application, which may reset it."""
 
     def handle(self) -> None:
-        """Serve one connection, without Nagle's 40 ms between two writes."""
+        """Send each piece at once.
+
+        Otherwise a streamed piece waits until the client has acknowledged the
+        one before it, which clients delay by 40 ms.
+        """
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle()
 
