--- a/guavagate/decisions/_fleet.py
+++ b/guavagate/decisions/_fleet.py
@@ -6,12 +6,18 @@
 
 from guavagate.decisions import ejection
 from guavagate.decisions._sampler import Running, SamplerInfo, SamplerState
-from guavagate.decisions._work import PREFILL_SHARE, Safeguard
+from guavagate.decisions._work import (
+    PREFILL_SHARE,
+    Kind,
+    Safeguard,
+    Work,
+    demands_of,
+)
 from guavagate.decisions.admission import LengthEstimate
 from guavagate.models import SamplerId
 
 # Sampler weights are worked out anew at most this often, in seconds.
-REFRESH_S: Final = 0.02
+REFRESH_S: Final = 0.1
 # Seconds per token before anything was measured: an engine's usual pace.
 FIRST_PACE: Final = 0.02
 # Running work's lower bound on its pace is evidence from this multiple of the
@@ -31,6 +37,7 @@
         self.pace = FIRST_PACE
         self.median: float | None = None
         self.slots = 0
+        self._rollout_slots = 0
 
     def declare(self, infos: Iterable[SamplerInfo], now: float) -> None:
         """Take over the declared samplers; others are gone."""
@@ -49,9 +56,39 @@
             state.declare(info)
         self.refresh(now, force=True)
 
-    def free(self) -> list[SamplerState]:
-        """Return the samplers that may start more work."""
-        return [state for state in self.samplers.values() if state.free > 0]
+    def has_free(self) -> bool:
+        """Return whether any sampler may start more work."""
+        for state in self.samplers.values():
+            if state.occupied < max(state.usable, state.usable_rollout):
+                return True
+        return False
+
+    def fitting(self, work: Work) -> list[SamplerState]:
+        """Return the samplers that may start this work now."""
+        if demands_of(work):
+            return [
+                state
+                for state in self.samplers.values()
+                if state.free_for(work) > 0 and not state.blocks(work)
+            ]
+        # Leaving samplers have no usable slots.
+        if work.kind is Kind.ROLLOUT:
+            return [
+                state
+                for state in self.samplers.values()
+                if state.occupied < state.usable_rollout
+            ]
+        return [
+            state
+            for state in self.samplers.values()
+            if state.occupied < state.usable
+        ]
+
+    def slots_for(self, work: Work) -> int:
+        """Return how much of this work's kind may run at once."""
+        if work.kind is Kind.ROLLOUT:
+            return self._rollout_slots
+        return self.slots
 
     def refresh(self, now: float, *, force: bool = False) -> None:
         """Work out anew which sampler may have how much."""
@@ -67,6 +104,7 @@
         for state in states:
             state.refresh(now, self.median, ejecting)
         self.slots = sum(state.usable for state in states)
+        self._rollout_slots = sum(state.usable_rollout for state in states)
 
     def learn(
         self,
@@ -85,7 +123,11 @@
             _learn_cache(running, state, cached_tokens)
         pace = (now - running.start) / max(tokens + prompt, 1.0)
         state.health.succeed(pace, now)
-        state.limit.learn(pace, len(state.running) + 1, now)
+        # Only an answer that began and ended among as many others shows what
+        # that many cost; the batch is full all the while when it matters.
+        level = len(state.running) + 1
+        if running.level == level:
+            state.limit.learn(pace, level, now)
         self.pace += _SMOOTHING * (pace - self.pace)
 
     def _eject(self, states: list[SamplerState], now: float) -> None:
