Replace silent connections and repeat what waited without doubling

Cause: a connection that went silent for good failed every request on it at its own time limit, and nothing told it from a slow peer.

A connection that owes an answer for 0.5 s is asked for a heartbeat; after 1.5 s without one a new connection is probed; if that answers, it takes over and what waited is repeated under the same id to the same process, which remembers handled ids for 10 s (10,000 ids, 8 MB of replies; what it may have forgotten is answered 'may have been handled'). A process started since is not asked again. Ruled out: zmq's own heartbeats, which close a connection to a paused process as well.

--- a/guavagate/links/_envelope.py
+++ b/guavagate/links/_envelope.py
@@ -11,6 +11,10 @@
 from guavagate.models import NotRun
 
 WIRE_VERSION: Final = 1
+# Messages waiting for a connection, and in zmq's own queue. A peer that takes
+# none is refused work after some two thousand, instead of being buried.
+QUEUE_LIMIT: Final = 1000
+MAX_FRAME_BYTES: Final = 64_000_000
 
 _PLAIN: Final = (str, int, float, bool, type(None))
 
@@ -41,6 +45,9 @@
     boot
         Drawn by each process at its start. A request is only ever repeated
         to the process that may remember it.
+    age
+        Seconds since it was first sent when a request is repeated over a
+        new connection; negative the first time.
     """
 
     version: int
@@ -50,6 +57,7 @@
     kind: str = ''
     body: msgspec.Raw = msgspec.Raw(b'\xc0')
     boot: int = 0
+    age: float = -1
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
@@ -61,6 +69,10 @@
     fields: dict[str, str | int | float | bool | None] = {}  # noqa: WPS234
 
 
+encode_envelope: Final = msgspec.msgpack.Encoder().encode
+decode_envelope: Final = msgspec.msgpack.Decoder(Envelope).decode
+
+
 def encode_error(error: GuavagateError) -> bytes:
     """Return an error as it travels.
 
--- a/guavagate/links/_server.py
+++ b/guavagate/links/_server.py
@@ -8,17 +8,23 @@
 import msgspec
 import zmq
 
+from guavagate.clock import Clock
+from guavagate.events import fleet, write
 from guavagate.exceptions import GuavagateError, LinkError
 from guavagate.links._bus import Handler, Message
 from guavagate.links._credential import secure_server
 from guavagate.links._envelope import (
+    MAX_FRAME_BYTES,
+    QUEUE_LIMIT,
     WIRE_VERSION,
     Act,
     Envelope,
+    decode_envelope,
+    encode_envelope,
     encode_error,
     encode_refusal,
 )
-from guavagate.links._link import MAX_FRAME_BYTES, QUEUE_LIMIT
+from guavagate.links._memory import Handled, Memory
 from guavagate.links._socket import Frames, SocketOwner
 from guavagate.models import InstanceId
 
@@ -29,15 +35,17 @@
 _NOTHING: Final = b'\xc0'
 
 _encode: Final = msgspec.msgpack.Encoder().encode
-_decode: Final = msgspec.msgpack.Decoder(Envelope).decode
 
 
 class Server:
     """Hands each message to its kind's handler and returns the reply."""
 
-    def __init__(self, me: InstanceId) -> None:
+    def __init__(self, me: InstanceId, boot: int, clock: Clock) -> None:
         self._me = me
+        self._boot = boot
+        self._clock = clock
         self._handlers: dict[str, tuple[Handler, msgspec.msgpack.Decoder]] = {}
+        self._memory = Memory()
         self._running = 0
         self._owner: SocketOwner | None = None
 
@@ -58,45 +66,74 @@
 
     def _receive(self, frames: Frames) -> None:
         try:
-            envelope = _decode(frames[-1])
+            envelope = decode_envelope(frames[-1])
         except msgspec.MsgspecError:
-            _LOGGER.warning('dropped an undecodable frame')
+            write(_LOGGER, fleet.FRAME_DROPPED, size=len(frames[-1]))
             return
         identity = frames[0]
-        if envelope.act in {Act.REQUEST, Act.SEND}:
+        if envelope.act == Act.PING:
+            # Answered here and not by a task of its own: a heartbeat shows
+            # that the connection works, however busy the handlers are.
+            self._answer(identity, envelope.id, Act.PONG, _NOTHING)
+        elif envelope.act == Act.SEND:
             self._accept(identity, envelope)
+        elif envelope.act == Act.REQUEST:
+            self._accept_once(identity, envelope)
+
+    def _accept_once(self, identity: bytes, envelope: Envelope) -> None:
+        """Handle a request unless it is a repetition of a handled one."""
+        entry = self._memory.find((envelope.boot, envelope.id))
+        if entry is not None:
+            entry.identity = identity
+            if entry.done:
+                self._answer_again(envelope.id, entry)
+            return
+        sent_at = self._clock.now() - envelope.age
+        if envelope.age >= 0 and self._memory.may_have_forgotten(sent_at):
+            unsure = encode_error(_describe_forgotten(self._me))
+            self._answer(identity, envelope.id, Act.ERROR, unsure)
+            return
+        self._accept(identity, envelope)
 
     def _accept(self, identity: bytes, envelope: Envelope) -> None:
-        entry = self._handlers.get(envelope.kind)
-        if entry is None:
-            refusal = encode_refusal(
+        """Start the handler's task, or say why not."""
+        handler, decoder = self._handlers.get(envelope.kind, (None, None))
+        if handler is None or decoder is None:
+            self._refuse(
+                identity,
+                envelope,
                 f'{self._me} has no handler for {envelope.kind}',
                 'ask an instance of a release that has one',
             )
-            self._answer(identity, envelope, Act.REFUSED, refusal)
             return
         if self._running >= HANDLER_LIMIT:
-            refusal = encode_refusal(
+            self._refuse(
+                identity,
+                envelope,
                 f'{self._me} handles {HANDLER_LIMIT} messages already',
                 'retry later or at another instance',
             )
-            self._answer(identity, envelope, Act.REFUSED, refusal)
             return
         try:
-            message = entry[1].decode(envelope.body)
+            message = decoder.decode(envelope.body)
         except msgspec.MsgspecError as problem:
-            refusal = encode_refusal(
+            self._refuse(
+                identity,
+                envelope,
                 f'{envelope.kind} does not decode: {problem}',
                 'add fields only with a default, and never change a type',
             )
-            self._answer(identity, envelope, Act.REFUSED, refusal)
             return
         self._running += 1
-        gevent.spawn(self._handle, identity, envelope, entry[0], message)
+        entry = Handled(identity, 0)
+        if envelope.act == Act.REQUEST:
+            key = (envelope.boot, envelope.id)
+            entry = self._memory.add(key, identity, self._clock.now())
+        gevent.spawn(self._handle, entry, envelope, handler, message)
 
     def _handle(
         self,
-        identity: bytes,
+        entry: Handled,
         envelope: Envelope,
         handler: Handler,
         message: Message,
@@ -105,17 +142,54 @@
             act, body = _run(handler, InstanceId(envelope.sender), message)
         finally:
             self._running -= 1
-        self._answer(identity, envelope, act, body)
+        if envelope.act != Act.REQUEST:
+            return
+        frame = self._wrap(envelope.id, act, body)
+        self._memory.keep(entry, frame)
+        self._put(entry.identity, frame)
+
+    def _answer_again(self, number: int, entry: Handled) -> None:
+        if entry.reply is not None:
+            self._put(entry.identity, entry.reply)
+            return
+        unsure = encode_error(_describe_forgotten(self._me))
+        self._answer(entry.identity, number, Act.ERROR, unsure)
+
+    def _refuse(
+        self, identity: bytes, envelope: Envelope, problem: str, remedy: str
+    ) -> None:
+        if envelope.act == Act.REQUEST:
+            refusal = encode_refusal(problem, remedy)
+            self._answer(identity, envelope.id, Act.REFUSED, refusal)
 
     def _answer(
-        self, identity: bytes, envelope: Envelope, act: Act, body: bytes
+        self, identity: bytes, number: int, act: Act, body: bytes
     ) -> None:
-        if envelope.act != Act.REQUEST or self._owner is None:
-            return
-        reply = Envelope(
-            WIRE_VERSION, act, envelope.id, self._me, '', msgspec.Raw(body)
+        self._put(identity, self._wrap(number, act, body))
+
+    def _wrap(self, number: int, act: Act, body: bytes) -> bytes:
+        return encode_envelope(
+            Envelope(
+                WIRE_VERSION,
+                act,
+                number,
+                self._me,
+                '',
+                msgspec.Raw(body),
+                self._boot,
+            )
         )
-        self._owner.put([identity, _encode(reply)])
+
+    def _put(self, identity: bytes, frame: bytes) -> None:
+        if self._owner is not None:
+            self._owner.put([identity, frame])
+
+
+def _describe_forgotten(me: InstanceId) -> LinkError:
+    return LinkError(
+        f'{me} may have handled the message and keeps no answer',
+        'find out whether it did before asking again',
+    )
 
 
 def _run(
@@ -126,7 +200,9 @@
     except GuavagateError as error:
         return Act.ERROR, encode_error(error)
     except Exception as fault:
-        _LOGGER.exception('a handler failed on %s', type(message).__name__)
+        kind = type(message).__name__
+        write(_LOGGER, fleet.HANDLER_FAILED, kind=kind, sender=sender)
+        _LOGGER.exception('a handler failed on %s', kind)
         return Act.ERROR, encode_error(
             LinkError(
                 f'the handler failed with {type(fault).__name__}',
--- a/guavagate/links/_zmq_bus.py
+++ b/guavagate/links/_zmq_bus.py
@@ -1,20 +1,24 @@
 """The bus over zmq: a ROUTER of its own and a DEALER for each peer."""
 
+import itertools
 import logging
+import secrets
 from typing import Final
 
 import msgspec
 import zmq
 
-from guavagate.clock import Clock
+from guavagate.clock import Clock, Task
 from guavagate.exceptions import LinkRefusedError
 from guavagate.links._bus import Handler, Message, Reply
-from guavagate.links._link import Link, connect_peer
+from guavagate.links._connection import connect_peer
+from guavagate.links._link import Link
 from guavagate.links._server import Resolve, Server, bind_server
 from guavagate.models import InstanceId
 
 _LOGGER: Final = logging.getLogger(__name__)
 _CLOSE_SECONDS: Final = 1.0
+_CHECK_SECONDS: Final = 0.25
 
 _encode: Final = msgspec.msgpack.Encoder().encode
 
@@ -48,9 +52,12 @@
         self._clock = clock
         self._credential = credential
         self._context = zmq.Context()
-        self._server = Server(me)
+        self._boot = secrets.randbits(62)
+        self._numbers = itertools.count(1)
+        self._server = Server(me, self._boot, clock)
         self._links: dict[InstanceId, tuple[str, Link]] = {}
         self._open = False
+        self._checker: Task | None = None
 
     def register(self, kind: type[Message], handler: Handler) -> None:
         """Call the handler, in a task of its own, for each such message."""
@@ -61,10 +68,13 @@
         socket = bind_server(self._context, self._address, self._credential)
         self._server.start(socket)
         self._open = True
+        self._checker = self._clock.spawn(self._check)
 
     def stop(self) -> None:
         """Close every connection; what waits fails with `LinkError`."""
         self._open = False
+        if self._checker is not None:
+            self._checker.kill()
         links = [link for _, link in self._links.values()]
         self._links.clear()
         for link in links:
@@ -84,7 +94,8 @@
         """Ask a peer and wait for its reply; see `Bus.request`."""
         link = self._link(peer)
         kind = type(message).__name__
-        body = link.request(kind, _encode(message), timeout)
+        number = next(self._numbers)
+        body = link.request(number, kind, _encode(message), timeout)
         return msgspec.msgpack.decode(body, type=reply)
 
     def send(self, peer: InstanceId, message: Message) -> None:
@@ -114,4 +125,14 @@
         def connect() -> zmq.Socket:
             return connect_peer(self._context, address, self._credential)
 
-        return Link(self._me, peer, connect, self._clock)
+        return Link(self._me, self._boot, peer, connect, self._clock)
+
+    def _check(self) -> None:
+        """Look after the links: silent ones, unused ones, those of the dead."""
+        while True:
+            self._clock.sleep(_CHECK_SECONDS)
+            for peer, (address, link) in list(self._links.items()):
+                in_use = self._resolve(peer) == address
+                if not in_use or not link.check():
+                    self._links.pop(peer, None)
+                    link.close()
