Read a connection's events only when there are some

Cause: each message read the connection's monitor as well and gave way to other tasks twice. The monitor's descriptor now says when to read it; it must be read empty once first, or zmq never signals (found by the test of a peer that stops, which failed until then).

--- a/guavagate/links/_socket.py
+++ b/guavagate/links/_socket.py
@@ -52,11 +52,13 @@
         self._monitor: zmq.Socket | None = None
         if lost is not None:
             self._monitor = socket.get_monitor_socket(_WATCHED)
-        self._watchers = [
-            self._watch(source)
-            for source in (self._socket, self._monitor)
-            if source is not None
-        ]
+        # zmq signals a monitor's event only to one that found none before.
+        self._events_due = True
+        self._watchers = [self._watch(socket, self._wake.set)]
+        if self._monitor is not None:
+            self._watchers.append(
+                self._watch(self._monitor, self._wake_for_events)
+            )
         self._task = gevent.spawn(self._run)
 
     def put(self, frames: Frames) -> int | None:
@@ -83,11 +85,17 @@
         """Wait until the socket is closed."""
         self._task.join(timeout)
 
-    def _watch(self, source: zmq.Socket) -> 'gevent._types._WatcherT':
+    def _watch(
+        self, source: zmq.Socket, notify: Callable[[], None]
+    ) -> 'gevent._types._WatcherT':
         watcher = gevent.get_hub().loop.io(source.getsockopt(zmq.FD), 1)
-        watcher.start(self._wake.set)
+        watcher.start(notify)
         return watcher
 
+    def _wake_for_events(self) -> None:
+        self._events_due = True
+        self._wake.set()
+
     def _run(self) -> None:
         try:
             while self._open:
@@ -104,12 +112,14 @@
         The descriptor signals a change once, so leaving a message behind
         would leave it until the next one.
         """
-        moved = True
+        moved = 1
         while moved and self._open:
-            moved = self._take_in() + self._give_out() > 0
-            self._take_events()
-            if moved:
+            moved = self._take_in() + self._give_out()
+            if moved >= _BATCH:
                 gevent.sleep(0)
+        if self._events_due:
+            self._events_due = False
+            self._take_events()
 
     def _take_in(self) -> int:
         taken = 0
