--- a/guavagate/integrations/object_api/_caller.py
+++ b/guavagate/integrations/object_api/_caller.py
@@ -35,7 +35,7 @@
     Parameters
     ----------
     fleet_size
-        How many instances share the platform's rate.
+        How many instances share the platform's rate; 0 when not known.
     """
 
     def __init__(
@@ -51,8 +51,9 @@
         self._random = rng
         self._circuit = Circuit(rng)
         now = clock.now()
-        self._reads = Budget(const.FLEET_READS / fleet_size(), now)
-        self._writes = Budget(const.FLEET_WRITES / fleet_size(), now)
+        size = self._size()
+        self._reads = Budget(const.FLEET_READS / size, now)
+        self._writes = Budget(const.FLEET_WRITES / size, now)
 
     def is_down(self) -> bool:
         """Return whether calls are held back as the platform is down."""
@@ -102,6 +103,11 @@
                 raise _held_back('the rate of calls is used up')
             self._clock.sleep(wait)
 
+    def _size(self) -> int:
+        # One that knows of few others, as at its start, must not take the
+        # whole rate for its own.
+        return max(self._fleet_size(), const.LEAST_FLEET)
+
     def _try(self, call: Call) -> tuple[Answer | None, StoreUnavailableError]:
         """Make the call once; return what came, or what it means."""
         try:
--- a/guavagate/integrations/object_api/_client.py
+++ b/guavagate/integrations/object_api/_client.py
@@ -12,7 +12,6 @@
 from guavagate.events import fleet, write
 from guavagate.exceptions import (
     StoreConflictError,
-    StoreError,
     StoreUnavailableError,
 )
 from guavagate.integrations.object_api import const
@@ -214,9 +213,10 @@
 
 def _expect(answer: Answer, status: int) -> None:
     if answer.status != status:
-        raise StoreError(
+        raise StoreUnavailableError(
             f'the platform answered {answer.status}',
             'check the credentials file, and that values are under 1 MB',
+            may_be_written=False,
         )
 
 
