Find the concurrency limit also where admission keeps samplers unfilled

Now a pace beyond what batching explains starts a trial at once, and answers that began before a change are not counted.

--- a/guavagate/decisions/_fleet.py
+++ b/guavagate/decisions/_fleet.py
@@ -123,11 +123,8 @@
             _learn_cache(running, state, cached_tokens)
         pace = (now - running.start) / max(tokens + prompt, 1.0)
         state.health.succeed(pace, now)
-        # Only an answer that began and ended among as many others shows what
-        # that many cost; the batch is full all the while when it matters.
-        level = len(state.running) + 1
-        if running.level == level:
-            state.limit.learn(pace, level, now)
+        streams = (running.level + len(state.running) + 1) / 2
+        state.limit.learn(pace, streams, running.start, now)
         self.pace += _SMOOTHING * (pace - self.pace)
 
     def _eject(self, states: list[SamplerState], now: float) -> None:
--- a/guavagate/decisions/limits.py
+++ b/guavagate/decisions/limits.py
@@ -36,10 +36,12 @@
         self._configured = max(configured, 1)
         self._learning = learning
         self._paces: list[float] = []
+        self._streams: list[float] = []
         self._best: float | None = None
-        self._base: float | None = None
-        self._tried: float | None = None
-        self._step = 0
+        self._trial: _Trial | None = None
+        self._step = 1
+        self._doubted = False
+        self._since = float('-inf')
         self._pause = FIRST_PAUSE_S
         self._next_trial: float | None = None
         self.value = self._configured
@@ -49,60 +51,88 @@
         if slots != self._configured and slots > 0:
             self._configured = slots
             self.value = slots
-            self._base = None
-            self._tried = None
+            self._trial = None
             self._paces.clear()
+            self._streams.clear()
 
-    def learn(self, pace: float, running: int, now: float) -> None:
+    def learn(
+        self, pace: float, running: float, started: float, now: float
+    ) -> None:
         """Take in one answer's seconds per token.
 
         Parameters
         ----------
         running
-            How many streams ran there all the while, its own included.
+            How many streams ran there meanwhile, its own included.
+        started
+            When it started; what ran on from before a change says nothing.
         """
-        if not self._learning:
+        if not self._learning or started < self._since:
             return
-        if self._best is None or pace < self._best:
-            self._best = pace
-        if running != self.value:
+        self._best = min(self._best or pace, pace)
+        slow = pace > _SUSPICIOUS * self._best
+        if self._trial is None and running < self.value and not slow:
             return
-        if self._next_trial is None:
-            self._next_trial = now + self._pause
         self._paces.append(pace)
+        self._streams.append(running)
         if len(self._paces) < _ANSWERS:
             return
-        rate = self.value * _ANSWERS / sum(self._paces)
+        streams = sum(self._streams) / _ANSWERS
+        rate = sum(self._streams) / sum(self._paces)
         self._paces.clear()
-        if self._base is None:
-            self._begin(rate, now)
-        elif self._tried is None:
-            self._tried = rate
-            self.value -= self._step
+        self._streams.clear()
+        if self._trial is None:
+            self._begin(rate, streams, now)
+        elif self._trial.rate is None:
+            self._trial.rate = rate
+            self._since = now
+            self.value = self._trial.old
         else:
-            self._judge(max(self._base, rate), self._tried, now)
+            base = max(self._trial.base, rate)
+            self._judge(self._trial, self._trial.rate > base * (1 + _GAIN), now)
 
-    def _begin(self, rate: float, now: float) -> None:
-        if self._next_trial is None or now < self._next_trial:
+    def _begin(self, rate: float, streams: float, now: float) -> None:
+        if self._next_trial is None:
+            self._next_trial = now + self._pause
+        slow = streams / rate > _SUSPICIOUS * (self._best or 1)
+        tried = self.value + self._step
+        if slow and not self._doubted:
+            # More than batching explains: see at once whether fewer is more,
+            # also when admission already keeps the sampler from being full.
+            self._doubted = True
+            self._step = -1
+            tried = min(int(streams), self.value) - 1
+        elif now < self._next_trial or streams < self.value:
             return
-        if not self._step:
-            pace = self.value / rate
-            slow = pace > _SUSPICIOUS * (self._best or pace)
-            self._step = -1 if slow else 1
-        top = MAX_GROWTH * self._configured
-        if not 1 <= self.value + self._step <= top:
+        if 1 <= tried <= MAX_GROWTH * self._configured:
+            self._trial = _Trial(self.value, tried, rate)
+            self._since = now
+            self.value = tried
+        else:
             self._step = -self._step
-        self._base = rate
-        self.value += self._step
-
-    def _judge(self, base: float, tried: float, now: float) -> None:
-        self._base = None
-        self._tried = None
-        if tried > base * (1 + _GAIN):
-            self.value += self._step
+
+    def _judge(self, trial: '_Trial', better: bool, now: float) -> None:
+        self._trial = None
+        if better:
+            self.value = trial.tried
+            self._since = now
+            self._doubted = False
             self._pause = FIRST_PAUSE_S
             self._next_trial = now
             return
+        self._doubted = self._step < 0
         self._step = -self._step
         self._next_trial = now + self._pause
         self._pause = min(2 * self._pause, LONGEST_PAUSE_S)
+
+
+class _Trial:
+    """Another number of streams, tried between two looks at the old one."""
+
+    __slots__ = ('base', 'old', 'rate', 'tried')
+
+    def __init__(self, old: int, tried: int, base: float) -> None:
+        self.old = old
+        self.tried = tried
+        self.base = base
+        self.rate: float | None = None
--- a/guavagate/measure/_patterns.py
+++ b/guavagate/measure/_patterns.py
@@ -162,6 +162,16 @@
             shown=('in_time_share', 'hit_share_before', 'hit_share_after'),
             against=(FIFO, 'choose-modulo'),
         ),
+        Pattern(
+            name='wrong-slots',
+            measure=_load.measure_wrong_slots,
+            shown=(
+                'in_time_of_capacity_at_0_s',
+                'in_time_of_capacity_at_180_s',
+                'admitted_in_time',
+            ),
+            against=(FIFO, 'without-limit'),
+        ),
         Pattern(
             name='cold-start',
             measure=_load.measure_cold_start,
