Serve admitted work by its last moment, whoever it belongs to

Cause: in the first moments of a burst the expected wait is too short, since callers that aren't queued yet join in; some admitted answers were late.

Queued work whose last moment to start has come (deadline less twice its expected time) goes first; its flows are charged, so the others' shares are made up afterwards.

--- a/guavagate/decisions/__init__.py
+++ b/guavagate/decisions/__init__.py
@@ -1,5 +1,6 @@
 """Decisions under load: pure modules; time is an argument, no I/O."""
 
+from guavagate.decisions._policy import PoolSettings
 from guavagate.decisions._sampler import (
     SamplerInfo,
     SamplerReport,
@@ -16,7 +17,7 @@
     Safeguard,
     Work,
 )
-from guavagate.decisions.pool import Pool, PoolSettings
+from guavagate.decisions.pool import Pool
 from guavagate.decisions.pools import PoolView, choose_pool
 from guavagate.decisions.tail import weigh_swap
 
--- a/guavagate/decisions/fairness.py
+++ b/guavagate/decisions/fairness.py
@@ -33,13 +33,14 @@
 class Entry:
     """One queued piece of work."""
 
-    __slots__ = ('cost', 'due', 'key', 'leaf', 'removed', 'work')
+    __slots__ = ('cost', 'due', 'key', 'leaf', 'removed', 'urgent', 'work')
 
     def __init__(self, work: Work, key: float, cost: float, due: float) -> None:
         self.work = work
         self.key = key
         self.cost = cost
         self.due = due
+        self.urgent = due
         self.leaf: Flow | None = None
         self.removed = False
 
@@ -90,6 +91,7 @@
         self._sequence = itertools.count(1)
         self._root = Flow('', None, 1.0)
         self._held: list[Flow] = []
+        self._urgent: list[tuple[float, int, Entry]] = []
         self._due: list[tuple[float, int, Entry]] = []
         self._size = 0
 
@@ -119,6 +121,21 @@
         entry.leaf = flow
         self._insert(flow, entry)
 
+    def pop_urgent(self, now: float) -> Entry | None:
+        """Take work whose place in line has come by its deadline, if any.
+
+        What was let in is a promise. Its flows are charged as always, so the
+        others get their shares back afterwards.
+        """
+        while self._urgent and self._urgent[0][0] <= now:
+            entry = heapq.heappop(self._urgent)[2]
+            if entry.removed or entry.leaf is None or entry.leaf.held:
+                continue
+            self._charge(entry.leaf, entry.cost)
+            self.remove(entry)
+            return entry
+        return None
+
     def pop(self) -> Entry | None:
         """Take the next entry and charge its flows, or return nothing."""
         flow = self._root
@@ -224,11 +241,16 @@
         heapq.heappush(leaf.entries, (entry.key, number, entry))
         if entry.due < math.inf:
             heapq.heappush(self._due, (entry.due, number, entry))
+            heapq.heappush(self._urgent, (entry.urgent, number, entry))
         # Entries taken out stay in the heap until due; rebuild it when they
         # are most of it, or a long deadline would keep every answer's entry.
         if len(self._due) > 2 * self._size + _DUE_SLACK:
             self._due = [due for due in self._due if not due[2].removed]
             heapq.heapify(self._due)
+            self._urgent = [
+                item for item in self._urgent if not item[2].removed
+            ]
+            heapq.heapify(self._urgent)
         self._account(entry, 1)
 
     def _account(self, entry: Entry, sign: int) -> None:
--- a/guavagate/decisions/pool.py
+++ b/guavagate/decisions/pool.py
@@ -10,11 +10,10 @@
 from collections.abc import Hashable, Iterable, Sequence
 from typing import Final
 
-import msgspec
-
 from guavagate.decisions import _copies, _reasons, admission
 from guavagate.decisions._attempts import Attempts, AttemptTable
 from guavagate.decisions._fleet import Fleet
+from guavagate.decisions._policy import PoolSettings, choose_with
 from guavagate.decisions._sampler import (
     Running,
     SamplerInfo,
@@ -22,7 +21,6 @@
     SamplerState,
 )
 from guavagate.decisions._work import (
-    ALL_SAFEGUARDS,
     Placement,
     Queued,
     RefusalReason,
@@ -32,18 +30,7 @@
     demands_of,
 )
 from guavagate.decisions.fairness import KIND_WEIGHTS, Entry, FairQueue, Path
-from guavagate.decisions.order import (
-    LENGTH_ERROR,
-    Order,
-    order_by_arrival,
-    order_by_stretch,
-)
-from guavagate.decisions.placement import (
-    Choose,
-    choose_by_prefix,
-    choose_least_connections,
-    choose_unbounded,
-)
+from guavagate.decisions.order import LENGTH_ERROR, order_by_arrival
 from guavagate.models import RequestId, SamplerId
 
 # Work looked at beyond the first that can't be placed, per call: bounds the
@@ -51,16 +38,6 @@
 LOOKAHEAD: Final = 16
 
 
-class PoolSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """How a pool decides; the defaults are the product's."""
-
-    name: str = 'pool'
-    safeguards: frozenset[Safeguard] = ALL_SAFEGUARDS
-    order: Order = order_by_stretch()
-    choose: Choose = choose_by_prefix
-    max_queued: int = admission.MAX_QUEUED
-
-
 class Pool:
     """The state of one pool of samplers at its home."""
 
@@ -75,7 +52,7 @@
         self._order = settings.order
         if Safeguard.ORDER not in self._on:
             self._order = order_by_arrival
-        self._choose = _choose_with(settings.choose, self._on)
+        self._choose = choose_with(settings.choose, self._on)
         self._fair = Safeguard.FAIRNESS in self._on
         self._queue = FairQueue()
         self._fleet = Fleet(self._on)
@@ -180,7 +157,7 @@
         parked = 0
         kept_back: list[Entry] = []
         while parked + len(kept_back) < LOOKAHEAD:
-            entry = self._queue.pop() if self._fleet.has_free() else None
+            entry = self._next(now) if self._fleet.has_free() else None
             if entry is None:
                 break
             if self._drop_late(entry, now):
@@ -337,7 +314,9 @@
         seconds = attempts.cost * self._fleet.pace
         key = self._order(work, attempts.arrival, seconds)
         due = work.deadline - seconds
-        attempts.entry = Entry(work, key, attempts.cost, due)
+        entry = Entry(work, key, attempts.cost, due)
+        entry.urgent = work.deadline - LENGTH_ERROR * seconds
+        attempts.entry = entry
         self._queue.push(attempts.entry, *self._path(work))
 
     def _drop_late(self, entry: Entry, now: float) -> bool:
@@ -356,6 +335,9 @@
             return []
         return _copies.start_all(self._fleet, self._table, self._slow, now)
 
+    def _next(self, now: float) -> Entry | None:
+        return self._queue.pop_urgent(now) or self._queue.pop()
+
     def _learn_wait(self, attempts: Attempts, now: float) -> None:
         if not attempts.count:
             actual = now - attempts.arrival
@@ -401,14 +383,3 @@
         wait = self._expect_wait(Attempts(work, now))
         after = admission.suggest_retry(wait, work.deadline - now)
         return _reasons.refused(work, reason, wait, after)
-
-
-def _choose_with(choose: Choose, safeguards: frozenset[Safeguard]) -> Choose:
-    """Return the choice without what is switched off."""
-    if choose is not choose_by_prefix:
-        return choose
-    if Safeguard.AFFINITY not in safeguards:
-        return choose_least_connections
-    if Safeguard.BOUNDED_LOAD not in safeguards:
-        return choose_unbounded
-    return choose
