Keep finished samples on the disk of instances that have one

Cause: when all replicas of a partition are lost, every undelivered sample was generated again although its worker had made it. Ruled out: replicas spilling to disk, since most instances have none.

--- a/guavagate/events/__init__.py
+++ b/guavagate/events/__init__.py
@@ -2,7 +2,7 @@
 
 Each area has its own module and range of numbers: 1000 routing and placement,
 2000 partitions and ledger, 3000 fleet, 4000 settings, 5000 callers' edge,
-6000 runs and weights.
+6000 runs and weights, 7000 the data folder.
 """
 
 from guavagate.events._event import Event, catalogue, write
--- a/guavagate/runs/_worker.py
+++ b/guavagate/runs/_worker.py
@@ -23,6 +23,7 @@
     SampleId,
     ServiceId,
     TeamId,
+    UpstreamId,
 )
 from guavagate.permits import (
     AnswerSource,
@@ -37,6 +38,7 @@
 from guavagate.runs._client import RunsClient
 from guavagate.runs._commands import FinishedSample, Verdict
 from guavagate.runs._driver import find_lineage
+from guavagate.runs._kept import KeptSamples
 from guavagate.runs._messages import (
     CancelSample,
     GenerateSample,
@@ -72,6 +74,7 @@
         engine: ModelEngine,
         scoring: Score,
         runs: RunsClient,
+        kept: KeptSamples,
     ) -> None:
         self._runtime = runtime
         self._homes = homes
@@ -80,6 +83,7 @@
         self._engine = engine
         self._score = scoring
         self._runs = runs
+        self._kept = kept
         self._tasks: dict[_Key, Task] = {}
         runtime.bus.register(GenerateSample, self.take)
         runtime.bus.register(CancelSample, self.cancel)
@@ -148,6 +152,9 @@
                 f'deployment {lineage} is not declared here',
                 'declare it with `guavagate settings apply`',
             )
+        kept = self._kept.find(order)
+        if kept is not None:
+            return self._enter(order, lineage, kept, ())
         work = self._describe(order)
         write(
             _LOGGER,
@@ -164,6 +171,16 @@
             versions=tuple(progress.versions),
             score=self._rate(deployment, order, progress.text),
         )
+        self._kept.keep(order, sample)
+        return self._enter(order, lineage, sample, tuple(progress.samplers))
+
+    def _enter(
+        self,
+        order: GenerateSample,
+        lineage: DeploymentId,
+        sample: FinishedSample,
+        samplers: tuple[UpstreamId, ...],
+    ) -> Verdict:
         verdict = self._runs.finish(lineage, order.run, order.step_id, sample)
         write(
             _LOGGER,
@@ -171,7 +188,7 @@
             sample=order.sample_id,
             run=order.run,
             versions=sample.versions,
-            samplers=progress.samplers,
+            samplers=samplers,
             verdict=verdict.value,
         )
         return verdict
