--- a/guavagate/assembly.py
+++ b/guavagate/assembly.py
@@ -6,23 +6,21 @@
 
 from gevent.event import Event
 
-from guavagate import operators
 from guavagate.clock import SystemClock
 from guavagate.events import edge as events
 from guavagate.events import write
-from guavagate.explain import Explainer, RecentDecisions
-from guavagate.gauges import Gauges
+from guavagate.explain import RecentDecisions
 from guavagate.instance import Instance
 from guavagate.integrations.instance_list import InstanceListPoller
-from guavagate.integrations.object_api import connect_platform, make_store
+from guavagate.integrations.object_api import ObjectApi, connect_http
 from guavagate.ledger import make_ledger_states
 from guavagate.links import ZmqBus
 from guavagate.membership import Membership
-from guavagate.metrics import Metrics, SeriesKeeper
+from guavagate.metrics import Metrics
 from guavagate.models import Epoch, PartitionId
+from guavagate.operations import Operations
 from guavagate.partitions import Command, LocalPartitions, ReplicatedState
 from guavagate.partitions.replicated import ReplicatedPartitions
-from guavagate.reports import Reports
 from guavagate.runs import RUN_COMMANDS, PublishVersion, RunsState
 from guavagate.runtime import Runtime
 from guavagate.settings import InstanceSettings, TeamsInForce
@@ -42,7 +40,7 @@
 
     def __init__(self, settings: InstanceSettings) -> None:
         clock = SystemClock()
-        credential = _read_credential(settings)
+        credential = _read_secret(settings.peer_credential_file)
         self._members = Membership(settings, clock, credential)
         self._bus = ZmqBus(
             settings.id,
@@ -51,17 +49,16 @@
             clock,
             credential,
         )
-        self._poller = InstanceListPoller(
-            connect_platform(settings.platform, clock),
+        carry = connect_http(
+            settings.platform.object_api,
+            _read_secret(settings.platform.credentials_file).decode(),
             clock,
-            self._members.take_list,
         )
-        store = make_store(
-            settings.platform, clock, lambda: len(self._members.alive())
-        )
-        self._decisions = RecentDecisions(clock, settings.id)
+        store = ObjectApi(carry, clock, self._count_members)
+        self._list = InstanceListPoller(carry, clock, self._members.take_list)
+        decisions = RecentDecisions(clock, settings.id)
         self._teams = TeamsInForce(
-            settings, clock, self._bus, store, self._members, self._decisions
+            settings, clock, self._bus, store, self._members, decisions
         )
         self._runtime = Runtime(
             settings=settings,
@@ -71,33 +68,37 @@
             members=self._members,
             teams=self._teams,
             partitions=LocalPartitions(settings.id, {}),
-            decisions=self._decisions,
-            metrics=Metrics({'instance': settings.id}),
+            decisions=decisions,
+            metrics=Metrics(
+                {
+                    'instance': settings.id,
+                    'availability_zone': settings.availability_zone,
+                }
+            ),
         )
         self._partitions = ReplicatedPartitions(self._runtime, make_states)
         self._runtime.partitions = self._partitions
         self._instance = Instance(self._runtime, self._list_hosted)
-        self._series = SeriesKeeper(clock, self._runtime.metrics)
-        self._reports = Reports(
+        self._operations = Operations(
             self._runtime,
-            self._instance.homes,
-            self._partitions,
+            self._instance,
+            self._teams,
+            decisions,
             self._list_hosted,
-            self.ask_to_stop,
+            self._partitions.views,
         )
-        self._reports.active = self._instance.active
-        self._reports.waits_for = self.waits_for
+        self._instance.readiness.add('stop', self._why_stopping)
+        self._instance.readiness.add('id', self._why_superseded)
         self._asked = Event()
-        self._add_operators()
 
     def start(self) -> None:
         """Start everything, the callers' edge last."""
         self._members.start()
         self._bus.start()
-        self._poller.start()
         self._teams.start()
         self._partitions.start()
-        self._series.start()
+        self._list.start()
+        self._operations.start()
         self._instance.start()
 
     def ask_to_stop(self) -> None:
@@ -108,15 +109,6 @@
         """Block until a planned stop is asked for."""
         self._asked.wait()
 
-    def waits_for(self) -> list[str]:
-        """Return why callers should not be sent here."""
-        reasons = list(self._teams.waits_for())
-        if self._asked.is_set():
-            reasons.append('the instance is being stopped')
-        if self._members.superseded():
-            reasons.append('a later process carries this instance id')
-        return reasons
-
     def stop(self) -> None:
         """Stop as planned: cut no request, leave no gap; bounded in time.
 
@@ -127,7 +119,6 @@
         """
         clock = self._runtime.clock
         end = clock.now() + parse_duration(self._runtime.settings.stop_limit)
-        self._reports.draining = True
         self._log('not ready, waiting for the balancer')
         clock.sleep(BALANCER_SECONDS)
         self._instance.active.closing = True
@@ -143,13 +134,23 @@
     def _close(self) -> None:
         cut = self._instance.active.count
         self._instance.weights.stop()
-        self._series.stop()
+        self._operations.stop()
+        self._list.stop()
         self._teams.stop()
-        self._poller.stop()
         self._members.stop()
         self._bus.stop()
         self._log('stopped', cut=cut)
 
+    def _why_superseded(self) -> str:
+        lost = self._members.superseded()
+        return 'a later process carries this instance id' if lost else ''
+
+    def _why_stopping(self) -> str:
+        return 'the instance is being stopped' if self._asked.is_set() else ''
+
+    def _count_members(self) -> int:
+        return len(self._members.alive())
+
     def _list_hosted(self) -> list[tuple[Epoch, RunsState]]:
         return [
             (epoch, state)
@@ -157,29 +158,6 @@
             if isinstance(state, RunsState)
         ]
 
-    def _add_operators(self) -> None:
-        app = self._instance.app
-        Gauges(
-            self._runtime, self._instance.homes, self._partitions, self._teams
-        ).install()
-        operators.add_health_routes(app, self._runtime.metrics, self.waits_for)
-        operators.add_routes(
-            app,
-            operators.Operators(
-                access=self._instance.access,
-                teams=self._teams,
-                explainer=Explainer(
-                    self._runtime.settings.id,
-                    self._bus,
-                    self._members,
-                    self._decisions,
-                ),
-                collector=operators.Collector(
-                    self._runtime, self._reports, self._series
-                ),
-            ),
-        )
-
     def _log(self, phase: str, **fields: object) -> None:
         write(_LOGGER, events.STOP_PROGRESS, phase=phase, **fields)
 
@@ -196,7 +174,6 @@
     return states
 
 
-def _read_credential(settings: InstanceSettings) -> bytes:
-    if not settings.peer_credential_file:
-        return b''
-    return Path(settings.peer_credential_file).read_bytes().strip()
+def _read_secret(path: str) -> bytes:
+    """Return a credential from its file; without a file, none."""
+    return Path(path).read_bytes().strip() if path else b''
--- a/guavagate/callers/_completions.py
+++ b/guavagate/callers/_completions.py
@@ -31,7 +31,6 @@
 )
 from guavagate.exceptions import RefusalError
 from guavagate.ledger import Answer, Ledger
-from guavagate.metrics import names
 from guavagate.models import DeploymentId, NotRun
 from guavagate.permits import (
     AnswerSource,
@@ -193,14 +192,14 @@
     response.set_header(HEADER_SAMPLER, ','.join(progress.samplers))
     response.content_type = 'text/event-stream'
     style = _make_style(parts, opened, ask)
-    response.stream = _stream(parts, opened, style, progress, first, pieces)
+    response.stream = _stream(opened, style, progress, first, pieces)
 
 
 def _run_whole(parts: Completions, opened: CallerRequest, ask: _Ask) -> Answer:
     """Run a request to its end and return its answer."""
     progress = Progress()
     exhaust(_start(parts, opened, ask, progress))
-    _log_answer(parts, opened, progress)
+    _log_answer(opened, progress)
     versions = ','.join(f'{version}' for version, _ in progress.versions)
     return Answer(
         status=200,
@@ -303,7 +302,6 @@
 
 
 def _stream(
-    parts: Completions,
     opened: CallerRequest,
     style: _render.Style,
     progress: Progress,
@@ -315,7 +313,7 @@
         for piece in pieces:
             yield _render.render_event(style, piece)
         yield _render.render_end(style, progress)
-        _log_answer(parts, opened, progress)
+        _log_answer(opened, progress)
     except RefusalError as refusal:
         # The status has been sent; the stream says so and lacks its terminal
         # event, so that no caller takes the part for the whole.
@@ -326,12 +324,7 @@
         pieces.close()  # type: ignore[attr-defined]
 
 
-def _log_answer(
-    parts: Completions, opened: CallerRequest, progress: Progress
-) -> None:
-    seconds = parts.runtime.clock.now() - opened.begun
-    team = opened.identity.team
-    parts.runtime.metrics.observe(names.REQUEST_SECONDS, seconds, team=team)
+def _log_answer(opened: CallerRequest, progress: Progress) -> None:
     write(
         _LOGGER,
         REQUEST_ANSWERED,
--- a/guavagate/decisions/_attempts.py
+++ b/guavagate/decisions/_attempts.py
@@ -1,15 +1,27 @@
 """Where each piece of work has run and runs, and what else it may cost."""
 
+from typing import Final
+
+from cachetools import LRUCache
 from msgspec import structs
 
 from guavagate.decisions import retries
 from guavagate.decisions._fleet import Fleet
 from guavagate.decisions._sampler import Running, SamplerState
-from guavagate.decisions._work import RefusalReason, Safeguard, Work
+from guavagate.decisions._work import (
+    RefusalReason,
+    Safeguard,
+    Work,
+    estimate_cost,
+)
 from guavagate.decisions.fairness import Entry
 from guavagate.decisions.placement import expect_cost
-from guavagate.decisions.shares import Shares
-from guavagate.models import RequestId, SamplerId
+from guavagate.decisions.reserve import Reserve
+from guavagate.decisions.shares import Shares, name_of
+from guavagate.models import RequestId, RunId, SamplerId, TeamId
+
+# Runs whose newest step is remembered, the least recently used goes first.
+MAX_RUNS: Final = 256
 
 
 class Attempts:
@@ -18,9 +30,11 @@
     __slots__ = (
         'arrival',
         'copied',
+        'cost',
         'count',
         'entry',
         'expected_wait',
+        'name',
         'samplers',
         'work',
     )
@@ -28,6 +42,8 @@
     def __init__(self, work: Work, arrival: float) -> None:
         self.work = work
         self.arrival = arrival
+        self.name = name_of(work)
+        self.cost = estimate_cost(work)
         self.count = 0
         self.copied = False
         self.expected_wait: float = 0
@@ -47,6 +63,9 @@
 
     def __init__(self, fleet: Fleet, safeguards: frozenset[Safeguard]) -> None:
         self.shares = Shares()
+        self.reserve = Reserve()
+        self._steps: LRUCache[tuple[TeamId, RunId], int] = LRUCache(MAX_RUNS)
+        self._long_running: set[RequestId] = set()
         self.hedges = retries.Budget(retries.HEDGE_SHARE)
         self._retries = retries.Budget(retries.RETRY_SHARE)
         self._fleet = fleet
@@ -57,11 +76,39 @@
         """Return the attempts at some work."""
         return self._attempts.get(work_id)
 
-    def open(self, work: Work, now: float) -> Attempts:
-        """Enter new work."""
-        attempts = Attempts(work, now)
-        self._attempts[work.id] = attempts
-        return attempts
+    def hear(self, attempts: Attempts) -> None:
+        """Count work that arrives, whether it is let in or not."""
+        now = attempts.arrival
+        self.shares.hear(attempts.name, attempts.work, now)
+        self.reserve.hear(attempts.work, attempts.cost, now)
+
+    def keeps_back(
+        self, attempts: Attempts, fitting: list[SamplerState], now: float
+    ) -> bool:
+        """Return whether free slots are left to others' or shorter work."""
+        work = attempts.work
+        slots = self._fleet.slots_for(work)
+        if Safeguard.HEADROOM in self._on:
+            free = sum(state.free_for(work) for state in fitting)
+            if self.shares.exceeds(attempts.name, work, free, slots):
+                return True
+        if Safeguard.RESERVE not in self._on:
+            return False
+        if not self.reserve.is_long(work, attempts.cost):
+            return False
+        size = self.reserve.size(slots, self._fleet.pace, now)
+        return len(self._long_running) >= slots - size
+
+    def add(self, attempts: Attempts) -> None:
+        """Enter work that is let in."""
+        self._attempts[attempts.work.id] = attempts
+
+    def is_straggler(self, work: Work) -> bool:
+        """Return whether its step has no other work left to start."""
+        if work.run is None:
+            return False
+        newest = self._steps.get((work.team, work.run), work.step)
+        return work.step < newest
 
     def earn(self) -> None:
         """Count a success towards the budgets."""
@@ -83,7 +130,12 @@
             running.cached_at = state.prefixes.last_seen(key)
         state.start(running)
         state.prefixes.store(work.prefix_keys, now)
-        self.shares.start(work)
+        self.shares.start(attempts.name)
+        if work.run is not None:
+            run = (work.team, work.run)
+            self._steps[run] = max(self._steps.get(run, 0), work.step)
+        if self.reserve.is_long(work, cost):
+            self._long_running.add(work.id)
         attempts.entry = None
         attempts.count += 1
         attempts.samplers.append(state.id)
@@ -97,7 +149,8 @@
         if attempts is None or sampler not in attempts.samplers:
             return None
         attempts.samplers.remove(sampler)
-        self.shares.stop(attempts.work)
+        self.shares.stop(attempts.name)
+        self._long_running.discard(work_id)
         state = self._fleet.samplers.get(sampler)
         if state is None:
             return Running(attempts.work, 1.0, now, 1.0)
--- a/guavagate/instance.py
+++ b/guavagate/instance.py
@@ -8,9 +8,11 @@
 from guavagate import callers, trainers
 from guavagate.auth import Access
 from guavagate.callers import make_id
+from guavagate.health import HealthResource, Readiness, ReadinessResource
 from guavagate.integrations.model_engine import HttpModelEngine
 from guavagate.integrations.plain_service import HttpPlainService
 from guavagate.ledger import Ledger
+from guavagate.metrics import make_request_watch
 from guavagate.permits import (
     PermitClient,
     PoolChooser,
@@ -20,12 +22,7 @@
 from guavagate.runs import Hosted, RunDriver, RunsClient, SampleWorker
 from guavagate.runtime import Runtime
 from guavagate.scoring import Scorer
-from guavagate.web import (
-    ActiveRequests,
-    CountRequests,
-    install_errors,
-    make_server,
-)
+from guavagate.web import ActiveRequests, install_errors, make_server
 from guavagate.weights import WeightRollout
 
 FINISH_PAUSE: Final = 0.05
@@ -61,8 +58,11 @@
             self.scorer.score,
             self.runs,
         )
+        self.readiness = Readiness()
         self.app = self._make_app()
-        self.active = ActiveRequests(self.app)
+        self.active = ActiveRequests(
+            self.app, make_request_watch(runtime.clock, runtime.metrics)
+        )
         self.server: WSGIServer = make_server(
             self.active, runtime.settings.http_address
         )
@@ -94,7 +94,7 @@
             self.runtime.clock.sleep(FINISH_PAUSE)
 
     def _make_app(self) -> falcon.App:
-        app = falcon.App(middleware=[CountRequests(self.runtime.metrics)])
+        app = falcon.App()
         install_errors(app)
         callers.add_routes(
             app,
@@ -121,4 +121,6 @@
                 runtime=self.runtime, access=self.access, runs=self.runs
             ),
         )
+        app.add_route('/healthz', HealthResource())
+        app.add_route('/readyz', ReadinessResource(self.readiness))
         return app
--- a/guavagate/runs/_run.py
+++ b/guavagate/runs/_run.py
@@ -51,7 +51,6 @@
     confirmed: bool = False
     kept: dict[str, str] = msgspec.field(default_factory=dict)
     regenerated: int = 0
-    delivered: int = 0
 
 
 def lag_of(
@@ -98,14 +97,6 @@
     )
 
 
-def count_progress(run: Run) -> tuple[int, int]:
-    """Return how many samples of the steps in work are wanted and finished."""
-    wanted = sum(
-        group.samples for step in run.steps.values() for group in step.groups
-    )
-    return wanted, sum(len(step.finished) for step in run.steps.values())
-
-
 def pull(run: Run, command: PullBatch, published: list[WeightVersion]) -> Batch:
     """Hand out what follows the presented cursor."""
     presented = decode_cursor(command.cursor)
@@ -159,8 +150,6 @@
 
 
 def _commit(run: Run, presented: Cursor) -> None:
-    if run.offered is not None:
-        run.delivered += len(run.offered.samples)
     run.cursor = presented
     run.offered = None
     run.confirmed = run.confirmed or presented.incarnation == run.incarnation
