Measure what control costs a node at rest

Messages and bytes are exported as metrics. The detector no longer goes through all members at each tick, and the datagrams' key is derived once. A planned stop is logged as leaving, not as a loss.

--- a/guavagate/assembly.py
+++ b/guavagate/assembly.py
@@ -16,7 +16,7 @@
 from guavagate.ledger import make_ledger_states
 from guavagate.links import ZmqBus
 from guavagate.membership import Membership
-from guavagate.metrics import Metrics
+from guavagate.metrics import Metrics, names
 from guavagate.models import Epoch, PartitionId
 from guavagate.operations import Operations
 from guavagate.partitions import Command, LocalPartitions, ReplicatedState
@@ -88,6 +88,7 @@
             self._partitions.views,
         )
         self._instance.readiness.add('stop', self._why_stopping)
+        self._runtime.metrics.before_reading(self._count_traffic)
         self._instance.readiness.add('id', self._why_superseded)
         self._asked = Event()
 
@@ -141,6 +142,21 @@
         self._bus.stop()
         self._log('stopped', cut=cut)
 
+    def _count_traffic(self) -> None:
+        """Export what goes between the instances."""
+        metrics = self._runtime.metrics
+        for by, traffic in (
+            ('links', self._bus.traffic),
+            ('probes', self._members.traffic),
+        ):
+            for way, messages, size in (
+                ('sent', traffic.sent, traffic.sent_bytes),
+                ('received', traffic.received, traffic.received_bytes),
+            ):
+                labels = {'by': by, 'way': way}
+                metrics.set_total(names.PEER_MESSAGES, messages, **labels)
+                metrics.set_total(names.PEER_BYTES, size, **labels)
+
     def _why_superseded(self) -> str:
         lost = self._members.superseded()
         return 'a later process carries this instance id' if lost else ''
--- a/guavagate/events/fleet.py
+++ b/guavagate/events/fleet.py
@@ -40,6 +40,9 @@
     'This process did not run for a while',
     'give the instance more processor time if this repeats',
 )
+MEMBER_LEFT: Final = Event(
+    3010, logging.INFO, 'An instance has left after its planned stop'
+)
 LINK_SILENT: Final = Event(
     3101,
     logging.WARNING,
--- a/guavagate/links/_connection.py
+++ b/guavagate/links/_connection.py
@@ -17,6 +17,7 @@
     encode_envelope,
 )
 from guavagate.links._socket import Frames, SocketOwner
+from guavagate.util.traffic import Traffic
 
 
 class Connection:
@@ -34,6 +35,7 @@
         self,
         socket: zmq.Socket,
         clock: Clock,
+        traffic: Traffic,
         received: Callable[['Connection', Envelope], None],
         lost: Callable[['Connection'], None],
     ) -> None:
@@ -44,7 +46,7 @@
         self.heard_at = clock.now()
         self.boot = 0
         self._owner = SocketOwner(
-            socket, QUEUE_LIMIT, self._receive, self._lose
+            socket, QUEUE_LIMIT, traffic, self._receive, self._lose
         )
 
     def put(self, frames: Frames) -> int | None:
--- a/guavagate/links/_link.py
+++ b/guavagate/links/_link.py
@@ -31,6 +31,7 @@
     encode_envelope,
 )
 from guavagate.models import InstanceId
+from guavagate.util.traffic import Traffic
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -73,12 +74,14 @@
         peer: InstanceId,
         connect: Callable[[], zmq.Socket],
         clock: Clock,
+        traffic: Traffic,
     ) -> None:
         self._me = me
         self._boot = boot
         self._peer = peer
         self._connect = connect
         self._clock = clock
+        self._traffic = traffic
         self._waiting: dict[int, _Waiting] = {}
         self._used_at = clock.now()
         self._probe: Connection | None = None
@@ -131,7 +134,11 @@
 
     def _open(self) -> Connection:
         return Connection(
-            self._connect(), self._clock, self._receive, self._lose
+            self._connect(),
+            self._clock,
+            self._traffic,
+            self._receive,
+            self._lose,
         )
 
     def _owes_answer(self, now: float) -> bool:
--- a/guavagate/links/_server.py
+++ b/guavagate/links/_server.py
@@ -27,6 +27,7 @@
 from guavagate.links._memory import Handled, Memory
 from guavagate.links._socket import Frames, SocketOwner
 from guavagate.models import InstanceId
+from guavagate.util.traffic import Traffic
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -54,9 +55,9 @@
         decoder = msgspec.msgpack.Decoder(kind)
         self._handlers[kind.__name__] = (handler, decoder)
 
-    def start(self, socket: zmq.Socket) -> None:
+    def start(self, socket: zmq.Socket, traffic: Traffic) -> None:
         """Serve on a bound socket."""
-        self._owner = SocketOwner(socket, _OUTBOX_LIMIT, self._receive)
+        self._owner = SocketOwner(socket, _OUTBOX_LIMIT, traffic, self._receive)
 
     def stop(self, timeout: float) -> None:
         """Close the socket; handlers that still run are not answered."""
--- a/guavagate/links/_socket.py
+++ b/guavagate/links/_socket.py
@@ -8,6 +8,8 @@
 from gevent.event import Event
 from zmq.utils.monitor import parse_monitor_message
 
+from guavagate.util.traffic import Traffic
+
 Frames = list[bytes]
 
 # One pass hands over at most this many frames before other tasks run.
@@ -38,11 +40,13 @@
         self,
         socket: zmq.Socket,
         limit: int,
+        traffic: Traffic,
         received: Callable[[Frames], None],
         lost: Callable[[], None] | None = None,
     ) -> None:
         self._socket = socket
         self._limit = limit
+        self._traffic = traffic
         self._received = received
         self._lost = lost
         self._outbox: dict[int, Frames] = {}
@@ -129,6 +133,7 @@
             except zmq.Again:
                 break
             taken += 1
+            self._traffic.note_received(len(frames[-1]))
             self._received(frames)
         return taken
 
@@ -137,7 +142,9 @@
         while self._outbox and given < _BATCH:
             ticket = next(iter(self._outbox))
             try:
-                self._socket.send_multipart(self._outbox[ticket], zmq.NOBLOCK)
+                frames = self._outbox[ticket]
+                self._socket.send_multipart(frames, zmq.NOBLOCK)
+                self._traffic.note_sent(len(frames[-1]))
             except zmq.Again:
                 break
             except zmq.ZMQError:  # The peer has gone: nobody to answer.
--- a/guavagate/links/_zmq_bus.py
+++ b/guavagate/links/_zmq_bus.py
@@ -15,6 +15,7 @@
 from guavagate.links._link import Link
 from guavagate.links._server import Resolve, Server, bind_server
 from guavagate.models import InstanceId
+from guavagate.util.traffic import Traffic
 
 _LOGGER: Final = logging.getLogger(__name__)
 _CLOSE_SECONDS: Final = 1.0
@@ -52,6 +53,7 @@
         self._clock = clock
         self._credential = credential
         self._context = zmq.Context()
+        self.traffic = Traffic()
         self._boot = secrets.randbits(62)
         self._numbers = itertools.count(1)
         self._server = Server(me, self._boot, clock)
@@ -66,7 +68,7 @@
     def start(self) -> None:
         """Listen and allow requests."""
         socket = bind_server(self._context, self._address, self._credential)
-        self._server.start(socket)
+        self._server.start(socket, self.traffic)
         self._open = True
         self._checker = self._clock.spawn(self._check)
 
@@ -125,7 +127,9 @@
         def connect() -> zmq.Socket:
             return connect_peer(self._context, address, self._credential)
 
-        return Link(self._me, self._boot, peer, connect, self._clock)
+        return Link(
+            self._me, self._boot, peer, connect, self._clock, self.traffic
+        )
 
     def _check(self) -> None:
         """Look after the links: silent ones, unused ones, those of the dead."""
--- a/guavagate/measure/__main__.py
+++ b/guavagate/measure/__main__.py
@@ -16,6 +16,7 @@
     'decisions': 'guavagate.measure._commands:decisions',
     'cost': 'guavagate.measure._cost:cost',
     'cost-per-request': 'standins.cost:main',
+    'capacity': 'standins.capacity:main',
     'settings': 'guavagate.measure._settings:settings',
     'settings-real': 'standins.spread:main',
 }
--- a/guavagate/membership/_detector.py
+++ b/guavagate/membership/_detector.py
@@ -62,6 +62,10 @@
         self._heard_at = now
         self._ticked_at = now
         self._period_at = now
+        # Looked for only when something changed: going through all members
+        # at each tick would make the cost grow with the fleet.
+        self._suspects: list[InstanceId] = []
+        self._looked_at = self.table.changes
 
     def on_tick(self, now: float) -> list[Send]:
         """Do what is due; call about every tenth of a second."""
@@ -118,9 +122,9 @@
         With one other member the two cases can't be told apart, and the
         other is taken for dead.
         """
-        silent = now - self._heard_at
-        alone = len(self.table.reachable()) < 2
-        return not alone and DEAF_AFTER < silent < DEAF_LIMIT
+        if not DEAF_AFTER < now - self._heard_at < DEAF_LIMIT:
+            return False
+        return len(self.table.reachable()) > 1
 
     def isolated(self, now: float) -> bool:
         """Return whether others are known of but none has been heard."""
@@ -194,11 +198,13 @@
             self._period_at = min(self._period_at, now)
 
     def _bury_suspects(self, now: float) -> None:
-        if self.deaf(now):
+        if self._looked_at != self.table.changes:
+            self._looked_at = self.table.changes
+            self._suspects = self.table.suspects()
+        if not self._suspects or self.deaf(now):
             return
-        for instance, member in self.table.members.items():
-            if member.state is not MemberState.SUSPECT:
-                continue
+        for instance in self._suspects:
+            member = self.table.members[instance]
             limit = (
                 CONFIRMED_SECONDS if member.confirmed() else SUSPICION_SECONDS
             )
@@ -258,6 +264,8 @@
     after: Member,
 ) -> None:
     event = _EVENTS[after.state]
+    if after.state is MemberState.DEAD and update.by == update.id:
+        event = fleet.MEMBER_LEFT
     if before is not None and before[1] != after.contact.boot:
         event = fleet.MEMBER_RESTARTED
     elif before is not None and before[0] is after.state:
--- a/guavagate/membership/_members.py
+++ b/guavagate/membership/_members.py
@@ -22,6 +22,7 @@
 from guavagate.membership._static import describe
 from guavagate.models import InstanceId
 from guavagate.settings import InstanceSettings, PeerSettings
+from guavagate.util.traffic import Traffic
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -65,6 +66,7 @@
         self._fingerprint: tuple = ()
         self._isolated = False
         self._socket: socket.socket | None = None
+        self.traffic = Traffic()
         self._tasks: list[Task] = []
         self._refresh()
 
@@ -192,6 +194,7 @@
         assert self._socket is not None
         while True:
             datagram, (host, port) = self._socket.recvfrom(_DATAGRAM_BYTES)
+            self.traffic.note_received(len(datagram))
             packet = decode_packet(datagram, self._credential)
             if packet is None:
                 continue
@@ -218,6 +221,7 @@
         for address, packet in sends:
             host, port = address.rsplit(':', 1)
             datagram = encode_packet(packet, self._credential)
+            self.traffic.note_sent(len(datagram))
             try:
                 self._socket and self._socket.sendto(
                     datagram, (host, int(port))
--- a/guavagate/membership/_packet.py
+++ b/guavagate/membership/_packet.py
@@ -1,6 +1,7 @@
 """Datagrams of the membership, authenticated by the cluster credential."""
 
 import enum
+import functools
 import hashlib
 import hmac
 from typing import Final
@@ -131,6 +132,11 @@
     )
 
 
+@functools.lru_cache(maxsize=8)
+def _make_key(credential: bytes) -> bytes:
+    return hashlib.blake2b(credential, digest_size=32).digest()
+
+
 def _authenticate(body: bytes, credential: bytes) -> bytes:
-    key = hashlib.blake2b(credential, digest_size=32).digest()
+    key = _make_key(credential)
     return hashlib.blake2b(body, digest_size=MAC_BYTES, key=key).digest()
--- a/guavagate/membership/_table.py
+++ b/guavagate/membership/_table.py
@@ -115,6 +115,14 @@
             if member.reachable()
         ]
 
+    def suspects(self) -> list[InstanceId]:
+        """Return all that are suspected."""
+        return [
+            instance
+            for instance, member in self.members.items()
+            if member.state is MemberState.SUSPECT
+        ]
+
     def forget(self, now: float) -> None:
         """Drop the members that have long been dead."""
         limit = now - TOMBSTONE_SECONDS
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -57,6 +57,18 @@
     text='1 while the readiness check passes',
     plotted=True,
 )
+PEER_MESSAGES: Final = Metric(
+    name='guavagate_peer_messages_total',
+    kind=MetricKind.COUNTER,
+    text='Messages between instances; `by` is links or probes',
+    labels=('by', 'way'),
+)
+PEER_BYTES: Final = Metric(
+    name='guavagate_peer_bytes_total',
+    kind=MetricKind.COUNTER,
+    text='Their bytes, without the headers of IP, TCP and UDP',
+    labels=('by', 'way'),
+)
 CPU_SECONDS: Final = Metric(
     name='process_cpu_seconds_total',
     kind=MetricKind.COUNTER,
