--- a/guavagate/measure/__main__.py
+++ b/guavagate/measure/__main__.py
@@ -17,6 +17,7 @@
     'cost': 'guavagate.measure._cost:cost',
     'cost-per-request': 'standins.cost:main',
     'capacity': 'standins.capacity:main',
+    'lost-instance': 'standins.capacity:measure_loss',
     'settings': 'guavagate.measure._settings:settings',
     'settings-real': 'standins.spread:main',
 }
--- a/standins/capacity/_fleets.py
+++ b/standins/capacity/_fleets.py
@@ -70,8 +70,26 @@
 
     def agree(self) -> bool:
         """Return whether each knows all."""
-        count = len(self._nodes)
-        return all(seen['alive'] == count for seen in self._ask())
+        return self.holds(len(self._nodes))
+
+    def holds(self, alive: int) -> bool:
+        """Return whether each holds so many in use."""
+        return all(seen['alive'] == alive for seen in self._ask())
+
+    def kill(self, index: int) -> None:
+        """Kill one process."""
+        self.pids.pop(index)
+        node = self._nodes.pop(index)
+        node.kill()
+        node.wait()
+
+    def without(self, index: int) -> 'PartsFleet':
+        """Return a view of the others, such as while one is paused."""
+        others = PartsFleet()
+        others._nodes = [
+            node for node in self._nodes if node is not self._nodes[index]
+        ]
+        return others
 
     def read(self) -> Reading:
         """Return the totals now."""
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -200,6 +200,27 @@
     gevent.killall(tasks)
 
 
+def test_a_write_in_an_outage_says_whether_it_was_sent() -> None:
+    """The first writes time out and may be written; later ones are held.
+
+    Those that were held back certainly are not, so their writers need not
+    read back, which would be more calls to a platform that is down.
+    """
+    clock = PausedClock()
+    store = ObjectApi(Platform(clock).carry, clock, lambda: 9, random.Random(1))
+    sent: list[bool] = []
+
+    def put() -> None:
+        for _ in range(7):
+            with pytest.raises(StoreUnavailableError) as caught:
+                store.put('views/1', b'x', ABSENT)
+            sent.append(caught.value.may_be_written)
+
+    clock.spawn(put)
+    clock.advance(60)
+    assert sent == [True] * 5 + [False] * 2
+
+
 def test_views_go_before_settings_before_status() -> None:
     """When the rate is used up by status, views still get through."""
     budget = Budget(10, 0)
