Remove each safeguard in scenarios; go on without one sealed member

Cause: random runs did not catch fence, enough_sealed, joint, read_back and conditional removed; an order of events for each now does, and holds with it.

Found and mended by them: (1) one member that sealed itself alone made the primary stop and start for ever; it goes on with the others' majority and moves to an epoch above. (2) A first view that failed to be written during an outage was tried again without a pause. (3) One side of a split could begin a partition anew while the other side answers; only the larger side may.

--- a/guavagate/ledger/__init__.py
+++ b/guavagate/ledger/__init__.py
@@ -3,13 +3,18 @@
 from guavagate.ledger._keys import digest_body, find_key_time
 from guavagate.ledger._ledger import Ledger, OnceRequest
 from guavagate.ledger._messages import Answer, BeginState, LedgerLimits
-from guavagate.ledger._state import LedgerState, make_ledger_states
+from guavagate.ledger._state import (
+    LedgerSafeguards,
+    LedgerState,
+    make_ledger_states,
+)
 
 __all__ = (
     'Answer',
     'BeginState',
     'Ledger',
     'LedgerLimits',
+    'LedgerSafeguards',
     'LedgerState',
     'OnceRequest',
     'digest_body',
--- a/guavagate/measure/__main__.py
+++ b/guavagate/measure/__main__.py
@@ -15,6 +15,7 @@
     'list': 'guavagate.measure._commands:list_patterns',
     'decisions': 'guavagate.measure._commands:decisions',
     'cost': 'guavagate.measure._cost:cost',
+    'outcomes': 'guavagate.measure.outcomes._command:outcomes',
     'cost-per-request': 'standins.cost:main',
 }
 
--- /dev/null
+++ b/guavagate/measure/outcomes/_mutations.py
@@ -0,0 +1,77 @@
+"""Each safeguard removed in turn, and the run that catches it."""
+
+from collections.abc import Callable, Iterator
+from typing import Final
+
+import msgspec
+
+from guavagate.ledger import LedgerSafeguards
+from guavagate.measure.outcomes._counts import Counts
+from guavagate.measure.outcomes._requests import Requests
+from guavagate.measure.outcomes._run import Run, Workload, run_once
+from guavagate.measure.outcomes._scenarios import SCENARIOS
+from guavagate.partitions.replicated import Safeguards
+
+PARTITION_GUARDS: Final = Safeguards.__struct_fields__
+LEDGER_GUARDS: Final = LedgerSafeguards.__struct_fields__
+
+
+class Mutation(msgspec.Struct, frozen=True, kw_only=True):
+    """What came of the search without one safeguard.
+
+    Parameters
+    ----------
+    caught
+        Name of the scenario or number of the seed; empty when none did.
+    tried
+        Runs made.
+    """
+
+    safeguard: str
+    caught: str
+    promise: str = ''
+    faults: tuple[str, ...] = ()
+    tried: int = 0
+
+
+def remove_each(runs: int, seed: int) -> Iterator[Mutation]:
+    """Remove each safeguard in turn until a run catches it."""
+    for name in (*PARTITION_GUARDS, *LEDGER_GUARDS):
+        yield remove(name, runs, seed)
+
+
+def remove(name: str, runs: int, seed: int) -> Mutation:
+    """Remove one safeguard; try its scenario, then random runs."""
+    run = prepare(name)
+    scenario = SCENARIOS.get(name)
+    if scenario is not None and scenario(Safeguards(**{name: False})):
+        return Mutation(
+            safeguard=name,
+            caught=f'scenario {scenario.__name__}',
+            promise='APPLIED_ONCE',
+            tried=1,
+        )
+    for tried in range(runs):
+        result = run(seed + tried)
+        if result.violations:
+            return Mutation(
+                safeguard=name,
+                caught=f'seed {result.seed}',
+                promise=result.violations[0].promise.name,
+                faults=result.faults,
+                tried=tried + 1,
+            )
+    return Mutation(safeguard=name, caught='', tried=runs)
+
+
+def prepare(name: str) -> Callable[[int], Run]:
+    """Return what runs a seed without one safeguard."""
+    if name in PARTITION_GUARDS:
+        guards = Safeguards(**{name: False})
+        return lambda seed: run_once(seed, safeguards=guards)
+    ledger_guards = LedgerSafeguards(**{name: False})
+
+    def make() -> list[Workload]:
+        return [Requests(ledger_guards), Counts()]
+
+    return lambda seed: run_once(seed, make_workloads=make)
--- a/guavagate/measure/outcomes/_requests.py
+++ b/guavagate/measure/outcomes/_requests.py
@@ -13,10 +13,10 @@
     Answer,
     Ledger,
     LedgerLimits,
+    LedgerSafeguards,
     OnceRequest,
     make_ledger_states,
 )
-from guavagate.ledger._state import LedgerSafeguards
 from guavagate.measure import history as hist
 from guavagate.measure.outcomes._fleet import Fleet
 from guavagate.measure.outcomes._upstream import Upstream
--- a/guavagate/partitions/_keeper.py
+++ b/guavagate/partitions/_keeper.py
@@ -52,6 +52,7 @@
         self._load()
         while True:
             self._catch_up()
+            self._takeover.note_fleet()
             self._hosting.changed.clear()
             if not self._stopping:
                 self._look_at_all()
@@ -167,18 +168,17 @@
             self._start(partition, self._take_over, partition, view)
 
     def _take_over(self, partition: PartitionId, view: View | None) -> None:
-        """Take over or create, and note when to try again."""
+        """Take over or create; before, note when to try again."""
+        tries = self._tries.get(partition, 0) + 1
+        self._tries[partition] = tries
+        pause = min(_RETRY_MIN * 2**tries, _RETRY_MAX)
+        self._put_off(partition, pause / 2, pause)
         if view is None:
             self._takeover.bootstrap(partition)
             came = 'created'
         else:
             came = self._takeover.run(partition)
-        tries = self._tries.get(partition, 0) + 1
-        self._tries[partition] = tries
-        pause = min(_RETRY_MIN * 2**tries, _RETRY_MAX)
-        self._due[partition] = self._around.clock.now() + self._around.jitter(
-            pause / 2, pause
-        )
+        self._put_off(partition, pause / 2, pause)
         write(
             _LOGGER,
             log.TAKEOVER,
@@ -187,6 +187,11 @@
             result=came,
         )
 
+    def _put_off(self, partition: PartitionId, low: float, high: float) -> None:
+        """Look at a partition again no earlier than after some seconds."""
+        wait = self._around.jitter(low, high)
+        self._due[partition] = self._around.clock.now() + wait
+
     def _look_after(self, primary: Primary) -> None:
         """Repair or balance a partition that is decided here."""
         partition = primary.view.partition
@@ -220,7 +225,7 @@
         whole = choose_instances(view.partition, alive, now_holding)
         if set(whole) != {member.instance for member in view.members}:
             return whole, True
-        if len(now_holding) < len(view.members):
+        if primary.outbid or len(now_holding) < len(view.members):
             return whole, True
         best = choose_instances(view.partition, alive)
         if best[0] != self._around.me.instance:
@@ -239,10 +244,10 @@
     def _change(self, primary: Primary, target: list[InstanceId]) -> None:
         """Change a view; write down why."""
         before = [member.instance for member in primary.view.members]
-        done = change_view(self._hosting, primary, target)
         partition = primary.view.partition
-        pause = self._around.jitter(_RETRY_MIN, _REPAIR_SPREAD)
-        self._due[partition] = self._around.clock.now() + pause
+        self._put_off(partition, _RETRY_MIN, _REPAIR_SPREAD)
+        done = change_view(self._hosting, primary, target)
+        self._put_off(partition, _RETRY_MIN, _REPAIR_SPREAD)
         write(
             _LOGGER,
             log.REGROUPED,
--- a/guavagate/partitions/_primary.py
+++ b/guavagate/partitions/_primary.py
@@ -29,6 +29,8 @@
         It answers nothing any more.
     frozen
         Set while it takes no new commands, because it is handing over.
+    outbid
+        The highest epoch that a refusing member has promised, if any.
     pending
         The view being written. It counts beside the present one until the
         store has answered, as it may be in force already.
@@ -46,7 +48,9 @@
         self.closed = False
         self.frozen = False
         self.pending: View | None = None
+        self.outbid = Epoch(0)
         self.boots: dict[InstanceId, str] = {}
+        self._refusing: dict[Member, None] = {}
         self._around = around
         self._superseded = superseded
         self._held: dict[Member, int] = {}
@@ -100,6 +104,8 @@
             members = self._backups()
         for member in members:
             lags = not self.holds(member, self.replica.position.seq)
+            if member in self._refusing:
+                continue
             if lags and member not in self._pumping and not self.closed:
                 self._pumping.add(member)
                 self._around.clock.spawn(self._pump, member)
@@ -137,6 +143,8 @@
         """Go on in a view that this primary has itself put in force."""
         before = self.replica.position
         self.pending = None
+        self.outbid = Epoch(0)
+        self._refusing.clear()
         self.view = view
         self.replica.enter(view.epoch)
         self._positions = {
@@ -188,6 +196,8 @@
 
     def _wait_for(self, member: Member) -> bool:
         """Wait before another try; say whether to try at all."""
+        if member in self._refusing:
+            return False
         if not self._around.is_alive(member.instance):
             return False
         self._around.clock.sleep(self._around.jitter(_RETRY, 2 * _RETRY))
@@ -214,8 +224,7 @@
         """Take in a replica's reply; say whether it came on."""
         self.boots[member.instance] = reply.boot
         if self._around.safeguards.fence and reply.promised > self.view.epoch:
-            self.close()
-            self._superseded()
+            self._yield_to(member, reply.promised)
             return False
         if member.boot not in {reply.boot, ''}:
             return False
@@ -231,6 +240,23 @@
             return True
         return place != known
 
+    def _yield_to(self, member: Member, promised: Epoch) -> None:
+        """Go on without a member that has been sealed, while one can.
+
+        One member alone may have sealed itself because it hears nobody. When
+        no majority is left, others are taking over and this epoch is over.
+        """
+        self.outbid = max(self.outbid, promised)
+        self._refusing[member] = None
+        views = [self.view, self.pending or self.view]
+        for view in views:
+            left = [one for one in view.members if one not in self._refusing]
+            if len(left) < quorum(len(view.members)):
+                self.replica.promised = max(self.outbid, self.replica.promised)
+                self.close()
+                self._superseded()
+                return
+
     def _wake(self) -> None:
         """Wake those whose entry is held, or all when it is over."""
         waiting: list[tuple[int, Event]] = []
--- a/guavagate/partitions/_regroup.py
+++ b/guavagate/partitions/_regroup.py
@@ -75,7 +75,7 @@
         primary.freeze()
     new = View(
         partition=primary.view.partition,
-        epoch=Epoch(primary.view.epoch + 1),
+        epoch=Epoch(max(primary.view.epoch, primary.outbid) + 1),
         members=members,
         change=hosting.around.make_id(),
         base=Position(primary.view.epoch, primary.replica.position.seq),
--- a/guavagate/partitions/_replicated.py
+++ b/guavagate/partitions/_replicated.py
@@ -32,9 +32,12 @@
 from guavagate.partitions._views import Views
 from guavagate.runtime import Runtime
 
-_ATTEMPT: Final = 1.0
+# A command asked of a primary that has just died is asked again after this,
+# so that it meets the next one soon; being applied once is sure all the same.
+_ATTEMPT: Final = 0.4
 _PAUSE: Final = 0.05
 _STOP_LIMIT: Final = 10.0
+_FINAL: Final = (Verdict.DONE, Verdict.INVALID, Verdict.FORGOTTEN)
 
 
 class ReplicatedPartitions:
@@ -146,32 +149,32 @@
         clock = self._around.clock
         sent = False
         tries = 0
+        epoch = self._epoch_of(partition)
         while clock.now() < end:
             reply, handled = self._try(partition, entry, sent, end, tries)
             sent = sent or handled
-            if reply is not None and reply.verdict is Verdict.DONE:
-                return reply.outcome
-            if reply is not None and reply.verdict is Verdict.INVALID:
-                if sent:
-                    break
-                raise NotAppliedError(
-                    reply.problem, 'check releases and clocks of the instances'
-                )
-            if reply is not None and reply.verdict is Verdict.FORGOTTEN:
-                break
+            if reply is not None and reply.verdict in _FINAL:
+                return _conclude(reply, sent)
             tries += 1
-            pause = self._around.jitter(_PAUSE, _PAUSE * min(tries + 1, 6))
+            if self._epoch_of(partition) != epoch:
+                # A new primary is known: ask it first, and without a pause.
+                epoch = self._epoch_of(partition)
+                tries = 0
+                continue
+            pause = self._around.jitter(_PAUSE, _PAUSE * min(tries + 1, 5))
             clock.sleep(min(pause, max(end - clock.now(), 0)))
         if sent:
-            raise OutcomeUnknownError(
-                f'partition {partition} gave no outcome in time',
-                'ask again with the same key',
-            )
+            raise _make_unknown()
         raise NotAppliedError(
             f'partition {partition} has no primary that answers',
             'try again in a few seconds',
         )
 
+    def _epoch_of(self, partition: PartitionId) -> Epoch:
+        """Return the epoch of the view that this instance knows."""
+        view = self._hosting.views.get(partition)
+        return Epoch(0) if view is None else view.epoch
+
     def _try(
         self,
         partition: PartitionId,
@@ -236,6 +239,24 @@
         )
 
 
+def _conclude(reply: SubmitReply, sent: bool) -> bytes:
+    """Return the outcome of a final reply, or raise what it means."""
+    if reply.verdict is Verdict.DONE:
+        return reply.outcome
+    if reply.verdict is Verdict.FORGOTTEN or sent:
+        raise _make_unknown()
+    raise NotAppliedError(
+        reply.problem, 'check releases and clocks of the instances'
+    )
+
+
+def _make_unknown() -> OutcomeUnknownError:
+    """Make the error of a command that may have been applied."""
+    return OutcomeUnknownError(
+        'the partition gave no outcome in time', 'ask again with the same key'
+    )
+
+
 def _make_boot(rng: random.Random | None, guards: Safeguards) -> str:
     """Return what tells this process from earlier ones of its id."""
     if not guards.boot_ids:
--- a/guavagate/partitions/_takeover.py
+++ b/guavagate/partitions/_takeover.py
@@ -9,7 +9,7 @@
 from gevent.queue import Queue
 
 from guavagate.exceptions import StoreError
-from guavagate.models import Epoch, PartitionId
+from guavagate.models import Epoch, InstanceId, PartitionId
 from guavagate.partitions import _messages as msg
 from guavagate.partitions._hosting import Hosting
 from guavagate.partitions._view import (
@@ -26,6 +26,7 @@
 # Copies that don't answer may be of paused processes. For so long the
 # partition is refused rather than begun anew without what they hold.
 LOST_AFTER: Final = 15.0
+_FLEET_KEPT: Final = 120.0
 
 _Replies = dict[Member, msg.ReplicaReply]
 
@@ -37,6 +38,18 @@
         self._hosting = hosting
         self._around = hosting.around
         self._short_since: dict[tuple[PartitionId, Epoch], float] = {}
+        self._fleet: dict[InstanceId, float] = {}
+
+    def note_fleet(self) -> None:
+        """Remember who has been alive of late."""
+        now = self._around.clock.now()
+        for peer in self._around.alive():
+            self._fleet[peer.id] = now
+        self._fleet = {
+            instance: seen
+            for instance, seen in self._fleet.items()
+            if now - seen < _FLEET_KEPT
+        }
 
     def bootstrap(self, partition: PartitionId) -> None:
         """Create the first view of a partition, held here alone."""
@@ -168,7 +181,7 @@
             for member in view.members
             if member not in sealed and not self._is_gone(member, replies)
         ]
-        if missing or now - since < LOST_AFTER:
+        if missing or now - since < LOST_AFTER or not self._sees_most():
             return None
         lost_at = None
         if self._around.safeguards.mark_lost:
@@ -179,6 +192,16 @@
         self._hosting.drop(view.partition)
         return self._make(view, (self._around.me,), None, lost_at)
 
+    def _sees_most(self) -> bool:
+        """Say whether this instance is on the larger side of a split.
+
+        The missing copies may be alive on the other side and answer there.
+        Of two equal sides the one with the first instance goes on.
+        """
+        alive = {peer.id for peer in self._around.alive()}
+        share = 2 * len(alive) - len(self._fleet)
+        return share > 0 or (share == 0 and min(self._fleet) in alive)
+
     def _is_gone(self, member: Member, replies: _Replies) -> bool:
         """Say whether a copy is gone, as far as one can tell."""
         reply = replies.get(member)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,93 @@
+"""Tests of the ledger's rules for one key."""
+
+from typing import Any
+
+from guavagate.ledger import (
+    Answer,
+    BeginState,
+    LedgerLimits,
+    LedgerState,
+    find_key_time,
+)
+from guavagate.ledger._messages import Abort, Begin, Expire, Finish
+from guavagate.models import InstanceId
+from guavagate.partitions import CopiesLost
+
+_ENTRY = InstanceId('a')
+_DAY = 1_700_000_000.0
+
+
+def _begin(
+    state: LedgerState, attempt: str, at: float = 0, **more: Any
+) -> BeginState:
+    """Begin and return what the ledger says."""
+    fields = {'scope': 't/c/k', 'digest': 'd', **more}
+    command = Begin(at=at, attempt=attempt, entry=_ENTRY, **fields)
+    outcome: Any = state.apply(command)
+    return outcome.state
+
+
+def test_a_late_answer_replaces_an_unknown_outcome() -> None:
+    """The entry was paused, not dead: its answer comes after all."""
+    state = LedgerState()
+    assert _begin(state, '1') is BeginState.GRANTED
+    assert _begin(state, '2') is BeginState.JOINED
+    state.apply(Expire(at=1, scope='t/c/k', attempt='1'))
+    assert _begin(state, '3') is BeginState.UNKNOWN
+    state.apply(
+        Finish(
+            at=2,
+            scope='t/c/k',
+            digest='d',
+            attempt='1',
+            entry=_ENTRY,
+            answer=Answer(status=200, body=b'x'),
+        )
+    )
+    assert _begin(state, '4') is BeginState.ANSWERED
+    assert _begin(state, '5', digest='other') is BeginState.CONFLICT
+
+
+def test_an_abort_that_overtakes_its_begin_still_counts() -> None:
+    """The grant would go to nobody; the next attempt runs."""
+    state = LedgerState()
+    state.apply(Abort(at=0, scope='t/c/k', attempt='1'))
+    assert _begin(state, '1') is BeginState.ABANDONED
+    assert _begin(state, '2') is BeginState.GRANTED
+
+
+def test_a_full_ledger_refuses_and_forgets_only_after_the_window() -> None:
+    """New keys are refused; a known key is known until its time is over."""
+    state = LedgerState(LedgerLimits(window=100, partition_bytes=500))
+    assert _begin(state, '1', scope='t/c/1') is BeginState.GRANTED
+    assert _begin(state, '2', scope='t/c/2') is BeginState.GRANTED
+    assert _begin(state, '3', 99, scope='t/c/3') is BeginState.FULL
+    assert _begin(state, '4', 99, scope='t/c/1') is BeginState.JOINED
+    assert _begin(state, '5', 101, scope='t/c/3') is BeginState.GRANTED
+
+
+def test_lost_copies_make_old_keys_unknown() -> None:
+    """A key that tells it is younger than the loss is granted all the same.
+
+    A key freed by an abort is doubted too: the lost copies may have granted
+    it again.
+    """
+    state = LedgerState()
+    state.apply(Abort(at=_DAY, scope='t/c/freed', attempt='0'))
+    state.apply(CopiesLost(at=_DAY + 60))
+    now = _DAY + 150
+    assert _begin(state, '1', now) is BeginState.UNKNOWN
+    assert _begin(state, '2', now, scope='t/c/freed') is BeginState.UNKNOWN
+    made = find_key_time('018bcfe6-d2d0-7000-8000-000000000000')
+    assert made is not None
+    assert _begin(state, '3', now, key_time=made) is BeginState.UNKNOWN
+    assert _begin(state, '4', now, key_time=now) is BeginState.GRANTED
+
+
+def test_a_snapshot_makes_an_equal_copy() -> None:
+    """A new backup says the same as the primary."""
+    state, copy = LedgerState(), LedgerState()
+    _begin(state, '1', 1.5)
+    copy.restore(state.snapshot())
+    assert copy.snapshot() == state.snapshot()
+    assert _begin(copy, '2') is BeginState.JOINED
