--- a/guavagate/measure/__main__.py
+++ b/guavagate/measure/__main__.py
@@ -17,6 +17,8 @@
     'cost': 'guavagate.measure._cost:cost',
     'outcomes': 'guavagate.measure.outcomes._command:outcomes',
     'cost-per-request': 'standins.cost:main',
+    'settings': 'guavagate.measure._settings:settings',
+    'settings-real': 'standins.spread:main',
 }
 
 
--- a/guavagate/membership/_members.py
+++ b/guavagate/membership/_members.py
@@ -140,9 +140,16 @@
         return None if member is None else member.contact.boot
 
     def isolated(self) -> bool:
-        """Return whether no other instance is heard, or the id was lost."""
-        superseded = self._detector.identity.superseded
-        return superseded or self._detector.isolated(self._clock.now())
+        """Return whether others are known of but none is heard.
+
+        No ground to refuse callers: the last instance that is left hears
+        nobody either.
+        """
+        return self._detector.isolated(self._clock.now())
+
+    def superseded(self) -> bool:
+        """Return whether a later process carries this instance's id."""
+        return self._detector.identity.superseded
 
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back, without blocking, after each change or restart."""
