Let the digests of settings ride in the membership's probes

The probes of the membership go to random instances over datagrams already.

A membership without facts keeps the messages. Forgetting the oldest text no longer delays the answer to the operator.

--- a/guavagate/events/edge.py
+++ b/guavagate/events/edge.py
@@ -16,4 +16,7 @@
 CALLER_GONE = Event(5013, logging.INFO, 'caller gone, upstream work cancelled')
 EDGE_LISTENING = Event(5020, logging.INFO, 'edge listens')
 STOP_PROGRESS = Event(5030, logging.INFO, 'planned stop')
+DRAIN_ASKED = Event(
+    5031, logging.INFO, 'an operator has asked for a planned stop'
+)
 HEADERS_SLOW = Event(5021, logging.INFO, 'connection closed, headers too slow')
--- a/guavagate/explain/_collect.py
+++ b/guavagate/explain/_collect.py
@@ -7,7 +7,7 @@
 
 from guavagate.exceptions import LinkError
 from guavagate.explain._recent import Decision, RecentDecisions
-from guavagate.links import Bus, Message
+from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId
 from guavagate.settings import PeerSettings
 
@@ -110,5 +110,4 @@
     def _handle_ask(
         self, sender: InstanceId, message: Message
     ) -> ExplainAnswer:
-        assert isinstance(message, ExplainAsk)
-        return self._answer(message.subject)
+        return self._answer(expect(message, ExplainAsk).subject)
--- a/guavagate/operators/_collect.py
+++ b/guavagate/operators/_collect.py
@@ -1,13 +1,16 @@
 """Collects the reports of all instances."""
 
 import enum
+import logging
 from typing import Final, TypeVar
 
 import msgspec
 from gevent.pool import Pool
 
+from guavagate.events import write
+from guavagate.events.edge import DRAIN_ASKED
 from guavagate.exceptions import LinkError
-from guavagate.links import Message
+from guavagate.links import Message, expect
 from guavagate.metrics import Series, SeriesKeeper
 from guavagate.models import InstanceId
 from guavagate.operators._reports import (
@@ -18,6 +21,8 @@
 )
 from guavagate.runtime import Runtime
 
+_LOGGER = logging.getLogger(__name__)
+
 _TIMEOUT: Final = 2.0
 _AT_ONCE: Final = 32
 
@@ -102,12 +107,16 @@
             It did not answer.
         """
         if instance == self._runtime.settings.id:
-            self._reports.start_drain()
+            self._begin_drain(who, instance)
             return
         self._runtime.bus.request(
             instance, DrainAsk(who=who), DrainBegun, _TIMEOUT
         )
 
+    def _begin_drain(self, who: str, through: InstanceId) -> None:
+        write(_LOGGER, DRAIN_ASKED, who=who, through=through)
+        self._reports.start_drain()
+
     def _ask(self, peer: InstanceId, matter: Matter) -> ReportAnswer | str:
         try:
             return self._runtime.bus.request(
@@ -126,10 +135,8 @@
         return ReportAnswer(series=tuple(self._series.list_series()))
 
     def _handle_ask(self, sender: InstanceId, message: Message) -> ReportAnswer:
-        assert isinstance(message, ReportAsk)
-        return self._answer(Matter(message.matter))
+        return self._answer(Matter(expect(message, ReportAsk).matter))
 
     def _handle_drain(self, sender: InstanceId, message: Message) -> DrainBegun:
-        assert isinstance(message, DrainAsk)
-        self._reports.start_drain()
+        self._begin_drain(expect(message, DrainAsk).who, sender)
         return DrainBegun()
--- a/guavagate/settings/_exchange.py
+++ b/guavagate/settings/_exchange.py
@@ -1,22 +1,21 @@
 """Peers compare what is in force, and fetch what they lack.
 
-Each instance sends a digest of constant size to a few random peers each
+Each instance sends a digest of constant size to a few random peers a
 second. Where two differ, the receiver asks for the revisions, fetches the
 newer ones and tells back what the sender lacks. Whoever missed a revision is
 thus found within a second or two, however it was missed: a dead instance in
 the tree, a pause, a gap in a watch, a store that is down or old.
 """
 
-import random
 from collections.abc import Callable
 from typing import Final
 
 from guavagate.clock import Clock
 from guavagate.exceptions import LinkError
-from guavagate.links import Bus, Message
+from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId, TeamId
+from guavagate.settings._digests import SendDigest
 from guavagate.settings._messages import (
-    SettingsDigest,
     SettingsFetch,
     SettingsFetched,
     SettingsRevisions,
@@ -26,7 +25,6 @@
 from guavagate.settings._table import SettingsTable
 
 DIGEST_EVERY: Final = 1.0
-DIGEST_PEERS: Final = 2
 ASK_TIMEOUT: Final = 1.0
 _FETCH_TIMEOUT: Final = 3.0
 
@@ -39,29 +37,33 @@
         clock: Clock,
         bus: Bus,
         table: SettingsTable,
-        peers: Callable[[], list[InstanceId]],
         report: Callable[[TeamId | None], SettingsRevisions],
         heard: Callable[[], None],
-        dice: random.Random,
     ) -> None:
         self._clock = clock
         self._bus = bus
         self._table = table
-        self._peers = peers
         self._report = report
         self._heard = heard
-        self._dice = dice
         self._busy: set[InstanceId] = set()
-        bus.register(SettingsDigest, self._handle_digest)
         bus.register(SettingsRevisionsAsk, self._handle_ask)
         bus.register(SettingsFetch, self._handle_fetch)
 
-    def run(self) -> None:
+    def run(self, send: SendDigest) -> None:
         """Send digests; never returns."""
         while True:
-            self._send_digests()
+            send(self._table.digest(), self._report(None).known)
             self._clock.sleep(DIGEST_EVERY)
 
+    def hear_digest(self, sender: InstanceId, digest: int, known: bool) -> None:
+        """Take in a peer's digest; does not block."""
+        if known:
+            self._heard()
+        if digest == self._table.digest() or sender in self._busy:
+            return
+        self._busy.add(sender)
+        self._clock.spawn(self._compare, sender)
+
     def learn_from(self, peer: InstanceId) -> bool:
         """Fetch what a peer has newer; return whether it knew the settings.
 
@@ -82,15 +84,6 @@
                 self._bus.send(peer, SettingsTell(record=record))
         return theirs.known
 
-    def _send_digests(self) -> None:
-        peers = self._peers()
-        chosen = self._dice.sample(peers, min(DIGEST_PEERS, len(peers)))
-        digest = SettingsDigest(
-            digest=self._table.digest(), known=self._report(None).known
-        )
-        for peer in chosen:
-            self._bus.send(peer, digest)
-
     def _fetch(self, peer: InstanceId, team: TeamId) -> None:
         fetched = self._bus.request(
             peer, SettingsFetch(team=team), SettingsFetched, _FETCH_TIMEOUT
@@ -98,13 +91,7 @@
         if fetched.record is not None:
             self._table.offer(fetched.record)
 
-    def _handle_digest(self, sender: InstanceId, message: Message) -> None:
-        assert isinstance(message, SettingsDigest)
-        if message.known:
-            self._heard()
-        if message.digest == self._table.digest() or sender in self._busy:
-            return
-        self._busy.add(sender)
+    def _compare(self, sender: InstanceId) -> None:
         try:
             self.learn_from(sender)
         except LinkError:
@@ -116,11 +103,10 @@
     def _handle_ask(
         self, sender: InstanceId, message: Message
     ) -> SettingsRevisions:
-        assert isinstance(message, SettingsRevisionsAsk)
-        return self._report(message.team)
+        return self._report(expect(message, SettingsRevisionsAsk).team)
 
     def _handle_fetch(
         self, sender: InstanceId, message: Message
     ) -> SettingsFetched:
-        assert isinstance(message, SettingsFetch)
-        return SettingsFetched(record=self._table.newest(message.team))
+        team = expect(message, SettingsFetch).team
+        return SettingsFetched(record=self._table.newest(team))
--- a/guavagate/settings/_force.py
+++ b/guavagate/settings/_force.py
@@ -10,6 +10,12 @@
 from guavagate.links import Bus
 from guavagate.models import InstanceId, Revision, TeamId
 from guavagate.ports.store import ObjectStore
+from guavagate.settings._digests import (
+    CarriesFacts,
+    SendDigest,
+    send_by_facts,
+    send_by_messages,
+)
 from guavagate.settings._exchange import Exchange
 from guavagate.settings._freshness import Freshness
 from guavagate.settings._messages import SettingsRevisions
@@ -71,14 +77,9 @@
             clock, parse_duration(settings.settings_limit)
         )
         self._exchange = Exchange(
-            clock,
-            bus,
-            self.table,
-            self._peer_ids,
-            self.report,
-            self._freshness.hear_peer,
-            self._dice,
+            clock, bus, self.table, self.report, self._freshness.hear_peer
         )
+        self._send_digest = self._make_digests()
         self._relay = Relay(
             clock,
             store,
@@ -120,7 +121,7 @@
         """
         record = self.writer.change(wanted, limit)
         self._spreader.tell(record, self._peer_ids())
-        self.writer.forget_oldest(record)
+        self._clock.spawn(self.writer.forget_oldest, record)
         write(
             LOGGER,
             events.CHANGED,
@@ -179,9 +180,16 @@
         write(LOGGER, events.KNOWN, teams=len(self.table.records()))
         for record in self.table.records():
             self._pass_on_change(record.team)
-        self._tasks.append(self._clock.spawn(self._exchange.run))
+        exchange = self._clock.spawn(self._exchange.run, self._send_digest)
+        self._tasks.append(exchange)
         self._relay.run()
 
+    def _make_digests(self) -> SendDigest:
+        heard = self._exchange.hear_digest
+        if isinstance(self._members, CarriesFacts):
+            return send_by_facts(self._members, heard)
+        return send_by_messages(self._bus, self._peer_ids, self._dice, heard)
+
     def _learn(self) -> None:
         learn_settings(
             self._clock,
--- a/guavagate/settings/_spread.py
+++ b/guavagate/settings/_spread.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator, Sequence
 from typing import Final
 
-from guavagate.links import Bus, Message
+from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId
 from guavagate.settings._messages import SettingsTell
 from guavagate.settings._record import SettingsRecord
@@ -34,9 +34,9 @@
             self._bus.send(first, SettingsTell(record=record, targets=rest))
 
     def _handle_tell(self, sender: InstanceId, message: Message) -> None:
-        assert isinstance(message, SettingsTell)
-        self._table.offer(message.record)
-        self.tell(message.record, message.targets)
+        told = expect(message, SettingsTell)
+        self._table.offer(told.record)
+        self.tell(told.record, told.targets)
 
 
 def split(
--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -1,6 +1,10 @@
 """Tests of settings in force under the failures they are made for."""
 
+import functools
+from collections.abc import Callable
+
 from guavagate.exceptions import StoreUnavailableError
+from guavagate.measure.fakes import FakeMembers
 from guavagate.measure.settings import TEAM, SettingsFleet, measure_spread
 from guavagate.models import InstanceId, Revision
 from guavagate.ports.store import StoredObject
@@ -8,6 +12,7 @@
     SettingsConflictError,
     SettingsRecord,
     SettingsUnsureError,
+    TeamsInForce,
     settings_path,
 )
 from guavagate.settings._messages import SettingsTell
@@ -280,6 +285,69 @@
     assert fleet.reverts == 0
 
 
+class _FactMembers(FakeMembers):
+    """Members whose probes carry facts to all others, a little later."""
+
+    def __init__(self, name: str, fleet: '_FactFleet') -> None:
+        super().__init__(fleet.world.members[InstanceId(name)].peers)
+        self._name = InstanceId(name)
+        self._fleet = fleet
+        self._heard: dict[InstanceId, dict[str, bytes]] = {}
+        self._changed: list[Callable[[InstanceId], None]] = []
+
+    def set_fact(self, name: str, value: bytes) -> None:
+        world = self._fleet.world
+        for instance, other in world.members.items():
+            if isinstance(other, _FactMembers) and other is not self:
+                hear = functools.partial(other.hear, self._name, {name: value})
+                deliver = functools.partial(world.hosts[instance].deliver, hear)
+                world.clock.call_at(world.clock.now() + 0.01, deliver)
+
+    def hear(self, sender: InstanceId, facts: dict[str, bytes]) -> None:
+        self._heard[sender] = facts
+        for changed in self._changed:
+            changed(sender)
+
+    def facts(self, instance: InstanceId) -> dict[str, bytes]:
+        return self._heard.get(instance, {})
+
+    def subscribe_facts(self, changed: Callable[[InstanceId], None]) -> None:
+        self._changed.append(changed)
+
+
+class _FactFleet(SettingsFleet):
+    def start(self, name: str) -> TeamsInForce:
+        members = _FactMembers(name, self)
+        self.world.members[InstanceId(name)] = members
+        return super().start(name)
+
+
+def test_facts_in_probes_bring_what_messages_lost() -> None:
+    """Every message about a change is lost; the probes still tell of it.
+
+    Only the writer and the relays, by their watches, have it. The digest in
+    the next probe differs, so each of the others fetches what it lacks, and no
+    message carries a digest. With the probes and the store silent, the last
+    instance says that it hears nobody.
+    """
+    fleet = _FactFleet(_NINE)
+    fleet.world.clock.advance(3)
+    assert isinstance(fleet.change('i0', 0, 1), SettingsRecord)
+    fleet.world.clock.advance(1)
+    fleet.world.network.loss = 1
+    assert isinstance(fleet.change('i1', 1, 5), SettingsRecord)
+    fleet.world.clock.advance(0.1)
+    assert fleet.revisions() == {1, 2}
+    fleet.world.network.loss = 0
+    assert fleet.world.clock.run_until(lambda: fleet.revisions() == {2}, 3)
+    fleet.world.store.outage = True
+    assert not fleet.world.network.messages['SettingsDigest']
+    for name in _others('i0'):
+        fleet.world.kill(name)
+    fleet.world.clock.advance(20)
+    assert 'neither' in fleet.teams['i0'].waits_for()[0]
+
+
 def test_lost_messages_only_delay_a_change() -> None:
     """With 40 % of all messages lost, digests bring the rest in seconds."""
     fleet = _fleet()
