--- a/guavagate/decisions/_sampler.py
+++ b/guavagate/decisions/_sampler.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from guavagate.decisions._work import Work
+from guavagate.decisions._work import Kind, Work
 from guavagate.decisions.ejection import Health
 from guavagate.decisions.limits import ConcurrencyLimit
 from guavagate.decisions.prefixes import PrefixIndex
@@ -43,7 +43,16 @@
 class Running:
     """One piece of work on one sampler."""
 
-    __slots__ = ('cached', 'cached_at', 'cost', 'expected', 'start', 'work')
+    __slots__ = (
+        'cached',
+        'cached_at',
+        'cost',
+        'expected',
+        'level',
+        'pace',
+        'start',
+        'work',
+    )
 
     def __init__(
         self, work: Work, cost: float, start: float, expected: float
@@ -54,6 +63,8 @@
         self.expected = expected
         self.cached = 0
         self.cached_at = start
+        self.level = 0
+        self.pace: float | None = None
 
 
 class SamplerState:
@@ -63,6 +74,7 @@
         self, info: SamplerInfo, *, learning: bool, healing: bool
     ) -> None:
         self.info = info
+        self.id: SamplerId = info.id
         self.leaving = info.leaving
         self.limit = ConcurrencyLimit(info.slots, learning=learning)
         self.health = Health()
@@ -71,29 +83,36 @@
         self.version: WeightVersion | None = None
         self.adapters: frozenset[str] = frozenset()
         self.foreign = 0
+        self.occupied = 0
         self.share = 1.0
         self.usable = info.slots
+        self.usable_rollout = info.slots
         self._ended: collections.deque[tuple[float, float]] = collections.deque(
             maxlen=_ENDED_KEPT
         )
 
-    @property
-    def id(self) -> SamplerId:
-        """Return the sampler's id."""
-        return self.info.id
-
     @property
     def free(self) -> int:
-        """Return how many more may start."""
-        return self.usable - len(self.running) - self.foreign
+        """Return how many more of any kind may start."""
+        return max(self.usable, self.usable_rollout) - self.occupied
+
+    def free_for(self, work: Work) -> int:
+        """Return how many more of this work's kind may start."""
+        if work.kind is Kind.ROLLOUT:
+            return self.usable_rollout - self.occupied
+        return self.usable - self.occupied
 
     def refresh(self, now: float, median: float | None, ejecting: bool) -> None:
         """Work out anew how much work it may have."""
         self.share = self.health.share(now, median) if ejecting else 1.0
-        if self.leaving or self.share <= 0:
-            self.usable = 0
-            return
-        self.usable = max(int(self.limit.value * self.share), 1)
+        rollout = self.health.throughput_share(now) if ejecting else 1.0
+        self.usable = self._slots_of(self.share)
+        self.usable_rollout = self._slots_of(rollout)
+
+    def _slots_of(self, share: float) -> int:
+        if self.leaving or share <= 0:
+            return 0
+        return max(int(self.limit.value * share), 1)
 
     def blocks(self, work: Work) -> str:
         """Return why the work can't run here, or an empty text."""
@@ -112,12 +131,15 @@
     def start(self, running: Running) -> None:
         """Count work that starts here."""
         self.running[running.work.id] = running
+        running.level = len(self.running)
+        self.occupied = running.level + self.foreign
 
     def stop(self, work_id: RequestId, now: float) -> Running | None:
         """Count work that has ended here."""
         running = self.running.pop(work_id, None)
         if running is not None:
             self._ended.append((running.start, now))
+            self.occupied = len(self.running) + self.foreign
         return running
 
     def declare(self, info: SamplerInfo) -> None:
@@ -135,3 +157,4 @@
         then = sum(run.start <= report.at for run in self.running.values())
         ended = sum(start <= report.at < end for start, end in self._ended)
         self.foreign = max(report.running - then - ended, 0)
+        self.occupied = len(self.running) + self.foreign
--- a/guavagate/decisions/_work.py
+++ b/guavagate/decisions/_work.py
@@ -22,20 +22,32 @@
 PREFILL_SHARE: Final = 0.02
 
 
-class Kind(enum.Enum):
+class _Constant(enum.Enum):
+    """An enum whose members are looked up in C.
+
+    Its own hash is a Python function; with some ten look-ups a choice that
+    was a tenth of the choice's time. Members are singletons, so identity is
+    as good.
+    """
+
+    __hash__ = object.__hash__
+
+
+class Kind(_Constant):
     """Whose work it is: a waiting caller's, or a trainer's."""
 
     INTERACTIVE = 'interactive'
     ROLLOUT = 'rollout'
 
 
-class Safeguard(enum.Enum):
+class Safeguard(_Constant):
     """Each part of the policy that can be switched off to measure it."""
 
     ADMISSION = 'admission'
     EXPIRY = 'expiry'
     FAIRNESS = 'fairness'
     HEADROOM = 'headroom'
+    RESERVE = 'reserve'
     ORDER = 'order'
     AFFINITY = 'affinity'
     BOUNDED_LOAD = 'bounded-load'
@@ -130,15 +142,24 @@
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
-    """Work may start on a sampler now; `duplicate` marks a second copy."""
+    """Work may start on a sampler now; `duplicate` marks a second copy.
+
+    `expected_pace` is in seconds per token of a healthy sampler.
+    """
 
     work: Work
     sampler: SamplerId
     expected_seconds: float
+    expected_pace: float
     decision: Decision
     duplicate: bool = False
 
 
+def demands_of(work: Work) -> bool:
+    """Return whether not every sampler may run the work."""
+    return bool(work.excluded or work.adapter or work.min_version is not None)
+
+
 def estimate_cost(work: Work, cached_tokens: float = 0) -> float:
     """Return the work's cost in generated tokens."""
     prompt = max(work.prompt_tokens - cached_tokens, 0)
--- a/guavagate/measure/_patterns.py
+++ b/guavagate/measure/_patterns.py
@@ -100,7 +100,13 @@
                 Aim(figure='long_worst_of_fifo', limit=2),
             ),
             shown=('short_stretch_p99', 'p50_s', 'p99_s'),
-            against=(FIFO, 'without-order', 'order-deadline', 'order-shortest'),
+            against=(
+                FIFO,
+                'without-order',
+                'without-reserve',
+                'order-deadline',
+                'order-shortest',
+            ),
         ),
         Pattern(
             name='overload',
@@ -137,6 +143,12 @@
             shown=('staleness_mean', 'staleness_max', 'copies'),
             against=(FIFO, 'without-tail', 'without-order', 'without-ejection'),
         ),
+        Pattern(
+            name='stalled-sampler',
+            measure=_trainers.measure_stalled_sampler,
+            shown=('step_of_bound', 'trainer_idle_share', 'copies'),
+            against=(FIFO, 'without-tail', 'without-ejection'),
+        ),
         Pattern(
             name='two-trainers',
             measure=_trainers.measure_two_trainers,
