Take a partition over from oneself when a half-done takeover has sealed it

Cause: found by real processes. An instance was paused and another one killed; the third copy sealed itself but met no majority, so the view still named the paused primary. Awake, it was refused by the sealed copy, stepped down, learned the same view again and began again in the old epoch: 37 times in 40 s, until the end. Writes with a key in that partition and the trainer's run got no answer at all (1 to 3 of 95 requests, no step complete). The primary now keeps the promise that refused it, so it can't begin again and seals the two copies that are left. Raising a promise only refuses more. Ruled out: taking over by the sealed copy; the primary is alive by then. Demo: the fleet ends after the verdict.

--- a/guavagate/partitions/_primary.py
+++ b/guavagate/partitions/_primary.py
@@ -214,6 +214,11 @@
         """Take in a replica's reply; say whether it came on."""
         self.boots[member.instance] = reply.boot
         if self._around.safeguards.fence and reply.promised > self.view.epoch:
+            # A member was sealed by a takeover that came to nothing, so the
+            # view still names us. Without the promise here as well we would
+            # begin again in the old epoch, be refused again, and the
+            # partition would stay refused for good; with it we take it over.
+            self.replica.promised = max(self.replica.promised, reply.promised)
             self.close()
             self._superseded()
             return False
--- a/standins/demo/_demo.py
+++ b/standins/demo/_demo.py
@@ -2,7 +2,7 @@
 
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import click
@@ -22,6 +22,15 @@
 )
 from standins.history import Recorder, now
 
+# What is done to the fleet, and when, as a share of the time.
+Acts = Sequence[tuple[float, str]]
+
+DEMO_ACTS: Final[Acts] = (
+    (0.3, 'kill'),
+    (0.4, 'start'),
+    (0.6, 'stop'),
+    (0.7, 'start'),
+)
 TICK_SECONDS: Final = 2.0
 DRAIN_SECONDS: Final = 60.0
 
@@ -44,34 +53,35 @@
         self._progress = Progress(fleet.history)
         self._recorder = Recorder(str(fleet.history), 'demo')
         self._start = time.monotonic()
+        self._do: dict[str, Callable[[], None]] = {
+            'kill': self._kill_one,
+            'stop': self._stop_one,
+            'start': self._start_one,
+            'pause': self._pause_one,
+            'wake': self._wake_one,
+        }
 
-    def run(self, instances: int) -> Summary:
-        """Run it all and judge the history."""
+    def run(self, instances: int, acts: Acts = DEMO_ACTS) -> Summary:
+        """Run it all and judge the history.
+
+        Acts are ``kill``, ``stop`` and ``start``, and ``pause`` and
+        ``wake``.
+        """
         self._say(f'starting {instances} instances and their stand-ins')
         self._fleet.start(instances)
         self._say('all instances are ready')
         self._start_actors()
         gevent.joinall(
             [
-                gevent.spawn_later(share * self._seconds, act)
-                for share, act in self._list_acts()
+                gevent.spawn_later(share * self._seconds, self._do[act])
+                for share, act in acts
             ]
             + [gevent.spawn(self._show_progress)],
             raise_error=True,
         )
         self._stop_actors()
-        self._fleet.stop()
         return summarize(read_history(*self._fleet.history.glob('*.jsonl')))
 
-    def _list_acts(self) -> list[tuple[float, Callable[[], None]]]:
-        """Return what happens when, as a share of the time."""
-        return [
-            (0.3, self._kill_one),
-            (0.4, self._start_one),
-            (0.6, self._stop_one),
-            (0.7, self._start_one),
-        ]
-
     def _kill_one(self) -> None:
         """Kill an instance without warning."""
         victim = self._fleet.instances[1]
@@ -85,6 +95,18 @@
         code = self._fleet.stop_gracefully(victim)
         self._say(f'{victim.name} has ended with exit code {code}')
 
+    def _pause_one(self) -> None:
+        """Pause an instance: it believes that no time has passed."""
+        victim = self._fleet.instances[0]
+        self._note(f'SIGSTOP {victim.name} in {victim.zone}')
+        victim.send(signal.SIGSTOP)
+
+    def _wake_one(self) -> None:
+        """Let the paused instance go on."""
+        victim = self._fleet.instances[0]
+        self._note(f'SIGCONT {victim.name}')
+        victim.send(signal.SIGCONT)
+
     def _start_one(self) -> None:
         """Start a replacement."""
         instance = self._fleet.start_instance()
@@ -111,6 +133,7 @@
             'service': plan.service,
             'rate': plan.rate,
             'impatience': plan.impatience,
+            'timeout_s': plan.timeout_s,
             'id': plan.id,
         }
         self._start_actor('caller', team, plan.id, options)
--- a/standins/fleet/_fleet.py
+++ b/standins/fleet/_fleet.py
@@ -155,6 +155,12 @@
         stop_all(self.instances)
         stop_all(self.processes)
 
+    def end(self) -> None:
+        """End all processes at once, without a planned stop."""
+        for process in (*self.instances, *self.processes):
+            process.send(signal.SIGKILL)
+            process.wait(READY_SECONDS)
+
     def _enter_instance(self) -> Process:
         """Give an instance its place and enter it into the list."""
         name = f'instance-{next(self._numbers)}'
--- a/standins/fleet/_plan.py
+++ b/standins/fleet/_plan.py
@@ -108,6 +108,7 @@
     service: str = ''
     mix: MixPlan = MixPlan()
     impatience: float = 0
+    timeout_s: float = 10
 
 
 class TeamPlan(_Plan, frozen=True, kw_only=True):
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -1,6 +1,7 @@
 """Tests of replicated partitions under failures."""
 
 from guavagate.exceptions import NotAppliedError
+from guavagate.models import InstanceId
 from tests.common import Fleet
 
 
@@ -108,3 +109,27 @@
     assert all(task.ready() and task.successful() for task in tasks)
     assert fleet.primary() != primary
     assert fleet.total(other) == 20
+
+
+def test_a_woken_primary_whose_takeover_came_to_nothing_goes_on() -> None:
+    """The partition is served again once two of three copies are back.
+
+    The primary is cut off and one backup dies, so the other backup seals
+    itself but meets no majority; the view still names the primary. When it is
+    back, the sealed backup refuses it. It must take over from itself instead
+    of beginning again in its old epoch for ever.
+    """
+    fleet = _ready()
+    fleet.clock.run_until(fleet.add('a').ready)
+    primary = InstanceId(fleet.primary())
+    left, dead = [InstanceId(name) for name in 'abc' if name != primary]
+    fleet.world.network.blocked = {(left, primary), (primary, left)}
+    fleet.world.tell(primary, alive=False, after=0)
+    fleet.world.kill(dead)
+    fleet.clock.advance(4)
+    fleet.world.network.blocked = set()
+    fleet.world.tell(primary, alive=True, after=0)
+    fleet.clock.advance(8)
+    task = fleet.add(left, timeout=8)
+    fleet.clock.run_until(task.ready)
+    assert task.get(block=False).total == 2
