--- a/guavagate/assembly.py
+++ b/guavagate/assembly.py
@@ -12,7 +12,7 @@
 from guavagate.explain import RecentDecisions
 from guavagate.instance import Instance
 from guavagate.integrations.instance_list import InstanceListPoller
-from guavagate.integrations.object_api import connect_platform, make_store
+from guavagate.integrations.object_api import ObjectApi, connect_http
 from guavagate.ledger import make_ledger_states
 from guavagate.links import ZmqBus
 from guavagate.membership import Membership
@@ -49,9 +49,13 @@
             clock,
             credential,
         )
-        carry = connect_platform(settings.platform, clock)
+        carry = connect_http(
+            settings.platform.object_api,
+            _read_secret(settings.platform.credentials_file).decode(),
+            clock,
+        )
         self._list = InstanceListPoller(carry, clock, self._members.take_list)
-        store = make_store(settings.platform, clock, self._count_members)
+        store = ObjectApi(carry, clock, self._count_members)
         decisions = RecentDecisions(clock, settings.id)
         self._teams = TeamsInForce(
             settings, clock, self._bus, store, self._members, decisions
