--- a/guavagate/instance.py
+++ b/guavagate/instance.py
@@ -20,6 +20,7 @@
     PoolChooser,
     PoolHomes,
     ReportReader,
+    serve_homes,
 )
 from guavagate.runs import (
     Hosted,
@@ -58,6 +59,7 @@
         self.service = HttpPlainService(runtime.clock)
         self.access = Access(runtime.settings, runtime.teams)
         self.homes = PoolHomes(runtime)
+        serve_homes(runtime, self.homes)
         self.chooser = PoolChooser(runtime)
         self.permits = PermitClient(runtime, self.homes)
         self.reports = ReportReader(
--- a/guavagate/measure/__main__.py
+++ b/guavagate/measure/__main__.py
@@ -19,6 +19,7 @@
     'cost-per-request': 'standins.cost:main',
     'capacity': 'standins.capacity:main',
     'lost-instance': 'standins.capacity:measure_loss',
+    'replacement': 'standins.replacement:main',
     'settings': 'guavagate.measure._settings:settings',
     'settings-real': 'standins.spread:main',
 }
--- a/guavagate/permits/__init__.py
+++ b/guavagate/permits/__init__.py
@@ -19,6 +19,7 @@
 from guavagate.permits._owned import OwnedPool
 from guavagate.permits._progress import Progress
 from guavagate.permits._reports import ReportReader
+from guavagate.permits._service import serve_homes
 
 __all__ = (
     'AnswerSource',
@@ -39,5 +40,6 @@
     'hash_prefixes',
     'list_pools',
     'run_copy',
+    'serve_homes',
     'stream_answer',
 )
--- a/guavagate/permits/_client.py
+++ b/guavagate/permits/_client.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
+import gevent
 import msgspec
 
 from guavagate.decisions import Work
@@ -62,7 +63,7 @@
         self._held: dict[str, dict[RequestId, HeldPermit]] = {}
         self._told: dict[str, InstanceId] = {}
         self._copiers: dict[RequestId, Callable[[Permit], None]] = {}
-        homes.take_copy = self._take_copy
+        homes.take_copies_with(self._take_copy)
         runtime.bus.register(RunCopy, self._on_copy)
 
     def start(self) -> None:
@@ -90,6 +91,17 @@
         RefusalError
             The home refused, or no home answered in time; not run.
         """
+        try:
+            return self._acquire(pool, work, failed)
+        except gevent.GreenletExit:
+            # The caller is gone. Without this the work would keep its seat
+            # until it is seen abandoned, and might be granted meanwhile.
+            self._withdraw(pool, work)
+            raise
+
+    def _acquire(
+        self, pool: str, work: Work, failed: FailedAttempt | None
+    ) -> Permit:
         while True:
             remaining = work.deadline - self.now()
             if remaining <= 0:
@@ -226,7 +238,7 @@
         )
         return permit
 
-    def _give_up(self, pool: str, work: Work) -> RefusalError:
+    def _withdraw(self, pool: str, work: Work) -> None:
         home = self._home(pool)
         if home == self._me:
             self._homes.withdraw(self._me, pool, work.id)
@@ -234,6 +246,9 @@
             self._runtime.bus.send(
                 home, WithdrawWork(pool=pool, work_id=work.id)
             )
+
+    def _give_up(self, pool: str, work: Work) -> RefusalError:
+        self._withdraw(pool, work)
         return RefusalError(
             'no upstream was free before the deadline',
             'retry later, or allow a longer deadline',
--- /dev/null
+++ b/guavagate/permits/_copies.py
@@ -0,0 +1,73 @@
+"""Offers idle slots for second copies of a step's slowest work."""
+
+from collections.abc import Callable
+
+from guavagate.decisions import Decision, Refused
+from guavagate.models import SamplerId
+from guavagate.permits._messages import (
+    Permit,
+    PermitRefusal,
+    PermitReply,
+    ReleasePermit,
+    RunCopy,
+)
+from guavagate.permits._owned import OwnedPool
+from guavagate.runtime import Runtime
+
+
+def record(runtime: Runtime, decision: Decision) -> None:
+    """Write a pool's decision to the log and for ``explain``."""
+    runtime.decisions.record(
+        decision.subject,
+        decision.kind,
+        decision.choice,
+        decision.reason,
+        decision.turned_down,
+    )
+
+
+def describe_refusal(refused: Refused) -> PermitRefusal:
+    """Return a pool's refusal as the entry is told of it."""
+    return PermitRefusal(
+        reason=refused.reason.value,
+        text=refused.decision.reason,
+        retry_after=refused.retry_after,
+    )
+
+
+class CopyOffers:
+    """The copies of one home's pools.
+
+    Attributes
+    ----------
+    take_here
+        Takes a copy of work that this instance itself holds.
+    """
+
+    def __init__(self, runtime: Runtime) -> None:
+        self._runtime = runtime
+        self.take_here: Callable[[Permit], None] | None = None
+
+    def offer(self, owned: OwnedPool, now: float) -> None:
+        """Offer idle slots to the entries whose work would end last."""
+        for placement in owned.pool.hedge(now):
+            grant = owned.granted.get(placement.work.id)
+            if grant is None:
+                owned.pool.cancel(placement.work.id, now)
+                continue
+            record(self._runtime, placement.decision)
+            copy = owned.make_permit(placement.work.id, placement.sampler)
+            if grant.entry != self._runtime.settings.id:
+                self._runtime.bus.send(grant.entry, RunCopy(permit=copy))
+            elif self.take_here is not None:
+                self.take_here(copy)
+
+    def end(self, owned: OwnedPool, release: ReleasePermit, now: float) -> None:
+        """Free a copy's slot; refuse the work if nothing else runs it."""
+        ended = owned.pool.fail(
+            release.work_id, SamplerId(release.upstream), now, started=True
+        )
+        seat = owned.seats.get(release.work_id)
+        if seat is not None and isinstance(ended, Refused):
+            owned.seats.pop(release.work_id)
+            seat.answer.set(PermitReply(refusal=describe_refusal(ended)))
--- a/guavagate/permits/_home.py
+++ b/guavagate/permits/_home.py
@@ -13,7 +13,6 @@
 
 from guavagate.decisions import (
     ALL_SAFEGUARDS,
-    Decision,
     Pool,
     PoolSettings,
     Refused,
@@ -27,8 +26,12 @@
     POOL_TAKEN_OVER,
     UPSTREAM_LEAVING,
 )
-from guavagate.links import Message, expect
 from guavagate.models import InstanceId, RequestId, SamplerId
+from guavagate.permits._copies import (
+    CopyOffers,
+    describe_refusal,
+    record,
+)
 from guavagate.permits._directory import PoolSpec, find_home, list_pools
 from guavagate.permits._messages import (
     AskPermit,
@@ -38,8 +41,6 @@
     PermitReply,
     Release,
     ReleasePermit,
-    RunCopy,
-    WithdrawWork,
 )
 from guavagate.permits._owned import OwnedPool, Seat
 from guavagate.runtime import Runtime
@@ -69,11 +70,7 @@
         self._specs: dict[str, PoolSpec] = {}
         self._owned: dict[str, OwnedPool] = {}
         self._fresh_start = True
-        self.take_copy: Callable[[Permit], None] = self._decline_copy
-        runtime.bus.register(AskPermit, self._on_ask)
-        runtime.bus.register(ReleasePermit, self._on_release)
-        runtime.bus.register(WithdrawWork, self._on_withdraw)
-        runtime.bus.register(HeldPermits, self._on_held)
+        self._copies = CopyOffers(runtime)
 
     def start(self) -> None:
         """Follow settings and members, and keep the queues moving."""
@@ -83,6 +80,10 @@
         self._fresh_start = False
         self._runtime.clock.spawn(self._sweep)
 
+    def take_copies_with(self, take: Callable[[Permit], None]) -> None:
+        """Have copies of this entry's own work offered to it."""
+        self._copies.take_here = take
+
     def owned(self) -> list[OwnedPool]:
         """Return the pools at home here."""
         return list(self._owned.values())
@@ -130,7 +131,8 @@
         now = self._runtime.clock.now()
         sampler = SamplerId(release.upstream)
         if release.ended is Release.COPY_FAILED:
-            self._end_copy(owned, release, now)
+            self._copies.end(owned, release, now)
+            self.move(owned)
             return
         grant = owned.granted.pop(release.work_id, None)
         if release.ended is Release.LEAVING:
@@ -206,59 +208,12 @@
         for refused in owned.pool.expire(now):
             seat = owned.seats.pop(refused.work_id, None)
             if seat is not None:
-                seat.answer.set(PermitReply(refusal=_describe(refused)))
+                seat.answer.set(PermitReply(refusal=describe_refusal(refused)))
         if now < owned.grants_from:
             return
         for placement in owned.pool.place(now):
             self._grant(owned, placement.work.id, placement.sampler, now)
-            self._record(placement.decision)
-
-    def _end_copy(
-        self, owned: OwnedPool, release: ReleasePermit, now: float
-    ) -> None:
-        """Free a copy's slot; refuse the work if nothing else runs it."""
-        ended = owned.pool.fail(
-            release.work_id, SamplerId(release.upstream), now, started=True
-        )
-        seat = owned.seats.get(release.work_id)
-        if seat is not None and isinstance(ended, Refused):
-            owned.seats.pop(release.work_id)
-            seat.answer.set(PermitReply(refusal=_describe(ended)))
-        self.move(owned)
-
-    def _offer_copies(self, owned: OwnedPool, now: float) -> None:
-        """Offer idle slots to the entries whose work would end last."""
-        for placement in owned.pool.hedge(now):
-            grant = owned.granted.get(placement.work.id)
-            if grant is None:
-                owned.pool.cancel(placement.work.id, now)
-                continue
-            self._record(placement.decision)
-            copy = owned.make_permit(placement.work.id, placement.sampler)
-            if grant.entry == self._me:
-                self.take_copy(copy)
-            else:
-                self._runtime.bus.send(grant.entry, RunCopy(permit=copy))
-
-    def _decline_copy(self, permit: Permit) -> None:
-        self.release(
-            self._me,
-            ReleasePermit(
-                pool=permit.pool,
-                work_id=permit.work_id,
-                upstream=permit.upstream,
-                ended=Release.COPY_FAILED,
-            ),
-        )
-
-    def _record(self, decision: Decision) -> None:
-        self._runtime.decisions.record(
-            decision.subject,
-            decision.kind,
-            decision.choice,
-            decision.reason,
-            decision.turned_down,
-        )
+            record(self._runtime, placement.decision)
 
     def _offer(
         self, owned: OwnedPool, sender: InstanceId, ask: AskPermit
@@ -272,9 +227,9 @@
         if work.id in owned.seats:
             return None
         offered = owned.pool.offer(work, now)
-        self._record(offered.decision)
+        record(self._runtime, offered.decision)
         if isinstance(offered, Refused):
-            return _describe(offered)
+            return describe_refusal(offered)
         owned.seats[work.id] = Seat(
             entry=sender, work=work, answer=AsyncResult(), asked_at=now
         )
@@ -293,7 +248,7 @@
             ask.work.id, failed, now, started=ask.failed_started
         )
         if isinstance(retried, Refused):
-            return _describe(retried)
+            return describe_refusal(retried)
         return None
 
     def _await_seat(self, seat: Seat, wait: float) -> PermitReply:
@@ -384,28 +339,4 @@
                     owned.seats.pop(work_id)
                     owned.pool.cancel(work_id, now)
                 self.move(owned)
-                self._offer_copies(owned, now)
-
-    def _on_ask(self, sender: InstanceId, message: Message) -> Message:
-        return self.ask(sender, expect(message, AskPermit))
-
-    def _on_release(self, sender: InstanceId, message: Message) -> None:
-        self.release(sender, expect(message, ReleasePermit))
-
-    def _on_withdraw(self, sender: InstanceId, message: Message) -> None:
-        withdrawal = expect(message, WithdrawWork)
-        self.withdraw(sender, withdrawal.pool, withdrawal.work_id)
-
-    def _on_held(self, sender: InstanceId, message: Message) -> None:
-        self.take_held(sender, expect(message, HeldPermits))
-
-
-def _describe(refused: Refused) -> PermitRefusal:
-    return PermitRefusal(
-        reason=refused.reason.value,
-        text=refused.decision.reason,
-        retry_after=refused.retry_after,
-    )
-
-
-__all__ = ('Permit', 'PoolHomes')
+                self._copies.offer(owned, now)
--- /dev/null
+++ b/guavagate/permits/_service.py
@@ -0,0 +1,34 @@
+"""Answers entries' messages to the pools at home here."""
+
+from guavagate.links import Message, expect
+from guavagate.models import InstanceId
+from guavagate.permits._home import PoolHomes
+from guavagate.permits._messages import (
+    AskPermit,
+    HeldPermits,
+    ReleasePermit,
+    WithdrawWork,
+)
+from guavagate.runtime import Runtime
+
+
+def serve_homes(runtime: Runtime, homes: PoolHomes) -> None:
+    """Register the handlers of all messages to homes."""
+
+    def ask(sender: InstanceId, message: Message) -> Message:
+        return homes.ask(sender, expect(message, AskPermit))
+
+    def release(sender: InstanceId, message: Message) -> None:
+        homes.release(sender, expect(message, ReleasePermit))
+
+    def withdraw(sender: InstanceId, message: Message) -> None:
+        withdrawal = expect(message, WithdrawWork)
+        homes.withdraw(sender, withdrawal.pool, withdrawal.work_id)
+
+    def take_held(sender: InstanceId, message: Message) -> None:
+        homes.take_held(sender, expect(message, HeldPermits))
+
+    runtime.bus.register(AskPermit, ask)
+    runtime.bus.register(ReleasePermit, release)
+    runtime.bus.register(WithdrawWork, withdraw)
+    runtime.bus.register(HeldPermits, take_held)
