Keep measured fleets clear of ports in use and of their start's news

Cause: with 128 processes one port was taken by an outgoing connection between its choice and its use, and at 64 the bytes measured (4.8 KB/s against 1.4 at 32) were news of the start that was still passed on.

--- a/guavagate/membership/_detector.py
+++ b/guavagate/membership/_detector.py
@@ -93,16 +93,21 @@
         if packet.act in {Act.PING, Act.ACK}:
             self.heard_facts[packet.sender] = packet.facts
         asked = self._take_header(address, packet, now)
-        self.take_claims(packet.updates, now)
+        # What a page tells is known to others; to pass it on as news again
+        # would fill the datagrams of everyone for minutes after a start.
+        self.take_claims(packet.updates, now, news=packet.act != Act.PAGE)
         return asked + self._answer(address, packet, now)
 
-    def take_claims(self, updates: Iterable[Update], now: float) -> None:
+    def take_claims(
+        self, updates: Iterable[Update], now: float, *, news: bool = True
+    ) -> None:
         """Take in claims and pass on what is news."""
         for update in updates:
             if update.id == self.identity.me.id:
                 self.identity.refute(update)
             elif self._apply(update, now):
-                self.identity.gossip.add(update)
+                if news:
+                    self.identity.gossip.add(update)
                 self._hasten(update, now)
 
     def leave(self, state: MemberState) -> list[Send]:
--- a/standins/fleet/_process.py
+++ b/standins/fleet/_process.py
@@ -1,6 +1,9 @@
 """Processes that a fleet starts, watches and stops."""
 
+import contextlib
+import itertools
 import os
+import random
 import signal
 import socket
 import sys
@@ -12,6 +15,9 @@
 
 _RUN_DAEMON: Final = 'from guavagate.daemon import main; main()'
 _KILL_SECONDS: Final = 5.0
+_PORTS: Final = itertools.cycle(
+    random.Random(os.getpid()).sample(range(10_000, 32_000), 20_000)
+)
 
 
 class Process:
@@ -111,10 +117,22 @@
 
 
 def free_address() -> str:
-    """Return an address that nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+    """Return an address that nobody listens on now.
+
+    Below the ports that the kernel gives to outgoing connections: one of
+    those may be taken between this look and the daemon's start, as was seen
+    when 128 instances started.
+    """
+    while True:
+        address = ('127.0.0.1', next(_PORTS))
+        with (
+            socket.socket() as stream,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
+            contextlib.suppress(OSError),
+        ):
+            stream.bind(address)
+            datagram.bind(address)
+            return f'{address[0]}:{address[1]}'
 
 
 def _show(value: Any) -> str:
