--- a/guavagate/membership/_detector.py
+++ b/guavagate/membership/_detector.py
@@ -206,6 +206,7 @@
         if self._looked_at != self.table.changes:
             self._looked_at = self.table.changes
             self._suspects = self.table.suspects()
+            self._forget_facts()
         if not self._suspects or self.deaf(now):
             return
         for instance in self._suspects:
@@ -224,6 +225,14 @@
                     accusers=accusers,
                 )
 
+    def _forget_facts(self) -> None:
+        """Drop what dead members said; ids of replaced ones never end."""
+        for instance in self.heard_facts.keys() - self.table.members.keys():
+            self.heard_facts.pop(instance)
+        for instance, member in self.table.members.items():
+            if not member.reachable():
+                self.heard_facts.pop(instance, None)
+
     def _forgive(self, now: float) -> None:
         """Start all timers anew after a pause of this process.
 
--- a/guavagate/membership/_table.py
+++ b/guavagate/membership/_table.py
@@ -82,7 +82,7 @@
     def describe(self, instance: InstanceId) -> Update:
         """Return what is held of a member, as a claim."""
         member = self.members[instance]
-        accuser = min(member.accusers, default=InstanceId(''))
+        accuser = min(member.accusers, default=instance)
         return Update(
             instance,
             member.state.value,
