Plan a partition's holders in a module of its own; record why

Cause: placement decisions need their reason in explain and the log, and the keeper held the rule among its tasks. plan_change is pure: view and candidates in, target and reason out.

--- a/guavagate/partitions/_keeper.py
+++ b/guavagate/partitions/_keeper.py
@@ -7,8 +7,9 @@
 from guavagate.events import partitions as log
 from guavagate.events import write
 from guavagate.exceptions import GuavagateError, StoreError
-from guavagate.models import InstanceId, PartitionId
+from guavagate.models import PartitionId
 from guavagate.partitions._hosting import PAUSE_LIMIT, Hosting
+from guavagate.partitions._plan import Plan, plan_change
 from guavagate.partitions._primary import Primary
 from guavagate.partitions._regroup import change_view
 from guavagate.partitions._takeover import Takeover
@@ -179,6 +180,13 @@
         else:
             came = self._takeover.run(partition)
         self._put_off(partition, pause / 2, pause)
+        self._around.decide(
+            f'partition/{partition}',
+            'takeover' if view else 'created',
+            came,
+            'its primary is gone' if view else 'it had no view',
+            None,
+        )
         write(
             _LOGGER,
             log.TAKEOVER,
@@ -194,44 +202,25 @@
 
     def _look_after(self, primary: Primary) -> None:
         """Repair or balance a partition that is decided here."""
-        partition = primary.view.partition
+        view = primary.view
         primary.replicate()
-        target, repairs = self._plan(primary)
-        if target is None or len(self._busy) >= _REPAIRS_AT_ONCE:
-            if target is None:
-                self._due.pop(partition, None)
+        plan = plan_change(
+            view,
+            self._hosting.candidates(),
+            primary.find_restarted(),
+            outbid=bool(primary.outbid),
+        )
+        if plan is None:
+            self._due.pop(view.partition, None)
+            return
+        if len(self._busy) >= _REPAIRS_AT_ONCE:
             return
         now = self._around.clock.now()
         spread = self._around.jitter(0, _REPAIR_SPREAD)
-        if now < self._due.setdefault(partition, now + spread):
-            return
-        if not repairs and not self._may_move(now):
+        if now < self._due.setdefault(view.partition, now + spread):
             return
-        self._start(partition, self._change, primary, target)
-
-    def _plan(self, primary: Primary) -> tuple[list[InstanceId] | None, bool]:
-        """Return who should hold a partition, and whether it is a repair."""
-        view = primary.view
-        alive = self._hosting.candidates()
-        up = {peer.id for peer in alive}
-        now_holding = [
-            member.instance
-            for member in view.members
-            if primary.boots.get(member.instance, member.boot) == member.boot
-            and member.instance in up
-        ]
-        if self._around.me.instance not in up:
-            return None, False
-        whole = choose_instances(view.partition, alive, now_holding)
-        if set(whole) != {member.instance for member in view.members}:
-            return whole, True
-        if primary.outbid or len(now_holding) < len(view.members):
-            return whole, True
-        best = choose_instances(view.partition, alive)
-        if best[0] != self._around.me.instance:
-            keep = [best[0], *now_holding]
-            return choose_instances(view.partition, alive, keep), False
-        return None, False
+        if plan.repairs or self._may_move(now):
+            self._start(view.partition, self._change, primary, plan)
 
     def _may_move(self, now: float) -> bool:
         """Count a balancing move, if one is left in this minute."""
@@ -241,19 +230,27 @@
         self._moves.append(now)
         return True
 
-    def _change(self, primary: Primary, target: list[InstanceId]) -> None:
+    def _change(self, primary: Primary, plan: Plan) -> None:
         """Change a view; write down why."""
         before = [member.instance for member in primary.view.members]
         partition = primary.view.partition
         self._put_off(partition, _RETRY_MIN, _REPAIR_SPREAD)
-        done = change_view(self._hosting, primary, target)
+        done = change_view(self._hosting, primary, list(plan.target))
         self._put_off(partition, _RETRY_MIN, _REPAIR_SPREAD)
+        self._around.decide(
+            f'partition/{partition}',
+            'view changed' if done else 'view not changed',
+            ' '.join(plan.target),
+            plan.reason,
+            {one: 'held it before' for one in before if one not in plan.target},
+        )
         write(
             _LOGGER,
             log.REGROUPED,
             partition=partition,
             before=before,
-            after=target,
+            after=list(plan.target),
+            reason=plan.reason,
             done=done,
         )
 
@@ -264,7 +261,11 @@
         if primary is None or not alive:
             return
         keep = [one.instance for one in primary.view.members]
-        self._change(primary, choose_instances(partition, alive, keep))
+        target = choose_instances(partition, alive, keep)
+        plan = Plan(
+            target=tuple(target), repairs=True, reason='this instance stops'
+        )
+        self._change(primary, plan)
 
     def _sweep(self, partition: PartitionId, view: View) -> None:
         """Drop a copy that no view has named for a while."""
--- a/guavagate/partitions/_link.py
+++ b/guavagate/partitions/_link.py
@@ -34,6 +34,8 @@
 
     Parameters
     ----------
+    decide
+        Records a decision, as `DecisionLog.record` does.
     make_id
         Gives unique ids; tests give ones that a seed replays.
     """
@@ -43,6 +45,7 @@
     bus: Bus
     alive: Callable[[], list[PeerSettings]]
     safeguards: Safeguards
+    decide: Callable[[str, str, str, str, dict[str, str] | None], None]
     rng: random.Random = dataclasses.field(default_factory=random.Random)
     make_id: Callable[[], str] = make_id
 
--- a/guavagate/partitions/_primary.py
+++ b/guavagate/partitions/_primary.py
@@ -128,6 +128,14 @@
         if self.frozen and not self.closed:
             self._bounded(self._thawed, timeout)
 
+    def find_restarted(self) -> list[InstanceId]:
+        """Return the members that have been started again since."""
+        return [
+            member.instance
+            for member in self.view.members
+            if self.boots.get(member.instance, member.boot) != member.boot
+        ]
+
     def freeze(self) -> None:
         """Take no new commands."""
         self.frozen = True
--- a/guavagate/partitions/_replicated.py
+++ b/guavagate/partitions/_replicated.py
@@ -73,6 +73,7 @@
             bus=runtime.bus,
             alive=runtime.members.alive,
             safeguards=guards,
+            decide=runtime.decisions.record,
             rng=source,
             make_id=make_id if rng is None else lambda: _draw_id(source),
         )
