Take a leaving primary for alive until it has handed over

Cause: a leaving instance is not among those alive but still answers; others would have raced it with takeovers during its hand-over.

--- a/guavagate/measure/_checks.py
+++ b/guavagate/measure/_checks.py
@@ -1,5 +1,6 @@
 """How each promise is judged from a history."""
 
+import bisect
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 from typing import Final, TypeAlias, TypeVar
@@ -155,46 +156,48 @@
     answer has a higher one; no total exceeds what was sent by then.
     """
     sent = {one.command: one.at for one in _pick(events, hist.SentCommand)}
-    answers = _pick(events, hist.CommandApplied)
-    for answer in answers:
-        rivals = [
-            other
-            for other in answers
-            if _contradicts(answer, other, sent[other.command])
-        ]
-        possible = _count_possible(events, answer)
-        if rivals or answer.total > possible:
-            yield hist.Violation(
-                hist.Promise.APPLIED_ONCE,
-                answer.command,
-                f'total {answer.total} of at most {possible}',
-                (answer, *rivals),
-            )
+    possible = _find_possible_times(events)
+    groups: dict[tuple[str, float], list[hist.CommandApplied]] = defaultdict(
+        list
+    )
+    for answer in _pick(events, hist.CommandApplied):
+        groups[(answer.key, answer.lost_at)].append(answer)
+    for (key, _), answers in groups.items():
+        for answer in answers:
+            rivals = [
+                other
+                for other in answers
+                if _contradicts(answer, other, sent[other.command])
+            ]
+            limit = bisect.bisect_right(possible[key], answer.at)
+            if rivals or answer.total > limit:
+                yield hist.Violation(
+                    hist.Promise.APPLIED_ONCE,
+                    answer.command,
+                    f'total {answer.total} of at most {limit}',
+                    (answer, *rivals),
+                )
 
 
 def _contradicts(
     answer: hist.CommandApplied, other: hist.CommandApplied, sent: float
 ) -> bool:
     """Say whether another answer can't be true beside this one."""
-    if other is answer or other.key != answer.key:
-        return False
-    if other.lost_at != answer.lost_at:
+    if other is answer:
         return False
     if other.total == answer.total:
         return True
     return sent > answer.at and other.total < answer.total
 
 
-def _count_possible(events: _History, answer: hist.CommandApplied) -> int:
-    """Return how many additions can have been applied by an answer."""
+def _find_possible_times(events: _History) -> dict[str, list[float]]:
+    """Return, by counter, when additions were sent that may be applied."""
     refused = {one.command for one in _pick(events, hist.CommandRefused)}
-    return sum(
-        1
-        for sent in _pick(events, hist.SentCommand)
-        if sent.key == answer.key
-        and sent.at <= answer.at
-        and sent.command not in refused
-    )
+    times: dict[str, list[float]] = defaultdict(list)
+    for sent in _pick(events, hist.SentCommand):
+        if sent.command not in refused:
+            times[sent.key].append(sent.at)
+    return times
 
 
 def _judge_steps(
--- a/guavagate/partitions/_link.py
+++ b/guavagate/partitions/_link.py
@@ -44,6 +44,7 @@
     clock: Clock
     bus: Bus
     alive: Callable[[], list[PeerSettings]]
+    find: Callable[[InstanceId], PeerSettings | None]
     safeguards: Safeguards
     decide: Callable[[str, str, str, str, dict[str, str] | None], None]
     rng: random.Random = dataclasses.field(default_factory=random.Random)
@@ -51,7 +52,7 @@
 
     def is_alive(self, instance: InstanceId) -> bool:
         """Say whether an instance is usable."""
-        return any(peer.id == instance for peer in self.alive())
+        return self.find(instance) is not None
 
     def ask_replica(
         self,
--- a/guavagate/partitions/_replicated.py
+++ b/guavagate/partitions/_replicated.py
@@ -72,6 +72,7 @@
             clock=runtime.clock,
             bus=runtime.bus,
             alive=runtime.members.alive,
+            find=runtime.members.get,
             safeguards=guards,
             decide=runtime.decisions.record,
             rng=source,
