--- a/guavagate/assembly.py
+++ b/guavagate/assembly.py
@@ -12,11 +12,11 @@
 from guavagate.explain import RecentDecisions
 from guavagate.instance import Instance
 from guavagate.integrations.instance_list import InstanceListPoller
-from guavagate.integrations.object_api import connect_platform, make_store
+from guavagate.integrations.object_api import ObjectApi, connect_http
 from guavagate.ledger import make_ledger_states
 from guavagate.links import ZmqBus
 from guavagate.membership import Membership
-from guavagate.metrics import Metrics
+from guavagate.metrics import Metrics, names
 from guavagate.models import Epoch, PartitionId
 from guavagate.operations import Operations
 from guavagate.partitions import Command, LocalPartitions, ReplicatedState
@@ -49,9 +49,13 @@
             clock,
             credential,
         )
-        carry = connect_platform(settings.platform, clock)
+        carry = connect_http(
+            settings.platform.object_api,
+            _read_secret(settings.platform.credentials_file).decode(),
+            clock,
+        )
         self._list = InstanceListPoller(carry, clock, self._members.take_list)
-        store = make_store(settings.platform, clock, self._count_members)
+        store = ObjectApi(carry, clock, self._count_members)
         decisions = RecentDecisions(clock, settings.id)
         self._teams = TeamsInForce(
             settings, clock, self._bus, store, self._members, decisions
@@ -84,6 +88,8 @@
             self._partitions.views,
         )
         self._instance.readiness.add('stop', self._why_stopping)
+        self._runtime.metrics.before_reading(self._count_traffic)
+        self._instance.readiness.add('id', self._why_superseded)
         self._asked = Event()
 
     def start(self) -> None:
@@ -136,6 +142,25 @@
         self._bus.stop()
         self._log('stopped', cut=cut)
 
+    def _count_traffic(self) -> None:
+        """Export what goes between the instances."""
+        metrics = self._runtime.metrics
+        for by, traffic in (
+            ('links', self._bus.traffic),
+            ('probes', self._members.traffic),
+        ):
+            for way, messages, size in (
+                ('sent', traffic.sent, traffic.sent_bytes),
+                ('received', traffic.received, traffic.received_bytes),
+            ):
+                labels = {'by': by, 'way': way}
+                metrics.set_total(names.PEER_MESSAGES, messages, **labels)
+                metrics.set_total(names.PEER_BYTES, size, **labels)
+
+    def _why_superseded(self) -> str:
+        lost = self._members.superseded()
+        return 'a later process carries this instance id' if lost else ''
+
     def _why_stopping(self) -> str:
         return 'the instance is being stopped' if self._asked.is_set() else ''
 
