Count only running instances as lagging; refuse doubled runs and texts too large

After a replacement the old instance stays in its peers' files, so settings status exited with 9 for good and every wait for 'everywhere' ran into its limit. It is shown, and counts no more.

--- a/guavagate/cli/_wait.py
+++ b/guavagate/cli/_wait.py
@@ -36,7 +36,7 @@
     lines = [
         f'{one.instance}: {one.lag}'
         for one in body.instances
-        if one.revision != body.newest
+        if one.alive and one.revision != body.newest
     ]
     told = '\n'.join(lines)
     return f'not in force everywhere after {limit:g} s\n{told}'
--- a/guavagate/operators/_settings.py
+++ b/guavagate/operators/_settings.py
@@ -71,7 +71,7 @@
 
 
 class StatusBody(msgspec.Struct, frozen=True, kw_only=True):
-    """The revision in force on each instance."""
+    """The revision in force on each instance; `everywhere` among the alive."""
 
     team: TeamId
     newest: Revision
@@ -276,7 +276,9 @@
             StatusBody(
                 team=known,
                 newest=newest,
-                everywhere=all(found == newest for found in revisions),
+                everywhere=all(
+                    one.revision == newest for one in instances if one.alive
+                ),
                 instances=tuple(instances),
             ),
         )
--- a/guavagate/settings/_documents.py
+++ b/guavagate/settings/_documents.py
@@ -137,12 +137,15 @@
     check_unique(checker, settings.deployments, 'deployments', _id, 'id')
     check_unique(checker, settings.services, 'services', _id, 'id')
     samplers: dict[str, str] = {}
+    runs: dict[str, str] = {}
     for index, deployment in enumerate(settings.deployments):
         path = f'deployments[{index}]'
         for place, sampler in enumerate(deployment.samplers):
             where = f'{path}.samplers[{place}]'
             _check_once(checker, samplers, sampler.id, f'{where}.id')
             _check_once(checker, samplers, sampler.address, f'{where}.address')
+        for place, run in enumerate(deployment.runs):
+            _check_once(checker, runs, run.id, f'{path}.runs[{place}].id')
         _check_scoring(settings, index, checker)
     for index, service in enumerate(settings.services):
         path = f'services[{index}].upstreams'
--- a/guavagate/settings/_status.py
+++ b/guavagate/settings/_status.py
@@ -19,9 +19,19 @@
 
 
 class InstanceStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """One instance's settings; `lag` says why it is behind, if it is."""
+    """One instance's settings.
+
+    Parameters
+    ----------
+    lag
+        Why it is behind, if it is.
+    alive
+        False for a configured peer that no longer takes part; what it holds
+        serves nobody.
+    """
 
     instance: InstanceId
+    alive: bool = True
     revision: Revision | None
     is_relay: bool = False
     lag: str = ''
@@ -38,7 +48,7 @@
 
     def ask(peer: InstanceId) -> SettingsRevisions | str:
         if not peers[peer]:
-            return 'not alive: no instance hears it'
+            return 'not alive: stopped, or this instance does not hear it'
         try:
             return bus.request(
                 peer,
@@ -57,10 +67,14 @@
         for answer in answers.values()
         if isinstance(answer, SettingsRevisions)
     )
-    return [
+    judged = [
         _judge(instance, answers[instance], team, newest)
         for instance in sorted(answers)
     ]
+    return [
+        msgspec.structs.replace(one, alive=peers.get(one.instance, True))
+        for one in judged
+    ]
 
 
 def _judge(
--- a/guavagate/settings/_writer.py
+++ b/guavagate/settings/_writer.py
@@ -37,6 +37,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 DEFAULT_LIMIT: Final = 10.0
+# The object API holds values up to a megabyte.
+MAX_OBJECT_BYTES: Final = 1_000_000
 _PAUSE: Final = 0.2
 _NONE: Final = Revision(0)
 
@@ -235,6 +237,7 @@
 
     def _put(self, stored: Stored) -> SettingsRecord | None:
         record = _next_record(self._wanted, stored, self._clock.wall())
+        _check_size(record)
         try:
             self._keep_past(stored)
         except StoreUnavailableError as error:
@@ -292,6 +295,16 @@
     return Stored(decode_record(found.value, path), found.version)
 
 
+def _check_size(record: SettingsRecord) -> None:
+    size = len(encode_record(record))
+    if size > MAX_OBJECT_BYTES:
+        raise SettingsError(
+            f'the settings take {size} bytes in the store, which holds'
+            f' {MAX_OBJECT_BYTES}',
+            'split the team, or shorten the text',
+        )
+
+
 def _check(wanted: Wanted) -> None:
     settings = parse_team_settings(wanted.toml, settings_path(wanted.team))
     if settings.team != wanted.team:
--- a/tests/test_settings_documents.py
+++ b/tests/test_settings_documents.py
@@ -2,11 +2,16 @@
 
 import pathlib
 
+import hypothesis
 import pytest
+import tomli_w
+from hypothesis import strategies
 
 from guavagate.auth import hash_token
 from guavagate.settings import (
+    Problem,
     SettingsProblemsError,
+    TeamSettings,
     load_instance_settings,
     parse_team_settings,
     render_settings,
@@ -95,3 +100,43 @@
     lines = str(caught.value).splitlines()
     assert len(lines) == 5
     assert all(line.startswith(str(file)) for line in lines)
+
+
+_WORDS = strategies.sampled_from([
+    'team', 'weight', 'callers', 'deployments', 'samplers', 'id', 'slots',
+    'token_hash', 'role', 'services', 'upstreams', 'address', 'weights',
+])  # fmt: skip
+_VALUES = strategies.recursive(
+    strategies.one_of(
+        strategies.booleans(),
+        strategies.integers(-10, 10**9),
+        strategies.floats(allow_subnormal=False),
+        strategies.text(max_size=8),
+        strategies.sampled_from(['5s', '10.0.0.1:80', 'caller', 'a']),
+    ),
+    lambda below: (
+        strategies.lists(below, max_size=3)
+        | strategies.dictionaries(_WORDS, below, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=200, deadline=None)
+@hypothesis.given(strategies.dictionaries(_WORDS, _VALUES, max_size=6))
+def test_whatever_is_written_is_taken_or_refused_with_problems(
+    plain: dict[str, object],
+) -> None:
+    """No text ends in another error, and what is taken is read back alike."""
+    outcome = _try(tomli_w.dumps(plain))
+    if isinstance(outcome, TeamSettings):
+        assert parse_team_settings(render_settings(outcome)) == outcome
+    else:
+        assert all(problem.remedy for problem in outcome)
+
+
+def _try(text: str) -> TeamSettings | list[Problem]:
+    try:
+        return parse_team_settings(text)
+    except SettingsProblemsError as error:
+        return error.problems
--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -17,6 +17,7 @@
 )
 from guavagate.settings._messages import SettingsTell
 from guavagate.settings._relay import choose_relay
+from guavagate.settings._status import collect_status
 
 _NINE = [f'i{number}' for number in range(9)]
 
@@ -368,10 +369,24 @@
     fleet.world.clock.advance(5)
     status = {one.instance: one for one in task.get(block=False)}
     assert 'no answer' in status[InstanceId('i7')].lag
+    assert InstanceId('i8') not in status
     assert status[InstanceId('i2')].revision == 2
     assert not status[InstanceId('i2')].lag
 
 
+def test_a_stopped_peer_is_shown_but_holds_up_nobody() -> None:
+    """A replaced instance stays in its peers' files, and serves nobody.
+
+    Counted as lagging, it would let every wait for "everywhere" time out.
+    """
+    fleet = _fleet()
+    me = InstanceId('i0')
+    bus, report = fleet.world.bus('i0'), fleet.teams['i0'].report(TEAM)
+    status = collect_status(bus, TEAM, me, report, {InstanceId('x'): False})
+    assert [one.alive for one in status] == [True, False]
+    assert 'stopped' in status[1].lag
+
+
 def test_a_revision_of_a_newer_release_fails_readiness() -> None:
     """An instance that can't read accepted settings must not serve by old."""
     fleet = _fleet()
