--- a/guavagate/integrations/object_api/const.py
+++ b/guavagate/integrations/object_api/const.py
@@ -10,6 +10,7 @@
 # instances' differing views of how many they are.
 FLEET_READS: Final = 1600.0
 FLEET_WRITES: Final = 240.0
+LEAST_FLEET: Final = 9
 
 # It answers in milliseconds; one that takes longer is slow, and a call is
 # given up before the caller's own limits are.
