--- a/standins/_balancer.py
+++ b/standins/_balancer.py
@@ -25,6 +25,7 @@
     def __init__(self, platform: str, credential: str) -> None:
         self._platform = platform
         self._headers = {'Authorization': f'Bearer {credential}'}
+        self._known: list[str] = []
         self._ready: list[str] = []
         self._turn = itertools.count()
         self._task = gevent.spawn(self._watch)
@@ -43,7 +44,8 @@
     def _watch(self) -> None:
         """Look after the list and each instance's readiness."""
         while True:
-            addresses = self._list()
+            self._look_up()
+            addresses = self._known
             checks = [
                 gevent.spawn(_http.is_ready, address) for address in addresses
             ]
@@ -55,16 +57,17 @@
             ]
             gevent.sleep(CHECK_SECONDS)
 
-    def _list(self) -> list[str]:
-        """Return the instances that the platform shows as live."""
+    def _look_up(self) -> None:
+        """Learn the live instances; an outage leaves those known."""
         try:
             answer = _http.ask(
                 self._platform, 'GET', '/v1/instances', headers=self._headers
             )
         except UpstreamError:
-            return self._ready
-        return [
-            entry['http_address']
-            for entry in answer.decode().get('instances', [])
-            if entry['state'] == 'live'
-        ]
+            return
+        if answer.status == 200:
+            self._known = [
+                entry['http_address']
+                for entry in answer.decode()['instances']
+                if entry['state'] == 'live'
+            ]
--- a/standins/demo/__main__.py
+++ b/standins/demo/__main__.py
@@ -6,7 +6,7 @@
 
 import click
 
-from standins.demo._demo import Demo
+from standins.demo._demo import DEMO_ACTS, HARD_ACTS, Demo
 from standins.demo._verdict import Summary
 from standins.fleet import Fleet, load_plan
 
@@ -21,8 +21,8 @@
     show_default=True,
     help='fleet file',
 )
-@click.option('--instances', type=click.IntRange(1, 50), help='how many')
 @click.option('--seconds', default=30.0, show_default=True, help='of work')
+@click.option('--faults', is_flag=True, help='upstreams and store fail, too')
 @click.option('--seed', default=1, show_default=True, help='of stand-ins')
 @click.option(
     '--folder',
@@ -31,23 +31,28 @@
 )
 def main(
     settings: Path,
-    instances: int | None,
     seconds: float,
     seed: int,
     folder: Path | None,
+    *,
+    faults: bool,
 ) -> None:
     """Run callers and trainers against a fleet that loses instances.
 
     One instance is killed and one is stopped on the way; both are replaced.
     Every promise is judged from what callers, trainers and upstreams
-    recorded. Exit 1 when one is broken.
+    recorded. Exit 1 when one is broken. With --faults an instance is also
+    paused, upstreams crash, stall and cut streams, and the store is down and
+    loses answers.
     """
     plan = load_plan(settings)
     place = folder or Path(tempfile.mkdtemp(prefix='guavagate-demo-'))
     click.echo(f'settings {settings}; logs and history in {place}')
     fleet = Fleet(plan, place, seed)
     try:
-        summary = Demo(fleet, seconds).run(instances or plan.instances)
+        acts = HARD_ACTS if faults else DEMO_ACTS
+        demo = Demo(fleet, seconds)
+        summary = demo.run(plan.instances, acts)
     finally:
         fleet.stop()
     _show(summary)
--- a/standins/demo/_demo.py
+++ b/standins/demo/_demo.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from guavagate.measure.history import FaultInjected, read_history
+from standins.demo._faults import make_fault_acts
 from standins.demo._progress import Progress
 from standins.demo._verdict import Summary, summarize
 from standins.fleet import (
@@ -31,6 +32,22 @@
     (0.6, 'stop'),
     (0.7, 'start'),
 )
+# Beside them, upstreams and the platform fail, some of them together.
+HARD_ACTS: Final[Acts] = (
+    (0.1, 'service-fails'),
+    (0.15, 'engine-cuts'),
+    (0.2, 'pause'),
+    (0.3, 'kill'),
+    (0.35, 'wake'),
+    (0.4, 'start'),
+    (0.45, 'engine-stalls'),
+    (0.5, 'engine-dies'),
+    (0.55, 'store-down'),
+    (0.6, 'stop'),
+    (0.7, 'store-loses'),
+    (0.75, 'start'),
+    (0.8, 'heal'),
+)
 TICK_SECONDS: Final = 2.0
 DRAIN_SECONDS: Final = 60.0
 
@@ -60,13 +77,14 @@
             'start': self._start_one,
             'pause': self._pause_one,
             'wake': self._wake_one,
+            **make_fault_acts(fleet, self._note),
         }
 
     def run(self, instances: int, acts: Acts = DEMO_ACTS) -> Summary:
         """Run it all and judge the history.
 
-        Acts are ``kill``, ``stop`` and ``start``, and ``pause`` and
-        ``wake``.
+        Acts are ``kill``, ``stop``, ``start``, ``pause`` and ``wake``, and
+        those of `make_fault_acts`.
         """
         self._say(f'starting {instances} instances and their stand-ins')
         self._fleet.start(instances)
