Test silent streams, missing versions and connections idle for long

Cause: the limit between two tokens, the refusal of a stream that names no version and the bound on kept connections had no test.

--- a/tests/test_model_engine.py
+++ b/tests/test_model_engine.py
@@ -121,6 +121,35 @@
         _generate(client, server, _ask('a'))
 
 
+def test_a_silent_stream_is_given_up_and_cancelled(
+    client: HttpModelEngine, server: Server
+) -> None:
+    """The engine stalls after some tokens; its connection stays open.
+
+    The time limit between two tokens ends the wait, whatever the whole answer
+    may take, and the engine is told to stop, so that its slot becomes free
+    once it goes on.
+    """
+    pieces = client.generate(server.address, _ask('a'), 0.3)
+    next(pieces)
+    _set_faults(server, b'{"stall": true}')
+    with pytest.raises(UpstreamError, match='has sent nothing'):
+        list(pieces)
+    _set_faults(server, b'{}')
+    with gevent.Timeout(_TIMEOUT):
+        while client.report(server.address, _TIMEOUT).running:
+            gevent.sleep(0.005)
+
+
+def test_a_stream_that_names_no_version_is_refused(
+    client: HttpModelEngine, server: Server
+) -> None:
+    """A sample could not name the version that made it, so none is made."""
+    _set_faults(server, b'{"silent_versions": true}')
+    with pytest.raises(UpstreamError, match='which version'):
+        _generate(client, server, _ask('a'))
+
+
 def test_only_what_has_not_started_says_so(
     client: HttpModelEngine, server: Server
 ) -> None:
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -9,7 +9,7 @@
 
 from guavagate.clock import SystemClock
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
-from guavagate.integrations._http import Connections
+from guavagate.integrations._http import IDLE_SECONDS, Connections
 
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
@@ -57,3 +57,38 @@
         for _ in range(3):
             answer = connections.send(address, 'POST', '/', timeout=5)
             assert connections.read(address, answer, 5) == b'ok'
+
+
+class _ShiftedClock(SystemClock):
+    """A clock that can be put forward."""
+
+    def __init__(self) -> None:
+        self.shift = float(0)
+
+    def now(self) -> float:
+        """Return the shifted time."""
+        return super().now() + self.shift
+
+
+def test_a_connection_that_was_idle_for_long_is_not_used_again() -> None:
+    """Something on the way may have forgotten it without telling anyone.
+
+    A request on it would wait for its whole time limit. One that was used
+    just now carries the next request.
+    """
+    accepted = []
+
+    def answer_all(sock: socket) -> None:
+        accepted.append(sock)
+        while sock.recv(4096):
+            sock.sendall(_ANSWER)
+
+    with _listen(answer_all) as address:
+        clock = _ShiftedClock()
+        connections = Connections(clock)
+        for shift in (0, 0, IDLE_SECONDS + 1):
+            clock.shift += shift
+            answer = connections.send(address, 'GET', '/', timeout=5)
+            connections.read(address, answer, 5)
+        connections.close()
+    assert len(accepted) == 2
