Ask about old permits, keep pending samples, and test homes under failures

Cause: script/measure slopes (new) showed three costs beyond a node's budget at 6,144 samples and 330 permits an entry: the driver listed pending samples twenty times a second (0.9 us each, 11 % of a core), entering a sample searched all groups (35 us at 2,048, growing), and each entry listed its permits every five seconds (361 B each, 24 KB/s of a budget of 8). Change: pending samples are kept and corrected by each entered sample; groups have an index; homes ask about permits older than 15 s instead. Homes had no tests of their own: eight now, over fake instances; removing the wait before the first grant, the listing after a move, or the dead entries' clean-up fails one each.

--- a/guavagate/measure/__main__.py
+++ b/guavagate/measure/__main__.py
@@ -20,6 +20,7 @@
     'capacity': 'standins.capacity:main',
     'lost-instance': 'standins.capacity:measure_loss',
     'replacement': 'standins.replacement:main',
+    'slopes': 'guavagate.measure.slopes:main',
     'settings': 'guavagate.measure._settings:settings',
     'settings-real': 'standins.spread:main',
 }
--- a/guavagate/permits/__init__.py
+++ b/guavagate/permits/__init__.py
@@ -15,7 +15,15 @@
     stream_answer,
 )
 from guavagate.permits._home import PoolHomes
-from guavagate.permits._messages import Permit, Release
+from guavagate.permits._messages import (
+    AskPermit,
+    HeldPermit,
+    HeldPermits,
+    Permit,
+    PermitReply,
+    Release,
+    ReleasePermit,
+)
 from guavagate.permits._owned import OwnedPool
 from guavagate.permits._progress import Progress
 from guavagate.permits._reports import ReportReader
@@ -23,15 +31,20 @@
 
 __all__ = (
     'AnswerSource',
+    'AskPermit',
     'FailedAttempt',
+    'HeldPermit',
+    'HeldPermits',
     'OwnedPool',
     'Permit',
     'PermitClient',
+    'PermitReply',
     'PoolChooser',
     'PoolHomes',
     'PoolSpec',
     'Progress',
     'Release',
+    'ReleasePermit',
     'ReportReader',
     'describe_failure',
     'estimate_tokens',
--- a/guavagate/permits/_client.py
+++ b/guavagate/permits/_client.py
@@ -1,7 +1,7 @@
 """The entry's side of permits: ask the pool's home, hold, give back."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import gevent
@@ -20,9 +20,11 @@
 from guavagate.permits._directory import find_home
 from guavagate.permits._home import PoolHomes
 from guavagate.permits._messages import (
+    AskHeld,
     AskPermit,
     HeldPermit,
     HeldPermits,
+    HeldReply,
     Permit,
     PermitReply,
     Release,
@@ -40,9 +42,6 @@
 POLL_SECONDS: Final = 2.0
 LINK_MARGIN: Final = 0.5
 REASK_PAUSE: Final = 0.05
-# How often an entry lists what it holds to each home in use; a release whose
-# message was lost gives its slot back after at most two of these.
-HELD_SECONDS: Final = 5.0
 
 
 class FailedAttempt(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,13 +62,13 @@
         self._held: dict[str, dict[RequestId, HeldPermit]] = {}
         self._told: dict[str, InstanceId] = {}
         self._copiers: dict[RequestId, Callable[[Permit], None]] = {}
-        homes.take_copies_with(self._take_copy)
+        homes.serve_own_entry(self._take_copy, self.find_missing)
+        runtime.bus.register(AskHeld, self._on_ask_held)
         runtime.bus.register(RunCopy, self._on_copy)
 
     def start(self) -> None:
         """Keep homes informed of what is held."""
         self._runtime.members.subscribe(self._tell_moved)
-        self._runtime.clock.spawn(self._tell_often)
 
     def now(self) -> float:
         """Return the runtime's time."""
@@ -262,13 +261,16 @@
             if home is not None and home != self._told[pool]:
                 self._tell(pool, home)
 
-    def _tell_often(self) -> None:
-        while True:
-            self._runtime.clock.sleep(HELD_SECONDS)
-            for pool in list(self._told):
-                home = self._home(pool)
-                if home is not None:
-                    self._tell(pool, home)
+    def find_missing(
+        self, pool: str, work_ids: Iterable[RequestId]
+    ) -> tuple[RequestId, ...]:
+        """Return those of some permits that this entry does not hold."""
+        held = self._held.get(pool, {})
+        return tuple(one for one in work_ids if one not in held)
+
+    def _on_ask_held(self, sender: InstanceId, message: Message) -> Message:
+        asked = expect(message, AskHeld)
+        return HeldReply(missing=self.find_missing(asked.pool, asked.work_ids))
 
     def _tell(self, pool: str, home: InstanceId) -> None:
         held = tuple(self._held.get(pool, {}).values())
--- a/guavagate/permits/_home.py
+++ b/guavagate/permits/_home.py
@@ -21,7 +21,6 @@
 )
 from guavagate.events import write
 from guavagate.events.routing import (
-    PERMIT_RECLAIMED,
     POOL_GIVEN_UP,
     POOL_TAKEN_OVER,
     UPSTREAM_LEAVING,
@@ -43,6 +42,7 @@
     ReleasePermit,
 )
 from guavagate.permits._owned import OwnedPool, Seat
+from guavagate.permits._reclaim import FindMissing, Reclaimer
 from guavagate.runtime import Runtime
 
 _LOGGER = logging.getLogger(__name__)
@@ -71,6 +71,7 @@
         self._owned: dict[str, OwnedPool] = {}
         self._fresh_start = True
         self._copies = CopyOffers(runtime)
+        self._reclaimer = Reclaimer(runtime, self.owned, self.move)
 
     def start(self) -> None:
         """Follow settings and members, and keep the queues moving."""
@@ -79,10 +80,14 @@
         self.refresh()
         self._fresh_start = False
         self._runtime.clock.spawn(self._sweep)
+        self._reclaimer.start()
 
-    def take_copies_with(self, take: Callable[[Permit], None]) -> None:
-        """Have copies of this entry's own work offered to it."""
-        self._copies.take_here = take
+    def serve_own_entry(
+        self, take_copy: Callable[[Permit], None], find_missing: FindMissing
+    ) -> None:
+        """Reach this instance's own entry without the bus."""
+        self._copies.take_here = take_copy
+        self._reclaimer.find_missing_here = find_missing
 
     def owned(self) -> list[OwnedPool]:
         """Return the pools at home here."""
@@ -168,19 +173,14 @@
         self.move(owned)
 
     def take_held(self, sender: InstanceId, message: HeldPermits) -> None:
-        """Count what an entry holds, and reclaim what it no longer holds."""
+        """Count what an entry holds, after this home has taken over."""
         owned = self._owned.get(message.pool)
         if owned is None:
             return
         now = self._runtime.clock.now()
-        listed = {held.work.id for held in message.held}
         for held in message.held:
             if held.work.id not in owned.granted:
                 owned.adopt(sender, held, now)
-        for work_id in owned.overdue(sender, listed, now):
-            write(_LOGGER, PERMIT_RECLAIMED, request=work_id, entry=sender)
-            owned.granted.pop(work_id)
-            owned.pool.cancel(work_id, now)
         self.move(owned)
 
     def mark_leaving(self, owned: OwnedPool, sampler: SamplerId) -> None:
--- a/guavagate/permits/_messages.py
+++ b/guavagate/permits/_messages.py
@@ -110,10 +110,22 @@
 class HeldPermits(Message, frozen=True, kw_only=True):
     """All permits of one pool that an entry works under.
 
-    Sent at intervals, and at once when the pool's home has moved: the new
-    home counts what runs before it grants, so that a takeover does not
-    overfill the engines.
+    Sent when the pool's home has moved: the new home counts what runs before
+    it grants, so that a takeover does not overfill the engines.
     """
 
     pool: PoolKey
     held: tuple[HeldPermit, ...]
+
+
+class AskHeld(Message, frozen=True, kw_only=True):
+    """A home asks an entry about permits that were given out long ago."""
+
+    pool: PoolKey
+    work_ids: tuple[RequestId, ...]
+
+
+class HeldReply(Message, frozen=True, kw_only=True):
+    """Those of the permits asked about that the entry does not hold."""
+
+    missing: tuple[RequestId, ...]
--- a/guavagate/permits/_owned.py
+++ b/guavagate/permits/_owned.py
@@ -15,9 +15,10 @@
 # An entry asks again every two seconds while it waits; one that has not for
 # this long has died or lost its caller.
 ABANDONED_SECONDS: Final = 5.0
-# A permit younger than this may still be on its way to its entry, which
-# therefore does not list it yet.
-UNLISTED_SECONDS: Final = 5.0
+# A release whose message was lost leaves a slot taken. Permits this old are
+# asked about, and again after as long: asking for each at once would cost an
+# entry with 330 permits 24 KB/s, of a budget of 8.
+ASK_AFTER_SECONDS: Final = 15.0
 
 
 class Seat(msgspec.Struct, kw_only=True):
@@ -45,6 +46,7 @@
     grants_from: float
     seats: dict[RequestId, Seat] = msgspec.field(default_factory=dict)
     granted: dict[RequestId, Grant] = msgspec.field(default_factory=dict)
+    asked_at: float = float('-inf')
     leaving: set[SamplerId] = msgspec.field(default_factory=set)
 
     def localise(self, ask: AskPermit, now: float) -> Work:
@@ -81,20 +83,15 @@
         )
         self.grant(seat, sampler, now)
 
-    def overdue(
-        self,
-        entry: InstanceId,
-        listed: set[RequestId],
-        now: float,
-    ) -> list[RequestId]:
-        """Return permits of an entry that it does not list, and should."""
-        return [
-            work_id
-            for work_id, grant in self.granted.items()
-            if grant.entry == entry
-            and work_id not in listed
-            and now - grant.at > UNLISTED_SECONDS
-        ]
+    def list_old(self, now: float) -> dict[InstanceId, tuple[RequestId, ...]]:
+        """Return permits to ask their entries about, by entry."""
+        old: dict[InstanceId, list[RequestId]] = {}
+        for work_id, grant in self.granted.items():
+            if now - max(grant.at, self.asked_at) > ASK_AFTER_SECONDS:
+                old.setdefault(grant.entry, []).append(work_id)
+        if old:
+            self.asked_at = now
+        return {entry: tuple(ids) for entry, ids in old.items()}
 
     def of_dead(
         self, is_there: Callable[[InstanceId], bool]
--- /dev/null
+++ b/guavagate/permits/_reclaim.py
@@ -0,0 +1,94 @@
+"""Finds permits that their entries no longer hold, and frees their slots.
+
+A release is one message, and a message can be lost with its connection. The
+symptom would be a sampler that has a slot less for good. Entries are asked
+about permits that are old; what they don't hold is free.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from guavagate.events import write
+from guavagate.events.routing import PERMIT_RECLAIMED
+from guavagate.exceptions import LinkError
+from guavagate.models import InstanceId, RequestId
+from guavagate.permits._messages import AskHeld, HeldReply
+from guavagate.permits._owned import OwnedPool
+from guavagate.runtime import Runtime
+
+_LOGGER = logging.getLogger(__name__)
+
+LOOK_SECONDS: Final = 5.0
+ASK_TIMEOUT: Final = 2.0
+
+FindMissing = Callable[[str, Iterable[RequestId]], tuple[RequestId, ...]]
+
+
+class Reclaimer:
+    """Asks entries about old permits.
+
+    Attributes
+    ----------
+    find_missing_here
+        Answers for this instance's own entry.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        list_owned: Callable[[], list[OwnedPool]],
+        move: Callable[[OwnedPool], None],
+    ) -> None:
+        self._runtime = runtime
+        self._list_owned = list_owned
+        self._move = move
+        self.find_missing_here: FindMissing | None = None
+
+    def start(self) -> None:
+        """Look until the instance stops."""
+        self._runtime.clock.spawn(self._run)
+
+    def look(self) -> None:
+        """Ask about all permits that are old now."""
+        now = self._runtime.clock.now()
+        for owned in self._list_owned():
+            for entry, work_ids in owned.list_old(now).items():
+                self._reclaim(owned, entry, self._ask(owned, entry, work_ids))
+
+    def _run(self) -> None:
+        while True:
+            self._runtime.clock.sleep(LOOK_SECONDS)
+            self.look()
+
+    def _ask(
+        self,
+        owned: OwnedPool,
+        entry: InstanceId,
+        work_ids: tuple[RequestId, ...],
+    ) -> tuple[RequestId, ...]:
+        pool = owned.spec.key
+        if entry == self._runtime.settings.id:
+            find = self.find_missing_here
+            return find(pool, work_ids) if find else ()
+        asked = AskHeld(pool=pool, work_ids=work_ids)
+        try:
+            return self._runtime.bus.request(
+                entry, asked, HeldReply, ASK_TIMEOUT
+            ).missing
+        except LinkError:
+            return ()
+
+    def _reclaim(
+        self,
+        owned: OwnedPool,
+        entry: InstanceId,
+        missing: tuple[RequestId, ...],
+    ) -> None:
+        for work_id in missing:
+            if owned.granted.pop(work_id, None) is None:
+                continue
+            write(_LOGGER, PERMIT_RECLAIMED, request=work_id, entry=entry)
+            owned.pool.cancel(work_id, self._runtime.clock.now())
+        if missing:
+            self._move(owned)
--- a/guavagate/runs/_driver.py
+++ b/guavagate/runs/_driver.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
 import msgspec
@@ -46,9 +46,17 @@
 RETRY_PAUSE: Final = 0.2
 MAX_RETRY_PAUSE: Final = 5.0
 
+# Assignments of samples that were committed or moved away are forgotten at
+# this pace; those that ended here are forgotten at once.
+CLEAN_SECONDS: Final = 2.0
 # Share of a new measurement in the mean time of a sample.
 SMOOTHING: Final = 0.1
 
+# Verdicts after which a sample is no longer pending.
+SETTLED: Final = frozenset(
+    (Verdict.ACCEPTED, Verdict.DUPLICATE, Verdict.UNKNOWN_STEP)
+)
+
 Hosted = Callable[[], Iterable[tuple[Epoch, RunsState]]]
 _Key = tuple[DeploymentId, RunId, SampleId]
 
@@ -70,6 +78,7 @@
         self._hosted = hosted
         self._assigned: dict[_Key, Assignment] = {}
         self._seconds: dict[DeploymentId, float] = {}
+        self._cleans_at = float('-inf')
         runtime.bus.register(SampleEnded, self._on_ended)
 
     def start(self) -> None:
@@ -86,19 +95,24 @@
 
     def tick(self) -> None:
         """Assign what the windows allow."""
-        pending: set[_Key] = set()
         self._release_lost()
+        now = self._runtime.clock.now()
+        if now >= self._cleans_at:
+            self._cleans_at = now + CLEAN_SECONDS
+            self._forget_settled()
         for _, state in self._hosted():
             for lineage in list(state.lineages):
                 found = find_lineage(self._runtime, lineage)
-                by_run = state.pending(lineage)
-                pending.update(
-                    (lineage, run, sample.sample_id)
-                    for run, samples in by_run.items()
-                    for sample in samples
-                )
                 if found is not None and state.newest(lineage) is not None:
-                    self._assign(lineage, found, state, by_run)
+                    self._assign(lineage, found, state)
+
+    def _forget_settled(self) -> None:
+        """Forget samples that are no longer pending, or not decided here."""
+        pending: set[_Key] = set()
+        for _, state in self._hosted():
+            for lineage in state.lineages:
+                for run, samples in state.pending(lineage).items():
+                    pending.update((lineage, run, name) for name in samples)
         for key in [key for key in self._assigned if key not in pending]:
             self._assigned.pop(key)
 
@@ -112,54 +126,42 @@
         lineage: DeploymentId,
         deployment: DeploymentSettings,
         state: RunsState,
-        by_run: dict[RunId, list[PendingSample]],
     ) -> None:
-        slots = sum(sampler.slots for sampler in deployment.samplers)
+        by_run = state.pending(lineage)
         counts = self._count_by_run(lineage)
+        slots = sum(sampler.slots for sampler in deployment.samplers)
         free = int(slots * WINDOW_PER_SLOT) - sum(counts.values())
+        if free <= 0 or all(
+            counts.get(run, 0) >= len(samples)
+            for run, samples in by_run.items()
+        ):
+            return
         queues = {
-            run: self._unassigned(lineage, run, samples)
+            run: self._iterate_unassigned(lineage, run, samples)
             for run, samples in by_run.items()
         }
         weights = {run.id: run.weight for run in deployment.runs}
-        while free > 0:
-            waiting = [run for run, queue in queues.items() if queue]
-            if not waiting:
-                return
-            run = _least_served(waiting, counts, weights)
-            sample = queues[run].pop()
+        while free > 0 and queues:
+            run = _least_served(list(queues), counts, weights)
+            sample = next(queues[run], None)
+            if sample is None:
+                queues.pop(run)
+                continue
             counts[run] = counts.get(run, 0) + 1
             free -= 1
-            self._hand_over(lineage, state, run, sample, weights.get(run, 1.0))
-
-    def _unassigned(
-        self, lineage: DeploymentId, run: RunId, samples: list[PendingSample]
-    ) -> list[PendingSample]:
-        """Return what may be assigned now, the first one last.
+            self._hand_over(lineage, state, run, sample, weights.get(run, 1))
 
-        Within a step the longest come first: a long one that starts last
-        holds up the whole step while the other slots are idle.
-        """
+    def _iterate_unassigned(
+        self,
+        lineage: DeploymentId,
+        run: RunId,
+        samples: dict[SampleId, PendingSample],
+    ) -> Iterator[PendingSample]:
         now = self._runtime.clock.now()
-        order = {
-            step: place
-            for place, step in enumerate(
-                dict.fromkeys(sample.step_id for sample in samples)
-            )
-        }
-        free = []
-        for sample in samples:
+        for sample in list(samples.values()):
             held = self._assigned.get((lineage, run, sample.sample_id))
             if held is None or (not held.worker and held.not_before <= now):
-                free.append(sample)
-        free.sort(
-            key=lambda sample: (
-                order[sample.step_id],
-                -sample.group.max_tokens,
-            ),
-            reverse=True,
-        )
-        return free
+                yield sample
 
     def _hand_over(
         self,
@@ -251,6 +253,10 @@
         if held is None or held.attempt != ended.attempt:
             return
         held.worker = None
+        if ended.verdict in SETTLED:
+            self._assigned.pop(
+                (ended.lineage, ended.run, ended.sample_id), None
+            )
         if ended.verdict is Verdict.ACCEPTED:
             took = self._runtime.clock.now() - held.since
             before = self._seconds.get(ended.lineage, took)
--- a/guavagate/runs/_run.py
+++ b/guavagate/runs/_run.py
@@ -30,6 +30,7 @@
     list_pending,
     list_ready,
     list_samples,
+    place_of,
 )
 
 
@@ -80,21 +81,23 @@
 
 
 def pending_samples(run: Run) -> list[PendingSample]:
-    """Return what has still to be generated, earlier steps first."""
+    """Return what has still to be generated, earlier steps first.
+
+    Within a step the longest come first: a long one that starts last holds up
+    the whole step while the other slots are idle.
+    """
     pending: list[PendingSample] = []
     for step in run.steps.values():
-        pending.extend(list_pending(step, _bitmap(run.cursor, step)))
+        left = list_pending(step, _bitmap(run.cursor, step))
+        left.sort(key=lambda sample: -sample.group.max_tokens)
+        pending.extend(left)
     return pending
 
 
 def is_delivered(run: Run, step: Step, group_id: str) -> bool:
     """Tell whether the trainer has committed a group."""
-    bitmap = _bitmap(run.cursor, step)
-    return any(
-        has_group(bitmap, place)
-        for place, group in enumerate(step.groups)
-        if group.group_id == group_id
-    )
+    place = place_of(step, group_id)
+    return place is not None and has_group(_bitmap(run.cursor, step), place)
 
 
 def pull(run: Run, command: PullBatch, published: list[WeightVersion]) -> Batch:
--- a/guavagate/runs/_state.py
+++ b/guavagate/runs/_state.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from guavagate.models import DeploymentId, RunId, WeightVersion
+from guavagate.models import DeploymentId, RunId, SampleId, WeightVersion
 from guavagate.partitions import Command, Outcome
 from guavagate.runs._commands import (
     ConfirmOrder,
@@ -35,6 +35,8 @@
 # Published versions kept; older ones are beyond any bound that settings allow.
 MAX_VERSIONS_KEPT: Final = 256
 
+Pending = dict[SampleId, PendingSample]
+
 RUN_COMMANDS: Final[tuple[type[RunCommand], ...]] = (
     PublishVersion,
     SubmitStep,
@@ -65,6 +67,7 @@
 
     def __init__(self) -> None:
         self.lineages: dict[DeploymentId, Lineage] = {}
+        self._pending: dict[tuple[DeploymentId, RunId], Pending] = {}
 
     def apply(self, command: Command) -> Outcome:
         """Apply one command and return its outcome."""
@@ -81,13 +84,14 @@
         if run is None:
             run = Run(run=command.run, incarnation=f'{command.at:.6f}')
             lineage.runs[command.run] = run
-        if isinstance(command, SubmitStep):
-            return _outcome(lineage, _submit(run, command))
-        if isinstance(command, FinishSample):
-            return _outcome(lineage, _finish(run, command, lineage.published))
-        if isinstance(command, PullBatch):
-            return pull(run, command, lineage.published)
-        return _keep(run, cast(KeepCursor, command), lineage)
+        before = _mark(run)
+        outcome = _apply_to_run(lineage, run, command)
+        key = (command.deployment, run.run)
+        if _mark(run) != before:
+            self._pending.pop(key, None)
+        elif isinstance(command, FinishSample):
+            self._forget_finished(key, run, command)
+        return outcome
 
     def snapshot(self) -> bytes:
         """Return the whole state, for a new backup."""
@@ -97,6 +101,7 @@
         """Replace the state by a snapshot."""
         decoded = msgspec.msgpack.decode(snapshot, type=_Snapshot)
         self.lineages = decoded.lineages
+        self._pending.clear()
 
     def newest(self, deployment: DeploymentId) -> WeightVersion | None:
         """Return the newest published version."""
@@ -105,12 +110,53 @@
             return None
         return lineage.published[-1]
 
-    def pending(
-        self, deployment: DeploymentId
-    ) -> dict[RunId, list[PendingSample]]:
-        """Return what has still to be generated, by run."""
+    def pending(self, deployment: DeploymentId) -> dict[RunId, Pending]:
+        """Return what has still to be generated, by run, in its order.
+
+        Kept between calls and made anew only after a step has come or gone or
+        samples have gone stale: the driver asks twenty times a second, and
+        listing a step's samples each time would cost it a tenth of a core.
+        """
         lineage = self.lineages.get(deployment, Lineage())
-        return {run.run: pending_samples(run) for run in lineage.runs.values()}
+        found: dict[RunId, Pending] = {}
+        for run in lineage.runs.values():
+            key = (deployment, run.run)
+            if key not in self._pending:
+                self._pending[key] = {
+                    sample.sample_id: sample for sample in pending_samples(run)
+                }
+            found[run.run] = self._pending[key]
+        return found
+
+    def _forget_finished(
+        self,
+        key: tuple[DeploymentId, RunId],
+        run: Run,
+        command: FinishSample,
+    ) -> None:
+        step = run.steps.get(command.step_id)
+        sample_id = command.sample.sample_id
+        if step is not None and sample_id in step.finished:
+            self._pending.get(key, {}).pop(sample_id, None)
+
+
+def _mark(run: Run) -> tuple[object, ...]:
+    """Return what differs whenever more than one sample is no longer pending.
+
+    A stale sample raises `regenerated`, a step that comes or goes the number
+    of steps and digests, and a committed cursor is itself another one.
+    """
+    return (run.cursor, run.regenerated, len(run.steps), len(run.digests))
+
+
+def _apply_to_run(lineage: Lineage, run: Run, command: RunCommand) -> Outcome:
+    if isinstance(command, SubmitStep):
+        return _outcome(lineage, _submit(run, command))
+    if isinstance(command, FinishSample):
+        return _outcome(lineage, _finish(run, command, lineage.published))
+    if isinstance(command, PullBatch):
+        return pull(run, command, lineage.published)
+    return _keep(run, cast(KeepCursor, command), lineage)
 
 
 def _outcome(
--- a/guavagate/runs/_step.py
+++ b/guavagate/runs/_step.py
@@ -10,7 +10,8 @@
 class Step(msgspec.Struct, kw_only=True):
     """A submitted step.
 
-    `finished` holds whole samples until the trainer has committed them.
+    `finished` holds whole samples until the trainer has committed them;
+    `places` is made from the groups when it is first needed.
     """
 
     step_id: str
@@ -21,6 +22,7 @@
     finished: dict[SampleId, FinishedSample] = msgspec.field(
         default_factory=dict,
     )
+    places: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class PendingSample(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,13 +54,22 @@
     ]
 
 
+def place_of(step: Step, group_id: str) -> int | None:
+    """Return a group's place in its step."""
+    if not step.places:
+        step.places.update(
+            (group.group_id, place) for place, group in enumerate(step.groups)
+        )
+    return step.places.get(group_id)
+
+
 def holds_sample(step: Step, sample: FinishedSample) -> bool:
     """Tell whether a sample belongs to one of the step's groups."""
-    return any(
-        sample.sample_id in list_samples(step.step_id, group)
-        for group in step.groups
-        if group.group_id == sample.group_id
-    )
+    place = place_of(step, sample.group_id)
+    if place is None:
+        return False
+    names = list_samples(step.step_id, step.groups[place])
+    return sample.sample_id in names
 
 
 def list_pending(step: Step, delivered: bytes) -> list[PendingSample]:
--- /dev/null
+++ b/tests/permits/test_homes.py
@@ -0,0 +1,235 @@
+"""Homes and permits while instances die, stall or lose messages."""
+
+import pytest
+
+from guavagate.clock import Task
+from guavagate.decisions import Work
+from guavagate.exceptions import RefusalError
+from guavagate.measure.fakes import FakeTeams, NoDecisions, World
+from guavagate.models import CallerId, InstanceId, RequestId, TeamId
+from guavagate.partitions import LocalPartitions
+from guavagate.permits import (
+    Permit,
+    PermitClient,
+    PoolHomes,
+    Release,
+    ReleasePermit,
+    find_home,
+    serve_homes,
+)
+from guavagate.runtime import Runtime
+from guavagate.settings import parse_team_settings
+
+_POOL = 'trust/booking-desk/0'
+_TEAM = parse_team_settings("""
+team = "trust"
+[[services]]
+id = "booking-desk"
+concurrency = 2
+[[services.upstreams]]
+id = "desk"
+address = "127.0.0.1:1"
+availability_zone = "zone-0"
+""")
+
+
+class Entries:
+    """Three instances before one upstream with two slots."""
+
+    def __init__(self) -> None:
+        self.world = World(1)
+        self.clock = self.world.clock
+        self.clients: dict[str, PermitClient] = {}
+        self.homes: dict[str, PoolHomes] = {}
+        for name in 'abc':
+            self.world.add(name)
+        for name in 'abc':
+            self._start(name)
+        self.clock.advance(1)
+
+    def _start(self, name: str) -> None:
+        instance = InstanceId(name)
+        runtime = Runtime(
+            settings=self.world.settings_of(name),
+            clock=self.world.hosts[instance].clock,
+            bus=self.world.bus(name),
+            store=self.world.store_of(name),
+            members=self.world.members[instance],
+            teams=FakeTeams([_TEAM]),
+            partitions=LocalPartitions(instance, {}),
+            decisions=NoDecisions(),
+        )
+        self.homes[name] = PoolHomes(runtime)
+        serve_homes(runtime, self.homes[name])
+        self.clients[name] = PermitClient(runtime, self.homes[name])
+        self.homes[name].start()
+        self.clients[name].start()
+
+    def home(self) -> str:
+        """Return the pool's home."""
+        alive = self.world.members[InstanceId('a')].alive()
+        return str(find_home(_POOL, alive))
+
+    def others(self) -> list[str]:
+        """Return the instances that are not the home."""
+        return [name for name in 'abc' if name != self.home()]
+
+    def ask(self, name: str, request: str, seconds: float = 60) -> Task:
+        """Ask for a permit in a task of its instance."""
+        work = Work(
+            id=RequestId(request),
+            team=TeamId('trust'),
+            caller=CallerId('desk'),
+            deadline=self.clock.now() + seconds,
+            expected_tokens=1,
+        )
+        clock = self.world.hosts[InstanceId(name)].clock
+        return clock.spawn(self.clients[name].acquire, _POOL, work)
+
+    def get(self, name: str, request: str) -> Permit:
+        """Ask for a permit and wait for it."""
+        task = self.ask(name, request)
+        assert self.clock.run_until(task.ready, 30)
+        permit: Permit = task.get(block=False)
+        return permit
+
+    def running(self, name: str) -> int:
+        """Return how much the home on an instance counts as running."""
+        return sum(one.pool.running for one in self.homes[name].owned())
+
+
+def test_no_more_run_than_the_upstream_has_slots() -> None:
+    """Three entries ask at once; the third waits until a slot is free."""
+    entries = Entries()
+    first = entries.get('a', 'r1')
+    entries.get('b', 'r2')
+    third = entries.ask('c', 'r3')
+    entries.clock.advance(5)
+    assert not third.ready()
+    entries.clients['a'].release(first, Release.DONE, tokens=1, seconds=1)
+    assert entries.clock.run_until(third.ready, 1)
+
+
+def test_a_home_that_dies_loses_nothing_and_overfills_nothing() -> None:
+    """Two permits are held and one request waits when the home is killed.
+
+    The waiting entry asks the next home under the same id. That home has
+    heard from both entries what runs, before it grants: the request gets its
+    permit only when one of the two has ended.
+    """
+    entries = Entries()
+    home, (one, two) = entries.home(), entries.others()
+    held = entries.get(one, 'r1')
+    entries.get(two, 'r2')
+    waiting = entries.ask(one, 'r3')
+    entries.clock.advance(1)
+    entries.world.kill(home)
+    entries.clock.advance(8)
+    successor = str(
+        find_home(_POOL, entries.world.members[InstanceId(one)].alive())
+    )
+    assert entries.running(successor) == 2
+    assert not waiting.ready()
+    entries.clients[one].release(held, Release.DONE, tokens=1, seconds=1)
+    assert entries.clock.run_until(waiting.ready, 5)
+    assert waiting.get(block=False).work_id == 'r3'
+
+
+def test_a_new_home_waits_to_hear_what_runs() -> None:
+    """The new home learns of the death before the entry that holds permits.
+
+    Its own caller asks at once. Granting then would give the upstream a third
+    piece of work; it waits half a second, hears of two, and queues the third.
+    """
+    entries = Entries()
+    home, names = entries.home(), entries.others()
+    peers = entries.world.peers
+    rest = [peers[InstanceId(name)] for name in names]
+    successor = str(find_home(_POOL, rest))
+    holder = next(name for name in names if name != successor)
+    entries.get(holder, 'r1')
+    entries.get(holder, 'r2')
+    entries.world.hosts[InstanceId(home)].kill()
+    gone = peers[InstanceId(home)]
+    members = entries.world.members
+    members[InstanceId(successor)].update(gone, alive=False)
+    waiting = entries.ask(successor, 'r3')
+    entries.clock.advance(0.3)
+    members[InstanceId(holder)].update(gone, alive=False)
+    entries.clock.advance(3)
+    assert not waiting.ready()
+    assert entries.running(successor) == 2
+
+
+def test_an_entry_that_dies_gives_its_slots_back() -> None:
+    """Its callers are gone with it; others need not wait for its work."""
+    entries = Entries()
+    one, two = entries.others()
+    entries.get(one, 'r1')
+    entries.get(one, 'r2')
+    waiting = entries.ask(two, 'r3')
+    entries.clock.advance(1)
+    entries.world.kill(one)
+    assert entries.clock.run_until(waiting.ready, 5)
+
+
+def test_a_lost_release_is_found_by_asking() -> None:
+    """The message that ends a permit is lost; its slot comes back.
+
+    The entry no longer holds the permit, and nobody else will ever end it.
+    The home asks about permits that are old and frees what is not held.
+    """
+    entries = Entries()
+    home, (one, _) = entries.home(), entries.others()
+    permit = entries.get(one, 'r1')
+    entries.get(one, 'r2')
+    entries.clients[one].drop(permit)
+    entries.clock.advance(10)
+    assert entries.running(home) == 2
+    entries.clock.advance(15)
+    assert entries.running(home) == 1
+
+
+def test_a_request_that_can_not_be_in_time_is_refused_in_time() -> None:
+    """Both slots stay taken; the third is told not_run before its deadline."""
+    entries = Entries()
+    entries.get('a', 'r1')
+    entries.get('b', 'r2')
+    asked = entries.clock.now()
+    task = entries.ask('c', 'r3', seconds=3)
+    assert entries.clock.run_until(task.ready, 10)
+    with pytest.raises(RefusalError) as caught:
+        task.get(block=False)
+    assert caught.value.not_run.value == 'true'
+    assert entries.clock.now() - asked <= 3.5
+
+
+def test_an_upstream_that_leaves_gets_nothing_more() -> None:
+    """Its refusal is heard by the home at once; other work is refused."""
+    entries = Entries()
+    home, (one, two) = entries.home(), entries.others()
+    permit = entries.get(one, 'r1')
+    entries.clients[one].release(permit, Release.LEAVING)
+    entries.clock.advance(1)
+    task = entries.ask(two, 'r2', seconds=4)
+    entries.clock.run_until(task.ready, 10)
+    assert isinstance(task.exception, RefusalError)
+    assert not entries.running(home)
+
+
+def test_a_repeated_ask_is_one_piece_of_work() -> None:
+    """The permit's reply was lost: the same work gets the same permit."""
+    entries = Entries()
+    one = entries.others()[0]
+    permit = entries.get(one, 'r1')
+    assert entries.get(one, 'r1') == permit
+    home = entries.home()
+    assert entries.running(home) == 1
+    late = ReleasePermit(
+        pool=_POOL,
+        work_id=RequestId('other'),
+        upstream=permit.upstream,
+        ended=Release.DONE,
+    )
+    entries.homes[home].release(InstanceId(one), late)
+    assert entries.running(home) == 1
--- a/tests/runs/test_delivery.py
+++ b/tests/runs/test_delivery.py
@@ -76,7 +76,7 @@
 
     def finish(self, rng: random.Random) -> None:
         """Generate one pending sample on weights of some age."""
-        pending = self.state.pending(_DEPLOYMENT).get(_RUN, [])
+        pending = list(self.state.pending(_DEPLOYMENT)[_RUN].values())
         if not pending:
             return
         wanted = rng.choice(pending)
@@ -127,6 +127,13 @@
         for step_id in self.submitted:
             self.submit(step_id)
 
+    def check_pending(self) -> None:
+        """Compare what is kept of the pending samples with a new count."""
+        copy = RunsState()
+        copy.restore(self.state.snapshot())
+        kept = self.state.pending(_DEPLOYMENT)
+        assert kept == copy.pending(_DEPLOYMENT)
+
     def drain(self, rng: random.Random) -> None:
         """Go on without faults until nothing is left."""
         for _ in range(60):
@@ -168,6 +175,7 @@
     }
     for move in rng.choices(moves, k=80):
         steps[move]()
+        trainer.check_pending()
     trainer.drain(rng)
     assert len(trainer.taken) == len(set(trainer.taken))
     assert set(trainer.taken) == trainer.expected()
