Return copies from hedge alone, never from place

Cause: since a straggler's copy may take a queued sample's slot, place returned it as well. A home answers each entry's ask by what place returns, so the entry that already held the first permit would have been answered again.

place now only starts such a copy; the next hedge returns it if it still runs.

--- a/guavagate/decisions/pool.py
+++ b/guavagate/decisions/pool.py
@@ -60,6 +60,7 @@
         self._waits = admission.WaitEstimate()
         self._expired: list[Refused] = []
         self._slow: list[Running] = []
+        self._copies: list[Placement] = []
         self.set_samplers(samplers, now)
 
     @property
@@ -153,7 +154,8 @@
     def place(self, now: float) -> list[Placement]:
         """Return the work that may start now, with its samplers."""
         self._fleet.refresh(now)
-        placements = self._start_copies(now)
+        self._start_copies(now)
+        placements: list[Placement] = []
         parked = 0
         kept_back: list[Entry] = []
         while parked + len(kept_back) < LOOKAHEAD:
@@ -272,14 +274,18 @@
     def hedge(self, now: float) -> list[Placement]:
         """Return second copies for slow work, in idle slots and budget.
 
-        What finds no free slot is kept for the next calls of `place`: a
-        sample that holds up an older step goes before a newer step's.
+        What finds no free slot is kept: the next calls of `place` give it the
+        first slots that end, since a sample that holds up an older step goes
+        before a newer step's. The next call of this one returns it; `place`
+        returns no copies.
         """
         self._fleet.refresh(now)
         self._slow = _copies.find_slow(
             self._fleet, self._table, self._on, now, idle=not self._queue
         )
-        return self._start_copies(now)
+        self._start_copies(now)
+        copies, self._copies = self._copies, []
+        return [copy for copy in copies if self._runs(copy)]
 
     def _path(self, work: Work) -> tuple[Path, tuple[float, ...]]:
         # Work that waits for a version, adapter or other sampler has a flow
@@ -330,10 +336,15 @@
         self._expired.append(refused)
         return True
 
-    def _start_copies(self, now: float) -> list[Placement]:
-        if not self._slow:
-            return []
-        return _copies.start_all(self._fleet, self._table, self._slow, now)
+    def _start_copies(self, now: float) -> None:
+        if self._slow:
+            self._copies += _copies.start_all(
+                self._fleet, self._table, self._slow, now
+            )
+
+    def _runs(self, placement: Placement) -> bool:
+        attempts = self._table.get(placement.work.id)
+        return attempts is not None and placement.sampler in attempts.samplers
 
     def _next(self, now: float) -> Entry | None:
         return self._queue.pop_urgent(now) or self._queue.pop()
--- a/tests/decisions/test_safeguards.py
+++ b/tests/decisions/test_safeguards.py
@@ -247,3 +247,32 @@
         idle_weight=3,
     )
     assert (authority, trust) == (True, False)
+
+
+def test_copies_come_from_hedge_alone() -> None:
+    """A home answers each permit once, by what `place` returns.
+
+    A sample of an older step runs far too long while a newer step fills the
+    slots. Its copy takes the next slot that ends, but `place` doesn't return
+    it: the entry that holds the first permit would be answered twice.
+    """
+    pool = _pool(slots=2)
+    for step, count in ((0, 1), (1, 6)):
+        for number in range(count):
+            work = _work(
+                f'{step}-{number}', run=RunId('r'), kind=Kind.ROLLOUT, step=step
+            )
+            pool.offer(work, 0)
+    placed = pool.place(0)
+    first = placed[0]
+    pool.progress(first.work.id, first.sampler, 10, 1)
+    assert not pool.hedge(1)
+    for other in placed[1:]:
+        pool.finish(other.work.id, other.sampler, 8, tokens=256)
+    assert all(not item.duplicate for item in pool.place(8))
+    copies = pool.hedge(8)
+    assert [(copy.work.id, copy.duplicate) for copy in copies] == [
+        ('0-0', True)
+    ]
+    losers = pool.finish(first.work.id, copies[0].sampler, 9, tokens=256)
+    assert losers == [first.sampler]
