Keep a suspected instance that leaves out of use

Cause: a suspicion that overtook the instance's own word put it at the same incarnation, so the word was ignored and the leaving instance got new work until it refuted. The module's comment also claimed that any order of claims gives the same state, which confirmations by three do not. Measured: the new test fails without the change; script/test tests/membership, 27 passed in 3.3 s.

--- a/guavagate/membership/_table.py
+++ b/guavagate/membership/_table.py
@@ -1,8 +1,8 @@
 """What one instance holds of all members, and which claim wins.
 
 A claim is ordered by incarnation, then by state. Only a member itself raises
-its incarnation, so a suspicion is overruled by the suspected one alone, and
-two instances that hear the same claims in any order hold the same state.
+its incarnation, so a suspicion is overruled by the suspected one alone, and an
+old claim that arrives late changes nothing.
 """
 
 import dataclasses
@@ -144,12 +144,9 @@
         self, known: Member, update: Update, state: MemberState, now: float
     ) -> bool:
         newer = update.incarnation > known.incarnation
-        later = (
-            update.incarnation == known.incarnation
-            and state is MemberState.LEAVING
-            and known.state is MemberState.ALIVE
-        )
-        if not newer and not later:
+        if not newer and state is MemberState.LEAVING:
+            return self._note_leaving(known, update)
+        if not newer:
             return False
         if update.contact is None and known.state is MemberState.DEAD:
             # A header says that it lives but not where; it is asked.
@@ -162,6 +159,19 @@
         known.serving = state is MemberState.ALIVE
         return True
 
+    def _note_leaving(self, known: Member, update: Update) -> bool:
+        """Take a member out of use that was suspected before it was heard.
+
+        The suspicion of a leaving member may arrive before its own word;
+        it would else be given work again by those.
+        """
+        if update.incarnation < known.incarnation or not known.serving:
+            return False
+        known.serving = False
+        if known.state is MemberState.ALIVE:
+            known.state = MemberState.LEAVING
+        return True
+
     def _accuse(
         self, known: Member, update: Update, state: MemberState, now: float
     ) -> bool:
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -262,6 +262,19 @@
     assert network.held('i000', 'i004') is MemberState.DEAD
 
 
+def test_a_leaving_instance_is_not_used_while_suspected() -> None:
+    """Its suspicion arrives before its own word that it leaves."""
+    network = make_network(5)
+    network.detectors['i004'].leave(MemberState.LEAVING)
+    said = network.detectors['i004'].identity.describe()
+    suspicion = Update(
+        said.id, MemberState.SUSPECT.value, said.incarnation, InstanceId('x')
+    )
+    hearer = network.detectors['i000']
+    hearer.take_claims((suspicion, said), network.now)
+    assert 'i004' not in network.usable('i000')
+
+
 def test_the_replaced_process_gives_way() -> None:
     """A paused process is replaced under its id at another address.
 
