--- a/tests/links/test_zmq_bus.py
+++ b/tests/links/test_zmq_bus.py
@@ -5,10 +5,11 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 
 from guavagate.clock import SystemClock
 from guavagate.exceptions import LinkError, LinkRefusedError, RefusalError
-from guavagate.links import Message, ZmqBus
+from guavagate.links import Message, ZmqBus, _server
 from guavagate.models import InstanceId, NotRun
 
 A = InstanceId('a')
@@ -144,6 +145,54 @@
         asker.request(B, Ask(text='x'), Told, 20)
 
 
+def test_a_full_peer_refuses(
+    make: Make, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """More messages come than the peer may handle at once.
+
+    Those beyond the limit are refused at once and truly not handled,
+    instead of waiting behind the others past their time limits.
+    """
+    monkeypatch.setattr(_server, 'HANDLER_LIMIT', 2)
+    asker, handler = make(A), make(B)
+    go_on = Event()
+    handled: list[Message] = []
+
+    def hold(sender: InstanceId, message: Message) -> Message:
+        handled.append(message)
+        go_on.wait()
+        return Told(text='done')
+
+    handler.register(Ask, hold)
+    asking = [
+        gevent.spawn(asker.request, B, Ask(text='x'), Told, 5) for _ in range(3)
+    ]
+    with pytest.raises(LinkRefusedError, match='handles 2 messages already'):
+        gevent.joinall(asking, count=1, raise_error=True)
+    go_on.set()
+    gevent.joinall(asking)
+    assert len(handled) == 2
+    assert sum(task.successful() for task in asking) == 2
+
+
+def test_a_peer_out_of_use_fails_what_waits(
+    make: Make, addresses: dict[InstanceId, str]
+) -> None:
+    """The membership takes a peer out of use while a request waits there.
+
+    The asker hears of it within a quarter of a second, not at the end of
+    its own time limit.
+    """
+    asker, handler = make(A), make(B)
+    never = Event()
+    handler.register(Ask, lambda sender, message: never.wait())
+    asking = gevent.spawn(asker.request, B, Ask(text='x'), Told, 1000)
+    gevent.sleep(0.1)
+    addresses.pop(B)
+    with gevent.Timeout(10), pytest.raises(LinkError):
+        asking.get()
+
+
 def test_a_stranger_is_not_heard(make: Make) -> None:
     """Without the cluster credential no message reaches a handler."""
     heard: list[Message] = []
