--- a/guavagate/partitions/_link.py
+++ b/guavagate/partitions/_link.py
@@ -34,6 +34,8 @@
 
     Parameters
     ----------
+    decide
+        Records a decision, as `DecisionLog.record` does.
     make_id
         Gives unique ids; tests give ones that a seed replays.
     """
@@ -42,13 +44,15 @@
     clock: Clock
     bus: Bus
     alive: Callable[[], list[PeerSettings]]
+    find: Callable[[InstanceId], PeerSettings | None]
     safeguards: Safeguards
+    decide: Callable[[str, str, str, str, dict[str, str] | None], None]
     rng: random.Random = dataclasses.field(default_factory=random.Random)
     make_id: Callable[[], str] = make_id
 
     def is_alive(self, instance: InstanceId) -> bool:
         """Say whether an instance is usable."""
-        return any(peer.id == instance for peer in self.alive())
+        return self.find(instance) is not None
 
     def ask_replica(
         self,
