Measure control without the cost of asking, above the right bare process

Cause: the processor time of the scrape itself was counted, and the bare process for whole instances had imported the measuring tool instead of the daemon.

--- a/standins/capacity/_command.py
+++ b/standins/capacity/_command.py
@@ -1,6 +1,8 @@
 """``script/measure capacity``."""
 
 import json
+import subprocess
+import sys
 from typing import Any, Final
 
 import click
@@ -47,18 +49,21 @@
         memory = measure_memory(fleet.pids)
     finally:
         fleet.stop()
-    return make_row(nodes, first, last, memory - measure_bare())
+    return make_row(nodes, first, last, memory - measure_bare(fleet.module))
 
 
-def measure_bare() -> float:
-    """Return the memory of a process that has imported all, in bytes."""
-    fleet = PartsFleet()
-    try:
-        fleet.start_bare()
-        fleet.agree()
-        return measure_memory(fleet.pids)
-    finally:
-        fleet.stop()
+def measure_bare(module: str) -> float:
+    """Return the memory of a process that has imported a module, in bytes."""
+    program = f'import {module}, sys; print(flush=True); sys.stdin.readline()'
+    bare = subprocess.Popen(
+        [sys.executable, '-c', program],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+    with bare:
+        assert bare.stdout is not None
+        bare.stdout.readline()
+        return measure_memory([bare.pid])
 
 
 def measure(
--- a/standins/capacity/_figures.py
+++ b/standins/capacity/_figures.py
@@ -17,10 +17,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Reading:
-    """Totals over all nodes at one time; `at` in seconds."""
+    """Totals over all nodes at one time; `at` in seconds.
+
+    `cpu` is read both before and after the nodes were asked for the rest,
+    since asking costs them processor time as well.
+    """
 
     at: float
-    cpu: float
+    cpu_before: float
+    cpu_after: float
     messages: float
     size: float
     store_calls: float
@@ -43,7 +48,7 @@
     seconds = (last.at - first.at) * nodes
     return Row(
         nodes,
-        100 * (last.cpu - first.cpu) / seconds,
+        100 * (last.cpu_before - first.cpu_after) / seconds,
         memory / 1e6,
         (last.messages - first.messages) / seconds,
         (last.size - first.size) / 1000 / seconds,
--- a/standins/capacity/_fleets.py
+++ b/standins/capacity/_fleets.py
@@ -33,6 +33,7 @@
 class MeasuredFleet(Protocol):
     """A number of processes that find each other and then rest."""
 
+    module: str
     pids: list[int]
 
     def start(self, nodes: int) -> None:
@@ -52,6 +53,7 @@
     """Processes of nothing but the bus and the membership."""
 
     def __init__(self) -> None:
+        self.module = _NODE
         self.pids: list[int] = []
         self._folder = Path(tempfile.mkdtemp(prefix='guavagate-capacity-'))
         self._nodes: list[subprocess.Popen[str]] = []
@@ -64,10 +66,6 @@
             path.write_text(render_settings(_make_settings(peer, peers)))
             self._start(str(path))
 
-    def start_bare(self) -> None:
-        """Start a process that has everything imported and does nothing."""
-        self._start('')
-
     def agree(self) -> bool:
         """Return whether each knows all."""
         return self.holds(len(self._nodes))
@@ -93,9 +91,11 @@
 
     def read(self) -> Reading:
         """Return the totals now."""
+        before = measure_cpu(self.pids)
         seen = self._ask()
         return Reading(
             time.monotonic(),
+            before,
             measure_cpu(self.pids),
             sum(each['messages'] for each in seen),
             sum(each['bytes'] for each in seen),
@@ -136,6 +136,7 @@
     """Whole instances with the platform's stand-in, without any team."""
 
     def __init__(self) -> None:
+        self.module = 'guavagate.daemon'
         self.pids: list[int] = []
         plan = FleetPlan(region=_REGION, availability_zones=ZONES)
         folder = Path(tempfile.mkdtemp(prefix='guavagate-capacity-'))
@@ -156,6 +157,7 @@
 
     def read(self) -> Reading:
         """Return the totals now."""
+        before = measure_cpu(self.pids)
         seen = [
             _scrape(process.addresses['http'])
             for process in self._fleet.instances
@@ -164,6 +166,7 @@
         calls = msgspec.json.decode(answer.body, type=dict[str, int])
         return Reading(
             time.monotonic(),
+            before,
             measure_cpu(self.pids),
             sum(each['guavagate_peer_messages_total'] for each in seen),
             sum(each['guavagate_peer_bytes_total'] for each in seen),
--- a/standins/capacity/_node.py
+++ b/standins/capacity/_node.py
@@ -16,15 +16,7 @@
 
 def main() -> None:
     """Run until the end of the input; report once for each line of it."""
-    path = sys.argv[1]
-    if path:
-        _serve(path)
-    else:  # The bare process: everything imported, nothing running.
-        _report(lambda: {'alive': 1})
-
-
-def _serve(path: str) -> None:
-    settings = load_instance_settings(path)
+    settings = load_instance_settings(sys.argv[1])
     clock = SystemClock()
     members = Membership(settings, clock, _CREDENTIAL)
     bus = ZmqBus(
