Run a trainer through the faults; forget runs whose copies are lost

Cause: steps, samples and versions were not in the random runs. Every state is told of a loss once, not at each takeover.

--- a/guavagate/measure/_checks.py
+++ b/guavagate/measure/_checks.py
@@ -2,7 +2,7 @@
 
 import bisect
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final, TypeAlias, TypeVar
 
 from guavagate.measure import _events as hist
@@ -111,17 +111,12 @@
         made[piece.sample].setdefault(piece.exchange, []).append(piece)
     for batch in _pick(events, hist.PulledBatch):
         for sample in batch.samples:
-            pieces = [
-                piece
-                for exchange in sample.exchanges
-                for piece in made[sample.sample].get(exchange, [])
-            ]
-            if sample.exchanges and not _can_have_made(sample, pieces):
+            if not _can_have_made(sample, made[sample.sample]):
                 yield hist.Violation(
                     hist.Promise.TRUE_VERSIONS,
                     sample.sample,
                     f'it names versions {sample.versions}',
-                    (batch, *pieces),
+                    (batch,),
                 )
 
 
@@ -256,16 +251,38 @@
 
 def _can_have_made(
     sample: hist.PulledSample,
-    pieces: list[hist.GeneratedPiece],
+    made: dict[str, list[hist.GeneratedPiece]],
 ) -> bool:
-    """Say whether the pieces hold the text and the versions."""
-    known = {piece.version for piece in pieces}
-    if not set(sample.versions) <= known:
-        return False
-    whole = ''.join(piece.text for piece in pieces)
-    if len(sample.exchanges) == 1 and sample.text == whole:
-        return set(sample.versions) == known
-    return True
+    """Say whether pieces made the text, and their versions are those named.
+
+    A sample that names its exchanges is made of these; one that does not is
+    of a single exchange, or of pieces whose order nobody recorded.
+    """
+    named = set(sample.versions)
+    if len(sample.exchanges) > 1:
+        parts = [made.get(exchange, []) for exchange in sample.exchanges]
+        return named <= _list_versions(parts)
+    wanted = sample.exchanges or tuple(made)
+    whole = [
+        made[exchange]
+        for exchange in wanted
+        if exchange in made and _join(made[exchange]) == sample.text
+    ]
+    if whole:
+        return any(_list_versions([pieces]) == named for pieces in whole)
+    return not sample.exchanges and named <= _list_versions(made.values())
+
+
+def _join(pieces: list[hist.GeneratedPiece]) -> str:
+    """Return the text of pieces."""
+    return ''.join(piece.text for piece in pieces)
+
+
+def _list_versions(
+    exchanges: Iterable[list[hist.GeneratedPiece]],
+) -> set[int]:
+    """Return the versions that made some exchanges' pieces."""
+    return {piece.version for pieces in exchanges for piece in pieces}
 
 
 def _names(batch: hist.PulledBatch) -> list[str]:
--- a/guavagate/measure/outcomes/__init__.py
+++ b/guavagate/measure/outcomes/__init__.py
@@ -10,6 +10,7 @@
 from guavagate.measure.outcomes._fleet import Fleet
 from guavagate.measure.outcomes._requests import Requests
 from guavagate.measure.outcomes._run import Run, Workload, run_once
+from guavagate.measure.outcomes._steps import Steps
 from guavagate.measure.outcomes._upstream import Upstream
 
 __all__ = (
@@ -17,6 +18,7 @@
     'Add',
     'Counters',
     'Counts',
+    'Steps',
     'Total',
     'Faults',
     'Fleet',
--- a/guavagate/measure/outcomes/_run.py
+++ b/guavagate/measure/outcomes/_run.py
@@ -12,6 +12,7 @@
 from guavagate.measure.outcomes._faults import Faults, draw_faults
 from guavagate.measure.outcomes._fleet import Fleet
 from guavagate.measure.outcomes._requests import Requests
+from guavagate.measure.outcomes._steps import Steps
 from guavagate.measure.outcomes._upstream import Upstream
 from guavagate.partitions.replicated import Safeguards
 from guavagate.runtime import Runtime
@@ -111,7 +112,7 @@
 
 def _make_default() -> list[Workload]:
     """Make the workloads that a run has unless told otherwise."""
-    return [Requests(), Counts()]
+    return [Requests(), Counts(), Steps()]
 
 
 def _bring_all(
--- /dev/null
+++ b/guavagate/measure/outcomes/_steps.py
@@ -0,0 +1,277 @@
+"""A trainer that publishes, submits a step and pulls it through faults."""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
+
+from guavagate.clock import Task
+from guavagate.exceptions import GuavagateError, RefusalError
+from guavagate.measure import history as hist
+from guavagate.measure.outcomes._fleet import Fleet
+from guavagate.measure.outcomes._upstream import Upstream
+from guavagate.models import (
+    DeploymentId,
+    RunId,
+    SampleId,
+    TeamId,
+    WeightVersion,
+)
+from guavagate.runs import (
+    RUN_COMMANDS,
+    Batch,
+    FinishedSample,
+    GroupSpec,
+    RunAddress,
+    RunsClient,
+    RunsState,
+)
+from guavagate.runtime import Runtime
+
+_STEPS: Final = 3
+_GROUPS: Final = 4
+_SAMPLES: Final = 2
+_WORKERS: Final = 3
+_STALENESS: Final = 2
+_GENERATE: Final = (0.1, 1.5)
+_PUBLISH: Final = (1.0, 4.0)
+_PATIENCE: Final = 8.0
+_AT_ONCE: Final = 0.2
+
+_Result = TypeVar('_Result')
+
+
+class Steps:
+    """The workload of one trainer and its workers; see `Workload`."""
+
+    def __init__(self) -> None:
+        self.record: list[hist.Event] = []
+        self.answered = 0
+        self._clients: dict[str, RunsClient] = {}
+        self._address = RunAddress(
+            team=TeamId('team'),
+            deployment=DeploymentId('model'),
+            run=RunId('run'),
+        )
+        self._newest = 0
+        self._exchanges = 0
+        self._step = ''
+        self._done = False
+
+    def make_states(self, partition: Any) -> dict[Any, Any]:
+        """Make the runs' state."""
+        return dict.fromkeys(RUN_COMMANDS, RunsState())
+
+    def start_on(self, runtime: Runtime) -> None:
+        """Give an instance its client."""
+        self._clients[runtime.settings.id] = RunsClient(runtime)
+
+    def drive(
+        self, fleet: Fleet, upstream: Upstream, rng: random.Random
+    ) -> list[Task]:
+        """Start the trainer, its publications and the workers."""
+        self._fleet = fleet
+        self._rng = rng
+        spawn = fleet.clock.spawn
+        for _ in range(_WORKERS):
+            spawn(self._work)
+        spawn(self._publish_all)
+        return [spawn(self._train)]
+
+    def _train(self) -> None:
+        """Submit one step after the other and pull each whole."""
+        cursor = ''
+        self._until(lambda: self._newest > 0)
+        for number in range(_STEPS):
+            self._step = f'step-{number}'
+            self.record.append(
+                hist.SubmittedStep(
+                    at=self._fleet.clock.now(),
+                    run=self._address.run,
+                    step=self._step,
+                    groups=_GROUPS,
+                    samples_per_group=_SAMPLES,
+                )
+            )
+            self._until(self._submit)
+            cursor = self._pull_all(cursor)
+            self.answered += 1
+        self._done = True
+
+    def _pull_all(self, cursor: str) -> str:
+        """Pull until the step is whole; return the cursor then held."""
+        while True:
+            copies = 2 if self._rng.random() < _AT_ONCE else 1
+            calls = [
+                self._fleet.clock.spawn(self._pull, cursor)
+                for _ in range(copies)
+            ]
+            taken = None
+            for call in calls:
+                call.join()
+                taken = taken or call.value
+            if taken is None:
+                # Its replicas may be lost; submitting it again is harmless.
+                self._fleet.clock.sleep(0.2)
+                self._submit()
+                continue
+            cursor = taken.cursor
+            self._note(hist.Acked, cursor=cursor)
+            if taken.complete:
+                self._note(hist.StepDone)
+                return cursor
+
+    def _pull(self, cursor: str) -> Batch | None:
+        """Pull once at some instance; return a batch that may be taken."""
+        newest = self._newest
+        batch = self._call(
+            lambda client: client.pull(self._address, cursor, 3, 0.5)
+        )
+        if not isinstance(batch, Batch) or not batch.samples:
+            return None
+        samples = tuple(
+            hist.PulledSample(
+                sample=sample.sample_id,
+                versions=tuple(version for version, _ in sample.versions),
+                text=sample.text,
+            )
+            for sample in batch.samples
+        )
+        self._note(
+            hist.PulledBatch,
+            cursor=cursor,
+            follows=batch.cursor,
+            newest=newest,
+            samples=samples,
+        )
+        return batch if batch.follows == cursor else None
+
+    def _publish_all(self) -> None:
+        """Publish versions while the trainer trains."""
+        while not self._done:
+            self._fleet.clock.sleep(self._rng.uniform(*_PUBLISH))
+            self._until(self._publish)
+
+    def _publish(self) -> bool:
+        """Publish one version at some instance; say whether it is known."""
+        version = self._newest + 1
+        outcome = self._call(
+            lambda client: client.publish(self._address, WeightVersion(version))
+        )
+        if outcome is None:
+            return False
+        self._newest = version
+        self._note(
+            hist.PublishedVersion, version=version, max_staleness=_STALENESS
+        )
+        return True
+
+    def _submit(self) -> bool:
+        """Submit the step at some instance."""
+        groups = tuple(
+            GroupSpec(
+                group_id=f'g{group}',
+                prompt='p',
+                samples=_SAMPLES,
+                max_tokens=8,
+            )
+            for group in range(_GROUPS)
+        )
+        return (
+            self._call(
+                lambda client: client.submit_step(
+                    self._address, self._step, groups, _STALENESS
+                )
+            )
+            is not None
+        )
+
+    def _work(self) -> None:
+        """Generate samples of the step, some twice, some never entered."""
+        while not self._done:
+            step = self._step
+            version = self._newest
+            if not step or not version:
+                self._fleet.clock.sleep(0.5)
+                continue
+            self._exchanges += 1
+            exchange = f'x{self._exchanges}'
+            group = f'g{self._rng.randrange(_GROUPS)}'
+            name = f'{step}/{group}/{self._rng.randrange(_SAMPLES)}'
+            self._fleet.clock.sleep(self._rng.uniform(*_GENERATE))
+            self.record.append(
+                hist.GeneratedPiece(
+                    at=self._fleet.clock.now(),
+                    exchange=exchange,
+                    version=version,
+                    text=exchange,
+                    sample=name,
+                )
+            )
+            sample = FinishedSample(
+                sample_id=SampleId(name),
+                group_id=group,
+                text=exchange,
+                versions=((WeightVersion(version), 8),),
+            )
+            if self._rng.random() < 0.9:
+                self._finish(step, sample)
+
+    def _finish(self, step: str, sample: FinishedSample) -> None:
+        """Enter a sample at some instance."""
+        address = self._address
+        self._call(
+            lambda client: client.finish(
+                address.lineage, address.run, step, sample
+            )
+        )
+
+    def _until(self, act: Callable[[], bool]) -> None:
+        """Try until it is done."""
+        while not act():
+            self._fleet.clock.sleep(0.3)
+
+    def _call(self, ask: Callable[[RunsClient], _Result]) -> _Result | None:
+        """Ask at some running instance; nothing when it fails."""
+        running = self._fleet.running()
+        if not running:
+            self._fleet.clock.sleep(0.5)
+            return None
+        name = self._rng.choice(running)
+        task = self._fleet.host(name).clock.spawn(
+            self._guard, ask, self._clients[name]
+        )
+        try:
+            with self._fleet.clock.timeout(_PATIENCE, TimeoutError):
+                task.join()
+        except TimeoutError:
+            return None
+        answer = task.value
+        if isinstance(answer, RefusalError):
+            if answer.reason == 'unknown_step':
+                self._submit()
+            return None
+        if isinstance(answer, GuavagateError):
+            return None
+        return answer
+
+    def _guard(
+        self, ask: Callable[[RunsClient], Any], client: RunsClient
+    ) -> Any:
+        """Return an error rather than raise it."""
+        try:
+            return ask(client)
+        except GuavagateError as error:
+            return error
+
+    def _note(self, kind: Any, **fields: Any) -> None:
+        """Record an event of the run."""
+        if kind is not hist.PublishedVersion:
+            fields['step'] = self._step
+        self.record.append(
+            kind(
+                at=self._fleet.clock.now(),
+                run=self._address.run,
+                who='trainer',
+                **fields,
+            )
+        )
--- a/guavagate/partitions/_replica.py
+++ b/guavagate/partitions/_replica.py
@@ -49,6 +49,7 @@
     states: tuple[bytes, ...]
     applied: tuple[Applied, ...]
     horizon: float
+    lost_at: float = 0
 
 
 class Replica:
@@ -83,6 +84,7 @@
         self._applied: dict[str, Applied] = {}
         self._applied_bytes = 0
         self._horizon = float('-inf')
+        self._lost_at = float(0)
 
     def state_of(self, command: type[Command]) -> ReplicatedState:
         """Return the state that takes a command."""
@@ -166,6 +168,7 @@
         self._applied = {one.command: one for one in snapshot.applied}
         self._applied_bytes = sum(len(one.outcome) for one in snapshot.applied)
         self._horizon = snapshot.horizon
+        self._lost_at = snapshot.lost_at
         self._tail.clear()
         self._tail_bytes = 0
         self.position = message.position
@@ -197,6 +200,7 @@
             tuple(state.snapshot() for state in _distinct(self._states)),
             tuple(self._applied.values()),
             self._horizon,
+            self._lost_at,
         )
         return Install(
             partition=self.partition,
@@ -221,14 +225,21 @@
     def _run(self, entry: Entry) -> Outcome:
         """Apply a command to its state, or the loss of copies to all."""
         if entry.kind == CopiesLost.__name__:
-            lost = msgspec.msgpack.decode(entry.payload, type=CopiesLost)
-            for state in _distinct(self._states):
-                state.apply(lost)
-            return Outcome()
+            return self._lose(
+                msgspec.msgpack.decode(entry.payload, type=CopiesLost)
+            )
         kind = self._kinds[entry.kind]
         command: Command = msgspec.msgpack.decode(entry.payload, type=kind)
         return self._states[kind].apply(command)
 
+    def _lose(self, lost: CopiesLost) -> Outcome:
+        """Tell every state of a loss, once: each new primary repeats it."""
+        if lost.at > self._lost_at:
+            self._lost_at = lost.at
+            for state in _distinct(self._states):
+                state.apply(lost)
+        return Outcome()
+
     def _is_old(self, epoch: Epoch) -> bool:
         """Say whether a message's epoch is below the promised one."""
         return self._safeguards.fence and epoch < self.promised
--- a/guavagate/partitions/_state.py
+++ b/guavagate/partitions/_state.py
@@ -31,7 +31,8 @@
 
     Every state of the partition is told, without registering for it. From
     then on it must say "unknown" about whatever it does not hold and that
-    may be older than `at`. It may come more than once with the same time.
+    may be older than `at`. What it does hold may be of an older copy, so it
+    must not take that for the newest either. It comes once for each loss.
     """
 
 
--- a/guavagate/runs/_state.py
+++ b/guavagate/runs/_state.py
@@ -69,8 +69,11 @@
     def apply(self, command: Command) -> Outcome:
         """Apply one command and return its outcome."""
         if not isinstance(command, RunCommand):
-            # All replicas were lost: the runs are gone with them, and each
-            # trainer's cursor says what it has (see `_run.pull`).
+            # Replicas were lost, and one that is left may be older than what
+            # has been answered: by its newest version stale samples would be
+            # handed out. So the runs are gone with them, and each trainer's
+            # cursor says what it has (see `_run.pull`).
+            self.lineages.clear()
             return Outcome()
         lineage = self.lineages.setdefault(command.deployment, Lineage())
         if isinstance(command, PublishVersion):
