--- a/guavagate/measure/outcomes/_scenarios.py
+++ b/guavagate/measure/outcomes/_scenarios.py
@@ -146,6 +146,36 @@
     return run.is_broken(one)
 
 
+def restart_sealed_member(guards: Safeguards) -> bool:
+    """Show what `boot_ids` prevents.
+
+    A primary is paused and taken over. A member of both views is started
+    again, without its memory and its promise. The old primary wakes, brings
+    it up as its backup and makes up the majority that it lacks.
+    """
+    run = Counting('abc', guards)
+    primary, first, second = run.holders()
+    run.world.pause(primary)
+    run.block(primary, first)
+    run.block(primary, second)
+    run.clock.advance(2.6)
+    taken = run.fleet.primaries()[0]
+    lost = second if taken == first else first
+    run.add(taken)
+    run.clock.advance(0.1)
+    run.world.store.outage = True
+    run.world.kill(lost)
+    run.clock.advance(0.1)
+    run.fleet.restart(lost)
+    run.world.network.blocked.clear()
+    run.block(taken, lost)
+    run.block(taken, primary)
+    run.world.resume(primary)
+    run.add(primary)
+    run.clock.advance(1)
+    return run.is_broken(taken)
+
+
 def write_views_at_once(guards: Safeguards) -> bool:
     """Show what `conditional` prevents.
 
@@ -196,4 +226,5 @@
     'joint': go_on_by_old_view,
     'read_back': go_on_by_old_view,
     'conditional': write_views_at_once,
+    'boot_ids': restart_sealed_member,
 }
--- a/guavagate/measure/outcomes/_steps.py
+++ b/guavagate/measure/outcomes/_steps.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Any, Final, TypeVar
 
+import gevent
+
 from guavagate.clock import Task
 from guavagate.exceptions import GuavagateError, RefusalError
 from guavagate.measure import history as hist
@@ -246,6 +248,9 @@
         except TimeoutError:
             return None
         answer = task.value
+        # A killed instance's task ends with a value, too: its exit.
+        if isinstance(answer, gevent.GreenletExit):
+            return None
         if isinstance(answer, RefusalError):
             if answer.reason == 'unknown_step':
                 self._submit()
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -41,6 +41,8 @@
     [
         16,  # aborted attempt's record after a loss of all copies
         48,  # copies of a new view given up by an older view's time
+        80,  # a step lost with all its copies, and not submitted again
+        126,  # versions of an older copy taken for the newest after a loss
         133,  # a stopped instance that never exits
     ],
 )
