--- a/guavagate/measure/__main__.py
+++ b/guavagate/measure/__main__.py
@@ -17,6 +17,9 @@
     'cost': 'guavagate.measure._cost:cost',
     'outcomes': 'guavagate.measure.outcomes._command:outcomes',
     'cost-per-request': 'standins.cost:main',
+    'capacity': 'standins.capacity:main',
+    'lost-instance': 'standins.capacity:measure_loss',
+    'replacement': 'standins.replacement:main',
     'settings': 'guavagate.measure._settings:settings',
     'settings-real': 'standins.spread:main',
 }
--- a/guavagate/membership/_detector.py
+++ b/guavagate/membership/_detector.py
@@ -62,6 +62,10 @@
         self._heard_at = now
         self._ticked_at = now
         self._period_at = now
+        # Looked for only when something changed: going through all members
+        # at each tick would make the cost grow with the fleet.
+        self._suspects: list[InstanceId] = []
+        self._looked_at = self.table.changes
 
     def on_tick(self, now: float) -> list[Send]:
         """Do what is due; call about every tenth of a second."""
@@ -89,16 +93,21 @@
         if packet.act in {Act.PING, Act.ACK}:
             self.heard_facts[packet.sender] = packet.facts
         asked = self._take_header(address, packet, now)
-        self.take_claims(packet.updates, now)
+        # What a page tells is known to others; to pass it on as news again
+        # would fill the datagrams of everyone for minutes after a start.
+        self.take_claims(packet.updates, now, news=packet.act != Act.PAGE)
         return asked + self._answer(address, packet, now)
 
-    def take_claims(self, updates: Iterable[Update], now: float) -> None:
+    def take_claims(
+        self, updates: Iterable[Update], now: float, *, news: bool = True
+    ) -> None:
         """Take in claims and pass on what is news."""
         for update in updates:
             if update.id == self.identity.me.id:
                 self.identity.refute(update)
             elif self._apply(update, now):
-                self.identity.gossip.add(update)
+                if news:
+                    self.identity.gossip.add(update)
                 self._hasten(update, now)
 
     def leave(self, state: MemberState) -> list[Send]:
@@ -118,9 +127,9 @@
         With one other member the two cases can't be told apart, and the
         other is taken for dead.
         """
-        silent = now - self._heard_at
-        alone = len(self.table.reachable()) < 2
-        return not alone and DEAF_AFTER < silent < DEAF_LIMIT
+        if not DEAF_AFTER < now - self._heard_at < DEAF_LIMIT:
+            return False
+        return len(self.table.reachable()) > 1
 
     def isolated(self, now: float) -> bool:
         """Return whether others are known of but none has been heard."""
@@ -194,11 +203,14 @@
             self._period_at = min(self._period_at, now)
 
     def _bury_suspects(self, now: float) -> None:
-        if self.deaf(now):
+        if self._looked_at != self.table.changes:
+            self._looked_at = self.table.changes
+            self._suspects = self.table.suspects()
+            self._forget_facts()
+        if not self._suspects or self.deaf(now):
             return
-        for instance, member in self.table.members.items():
-            if member.state is not MemberState.SUSPECT:
-                continue
+        for instance in self._suspects:
+            member = self.table.members[instance]
             limit = (
                 CONFIRMED_SECONDS if member.confirmed() else SUSPICION_SECONDS
             )
@@ -213,6 +225,14 @@
                     accusers=accusers,
                 )
 
+    def _forget_facts(self) -> None:
+        """Drop what dead members said; ids of replaced ones never end."""
+        for instance in self.heard_facts.keys() - self.table.members.keys():
+            self.heard_facts.pop(instance)
+        for instance, member in self.table.members.items():
+            if not member.reachable():
+                self.heard_facts.pop(instance, None)
+
     def _forgive(self, now: float) -> None:
         """Start all timers anew after a pause of this process.
 
@@ -258,6 +278,8 @@
     after: Member,
 ) -> None:
     event = _EVENTS[after.state]
+    if after.state is MemberState.DEAD and update.by == update.id:
+        event = fleet.MEMBER_LEFT
     if before is not None and before[1] != after.contact.boot:
         event = fleet.MEMBER_RESTARTED
     elif before is not None and before[0] is after.state:
