Take a view that was written over for an error, not a crash

Cause: an object under views/ that is no view ended the task that looks after all partitions, since msgspec's error is none of ours. It is logged with its remedy (GG2005); its partition goes on and only can't change hands. A write that meets one is tried again rather than left half-way.

Measured: the test fails without it (the keeper's task ended) and passes with it.

--- a/guavagate/events/partitions.py
+++ b/guavagate/events/partitions.py
@@ -28,3 +28,9 @@
     'This process was paused and reads the views again before it answers',
     'find out why the process was not scheduled',
 )
+NOT_A_VIEW: Final = Event(
+    2005,
+    logging.ERROR,
+    'An object under views/ holds no view',
+    'write back its earlier value; its partition can not change hands',
+)
--- a/guavagate/partitions/_views.py
+++ b/guavagate/partitions/_views.py
@@ -1,10 +1,13 @@
 """Views in the object API, changed by conditional update alone."""
 
+import logging
 from typing import Final
 
 import msgspec
 
 from guavagate.clock import Clock
+from guavagate.events import write
+from guavagate.events.partitions import NOT_A_VIEW
 from guavagate.exceptions import (
     StoreConflictError,
     StoreError,
@@ -13,8 +16,9 @@
 from guavagate.models import PartitionId, Revision
 from guavagate.partitions._safeguards import Safeguards
 from guavagate.partitions._view import PREFIX, View, path_of
-from guavagate.ports.store import ObjectStore
+from guavagate.ports.store import ObjectStore, StoredObject
 
+_LOGGER = logging.getLogger(__name__)
 _SETTLE_PAUSE: Final = 0.2
 
 
@@ -33,12 +37,18 @@
         found = self._store.get(path_of(partition))
         if found is None:
             return None, Revision(0)
-        return msgspec.json.decode(found.value, type=View), found.version
+        return _decode(found), found.version
 
     def read_all(self) -> list[View]:
         """Return all views."""
         found, _ = self._store.list_under(PREFIX)
-        return [msgspec.json.decode(one.value, type=View) for one in found]
+        views: list[View] = []
+        for one in found:
+            try:
+                views.append(_decode(one))
+            except StoreError as error:
+                write(_LOGGER, NOT_A_VIEW, path=one.path, error=str(error))
+        return views
 
     def replace(
         self, view: View, expected: Revision, limit: float
@@ -52,7 +62,7 @@
         while True:
             try:
                 return self._write(view, expected)
-            except StoreUnavailableError:
+            except StoreError:
                 # The answer may be lost and the write in force. The same
                 # conditional write again can't take effect twice, and its
                 # conflict shows by the change id whether it had been ours.
@@ -70,10 +80,6 @@
             self._store.put(path_of(view.partition), raw, condition)
         except StoreConflictError:
             return self._read_newer(view.partition, expected)
-        except StoreUnavailableError:
-            raise
-        except StoreError as error:
-            raise StoreUnavailableError(error.problem, error.remedy) from error
         return view
 
     def _read_newer(self, partition: PartitionId, than: Revision) -> View:
@@ -84,3 +90,15 @@
                 'the object API answered from an old copy', 'ask it again'
             )
         return found
+
+
+def _decode(found: StoredObject) -> View:
+    """Read a view; one that others have written over raises."""
+    try:
+        return msgspec.json.decode(found.value, type=View)
+    except msgspec.MsgspecError as error:
+        raise StoreError(
+            f'{found.path} holds no view ({error})',
+            'write back its earlier value; until then its partition can not '
+            'change hands',
+        ) from error
--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -133,3 +133,25 @@
     task = fleet.add(left, timeout=8)
     fleet.clock.run_until(task.ready)
     assert task.get(block=False).total == 2
+
+
+def test_an_object_that_is_no_view_stops_only_its_change_of_hands() -> None:
+    """Someone writes over a view: commands are answered all the same.
+
+    The primary knows its view and goes on; nobody can take over until the
+    earlier value is written back.
+    """
+    fleet = _ready()
+    store = fleet.world.store
+    before = store.objects['views/0'].value
+    store.change('views/0', b'not a view')
+    fleet.clock.advance(400)
+    fleet.clock.run_until(fleet.add('a').ready)
+    primary = fleet.primary()
+    other = next(name for name in 'abc' if name != primary)
+    fleet.world.kill(primary)
+    fleet.clock.advance(10)
+    assert fleet.primary() == ''
+    store.change('views/0', before)
+    fleet.clock.advance(10)
+    assert fleet.total(other) == 1
