--- a/tests/test_partitions.py
+++ b/tests/test_partitions.py
@@ -1,7 +1,11 @@
 """Tests of replicated partitions under failures."""
 
-from guavagate.exceptions import NotAppliedError
-from guavagate.models import InstanceId
+import pytest
+
+from guavagate.exceptions import NotAppliedError, StoreError
+from guavagate.models import InstanceId, PartitionId
+from guavagate.partitions._views import Views
+from guavagate.partitions.replicated import Safeguards
 from tests.common import Fleet
 
 
@@ -135,23 +139,19 @@
     assert task.get(block=False).total == 2
 
 
-def test_an_object_that_is_no_view_stops_only_its_change_of_hands() -> None:
-    """Someone writes over a view: commands are answered all the same.
+def test_an_object_that_is_no_view_hides_no_other_view() -> None:
+    """Someone writes over one view; an instance that starts reads them all.
 
-    The primary knows its view and goes on; nobody can take over until the
-    earlier value is written back.
+    It learns the others, and an error with a remedy for this one, rather
+    than end the task that looks after all partitions.
     """
-    fleet = _ready()
-    store = fleet.world.store
-    before = store.objects['views/0'].value
-    store.change('views/0', b'not a view')
-    fleet.clock.advance(400)
-    fleet.clock.run_until(fleet.add('a').ready)
-    primary = fleet.primary()
-    other = next(name for name in 'abc' if name != primary)
-    fleet.world.kill(primary)
+    fleet = Fleet('abc', partitions=2)
     fleet.clock.advance(10)
-    assert fleet.primary() == ''
-    store.change('views/0', before)
-    fleet.clock.advance(10)
-    assert fleet.total(other) == 1
+    fleet.world.store.change('views/0', b'not a view')
+    views = Views(fleet.world.store_of('a'), fleet.clock, Safeguards())
+    found = fleet.clock.spawn(views.read_all)
+    broken = fleet.clock.spawn(views.read, PartitionId(0))
+    fleet.clock.advance(1)
+    assert [view.partition for view in found.get(block=False)] == [1]
+    with pytest.raises(StoreError, match='write back its earlier value'):
+        broken.get(block=False)
