Log an outage of the store once, not each second

During an outage each relay wrote GG4003 once a second, an hour of 3,600 lines, and an instance that waited GG4005 as often; a refused change named its remedy twice.

The first failure and the recovery (GG4011) are logged, the wait at its start and then every thirty rounds. What an instance asks at its start stands in one Sources object, so that each way of asking is a plain function.

--- a/guavagate/events/settings.py
+++ b/guavagate/events/settings.py
@@ -48,3 +48,6 @@
     'an object of the store is no settings record; it is passed over',
     'delete the object, then apply the settings with `guavagate settings`',
 )
+WATCH_WORKS: Final = Event(
+    4011, logging.INFO, 'the settings can be read from the store again'
+)
--- a/guavagate/settings/_force.py
+++ b/guavagate/settings/_force.py
@@ -27,7 +27,7 @@
     TeamSettings,
 )
 from guavagate.settings._spread import Spreader
-from guavagate.settings._start import learn_settings
+from guavagate.settings._start import Sources, learn_settings
 from guavagate.settings._status import InstanceStatus, collect_status
 from guavagate.settings._table import LOGGER, SettingsTable
 from guavagate.settings._writer import DEFAULT_LIMIT, SettingsWriter, Wanted
@@ -192,13 +192,15 @@
 
     def _learn(self) -> None:
         learn_settings(
-            self._clock,
-            self._store,
-            self.table,
-            self._exchange,
-            self._freshness,
-            self._peer_ids,
-            self._dice,
+            Sources(
+                clock=self._clock,
+                store=self._store,
+                table=self.table,
+                exchange=self._exchange,
+                freshness=self._freshness,
+                peers=self._peer_ids,
+                dice=self._dice,
+            )
         )
 
     def _pass_on_change(self, team: TeamId) -> None:
--- a/guavagate/settings/_relay.py
+++ b/guavagate/settings/_relay.py
@@ -86,6 +86,7 @@
         self._heard = heard
         self._learnt = learnt
         self.is_active = False
+        self._failing = False
 
     def run(self) -> None:
         """Follow the store whenever chosen; never returns."""
@@ -111,12 +112,12 @@
             # Changes were missed: the next round lists everything again.
             return
         except StoreError as error:
-            write(_LOGGER, events.WATCH_FAILED, error=str(error))
+            self._note_failure(error)
             self._clock.sleep(_RETRY_PAUSE)
 
     def _list_and_watch(self) -> None:
         found, since = read_all(self._store)
-        self._heard()
+        self._note_answer()
         for stored in found:
             self._take(stored)
         self._restore_lost(found)
@@ -125,7 +126,7 @@
             changes, reached = self._store.watch(
                 SETTINGS_PREFIX, since, WATCH_TIMEOUT
             )
-            self._heard()
+            self._note_answer()
             if reached < since:
                 # The store went back in time: its list tells how far.
                 return
@@ -133,6 +134,18 @@
             for change in changes:
                 self._take(_decode(change))
 
+    def _note_failure(self, error: StoreError) -> None:
+        # Once for an outage: it may last for hours, and is tried each second.
+        if not self._failing:
+            write(_LOGGER, events.WATCH_FAILED, error=str(error))
+        self._failing = True
+
+    def _note_answer(self) -> None:
+        self._heard()
+        if self._failing:
+            write(_LOGGER, events.WATCH_WORKS)
+        self._failing = False
+
     def _take(self, stored: Stored | None) -> None:
         if stored is None or stored.record is None:
             return
--- a/guavagate/settings/_start.py
+++ b/guavagate/settings/_start.py
@@ -6,6 +6,7 @@
 its restart.
 """
 
+import dataclasses
 import random
 from collections.abc import Callable
 from typing import Final
@@ -24,58 +25,69 @@
 _STORE_TIMEOUT: Final = 3.0
 _PAUSE: Final = 1.0
 _PEERS_ASKED: Final = 8
+# Rounds between two log lines, for it may wait for hours.
+_LOG_EVERY: Final = 30
 
 
-def learn_settings(
-    clock: Clock,
-    store: ObjectStore,
-    table: SettingsTable,
-    exchange: Exchange,
-    freshness: Freshness,
-    peers: Callable[[], list[InstanceId]],
-    dice: random.Random,
-) -> None:
-    """Return once the settings are known, however long that takes."""
+@dataclasses.dataclass(frozen=True)
+class Sources:
+    """Where an instance that starts can learn the settings."""
+
+    clock: Clock
+    store: ObjectStore
+    table: SettingsTable
+    exchange: Exchange
+    freshness: Freshness
+    peers: Callable[[], list[InstanceId]]
+    dice: random.Random
 
-    def ask_store() -> bool:
-        try:
-            found = _read_bounded(clock, store, table)
-        except StoreError as error:
-            write(LOGGER, events.WATCH_FAILED, error=str(error))
-            return False
-        freshness.hear_store()
-        return found
-
-    def ask_peer(peer: InstanceId) -> bool:
-        try:
-            known = exchange.learn_from(peer)
-        except LinkError:
-            return False
-        if known:
-            freshness.hear_peer()
-        return known
 
+def learn_settings(sources: Sources) -> None:
+    """Return once the settings are known, however long that takes."""
+    rounds = 0
     while True:
-        known = peers()
-        asked = dice.sample(known, min(_PEERS_ASKED, len(known)))
-        tasks = [clock.spawn(ask_store)]
-        tasks.extend(clock.spawn(ask_peer, peer) for peer in asked)
+        peers = sources.peers()
+        asked = sources.dice.sample(peers, min(_PEERS_ASKED, len(peers)))
+        spawn = sources.clock.spawn
+        tasks = [spawn(_ask_store, sources)]
+        tasks.extend(spawn(_ask_peer, sources, peer) for peer in asked)
         answers = [task.get() for task in tasks]
         if any(answers):
             return
-        write(LOGGER, events.NOT_KNOWN, asked=['object API', *asked])
-        clock.sleep(_PAUSE)
+        if rounds % _LOG_EVERY == 0:
+            write(LOGGER, events.NOT_KNOWN, asked=['object API', *asked])
+        rounds += 1
+        sources.clock.sleep(_PAUSE)
+
+
+def _ask_store(sources: Sources) -> bool:
+    try:
+        _read_bounded(sources.clock, sources.store, sources.table)
+    except StoreError as error:
+        LOGGER.debug('no list of the settings: %s', error)
+        return False
+    sources.freshness.hear_store()
+    return True
+
+
+def _ask_peer(sources: Sources, peer: InstanceId) -> bool:
+    try:
+        known = sources.exchange.learn_from(peer)
+    except LinkError:
+        return False
+    if known:
+        sources.freshness.hear_peer()
+    return known
 
 
 def _read_bounded(
     clock: Clock, store: ObjectStore, table: SettingsTable
-) -> bool:
+) -> None:
     with clock.timeout(_STORE_TIMEOUT, _tell_slow):
         found, _ = read_all(store)
     for stored in found:
         if stored.record is not None:
             table.offer(stored.record)
-    return True
 
 
 def _tell_slow() -> StoreError:
--- a/guavagate/settings/_writer.py
+++ b/guavagate/settings/_writer.py
@@ -275,15 +275,17 @@
             return
 
     def _give_up(self) -> SettingsError | StoreError:
+        problem = self._last.problem if self._last else 'no answer'
         if self._unsure:
             return SettingsUnsureError(
                 f'the store may or may not have taken the change of'
-                f' {self._wanted.team!r}: {self._last}',
+                f' {self._wanted.team!r}: {problem}',
                 'repeat it with the same change id, which never applies it'
                 f' twice: {self._wanted.change_id}',
             )
-        problem = f'the change was not accepted: {self._last}'
-        return StoreUnavailableError(problem, 'try again later')
+        return StoreUnavailableError(
+            f'the change was not accepted: {problem}', 'try again later'
+        )
 
 
 def read_record(store: ObjectStore, team: TeamId) -> Stored:
