--- a/guavagate/membership/_detector.py
+++ b/guavagate/membership/_detector.py
@@ -93,16 +93,21 @@
         if packet.act in {Act.PING, Act.ACK}:
             self.heard_facts[packet.sender] = packet.facts
         asked = self._take_header(address, packet, now)
-        self.take_claims(packet.updates, now)
+        # What a page tells is known to others; to pass it on as news again
+        # would fill the datagrams of everyone for minutes after a start.
+        self.take_claims(packet.updates, now, news=packet.act != Act.PAGE)
         return asked + self._answer(address, packet, now)
 
-    def take_claims(self, updates: Iterable[Update], now: float) -> None:
+    def take_claims(
+        self, updates: Iterable[Update], now: float, *, news: bool = True
+    ) -> None:
         """Take in claims and pass on what is news."""
         for update in updates:
             if update.id == self.identity.me.id:
                 self.identity.refute(update)
             elif self._apply(update, now):
-                self.identity.gossip.add(update)
+                if news:
+                    self.identity.gossip.add(update)
                 self._hasten(update, now)
 
     def leave(self, state: MemberState) -> list[Send]:
@@ -201,6 +206,7 @@
         if self._looked_at != self.table.changes:
             self._looked_at = self.table.changes
             self._suspects = self.table.suspects()
+            self._forget_facts()
         if not self._suspects or self.deaf(now):
             return
         for instance in self._suspects:
@@ -219,6 +225,14 @@
                     accusers=accusers,
                 )
 
+    def _forget_facts(self) -> None:
+        """Drop what dead members said; ids of replaced ones never end."""
+        for instance in self.heard_facts.keys() - self.table.members.keys():
+            self.heard_facts.pop(instance)
+        for instance, member in self.table.members.items():
+            if not member.reachable():
+                self.heard_facts.pop(instance, None)
+
     def _forgive(self, now: float) -> None:
         """Start all timers anew after a pause of this process.
 
--- a/guavagate/partitions/_replicated.py
+++ b/guavagate/partitions/_replicated.py
@@ -72,7 +72,9 @@
             clock=runtime.clock,
             bus=runtime.bus,
             alive=runtime.members.alive,
+            find=runtime.members.get,
             safeguards=guards,
+            decide=runtime.decisions.record,
             rng=source,
             make_id=make_id if rng is None else lambda: _draw_id(source),
         )
