--- a/guavagate/settings/_relay.py
+++ b/guavagate/settings/_relay.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from typing import Final
 
-import xxhash
-
 from guavagate.clock import Clock
 from guavagate.events import settings as events
 from guavagate.events import write
@@ -29,6 +27,7 @@
 from guavagate.settings._schema import PeerSettings
 from guavagate.settings._table import SettingsTable
 from guavagate.settings._writer import SettingsWriter, Stored
+from guavagate.util.rendezvous import rank
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -49,13 +48,7 @@
     candidates = [
         peer.id for peer in instances if peer.availability_zone == zone
     ]
-    if not candidates:
-        return None
-    return max(candidates, key=lambda instance: _weigh(zone, instance))
-
-
-def _weigh(zone: str, instance: InstanceId) -> int:
-    return xxhash.xxh64_intdigest(f'settings/{zone}/{instance}'.encode())
+    return next(iter(rank(f'settings/{zone}', candidates)), None)
 
 
 def read_all(store: ObjectStore) -> tuple[list[Stored], Revision]:
