Follow settings on when a subscriber fails

A subscriber that raised ended the task that had brought the change: with the relay's task gone, the instance served on by old settings and called itself ready.

Each subscriber is called on its own; a failure is GG4012 with the team, and the change stays in force. The test fails without the guard (three tasks die with the KeyError).

--- a/guavagate/events/settings.py
+++ b/guavagate/events/settings.py
@@ -51,3 +51,9 @@
 WATCH_WORKS: Final = Event(
     4011, logging.INFO, 'the settings can be read from the store again'
 )
+NOT_TAKEN: Final = Event(
+    4012,
+    logging.ERROR,
+    'a part of this instance failed to take settings that are in force',
+    'replace the instance, and report it with the log lines around it',
+)
--- a/guavagate/settings/_force.py
+++ b/guavagate/settings/_force.py
@@ -215,7 +215,7 @@
                 f'{record.change.who}: {record.change.why}',
             )
         for changed in self._subscribers:
-            changed(team)
+            _call(changed, team)
 
     def _is_relay(self) -> bool:
         chosen = choose_relay(
@@ -248,5 +248,16 @@
         return known
 
 
+def _call(changed: Callable[[TeamId], None], team: TeamId) -> None:
+    # A subscriber that fails would end the task that brought the change, and
+    # with it every later change: the instance would serve by old settings and
+    # call itself ready.
+    try:
+        changed(team)
+    except Exception as error:
+        write(LOGGER, events.NOT_TAKEN, team=team, error=repr(error))
+        LOGGER.debug('not taken', exc_info=error)
+
+
 def _plain(revisions: dict[TeamId, Revision]) -> dict[TeamId, int]:
     return {team: int(revisions[team]) for team in revisions}
--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -6,7 +6,7 @@
 from guavagate.exceptions import StoreUnavailableError
 from guavagate.measure.fakes import FakeMembers
 from guavagate.measure.settings import TEAM, SettingsFleet, measure_spread
-from guavagate.models import InstanceId, Revision
+from guavagate.models import InstanceId, Revision, TeamId
 from guavagate.ports.store import StoredObject
 from guavagate.settings import (
     SettingsConflictError,
@@ -374,6 +374,25 @@
     assert not status[InstanceId('i2')].lag
 
 
+def test_a_part_that_fails_does_not_stop_later_changes() -> None:
+    """A subscriber raises at each change; the instance still follows.
+
+    The failure used to end the task that holds the watch or takes messages,
+    and the instance served on by old settings, ready as before.
+    """
+    fleet = _fleet()
+
+    def fail(team: TeamId) -> None:
+        raise KeyError(team)
+
+    for name in _NINE:
+        fleet.teams[name].subscribe(fail)
+    for base in (1, 2):
+        assert isinstance(fleet.change('i1', base, 5), SettingsRecord)
+        fleet.world.clock.advance(2)
+    assert fleet.revisions() == {3}
+
+
 def test_a_stopped_peer_is_shown_but_holds_up_nobody() -> None:
     """A replaced instance stays in its peers' files, and serves nobody.
 
