--- a/standins/_roles.py
+++ b/standins/_roles.py
@@ -15,6 +15,7 @@
     engine,
     object_api,
     plain,
+    relay,
     scoring,
     trainer,
     weights,
@@ -28,6 +29,7 @@
     'object-api': (object_api.ObjectApiOptions, object_api.make_app),
     'engine': (engine.EngineOptions, engine.make_app),
     'plain': (plain.PlainOptions, plain.make_app),
+    'relay': (relay.RelayOptions, relay.make_app),
     'scoring': (scoring.ScoringOptions, scoring.make_app),
     'weights': (weights.WeightStoreOptions, weights.make_app),
 }
--- a/standins/cost.py
+++ b/standins/cost.py
@@ -1,14 +1,16 @@
 """Measures what one request and one streamed event cost an instance.
 
-The same requests are sent to a bare engine and through instances, at the same
-rate; processor time is that of the instances' processes, less what they use
-at rest.
+The same requests are sent to bare engines, through a bare relay of the same
+libraries, and through instances, at the same rate. Processor time is that of
+the relay's or the instances' processes, less what they use at rest.
 """
 
 import json
 import random
 import tempfile
 import time
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any, Final
 
@@ -136,6 +138,13 @@
         times = [process.cpu_times() for process in self._processes]
         return sum(one.user + one.system for one in times)
 
+    def rest(self, seconds: float) -> float:
+        """Return the share of a core that they use at rest."""
+        gevent.sleep(1)
+        before = self.read()
+        gevent.sleep(seconds)
+        return (self.read() - before) / seconds
+
 
 def measure(instances: int, rate: float, seconds: float) -> dict[str, Any]:
     """Return the figures of one run."""
@@ -155,42 +164,48 @@
         for process in fleet.processes
         if process.role == 'engine'
     )
+    relay = fleet.start_standin('relay', 'relay', {'engine': engines[0]})
+    fleet.wait_for_addresses()
     entries = tuple(one.addresses['http'] for one in fleet.instances)
     token = make_token(_TEAM, _CALLER)
-    meter = _Meter([one.pid for one in fleet.instances])
-    run_load(_load(entries, token, rate, 2.0, SHORT))
-    gevent.sleep(1)
-    before = meter.read()
-    gevent.sleep(seconds)
-    idle = (meter.read() - before) / seconds
-    figures: dict[str, Any] = {
-        'instances': len(entries),
-        'requests_per_second': rate,
-        'idle_share_of_a_core': idle / len(entries),
-    }
+    figures: dict[str, Any] = {'requests_per_second': rate}
+    bare = {}
+    for tokens in (SHORT, LONG):
+        bare[tokens] = run_load(_load(engines, '', rate, seconds, tokens))
+    for name, addresses, pids in (
+        ('relay', (relay.addresses['http'],), [relay.pid]),
+        ('guavagate', entries, [one.pid for one in fleet.instances]),
+    ):
+        load = partial(_load, addresses, token, rate, seconds)
+        figures[name] = _measure_one(load, bare, _Meter(pids))
+    return figures
+
+
+def _measure_one(
+    load: Callable[[int], Load], bare: dict[int, Latencies], meter: '_Meter'
+) -> dict[str, Any]:
+    """Load some processes and compare them with the bare engines."""
+    run_load(load(SHORT))
+    idle = meter.rest(load(SHORT).seconds)
+    figures: dict[str, Any] = {'idle_share_of_a_core': idle}
     costs = {}
     for tokens in (SHORT, LONG):
-        bare = run_load(_load(engines, '', rate, seconds, tokens))
         before, start = meter.read(), time.monotonic()
-        through = run_load(_load(entries, token, rate, seconds, tokens))
+        through = run_load(load(tokens))
         used = meter.read() - before - idle * (time.monotonic() - start)
-        count = max(through.whole.get_total_count(), 1)
-        costs[tokens] = used / count
-        figures[f'{tokens}_tokens'] = _compare(bare, through, costs[tokens])
+        costs[tokens] = used / max(through.whole.get_total_count(), 1)
+        figures[f'{tokens}_tokens'] = _compare(bare[tokens], through)
     slope = (costs[LONG] - costs[SHORT]) / (LONG - SHORT)
     figures['cpu_us_per_event'] = slope * _MICROSECONDS
     figures['cpu_ms_per_request'] = (costs[SHORT] - slope * SHORT) * 1000
     return figures
 
 
-def _compare(
-    bare: Latencies, through: Latencies, cost: float
-) -> dict[str, Any]:
+def _compare(bare: Latencies, through: Latencies) -> dict[str, Any]:
     """Return the latencies side by side, in milliseconds."""
     row: dict[str, Any] = {
         'answered': through.whole.get_total_count(),
         'failed': through.failed,
-        'cpu_ms': cost * 1000,
     }
     for name in ('first', 'whole'):
         for quantile in (50, 99):
@@ -251,12 +266,16 @@
     if as_json:
         click.echo(json.dumps(figures, indent=2))
         return
+    _show(figures, '')
+
+
+def _show(figures: dict[str, Any], prefix: str) -> None:
+    """Print figures, one a line."""
     for name, figure in figures.items():
         if isinstance(figure, dict):
-            for inner, value in figure.items():
-                click.echo(f'{name:<10} {inner:<20} {value}')
+            _show(figure, f'{prefix}{name} ')
         else:
-            click.echo(f'{name:<31} {figure:.3f}')
+            click.echo(f'{prefix + name:<48} {figure}')
 
 
 if __name__ == '__main__':
