Count a step that never came whole as lost

Cause: the trainer waits 30 s for its last step after it was told to stop, but the verdict looked at complete steps alone; a step that hung was not seen.

--- a/standins/demo/_verdict.py
+++ b/standins/demo/_verdict.py
@@ -24,8 +24,8 @@
     unknown
         Ended with a refusal that leaves the outcome open.
     lost
-        Requests without an answer or a refusal, and samples that a complete
-        step lacks.
+        Requests without an answer or a refusal, and samples of submitted
+        steps that never came.
     problems
         Each broken promise in a line.
     """
@@ -151,8 +151,10 @@
         once = sum(count == 1 for count in counts.values())
         summary.delivered_once += once
         summary.doubled += len(counts) - once
-    for step in done:
-        summary.lost += max(wanted.get(step, 0) - len(taken[step]), 0)
+    # The trainer waits for its last step as well, so one that is not whole in
+    # the end has lost samples, too.
+    for step, count in wanted.items():
+        summary.lost += max(count - len(taken[step]), 0)
     summary.versions = len(list(_pick(events, hist.PublishedVersion)))
 
 
--- a/tests/test_demo_verdict.py
+++ b/tests/test_demo_verdict.py
@@ -107,6 +107,14 @@
         (lambda: _pull_again((_sample('x', [1, 2]),)), 'doubled'),
         (lambda: _pull_again((_sample('z', [1]),), newest=4), 'stale'),
         (lambda: _ask('w-2', 'write', 9)[:2], 'lost'),
+        (
+            lambda: [
+                hist.SubmittedStep(
+                    at=9, run='r', step='late', groups=1, samples_per_group=2
+                )
+            ],
+            'lost',
+        ),
         (
             lambda: [hist.StepDone(at=9, run='r', step='never')],
             'problems',
@@ -140,6 +148,7 @@
         'delivered twice',
         'stale',
         'no answer',
+        'step that never came',
         'step without samples',
         'wrong version',
         "another's answer",
