Tell a connection that was not made in time as not started

Cause: when a request's own time limit ended while the connection was still being made, it was reported as maybe run, so a write got an unknown outcome although no byte had gone out. The pool notes who waits for a connection. Ruled out: catching the timer inside the pool; it may belong to whoever called us. A test with a full listen queue fails without the change.

--- a/guavagate/integrations/_http.py
+++ b/guavagate/integrations/_http.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Final
 
+import gevent
 from gevent import socket
 from geventhttpclient.client import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
@@ -52,6 +53,8 @@
         self._clock = clock
         self._keep = keep
         self._idle_since: dict[socket.socket, float] = {}
+        # Tasks that wait for a connection: nothing of theirs has been sent.
+        self.connecting: set[gevent.Greenlet] = set()
 
     def return_socket(self, sock: socket.socket) -> None:
         """Keep the connection for reuse, or close it."""
@@ -72,10 +75,13 @@
 
     def _create_socket(self) -> socket.socket:
         """Connect; a failure here is certainly before any byte was sent."""
+        task = gevent.getcurrent()
+        self.connecting.add(task)
         try:
             sock = super()._create_socket()
         except OSError as error:
             raise _ConnectError(str(error)) from error
+        self.connecting.discard(task)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return sock
 
@@ -86,7 +92,8 @@
     def __init__(self, clock: Clock, address: str, keep: int) -> None:
         host, _, port = address.rpartition(':')
         super().__init__(host, int(port), disable_ipv6=True)
-        self._connection_pool = _Pool(clock, keep, host, int(port))
+        self.pool = _Pool(clock, keep, host, int(port))
+        self._connection_pool = self.pool
 
 
 class Connections:
@@ -126,8 +133,19 @@
             Some of the request may have gone out.
         """
         client = self._client(address, reuse=reuse)
-        with _judge(address), self._within(address, timeout):
-            return client.request(method, path, body, dict(headers or {}))
+        waiting = client.pool.connecting
+
+        def late() -> UpstreamError:
+            silent = _silence(address, timeout)()
+            if gevent.getcurrent() not in waiting:
+                return silent
+            return UpstreamNotStartedError(silent.problem, silent.remedy)
+
+        try:
+            with _judge(address), self.clock.timeout(timeout, late):
+                return client.request(method, path, body, dict(headers or {}))
+        finally:
+            waiting.discard(gevent.getcurrent())
 
     def read(self, address: str, answer: Response, timeout: float) -> bytes:
         """Read a whole body; a cut one raises `UpstreamError`."""
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -92,3 +92,24 @@
             connections.read(address, answer, 5)
         connections.close()
     assert len(accepted) == 2
+
+
+def test_a_connection_that_is_not_made_in_time_is_not_started() -> None:
+    """The upstream's host answers nothing, so no byte has been sent.
+
+    The request's own time limit ends the wait for the connection: the work
+    may be given to another upstream, also when it must not run twice.
+    """
+    with socket() as full:
+        full.bind(('127.0.0.1', 0))
+        full.listen(0)
+        place = full.getsockname()
+        waiting = [socket() for _ in range(4)]
+        for one in waiting:
+            one.setblocking(0)
+            one.connect_ex(place)
+        connections = Connections(SystemClock())
+        with pytest.raises(UpstreamNotStartedError):
+            connections.send(f'127.0.0.1:{place[1]}', 'POST', '/', timeout=0.2)
+        for one in waiting:
+            one.close()
