Tell homes of slow streams, and show two patterns at their first loads

Entries now report once a stream, after eight tokens; long-at-full-load and tight-stragglers stand in the table beside them with the same aims.

--- a/guavagate/decisions/__init__.py
+++ b/guavagate/decisions/__init__.py
@@ -17,12 +17,14 @@
     Safeguard,
     Work,
 )
+from guavagate.decisions.ejection import SLOW_STREAM
 from guavagate.decisions.pool import Pool
 from guavagate.decisions.pools import PoolView, choose_pool
 from guavagate.decisions.tail import weigh_swap
 
 __all__ = (
     'ALL_SAFEGUARDS',
+    'SLOW_STREAM',
     'Decision',
     'Kind',
     'Placement',
--- a/guavagate/measure/_load.py
+++ b/guavagate/measure/_load.py
@@ -122,9 +122,18 @@
 
 def measure_long_among_short(policy: Policy, seed: int) -> Figures:
     """At 95 % load one request in twenty is twenty times as long."""
+    return _mix_lengths(policy, seed, 0.95)
+
+
+def measure_long_at_full_load(policy: Policy, seed: int) -> Figures:
+    """At full load one request in twenty is twenty times as long."""
+    return _mix_lengths(policy, seed, 1)
+
+
+def _mix_lengths(policy: Policy, seed: int, load: float) -> Figures:
     rng = np.random.default_rng(seed)
     mean = _TOKENS * (1 + _LONG_SHARE * (_LONG_FACTOR - 1))
-    rate = 0.95 * capacity(mean, SAMPLERS, SLOTS)
+    rate = load * capacity(mean, SAMPLERS, SLOTS)
     end = 300.0
     requests = []
     for caller in range(4):
--- a/guavagate/measure/_patterns.py
+++ b/guavagate/measure/_patterns.py
@@ -108,6 +108,16 @@
                 'order-shortest',
             ),
         ),
+        Pattern(
+            name='long-at-full-load',
+            measure=_load.measure_long_at_full_load,
+            aims=(
+                Aim(figure='short_stretch_p95', limit=3),
+                Aim(figure='long_worst_of_fifo', limit=2),
+            ),
+            shown=('short_stretch_p99', 'p50_s', 'p99_s'),
+            against=(FIFO, 'without-order', 'without-reserve'),
+        ),
         Pattern(
             name='overload',
             measure=_load.measure_overload,
@@ -143,6 +153,16 @@
             shown=('staleness_mean', 'staleness_max', 'copies'),
             against=(FIFO, 'without-tail', 'without-order', 'without-ejection'),
         ),
+        Pattern(
+            name='tight-stragglers',
+            measure=_trainers.measure_tight_stragglers,
+            aims=(
+                Aim(figure='step_of_bound', limit=1.1),
+                Aim(figure='trainer_idle_share', limit=0.03),
+            ),
+            shown=('staleness_mean', 'staleness_max', 'copies'),
+            against=(FIFO, 'without-tail'),
+        ),
         Pattern(
             name='stalled-sampler',
             measure=_trainers.measure_stalled_sampler,
--- a/guavagate/measure/_trainers.py
+++ b/guavagate/measure/_trainers.py
@@ -39,6 +39,8 @@
 # A trainer's time for a step, by the clairvoyant time to generate a mean one:
 # samplers are bought so that a trainer, the dearer part, needn't wait.
 _TRAIN_RATIO: Final = 1.1
+# The same aims are shown for a trainer that is nearly as fast as the samplers.
+_TIGHT_RATIO: Final = 1.04
 # Steps that a trainer lets be generated ahead: with one in training and one
 # in generation, a sample is at most one version old when it is used.
 _AHEAD: Final = 2
@@ -71,10 +73,19 @@
 
 def measure_stragglers(policy: Policy, seed: int) -> Figures:
     """Generate steps of 256 long-tailed samples; one sampler is slow."""
+    return _make_steps(policy, seed, _TRAIN_RATIO)
+
+
+def measure_tight_stragglers(policy: Policy, seed: int) -> Figures:
+    """Generate the same steps for a trainer nearly as fast as samplers."""
+    return _make_steps(policy, seed, _TIGHT_RATIO)
+
+
+def _make_steps(policy: Policy, seed: int, ratio: float) -> Figures:
     rng = np.random.default_rng(seed)
     step_s = _full_seconds(256) * SAMPLERS / _HEALTHY
     trainer = TrainerModel(
-        run='consent', samples=256, steps=16, train_s=_TRAIN_RATIO * step_s
+        run='consent', samples=256, steps=16, train_s=ratio * step_s
     )
     simulation = _run(policy, [trainer], rng, seed, slow_every=step_s)
     bounds = [
--- a/guavagate/permits/_client.py
+++ b/guavagate/permits/_client.py
@@ -29,6 +29,7 @@
     PermitReply,
     Release,
     ReleasePermit,
+    ReportSlow,
     RunCopy,
     WithdrawWork,
 )
@@ -170,6 +171,20 @@
             )
         )
 
+    def report_slow(self, permit: Permit, pace: float) -> None:
+        """Tell the home of a slow stream; `pace` in seconds a token."""
+        report = ReportSlow(
+            pool=permit.pool,
+            work_id=permit.work_id,
+            upstream=permit.upstream,
+            pace=pace,
+        )
+        home = self._home(permit.pool)
+        if home == self._me:
+            self._homes.take_slow(report)
+        elif home is not None:
+            self._runtime.bus.send(home, report)
+
     def _send_release(self, message: ReleasePermit) -> None:
         home = self._home(message.pool)
         if home == self._me:
--- a/guavagate/permits/_generate.py
+++ b/guavagate/permits/_generate.py
@@ -7,10 +7,11 @@
 
 import collections
 from collections.abc import Iterator
+from typing import Final
 
 import msgspec
 
-from guavagate.decisions import Work
+from guavagate.decisions import SLOW_STREAM, Work
 from guavagate.exceptions import (
     RefusalError,
     UpstreamError,
@@ -23,6 +24,9 @@
 from guavagate.permits._progress import Progress, add_piece
 from guavagate.ports.engine import Generation, ModelEngine, Piece
 
+# A pace over fewer tokens than this says more of one pause than of a sampler.
+PACE_TOKENS: Final = 8
+
 
 class AnswerSource(msgspec.Struct, frozen=True, kw_only=True):
     """Where one answer comes from; `token_timeout` is in seconds."""
@@ -41,6 +45,7 @@
     first_token_at: float | None = None
     tokens: int = 0
     ended: Release = Release.CANCELLED
+    told_slow: bool = False
 
 
 def stream_answer(
@@ -168,6 +173,7 @@
     try:
         for piece in pieces:
             _measure(exchange, piece, client.now())
+            _watch_pace(client, exchange)
             add_piece(progress, piece, permit.upstream)
             yield piece
     except UpstreamError:
@@ -188,6 +194,20 @@
         exchange.ended = Release.DONE
 
 
+def _watch_pace(client: PermitClient, exchange: _Exchange) -> None:
+    """Tell the home once when the stream is far below its expected pace."""
+    expected = exchange.permit.expected_pace
+    first = exchange.first_token_at
+    if exchange.told_slow or not expected or first is None:
+        return
+    if exchange.tokens < PACE_TOKENS:
+        return
+    pace = (client.now() - first) / exchange.tokens
+    if pace > SLOW_STREAM * expected:
+        exchange.told_slow = True
+        client.report_slow(exchange.permit, pace)
+
+
 def _release(
     client: PermitClient,
     exchange: _Exchange,
--- a/guavagate/permits/_home.py
+++ b/guavagate/permits/_home.py
@@ -13,6 +13,7 @@
 
 from guavagate.decisions import (
     ALL_SAFEGUARDS,
+    Placement,
     Pool,
     PoolSettings,
     Refused,
@@ -40,6 +41,7 @@
     PermitReply,
     Release,
     ReleasePermit,
+    ReportSlow,
 )
 from guavagate.permits._owned import OwnedPool, Seat
 from guavagate.permits._reclaim import FindMissing, Reclaimer
@@ -183,6 +185,17 @@
                 owned.adopt(sender, held, now)
         self.move(owned)
 
+    def take_slow(self, report: ReportSlow) -> None:
+        """Learn that a stream is slow, long before its end tells."""
+        owned = self._owned.get(report.pool)
+        if owned is not None:
+            owned.pool.progress(
+                report.work_id,
+                SamplerId(report.upstream),
+                report.pace,
+                self._runtime.clock.now(),
+            )
+
     def mark_leaving(self, owned: OwnedPool, sampler: SamplerId) -> None:
         """Give an upstream no new work from now on."""
         if sampler in owned.leaving:
@@ -212,7 +225,7 @@
         if now < owned.grants_from:
             return
         for placement in owned.pool.place(now):
-            self._grant(owned, placement.work.id, placement.sampler, now)
+            self._grant(owned, placement, now)
             record(self._runtime, placement.decision)
 
     def _offer(
@@ -259,17 +272,15 @@
             return PermitReply()
 
     def _grant(
-        self,
-        owned: OwnedPool,
-        work_id: RequestId,
-        sampler: SamplerId,
-        now: float,
+        self, owned: OwnedPool, placement: Placement, now: float
     ) -> None:
+        work_id = placement.work.id
         seat = owned.seats.pop(work_id, None)
         if seat is None:
             owned.pool.cancel(work_id, now)
             return
-        permit = owned.grant(seat, sampler, now)
+        pace = placement.expected_pace
+        permit = owned.grant(seat, placement.sampler, now, pace)
         seat.answer.set(PermitReply(permit=permit))
 
     def _take_over(self, spec: PoolSpec) -> None:
--- a/guavagate/permits/_messages.py
+++ b/guavagate/permits/_messages.py
@@ -50,12 +50,16 @@
 
 
 class Permit(msgspec.Struct, frozen=True, kw_only=True):
-    """The right to run one piece of work on one upstream."""
+    """The right to run one piece of work on one upstream.
+
+    `expected_pace` is in seconds a token; zero when nothing is expected.
+    """
 
     pool: PoolKey
     work_id: RequestId
     upstream: UpstreamId
     address: str
+    expected_pace: float = 0
 
 
 class PermitRefusal(msgspec.Struct, frozen=True, kw_only=True):
@@ -93,6 +97,21 @@
     permit: Permit
 
 
+class ReportSlow(Message, frozen=True, kw_only=True):
+    """An entry sees a stream at far less than the pace it was placed for.
+
+    Parameters
+    ----------
+    pace
+        Seconds a token, measured.
+    """
+
+    pool: PoolKey
+    work_id: RequestId
+    upstream: UpstreamId
+    pace: float
+
+
 class WithdrawWork(Message, frozen=True, kw_only=True):
     """The entry no longer waits; a permit on its way is given back."""
 
--- a/guavagate/permits/_owned.py
+++ b/guavagate/permits/_owned.py
@@ -54,15 +54,19 @@
         deadline = now + ask.remaining if ask.remaining else math.inf
         return msgspec.structs.replace(ask.work, deadline=deadline)
 
-    def grant(self, seat: Seat, sampler: SamplerId, now: float) -> Permit:
+    def grant(
+        self, seat: Seat, sampler: SamplerId, now: float, pace: float = 0
+    ) -> Permit:
         """Enter a permit for a seat's work."""
-        permit = self.make_permit(seat.work.id, sampler)
+        permit = self.make_permit(seat.work.id, sampler, pace)
         self.granted[seat.work.id] = Grant(
             entry=seat.entry, permit=permit, at=now
         )
         return permit
 
-    def make_permit(self, work_id: RequestId, sampler: SamplerId) -> Permit:
+    def make_permit(
+        self, work_id: RequestId, sampler: SamplerId, pace: float = 0
+    ) -> Permit:
         """Return a permit with the sampler's address."""
         address = next(
             (one.address for one in self.spec.members if one.id == sampler), ''
@@ -72,6 +76,7 @@
             work_id=work_id,
             upstream=UpstreamId(sampler),
             address=address,
+            expected_pace=pace,
         )
 
     def adopt(self, entry: InstanceId, held: HeldPermit, now: float) -> None:
--- a/guavagate/permits/_service.py
+++ b/guavagate/permits/_service.py
@@ -7,6 +7,7 @@
     AskPermit,
     HeldPermits,
     ReleasePermit,
+    ReportSlow,
     WithdrawWork,
 )
 from guavagate.runtime import Runtime
@@ -28,7 +29,11 @@
     def take_held(sender: InstanceId, message: Message) -> None:
         homes.take_held(sender, expect(message, HeldPermits))
 
+    def take_slow(sender: InstanceId, message: Message) -> None:
+        homes.take_slow(expect(message, ReportSlow))
+
     runtime.bus.register(AskPermit, ask)
+    runtime.bus.register(ReportSlow, take_slow)
     runtime.bus.register(ReleasePermit, release)
     runtime.bus.register(WithdrawWork, withdraw)
     runtime.bus.register(HeldPermits, take_held)
