--- a/guavagate/measure/outcomes/_faults.py
+++ b/guavagate/measure/outcomes/_faults.py
@@ -44,8 +44,11 @@
         self._world = fleet.world
 
     def bring(self, name: str) -> None:
-        """Bring about one fault now."""
+        """Bring about one fault now; count it under its name, too."""
+        before = len(self.held)
         FAULTS[name](self)
+        if len(self.held) > before:
+            self.held.append(name)
 
     def heal(self) -> None:
         """End every fault that lasts and start the dead again."""
@@ -245,7 +248,10 @@
 
 def _kill_several(faults: Faults, count: int) -> None:
     """Kill holders of one partition, the primary first, shortly after."""
-    for name in faults.holders()[:count]:
+    holders = faults.holders()[:count]
+    if holders:
+        faults.note(f'{len(holders)} copies to be killed')
+    for name in holders:
         faults.later(0, 1, functools.partial(faults.kill, name))
 
 
