--- a/guavagate/settings/_relay.py
+++ b/guavagate/settings/_relay.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable
 from typing import Final
 
-import xxhash
-
 from guavagate.clock import Clock
 from guavagate.events import settings as events
 from guavagate.events import write
@@ -29,6 +27,7 @@
 from guavagate.settings._schema import PeerSettings
 from guavagate.settings._table import SettingsTable
 from guavagate.settings._writer import SettingsWriter, Stored
+from guavagate.util.rendezvous import rank
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -49,13 +48,7 @@
     candidates = [
         peer.id for peer in instances if peer.availability_zone == zone
     ]
-    if not candidates:
-        return None
-    return max(candidates, key=lambda instance: _weigh(zone, instance))
-
-
-def _weigh(zone: str, instance: InstanceId) -> int:
-    return xxhash.xxh64_intdigest(f'settings/{zone}/{instance}'.encode())
+    return next(iter(rank(f'settings/{zone}', candidates)), None)
 
 
 def read_all(store: ObjectStore) -> tuple[list[Stored], Revision]:
@@ -86,6 +79,7 @@
         self._heard = heard
         self._learnt = learnt
         self.is_active = False
+        self._failing = False
 
     def run(self) -> None:
         """Follow the store whenever chosen; never returns."""
@@ -111,12 +105,12 @@
             # Changes were missed: the next round lists everything again.
             return
         except StoreError as error:
-            write(_LOGGER, events.WATCH_FAILED, error=str(error))
+            self._note_failure(error)
             self._clock.sleep(_RETRY_PAUSE)
 
     def _list_and_watch(self) -> None:
         found, since = read_all(self._store)
-        self._heard()
+        self._note_answer()
         for stored in found:
             self._take(stored)
         self._restore_lost(found)
@@ -125,7 +119,7 @@
             changes, reached = self._store.watch(
                 SETTINGS_PREFIX, since, WATCH_TIMEOUT
             )
-            self._heard()
+            self._note_answer()
             if reached < since:
                 # The store went back in time: its list tells how far.
                 return
@@ -133,6 +127,18 @@
             for change in changes:
                 self._take(_decode(change))
 
+    def _note_failure(self, error: StoreError) -> None:
+        # Once for an outage: it may last for hours, and is tried each second.
+        if not self._failing:
+            write(_LOGGER, events.WATCH_FAILED, error=str(error))
+        self._failing = True
+
+    def _note_answer(self) -> None:
+        self._heard()
+        if self._failing:
+            write(_LOGGER, events.WATCH_WORKS)
+        self._failing = False
+
     def _take(self, stored: Stored | None) -> None:
         if stored is None or stored.record is None:
             return
