--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,48 @@
+"""Tests that the pages say what is there."""
+
+import json
+import pathlib
+import re
+
+import pytest
+
+from guavagate.decisions import RefusalReason
+
+_ROOT = pathlib.Path(__file__).parents[1]
+_PAGES = (_ROOT / 'README.md', *sorted((_ROOT / 'docs').rglob('*.md')))
+_API = (_ROOT / 'docs' / 'api.md').read_text('utf-8')
+_LINK = re.compile(r'\]\(([^)#:\s]+)(?:#[^)]*)?\)')
+_REASON = re.compile(r"\breason='([a-z]+(?:_[a-z]+)*)'")
+_CODE = re.compile('^[|] `([a-z_]+)` [|] [45]', re.MULTILINE)
+
+
+def _find_blocks(text: str, kind: str) -> list[str]:
+    """Return the contents of a page's fenced blocks of one kind."""
+    return re.findall(rf'^```{kind}\n(.*?)^```$', text, re.DOTALL | re.M)
+
+
+def test_the_examples_of_the_api_are_json() -> None:
+    """A reader can send each example as it stands."""
+    blocks = _find_blocks(_API, 'json')
+    assert len(blocks) > 10
+    for block in blocks:
+        assert isinstance(json.loads(block), dict)
+
+
+@pytest.mark.parametrize(
+    'page', _PAGES, ids=lambda page: str(page.relative_to(_ROOT))
+)
+def test_relative_links_lead_somewhere(page: pathlib.Path) -> None:
+    """Each relative link names a file or folder of the repository."""
+    links = _LINK.findall(page.read_text('utf-8'))
+    assert [one for one in links if not (page.parent / one).exists()] == []
+
+
+def test_every_refusal_is_in_the_table() -> None:
+    """What the code refuses with is what the page lists."""
+    folders = ('auth', 'callers', 'ledger', 'operators', 'permits', 'runs')
+    refused = {reason.value for reason in RefusalReason}
+    for folder in (*folders, 'trainers', 'web'):
+        for module in (_ROOT / 'guavagate' / folder).rglob('*.py'):
+            refused.update(_REASON.findall(module.read_text('utf-8')))
+    assert set(_CODE.findall(_API)) >= refused
