Tell a trainer when all steps of its run were lost

The state keeps that it was lost, and answers unknown_step until the run is submitted again; the refusal also asks to publish the newest version again, without which nothing is fresh.

--- a/guavagate/runs/_client.py
+++ b/guavagate/runs/_client.py
@@ -220,8 +220,9 @@
         )
     if batch.verdict is Verdict.UNKNOWN_STEP:
         raise RefusalError(
-            f'step {batch.step_id!r} is not known; its replicas were lost',
-            'submit the step again, then pull with the same cursor',
+            f'step {batch.step_id!r} is not known; all replicas were lost',
+            'publish your newest version and submit your steps again, then'
+            ' pull with the same cursor',
             reason='unknown_step',
             status=409,
         )
--- a/guavagate/runs/_state.py
+++ b/guavagate/runs/_state.py
@@ -7,6 +7,7 @@
 from guavagate.models import DeploymentId, RunId, SampleId, WeightVersion
 from guavagate.partitions import Command, Outcome
 from guavagate.runs._commands import (
+    Batch,
     ConfirmOrder,
     FinishSample,
     KeepCursor,
@@ -60,6 +61,7 @@
     """The whole state on the wire."""
 
     lineages: dict[DeploymentId, Lineage]
+    lost: bool = False
 
 
 class RunsState:
@@ -67,6 +69,7 @@
 
     def __init__(self) -> None:
         self.lineages: dict[DeploymentId, Lineage] = {}
+        self.lost = False
         self._pending: dict[tuple[DeploymentId, RunId], Pending] = {}
 
     def apply(self, command: Command) -> Outcome:
@@ -77,6 +80,8 @@
             # handed out. So the runs are gone with them, and each trainer's
             # cursor says what it has (see `_run.pull`).
             self.lineages.clear()
+            self._pending.clear()
+            self.lost = True
             return Outcome()
         lineage = self.lineages.setdefault(command.deployment, Lineage())
         if isinstance(command, PublishVersion):
@@ -87,6 +92,8 @@
         if run is None:
             run = Run(run=command.run, incarnation=f'{command.at:.6f}')
             lineage.runs[command.run] = run
+        if isinstance(command, PullBatch) and self._has_lost(run):
+            return Batch(verdict=Verdict.UNKNOWN_STEP, follows=command.cursor)
         before = _mark(run)
         outcome = _apply_to_run(lineage, run, command)
         key = (command.deployment, run.run)
@@ -98,12 +105,15 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state, for a new backup."""
-        return msgspec.msgpack.encode(_Snapshot(lineages=self.lineages))
+        return msgspec.msgpack.encode(
+            _Snapshot(lineages=self.lineages, lost=self.lost)
+        )
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the state by a snapshot."""
         decoded = msgspec.msgpack.decode(snapshot, type=_Snapshot)
         self.lineages = decoded.lineages
+        self.lost = decoded.lost
         self._pending.clear()
 
     def newest(self, deployment: DeploymentId) -> WeightVersion | None:
@@ -131,6 +141,14 @@
             found[run.run] = self._pending[key]
         return found
 
+    def _has_lost(self, run: Run) -> bool:
+        """Tell whether a run's steps may have been lost with all replicas.
+
+        A trainer whose only step was lost right after its submit would pull
+        nothing for ever; told that no step is known, it submits again.
+        """
+        return self.lost and not run.digests
+
     def _forget_finished(
         self,
         key: tuple[DeploymentId, RunId],
