Refuse every malformed request at the edge, with nothing run

A body cut short, a malformed chunk, and a deadline of 400 digits were answered with 500 and not_run unknown; after a malformed chunk the rest of the body was read as the next request. A decoded path went to the upstream as it was, so that a space in it was a 500 here. Versions and seeds wider than 64 bits were taken.

Ruled out: a limit in falcon's handlers alone, as these faults lie below it.

--- a/guavagate/callers/__init__.py
+++ b/guavagate/callers/__init__.py
@@ -12,7 +12,9 @@
 from guavagate.callers._once import make_id
 from guavagate.callers._services import Services, ServicesSink
 
-SERVICE_ROUTE = re.compile(r'^/v1/services/(?P<service>[^/]+)/?(?P<path>.*)$')
+SERVICE_ROUTE = re.compile(
+    r'^/v1/services/(?P<service>[^/]+)/?(?P<path>.*)$', re.DOTALL
+)
 
 
 def add_routes(
--- a/guavagate/callers/_request.py
+++ b/guavagate/callers/_request.py
@@ -73,7 +73,7 @@
         return DEFAULT_DEADLINE
     try:
         seconds = int(text) / 1000
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         raise _refuse_deadline(text) from error
     if not 0 < seconds <= MAX_DEADLINE:
         raise _refuse_deadline(text)
--- a/guavagate/callers/_services.py
+++ b/guavagate/callers/_services.py
@@ -1,6 +1,8 @@
 """``/v1/services/{service}/…``: plain services, all methods."""
 
 import logging
+from typing import Final
+from urllib.parse import quote
 
 import falcon
 import msgspec
@@ -44,6 +46,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_PATH_SAFE: Final = "/:@!$&'()*+,;=~"
 # Not passed on: they concern this exchange alone, or are our callers' secret.
 _OWN_HEADERS = frozenset(
     ('AUTHORIZATION', 'HOST', 'CONNECTION', 'CONTENT-LENGTH', 'EXPECT')
@@ -246,7 +249,9 @@
     return ServiceRequest(
         exchange=opened.id,
         method=request.method,
-        path=f'/{path}{query}',
+        # The server has decoded the path. A space or a line's end in it would
+        # break the upstream's request line in two.
+        path=f'/{quote(path, safe=_PATH_SAFE)}{query}',
         headers=headers,
         body=read_body(request),
         key=read_key(request),
--- a/guavagate/callers/_shapes.py
+++ b/guavagate/callers/_shapes.py
@@ -10,6 +10,8 @@
 MAX_TOKENS: Final = 131_072
 
 Tokens = Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)]
+# Wider integers have no place in the messages between instances.
+Seed = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 Temperature = Annotated[float, msgspec.Meta(ge=0, le=2)]
 
 
@@ -20,7 +22,7 @@
     prompt: str
     max_tokens: Tokens = DEFAULT_MAX_TOKENS
     temperature: Temperature = 1.0
-    seed: int | None = None
+    seed: Seed | None = None
     stop: str | list[str] | None = None
     stream: bool = False
 
@@ -40,7 +42,7 @@
     max_tokens: Tokens | None = None
     max_completion_tokens: Tokens | None = None
     temperature: Temperature = 1.0
-    seed: int | None = None
+    seed: Seed | None = None
     stop: str | list[str] | None = None
     stream: bool = False
 
--- a/guavagate/trainers/_resources.py
+++ b/guavagate/trainers/_resources.py
@@ -50,7 +50,7 @@
 class VersionBody(msgspec.Struct, frozen=True, kw_only=True):
     """The body of a published version."""
 
-    version: Annotated[int, msgspec.Meta(ge=0)]
+    version: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class BatchBody(msgspec.Struct, frozen=True, kw_only=True):
--- a/guavagate/web/_bodies.py
+++ b/guavagate/web/_bodies.py
@@ -29,9 +29,7 @@
             status=413,
         )
     if length:
-        body = request.bounded_stream.read(length)
-        _check_whole(body, length)
-        return body
+        return _read_announced(request, length)
     return _read_chunked(request, limit)
 
 
@@ -64,7 +62,10 @@
 def _read_chunked(request: falcon.Request, limit: int) -> bytes:
     if not request.env.get('wsgi.input_terminated'):
         return b''
-    body = request.env['wsgi.input'].read(limit + 1)
+    try:
+        body: bytes = request.env['wsgi.input'].read(limit + 1)
+    except OSError as error:
+        raise _refuse_cut('the chunked body is malformed or cut') from error
     if len(body) > limit:
         raise RefusalError(
             f'the body has more than {limit} bytes',
@@ -75,13 +76,24 @@
     return body
 
 
-def _check_whole(body: bytes, length: int) -> None:
-    if len(body) == length:
-        return
-    # A caller that dies while sending leaves a body that may still parse;
-    # run, it would be a request that nobody sent in this form.
-    raise RefusalError(
-        f'the body ended after {len(body)} of {length} bytes',
+def _read_announced(request: falcon.Request, length: int) -> bytes:
+    """Return a body of announced length, or refuse a part of it.
+
+    A caller that dies while sending leaves a body that may still parse; run,
+    it would be a request that nobody sent in this form.
+    """
+    try:
+        body = request.bounded_stream.read(length)
+    except OSError as error:
+        raise _refuse_cut(f'the body has not {length} bytes') from error
+    if len(body) < length:
+        raise _refuse_cut(f'the body ended after {len(body)} bytes')
+    return body
+
+
+def _refuse_cut(problem: str) -> RefusalError:
+    return RefusalError(
+        problem,
         'send the whole body, or a correct Content-Length',
         reason='body_cut_short',
         status=400,
--- a/guavagate/web/_errors.py
+++ b/guavagate/web/_errors.py
@@ -2,6 +2,7 @@
 
 import logging
 import math
+from typing import Final
 
 import falcon
 import msgspec
@@ -13,6 +14,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# The rest of such a body is still to come on the connection; kept open, its
+# bytes would be taken for the next request.
+UNREAD_BODY: Final = frozenset(('body_cut_short', 'body_too_large'))
+
 
 class ErrorDetail(msgspec.Struct, frozen=True, kw_only=True):
     """The error object of a refusal."""
@@ -60,6 +65,8 @@
     response.status = refusal.status
     response.content_type = falcon.MEDIA_JSON
     response.data = refusal_body(refusal)
+    if refusal.reason in UNREAD_BODY:
+        response.set_header('Connection', 'close')
     if refusal.retry_after is not None:
         seconds = max(1, math.ceil(refusal.retry_after))
         response.set_header('Retry-After', str(seconds))
