--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,8 +1,11 @@
 """Tests that the pages say what is there."""
 
 import json
+import os
 import pathlib
 import re
+import shlex
+import subprocess
 
 import pytest
 
@@ -46,3 +49,39 @@
         for module in (_ROOT / 'guavagate' / folder).rglob('*.py'):
             refused.update(_REASON.findall(module.read_text('utf-8')))
     assert set(_CODE.findall(_API)) >= refused
+
+
+def _find_checked() -> list[str]:
+    """Return the commands of all blocks that are marked as checked."""
+    blocks = [
+        block
+        for page in _PAGES
+        for block in _find_blocks(page.read_text('utf-8'), 'console')
+    ]
+    return [
+        line.removeprefix('$ ')
+        for block in blocks
+        if block.startswith('# checked\n')
+        for line in block.splitlines()
+        if line.startswith('$ ')
+    ]
+
+
+def test_some_commands_are_checked() -> None:
+    """Without any, the test below would pass for nothing."""
+    assert _find_checked()
+
+
+@pytest.mark.parametrize('command', _find_checked())
+def test_a_checked_command_runs_as_printed(command: str) -> None:
+    """A reader who copies it gets no error."""
+    path = f'{_ROOT / ".venv" / "bin"}:{os.environ["PATH"]}'
+    ended = subprocess.run(
+        shlex.split(command),
+        cwd=_ROOT,
+        env={**os.environ, 'PATH': path},
+        capture_output=True,
+        check=False,
+        timeout=60,
+    )
+    assert ended.returncode == 0, ended.stderr
