--- a/guavagate/measure/slopes/_command.py
+++ b/guavagate/measure/slopes/_command.py
@@ -3,6 +3,7 @@
 import click
 import msgspec
 
+from guavagate.measure.slopes._bus import measure_bus
 from guavagate.measure.slopes._fit import Slope
 from guavagate.measure.slopes._permits import measure_permits
 from guavagate.measure.slopes._runs import measure_runs
@@ -10,7 +11,7 @@
 
 def measure_all() -> list[Slope]:
     """Return every slope."""
-    return [*measure_runs(), *measure_permits()]
+    return [*measure_runs(), *measure_permits(), *measure_bus()]
 
 
 @click.command('slopes')
--- a/guavagate/permits/__init__.py
+++ b/guavagate/permits/__init__.py
@@ -6,7 +6,12 @@
     hash_prefixes,
 )
 from guavagate.permits._client import FailedAttempt, PermitClient
-from guavagate.permits._directory import PoolSpec, find_home, list_pools
+from guavagate.permits._directory import (
+    MAX_POOL,
+    PoolSpec,
+    find_home,
+    list_pools,
+)
 from guavagate.permits._generate import (
     AnswerSource,
     describe_failure,
@@ -30,6 +35,7 @@
 from guavagate.permits._service import serve_homes
 
 __all__ = (
+    'MAX_POOL',
     'AnswerSource',
     'AskPermit',
     'FailedAttempt',
--- a/guavagate/weights/_rollout.py
+++ b/guavagate/weights/_rollout.py
@@ -28,7 +28,13 @@
     SWAP_SEEN,
 )
 from guavagate.exceptions import PartitionError, UpstreamError
-from guavagate.models import DeploymentId, Epoch, RunId, SamplerId
+from guavagate.models import (
+    DeploymentId,
+    Epoch,
+    RunId,
+    SamplerId,
+    WeightVersion,
+)
 from guavagate.ports.engine import EngineOrder, EngineReport, ModelEngine
 from guavagate.runs import (
     ConfirmOrder,
@@ -50,12 +56,19 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# While a sampler is behind, its report is read at this pace; new weights have
-# to be on all samplers within seconds.
+# While a sampler carries out an order its report is read at this pace; new
+# weights have to be on all samplers within seconds.
 TICK_SECONDS: Final = 0.25
-# When all have the target, reports are only read to find one that restarted.
-IDLE_SECONDS: Final = 2.0
+# One that is behind and waits its turn for an order.
+WAITING_SECONDS: Final = 2.0
+# One that has the target is only read to find that it has restarted. Until
+# then its home, which reads its reports each second, places nothing there
+# that would be stale; 730 samplers read every two seconds would cost their
+# primary a quarter of a core (docs/CAPACITY.md).
+IDLE_SECONDS: Final = 60.0
 REPORT_TIMEOUT: Final = 1.0
+# A fetch that has not come by then has failed, and is ordered again.
+FETCH_SECONDS: Final = 60.0
 ORDER_TIMEOUT: Final = 10.0
 # A confirmation is good for less time than any takeover takes.
 CONFIRM_SECONDS: Final = 1.0
@@ -69,13 +82,14 @@
 
     epoch: Epoch
     since: float
-    read_at: float = float('-inf')
+    target: WeightVersion | None = None
+    read_next: dict[SamplerId, float] = msgspec.field(default_factory=dict)
     confirmed_at: float = float('-inf')
     allowance: float = 0
     refilled_at: float
-    converged: bool = False
     reports: dict[SamplerId, EngineReport] = msgspec.field(default_factory=dict)
     ordered: dict[SamplerId, OrderKind] = msgspec.field(default_factory=dict)
+    fetching: dict[SamplerId, float] = msgspec.field(default_factory=dict)
 
 
 class WeightRollout:
@@ -130,26 +144,29 @@
         if lineage is None or lineage.epoch != epoch:
             lineage = _Lineage(epoch=epoch, since=now, refilled_at=now)
             self._lineages[name] = lineage
-        newest = state.newest(name)
-        versions = {one.version for one in lineage.reports.values()}
-        lineage.converged = versions == {newest} and len(
-            lineage.reports
-        ) == len(deployment.samplers)
-        pause = IDLE_SECONDS if lineage.converged else TICK_SECONDS
-        if now - lineage.read_at < pause:
-            return
-        lineage.read_at = now
-        self._read(lineage, deployment)
+        if lineage.target != state.newest(name):
+            lineage.target = state.newest(name)
+            lineage.read_next.clear()
+            lineage.fetching.clear()
+        self._read(lineage, deployment, now)
         if self._may_order(lineage, deployment):
             self._order(name, lineage, deployment, state)
 
-    def _read(self, lineage: _Lineage, deployment: DeploymentSettings) -> None:
+    def _read(
+        self, lineage: _Lineage, deployment: DeploymentSettings, now: float
+    ) -> None:
+        """Read the reports that are due."""
         tasks = [
             self._runtime.clock.spawn(self._read_one, lineage, sampler)
             for sampler in deployment.samplers
+            if lineage.read_next.get(sampler.id, now) <= now
         ]
         for task in tasks:
             task.join()
+        for sampler in deployment.samplers:
+            if lineage.read_next.get(sampler.id, now) <= now:
+                pause = _pause_of(lineage, sampler.id)
+                lineage.read_next[sampler.id] = now + pause
 
     def _read_one(self, lineage: _Lineage, sampler: SamplerSettings) -> None:
         before = lineage.reports.get(sampler.id)
@@ -194,6 +211,7 @@
             if order.kind is OrderKind.PREFETCH:
                 lineage.allowance -= 1
             lineage.ordered[order.sampler] = order.kind
+            lineage.read_next.pop(order.sampler, None)
             self._runtime.clock.spawn(
                 self._give, name, lineage, addresses[order.sampler], order
             )
@@ -233,13 +251,31 @@
                 prefetched=frozenset(lineage.reports[sampler.id].prefetched),
                 running=lineage.reports[sampler.id].running,
                 slots=sampler.slots,
-                ordered=lineage.ordered.get(sampler.id),
+                ordered=self._find_order(lineage, sampler.id),
             )
             for sampler in deployment.samplers
             if sampler.id in lineage.reports
             and not lineage.reports[sampler.id].leaving
         ]
 
+    def _find_order(
+        self, lineage: _Lineage, sampler: SamplerId
+    ) -> OrderKind | None:
+        """Return the order that a sampler is carrying out.
+
+        An engine answers a prefetch at once and fetches for a while; ordered
+        again meanwhile, it would fetch twice under the store's rate limit.
+        """
+        until = lineage.fetching.get(sampler)
+        if until is not None:
+            report = lineage.reports[sampler]
+            late = self._runtime.clock.now() > until
+            if late or lineage.target in report.prefetched:
+                lineage.fetching.pop(sampler)
+            else:
+                return OrderKind.PREFETCH
+        return lineage.ordered.get(sampler)
+
     def _confirm(
         self, name: DeploymentId, lineage: _Lineage, order: WeightOrder
     ) -> bool:
@@ -286,6 +322,7 @@
             )
         finally:
             lineage.ordered.pop(order.sampler, None)
+            lineage.read_next.pop(order.sampler, None)
 
     def _send(
         self,
@@ -321,3 +358,16 @@
             ),
             ORDER_TIMEOUT,
         )
+        if order.kind is OrderKind.PREFETCH:
+            until = self._runtime.clock.now() + FETCH_SECONDS
+            lineage.fetching[order.sampler] = until
+
+
+def _pause_of(lineage: _Lineage, sampler: SamplerId) -> float:
+    """Return the seconds after which a sampler's report is read again."""
+    report = lineage.reports.get(sampler)
+    if report is not None and report.version == lineage.target:
+        return IDLE_SECONDS
+    if sampler in lineage.ordered or sampler in lineage.fetching:
+        return TICK_SECONDS
+    return WAITING_SECONDS
--- /dev/null
+++ b/tests/weights/test_rollout.py
@@ -0,0 +1,188 @@
+"""The rollout of weights while engines fail and primaries change."""
+
+from collections import Counter
+
+import pytest
+
+from guavagate.clock import PausedClock
+from guavagate.exceptions import NotAppliedError, UpstreamError
+from guavagate.measure.fakes import FakeTeams, NoDecisions, World
+from guavagate.models import (
+    DeploymentId,
+    Epoch,
+    InstanceId,
+    RunId,
+    WeightVersion,
+)
+from guavagate.partitions import LocalPartitions
+from guavagate.ports.engine import EngineOrder, EngineReport
+from guavagate.runs import RUN_COMMANDS, PublishVersion, RunsState
+from guavagate.runtime import Runtime
+from guavagate.settings import parse_team_settings
+from guavagate.weights import WeightRollout
+
+_LINEAGE = DeploymentId('trust/coach-models')
+_SAMPLERS = '\n'.join(
+    f'[[deployments.samplers]]\nid = "s{n}"\naddress = "s{n}:1"\n'
+    'availability_zone = "jhb-east"'
+    for n in range(4)
+)
+
+
+class Engines:
+    """Four engines; fetches take a second, and some swaps fail."""
+
+    def __init__(self, clock: PausedClock) -> None:
+        self.clock = clock
+        self.versions = {f's{n}:1': WeightVersion(1) for n in range(4)}
+        self.fetched: dict[str, dict[WeightVersion, float]] = {}
+        self.orders: list[tuple[str, EngineOrder]] = []
+        self.fail_swaps = 0
+        self.reads = 0
+
+    def report(self, address: str, timeout: float) -> EngineReport:
+        """Return an engine's report."""
+        self.reads += 1
+        ready = self.fetched.get(address, {})
+        return EngineReport(
+            version=self.versions[address],
+            prefetched=tuple(
+                version
+                for version, at in ready.items()
+                if at <= self.clock.now()
+            ),
+        )
+
+    def order(self, address: str, order: EngineOrder, timeout: float) -> None:
+        """Carry out an order."""
+        self.orders.append((address, order))
+        assert order.version is not None
+        if order.action == 'prefetch':
+            ready = self.fetched.setdefault(address, {})
+            ready.setdefault(order.version, self.clock.now() + 1)
+            return
+        if self.fail_swaps:
+            self.fail_swaps -= 1
+            raise UpstreamError('swap failed', 'order it again')
+        self.versions[address] = order.version
+
+    def count(self, action: str) -> Counter[str]:
+        """Return how often each engine was given an order."""
+        return Counter(
+            address for address, order in self.orders if order.action == action
+        )
+
+
+class Primary:
+    """One primary that decides the deployment's weights."""
+
+    def __init__(self, *, fences: bool = True) -> None:
+        self.world = World(1)
+        host = self.world.add('a')
+        self.clock = self.world.clock
+        self.engines = Engines(self.clock)
+        self.state = RunsState()
+        self.epoch = Epoch(1)
+        me = InstanceId('a')
+        team = parse_team_settings(
+            'team = "trust"\n[[deployments]]\nid = "coach-models"\n'
+            f'fences_orders = {str(fences).lower()}\n{_SAMPLERS}'
+        )
+        self.partitions = LocalPartitions(
+            me, dict.fromkeys(RUN_COMMANDS, self.state)
+        )
+        runtime = Runtime(
+            settings=self.world.settings_of('a'),
+            clock=host.clock,
+            bus=self.world.bus('a'),
+            store=self.world.store_of('a'),
+            members=self.world.members[me],
+            teams=FakeTeams([team]),
+            partitions=self.partitions,
+            decisions=NoDecisions(),
+        )
+        self.rollout = WeightRollout(
+            runtime,
+            self.engines,  # type: ignore[arg-type]
+            lambda: [(self.epoch, self.state)],
+            lambda lineage: 1,
+        )
+        self.publish(1)
+        self.rollout.start()
+
+    def publish(self, version: int) -> None:
+        """Publish a version."""
+        self.state.apply(
+            PublishVersion(
+                at=self.clock.wall(),
+                deployment=_LINEAGE,
+                run=RunId('r'),
+                version=WeightVersion(version),
+            )
+        )
+
+
+def test_all_samplers_get_new_weights_and_each_fetches_once() -> None:
+    """Fetch, swap, read back; at rest the reports are hardly read."""
+    primary = Primary()
+    primary.clock.advance(3)
+    primary.publish(2)
+    primary.clock.advance(12)
+    assert set(primary.engines.versions.values()) == {WeightVersion(2)}
+    assert set(primary.engines.count('prefetch').values()) == {1}
+    before = primary.engines.reads
+    primary.clock.advance(60)
+    assert primary.engines.reads - before <= 8
+
+
+def test_a_swap_that_fails_is_ordered_again() -> None:
+    """Two swaps fail half-way; declared and observed differ until equal."""
+    primary = Primary()
+    primary.engines.fail_swaps = 2
+    primary.publish(2)
+    primary.clock.advance(20)
+    assert set(primary.engines.versions.values()) == {WeightVersion(2)}
+
+
+def test_an_old_order_that_took_effect_late_is_corrected() -> None:
+    """An engine that ignores fences takes a former primary's order.
+
+    The new primary has rolled out version 2. The old one was paused between
+    its last look at the clock and its send; its order undoes one engine's
+    weights. Reading back finds that and orders again.
+    """
+    primary = Primary()
+    primary.publish(2)
+    primary.clock.advance(15)
+    primary.engines.versions['s1:1'] = WeightVersion(1)
+    primary.clock.advance(75)
+    assert primary.engines.versions['s1:1'] == WeightVersion(2)
+
+
+def test_without_a_majority_nothing_is_ordered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A primary that was paused wakes and finds that it no longer decides.
+
+    It still holds the state and knows of a newer version; the command that
+    confirms its epoch is refused, so no engine hears of it.
+    """
+
+    def refuse(*args: object) -> None:
+        raise NotAppliedError('no majority', 'ask the new primary')
+
+    primary = Primary()
+    monkeypatch.setattr(primary.partitions, 'submit', refuse)
+    primary.publish(2)
+    primary.clock.advance(20)
+    assert not primary.engines.orders
+
+
+def test_a_new_primary_waits_where_engines_do_not_fence() -> None:
+    """A former primary's orders may be under way for eleven seconds."""
+    primary = Primary(fences=False)
+    primary.publish(2)
+    primary.clock.advance(10)
+    assert not primary.engines.orders
+    primary.clock.advance(20)
+    assert set(primary.engines.versions.values()) == {WeightVersion(2)}
