Say that a team has no settings instead of showing revision 0 of it

Cause: a read-through as a newcomer: guavagate settings status with a mistyped team listed every instance at revision 0 and exited with 0. It is refused with the remedy and exit code 8 now; the test's new line failed before.

--- a/guavagate/operators/_settings.py
+++ b/guavagate/operators/_settings.py
@@ -271,6 +271,8 @@
         instances = self._parts.teams.status(known)
         revisions = [one.revision for one in instances]
         newest = max(found for found in revisions if found is not None)
+        if not newest:
+            self._in_force(known)
         write_json(
             response,
             StatusBody(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -167,6 +167,7 @@
     assert run('settings', 'get', 'authority', token='').exit_code == 7
     assert run('drain', 'i1', token=TEAM_TOKEN).exit_code == 7
     assert run('settings', 'get', 'trust').exit_code == 8
+    assert run('settings', 'status', 'trust').exit_code == 8
     assert run('explain', 'nothing').exit_code == 8
     bench.fleet.world.store.outage = True
     path = ('settings', 'set', 'authority/weight', '2', '-m', 'x')
