--- a/guavagate/permits/_home.py
+++ b/guavagate/permits/_home.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from gevent.event import AsyncResult
+from gevent.event import AsyncResult, Event
 
 from guavagate.decisions import (
     ALL_SAFEGUARDS,
@@ -72,6 +72,7 @@
         self._specs: dict[str, PoolSpec] = {}
         self._owned: dict[str, OwnedPool] = {}
         self._fresh_start = True
+        self._asked = Event()
         self._copies = CopyOffers(runtime)
         self._reclaimer = Reclaimer(runtime, self.owned, self.move)
 
@@ -119,6 +120,7 @@
         owned = self._owned.get(ask.pool)
         if owned is None:
             return PermitReply(not_home=True)
+        self._asked.set()
         granted = owned.granted.get(ask.work.id)
         if granted is not None and ask.failed_upstream is None:
             return PermitReply(permit=granted.permit)
@@ -180,6 +182,7 @@
         if owned is None:
             return
         now = self._runtime.clock.now()
+        self._asked.set()
         for held in message.held:
             if held.work.id not in owned.granted:
                 owned.adopt(sender, held, now)
@@ -338,12 +341,20 @@
                 owned.pool.cancel(work_id, now)
             self.move(owned)
 
+    def _rest(self) -> None:
+        """Wait for the next sweep; without work, until some is asked for."""
+        if any(one.seats or one.granted for one in self._owned.values()):
+            self._runtime.clock.sleep(SWEEP_SECONDS)
+            return
+        self._asked.clear()
+        self._asked.wait()
+
     def _is_there(self, entry: InstanceId) -> bool:
         return self._runtime.members.get(entry) is not None
 
     def _sweep(self) -> None:
         while True:
-            self._runtime.clock.sleep(SWEEP_SECONDS)
+            self._rest()
             now = self._runtime.clock.now()
             for owned in list(self._owned.values()):
                 for work_id in owned.abandoned(now):
--- a/guavagate/runs/_driver.py
+++ b/guavagate/runs/_driver.py
@@ -34,6 +34,9 @@
 _LOGGER = logging.getLogger(__name__)
 
 TICK_SECONDS: Final = 0.05
+# While no run is decided here; twenty wake-ups a second for nothing were a
+# quarter of an instance's processor time at rest.
+IDLE_SECONDS: Final = 0.5
 # Samples handed to workers for each slot of the deployment. One would leave a
 # slot idle while the next sample travels; many would wait in the pool's queue
 # on the versions of the moment they were assigned, and grow stale there.
@@ -118,7 +121,10 @@
 
     def _run(self) -> None:
         while True:
-            self._runtime.clock.sleep(TICK_SECONDS)
+            busy = any(state.lineages for _, state in self._hosted())
+            self._runtime.clock.sleep(
+                TICK_SECONDS if busy or self._assigned else IDLE_SECONDS
+            )
             self.tick()
 
     def _assign(
--- a/guavagate/weights/_rollout.py
+++ b/guavagate/weights/_rollout.py
@@ -59,6 +59,8 @@
 # While a sampler carries out an order its report is read at this pace; new
 # weights have to be on all samplers within seconds.
 TICK_SECONDS: Final = 0.25
+# While no deployment's weights are decided here.
+REST_SECONDS: Final = 1.0
 # One that is behind and waits its turn for an order.
 WAITING_SECONDS: Final = 2.0
 # One that has the target is only read to find that it has restarted. Until
@@ -130,7 +132,9 @@
 
     def _run(self) -> None:
         while True:
-            self._runtime.clock.sleep(TICK_SECONDS)
+            self._runtime.clock.sleep(
+                TICK_SECONDS if self._lineages else REST_SECONDS
+            )
             self.tick()
 
     def _look_at(
