--- a/guavagate/measure/capacity_page.py
+++ b/guavagate/measure/capacity_page.py
@@ -339,7 +339,7 @@
 compares the page with what the figures give.
 
 Figures were measured on one machine: `script/measure capacity` (whole
-instances and parts, 8 to 128 processes, lines with error), `script/measure
+instances 8 to 64, parts 8 to 128 processes, lines with error), `script/measure
 slopes` (four sizes each), `script/measure cost`, `script/measure
 cost-per-request`, `script/measure outcomes --costs` and `script/measure
 settings`. Assumed, since nobody has told: 5 % of requests carry a key and are
