Split the settings' failure tests by what they are about

Cause: tests/test_settings_in_force.py had grown to 428 lines and held two matters: how a change is accepted, and how it gets in force. The first has a file of its own now, with the fleet that both use; no test was changed.

--- a/tests/test_settings_in_force.py
+++ b/tests/test_settings_in_force.py
@@ -1,7 +1,7 @@
 """Tests of settings in force under the failures they are made for."""
 
 import functools
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from guavagate.exceptions import StoreUnavailableError
 from guavagate.measure.fakes import FakeMembers
@@ -9,28 +9,14 @@
 from guavagate.models import InstanceId, Revision, TeamId
 from guavagate.ports.store import StoredObject
 from guavagate.settings import (
-    SettingsConflictError,
     SettingsRecord,
-    SettingsUnsureError,
     TeamsInForce,
     settings_path,
 )
 from guavagate.settings._messages import SettingsTell
 from guavagate.settings._relay import choose_relay
 from guavagate.settings._status import collect_status
-
-_NINE = [f'i{number}' for number in range(9)]
-
-
-def _fleet(revisions: int = 1, names: Sequence[str] = _NINE) -> SettingsFleet:
-    """Return instances that have taken some changes."""
-    fleet = SettingsFleet(list(names))
-    fleet.world.clock.advance(3)
-    for base in range(revisions):
-        assert isinstance(fleet.change('i0', base, 1 + base), SettingsRecord)
-    fleet.world.clock.advance(3)
-    assert fleet.revisions() == {revisions}
-    return fleet
+from tests.settings_fleet import NINE, make_fleet
 
 
 def _relay(fleet: SettingsFleet, zone: str = 'zone-0') -> str:
@@ -41,91 +27,12 @@
 
 
 def _others(*but: str) -> list[str]:
-    return [name for name in _NINE if name not in but]
-
-
-def test_of_two_operators_the_later_gets_the_others_change() -> None:
-    """Both edit revision 1; the second is refused, not merged or lost.
-
-    Amina's change is accepted first. Baraka's is made from the same revision
-    through another instance: its conditional update fails, and the error
-    tells who changed what, and why.
-    """
-    fleet = _fleet()
-    assert isinstance(fleet.change('i1', 1, 5, why='spring'), SettingsRecord)
-    refused = fleet.change('i2', 1, 6, who='baraka')
-    assert isinstance(refused, SettingsConflictError)
-    assert refused.other is not None
-    assert (refused.other.who, refused.other.why) == ('amina', 'spring')
-    assert 'weight = 5' in refused.toml
-    fleet.world.clock.advance(3)
-    assert fleet.revisions() == {2}
-
-
-def test_two_changes_at_the_same_moment_leave_one_accepted() -> None:
-    """Reads cross, so both writers believe that they are first.
-
-    Both read revision 1 before either writes. The store takes one; the other
-    reads again and finds a change that is not its own.
-    """
-    fleet = _fleet()
-    clock = fleet.world.clock
-    tasks = [
-        clock.spawn(fleet._change, name, 1, 5, {'who': name})
-        for name in ('i1', 'i2')
-    ]
-    clock.run_until(lambda: all(task.ready() for task in tasks))
-    outcomes = [task.get(block=False) for task in tasks]
-    assert sum(isinstance(one, SettingsRecord) for one in outcomes) == 1
-    assert sum(isinstance(one, SettingsConflictError) for one in outcomes) == 1
-    assert all(task.ready() for task in tasks)
-
-
-def test_a_write_whose_answer_is_lost_is_accepted_once() -> None:
-    """The operator sees success and one new revision.
-
-    The store takes the change, but its answer never comes. Reading back finds
-    the change's own id; without it the writer would report a failure, or take
-    its own change for another operator's.
-    """
-    fleet = _fleet()
-    fleet.world.store.lose_next = 2
-    accepted = fleet.change('i1', 1, 5)
-    assert isinstance(accepted, SettingsRecord)
-    fleet.world.clock.advance(3)
-    assert fleet.revisions() == {2}
-    writes = [p for _, p in fleet.world.store.writes if p.endswith(TEAM)]
-    assert len(writes) == 2
-
-
-def test_a_change_in_doubt_can_be_repeated_under_its_id() -> None:
-    """The operator is told "unsure" and repeats; it is applied once.
-
-    The store takes the write, loses the answer and goes down for a minute, so
-    nobody can tell. After the outage the same id finds the change in place.
-    """
-    fleet = _fleet()
-    store = fleet.world.store
-    store.lose_next = 2
-    fleet.world.network.watcher = None
-    task = fleet.world.clock.spawn(
-        fleet._change, 'i1', 1, 5, {'change_id': 'spring'}
-    )
-    fleet.world.clock.run_until(lambda: store.lose_next == 0)
-    store.outage = True
-    fleet.world.clock.run_until(task.ready, 60)
-    unsure = task.get(block=False)
-    assert isinstance(unsure, SettingsUnsureError)
-    assert 'spring' in unsure.remedy
-    store.outage = False
-    repeated = fleet.change('i2', 1, 5, change_id='spring')
-    assert isinstance(repeated, SettingsRecord)
-    assert repeated.revision == 2
+    return [name for name in NINE if name not in but]
 
 
 def test_in_an_outage_nothing_is_accepted_and_nothing_reverts() -> None:
     """For an hour changes are refused for sure, and all serve as before."""
-    fleet = _fleet(2, ['i0', 'i1'])
+    fleet = make_fleet(2, ['i0', 'i1'])
     fleet.world.store.outage = True
     refused = fleet.change('i1', 2, 5)
     assert isinstance(refused, StoreUnavailableError)
@@ -143,8 +50,8 @@
     The relays are cut off while the platform writes revision 2 itself; the
     watch's start is compacted by then, so watching on would miss it.
     """
-    fleet = _fleet()
-    other = _fleet(2)
+    fleet = make_fleet()
+    other = make_fleet(2)
     store = fleet.world.store
     store.outage = True
     fleet.world.clock.advance(10)
@@ -162,7 +69,7 @@
     One instance restarts meanwhile: it hears both, and takes the newest. A
     change made then is refused rather than built on the old text.
     """
-    fleet = _fleet(2)
+    fleet = make_fleet(2)
     fleet.world.store.serve_stale(on=True)
     assert isinstance(fleet.change('i0', 2, 5), SettingsRecord)
     fleet.restart('i4')
@@ -182,9 +89,9 @@
     Otherwise an instance that starts when no peer is there would put the
     earlier settings in force, long after they had been replaced.
     """
-    fleet = _fleet(3)
+    fleet = make_fleet(3)
     store = fleet.world.store
-    old = _fleet(1).stored()
+    old = make_fleet(1).stored()
     path = settings_path(TEAM)
     store.objects[path] = StoredObject(path, old, Revision(1))
     fleet.world.clock.advance(310)
@@ -194,7 +101,7 @@
 
 def test_an_instance_that_starts_in_an_outage_learns_from_its_peers() -> None:
     """It is ready within seconds, with the newest revision there is."""
-    fleet = _fleet(2)
+    fleet = make_fleet(2)
     fleet.world.store.outage = True
     fleet.restart('i3')
     fleet.world.add('i9')
@@ -229,7 +136,7 @@
     The relay of a zone dies, so its instances would hear of the store no
     more; the next in rendezvous order takes the watch over by itself.
     """
-    fleet = _fleet()
+    fleet = make_fleet()
     dead = _relay(fleet)
     fleet.world.kill(dead)
     fleet.world.clock.advance(5)
@@ -251,7 +158,7 @@
     What it still passes on is older than what the others have, so they keep
     theirs; a digest then tells it what it lacks.
     """
-    fleet = _fleet()
+    fleet = make_fleet()
     asleep = _relay(fleet)
     through = _others(asleep)[0]
     fleet.world.pause(asleep)
@@ -272,7 +179,7 @@
     Between telling it and its arrival lay a slow link, on which a newer
     message overtook it. Nobody sees revision 1 again, not even for a moment.
     """
-    fleet = _fleet()
+    fleet = make_fleet()
     late = fleet.teams['i3'].table.record(TEAM)
     assert late is not None
     assert isinstance(fleet.change('i1', 1, 5), SettingsRecord)
@@ -331,7 +238,7 @@
     message carries a digest. With the probes and the store silent, the last
     instance says that it hears nobody.
     """
-    fleet = _FactFleet(_NINE)
+    fleet = _FactFleet(NINE)
     fleet.world.clock.advance(3)
     assert isinstance(fleet.change('i0', 0, 1), SettingsRecord)
     fleet.world.clock.advance(1)
@@ -351,7 +258,7 @@
 
 def test_lost_messages_only_delay_a_change() -> None:
     """With 40 % of all messages lost, digests bring the rest in seconds."""
-    fleet = _fleet()
+    fleet = make_fleet()
     fleet.world.network.loss = 0.4
     assert isinstance(fleet.change('i1', 1, 5), SettingsRecord)
     assert fleet.world.clock.run_until(lambda: fleet.revisions() == {2}, 10)
@@ -359,10 +266,10 @@
 
 def test_status_names_who_lags_and_why() -> None:
     """One instance is cut off, one is dead: both are in the answer."""
-    fleet = _fleet()
+    fleet = make_fleet()
     fleet.world.kill('i8')
     fleet.world.clock.advance(5)
-    names = {(InstanceId('i7'), InstanceId(name)) for name in _NINE}
+    names = {(InstanceId('i7'), InstanceId(name)) for name in NINE}
     fleet.world.network.blocked = names | {(to, me) for me, to in names}
     assert isinstance(fleet.change('i1', 1, 5), SettingsRecord)
     task = fleet.world.clock.spawn(fleet.teams['i1'].status, TEAM)
@@ -380,12 +287,12 @@
     The failure used to end the task that holds the watch or takes messages,
     and the instance served on by old settings, ready as before.
     """
-    fleet = _fleet()
+    fleet = make_fleet()
 
     def fail(team: TeamId) -> None:
         raise KeyError(team)
 
-    for name in _NINE:
+    for name in NINE:
         fleet.teams[name].subscribe(fail)
     for base in (1, 2):
         assert isinstance(fleet.change('i1', base, 5), SettingsRecord)
@@ -398,7 +305,7 @@
 
     Counted as lagging, it would let every wait for "everywhere" time out.
     """
-    fleet = _fleet()
+    fleet = make_fleet()
     me = InstanceId('i0')
     bus, report = fleet.world.bus('i0'), fleet.teams['i0'].report(TEAM)
     status = collect_status(bus, TEAM, me, report, {InstanceId('x'): False})
@@ -408,7 +315,7 @@
 
 def test_a_revision_of_a_newer_release_fails_readiness() -> None:
     """An instance that can't read accepted settings must not serve by old."""
-    fleet = _fleet()
+    fleet = make_fleet()
     store = fleet.world.store
     newer = fleet.stored().replace(b'weight =', b'gravity =')
     newer = newer.replace(b'"revision":1', b'"revision":2')
