Keep a leaving upstream out for longer than its reports lag

Cause: found on reading: an upstream's refusal marked it as leaving, and its next report, made up to half a second earlier, marked it as serving again, so it got new work until it refused once more. It has work again only after ten seconds without a sign of leaving, which GG1013 now logs. Ruled out: comparing the report's time, since reports carry none.

--- a/guavagate/permits/_home.py
+++ b/guavagate/permits/_home.py
@@ -25,6 +25,7 @@
     POOL_GIVEN_UP,
     POOL_TAKEN_OVER,
     UPSTREAM_LEAVING,
+    UPSTREAM_SERVING,
 )
 from guavagate.models import InstanceId, RequestId, SamplerId
 from guavagate.permits._copies import (
@@ -58,6 +59,9 @@
 SETTLE_SECONDS: Final = 0.5
 
 
+# Longer than any report lags; an upstream that does serve again waits this
+# much longer for work, which costs little.
+LEAVING_SECONDS: Final = 10.0
 # A caller's stream has one source: a second copy of interactive work would
 # need two, so only the tail of steps is copied.
 POOL_SAFEGUARDS: Final = ALL_SAFEGUARDS - {Safeguard.HEDGING}
@@ -201,9 +205,10 @@
 
     def mark_leaving(self, owned: OwnedPool, sampler: SamplerId) -> None:
         """Give an upstream no new work from now on."""
-        if sampler in owned.leaving:
+        known = sampler in owned.leaving
+        owned.leaving[sampler] = self._runtime.clock.now()
+        if known:
             return
-        owned.leaving.add(sampler)
         write(
             _LOGGER,
             UPSTREAM_LEAVING,
@@ -213,10 +218,20 @@
         self._declare(owned, owned.spec)
 
     def mark_serving(self, owned: OwnedPool, sampler: SamplerId) -> None:
-        """Let an upstream that reports itself serving have work again."""
-        if sampler in owned.leaving:
-            owned.leaving.discard(sampler)
-            self._declare(owned, owned.spec)
+        """Let an upstream that reports itself serving have work again.
+
+        Reports lag: one made before the upstream began to leave comes after
+        its refusal, and taken at once would send it new work. It has work
+        again only when it has shown no sign of leaving for a while.
+        """
+        since = owned.leaving.get(sampler)
+        if since is None:
+            return
+        if self._runtime.clock.now() - since < LEAVING_SECONDS:
+            return
+        owned.leaving.pop(sampler)
+        write(_LOGGER, UPSTREAM_SERVING, upstream=sampler, pool=owned.spec.key)
+        self._declare(owned, owned.spec)
 
     def move(self, owned: OwnedPool) -> None:
         """Grant what may start now, and refuse what comes too late."""
--- a/guavagate/permits/_owned.py
+++ b/guavagate/permits/_owned.py
@@ -47,7 +47,7 @@
     seats: dict[RequestId, Seat] = msgspec.field(default_factory=dict)
     granted: dict[RequestId, Grant] = msgspec.field(default_factory=dict)
     asked_at: float = float('-inf')
-    leaving: set[SamplerId] = msgspec.field(default_factory=set)
+    leaving: dict[SamplerId, float] = msgspec.field(default_factory=dict)
 
     def localise(self, ask: AskPermit, now: float) -> Work:
         """Return the asked work with its deadline on this clock."""
--- a/tests/permits/test_homes.py
+++ b/tests/permits/test_homes.py
@@ -6,7 +6,13 @@
 from guavagate.decisions import Work
 from guavagate.exceptions import RefusalError
 from guavagate.measure.fakes import FakeTeams, NoDecisions, World
-from guavagate.models import CallerId, InstanceId, RequestId, TeamId
+from guavagate.models import (
+    CallerId,
+    InstanceId,
+    RequestId,
+    SamplerId,
+    TeamId,
+)
 from guavagate.partitions import LocalPartitions
 from guavagate.permits import (
     Permit,
@@ -217,6 +223,26 @@
     assert not entries.running(home)
 
 
+def test_a_report_from_before_the_refusal_brings_no_work_back() -> None:
+    """The upstream refuses as leaving; then its lagging report comes.
+
+    That report was made earlier and says that it serves. Work goes there
+    again only when it has said so for longer than reports lag.
+    """
+    entries = Entries()
+    home = entries.home()
+    permit = entries.get(entries.others()[0], 'r1')
+    entries.clients[entries.others()[0]].release(permit, Release.LEAVING)
+    entries.clock.advance(1)
+    homes = entries.homes[home]
+    owned = homes.owned()[0]
+    homes.mark_serving(owned, SamplerId('desk'))
+    assert not owned.pool.slots
+    entries.clock.advance(10)
+    homes.mark_serving(owned, SamplerId('desk'))
+    assert owned.pool.slots == 2
+
+
 def test_a_repeated_ask_is_one_piece_of_work() -> None:
     """The permit's reply was lost: the same work gets the same permit."""
     entries = Entries()
