--- a/guavagate/const.py
+++ b/guavagate/const.py
@@ -9,9 +9,7 @@
 HEADER_VERSIONS: Final = 'X-Guavagate-Versions'
 HEADER_DEADLINE: Final = 'X-Guavagate-Deadline-Ms'
 HEADER_EXCHANGE: Final = 'X-Guavagate-Exchange'
-HEADER_FENCE: Final = 'X-Guavagate-Fence'
 
-ATTR_REASON: Final = 'reason'
 ATTR_NOT_RUN: Final = 'not_run'
 
 DEFAULT_PARTITIONS: Final = 32
--- a/guavagate/events/edge.py
+++ b/guavagate/events/edge.py
@@ -10,7 +10,6 @@
     'a request met an error of our own',
     'report it with the log lines around it',
 )
-REQUEST_ADMITTED = Event(5010, logging.INFO, 'request admitted')
 REQUEST_REFUSED = Event(5011, logging.INFO, 'request refused')
 REQUEST_ANSWERED = Event(5012, logging.INFO, 'request answered')
 CALLER_GONE = Event(5013, logging.INFO, 'caller gone, upstream work cancelled')
@@ -19,4 +18,3 @@
 DRAIN_ASKED = Event(
     5031, logging.INFO, 'an operator has asked for a planned stop'
 )
-HEADERS_SLOW = Event(5021, logging.INFO, 'connection closed, headers too slow')
--- a/guavagate/events/runs.py
+++ b/guavagate/events/runs.py
@@ -10,9 +10,6 @@
     6003, logging.WARNING, 'sample generation failed, it is assigned anew'
 )
 SAMPLE_ASSIGNED = Event(6004, logging.INFO, 'sample assigned to a worker')
-SAMPLE_DUPLICATED = Event(
-    6005, logging.INFO, 'slow sample duplicated into an idle slot'
-)
 WORKER_LOST = Event(
     6006, logging.WARNING, 'worker lost, its samples are assigned anew'
 )
--- a/guavagate/ledger/_state.py
+++ b/guavagate/ledger/_state.py
@@ -322,10 +322,3 @@
             len(name) + len(text) for name, text in record.answer.headers
         )
     return size
-
-
-def _can_abort(record: _Record, attempt: str) -> bool:
-    """Say whether a record is of this attempt and not yet answered."""
-    if record.attempt != attempt:
-        return False
-    return record.state is not RecordState.ANSWERED
--- a/guavagate/runs/_driver.py
+++ b/guavagate/runs/_driver.py
@@ -88,10 +88,6 @@
         """Assign until the instance stops."""
         self._runtime.clock.spawn(self._run)
 
-    def assigned_count(self) -> int:
-        """Return how many samples are with workers."""
-        return sum(1 for held in self._assigned.values() if held.worker)
-
     def sample_seconds(self, lineage: DeploymentId) -> float | None:
         """Return the mean time that a sample takes, once one is measured."""
         return self._seconds.get(lineage)
