--- a/guavagate/measure/capacity_page.py
+++ b/guavagate/measure/capacity_page.py
@@ -373,8 +373,8 @@
 
 ## Where today's code would not hold
 
-- **Serving cost.** 2.7 ms a request and 87 µs an event are measured at 50
-  requests a second; at 3,900 tokens a second a node spends a third of a core
+- **Serving cost.** 2.7 to 3.6 ms a request and 86 to 87 µs an event were
+  measured at 50 requests a second, in two runs; at 3,900 tokens a second a node spends a third of a core
   on events alone. Engines that send several tokens an event divide it; the
   adapter's reading of chunks is the largest part.
 - **Weights primary, in a rollout.** For the seconds of a rollout it reads and
