--- a/guavagate/auth/_access.py
+++ b/guavagate/auth/_access.py
@@ -42,9 +42,13 @@
                 ),
             )
 
+    def may_see(self, team: TeamId) -> bool:
+        """Return whether the team's subtree is open to this token."""
+        return self.is_fleet or self.team == team
+
     def require_team(self, team: TeamId) -> None:
         """Refuse a token of another team."""
-        if not self.is_fleet and self.team != team:
+        if not self.may_see(team):
             raise _forbid(
                 f'this token does not belong to the team {team!r}',
                 'use a token of that team',
--- a/guavagate/operators/_fleet.py
+++ b/guavagate/operators/_fleet.py
@@ -122,7 +122,7 @@
                 samplers=tuple(
                     report
                     for report in samplers
-                    if identity.is_fleet or report.team == identity.team
+                    if identity.may_see(report.team)
                 ),
                 missing=found.missing,
             ),
@@ -143,7 +143,7 @@
         deployments = [
             _sum_up(team.team, deployment.id, samplers)
             for team in self._parts.teams.all()
-            if identity.is_fleet or team.team == identity.team
+            if identity.may_see(team.team)
             for deployment in team.deployments
         ]
         write_json(
@@ -171,11 +171,7 @@
         write_json(
             response,
             RunsBody(
-                runs=tuple(
-                    run
-                    for run in runs
-                    if identity.is_fleet or run.team == identity.team
-                ),
+                runs=tuple(run for run in runs if identity.may_see(run.team)),
                 missing=found.missing,
             ),
         )
