--- a/guavagate/assembly.py
+++ b/guavagate/assembly.py
@@ -19,8 +19,8 @@
 from guavagate.metrics import Metrics, names
 from guavagate.models import Epoch, PartitionId
 from guavagate.operations import Operations
-from guavagate.partitions import Command, LocalPartitions, ReplicatedState
-from guavagate.partitions.replicated import ReplicatedPartitions
+from guavagate.partitions import Command, LocalPartitions, PartitionState
+from guavagate.partitions.stored import StoredPartitions
 from guavagate.runs import RUN_COMMANDS, PublishVersion, RunsState
 from guavagate.runtime import Runtime
 from guavagate.settings import InstanceSettings, TeamsInForce
@@ -67,7 +67,7 @@
             store=store,
             members=self._members,
             teams=self._teams,
-            partitions=LocalPartitions(settings.id, {}),
+            partitions=LocalPartitions({}),
             decisions=decisions,
             metrics=Metrics(
                 {
@@ -76,7 +76,7 @@
                 }
             ),
         )
-        self._partitions = ReplicatedPartitions(self._runtime, make_states)
+        self._partitions = StoredPartitions(self._runtime, make_states)
         self._runtime.partitions = self._partitions
         self._instance = Instance(self._runtime, self._list_hosted)
         self._operations = Operations(
@@ -85,7 +85,7 @@
             self._teams,
             decisions,
             self._list_hosted,
-            self._partitions.views,
+            self._partitions.holdings,
         )
         self._instance.readiness.add('stop', self._why_stopping)
         self._runtime.metrics.before_reading(self._count_traffic)
@@ -184,10 +184,10 @@
 
 def make_states(
     partition: PartitionId,
-) -> dict[type[Command], ReplicatedState]:
+) -> dict[type[Command], PartitionState]:
     """Return the states of one partition by the commands they take."""
     runs = RunsState()
-    states: dict[type[Command], ReplicatedState] = {}
+    states: dict[type[Command], PartitionState] = {}
     for command in RUN_COMMANDS:
         states[command] = runs
     states.update(make_ledger_states(partition))
--- a/guavagate/callers/_completions.py
+++ b/guavagate/callers/_completions.py
@@ -149,7 +149,7 @@
         _answer_ask(parts, opened, ask, response)
         return
     clock = parts.runtime.clock
-    once = describe_once(request, opened, key, body, clock.wall())
+    once = describe_once(request, opened, key, body)
     try:
         answer = run_keyed(
             parts.ledger,
--- a/guavagate/callers/_once.py
+++ b/guavagate/callers/_once.py
@@ -7,19 +7,17 @@
 import falcon
 
 from guavagate.callers._request import CallerRequest
-from guavagate.const import HEADER_FIRST_ATTEMPT, HEADER_IDEMPOTENCY_KEY
+from guavagate.const import HEADER_IDEMPOTENCY_KEY
 from guavagate.exceptions import RefusalError, UpstreamNotStartedError
 from guavagate.ledger import (
     Answer,
     Ledger,
     OnceRequest,
     digest_body,
-    find_key_time,
 )
 from guavagate.models import NotRun
 
 MAX_KEY: Final = 255
-DECLARED_FIRST: Final = frozenset(('true', '1'))
 
 
 class _NotStarted(UpstreamNotStartedError):
@@ -59,26 +57,13 @@
     opened: CallerRequest,
     key: str,
     body: bytes,
-    now: float,
 ) -> OnceRequest:
-    """Return what the ledger knows a keyed request by.
-
-    Parameters
-    ----------
-    now
-        Wall-clock seconds; a caller that declares its first attempt has
-        certainly not used the key before.
-    """
-    declared = (request.get_header(HEADER_FIRST_ATTEMPT) or '').lower()
-    key_time = find_key_time(key)
-    if declared in DECLARED_FIRST:
-        key_time = now
+    """Return what the ledger knows a keyed request by."""
     return OnceRequest(
         team=opened.identity.team,
         caller=opened.identity.caller,
         key=key,
         digest=digest_body(request.method, request.relative_uri, body),
-        key_time=key_time,
     )
 
 
--- a/guavagate/callers/_services.py
+++ b/guavagate/callers/_services.py
@@ -114,7 +114,6 @@
             call.opened,
             call.request.key,
             call.request.body,
-            parts.runtime.clock.wall(),
         )
         left = call.opened.deadline - parts.runtime.clock.now()
         return run_keyed(
--- a/guavagate/const.py
+++ b/guavagate/const.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 HEADER_IDEMPOTENCY_KEY: Final = 'Idempotency-Key'
-HEADER_FIRST_ATTEMPT: Final = 'X-Guavagate-First-Attempt'
 HEADER_REQUEST_ID: Final = 'X-Request-Id'
 HEADER_SAMPLER: Final = 'X-Guavagate-Sampler'
 HEADER_VERSIONS: Final = 'X-Guavagate-Versions'
@@ -13,4 +12,3 @@
 ATTR_NOT_RUN: Final = 'not_run'
 
 DEFAULT_PARTITIONS: Final = 32
-DEFAULT_REPLICAS: Final = 3
--- a/guavagate/events/partitions.py
+++ b/guavagate/events/partitions.py
@@ -5,32 +5,31 @@
 
 from guavagate.events._event import Event
 
-TAKEOVER: Final = Event(
+TAKEN: Final = Event(
     2001,
     logging.INFO,
-    'A partition without a primary was looked at',
-    'none; if it repeats, check that the object API and the members answer',
+    'This instance decides for a partition from now on',
 )
-REGROUPED: Final = Event(
+HANDED_OVER: Final = Event(
     2002,
     logging.INFO,
-    'A partition was given to other instances',
+    'A partition was let go of, for another instance to take',
 )
-FAILED: Final = Event(
+NOT_TAKEN: Final = Event(
     2003,
     logging.WARNING,
-    'Work on a partition failed and will be tried again',
-    'check that the object API answers',
+    'A partition could not be taken over and will be tried again',
+    'check that the object API answers, and that its record is whole',
 )
-WOKE: Final = Event(
+SUPERSEDED: Final = Event(
     2004,
     logging.WARNING,
-    'This process was paused and reads the views again before it answers',
-    'find out why the process was not scheduled',
+    'Another instance has gone on with a partition that was decided here',
+    'none; if it repeats, find out why the instances lose sight of each other',
 )
-NOT_A_VIEW: Final = Event(
+BLOB_LEFT: Final = Event(
     2005,
-    logging.ERROR,
-    'An object under views/ holds no view',
-    'write back its earlier value; its partition can not change hands',
+    logging.WARNING,
+    'A part of a partition that is not needed any more stays in the store',
+    'none; the next holder of the partition deletes it',
 )
--- a/guavagate/instance.py
+++ b/guavagate/instance.py
@@ -1,6 +1,5 @@
 """The parts of one instance above its runtime, wired and started in order."""
 
-from pathlib import Path
 from typing import Final
 
 import falcon
@@ -8,7 +7,6 @@
 
 from guavagate import callers, trainers
 from guavagate.auth import Access
-from guavagate.bulk import BulkFolder
 from guavagate.callers import make_id
 from guavagate.health import HealthResource, Readiness, ReadinessResource
 from guavagate.integrations.model_engine import HttpModelEngine
@@ -24,32 +22,18 @@
 )
 from guavagate.runs import (
     Hosted,
-    KeptSamples,
     RunDriver,
     RunsClient,
     SampleWorker,
 )
 from guavagate.runtime import Runtime
 from guavagate.scoring import Scorer
-from guavagate.util.units import parse_size
 from guavagate.web import ActiveRequests, install_errors, make_server
 from guavagate.weights import WeightRollout
 
 FINISH_PAUSE: Final = 0.05
 
 
-def make_bulk(runtime: Runtime) -> BulkFolder | None:
-    """Return the data folder that the settings name, if they name one."""
-    settings = runtime.settings
-    if not settings.data_folder:
-        return None
-    return BulkFolder(
-        Path(settings.data_folder),
-        parse_size(settings.data_limit),
-        runtime.clock,
-    )
-
-
 class Instance:
     """The parts of one instance above its runtime."""
 
@@ -71,7 +55,6 @@
         self.weights = WeightRollout(
             runtime, self.engine, hosted, self.driver.sample_seconds
         )
-        self.bulk = make_bulk(runtime)
         self.scorer = Scorer(runtime, self.permits)
         self.worker = SampleWorker(
             runtime,
@@ -81,7 +64,6 @@
             self.engine,
             self.scorer.score,
             self.runs,
-            KeptSamples(self.bulk),
         )
         self.readiness = Readiness()
         self.app = self._make_app()
@@ -94,8 +76,6 @@
 
     def start(self) -> None:
         """Start every part, the edge last."""
-        if self.bulk is not None:
-            self.bulk.open()
         self.homes.start()
         self.permits.start()
         self.reports.start()
--- a/guavagate/ledger/__init__.py
+++ b/guavagate/ledger/__init__.py
@@ -1,6 +1,6 @@
 """The request ledger: a keyed request runs at most once, over all entries."""
 
-from guavagate.ledger._keys import digest_body, find_key_time
+from guavagate.ledger._keys import digest_body
 from guavagate.ledger._ledger import Ledger, OnceRequest
 from guavagate.ledger._messages import Answer, BeginState, LedgerLimits
 from guavagate.ledger._state import (
@@ -18,6 +18,5 @@
     'LedgerState',
     'OnceRequest',
     'digest_body',
-    'find_key_time',
     'make_ledger_states',
 )
--- a/guavagate/ledger/_ledger.py
+++ b/guavagate/ledger/_ledger.py
@@ -47,16 +47,12 @@
     ----------
     digest
         See `digest_body`.
-    key_time
-        Wall-clock seconds when the caller first used the key: what the key
-        itself tells (`find_key_time`), or what the caller declares.
     """
 
     team: TeamId
     caller: CallerId
     key: str
     digest: str
-    key_time: float | None = None
 
     @property
     def scope(self) -> str:
@@ -142,7 +138,6 @@
             digest=request.digest,
             attempt=attempt,
             entry=self._runtime.settings.id,
-            key_time=request.key_time,
         )
         limit = min(end - self._clock.now(), _BEGIN_LIMIT)
         try:
--- a/guavagate/ledger/_messages.py
+++ b/guavagate/ledger/_messages.py
@@ -12,7 +12,6 @@
 WINDOW: Final = 3600.0
 PARTITION_BYTES: Final = 2_000_000
 ANSWER_BYTES: Final = 65_536
-CLOCK_MARGIN: Final = 60.0
 
 
 class LedgerLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -75,15 +74,12 @@
         Tells different requests under one key apart.
     attempt
         Unique for one run at one entry; a repeat repeats it.
-    key_time
-        Wall-clock seconds before which the key was certainly not used.
     """
 
     scope: str
     digest: str
     attempt: str
     entry: InstanceId
-    key_time: float | None = None
 
 
 class Finish(Command, frozen=True, kw_only=True):
--- a/guavagate/ledger/_state.py
+++ b/guavagate/ledger/_state.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from guavagate.ledger._messages import (
-    CLOCK_MARGIN,
     Abort,
     Answer,
     Begin,
@@ -21,9 +20,8 @@
 from guavagate.models import InstanceId, PartitionId
 from guavagate.partitions import (
     Command,
-    CopiesLost,
     Outcome,
-    ReplicatedState,
+    PartitionState,
 )
 
 _OVERHEAD: Final = 200
@@ -42,15 +40,12 @@
         A key that was answered is not granted again.
     join
         A key that is running is not granted again.
-    doubt_after_loss
-        Keys that may have been lost with all copies are not granted.
     """
 
     compare_digest: bool = True
     keep_unknown: bool = True
     keep_answer: bool = True
     join: bool = True
-    doubt_after_loss: bool = True
 
 
 class _Record(msgspec.Struct, frozen=True, array_like=True):
@@ -69,11 +64,10 @@
 
     records: dict[str, _Record]
     now: float
-    lost_at: float | None
 
 
 class LedgerState:
-    """Records by team, caller and key; a `ReplicatedState`."""
+    """Records by team, caller and key; a `PartitionState`."""
 
     def __init__(
         self,
@@ -85,26 +79,21 @@
         self._records: dict[str, _Record] = {}
         self._bytes = 0
         self._now = float(0)
-        self._lost_at: float | None = None
         self._run: dict[type[Command], Callable[[Any], Outcome]] = {
             Begin: self._begin,
             Finish: self._finish,
             Abort: self._abort,
             Expire: self._expire,
-            CopiesLost: self._lose,
         }
 
     def apply(self, command: Command) -> Outcome:
         """Apply one command."""
-        if not isinstance(command, CopiesLost):
-            self._pass_time(command.at)
+        self._pass_time(command.at)
         return self._run[type(command)](command)
 
     def snapshot(self) -> bytes:
         """Return all records."""
-        return msgspec.msgpack.encode(
-            _Snapshot(self._records, self._now, self._lost_at)
-        )
+        return msgspec.msgpack.encode(_Snapshot(self._records, self._now))
 
     def restore(self, snapshot: bytes) -> None:
         """Replace all records."""
@@ -114,7 +103,6 @@
             _measure(scope, record) for scope, record in held.records.items()
         )
         self._now = held.now
-        self._lost_at = held.lost_at
 
     def _begin(self, command: Begin) -> Outcome:
         """Grant a run, or say what became of the key."""
@@ -131,9 +119,7 @@
         return self._begin_known(command, record)
 
     def _begin_new(self, command: Begin) -> Outcome:
-        """Grant a key that is not held, unless it was lost or won't fit."""
-        if self._may_be_lost(command):
-            return BeginOutcome(state=BeginState.UNKNOWN)
+        """Grant a key that is not held, unless it won't fit."""
         size = len(command.scope) + len(command.digest) + _OVERHEAD
         if self._bytes + size > self._limits.partition_bytes:
             return BeginOutcome(state=BeginState.FULL)
@@ -163,10 +149,9 @@
     def _refuse_other(self, record: _Record) -> Outcome:
         """Say that the key was used for another request, if that is sure.
 
-        A record that an `Abort` left has no digest, and lost copies may have
-        granted the key anew; then this very request may have run.
+        A record that an `Abort` left has no digest.
         """
-        if not record.digest or self._is_doubtful(record.at):
+        if not record.digest:
             return BeginOutcome(state=BeginState.UNKNOWN)
         return BeginOutcome(state=BeginState.CONFLICT)
 
@@ -226,11 +211,7 @@
             or record.state is RecordState.ANSWERED
         ):
             return RecordOutcome(state=record.state)
-        # Another attempt may have been granted after an earlier `Abort` of
-        # this one, by copies that are lost.
         state = RecordState.ABORTED
-        if self._is_doubtful(record.at):
-            state = RecordState.UNKNOWN
         self._put(command.scope, msgspec.structs.replace(record, state=state))
         return RecordOutcome(state=state)
 
@@ -246,33 +227,6 @@
         self._put(command.scope, unknown)
         return RecordOutcome(state=RecordState.UNKNOWN)
 
-    def _lose(self, command: CopiesLost) -> Outcome:
-        """Doubt from now on whatever the lost copies may have granted."""
-        if not self._safeguards.doubt_after_loss:
-            return Outcome()
-        self._lost_at = max(command.at, self._lost_at or command.at)
-        for scope, record in list(self._records.items()):
-            if record.state is RecordState.ABORTED:
-                self._put(
-                    scope,
-                    msgspec.structs.replace(record, state=RecordState.UNKNOWN),
-                )
-        return Outcome()
-
-    def _may_be_lost(self, command: Begin) -> bool:
-        """Say whether a key that is not held may have been granted."""
-        if self._lost_at is None:
-            return False
-        limit = self._lost_at + CLOCK_MARGIN
-        if command.at > limit + self._limits.window:
-            return False
-        return command.key_time is None or command.key_time <= limit
-
-    def _is_doubtful(self, at: float) -> bool:
-        """Say whether a record is from before copies were lost."""
-        lost_at = self._lost_at
-        return lost_at is not None and at <= lost_at + CLOCK_MARGIN
-
     def _bound(self, answer: Answer) -> Answer | None:
         """Return the answer if there is room for it."""
         size = len(answer.body)
@@ -307,7 +261,7 @@
     partition: PartitionId,
     limits: LedgerLimits | None = None,
     safeguards: LedgerSafeguards | None = None,
-) -> dict[type[Command], ReplicatedState]:
+) -> dict[type[Command], PartitionState]:
     """Make the ledger's state of one partition, by the commands it takes."""
     state = LedgerState(limits, safeguards)
     return dict.fromkeys((Begin, Finish, Abort, Expire), state)
--- a/guavagate/measure/fakes/_store.py
+++ b/guavagate/measure/fakes/_store.py
@@ -1,10 +1,13 @@
 """The object API in memory, with the faults the platform's has."""
 
+import contextlib
 import dataclasses
 import random
 from collections import Counter
+from collections.abc import Callable
 from typing import Final
 
+import gevent
 from gevent.event import Event
 
 from guavagate.clock import Clock
@@ -21,6 +24,7 @@
 
 _CALL: Final = 0.003
 _OUTAGE: Final = 0.2
+_LATE: Final = (0.5, 4.0)
 
 
 @dataclasses.dataclass
@@ -37,6 +41,14 @@
         Share of writes that take effect though their answer is lost.
     lose_next
         Number of next writes whose answer is lost.
+    late
+        Share of writes that get no answer and are made a second or more
+        later, if their condition holds then.
+    watcher
+        Called with an instance, a call's name and path, and whether it has
+        taken effect, before and after each write.
+    sleep
+        Lets time pass at the store itself.
     calls
         Counted by name; a waiting watch counts once.
     """
@@ -48,6 +60,8 @@
     slow: float = 0
     lose_answers: float = 0
     lose_next: int = 0
+    late: float = 0
+    watcher: Callable[[str, str, str, bool], None] | None = None
     revision: int = 0
     compacted: int = 0
     calls: 'Counter[str]' = dataclasses.field(default_factory=Counter)
@@ -56,6 +70,7 @@
     changes: list[StoreChange] = dataclasses.field(default_factory=list)
     old: dict[str, StoredObject] | None = None
     changed: Event = dataclasses.field(default_factory=Event)
+    sleep: Callable[[float], None] | None = None
 
     def serve_stale(self, on: bool) -> None:
         """Answer reads from today's copy from now on, or no longer."""
@@ -101,9 +116,12 @@
 class MemoryStore:
     """The object API as one instance calls it; see `ObjectStore`."""
 
-    def __init__(self, clock: Clock, state: StoreState | None = None) -> None:
+    def __init__(
+        self, clock: Clock, state: StoreState | None = None, caller: str = ''
+    ) -> None:
         self.clock = clock
         self.state = state or StoreState()
+        self._caller = caller
 
     def get(self, path: str) -> StoredObject | None:
         """Return the object, or nothing."""
@@ -127,9 +145,14 @@
     ) -> Revision:
         """Write if the object's version is as expected."""
         self._call('put', path)
+        self._tell('put', path, done=False)
+        if self.state.rng.random() < self.state.late:
+            self._put_later(path, value, expected)
+            raise _unavailable()
         self.state.check(path, expected)
         version = self.state.change(path, value)
         self.state.answer()
+        self._tell('put', path, done=True)
         return version
 
     def delete(self, path: str, expected: Revision | None) -> None:
@@ -164,6 +187,32 @@
             raise _unavailable()
         return [], Revision(self.state.revision)
 
+    def _put_later(
+        self, path: str, value: bytes, expected: Revision | None
+    ) -> None:
+        """Write after the caller was left without an answer.
+
+        It happens at the store, so it does not matter what becomes of the
+        caller meanwhile.
+        """
+        wait = self.state.rng.uniform(*_LATE)
+
+        def put() -> None:
+            sleep(wait)
+            with contextlib.suppress(StoreConflictError):
+                self.state.check(path, expected)
+                self.state.change(path, value)
+
+        sleep = self.state.sleep or self.clock.sleep
+        gevent.spawn(put)
+
+    def _tell(self, name: str, path: str, *, done: bool) -> None:
+        """Let a fault strike at this call."""
+        if self.state.watcher is not None:
+            self.state.watcher(self._caller, name, path, done)
+            # A caller that was killed or paused by it does not go on.
+            self.clock.sleep(0)
+
     def _wait(self, end: float) -> None:
         """Wait for any change."""
         try:
--- a/guavagate/measure/outcomes/_costs.py
+++ b/guavagate/measure/outcomes/_costs.py
@@ -111,7 +111,7 @@
     fleet.clock.advance(_WARM_UP)
     times = [at - start for at, _ in store.writes]
     if not times:
-        raise RuntimeError('no view was written')
+        raise RuntimeError('nothing was written')
     busiest = max(
         sum(1 for at in times if begin <= at < begin + 1) for begin in times
     )
--- a/guavagate/measure/outcomes/_mutations.py
+++ b/guavagate/measure/outcomes/_mutations.py
@@ -10,7 +10,7 @@
 from guavagate.measure.outcomes._requests import Requests
 from guavagate.measure.outcomes._run import Run, Workload, run_once
 from guavagate.measure.outcomes._scenarios import SCENARIOS
-from guavagate.partitions.replicated import Safeguards
+from guavagate.partitions.stored import Safeguards
 
 PARTITION_GUARDS: Final = Safeguards.__struct_fields__
 LEDGER_GUARDS: Final = LedgerSafeguards.__struct_fields__
--- a/guavagate/measure/outcomes/_run.py
+++ b/guavagate/measure/outcomes/_run.py
@@ -14,7 +14,7 @@
 from guavagate.measure.outcomes._requests import Requests
 from guavagate.measure.outcomes._steps import Steps
 from guavagate.measure.outcomes._upstream import Upstream
-from guavagate.partitions.replicated import Safeguards
+from guavagate.partitions.stored import Safeguards
 from guavagate.runtime import Runtime
 
 _FLEETS: Final = ('abcde', 'abcde', 'abc', 'ab')
--- a/guavagate/partitions/__init__.py
+++ b/guavagate/partitions/__init__.py
@@ -1,19 +1,17 @@
-"""Partitions: state with one decider, a view and an epoch."""
+"""Partitions: state with one decider, kept as one record in the store."""
 
 from guavagate.partitions._local import LocalPartitions
 from guavagate.partitions._state import (
     Command,
-    CopiesLost,
     Outcome,
     Partitions,
-    ReplicatedState,
+    PartitionState,
 )
 
 __all__ = (
     'Command',
-    'CopiesLost',
     'LocalPartitions',
     'Outcome',
+    'PartitionState',
     'Partitions',
-    'ReplicatedState',
 )
--- a/guavagate/partitions/_hosting.py
+++ b/guavagate/partitions/_hosting.py
@@ -1,344 +1,299 @@
-"""What one instance holds of all partitions, and how it answers peers."""
+"""The partitions that one instance decides: taken, answered, handed over."""
 
+import dataclasses
+import logging
+import random
+import uuid
 from collections.abc import Callable
 from typing import Any, Final
 
-import msgspec
 from gevent.event import Event
 
-from guavagate.exceptions import (
-    LinkError,
-    LinkRefusedError,
-    StoreError,
-)
-from guavagate.links import Message
-from guavagate.models import Epoch, InstanceId, PartitionId
+from guavagate.clock import Clock
+from guavagate.events import partitions as events
+from guavagate.events import write
+from guavagate.exceptions import StoreError
+from guavagate.helpers.waits import wait_for
+from guavagate.links import Bus, Message
+from guavagate.models import InstanceId, PartitionId
 from guavagate.partitions import _messages as msg
-from guavagate.partitions._link import Surroundings
+from guavagate.partitions._keeping import RecordKeeping, SupersededError
+from guavagate.partitions._machine import Machine, States
 from guavagate.partitions._primary import Primary
-from guavagate.partitions._replica import Applied, Replica, States
-from guavagate.partitions._state import CopiesLost
-from guavagate.partitions._view import Position, View
-from guavagate.partitions._views import Views
+from guavagate.partitions._safeguards import Safeguards
+from guavagate.ports.store import ObjectStore
 from guavagate.settings import PeerSettings
+from guavagate.util.rendezvous import weigh
+
+_LOGGER: Final = logging.getLogger(__name__)
 
 StatesFactory = Callable[[PartitionId], States]
 
-# A paused process that wakes up answers nothing by its old views until it
-# has read them again: if all copies of a partition were paused together, the
-# others may have taken them for lost and have begun anew.
-PAUSE_LIMIT: Final = 5.0
-_CLOCK_SKEW: Final = 60.0
-_REFRESH_PAUSE: Final = 0.5
-_LEAVING_KEPT: Final = 60.0
+# Changes of membership wake it; this finds what they have not.
+IDLE_SECONDS: Final = 1.0
+# Instances that start together hear of each other within this time. Without
+# it each would take all partitions, one after the other.
+START_SECONDS: Final = 0.5
+# Two instances that don't hear each other take a partition from each other in
+# turn; longer each time, so that the commands of one side get on meanwhile.
+FIRST_BACKOFF: Final = 0.3
+LONGEST_BACKOFF: Final = 5.0
+# How long a command waits here while its partition is being taken over.
+ACTIVATE_SECONDS: Final = 0.3
+# An instance that is being stopped is not chosen again for so long; it is
+# gone or started anew by then.
+LEAVING_SECONDS: Final = 60.0
+
+
+def make_id() -> str:
+    """Return an id that no other call gives."""
+    return uuid.uuid4().hex
+
+
+@dataclasses.dataclass(frozen=True)
+class Surroundings:
+    """What the partitions of one instance work with.
+
+    Parameters
+    ----------
+    alive
+        Returns the usable instances.
+    make_id
+        Gives unique ids; tests give ones that a seed replays.
+    """
+
+    me: InstanceId
+    clock: Clock
+    bus: Bus
+    store: ObjectStore
+    alive: Callable[[], list[PeerSettings]]
+    safeguards: Safeguards
+    decide: Callable[[str, str, str, str, dict[str, str] | None], None]
+    rng: random.Random
+    make_id: Callable[[], str] = make_id
 
 
 class Hosting:
-    """The views known, the copies held, the partitions decided here.
+    """Takes the partitions that are this instance's, and lets others go.
 
     Attributes
     ----------
     changed
-        Set when the keeper should look again.
+        Set when it should look again.
     """
 
     def __init__(
-        self,
-        around: Surroundings,
-        store: Views,
-        make_states: StatesFactory,
+        self, around: Surroundings, make_states: StatesFactory, count: int
     ) -> None:
         self.around = around
-        self.store = store
-        self.views: dict[PartitionId, View] = {}
-        self.replicas: dict[PartitionId, Replica] = {}
         self.primaries: dict[PartitionId, Primary] = {}
         self.changed = Event()
-        self.beat = around.clock.now()
-        self._leaving: dict[InstanceId, float] = {}
         self._make_states = make_states
-        self._refreshed: dict[PartitionId, float] = {}
+        self._count = count
+        self._leaving: dict[InstanceId, float] = {}
+        self._owners: dict[PartitionId, InstanceId] = {}
+        self._left: dict[PartitionId, Machine] = {}
+        self._taking: set[PartitionId] = set()
+        self._not_before: dict[PartitionId, float] = {}
+        self._lost: dict[PartitionId, int] = {}
+        self._stopping = False
+        self._taken = Event()
 
     def register(self) -> None:
         """Answer peers' messages from now on."""
         bus = self.around.bus
         bus.register(msg.Submit, self._on_submit)
-        bus.register(msg.Append, self._on_entries)
-        bus.register(msg.Install, self._on_entries)
-        bus.register(msg.Seal, self._on_seal)
-        bus.register(msg.Announce, self._on_announce)
-        bus.register(msg.AskView, self._on_ask_view)
+        bus.register(msg.TakeOver, self._on_take_over)
         bus.register(msg.Leave, self._on_leave)
 
-    def candidates(self) -> list[PeerSettings]:
-        """Return the instances that may be given partitions."""
-        now = self.around.clock.now()
-        self._leaving = {
-            instance: at
-            for instance, at in self._leaving.items()
-            if now - at < _LEAVING_KEPT
-        }
-        alive = self.around.alive()
-        return [peer for peer in alive if peer.id not in self._leaving]
-
-    def leave(self) -> None:
-        """Tell everyone that this instance is being stopped."""
-        me = self.around.me.instance
-        self._leaving[me] = self.around.clock.now()
-        for peer in self.around.alive():
-            if peer.id != me:
-                self.around.bus.send(peer.id, msg.Leave())
-
-    def learn(self, view: View) -> None:
-        """Take in a view that is in force; an older one changes nothing."""
-        known = self.views.get(view.partition)
-        if known is None or known.epoch < view.epoch:
-            self.views[view.partition] = view
-            self._retire(view)
-        self.activate(view.partition)
-        self.changed.set()
-
-    def activate(self, partition: PartitionId) -> None:
-        """Begin to decide, if the view says so and the copy allows it."""
-        view = self.views[partition]
-        if view.primary != self.around.me or partition in self.primaries:
-            return
-        replica = self.replicas.get(partition)
-        if replica is None and view.base == Position():
-            replica = self.hold(partition)
-        if replica is None or replica.promised > view.epoch:
-            return
-        if replica.position < view.base:
-            return
-        self._begin(replica, view)
-
-    def hold(self, partition: PartitionId) -> Replica:
-        """Return this instance's copy; an empty one if it has none."""
-        replica = self.replicas.get(partition)
-        if replica is None:
-            replica = Replica(
-                partition,
-                self.around.me,
-                self._make_states(partition),
-                self.around.safeguards,
-            )
-            self.replicas[partition] = replica
-        replica.touched = self.around.clock.now()
-        return replica
-
-    def drop(self, partition: PartitionId) -> None:
-        """Forget this instance's copy."""
-        self.replicas.pop(partition, None)
-
-    def step_down(self, partition: PartitionId) -> None:
-        """Decide no more for a partition."""
-        primary = self.primaries.pop(partition, None)
-        if primary is not None:
-            primary.close()
+    def run(self) -> None:
+        """Look after the partitions until killed."""
+        self.around.clock.sleep(START_SECONDS)
+        while True:
+            self.changed.clear()
+            self._forget_leaving()
+            if not self._stopping:
+                for number in range(self._count):
+                    self._look_at(PartitionId(number))
+            wait_for(self.around.clock, self.changed, IDLE_SECONDS)
+
+    def find_owner(self, partition: PartitionId) -> InstanceId | None:
+        """Return who should decide for a partition, as far as known here."""
+        owner = self._owners.get(partition)
+        if owner is None:
+            candidates = self._list_candidates()
+            if not candidates:
+                return None
+            key = f'partition {partition}'
+            owner = max(candidates, key=lambda each: weigh(key, each))
+            self._owners[partition] = owner
+        return owner
+
+    def note_change(self) -> None:
+        """Look again at who should decide what."""
+        self._owners.clear()
         self.changed.set()
 
-    def refresh(self, partition: PartitionId) -> None:
-        """Read a view again, from the store or else from peers."""
-        now = self.around.clock.now()
-        if now - self._refreshed.get(partition, 0) < _REFRESH_PAUSE:
-            return
-        self._refreshed[partition] = now
-        try:
-            view, _ = self.store.read(partition)
-        except StoreError:
-            self._ask_peers(partition)
-            return
-        if view is not None:
-            self.learn(view)
-
-    def seal(self, request: msg.Seal) -> msg.ReplicaReply:
-        """Promise, if this very process is the member that is asked."""
-        replica = self.replicas.get(request.partition)
-        if not self.around.safeguards.boot_ids:
-            replica = self.hold(request.partition)
-        if replica is None or not self._is_me(request.boot):
-            return msg.ReplicaReply(
-                accepted=False,
-                boot=self.around.me.boot,
-                promised=Epoch(0),
-                held=False,
-            )
-        reply = replica.seal(request.epoch)
-        self._yield_to(request.partition, replica.promised)
-        return reply
-
     def submit(self, request: msg.Submit) -> msg.SubmitReply:
         """Carry out a command here, or say who does."""
-        known = self.views.get(request.partition)
-        if known is None or known.epoch < request.epoch:
-            self.refresh(request.partition)
-        if self._has_slept():
-            return msg.SubmitReply(verdict=msg.Verdict.MOVED)
-        end = self.around.clock.now() + request.wait
         primary = self.primaries.get(request.partition)
-        if primary is not None:
-            primary.wait_thawed(request.wait)
-        if primary is None or primary.closed or primary.frozen:
-            return self._point_on(request.partition)
-        problem = self._find_problem(primary, request)
-        if problem is not None:
-            return problem
-        applied = primary.take(request.entry)
-        return self._await(primary, applied, end - self.around.clock.now())
-
-    def _begin(self, replica: Replica, view: View) -> None:
-        """Start to decide for a partition."""
-        partition = view.partition
-        primary = Primary(
-            replica,
-            view,
-            self.around,
-            lambda: self.step_down(partition),
-        )
-        self.primaries[partition] = primary
-        primary.start()
-        if view.lost_at is not None:
-            lost = CopiesLost(at=view.lost_at)
-            primary.take(
-                msg.Entry(
-                    f'lost-{partition}-{view.lost_at}',
-                    CopiesLost.__name__,
-                    msgspec.msgpack.encode(lost),
-                    view.lost_at,
-                )
+        if primary is None and self._is_mine(request.partition):
+            self.changed.set()
+            self._taken.clear()
+            wait = min(ACTIVATE_SECONDS, request.wait)
+            wait_for(self.around.clock, self._taken, wait)
+            primary = self.primaries.get(request.partition)
+        if primary is None:
+            owner = self.find_owner(request.partition)
+            return msg.SubmitReply(
+                verdict=msg.Verdict.MOVED, holder=owner or InstanceId('')
             )
+        return primary.submit(
+            request.entry, request.wait, repeated=request.repeated
+        )
 
-    def _retire(self, view: View) -> None:
-        """Stop deciding by an older view than this."""
-        primary = self.primaries.get(view.partition)
-        if primary is None or primary.view.epoch >= view.epoch:
-            return
-        pending = primary.pending
-        mine = pending is not None and pending.change == view.change
-        # The view this primary is writing has come round by a peer before
-        # the store's answer: it goes on in it when the answer is settled.
-        if mine and view.primary == self.around.me:
-            return
-        self.step_down(view.partition)
-
-    def _yield_to(self, partition: PartitionId, epoch: Epoch) -> None:
-        """Stop deciding when this copy has promised a higher epoch."""
+    def hand_all_over(self, limit: float) -> bool:
+        """Let go of everything; say whether all was answered in time."""
+        self._stopping = True
+        clock = self.around.clock
+        self._leaving[self.around.me] = clock.now()
+        self._owners.clear()
+        for peer in self.around.alive():
+            if peer.id != self.around.me:
+                self.around.bus.send(peer.id, msg.Leave())
+        end = clock.now() + limit
+        tasks = [
+            clock.spawn(self._hand_over, partition, end)
+            for partition in sorted(self.primaries)
+        ]
+        for task in tasks:
+            task.join()
+        return all(task.value for task in tasks)
+
+    def _list_candidates(self) -> list[InstanceId]:
+        return [
+            peer.id
+            for peer in self.around.alive()
+            if peer.id not in self._leaving
+        ]
+
+    def _forget_leaving(self) -> None:
+        since = self.around.clock.now() - LEAVING_SECONDS
+        for peer, at in list(self._leaving.items()):
+            if at < since and not self._stopping:
+                self._leaving.pop(peer)
+                self._owners.clear()
+
+    def _is_mine(self, partition: PartitionId) -> bool:
+        mine = self.find_owner(partition) == self.around.me
+        return mine and not self._stopping
+
+    def _look_at(self, partition: PartitionId) -> None:
+        """Take what is this instance's, let go of what no longer is."""
         primary = self.primaries.get(partition)
-        if primary is None or not self.around.safeguards.fence:
+        if primary is not None and primary.closed:
+            self._note_lost(partition)
             return
-        if primary.view.epoch < epoch:
-            self.step_down(partition)
-
-    def _find_problem(
-        self, primary: Primary, request: msg.Submit
-    ) -> msg.SubmitReply | None:
-        """Say why a command must not be applied, if so."""
-        entry, replica = request.entry, primary.replica
-        if not replica.understands(entry.kind):
-            return _invalid(f'no state takes {entry.kind}')
-        if abs(self.around.clock.wall() - entry.at) > _CLOCK_SKEW:
-            return _invalid(f'its clock is {_CLOCK_SKEW:.0f}s off')
-        if not request.repeated or replica.find(entry.command) is not None:
-            return None
-        if replica.may_have_forgotten(entry.at):
-            return msg.SubmitReply(verdict=msg.Verdict.FORGOTTEN)
-        return None
-
-    def _await(
-        self, primary: Primary, applied: Applied, wait: float
-    ) -> msg.SubmitReply:
-        """Answer once enough replicas hold the command."""
-        if primary.wait(applied.seq, wait):
-            return msg.SubmitReply(
-                verdict=msg.Verdict.DONE, outcome=applied.outcome
+        clock = self.around.clock
+        mine = self._is_mine(partition)
+        if primary is not None and not mine:
+            end = clock.now() + LONGEST_BACKOFF
+            clock.spawn(self._hand_over, partition, end)
+            return
+        may = clock.now() >= self._not_before.get(partition, 0)
+        if mine and primary is None and may and partition not in self._taking:
+            self._taking.add(partition)
+            clock.spawn(self._take, partition)
+
+    def _take(self, partition: PartitionId) -> None:
+        """Read the record, become its holder, and answer from then on."""
+        around = self.around
+        machine = self._left.pop(partition, None)
+        if machine is None:
+            machine = Machine(self._make_states(partition))
+        keeping = RecordKeeping(
+            around.store,
+            around.clock,
+            partition,
+            around.me,
+            around.make_id,
+            around.safeguards,
+        )
+        try:
+            keeping.take_over(machine)
+        except (StoreError, SupersededError) as error:
+            self._back_off(partition)
+            write(
+                _LOGGER,
+                events.NOT_TAKEN,
+                partition=partition,
+                problem=str(error),
             )
-        return msg.SubmitReply(
-            verdict=msg.Verdict.UNKNOWN,
-            view=self.views.get(primary.view.partition),
+        else:
+            primary = Primary(around.clock, keeping, machine, around.safeguards)
+            self.primaries[partition] = primary
+            self._note_taken(partition, primary)
+        finally:
+            self._taking.discard(partition)
+
+    def _note_taken(self, partition: PartitionId, primary: Primary) -> None:
+        reason = 'first of those alive by rendezvous hashing'
+        write(_LOGGER, events.TAKEN, partition=partition, epoch=primary.epoch)
+        self.around.decide(
+            f'partition/{partition}', 'holder', self.around.me, reason, None
         )
+        self._taken.set()
+
+    def _note_lost(self, partition: PartitionId) -> None:
+        """Forget a partition that another instance has gone on with."""
+        primary = self.primaries.pop(partition)
+        if not self.around.safeguards.discard:
+            self._left[partition] = primary.machine
+        self._back_off(partition)
+
+    def _back_off(self, partition: PartitionId) -> None:
+        tries = self._lost.get(partition, 0)
+        self._lost[partition] = tries + 1
+        pause = min(FIRST_BACKOFF * 2**tries, LONGEST_BACKOFF)
+        pause *= self.around.rng.uniform(0.5, 1)
+        self._not_before[partition] = self.around.clock.now() + pause
+        self.around.clock.spawn(self._look_later, pause)
+
+    def _look_later(self, pause: float) -> None:
+        self.around.clock.sleep(pause)
+        self.changed.set()
 
-    def _point_on(self, partition: PartitionId) -> msg.SubmitReply:
-        """Say which view this instance knows."""
-        return msg.SubmitReply(
-            verdict=msg.Verdict.MOVED, view=self.views.get(partition)
+    def _hand_over(self, partition: PartitionId, end: float) -> bool:
+        """Answer what was taken, let go, and tell who is next."""
+        primary = self.primaries.get(partition)
+        if primary is None or primary.frozen:
+            return True
+        whole = primary.freeze(max(end - self.around.clock.now(), 0))
+        primary.close()
+        self.primaries.pop(partition, None)
+        owner = self.find_owner(partition)
+        write(
+            _LOGGER,
+            events.HANDED_OVER,
+            partition=partition,
+            epoch=primary.epoch,
+            next=owner,
+            whole=whole,
         )
+        if owner is not None and owner != self.around.me:
+            self.around.bus.send(owner, msg.TakeOver(partition=partition))
+        return whole
 
     def _on_submit(self, source: InstanceId, request: Any) -> Message:
         """Answer a `Submit`."""
         return self.submit(request)
 
-    def _on_entries(self, source: InstanceId, request: Any) -> Message:
-        """Answer an `Append` or `Install`."""
-        if self._has_slept():
-            raise LinkRefusedError(
-                'this instance was paused', 'ask again in a second'
-            )
-        if not self._is_me(request.boot):
-            return msg.ReplicaReply(
-                accepted=False,
-                boot=self.around.me.boot,
-                promised=Epoch(0),
-                held=False,
-            )
-        replica = self.hold(request.partition)
-        if isinstance(request, msg.Append):
-            reply = replica.append(request)
-        else:
-            reply = replica.install(request)
-        self._yield_to(request.partition, replica.promised)
-        if request.view is not None:
-            self.learn(request.view)
-        return reply
-
-    def _on_seal(self, source: InstanceId, request: Any) -> Message:
-        """Answer a `Seal`."""
-        return self.seal(request)
-
-    def _on_announce(self, source: InstanceId, request: Any) -> Message:
-        """Take in an announced view."""
-        self.learn(request.view)
-        return msg.ViewReply(view=self.views[request.view.partition])
-
-    def _on_ask_view(self, source: InstanceId, request: Any) -> Message:
-        """Answer an `AskView`."""
-        return msg.ViewReply(
-            view=self.views.get(request.partition),
-            fresh=not self._has_slept(),
-        )
+    def _on_take_over(self, source: InstanceId, request: Any) -> None:
+        """Take a partition that a peer has let go of."""
+        self._not_before.pop(request.partition, None)
+        self.changed.set()
 
     def _on_leave(self, source: InstanceId, request: Any) -> None:
         """Give a peer nothing more."""
         self._leaving[source] = self.around.clock.now()
-        self.changed.set()
-
-    def _ask_peers(self, partition: PartitionId) -> None:
-        """Learn a view from a few peers while the store is down."""
-        peers = [one.id for one in self.around.alive()]
-        if self.around.me.instance in peers:
-            peers.remove(self.around.me.instance)
-        self.around.rng.shuffle(peers)
-        for peer in peers[:2]:
-            request = msg.AskView(partition=partition)
-            try:
-                reply = self.around.bus.request(
-                    peer, request, msg.ViewReply, _REFRESH_PAUSE
-                )
-            except LinkError:
-                continue
-            if reply.view is not None:
-                self.learn(reply.view)
-
-    def _is_me(self, boot: str) -> bool:
-        """Say whether a message is meant for this very process."""
-        if not self.around.safeguards.boot_ids:
-            return True
-        return boot in {'', self.around.me.boot}
-
-    def _has_slept(self) -> bool:
-        """Say whether this process was paused and has not caught up."""
-        return self.around.clock.now() - self.beat > PAUSE_LIMIT
-
-
-def _invalid(problem: str) -> msg.SubmitReply:
-    """Refuse a command for good."""
-    return msg.SubmitReply(verdict=msg.Verdict.INVALID, problem=problem)
+        self.note_change()
--- /dev/null
+++ b/guavagate/partitions/_keeping.py
@@ -0,0 +1,193 @@
+"""One partition's record as this instance knows it: read, replaced, settled."""
+
+import logging
+from collections.abc import Callable, Sequence
+from typing import Final
+
+import msgspec
+
+from guavagate.clock import Clock
+from guavagate.exceptions import StoreConflictError, StoreUnavailableError
+from guavagate.models import Epoch, InstanceId, PartitionId, Revision
+from guavagate.partitions._blobs import Blob, BlobGoneError, Blobs
+from guavagate.partitions._machine import Machine
+from guavagate.partitions._messages import Entry
+from guavagate.partitions._record import (
+    Record,
+    decode_record,
+    measure,
+    path_of,
+)
+from guavagate.partitions._safeguards import Safeguards
+from guavagate.ports.store import ObjectStore, StoredObject
+
+_LOGGER: Final = logging.getLogger(__name__)
+
+# Each write of the record carries the tail again: at fifty writes a second
+# half of this each time is 13 Mbit/s, of the store's 1,000. What goes beyond
+# becomes a segment.
+TAIL_BYTES: Final = 64_000
+# Entries since the copy, before another copy is written: at least so many
+# bytes, and as many as the copy has, so that copies cost as much as entries.
+COPY_BYTES: Final = 1_000_000
+RETRY_SECONDS: Final = 0.1
+_ABSENT: Final = Revision(0)
+
+
+class SupersededError(Exception):
+    """Another instance has replaced the record.
+
+    `unsure` says that what was being written may have been in force before.
+    """
+
+    def __init__(self, holder: InstanceId, *, unsure: bool) -> None:
+        super().__init__(f'{holder} holds the record')
+        self.holder = holder
+        self.unsure = unsure
+
+
+class RecordKeeping:
+    """Reads a partition's record and replaces it.
+
+    Parameters
+    ----------
+    make_id
+        Gives unique ids.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        partition: PartitionId,
+        me: InstanceId,
+        make_id: Callable[[], str],
+        safeguards: Safeguards,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._path = path_of(partition)
+        self._blobs = Blobs(store, clock, partition, make_id)
+        self._me = me
+        self._make_id = make_id
+        self._safeguards = safeguards
+        self._revision = _ABSENT
+        self.record = Record()
+
+    def take_over(self, machine: Machine) -> None:
+        """Read all that is there into a machine and become the holder.
+
+        Raises
+        ------
+        SupersededError
+            Another one changed the record meanwhile.
+        StoreError
+            The store gives no answer, or holds what is no record.
+        """
+        stored = self._store.get(self._path)
+        if stored is not None:
+            self.record = decode_record(stored)
+            self._revision = stored.version
+        self._read_into(machine)
+        taken = msgspec.structs.replace(
+            self.record,
+            change=self._make_id(),
+            holder=self._me,
+            epoch=Epoch(self.record.epoch + 1),
+        )
+        # Without an answer it may be in force; the next try reads it then.
+        self._write(taken, unsure=False)
+        # Only the holder names blobs, and that is this instance now.
+        self._clock.spawn(self._blobs.keep_only, taken.list_blobs())
+
+    def add(self, entries: Sequence[Entry], machine: Machine) -> None:
+        """Add entries that the machine has applied already.
+
+        Returns when the store holds them. Raises `SupersededError`.
+        """
+        before = self.record
+        tail = (*before.tail, *entries)
+        if measure(tail) <= TAIL_BYTES:
+            self._replace(self._change(tail=tail))
+            return
+        content = msgspec.msgpack.encode(tail)
+        since_copy = sum(each.size for each in before.segments) + len(content)
+        copied = before.copy.size if before.copy else 0
+        if since_copy <= max(COPY_BYTES, copied):
+            segments = (*before.segments, self._blobs.put(content))
+            self._replace(self._change(segments=segments, tail=()))
+            return
+        copy = self._blobs.put(machine.snapshot())
+        self._replace(self._change(copy=copy, segments=(), tail=()))
+        self._clock.spawn(self._blobs.delete, before.list_blobs())
+
+    def _change(self, **fields: object) -> Record:
+        return msgspec.structs.replace(
+            self.record, change=self._make_id(), **fields
+        )
+
+    def _replace(self, record: Record) -> None:
+        """Write until it is known what became of it.
+
+        The same conditional write again can't take effect twice, and its
+        conflict shows by the change id whether it had been ours.
+        """
+        unsure = False
+        while True:
+            try:
+                self._write(record, unsure=unsure)
+            except StoreUnavailableError as error:
+                unsure = unsure or error.may_be_written
+                if unsure and not self._safeguards.settle:
+                    raise
+                self._clock.sleep(RETRY_SECONDS)
+            else:
+                return
+
+    def _write(self, record: Record, *, unsure: bool) -> None:
+        raw = msgspec.json.encode(record)
+        condition = self._revision if self._safeguards.conditional else None
+        try:
+            self._revision = self._store.put(self._path, raw, condition)
+        except StoreConflictError as conflict:
+            self._revision = self._settle(conflict, record, unsure=unsure)
+        self.record = record
+
+    def _settle(
+        self, conflict: StoreConflictError, record: Record, *, unsure: bool
+    ) -> Revision:
+        """Tell a write of ours whose answer was lost from another's."""
+        found = conflict.current or self._read_newer()
+        held = decode_record(found)
+        if held.change == record.change:
+            return found.version
+        raise SupersededError(held.holder, unsure=unsure)
+
+    def _read_newer(self) -> StoredObject:
+        """Read the record that a write has met; an old copy won't do."""
+        while True:
+            try:
+                found = self._store.get(self._path)
+            except StoreUnavailableError as error:
+                _LOGGER.debug('%s is not read: %s', self._path, error)
+            else:
+                if found is not None and found.version > self._revision:
+                    return found
+            self._clock.sleep(RETRY_SECONDS)
+
+    def _read_into(self, machine: Machine) -> None:
+        """Bring a machine to where the record is."""
+        record = self.record
+        try:
+            self._blobs.read_all()
+            if record.copy is not None:
+                machine.restore(self._blobs.get(record.copy))
+            for segment in record.segments:
+                machine.apply_all(_decode_segment(self._blobs, segment))
+        except BlobGoneError as error:
+            raise SupersededError(record.holder, unsure=False) from error
+        machine.apply_all(record.tail)
+
+
+def _decode_segment(blobs: Blobs, segment: Blob) -> list[Entry]:
+    return msgspec.msgpack.decode(blobs.get(segment), type=list[Entry])
--- a/guavagate/partitions/_local.py
+++ b/guavagate/partitions/_local.py
@@ -1,18 +1,13 @@
-"""Partitions without replicas: one instance alone, and unit tests."""
+"""Partitions without a store: one instance alone, and unit tests."""
 
-from guavagate.models import Epoch, InstanceId
-from guavagate.partitions._state import Command, ReplicatedState, Result
+from guavagate.models import Epoch
+from guavagate.partitions._state import Command, PartitionState, Result
 
 
 class LocalPartitions:
-    """Applies every command here; the baseline without replication."""
+    """Applies every command here; the baseline without a record."""
 
-    def __init__(
-        self,
-        me: InstanceId,
-        states: dict[type[Command], ReplicatedState],
-    ) -> None:
-        self._me = me
+    def __init__(self, states: dict[type[Command], PartitionState]) -> None:
         self._states = states
 
     def submit(
@@ -28,6 +23,12 @@
             raise TypeError(f'{answer!r} is not a {outcome.__name__}')
         return answer
 
-    def primary_of(self, key: str) -> tuple[InstanceId, Epoch] | None:
-        """Return this instance."""
-        return self._me, Epoch(1)
+    def submit_here(
+        self,
+        key: str,
+        epoch: Epoch,
+        command: Command,
+        outcome: type[Result],
+    ) -> Result:
+        """Apply the command; there is no other instance."""
+        return self.submit(key, command, outcome, 0)
--- /dev/null
+++ b/guavagate/partitions/_machine.py
@@ -0,0 +1,116 @@
+"""The state of one partition, and what its commands gave.
+
+Nothing in here does I/O.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import msgspec
+
+from guavagate.partitions._messages import Entry
+from guavagate.partitions._state import Command, PartitionState, Previews
+
+_RESULTS: Final = 4096
+_RESULT_BYTES: Final = 4_000_000
+
+States = Mapping[type[Command], PartitionState]
+
+
+class Applied(msgspec.Struct, frozen=True, array_like=True):
+    """What a command gave, kept to answer its repeats."""
+
+    command: str
+    outcome: bytes
+    at: float
+
+
+class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """All that makes two copies equal."""
+
+    states: tuple[bytes, ...]
+    applied: tuple[Applied, ...]
+    horizon: float
+
+
+class Machine:
+    """Applies entries in order."""
+
+    def __init__(self, states: States) -> None:
+        self._kinds = {kind.__name__: kind for kind in states}
+        self._states = dict(states)
+        self._applied: dict[str, Applied] = {}
+        self._applied_bytes = 0
+        self._horizon = float('-inf')
+
+    def state_of(self, command: type[Command]) -> PartitionState:
+        """Return the state that takes a command."""
+        return self._states[command]
+
+    def find(self, command: str) -> Applied | None:
+        """Return what a command gave, if it has been applied."""
+        return self._applied.get(command)
+
+    def may_have_forgotten(self, at: float) -> bool:
+        """Say whether a command of that time may have been dropped."""
+        return at <= self._horizon
+
+    def understands(self, kind: str) -> bool:
+        """Say whether a command's kind is registered."""
+        return kind in self._kinds
+
+    def preview(self, entry: Entry) -> bytes | None:
+        """Return the outcome of an entry that the record need not hold."""
+        kind = self._kinds[entry.kind]
+        state = self._states[kind]
+        if not isinstance(state, Previews):
+            return None
+        command = msgspec.msgpack.decode(entry.payload, type=kind)
+        outcome = state.preview(command)
+        return None if outcome is None else msgspec.msgpack.encode(outcome)
+
+    def apply(self, entry: Entry) -> Applied:
+        """Apply an entry."""
+        kind = self._kinds[entry.kind]
+        command = msgspec.msgpack.decode(entry.payload, type=kind)
+        outcome = msgspec.msgpack.encode(self._states[kind].apply(command))
+        applied = Applied(entry.command, outcome, entry.at)
+        self._remember(applied)
+        return applied
+
+    def apply_all(self, entries: Iterable[Entry]) -> None:
+        """Apply entries as the record holds them."""
+        for entry in entries:
+            self.apply(entry)
+
+    def snapshot(self) -> bytes:
+        """Return all that makes another machine equal to this one."""
+        states = tuple(state.snapshot() for state in self._list_distinct())
+        applied = tuple(self._applied.values())
+        return msgspec.msgpack.encode(_Snapshot(states, applied, self._horizon))
+
+    def restore(self, raw: bytes) -> None:
+        """Become equal to the machine that gave a snapshot."""
+        snapshot = msgspec.msgpack.decode(raw, type=_Snapshot)
+        pairs = zip(self._list_distinct(), snapshot.states, strict=True)
+        for state, part in pairs:
+            state.restore(part)
+        self._applied = {one.command: one for one in snapshot.applied}
+        self._applied_bytes = sum(len(one.outcome) for one in snapshot.applied)
+        self._horizon = snapshot.horizon
+
+    def _list_distinct(self) -> list[PartitionState]:
+        """Return each state once, in the order of registration."""
+        found = {id(state): state for state in self._states.values()}
+        return list(found.values())
+
+    def _remember(self, applied: Applied) -> None:
+        """Keep an outcome; raise the horizon by what is dropped for it."""
+        self._applied[applied.command] = applied
+        self._applied_bytes += len(applied.outcome)
+        while (
+            len(self._applied) > _RESULTS or self._applied_bytes > _RESULT_BYTES
+        ):
+            oldest = self._applied.pop(next(iter(self._applied)))
+            self._applied_bytes -= len(oldest.outcome)
+            self._horizon = max(self._horizon, oldest.at)
--- a/guavagate/partitions/_state.py
+++ b/guavagate/partitions/_state.py
@@ -1,9 +1,9 @@
 """What a partition holds and how it is asked."""
 
-from typing import Protocol, TypeVar
+from typing import Protocol, TypeVar, runtime_checkable
 
 from guavagate.links import Message
-from guavagate.models import Epoch, InstanceId
+from guavagate.models import Epoch
 
 
 class Command(Message, frozen=True, kw_only=True):
@@ -12,8 +12,8 @@
     Parameters
     ----------
     at
-        Wall-clock seconds at the one who issued it, so that every replica
-        applies it with the same time.
+        Wall-clock seconds at the one who issued it, so that it gives the
+        same whenever the record's entries are applied again.
     """
 
     at: float
@@ -26,35 +26,36 @@
 Result = TypeVar('Result', bound=Outcome)
 
 
-class CopiesLost(Command, frozen=True, kw_only=True):
-    """Copies that held answered commands may have been lost.
-
-    Every state of the partition is told, without registering for it. From
-    then on it must say "unknown" about whatever it does not hold and that
-    may be older than `at`. What it does hold may be of an older copy, so it
-    must not take that for the newest either. It comes once for each loss.
-    """
-
-
-class ReplicatedState(Protocol):
+class PartitionState(Protocol):
     """A deterministic part of a partition's state.
 
-    Two replicas that apply the same commands in the same order are equal;
-    nothing in here reads a clock, draws a random number, raises or does I/O.
-    Iterate over dicts and lists only: the order of a set differs between
-    processes.
+    Applying the same commands in the same order gives the same state; nothing
+    in here reads a clock, draws a random number, raises or does I/O. Iterate
+    over dicts and lists only: the order of a set differs between processes.
     """
 
     def apply(self, command: Command) -> Outcome:
         """Apply one command and return its outcome."""
 
     def snapshot(self) -> bytes:
-        """Return the whole state, for a new backup."""
+        """Return the whole state."""
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the state by a snapshot."""
 
 
+@runtime_checkable
+class Previews(Protocol):
+    """A state some of whose commands need no entry in the record."""
+
+    def preview(self, command: Command) -> Outcome | None:
+        """Return what a command gives that changes nothing, if it does not.
+
+        Its outcome must do no harm if another instance has meanwhile gone on
+        from here, as "nothing yet" does none.
+        """
+
+
 class Partitions(Protocol):
     """Routes commands to the primary of a key's partition."""
 
@@ -65,7 +66,7 @@
         outcome: type[Result],
         timeout: float,
     ) -> Result:
-        """Have the command applied and held by enough replicas.
+        """Have the command applied, and held by the store.
 
         Parameters
         ----------
@@ -82,5 +83,15 @@
             May have been applied.
         """
 
-    def primary_of(self, key: str) -> tuple[InstanceId, Epoch] | None:
-        """Return who decides for the key, as far as this instance knows."""
+    def submit_here(
+        self,
+        key: str,
+        epoch: Epoch,
+        command: Command,
+        outcome: type[Result],
+    ) -> Result:
+        """Have it applied by this instance in this epoch, or not at all.
+
+        What the store takes then proves that no other instance has gone on
+        from here. Raises as `submit` does.
+        """
--- a/guavagate/partitions/_replicated.py
+++ b/guavagate/partitions/_stored.py
@@ -1,4 +1,4 @@
-"""Replicated partitions over the runtime: routes commands to primaries."""
+"""Partitions over the runtime: routes commands to their primaries."""
 
 import random
 from typing import Final
@@ -13,35 +13,40 @@
     OutcomeUnknownError,
 )
 from guavagate.models import Epoch, InstanceId, PartitionId
-from guavagate.partitions._hosting import Hosting, StatesFactory
-from guavagate.partitions._keeper import Keeper
-from guavagate.partitions._link import Surroundings, make_id
-from guavagate.partitions._messages import (
-    Entry,
-    Submit,
-    SubmitReply,
-    Verdict,
+from guavagate.partitions._hosting import (
+    Hosting,
+    StatesFactory,
+    Surroundings,
+    make_id,
 )
+from guavagate.partitions._messages import Entry, Submit, SubmitReply, Verdict
+from guavagate.partitions._record import find_partition
 from guavagate.partitions._safeguards import Safeguards
-from guavagate.partitions._state import (
-    Command,
-    ReplicatedState,
-    Result,
-)
-from guavagate.partitions._view import Member, View, find_partition
-from guavagate.partitions._views import Views
+from guavagate.partitions._state import Command, PartitionState, Result
 from guavagate.runtime import Runtime
 
 # A command asked of a primary that has just died is asked again after this,
 # so that it meets the next one soon; being applied once is sure all the same.
 _ATTEMPT: Final = 0.4
 _PAUSE: Final = 0.05
+# Instances that differ on who lives may point at each other; after so many
+# tries each further one waits a little.
+_FOLLOWED: Final = 2
 _STOP_LIMIT: Final = 10.0
-_FINAL: Final = (Verdict.DONE, Verdict.INVALID, Verdict.FORGOTTEN)
+_FINAL: Final = frozenset(
+    (Verdict.DONE, Verdict.INVALID, Verdict.FORGOTTEN, Verdict.REFUSED)
+)
+
 
+class Holding(msgspec.Struct, frozen=True):
+    """A partition that an instance decides, for operators."""
 
-class ReplicatedPartitions:
-    """Partitions whose copies are held by several instances; `Partitions`.
+    partition: PartitionId
+    epoch: Epoch
+
+
+class StoredPartitions:
+    """Partitions whose records are in the store; `Partitions`.
 
     Parameters
     ----------
@@ -65,37 +70,35 @@
         safeguards: Safeguards | None = None,
         rng: random.Random | None = None,
     ) -> None:
-        guards = safeguards or Safeguards()
         source = rng or random.Random()
         self._around = Surroundings(
-            me=Member(runtime.settings.id, _make_boot(rng, guards)),
+            me=runtime.settings.id,
             clock=runtime.clock,
             bus=runtime.bus,
+            store=runtime.store,
             alive=runtime.members.alive,
-            find=runtime.members.get,
-            safeguards=guards,
+            safeguards=safeguards or Safeguards(),
             decide=runtime.decisions.record,
             rng=source,
             make_id=make_id if rng is None else lambda: _draw_id(source),
         )
-        views = Views(runtime.store, runtime.clock, guards)
         self._members = runtime.members
-        self._hosting = Hosting(self._around, views, make_states)
-        self._keeper = Keeper(self._hosting, partitions)
+        self._hosting = Hosting(self._around, make_states, partitions)
         self._partitions = partitions
+        self._hints: dict[PartitionId, InstanceId] = {}
 
     def start(self) -> None:
         """Answer peers and look after partitions, from now on."""
         self._hosting.register()
-        self._members.subscribe(self._hosting.changed.set)
-        self._around.clock.spawn(self._keeper.run)
+        self._members.subscribe(self._hosting.note_change)
+        self._around.clock.spawn(self._hosting.run)
 
     def stop(self, limit: float = _STOP_LIMIT) -> bool:
         """Hand over what is decided here; say whether all of it was.
 
         It goes on answering peers, since callers may still be routed here.
         """
-        return self._keeper.hand_all_over(limit)
+        return self._hosting.hand_all_over(limit)
 
     def submit(
         self,
@@ -104,46 +107,64 @@
         outcome: type[Result],
         timeout: float,
     ) -> Result:
-        """Have the command applied and held by enough replicas."""
-        entry = Entry(
-            self._around.make_id(),
-            type(command).__name__,
-            msgspec.msgpack.encode(command),
-            command.at,
-        )
+        """Have the command applied, and held by the store."""
+        entry = self._make_entry(command)
         partition = find_partition(key, self._partitions)
         end = self._around.clock.now() + timeout
         raw = self._submit(partition, entry, end)
         return msgspec.msgpack.decode(raw, type=outcome)
 
-    def primary_of(self, key: str) -> tuple[InstanceId, Epoch] | None:
-        """Return who decides for the key, as far as this instance knows."""
-        view = self._hosting.views.get(find_partition(key, self._partitions))
-        if view is None:
-            return None
-        return view.primary.instance, view.epoch
-
-    def views(self) -> list[View]:
-        """Return the views this instance knows, for operators."""
-        return [view for _, view in sorted(self._hosting.views.items())]
+    def submit_here(
+        self,
+        key: str,
+        epoch: Epoch,
+        command: Command,
+        outcome: type[Result],
+    ) -> Result:
+        """Have it applied by this instance in this epoch, or not at all."""
+        partition = find_partition(key, self._partitions)
+        primary = self._hosting.primaries.get(partition)
+        if primary is None or primary.epoch != epoch:
+            raise NotAppliedError(
+                f'partition {partition} is not held here in epoch {epoch}',
+                'ask its present holder',
+            )
+        entry = self._make_entry(command)
+        reply = primary.submit(entry, _ATTEMPT, repeated=False)
+        unsure = reply.verdict is Verdict.UNKNOWN
+        raw = _conclude(reply, unsure)
+        return msgspec.msgpack.decode(raw, type=outcome)
 
-    def decided_here(self) -> list[PartitionId]:
+    def holdings(self) -> list[Holding]:
         """Return the partitions whose primary this instance is."""
-        return sorted(self._hosting.primaries)
+        return [
+            Holding(partition, primary.epoch)
+            for partition, primary in sorted(self._hosting.primaries.items())
+            if not primary.closed
+        ]
 
     def states_of(
         self, command: type[Command]
-    ) -> list[tuple[Epoch, ReplicatedState]]:
+    ) -> list[tuple[Epoch, PartitionState]]:
         """Return the states that take a command, where this is the primary.
 
-        They hold what has been applied here, which may not be held by enough
-        replicas yet: good for planning work, not for answering anyone.
+        They hold what has been applied here, which the store may not hold
+        yet: good for planning work, not for answering anyone.
         """
         return [
-            (primary.view.epoch, primary.replica.state_of(command))
+            (primary.epoch, primary.machine.state_of(command))
             for primary in self._hosting.primaries.values()
+            if not primary.closed
         ]
 
+    def _make_entry(self, command: Command) -> Entry:
+        return Entry(
+            self._around.make_id(),
+            type(command).__name__,
+            msgspec.msgpack.encode(command),
+            command.at,
+        )
+
     def _submit(
         self, partition: PartitionId, entry: Entry, end: float
     ) -> bytes:
@@ -151,19 +172,17 @@
         clock = self._around.clock
         sent = False
         tries = 0
-        epoch = self._epoch_of(partition)
         while clock.now() < end:
-            reply, handled = self._try(partition, entry, sent, end, tries)
+            target = self._choose_target(partition, tries)
+            reply, handled = self._ask(target, partition, entry, sent, end)
             sent = sent or handled
             if reply is not None and reply.verdict in _FINAL:
                 return _conclude(reply, sent)
             tries += 1
-            if self._epoch_of(partition) != epoch:
-                # A new primary is known: ask it first, and without a pause.
-                epoch = self._epoch_of(partition)
-                tries = 0
+            if self._follow(partition, target, reply) and tries <= _FOLLOWED:
                 continue
-            pause = self._around.jitter(_PAUSE, _PAUSE * min(tries + 1, 5))
+            low, high = _PAUSE, _PAUSE * min(tries + 1, 5)
+            pause = self._around.rng.uniform(low, high)
             clock.sleep(min(pause, max(end - clock.now(), 0)))
         if sent:
             raise _make_unknown()
@@ -172,58 +191,42 @@
             'try again in a few seconds',
         )
 
-    def _epoch_of(self, partition: PartitionId) -> Epoch:
-        """Return the epoch of the view that this instance knows."""
-        view = self._hosting.views.get(partition)
-        return Epoch(0) if view is None else view.epoch
+    def _choose_target(self, partition: PartitionId, tries: int) -> InstanceId:
+        """Return who is said to hold a partition, or should by those alive."""
+        hint = self._hints.pop(partition, None)
+        if hint and tries:
+            return hint
+        return self._hosting.find_owner(partition) or self._around.me
 
-    def _try(
+    def _follow(
         self,
         partition: PartitionId,
+        target: InstanceId,
+        reply: SubmitReply | None,
+    ) -> bool:
+        """Note who holds a partition now; say whether to ask at once."""
+        if reply is None or reply.holder in {'', target}:
+            return False
+        if self._members.get(reply.holder) is None:
+            return False
+        self._hints[partition] = reply.holder
+        return reply.verdict is Verdict.MOVED
+
+    def _ask(
+        self,
+        target: InstanceId,
+        partition: PartitionId,
         entry: Entry,
         repeated: bool,
         end: float,
-        tries: int,
     ) -> tuple[SubmitReply | None, bool]:
-        """Ask once; return the reply, and whether it may be applied."""
-        view = self._hosting.views.get(partition)
-        if view is None:
-            self._hosting.refresh(partition)
-            return None, False
-        target = self._choose_target(view, tries)
-        if target is None:
-            self._hosting.refresh(partition)
-            return None, False
-        wait = min(end - self._around.clock.now(), _ATTEMPT)
+        """Ask one instance; return whether it may have been applied."""
         request = Submit(
             partition=partition,
             entry=entry,
-            epoch=view.epoch,
-            wait=wait,
+            wait=min(end - self._around.clock.now(), _ATTEMPT),
             repeated=repeated,
         )
-        reply, handled = self._ask(target, request)
-        if reply is not None and reply.view is not None:
-            self._hosting.learn(reply.view)
-        if tries and tries % 4 == 0:
-            self._hosting.refresh(partition)
-        return reply, handled
-
-    def _choose_target(self, view: View, tries: int) -> InstanceId | None:
-        """Return the primary, or another member to learn the view from."""
-        alive = [
-            member.instance
-            for member in view.members
-            if self._around.is_alive(member.instance)
-        ]
-        if view.primary.instance in alive and tries % 2 == 0:
-            return view.primary.instance
-        return alive[tries % len(alive)] if alive else None
-
-    def _ask(
-        self, target: InstanceId, request: Submit
-    ) -> tuple[SubmitReply | None, bool]:
-        """Ask one instance; return whether it may have been applied."""
         try:
             reply = self._request(target, request)
         except LinkRefusedError:
@@ -234,7 +237,7 @@
 
     def _request(self, target: InstanceId, request: Submit) -> SubmitReply:
         """Ask this instance or another."""
-        if target == self._around.me.instance:
+        if target == self._around.me:
             return self._hosting.submit(request)
         return self._around.bus.request(
             target, request, SubmitReply, request.wait
@@ -247,9 +250,10 @@
         return reply.outcome
     if reply.verdict is Verdict.FORGOTTEN or sent:
         raise _make_unknown()
-    raise NotAppliedError(
-        reply.problem, 'check releases and clocks of the instances'
-    )
+    remedy = 'check releases and clocks of the instances'
+    if reply.verdict is Verdict.REFUSED:
+        remedy = 'try again when the object API answers'
+    raise NotAppliedError(reply.problem, remedy)
 
 
 def _make_unknown() -> OutcomeUnknownError:
@@ -259,13 +263,6 @@
     )
 
 
-def _make_boot(rng: random.Random | None, guards: Safeguards) -> str:
-    """Return what tells this process from earlier ones of its id."""
-    if not guards.boot_ids:
-        return 'any'
-    return make_id()[:8] if rng is None else _draw_id(rng)[:8]
-
-
 def _draw_id(rng: random.Random) -> str:
     """Return an id that a seed replays."""
     return f'{rng.getrandbits(128):032x}'
--- /dev/null
+++ b/guavagate/partitions/stored.py
@@ -0,0 +1,12 @@
+"""The partitions kept in the store, apart since they need the runtime."""
+
+from guavagate.partitions._record import find_partition
+from guavagate.partitions._safeguards import Safeguards
+from guavagate.partitions._stored import Holding, StoredPartitions
+
+__all__ = (
+    'Holding',
+    'Safeguards',
+    'StoredPartitions',
+    'find_partition',
+)
--- a/guavagate/reports.py
+++ b/guavagate/reports.py
@@ -8,7 +8,6 @@
 import psutil
 
 from guavagate import __version__
-from guavagate.const import DEFAULT_REPLICAS
 from guavagate.instance import Instance
 from guavagate.metrics import Metrics, names
 from guavagate.models import (
@@ -24,7 +23,7 @@
     RunReport,
     SamplerReport,
 )
-from guavagate.partitions.replicated import View
+from guavagate.partitions.stored import Holding
 from guavagate.permits import OwnedPool
 from guavagate.runs import Hosted, Run
 from guavagate.runtime import Runtime
@@ -33,7 +32,7 @@
 _NOT_READY: Final = 'not ready'
 _DRAINING: Final = 'draining'
 
-ListViews = Callable[[], Iterable[View]]
+ListHoldings = Callable[[], Iterable[Holding]]
 
 
 class LiveReports:
@@ -44,12 +43,12 @@
         runtime: Runtime,
         instance: Instance,
         hosted: Hosted,
-        views: ListViews,
+        holdings: ListHoldings,
     ) -> None:
         self._runtime = runtime
         self._instance = instance
         self._hosted = hosted
-        self._views = views
+        self._holdings = holdings
         self._me = runtime.settings.id
         self._draining = False
 
@@ -105,7 +104,7 @@
         metrics.set_gauge(
             names.MEMBERS, float(len(self._runtime.members.alive()))
         )
-        led = sum(one.role == 'primary' for one in self._list_partitions())
+        led = len(list(self._holdings()))
         metrics.set_gauge(names.PARTITIONS_LED, float(led))
         metrics.clear(names.QUEUED)
         metrics.clear(names.RUNNING)
@@ -120,26 +119,15 @@
         return _READY if ready else _NOT_READY
 
     def _list_partitions(self) -> Iterator[PartitionReport]:
-        for view in self._views():
-            members = tuple(member.instance for member in view.members)
-            if self._me in members:
-                leads = view.primary.instance == self._me
-                yield PartitionReport(
-                    partition=view.partition,
-                    role='primary' if leads else 'backup',
-                    epoch=view.epoch,
-                    members=members,
-                )
+        for held in self._holdings():
+            yield PartitionReport(
+                partition=held.partition,
+                role='primary',
+                epoch=held.epoch,
+                members=(self._me,),
+            )
 
     def _list_repairs(self, pools: list[OwnedPool]) -> Iterator[str]:
-        alive = len(self._runtime.members.alive())
-        wanted = min(DEFAULT_REPLICAS, alive)
-        for one in self._list_partitions():
-            if one.role == 'primary' and len(one.members) < wanted:
-                yield (
-                    f'partition {one.partition} has {len(one.members)} of'
-                    f' {wanted} replicas'
-                )
         now = self._runtime.clock.now()
         for owned in pools:
             if now < owned.grants_from:
--- a/guavagate/rollouts/_lease.py
+++ b/guavagate/rollouts/_lease.py
@@ -11,7 +11,6 @@
 
 import logging
 import secrets
-import time
 from collections.abc import Callable
 from typing import Final
 
@@ -22,6 +21,7 @@
 from guavagate.exceptions import StoreConflictError, StoreUnavailableError
 from guavagate.models import InstanceId, Revision, ServiceId
 from guavagate.ports.store import ObjectStore, StoredObject
+from guavagate.util.boot_clock import read_boot_clock
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -50,11 +50,6 @@
     """Another instance holds the lease."""
 
 
-def read_boot_clock() -> float:
-    """Return seconds that also count while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Lease:
     """One instance's side of a service's lease.
 
--- a/guavagate/runs/__init__.py
+++ b/guavagate/runs/__init__.py
@@ -16,7 +16,6 @@
     Verdict,
 )
 from guavagate.runs._driver import Hosted, RunDriver, find_lineage
-from guavagate.runs._kept import KeptSamples
 from guavagate.runs._run import Run
 from guavagate.runs._state import RUN_COMMANDS, RunsState
 from guavagate.runs._step import PendingSample
@@ -31,7 +30,6 @@
     'GroupSpec',
     'Hosted',
     'KeepCursor',
-    'KeptSamples',
     'PendingSample',
     'PublishVersion',
     'PullBatch',
--- a/guavagate/runs/_client.py
+++ b/guavagate/runs/_client.py
@@ -220,7 +220,7 @@
         )
     if batch.verdict is Verdict.UNKNOWN_STEP:
         raise RefusalError(
-            f'step {batch.step_id!r} is not known; all replicas were lost',
+            f'step {batch.step_id!r} is not known; its record was removed',
             'publish your newest version and submit your steps again, then'
             ' pull with the same cursor',
             reason='unknown_step',
--- a/guavagate/runs/_commands.py
+++ b/guavagate/runs/_commands.py
@@ -1,4 +1,4 @@
-"""Commands and outcomes of the runs' replicated state."""
+"""Commands and outcomes of the runs' state."""
 
 import enum
 
@@ -6,7 +6,6 @@
 
 from guavagate.models import (
     DeploymentId,
-    Epoch,
     RunId,
     SampleId,
     WeightVersion,
@@ -91,7 +90,6 @@
     """The primary proves that it still decides before it orders a swap."""
 
     version: WeightVersion
-    epoch: Epoch = Epoch(0)
 
 
 class Verdict(enum.Enum):
--- a/guavagate/runs/_cursor.py
+++ b/guavagate/runs/_cursor.py
@@ -2,8 +2,8 @@
 
 It names the step, the groups delivered (a bitmap: 2,048 samples in groups of
 8 are 32 bytes), the sequence number of the batch and the incarnation of the
-run's state that issued it. With all replicas lost, the cursor alone still
-says what the trainer has.
+run's state that issued it. Should the record be removed from the store, the
+cursor alone still says what the trainer has.
 """
 
 import base64
--- a/guavagate/runs/_run.py
+++ b/guavagate/runs/_run.py
@@ -35,7 +35,7 @@
 
 
 class Run(msgspec.Struct, kw_only=True):
-    """The state of one run, as every replica holds it.
+    """The state of one run.
 
     `cursor` is the one presented last; `offered` the newest batch that
     follows it. `confirmed` says that the trainer has presented a cursor of
@@ -124,24 +124,46 @@
         command.max_samples,
     )
     if step is None or not places:
-        return Batch(
-            verdict=Verdict.ACCEPTED,
-            follows=command.cursor,
-            cursor=command.cursor,
-            step_id=step.step_id if step else '',
-            regenerated=dropped,
-        )
+        return make_empty_batch(run, command, dropped)
     run.offered = _make_batch(run, step, places, command.cursor, dropped)
     return run.offered
 
 
+def is_waiting(run: Run, command: PullBatch) -> bool:
+    """Tell whether a pull would find nothing and change nothing.
+
+    Only newly published versions make samples stale, and those that are have
+    to be dropped by the pull itself, so that they are made again.
+    """
+    if run.offered is not None or command.cursor != encode_cursor(run.cursor):
+        return False
+    step = next(iter(run.steps.values()), None)
+    if step is None:
+        return True
+    finished = any(each.finished for each in run.steps.values())
+    return not finished
+
+
+def make_empty_batch(run: Run, command: PullBatch, dropped: int = 0) -> Batch:
+    """Return what a pull gives while no group is whole."""
+    step = next(iter(run.steps.values()), None)
+    return Batch(
+        verdict=Verdict.ACCEPTED,
+        follows=command.cursor,
+        cursor=command.cursor,
+        step_id=step.step_id if step else '',
+        regenerated=dropped,
+    )
+
+
 def _may_follow(run: Run, presented: Cursor) -> bool:
     """Tell whether a cursor can be newer than the one presented last.
 
     One of this incarnation is newer when it was issued later. One of an
-    earlier incarnation, whose replicas were all lost, is the only record of
-    what the trainer has: it is adopted until the trainer has presented one of
-    this incarnation, and from then on can only be a late duplicate.
+    earlier incarnation, whose record an operator has removed from the store,
+    is all that is known of what the trainer has: it is adopted until the
+    trainer has presented one of this incarnation, and from then on can only
+    be a late duplicate.
     """
     if presented.incarnation != run.incarnation:
         return not run.confirmed
--- a/guavagate/runs/_state.py
+++ b/guavagate/runs/_state.py
@@ -1,4 +1,4 @@
-"""The runs of one partition as a replicated state."""
+"""The runs of one partition as a state of it."""
 
 from typing import Final, cast
 
@@ -7,7 +7,6 @@
 from guavagate.models import DeploymentId, RunId, SampleId, WeightVersion
 from guavagate.partitions import Command, Outcome
 from guavagate.runs._commands import (
-    Batch,
     ConfirmOrder,
     FinishSample,
     KeepCursor,
@@ -23,12 +22,14 @@
     Run,
     is_delivered,
     is_fresh,
+    is_waiting,
+    make_empty_batch,
     pending_samples,
     pull,
 )
 from guavagate.runs._step import PendingSample, holds_sample, make_step
 
-# A step in work holds its samples in memory on every replica; more steps than
+# A step in work holds its samples in memory and in the store; more steps than
 # this are refused rather than let a trainer that never pulls fill the memory.
 MAX_STEPS_IN_WORK: Final = 16
 # Ids of past steps, so that a submit repeated late is answered as a duplicate.
@@ -61,7 +62,6 @@
     """The whole state on the wire."""
 
     lineages: dict[DeploymentId, Lineage]
-    lost: bool = False
 
 
 class RunsState:
@@ -69,20 +69,11 @@
 
     def __init__(self) -> None:
         self.lineages: dict[DeploymentId, Lineage] = {}
-        self.lost = False
         self._pending: dict[tuple[DeploymentId, RunId], Pending] = {}
 
     def apply(self, command: Command) -> Outcome:
         """Apply one command and return its outcome."""
-        if not isinstance(command, RunCommand):
-            # Replicas were lost, and one that is left may be older than what
-            # has been answered: by its newest version stale samples would be
-            # handed out. So the runs are gone with them, and each trainer's
-            # cursor says what it has (see `_run.pull`).
-            self.lineages.clear()
-            self._pending.clear()
-            self.lost = True
-            return Outcome()
+        command = cast(RunCommand, command)
         lineage = self.lineages.setdefault(command.deployment, Lineage())
         if isinstance(command, PublishVersion):
             return _publish(lineage, command)
@@ -92,8 +83,6 @@
         if run is None:
             run = Run(run=command.run, incarnation=f'{command.at:.6f}')
             lineage.runs[command.run] = run
-        if isinstance(command, PullBatch) and self._has_lost(run):
-            return Batch(verdict=Verdict.UNKNOWN_STEP, follows=command.cursor)
         before = _mark(run)
         outcome = _apply_to_run(lineage, run, command)
         key = (command.deployment, run.run)
@@ -103,17 +92,29 @@
             self._forget_finished(key, run, command)
         return outcome
 
+    def preview(self, command: Command) -> Outcome | None:
+        """Return an empty batch if there is nothing to hand out.
+
+        A trainer that waits asks ten times a second; each time in the record
+        would be a write to the store. That there is nothing yet does no harm
+        where another instance has meanwhile gone on: it asks again.
+        """
+        if not isinstance(command, PullBatch):
+            return None
+        lineage = self.lineages.get(command.deployment)
+        run = lineage and lineage.runs.get(command.run)
+        if not run or not is_waiting(run, command):
+            return None
+        return make_empty_batch(run, command)
+
     def snapshot(self) -> bytes:
-        """Return the whole state, for a new backup."""
-        return msgspec.msgpack.encode(
-            _Snapshot(lineages=self.lineages, lost=self.lost)
-        )
+        """Return the whole state."""
+        return msgspec.msgpack.encode(_Snapshot(lineages=self.lineages))
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the state by a snapshot."""
         decoded = msgspec.msgpack.decode(snapshot, type=_Snapshot)
         self.lineages = decoded.lineages
-        self.lost = decoded.lost
         self._pending.clear()
 
     def newest(self, deployment: DeploymentId) -> WeightVersion | None:
@@ -141,14 +142,6 @@
             found[run.run] = self._pending[key]
         return found
 
-    def _has_lost(self, run: Run) -> bool:
-        """Tell whether a run's steps may have been lost with all replicas.
-
-        A trainer whose only step was lost right after its submit would pull
-        nothing for ever; told that no step is known, it submits again.
-        """
-        return self.lost and not run.digests
-
     def _forget_finished(
         self,
         key: tuple[DeploymentId, RunId],
--- a/guavagate/runs/_worker.py
+++ b/guavagate/runs/_worker.py
@@ -12,7 +12,7 @@
     SAMPLE_FAILED,
     SAMPLE_STARTED,
 )
-from guavagate.exceptions import GuavagateError
+from guavagate.exceptions import GuavagateError, RefusalError
 from guavagate.links import Message, expect
 from guavagate.models import (
     CallerId,
@@ -38,7 +38,6 @@
 from guavagate.runs._client import RunsClient
 from guavagate.runs._commands import FinishedSample, Verdict
 from guavagate.runs._driver import find_lineage
-from guavagate.runs._kept import KeptSamples
 from guavagate.runs._messages import (
     CancelSample,
     GenerateSample,
@@ -54,6 +53,10 @@
 # A sample that has not come after this is given up and assigned anew; the
 # longest steps of two years are whole in twelve minutes.
 SAMPLE_LIMIT: Final = 720.0
+# How long a finished sample is kept while it can't be entered, and between
+# two tries; a store that is away for longer costs the sample.
+ENTER_LIMIT: Final = 60.0
+ENTER_PAUSE: Final = 0.5
 SCORE_ATTEMPTS: Final = 3
 SCORE_PAUSE: Final = 0.2
 
@@ -74,7 +77,6 @@
         engine: ModelEngine,
         scoring: Score,
         runs: RunsClient,
-        kept: KeptSamples,
     ) -> None:
         self._runtime = runtime
         self._homes = homes
@@ -83,7 +85,6 @@
         self._engine = engine
         self._score = scoring
         self._runs = runs
-        self._kept = kept
         self._tasks: dict[_Key, Task] = {}
         runtime.bus.register(GenerateSample, self.take)
         runtime.bus.register(CancelSample, self.cancel)
@@ -152,9 +153,6 @@
                 f'deployment {lineage} is not declared here',
                 'declare it with `guavagate settings apply`',
             )
-        kept = self._kept.find(order)
-        if kept is not None:
-            return self._enter(order, lineage, kept, ())
         work = self._describe(order)
         write(
             _LOGGER,
@@ -171,7 +169,6 @@
             versions=tuple(progress.versions),
             score=self._rate(deployment, order, progress.text),
         )
-        self._kept.keep(order, sample)
         return self._enter(order, lineage, sample, tuple(progress.samplers))
 
     def _enter(
@@ -181,7 +178,7 @@
         sample: FinishedSample,
         samplers: tuple[UpstreamId, ...],
     ) -> Verdict:
-        verdict = self._runs.finish(lineage, order.run, order.step_id, sample)
+        verdict = self._finish(order, lineage, sample)
         write(
             _LOGGER,
             SAMPLE_ENTERED,
@@ -193,6 +190,29 @@
         )
         return verdict
 
+    def _finish(
+        self,
+        order: GenerateSample,
+        lineage: DeploymentId,
+        sample: FinishedSample,
+    ) -> Verdict:
+        """Have a sample entered, also when the store is away for a while.
+
+        Entering one again is harmless, making it again takes seconds of a
+        sampler.
+        """
+        clock = self._runtime.clock
+        until = clock.now() + ENTER_LIMIT
+        while True:
+            try:
+                return self._runs.finish(
+                    lineage, order.run, order.step_id, sample
+                )
+            except RefusalError:
+                if clock.now() >= until:
+                    raise
+                clock.sleep(ENTER_PAUSE)
+
     def _generate(
         self,
         order: GenerateSample,
--- a/guavagate/settings/_kinds.py
+++ b/guavagate/settings/_kinds.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from guavagate.exceptions import SettingsError
-from guavagate.util.units import parse_duration, parse_size
+from guavagate.util.units import parse_duration
 
 _ID: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 _HASH: Final = re.compile('sha256:[0-9a-f]{64}')
@@ -23,7 +23,6 @@
 
     ID = 'id'
     DURATION = 'duration'
-    SIZE = 'size'
     ADDRESS = 'host:port'
     IP_ADDRESS = 'ip:port'
     URL = 'URL'
@@ -133,7 +132,6 @@
 _CHECKS: Final[dict[Kind, Callable[[str], object]]] = {
     Kind.ID: _check_id,
     Kind.DURATION: _check_duration,
-    Kind.SIZE: parse_size,
     Kind.ADDRESS: _check_address,
     Kind.IP_ADDRESS: _check_ip_address,
     Kind.URL: _check_url,
--- a/guavagate/settings/_schema.py
+++ b/guavagate/settings/_schema.py
@@ -90,12 +90,6 @@
             ' lets every process that reaches the address take part'
         ),
     ] = ''
-    data_folder: Annotated[
-        str, describe('Folder for bulk data; empty keeps nothing on disk')
-    ] = ''
-    data_limit: Annotated[
-        str, describe('Most that the data folder may hold', Kind.SIZE)
-    ] = '1GB'
     log_format: Annotated[
         Literal['human', 'json'], describe('Form of the log lines')
     ] = 'human'
--- a/guavagate/util/units.py
+++ b/guavagate/util/units.py
@@ -1,4 +1,4 @@
-"""Durations and sizes with units, as settings write them."""
+"""Durations with units, as settings write them."""
 
 import re
 from typing import Final
@@ -7,8 +7,6 @@
 
 _DURATION: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s|m|h|d)')
 _SECONDS: Final = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0, 'd': 86400.0}
-_SIZE: Final = re.compile(r'(\d+(?:\.\d+)?)(B|KB|MB|GB)')
-_BYTES: Final = {'B': 1, 'KB': 1_000, 'MB': 1_000_000, 'GB': 1_000_000_000}
 
 
 def parse_duration(text: str) -> float:
@@ -26,20 +24,3 @@
             'write a number and a unit, such as 250ms, 5s, 2m, 1h or 1d',
         )
     return float(match[1]) * _SECONDS[match[2]]
-
-
-def parse_size(text: str) -> int:
-    """Return bytes for a text such as ``64MB``.
-
-    Raises
-    ------
-    SettingsError
-        The text is no number with a unit.
-    """
-    match = _SIZE.fullmatch(text.strip())
-    if match is None:
-        raise SettingsError(
-            f'{text!r} is not a size',
-            'write a number and a unit, such as 512B, 64KB, 1MB or 2GB',
-        )
-    return int(float(match[1]) * _BYTES[match[2]])
--- a/guavagate/weights/_rollout.py
+++ b/guavagate/weights/_rollout.py
@@ -6,11 +6,13 @@
 
 Engines that refuse old fencing numbers get the partition's epoch. For those
 that ignore it an order is sent only within `CONFIRM_SECONDS` of a command that
-a majority took at this epoch, and a new primary waits out that time and the
-longest order first. What remains is a pause of the process between the last
-look at the clock and the send: then an old order may undo a newer one until
-the new primary reads the version back and corrects it. Samples stay true in
-it, since each piece names the version that the engine says made it.
+the store took at this epoch, and a new primary waits out that time and the
+longest order first. Time is counted by the boot clock: a suspended machine
+that wakes must not take its last confirmation for a fresh one. What remains is
+a pause between the last look at the clock and the send: then an old order may
+undo a newer one until the new primary reads the version back and corrects it.
+Samples stay true in it, since each piece names the version that the engine
+says made it.
 """
 
 import logging
@@ -46,6 +48,7 @@
 )
 from guavagate.runtime import Runtime
 from guavagate.settings import DeploymentSettings, SamplerSettings
+from guavagate.util.boot_clock import read_boot_clock
 from guavagate.weights._plan import (
     OrderKind,
     SamplerWeights,
@@ -103,11 +106,13 @@
         engine: ModelEngine,
         hosted: Hosted,
         sample_seconds: Callable[[DeploymentId], float | None],
+        boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._runtime = runtime
         self._engine = engine
         self._hosted = hosted
         self._sample_seconds = sample_seconds
+        self._boot_clock = boot_clock
         self._lineages: dict[DeploymentId, _Lineage] = {}
         self._task: Task | None = None
 
@@ -283,25 +288,22 @@
     def _confirm(
         self, name: DeploymentId, lineage: _Lineage, order: WeightOrder
     ) -> bool:
-        """Have a majority say that this epoch still decides."""
-        asked = self._runtime.clock.now()
+        """Have the store say that this epoch still decides."""
+        asked = self._boot_clock()
         command = ConfirmOrder(
             at=self._runtime.clock.wall(),
             deployment=name,
             run=RunId(''),
             version=order.version,
-            epoch=lineage.epoch,
         )
         try:
-            outcome = self._runtime.partitions.submit(
-                partition_key(name), command, RunOutcome, CONFIRM_SECONDS
+            outcome = self._runtime.partitions.submit_here(
+                partition_key(name), lineage.epoch, command, RunOutcome
             )
         except PartitionError as error:
             write(_LOGGER, ORDER_WITHHELD, deployment=name, error=str(error))
             return False
-        holder = self._runtime.partitions.primary_of(partition_key(name))
-        mine = (self._runtime.settings.id, lineage.epoch)
-        if holder != mine or outcome.newest != order.version:
+        if outcome.newest != order.version:
             return False
         lineage.confirmed_at = asked
         return True
@@ -335,7 +337,7 @@
         address: str,
         order: WeightOrder,
     ) -> None:
-        age = self._runtime.clock.now() - lineage.confirmed_at
+        age = self._boot_clock() - lineage.confirmed_at
         if age > CONFIRM_SECONDS:
             write(_LOGGER, ORDER_WITHHELD, deployment=name, age=age)
             return
--- /dev/null
+++ b/tests/partitions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the partitions that the store keeps."""
--- /dev/null
+++ b/tests/partitions/test_keeping.py
@@ -0,0 +1,168 @@
+"""Records, segments and copies in the store, without a fleet."""
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from guavagate.clock import PausedClock
+from guavagate.exceptions import StoreError
+from guavagate.measure.fakes import MemoryStore, StoreState
+from guavagate.measure.outcomes import Add, Counters
+from guavagate.models import InstanceId, PartitionId
+from guavagate.partitions import _keeping as keeping
+from guavagate.partitions._blobs import PART_BYTES
+from guavagate.partitions._keeping import RecordKeeping, SupersededError
+from guavagate.partitions._machine import Machine
+from guavagate.partitions._messages import Entry
+from guavagate.partitions._safeguards import Safeguards
+
+
+class Bench:
+    """A partition in a store, and instances that take it."""
+
+    def __init__(self) -> None:
+        self.clock = PausedClock()
+        self.state = StoreState(sleep=self.clock.sleep)
+        self.store = MemoryStore(self.clock, self.state)
+        self._ids = itertools.count()
+
+    def run(self, act: Callable[..., Any], *args: Any) -> Any:
+        """Run something that waits, in virtual time; return what it gives."""
+        task = self.clock.spawn(act, *args)
+        self.clock.run_until(task.ready, 60)
+        self.clock.advance(1)
+        return task.get(block=False)
+
+    def take(self, name: str = 'a') -> tuple[RecordKeeping, Machine]:
+        """Take the partition over as an instance."""
+        held = RecordKeeping(
+            self.store,
+            self.clock,
+            PartitionId(7),
+            InstanceId(name),
+            lambda: f'id-{next(self._ids)}',
+            Safeguards(),
+        )
+        machine = Machine({Add: Counters()})
+        self.run(held.take_over, machine)
+        return held, machine
+
+    def add(self, held: RecordKeeping, machine: Machine, size: int = 0) -> None:
+        """Add one entry whose payload has about so many bytes."""
+        filler = 'x' * size
+        command = Add(at=0, key=f'{next(self._ids)}{filler}')
+        entry = Entry(f'c{next(self._ids)}', 'Add', _encode(command), 1.5)
+        machine.apply(entry)
+        self.run(held.add, [entry], machine)
+
+    def blobs(self) -> list[str]:
+        """Return the paths of the blobs in the store."""
+        return [
+            path
+            for path in self.state.objects
+            if path.startswith('partition-blobs')
+        ]
+
+
+def _encode(command: Add) -> bytes:
+    """Return a command as an entry holds it."""
+    return msgspec.msgpack.encode(command)
+
+
+def test_a_successor_reads_copy_segments_and_tail() -> None:
+    """The state is more than a record holds; another instance takes it.
+
+    Entries went from the tail into segments, and those into a copy of several
+    parts. Read together they give the state to the last entry.
+    """
+    bench = Bench()
+    held, machine = bench.take()
+    for _ in range(9):
+        bench.add(held, machine, 200_000)
+    bench.add(held, machine)
+    assert held.record.copy is not None
+    assert held.record.copy.size > PART_BYTES
+    assert held.record.segments
+    assert held.record.tail
+    _, copy = bench.take('b')
+    assert copy.snapshot() == machine.snapshot()
+
+
+def test_what_no_record_names_is_deleted() -> None:
+    """A copy replaces segments and the copy before; a dead writer left one.
+
+    Nothing in the store expires by itself: without deleting, each copy would
+    stay for ever.
+    """
+    bench = Bench()
+    held, machine = bench.take()
+    path = 'partition-blobs-00007/left-0000'
+    bench.run(bench.store.put, path, b'""', 0)
+    for _ in range(12):
+        bench.add(held, machine, 200_000)
+    held, _ = bench.take('b')
+    named = [
+        f'partition-blobs-00007/{name}'
+        for blob in held.record.list_blobs()
+        for name in blob.list_names()
+    ]
+    assert sorted(bench.blobs()) == sorted(named)
+
+
+def test_the_one_that_was_taken_over_is_refused() -> None:
+    """Two instances both hold a record; only the later one may add to it."""
+    bench = Bench()
+    first, machine = bench.take('a')
+    second, other = bench.take('b')
+    with pytest.raises(SupersededError):
+        bench.add(first, machine)
+    bench.add(second, other)
+    assert second.record.epoch == 2
+
+
+def test_a_lost_answer_is_settled_by_the_change_id() -> None:
+    """The store took the write, its answer was lost; it is made once."""
+    bench = Bench()
+    held, machine = bench.take()
+    bench.state.lose_next = 1
+    bench.add(held, machine)
+    _, copy = bench.take('b')
+    assert copy.snapshot() == machine.snapshot()
+
+
+def test_an_object_that_is_no_record_is_not_written_over() -> None:
+    """Someone wrote over the record: it is refused with a remedy.
+
+    Beginning anew would forget all keys and run non-idempotent requests
+    again.
+    """
+    bench = Bench()
+    bench.run(bench.store.put, 'partitions/7', b'not a record', 0)
+    with pytest.raises(StoreError, match='write back its earlier value'):
+        bench.take()
+    assert bench.state.objects['partitions/7'].value == b'not a record'
+
+
+def test_copies_cost_no_more_than_entries(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A state that grows by many small entries, as a step's samples do.
+
+    Were a copy written each time the record is full, each would be as large
+    as all before it, and a step of 30 MB would write gigabytes.
+    """
+    monkeypatch.setattr(keeping, 'TAIL_BYTES', 2_000)
+    monkeypatch.setattr(keeping, 'COPY_BYTES', 10_000)
+    bench = Bench()
+    held, machine = bench.take()
+    written = 0
+    known: set[str] = set()
+    for number in range(300):
+        bench.add(held, machine, 400 + number % 7)
+        for path in set(bench.blobs()) - known:
+            written += len(bench.state.objects[path].value)
+            known.add(path)
+    assert written < 6 * 300 * 420
