Let watches on a silent way to the store go, and ask the peer that answers

Cause: an owner that is cut off from the store, and from some peers, stalled.

Change: while something waits and nothing else is answered, a read from an old copy (a tenth of a call's price) tries the way each 0.5 s. If it fails, what waits is let go at once and asked again through a peer; the circuit does not count that.

Ruled out: shorter watches (one call a second and mirror).

--- a/guavagate/events/forwarding.py
+++ b/guavagate/events/forwarding.py
@@ -53,6 +53,9 @@
     'The store turns this instance away; a peer makes its calls',
     'check the way from this instance to the store',
 )
+STORE_DIRECT: Final = Event(
+    8026, logging.INFO, 'The way to the store works again'
+)
 FEED_DIRECT: Final = Event(
     8024, logging.INFO, 'This instance watches the store itself'
 )
--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -67,6 +67,11 @@
     prefixes
         What is followed; `lapsing` are those whose objects may lapse while
         the store is away.
+
+    Attributes
+    ----------
+    relaying
+        Whether this instance tells the others.
     """
 
     def __init__(
@@ -94,7 +99,7 @@
         self._number = 0
         self._relays: dict[InstanceId, _Relay] = {}
         self._mirrors: list[Mirror] = []
-        self._relaying = False
+        self.relaying = False
         self._fresh_since: float | None = None
         self._tasks: list[Task] = []
         self.loaded = False
@@ -123,11 +128,11 @@
     def _look(self) -> None:
         relays = choose_relays(self._members.alive(), self._boot_of)
         if self._me in relays and self._knows_others():
-            if not self._relaying:
+            if not self.relaying:
                 self._watch_directly(relaying=True)
         elif self._is_followed():
             self._stop_watching()
-        elif not self._mirrors or self._relaying:
+        elif not self._mirrors or self.relaying:
             self._watch_directly(relaying=False)
         if self._mirrors and all(each.loaded for each in self._mirrors):
             self.loaded = True
@@ -153,7 +158,7 @@
 
     def _watch_directly(self, *, relaying: bool) -> None:
         self._stop_watching()
-        self._relaying = relaying
+        self.relaying = relaying
         wait = RELAY_WAIT_SECONDS if relaying else None
         pause = RELAY_PAUSE_SECONDS if relaying else ALONE_PAUSE_SECONDS
         for prefix in self._prefixes:
@@ -178,7 +183,7 @@
         for mirror in self._mirrors:
             mirror.stop()
         self._mirrors = []
-        self._relaying = False
+        self.relaying = False
         write(_LOGGER, events.FEED_FOLLOWED, relays=sorted(self._relays))
 
     def _take_gone(self, prefix: str, name: str) -> None:
@@ -194,7 +199,7 @@
     # What a relay does.
 
     def _tell_change(self, entry: FeedEntry) -> None:
-        if not self._relaying:
+        if not self.relaying:
             return
         self._number += 1
         message = FeedChange(boot=self._boot, number=self._number, entry=entry)
@@ -203,7 +208,7 @@
     def _beat(self) -> None:
         while True:
             self._clock.sleep(BEAT_SECONDS)
-            if self._relaying and all(each.loaded for each in self._mirrors):
+            if self.relaying and all(each.loaded for each in self._mirrors):
                 beat = FeedBeat(
                     boot=self._boot, number=self._number, age=self._age()
                 )
@@ -221,7 +226,7 @@
     def _on_read(self, _: InstanceId, message: Message) -> FeedCopy:
         expect(message, ReadFeed)
         loaded = all(each.loaded for each in self._mirrors)
-        if not self._relaying or not loaded:
+        if not self.relaying or not loaded:
             raise LinkError(
                 f'{self._me} does not relay', 'ask another instance'
             )
--- a/guavagate/integrations/object_api/_caller.py
+++ b/guavagate/integrations/object_api/_caller.py
@@ -20,6 +20,7 @@
     NotSentError,
     Priority,
     Transport,
+    WayLostError,
 )
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -132,6 +133,9 @@
         """Make the call once; return what came, or what it means."""
         try:
             answer = self._transport(call)
+        except WayLostError as error:
+            # It says nothing of the platform, which a peer may well reach.
+            return None, _unavailable(str(error), may_be_written=True)
         except NotSentError as error:
             self._fail()
             return None, _unavailable(str(error), may_be_written=False)
--- a/guavagate/integrations/object_api/_peers.py
+++ b/guavagate/integrations/object_api/_peers.py
@@ -3,6 +3,12 @@
 The store may refuse some machines, or be cut off from them, while it serves
 all others. Such an instance would not hear of a new configuration and could
 accept and list nothing, though it is otherwise sound.
+
+A way that is silent shows by time alone: a watch that waits would wait on, and
+each other call for its time limit. So while something waits and nothing else
+has been answered, a cheap call tries the way. When it fails, all that waits is
+let go at once, to be asked again through a peer, and the peers are asked until
+the way works again.
 """
 
 import logging
@@ -10,27 +16,35 @@
 from collections.abc import Callable
 from typing import Final
 
-from guavagate.clock import Clock
+from gevent.event import AsyncResult, Event
+
+from guavagate.clock import Clock, Task
 from guavagate.events import forwarding as events
 from guavagate.events import write
 from guavagate.exceptions import LinkError, LinkRefusedError
+from guavagate.helpers.waits import wait_for
+from guavagate.integrations.object_api._peer_choice import PeerChoice
 from guavagate.integrations.object_api.models import (
     Answer,
     Call,
     NoAnswerError,
     NotSentError,
     Transport,
+    WayLostError,
 )
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-# After a failed call the peers are asked for this long, then the direct way
-# is tried again: long enough that a dead way costs little, short enough that
-# peers are not burdened for long.
-AROUND_SECONDS: Final = 2.0
+# Between two tries of the way. With the time limit of one, what waits on a
+# silent way is let go after 1.1 s at most; TCP's own probes take 3 s.
+PROBE_SECONDS: Final = 0.5
+PROBE_LIMIT: Final = 0.6
 GRACE_SECONDS: Final = 0.5
+# A peer that is sound answers within some milliseconds.
+SEARCH_SECONDS: Final = 0.2
+_SEARCHED_PEERS: Final = 4
 _TRIED_PEERS: Final = 2
 
 
@@ -49,7 +63,16 @@
 
 
 class PeerRoute:
-    """Carries calls directly, or through a peer while that fails."""
+    """Carries calls directly, or through a peer while that fails.
+
+    Parameters
+    ----------
+    probe_path
+        A cheap read; what it finds does not matter.
+    is_needed
+        Whether what waits here is urgent; without it the way is not tried
+        while it works, as each try has its price.
+    """
 
     def __init__(
         self,
@@ -57,62 +80,157 @@
         bus: Bus,
         clock: Clock,
         list_peers: Callable[[], list[InstanceId]],
+        probe_path: str,
+        is_needed: Callable[[], bool],
         rng: random.Random | None = None,
     ) -> None:
         self._direct = direct
         self._bus = bus
         self._clock = clock
         self._list_peers = list_peers
-        self._random = rng or random.Random()
-        self._around_until = float(0)
+        self._probe = Call(method='GET', path=probe_path, timeout=PROBE_LIMIT)
+        self._is_needed = is_needed
+        self._peers = PeerChoice(clock, rng or random.Random())
+        self._searching: Event | None = None
+        self._is_lost = False
+        self._heard_at = clock.now()
+        self._waiting: dict[AsyncResult, Task] = {}
         bus.register(StoreCall, self._serve)
 
+    def start(self) -> None:
+        """Watch over the direct way from now on."""
+        self._clock.spawn(self._watch_over)
+
     def carry(self, call: Call) -> Answer:
         """Make one call, by whichever way works."""
-        if self._clock.now() < self._around_until:
+        if self._is_lost:
             try:
                 return self._ask_peers(call)
             except NotSentError as error:
                 _LOGGER.debug('no peer made the call: %s', error)
         try:
-            answer = self._direct(call)
+            answer = self._go_directly(call)
         except NotSentError as error:
             self._note_failure(str(error))
             return self._ask_peers(call)
         except NoAnswerError as error:
             self._note_failure(str(error))
             raise
-        self._around_until = 0
+        self._note_answer()
         return answer
 
+    def _go_directly(self, call: Call) -> Answer:
+        """Make a call that is let go when the way is lost meanwhile."""
+        result: AsyncResult = AsyncResult()
+        self._waiting[result] = self._clock.spawn(self._fill, result, call)
+        try:
+            return result.get()
+        finally:
+            self._waiting.pop(result).kill(block=False)
+
+    def _fill(self, result: AsyncResult, call: Call) -> None:
+        try:
+            result.set(self._direct(call))
+        except Exception as error:
+            result.set_exception(error)
+
+    def _watch_over(self) -> None:
+        while True:
+            self._clock.sleep(PROBE_SECONDS)
+            silent = self._clock.now() - self._heard_at >= PROBE_SECONDS
+            waits = self._waiting and silent and self._is_needed()
+            if self._is_lost or waits:
+                self._try_way()
+
+    def _try_way(self) -> None:
+        try:
+            self._direct(self._probe)
+        except (NotSentError, NoAnswerError) as error:
+            self._note_failure(str(error))
+            self._let_go(str(error))
+        else:
+            self._note_answer()
+
+    def _let_go(self, problem: str) -> None:
+        """Have what waits on the lost way be asked again, through a peer.
+
+        Only once the probe has failed: a single call that was refused may be
+        one too many, and asking everything again would add to that.
+        """
+        waiting = list(self._waiting) if self._is_lost else []
+        for result in waiting:
+            result.set_exception(WayLostError(problem))
+
+    def _note_answer(self) -> None:
+        self._heard_at = self._clock.now()
+        if self._is_lost:
+            self._is_lost = False
+            write(_LOGGER, events.STORE_DIRECT)
+
     def _note_failure(self, problem: str) -> None:
-        if not self._list_peers():
+        if self._is_lost or not self._list_peers():
             return
-        if not self._around_until:
-            write(_LOGGER, events.STORE_THROUGH_PEER, problem=problem)
-        self._around_until = self._clock.now() + AROUND_SECONDS
+        self._is_lost = True
+        write(_LOGGER, events.STORE_THROUGH_PEER, problem=problem)
 
     def _ask_peers(self, call: Call) -> Answer:
-        peers = self._list_peers()
-        self._random.shuffle(peers)
+        if not self._peers.is_found():
+            self._find_peer()
         problem = 'there is no peer'
-        for peer in peers[:_TRIED_PEERS]:
-            message = StoreCall(call=call)
-            timeout = call.timeout + GRACE_SECONDS
+        for peer in self._peers.order(self._list_peers())[:_TRIED_PEERS]:
             try:
-                reply = self._bus.request(peer, message, StoreAnswer, timeout)
+                answer, problem = self._ask(peer, call)
             except LinkRefusedError as error:
+                self._peers.note_silence(peer)
                 problem = str(error)
                 continue
-            except LinkError as error:
-                raise NoAnswerError(str(error)) from error
-            if reply.answer is not None:
-                return reply.answer
-            problem = reply.problem
-            if reply.sent:
-                raise NoAnswerError(problem)
+            if answer is not None:
+                return answer
         raise NotSentError(problem)
 
+    def _ask(self, peer: InstanceId, call: Call) -> tuple[Answer | None, str]:
+        """Return a peer's answer, or why it has certainly not made the call."""
+        timeout = call.timeout + GRACE_SECONDS
+        message = StoreCall(call=call)
+        try:
+            reply = self._bus.request(peer, message, StoreAnswer, timeout)
+        except LinkRefusedError:
+            raise
+        except LinkError as error:
+            self._peers.note_silence(peer)
+            raise NoAnswerError(str(error)) from error
+        if reply.answer is not None:
+            self._peers.note_answer(peer)
+            return reply.answer, ''
+        self._peers.note_silence(peer)
+        if reply.sent:
+            raise NoAnswerError(reply.problem)
+        return None, reply.problem
+
+    def _find_peer(self) -> None:
+        """Try some peers at once with the cheap call; the first one serves.
+
+        Each caller that comes meanwhile waits for the same search.
+        """
+        if self._searching is None:
+            self._searching = Event()
+            peers = self._peers.order(self._list_peers())[:_SEARCHED_PEERS]
+            for peer in peers:
+                self._clock.spawn(self._try_peer, peer, self._searching)
+        search = self._searching
+        wait_for(self._clock, search, SEARCH_SECONDS)
+        if self._searching is search:
+            self._searching = None
+
+    def _try_peer(self, peer: InstanceId, found: Event) -> None:
+        try:
+            answer, _ = self._ask(peer, self._probe)
+        except (LinkRefusedError, NoAnswerError) as error:
+            _LOGGER.debug('%s has no way to the store: %s', peer, error)
+        else:
+            if answer is not None:
+                found.set()
+
     def _serve(self, _: InstanceId, message: Message) -> StoreAnswer:
         """Make a peer's call, by the direct way only."""
         call = expect(message, StoreCall).call
--- a/guavagate/integrations/object_api/models.py
+++ b/guavagate/integrations/object_api/models.py
@@ -38,6 +38,10 @@
     """The platform may have acted on the call."""
 
 
+class WayLostError(NoAnswerError):
+    """The way failed while the call waited; there may be another one."""
+
+
 class Priority(enum.IntEnum):
     """Whose calls go first when the rate or the platform is short."""
 
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -10,7 +10,7 @@
 from guavagate.events import edge as edge_events
 from guavagate.events import forwarding as events
 from guavagate.events import write
-from guavagate.exceptions import SettingsError, StoreError
+from guavagate.exceptions import SettingsError
 from guavagate.feeds import Feed
 from guavagate.forwarding import Attempts, Forwarder, StreamForwarder
 from guavagate.helpers.mirror import Mirror
@@ -42,6 +42,7 @@
 from guavagate.platform._settings import NodeSettings, load_settings
 from guavagate.platform._store import PlatformStore, connect_store
 from guavagate.ports.store import StoredObject
+from guavagate.retirement import Retirement
 from guavagate.routing import RouteTable, UpstreamTable
 from guavagate.service import Services
 
@@ -72,10 +73,11 @@
             me.id, me.peer_address, self._members.address, self._clock
         )
         self._pool = ConnectionPool(self._clock)
+        self._route = self._make_route()
         self._store = self._make_store()
         self._routes = RouteTable()
         self._upstreams = UpstreamTable(self._clock, me.availability_zone)
-        self._ownership = Ownership(self._members, me.id, self._members.boot)
+        ownership = Ownership(self._members, me.id, self._members.boot)
         shelf = JobShelf(
             self._store, self._clock, f'{me.id}/{secrets.token_hex(4)}'
         )
@@ -83,7 +85,7 @@
             me.id,
             self._clock,
             shelf,
-            self._ownership,
+            ownership,
             self._routes,
             self._upstreams,
             PlatformSamplers(self._pool),
@@ -92,7 +94,7 @@
             settings.bounds.retention_s,
         )
         reader = JobReader(
-            self._clock, self._bus, shelf, self._ownership, self._services.find
+            self._clock, self._bus, shelf, ownership, self._services.find
         )
         self._registry = MemberRegistry(
             self._store, self._clock, self._members, me, settings.bootstrap
@@ -107,6 +109,7 @@
         """Start every part, the callers' edge last."""
         self._members.start()
         self._bus.start()
+        self._route.start()
         self._registry.start()
         self._feed.start()
         if self._settings.data_dir:
@@ -118,7 +121,8 @@
             ).start()
         for server in self._servers:
             server.start()
-        self._clock.spawn(self._settle)
+        self._clock.spawn(self._services.begin, self._registry.wait_settled)
+        self._members.subscribe(self._services.refresh)
         self._pool.start_sweeping()
 
     def ask_to_stop(self) -> None:
@@ -136,9 +140,7 @@
         balancer has seen that this instance is not ready.
         """
         self._stopping = True
-        self._ownership.settled = False
-        self._services.refresh()
-        self._members.start_leaving()
+        self._hand_over()
         for server in self._servers:
             server.announce_stop()
         if self._settings.listen.front:
@@ -148,9 +150,9 @@
         self._members.stop()
         write(_LOGGER, events.READY, ready=False, cut=cut, stopped=True)
 
-    def _make_store(self) -> PlatformStore:
+    def _make_route(self) -> PeerRoute:
         table = self._settings.platform
-        route = PeerRoute(
+        return PeerRoute(
             time_calls(
                 connect_store(table.address, ConnectionPool(self._clock)),
                 self._metrics,
@@ -159,14 +161,19 @@
             self._bus,
             self._clock,
             self._members.others,
+            const.PROBE_PATH,
+            lambda: self._services.active or self._feed.relaying,
         )
+
+    def _make_store(self) -> PlatformStore:
+        table = self._settings.platform
         rates = Rates(
             table.reads_per_s * RATE_SHARE,
             table.writes_per_s * RATE_SHARE,
             PROBE_SECONDS,
         )
         caller = Caller(
-            route.carry,
+            self._route.carry,
             self._clock,
             lambda: len(self._members.alive()),
             secrets.SystemRandom(),
@@ -281,25 +288,14 @@
         self._services.name_version(model, version)
 
     def _put_retirement(self, name: str, stored: StoredObject) -> None:
-        """Hand this machine's work over; it keeps nothing on its disk."""
+        """Hand this machine's work over if it is the one that is named."""
         if name == self._me:
-            self._clock.spawn(self._retire, stored.path)
+            Retirement(
+                self._clock,
+                self._hand_over,
+                lambda path: self._store.put_status(path, const.RETIRED),
+            ).begin(stored.path)
 
-    def _retire(self, path: str) -> None:
-        self._ownership.settled = False
-        self._services.refresh()
+    def _hand_over(self) -> None:
+        self._services.leave()
         self._members.start_leaving()
-        while True:
-            try:
-                self._store.put_status(path, {'state': 'completed'})
-            except StoreError as error:
-                _LOGGER.debug('not told yet: %s', error)
-                self._clock.sleep(1)
-            else:
-                return
-
-    def _settle(self) -> None:
-        self._registry.wait_settled()
-        self._ownership.settled = not self._stopping
-        self._members.subscribe(self._services.refresh)
-        self._services.refresh()
--- a/guavagate/platform/const.py
+++ b/guavagate/platform/const.py
@@ -26,3 +26,8 @@
 METRICS_PATH: Final = '/metrics'
 
 MILLIS: Final = 1000
+
+# A machine that was asked to leave and holds nothing any more.
+RETIRED: Final = {'state': 'completed'}
+# A read from an old copy costs a tenth; what it finds does not matter.
+PROBE_PATH: Final = '/objects/leases?stale-read=1'
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -57,6 +57,7 @@
         self._named = NamedVersions(clock)
         self._named.changed = self._wake
         self._services: dict[ServiceId, _Service] = {}
+        self._leaving = False
         self._start_versions: Callable[[], None] = _do_nothing
         self._stop_versions: Callable[[], None] = _do_nothing
         upstreams.subscribe(self._wake)
@@ -79,6 +80,23 @@
             return None
         return held.owner
 
+    def begin(self, wait_settled: Callable[[], None]) -> None:
+        """Take what is this instance's, once it knows of the others."""
+        wait_settled()
+        self._ownership.settled = not self._leaving
+        self.refresh()
+
+    def leave(self) -> None:
+        """Leave everything to others, now and from now on."""
+        self._leaving = True
+        self._ownership.settled = False
+        self.refresh()
+
+    @property
+    def active(self) -> bool:
+        """Return whether some service's jobs are in work here."""
+        return any(each.owner.active for each in self._services.values())
+
     def refresh(self) -> None:
         """Start what is owned now and stop what no longer is."""
         owned = {
