--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -45,6 +45,14 @@
 STALE_SECONDS: Final = 1.5
 CHECK_SECONDS: Final = 0.1
 READ_SECONDS: Final = 0.6
+# An instance that starts asks the relays for what they have and watches for
+# itself only if there is none by then. Were all to watch until they are told,
+# the start of a fleet would be half of a day's calls at ninety instances.
+START_SECONDS: Final = 2.0
+# After a restart callers are waiting already, and a relay that is there answers
+# at once; when all were killed together, there is none for a second.
+RESTART_SECONDS: Final = 0.4
+JOIN_SECONDS: Final = 0.1
 # Relays have to be fresh for so long before their news is relied upon again.
 TRUST_SECONDS: Final = 1.0
 
@@ -67,6 +75,8 @@
     prefixes
         What is followed; `lapsing` are those whose objects may lapse while
         the store is away.
+    first_start
+        Whether the whole fleet starts for the first time.
 
     Attributes
     ----------
@@ -84,6 +94,8 @@
         prefixes: tuple[str, ...],
         lapsing: tuple[str, ...] = (),
         boot_of: BootOf = forget_boots,
+        *,
+        first_start: bool = True,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -97,6 +109,8 @@
         self._table.changed = self._tell_change
         self._boot = secrets.randbits(62)
         self._number = 0
+        self._started_at = clock.now()
+        self._patience = START_SECONDS if first_start else RESTART_SECONDS
         self._relays: dict[InstanceId, _Relay] = {}
         self._mirrors: list[Mirror] = []
         self.relaying = False
@@ -113,12 +127,22 @@
 
     def start(self) -> None:
         """Begin to follow."""
-        self._watch_directly(relaying=False)
+        self._started_at = self._clock.now()
         self._tasks = [
+            self._clock.spawn(self._join),
             self._clock.spawn(self._check),
             self._clock.spawn(self._beat),
         ]
 
+    def _join(self) -> None:
+        """Read all from a relay, if one is there."""
+        while not (self.loaded or self._mirrors):
+            relays = choose_relays(self._members.alive(), self._boot_of)
+            for relay in relays:
+                if relay != self._me and not self.loaded:
+                    self._read_copy(relay)
+            self._clock.sleep(JOIN_SECONDS)
+
     def _check(self) -> None:
         """Watch directly, for all or for this instance alone, or follow."""
         while True:
@@ -132,11 +156,16 @@
                 self._watch_directly(relaying=True)
         elif self._is_followed():
             self._stop_watching()
-        elif not self._mirrors or self.relaying:
+        elif self.relaying or (not self._mirrors and self._has_joined()):
             self._watch_directly(relaying=False)
         if self._mirrors and all(each.loaded for each in self._mirrors):
             self.loaded = True
 
+    def _has_joined(self) -> bool:
+        """Return whether there was time to be told by a relay."""
+        waited = self._clock.now() - self._started_at
+        return self.loaded or waited >= self._patience
+
     def _knows_others(self) -> bool:
         return len(self._members.alive()) > 1
 
--- a/guavagate/membership/registry.py
+++ b/guavagate/membership/registry.py
@@ -18,9 +18,13 @@
 MEMBERS: Final = 'members'
 
 RETRY_SECONDS: Final = 0.3
-# Listed again soon, as all start together, and rarely afterwards: members
-# hear of later ones from those.
-AGAIN_SECONDS: Final = (0.7, 30.0)
+# Instances that start together for the first time have registered by then, and
+# one list shows each all others.
+TOGETHER_SECONDS: Final = 0.7
+# Members hear of later ones from those. One of each availability zone lists
+# again at this pace, so that two parts that never met, or lost each other for
+# long, find together; were it all, 330 would list for the sake of three.
+AGAIN_SECONDS: Final = 30.0
 # All start together for the first time: until all have registered, each would
 # think itself alone.
 FIRST_SECONDS: Final = 2.0
@@ -89,12 +93,24 @@
 
     def _run(self) -> None:
         self._persist(self._register)
-        pauses = iter(AGAIN_SECONDS)
-        pause = float(0)
+        if self._first_start:
+            self._clock.sleep(TOGETHER_SECONDS)
+        self._persist(self._list)
         while True:
-            self._persist(self._list)
-            pause = next(pauses, pause)
-            self._clock.sleep(pause)
+            self._clock.sleep(AGAIN_SECONDS)
+            if self._is_first_of_zone():
+                self._persist(self._list)
+
+    def _is_first_of_zone(self) -> bool:
+        zone = self._me.availability_zone
+        return self._me.id == min(
+            (
+                peer.id
+                for peer in self._members.alive()
+                if peer.availability_zone == zone
+            ),
+            default=self._me.id,
+        )
 
     def _persist(self, call: Callable[[], None]) -> None:
         while True:
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -191,6 +191,7 @@
             (const.CONFIG, const.SERVERS),
             (const.SERVERS,),
             self._members.boot,
+            first_start=self._settings.bootstrap,
         )
         feed.handle(const.CONFIG, self._put_config, None)
         feed.handle(const.SERVERS, self._put_server, self._drop_server)
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -28,7 +28,7 @@
             self._start(name)
         self.clock.advance(4)
 
-    def _start(self, name: str) -> None:
+    def _start(self, name: str, *, first: bool = True) -> None:
         held: dict[str, bytes] = {}
         told: list[bytes] = []
         self.known[name] = held
@@ -47,6 +47,7 @@
             InstanceId(name),
             ('config', 'servers'),
             ('servers',),
+            first_start=first,
         )
         feed.handle('config', put, None)
 
@@ -182,3 +183,65 @@
     fleet.world.resume(other)
     fleet.clock.advance(6)
     assert 'servers/x' not in fleet.known[other]
+
+
+def test_a_fleet_that_starts_leaves_the_store_alone() -> None:
+    """Six instances start at once, and one is started again later.
+
+    The relay lists and watches for all; the others ask it for what it has.
+    Were each to watch until a relay has told it, a fleet of ninety would make
+    half of a day's calls in its first seconds.
+    """
+    fleet = _Fleet()
+    alone = len(_NAMES) * 2
+    assert sum(fleet.world.store.calls.values()) < alone + 4 * 2 / 0.9
+    name = fleet.others()[0]
+    fleet.world.kill(name)
+    fleet.clock.advance(4)
+    fleet.world.add(name)
+    before = fleet.world.store.calls['list']
+    fleet._start(name)
+    fleet.clock.advance(0.5)
+    assert fleet.known[name]['config/main'] == b'1'
+    assert fleet.world.store.calls['list'] == before
+
+
+def test_one_that_finds_no_relay_watches_for_itself() -> None:
+    """It starts and reaches no other instance, but the store.
+
+    After two seconds it stops waiting to be told.
+    """
+    fleet = _Fleet()
+    name = fleet.others()[0]
+    fleet.world.kill(name)
+    fleet.clock.advance(4)
+    fleet.world.add(name)
+    for other in _NAMES:
+        one, two = InstanceId(name), InstanceId(other)
+        fleet.world.network.blocked |= {(one, two), (two, one)}
+    fleet._start(name)
+    fleet.clock.advance(1.5)
+    assert not fleet.known[name]
+    fleet.clock.advance(1.5)
+    assert fleet.known[name]['config/main'] == b'1'
+
+
+def test_all_are_killed_and_serve_again_soon() -> None:
+    """Every instance starts again at once, and callers are waiting.
+
+    There is no relay yet: until the instances have found each other and one
+    of them watches, all would refuse. Each asks the store after half a second.
+    """
+    fleet = _Fleet()
+    for name in _NAMES:
+        fleet.world.kill(name)
+    fleet.clock.advance(1)
+    for name in _NAMES:
+        fleet.world.add(name)
+    for name in _NAMES:
+        fleet.world.network.blocked |= {
+            (InstanceId(name), InstanceId(other)) for other in _NAMES
+        }
+        fleet._start(name, first=False)
+    fleet.clock.advance(0.7)
+    assert all('config/main' in fleet.known[name] for name in _NAMES)
