Split the callers' server: connection, exchange, listener

Change: _caller_link.py reads and writes one connection, _exchange.py is one request and its answer, _server.py listens and stops.

--- a/guavagate/http1/__init__.py
+++ b/guavagate/http1/__init__.py
@@ -5,21 +5,20 @@
 answer's bytes end, and the moment at which the other side leaves.
 """
 
+from guavagate.http1._caller_link import (
+    CallerGoneError,
+    ServerLimits,
+    SlowBodyError,
+)
 from guavagate.http1._client import Answer, ConnectionPool
+from guavagate.http1._exchange import BodyTooLargeError, Exchange
 from guavagate.http1._messages import (
     Headers,
     Request,
     drop_hop_by_hop,
     find_header,
 )
-from guavagate.http1._server import (
-    BodyTooLargeError,
-    CallerGoneError,
-    Exchange,
-    HttpServer,
-    ServerLimits,
-    SlowBodyError,
-)
+from guavagate.http1._server import HttpServer
 
 __all__ = (
     'Answer',
--- /dev/null
+++ b/guavagate/http1/_caller_link.py
@@ -0,0 +1,162 @@
+"""One connection of a caller, read ahead so that its close is noticed."""
+
+import contextlib
+import select
+from collections.abc import Callable
+from typing import Final
+
+import h11
+import msgspec
+from gevent import monkey, socket
+from gevent.event import Event
+
+from guavagate.clock import Clock, Task
+
+_READ_BYTES: Final = 65_536
+# What may lie unread before a caller has to wait with the rest.
+_AHEAD_BYTES: Final = 262_144
+# The patched one lets other tasks run in the middle of a look.
+_poll: Final = monkey.get_original('select', 'poll')
+
+
+class ServerLimits(msgspec.Struct, frozen=True):
+    """What a caller may send and how long it may take; bytes and seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 33_554_432
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+class SlowBodyError(Exception):
+    """The body stopped coming."""
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection."""
+
+
+class CallerLink:
+    """One connection of a caller."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        clock: Clock,
+        limits: ServerLimits,
+        closing: Callable[[], bool],
+    ) -> None:
+        self._sock = sock
+        self.clock = clock
+        self.closing = closing
+        self._limits = limits
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self.gone = Event()
+        self.on_gone: Callable[[], None] | None = None
+        self._more = Event()
+        self._room = Event()
+        self._reader: Task = clock.spawn(self._read)
+
+    def next_event(self) -> object:
+        """Return the next part of a request; waits for bytes."""
+        while True:
+            event = self.http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self.gone.is_set():
+                return h11.ConnectionClosed()
+            self._more.clear()
+            self._room.set()
+            self._more.wait()
+
+    def next_part(self) -> object:
+        """Return the next part of a body, within the idle time."""
+        idle = self._limits.idle_timeout
+        with self.clock.timeout(idle, SlowBodyError):
+            return self.next_event()
+
+    def wait_bytes(self) -> None:
+        """Block until something of a request is here, or the caller left."""
+        while not self.gone.is_set() and not self.http.trailing_data[0]:
+            self._more.clear()
+            self._room.set()
+            self._more.wait()
+
+    def write(self, event: h11.Event) -> None:
+        """Send a part of an answer."""
+        data = self.http.send(event)
+        if not data:
+            return
+        try:
+            self._sock.sendall(data)
+        except OSError as error:
+            self._note_gone()
+            raise CallerGoneError from error
+
+    def refuse(self, status: int, problem: str) -> None:
+        """Answer what is no whole request; nothing of it has run."""
+        if self.http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        text = f'{problem}\n'.encode()
+        headers = [
+            (b'Content-Length', str(len(text)).encode()),
+            (b'Connection', b'close'),
+        ]
+        self.write(h11.Response(status_code=status, headers=headers))
+        self.write(h11.Data(data=text))
+        self.write(h11.EndOfMessage())
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing of a request is here or on its way in."""
+        if self.http.trailing_data[0]:
+            return False
+        waiting = _poll()
+        waiting.register(self._sock.fileno(), select.POLLIN)
+        return not waiting.poll(0)
+
+    def drop(self) -> None:
+        """End an idle connection, and the task that waits on it."""
+        self.close()
+        self._note_gone()
+
+    def reset(self) -> None:
+        """Close without a proper end."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+    def close(self) -> None:
+        """End the connection and its reader."""
+        self._reader.kill()
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
+        self._sock.close()
+
+    def _read(self) -> None:
+        """Read ahead, so that a caller's close is seen while work goes on."""
+        while True:
+            if len(self.http.trailing_data[0]) > _AHEAD_BYTES:
+                self._room.clear()
+                self._room.wait()
+            try:
+                data = self._sock.recv(_READ_BYTES)
+            except OSError:
+                data = b''
+            if not data:
+                self._note_gone()
+                return
+            with contextlib.suppress(h11.RemoteProtocolError):
+                self.http.receive_data(data)
+            self._more.set()
+
+    def _note_gone(self) -> None:
+        if self.gone.is_set():
+            return
+        self.gone.set()
+        with contextlib.suppress(h11.RemoteProtocolError, RuntimeError):
+            self.http.receive_data(b'')
+        self._more.set()
+        if self.on_gone is not None:
+            self.on_gone()
