--- /dev/null
+++ b/guavagate/jobs/_held.py
@@ -0,0 +1,263 @@
+"""The jobs in work at their owner: taken in once, read, ended, let go."""
+
+import logging
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from typing import Final
+
+import msgspec
+from gevent.event import Event
+
+from guavagate.clock import Clock
+from guavagate.events import jobs as events
+from guavagate.events import write
+from guavagate.exceptions import StoreError
+from guavagate.helpers.waits import wait_for
+from guavagate.jobs._cadence import Cadence
+from guavagate.jobs._carried import CarriedTexts
+from guavagate.jobs._committer import Committer
+from guavagate.jobs._log import JobLog
+from guavagate.jobs._messages import Knowledge
+from guavagate.jobs._models import (
+    ItemId,
+    Job,
+    JobId,
+    Page,
+    Result,
+    cut_page,
+)
+from guavagate.jobs._schedule import count_demands
+from guavagate.jobs._shelf import JobShelf
+from guavagate.jobs._work import JobWork
+from guavagate.metrics import Metrics, names
+from guavagate.ports.store import StoredObject
+from guavagate.rollouts import ModelDemand
+
+_LOGGER: Final = logging.getLogger(__name__)
+
+RETRY_SECONDS: Final = 0.1
+PAGE_BYTES: Final = 900_000
+
+
+class HeldJob(msgspec.Struct):
+    """A job in work, and who waits for its results."""
+
+    work: JobWork
+    committer: Committer
+    changed: Event
+
+
+class HeldJobs:
+    """What one owner has in work.
+
+    Parameters
+    ----------
+    taken
+        Called with a job that was taken in and may be worked on.
+    finish
+        Called with results that a job has from an earlier one.
+
+    Attributes
+    ----------
+    active
+        Whether the owner is at work; nothing is taken in else.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        shelf: JobShelf,
+        metrics: Metrics,
+        taken: Callable[[Job], None],
+        finish: Callable[[JobWork, Result], None],
+    ) -> None:
+        self.active = False
+        self._clock = clock
+        self._shelf = shelf
+        self._metrics = metrics
+        self._taken = taken
+        self._finish = finish
+        self._held: dict[JobId, HeldJob] = {}
+        self._ended: set[JobId] = set()
+        self._loading: dict[JobId, Event] = {}
+        self._carried = CarriedTexts()
+        self._cadences: defaultdict[str, Cadence] = defaultdict(Cadence)
+
+    def __contains__(self, job: JobId) -> bool:
+        """Return whether a job is in work."""
+        return job in self._held
+
+    def __iter__(self) -> Iterator[HeldJob]:
+        """Return the jobs as they are now."""
+        return iter(list(self._held.values()))
+
+    def get(self, job: JobId) -> HeldJob | None:
+        """Return a job in work."""
+        return self._held.get(job)
+
+    def list_open(self) -> list[JobWork]:
+        """Return the jobs that have items to run."""
+        return [held.work for held in self if held.work.open]
+
+    def demands(self) -> dict[str, ModelDemand]:
+        """Return what the open jobs, and the next ones, ask of each model."""
+        now = self._clock.now()
+        demands = count_demands(self.list_open(), now)
+        for model, cadence in self._cadences.items():
+            due = cadence.expect_next()
+            if due is not None:
+                demand = demands.setdefault(model, ModelDemand())
+                demand.next_in = due - now
+        return demands
+
+    def read(
+        self, job: JobId, after: int, wait: float
+    ) -> tuple[Knowledge, Page | None]:
+        """Return results from a position on, once there are any."""
+        known, held = self._find(job)
+        if held is None:
+            return known, None
+        until = self._clock.now() + wait
+        results = held.work.log.results
+        while len(results) <= after and held.work.open and self.active:
+            left = until - self._clock.now()
+            if left <= 0:
+                break
+            held.changed.clear()
+            wait_for(self._clock, held.changed, left)
+        total = len(held.work.items)
+        return Knowledge.FOUND, cut_page(results, total, after, PAGE_BYTES)
+
+    def read_item(self, job: JobId, item: ItemId) -> tuple[Knowledge, bytes]:
+        """Return an item's body."""
+        known, held = self._find(job)
+        if held is None:
+            return known, b''
+        progress = held.work.items.get(item)
+        if progress is None:
+            return Knowledge.MISSING, b''
+        return Knowledge.FOUND, progress.item.body
+
+    def take_stored(self, stored: StoredObject, fresh: bool) -> None:
+        """Take a stored job in, however long that takes."""
+        while self.active:
+            try:
+                self._load(self._shelf.complete(stored), fresh=fresh)
+            except StoreError as error:
+                _LOGGER.debug('a job can not be loaded: %s', error)
+                self._clock.sleep(RETRY_SECONDS)
+            else:
+                return
+
+    def end(self, job: JobId) -> None:
+        """Note that a job was ended by its trainer."""
+        self._ended.add(job)
+        held = self._held.get(job)
+        if held is not None and not held.work.ended:
+            self._end(held)
+
+    def drop(self, job: JobId) -> None:
+        """Forget a job that is gone from the store."""
+        held = self._held.pop(job, None)
+        if held is not None:
+            held.work.ended = True
+            _cancel(held.work)
+
+    def clear(self) -> None:
+        """Leave all jobs to another owner."""
+        self.active = False
+        for held in self:
+            held.committer.stop()
+            held.work.ended = True
+            _cancel(held.work)
+            held.changed.set()
+        self._held.clear()
+
+    def _find(self, job: JobId) -> tuple[Knowledge, HeldJob | None]:
+        """Return a job in work; one not heard of yet is looked for."""
+        if not self.active:
+            return Knowledge.UNSURE, None
+        held = self._held.get(job)
+        if held is not None:
+            return Knowledge.FOUND, held
+        try:
+            found = self._shelf.read(job)
+            if found is None:
+                return Knowledge.MISSING, None
+            self._load(found, fresh=False)
+        except StoreError as error:
+            _LOGGER.debug('job %s can not be looked for: %s', job, error)
+        held = self._held.get(job)
+        return (Knowledge.UNSURE if held is None else Knowledge.FOUND), held
+
+    def _load(self, job: Job, *, fresh: bool) -> None:
+        """Take a job into work; waits while another task does so."""
+        other = self._loading.get(job.id)
+        if other is not None:
+            other.wait()
+            return
+        done = Event()
+        self._loading[job.id] = done
+        try:
+            log = self._shelf.make_log(job.id)
+            if not fresh:
+                log.load()
+            if job.id not in self._held and self.active:
+                self._hold(job, log)
+        finally:
+            self._loading.pop(job.id)
+            done.set()
+
+    def _hold(self, job: Job, log: JobLog) -> None:
+        age = max(self._clock.wall() - job.submitted_at, 0)
+        work = JobWork(job, log, self._clock.now(), age)
+        changed = Event()
+        committer = Committer(self._clock, work, changed.set)
+        held = HeldJob(work, committer, changed)
+        self._held[job.id] = held
+        self._cadences[job.model].note(job.step, work.since)
+        write(
+            _LOGGER,
+            events.OWNED,
+            job=job.id,
+            step=job.step,
+            model=job.model,
+            min_version=job.min_version,
+            items=len(job.items),
+            listed=len(log.listed),
+            age=round(age, 2),
+        )
+        if job.id in self._ended:
+            self._end(held)
+        else:
+            self._take_carried(held)
+        self._taken(job)
+
+    def _take_carried(self, held: HeldJob) -> None:
+        """Use what is there of items that an earlier job left unfinished."""
+        for result in self._carried.bring(held.work):
+            self._finish(held.work, result)
+
+    def _end(self, held: HeldJob) -> None:
+        work = held.work
+        work.ended = True
+        seconds = self._clock.now() - work.since
+        write(
+            _LOGGER,
+            events.ENDED,
+            job=work.job.id,
+            listed=len(work.log.listed),
+            total=len(work.items),
+            groups=work.complete_groups,
+            wanted=work.job.target_groups,
+            seconds=round(seconds, 2),
+        )
+        self._metrics.observe(names.JOB_SECONDS, seconds)
+        _cancel(work)
+        self._carried.keep(work)
+        held.changed.set()
+
+
+def _cancel(work: JobWork) -> None:
+    for progress in work.items.values():
+        progress.cancel()
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from typing import Final
 
-import msgspec
 from gevent.event import Event
 
 from guavagate.clock import Clock, Task
@@ -13,9 +12,8 @@
 from guavagate.exceptions import StoreError
 from guavagate.helpers.mirror import Mirror
 from guavagate.helpers.waits import wait_for
-from guavagate.jobs._carried import CarriedTexts
-from guavagate.jobs._committer import Committer
 from guavagate.jobs._expiry import is_expired, remove_job
+from guavagate.jobs._held import HeldJobs
 from guavagate.jobs._messages import Knowledge
 from guavagate.jobs._models import (
     ENDS,
@@ -26,12 +24,10 @@
     Page,
     Result,
     ResultState,
-    cut_page,
 )
 from guavagate.jobs._runner import ItemRunner
 from guavagate.jobs._schedule import (
     SamplerSlots,
-    count_demands,
     find_slow,
     place,
 )
@@ -55,15 +51,6 @@
 # An item is given up late rather than early.
 TTL_SLACK_SECONDS: Final = 1.0
 EXPIRE_SECONDS: Final = 10.0
-PAGE_BYTES: Final = 900_000
-
-
-class _Held(msgspec.Struct):
-    """A job in work, and who waits for its results."""
-
-    work: JobWork
-    committer: Committer
-    changed: Event
 
 
 class JobOwner:
@@ -92,10 +79,9 @@
         self._runner = ItemRunner(
             clock, client, upstreams, states, self._finish
         )
-        self._held: dict[JobId, _Held] = {}
-        self._ended: set[JobId] = set()
-        self._loading: dict[JobId, Event] = {}
-        self._carried = CarriedTexts()
+        self._held = HeldJobs(
+            clock, shelf, metrics, self._note_taken, self._finish
+        )
         self._wake = Event()
         self._task: Task | None = None
         self._expirer: Task | None = None
@@ -113,6 +99,7 @@
         """Take the service's jobs over."""
         if self._task is None:
             write(_LOGGER, events.COORDINATES, service=self._service)
+            self._held.active = True
             self._jobs.start()
             self._ends.start()
             self._task = self._clock.spawn(self._run)
@@ -129,64 +116,26 @@
             self._expirer.kill(block=False)
         self._jobs.stop()
         self._ends.stop()
-        for held in self._held.values():
-            held.committer.stop()
-            held.work.ended = True
-            _cancel(held.work)
-            held.changed.set()
         self._held.clear()
 
     def demands(self) -> dict[str, ModelDemand]:
-        """Return what the open jobs ask of each model."""
-        now = self._clock.now()
-        return count_demands(
-            [held.work for held in self._held.values() if held.work.open], now
-        )
+        """Return what the open jobs, and the next ones, ask of each model."""
+        return self._held.demands()
 
     def read(
         self, job: JobId, after: int, wait: float
     ) -> tuple[Knowledge, Page | None]:
         """Return results from a position on, once there are any."""
-        known, held = self._find(job)
-        if held is None:
-            return known, None
-        until = self._clock.now() + wait
-        results = held.work.log.results
-        while len(results) <= after and held.work.open and self.active:
-            left = until - self._clock.now()
-            if left <= 0:
-                break
-            held.changed.clear()
-            wait_for(self._clock, held.changed, left)
-        total = len(held.work.items)
-        return Knowledge.FOUND, cut_page(results, total, after, PAGE_BYTES)
+        return self._held.read(job, after, wait)
 
     def read_item(self, job: JobId, item: ItemId) -> tuple[Knowledge, bytes]:
         """Return an item's body."""
-        known, held = self._find(job)
-        if held is None:
-            return known, b''
-        progress = held.work.items.get(item)
-        if progress is None:
-            return Knowledge.MISSING, b''
-        return Knowledge.FOUND, progress.item.body
+        return self._held.read_item(job, item)
 
-    def _find(self, job: JobId) -> tuple[Knowledge, _Held | None]:
-        """Return a job in work; one not heard of yet is looked for."""
-        if not self.active:
-            return Knowledge.UNSURE, None
-        held = self._held.get(job)
-        if held is not None:
-            return Knowledge.FOUND, held
-        try:
-            found = self._shelf.read(job)
-            if found is None:
-                return Knowledge.MISSING, None
-            self._load(found, fresh=False)
-        except StoreError as error:
-            _LOGGER.debug('job %s can not be looked for: %s', job, error)
-        held = self._held.get(job)
-        return (Knowledge.UNSURE if held is None else Knowledge.FOUND), held
+    def _note_taken(self, job: Job) -> None:
+        amount = sum(max(each.expected_tokens, 1) for each in job.items)
+        self._states.note_work(job.model, amount)
+        self._wake.set()
 
     def _put_job(self, name: str, stored: StoredObject) -> None:
         job = decode_job(stored.value)
@@ -194,104 +143,20 @@
             return
         age = self._clock.wall() - job.submitted_at
         fresh = self._jobs.loaded and age < FRESH_SECONDS
-        self._clock.spawn(self._load_stored, stored, fresh)
+        self._clock.spawn(self._held.take_stored, stored, fresh)
 
     def _drop_job(self, name: str) -> None:
-        held = self._held.pop(JobId(name), None)
-        if held is not None:
-            held.work.ended = True
-            _cancel(held.work)
+        self._held.drop(JobId(name))
 
     def _put_end(self, name: str, stored: StoredObject) -> None:
-        job = JobId(name)
-        self._ended.add(job)
-        held = self._held.get(job)
-        if held is not None and not held.work.ended:
-            self._end(held)
-
-    def _end(self, held: _Held) -> None:
-        work = held.work
-        work.ended = True
-        write(
-            _LOGGER,
-            events.ENDED,
-            job=work.job.id,
-            listed=len(work.log.listed),
-            total=len(work.items),
-            groups=work.complete_groups,
-            wanted=work.job.target_groups,
-            seconds=round(self._clock.now() - work.since, 2),
-        )
-        self._metrics.observe(names.JOB_SECONDS, self._clock.now() - work.since)
-        _cancel(work)
-        self._carried.keep(work)
-        held.changed.set()
-
-    def _load_stored(self, stored: StoredObject, fresh: bool) -> None:
-        while self.active:
-            try:
-                self._load(self._shelf.complete(stored), fresh=fresh)
-            except StoreError as error:
-                _LOGGER.debug('a job can not be loaded: %s', error)
-                self._clock.sleep(IDLE_SECONDS)
-            else:
-                return
-
-    def _load(self, job: Job, *, fresh: bool) -> None:
-        """Take a job into work; waits while another task does so."""
-        other = self._loading.get(job.id)
-        if other is not None:
-            other.wait()
-            return
-        done = Event()
-        self._loading[job.id] = done
-        try:
-            log = self._shelf.make_log(job.id)
-            if not fresh:
-                log.load()
-            if job.id not in self._held and self.active:
-                self._hold(job, log)
-        finally:
-            self._loading.pop(job.id)
-            done.set()
-
-    def _hold(self, job: Job, log: object) -> None:
-        age = max(self._clock.wall() - job.submitted_at, 0)
-        work = JobWork(job, log, self._clock.now(), age)  # type: ignore[arg-type]
-        changed = Event()
-        committer = Committer(self._clock, work, changed.set)
-        held = _Held(work, committer, changed)
-        self._held[job.id] = held
-        amount = sum(max(each.expected_tokens, 1) for each in job.items)
-        self._states.note_work(job.model, amount)
-        write(
-            _LOGGER,
-            events.OWNED,
-            job=job.id,
-            step=job.step,
-            model=job.model,
-            min_version=job.min_version,
-            items=len(job.items),
-            listed=len(log.listed),  # type: ignore[attr-defined]
-            age=round(age, 2),
-        )
-        if job.id in self._ended:
-            self._end(held)
-        else:
-            self._take_carried(held)
-        self._wake.set()
-
-    def _take_carried(self, held: _Held) -> None:
-        """Use what is there of items that an earlier job left unfinished."""
-        for result in self._carried.bring(held.work):
-            self._finish(held.work, result)
+        self._held.end(JobId(name))
 
     def _expire(self) -> None:
         """Remove closed jobs whose time is over."""
         while True:
             self._clock.sleep(EXPIRE_SECONDS)
             now = self._clock.wall()
-            for held in list(self._held.values()):
+            for held in self._held:
                 work = held.work
                 expired = is_expired(work.job, now, self._retention)
                 if work.open or not expired:
@@ -310,14 +175,17 @@
 
     def _dispatch(self) -> None:
         now = self._clock.now()
-        works = [held.work for held in self._held.values() if held.work.open]
+        works = self._held.list_open()
         self._metrics.set_gauge(names.OPEN_JOBS, len(works))
         if not works:
             return
         for work in works:
             self._give_up_old(work, now)
         for placement in place(works, self._list_samplers(now), now):
-            work = self._held[placement.job].work
+            held = self._held.get(placement.job)
+            if held is None:
+                continue
+            work = held.work
             progress = work.items[placement.item]
             upstream = self._upstreams.get(placement.sampler)
             if upstream is None:
@@ -387,8 +255,3 @@
             longest_gap=round(progress.longest_gap, 2),
         )
         held.committer.take(urgent=urgent or not work.open)
-
-
-def _cancel(work: JobWork) -> None:
-    for progress in work.items.values():
-        progress.cancel()
--- a/guavagate/jobs/_reader.py
+++ b/guavagate/jobs/_reader.py
@@ -6,6 +6,7 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import LinkError, StoreError
+from guavagate.jobs._held import PAGE_BYTES
 from guavagate.jobs._messages import (
     ItemReply,
     Knowledge,
@@ -14,7 +15,7 @@
     ReadPage,
 )
 from guavagate.jobs._models import ItemId, Job, JobId, Page, cut_page
-from guavagate.jobs._owner import PAGE_BYTES, JobOwner
+from guavagate.jobs._owner import JobOwner
 from guavagate.jobs._ownership import Ownership
 from guavagate.jobs._shelf import JobShelf
 from guavagate.links import Bus, Message, expect
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -109,6 +109,7 @@
     demands: dict[str, ModelDemand] = {}
     for work in works:
         demand = demands.setdefault(work.job.model, ModelDemand())
+        demand.open_jobs += 1
         waiting = [each for each in work.items.values() if each.is_waiting(now)]
         demand.required = max(demand.required, work.job.min_version)
         demand.waiting += len(waiting)
--- a/guavagate/rollouts/_plan.py
+++ b/guavagate/rollouts/_plan.py
@@ -5,7 +5,9 @@
 nothing for a second, and with two samplers to a model, loading both at once
 delays the whole step by that. So a sampler that can serve what is asked for
 goes on starting items, and loads when none of its model waits; one that can't
-serve it loads at once.
+serve it loads at once. Between two steps it loads if it will be done before
+the next one is due; else it waits for that step, starts its items, and loads
+while they run.
 """
 
 from collections.abc import Mapping, Sequence
@@ -18,6 +20,10 @@
 # A load is put off no longer than this, or the next step would find none of
 # the samplers fresh enough.
 PUT_OFF_SECONDS: Final = 2.5
+# What a load takes.
+LOAD_SECONDS: Final = 1.0
+# A step that was due and has not come by then comes much later.
+OVERDUE_SECONDS: Final = 0.6
 # Samplers that load at once: the others go on serving, and the weight store
 # is shared by those that load.
 LOADING_SHARE: Final = 3
@@ -31,7 +37,8 @@
 
     `required` is the oldest version that all open jobs accept, `waiting` the
     items without a slot, `waiting_for` how long some have been waiting,
-    `named_for` how long ago the newest version was named.
+    `named_for` how long ago the newest version was named, `open_jobs` the jobs
+    in work, `next_in` how long until the next job is due, as far as known.
     """
 
     newest: WeightVersion = WeightVersion(0)
@@ -39,6 +46,8 @@
     waiting: int = 0
     waiting_for: float = 0
     named_for: float = 0
+    open_jobs: int = 0
+    next_in: float | None = None
 
 
 class SamplerView(msgspec.Struct):
@@ -125,7 +134,18 @@
 
 
 def _is_calm(demand: ModelDemand) -> bool:
-    return not demand.waiting or demand.named_for > PUT_OFF_SECONDS
+    """Return whether a load now holds nothing up."""
+    if demand.named_for > PUT_OFF_SECONDS:
+        return True
+    if demand.waiting:
+        return False
+    if demand.open_jobs:
+        return True
+    # A trainer that is behind its schedule submits as it names the version.
+    next_in = -demand.named_for
+    if demand.next_in is not None:
+        next_in = max(demand.next_in, next_in)
+    return not -OVERDUE_SECONDS < next_in < LOAD_SECONDS
 
 
 def _order(
