--- a/guavagate/cli/_settings.py
+++ b/guavagate/cli/_settings.py
@@ -2,21 +2,19 @@
 
 import datetime
 import pathlib
-import re
 import sys
 import uuid
 from collections.abc import Callable
 from typing import Any, Final, TextIO, TypeVar
 
 import click
-import tomli_w
 
+from guavagate.cli import _toml as toml
 from guavagate.cli._client import AnswerError, Client
 from guavagate.cli._context import get_client
-from guavagate.cli._errors import Exit, ToolError, from_error
+from guavagate.cli._errors import Exit
 from guavagate.cli._output import as_json, print_json, print_table
 from guavagate.cli._wait import wait_everywhere
-from guavagate.exceptions import SettingsError
 from guavagate.models import Revision, TeamId
 from guavagate.operators import (
     DiffBody,
@@ -30,15 +28,10 @@
 )
 from guavagate.settings import (
     Change,
-    find_value,
-    parse_team_settings,
     parse_value,
-    replace_value,
-    split_path,
 )
 
 _Command = TypeVar('_Command', bound=Callable[..., Any])
-_HEADER: Final = re.compile(r'^# guavagate: team (\S+), revision (\d+)$', re.M)
 _SET_ATTEMPTS: Final = 3
 
 _why = click.option(
@@ -99,15 +92,15 @@
     A whole team's text starts with a line that names its revision; `apply`
     reads it, and so notices changes made in between.
     """
-    team, parts = _split(path)
+    team, parts = toml.split(path)
     body = _read(get_client(), team, revision)
-    value = _find(body.toml, parts)
+    value = toml.find(body.toml, parts)
     if as_json:
         print_json(value if parts else body)
     elif parts:
-        click.echo(_render(value))
+        click.echo(toml.render(value))
     else:
-        click.echo(_head(body) + _HEADER.sub('', body.toml).lstrip('\n'))
+        click.echo(toml.render_whole(body))
 
 
 @settings.command('set')
@@ -122,18 +115,18 @@
     team is no conflict, one under PATH is.
     """
     client = get_client()
-    team, parts = _split(path)
+    team, parts = toml.split(path)
     body = _read(client, team, None)
-    before = _find_or_none(body.toml, parts)
+    before = toml.find_or_none(body.toml, parts)
     for attempt in range(1, _SET_ATTEMPTS + 1):
-        text = _replace(body.toml, parts, parse_value(value))
+        text = toml.replace(body.toml, parts, parse_value(value))
         try:
             accepted = _put(client, team, text, body.change.revision, why, '')
         except AnswerError as error:
             if error.detail.code != 'conflict' or attempt == _SET_ATTEMPTS:
                 raise
             body = _read(client, team, None)
-            if _find_or_none(error.detail.toml, parts) != before:
+            if toml.find_or_none(error.detail.toml, parts) != before:
                 raise
             continue
         _print_accepted(accepted)
@@ -156,7 +149,7 @@
 ) -> None:
     """Put the team's settings in FILE (- for standard input) in force."""
     text = file.read()
-    team = _check(text, file.name)
+    team = toml.check(text, file.name)
     client = get_client()
     if dry_run:
         body = SettingsCheck(toml=text)
@@ -164,7 +157,7 @@
         click.echo(client.send('POST', path, body, DiffBody).diff)
         return
     if base is None:
-        base = _find_base(text, team)
+        base = toml.find_base(text, team)
     accepted = _put(client, team, text, Revision(base), why, change_id)
     _print_accepted(accepted)
     if wait:
@@ -190,7 +183,7 @@
         body = client.get(f'/settings/{team}/diff', DiffBody, old=old, new=new)
     else:
         text = pathlib.Path(file).read_text('utf-8')
-        _check(text, file)
+        toml.check(text, file)
         path = f'/settings/{team}/check'
         body = client.send('POST', path, SettingsCheck(toml=text), DiffBody)
     if as_json:
@@ -279,63 +272,6 @@
     return client.send('PUT', f'/settings/{team}', body, SettingsBody)
 
 
-def _check(text: str, source: str) -> TeamId:
-    """Check a text before anything is sent; return its team."""
-    try:
-        return parse_team_settings(text, source).team
-    except SettingsError as error:
-        raise from_error(error) from error
-
-
-def _find_base(text: str, team: TeamId) -> int:
-    match = _HEADER.search(text)
-    if match is not None and match[1] == team:
-        return int(match[2])
-    raise ToolError(
-        'the file does not say which revision it was made from\nstart from'
-        f' `guavagate settings get {team}`, or give --base (0 for a new team)',
-        Exit.INVALID,
-    )
-
-
-def _head(body: SettingsBody) -> str:
-    return f'# guavagate: team {body.team}, revision {body.change.revision}\n'
-
-
-def _split(path: str) -> tuple[TeamId, tuple[str, ...]]:
-    try:
-        return split_path(path)
-    except SettingsError as error:
-        raise from_error(error) from error
-
-
-def _find(toml: str, parts: tuple[str, ...]) -> Any:
-    try:
-        return find_value(toml, parts)
-    except SettingsError as error:
-        raise from_error(error, Exit.NOT_FOUND) from error
-
-
-def _find_or_none(toml: str, parts: tuple[str, ...]) -> Any:
-    try:
-        return find_value(toml, parts)
-    except SettingsError:
-        return None
-
-
-def _replace(toml: str, parts: tuple[str, ...], value: Any) -> str:
-    try:
-        return replace_value(toml, parts, value)
-    except SettingsError as error:
-        raise from_error(error) from error
-
-
-def _render(value: Any) -> str:
-    if isinstance(value, dict):
-        return tomli_w.dumps(value).rstrip()
-    return tomli_w.dumps({'value': value}).partition('= ')[2].rstrip()
-
-
 def _tell(change: Change) -> tuple[str, str, str, str]:
     when = datetime.datetime.fromtimestamp(change.at, datetime.UTC)
     shown = when.strftime('%Y-%m-%dT%H:%M:%SZ')
--- /dev/null
+++ b/guavagate/cli/_toml.py
@@ -0,0 +1,84 @@
+"""Settings as text: checked, searched and changed before anything is sent."""
+
+import re
+from typing import Any, Final
+
+import tomli_w
+
+from guavagate.cli._errors import Exit, ToolError, from_error
+from guavagate.exceptions import SettingsError
+from guavagate.models import TeamId
+from guavagate.operators import SettingsBody
+from guavagate.settings import (
+    find_value,
+    parse_team_settings,
+    replace_value,
+    split_path,
+)
+
+_HEADER: Final = re.compile(r'^# guavagate: team (\S+), revision (\d+)$', re.M)
+
+
+def check(text: str, source: str) -> TeamId:
+    """Check a text before anything is sent; return its team."""
+    try:
+        return parse_team_settings(text, source).team
+    except SettingsError as error:
+        raise from_error(error) from error
+
+
+def find_base(text: str, team: TeamId) -> int:
+    """Return the revision that a file says it was made from."""
+    match = _HEADER.search(text)
+    if match is not None and match[1] == team:
+        return int(match[2])
+    raise ToolError(
+        'the file does not say which revision it was made from\nstart from'
+        f' `guavagate settings get {team}`, or give --base (0 for a new team)',
+        Exit.INVALID,
+    )
+
+
+def render_whole(body: SettingsBody) -> str:
+    """Return a team's text, with a comment that says which revision it is."""
+    head = f'# guavagate: team {body.team}, revision {body.change.revision}\n'
+    return head + _HEADER.sub('', body.toml).lstrip('\n')
+
+
+def split(path: str) -> tuple[TeamId, tuple[str, ...]]:
+    """Return the team of a path, and the parts after it."""
+    try:
+        return split_path(path)
+    except SettingsError as error:
+        raise from_error(error) from error
+
+
+def find(toml: str, parts: tuple[str, ...]) -> Any:
+    """Return the value under a path, or end the tool."""
+    try:
+        return find_value(toml, parts)
+    except SettingsError as error:
+        raise from_error(error, Exit.NOT_FOUND) from error
+
+
+def find_or_none(toml: str, parts: tuple[str, ...]) -> Any:
+    """Return the value under a path, or nothing."""
+    try:
+        return find_value(toml, parts)
+    except SettingsError:
+        return None
+
+
+def replace(toml: str, parts: tuple[str, ...], value: Any) -> str:
+    """Return a text with another value under a path."""
+    try:
+        return replace_value(toml, parts, value)
+    except SettingsError as error:
+        raise from_error(error) from error
+
+
+def render(value: Any) -> str:
+    """Return a value as TOML."""
+    if isinstance(value, dict):
+        return tomli_w.dumps(value).rstrip()
+    return tomli_w.dumps({'value': value}).partition('= ')[2].rstrip()
--- a/guavagate/decisions/pool.py
+++ b/guavagate/decisions/pool.py
@@ -199,9 +199,9 @@
         home would learn it only from the answer's end, ten times as late.
         """
         state = self._fleet.samplers.get(sampler)
-        running = state.running.get(work_id) if state is not None else None
-        if state is None or running is None:
+        if state is None or work_id not in state.running:
             return
+        running = state.running[work_id]
         running.pace = pace
         state.health.suspect(pace, now)
         self._fleet.refresh(now, force=True)
--- a/guavagate/decisions/pools.py
+++ b/guavagate/decisions/pools.py
@@ -87,8 +87,7 @@
     points, owners = _make_ring(tuple([pool.id for pool in pools]))
     start = bisect.bisect_left(points, key & _KEY_MASK)
     seen: set[int] = set()
-    for step in range(len(points)):
-        index = owners[(start + step) % len(points)]
+    for index in (*owners[start:], *owners[:start]):
         if index not in seen:
             seen.add(index)
             yield pools[index]
--- a/guavagate/helpers/mirror.py
+++ b/guavagate/helpers/mirror.py
@@ -113,7 +113,7 @@
             self._note_seen(listed_at)
             self.loaded = True
             return
-        wait = self._wait if not self._missing else LAPSE_SECONDS
+        wait = LAPSE_SECONDS if self._missing else self._wait
         # A watch that is asked again from before a dropped history may be
         # kept waiting, and tell of the loss only when it ends: changes made
         # meanwhile would stay unseen. So a watch that was cut off is never
--- a/guavagate/helpers/reference.py
+++ b/guavagate/helpers/reference.py
@@ -55,7 +55,7 @@
         ' members of the object.',
     ]
     for start, title in _RANGES:
-        lines += ['', f'## {title}', '', *_list_events(start)]
+        lines.extend(('', f'## {title}', '', *_list_events(start)))
     return _join(lines)
 
 
@@ -93,7 +93,7 @@
     ):
         lines += ['', f'## {title}']
         for name, node in _walk('', inspected.type_info(schema)):
-            lines += ['', *_tell_table(name, node)]
+            lines.extend(('', *_tell_table(name, node)))
     return _join(lines)
 
 
--- a/guavagate/integrations/object_api/_budget.py
+++ b/guavagate/integrations/object_api/_budget.py
@@ -34,7 +34,7 @@
         self._tokens = self._burst()
         self._at = now
 
-    def set_rate(self, rate: float, now: float) -> None:
+    def change_rate(self, rate: float, now: float) -> None:
         """Take another rate; what is left is kept within its burst."""
         if rate != self._rate:
             self._fill(now)
--- a/guavagate/integrations/object_api/_caller.py
+++ b/guavagate/integrations/object_api/_caller.py
@@ -114,7 +114,7 @@
         budget = self._reads if call.method == _READ else self._writes
         rates = self._rates
         rate = rates.reads if call.method == _READ else rates.writes
-        budget.set_rate(rate / max(self._fleet_size(), 1), self._clock.now())
+        budget.change_rate(rate / max(self._fleet_size(), 1), self._clock.now())
         while True:
             now = self._clock.now()
             wait = budget.take(priority, now)
--- a/guavagate/measure/outcomes/_requests.py
+++ b/guavagate/measure/outcomes/_requests.py
@@ -67,7 +67,11 @@
         self._fleet = fleet
         self._upstream = upstream
         self._rng = rng
-        self._ids = lambda: f'{rng.getrandbits(64):016x}'
+
+        def draw_id() -> str:
+            return f'{rng.getrandbits(64):016x}'
+
+        self._ids = draw_id
         return [
             fleet.clock.spawn(self._call_all, f'caller-{number}')
             for number in range(self._callers)
--- a/guavagate/membership/_join.py
+++ b/guavagate/membership/_join.py
@@ -97,7 +97,7 @@
             self._queue = self._list_candidates()
         sends: list[Send] = []
         for _ in range(min(1 if joined else HELPERS, len(self._queue))):
-            sends += self._try(self._queue.pop(), joined)
+            sends.extend(self._try(self._queue.pop(), joined))
         return sends
 
     def _try(self, candidate: InstanceId, joined: bool) -> list[Send]:
--- a/guavagate/platform/_manifest.py
+++ b/guavagate/platform/_manifest.py
@@ -24,7 +24,7 @@
 
 
 class _Table(msgspec.Struct, frozen=True, kw_only=True, rename='kebab'):
-    pass
+    """A table whose names the platform writes with hyphens."""
 
 
 class _Backend(_Table, frozen=True, kw_only=True):
--- a/standins/demo/_verdict.py
+++ b/standins/demo/_verdict.py
@@ -107,12 +107,13 @@
 
 def _count_unanswered(event: hist.Event, summary: Summary) -> None:
     """Count a request by its last event."""
-    if not isinstance(event, hist.ReceivedRefusal):
-        summary.lost += 1
-    elif event.not_run == 'true':
-        summary.refused += 1
+    if isinstance(event, hist.ReceivedRefusal):
+        if event.not_run == 'true':
+            summary.refused += 1
+        else:
+            summary.unknown += 1
     else:
-        summary.unknown += 1
+        summary.lost += 1
 
 
 def _count_runs_too_many(events: list[hist.Event]) -> int:
--- a/standins/object_api/_app.py
+++ b/standins/object_api/_app.py
@@ -50,7 +50,7 @@
         }
         self.calls = {'read': 0, 'write': 0, 'watch': 0, 'limited': 0}
 
-    def set_faults(self, faults: Faults) -> None:
+    def bring_faults(self, faults: Faults) -> None:
         """Take faults over; stale reads answer from a copy made now."""
         self.faults = faults
         self.old = None
@@ -229,7 +229,7 @@
     """Add the control of faults, and the calls counted."""
 
     def set_faults(req: falcon.Request, resp: falcon.Response) -> None:
-        state.set_faults(read_json(req, Faults))
+        state.bring_faults(read_json(req, Faults))
         write_json(resp, {})
 
     def show_calls(req: falcon.Request, resp: falcon.Response) -> None:
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -234,7 +234,7 @@
     network = make_network(6)
     left = {'i000', 'i001', 'i002'}
     network.delay = lambda source, target: (
-        None if (source in left) != (target in left) else 0.001
+        0.001 if (source in left) == (target in left) else None
     )
     network.run(60)
     assert network.usable('i000') == left - {'i000'}
--- a/tests/runs/test_race.py
+++ b/tests/runs/test_race.py
@@ -17,6 +17,10 @@
 from guavagate.runs._race import SampleRace
 
 
+def _take_nothing(permit: object) -> None:
+    """Take a permit that nobody waits for."""
+
+
 class Samplers:
     """A fake engine and permit client: seconds to an answer by address."""
 
@@ -25,7 +29,7 @@
         self.seconds = seconds
         self.cancelled: list[str] = []
         self.ended: list[tuple[str, int]] = []
-        self.take = lambda permit: None
+        self.take = _take_nothing
 
     def now(self) -> float:
         """Return the virtual time."""
