Split the faults of random runs, and what a weights primary knows, from their actors

Change: the kinds of faults are in _kinds.py, a deployment's samplers in _lineage.py; behaviour is the same.

--- a/guavagate/measure/outcomes/__init__.py
+++ b/guavagate/measure/outcomes/__init__.py
@@ -6,8 +6,9 @@
     Counts,
     Total,
 )
-from guavagate.measure.outcomes._faults import FAULTS, Faults
+from guavagate.measure.outcomes._faults import Faults
 from guavagate.measure.outcomes._fleet import Fleet
+from guavagate.measure.outcomes._kinds import FAULTS
 from guavagate.measure.outcomes._requests import Requests
 from guavagate.measure.outcomes._run import Run, Workload, run_once
 from guavagate.measure.outcomes._steps import Steps
--- a/guavagate/measure/outcomes/_run.py
+++ b/guavagate/measure/outcomes/_run.py
@@ -9,8 +9,9 @@
 from guavagate.clock import Task
 from guavagate.measure import history as hist
 from guavagate.measure.outcomes._counts import Counts
-from guavagate.measure.outcomes._faults import Faults, draw_faults
+from guavagate.measure.outcomes._faults import Faults
 from guavagate.measure.outcomes._fleet import Fleet
+from guavagate.measure.outcomes._kinds import bring, draw_faults
 from guavagate.measure.outcomes._requests import Requests
 from guavagate.measure.outcomes._steps import Steps
 from guavagate.measure.outcomes._upstream import Upstream
@@ -122,7 +123,7 @@
     start = fleet.clock.now()
     for at, name in drawn:
         fleet.clock.sleep(start + at - fleet.clock.now())
-        faults.bring(name)
+        bring(faults, name)
 
 
 def _merge_states(workloads: list[Workload], partition: Any) -> dict[Any, Any]:
--- a/guavagate/weights/_rollout.py
+++ b/guavagate/weights/_rollout.py
@@ -19,8 +19,6 @@
 from collections.abc import Callable
 from typing import Final
 
-import msgspec
-
 from guavagate.clock import Task
 from guavagate.events import write
 from guavagate.events.runs import (
@@ -34,10 +32,8 @@
     DeploymentId,
     Epoch,
     RunId,
-    SamplerId,
-    WeightVersion,
 )
-from guavagate.ports.engine import EngineOrder, EngineReport, ModelEngine
+from guavagate.ports.engine import EngineOrder, ModelEngine
 from guavagate.runs import (
     ConfirmOrder,
     Hosted,
@@ -49,9 +45,9 @@
 from guavagate.runtime import Runtime
 from guavagate.settings import DeploymentSettings, SamplerSettings
 from guavagate.util.boot_clock import read_boot_clock
+from guavagate.weights._lineage import TICK_SECONDS, Lineage
 from guavagate.weights._plan import (
     OrderKind,
-    SamplerWeights,
     Situation,
     WeightOrder,
     plan_orders,
@@ -59,18 +55,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# While a sampler carries out an order its report is read at this pace; new
-# weights have to be on all samplers within seconds.
-TICK_SECONDS: Final = 0.25
 # While no deployment's weights are decided here.
 REST_SECONDS: Final = 1.0
-# One that is behind and waits its turn for an order.
-WAITING_SECONDS: Final = 2.0
-# One that has the target is only read to find that it has restarted. Until
-# then its home, which reads its reports each second, places nothing there
-# that would be stale; 730 samplers read every two seconds would cost their
-# primary a quarter of a core (docs/CAPACITY.md).
-IDLE_SECONDS: Final = 60.0
 REPORT_TIMEOUT: Final = 1.0
 # A fetch that has not come by then has failed, and is ordered again.
 FETCH_SECONDS: Final = 60.0
@@ -82,21 +68,6 @@
 FIRST_SAMPLE_SECONDS: Final = 5.0
 
 
-class _Lineage(msgspec.Struct, kw_only=True):
-    """What this primary knows of one deployment's samplers."""
-
-    epoch: Epoch
-    since: float
-    target: WeightVersion | None = None
-    read_next: dict[SamplerId, float] = msgspec.field(default_factory=dict)
-    confirmed_at: float = float('-inf')
-    allowance: float = 0
-    refilled_at: float
-    reports: dict[SamplerId, EngineReport] = msgspec.field(default_factory=dict)
-    ordered: dict[SamplerId, OrderKind] = msgspec.field(default_factory=dict)
-    fetching: dict[SamplerId, float] = msgspec.field(default_factory=dict)
-
-
 class WeightRollout:
     """Reconciles the samplers of the deployments decided here."""
 
@@ -113,7 +84,7 @@
         self._hosted = hosted
         self._sample_seconds = sample_seconds
         self._boot_clock = boot_clock
-        self._lineages: dict[DeploymentId, _Lineage] = {}
+        self._lineages: dict[DeploymentId, Lineage] = {}
         self._task: Task | None = None
 
     def start(self) -> None:
@@ -151,7 +122,7 @@
         now = self._runtime.clock.now()
         lineage = self._lineages.get(name)
         if lineage is None or lineage.epoch != epoch:
-            lineage = _Lineage(epoch=epoch, since=now, refilled_at=now)
+            lineage = Lineage(epoch=epoch, since=now, refilled_at=now)
             self._lineages[name] = lineage
         if lineage.target != state.newest(name):
             lineage.target = state.newest(name)
@@ -162,7 +133,7 @@
             self._order(name, lineage, deployment, state)
 
     def _read(
-        self, lineage: _Lineage, deployment: DeploymentSettings, now: float
+        self, lineage: Lineage, deployment: DeploymentSettings, now: float
     ) -> None:
         """Read the reports that are due."""
         tasks = [
@@ -174,10 +145,10 @@
             task.join()
         for sampler in deployment.samplers:
             if lineage.read_next.get(sampler.id, now) <= now:
-                pause = _pause_of(lineage, sampler.id)
+                pause = lineage.pause_of(sampler.id)
                 lineage.read_next[sampler.id] = now + pause
 
-    def _read_one(self, lineage: _Lineage, sampler: SamplerSettings) -> None:
+    def _read_one(self, lineage: Lineage, sampler: SamplerSettings) -> None:
         before = lineage.reports.get(sampler.id)
         try:
             report = self._engine.report(sampler.address, REPORT_TIMEOUT)
@@ -195,7 +166,7 @@
             )
 
     def _may_order(
-        self, lineage: _Lineage, deployment: DeploymentSettings
+        self, lineage: Lineage, deployment: DeploymentSettings
     ) -> bool:
         """Wait out a former primary's orders where engines don't fence."""
         if deployment.fences_orders:
@@ -206,13 +177,13 @@
     def _order(
         self,
         name: DeploymentId,
-        lineage: _Lineage,
+        lineage: Lineage,
         deployment: DeploymentSettings,
         state: RunsState,
     ) -> None:
         addresses = {one.id: one.address for one in deployment.samplers}
         situation = self._describe(name, lineage, deployment, state)
-        known = self._describe_samplers(lineage, deployment)
+        known = lineage.describe_samplers(deployment, self._runtime.clock.now())
         orders = plan_orders(situation, known)
         if not orders or not self._confirm(name, lineage, orders[0]):
             return
@@ -228,7 +199,7 @@
     def _describe(
         self,
         name: DeploymentId,
-        lineage: _Lineage,
+        lineage: Lineage,
         deployment: DeploymentSettings,
         state: RunsState,
     ) -> Situation:
@@ -250,43 +221,8 @@
             prefetches=int(lineage.allowance),
         )
 
-    def _describe_samplers(
-        self, lineage: _Lineage, deployment: DeploymentSettings
-    ) -> list[SamplerWeights]:
-        return [
-            SamplerWeights(
-                sampler=sampler.id,
-                version=lineage.reports[sampler.id].version,
-                prefetched=frozenset(lineage.reports[sampler.id].prefetched),
-                running=lineage.reports[sampler.id].running,
-                slots=sampler.slots,
-                ordered=self._find_order(lineage, sampler.id),
-            )
-            for sampler in deployment.samplers
-            if sampler.id in lineage.reports
-            and not lineage.reports[sampler.id].leaving
-        ]
-
-    def _find_order(
-        self, lineage: _Lineage, sampler: SamplerId
-    ) -> OrderKind | None:
-        """Return the order that a sampler is carrying out.
-
-        An engine answers a prefetch at once and fetches for a while; ordered
-        again meanwhile, it would fetch twice under the store's rate limit.
-        """
-        until = lineage.fetching.get(sampler)
-        if until is not None:
-            report = lineage.reports[sampler]
-            late = self._runtime.clock.now() > until
-            if late or lineage.target in report.prefetched:
-                lineage.fetching.pop(sampler)
-            else:
-                return OrderKind.PREFETCH
-        return lineage.ordered.get(sampler)
-
     def _confirm(
-        self, name: DeploymentId, lineage: _Lineage, order: WeightOrder
+        self, name: DeploymentId, lineage: Lineage, order: WeightOrder
     ) -> bool:
         """Have the store say that this epoch still decides."""
         asked = self._boot_clock()
@@ -311,7 +247,7 @@
     def _give(
         self,
         name: DeploymentId,
-        lineage: _Lineage,
+        lineage: Lineage,
         address: str,
         order: WeightOrder,
     ) -> None:
@@ -333,7 +269,7 @@
     def _send(
         self,
         name: DeploymentId,
-        lineage: _Lineage,
+        lineage: Lineage,
         address: str,
         order: WeightOrder,
     ) -> None:
@@ -367,13 +303,3 @@
         if order.kind is OrderKind.PREFETCH:
             until = self._runtime.clock.now() + FETCH_SECONDS
             lineage.fetching[order.sampler] = until
-
-
-def _pause_of(lineage: _Lineage, sampler: SamplerId) -> float:
-    """Return the seconds after which a sampler's report is read again."""
-    report = lineage.reports.get(sampler)
-    if report is not None and report.version == lineage.target:
-        return IDLE_SECONDS
-    if sampler in lineage.ordered or sampler in lineage.fetching:
-        return TICK_SECONDS
-    return WAITING_SECONDS
