Let a command that fails, or a removed record, end no partition

Cause, found on reading: a state that raises ended the task that writes, and the partition answered nothing more; a trainer's garbage cursor did so, as it was decoded first when applied. A record that an operator deletes left its primary waiting for it for ever. Writes of records had the lowest priority in the rate, as the client still knew them as views.

Change: the failing command is answered as invalid, its group as moved, and the state is read again; cursors are decoded before they are submitted; a removed record is begun anew; paths of partitions go first (Priority.RECORDS, a new name also in platform/_store.py).

Tests that failed before: test_a_command_that_fails_spoils_nothing, test_a_record_that_was_removed_is_begun_anew.

--- a/guavagate/integrations/object_api/_budget.py
+++ b/guavagate/integrations/object_api/_budget.py
@@ -1,9 +1,9 @@
 """One instance's share of the platform's call rate, by priority.
 
-Load pattern: an availability zone goes, and every instance writes views
+Load pattern: an availability zone goes, and each partition of it is taken over
 while settings and status are written as always. Without priorities, status
 takes the rate that takeovers wait for. The bucket's lower part is kept for
-what is more urgent; grounds: views need a burst of about ten writes.
+what is more urgent; grounds: takeovers need a burst of about ten writes.
 """
 
 from typing import Final
@@ -12,7 +12,7 @@
 
 # The share of the bucket that must be left after a call is admitted.
 _RESERVED: Final[dict[Priority, float]] = {
-    Priority.VIEWS: 0,
+    Priority.RECORDS: 0,
     Priority.SETTINGS: 0.3,
     Priority.STATUS: 0.6,
 }
--- a/guavagate/integrations/object_api/_caller.py
+++ b/guavagate/integrations/object_api/_caller.py
@@ -161,7 +161,7 @@
 
         What waited for hours would else come from all instances within the
         same second; so it comes at the rate that the platform can take,
-        views first.
+        partitions first.
         """
         write(_LOGGER, fleet.STORE_UP)
         for budget in (self._reads, self._writes):
--- a/guavagate/integrations/object_api/_client.py
+++ b/guavagate/integrations/object_api/_client.py
@@ -43,8 +43,9 @@
 _WATCH_GRACE: Final = 2.0
 
 _PRIORITIES: Final = (
-    ('views/', Priority.VIEWS),
-    ('leases/', Priority.VIEWS),
+    ('partitions/', Priority.RECORDS),
+    ('partition-blobs-', Priority.RECORDS),
+    ('leases/', Priority.RECORDS),
     ('settings/', Priority.SETTINGS),
 )
 
--- a/guavagate/integrations/object_api/const.py
+++ b/guavagate/integrations/object_api/const.py
@@ -7,7 +7,7 @@
 HEADER_RETRY_AFTER: Final = 'Retry-After'
 
 # What the platform gives to the whole fleet, less a fifth that covers the
-# instances' differing views of how many they are.
+# instances that differ on how many they are.
 FLEET_READS: Final = 1600.0
 FLEET_WRITES: Final = 240.0
 LEAST_FLEET: Final = 9
--- a/guavagate/integrations/object_api/models.py
+++ b/guavagate/integrations/object_api/models.py
@@ -45,7 +45,7 @@
 class Priority(enum.IntEnum):
     """Whose calls go first when the rate or the platform is short."""
 
-    VIEWS = 0
+    RECORDS = 0
     SETTINGS = 1
     STATUS = 2
 
--- a/guavagate/partitions/_keeping.py
+++ b/guavagate/partitions/_keeping.py
@@ -158,20 +158,25 @@
     ) -> Revision:
         """Tell a write of ours whose answer was lost from another's."""
         found = conflict.current or self._read_newer()
+        if found is None:
+            raise SupersededError(InstanceId(''), unsure=unsure)
         held = decode_record(found)
         if held.change == record.change:
             return found.version
         raise SupersededError(held.holder, unsure=unsure)
 
-    def _read_newer(self) -> StoredObject:
-        """Read the record that a write has met; an old copy won't do."""
+    def _read_newer(self) -> StoredObject | None:
+        """Read the record that a write has met; an old copy won't do.
+
+        Nothing is returned when someone has removed it.
+        """
         while True:
             try:
                 found = self._store.get(self._path)
             except StoreUnavailableError as error:
                 _LOGGER.debug('%s is not read: %s', self._path, error)
             else:
-                if found is not None and found.version > self._revision:
+                if found is None or found.version > self._revision:
                     return found
             self._clock.sleep(RETRY_SECONDS)
 
--- a/guavagate/partitions/_primary.py
+++ b/guavagate/partitions/_primary.py
@@ -173,12 +173,35 @@
         outcomes: list[bytes] = []
         fresh: list[Entry] = []
         for waiting in group:
-            outcomes.append(self._apply(waiting.entry, fresh))
+            outcome = self._try_apply(waiting, fresh)
+            if outcome is None:
+                self._lose(
+                    group, Verdict.MOVED, 'a command could not be applied'
+                )
+                return
+            outcomes.append(outcome)
         if not self._safeguards.durable_first:
             _answer(group, outcomes)
         if not fresh or self._add(group, fresh):
             _answer(group, outcomes)
 
+    def _try_apply(self, waiting: _Waiting, fresh: list[Entry]) -> bytes | None:
+        """Apply a command; one that fails is answered and spoils the state.
+
+        Without this it would end the task that writes, and the partition
+        would answer nothing any more. Nothing of its group is in the record;
+        what was applied here is forgotten and read again.
+        """
+        try:
+            return self._apply(waiting.entry, fresh)
+        except Exception as error:
+            _LOGGER.exception('a command failed unexpectedly')
+            problem = f'{waiting.entry.kind} failed: {error!r}'
+            _conclude(
+                waiting, SubmitReply(verdict=Verdict.INVALID, problem=problem)
+            )
+            return None
+
     def _apply(self, entry: Entry, fresh: list[Entry]) -> bytes:
         """Return what a command gives; one that needs writing is noted."""
         known = self._find(entry)
--- a/guavagate/platform/_store.py
+++ b/guavagate/platform/_store.py
@@ -189,7 +189,7 @@
         deadline: float = DEADLINE_SECONDS,
     ) -> Answer:
         call = Call(method=method, path=target, body=body, timeout=timeout)
-        return self._caller.call(call, Priority.VIEWS, deadline)
+        return self._caller.call(call, Priority.RECORDS, deadline)
 
 
 def _locate(path: str) -> str:
--- a/guavagate/runs/_client.py
+++ b/guavagate/runs/_client.py
@@ -25,6 +25,7 @@
     SubmitStep,
     Verdict,
 )
+from guavagate.runs._cursor import decode_cursor
 from guavagate.runtime import Runtime
 
 COMMAND_TIMEOUT: Final = 5.0
@@ -134,6 +135,7 @@
         wait: float,
     ) -> Batch:
         """Return what follows a cursor, waiting a while for some."""
+        decode_cursor(cursor)
         until = self._runtime.clock.now() + wait
         while True:
             batch = self._submit(
@@ -155,6 +157,7 @@
         self, address: RunAddress, consumer: str, cursor: str
     ) -> str:
         """Keep a consumer's cursor, or return the one kept."""
+        decode_cursor(cursor)
         return self._submit(
             KeepCursor(
                 at=self._wall(),
--- a/tests/partitions/test_stored.py
+++ b/tests/partitions/test_stored.py
@@ -1,7 +1,11 @@
 """Partitions of a small fleet under failures, as those who submit see it."""
 
+import pytest
+
 from guavagate.exceptions import NotAppliedError, OutcomeUnknownError
-from guavagate.measure.outcomes import Total
+from guavagate.measure.outcomes import Add, Counters, Total
+from guavagate.partitions import Command, Outcome
+from tests import common
 from tests.common import Fleet
 
 
@@ -195,3 +199,45 @@
     assert fleet.clock.now() - start < 0.2
     assert len(fleet.world.store.writes) - before <= 10
     assert fleet.total('a') == 100
+
+
+class _Fragile(Counters):
+    """Counters that fail at a negative addition, after changing something."""
+
+    def apply(self, command: Command) -> Outcome:
+        """Add, or fail half-way."""
+        outcome = super().apply(command)
+        if isinstance(command, Add) and command.amount < 0:
+            raise ValueError('negative')
+        return outcome
+
+
+def test_a_command_that_fails_spoils_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A command runs into a fault of the code, in the middle of a change.
+
+    Its caller is told that it was not applied. The partition forgets what was
+    half done, reads its record again, and goes on with what others ask.
+    """
+    monkeypatch.setattr(common, 'Counters', _Fragile)
+    fleet = _ready()
+    fleet.clock.run_until(fleet.add('a').ready)
+    broken = fleet.add('a', amount=-5)
+    fleet.clock.run_until(broken.ready)
+    assert isinstance(broken.exception, NotAppliedError)
+    assert fleet.total('b') == 1
+
+
+def test_a_record_that_was_removed_is_begun_anew() -> None:
+    """An operator deletes the record of a partition that is in use.
+
+    Its primary is refused at its next write. It must not wait for a record
+    that never comes back.
+    """
+    fleet = _ready()
+    fleet.clock.run_until(fleet.add('a').ready)
+    fleet.world.store.change('partitions/0', None)
+    task = fleet.add('a', timeout=10)
+    fleet.clock.run_until(task.ready)
+    assert task.get(block=False).total == 1
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -61,22 +61,22 @@
 
 def test_objects_have_versions_and_conditions(store: ObjectApi) -> None:
     """A write under another version is a conflict and changes nothing."""
-    first = store.put('views/1', b'a', ABSENT)
-    second = store.put('views/1', b'b', first)
+    first = store.put('partitions/1', b'a', ABSENT)
+    second = store.put('partitions/1', b'b', first)
     with pytest.raises(StoreConflictError):
-        store.put('views/1', b'c', first)
-    found = store.get('views/1')
+        store.put('partitions/1', b'c', first)
+    found = store.get('partitions/1')
     assert found is not None
     assert (found.value, found.version) == (b'b', second)
-    assert store.list_under('views/') == ([found], second)
-    changes, revision = store.watch('views/', first, 1)
+    assert store.list_under('partitions/') == ([found], second)
+    changes, revision = store.watch('partitions/', first, 1)
     assert [change.value for change in changes] == [b'b']
-    store.delete('views/1', second)
-    assert store.get('views/1') is None
+    store.delete('partitions/1', second)
+    assert store.get('partitions/1') is None
     for number in range(5):
-        store.put('views/2', b'%d' % number, None)
+        store.put('partitions/2', b'%d' % number, None)
     with pytest.raises(WatchCompactedError):
-        store.watch('views/', revision, 1)
+        store.watch('partitions/', revision, 1)
 
 
 def test_a_lost_answer_is_not_repeated(
@@ -89,10 +89,10 @@
     """
     set_faults(carry, lose_answers=1)
     with pytest.raises(StoreUnavailableError) as caught:
-        store.put('views/1', b'a', ABSENT)
+        store.put('partitions/1', b'a', ABSENT)
     assert caught.value.may_be_written
     set_faults(carry)
-    found = store.get('views/1')
+    found = store.get('partitions/1')
     assert found is not None
     assert found.value == b'a'
 
@@ -180,7 +180,7 @@
     def ask(store: ObjectApi) -> None:
         while True:
             try:
-                store.get('views/1')
+                store.get('partitions/1')
             except StoreUnavailableError as error:
                 clock.sleep(1 if error.may_be_written else 2)
             else:
@@ -213,7 +213,7 @@
     def put() -> None:
         for _ in range(7):
             with pytest.raises(StoreUnavailableError) as caught:
-                store.put('views/1', b'x', ABSENT)
+                store.put('partitions/1', b'x', ABSENT)
             sent.append(caught.value.may_be_written)
 
     clock.spawn(put)
@@ -221,13 +221,13 @@
     assert sent == [True] * 5 + [False] * 2
 
 
-def test_views_go_before_settings_before_status() -> None:
-    """When the rate is used up by status, views still get through."""
+def test_partitions_go_before_settings_before_status() -> None:
+    """When the rate is used up by status, takeovers still get through."""
     budget = Budget(10, 0)
     admitted = dict.fromkeys(reversed(Priority), 0)
     for priority in admitted:
         while budget.take(priority, 0) == 0:
             admitted[priority] += 1
     assert list(admitted.values()) == [8, 6, 6]
-    assert budget.take(Priority.VIEWS, 0.1) == 0
+    assert budget.take(Priority.RECORDS, 0.1) == 0
     assert budget.take(Priority.STATUS, 0.2) > 0
