Watch the store at once after a restart

Cause: with 0.4 s of patience after a restart callers were refused while no instance knew a configuration, came back after the 0.3 s that they were told, and were refused again.

Change: only a fleet that starts for the first time waits for a relay. The members are not known much sooner than the store answers, so a restart wins nothing by it.

--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -45,13 +45,12 @@
 STALE_SECONDS: Final = 1.5
 CHECK_SECONDS: Final = 0.1
 READ_SECONDS: Final = 0.6
-# An instance that starts asks the relays for what they have and watches for
-# itself only if there is none by then. Were all to watch until they are told,
-# the start of a fleet would be half of a day's calls at ninety instances.
+# A fleet that starts for the first time has no callers yet. Its instances ask
+# the relays for what they have, and watch for themselves only if there is none
+# by then: were all to watch until they are told, the start would be half of a
+# day's calls at ninety instances. After a restart callers are waiting, and the
+# store answers sooner than the members are known.
 START_SECONDS: Final = 2.0
-# After a restart callers are waiting already, and a relay that is there answers
-# at once; when all were killed together, there is none for a second.
-RESTART_SECONDS: Final = 0.4
 JOIN_SECONDS: Final = 0.1
 # Relays have to be fresh for so long before their news is relied upon again.
 TRUST_SECONDS: Final = 1.0
@@ -110,7 +109,7 @@
         self._boot = secrets.randbits(62)
         self._number = 0
         self._started_at = clock.now()
-        self._patience = START_SECONDS if first_start else RESTART_SECONDS
+        self._patience = START_SECONDS if first_start else 0
         self._relays: dict[InstanceId, _Relay] = {}
         self._mirrors: list[Mirror] = []
         self.relaying = False
