Take a lost partition again sooner, and leave records of later releases alone

Found on reading: a primary that was refused was looked for again only at the next second's round; the pause between takeovers never shrank again; a record with a command of a later release ended the task that takes it, each second; a takeover that ended after a planned stop had begun was kept.

Change: the primary tells its host at once; losses older than 30 s are forgiven; an unknown command raises a StoreError with its remedy (a test fails without it); what is taken while stopping is let go.

--- a/guavagate/partitions/_hosting.py
+++ b/guavagate/partitions/_hosting.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+import msgspec
 from gevent.event import Event
 
 from guavagate.clock import Clock
@@ -38,6 +39,8 @@
 # turn; longer each time, so that the commands of one side get on meanwhile.
 FIRST_BACKOFF: Final = 0.3
 LONGEST_BACKOFF: Final = 5.0
+# A partition that was kept for so long is not being fought over any more.
+FORGIVEN_SECONDS: Final = 30.0
 # How long a command waits here while its partition is being taken over.
 ACTIVATE_SECONDS: Final = 0.3
 # An instance that is being stopped is not chosen again for so long; it is
@@ -73,6 +76,13 @@
     make_id: Callable[[], str] = make_id
 
 
+class _Losses(msgspec.Struct):
+    """How often a partition was lost lately; times in seconds."""
+
+    count: int = 0
+    newest: float = 0
+
+
 class Hosting:
     """Takes the partitions that are this instance's, and lets others go.
 
@@ -95,7 +105,7 @@
         self._left: dict[PartitionId, Machine] = {}
         self._taking: set[PartitionId] = set()
         self._not_before: dict[PartitionId, float] = {}
-        self._lost: dict[PartitionId, int] = {}
+        self._losses: dict[PartitionId, _Losses] = {}
         self._stopping = False
         self._taken = Event()
 
@@ -230,7 +240,15 @@
                 problem=str(error),
             )
         else:
-            primary = Primary(around.clock, keeping, machine, around.safeguards)
+            if self._stopping:
+                return
+            primary = Primary(
+                around.clock,
+                keeping,
+                machine,
+                around.safeguards,
+                self.changed.set,
+            )
             self.primaries[partition] = primary
             self._note_taken(partition, primary)
         finally:
@@ -252,11 +270,15 @@
         self._back_off(partition)
 
     def _back_off(self, partition: PartitionId) -> None:
-        tries = self._lost.get(partition, 0)
-        self._lost[partition] = tries + 1
-        pause = min(FIRST_BACKOFF * 2**tries, LONGEST_BACKOFF)
+        now = self.around.clock.now()
+        losses = self._losses.setdefault(partition, _Losses())
+        if now - losses.newest > FORGIVEN_SECONDS:
+            losses.count = 0
+        pause = min(FIRST_BACKOFF * 2**losses.count, LONGEST_BACKOFF)
+        losses.count += 1
+        losses.newest = now
         pause *= self.around.rng.uniform(0.5, 1)
-        self._not_before[partition] = self.around.clock.now() + pause
+        self._not_before[partition] = now + pause
         self.around.clock.spawn(self._look_later, pause)
 
     def _look_later(self, pause: float) -> None:
--- a/guavagate/partitions/_machine.py
+++ b/guavagate/partitions/_machine.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from guavagate.exceptions import StoreError
 from guavagate.partitions._messages import Entry
 from guavagate.partitions._state import Command, PartitionState, Previews
 
@@ -79,8 +80,19 @@
         return applied
 
     def apply_all(self, entries: Iterable[Entry]) -> None:
-        """Apply entries as the record holds them."""
+        """Apply entries as the record holds them.
+
+        Raises
+        ------
+        StoreError
+            One is of a kind that only a later release knows.
+        """
         for entry in entries:
+            if not self.understands(entry.kind):
+                raise StoreError(
+                    f'the record holds {entry.kind}, unknown to this release',
+                    'stop this instance, or run the release that wrote it',
+                )
             self.apply(entry)
 
     def snapshot(self) -> bytes:
--- a/guavagate/partitions/_primary.py
+++ b/guavagate/partitions/_primary.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -51,6 +52,11 @@
 class Primary:
     """Decides for a partition while it holds the record.
 
+    Parameters
+    ----------
+    lost
+        Called once when another instance has gone on from here.
+
     Attributes
     ----------
     closed
@@ -67,6 +73,7 @@
         keeping: RecordKeeping,
         machine: Machine,
         safeguards: Safeguards,
+        lost: Callable[[], None],
     ) -> None:
         self.keeping = keeping
         self.machine = machine
@@ -75,6 +82,7 @@
         self.holder = InstanceId('')
         self._clock = clock
         self._safeguards = safeguards
+        self._tell_lost = lost
         self._queue: list[_Waiting] = []
         self._wake = Event()
         self._idle = Event()
@@ -249,6 +257,7 @@
         for waiting in group:
             _conclude(waiting, reply)
         self._end(SubmitReply(verdict=Verdict.MOVED, holder=self.holder))
+        self._tell_lost()
 
     def _end(self, reply: SubmitReply) -> None:
         """Answer what waits and take nothing more."""
--- a/tests/partitions/test_keeping.py
+++ b/tests/partitions/test_keeping.py
@@ -166,3 +166,17 @@
             written += len(bench.state.objects[path].value)
             known.add(path)
     assert written < 6 * 300 * 420
+
+
+def test_an_entry_of_a_later_release_is_not_skipped() -> None:
+    """A newer instance wrote a command that this one does not know.
+
+    Without it the state would be another one; this instance leaves the
+    partition to those that know.
+    """
+    bench = Bench()
+    held, machine = bench.take()
+    entry = Entry('c1', 'AddTwice', b'', 1.5)
+    bench.run(held.add, [entry], machine)
+    with pytest.raises(StoreError, match='run the release that wrote it'):
+        bench.take('b')
