--- a/standins/platform/soak.py
+++ b/standins/platform/soak.py
@@ -4,16 +4,14 @@
 processes are on loopback addresses; it ends only those that it started.
 """
 
-import base64
 import contextlib
 import pathlib
 import random
 import signal
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 import gevent
-import msgspec
 
 from guavagate.clock import SystemClock
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
@@ -25,11 +23,10 @@
 from standins.platform.proxy import Proxy
 from standins.platform.sampler import Journal, Sampler
 from standins.platform.store import Store
+from standins.platform.trainer import MODEL, Trainer
 
-_MODEL: Final = 'm0'
 _HOST: Final = (b'Host', b'soak.example')
 _OK: Final = 200
-_ACCEPTED: Final = 202
 _NOT_RUN: Final = frozenset((408, 421, 429, 503))
 _WARM_SECONDS: Final = 6.0
 _QUIET_SECONDS: Final = 12.0
@@ -60,7 +57,6 @@
         self._stopped = False
         self._version = 1
         self._block = block
-        self._step = 0
         self.store = Store(self._place(250, 8000), seed)
         self.proxies = [Proxy(self._place(251, 8000), self._place(250, 8000))]
         self.samplers = [
@@ -75,12 +71,15 @@
             for number, name in enumerate(names, 1)
         ]
         self._pool = ConnectionPool(self.clock)
+        self.trainer = Trainer(
+            self.clock, self.random, self.verdict, self.store, self._call_any
+        )
 
     def _place(self, last: int, port: int) -> str:
         return f'127.0.{self._block}.{last}:{port}'
 
     def _make_sampler(self, number: int) -> Sampler:
-        model = _MODEL if number < _SAMPLERS else ''
+        model = MODEL if number < _SAMPLERS else ''
         target = self._place(100 + number, 9000)
         shown = self._place(150 + number, 9000)
         self.proxies.append(Proxy(shown, target))
@@ -105,10 +104,11 @@
             gevent.sleep(_WARM_SECONDS)
             tasks = [
                 gevent.spawn(run)
-                for run in (self._ask, self._ask, self._file, self._train)
+                for run in (self._ask, self._ask, self._file, self.trainer.run)
             ]
             self._trouble(seconds)
             self._stopped = True
+            self.trainer.stop()
             gevent.sleep(_QUIET_SECONDS)
             gevent.killall(tasks)
             self._check_end()
@@ -119,7 +119,7 @@
 
     def _configure(self) -> None:
         self._version += 1
-        manifest = make_manifest(self._version, _MODEL)
+        manifest = make_manifest(self._version, MODEL)
         self.store.write('config', 'main', manifest)
 
     # Faults.
@@ -216,6 +216,12 @@
         with gevent.Timeout(6, UpstreamError('late', 'look')):
             return answer.status, answer.read(), answer
 
+    def _call_any(
+        self, method: str, target: str, name: str, body: bytes = b''
+    ) -> tuple[int, bytes]:
+        status, answer, _ = self._call(self._pick(), method, target, name, body)
+        return status, answer
+
     def _pick(self) -> Daemon:
         return self.random.choice(self.daemons[:_ENTRIES])
 
@@ -270,82 +276,13 @@
         ran = self.journal.runs[name]
         self.verdict.expect(ran <= 1, 'TWICE', f'{name} ran {ran} times')
 
-    def _train(self) -> None:
-        """Submit steps and read them until each is whole or late."""
-        version = 1
-        while not self._stopped:
-            job = f'j{self._step}'
-            items = {f'{job}-{number}' for number in range(12)}
-            self.verdict.submit(job, items, max(version - 1, 1))
-            if self._submit(job, sorted(items), max(version - 1, 1)):
-                self._follow(job, self.clock.now() + 8)
-                self._end(job)
-            self._step += 1
-            version += 1
-            record = {'model': _MODEL, 'version': version}
-            self.store.write('versions', _MODEL, record)
-
-    def _submit(self, job: str, items: list[str], oldest: int) -> bool:
-        body = msgspec.json.encode(
-            {
-                'step': self._step,
-                'model': _MODEL,
-                'min-version': oldest,
-                'target-groups': 3,
-                'items': [
-                    {
-                        'id': item,
-                        'path': f'/jobs/{item}',
-                        'body': base64.b64encode(item.encode()).decode(),
-                        'group-id': f'{job}-{number // 4}',
-                    }
-                    for number, item in enumerate(items)
-                ],
-            }
-        )
-        while not self._stopped:
-            try:
-                status, _, _ = self._call(
-                    self._pick(), 'POST', f'/jobs/{job}', job, body
-                )
-            except UpstreamError:
-                status = 0
-            if status == _ACCEPTED:
-                return True
-            gevent.sleep(0.3)
-        return False
-
-    def _follow(self, job: str, until: float) -> None:
-        while self.clock.now() < until and self.verdict.listed(job) < 12:
-            self._read(job, self.random.randint(0, self.verdict.listed(job)))
-            gevent.sleep(0.3)
-
-    def _read(self, job: str, after: int) -> int:
-        try:
-            status, body, _ = self._call(
-                self._pick(), 'GET', f'/lots/{job}?after={after}', job
-            )
-        except UpstreamError:
-            return 0
-        if status == _OK:
-            page: dict[str, Any] = msgspec.json.decode(body)
-            self.verdict.read(job, after, page)
-        self.verdict.expect(status != 404, 'LOST', f'{job} is not known')
-        return status
-
-    def _end(self, job: str) -> None:
-        try:
-            self._call(self._pick(), 'DELETE', f'/lots/{job}', job)
-        except UpstreamError:
-            return
-
     def _check_end(self) -> None:
         """All that was accepted and listed is there, at every entry."""
-        for number in range(self._step):
+        for number in range(self.trainer.step):
             job = f'j{number}'
             if not self.verdict.listed(job):
                 continue
-            status = self._read(job, 0)
+            status = self.trainer.read(job, 0)
             self.verdict.expect(status == _OK, 'GONE', f'{job}: {status}')
         for daemon in self.daemons[:_ENTRIES]:
             target = f'/v{self._version}/x'
--- /dev/null
+++ b/standins/platform/trainer.py
@@ -0,0 +1,111 @@
+"""The soak's trainer: submits steps, reads them anyhow, and ends them."""
+
+import base64
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+import gevent
+import msgspec
+
+from guavagate.clock import Clock
+from guavagate.exceptions import UpstreamError
+from standins.platform.checks import Verdict
+from standins.platform.store import Store
+
+MODEL: Final = 'm0'
+_OK: Final = 200
+_ACCEPTED: Final = 202
+
+# Sends method, target, request id and body to some entry.
+Call = Callable[..., tuple[int, bytes]]
+
+
+class Trainer:
+    """One trainer; what it reads is judged as it comes."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        verdict: Verdict,
+        store: Store,
+        call: Call,
+    ) -> None:
+        self.step = 0
+        self._clock = clock
+        self._random = rng
+        self._verdict = verdict
+        self._store = store
+        self._call = call
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Submit nothing more."""
+        self._stopped = True
+
+    def run(self) -> None:
+        """Submit steps and read them until each is whole or late."""
+        version = 1
+        while not self._stopped:
+            job = f'j{self.step}'
+            items = {f'{job}-{number}' for number in range(12)}
+            self._verdict.submit(job, items, max(version - 1, 1))
+            if self._submit(job, sorted(items), max(version - 1, 1)):
+                self._follow(job, self._clock.now() + 8)
+                self._end(job)
+            self.step += 1
+            version += 1
+            record = {'model': MODEL, 'version': version}
+            self._store.write('versions', MODEL, record)
+
+    def _submit(self, job: str, items: list[str], oldest: int) -> bool:
+        body = msgspec.json.encode(
+            {
+                'step': self.step,
+                'model': MODEL,
+                'min-version': oldest,
+                'target-groups': 3,
+                'items': [
+                    {
+                        'id': item,
+                        'path': f'/jobs/{item}',
+                        'body': base64.b64encode(item.encode()).decode(),
+                        'group-id': f'{job}-{number // 4}',
+                    }
+                    for number, item in enumerate(items)
+                ],
+            }
+        )
+        while not self._stopped:
+            try:
+                status, _ = self._call('POST', f'/jobs/{job}', job, body)
+            except UpstreamError:
+                status = 0
+            if status == _ACCEPTED:
+                return True
+            gevent.sleep(0.3)
+        return False
+
+    def _follow(self, job: str, until: float) -> None:
+        while self._clock.now() < until and self._verdict.listed(job) < 12:
+            self.read(job, self._random.randint(0, self._verdict.listed(job)))
+            gevent.sleep(0.3)
+
+    def read(self, job: str, after: int) -> int:
+        """Read results from a position on; return the status, 0 for none."""
+        try:
+            status, body = self._call('GET', f'/lots/{job}?after={after}', job)
+        except UpstreamError:
+            return 0
+        if status == _OK:
+            page: dict[str, Any] = msgspec.json.decode(body)
+            self._verdict.read(job, after, page)
+        self._verdict.expect(status != 404, 'LOST', f'{job} is not known')
+        return status
+
+    def _end(self, job: str) -> None:
+        try:
+            self._call('DELETE', f'/lots/{job}', job)
+        except UpstreamError:
+            return
