Test that a primary that was gone on from confirms no order

Cause, found on reading the change: submit_here, which lets a sampler be ordered only while the store says that this instance decides, had no test that brings about its failure; the test of weights replaced it by a fake.

Change: a paused primary wakes and asks to confirm; it is refused and nothing is applied elsewhere. A comment that spoke of replicas is put right.

--- a/guavagate/measure/outcomes/_steps.py
+++ b/guavagate/measure/outcomes/_steps.py
@@ -112,7 +112,7 @@
                 call.join()
                 taken = taken or call.value
             if taken is None:
-                # Its replicas may be lost; submitting it again is harmless.
+                # The answer may be lost; submitting it again is harmless.
                 self._fleet.clock.sleep(0.2)
                 self._submit()
                 continue
--- a/tests/partitions/test_stored.py
+++ b/tests/partitions/test_stored.py
@@ -241,3 +241,27 @@
     task = fleet.add('a', timeout=10)
     fleet.clock.run_until(task.ready)
     assert task.get(block=False).total == 1
+
+
+def test_a_primary_that_was_gone_on_from_confirms_nothing() -> None:
+    """A paused primary wakes and wants to order a sampler at once.
+
+    It asks the store to confirm that it still decides. Another has gone on
+    from its record, so the command is refused here and is not passed on to
+    the one that decides now: an order of the old one would be confirmed then.
+    """
+    fleet = _ready()
+    primary = fleet.primary()
+    other = next(name for name in 'abc' if name != primary)
+    partitions = fleet.partitions[primary]
+    epoch = partitions.holdings()[0].epoch
+    fleet.world.pause(primary)
+    fleet.clock.advance(6)
+    assert fleet.total(other, timeout=8) == 0
+    fleet.world.resume(primary)
+    command = Add(at=fleet.clock.wall(), key='k')
+    clock = fleet.runtimes[primary].clock
+    task = clock.spawn(partitions.submit_here, 'k', epoch, command, Total)
+    fleet.clock.run_until(task.ready)
+    assert isinstance(task.exception, NotAppliedError)
+    assert fleet.total(other, timeout=8) == 0
