--- a/guavagate/http1/_server.py
+++ b/guavagate/http1/_server.py
@@ -101,7 +101,7 @@
         connects then waits for nobody, and is reset when the process ends:
         its request looks cut. One that is refused knows that nothing was sent.
         """
-        while (waiting := self._server.do_read()) is not None:
+        for waiting in iter(self._server.do_read, None):
             self._server.do_handle(*waiting)
         self._server.close()
 
--- /dev/null
+++ b/tests/http1/callers.py
@@ -0,0 +1,41 @@
+"""A server of ours, and a raw connection of a caller to it."""
+
+import gevent
+from gevent import socket
+
+from guavagate.clock import SystemClock
+from guavagate.http1 import Exchange, HttpServer, ServerLimits
+
+
+class Caller:
+    """A server of ours and a raw connection to it."""
+
+    def __init__(
+        self, handle: object, limits: ServerLimits | None = None
+    ) -> None:
+        self.server = HttpServer(
+            '127.0.0.1:0',
+            SystemClock(),
+            handle,  # type: ignore[arg-type]
+            lambda: limits or ServerLimits(),
+        )
+        self.server.start()
+        port = self.server._server.server_port
+        self.address = ('127.0.0.1', port)
+        self.sock = socket.create_connection(self.address)
+
+    def finish(self) -> int:
+        """Stop the server as planned, within two seconds."""
+        return self.server.finish(SystemClock().now() + 2)
+
+    def ask(self, request: bytes) -> bytes:
+        """Send bytes and return what comes first."""
+        self.sock.sendall(request)
+        with gevent.Timeout(2, TimeoutError):
+            return self.sock.recv(65_536)
+
+
+def echo(exchange: Exchange) -> None:
+    """Answer with the body and the target."""
+    body = exchange.read_body(10)
+    exchange.respond(200, [], body + exchange.request.target.encode())
