Have one relay and stand-ins, and the others ask only when they hear nobody

An instance that started watched at once though a relay was there a second later.

Change: one relay; five stand-ins step in by rank when it is silent or its news is old; all others ask only when they hear no relay for 1.5 s, as one that is heard goes through its peers. A relay beats also before it has read all, and a stand-in stops only for a relay before it. Changes of registrations are gathered for 0.4 s. A lost way is tried each 2 s where nothing urgent waits.

Ruled out by tests: a change that comes as the relay and eight stand-ins die, or as relay and stand-in lose the store, is in force everywhere within 1.9 s.

--- a/guavagate/feeds/__init__.py
+++ b/guavagate/feeds/__init__.py
@@ -1,13 +1,13 @@
-"""Objects of the store that every instance follows, at the cost of one or two.
+"""Objects of the store that every instance follows, at the cost of one.
 
 A waiting watch counts as a call, each change ends it, and the store's rates
-grow more slowly than the fleet. One instance, or two of different availability
-zones, watch; they tell all others. An instance that hears nothing fresh from
-them asks the store itself.
+grow more slowly than the fleet. One instance watches and tells all others; some
+stand-ins step in when its news is old, and an instance that hears nobody asks
+the store itself.
 """
 
 from guavagate.feeds._feed import Feed
-from guavagate.feeds._relays import choose_relays
+from guavagate.feeds._relays import rank_relays
 from guavagate.feeds._table import FeedTable
 
-__all__ = ('Feed', 'FeedTable', 'choose_relays')
+__all__ = ('Feed', 'FeedTable', 'rank_relays')
--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -3,6 +3,7 @@
 import functools
 import logging
 import secrets
+from collections.abc import Iterable, Sequence
 from typing import Final
 
 import msgspec
@@ -18,7 +19,12 @@
     FeedEntry,
     ReadFeed,
 )
-from guavagate.feeds._relays import choose_relays
+from guavagate.feeds._relays import (
+    STALE_SECONDS,
+    STAND_INS,
+    is_due,
+    rank_relays,
+)
 from guavagate.feeds._table import FeedTable, Put, Remove
 from guavagate.helpers.mirror import Mirror
 from guavagate.links import Bus, Message, expect
@@ -33,16 +39,15 @@
 # it has all, and what two relays spend on it is less than what each change
 # would cost if all instances watched.
 RELAY_WAIT_SECONDS: Final = 0.9
-# After a change, others often follow: registrations of samplers that load.
+# After a change, others often follow, and come in one answer then. Of what may
+# lapse, the registrations, many change while samplers load, and what is known a
+# moment later does no harm: one that leaves has two seconds.
 RELAY_PAUSE_SECONDS: Final = 0.1
-# All watch for themselves as the fleet starts and the upstreams register; what
-# comes within this time comes in one answer.
-ALONE_PAUSE_SECONDS: Final = 0.6
+LAPSING_PAUSE_SECONDS: Final = 0.4
+# One that watches for itself alone does so until it hears a relay, which takes
+# about as long; its first watch then never starts.
+ALONE_PAUSE_SECONDS: Final = 1.2
 BEAT_SECONDS: Final = 0.4
-# The store's acknowledgement has to be in force here within two seconds. A
-# relay that is cut off from the store says how old its news is; beyond this
-# the store is asked directly, which takes some milliseconds.
-STALE_SECONDS: Final = 1.5
 CHECK_SECONDS: Final = 0.1
 READ_SECONDS: Final = 0.6
 # A fleet that starts for the first time has no callers yet. Its instances ask
@@ -52,6 +57,8 @@
 # store answers sooner than the members are known.
 START_SECONDS: Final = 2.0
 JOIN_SECONDS: Final = 0.1
+# The age of news that nobody has told.
+NEVER_SECONDS: Final = 1e9
 # Relays have to be fresh for so long before their news is relied upon again.
 TRUST_SECONDS: Final = 1.0
 
@@ -109,6 +116,7 @@
         self._boot = secrets.randbits(62)
         self._number = 0
         self._started_at = clock.now()
+        self._heard_at = clock.now()
         self._patience = START_SECONDS if first_start else 0
         self._relays: dict[InstanceId, _Relay] = {}
         self._mirrors: list[Mirror] = []
@@ -127,6 +135,7 @@
     def start(self) -> None:
         """Begin to follow."""
         self._started_at = self._clock.now()
+        self._heard_at = self._started_at
         self._tasks = [
             self._clock.spawn(self._join),
             self._clock.spawn(self._check),
@@ -136,8 +145,8 @@
     def _join(self) -> None:
         """Read all from a relay, if one is there."""
         while not (self.loaded or self._mirrors):
-            relays = choose_relays(self._members.alive(), self._boot_of)
-            for relay in relays:
+            first = self._rank()[: STAND_INS + 1]
+            for relay in first:
                 if relay != self._me and not self.loaded:
                     self._read_copy(relay)
             self._clock.sleep(JOIN_SECONDS)
@@ -149,34 +158,48 @@
             self._clock.sleep(CHECK_SECONDS)
 
     def _look(self) -> None:
-        relays = choose_relays(self._members.alive(), self._boot_of)
-        if self._me in relays and self._knows_others():
+        ranked = self._rank()
+        rank = ranked.index(self._me) if self._me in ranked else len(ranked)
+        if rank == 0 and len(ranked) > 1:
             if not self.relaying:
                 self._watch_directly(relaying=True)
-        elif self._is_followed():
+        elif self._is_followed(ranked[:rank]):
             self._stop_watching()
-        elif self.relaying or (not self._mirrors and self._has_joined()):
-            self._watch_directly(relaying=False)
+        elif not self._mirrors and self._has_to_ask(rank):
+            self._watch_directly(relaying=rank <= STAND_INS and self.loaded)
         if self._mirrors and all(each.loaded for each in self._mirrors):
             self.loaded = True
 
-    def _has_joined(self) -> bool:
-        """Return whether there was time to be told by a relay."""
-        waited = self._clock.now() - self._started_at
-        return self.loaded or waited >= self._patience
+    def _rank(self) -> list[InstanceId]:
+        return rank_relays(self._members.alive(), self._boot_of)
 
-    def _knows_others(self) -> bool:
-        return len(self._members.alive()) > 1
+    def _has_to_ask(self, rank: int) -> bool:
+        """Return whether the relays do not help, or have not yet."""
+        now = self._clock.now()
+        if not self.loaded:
+            return now - self._started_at >= self._patience
+        age = self._read_age(self._relays)
+        return is_due(rank, now - self._heard_at, age)
 
-    def _is_followed(self) -> bool:
-        """Return whether some relay's news can be relied upon."""
+    def _read_age(self, relays: Iterable[InstanceId]) -> float:
+        """Return how old the newest news of some relays is, in seconds."""
         now = self._clock.now()
-        fresh = any(
-            now - relay.heard_at + relay.age < STALE_SECONDS
-            and not relay.reading
-            for relay in self._relays.values()
+        heard = [self._relays[each] for each in relays if each in self._relays]
+        ages = (
+            now - relay.heard_at + relay.age
+            for relay in heard
+            if not relay.reading
         )
-        if not fresh:
+        return min(ages, default=NEVER_SECONDS)
+
+    def _is_followed(self, seniors: Sequence[InstanceId]) -> bool:
+        """Return whether the news of some relay before us can be relied upon.
+
+        Two stand-ins that relied on each other would stop at the same moment,
+        and all news would be old until they step in again.
+        """
+        now = self._clock.now()
+        if self._read_age(seniors) >= STALE_SECONDS:
             self._fresh_since = None
             return False
         if self._fresh_since is None:
@@ -188,17 +211,19 @@
         self._stop_watching()
         self.relaying = relaying
         wait = RELAY_WAIT_SECONDS if relaying else None
-        pause = RELAY_PAUSE_SECONDS if relaying else ALONE_PAUSE_SECONDS
         for prefix in self._prefixes:
+            lapses = prefix in self._lapsing
+            pause = LAPSING_PAUSE_SECONDS if lapses else RELAY_PAUSE_SECONDS
             mirror = Mirror(
                 self._store,
                 self._clock,
                 prefix,
                 self._take_stored,
                 functools.partial(self._take_gone, prefix),
-                lapses=prefix in self._lapsing,
+                lapses=lapses,
                 wait=wait,
-                pause=pause,
+                pause=pause if relaying else ALONE_PAUSE_SECONDS,
+                settles=not relaying,
                 held=self._table.versions(prefix),
             )
             mirror.start()
@@ -236,7 +261,7 @@
     def _beat(self) -> None:
         while True:
             self._clock.sleep(BEAT_SECONDS)
-            if self.relaying and all(each.loaded for each in self._mirrors):
+            if self.relaying:
                 beat = FeedBeat(
                     boot=self._boot, number=self._number, age=self._age()
                 )
@@ -248,6 +273,8 @@
                 self._bus.send(peer.id, message)
 
     def _age(self) -> float:
+        if not all(each.loaded for each in self._mirrors):
+            return NEVER_SECONDS
         heard = [each.confirmed_at for each in self._mirrors]
         return self._clock.now() - min(heard, default=0)
 
@@ -270,6 +297,7 @@
 
     def _on_change(self, sender: InstanceId, message: Message) -> None:
         change = expect(message, FeedChange)
+        self._heard_at = self._clock.now()
         relay = self._relays.get(sender)
         if relay is None or relay.boot != change.boot:
             return  # The next beat has the whole copy read.
@@ -279,6 +307,7 @@
 
     def _on_beat(self, sender: InstanceId, message: Message) -> None:
         beat = expect(message, FeedBeat)
+        self._heard_at = self._clock.now()
         relay = self._relays.get(sender)
         known = relay is not None and relay.boot == beat.boot
         if relay is not None and known and relay.number >= beat.number:
--- a/guavagate/helpers/mirror.py
+++ b/guavagate/helpers/mirror.py
@@ -40,6 +40,8 @@
     wait, pause
         Seconds that a watch may wait, and that are let pass after a change
         so that the next ones come together.
+    settles
+        Whether the first watch, too, waits for the pause.
     held
         Versions known from elsewhere, by path; what a list lacks of them is
         told as gone.
@@ -59,6 +61,7 @@
         lapses: bool = False,
         wait: float | None = None,
         pause: float = 0,
+        settles: bool = False,
         held: dict[str, Revision] | None = None,
     ) -> None:
         self._store = store
@@ -69,6 +72,7 @@
         self._lapses = lapses
         self._wait = WATCH_SECONDS if wait is None else wait
         self._pause = pause
+        self._settles = settles
         self.confirmed_at = float(0)
         self.revision = Revision(0)
         self._held: dict[str, Revision] = dict(held or {})
@@ -112,6 +116,8 @@
             self._take_list(objects)
             self._note_seen(listed_at)
             self.loaded = True
+            if self._settles:
+                self._clock.sleep(self._pause)
             return
         wait = LAPSE_SECONDS if self._missing else self._wait
         # A watch that is asked again from before a dropped history may be
--- a/guavagate/integrations/object_api/_peers.py
+++ b/guavagate/integrations/object_api/_peers.py
@@ -41,6 +41,9 @@
 # silent way is let go after 1.1 s at most; TCP's own probes take 3 s.
 PROBE_SECONDS: Final = 0.5
 PROBE_LIMIT: Final = 0.6
+# Where nothing urgent waits, calls go through peers meanwhile, and ninety
+# instances that try their ways twice a second cost more than that.
+CALM_PROBE_SECONDS: Final = 2.0
 GRACE_SECONDS: Final = 0.5
 # A peer that is sound answers within some milliseconds.
 SEARCH_SECONDS: Final = 0.2
@@ -94,6 +97,7 @@
         self._searching: Event | None = None
         self._is_lost = False
         self._heard_at = clock.now()
+        self._tried_at = clock.now()
         self._waiting: dict[AsyncResult, Task] = {}
         bus.register(StoreCall, self._serve)
 
@@ -138,11 +142,14 @@
         while True:
             self._clock.sleep(PROBE_SECONDS)
             silent = self._clock.now() - self._heard_at >= PROBE_SECONDS
-            waits = self._waiting and silent and self._is_needed()
-            if self._is_lost or waits:
+            needed = self._is_needed()
+            waits = self._waiting and silent and needed
+            calm = self._clock.now() - self._tried_at < CALM_PROBE_SECONDS
+            if waits or (self._is_lost and (needed or not calm)):
                 self._try_way()
 
     def _try_way(self) -> None:
+        self._tried_at = self._clock.now()
         try:
             self._direct(self._probe)
         except (NotSentError, NoAnswerError) as error:
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -1,30 +1,57 @@
 """The feed while relays are killed, paused, cut off or turned away."""
 
+from collections.abc import Sequence
+
 import pytest
 
-from guavagate.feeds import Feed, FeedTable, choose_relays
+from guavagate.feeds import Feed, FeedTable, rank_relays
 from guavagate.feeds._messages import FeedEntry
 from guavagate.measure.fakes import MemoryStore, World
 from guavagate.models import InstanceId, Revision
-from guavagate.ports.store import StoredObject
+from guavagate.ports.store import StoreChange, StoredObject
 
 _NAMES = 'abcdef'
 
 
+class _CountingStore(MemoryStore):
+    """Counts one instance's calls; no call comes back while it is cut off."""
+
+    asked = 0
+    cut = False
+
+    def list_under(self, prefix: str) -> tuple[list[StoredObject], Revision]:
+        """Count a list."""
+        self._note()
+        return super().list_under(prefix)
+
+    def watch(
+        self, prefix: str, since: Revision, timeout: float
+    ) -> tuple[list[StoreChange], Revision]:
+        """Count a watch."""
+        self._note()
+        return super().watch(prefix, since, timeout)
+
+    def _note(self) -> None:
+        self.asked += 1
+        if self.cut:
+            self.clock.sleep(60)
+
+
 class _Fleet:
-    """Six instances in three zones that follow one prefix."""
+    """Instances in three zones that follow two prefixes."""
 
-    def __init__(self) -> None:
+    def __init__(self, names: Sequence[str] = _NAMES) -> None:
+        self.names = names
         self.world = World()
         self.clock = self.world.clock
         self.known: dict[str, dict[str, bytes]] = {}
         self.told: dict[str, list[bytes]] = {}
-        self.stores: dict[str, MemoryStore] = {}
-        for name in _NAMES:
+        self.stores: dict[str, _CountingStore] = {}
+        for name in names:
             self.world.add(name)
         self.clock.advance(1)
         self.world.store.change('config/main', b'1')
-        for name in _NAMES:
+        for name in names:
             self._start(name)
         self.clock.advance(4)
 
@@ -38,7 +65,8 @@
             held[stored.path] = stored.value
             told.append(stored.value)
 
-        self.stores[name] = self.world.store_of(name)
+        host = self.world.hosts[InstanceId(name)]
+        self.stores[name] = _CountingStore(host.clock, self.world.store, name)
         feed = Feed(
             self.stores[name],
             self.world.hosts[InstanceId(name)].clock,
@@ -57,14 +85,29 @@
         feed.handle('servers', put, remove)
         feed.start()
 
+    def rank(self) -> list[str]:
+        """Return the instances in the order in which they relay."""
+        first = InstanceId(self.names[0])
+        alive = self.world.members[first].alive()
+        return [str(each) for each in rank_relays(alive)]
+
     def relays(self) -> list[str]:
-        """Return the relays."""
-        alive = self.world.members[InstanceId('a')].alive()
-        return [str(each) for each in choose_relays(alive)]
+        """Return who relays as long as nothing is wrong."""
+        return self.rank()[:1]
 
     def others(self) -> list[str]:
-        """Return all but the relays."""
-        return [name for name in _NAMES if name not in self.relays()]
+        """Return all but the relay."""
+        return self.rank()[1:]
+
+    def direct(self) -> set[str]:
+        """Return who calls the store."""
+        return {name for name in self.names if self.stores[name].asked}
+
+    def clear(self) -> None:
+        """Forget who has called the store."""
+        self.world.store.calls.clear()
+        for store in self.stores.values():
+            store.asked = 0
 
     def values(self, names: list[str]) -> set[bytes]:
         """Return what these hold of the configuration."""
@@ -88,13 +131,72 @@
     assert fleet.values(list(_NAMES)) == {b'2'}
 
 
-def test_a_large_fleet_has_relays_of_different_zones() -> None:
-    """A zone that goes takes one of them along, and none lists all anew."""
+def test_the_first_stand_in_is_of_another_zone() -> None:
+    """A zone that goes takes the relay along, and not its stand-in."""
     world = World()
     for number in range(40):
         world.add(f'n{number}')
-    relays = choose_relays(list(world.peers.values()))
-    assert len({world.peers[each].availability_zone for each in relays}) == 2
+    ranked = rank_relays(list(world.peers.values()))
+    assert len(ranked) == 40
+    zones = {world.peers[each].availability_zone for each in ranked[:2]}
+    assert len(zones) == 2
+
+
+def test_the_store_is_away_and_few_ask_for_it() -> None:
+    """No call of forty instances is answered for six seconds.
+
+    The relay says that its news is old. Were each instance to ask for itself
+    then, the store would meet hundreds of calls a second, each of them with
+    its price, and as many at its return. Some stand-ins ask, the relay asks
+    through peers, and all others hear from them when the store is back.
+    """
+    fleet = _Fleet([f'n{number}' for number in range(40)])
+    fleet.clear()
+    fleet.world.store.outage = True
+    fleet.clock.advance(6)
+    assert len(fleet.direct()) <= 6
+    fleet.world.store.outage = False
+    fleet.world.store.change('config/main', b'2')
+    fleet.clock.advance(1.9)
+    assert fleet.values(list(fleet.names)) == {b'2'}
+    assert len(fleet.direct()) <= 6
+
+
+def test_the_relay_dies_in_a_large_fleet_and_few_list_anew() -> None:
+    """Its stand-in hears no beat, lists, and tells the others in time."""
+    fleet = _Fleet([f'n{number}' for number in range(40)])
+    fleet.clear()
+    relay = fleet.relays()[0]
+    fleet.world.hosts[InstanceId(relay)].kill()
+    fleet.world.store.change('config/main', b'2')
+    fleet.clock.advance(1.9)
+    others = [name for name in fleet.names if name != relay]
+    assert fleet.values(others) == {b'2'}
+    assert len(fleet.direct()) <= 6
+
+
+def test_relay_and_stand_ins_die_and_the_others_ask_themselves() -> None:
+    """All who would step in are killed at once; a change comes right then."""
+    fleet = _Fleet([f'n{number}' for number in range(20)])
+    killed = fleet.rank()[:8]
+    for name in killed:
+        fleet.world.hosts[InstanceId(name)].kill()
+    fleet.world.store.change('config/main', b'2')
+    fleet.clock.advance(1.9)
+    others = [name for name in fleet.names if name not in killed]
+    assert fleet.values(others) == {b'2'}
+
+
+def test_relay_and_stand_in_are_cut_off_from_the_store() -> None:
+    """They live and beat; the next ones step in for a change at that moment."""
+    fleet = _Fleet([f'n{number}' for number in range(20)])
+    for name in fleet.rank()[:2]:
+        fleet.stores[name].cut = True
+    fleet.clock.advance(0.95)
+    fleet.world.store.change('config/main', b'2')
+    fleet.clock.advance(1.9)
+    others = fleet.rank()[2:]
+    assert fleet.values(others) == {b'2'}
 
 
 def test_the_relays_die_and_a_change_is_in_force_in_time(
@@ -119,22 +221,29 @@
     Their beats tell how old their news is; the others stop relying on them.
     """
     others = fleet.others()
-    relays = set(fleet.relays())
-    clock = fleet.clock
-
-    def hang(*_: object) -> tuple[list, Revision]:
-        clock.sleep(60)
-        return [], Revision(0)
-
-    for relay in relays:
-        fleet.stores[relay].watch = hang  # type: ignore[method-assign, assignment]
-        fleet.stores[relay].list_under = hang  # type: ignore[method-assign, assignment]
+    for relay in fleet.relays():
+        fleet.stores[relay].cut = True
     fleet.clock.advance(0.7)
     fleet.world.store.change('config/main', b'2')
     fleet.clock.advance(1.9)
     assert fleet.values(others) == {b'2'}
 
 
+def test_a_stand_in_goes_on_while_the_relay_is_cut_off() -> None:
+    """The relay's way to the store stays silent for twenty seconds.
+
+    Five step in. If each relied on the others they would all stop, news would
+    grow old, and they would list all anew every few seconds.
+    """
+    fleet = _Fleet([f'n{number}' for number in range(20)])
+    fleet.stores[fleet.relays()[0]].cut = True
+    fleet.clock.advance(6)
+    fleet.clear()
+    fleet.clock.advance(14)
+    assert fleet.direct() <= set(fleet.rank()[:2])
+    assert not fleet.world.store.calls['list']
+
+
 def test_no_instance_ever_goes_back(fleet: _Fleet) -> None:
     """Relays change hands while the configuration changes ten times."""
     for number in range(2, 12):
--- a/tests/integrations/test_peers.py
+++ b/tests/integrations/test_peers.py
@@ -28,6 +28,7 @@
         self.calls: list[str] = []
         self.probes: list[str] = []
         self.routes: dict[str, PeerRoute] = {}
+        self.needed = True
         for name in 'abc':
             self.world.add(name)
         for name in 'abc':
@@ -57,7 +58,7 @@
             self.world.hosts[InstanceId(name)].clock,
             lambda: [InstanceId(each) for each in 'abc' if each != name],
             _PROBE,
-            lambda: True,
+            lambda: self.needed,
         )
         self.routes[name].start()
 
@@ -156,6 +157,25 @@
     assert not routes.probes
 
 
+def test_a_lost_way_is_tried_seldom_where_nothing_urgent_waits() -> None:
+    """The store turns an instance without duties away for twenty seconds.
+
+    It has its calls made by peers; each try of its own way has its price.
+    """
+    routes = _Routes()
+    routes.needed = False
+    routes.turned_away['a'] = NotSentError('503')
+    routes.call('a')
+    routes.probes.clear()
+    routes.world.clock.advance(20)
+    assert 8 <= len(routes.probes) <= 10
+    routes.turned_away.clear()
+    routes.world.clock.advance(3)
+    routes.calls.clear()
+    routes.call('a')
+    assert routes.calls == ['a']
+
+
 def test_a_peer_that_is_cut_off_as_well_is_left_alone() -> None:
     """The owner is cut off from the store and from one of two peers.
 
