--- a/guavagate/membership/_join.py
+++ b/guavagate/membership/_join.py
@@ -90,12 +90,19 @@
         Both sides of a healed partition hold the other side dead; without
         this neither would ever speak to the other again.
         """
-        joined = bool(self._table.reachable())
-        wait = CANDIDATE_SECONDS if joined else JOIN_SECONDS
+        members = self._table.reachable()
+        joined = bool(members)
+        wait = CANDIDATE_SECONDS if joined and self._whole else JOIN_SECONDS
         self._candidate_at = now + wait
         if not self._queue:
             self._queue = self._list_candidates()
         sends: list[Send] = []
+        if joined and not self._whole:
+            # Others may have found it before it had anyone to ask, and a page
+            # may have been lost: it goes on where it is.
+            chosen = self._random.choice(members)
+            packet = self._write(Act.SYNC, (), self._cursor)
+            sends.append((self._table.address(chosen), packet))
         for _ in range(min(1 if joined else HELPERS, len(self._queue))):
             sends.extend(self._try(self._queue.pop(), joined))
         return sends
--- a/tests/membership/test_detector.py
+++ b/tests/membership/test_detector.py
@@ -184,6 +184,27 @@
         assert members[InstanceId('i002')].contact.boot == boot
 
 
+@pytest.mark.parametrize('seed', SEEDS)
+def test_a_restarted_process_that_is_asked_first_learns_of_all(
+    seed: int,
+) -> None:
+    """Others ping it before it has read the list of registered instances.
+
+    It then has a member and takes itself for joined. Heard of one by one, the
+    other eighty take seconds, and meanwhile it takes duties that others hold.
+    """
+    network = make_network(80, seed)
+    network.kill('i004')
+    network.run(0.5)
+    network.start('i004')
+    joiner = network.detectors['i004'].joiner
+    joiner.retain(set())
+    network.run(5, lambda: bool(network.usable('i004')))
+    joiner.learn({InstanceId(each): each for each in network.detectors})
+    network.run(1.2)
+    assert len(network.usable('i004')) >= 75
+
+
 def test_the_list_alone_neither_kills_nor_revives() -> None:
     """The lagging list names a dead instance and omits a live one.
 
