Count no time for a result that came from an earlier job

Change: the start is unknown until the item runs; such an item is logged with 0 and not observed.

Before: the new test fails (four times of over 1,000 s). After: it passes.

--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -238,8 +238,10 @@
         if held is None or held.work is not work or work.ended:
             return
         progress = work.items[result.id]
-        seconds = self._clock.now() - progress.started
-        self._metrics.observe(names.ITEM_SECONDS, seconds)
+        seconds = float(0)
+        if progress.started is not None:
+            seconds = self._clock.now() - progress.started
+            self._metrics.observe(names.ITEM_SECONDS, seconds)
         urgent = work.finish(result)
         write(
             _LOGGER,
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -128,8 +128,10 @@
 
 def _may_move(progress: Progress, now: float) -> bool:
     """Return whether an item has run for long enough to be worth moving."""
+    if progress.run is None or progress.started is None:
+        return False
     long = now - progress.started > MOVE_AFTER_SECONDS
-    return progress.run is not None and long and progress.moves <= MOST_MOVES
+    return long and progress.moves <= MOST_MOVES
 
 
 def _is_worth(
--- a/guavagate/jobs/_work.py
+++ b/guavagate/jobs/_work.py
@@ -47,7 +47,11 @@
 
 
 class Progress(msgspec.Struct):
-    """How far an item is; `moves` counts the times it changed samplers."""
+    """How far an item is; `moves` counts the times it changed samplers.
+
+    `started` is nothing for one that did not run here: its result was listed
+    before, or carried over from an earlier job.
+    """
 
     item: JobItem
     text: Text = msgspec.field(default_factory=Text)
@@ -55,7 +59,7 @@
     run: ItemRun | None = None
     task: Task | None = None
     cancelled: bool = False
-    started: float = 0
+    started: float | None = None
     failures: int = 0
     moves: int = 0
     longest_gap: float = 0
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -74,6 +74,7 @@
                 (MODEL,)
             )
         self.states.take(self.upstreams.all())
+        self.metrics = Metrics()
         self.owner = JobOwner(
             SERVICE,
             self.clock,
@@ -82,7 +83,7 @@
             self.states,
             self.samplers,
             lambda: 4,
-            Metrics(),
+            self.metrics,
             120.0,
         )
         self.reader = JobReader(
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -1,5 +1,7 @@
 """Jobs while their owners die, pause and disagree, and the store fails."""
 
+import re
+
 import pytest
 
 from guavagate.jobs import JobId, Knowledge, ResultState
@@ -186,6 +188,27 @@
     assert max(owner.samplers.made.values()) <= 41
 
 
+def test_a_result_from_an_earlier_job_counts_no_time() -> None:
+    """Four of a group's six items were done when their job was ended.
+
+    In the next job they are done without having run. Counted from the start of
+    the clock, each would put hours into the histogram of items' times.
+    """
+    fleet = JobFleet(samplers='x', length=40)
+    node = fleet.nodes[fleet.owner()]
+    fleet.submit(make_job('job-0', groups=1, size=6), 'a')
+    fleet.clock.run_until(lambda: len(fleet.read('job-0', 'a')[1]) >= 4, 10)
+    node.clock.spawn(node.shelf.end, JobId('job-0'), 2.5)
+    fleet.clock.advance(0.2)
+    fleet.submit(make_job(groups=1, size=6), 'a')
+    fleet.clock.advance(_LATER)
+    _check_whole(fleet, 'a', 6)
+    shown = node.metrics.render('')[0].decode()
+    taken = re.findall(r'item_seconds_sum\S* (\S+)', shown)
+    assert taken
+    assert sum(map(float, taken)) < _LATER
+
+
 def test_a_text_under_too_old_a_version_is_made_anew(
     fleet: JobFleet,
 ) -> None:
