Bound a copy of texts, and rank the relays when the members change

Change: a copy holds 100,000 characters, the longest texts first, the rest comes with the next one; the ranking is kept until the members change.

--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -36,7 +36,7 @@
 _LOGGER: Final = logging.getLogger(__name__)
 
 # A relay's watches wait so long: each answer, also an empty one, proves that
-# it has all, and what two relays spend on it is less than what each change
+# it has all, and what one relay spends on it is less than what each change
 # would cost if all instances watched.
 RELAY_WAIT_SECONDS: Final = 0.9
 # After a change, others often follow, and come in one answer then. Of what may
@@ -119,6 +119,10 @@
         self._heard_at = clock.now()
         self._patience = START_SECONDS if first_start else 0
         self._relays: dict[InstanceId, _Relay] = {}
+        # Asked for ten times a second; sorting hundreds of members each time
+        # would be a third of what control may cost.
+        self._ranked: list[InstanceId] | None = None
+        members.subscribe(self._forget_rank)
         self._mirrors: list[Mirror] = []
         self.relaying = False
         self._fresh_since: float | None = None
@@ -171,7 +175,12 @@
             self.loaded = True
 
     def _rank(self) -> list[InstanceId]:
-        return rank_relays(self._members.alive(), self._boot_of)
+        if self._ranked is None:
+            self._ranked = rank_relays(self._members.alive(), self._boot_of)
+        return self._ranked
+
+    def _forget_rank(self) -> None:
+        self._ranked = None
 
     def _has_to_ask(self, rank: int) -> bool:
         """Return whether the relays do not help, or have not yet."""
--- a/guavagate/jobs/_copies.py
+++ b/guavagate/jobs/_copies.py
@@ -23,6 +23,10 @@
 # What a takeover loses of each text is as old as this; a text grows by ten
 # events meanwhile, of the hundred that a long one has.
 COPY_SECONDS: Final = 0.5
+# Of one copy, in characters, the longest texts first: what is left out comes
+# with the next one. A burst of 190 texts at twenty events a second is 60,000;
+# more is a fleet whose links have other things to carry.
+COPY_CHARACTERS: Final = 100_000
 # A peer that does not answer gets all anew next time.
 REPLY_SECONDS: Final = 0.4
 
@@ -74,18 +78,18 @@
         """Tell peers what was made since they were told last."""
         for peer in peers:
             told = self._told.get(peer, {})
-            grown = list(_list_grown(works, told))
+            grown = _choose_grown(works, told)
             copy = TextCopy(
                 service=service,
                 jobs=[work.job.id for work in works],
-                parts=[_cut_part(*each, told) for each in grown],
+                parts=[part for _, part in grown],
             )
             # Counted before the answer, during which the texts grow on.
             counts = {
-                (work.job.id, progress.item.id): _Told(
+                (part.job, part.item): _Told(
                     progress.text, len(progress.text.events)
                 )
-                for work, progress in grown
+                for progress, part in grown
             }
             try:
                 self._bus.request(peer, copy, TextCopied, REPLY_SECONDS)
@@ -124,32 +128,40 @@
         return TextCopied()
 
 
-def _list_grown(
+def _choose_grown(
     works: list[JobWork], told: dict[tuple[JobId, ItemId], _Told]
-) -> Iterable[tuple[JobWork, Progress]]:
-    """Return the items, not listed yet, of which more was made."""
-    for work in works:
-        for item, progress in work.items.items():
-            known = told.get((work.job.id, item))
-            same = known is not None and known.text is progress.text
-            before = known.events if known is not None and same else 0
-            grown = len(progress.text.events) > before
-            if grown and item not in work.log.listed:
-                yield work, progress
+) -> list[tuple[Progress, TextPart]]:
+    """Return what a peer lacks of texts that are not listed yet."""
+    grown = [
+        (progress, part)
+        for work in works
+        for progress in work.items.values()
+        if progress.item.id not in work.log.listed
+        and (part := _cut_part(work.job.id, progress, told)).events
+    ]
+    grown.sort(key=lambda each: -each[0].text.last)
+    left = COPY_CHARACTERS
+    chosen = []
+    for progress, part in grown:
+        left -= sum(map(len, part.events))
+        if left < 0 and chosen:
+            break
+        chosen.append((progress, part))
+    return chosen
 
 
 def _cut_part(
-    work: JobWork,
+    job: JobId,
     progress: Progress,
     told: dict[tuple[JobId, ItemId], _Told],
 ) -> TextPart:
     """Return what a peer lacks of a text; one made anew it lacks whole."""
-    known = told.get((work.job.id, progress.item.id))
+    known = told.get((job, progress.item.id))
     text = progress.text
     same = known is not None and known.text is text
     before = known.events if known is not None and same else 0
     return TextPart(
-        work.job.id,
+        job,
         progress.item.id,
         before,
         text.events[before:],
--- a/tests/jobs/test_texts.py
+++ b/tests/jobs/test_texts.py
@@ -145,6 +145,26 @@
     assert work.items[ItemId('0-0')].text.events == progress.text.events
 
 
+def test_a_copy_is_bounded_and_the_longest_texts_come_first(
+    fleet: JobFleet,
+) -> None:
+    """More was made than one copy may hold; the rest comes with the next."""
+    node = fleet.nodes['a']
+    job = make_job(groups=1, size=3)
+    work = JobWork(job, node.shelf.make_log(job.id), 0, 0)
+    for number, progress in enumerate(work.items.values(), 1):
+        for event in range(1, number + 1):
+            made = TextEvent(event, 'x' * 30_000, WeightVersion(1))
+            progress.text.add(made)
+    peer = fleet.nodes['b'].copies
+    for copied in (['0-2'], ['0-2', '0-1', '0-0']):
+        task = node.clock.spawn(
+            node.copies.send, SERVICE, [work], [InstanceId('b')]
+        )
+        fleet.clock.run_until(task.ready, 2)
+        assert list(peer._kept[SERVICE][job.id]) == copied
+
+
 def test_a_copy_under_too_old_a_version_is_left(fleet: JobFleet) -> None:
     """A peer kept a text of version 1; the job wants version 2 by now."""
     node = fleet.nodes['a']
