--- a/guavagate/jobs/_copies.py
+++ b/guavagate/jobs/_copies.py
@@ -141,7 +141,7 @@
     ]
     grown.sort(key=lambda each: -each[0].text.last)
     left = COPY_CHARACTERS
-    chosen = []
+    chosen: list[tuple[Progress, TextPart]] = []
     for progress, part in grown:
         left -= sum(map(len, part.events))
         if left < 0 and chosen:
