Tell how many texts an owner goes on with; test the restart of all

Cause: a takeover's log line did not say what it had of the texts, so a late step could not be explained from it; nothing tested that a restart reads who held the lease.

--- a/guavagate/jobs/_held.py
+++ b/guavagate/jobs/_held.py
@@ -216,6 +216,7 @@
     def _hold(self, job: Job, log: JobLog) -> None:
         age = max(self._clock.wall() - job.submitted_at, 0)
         work = JobWork(job, log, self._clock.now(), age)
+        self._bring(work)
         changed = Event()
         committer = Committer(self._clock, work, changed.set)
         held = HeldJob(work, committer, changed)
@@ -230,6 +231,7 @@
             min_version=job.min_version,
             items=len(job.items),
             listed=len(log.listed),
+            told=sum(bool(each.text.last) for each in work.items.values()),
             age=round(age, 2),
         )
         if job.id in self._ended:
@@ -240,7 +242,6 @@
 
     def _take_carried(self, held: HeldJob) -> None:
         """Use what is there of items that an earlier job left unfinished."""
-        self._bring(held.work)
         for result in self._carried.bring(held.work):
             self._finish(held.work, result)
 
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,88 @@
+"""Which services an instance works on after it has started again."""
+
+from guavagate.clock import PausedClock
+from guavagate.jobs import JobShelf, Ownership, TextCopies
+from guavagate.measure.fakes import World
+from guavagate.metrics import Metrics
+from guavagate.models import InstanceId, ZoneId
+from guavagate.rollouts import Renewals
+from guavagate.routing import RouteTable, UpstreamTable
+from guavagate.service import Services
+from tests.jobs.samplers import SERVICE, FakeSamplers
+from tests.rollouts.test_coordinator import make_configuration
+
+_NAMES = tuple(InstanceId(name) for name in 'abc')
+_RECORD = b'{"holder":"%s","generation":4,"nonce":"n","ordered":true}'
+
+
+class _Registry:
+    """Knows of all others at once."""
+
+    def __init__(self, *, first_start: bool) -> None:
+        self.first_start = first_start
+
+    def wait_settled(self) -> None:
+        """Return at once."""
+
+
+def _begin(world: World, name: InstanceId, *, first_start: bool) -> Services:
+    """Start what one instance does for services, and let it settle."""
+    clock: PausedClock = world.clock
+    store = world.store_of(name)
+    routes = RouteTable()
+    routes.take(make_configuration())
+    services = Services(
+        name,
+        clock,
+        JobShelf(store, clock, name),
+        Ownership(world.members[name], name),
+        routes,
+        UpstreamTable(clock, ZoneId('zone-0')),
+        FakeSamplers(clock),
+        3.0,
+        Metrics(),
+        120.0,
+        Renewals(world.bus(name), clock.now),
+        TextCopies(world.bus(name)),
+    )
+    registry = _Registry(first_start=first_start)
+    clock.spawn(services.begin, registry)
+    return services
+
+
+def _find_owners(world: World, *, first_start: bool) -> list[InstanceId]:
+    """Return who works on the service once all have started."""
+    started = {
+        name: _begin(world, name, first_start=first_start) for name in _NAMES
+    }
+    world.clock.advance(1)
+    return [name for name, each in started.items() if each.active]
+
+
+def _make_world() -> World:
+    world = World()
+    for name in _NAMES:
+        world.add(name)
+    world.clock.advance(1)
+    return world
+
+
+def test_all_start_again_and_the_last_holder_of_the_lease_owns() -> None:
+    """Every process was killed; the store tells who ordered samplers last.
+
+    Whoever else took the service over would wait for seconds before it may
+    order them.
+    """
+    first = _find_owners(_make_world(), first_start=True)[0]
+    former = next(name for name in _NAMES if name != first)
+    world = _make_world()
+    world.store.change(f'leases/{SERVICE}', _RECORD % former.encode())
+    assert _find_owners(world, first_start=False) == [former]
+
+
+def test_the_store_is_away_at_the_restart_and_one_owns_all_the_same() -> None:
+    """Who held the lease can't be read; the ranking decides."""
+    first = _find_owners(_make_world(), first_start=True)[0]
+    world = _make_world()
+    world.store.outage = True
+    assert _find_owners(world, first_start=False) == [first]
