Never join texts of two owners, or of two numbers, in a copy

Cause: found on reading. A successor kept one copy of each text, whoever told it: two instances that both believe to own a service could have had pieces of two runs put together, with the versions of one. A copy that came late could have been put behind a text made anew.

Change: copies are kept by their sender's process, and texts are numbered there; a part belongs to one number, and adds to it or is left.

Before: two new tests fail with the sender or the number left out (rows of script/safeguards).

--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -106,8 +106,22 @@
     Safeguard(
         'a text made anew replaces its copy',
         'guavagate/jobs/_copies.py',
-        'known is not None and known.text is text',
-        'known is not None',
+        'if known is None or known.text is not text:',
+        'if known is None:',
+        'tests/jobs/test_texts.py',
+    ),
+    Safeguard(
+        'texts of two owners are kept apart',
+        'guavagate/jobs/_copies.py',
+        'source = (copy.service, sender, copy.boot)',
+        "source = (copy.service, InstanceId(''), 0)",
+        'tests/jobs/test_texts.py',
+    ),
+    Safeguard(
+        'a late copy changes nothing',
+        'guavagate/jobs/_copies.py',
+        'fits = held.number == part.number and part',
+        'fits = part',
         'tests/jobs/test_texts.py',
     ),
     Safeguard(
