Ask for the reward of each whole text, with room left for callers

Change: a whole text asks for its reward through the route of the request, by the mechanism of callers' idempotent requests; groups of which only rewards are missing go first; upstreams keep places free for callers, by what they report. A whole text survives its owner by the copies of texts.

--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -43,6 +43,22 @@
 ITEM_MOVED: Final = Event(
     9017, logging.INFO, 'An item goes on at a faster sampler'
 )
+TEXT_WHOLE: Final = Event(
+    9018, logging.INFO, 'A text is whole; its reward is asked for next'
+)
+REWARD_GIVEN: Final = Event(9019, logging.INFO, 'A text got its reward')
+REWARD_FAILED: Final = Event(
+    9020,
+    logging.WARNING,
+    'A reward request failed; it is sent again unless it was given up',
+    'check the upstreams of the route that the reward request names',
+)
+REWARD_WITHOUT_ROUTE: Final = Event(
+    9021,
+    logging.WARNING,
+    'A reward request has no route; the text waits for one',
+    'check the host and path against the configuration in force',
+)
 COORDINATES: Final = Event(
     9100, logging.INFO, 'This instance coordinates the samplers of a service'
 )
--- a/guavagate/forwarding/__init__.py
+++ b/guavagate/forwarding/__init__.py
@@ -13,6 +13,7 @@
     OutcomeKind,
     log_outcome,
 )
+from guavagate.forwarding._rewards import RewardForwarder
 from guavagate.forwarding._stream import StreamForwarder
 
 __all__ = (
@@ -22,6 +23,7 @@
     'Forwarder',
     'Outcome',
     'OutcomeKind',
+    'RewardForwarder',
     'StreamForwarder',
     'answer',
     'log_outcome',
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -10,7 +10,7 @@
 
 import enum
 import logging
-from typing import Final
+from typing import Final, Protocol
 
 import msgspec
 from gevent.queue import Queue
@@ -29,7 +29,7 @@
 from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import Call
-from guavagate.routing import UpstreamTable
+from guavagate.ports.upstreams import Upstream
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -39,6 +39,7 @@
 HEDGE_LEAST_SECONDS: Final = 0.03
 # An upstream that was full has places again after about one request's work.
 RETRY_AFTER_SECONDS: Final = 0.2
+_SERVER_ERROR: Final = 500
 
 
 class OutcomeKind(enum.Enum):
@@ -52,12 +53,16 @@
 
 
 class Outcome(msgspec.Struct):
-    """The end of a request; `retry_after` in seconds."""
+    """The end of a request; `retry_after` in seconds.
+
+    `failed_answers` counts the upstreams that ran it and answered 500.
+    """
 
     kind: OutcomeKind
     attempt: Attempt | None = None
     reason: str = ''
     retry_after: float = RETRY_AFTER_SECONDS
+    failed_answers: int = 0
 
 
 class _Progress:
@@ -68,15 +73,26 @@
         self.tasks: list[Task] = []
         self.ended: Queue = Queue()
         self.running = 0
+        self.repeat = False
         self.may_have_run = False
+        self.failed_answers = 0
         self.best: Attempt | None = None
 
 
+class Choices(Protocol):
+    """Where requests may go."""
+
+    def choose(
+        self, service: ServiceId, tried: set[UpstreamId]
+    ) -> Upstream | None:
+        """Return where one more request goes, among those not tried."""
+
+
 class Forwarder:
     """Forwards requests of routes that are not streams."""
 
     def __init__(
-        self, clock: Clock, upstreams: UpstreamTable, attempts: Attempts
+        self, clock: Clock, upstreams: Choices, attempts: Attempts
     ) -> None:
         self._clock = clock
         self._upstreams = upstreams
@@ -84,7 +100,13 @@
         self._hedges = Budget(HEDGE_SHARE)
 
     def forward(
-        self, call: Call, route: Route, service: ServiceId, left: Queue
+        self,
+        call: Call,
+        route: Route,
+        service: ServiceId,
+        left: Queue,
+        *,
+        repeat: bool = False,
     ) -> Outcome:
         """Return the outcome; attempts that it does not need are cut.
 
@@ -92,11 +114,16 @@
         ----------
         left
             Gets nothing (`None`) when the caller leaves.
+        repeat
+            Whether the request may be repeated whatever its route says.
         """
         progress = _Progress()
         progress.ended = left
+        progress.repeat = repeat or route.kind is RouteKind.IDEMPOTENT
         try:
-            return self._run(call, route, service, progress)
+            outcome = self._run(call, route, service, progress)
+            outcome.failed_answers = progress.failed_answers
+            return outcome
         finally:
             for task in progress.tasks:
                 task.kill(block=False)
@@ -108,7 +135,7 @@
         service: ServiceId,
         progress: _Progress,
     ) -> Outcome:
-        repeat = route.kind is RouteKind.IDEMPOTENT
+        repeat = progress.repeat
         hedge = max(route.objective * HEDGE_AFTER, HEDGE_LEAST_SECONDS)
         hedge_at = self._clock.now() + hedge
         late = call.until + GRACE_SECONDS
@@ -140,6 +167,7 @@
             progress.may_have_run = True
         if attempt.state is AttemptState.ANSWERED:
             progress.best = attempt
+            progress.failed_answers += attempt.status == _SERVER_ERROR
 
     def _start(
         self,
@@ -157,7 +185,7 @@
         progress.running += 1
         # A kept connection that the upstream closes just now leaves unknown
         # whether a request ran; where it may not be repeated, that is lost.
-        reuse = route.kind is RouteKind.IDEMPOTENT
+        reuse = progress.repeat
         ended = progress.ended
 
         def run() -> None:
--- a/guavagate/jobs/_copies.py
+++ b/guavagate/jobs/_copies.py
@@ -48,6 +48,7 @@
     after: int
     events: list[str]
     versions: list[WeightVersion]
+    whole: bool = False
 
 
 class TextCopy(Message, frozen=True, kw_only=True):
@@ -72,6 +73,7 @@
     text: Text
     number: int
     events: int
+    whole: bool = False
 
 
 class _Copy(msgspec.Struct):
@@ -118,7 +120,10 @@
             # Counted before the answer, during which the texts grow on.
             counts = {
                 (part.job, part.item): _Told(
-                    progress.text, part.number, part.after + len(part.events)
+                    progress.text,
+                    part.number,
+                    part.after + len(part.events),
+                    part.whole,
                 )
                 for progress, part in grown
             }
@@ -167,7 +172,7 @@
             for work in works
             for progress in work.items.values()
             if progress.item.id not in work.log.listed
-            and (part := self._cut_part(work.job.id, progress, told)).events
+            and (part := self._cut_part(work.job.id, progress, told))
         ]
         grown.sort(key=lambda each: -each[0].text.last)
         left = COPY_CHARACTERS
@@ -181,12 +186,14 @@
 
     def _cut_part(
         self, job: JobId, progress: Progress, told: dict[_Key, _Told]
-    ) -> TextPart:
+    ) -> TextPart | None:
         """Return what a peer lacks of a text; one made anew it lacks whole."""
         known = told.get((job, progress.item.id))
         text = progress.text
         if known is None or known.text is not text:
             known = _Told(text, next(self._numbers), 0)
+        if text.last == known.events and text.whole == known.whole:
+            return None
         return TextPart(
             job,
             progress.item.id,
@@ -194,6 +201,7 @@
             known.events,
             text.events[known.events :],
             list(text.versions),
+            text.whole,
         )
 
 
@@ -202,8 +210,9 @@
     progress = work.items.get(item)
     if progress is None or progress.done:
         return
-    longer = text.last > progress.text.last
-    if longer and text.fits(work.job.min_version, None):
+    mine = progress.text
+    more = (text.last, text.whole) > (mine.last, mine.whole)
+    if more and text.fits(work.job.min_version, None):
         progress.text = text
 
 
@@ -218,8 +227,9 @@
         held = _Copy(part.number, Text())
     events = held.text.events
     fits = held.number == part.number and part.after <= len(events)
-    if not fits or part.after + len(part.events) <= len(events):
+    end = part.after + len(part.events)
+    if not fits or (end, part.whole) <= (len(events), held.text.whole):
         return
     events = [*events[: part.after], *part.events]
-    held.text = Text(events, list(part.versions), len(events))
+    held.text = Text(events, list(part.versions), len(events), part.whole)
     copies[part.item] = held
--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from guavagate.models import ServiceId, WeightVersion
+from guavagate.ports.rewards import RewardRequest
 
 JobId = NewType('JobId', str)
 ItemId = NewType('ItemId', str)
@@ -24,7 +25,10 @@
 
 
 class JobItem(msgspec.Struct, frozen=True, kw_only=True):
-    """One item: a request to run, and the group that it completes."""
+    """One item: a request to run, and the group that it completes.
+
+    `reward` is sent once the text is whole; its receipt belongs to the result.
+    """
 
     id: ItemId
     path: str
@@ -33,6 +37,7 @@
     tokens: int = 0
     expected_tokens: int = 0
     group: GroupId
+    reward: RewardRequest | None = None
 
 
 class Job(msgspec.Struct, frozen=True, kw_only=True):
@@ -60,12 +65,16 @@
 
 
 class Result(msgspec.Struct, frozen=True):
-    """What is listed of an item; `versions` are those that made its text."""
+    """What is listed of an item; `versions` are those that made its text.
+
+    `receipt` is that of its reward request, where the item names one.
+    """
 
     id: ItemId
     state: ResultState
     text: str
     versions: list[WeightVersion]
+    receipt: str = ''
 
 
 class Chunk(msgspec.Struct, frozen=True):
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -26,6 +26,7 @@
     Result,
     ResultState,
 )
+from guavagate.jobs._rewards import Rewards
 from guavagate.jobs._runner import ItemRunner
 from guavagate.jobs._schedule import (
     SamplerSlots,
@@ -37,6 +38,7 @@
 from guavagate.jobs._work import JobWork
 from guavagate.metrics import Metrics, names
 from guavagate.models import InstanceId, ServiceId
+from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
 from guavagate.ports.store import StoredObject
 from guavagate.rollouts import ModelDemand, SamplerStates
@@ -68,6 +70,7 @@
         upstreams: UpstreamTable,
         states: SamplerStates,
         client: SamplerClient,
+        rewards: RewardClient,
         slots: Callable[[], int],
         metrics: Metrics,
         retention: float,
@@ -84,8 +87,17 @@
         self._retention = retention
         self._copies = copies
         self._list_successors = list_successors
+        self._wake = Event()
+        self._rewards = Rewards(
+            clock, rewards, metrics, self._finish, self._wake.set
+        )
         self._runner = ItemRunner(
-            clock, client, upstreams, states, self._finish
+            clock,
+            client,
+            upstreams,
+            states,
+            self._finish,
+            self._rewards.take_whole,
         )
         self._held = HeldJobs(
             clock,
@@ -95,7 +107,6 @@
             self._finish,
             copies.bring,
         )
-        self._wake = Event()
         self._task: Task | None = None
         self._helpers: list[Task] = []
         store = shelf.store
@@ -229,6 +240,7 @@
             )
             self._clock.spawn(self._runner.run, work, progress, upstream)
         self._move_slow(works, now)
+        self._rewards.dispatch(works, now)
 
     def _move_slow(self, works: list[JobWork], now: float) -> None:
         """Have what lags on a slow sampler go on at a faster one."""
--- a/guavagate/jobs/_reader.py
+++ b/guavagate/jobs/_reader.py
@@ -17,7 +17,7 @@
 from guavagate.jobs._models import ItemId, Job, JobId, Page, cut_page
 from guavagate.jobs._owner import JobOwner
 from guavagate.jobs._ownership import Ownership
-from guavagate.jobs._shelf import JobShelf
+from guavagate.jobs._shelf import JobShelf, measure_item
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId, ServiceId
 
@@ -28,7 +28,6 @@
 ASK_SECONDS: Final = 0.6
 # Bodies of jobs accepted or read here; an entry has little memory.
 CACHED_BYTES: Final = 8_000_000
-ITEM_BYTES: Final = 500
 
 FindOwner = Callable[[ServiceId], JobOwner | None]
 
@@ -176,4 +175,4 @@
 
 def measure(job: Job) -> int:
     """Return about how many bytes a job takes."""
-    return sum(len(each.body) + ITEM_BYTES for each in job.items)
+    return sum(measure_item(each) for each in job.items)
--- a/guavagate/jobs/_runner.py
+++ b/guavagate/jobs/_runner.py
@@ -42,6 +42,7 @@
 STALL_SECONDS: Final = 0.4
 
 Finish = Callable[[JobWork, Result], None]
+TakeWhole = Callable[[JobWork, Progress], None]
 
 
 class ItemRunner:
@@ -54,7 +55,9 @@
         upstreams: UpstreamTable,
         states: SamplerStates,
         finish: Finish,
+        take_whole: TakeWhole,
     ) -> None:
+        self._take_whole = take_whole
         self._clock = clock
         self._client = client
         self._upstreams = upstreams
@@ -117,14 +120,8 @@
             run.cancel()
         self._upstreams.note_success(upstream.id, 0)
         if not progress.done:
-            text = progress.text
-            result = Result(
-                progress.item.id,
-                ResultState.COMPLETED,
-                text.join(),
-                text.versions,
-            )
-            self._finish(work, result)
+            progress.text.whole = True
+            self._take_whole(work, progress)
 
     def _take_events(
         self, work: JobWork, progress: Progress, upstream: Upstream
--- a/guavagate/jobs/_shelf.py
+++ b/guavagate/jobs/_shelf.py
@@ -20,6 +20,8 @@
 # Bodies grow by a third in JSON; what is left of the store's limit is for the
 # head of a job.
 PART_BYTES: Final = 600_000
+# Ids, headers and the like of an item or of its reward request.
+HEAD_BYTES: Final = 500
 
 
 class OtherJobError(Exception):
@@ -100,14 +102,22 @@
     return msgspec.json.decode(value, type=Job)
 
 
+def measure_item(item: JobItem) -> int:
+    """Return about how many bytes an item takes before it is encoded."""
+    size = len(item.body) + len(item.path) + HEAD_BYTES
+    if item.reward is not None:
+        size += len(item.reward.body) + len(item.reward.path) + HEAD_BYTES
+    return size
+
+
 def split_items(items: list[JobItem]) -> list[list[JobItem]]:
     """Return the items in parts that each fit into one object."""
     parts: list[list[JobItem]] = [[]]
     size = 0
     for item in items:
-        size += len(item.body) + len(item.path) + 500
+        size += measure_item(item)
         if parts[-1] and size > PART_BYTES:
             parts.append([])
-            size = len(item.body)
+            size = measure_item(item)
         parts[-1].append(item)
     return parts
--- a/guavagate/jobs/_work.py
+++ b/guavagate/jobs/_work.py
@@ -16,11 +16,15 @@
 
 
 class Text(msgspec.Struct):
-    """What is there of an item's text, by whole events."""
+    """What is there of an item's text, by whole events.
+
+    `whole` once its sampler has ended it; only then its reward is asked for.
+    """
 
     events: list[str] = []
     versions: list[WeightVersion] = []
     last: int = 0
+    whole: bool = False
 
     def add(self, event: TextEvent) -> None:
         """Take the next event."""
@@ -50,7 +54,8 @@
     """How far an item is; `moves` counts the times it changed samplers.
 
     `started` is nothing for one that did not run here: its result was listed
-    before, or carried over from an earlier job.
+    before, or carried over from an earlier job. `reward_task` asks for the
+    reward of a whole text, and `reward_failures` counts answers of 500.
     """
 
     item: JobItem
@@ -64,11 +69,19 @@
     moves: int = 0
     longest_gap: float = 0
     retry_at: float = 0
+    whole_at: float | None = None
+    reward_task: Task | None = None
+    reward_failures: int = 0
+    reward_tries: int = 0
+    reward_after: float = 0
     done: bool = False
 
     def cancel(self) -> None:
         """Leave the sampler, also while it has not answered yet."""
         self.cancelled = True
+        reward = self.reward_task
+        if reward is not None and reward is not getcurrent():
+            reward.kill(block=False)
         if self.run is not None:
             self.run.cancel()
         elif self.task is not None and self.task is not getcurrent():
@@ -76,7 +89,15 @@
 
     def is_waiting(self, now: float) -> bool:
         """Return whether the item may be started."""
-        return not self.done and self.sampler is None and now >= self.retry_at
+        if self.done or self.text.whole:
+            return False
+        return self.sampler is None and now >= self.retry_at
+
+    def is_unrated(self, now: float) -> bool:
+        """Return whether the reward of a whole text may be asked for."""
+        if self.done or not self.text.whole:
+            return False
+        return self.reward_task is None and now >= self.reward_after
 
 
 class JobWork:
@@ -125,6 +146,10 @@
             if not self.items[item].done:
                 self._finish(item)
 
+    def count_missing(self, group: GroupId) -> int:
+        """Return how many items of a group are not done."""
+        return self._groups[group]
+
     def is_whole(self, group: GroupId) -> bool:
         """Return whether all items of a group are done."""
         return self._groups[group] == 0
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -97,6 +97,12 @@
     kind=MetricKind.HISTOGRAM,
     text="Time of an item's last run at a sampler",
 )
+REWARD_SECONDS: Final = Metric(
+    name='guavagate_reward_seconds',
+    kind=MetricKind.HISTOGRAM,
+    text='Time of one reward request with its repeats, by its end',
+    labels=('outcome',),
+)
 STORE_SECONDS: Final = Metric(
     name='guavagate_store_call_seconds',
     kind=MetricKind.HISTOGRAM,
--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -1,6 +1,12 @@
 """Headers of requests to samplers and of their answers."""
 
-from guavagate.http1 import Answer, Headers, Request, drop_hop_by_hop
+from guavagate.http1 import (
+    Answer,
+    Headers,
+    Request,
+    drop_hop_by_hop,
+    find_header,
+)
 from guavagate.platform import const
 from guavagate.ports.dialect import AnswerMarks, Call
 from guavagate.ports.upstreams import Upstream
@@ -32,6 +38,18 @@
             headers.append((const.RESUME, str(resume_after).encode()))
         return Request(call.request.method, call.request.target, headers)
 
+    def compose(self, request_id: str, host: str, path: str) -> Request:
+        """Return a request of our own, to be prepared as callers' are."""
+        headers = [
+            (b'Host', host.encode()),
+            (const.REQUEST_ID, request_id.encode()),
+        ]
+        return Request('POST', path, headers)
+
+    def read_receipt(self, headers: Headers) -> str:
+        """Return the receipt of an answer's sampler, or nothing."""
+        return find_header(headers, const.SEAL)
+
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
         """Return what an answer's head says."""
         return read_marks(call.id, answer)
--- a/guavagate/platform/_edge.py
+++ b/guavagate/platform/_edge.py
@@ -159,7 +159,12 @@
             return
         try:
             job = decode_submission(
-                request_id, body, route, service, self._clock.wall()
+                request_id,
+                body,
+                route,
+                service,
+                self._clock.wall(),
+                self._routes.hosts(),
             )
         except BadJobError as error:
             say(exchange, 400, str(error))
--- a/guavagate/platform/_jobs.py
+++ b/guavagate/platform/_jobs.py
@@ -2,21 +2,30 @@
 
 import base64
 import binascii
+from collections.abc import Container
 from typing import Any, Final
 
 import msgspec
 import xxhash
 
-from guavagate.jobs import GroupId, ItemId, Job, JobId, JobItem, Page
+from guavagate.jobs import GroupId, ItemId, Job, JobId, JobItem, Page, Result
 from guavagate.models import ServiceId, WeightVersion
 from guavagate.platform import const
 from guavagate.ports.configuration import Route
+from guavagate.ports.rewards import RewardRequest
 
 
 class BadJobError(Exception):
     """The body is no proper submission; the text says what to correct."""
 
 
+class _Scorer(msgspec.Struct):
+    id: str
+    host: str
+    path: str
+    body: str = ''
+
+
 class _Item(msgspec.Struct, rename='kebab'):
     id: str
     path: str
@@ -24,6 +33,7 @@
     body: str = ''
     tokens: int = 0
     group_id: str = ''
+    scorer: _Scorer | None = None
 
 
 class _Submission(msgspec.Struct, rename='kebab'):
@@ -36,13 +46,24 @@
 
 
 _MAX_ID: Final = 200
+_MAX_REWARD_BYTES: Final = 1_000_000
 
 
 def decode_submission(
-    request_id: str, body: bytes, route: Route, service: ServiceId, now: float
+    request_id: str,
+    body: bytes,
+    route: Route,
+    service: ServiceId,
+    now: float,
+    hosts: Container[str] = (),
 ) -> Job:
     """Return a submission as a job; `now` in seconds since 1970.
 
+    Parameters
+    ----------
+    hosts
+        Those of the configuration in force, for reward requests.
+
     Raises
     ------
     BadJobError
@@ -59,6 +80,7 @@
         raise BadJobError('send at least one item')
     if len({each.id for each in items}) < len(items):
         raise BadJobError('give each item an id of its own')
+    _check_rewards(items, hosts)
     return Job(
         id=JobId(request_id),
         host=route.host,
@@ -83,24 +105,25 @@
         {
             'total': page.total,
             'next': page.next,
-            'results': [
-                {
-                    'id': each.id,
-                    'state': each.state.value,
-                    'text': each.text,
-                    'versions': each.versions,
-                }
-                for each in page.results
-            ],
+            'results': [_encode_result(each) for each in page.results],
         }
     )
 
 
+def _encode_result(result: Result) -> dict[str, Any]:
+    encoded = {
+        'id': result.id,
+        'state': result.state.value,
+        'text': result.text,
+        'versions': result.versions,
+    }
+    if result.receipt:
+        encoded['score'] = result.receipt
+    return encoded
+
+
 def _to_item(item: _Item) -> JobItem:
-    try:
-        body = base64.b64decode(item.body, validate=True)
-    except (binascii.Error, ValueError) as error:
-        raise BadJobError(f'item {item.id}: its body is no base64') from error
+    body = _decode_body(item.body, f'item {item.id}')
     return JobItem(
         id=ItemId(item.id),
         path=item.path,
@@ -109,9 +132,42 @@
         tokens=item.tokens,
         expected_tokens=_read_hint(item.headers),
         group=GroupId(item.group_id or item.id),
+        reward=None if item.scorer is None else _to_reward(item.scorer),
     )
 
 
+def _to_reward(scorer: _Scorer) -> RewardRequest:
+    named = f'scorer {scorer.id}'
+    if not scorer.id or len(scorer.id) > _MAX_ID:
+        raise BadJobError(f'{named}: send an id of 1 to 200 characters')
+    if not scorer.path.startswith('/'):
+        raise BadJobError(f'{named}: send a path that begins with a slash')
+    body = _decode_body(scorer.body, named)
+    if len(body) > _MAX_REWARD_BYTES:
+        raise BadJobError(f'{named}: send a body of at most 1 MB')
+    return RewardRequest(
+        id=scorer.id, host=scorer.host, path=scorer.path, body=body
+    )
+
+
+def _check_rewards(items: list[JobItem], hosts: Container[str]) -> None:
+    rewards = [each.reward for each in items if each.reward is not None]
+    if len({each.id for each in rewards}) < len(rewards):
+        raise BadJobError('give each scorer an id of its own')
+    for reward in rewards:
+        if reward.host.partition(':')[0].lower() not in hosts:
+            raise BadJobError(
+                f'scorer {reward.id}: no route has the host {reward.host!r}'
+            )
+
+
+def _decode_body(text: str, named: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError) as error:
+        raise BadJobError(f'{named}: its body is no base64') from error
+
+
 def _read_hint(headers: dict[str, Any]) -> int:
     for name, value in headers.items():
         if name.lower() == const.LENGTH_HINT and value.strip().isdigit():
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -12,7 +12,12 @@
 from guavagate.events import write
 from guavagate.exceptions import SettingsError
 from guavagate.feeds import Feed
-from guavagate.forwarding import Attempts, Forwarder, StreamForwarder
+from guavagate.forwarding import (
+    Attempts,
+    Forwarder,
+    RewardForwarder,
+    StreamForwarder,
+)
 from guavagate.helpers.mirror import Mirror
 from guavagate.http1 import (
     ConnectionPool,
@@ -95,6 +100,13 @@
             self._routes,
             self._upstreams,
             PlatformSamplers(self._pool),
+            RewardForwarder(
+                self._clock,
+                self._routes,
+                self._upstreams,
+                self._make_attempts(),
+                PlatformDialect(),
+            ),
             settings.bounds.lease_ms / const.MILLIS,
             self._metrics,
             settings.bounds.retention_s,
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from guavagate.http1 import Answer, Request
+from guavagate.http1 import Answer, Headers, Request
 from guavagate.ports.upstreams import Upstream
 
 
@@ -46,5 +46,11 @@
             The last event that the caller has, 0 for none.
         """
 
+    def compose(self, request_id: str, host: str, path: str) -> Request:
+        """Return a request of our own, to be prepared as callers' are."""
+
+    def read_receipt(self, headers: Headers) -> str:
+        """Return the receipt of an answer's upstream, or nothing."""
+
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
         """Return what an answer's head says."""
--- a/guavagate/routing/_choice.py
+++ b/guavagate/routing/_choice.py
@@ -40,11 +40,15 @@
 
 
 class Load(msgspec.Struct):
-    """What one instance knows of an upstream's load; times in seconds."""
+    """What one instance knows of an upstream's load; times in seconds.
+
+    `callers` is how many places others' requests were last seen to take.
+    """
 
     held: int = 0
     reported: int = 0
     reported_at: float = -1e9
+    callers: float = 0
     failures: float = 0
     latency: float = 0
     out_until: float = 0
--- a/guavagate/routing/_routes.py
+++ b/guavagate/routing/_routes.py
@@ -79,6 +79,10 @@
             return ()
         return self.configuration.routes
 
+    def hosts(self) -> frozenset[str]:
+        """Return the hosts that have a route, in lower case."""
+        return frozenset(self._by_host)
+
     def job_services(self) -> list[ServiceId]:
         """Return the services that jobs may go to."""
         services = (
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from guavagate.clock import Clock
+from guavagate.decisions.background import follow_callers
 from guavagate.events import forwarding as events
 from guavagate.events import write
 from guavagate.models import ServiceId, UpstreamId, ZoneId
@@ -117,6 +118,7 @@
         load = self.load(upstream)
         load.reported = busy
         load.reported_at = self._clock.now()
+        load.callers = follow_callers(load.callers, busy, load.held)
 
     def note_success(self, upstream: UpstreamId, seconds: float) -> None:
         """Note an answer, whatever it says."""
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -10,6 +10,7 @@
 from guavagate.membership.registry import MemberRegistry
 from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, ServiceId, WeightVersion
+from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
 from guavagate.rollouts import (
     Coordinator,
@@ -50,6 +51,7 @@
         routes: RouteTable,
         upstreams: UpstreamTable,
         client: SamplerClient,
+        rewards: RewardClient,
         lease_seconds: float,
         metrics: Metrics,
         retention: float,
@@ -65,6 +67,7 @@
         self._routes = routes
         self._upstreams = upstreams
         self._client = client
+        self._rewards = rewards
         self._lease_seconds = lease_seconds
         self._metrics = metrics
         self._retention = retention
@@ -151,6 +154,7 @@
             self._upstreams,
             states,
             self._client,
+            self._rewards,
             lambda: self._count_slots(service),
             self._metrics,
             self._retention,
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -18,6 +18,7 @@
     Answer,
     ConnectionPool,
     Exchange,
+    Headers,
     HttpServer,
     Request,
 )
@@ -54,6 +55,14 @@
         last = (b'Last-Event-Id', str(resume_after).encode())
         return Request('POST', '/', [(b'Host', b'x'), last])
 
+    def compose(self, request_id: str, host: str, path: str) -> Request:
+        """Return a request of our own."""
+        return Request('POST', path, [(b'Host', host.encode())])
+
+    def read_receipt(self, headers: Headers) -> str:
+        """Return nothing; these upstreams give none."""
+        return ''
+
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
         """Return whether the upstream ran it, and whose answer it is."""
         return AnswerMarks(
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,6 +8,7 @@
 from guavagate.rollouts import Renewals
 from guavagate.routing import RouteTable, UpstreamTable
 from guavagate.service import Services
+from tests.jobs.rewards import FakeRewards
 from tests.jobs.samplers import SERVICE, FakeSamplers
 from tests.rollouts.test_coordinator import make_configuration
 
@@ -39,6 +40,7 @@
         routes,
         UpstreamTable(clock, ZoneId('zone-0')),
         FakeSamplers(clock),
+        FakeRewards(clock),
         3.0,
         Metrics(),
         120.0,
