Notice samplers that start again under their id; let no bad entry hide others

Cause: a sampler may start again under its id and know nothing of before; what was held of it (load, ejection, orders counted, silent streams, kept connections) was the former start's. Entries of other writers raised in the tables that read them, so those behind them in a copy were lost, and a chunk, a job or a member of another writer ended the task that read it. Change: 'born' of registrations and reports; a new start begins with nothing known, and late words of the former one change nothing. Unreadable objects are told once, count as gone and hide no other; property tests over the decoders.

--- a/guavagate/events/forwarding.py
+++ b/guavagate/events/forwarding.py
@@ -41,6 +41,9 @@
 MIRROR_BACK: Final = Event(
     8021, logging.INFO, 'A copy of the store is up to date again'
 )
+UPSTREAM_RESTARTED: Final = Event(
+    8027, logging.INFO, 'An upstream has started again under its id'
+)
 OBJECT_UNREADABLE: Final = Event(
     8022,
     logging.ERROR,
--- a/guavagate/feeds/_table.py
+++ b/guavagate/feeds/_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from guavagate.feeds._messages import FeedEntry
+from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.models import Revision
 from guavagate.ports.store import StoredObject
 
@@ -23,6 +24,7 @@
         self._held: dict[str, StoredObject] = {}
         self._gone: dict[str, Revision] = {}
         self._handlers: dict[str, tuple[Put, Remove | None]] = {}
+        self._unreadable = UnreadableObjects()
         self.changed: Callable[[FeedEntry], None] = _ignore
 
     def handle(self, prefix: str, put: Put, remove: Remove | None) -> None:
@@ -57,16 +59,33 @@
         if stored.version <= newest:
             return
         self._held[entry.path] = stored
-        put, _ = self._handlers[_find_prefix(entry.path)]
-        put(stored)
+        self._put(stored)
         self.changed(entry)
 
+    def _put(self, stored: StoredObject) -> None:
+        """Hand an object over; one that can not be read counts as gone.
+
+        It is held and told on all the same: one unreadable object would else
+        keep everything behind it in a copy from this instance, and from those
+        that may be able to read it.
+        """
+        put, remove = self._handlers[_find_prefix(stored.path)]
+        try:
+            put(stored)
+        except ValueError as error:
+            self._unreadable.note(stored.path, str(error))
+            if remove is not None:
+                remove(stored.path.partition('/')[2])
+        else:
+            self._unreadable.note_read(stored.path)
+
     def remove(self, path: str) -> None:
         """Forget an object that is gone."""
         held = self._held.pop(path, None)
         if held is None:
             return
         self._gone[path] = held.version
+        self._unreadable.note_read(path)
         _, remove = self._handlers[_find_prefix(path)]
         if remove is not None:
             remove(path.partition('/')[2])
--- a/guavagate/helpers/mirror.py
+++ b/guavagate/helpers/mirror.py
@@ -8,6 +8,7 @@
 from guavagate.events import forwarding as events
 from guavagate.events import write
 from guavagate.exceptions import StoreUnavailableError
+from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.models import Revision
 from guavagate.ports.store import ObjectStore, StoredObject, WatchCompactedError
 
@@ -82,6 +83,7 @@
         self._lost_at: float | None = None
         self._back_at = -LAPSE_SECONDS
         self._missing: dict[str, float] = {}
+        self._unreadable = UnreadableObjects()
         self._task: Task | None = None
         self.loaded = False
 
@@ -166,12 +168,9 @@
         try:
             self._put(name, stored)
         except ValueError as error:
-            write(
-                _LOGGER,
-                events.OBJECT_UNREADABLE,
-                path=stored.path,
-                problem=str(error),
-            )
+            self._unreadable.note(stored.path, str(error))
+        else:
+            self._unreadable.note_read(stored.path)
 
     def _take_missing(self, path: str) -> None:
         if path not in self._held:
--- a/guavagate/jobs/_held.py
+++ b/guavagate/jobs/_held.py
@@ -12,6 +12,7 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import StoreError
+from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.helpers.waits import wait_for
 from guavagate.jobs._cadence import Cadence
 from guavagate.jobs._carried import CarriedTexts
@@ -86,6 +87,7 @@
         self._ended: set[JobId] = set()
         self._loading: dict[JobId, Event] = {}
         self._carried = CarriedTexts()
+        self._unreadable = UnreadableObjects()
         self._cadences: defaultdict[str, Cadence] = defaultdict(Cadence)
 
     def __contains__(self, job: JobId) -> bool:
@@ -151,6 +153,9 @@
             except StoreError as error:
                 _LOGGER.debug('a job can not be loaded: %s', error)
                 self._clock.sleep(RETRY_SECONDS)
+            except ValueError as error:
+                self._unreadable.note(stored.path, str(error))
+                return
             else:
                 return
 
--- a/guavagate/jobs/_log.py
+++ b/guavagate/jobs/_log.py
@@ -9,6 +9,7 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.helpers.store_writes import create
+from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.jobs._models import (
     Chunk,
     ItemId,
@@ -17,9 +18,10 @@
     chunk_path,
     results_prefix,
 )
-from guavagate.ports.store import ObjectStore
+from guavagate.ports.store import ObjectStore, StoredObject
 
 _LOGGER: Final = logging.getLogger(__name__)
+_UNREADABLE: Final = UnreadableObjects()
 # One try of a write; whoever lists goes on trying as long as it owns the job.
 WRITE_SECONDS: Final = 3.0
 
@@ -44,7 +46,7 @@
         chunks, _ = self._store.list_under(results_prefix(self._job))
         ordered = sorted(chunks, key=lambda each: each.path)
         for stored in ordered[self._next :]:
-            self._take(_decode(stored.value))
+            self._take(_decode(stored))
 
     def append(self, results: list[Result]) -> list[Result]:
         """List results that are not listed yet; return those added.
@@ -67,7 +69,7 @@
                 self._take(chunk)
                 added += chunk.results
                 continue
-            adopted = _decode(other.value)
+            adopted = _decode(other)
             self._take(adopted)
             write(
                 _LOGGER,
@@ -87,5 +89,14 @@
         self.listed.update(each.id for each in chunk.results)
 
 
-def _decode(value: bytes) -> Chunk:
-    return msgspec.json.decode(value, type=Chunk)
+def _decode(stored: StoredObject) -> Chunk:
+    """Return a chunk; one that can not be read lists nothing.
+
+    Its number is taken all the same, for every reader alike: results keep
+    their positions, and what else was made is listed behind it.
+    """
+    try:
+        return msgspec.json.decode(stored.value, type=Chunk)
+    except msgspec.MsgspecError as error:
+        _UNREADABLE.note(stored.path, str(error))
+        return Chunk('', [])
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -27,7 +27,7 @@
     ResultState,
 )
 from guavagate.jobs._rewards import Rewards
-from guavagate.jobs._runner import ItemRunner
+from guavagate.jobs._runner import STALL_SECONDS, ItemRunner
 from guavagate.jobs._schedule import (
     SamplerSlots,
     find_slow,
@@ -41,6 +41,7 @@
 from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
 from guavagate.ports.store import StoredObject
+from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import ModelDemand, SamplerStates
 from guavagate.routing import UpstreamTable
 
@@ -113,6 +114,7 @@
         self._jobs = Mirror(store, clock, JOBS, self._put_job, self._drop_job)
         self._ends = Mirror(store, clock, ENDS, self._put_end)
         states.subscribe(self._wake.set)
+        upstreams.subscribe_restarts(self._leave_former)
 
     @property
     def active(self) -> bool:
@@ -255,6 +257,19 @@
             progress.moves += 1
             progress.cancel()
 
+    def _leave_former(self, upstream: Upstream) -> None:
+        """Have the runs of a sampler's former start go on elsewhere.
+
+        Behind a cut they would be silent until the time limit. One that has
+        just sent an event is the new start's, begun before it was noted.
+        """
+        now = self._clock.now()
+        for work in self._held.list_open():
+            for progress in work.items.values():
+                here = progress.sampler == upstream.id
+                if here and now - progress.heard_at > STALL_SECONDS:
+                    progress.cancel()
+
     def _list_samplers(self, now: float) -> list[SamplerSlots]:
         serving = self._upstreams.serving(self._service)
         return list_slots(serving, self._states, self._slots(), now)
--- a/guavagate/jobs/_runner.py
+++ b/guavagate/jobs/_runner.py
@@ -70,6 +70,7 @@
         """Run an item until it is done or breaks off; frees its slot."""
         began = self._clock.now()
         progress.task = getcurrent()
+        progress.heard_at = began
         progress.cancelled = False
         problem = ''
         try:
@@ -140,6 +141,7 @@
             if gap < STALL_SECONDS:
                 self._states.note_pace(upstream.id, gap)
             last_at = now
+            progress.heard_at = now
             self._take_event(work, progress, upstream, event)
 
     def _take_event(
--- a/guavagate/jobs/_shelf.py
+++ b/guavagate/jobs/_shelf.py
@@ -6,6 +6,7 @@
 
 from guavagate.clock import Clock
 from guavagate.helpers.store_writes import create
+from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.jobs._log import JobLog
 from guavagate.jobs._models import (
     Job,
@@ -24,6 +25,9 @@
 HEAD_BYTES: Final = 500
 
 
+_UNREADABLE: Final = UnreadableObjects()
+
+
 class OtherJobError(Exception):
     """Another job was accepted under the same id."""
 
@@ -66,14 +70,27 @@
         other = create(self.store, self._clock, job_path(job.id), value, limit)
         if other is None:
             return True
-        if decode_job(other.value).fingerprint != job.fingerprint:
+        try:
+            same = decode_job(other.value).fingerprint == job.fingerprint
+        except ValueError:
+            same = False
+        if not same:
             raise OtherJobError(job.id)
         return False
 
     def read(self, job: JobId) -> Job | None:
-        """Return an accepted job, or nothing; the store's newest answer."""
+        """Return an accepted job, or nothing; the store's newest answer.
+
+        What another writer put there, and can not be read, was never accepted.
+        """
         stored = self.store.get(job_path(job))
-        return None if stored is None else self.complete(stored)
+        if stored is None:
+            return None
+        try:
+            return self.complete(stored)
+        except ValueError as error:
+            _UNREADABLE.note(stored.path, str(error))
+            return None
 
     def complete(self, stored: StoredObject) -> Job:
         """Return a stored job with all its items."""
--- a/guavagate/jobs/_work.py
+++ b/guavagate/jobs/_work.py
@@ -68,6 +68,7 @@
     failures: int = 0
     moves: int = 0
     longest_gap: float = 0
+    heard_at: float = 0
     retry_at: float = 0
     whole_at: float | None = None
     reward_task: Task | None = None
@@ -143,8 +144,7 @@
         listed = self.log.listed
         self.pending = [each for each in self.pending if each.id not in listed]
         for item in listed:
-            if not self.items[item].done:
-                self._finish(item)
+            self._finish(item)
 
     def count_missing(self, group: GroupId) -> int:
         """Return how many items of a group are not done."""
--- a/guavagate/membership/registry.py
+++ b/guavagate/membership/registry.py
@@ -8,9 +8,10 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import StoreConflictError, StoreError
+from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.membership import Membership
 from guavagate.models import Revision
-from guavagate.ports.store import ObjectStore
+from guavagate.ports.store import ObjectStore, StoredObject
 from guavagate.settings import InstanceSettings, PeerSettings
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -68,6 +69,7 @@
         self._others = 0
         self._alive = 0
         self._changed_at = clock.now()
+        self._unreadable = UnreadableObjects()
 
     def start(self) -> None:
         """Register and list in a task."""
@@ -138,12 +140,16 @@
             self.first_start = False
             self._store.put(path, value, None)
 
+    def _decode(self, stored: StoredObject) -> PeerSettings | None:
+        try:
+            return msgspec.json.decode(stored.value, type=PeerSettings)
+        except msgspec.MsgspecError as error:
+            self._unreadable.note(stored.path, str(error))
+            return None
+
     def _list(self) -> None:
         stored, _ = self._store.list_under(MEMBERS)
-        peers = [
-            msgspec.json.decode(each.value, type=PeerSettings)
-            for each in stored
-        ]
+        peers = list(filter(None, map(self._decode, stored)))
         self._members.take_list(peers)
         self._others = len(peers) - 1
         if self._listed_at is None:
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -88,6 +88,9 @@
             me.availability_zone,
             is_connected=self._pool.is_connected,
         )
+        self._upstreams.subscribe_restarts(
+            lambda upstream: self._pool.forget(upstream.address)
+        )
         ownership = Ownership(self._members, me.id, self._members.boot)
         shelf = JobShelf(
             self._store, self._clock, f'{me.id}/{secrets.token_hex(4)}'
--- a/guavagate/platform/_samplers.py
+++ b/guavagate/platform/_samplers.py
@@ -39,6 +39,7 @@
     seq: int = 0
     num_waiting: int = 0
     num_running: int = 0
+    born: float = 0
 
 
 class EventStream:
@@ -132,6 +133,7 @@
             versions=read_models(report.models),
             running=report.num_running,
             waiting=report.num_waiting,
+            born=int(report.born),
         )
 
     def order(self, upstream: Upstream, order: VersionOrder) -> bool:
--- a/guavagate/platform/_servers.py
+++ b/guavagate/platform/_servers.py
@@ -8,6 +8,7 @@
 from guavagate.ports.upstreams import Upstream
 
 _READY: Final = 'ready'
+_STATES: Final = frozenset((_READY, 'draining'))
 
 
 class ModelState(msgspec.Struct, frozen=True):
@@ -22,10 +23,12 @@
     # counts orders. It is left out here so that nobody mixes them up.
     service: str
     address: str
-    zone: str = ''
-    slots: int = 0
-    state: str = _READY
+    zone: str
+    slots: int
+    state: str
     models: list[ModelState] = []
+    # Of its start, in Unix milliseconds by its own clock.
+    born: float = 0
 
 
 class _Version(msgspec.Struct, frozen=True, kw_only=True):
@@ -34,8 +37,19 @@
 
 
 def decode_server(name: str, value: bytes) -> Upstream:
-    """Return a registration as an upstream; raises `msgspec.MsgspecError`."""
+    """Return a registration as an upstream.
+
+    Raises
+    ------
+    ValueError
+        It is none, whoever wrote it, and names no sampler.
+    """
     server = msgspec.json.decode(value, type=_Server)
+    if server.state not in _STATES:
+        raise ValueError(f'the state {server.state!r} is not known')
+    host, _, port = server.address.rpartition(':')
+    if not host or not port.isdigit():
+        raise ValueError(f'{server.address!r} is no address')
     return Upstream(
         id=UpstreamId(name),
         service=ServiceId(server.service),
@@ -44,6 +58,7 @@
         leaving=server.state != _READY,
         slots=server.slots,
         versions=read_models(server.models),
+        born=int(server.born),
     )
 
 
--- a/guavagate/platform/_store.py
+++ b/guavagate/platform/_store.py
@@ -1,5 +1,7 @@
 """The platform's store behind the product's store port."""
 
+import json
+import logging
 from typing import Any, Final
 from urllib.parse import quote
 
@@ -11,6 +13,7 @@
     UpstreamError,
     UpstreamNotStartedError,
 )
+from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.http1 import ConnectionPool, Request
 from guavagate.integrations.object_api import Caller, Priority
 from guavagate.integrations.object_api.models import (
@@ -28,6 +31,8 @@
     WatchCompactedError,
 )
 
+_LOGGER: Final = logging.getLogger(__name__)
+_UNREADABLE: Final = UnreadableObjects()
 _OK: Final = 200
 _MISSING: Final = 404
 _CONFLICT: Final = 409
@@ -58,12 +63,12 @@
 
 class _List(msgspec.Struct, rename='kebab'):
     store_revision: int
-    items: list[_Object] = []
+    items: list[msgspec.Raw] = []
     has_more: bool = False
 
 
 class _Event(msgspec.Struct):
-    object: _Object
+    object: msgspec.Raw
     deleted: bool = False
 
 
@@ -124,13 +129,14 @@
             # What changes while later pages are read is seen by the watch
             # that starts at the first page's revision.
             first = first or Revision(page.store_revision)
+            read = _read_each(prefix, page.items)
             objects += [
                 _to_stored(f'{prefix}/{each.metadata.name}', each)
-                for each in page.items
+                for each in read
             ]
-            if not page.has_more or not page.items:
+            if not page.has_more or not read:
                 return objects, first
-            query = f'?after={quote(page.items[-1].metadata.name, safe="")}'
+            query = f'?after={quote(read[-1].metadata.name, safe="")}'
 
     def put(
         self, path: str, value: bytes, expected: Revision | None
@@ -177,7 +183,11 @@
         if answer.status == _COMPACTED:
             raise WatchCompactedError(prefix)
         body = _decode(_expect(answer), _Events)
-        changes = [_to_change(prefix, each) for each in body.events]
+        changes = [
+            _to_change(prefix, read, each.deleted)
+            for each in body.events
+            for read in _read_each(prefix, [each.object])
+        ]
         return changes, Revision(max(body.store_revision, since))
 
     def _call(
@@ -219,9 +229,39 @@
     return Revision(written.metadata.revision or 0)
 
 
+def _read_each(prefix: str, items: list[msgspec.Raw]) -> list[_Object]:
+    """Return the objects that can be read; others hide none of these."""
+    read = []
+    for raw in items:
+        try:
+            read.append(msgspec.json.decode(raw, type=_Object))
+        except msgspec.MsgspecError as error:
+            _UNREADABLE.note(prefix, str(error))
+    return read
+
+
+def _clean(body: bytes) -> bytes:
+    """Return a body without what only a lenient reader takes for JSON.
+
+    An object by another writer may hold bytes that are no text, half of a
+    character, or a number that is none; the others of its page hold.
+    """
+    try:
+        found = json.loads(
+            body.decode('utf-8', 'replace'), parse_constant=lambda _: None
+        )
+    except ValueError:
+        return body
+    return json.dumps(found, ensure_ascii=False).encode('utf-8', 'replace')
+
+
 def _decode(answer: Answer, kind: type[Any]) -> Any:
     try:
         return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError:
+        _LOGGER.debug('an answer of the store is read leniently')
+    try:
+        return msgspec.json.decode(_clean(answer.body), type=kind)
     except msgspec.MsgspecError as error:
         raise StoreUnavailableError(
             f'the store sent what is no answer ({error})',
@@ -234,7 +274,7 @@
     return StoredObject(path, bytes(stored.spec), revision)
 
 
-def _to_change(prefix: str, event: _Event) -> StoreChange:
-    stored = _to_stored(f'{prefix}/{event.object.metadata.name}', event.object)
-    value = None if event.deleted else stored.value
+def _to_change(prefix: str, read: _Object, deleted: bool) -> StoreChange:
+    stored = _to_stored(f'{prefix}/{read.metadata.name}', read)
+    value = None if deleted else stored.value
     return StoreChange(stored.path, value, stored.version)
--- a/guavagate/rollouts/_coordinator.py
+++ b/guavagate/rollouts/_coordinator.py
@@ -27,7 +27,7 @@
     find_helpers,
     plan_orders,
 )
-from guavagate.rollouts._states import SamplerStates
+from guavagate.rollouts._states import SamplerState, SamplerStates
 from guavagate.routing import RouteTable, UpstreamTable
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -232,10 +232,11 @@
         self, upstream: Upstream, model: str, version: WeightVersion
     ) -> None:
         began = self._clock.now()
+        state = self._states.get(upstream.id)
         try:
             if self._send(upstream, model, version):
                 self._await_loaded(upstream, model, version)
-                self._states.get(upstream.id).failed_orders = 0
+                state.failed_orders = 0
         except (UpstreamError, OrderRefusedError) as error:
             write(
                 _LOGGER,
@@ -247,10 +248,13 @@
             )
             self._look_at(upstream)
         finally:
-            self._end_order(upstream, began)
+            self._end_order(upstream, state, began)
 
-    def _end_order(self, upstream: Upstream, began: float) -> None:
-        state = self._states.get(upstream.id)
+    def _end_order(
+        self, upstream: Upstream, state: SamplerState, began: float
+    ) -> None:
+        # Of a sampler that has started again meanwhile this is the former
+        # state: the new one may be loading by a later order.
         state.loading = False
         write(
             _LOGGER,
@@ -312,6 +316,8 @@
         until = self._clock.now() + LATE_SECONDS
         self._clock.sleep(LOAD_SECONDS)
         while self._clock.now() < until:
+            if self._states.get(upstream.id) is not state:
+                return  # It has started again; the order is gone.
             if state.versions.get(model, 0) >= version:
                 return
             if self._report(upstream):
@@ -320,13 +326,34 @@
 
     def _report(self, upstream: Upstream) -> bool:
         """Ask a sampler for its state; return whether it carries no order."""
+        before = self._states.get(upstream.id)
         report = self._client.report(upstream)
+        self._note_start(upstream, before, report.born)
         state = self._states.get(upstream.id)
         state.orders_taken = report.orders_taken
         for model, version in report.versions.items():
             self._states.note_version(upstream.id, model, version)
         return not report.busy
 
+    def _note_start(
+        self, upstream: Upstream, before: SamplerState, born: int
+    ) -> None:
+        """Take in of which start a report is.
+
+        One that was asked for before a new start was noted may be the former
+        start's. Else it is the sampler's own word of now, also where its
+        clock was set back and the new start seems to be the older one.
+        """
+        state = self._states.get(upstream.id)
+        if not born or born == state.born:
+            return
+        if state is not before and born < state.born:
+            raise UpstreamError(
+                f'{upstream.id} reported of a former start',
+                'nothing; it is asked again',
+            )
+        self._states.start_anew(upstream.id, born)
+
     def _look_at(self, upstream: Upstream) -> None:
         """Learn what became of an order that failed."""
         state = self._states.get(upstream.id)
--- a/guavagate/rollouts/_lease.py
+++ b/guavagate/rollouts/_lease.py
@@ -19,12 +19,14 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import StoreConflictError, StoreUnavailableError
+from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.models import InstanceId, Revision, ServiceId
 from guavagate.ports.store import ObjectStore, StoredObject
 from guavagate.rollouts._renewals import LeaseRenewed, Renewals
 from guavagate.util.boot_clock import read_boot_clock
 
 _LOGGER: Final = logging.getLogger(__name__)
+_UNREADABLE: Final = UnreadableObjects()
 
 # How long orders may be sent after a renewal was sent. Long enough for a
 # batch of orders at a slow store, short as a successor has to wait it out.
@@ -234,13 +236,23 @@
 
 
 def _decode(stored: StoredObject) -> LeaseRecord:
-    return msgspec.json.decode(stored.value, type=LeaseRecord)
+    """Return a record; one that can not be read is some other holder's.
+
+    Its generation is not known, but each took a write of its own, so there
+    were never more of them than the store's revision counts.
+    """
+    try:
+        return msgspec.json.decode(stored.value, type=LeaseRecord)
+    except msgspec.MsgspecError as error:
+        _UNREADABLE.note(stored.path, str(error))
+        return LeaseRecord(InstanceId(''), stored.version, '', ordered=True)
 
 
 def list_holders(store: ObjectStore) -> dict[ServiceId, InstanceId]:
     """Return who held each lease last."""
     stored, _ = store.list_under(LEASES)
-    return {
+    holders = {
         ServiceId(each.path.partition('/')[2]): _decode(each).holder
         for each in stored
     }
+    return {service: holder for service, holder in holders.items() if holder}
--- a/guavagate/rollouts/_states.py
+++ b/guavagate/rollouts/_states.py
@@ -14,7 +14,8 @@
 class SamplerState(msgspec.Struct):
     """One sampler; `pace` in seconds an event, 0 when not known yet.
 
-    `orders_taken` is nothing until the sampler was asked for it.
+    `orders_taken` is nothing until the sampler was asked for it. `born` is
+    that of the start which all of this is about, 0 where it is not told.
     """
 
     versions: dict[str, WeightVersion] = {}
@@ -26,6 +27,7 @@
     unreachable: int = 0
     failed_orders: int = 0
     order_after: float = 0
+    born: int = 0
 
 
 class SamplerStates:
@@ -65,6 +67,8 @@
         present = set()
         for upstream in upstreams:
             present.add(upstream.id)
+            if upstream.born > self.get(upstream.id).born:
+                self.start_anew(upstream.id, upstream.born)
             state = self.get(upstream.id)
             for model, version in upstream.versions.items():
                 self._raise(state, model, version)
@@ -74,6 +78,20 @@
                 self._states.pop(gone)
         self.tell()
 
+    def start_anew(self, sampler: UpstreamId, born: int) -> None:
+        """Take in of which start a sampler is; forget an earlier one.
+
+        Whoever still works with the former state, an order on its way or a
+        stream that ends late, changes nothing of the new one. Only the slots
+        that are held here stay: each is freed as its run ends.
+        """
+        state = self.get(sampler)
+        if not state.born:
+            state.born = born
+            return
+        self._states[sampler] = SamplerState(held=state.held, born=born)
+        self.helpers.pop(sampler, None)
+
     def note_work(self, model: str, amount: float) -> None:
         """Take in how much a job asks for."""
         before = self.work.get(model, amount)
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -47,12 +47,18 @@
         self._random = rng or random.Random()
         self._all: dict[UpstreamId, Upstream] = {}
         self._loads: dict[str, Load] = {}
+        self._born: dict[UpstreamId, int] = {}
         self._subscribers: list[Callable[[], None]] = []
+        self._on_restart: list[Callable[[Upstream], None]] = []
 
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back, without blocking, after each change."""
         self._subscribers.append(changed)
 
+    def subscribe_restarts(self, restarted: Callable[[Upstream], None]) -> None:
+        """Call back, without blocking, when an upstream has started again."""
+        self._on_restart.append(restarted)
+
     def put(self, upstream: Upstream) -> None:
         """Take in what an upstream registered."""
         held = self._all.get(upstream.id)
@@ -67,8 +73,32 @@
                 service=upstream.service,
                 address=upstream.address,
             )
+        self._note_start(upstream)
         self._tell()
 
+    def _note_start(self, upstream: Upstream) -> None:
+        """Forget what is known of an upstream that has started again.
+
+        Its load, failures and connections were the former start's. A
+        registration of the former start may come late, so only a later start
+        counts as a new one; where the upstream's clock was set back, its
+        reports tell, which are asked for and can not be so old.
+        """
+        before = self._born.get(upstream.id, 0)
+        self._born[upstream.id] = max(before, upstream.born)
+        if not before or upstream.born <= before:
+            return
+        self._loads.pop(upstream.id, None)
+        write(
+            _LOGGER,
+            events.UPSTREAM_RESTARTED,
+            upstream=upstream.id,
+            born=upstream.born,
+            before=before,
+        )
+        for restarted in self._on_restart:
+            restarted(upstream)
+
     def remove(self, upstream: UpstreamId) -> None:
         """Take an upstream out of use."""
         gone = self._all.pop(upstream, None)
--- a/tests/jobs/samplers.py
+++ b/tests/jobs/samplers.py
@@ -19,7 +19,9 @@
 MODEL = 'm0'
 
 
-def make_upstream(name: str, version: int = 1, slots: int = 4) -> Upstream:
+def make_upstream(
+    name: str, version: int = 1, slots: int = 4, born: int = 0
+) -> Upstream:
     """Return a sampler's registration."""
     return Upstream(
         id=UpstreamId(name),
@@ -28,6 +30,7 @@
         zone=ZoneId('zone-0'),
         slots=slots,
         versions={MODEL: WeightVersion(version)},
+        born=born,
     )
 
 
@@ -47,6 +50,8 @@
         fleet, name = self._fleet, self._upstream.id
         for number in range(self._item.resume_after + 1, fleet.length + 1):
             fleet.clock.sleep(fleet.pace.get(name, 0.05))
+            while name in fleet.silent and not self.cancelled:
+                fleet.clock.sleep(0.02)
             if self.cancelled or name in fleet.down:
                 raise UpstreamError('cut', 'nothing')
             if (name, number) in fleet.skipped:
@@ -74,6 +79,8 @@
         self.orders_taken: Counter[str] = Counter()
         self.orders: list[tuple[float, str, VersionOrder]] = []
         self.silent_orders = 0
+        self.born: dict[str, int] = {}
+        self.silent: set[str] = set()
         self.reports: Counter[str] = Counter()
         self.made: Counter[str] = Counter()
         self.started: list[tuple[str, str, int]] = []
@@ -97,6 +104,7 @@
             busy=False,
             orders_taken=self.orders_taken[upstream.id],
             versions={MODEL: version},
+            born=self.born.get(upstream.id, 0),
         )
 
     def order(self, upstream: Upstream, order: VersionOrder) -> bool:
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -4,6 +4,7 @@
 
 from guavagate.jobs import JobId, Knowledge
 from tests.jobs.fleet import JobFleet, check_whole, find_other, make_job
+from tests.jobs.samplers import make_upstream
 
 _LATER = 20
 
@@ -197,3 +198,32 @@
     check_whole(fleet, 'a', 6)
     _, results = fleet.read('job-1', 'a')
     assert {tuple(each.versions) for each in results} == {(2,)}
+
+
+def test_runs_of_a_samplers_former_start_go_on_elsewhere(
+    fleet: JobFleet,
+) -> None:
+    """A sampler crashes behind a cut and starts again under its id.
+
+    Its streams are silent for good. The registration of the new start tells;
+    the runs go on at once after their last whole event, not after the time
+    that a silent sampler is allowed.
+    """
+    fleet.length = 40
+    owner = fleet.nodes[fleet.owner()]
+    owner.samplers.length = 40
+    for name in 'xyz':
+        owner.upstreams.put(make_upstream(name, born=100))
+    fleet.submit(make_job(), 'a')
+    fleet.clock.advance(1)
+    owner.samplers.silent.add('x')
+    fleet.clock.advance(0.6)
+    before = len(owner.samplers.started)
+    owner.upstreams.put(make_upstream('x', born=200))
+    fleet.clock.advance(0.3)
+    again = owner.samplers.started[before:]
+    assert again
+    assert min(after for _, _, after in again) > 0
+    owner.samplers.silent.clear()
+    fleet.clock.advance(_LATER)
+    check_whole(fleet, 'a', 6)
--- /dev/null
+++ b/tests/platform/test_other_writers.py
@@ -0,0 +1,191 @@
+"""Objects by other writers: any bytes, fields of any type, unknown words."""
+
+import contextlib
+import logging
+import string
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from guavagate.feeds import FeedTable
+from guavagate.feeds._messages import FeedEntry
+from guavagate.jobs import JobId, JobShelf
+from guavagate.jobs._models import chunk_path, job_path
+from guavagate.measure.fakes import World
+from guavagate.models import Revision, UpstreamId, ZoneId
+from guavagate.platform._manifest import decode_manifest
+from guavagate.platform._servers import decode_server, decode_version
+from guavagate.ports.store import StoredObject
+from guavagate.ports.upstreams import Upstream
+from guavagate.rollouts import list_holders
+from guavagate.routing import UpstreamTable
+from tests.jobs.fleet import JobFleet, make_job
+from tests.platform.test_wire import _make_store
+
+_SERVER = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 12,
+    'state': 'ready',
+    'cold-remaining-ms': 0,
+    'seq': 4,
+    'models': [{'name': 'm', 'version': 3}],
+    'born': 1_700_000_000_000,
+}
+_READ = ('service', 'address', 'zone', 'slots', 'state')
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(string.printable),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+@given(st.binary() | _JSON.map(msgspec.json.encode))
+def test_decoders_tell_what_they_can_not_read(value: bytes) -> None:
+    """Whatever the bytes, a decoder returns or raises `ValueError`.
+
+    Any other error would end the task that reads the others.
+    """
+    for decode in (_decode_server, decode_version, decode_manifest):
+        with contextlib.suppress(ValueError):
+            decode(value)
+
+
+def _decode_server(value: bytes) -> Upstream:
+    return decode_server('i-1', value)
+
+
+@given(st.sampled_from(_READ), _JSON)
+def test_an_entry_names_a_sampler_only_with_all_it_needs(
+    field: str, value: object
+) -> None:
+    """One field is of any other type or content, or missing.
+
+    An entry that is read all the same is one that work can be sent to.
+    """
+    for entry in (
+        {**_SERVER, field: value},
+        {name: held for name, held in _SERVER.items() if name != field},
+    ):
+        try:
+            upstream = decode_server('i-1', msgspec.json.encode(entry))
+        except ValueError:
+            continue
+        assert upstream.address.rpartition(':')[2].isdigit()
+        assert isinstance(upstream.slots, int)
+        assert upstream.leaving == (entry['state'] == 'draining')
+
+
+@pytest.mark.parametrize('state', ['', 'READY', 'retired', 'joining'])
+def test_an_unknown_state_names_no_sampler(state: str) -> None:
+    """Work sent there might be run by something that is no sampler."""
+    with pytest.raises(ValueError, match='state'):
+        decode_server('i-1', msgspec.json.encode({**_SERVER, 'state': state}))
+
+
+def _entry(name: str, value: bytes, version: int) -> FeedEntry:
+    return FeedEntry(
+        path=f'servers/{name}', version=Revision(version), value=value
+    )
+
+
+def test_one_bad_entry_hides_no_other(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """A copy of a relay holds an unreadable registration between good ones.
+
+    Read up to the bad one only, the samplers behind it would be unknown. It
+    changes with each heartbeat, and is told once; one that named a sampler
+    before names none any more.
+    """
+    world = World()
+    upstreams = UpstreamTable(world.clock, ZoneId('z'))
+
+    def put(stored: StoredObject) -> None:
+        name = stored.path.partition('/')[2]
+        upstreams.put(decode_server(name, stored.value))
+
+    table = FeedTable()
+    table.handle(
+        'servers', put, lambda name: upstreams.remove(UpstreamId(name))
+    )
+    good = msgspec.json.encode(_SERVER)
+    told: list[FeedEntry] = []
+    table.changed = told.append
+    entries = [
+        _entry('a', good, 1),
+        _entry('b', b'"\xff', 2),
+        _entry('c', good, 3),
+    ]
+    with caplog.at_level(logging.INFO):
+        table.take_all(
+            entries,
+            Revision(3),
+        )
+        for version in range(4, 30):
+            table.take(_entry('b', b'"\xff', version))
+    assert sorted(each.id for each in upstreams.all()) == ['a', 'c']
+    assert (
+        sum('can not be read' in each.message for each in caplog.records) == 1
+    )
+    assert len(told) == 29
+    table.take(_entry('c', b'{}', 30))
+    assert [each.id for each in upstreams.all()] == ['a']
+
+
+# Half of a character, as JSON may spell it.
+_HALF = b'\\ud800'
+_OBJECT = b'{"metadata":{"name":"%s","revision":5},"spec":%s}'
+
+
+@pytest.mark.parametrize(
+    'bad',
+    [
+        b'{"metadata":{"name":7},"spec":{}}',
+        b'{"spec":{}}',
+        b'[]',
+        _OBJECT % (b'x', b'{"a":"' + _HALF + b'"}'),
+        _OBJECT % (b'x', b'{"a":NaN}'),
+        _OBJECT % (b'x', b'{"a":"\xff\xfe"}'),
+    ],
+)
+def test_a_bad_object_of_a_page_hides_no_other(bad: bytes) -> None:
+    """Another writer's object has no name, half a character, bytes, NaN."""
+    page = b'{"items":[%s,%s,%s],"has-more":false,"store-revision":9}'
+    good = [_OBJECT % (name, b'{"v":1}') for name in (b'a', b'c')]
+    body = page % (good[0], bad, good[1])
+    event = b'{"events":[{"object":%s},{"object":%s}],"store-revision":9}'
+    store, _ = _make_store((200, body), (200, event % (bad, good[1])))
+    objects, _ = store.list_under('k')
+    names = [each.path for each in objects if each.path != 'k/x']
+    assert names == ['k/a', 'k/c']
+    changes, _ = store.watch('k', Revision(5), 1)
+    assert changes[-1].path == 'k/c'
+
+
+def test_records_of_others_stop_no_owner() -> None:
+    """Jobs, results and leases hold what nobody here has written.
+
+    The owner goes on with its own job, whose results keep their positions;
+    an unreadable job was never accepted.
+    """
+    fleet = JobFleet()
+    store = fleet.world.store
+    store.change(job_path(JobId('other')), b'{"id":7}')
+    store.change(chunk_path(JobId('job-1'), 0), b'[1]')
+    store.change('leases/x', b'null')
+    fleet.submit(make_job(), 'a')
+    fleet.clock.advance(20)
+    _, results = fleet.read('job-1', 'b')
+    assert len({each.id for each in results}) == len(results) == 6
+    shelf = JobShelf(fleet.world.store_of('a'), fleet.clock, 'a')
+    task = fleet.clock.spawn(shelf.read, JobId('other'))
+    holders = fleet.clock.spawn(list_holders, shelf.store)
+    fleet.clock.run_until(lambda: task.ready() and holders.ready(), 5)
+    assert task.get(block=False) is None
+    assert not holders.get(block=False)
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -172,3 +172,71 @@
     assert set(held.samplers.versions.values()) == {3}
     sent = [order.orders_taken for _, _, order in held.samplers.orders]
     assert sorted(sent) == [0] * 6 + [1] * 6
+
+
+def test_a_sampler_that_starts_again_is_ordered_anew() -> None:
+    """It had taken orders, crashed in a load and started under its id.
+
+    It counts orders from the start, so the number that was held would have
+    every order refused; what it was loading, it has not loaded.
+    """
+    held = _Setting()
+    held.samplers.born = dict.fromkeys('abcdef', 100)
+    held.name(2)
+    held.clock.advance(12)
+    assert held.samplers.versions['a'] == 2
+    before = len(held.samplers.orders)
+    held.samplers.orders_taken['a'] = 0
+    held.samplers.born['a'] = 200
+    held.samplers.versions['a'] = WeightVersion(1)
+    upstream = make_upstream('a', born=200)
+    held.upstreams.put(upstream)
+    held.clock.advance(1)
+    held.name(3)
+    held.clock.advance(12)
+    assert held.samplers.versions['a'] == 3
+    again = [
+        (order.version, order.orders_taken)
+        for _, name, order in held.samplers.orders[before:]
+        if name == 'a'
+    ]
+    assert again == [(2, 0), (3, 1)]
+
+
+def test_a_sampler_whose_clock_was_set_back_is_believed() -> None:
+    """Its new start seems older than the former one by what it says.
+
+    A registration of the former start may come late, so that alone proves
+    nothing; a report that was asked for after it is the sampler's own word.
+    """
+    held = _Setting()
+    held.samplers.born = dict.fromkeys('abcdef', 500)
+    held.name(2)
+    held.clock.advance(12)
+    held.samplers.orders_taken['a'] = 0
+    held.samplers.born['a'] = 100
+    held.name(3)
+    held.clock.advance(12)
+    assert held.samplers.versions['a'] == 3
+    assert held.states.get(make_upstream('a').id).born == 100
+
+
+def test_an_answer_of_a_former_start_changes_nothing() -> None:
+    """An order was on its way when the sampler crashed and started again.
+
+    Its answer comes late, after the new start was seen to load; taken for the
+    new start's, a second order would be sent into that load.
+    """
+    held = _Setting()
+    states = held.states
+    name = make_upstream('a').id
+    states.start_anew(name, 100)
+    former = states.get(name)
+    former.loading = True
+    states.start_anew(name, 200)
+    fresh = states.get(name)
+    fresh.loading = True
+    former.loading = False
+    former.orders_taken = 7
+    assert fresh.loading
+    assert fresh.orders_taken is None
