--- a/guavagate/events/edge.py
+++ b/guavagate/events/edge.py
@@ -28,6 +28,12 @@
     "The instance's own settings can not be read; the former ones stay",
     'correct the file and send SIGHUP again',
 )
+REFUSED_UNCONFIGURED = Event(
+    5014,
+    logging.WARNING,
+    'A request was refused as no configuration is known here yet',
+    'check that the store or another instance is reached if this lasts',
+)
 EDGE_LISTENING = Event(5020, logging.INFO, 'edge listens')
 STOP_PROGRESS = Event(5030, logging.INFO, 'planned stop')
 DRAIN_ASKED = Event(
--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import msgspec
+from gevent.event import Event
 
 from guavagate.clock import Clock, Task
 from guavagate.events import forwarding as events
@@ -27,6 +28,7 @@
 )
 from guavagate.feeds._table import FeedTable, Put, Remove
 from guavagate.helpers.mirror import Mirror
+from guavagate.helpers.waits import wait_for
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId
 from guavagate.ports.store import ObjectStore, StoredObject
@@ -127,7 +129,7 @@
         self.relaying = False
         self._fresh_since: float | None = None
         self._tasks: list[Task] = []
-        self.loaded = False
+        self._loaded = Event()
         bus.register(FeedChange, self._on_change)
         bus.register(FeedBeat, self._on_beat)
         bus.register(ReadFeed, self._on_read)
@@ -136,6 +138,15 @@
         """Set what is called, without blocking, for objects of a prefix."""
         self._table.handle(prefix, put, remove)
 
+    @property
+    def loaded(self) -> bool:
+        """Return whether all that is followed was read once."""
+        return self._loaded.is_set()
+
+    def wait_loaded(self, seconds: float) -> bool:
+        """Wait until all was read once; return whether it was in time."""
+        return wait_for(self._clock, self._loaded, seconds)
+
     def start(self) -> None:
         """Begin to follow."""
         self._started_at = self._clock.now()
@@ -171,8 +182,16 @@
             self._stop_watching()
         elif not self._mirrors and self._has_to_ask(rank):
             self._watch_directly(relaying=rank <= STAND_INS and self.loaded)
-        if self._mirrors and all(each.loaded for each in self._mirrors):
-            self.loaded = True
+
+    def _note_mirror_loaded(self) -> None:
+        """Be loaded as soon as the last mirror is.
+
+        Callers are refused until then, and the balancer asks for readiness
+        once a second: found by the next check, a tenth of a second later, an
+        instance misses it now and then.
+        """
+        if all(each.loaded for each in self._mirrors):
+            self._loaded.set()
 
     def _rank(self) -> list[InstanceId]:
         if self._ranked is None:
@@ -234,9 +253,11 @@
                 pause=pause if relaying else ALONE_PAUSE_SECONDS,
                 settles=not relaying,
                 held=self._table.versions(prefix),
+                loaded=self._note_mirror_loaded,
             )
-            mirror.start()
             self._mirrors.append(mirror)
+        for mirror in self._mirrors:
+            mirror.start()
         write(_LOGGER, events.FEED_DIRECT, relaying=relaying)
 
     def _stop_watching(self) -> None:
@@ -341,6 +362,6 @@
         self._relays[sender] = _Relay(
             copy.boot, copy.number, self._clock.now(), copy.age
         )
-        self.loaded = True
+        self._loaded.set()
         if before is None:
             _LOGGER.debug('following %s', sender)
--- a/guavagate/helpers/mirror.py
+++ b/guavagate/helpers/mirror.py
@@ -51,6 +51,8 @@
     lapses
         Whether objects may lapse while the store is away and come back by
         themselves; then one that is missing is kept for a while.
+    loaded
+        Called, without blocking, each time that all was listed.
     """
 
     def __init__(
@@ -66,12 +68,14 @@
         pause: float = 0,
         settles: bool = False,
         held: dict[str, Revision] | None = None,
+        loaded: Callable[[], None] | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
         self._prefix = prefix
         self._put = put
         self._remove = remove
+        self._on_loaded = loaded
         self._lapses = lapses
         self._wait = WATCH_SECONDS if wait is None else wait
         self._pause = pause
@@ -123,6 +127,8 @@
             self._take_list(objects)
             self._note_seen(listed_at)
             self.loaded = True
+            if self._on_loaded is not None:
+                self._on_loaded()
             if self._settles:
                 self._clock.sleep(self._pause)
             return
--- a/guavagate/platform/_edge.py
+++ b/guavagate/platform/_edge.py
@@ -8,6 +8,7 @@
 from gevent.queue import Queue
 
 from guavagate.clock import Clock
+from guavagate.events import edge as edge_events
 from guavagate.events import jobs as job_events
 from guavagate.events import write
 from guavagate.forwarding import (
@@ -48,6 +49,10 @@
 # A trainer that is refused asks at another instance soon.
 JOB_RETRY_SECONDS: Final = 0.5
 UNREADY_RETRY_SECONDS: Final = 0.3
+# A process that has just started reads its configuration in two calls of some
+# milliseconds. Callers that come meanwhile are served after that; one that was
+# refused comes back after ten times as long, or not at all.
+LOADING_SECONDS: Final = 0.1
 ACCEPT_SECONDS: Final = 2.5
 END_SECONDS: Final = 2.5
 MAX_WAIT_SECONDS: Final = 1.0
@@ -64,7 +69,7 @@
         streams: StreamForwarder,
         shelf: JobShelf,
         reader: JobReader,
-        is_loaded: Callable[[], bool],
+        wait_loaded: Callable[[float], bool],
         metrics: Metrics,
     ) -> None:
         self._clock = clock
@@ -73,13 +78,20 @@
         self._streams = streams
         self._shelf = shelf
         self._reader = reader
-        self._is_loaded = is_loaded
+        self._wait_loaded = wait_loaded
         self._metrics = metrics
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
+        loaded = self._wait_loaded(LOADING_SECONDS)
         configuration = self._routes.configuration
-        if configuration is None or not self._is_loaded():
+        if configuration is None or not loaded:
+            write(
+                _LOGGER,
+                edge_events.REFUSED_UNCONFIGURED,
+                request=exchange.find(const.REQUEST_ID.lower()),
+                loaded=loaded,
+            )
             refuse(exchange, 'no configuration yet', UNREADY_RETRY_SECONDS)
             return
         body = read_or_refuse(exchange, configuration.limits.body_bytes)
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -244,7 +244,7 @@
                 ),
                 shelf,
                 reader,
-                lambda: self._feed.loaded,
+                self._feed.wait_loaded,
                 self._metrics,
             )
             servers.append(
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -47,6 +47,7 @@
         self.known: dict[str, dict[str, bytes]] = {}
         self.told: dict[str, list[bytes]] = {}
         self.stores: dict[str, _CountingStore] = {}
+        self.feeds: dict[str, Feed] = {}
         for name in names:
             self.world.add(name)
         self.clock.advance(1)
@@ -83,6 +84,7 @@
             held.pop(f'servers/{gone}')
 
         feed.handle('servers', put, remove)
+        self.feeds[name] = feed
         feed.start()
 
     def rank(self) -> list[str]:
@@ -343,3 +345,17 @@
         fleet._start(name, first=False)
     fleet.clock.advance(0.1)
     assert all('config/main' in fleet.known[name] for name in _NAMES)
+
+
+def test_an_instance_is_loaded_as_soon_as_it_has_read_all() -> None:
+    """All instances were killed and start again; callers are waiting.
+
+    The store answers within milliseconds. Until an instance says that it is
+    loaded it refuses callers, and the balancer, which asks once a second, may
+    find it unready for a second more.
+    """
+    fleet = _Fleet('a')
+    fleet._start('a', first=False)
+    fleet.clock.advance(0.05)
+    assert fleet.known['a']
+    assert fleet.feeds['a'].loaded
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -1,6 +1,7 @@
 """Objects by other writers: any bytes, fields of any type, unknown words."""
 
 import contextlib
+import json
 import logging
 import string
 
@@ -139,7 +140,7 @@
 
 
 # Half of a character, as JSON may spell it.
-_HALF = b'\\ud800'
+_HALF = json.dumps(chr(0xD800)).encode()
 _OBJECT = b'{"metadata":{"name":"%s","revision":5},"spec":%s}'
 
 
@@ -149,7 +150,7 @@
         b'{"metadata":{"name":7},"spec":{}}',
         b'{"spec":{}}',
         b'[]',
-        _OBJECT % (b'x', b'{"a":"' + _HALF + b'"}'),
+        _OBJECT % (b'x', b'{"a":%s}' % _HALF),
         _OBJECT % (b'x', b'{"a":NaN}'),
         _OBJECT % (b'x', b'{"a":"\xff\xfe"}'),
     ],
