--- a/guavagate/daemon.py
+++ b/guavagate/daemon.py
@@ -22,7 +22,8 @@
 from guavagate.helpers.logs import set_up_logging  # noqa: E402
 from guavagate.platform.const import SETTINGS_VARIABLE  # noqa: E402
 
-_LOGGER = logging.getLogger(__name__)
+# Run by its name this module is `__main__`, of which nothing is logged.
+_LOGGER = logging.getLogger('guavagate.daemon')
 
 
 @click.command()
@@ -107,6 +108,7 @@
     asked = Event()
 
     def ask() -> None:
+        write(_LOGGER, events.STOP_PROGRESS, phase='asked')
         asked.set()
         process.ask_to_stop()
 
--- a/standins/platform/checks.py
+++ b/standins/platform/checks.py
@@ -13,7 +13,8 @@
 class Verdict:
     """Violations found, and how much was checked."""
 
-    def __init__(self) -> None:
+    def __init__(self, journal: Journal) -> None:
+        self._journal = journal
         self.violations: list[str] = []
         self.checked = 0
         self._positions: dict[str, dict[int, Any]] = defaultdict(dict)
@@ -64,6 +65,7 @@
         self.expect(
             all(part[0] == item for part in parts), 'MIXED', f'{job} {item}'
         )
+        self._check_receipt(item, result.get('score', ''))
         made = {int(part[2]) for part in parts}
         named = set(result['versions'])
         self.expect(made == named, 'VERSIONS', f'{item} {made} not {named}')
@@ -71,6 +73,13 @@
             min(made) >= self._oldest[job], 'STALE', f'{job} {item} {made}'
         )
 
+    def _check_receipt(self, item: str, receipt: str) -> None:
+        """Check that it is of the item's reward call, made after the text."""
+        name, came = self._journal.rated.get(receipt, ('', 0))
+        self.expect(name == f'w-{item}', 'RECEIPT', f'{item} {receipt} {name}')
+        whole_at = self._journal.whole_at.get(item, came)
+        self.expect(came >= whole_at, 'EARLY', f'{item} {came} {whole_at}')
+
     def check_orders(self, journal: Journal) -> None:
         """Check that no two holders ordered within one lease time."""
         before: tuple[float, str, int] | None = None
--- a/standins/platform/sampler.py
+++ b/standins/platform/sampler.py
@@ -4,6 +4,7 @@
 """
 
 import random
+import time
 from collections import Counter
 from typing import Any, Final
 
@@ -11,7 +12,7 @@
 import msgspec
 
 from guavagate.clock import SystemClock
-from guavagate.http1 import CallerGoneError, Exchange, HttpServer
+from guavagate.http1 import CallerGoneError, Exchange, Headers, HttpServer
 from guavagate.platform import const
 from standins.platform.store import Store
 
@@ -28,6 +29,10 @@
     def __init__(self) -> None:
         self.runs: Counter[str] = Counter()
         self.orders: list[tuple[float, str, int]] = []
+        # When a reward request came, by the seal that answered it, and when
+        # the last event of an item was first made.
+        self.rated: dict[str, tuple[str, float]] = {}
+        self.whole_at: dict[str, float] = {}
 
 
 class Sampler:
@@ -46,6 +51,8 @@
         self.model = model
         self.version = 1
         self.cut = float(0)
+        self.starts = 0
+        self._born = _read_millis()
         self._orders = 0
         self._loading = False
         self._journal = journal
@@ -71,13 +78,25 @@
             self._server.start()
         self._register()
 
+    def restart(self) -> None:
+        """Start again under the same id; nothing of before is known."""
+        self.starts += 1
+        self._born = _read_millis()
+        self._orders = 0
+        self._loading = False
+        self._register()
+
     def _models(self) -> list[dict[str, Any]]:
         if not self.model:
             return []
         return [{'name': self.model, 'version': self.version}]
 
     def _register(self) -> None:
-        entry = {**self._entry, 'models': self._models()}
+        entry = {
+            **self._entry,
+            'models': self._models(),
+            'born': self._born,
+        }
         self._store.write('servers', self.name, entry)
 
     def _handle(self, exchange: Exchange) -> None:
@@ -97,6 +116,7 @@
             'models': self._models(),
             'busy': self._loading,
             'seq': self._orders,
+            'born': self._born,
         }
         exchange.respond(200, [], msgspec.json.encode(report))
 
@@ -111,11 +131,13 @@
             return
         self._orders += 1
         self._loading = True
-        gevent.spawn(self._load, order['version'])
+        gevent.spawn(self._load, order['version'], self.starts)
         exchange.respond(_ACCEPTED, [], b'')
 
-    def _load(self, version: int) -> None:
+    def _load(self, version: int, start: int) -> None:
         gevent.sleep(_LOAD_SECONDS)
+        if start != self.starts:
+            return
         self.version = version
         self._loading = False
         self._register()
@@ -127,11 +149,7 @@
             (const.VERSION, str(self.version).encode()),
         ]
         if not self.model:
-            gevent.sleep(self._random.uniform(0.005, 0.03))
-            if self._random.random() < self.cut:
-                exchange.abort()
-                return
-            exchange.respond(200, headers, f'answer to {name}'.encode())
+            self._answer(exchange, name, headers)
             return
         exchange.start(200, [*headers, _STREAM])
         last = exchange.find(const.RESUME.lower()) or '0'
@@ -140,11 +158,24 @@
         except CallerGoneError:
             return
 
+    def _answer(self, exchange: Exchange, name: str, headers: Headers) -> None:
+        came = self._clock.now()
+        gevent.sleep(self._random.uniform(0.005, 0.03))
+        if self._random.random() < self.cut:
+            exchange.abort()
+            return
+        seal = f'{self.name}.{self._random.getrandbits(48):x}'
+        self._journal.rated[seal] = (name, came)
+        headers = [*headers, (const.SEAL, seal.encode())]
+        exchange.respond(200, headers, f'answer to {name}'.encode())
+
     def _stream(self, exchange: Exchange, name: str, last: int) -> None:
         shown = self.version
+        start = self.starts
         for number in range(last + 1, count_events(name) + 1):
             gevent.sleep(0.03)
-            if self._random.random() < self.cut / 10:
+            broken = self._random.random() < self.cut / 10
+            if broken or start != self.starts:
                 exchange.abort()
                 return
             lines = [f'id: {number}', f'data: {name}/{number}/{self.version}']
@@ -153,9 +184,14 @@
                 lines.insert(0, f'{const.VERSION.decode()}: {shown}')
             text = '\n'.join(lines)
             exchange.send(f'{text}\n\n'.encode())
+        self._journal.whole_at.setdefault(name, self._clock.now())
         exchange.end()
 
 
+def _read_millis() -> int:
+    return round(time.time() * const.MILLIS)
+
+
 def count_events(item: str) -> int:
     """Return how many events an item's text has; a few are long."""
     draw = random.Random(item)
--- a/standins/platform/soak.py
+++ b/standins/platform/soak.py
@@ -51,8 +51,8 @@
     def __init__(self, seed: int, block: int, folder: pathlib.Path) -> None:
         self.random = random.Random(seed)
         self.clock = SystemClock()
-        self.verdict = Verdict()
         self.journal = Journal()
+        self.verdict = Verdict(self.journal)
         self.faults: list[tuple[float, str]] = []
         self._stopped = False
         self._version = 1
@@ -133,6 +133,7 @@
             self._harm_store,
             self._harm_way,
             self._harm_samplers,
+            self._restart_sampler,
             self._configure,
         ]
         while self.clock.now() < until:
@@ -197,6 +198,12 @@
             sampler.cut = 0
         self._note('samplers')
 
+    def _restart_sampler(self) -> None:
+        self._note('samplers')
+        self.random.choice(self.samplers).restart()
+        gevent.sleep(1)
+        self._note('samplers')
+
     # Callers.
 
     def _call(
--- a/standins/platform/trainer.py
+++ b/standins/platform/trainer.py
@@ -72,6 +72,12 @@
                         'path': f'/jobs/{item}',
                         'body': base64.b64encode(item.encode()).decode(),
                         'group-id': f'{job}-{number // 4}',
+                        'scorer': {
+                            'id': f'w-{item}',
+                            'host': 'soak.example',
+                            'path': f'/ask/{item}',
+                            'body': 'AP8=',
+                        },
                     }
                     for number, item in enumerate(items)
                 ],
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -28,11 +28,15 @@
         'state': 'completed',
         'text': '\n'.join(lines),
         'versions': [version],
+        'score': f's-{item}',
     }
 
 
-def _judge(*pages: list[dict[str, object]]) -> list[str]:
-    verdict = Verdict()
+def _judge(*pages: list[dict[str, object]], whole_at: float = 0) -> list[str]:
+    journal = Journal()
+    journal.rated = {f's-{item}': (f'w-{item}', 5.0) for item in 'ikx'}
+    journal.whole_at['i'] = whole_at
+    verdict = Verdict(journal)
     verdict.submit('j', {'i', 'k'}, 2)
     for results in pages:
         verdict.read('j', 0, {'total': 2, 'results': results})
@@ -55,13 +59,16 @@
     assert 'FOREIGN' in _judge([_make_result('x')])
     assert 'STALE' in _judge([_make_result('i', 1)])
     assert 'VERSIONS' in _judge([{**one, 'versions': [3]}])
+    assert 'RECEIPT' in _judge([{**one, 'score': 's-k'}])
+    assert 'RECEIPT' in _judge([{**one, 'score': ''}])
+    assert 'EARLY' in _judge([one], whole_at=6)
 
 
 def test_two_holders_within_a_lease_are_found() -> None:
     """And a generation that goes back."""
     journal = Journal()
     journal.orders = [(1.0, 'a', 2), (3.0, 'b', 1)]
-    verdict = Verdict()
+    verdict = Verdict(journal)
     verdict.check_orders(journal)
     rules = {each.partition(':')[0] for each in verdict.violations}
     assert rules == {'HOLDERS', 'GENERATION'}
