Have an owner in doubt look up what others have listed

Cause: an owner that was frozen is the most senior again when it wakes. Change: after a pause, a break of its watch, a change of the members or a job's end, a position without a result is looked up in the store before it is said that there is nothing; a load beside an append takes no chunk twice.

--- a/guavagate/jobs/_held.py
+++ b/guavagate/jobs/_held.py
@@ -17,7 +17,7 @@
 from guavagate.jobs._cadence import Cadence
 from guavagate.jobs._carried import CarriedTexts
 from guavagate.jobs._committer import Committer
-from guavagate.jobs._log import JobLog
+from guavagate.jobs._log import WRITE_SECONDS, JobLog
 from guavagate.jobs._messages import Knowledge
 from guavagate.jobs._models import (
     ItemId,
@@ -41,11 +41,27 @@
 
 
 class HeldJob(msgspec.Struct):
-    """A job in work, and who waits for its results."""
+    """A job in work, and who waits for its results.
+
+    `doubtful` while another instance may have listed results that are not
+    known here; `ended_at` on the runtime's clock.
+    """
 
     work: JobWork
     committer: Committer
     changed: Event
+    doubtful: bool = False
+    ended_at: float | None = None
+
+    def has(self, position: int) -> bool:
+        """Return whether there is a result at a position."""
+        return len(self.work.log.results) > position
+
+    def is_doubtful(self) -> bool:
+        """Return whether what is not here may have been listed elsewhere."""
+        return self.doubtful and len(self.work.log.listed) < len(
+            self.work.items
+        )
 
 
 class HeldJobs:
@@ -125,13 +141,17 @@
         if held is None:
             return known, None
         until = self._clock.now() + wait
+        if not self._confirm(held, after):
+            return Knowledge.UNSURE, None
         results = held.work.log.results
-        while len(results) <= after and held.work.open and self.active:
+        while not held.has(after) and held.work.open and self.active:
             left = until - self._clock.now()
             if left <= 0:
                 break
             held.changed.clear()
             wait_for(self._clock, held.changed, left)
+        if not self._confirm(held, after):
+            return Knowledge.UNSURE, None
         total = len(held.work.items)
         return Knowledge.FOUND, cut_page(results, total, after, PAGE_BYTES)
 
@@ -145,6 +165,17 @@
             return Knowledge.MISSING, b''
         return Knowledge.FOUND, progress.item.body
 
+    def doubt(self) -> None:
+        """Take in that another instance may have worked here meanwhile.
+
+        An owner that was frozen or cut off is asked again when it is back. It
+        learns what others have listed when it lists something itself; for a
+        job that they have finished it never does, and readers would find
+        nothing where there was a result before.
+        """
+        for held in self:
+            held.doubtful = True
+
     def take_stored(self, stored: StoredObject, fresh: bool) -> None:
         """Take a stored job in, however long that takes."""
         while self.active:
@@ -200,6 +231,28 @@
         held = self._held.get(job)
         return (Knowledge.UNSURE if held is None else Knowledge.FOUND), held
 
+    def _confirm(self, held: HeldJob, position: int) -> bool:
+        """Return whether what is here of a position is all there is.
+
+        What is here never changes, so only a position without a result is
+        looked up, and only in doubt.
+        """
+        if held.has(position) or not held.is_doubtful():
+            return True
+        held.doubtful = False
+        asked = self._clock.now()
+        try:
+            held.work.log.load()
+        except StoreError as error:
+            held.doubtful = True
+            _LOGGER.debug('%s is not confirmed: %s', held.work.job.id, error)
+            return False
+        held.work.note_listed()
+        if held.ended_at is not None:
+            # Writes that were on their way at the end may still come.
+            held.doubtful |= asked < held.ended_at + WRITE_SECONDS
+        return True
+
     def _load(self, job: Job, *, fresh: bool) -> None:
         """Take a job into work; waits while another task does so."""
         other = self._loading.get(job.id)
@@ -253,6 +306,8 @@
     def _end(self, held: HeldJob) -> None:
         work = held.work
         work.ended = True
+        held.doubtful = True
+        held.ended_at = self._clock.now()
         seconds = self._clock.now() - work.since
         write(
             _LOGGER,
--- a/guavagate/jobs/_log.py
+++ b/guavagate/jobs/_log.py
@@ -61,10 +61,13 @@
             if not chunk.results:
                 return added
             self._uncertain = chunk
-            path = chunk_path(self._job, self._next)
+            number = self._next
+            path = chunk_path(self._job, number)
             value = msgspec.json.encode(chunk)
             other = create(self._store, self._clock, path, value, WRITE_SECONDS)
             self._uncertain = None
+            if self._next > number:
+                continue  # A reader has loaded this chunk meanwhile.
             if other is None:
                 self._take(chunk)
                 added += chunk.results
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -44,6 +44,7 @@
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import ModelDemand, SamplerStates
 from guavagate.routing import UpstreamTable
+from guavagate.util.boot_clock import read_boot_clock
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -52,6 +53,9 @@
 # A job first seen so soon after its submission has no results yet; should
 # that be wrong, the first chunk meets the one that is there.
 FRESH_SECONDS: Final = 1.5
+# The owner looks ten times a second. One that was frozen for less than this
+# was not taken for dead, as that takes more than a second.
+PAUSE_SECONDS: Final = 0.8
 # An item is given up late rather than early.
 TTL_SLACK_SECONDS: Final = 1.0
 EXPIRE_SECONDS: Final = 10.0
@@ -77,7 +81,9 @@
         retention: float,
         copies: TextCopies,
         list_successors: Callable[[], list[InstanceId]],
+        boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
+        self._boot_clock = boot_clock
         self._service = service
         self._clock = clock
         self._shelf = shelf
@@ -111,7 +117,14 @@
         self._task: Task | None = None
         self._helpers: list[Task] = []
         store = shelf.store
-        self._jobs = Mirror(store, clock, JOBS, self._put_job, self._drop_job)
+        self._jobs = Mirror(
+            store,
+            clock,
+            JOBS,
+            self._put_job,
+            self._drop_job,
+            loaded=self._held.doubt,
+        )
         self._ends = Mirror(store, clock, ENDS, self._put_end)
         states.subscribe(self._wake.set)
         upstreams.subscribe_restarts(self._leave_former)
@@ -147,6 +160,10 @@
         self._ends.stop()
         self._held.clear()
 
+    def doubt(self) -> None:
+        """Take in that another instance may have worked here meanwhile."""
+        self._held.doubt()
+
     def demands(self) -> dict[str, ModelDemand]:
         """Return what the open jobs, and the next ones, ask of each model."""
         return self._held.demands()
@@ -206,7 +223,11 @@
                 self._copies.send(self._service, works, peers)
 
     def _run(self) -> None:
+        looked_at = self._boot_clock()
         while True:
+            before, looked_at = looked_at, self._boot_clock()
+            if looked_at - before > PAUSE_SECONDS:
+                self._held.doubt()
             self._dispatch()
             self._wake.clear()
             wait_for(self._clock, self._wake, IDLE_SECONDS)
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -135,6 +135,7 @@
         for service in owned:
             held = self._services.get(service) or self._make(service)
             held.owner.start()
+            held.owner.doubt()
             held.coordinator.start()
         for service, held in self._services.items():
             if service not in owned:
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -131,6 +131,13 @@
         'if more:',
         'tests/jobs/test_texts.py',
     ),
+    Safeguard(
+        'a woken owner looks up what others have listed',
+        'guavagate/jobs/_held.py',
+        'if held.has(position) or not held.is_doubtful():',
+        'if True:',
+        'tests/jobs/test_owner.py',
+    ),
     Safeguard(
         'a whole text is told as whole',
         'guavagate/jobs/_copies.py',
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -104,6 +104,7 @@
                 for each in self.ownership.rank(SERVICE)
                 if each != InstanceId(name)
             ],
+            self.clock.now,
         )
         self.reader = JobReader(
             self.clock,
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -227,3 +227,40 @@
     owner.samplers.silent.clear()
     fleet.clock.advance(_LATER)
     check_whole(fleet, 'a', 6)
+
+
+def test_a_woken_owner_shows_what_others_have_listed(
+    fleet: JobFleet,
+) -> None:
+    """The owner is frozen with some results listed; then it wakes.
+
+    Meanwhile the next owner lists the rest, readers see it, and the trainer
+    ends the job. The woken one is asked again, as the most senior. It has
+    nothing left to list, so no chunk that is taken tells it what it missed,
+    and positions that were read before would be gone for good.
+    """
+    fleet.length = 40
+    for node in fleet.nodes.values():
+        node.samplers.length = 40
+    first = fleet.owner()
+    reader = find_other(fleet)
+    fleet.submit(make_job(groups=8), reader)
+    fleet.clock.advance(2.6)
+    _, before = fleet.read('job-1', reader)
+    assert 0 < len(before) < 16
+    fleet.world.pause(first)
+    fleet.clock.advance(_LATER)
+    _, shown = fleet.read('job-1', reader)
+    assert len(shown) == 16
+    node = fleet.nodes[reader]
+    node.clock.spawn(node.shelf.end, JobId('job-1'), 2.5)
+    fleet.clock.advance(1)
+    fleet.world.resume(first)
+    fleet.clock.advance(1)
+    assert fleet.owner() == first
+    for name in fleet.nodes:
+        for after in (*range(15, -1, -1), 15):
+            known, rest = fleet.read('job-1', name, after)
+            assert known is Knowledge.FOUND
+            assert rest
+            assert rest == shown[after : after + len(rest)]
