Keep room for callers by their mean use of an upstream, not by its peaks

Cause: one upstream of the scoring service is left. Change: the mean of about the last second, at least one place.

--- a/guavagate/decisions/background.py
+++ b/guavagate/decisions/background.py
@@ -15,16 +15,19 @@
 import math
 from typing import Final
 
-# One more than what callers are seen to use: the next one comes unannounced.
+# A free place is what the next caller finds. One is enough while callers use
+# less than that: should two come at once, the second waits for the first of
+# several requests to end, a few tens of milliseconds.
 SPARE_PLACES: Final = 1
-# A peak is forgotten by this share with each report. Reports come with each
-# answer, some tens a second, so a burst of callers is kept room for about a
-# second after it was last seen.
-FORGET_SHARE: Final = 0.05
+# Reports come with each answer, some tens a second, so what is followed is the
+# mean of about the last second. A peak that was kept for seconds would leave
+# one place to a step when a single upstream is left, and rewards took three
+# times as long as they had to.
+FOLLOW_SHARE: Final = 0.1
 
 
 def follow_callers(before: float, busy: int, background: int) -> float:
-    """Return how many places callers seem to use at an upstream.
+    """Return how many places callers use at an upstream on average.
 
     Parameters
     ----------
@@ -36,7 +39,7 @@
         Those among them that were sent from here as background work.
     """
     seen = max(busy - background, 0)
-    return max(float(seen), before * (1 - FORGET_SHARE))
+    return before + (seen - before) * FOLLOW_SHARE
 
 
 def limit_background(slots: int, callers: float) -> int:
@@ -45,5 +48,5 @@
     Never none: else callers that keep an upstream full would stop a step for
     good, and one place of several is what they lose at most.
     """
-    reserved = math.ceil(callers) + SPARE_PLACES
+    reserved = max(math.ceil(callers), SPARE_PLACES)
     return max(slots - reserved, 1)
