Tell what held each group of a step up: guavagate explain steps LOGS

Cause: where a step's time goes had to be put together by hand from the logs. Change: the critical path of the group that a step waited for and of each late one, by phase (accept, owner, sampler, text, reward, list), as a waterfall, as JSON and as a plot; the owner's lines name the objective, the groups wanted and each item's group.

--- a/guavagate/cli/_fleet.py
+++ b/guavagate/cli/_fleet.py
@@ -1,7 +1,7 @@
 """Instances, samplers, deployments, runs, decisions and drains."""
 
 import datetime
-from typing import TextIO
+from typing import Final, TextIO
 
 import click
 
@@ -14,6 +14,7 @@
 )
 from guavagate.explain import Decision, Explanation
 from guavagate.explain.logs import read_lines, render_way, tell_way
+from guavagate.explain.steps import plot_steps, read_steps, render_steps
 from guavagate.models import WeightVersion
 from guavagate.operators import (
     DeploymentsBody,
@@ -24,6 +25,9 @@
     SamplersBody,
 )
 
+# Instead of an id: all steps that the logs tell of.
+STEPS: Final = 'steps'
+
 
 @click.command()
 @as_json
@@ -157,8 +161,15 @@
 @click.argument(
     'logs', metavar='[LOG]...', nargs=-1, type=click.File('r', 'utf-8')
 )
+@click.option(
+    '--plot',
+    type=click.Path(dir_okay=False, writable=True),
+    help='With `steps`: draw the critical paths to a file, such as steps.png.',
+)
 @as_json
-def explain(subject: str, logs: tuple[TextIO, ...], as_json: bool) -> None:
+def explain(
+    subject: str, logs: tuple[TextIO, ...], plot: str | None, as_json: bool
+) -> None:
     """Show the decisions about a request, job, sample, revision or view.
 
     ID is what an answer or a log line names: a request, job, item or sample
@@ -167,7 +178,15 @@
     With LOG, files of log lines of one or more instances or - for standard
     input, no instance is asked: the way of ID is read from the lines, in time
     order, with what the instances believed meanwhile.
+
+    With `steps` for ID and LOG: what held up the groups of each trainer's
+    step, by the critical path of the group that it waited for and of each
+    late one; a waterfall's letters are accept, owner, sampler, text, reward,
+    list.
     """
+    if subject == STEPS:
+        _explain_steps(logs, plot, as_json=as_json)
+        return
     if logs:
         _explain_from_logs(subject, logs, as_json=as_json)
         return
@@ -182,6 +201,25 @@
         _print_decision(decision)
 
 
+def _explain_steps(
+    logs: tuple[TextIO, ...], plot: str | None, *, as_json: bool
+) -> None:
+    lines = [line for log in logs for line in read_lines(log.name, log)]
+    steps = read_steps(lines)
+    if not steps:
+        raise click.ClickException(
+            'no line tells of a step; give the logs of all instances of the'
+            ' time, at level info or lower'
+        )
+    if plot is not None:
+        plot_steps(steps, plot)
+    if as_json:
+        print_json(steps)
+        return
+    for shown in render_steps(steps):
+        click.echo(shown)
+
+
 def _explain_from_logs(
     subject: str, logs: tuple[TextIO, ...], *, as_json: bool
 ) -> None:
--- a/guavagate/jobs/_held.py
+++ b/guavagate/jobs/_held.py
@@ -287,6 +287,8 @@
             step=job.step,
             model=job.model,
             min_version=job.min_version,
+            objective=job.objective,
+            wanted=job.target_groups,
             items=len(job.items),
             listed=len(log.listed),
             told=sum(bool(each.text.last) for each in work.items.values()),
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -257,6 +257,7 @@
                 events.ITEM_STARTED,
                 job=work.job.id,
                 item=progress.item.id,
+                group=progress.item.group,
                 sampler=upstream.id,
                 after=progress.text.last,
                 held=self._states.get(upstream.id).held,
