--- a/guavagate/jobs/_held.py
+++ b/guavagate/jobs/_held.py
@@ -266,18 +266,19 @@
             if not fresh:
                 log.load()
             if job.id not in self._held and self.active:
-                self._hold(job, log)
+                # That a job is fresh is told by clocks, which may jump.
+                self._hold(job, log, doubtful=fresh)
         finally:
             self._loading.pop(job.id)
             done.set()
 
-    def _hold(self, job: Job, log: JobLog) -> None:
+    def _hold(self, job: Job, log: JobLog, *, doubtful: bool) -> None:
         age = max(self._clock.wall() - job.submitted_at, 0)
         work = JobWork(job, log, self._clock.now(), age)
         self._bring(work)
         changed = Event()
         committer = Committer(self._clock, work, changed.set)
-        held = HeldJob(work, committer, changed)
+        held = HeldJob(work, committer, changed, doubtful)
         self._held[job.id] = held
         self._cadences[job.model].note(job.step, work.since)
         write(
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -3,6 +3,7 @@
 import pytest
 
 from guavagate.jobs import JobId, Knowledge
+from guavagate.jobs._models import job_path
 from tests.jobs.fleet import JobFleet, check_whole, find_other, make_job
 from tests.jobs.samplers import make_upstream
 
@@ -264,3 +265,27 @@
             assert known is Knowledge.FOUND
             assert rest
             assert rest == shown[after : after + len(rest)]
+
+
+def test_a_clock_set_back_hides_no_results(fleet: JobFleet) -> None:
+    """The owner's time of day jumps back by seconds, and its watch breaks.
+
+    A job that others have worked on meanwhile seems to be submitted just now,
+    so its list is not read when it is taken in. What was listed must be found
+    all the same once it is asked for.
+    """
+    fleet.submit(make_job(), 'a')
+    fleet.clock.advance(_LATER)
+    other = fleet.nodes[find_other(fleet)]
+    held = other.owner._held
+    held.active = True
+    reading = other.clock.spawn(other.shelf.store.get, job_path(JobId('job-1')))
+    fleet.clock.run_until(reading.ready, 5)
+    stored = reading.get(block=False)
+    taking = other.clock.spawn(held.take_stored, stored, True)
+    fleet.clock.run_until(taking.ready, 5)
+    asking = other.clock.spawn(held.read, JobId('job-1'), 0, 0)
+    fleet.clock.run_until(asking.ready, 5)
+    known, page = asking.get(block=False)
+    assert known is Knowledge.FOUND
+    assert len(page.results) == 6
