Listen before the program is loaded

Cause: callers whose instance starts are refused a connection for the tenths of a second that loading takes; after a kill of all, by every instance.

--- a/guavagate/daemon.py
+++ b/guavagate/daemon.py
@@ -7,6 +7,13 @@
 from pathlib import Path
 from typing import Protocol
 
+from guavagate.helpers.listeners import listen_early
+from guavagate.platform.early import read_callers_addresses
+
+# As many connections as a server of ours lets wait.
+if '--on-platform' in sys.argv:
+    listen_early(read_callers_addresses(), backlog=1024)
+
 from guavagate.helpers.patching import patch_blocking_calls
 
 patch_blocking_calls()
--- a/guavagate/http1/_server.py
+++ b/guavagate/http1/_server.py
@@ -9,6 +9,7 @@
 from gevent.server import StreamServer
 
 from guavagate.clock import Clock
+from guavagate.helpers.listeners import take_listener
 from guavagate.http1._caller_link import (
     CallerGoneError,
     CallerLink,
@@ -47,9 +48,16 @@
         self._clock = clock
         self._handle = handle
         self._limits = limits
-        self._server = StreamServer(
-            (host, int(port)), self._serve, backlog=_BACKLOG
-        )
+        early = take_listener(address)
+        if early is None:
+            self._server = StreamServer(
+                (host, int(port)), self._serve, backlog=_BACKLOG
+            )
+        else:
+            early.setblocking(False)
+            self._server = StreamServer(
+                socket.socket(fileno=early.detach()), self._serve
+            )
         self._idle: set[CallerLink] = set()
         self.active = 0
         self.closing = False
