--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -128,9 +128,9 @@
         return route
 
     def _judge(self, outcome: Outcome) -> RewardOutcome:
-        """Return what an outcome gives: a receipt only with a whole success.
+        """Return what an outcome gives: a signature only with a whole success.
 
-        A success without a receipt is not the upstream's word, and what broke
+        A success without a signature is not the upstream's word, and what broke
         off, or was crossed, never gets here as an answer.
         """
         attempt = outcome.attempt
@@ -140,8 +140,8 @@
                 failures=outcome.failed_answers,
                 reason=outcome.reason,
             )
-        receipt = self._dialect.read_receipt(attempt.headers)
-        if attempt.status not in _GOOD or not receipt:
+        signature = self._dialect.read_signature(attempt.headers)
+        if attempt.status not in _GOOD or not signature:
             return RewardOutcome(
                 kind=RewardKind.FAILED,
                 failures=outcome.failed_answers,
@@ -149,6 +149,6 @@
             )
         return RewardOutcome(
             kind=RewardKind.GIVEN,
-            receipt=receipt,
+            signature=signature,
             failures=outcome.failed_answers,
         )
--- a/guavagate/jobs/_carried.py
+++ b/guavagate/jobs/_carried.py
@@ -63,7 +63,7 @@
             kept = self._kept.pop(progress.item.id, None)
             if kept is None or not _is_same(kept.item, progress.item):
                 continue
-            # A receipt is that of the request that gave it, whichever step
+            # A signature is that of the request that gave it, whichever step
             # asked for it; for another request only the text is of use.
             rated = kept.item.reward == progress.item.reward
             if kept.result is not None and rated:
--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -27,7 +27,7 @@
 class JobItem(msgspec.Struct, frozen=True, kw_only=True):
     """One item: a request to run, and the group that it completes.
 
-    `reward` is sent once the text is whole; its receipt belongs to the result.
+    `reward` is sent once the text is whole; its signature is the result's.
     """
 
     id: ItemId
@@ -67,14 +67,14 @@
 class Result(msgspec.Struct, frozen=True):
     """What is listed of an item; `versions` are those that made its text.
 
-    `receipt` is that of its reward request, where the item names one.
+    `signature` is that of its reward request, where the item names one.
     """
 
     id: ItemId
     state: ResultState
     text: str
     versions: list[WeightVersion]
-    receipt: str = ''
+    signature: str = ''
 
 
 class Chunk(msgspec.Struct, frozen=True):
--- a/guavagate/jobs/_rewards.py
+++ b/guavagate/jobs/_rewards.py
@@ -135,7 +135,7 @@
             seconds=round(seconds, 3),
             since_whole=round(waited, 3),
         )
-        self._finish(work, _complete(progress, outcome.receipt))
+        self._finish(work, _complete(progress, outcome.signature))
 
     def _note_failed(
         self,
@@ -215,12 +215,12 @@
     )
 
 
-def _complete(progress: Progress, receipt: str) -> Result:
+def _complete(progress: Progress, signature: str) -> Result:
     text = progress.text
     return Result(
         progress.item.id,
         ResultState.COMPLETED,
         text.join(),
         text.versions,
-        receipt,
+        signature,
     )
--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -46,8 +46,8 @@
         ]
         return Request('POST', path, headers)
 
-    def read_receipt(self, headers: Headers) -> str:
-        """Return the receipt of an answer's sampler, or nothing."""
+    def read_signature(self, headers: Headers) -> str:
+        """Return the signature of an answer's sampler, or nothing."""
         return find_header(headers, const.SEAL)
 
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
--- a/guavagate/platform/_jobs.py
+++ b/guavagate/platform/_jobs.py
@@ -117,8 +117,8 @@
         'text': result.text,
         'versions': result.versions,
     }
-    if result.receipt:
-        encoded['score'] = result.receipt
+    if result.signature:
+        encoded['score'] = result.signature
     return encoded
 
 
--- a/guavagate/platform/_samplers.py
+++ b/guavagate/platform/_samplers.py
@@ -133,7 +133,7 @@
             versions=read_models(report.models),
             running=report.num_running,
             waiting=report.num_waiting,
-            born=int(report.born),
+            incarnation=int(report.born),
         )
 
     def order(self, upstream: Upstream, order: VersionOrder) -> bool:
--- a/guavagate/platform/_servers.py
+++ b/guavagate/platform/_servers.py
@@ -58,7 +58,7 @@
         leaving=server.state != _READY,
         slots=server.slots,
         versions=read_models(server.models),
-        born=int(server.born),
+        incarnation=int(server.born),
     )
 
 
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -49,8 +49,8 @@
     def compose(self, request_id: str, host: str, path: str) -> Request:
         """Return a request of our own, to be prepared as callers' are."""
 
-    def read_receipt(self, headers: Headers) -> str:
-        """Return the receipt of an answer's upstream, or nothing."""
+    def read_signature(self, headers: Headers) -> str:
+        """Return the signature of an answer's upstream, or nothing."""
 
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
         """Return what an answer's head says."""
--- a/guavagate/ports/rewards.py
+++ b/guavagate/ports/rewards.py
@@ -29,7 +29,7 @@
     """The end of one try; `failures` counts the upstreams that answered 500."""
 
     kind: RewardKind
-    receipt: str = ''
+    signature: str = ''
     failures: int = 0
     reason: str = ''
 
--- a/guavagate/ports/sampler.py
+++ b/guavagate/ports/sampler.py
@@ -57,7 +57,7 @@
     versions: dict[str, WeightVersion]
     running: int = 0
     waiting: int = 0
-    born: int = 0
+    incarnation: int = 0
 
 
 class VersionOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/guavagate/ports/upstreams.py
+++ b/guavagate/ports/upstreams.py
@@ -8,9 +8,9 @@
 class Upstream(msgspec.Struct, frozen=True, kw_only=True):
     """One process that serves a service; `versions` by model.
 
-    `born` is when it started, in milliseconds by its own clock; 0 where it
-    does not tell. One that starts again keeps its id and knows nothing of
-    before.
+    `incarnation` is when it started, in milliseconds by its own clock; 0
+    where it does not tell. One that starts again keeps its id and knows
+    nothing of before.
     """
 
     id: UpstreamId
@@ -20,4 +20,4 @@
     leaving: bool = False
     slots: int = 0
     versions: dict[str, WeightVersion] = {}
-    born: int = 0
+    incarnation: int = 0
--- a/guavagate/rollouts/_coordinator.py
+++ b/guavagate/rollouts/_coordinator.py
@@ -328,7 +328,7 @@
         """Ask a sampler for its state; return whether it carries no order."""
         before = self._states.get(upstream.id)
         report = self._client.report(upstream)
-        self._note_start(upstream, before, report.born)
+        self._note_start(upstream, before, report.incarnation)
         state = self._states.get(upstream.id)
         state.orders_taken = report.orders_taken
         for model, version in report.versions.items():
@@ -336,7 +336,7 @@
         return not report.busy
 
     def _note_start(
-        self, upstream: Upstream, before: SamplerState, born: int
+        self, upstream: Upstream, before: SamplerState, incarnation: int
     ) -> None:
         """Take in of which start a report is.
 
@@ -345,14 +345,14 @@
         clock was set back and the new start seems to be the older one.
         """
         state = self._states.get(upstream.id)
-        if not born or born == state.born:
+        if not incarnation or incarnation == state.incarnation:
             return
-        if state is not before and born < state.born:
+        if state is not before and incarnation < state.incarnation:
             raise UpstreamError(
                 f'{upstream.id} reported of a former start',
                 'nothing; it is asked again',
             )
-        self._states.start_anew(upstream.id, born)
+        self._states.start_anew(upstream.id, incarnation)
 
     def _look_at(self, upstream: Upstream) -> None:
         """Learn what became of an order that failed."""
--- a/guavagate/rollouts/_states.py
+++ b/guavagate/rollouts/_states.py
@@ -14,8 +14,8 @@
 class SamplerState(msgspec.Struct):
     """One sampler; `pace` in seconds an event, 0 when not known yet.
 
-    `orders_taken` is nothing until the sampler was asked for it. `born` is
-    that of the start which all of this is about, 0 where it is not told.
+    `orders_taken` is nothing until the sampler was asked for it. All of this
+    is about the start that `incarnation` names, 0 where it is not told.
     """
 
     versions: dict[str, WeightVersion] = {}
@@ -27,7 +27,7 @@
     unreachable: int = 0
     failed_orders: int = 0
     order_after: float = 0
-    born: int = 0
+    incarnation: int = 0
 
 
 class SamplerStates:
@@ -67,8 +67,8 @@
         present = set()
         for upstream in upstreams:
             present.add(upstream.id)
-            if upstream.born > self.get(upstream.id).born:
-                self.start_anew(upstream.id, upstream.born)
+            if upstream.incarnation > self.get(upstream.id).incarnation:
+                self.start_anew(upstream.id, upstream.incarnation)
             state = self.get(upstream.id)
             for model, version in upstream.versions.items():
                 self._raise(state, model, version)
@@ -78,7 +78,7 @@
                 self._states.pop(gone)
         self.tell()
 
-    def start_anew(self, sampler: UpstreamId, born: int) -> None:
+    def start_anew(self, sampler: UpstreamId, start: int) -> None:
         """Take in of which start a sampler is; forget an earlier one.
 
         Whoever still works with the former state, an order on its way or a
@@ -86,10 +86,11 @@
         that are held here stay: each is freed as its run ends.
         """
         state = self.get(sampler)
-        if not state.born:
-            state.born = born
+        if not state.incarnation:
+            state.incarnation = start
             return
-        self._states[sampler] = SamplerState(held=state.held, born=born)
+        fresh = SamplerState(held=state.held, incarnation=start)
+        self._states[sampler] = fresh
         self.helpers.pop(sampler, None)
 
     def note_work(self, model: str, amount: float) -> None:
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -47,7 +47,7 @@
         self._random = rng or random.Random()
         self._all: dict[UpstreamId, Upstream] = {}
         self._loads: dict[str, Load] = {}
-        self._born: dict[UpstreamId, int] = {}
+        self._incarnations: dict[UpstreamId, int] = {}
         self._subscribers: list[Callable[[], None]] = []
         self._on_restart: list[Callable[[Upstream], None]] = []
 
@@ -84,16 +84,16 @@
         counts as a new one; where the upstream's clock was set back, its
         reports tell, which are asked for and can not be so old.
         """
-        before = self._born.get(upstream.id, 0)
-        self._born[upstream.id] = max(before, upstream.born)
-        if not before or upstream.born <= before:
+        before = self._incarnations.get(upstream.id, 0)
+        self._incarnations[upstream.id] = max(before, upstream.incarnation)
+        if not before or upstream.incarnation <= before:
             return
         self._loads.pop(upstream.id, None)
         write(
             _LOGGER,
             events.UPSTREAM_RESTARTED,
             upstream=upstream.id,
-            born=upstream.born,
+            incarnation=upstream.incarnation,
             before=before,
         )
         for restarted in self._on_restart:
--- a/standins/platform/checks.py
+++ b/standins/platform/checks.py
@@ -65,7 +65,7 @@
         self.expect(
             all(part[0] == item for part in parts), 'MIXED', f'{job} {item}'
         )
-        self._check_receipt(item, result.get('score', ''))
+        self._check_signature(item, result.get('score', ''))
         made = {int(part[2]) for part in parts}
         named = set(result['versions'])
         self.expect(made == named, 'VERSIONS', f'{item} {made} not {named}')
@@ -73,10 +73,12 @@
             min(made) >= self._oldest[job], 'STALE', f'{job} {item} {made}'
         )
 
-    def _check_receipt(self, item: str, receipt: str) -> None:
+    def _check_signature(self, item: str, signature: str) -> None:
         """Check that it is of the item's reward call, made after the text."""
-        name, came = self._journal.rated.get(receipt, ('', 0))
-        self.expect(name == f'w-{item}', 'RECEIPT', f'{item} {receipt} {name}')
+        name, came = self._journal.rated.get(signature, ('', 0))
+        self.expect(
+            name == f'w-{item}', 'SIGNATURE', f'{item} {signature} {name}'
+        )
         whole_at = self._journal.whole_at.get(item, came)
         self.expect(came >= whole_at, 'EARLY', f'{item} {came} {whole_at}')
 
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -155,9 +155,9 @@
         'tests/jobs/test_rewards.py',
     ),
     Safeguard(
-        'a receipt comes with a whole success',
+        'a signature comes with a whole success',
         'guavagate/forwarding/_rewards.py',
-        'if attempt.status not in _GOOD or not receipt:',
+        'if attempt.status not in _GOOD or not signature:',
         'if False:',
         'tests/forwarding/test_rewards.py',
     ),
@@ -176,7 +176,7 @@
         'tests/jobs/test_rewards.py',
     ),
     Safeguard(
-        'a receipt is carried for the same request only',
+        'a signature is carried for the same request only',
         'guavagate/jobs/_carried.py',
         'rated = kept.item.reward == progress.item.reward',
         'rated = True',
@@ -185,15 +185,15 @@
     Safeguard(
         'a new start forgets the former one',
         'guavagate/rollouts/_states.py',
-        'self._states[sampler] = SamplerState(held=state.held, born=born)',
-        'state.born = born',
+        'self._states[sampler] = fresh',
+        'state.incarnation = start',
         'tests/rollouts/test_coordinator.py',
     ),
     Safeguard(
         'a late registration is no new start',
         'guavagate/routing/_upstreams.py',
-        'if not before or upstream.born <= before:',
-        'if not before or upstream.born == before:',
+        'if not before or upstream.incarnation <= before:',
+        'if not before or upstream.incarnation == before:',
         'tests/routing/test_restarts.py',
     ),
     Safeguard(
--- a/tests/forwarding/test_rewards.py
+++ b/tests/forwarding/test_rewards.py
@@ -14,8 +14,8 @@
 from guavagate.platform._dialect import PlatformDialect
 from guavagate.ports.configuration import Configuration, RouteKind
 from guavagate.ports.rewards import RewardKind, RewardOutcome, RewardRequest
-from guavagate.ports.upstreams import Upstream
 from guavagate.routing import RouteTable, UpstreamTable
+from tests.forwarding.common import start_upstream
 from tests.routing.test_routes import make_route
 
 _REWARD = RewardRequest(
@@ -81,18 +81,9 @@
                 sock.sendall(left.pop(0))
             sock.close()
 
-        server = StreamServer(('127.0.0.1', 0), serve)
-        server.start()
+        server, upstream = start_upstream(name, zone, serve)
         self.servers.append(server)
-        self.upstreams.put(
-            Upstream(
-                id=UpstreamId(name),
-                service=ServiceId('s'),
-                address=f'127.0.0.1:{server.server_port}',
-                zone=ZoneId(zone),
-                slots=4,
-            )
-        )
+        self.upstreams.put(upstream)
 
     def send(self) -> RewardOutcome:
         """Send the reward request."""
@@ -113,7 +104,7 @@
     """Its own id, a deadline, the target's id; path and body byte for byte."""
     setting.add('a', _GOOD)
     outcome = setting.send()
-    assert (outcome.kind, outcome.receipt) == (RewardKind.GIVEN, 's-1')
+    assert (outcome.kind, outcome.signature) == (RewardKind.GIVEN, 's-1')
     head, _, body = setting.requests[0].partition(b'\r\n\r\n')
     assert body == _REWARD.body
     lines = head.split(b'\r\n')
@@ -137,22 +128,22 @@
         _answer(status=421),
     ],
     ids=[
-        'cut', 'crossed', 'no receipt', 'spoilt', 'lost', 'silent', 'full',
+        'cut', 'crossed', 'no signature', 'spoilt', 'lost', 'silent', 'full',
         'limited', 'misdirected',
     ],
 )  # fmt: skip
-def test_what_is_no_whole_success_gives_no_receipt(
+def test_what_is_no_whole_success_gives_no_signature(
     setting: _Setting, spoilt: bytes
 ) -> None:
     """Each is what one upstream answers; alone it is no failure of the item."""
     setting.add('a', spoilt)
     outcome = setting.send()
     assert outcome.kind is RewardKind.FAILED
-    assert not outcome.receipt
+    assert not outcome.signature
     assert outcome.failures == 0
 
 
-def test_another_upstream_gives_the_receipt(setting: _Setting) -> None:
+def test_another_upstream_gives_the_signature(setting: _Setting) -> None:
     """One fails with 500, one is silent; the third is asked in time."""
     setting.add('a', _answer(_SEAL, status=500))
     setting.add('b', b'silence', zone='y')
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -22,11 +22,12 @@
     HttpServer,
     Request,
 )
-from guavagate.models import ServiceId, UpstreamId, ZoneId
+from guavagate.models import ServiceId, ZoneId
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import AnswerMarks, Call
 from guavagate.ports.upstreams import Upstream
 from guavagate.routing import UpstreamTable
+from tests.forwarding.common import start_upstream
 from tests.routing.test_routes import make_route
 
 _HEAD = (
@@ -59,7 +60,7 @@
         """Return a request of our own."""
         return Request('POST', path, [(b'Host', host.encode())])
 
-    def read_receipt(self, headers: Headers) -> str:
+    def read_signature(self, headers: Headers) -> str:
         """Return nothing; these upstreams give none."""
         return ''
 
@@ -98,18 +99,9 @@
                     self.left.append(name)
             sock.close()
 
-        server = StreamServer(('127.0.0.1', 0), serve)
-        server.start()
+        server, upstream = start_upstream(name, zone, serve)
         self.servers.append(server)
-        self.upstreams.put(
-            Upstream(
-                id=UpstreamId(name),
-                service=ServiceId('s'),
-                address=f'127.0.0.1:{server.server_port}',
-                zone=ZoneId(zone),
-                slots=4,
-            )
-        )
+        self.upstreams.put(upstream)
 
     def ask(self, *, resumable: bool = True, leave: bool = False) -> bytes:
         """Return all that the caller gets until its connection ends."""
--- a/tests/jobs/rewards.py
+++ b/tests/jobs/rewards.py
@@ -68,5 +68,5 @@
             self.lost[reward.id] -= 1
             return RewardOutcome(kind=RewardKind.FAILED, reason='lost')
         return RewardOutcome(
-            kind=RewardKind.GIVEN, receipt=f'receipt of {reward.id}'
+            kind=RewardKind.GIVEN, signature=f'signature of {reward.id}'
         )
--- a/tests/jobs/samplers.py
+++ b/tests/jobs/samplers.py
@@ -20,7 +20,7 @@
 
 
 def make_upstream(
-    name: str, version: int = 1, slots: int = 4, born: int = 0
+    name: str, version: int = 1, slots: int = 4, incarnation: int = 0
 ) -> Upstream:
     """Return a sampler's registration."""
     return Upstream(
@@ -30,7 +30,7 @@
         zone=ZoneId('zone-0'),
         slots=slots,
         versions={MODEL: WeightVersion(version)},
-        born=born,
+        incarnation=incarnation,
     )
 
 
@@ -79,7 +79,7 @@
         self.orders_taken: Counter[str] = Counter()
         self.orders: list[tuple[float, str, VersionOrder]] = []
         self.silent_orders = 0
-        self.born: dict[str, int] = {}
+        self.incarnation: dict[str, int] = {}
         self.silent: set[str] = set()
         self.reports: Counter[str] = Counter()
         self.made: Counter[str] = Counter()
@@ -104,7 +104,7 @@
             busy=False,
             orders_taken=self.orders_taken[upstream.id],
             versions={MODEL: version},
-            born=self.born.get(upstream.id, 0),
+            incarnation=self.incarnation.get(upstream.id, 0),
         )
 
     def order(self, upstream: Upstream, order: VersionOrder) -> bool:
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -214,13 +214,13 @@
     owner = fleet.nodes[fleet.owner()]
     owner.samplers.length = 40
     for name in 'xyz':
-        owner.upstreams.put(make_upstream(name, born=100))
+        owner.upstreams.put(make_upstream(name, incarnation=100))
     fleet.submit(make_job(), 'a')
     fleet.clock.advance(1)
     owner.samplers.silent.add('x')
     fleet.clock.advance(0.6)
     before = len(owner.samplers.started)
-    owner.upstreams.put(make_upstream('x', born=200))
+    owner.upstreams.put(make_upstream('x', incarnation=200))
     fleet.clock.advance(0.3)
     again = owner.samplers.started[before:]
     assert again
--- a/tests/jobs/test_rewards.py
+++ b/tests/jobs/test_rewards.py
@@ -25,23 +25,23 @@
 
 
 def _check_rated(fleet: JobFleet, items: int) -> list[Result]:
-    """Check that each item is listed once, with its own receipt."""
+    """Check that each item is listed once, with its own signature."""
     _, results = fleet.read('job-1', find_other(fleet))
     assert len({each.id for each in results}) == len(results) == items
     for result in results:
         if result.state is ResultState.COMPLETED:
-            assert result.receipt == f'receipt of reward-{result.id}'
+            assert result.signature == f'signature of reward-{result.id}'
     return results
 
 
-def test_a_result_is_listed_with_the_receipt_of_its_reward(
+def test_a_result_is_listed_with_the_signature_of_its_reward(
     fleet: JobFleet,
 ) -> None:
-    """Each text is made, then rated once, then listed with its receipt."""
+    """Each text is made, then rated once, then listed with its signature."""
     fleet.submit(make_job(rated=True), 'a')
     fleet.clock.advance(_LATER)
     results = _check_rated(fleet, 6)
-    assert all(each.receipt for each in results)
+    assert all(each.signature for each in results)
     assert len(_owner(fleet).rewards.sent) == 6
 
 
@@ -50,7 +50,7 @@
 ) -> None:
     """A sampler dies in the middle of the texts; they go on elsewhere.
 
-    A receipt that is older than the last event of its text rates another text
+    A signature that is older than the last event of its text rates another text
     than the one that is delivered.
     """
     owner = _owner(fleet)
@@ -74,7 +74,7 @@
     assert min(made.values()) >= 40
 
 
-def test_a_lost_answer_gives_no_receipt(fleet: JobFleet) -> None:
+def test_a_lost_answer_gives_no_signature(fleet: JobFleet) -> None:
     """Answers are lost, cut or crossed; the request is sent again."""
     rewards = _owner(fleet).rewards
     rewards.lost.update({'reward-0-0': 2, 'reward-1-1': 1})
@@ -99,7 +99,7 @@
     fleet.submit(make_job(rated=True), 'a')
     fleet.clock.advance(_LATER)
     results = _check_rated(fleet, 6)
-    errored = [each.id for each in results if not each.receipt]
+    errored = [each.id for each in results if not each.signature]
     assert errored == ['0-0']
     asked = [name for _, name in rewards.sent]
     assert asked.count('reward-0-0') == 4
@@ -160,7 +160,7 @@
     assert sum(owner.samplers.made.values()) == 30
 
 
-def test_a_receipt_of_an_earlier_job_goes_with_its_text(
+def test_a_signature_of_an_earlier_job_goes_with_its_text(
     fleet: JobFleet,
 ) -> None:
     """A group that was not whole comes again under the same reward requests.
@@ -185,10 +185,10 @@
     fleet.submit(again, 'a')
     fleet.clock.advance(_LATER)
     _, results = fleet.read('job-1', 'a')
-    assert sorted(each.receipt for each in results) == [
-        'receipt of reward-0-1',
-        'receipt of reward-0-2',
-        'receipt of reward-other',
+    assert sorted(each.signature for each in results) == [
+        'signature of reward-0-1',
+        'signature of reward-0-2',
+        'signature of reward-other',
     ]
     assert sum(owner.samplers.made.values()) == 15
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -97,7 +97,7 @@
     assert reward.body == b'\x00\xff'
 
 
-def test_a_receipt_is_encoded_where_there_is_one() -> None:
+def test_a_signature_is_encoded_where_there_is_one() -> None:
     """A result of an item without a reward has no such field."""
     rated = Result('i1', ResultState.COMPLETED, 'a', [6], 's-1')  # type: ignore[arg-type, list-item]
     plain = Result('i2', ResultState.COMPLETED, 'a', [6])  # type: ignore[arg-type, list-item]
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -181,15 +181,15 @@
     every order refused; what it was loading, it has not loaded.
     """
     held = _Setting()
-    held.samplers.born = dict.fromkeys('abcdef', 100)
+    held.samplers.incarnation = dict.fromkeys('abcdef', 100)
     held.name(2)
     held.clock.advance(12)
     assert held.samplers.versions['a'] == 2
     before = len(held.samplers.orders)
     held.samplers.orders_taken['a'] = 0
-    held.samplers.born['a'] = 200
+    held.samplers.incarnation['a'] = 200
     held.samplers.versions['a'] = WeightVersion(1)
-    upstream = make_upstream('a', born=200)
+    upstream = make_upstream('a', incarnation=200)
     held.upstreams.put(upstream)
     held.clock.advance(1)
     held.name(3)
@@ -210,15 +210,15 @@
     nothing; a report that was asked for after it is the sampler's own word.
     """
     held = _Setting()
-    held.samplers.born = dict.fromkeys('abcdef', 500)
+    held.samplers.incarnation = dict.fromkeys('abcdef', 500)
     held.name(2)
     held.clock.advance(12)
     held.samplers.orders_taken['a'] = 0
-    held.samplers.born['a'] = 100
+    held.samplers.incarnation['a'] = 100
     held.name(3)
     held.clock.advance(12)
     assert held.samplers.versions['a'] == 3
-    assert held.states.get(make_upstream('a').id).born == 100
+    assert held.states.get(make_upstream('a').id).incarnation == 100
 
 
 def test_an_answer_of_a_former_start_changes_nothing() -> None:
--- a/tests/routing/test_restarts.py
+++ b/tests/routing/test_restarts.py
@@ -15,12 +15,15 @@
     def __init__(self) -> None:
         self.table = UpstreamTable(PausedClock(), ZoneId('z'))
         self.told: list[int] = []
-        self.table.subscribe_restarts(lambda each: self.told.append(each.born))
+        self.table.subscribe_restarts(self._note)
 
-    def put(self, born: int) -> None:
+    def _note(self, upstream: Upstream) -> None:
+        self.told.append(upstream.incarnation)
+
+    def put(self, number: int) -> None:
         """Take in a registration."""
         upstream: Upstream = make_upstream('a', 'z')
-        self.table.put(msgspec.structs.replace(upstream, born=born))
+        self.table.put(msgspec.structs.replace(upstream, incarnation=number))
 
 
 def test_an_upstream_that_starts_again_is_not_judged_by_before() -> None:
@@ -43,6 +46,6 @@
     Taken for restarts, each would cut the runs of the new start.
     """
     held = _Setting()
-    for born in (100, 200, 100, 200, 0, 200):
-        held.put(born)
+    for incarnation in (100, 200, 100, 200, 0, 200):
+        held.put(incarnation)
     assert held.told == [200]
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -59,8 +59,8 @@
     assert 'FOREIGN' in _judge([_make_result('x')])
     assert 'STALE' in _judge([_make_result('i', 1)])
     assert 'VERSIONS' in _judge([{**one, 'versions': [3]}])
-    assert 'RECEIPT' in _judge([{**one, 'score': 's-k'}])
-    assert 'RECEIPT' in _judge([{**one, 'score': ''}])
+    assert 'SIGNATURE' in _judge([{**one, 'score': 's-k'}])
+    assert 'SIGNATURE' in _judge([{**one, 'score': ''}])
     assert 'EARLY' in _judge([one], whole_at=6)
 
 
