Have each reader in doubt wait for its own look-up; refuse rewards that can't be sent

Cause: of two readers of a doubtful job the second one was told that there is nothing while the look-up of the first was on its way. A reward request whose id, host or path is not ASCII could never be sent. Change: doubts are counted and settled by number; such a submission gets 400.

--- a/guavagate/jobs/_held.py
+++ b/guavagate/jobs/_held.py
@@ -43,14 +43,16 @@
 class HeldJob(msgspec.Struct):
     """A job in work, and who waits for its results.
 
-    `doubtful` while another instance may have listed results that are not
-    known here; `ended_at` on the runtime's clock.
+    `doubts` counts how often another instance may have listed results that
+    are not known here, `settled` how many of these were looked into;
+    `ended_at` is on the runtime's clock.
     """
 
     work: JobWork
     committer: Committer
     changed: Event
-    doubtful: bool = False
+    doubts: int = 0
+    settled: int = 0
     ended_at: float | None = None
 
     def has(self, position: int) -> bool:
@@ -59,9 +61,8 @@
 
     def is_doubtful(self) -> bool:
         """Return whether what is not here may have been listed elsewhere."""
-        return self.doubtful and len(self.work.log.listed) < len(
-            self.work.items
-        )
+        whole = len(self.work.log.listed) >= len(self.work.items)
+        return self.doubts > self.settled and not whole
 
 
 class HeldJobs:
@@ -174,7 +175,7 @@
         nothing where there was a result before.
         """
         for held in self:
-            held.doubtful = True
+            held.doubts += 1
 
     def take_stored(self, stored: StoredObject, fresh: bool) -> None:
         """Take a stored job in, however long that takes."""
@@ -239,18 +240,20 @@
         """
         if held.has(position) or not held.is_doubtful():
             return True
-        held.doubtful = False
+        doubts = held.doubts
         asked = self._clock.now()
         try:
             held.work.log.load()
         except StoreError as error:
-            held.doubtful = True
             _LOGGER.debug('%s is not confirmed: %s', held.work.job.id, error)
             return False
         held.work.note_listed()
-        if held.ended_at is not None:
-            # Writes that were on their way at the end may still come.
-            held.doubtful |= asked < held.ended_at + WRITE_SECONDS
+        # Writes that were on their way at the end may still come.
+        settling = held.ended_at is not None and (
+            asked < held.ended_at + WRITE_SECONDS
+        )
+        if not settling:
+            held.settled = max(held.settled, doubts)
         return True
 
     def _load(self, job: Job, *, fresh: bool) -> None:
@@ -278,7 +281,7 @@
         self._bring(work)
         changed = Event()
         committer = Committer(self._clock, work, changed.set)
-        held = HeldJob(work, committer, changed, doubtful)
+        held = HeldJob(work, committer, changed, int(doubtful))
         self._held[job.id] = held
         self._cadences[job.model].note(job.step, work.since)
         write(
@@ -309,7 +312,7 @@
     def _end(self, held: HeldJob) -> None:
         work = held.work
         work.ended = True
-        held.doubtful = True
+        held.doubts += 1
         held.ended_at = self._clock.now()
         seconds = self._clock.now() - work.since
         write(
--- a/guavagate/platform/_jobs.py
+++ b/guavagate/platform/_jobs.py
@@ -140,8 +140,10 @@
     named = f'scorer {scorer.id}'
     if not scorer.id or len(scorer.id) > _MAX_ID:
         raise BadJobError(f'{named}: send an id of 1 to 200 characters')
-    if not scorer.path.startswith('/'):
-        raise BadJobError(f'{named}: send a path that begins with a slash')
+    if not scorer.path.startswith('/') or ' ' in scorer.path:
+        raise BadJobError(f'{named}: send a path of /, without spaces')
+    if not f'{scorer.id}{scorer.host}{scorer.path}'.isascii():
+        raise BadJobError(f'{named}: send id, host and path in ASCII')
     body = _decode_body(scorer.body, named)
     if len(body) > _MAX_REWARD_BYTES:
         raise BadJobError(f'{named}: send a body of at most 1 MB')
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -289,3 +289,34 @@
     known, page = asking.get(block=False)
     assert known is Knowledge.FOUND
     assert len(page.results) == 6
+
+
+def test_two_readers_in_doubt_both_get_what_is_listed(
+    fleet: JobFleet,
+) -> None:
+    """An owner is in doubt, the store is slow, and two readers ask at once.
+
+    The second one must not be told that there is nothing while the first one's
+    look-up is on its way.
+    """
+    fleet.submit(make_job(), 'a')
+    fleet.clock.advance(_LATER)
+    other = fleet.nodes[find_other(fleet)]
+    held = other.owner._held
+    held.active = True
+    loading = other.clock.spawn(held.read, JobId('job-1'), 0, 0)
+    fleet.clock.run_until(loading.ready, 5)
+    job = held.get(JobId('job-1'))
+    assert job is not None
+    log = other.shelf.make_log(JobId('job-1'))
+    job.work.log = log
+    held.doubt()
+    fleet.world.store.slow = 0.3
+    asking = [
+        other.clock.spawn(held.read, JobId('job-1'), 5, 0) for _ in range(2)
+    ]
+    fleet.clock.run_until(lambda: all(each.ready() for each in asking), 5)
+    for each in asking:
+        known, page = each.get(block=False)
+        assert known is Knowledge.FOUND
+        assert len(page.results) == 1
