--- a/guavagate/platform/_servers.py
+++ b/guavagate/platform/_servers.py
@@ -1,5 +1,6 @@
 """Samplers' registrations, decoded into the product's upstreams."""
 
+import ipaddress
 from typing import Final
 
 import msgspec
@@ -8,6 +9,9 @@
 from guavagate.ports.upstreams import Upstream
 
 _READY: Final = 'ready'
+_MOST_PORT: Final = 65_535
+# Far beyond any engine's batch; more is no number of places.
+_MOST_SLOTS: Final = 100_000
 _STATES: Final = frozenset((_READY, 'draining'))
 
 
@@ -47,9 +51,10 @@
     server = msgspec.json.decode(value, type=_Server)
     if server.state not in _STATES:
         raise ValueError(f'the state {server.state!r} is not known')
-    host, _, port = server.address.rpartition(':')
-    if not host or not port.isdigit():
-        raise ValueError(f'{server.address!r} is no address')
+    if not _is_address(server.address):
+        raise ValueError(f'{server.address!r} is no IP address with a port')
+    if not 0 <= server.slots <= _MOST_SLOTS:
+        raise ValueError(f'{server.slots} slots are none')
     return Upstream(
         id=UpstreamId(name),
         service=ServiceId(server.service),
@@ -62,6 +67,15 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+        return 0 < int(port.encode('ascii')) <= _MOST_PORT
+    except ValueError:
+        return False
+
+
 def read_models(models: list[ModelState]) -> dict[str, WeightVersion]:
     """Return versions by model."""
     return {each.name: WeightVersion(each.version) for each in models}
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -89,6 +89,31 @@
         decode_server('i-1', msgspec.json.encode({**_SERVER, 'state': state}))
 
 
+@pytest.mark.parametrize(
+    ('field', 'text'),
+    [
+        ('born', '1e999'),
+        ('born', '-1e400'),
+        ('slots', '99999999999999999999999'),
+        ('address', '"10.0.0.1:99999"'),
+        ('address', '"10.0.0.1:0"'),
+        ('address', '"10.0.0.1:\u0662"'),
+        ('address', '"nowhere"'),
+        ('address', '":80"'),
+    ],
+)
+def test_an_entry_out_of_range_is_told_as_unreadable(
+    field: str, text: str
+) -> None:
+    """Taken in, it would raise where a connection is made, or a number used.
+
+    Such an error is none of those that a request is repeated after.
+    """
+    entry = {**_SERVER, field: msgspec.Raw(text.encode())}
+    with pytest.raises(ValueError, match=r'\w+'):
+        decode_server('i-1', msgspec.json.encode(entry))
+
+
 def _entry(name: str, value: bytes, version: int) -> FeedEntry:
     return FeedEntry(
         path=f'servers/{name}', version=Revision(version), value=value
