--- /dev/null
+++ b/standins/_safeguard_rows.py
@@ -0,0 +1,345 @@
+"""What is removed of the code, one safeguard a row, and the test for it."""
+
+from typing import Final
+
+import msgspec
+
+
+class Safeguard(msgspec.Struct, frozen=True):
+    """What is removed: `text` of a file becomes `without`."""
+
+    name: str
+    file: str
+    text: str
+    without: str
+    test: str
+
+
+SAFEGUARDS: Final = (
+    Safeguard(
+        "a chunk's number is the fence",
+        'guavagate/jobs/_log.py',
+        '            if other is None:\n',
+        '            if True:\n',
+        'tests/jobs/test_log.py',
+    ),
+    Safeguard(
+        'created only if absent',
+        'guavagate/helpers/store_writes.py',
+        'expected=_MISSING)',
+        'expected=None)',
+        'tests/jobs/test_log.py',
+    ),
+    Safeguard(
+        'in doubt is not told as "not run"',
+        'guavagate/helpers/store_writes.py',
+        'return MaybeWrittenError() if unsure else NotWrittenError()',
+        'return NotWrittenError()',
+        'tests/jobs/test_shelf.py',
+    ),
+    Safeguard(
+        'a successor waits',
+        'guavagate/rollouts/_lease.py',
+        '        self._first_order_at = self._now() + wait\n',
+        '        self._first_order_at = self._now()\n',
+        'tests/rollouts/test_lease.py',
+    ),
+    Safeguard(
+        'orders need a renewal that is fresh',
+        'guavagate/rollouts/_lease.py',
+        'self._valid_until = asked + VALID_SECONDS\n\n',
+        'self._valid_until = asked + 60\n\n',
+        'tests/rollouts/test_lease.py',
+    ),
+    Safeguard(
+        'the generation grows',
+        'guavagate/rollouts/_lease.py',
+        'held.generation + 1\n',
+        'held.generation\n',
+        'tests/rollouts/test_lease.py',
+    ),
+    Safeguard(
+        'a renewal that was not heard of is waited out',
+        'guavagate/rollouts/_renewals.py',
+        'return at if heard == newest else None',
+        'return at or None',
+        'tests/rollouts/test_lease.py',
+    ),
+    Safeguard(
+        'a renewal is told before it is written',
+        'guavagate/rollouts/_lease.py',
+        '        self._tell(record)\n        try:\n            self._revision',
+        '        try:\n            self._revision',
+        'tests/rollouts/test_lease.py',
+    ),
+    Safeguard(
+        'after a restart of all the former owner goes on',
+        'guavagate/jobs/_ownership.py',
+        '            return former\n',
+        '            return ranked[0]\n',
+        'tests/jobs/test_ownership.py',
+    ),
+    Safeguard(
+        'one that restarted alone ranks as the others do',
+        'guavagate/jobs/_ownership.py',
+        'return len(ages) == 1',
+        'return True',
+        'tests/jobs/test_ownership.py',
+    ),
+    Safeguard(
+        'a text made anew replaces its copy',
+        'guavagate/jobs/_copies.py',
+        'if known is None or known.text is not text:',
+        'if known is None:',
+        'tests/jobs/test_texts.py',
+    ),
+    Safeguard(
+        'texts of two owners are kept apart',
+        'guavagate/jobs/_copies.py',
+        'source = (copy.service, sender, copy.boot)',
+        "source = (copy.service, InstanceId(''), 0)",
+        'tests/jobs/test_texts.py',
+    ),
+    Safeguard(
+        'a late copy changes nothing',
+        'guavagate/jobs/_copies.py',
+        'fits = held.number == part.number and part',
+        'fits = part',
+        'tests/jobs/test_texts.py',
+    ),
+    Safeguard(
+        'a copy is used where its versions fit',
+        'guavagate/jobs/_copies.py',
+        'if more and text.fits(work.job.min_version, None):',
+        'if more:',
+        'tests/jobs/test_texts.py',
+    ),
+    Safeguard(
+        'a woken owner looks up what others have listed',
+        'guavagate/jobs/_held.py',
+        'return self.doubts > self.settled and not whole',
+        'return False',
+        'tests/jobs/test_owner.py',
+    ),
+    Safeguard(
+        'a whole text is told as whole',
+        'guavagate/jobs/_copies.py',
+        '            text.whole,\n        )',
+        '            False,\n        )',
+        'tests/jobs/test_rewards.py',
+    ),
+    Safeguard(
+        'a reward is asked for once a text is whole',
+        'guavagate/jobs/_work.py',
+        'if self.done or not self.text.whole:\n            return False\n'
+        '        return self.reward_task',
+        'if self.done or not self.text.last:\n            return False\n'
+        '        return self.reward_task',
+        'tests/jobs/test_rewards.py',
+    ),
+    Safeguard(
+        'a signature comes with a whole success',
+        'guavagate/forwarding/_rewards.py',
+        'if attempt.status not in _GOOD or not signature:',
+        'if False:',
+        'tests/forwarding/test_rewards.py',
+    ),
+    Safeguard(
+        'rewards leave places to callers',
+        'guavagate/decisions/background.py',
+        'return max(slots - reserved, 1)',
+        'return 1000',
+        'tests/decisions/test_background.py',
+    ),
+    Safeguard(
+        'an ended job asks for no reward',
+        'guavagate/jobs/_work.py',
+        'reward.kill(block=False)',
+        'pass',
+        'tests/jobs/test_rewards.py',
+    ),
+    Safeguard(
+        'a signature is carried for the same request only',
+        'guavagate/jobs/_carried.py',
+        'rated = kept.item.reward == progress.item.reward',
+        'rated = True',
+        'tests/jobs/test_rewards.py',
+    ),
+    Safeguard(
+        'a new start forgets the former one',
+        'guavagate/rollouts/_states.py',
+        'self._states[sampler] = fresh',
+        'state.incarnation = start',
+        'tests/rollouts/test_coordinator.py',
+    ),
+    Safeguard(
+        'a late registration is no new start',
+        'guavagate/routing/_upstreams.py',
+        'if not before or upstream.incarnation <= before:',
+        'if not before or upstream.incarnation == before:',
+        'tests/routing/test_restarts.py',
+    ),
+    Safeguard(
+        'one unreadable object hides no other',
+        'guavagate/feeds/_table.py',
+        'except ValueError as error:',
+        'except ZeroDivisionError as error:',
+        'tests/platform/test_other_writers.py',
+    ),
+    Safeguard(
+        'successors are told of texts',
+        'guavagate/jobs/_owner.py',
+        'peers = self._list_successors()[:COPIES]',
+        'peers = []',
+        'tests/jobs/test_texts.py',
+    ),
+    Safeguard(
+        "each event's version is within the bound",
+        'guavagate/jobs/_runner.py',
+        'if not progress.text.fits(job.min_version, only):\n'
+        '            progress.text = Text()\n'
+        '            raise',
+        'if False:\n            progress.text = Text()\n            raise',
+        'tests/jobs/test_owner.py',
+    ),
+    Safeguard(
+        'events in order',
+        'guavagate/jobs/_runner.py',
+        'if event.number != progress.text.last + 1:',
+        'if False:',
+        'tests/jobs/test_texts.py',
+    ),
+    Safeguard(
+        'an ended job runs no more',
+        'guavagate/jobs/_held.py',
+        '        _cancel(work)\n        self._carried',
+        '        self._carried',
+        'tests/jobs/test_owner.py',
+    ),
+    Safeguard(
+        'an order names the count of orders',
+        'guavagate/rollouts/_coordinator.py',
+        'orders_taken=state.orders_taken,\n',
+        'orders_taken=0,\n',
+        'tests/rollouts/test_coordinator.py',
+    ),
+    Safeguard(
+        'a configuration never goes back',
+        'guavagate/routing/_routes.py',
+        'configuration.version <= held.version',
+        'configuration.version < 0',
+        'tests/routing/test_routes.py',
+    ),
+    Safeguard(
+        'a leaving upstream gets nothing',
+        'guavagate/routing/_upstreams.py',
+        'if each.service == service and not each.leaving',
+        'if each.service == service',
+        'tests/routing/test_routes.py',
+    ),
+    Safeguard(
+        'an answer is matched by its id',
+        'guavagate/forwarding/_attempt.py',
+        'if marks.crossed:',
+        'if False:',
+        'tests/forwarding',
+    ),
+    Safeguard(
+        'what may have run is not repeated',
+        'guavagate/forwarding/_forward.py',
+        'if repeat or not progress.may_have_run:',
+        'if True:',
+        'tests/forwarding',
+    ),
+    Safeguard(
+        'a stream that may not be resumed is not',
+        'guavagate/forwarding/_stream.py',
+        'if outcome.kind is OutcomeKind.UNKNOWN and not route.resumable:',
+        'if False:',
+        'tests/forwarding',
+    ),
+    Safeguard(
+        'a stream goes on at another after its last whole event',
+        'guavagate/forwarding/_stream.py',
+        "        run.rest = b''\n",
+        '        run.last += 0\n',
+        'tests/forwarding',
+    ),
+    Safeguard(
+        'a lost watch is not gone on with',
+        'guavagate/helpers/mirror.py',
+        '        self._since = None\n        changes',
+        '        changes',
+        'tests/helpers/test_mirror.py',
+    ),
+    Safeguard(
+        'a relay tells how old its news is',
+        'guavagate/feeds/_relays.py',
+        'silence >= patience or age >= STALE_SECONDS',
+        'silence >= patience',
+        'tests/feeds',
+    ),
+    Safeguard(
+        'few ask while the store is away',
+        'guavagate/feeds/_relays.py',
+        'STAND_INS: Final = 5',
+        'STAND_INS: Final = 99',
+        'tests/feeds',
+    ),
+    Safeguard(
+        'a stand-in relies on those before it only',
+        'guavagate/feeds/_feed.py',
+        'self._is_followed(ranked[:rank])',
+        'self._is_followed(ranked)',
+        'tests/feeds',
+    ),
+    Safeguard(
+        'a slow store is not taken for lost',
+        'guavagate/integrations/object_api/_peers.py',
+        'USUAL_ANSWERS: Final = 5',
+        'USUAL_ANSWERS: Final = 0',
+        'tests/integrations',
+    ),
+    Safeguard(
+        'bytes on an idle connection end it',
+        'guavagate/http1/_client.py',
+        '        return not waiting.poll(0)\n',
+        '        return True\n',
+        'tests/http1/test_pool.py',
+    ),
+    Safeguard(
+        'a stop takes the connections that wait',
+        'guavagate/http1/_server.py',
+        '            self._server.do_handle(*waiting)\n',
+        '            waiting[0].close()\n',
+        'tests/http1/test_stop.py',
+    ),
+    Safeguard(
+        'a stop refuses new connections',
+        'guavagate/http1/_server.py',
+        '        self._server.close()\n\n    def _is_closing',
+        '        self._server.stop_accepting()\n\n    def _is_closing',
+        'tests/http1/test_stop.py',
+    ),
+    Safeguard(
+        'an answer that closes says so',
+        'guavagate/http1/_exchange.py',
+        'keep = self._link.skip_body() and not self._link.closing()',
+        'keep = not self._link.closing()',
+        'tests/http1/test_exchange.py',
+    ),
+    Safeguard(
+        'the target is named',
+        'guavagate/platform/_dialect.py',
+        '            (const.TARGET, upstream.id.encode()),\n',
+        '',
+        'tests/platform/test_wire.py',
+    ),
+    Safeguard(
+        'a restarted process asks for the whole table',
+        'guavagate/membership/_join.py',
+        'if joined and not self._whole:',
+        'if False:',
+        'tests/membership/test_detector.py',
+    ),
+)
