List no item twice after a chunk in doubt was looked up

Cause: a chunk whose write got no answer is tried again unchanged, under the next number. A look-up of the job (an owner that was cut off is asked again) may read that very chunk meanwhile; the next number is then another one, the chunk went under it a second time, and each of its items stood at two positions. Change: taking in the chunk under a number settles what was in doubt for it. As a second line every reader keeps the first place of an item that stands twice. Tests: both failed before; without either line one fails.

--- a/guavagate/jobs/_log.py
+++ b/guavagate/jobs/_log.py
@@ -65,7 +65,6 @@
             path = chunk_path(self._job, number)
             value = msgspec.json.encode(chunk)
             other = create(self._store, self._clock, path, value, WRITE_SECONDS)
-            self._uncertain = None
             if self._next > number:
                 continue  # A reader has loaded this chunk meanwhile.
             if other is None:
@@ -87,9 +86,20 @@
         return Chunk(self._writer, fresh)
 
     def _take(self, chunk: Chunk) -> None:
+        """Take in the chunk that stands under the next number.
+
+        A chunk in doubt was meant for that number, so it is settled: were it
+        tried again, it would go under another one, and its items would be
+        listed twice. An item that stands in two chunks all the same keeps its
+        first place; every reader leaves out the same ones, as all of them
+        read the same chunks in the same order.
+        """
         self._next += 1
-        self.results += chunk.results
-        self.listed.update(each.id for each in chunk.results)
+        self._uncertain = None
+        for result in chunk.results:
+            if result.id not in self.listed:
+                self.listed.add(result.id)
+                self.results.append(result)
 
 
 def _decode(stored: StoredObject) -> Chunk:
--- a/tests/jobs/test_log.py
+++ b/tests/jobs/test_log.py
@@ -72,3 +72,49 @@
     logs.clock.run_until(task.ready, 5)
     assert [each.id for each in reader.results] == ['i', 'j']
     assert len(logs.state.objects) == 2
+
+
+def test_a_chunk_that_a_look_up_shows_is_not_listed_again() -> None:
+    """An owner lists a result, is cut off from the store, and looks up.
+
+    Its write has happened and all answers were lost, so the chunk is in doubt.
+    The look-up shows it under its number. Tried again unchanged it would go
+    under the next one, and the trainer would read the item at two positions.
+    """
+    logs = _Logs()
+    log = logs.logs[0]
+    logs.state.lose_next = 1
+    logs.state.watcher = lambda *_: setattr(logs.state, 'outage', True)
+    with pytest.raises(MaybeWrittenError):
+        logs.append(0, _make_result('i'))
+    logs.state.watcher = None
+    logs.state.outage = False
+    task = logs.clock.spawn(log.load)
+    logs.clock.run_until(task.ready, 5)
+    assert [each.id for each in log.results] == ['i']
+    logs.append(0, _make_result('i'), _make_result('j'))
+    assert [each.id for each in log.results] == ['i', 'j']
+    assert len(logs.state.objects) == 2
+
+
+def test_an_item_that_stands_twice_in_the_store_is_read_once() -> None:
+    """Two chunks name one item; every reader keeps the first place.
+
+    Positions are counted from the chunks by each reader for itself, so all of
+    them leave out the same ones, whoever wrote them and why.
+    """
+    logs = _Logs()
+    logs.append(0, _make_result('i', 'first'))
+    other = JobLog(
+        MemoryStore(logs.clock, logs.state), logs.clock, JobId('job-1'), 'c'
+    )
+    other._next = 1
+    task = logs.clock.spawn(
+        other.append, [_make_result('i', 'second'), _make_result('j')]
+    )
+    logs.clock.run_until(task.ready, 5)
+    reader = logs.logs[1]
+    task = logs.clock.spawn(reader.load)
+    logs.clock.run_until(task.ready, 5)
+    shown = [(each.id, each.text) for each in reader.results]
+    assert shown == [('i', 'first'), ('j', 't')]
