Put behind what can not be in time, and make groups one after the other

Change: a forecast of each group by observed lengths, pace and slots; of groups in due order the costliest goes behind whenever one does not fit, late ones first; with more than 0.7 of an objective's work waiting, groups are made one after the other. An estimate counts by what its tokens came to in ended texts. Handing out moved from the owner to a module of its own. GG9022 and a counter tell of each group put behind, with the forecast.

--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -59,6 +59,12 @@
     'A reward request has no route; the text waits for one',
     'check the host and path against the configuration in force',
 )
+GROUP_BEHIND: Final = Event(
+    9022,
+    logging.INFO,
+    'A group can not be in time beside the others and goes behind them',
+    'more samplers, or fewer trainers at once, if this goes on',
+)
 COORDINATES: Final = Event(
     9100, logging.INFO, 'This instance coordinates the samplers of a service'
 )
--- /dev/null
+++ b/guavagate/jobs/_dispatch.py
@@ -0,0 +1,156 @@
+"""Hands items out to samplers: by the forecast, as slots are free."""
+
+import logging
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from guavagate.clock import Clock
+from guavagate.events import jobs as events
+from guavagate.events import write
+from guavagate.jobs._forecast import Forecast, GroupPlan, forecast
+from guavagate.jobs._lengths import Lengths
+from guavagate.jobs._models import GroupId, JobId
+from guavagate.jobs._runner import ItemRunner
+from guavagate.jobs._schedule import (
+    Placement,
+    SamplerSlots,
+    find_slow,
+    place,
+)
+from guavagate.jobs._slots import find_usual_pace, list_slots, share_slots
+from guavagate.jobs._work import JobWork, Progress
+from guavagate.metrics import Metrics, names
+from guavagate.models import ServiceId
+from guavagate.rollouts import SamplerStates
+from guavagate.routing import UpstreamTable
+
+_LOGGER: Final = logging.getLogger(__name__)
+
+
+class Dispatcher:
+    """Starts and moves the items of one service's open jobs.
+
+    Parameters
+    ----------
+    slots
+        Slots of a sampler that does not tell how many it has.
+    """
+
+    def __init__(
+        self,
+        service: ServiceId,
+        clock: Clock,
+        upstreams: UpstreamTable,
+        states: SamplerStates,
+        runner: ItemRunner,
+        slots: Callable[[], int],
+        metrics: Metrics,
+    ) -> None:
+        self._service = service
+        self._clock = clock
+        self._upstreams = upstreams
+        self._states = states
+        self._runner = runner
+        self._slots = slots
+        self._metrics = metrics
+        self._lengths = Lengths()
+        self._behind: set[tuple[JobId, GroupId]] = set()
+
+    def note_text(self, work: JobWork, progress: Progress) -> None:
+        """Take in a text that is whole, for what is expected of others."""
+        self._lengths.note(work.job.model, progress)
+
+    def dispatch(self, works: Sequence[JobWork], now: float) -> None:
+        """Start what has a free slot, and move what lags."""
+        samplers = self._list_samplers(now)
+        planned = self._forecast(works, samplers, now)
+        by_id = {work.job.id: work for work in works}
+        for placement in place(planned.groups, samplers, self._lengths):
+            self._start(by_id[placement.job], placement, now)
+        for progress in find_slow(works, self._list_samplers(now), now):
+            self._move(progress)
+
+    def _list_samplers(self, now: float) -> list[SamplerSlots]:
+        serving = self._upstreams.serving(self._service)
+        return list_slots(serving, self._states, self._slots(), now)
+
+    def _forecast(
+        self,
+        works: Sequence[JobWork],
+        samplers: Sequence[SamplerSlots],
+        now: float,
+    ) -> Forecast:
+        serving = self._upstreams.serving(self._service)
+        planned = forecast(
+            works,
+            share_slots(samplers),
+            find_usual_pace(serving, self._states),
+            self._lengths,
+            now,
+        )
+        self._note_behind(planned, now)
+        return planned
+
+    def _note_behind(self, planned: Forecast, now: float) -> None:
+        """Tell of each group once when it goes behind, and forget the rest."""
+        behind = {
+            (each.job.job.id, each.group): each
+            for each in planned.groups
+            if each.behind
+        }
+        for key, plan in behind.items():
+            if key not in self._behind:
+                self._metrics.count(names.GROUPS_BEHIND)
+                self._tell_behind(plan, planned, now)
+        waiting = {(each.job.job.id, each.group) for each in planned.groups}
+        self._behind = (self._behind & waiting) | behind.keys()
+
+    def _tell_behind(
+        self, plan: GroupPlan, planned: Forecast, now: float
+    ) -> None:
+        job = plan.job.job
+        write(
+            _LOGGER,
+            events.GROUP_BEHIND,
+            job=job.id,
+            group=plan.group,
+            model=job.model,
+            waiting=len(plan.waiting),
+            left=round(plan.due - now, 2),
+            longest=round(plan.longest, 2),
+            work=round(plan.work, 1),
+            backlog=round(planned.backlogs.get(job.model, 0), 2),
+        )
+
+    def _start(self, work: JobWork, placement: Placement, now: float) -> None:
+        upstream = self._upstreams.get(placement.sampler)
+        if upstream is None:
+            return
+        progress = work.items[placement.item]
+        progress.sampler = upstream.id
+        progress.started = now
+        state = self._states.get(upstream.id)
+        state.held += 1
+        write(
+            _LOGGER,
+            events.ITEM_STARTED,
+            job=work.job.id,
+            item=progress.item.id,
+            group=progress.item.group,
+            sampler=upstream.id,
+            after=progress.text.last,
+            held=state.held,
+        )
+        self._clock.spawn(self._runner.run, work, progress, upstream)
+
+    def _move(self, progress: Progress) -> None:
+        """Have an item that lags go on at a faster sampler."""
+        write(
+            _LOGGER,
+            events.ITEM_MOVED,
+            item=progress.item.id,
+            sampler=progress.sampler,
+            after=progress.text.last,
+        )
+        progress.moves += 1
+        progress.cancel()
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -13,6 +13,7 @@
 from guavagate.helpers.mirror import Mirror
 from guavagate.helpers.waits import wait_for
 from guavagate.jobs._copies import COPY_SECONDS, TextCopies
+from guavagate.jobs._dispatch import Dispatcher
 from guavagate.jobs._expiry import is_expired, remove_job
 from guavagate.jobs._held import HeldJobs
 from guavagate.jobs._messages import Knowledge
@@ -28,14 +29,8 @@
 )
 from guavagate.jobs._rewards import Rewards
 from guavagate.jobs._runner import STALL_SECONDS, ItemRunner
-from guavagate.jobs._schedule import (
-    SamplerSlots,
-    find_slow,
-    place,
-)
 from guavagate.jobs._shelf import JobShelf, decode_job
-from guavagate.jobs._slots import list_slots
-from guavagate.jobs._work import JobWork
+from guavagate.jobs._work import JobWork, Progress
 from guavagate.metrics import Metrics, names
 from guavagate.models import InstanceId, ServiceId
 from guavagate.ports.rewards import RewardClient
@@ -89,7 +84,6 @@
         self._shelf = shelf
         self._upstreams = upstreams
         self._states = states
-        self._slots = slots
         self._metrics = metrics
         self._retention = retention
         self._copies = copies
@@ -98,13 +92,16 @@
         self._rewards = Rewards(
             clock, rewards, metrics, self._finish, self._wake.set
         )
-        self._runner = ItemRunner(
+        runner = ItemRunner(
             clock,
             client,
             upstreams,
             states,
             self._finish,
-            self._rewards.take_whole,
+            self._take_whole,
+        )
+        self._dispatcher = Dispatcher(
+            service, clock, upstreams, states, runner, slots, metrics
         )
         self._held = HeldJobs(
             clock,
@@ -178,6 +175,10 @@
         """Return an item's body."""
         return self._held.read_item(job, item)
 
+    def _take_whole(self, work: JobWork, progress: Progress) -> None:
+        self._dispatcher.note_text(work, progress)
+        self._rewards.take_whole(work, progress)
+
     def _note_taken(self, job: Job) -> None:
         amount = sum(max(each.expected_tokens, 1) for each in job.items)
         self._states.note_work(job.model, amount)
@@ -240,45 +241,9 @@
             return
         for work in works:
             self._give_up_old(work, now)
-        for placement in place(works, self._list_samplers(now), now):
-            held = self._held.get(placement.job)
-            if held is None:
-                continue
-            work = held.work
-            progress = work.items[placement.item]
-            upstream = self._upstreams.get(placement.sampler)
-            if upstream is None:
-                continue
-            progress.sampler = upstream.id
-            progress.started = now
-            self._states.get(upstream.id).held += 1
-            write(
-                _LOGGER,
-                events.ITEM_STARTED,
-                job=work.job.id,
-                item=progress.item.id,
-                group=progress.item.group,
-                sampler=upstream.id,
-                after=progress.text.last,
-                held=self._states.get(upstream.id).held,
-            )
-            self._clock.spawn(self._runner.run, work, progress, upstream)
-        self._move_slow(works, now)
+        self._dispatcher.dispatch(works, now)
         self._rewards.dispatch(works, now)
 
-    def _move_slow(self, works: list[JobWork], now: float) -> None:
-        """Have what lags on a slow sampler go on at a faster one."""
-        for progress in find_slow(works, self._list_samplers(now), now):
-            write(
-                _LOGGER,
-                events.ITEM_MOVED,
-                item=progress.item.id,
-                sampler=progress.sampler,
-                after=progress.text.last,
-            )
-            progress.moves += 1
-            progress.cancel()
-
     def _leave_former(self, upstream: Upstream) -> None:
         """Have the runs of a sampler's former start go on elsewhere.
 
@@ -292,10 +257,6 @@
                 if here and now - progress.heard_at > STALL_SECONDS:
                     progress.cancel()
 
-    def _list_samplers(self, now: float) -> list[SamplerSlots]:
-        serving = self._upstreams.serving(self._service)
-        return list_slots(serving, self._states, self._slots(), now)
-
     def _give_up_old(self, work: JobWork, now: float) -> None:
         # Counted from here, not from the submission: instances' clocks may
         # be seconds apart, and an item must not be given up too early.
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -4,11 +4,12 @@
 more than its trainer waits for, on samplers with few slots of which one may
 be slow. Samplers admit in order of arrival and know no deadline, so what is
 sent early keeps what matters waiting: an item is handed out only when a slot
-is free for it, jobs by their due time, and within a job the longest first and
-on the fastest sampler. Most items take a second and a few take all the time
-that the step has, so whichever of those starts late makes its group and the
-step late; the short ones fit in behind. Groups beyond those that the trainer
-waits for come last; it lists the ones it needs most first.
+is free for it, what the forecast puts behind after all else, jobs by their due
+time, and within a job the longest first and on the fastest sampler. Most items
+take a second and a few take all the time that the step has, so whichever of
+those starts late makes its group and the step late; the short ones fit in
+behind. Groups beyond those that the trainer waits for come last; it lists the
+ones it needs most first.
 """
 
 from collections.abc import Sequence
@@ -16,6 +17,8 @@
 
 import msgspec
 
+from guavagate.jobs._forecast import GroupPlan
+from guavagate.jobs._lengths import Lengths
 from guavagate.jobs._models import ItemId, JobId
 from guavagate.jobs._work import JobWork, Progress
 from guavagate.models import UpstreamId, WeightVersion
@@ -62,22 +65,23 @@
 
 
 def place(
-    works: Sequence[JobWork], samplers: Sequence[SamplerSlots], now: float
+    plans: Sequence[GroupPlan],
+    samplers: Sequence[SamplerSlots],
+    lengths: Lengths,
 ) -> list[Placement]:
     """Return the items to start now; takes their slots from `samplers`."""
     placements: list[Placement] = []
-    for work in sorted(works, key=lambda each: each.due):
+    for plan, progress in order_items(plans, lengths):
         if not any(sampler.free for sampler in samplers):
             break
-        for progress in order_items(work, now):
-            sampler = _find(work, progress, samplers)
-            if sampler is None:
-                break
-            sampler.free -= 1
-            sampler.groups.add(progress.item.group)
-            placements.append(
-                Placement(work.job.id, progress.item.id, sampler.id)
-            )
+        sampler = _find(plan.job, progress, samplers)
+        if sampler is None:
+            continue
+        sampler.free -= 1
+        sampler.groups.add(progress.item.group)
+        placements.append(
+            Placement(plan.job.job.id, progress.item.id, sampler.id)
+        )
     return placements
 
 
@@ -142,23 +146,30 @@
     return ratio >= least
 
 
-def order_items(work: JobWork, now: float) -> list[Progress]:
-    """Return a job's items that wait, in the order to start them."""
-    rank: dict[str, int] = {}
-    wanted = work.job.target_groups
-    waiting = []
-    for progress in work.items.values():
-        rank.setdefault(progress.item.group, len(rank))
-        if progress.is_waiting(now):
-            waiting.append(progress)
-    return sorted(
-        waiting,
-        key=lambda each: (
-            rank[each.item.group] >= wanted,
-            -each.item.expected_tokens,
-            rank[each.item.group],
-        ),
-    )
+def order_items(
+    plans: Sequence[GroupPlan], lengths: Lengths
+) -> list[tuple[GroupPlan, Progress]]:
+    """Return the items that wait, in the order to start them."""
+    rows = [
+        (_order(plan, progress, lengths), plan, progress)
+        for plan in plans
+        for progress in plan.waiting
+    ]
+    rows.sort(key=lambda each: each[0])
+    return [(plan, progress) for _, plan, progress in rows]
+
+
+def _order(
+    plan: GroupPlan, progress: Progress, lengths: Lengths
+) -> tuple[float, ...]:
+    """Return the key of an item that waits; the least one starts first."""
+    length = lengths.expect(plan.job.job.model, progress).long
+    head = (not plan.wanted, plan.behind)
+    if plan.behind:
+        return (*head, plan.work, plan.due, plan.rank, -length)
+    if plan.crowded:
+        return (*head, plan.due, plan.job.since, plan.rank, -length)
+    return (*head, plan.due, plan.job.since, -length, plan.rank)
 
 
 def _find(
--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/_slots.py
@@ -21,8 +21,7 @@
         Slots of a sampler that does not tell how many it has.
     """
     known = [(each, states.get(each.id)) for each in serving]
-    paces = sorted(state.pace for _, state in known if state.pace)
-    usual = paces[len(paces) // 2] if paces else 0
+    usual = find_usual_pace(serving, states)
     listed = []
     for upstream, state in known:
         if state.loading or state.avoid_until > now:
@@ -39,3 +38,29 @@
             )
         )
     return listed
+
+
+def find_usual_pace(
+    serving: Sequence[Upstream], states: SamplerStates
+) -> float:
+    """Return how long most samplers take for an event; 0 if none has shown.
+
+    In seconds; the middle one, as a few may have turned slow.
+    """
+    paces = sorted(
+        pace for each in serving if (pace := states.get(each.id).pace)
+    )
+    return paces[len(paces) // 2] if paces else 0
+
+
+def share_slots(samplers: Sequence[SamplerSlots]) -> dict[str, float]:
+    """Return what each model has of the samplers' slots.
+
+    A sampler of several models is shared by them alike.
+    """
+    slots: dict[str, float] = {}
+    for sampler in samplers:
+        for model in sampler.models:
+            share = sampler.slots / len(sampler.models)
+            slots[model] = slots.get(model, 0) + share
+    return slots
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -97,6 +97,12 @@
     kind=MetricKind.HISTOGRAM,
     text="Time of an item's last run at a sampler",
 )
+GROUPS_BEHIND: Final = Metric(
+    name='guavagate_groups_behind_total',
+    kind=MetricKind.COUNTER,
+    text='Groups of jobs that went behind others as they can not be in time',
+    plotted=True,
+)
 REWARD_SECONDS: Final = Metric(
     name='guavagate_reward_seconds',
     kind=MetricKind.HISTOGRAM,
--- a/tests/jobs/test_schedule.py
+++ b/tests/jobs/test_schedule.py
@@ -3,13 +3,17 @@
 import msgspec
 
 from guavagate.clock import PausedClock
+from guavagate.jobs._forecast import forecast
+from guavagate.jobs._lengths import Lengths
 from guavagate.jobs._log import JobLog
 from guavagate.jobs._schedule import (
+    Placement,
     SamplerSlots,
     count_demands,
     find_slow,
-    place,
 )
+from guavagate.jobs._schedule import place as place_planned
+from guavagate.jobs._slots import share_slots
 from guavagate.jobs._work import JobWork
 from guavagate.measure.fakes import MemoryStore
 from guavagate.models import UpstreamId, WeightVersion
@@ -39,6 +43,15 @@
     )
 
 
+def place(
+    works: list[JobWork], samplers: list[SamplerSlots], now: float
+) -> list[Placement]:
+    """Place what the forecast plans, while no text has ended yet."""
+    lengths = Lengths()
+    planned = forecast(works, share_slots(samplers), 0, lengths, now)
+    return place_planned(planned.groups, samplers, lengths)
+
+
 def test_no_more_than_the_free_slots_start() -> None:
     """What has no slot waits here, where it can still be reordered."""
     placed = place([_make_work(groups=10)], [_make_sampler('x')], 100)
