--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -3,7 +3,7 @@
 import functools
 import logging
 import secrets
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 import msgspec
@@ -65,6 +65,10 @@
 TRUST_SECONDS: Final = 1.0
 
 
+def _always() -> bool:
+    return True
+
+
 class _Relay(msgspec.Struct):
     """What was last heard from a relay."""
 
@@ -85,6 +89,12 @@
         the store is away.
     first_start
         Whether the whole fleet starts for the first time.
+    may_stand_in
+        Whether this instance may relay for others without being the first in
+        rank. One that works on jobs may not: cut off from the store and the
+        first relay it would open a link to each instance and tell it all, at
+        the very moment at which its results have to go through a peer, and
+        these would be listed seconds late. The next stand-in steps in instead.
 
     Attributes
     ----------
@@ -104,6 +114,7 @@
         boot_of: BootOf = forget_boots,
         *,
         first_start: bool = True,
+        may_stand_in: Callable[[], bool] = _always,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -113,6 +124,7 @@
         self._prefixes = prefixes
         self._lapsing = lapsing
         self._boot_of = boot_of
+        self._may_stand_in = may_stand_in
         self._table = FeedTable()
         self._table.changed = self._tell_change
         self._boot = secrets.randbits(62)
@@ -181,7 +193,8 @@
         elif self._is_followed(ranked[:rank]):
             self._stop_watching()
         elif not self._mirrors and self._has_to_ask(rank):
-            self._watch_directly(relaying=rank <= STAND_INS and self.loaded)
+            able = rank <= STAND_INS and self.loaded
+            self._watch_directly(relaying=able and self._may_stand_in())
 
     def _note_mirror_loaded(self) -> None:
         """Be loaded as soon as the last mirror is.
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -215,6 +215,7 @@
             (const.SERVERS,),
             self._members.boot,
             first_start=self._settings.bootstrap,
+            may_stand_in=lambda: not self._services.active,
         )
         feed.handle(const.CONFIG, self._put_config, None)
         feed.handle(const.SERVERS, self._put_server, self._drop_server)
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -48,6 +48,8 @@
         self.told: dict[str, list[bytes]] = {}
         self.stores: dict[str, _CountingStore] = {}
         self.feeds: dict[str, Feed] = {}
+        # Those that work on jobs.
+        self.working: set[str] = set()
         for name in names:
             self.world.add(name)
         self.clock.advance(1)
@@ -77,6 +79,7 @@
             ('config', 'servers'),
             ('servers',),
             first_start=first,
+            may_stand_in=lambda: name not in self.working,
         )
         feed.handle('config', put, None)
 
@@ -246,6 +249,25 @@
     assert not fleet.world.store.calls['list']
 
 
+def test_one_that_works_on_jobs_does_not_step_in_for_others() -> None:
+    """The first stand-in owns jobs and no longer hears the relay.
+
+    Stepping in it would link up with all others and tell each of them all,
+    while its own results wait to be listed. It follows the store for itself,
+    and with the relay gone for all the next stand-in relays.
+    """
+    fleet = _Fleet([f'n{number}' for number in range(20)])
+    relay, owner, second = fleet.rank()[:3]
+    fleet.working.add(owner)
+    fleet.world.hosts[InstanceId(relay)].kill()
+    fleet.clock.advance(3)
+    assert not fleet.feeds[owner].relaying
+    assert fleet.feeds[second].relaying
+    fleet.world.store.change('config/main', b'2')
+    fleet.clock.advance(2)
+    assert fleet.values(fleet.others()) == {b'2'}
+
+
 def test_no_instance_ever_goes_back(fleet: _Fleet) -> None:
     """Relays change hands while the configuration changes ten times."""
     for number in range(2, 12):
