Move texts by what a move gains; leave a sampler whose streams are all silent

Nothing moved while any trainer's items waited, and then only after 1.5 s; a text on a dark sampler waited 2.5 s, and up to 3 s more when it was sent there again. The longest texts take 7.0 of 7.5 s on a sound sampler (0.039 s an event, a fifth of the samplers 0.051), so each of these makes a step late. Change: a move is worth what its item gains by it, by observed lengths and paces, longest first, and is held up by waiting items of its own model only. Where all streams of a sampler (two or more) are silent for fifteen events' time, 0.5 s to 2 s, their texts go on elsewhere, and nothing is sent there until it answers a report. GG9023 and GG9024 tell.

--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -65,6 +65,15 @@
     'A group can not be in time beside the others and goes behind them',
     'more samplers, or fewer trainers at once, if this goes on',
 )
+SAMPLER_SILENT: Final = Event(
+    9023,
+    logging.WARNING,
+    'All streams of a sampler are silent; their texts go on elsewhere',
+    'check the sampler and its link if it does not answer again',
+)
+SAMPLER_ANSWERS: Final = Event(
+    9024, logging.INFO, 'A sampler that was silent answers, or has left'
+)
 COORDINATES: Final = Event(
     9100, logging.INFO, 'This instance coordinates the samplers of a service'
 )
--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -7,6 +7,7 @@
 from guavagate.clock import Clock
 from guavagate.events import jobs as events
 from guavagate.events import write
+from guavagate.exceptions import UpstreamError
 from guavagate.jobs._forecast import Forecast, GroupPlan, forecast
 from guavagate.jobs._lengths import Lengths
 from guavagate.jobs._models import GroupId, JobId
@@ -17,15 +18,26 @@
     find_slow,
     place,
 )
+from guavagate.jobs._silence import find_silent
 from guavagate.jobs._slots import find_usual_pace, list_slots, share_slots
 from guavagate.jobs._work import JobWork, Progress
 from guavagate.metrics import Metrics, names
 from guavagate.models import ServiceId
-from guavagate.rollouts import SamplerStates
+from guavagate.ports.sampler import SamplerClient
+from guavagate.ports.upstreams import Upstream
+from guavagate.rollouts import SamplerState, SamplerStates
 from guavagate.routing import UpstreamTable
 
 _LOGGER: Final = logging.getLogger(__name__)
 
+# A sampler that has gone dark is asked so often whether it is back.
+ASK_SECONDS: Final = 0.5
+# The owner looks ten times a second. After a longer pause it was itself held
+# up, and what its samplers have sent meanwhile is still to be read.
+LATE_LOOK_SECONDS: Final = 0.4
+# Between two looks at who is silent.
+LOOK_SECONDS: Final = 0.1
+
 
 class Dispatcher:
     """Starts and moves the items of one service's open jobs.
@@ -42,6 +54,7 @@
         clock: Clock,
         upstreams: UpstreamTable,
         states: SamplerStates,
+        client: SamplerClient,
         runner: ItemRunner,
         slots: Callable[[], int],
         metrics: Metrics,
@@ -50,26 +63,85 @@
         self._clock = clock
         self._upstreams = upstreams
         self._states = states
+        self._client = client
         self._runner = runner
         self._slots = slots
         self._metrics = metrics
         self._lengths = Lengths()
         self._behind: set[tuple[JobId, GroupId]] = set()
+        self._looked_at = clock.now()
+        self._listens_since = clock.now()
 
     def note_text(self, work: JobWork, progress: Progress) -> None:
         """Take in a text that is whole, for what is expected of others."""
         self._lengths.note(work.job.model, progress)
 
     def dispatch(self, works: Sequence[JobWork], now: float) -> None:
-        """Start what has a free slot, and move what lags."""
+        """Start what has a free slot, and move what lags or hears nothing."""
+        self._leave_silent(works, now)
         samplers = self._list_samplers(now)
         planned = self._forecast(works, samplers, now)
         by_id = {work.job.id: work for work in works}
         for placement in place(planned.groups, samplers, self._lengths):
             self._start(by_id[placement.job], placement, now)
-        for progress in find_slow(works, self._list_samplers(now), now):
+        slow = find_slow(
+            works, self._list_samplers(now), now, self._expect_seconds
+        )
+        for progress in slow:
             self._move(progress)
 
+    def _expect_seconds(self, work: JobWork, progress: Progress) -> float:
+        """Return how long an item still takes at the usual pace, or 0."""
+        model = work.job.model
+        if not self._lengths.is_known(model):
+            return 0
+        return self._lengths.expect(model, progress).long * self._find_pace()
+
+    def _find_pace(self) -> float:
+        serving = self._upstreams.serving(self._service)
+        return find_usual_pace(serving, self._states)
+
+    def _leave_silent(self, works: Sequence[JobWork], now: float) -> None:
+        """Have texts on samplers that have gone dark go on elsewhere."""
+        if now - self._looked_at < LOOK_SECONDS:
+            return
+        if now - self._looked_at > LATE_LOOK_SECONDS:
+            self._listens_since = now
+        self._looked_at = now
+        if now - self._listens_since < LATE_LOOK_SECONDS:
+            return
+        pace = self._find_pace()
+        for name, runs in find_silent(works, self._states, pace, now).items():
+            heard_at = max(progress.heard_at for progress in runs)
+            write(
+                _LOGGER,
+                events.SAMPLER_SILENT,
+                sampler=name,
+                streams=len(runs),
+                seconds=round(now - heard_at, 2),
+            )
+            state = self._states.get(name)
+            upstream = self._upstreams.get(name)
+            if upstream is not None and not state.silent:
+                state.silent = True
+                self._clock.spawn(self._ask_again, upstream, state)
+            for progress in runs:
+                progress.cancel()
+
+    def _ask_again(self, upstream: Upstream, state: SamplerState) -> None:
+        """Ask a sampler that has gone dark until it answers."""
+        while self._upstreams.get(upstream.id) == upstream:
+            try:
+                self._client.report(upstream)
+            except UpstreamError as error:
+                _LOGGER.debug('%s is silent: %s', upstream.id, error)
+                self._clock.sleep(ASK_SECONDS)
+            else:
+                break
+        state.silent = False
+        write(_LOGGER, events.SAMPLER_ANSWERS, sampler=upstream.id)
+        self._states.tell()
+
     def _list_samplers(self, now: float) -> list[SamplerSlots]:
         serving = self._upstreams.serving(self._service)
         return list_slots(serving, self._states, self._slots(), now)
@@ -80,11 +152,10 @@
         samplers: Sequence[SamplerSlots],
         now: float,
     ) -> Forecast:
-        serving = self._upstreams.serving(self._service)
         planned = forecast(
             works,
             share_slots(samplers),
-            find_usual_pace(serving, self._states),
+            self._find_pace(),
             self._lengths,
             now,
         )
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -101,7 +101,7 @@
             self._take_whole,
         )
         self._dispatcher = Dispatcher(
-            service, clock, upstreams, states, runner, slots, metrics
+            service, clock, upstreams, states, client, runner, slots, metrics
         )
         self._held = HeldJobs(
             clock,
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -12,7 +12,7 @@
 ones it needs most first.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import msgspec
@@ -32,8 +32,9 @@
 FILL_COST: Final = 0.2
 # Less of a difference is within what a fuller batch makes.
 MOVE_RATIO: Final = 1.25
-# Most items end sooner; what runs for longer is one of the long ones. Each
-# move opens a connection, which has its price.
+# What a move has to gain; a connection and the prompt take a tenth of that.
+MOVE_GAIN_SECONDS: Final = 0.5
+# Most items end sooner; what runs for longer is one of the long ones.
 MOVE_AFTER_SECONDS: Final = 1.5
 MOST_MOVES: Final = 2
 # One more where a sampler has turned so much slower than another.
@@ -56,6 +57,10 @@
     groups: set[str] = set()
 
 
+# How long an item still takes at the usual pace, in seconds; 0: not known.
+ExpectSeconds = Callable[[JobWork, Progress], float]
+
+
 class Placement(msgspec.Struct, frozen=True):
     """An item to start, and where."""
 
@@ -86,28 +91,42 @@
 
 
 def find_slow(
-    works: Sequence[JobWork], samplers: Sequence[SamplerSlots], now: float
+    works: Sequence[JobWork],
+    samplers: Sequence[SamplerSlots],
+    now: float,
+    expect_seconds: ExpectSeconds,
 ) -> list[Progress]:
     """Return the items to take from slow samplers to faster, free ones.
 
     Load pattern: one sampler turns slow, or is slower than others anyway, and
-    the last items of a step run there while faster ones idle. A sampler reads
-    a prompt and what was made of a text a hundred times faster than it makes
-    it, so a move costs little; each item moves a few times at most.
+    the longest texts of a step run there while faster ones idle: what a short
+    one loses by that is a moment, what a long one loses makes its step late. A
+    sampler reads a prompt and what was made of a text a hundred times faster
+    than it makes it, so a move costs little; each item moves a few times at
+    most, those that gain most first. Slots go to items that wait before.
     """
-    demands = count_demands(works, now)
-    if any(demand.waiting for demand in demands.values()):
+    free = [sampler.pace for sampler in samplers if sampler.free > 0]
+    slow = MOVE_RATIO * min(free, default=0)
+    by_id = {
+        sampler.id: sampler for sampler in samplers if sampler.pace >= slow
+    }
+    if not free or not by_id:
         return []
-    by_id = {sampler.id: sampler for sampler in samplers}
-    found: list[Progress] = []
-    for work in sorted(works, key=lambda each: each.due):
+    demands = count_demands(works, now)
+    candidates = []
+    for work in works:
+        if demands[work.job.model].waiting:
+            continue
         for progress in work.items.values():
             here = by_id.get(progress.sampler or UpstreamId(''))
-            if here is None or not _may_move(progress, now):
-                continue
-            there = _find(work, progress, samplers)
-            if there is None or not _is_worth(progress, here, there):
-                continue
+            if here is not None and progress.run is not None:
+                left = expect_seconds(work, progress)
+                candidates.append((left, work, progress, here))
+    candidates.sort(key=lambda each: -each[0] * each[3].pace)
+    found: list[Progress] = []
+    for left, work, progress, here in candidates:
+        there = _find(work, progress, samplers)
+        if there is not None and _is_worth(progress, here, there, left, now):
             there.free -= 1
             found.append(progress)
     return found
@@ -130,20 +149,26 @@
     return demands
 
 
-def _may_move(progress: Progress, now: float) -> bool:
-    """Return whether an item has run for long enough to be worth moving."""
-    if progress.run is None or progress.started is None:
-        return False
-    long = now - progress.started > MOVE_AFTER_SECONDS
-    return long and progress.moves <= MOST_MOVES
-
-
 def _is_worth(
-    progress: Progress, here: SamplerSlots, there: SamplerSlots
+    progress: Progress,
+    here: SamplerSlots,
+    there: SamplerSlots,
+    left: float,
+    now: float,
 ) -> bool:
+    """Return whether an item gains by a move.
+
+    Where nothing is known of lengths, what has run for long is a long one.
+    """
+    if progress.started is None or progress.moves > MOST_MOVES:
+        return False
     ratio = here.pace / there.pace
     least = MOVE_RATIO if progress.moves < MOST_MOVES else CRAWL_RATIO
-    return ratio >= least
+    if ratio < least:
+        return False
+    if left:
+        return left * (here.pace - there.pace) >= MOVE_GAIN_SECONDS
+    return now - progress.started > MOVE_AFTER_SECONDS
 
 
 def order_items(
--- /dev/null
+++ b/guavagate/jobs/_silence.py
@@ -0,0 +1,52 @@
+"""Samplers that have gone dark, told by all their streams; needs no network.
+
+Load pattern: a sampler loses power or is cut off and sends no reset. Each of
+its streams alone might wait for memory, or for a load of weights, and has to be
+given seconds; the longest texts take nearly all the time that a step has, and
+one that waits for seconds makes its step late. Streams of one sampler do not
+all fall silent for that: where several do at once, for longer than many events
+take, none of them will go on, and their texts are gone on with elsewhere.
+"""
+
+from collections.abc import Sequence
+from typing import Final
+
+from guavagate.jobs._work import JobWork, Progress
+from guavagate.models import UpstreamId
+from guavagate.rollouts import SamplerStates
+
+# One stream that is silent may have been put off by the sampler.
+LEAST_STREAMS: Final = 2
+# As many events would have come meanwhile; within these bounds, in seconds.
+QUIET_EVENTS: Final = 15
+LEAST_QUIET_SECONDS: Final = 0.5
+MOST_QUIET_SECONDS: Final = 2.0
+
+
+def find_silent(
+    works: Sequence[JobWork],
+    states: SamplerStates,
+    event_seconds: float,
+    now: float,
+) -> dict[UpstreamId, list[Progress]]:
+    """Return the runs of each sampler whose streams have all fallen silent.
+
+    Parameters
+    ----------
+    event_seconds
+        What an event usually takes; 0 where no sampler has shown it yet.
+    """
+    runs: dict[UpstreamId, list[Progress]] = {}
+    for work in works:
+        for progress in work.items.values():
+            if progress.sampler is not None and progress.task is not None:
+                runs.setdefault(progress.sampler, []).append(progress)
+    usual = event_seconds * QUIET_EVENTS
+    quiet = min(max(usual, LEAST_QUIET_SECONDS), MOST_QUIET_SECONDS)
+    return {
+        sampler: held
+        for sampler, held in runs.items()
+        if len(held) >= LEAST_STREAMS
+        and now - max(each.heard_at for each in held) > quiet
+        and not states.get(sampler).loading
+    }
--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/_slots.py
@@ -13,7 +13,7 @@
     default: int,
     now: float,
 ) -> list[SamplerSlots]:
-    """Return the samplers that neither load nor failed just now.
+    """Return the samplers that neither load, failed just now nor are silent.
 
     Parameters
     ----------
@@ -24,7 +24,7 @@
     usual = find_usual_pace(serving, states)
     listed = []
     for upstream, state in known:
-        if state.loading or state.avoid_until > now:
+        if state.loading or state.silent or state.avoid_until > now:
             continue
         slots = upstream.slots or default
         listed.append(
--- a/guavagate/rollouts/_states.py
+++ b/guavagate/rollouts/_states.py
@@ -14,8 +14,9 @@
 class SamplerState(msgspec.Struct):
     """One sampler; `pace` in seconds an event, 0 when not known yet.
 
-    `orders_taken` is nothing until the sampler was asked for it. All of this
-    is about the start that `incarnation` names, 0 where it is not told.
+    `orders_taken` is nothing until the sampler was asked for it; a `silent`
+    one gets no items until it answers again. All of this is about the start
+    that `incarnation` names, 0 where it is not told.
     """
 
     versions: dict[str, WeightVersion] = {}
@@ -28,6 +29,7 @@
     failed_orders: int = 0
     order_after: float = 0
     incarnation: int = 0
+    silent: bool = False
 
 
 class SamplerStates:
--- a/tests/jobs/load_model.py
+++ b/tests/jobs/load_model.py
@@ -55,9 +55,6 @@
     [Sequence[JobWork], Sequence[SamplerSlots], Lengths, float],
     list[GroupPlan],
 ]
-Move = Callable[
-    [Sequence[JobWork], Sequence[SamplerSlots], float], list[Progress]
-]
 
 
 def plan_forecast(
@@ -166,14 +163,12 @@
         troubles: Sequence[Trouble] = (),
         seed: int = 1,
         plan: Plan = plan_forecast,
-        move_items: Move = find_slow,
         shared: bool = True,
         hinted: float = 1,
     ) -> None:
         self._random = random.Random(seed)
         self._plan = plan
         self._lengths = Lengths()
-        self._move = move_items
         self._clock = PausedClock()
         self._store = MemoryStore(self._clock)
         self._slots = slots
@@ -379,10 +374,17 @@
             progress.cancelled = False
             progress.run = _Run()
             self._running.append((trainer, step, progress, sampler))
-        for progress in self._move(works, self._list_slots(now), now):
+        samplers = self._list_slots(now)
+        for progress in find_slow(works, samplers, now, self._expect_seconds):
             progress.moves += 1
             progress.cancelled = True
 
+    def _expect_seconds(self, work: JobWork, progress: Progress) -> float:
+        model = work.job.model
+        if not self._lengths.is_known(model):
+            return 0
+        return self._lengths.expect(model, progress).long * EVENT_SECONDS
+
     def _list_slots(self, now: float) -> list[SamplerSlots]:
         models = frozenset(each.name for each in self._trainers)
         paces = [self._pace(each, now) for each in range(len(self._paces))]
--- a/tests/jobs/test_schedule.py
+++ b/tests/jobs/test_schedule.py
@@ -10,11 +10,11 @@
     Placement,
     SamplerSlots,
     count_demands,
-    find_slow,
 )
+from guavagate.jobs._schedule import find_slow as find_slow_known
 from guavagate.jobs._schedule import place as place_planned
 from guavagate.jobs._slots import share_slots
-from guavagate.jobs._work import JobWork
+from guavagate.jobs._work import JobWork, Progress
 from guavagate.measure.fakes import MemoryStore
 from guavagate.models import UpstreamId, WeightVersion
 from tests.jobs.fleet import make_job
@@ -52,6 +52,16 @@
     return place_planned(planned.groups, samplers, lengths)
 
 
+def find_slow(
+    works: list[JobWork],
+    samplers: list[SamplerSlots],
+    now: float,
+    left: float = 0,
+) -> list[Progress]:
+    """Find what to move; `left` is what each item still takes, if known."""
+    return find_slow_known(works, samplers, now, lambda *_: left)
+
+
 def test_no_more_than_the_free_slots_start() -> None:
     """What has no slot waits here, where it can still be reordered."""
     placed = place([_make_work(groups=10)], [_make_sampler('x')], 100)
@@ -106,6 +116,34 @@
     assert find_slow([work], samplers, 100) == [first]
 
 
+def test_a_long_text_leaves_a_slow_sampler_at_once() -> None:
+    """A sampler is a third slower than others that have a free slot.
+
+    Of six seconds that a text still takes, it loses two there, and its step is
+    late. A text that is nearly done loses nothing worth a connection.
+    """
+    work = _make_work(groups=1, size=1)
+    progress = next(iter(work.items.values()))
+    progress.sampler = UpstreamId('slow')
+    progress.run = object()  # type: ignore[assignment]
+    progress.started = 99.5
+    samplers = [_make_sampler('slow', pace=1.35), _make_sampler('x')]
+    assert not find_slow([work], samplers, 100, left=1)
+    assert find_slow([work], samplers, 100, left=6) == [progress]
+
+
+def test_another_models_items_hold_up_no_move() -> None:
+    """One trainer's items wait for its own samplers; another's text crawls."""
+    work = _make_work(groups=1, size=1)
+    progress = next(iter(work.items.values()))
+    progress.sampler = UpstreamId('slow')
+    progress.run = object()  # type: ignore[assignment]
+    progress.started = 90
+    other = _make_work('job-2', model='other')
+    samplers = [_make_sampler('slow', pace=3), _make_sampler('x')]
+    assert find_slow([work, other], samplers, 100) == [progress]
+
+
 def test_an_item_moves_a_few_times_at_most() -> None:
     """Two samplers that slow by turns do not pass an item to and fro."""
     work = _make_work(groups=1, size=1)
