--- a/guavagate/jobs/_held.py
+++ b/guavagate/jobs/_held.py
@@ -111,6 +111,7 @@
         self._held: dict[JobId, HeldJob] = {}
         self._ended: set[JobId] = set()
         self._loading: dict[JobId, Event] = {}
+        self._expected: set[JobId] = set()
         self._carried = CarriedTexts()
         self._unreadable = UnreadableObjects()
         self._cadences: defaultdict[str, Cadence] = defaultdict(Cadence)
@@ -186,8 +187,25 @@
         for held in self:
             held.doubts += 1
 
-    def take_stored(self, stored: StoredObject, fresh: bool) -> None:
+    @property
+    def is_complete(self) -> bool:
+        """Return whether every job that is to be taken in has been."""
+        return not self._expected
+
+    def expect(self, job: JobId) -> None:
+        """Note that a job is about to be taken in."""
+        self._expected.add(job)
+
+    def take_stored(
+        self, job: JobId, stored: StoredObject, fresh: bool
+    ) -> None:
         """Take a stored job in, however long that takes."""
+        try:
+            self._take_stored(stored, fresh)
+        finally:
+            self._expected.discard(job)
+
+    def _take_stored(self, stored: StoredObject, fresh: bool) -> None:
         while self.active:
             try:
                 self._load(self._shelf.complete(stored), fresh=fresh)
@@ -223,6 +241,7 @@
             _cancel(held.work)
             held.changed.set()
         self._held.clear()
+        self._expected.clear()
 
     def _find(self, job: JobId) -> tuple[Knowledge, HeldJob | None]:
         """Return a job in work; one not heard of yet is looked for."""
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -51,6 +51,9 @@
 # The owner looks ten times a second. One that was frozen for less than this
 # was not taken for dead, as that takes more than a second.
 PAUSE_SECONDS: Final = 0.8
+# Listing the jobs and reading each takes a tenth of this; with a store that is
+# slow an owner begins with what it has.
+TAKEOVER_SECONDS: Final = 0.6
 # An item is given up late rather than early.
 TTL_SLACK_SECONDS: Final = 1.0
 EXPIRE_SECONDS: Final = 10.0
@@ -89,6 +92,8 @@
         self._copies = copies
         self._list_successors = list_successors
         self._wake = Event()
+        self._started_at = clock.now()
+        self._taken_over = False
         self._rewards = Rewards(
             clock, rewards, metrics, self._finish, self._wake.set
         )
@@ -136,6 +141,8 @@
         if self._task is None:
             write(_LOGGER, events.COORDINATES, service=self._service)
             self._held.active = True
+            self._started_at = self._clock.now()
+            self._taken_over = False
             self._jobs.start()
             self._ends.start()
             self._task = self._clock.spawn(self._run)
@@ -190,7 +197,8 @@
             return
         age = self._clock.wall() - job.submitted_at
         fresh = self._jobs.loaded and age < FRESH_SECONDS
-        self._clock.spawn(self._held.take_stored, stored, fresh)
+        self._held.expect(job.id)
+        self._clock.spawn(self._held.take_stored, job.id, stored, fresh)
 
     def _drop_job(self, name: str) -> None:
         self._held.drop(JobId(name))
@@ -233,8 +241,21 @@
             self._wake.clear()
             wait_for(self._clock, self._wake, IDLE_SECONDS)
 
+    def _has_taken_over(self, now: float) -> bool:
+        """Return whether all jobs are here that the owner before worked on.
+
+        Those that are read first would else take every slot, and the oldest
+        steps, which are nearly whole, would wait behind them.
+        """
+        if now - self._started_at > TAKEOVER_SECONDS:
+            return True
+        return self._jobs.loaded and self._held.is_complete
+
     def _dispatch(self) -> None:
         now = self._clock.now()
+        self._taken_over = self._taken_over or self._has_taken_over(now)
+        if not self._taken_over:
+            return
         works = self._held.list_open()
         self._metrics.set_gauge(names.OPEN_JOBS, len(works))
         if not works:
--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -1,8 +1,9 @@
 """Jobs while their owners die, pause and disagree, and the store fails."""
 
+import msgspec
 import pytest
 
-from guavagate.jobs import JobId, Knowledge
+from guavagate.jobs import ItemId, JobId, Knowledge
 from guavagate.jobs._models import job_path
 from tests.jobs.fleet import JobFleet, check_whole, find_other, make_job
 from tests.jobs.samplers import make_upstream
@@ -344,3 +345,38 @@
     assert known is Knowledge.FOUND
     assert page is not None
     assert page.results
+
+
+def test_a_new_owner_begins_with_the_oldest_step(fleet: JobFleet) -> None:
+    """The owner is killed with one step nearly whole and a new one just sent.
+
+    The next owner reads the new step first. Were it to begin at once, the new
+    step would take every slot, and the last items of the old one, which its
+    trainer waits for, would be made after them.
+    """
+    fleet.length = 40
+    for node in fleet.nodes.values():
+        node.samplers.length = 40
+    first = fleet.owner()
+    reader = find_other(fleet)
+    fleet.submit(make_job('job-9', groups=8), reader)
+    fleet.clock.advance(1.5)
+    newer = make_job('job-1', groups=8)
+    items = [
+        msgspec.structs.replace(each, id=ItemId(f'new-{each.id}'))
+        for each in newer.items
+    ]
+    fleet.submit(msgspec.structs.replace(newer, items=items), reader)
+    fleet.world.kill(first)
+    fleet.nodes.pop(first)
+    fleet.world.store.slow = 0.03
+    fleet.clock.advance(5)
+    started = [
+        item
+        for node in fleet.nodes.values()
+        for item, _, _ in node.samplers.started
+    ]
+    unfinished = 12
+    assert len(started) > unfinished
+    early = started[:unfinished]
+    assert not any(item.startswith('new') for item in early)
