Keep the texts in the making on the owner's own disk

Change: the owner writes its texts to its data folder each half a second, by a thread; the start after a restart of all reads them (ADR 0075).

--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -74,6 +74,12 @@
 SAMPLER_ANSWERS: Final = Event(
     9024, logging.INFO, 'A sampler that was silent answers, or has left'
 )
+TEXTS_NOT_KEPT: Final = Event(
+    9025,
+    logging.WARNING,
+    'Texts in the making can not be kept on this disk; work goes on without',
+    'check the data folder: its room, and whether it can be written',
+)
 COORDINATES: Final = Event(
     9100, logging.INFO, 'This instance coordinates the samplers of a service'
 )
--- a/guavagate/jobs/__init__.py
+++ b/guavagate/jobs/__init__.py
@@ -1,6 +1,7 @@
 """Jobs: items submitted at once, run later, their results read by position."""
 
 from guavagate.jobs._copies import TextCopies
+from guavagate.jobs._folder import TextFolder
 from guavagate.jobs._messages import Knowledge
 from guavagate.jobs._models import (
     GroupId,
@@ -33,4 +34,5 @@
     'Result',
     'ResultState',
     'TextCopies',
+    'TextFolder',
 )
--- a/guavagate/jobs/_copies.py
+++ b/guavagate/jobs/_copies.py
@@ -147,7 +147,7 @@
             if service != work.job.service:
                 continue
             for item, copy in copies.pop(work.job.id, {}).items():
-                _use(work, item, copy.text)
+                use_text(work, item, copy.text)
 
     def _on_copy(self, sender: InstanceId, message: Message) -> TextCopied:
         copy = expect(message, TextCopy)
@@ -205,7 +205,7 @@
         )
 
 
-def _use(work: JobWork, item: ItemId, text: Text) -> None:
+def use_text(work: JobWork, item: ItemId, text: Text) -> None:
     """Have an item go on with a text, if it fits and more was made of it."""
     progress = work.items.get(item)
     if progress is None or progress.done:
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -15,6 +15,7 @@
 from guavagate.jobs._copies import COPY_SECONDS, TextCopies
 from guavagate.jobs._dispatch import Dispatcher
 from guavagate.jobs._expiry import is_expired, remove_job
+from guavagate.jobs._folder import TextFolder
 from guavagate.jobs._held import HeldJobs
 from guavagate.jobs._messages import Knowledge
 from guavagate.jobs._models import (
@@ -78,6 +79,7 @@
         metrics: Metrics,
         retention: float,
         copies: TextCopies,
+        folder: TextFolder,
         list_successors: Callable[[], list[InstanceId]],
         boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
@@ -90,6 +92,7 @@
         self._metrics = metrics
         self._retention = retention
         self._copies = copies
+        self._folder = folder
         self._list_successors = list_successors
         self._wake = Event()
         self._started_at = clock.now()
@@ -114,7 +117,7 @@
             metrics,
             self._note_taken,
             self._finish,
-            copies.bring,
+            self._bring,
         )
         self._task: Task | None = None
         self._helpers: list[Task] = []
@@ -141,6 +144,7 @@
         if self._task is None:
             write(_LOGGER, events.COORDINATES, service=self._service)
             self._held.active = True
+            self._folder.load(self._service)
             self._started_at = self._clock.now()
             self._taken_over = False
             self._jobs.start()
@@ -182,6 +186,11 @@
         """Return an item's body."""
         return self._held.read_item(job, item)
 
+    def _bring(self, work: JobWork) -> None:
+        """Give a job that is taken over what there is of its texts."""
+        self._copies.bring(work)
+        self._folder.bring(work)
+
     def _take_whole(self, work: JobWork, progress: Progress) -> None:
         self._dispatcher.note_text(work, progress)
         self._rewards.take_whole(work, progress)
@@ -223,11 +232,12 @@
                     break
 
     def _copy_texts(self) -> None:
-        """Tell who may come after this owner what was made of the texts."""
+        """Keep what was made of the texts, here and with who may come next."""
         while True:
             self._clock.sleep(COPY_SECONDS)
             works = self._held.list_open()
             if works:
+                self._folder.save(self._service, works)
                 peers = self._list_successors()[:COPIES]
                 self._copies.send(self._service, works, peers)
 
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -31,7 +31,7 @@
     Rates,
     time_calls,
 )
-from guavagate.jobs import JobReader, JobShelf, Ownership, TextCopies
+from guavagate.jobs import JobReader, JobShelf, Ownership
 from guavagate.links import ZmqBus
 from guavagate.membership import Membership
 from guavagate.membership.registry import MemberRegistry
@@ -114,7 +114,8 @@
             self._metrics,
             settings.bounds.retention_s,
             Renewals(self._bus),
-            TextCopies(self._bus),
+            self._bus,
+            settings.data_dir,
         )
         reader = JobReader(
             self._clock, self._bus, shelf, ownership, self._services.find
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -6,7 +6,14 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import StoreUnavailableError
-from guavagate.jobs import JobOwner, JobShelf, Ownership, TextCopies
+from guavagate.jobs import (
+    JobOwner,
+    JobShelf,
+    Ownership,
+    TextCopies,
+    TextFolder,
+)
+from guavagate.links import Bus
 from guavagate.membership.registry import MemberRegistry
 from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, ServiceId, WeightVersion
@@ -56,10 +63,12 @@
         metrics: Metrics,
         retention: float,
         renewals: Renewals,
-        copies: TextCopies,
+        bus: Bus,
+        data_dir: str,
     ) -> None:
         self._renewals = renewals
-        self._copies = copies
+        self._copies = TextCopies(bus)
+        self._folder = TextFolder(data_dir)
         self._me = me
         self._clock = clock
         self._shelf = shelf
@@ -160,6 +169,7 @@
             self._metrics,
             self._retention,
             self._copies,
+            self._folder,
             lambda: self._list_successors(service),
         )
         lease = Lease(
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -14,6 +14,7 @@
     Result,
     ResultState,
     TextCopies,
+    TextFolder,
 )
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
@@ -99,6 +100,7 @@
             self.metrics,
             120.0,
             self.copies,
+            TextFolder(fleet.folders.get(name, ''), lambda work: work()),
             lambda: [
                 each
                 for each in self.ownership.rank(SERVICE)
@@ -119,9 +121,14 @@
     """Several instances; each works when the membership makes it owner."""
 
     def __init__(
-        self, names: str = 'abc', length: int = 5, samplers: str = 'xyz'
+        self,
+        names: str = 'abc',
+        length: int = 5,
+        samplers: str = 'xyz',
+        folders: dict[str, str] | None = None,
     ) -> None:
         self.world = World()
+        self.folders = folders or {}
         self.clock = self.world.clock
         self.length = length
         self.samplers = samplers
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,7 +1,7 @@
 """Which services an instance works on after it has started again."""
 
 from guavagate.clock import PausedClock
-from guavagate.jobs import JobShelf, Ownership, TextCopies
+from guavagate.jobs import JobShelf, Ownership
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, ZoneId
@@ -45,7 +45,8 @@
         Metrics(),
         120.0,
         Renewals(world.bus(name), clock.now),
-        TextCopies(world.bus(name)),
+        world.bus(name),
+        '',
     )
     registry = _Registry(first_start=first_start)
     clock.spawn(services.begin, registry)
