--- a/guavagate/jobs/_folder.py
+++ b/guavagate/jobs/_folder.py
@@ -14,9 +14,9 @@
 import logging
 import os
 import pathlib
-import urllib.parse
 from collections.abc import Callable
 from typing import Final
+from urllib import parse
 
 import gevent
 import msgspec
@@ -112,7 +112,7 @@
     def _find_file(self, service: ServiceId) -> pathlib.Path | None:
         if self._path is None:
             return None
-        name = urllib.parse.quote(service, safe='')
+        name = parse.quote(service, safe='')
         return self._path / f'texts-{name}.msgpack'
 
     def _read(self, path: pathlib.Path) -> None:
