Count samplers that load for the forecast, and slow ones for what they make

Cause: the forecast's slots were those that can start something now. Change: samplers that are of use again within a second count; one that takes twice as long for an event counts for half.

--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -80,7 +80,7 @@
         """Start what has a free slot, and move what lags or hears nothing."""
         self._leave_silent(works, now)
         samplers = self._list_samplers(now)
-        planned = self._forecast(works, samplers, now)
+        planned = self._forecast(works, now)
         by_id = {work.job.id: work for work in works}
         for placement in place(planned.groups, samplers, self._lengths):
             self._start(by_id[placement.job], placement, now)
@@ -142,19 +142,16 @@
         write(_LOGGER, events.SAMPLER_ANSWERS, sampler=upstream.id)
         self._states.tell()
 
-    def _list_samplers(self, now: float) -> list[SamplerSlots]:
+    def _list_samplers(
+        self, now: float, *, soon: bool = False
+    ) -> list[SamplerSlots]:
         serving = self._upstreams.serving(self._service)
-        return list_slots(serving, self._states, self._slots(), now)
+        return list_slots(serving, self._states, self._slots(), now, soon=soon)
 
-    def _forecast(
-        self,
-        works: Sequence[JobWork],
-        samplers: Sequence[SamplerSlots],
-        now: float,
-    ) -> Forecast:
+    def _forecast(self, works: Sequence[JobWork], now: float) -> Forecast:
         planned = forecast(
             works,
-            share_slots(samplers),
+            share_slots(self._list_samplers(now, soon=True)),
             self._find_pace(),
             self._lengths,
             now,
--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/_slots.py
@@ -1,17 +1,24 @@
 """The samplers that may be given items now."""
 
 from collections.abc import Sequence
+from typing import Final
 
 from guavagate.jobs._schedule import SamplerSlots
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerStates
 
+# A load of weights takes about as long, and so does the first pause after a
+# failure.
+SOON_SECONDS: Final = 1.0
+
 
 def list_slots(
     serving: Sequence[Upstream],
     states: SamplerStates,
     default: int,
     now: float,
+    *,
+    soon: bool = False,
 ) -> list[SamplerSlots]:
     """Return the samplers that neither load, failed just now nor are silent.
 
@@ -19,12 +26,19 @@
     ----------
     default
         Slots of a sampler that does not tell how many it has.
+    soon
+        Whether those are listed as well that will be of use in a moment, as
+        for a forecast: while a model's samplers load it has no slots, and that
+        is over before anything is late.
     """
+    until = now + SOON_SECONDS if soon else now
     known = [(each, states.get(each.id)) for each in serving]
     usual = find_usual_pace(serving, states)
     listed = []
     for upstream, state in known:
-        if state.loading or state.silent or state.avoid_until > now:
+        if state.silent or state.avoid_until > until:
+            continue
+        if state.loading and not soon:
             continue
         slots = upstream.slots or default
         listed.append(
@@ -54,13 +68,14 @@
 
 
 def share_slots(samplers: Sequence[SamplerSlots]) -> dict[str, float]:
-    """Return what each model has of the samplers' slots.
+    """Return what each model has of the samplers' slots, at the usual pace.
 
-    A sampler of several models is shared by them alike.
+    A sampler of several models is shared by them alike, and one that takes
+    twice as long for an event counts for half.
     """
     slots: dict[str, float] = {}
     for sampler in samplers:
         for model in sampler.models:
-            share = sampler.slots / len(sampler.models)
+            share = sampler.slots / sampler.pace / len(sampler.models)
             slots[model] = slots.get(model, 0) + share
     return slots
