--- a/tests/jobs/test_overload.py
+++ b/tests/jobs/test_overload.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from tests.jobs.load_model import (
-    LoadModel,
+from tests.jobs.load_model import LoadModel
+from tests.jobs.load_parts import (
     Outcome,
     Plan,
     Shape,
