--- a/guavagate/helpers/reference.py
+++ b/guavagate/helpers/reference.py
@@ -16,7 +16,6 @@
 
 from guavagate import events, metrics
 from guavagate.cli import CliSettings
-from guavagate.measure.capacity_page import make_page
 from guavagate.settings import InstanceSettings, TeamSettings
 
 _DOCS: Final = pathlib.Path(__file__).parents[2] / 'docs'
@@ -98,7 +97,6 @@
 
 
 PAGES: Final[dict[str, Callable[[], str]]] = {
-    'CAPACITY.md': make_page,
     'events.md': render_events,
     'metrics.md': render_metrics,
     'settings.md': render_settings_page,
--- /dev/null
+++ b/standins/_safeguard_jobs.py
@@ -0,0 +1,92 @@
+"""What is removed of how jobs are worked on, one safeguard a row."""
+
+from typing import Final
+
+from standins._safeguard_rows import Safeguard
+
+JOB_SAFEGUARDS: Final = (
+    Safeguard(
+        'a chunk in doubt is settled by the one that stands there',
+        'guavagate/jobs/_log.py',
+        '        self._next += 1\n        self._uncertain = None\n',
+        '        self._next += 1\n',
+        'tests/jobs/test_log.py',
+    ),
+    Safeguard(
+        'an item that stands twice is read once',
+        'guavagate/jobs/_log.py',
+        '            if result.id not in self.listed:\n',
+        '            if True:\n',
+        'tests/jobs/test_log.py',
+    ),
+    Safeguard(
+        'a new owner waits until all jobs are read',
+        'guavagate/jobs/_owner.py',
+        'return self._jobs.loaded and self._held.is_complete',
+        'return True',
+        'tests/jobs/test_owner.py',
+    ),
+    Safeguard(
+        'what can not be in time goes behind',
+        'guavagate/jobs/_forecast.py',
+        '            out.behind = True\n',
+        '',
+        'tests/jobs/test_forecast.py',
+    ),
+    Safeguard(
+        'samplers that load count for the forecast',
+        'guavagate/jobs/_slots.py',
+        '        if state.loading and not soon:\n',
+        '        if state.loading:\n',
+        'tests/jobs/test_slots.py',
+    ),
+    Safeguard(
+        'a silent sampler gets nothing until it answers',
+        'guavagate/jobs/_slots.py',
+        'if state.silent or state.avoid_until > until:',
+        'if state.avoid_until > until:',
+        'tests/jobs/test_silence.py',
+    ),
+    Safeguard(
+        'one silent stream is given its time',
+        'guavagate/jobs/_silence.py',
+        'LEAST_STREAMS: Final = 2',
+        'LEAST_STREAMS: Final = 1',
+        'tests/jobs/test_silence.py',
+    ),
+    Safeguard(
+        'a sampler that loads is not taken for silent',
+        'guavagate/jobs/_silence.py',
+        '        and not states.get(sampler).loading\n',
+        '',
+        'tests/jobs/test_silence.py',
+    ),
+    Safeguard(
+        'texts are kept on disk',
+        'guavagate/jobs/_owner.py',
+        '                self._folder.save(self._service, works)\n',
+        '',
+        'tests/jobs/test_folder.py',
+    ),
+    Safeguard(
+        'a stalled disk is not queued for',
+        'guavagate/jobs/_folder.py',
+        'if path is None or self._busy:',
+        'if path is None:',
+        'tests/jobs/test_folder.py',
+    ),
+    Safeguard(
+        'one that works on jobs does not stand in as a relay',
+        'guavagate/feeds/_feed.py',
+        'relaying=able and self._may_stand_in()',
+        'relaying=able',
+        'tests/feeds/test_feed.py',
+    ),
+    Safeguard(
+        'an odd sampler goes to whoever submits most',
+        'guavagate/rollouts/_assign.py',
+        'key=lambda each: (-weigh(each), -held[each], each)',
+        'key=lambda each: (-held[each], each)',
+        'tests/rollouts/test_plan.py',
+    ),
+)
--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -15,7 +15,7 @@
     test: str
 
 
-SAFEGUARDS: Final = (
+PLATFORM_SAFEGUARDS: Final = (
     Safeguard(
         "a chunk's number is the fence",
         'guavagate/jobs/_log.py',
