Have the former owner go on without waiting for all that start with it

Change: the one that held the lease goes on once those that run had 0.3 s to answer and none of them may own jobs and has run for longer. Whoever starts alone hears of an older one by then and waits as before.

--- a/guavagate/jobs/_ownership.py
+++ b/guavagate/jobs/_ownership.py
@@ -52,11 +52,21 @@
 
     def rank(self, service: ServiceId) -> list[InstanceId]:
         """Return who may own a service's jobs, the first choice first."""
+        key = f'jobs of {service}'
+        return rank_seniors(key, self._list_candidates(), self._boot_of)
+
+    def is_among_eldest(self) -> bool:
+        """Return whether nobody who may own jobs has run for longer."""
+        mine = find_age(self._me, self._boot_of)
+        return all(
+            find_age(each, self._boot_of) >= mine
+            for each in self._list_candidates()
+        )
+
+    def _list_candidates(self) -> list[InstanceId]:
         alive = self._members.alive()
         quiet = [each.id for each in alive if not each.http_address]
-        candidates = quiet or [each.id for each in alive]
-        key = f'jobs of {service}'
-        return rank_seniors(key, candidates, self._boot_of)
+        return quiet or [each.id for each in alive]
 
     def _began_together(self, *others: InstanceId) -> bool:
         ages = {find_age(each, self._boot_of) for each in (self._me, *others)}
--- a/guavagate/membership/registry.py
+++ b/guavagate/membership/registry.py
@@ -34,9 +34,15 @@
 # this time of each other.
 HEARD_SECONDS: Final = 0.5
 ALONE_SECONDS: Final = 1.5
+# Members are asked as soon as they are listed, and answer in milliseconds.
+ANSWER_SECONDS: Final = 0.3
 _NEW: Final = Revision(0)
 
 
+def _is_never_enough() -> bool:
+    return False
+
+
 class MemberRegistry:
     """Registers this process and hands the registered ones to membership.
 
@@ -75,13 +81,31 @@
         """Register and list in a task."""
         self._clock.spawn(self._run)
 
-    def wait_settled(self) -> None:
-        """Block until this process has heard who else is there."""
+    def wait_settled(
+        self, is_enough: Callable[[], bool] = _is_never_enough
+    ) -> None:
+        """Block until this process has heard who else is there.
+
+        Parameters
+        ----------
+        is_enough
+            Whether those that are heard of tell all that is to be known; asked
+            once those that run had the time to answer.
+        """
         if self.first_start:
             self._clock.sleep(FIRST_SECONDS)
         while not self.is_settled():
+            if self._has_asked() and is_enough():
+                return
             self._clock.sleep(SETTLE_STEP)
 
+    def _has_asked(self) -> bool:
+        """Return whether members that run had the time to answer."""
+        if self._listed_at is None:
+            return False
+        asked = self._clock.now() - self._listed_at > ANSWER_SECONDS
+        return asked and len(self._members.alive()) > 1
+
     def is_settled(self) -> bool:
         """Return whether this process has heard who else is there.
 
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -108,20 +108,32 @@
 
     def begin(self, registry: MemberRegistry) -> None:
         """Take what is this instance's, once it knows of the others."""
-        if not registry.first_start:
-            self._recall()
-        registry.wait_settled()
+        was_owner = not registry.first_start and self._recall()
+        if was_owner:
+            registry.wait_settled(self._ownership.is_among_eldest)
+        else:
+            registry.wait_settled()
         self._ownership.settled = not self._leaving
         self.refresh()
 
-    def _recall(self) -> None:
-        """Learn who worked on the services before this instance started."""
+    def _recall(self) -> bool:
+        """Learn who worked on the services before this instance started.
+
+        Returns
+        -------
+        bool
+            Whether this instance did. Nobody else takes these services over
+            unless it has run for longer, so it need not wait until all that
+            start with it have been heard of: their steps are late by each
+            moment that nobody works on them.
+        """
         try:
             former = list_holders(self._shelf.store)
         except StoreUnavailableError as error:
             _LOGGER.debug('former owners are not known: %s', error)
-        else:
-            self._ownership.recall(former)
+            return False
+        self._ownership.recall(former)
+        return self._me in former.values()
 
     def leave(self) -> None:
         """Leave everything to others, now and from now on."""
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -56,3 +56,35 @@
     assert world.store.calls['list'] == len(_NAMES)
     world.clock.advance(module.AGAIN_SECONDS)
     assert world.store.calls['list'] == len(_NAMES) + 3
+
+
+def test_one_that_has_heard_enough_waits_no_longer() -> None:
+    """Joins go on for seconds, and one instance needs to hear of few.
+
+    It still waits until those that run had the time to answer.
+    """
+    world = World()
+    for name in _NAMES:
+        world.add(name)
+    for name in _NAMES:
+        _start(world, name)
+    world.clock.advance(2)
+    host = world.hosts[InstanceId('a')]
+    members = _Members()
+    registry = MemberRegistry(
+        world.store_of('a'),
+        host.clock,
+        members,  # type: ignore[arg-type]
+        world.settings_of('a'),
+        first_start=False,
+    )
+    members.take_list = lambda peers: None  # type: ignore[method-assign]
+    registry.start()
+    heard = [object(), object()]
+    members.peers = heard
+    world.clock.advance(0.2)
+    waiting = world.clock.spawn(registry.wait_settled, lambda: True)
+    world.clock.advance(0.05)
+    assert not waiting.ready()
+    world.clock.advance(0.2)
+    assert waiting.ready()
