--- a/guavagate/jobs/_lengths.py
+++ b/guavagate/jobs/_lengths.py
@@ -97,6 +97,8 @@
         seen = self._seen[model]
         made = progress.text.last
         usual = seen.mean
+        # Without an estimate a text is most likely a usual one: taken for a
+        # long one, each group would seem late from its start.
         long = max(seen.long / 2, usual)
         tokens = progress.item.expected_tokens
         if tokens:
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -27,8 +27,8 @@
 # A group's items share their prompt: on the sampler that has read it, it is
 # not read again, which takes a tenth of the time of one event.
 SAME_GROUP_WORTH: Final = 0.06
-# A full batch makes an event this much slower than an empty one; measured 4
-# and 9 % on two kinds of samplers, and more on others that are not known.
+# A full batch makes an event at most this much slower than an empty one, on
+# kinds of samplers that are not known as well.
 FILL_COST: Final = 0.2
 # Less of a difference is within what a fuller batch makes.
 MOVE_RATIO: Final = 1.25
