--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -27,7 +27,7 @@
         self.enough = False
 
     def wait_settled(
-        self, is_enough: Callable[[], bool] = lambda: False
+        self, is_enough: Callable[[], bool] = bool
     ) -> None:
         """Return at once, or as soon as that is enough where it is asked."""
         self.enough = is_enough()
