--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -26,9 +26,7 @@
         self.first_start = first_start
         self.enough = False
 
-    def wait_settled(
-        self, is_enough: Callable[[], bool] = bool
-    ) -> None:
+    def wait_settled(self, is_enough: Callable[[], bool] = bool) -> None:
         """Return at once, or as soon as that is enough where it is asked."""
         self.enough = is_enough()
 
