--- a/guavagate/auth/_access.py
+++ b/guavagate/auth/_access.py
@@ -1,18 +1,15 @@
 """Checks a request's bearer token against the settings in force."""
 
 from collections.abc import Callable
-from typing import Final, Protocol
+from typing import Protocol
 
 import msgspec
 
-from guavagate.auth._tokens import hash_token, is_same_hash
+from guavagate.auth._tokens import hash_token, is_same_hash, read_bearer
 from guavagate.exceptions import RefusalError
 from guavagate.models import CallerId, TeamId
 from guavagate.settings import InstanceSettings, Role, TeamSettings
 
-_SCHEME: Final = 'bearer'
-_MAX_TOKEN: Final = 512
-
 
 class _Teams(Protocol):
     def all(self) -> list[TeamSettings]: ...
@@ -127,9 +124,8 @@
 
 
 def _read_token(authorization: str | None) -> str:
-    scheme, _, token = (authorization or '').partition(' ')
-    token = token.strip()
-    if scheme.lower() != _SCHEME or not token or len(token) > _MAX_TOKEN:
+    token = read_bearer(authorization)
+    if token is None:
         raise _unauthorized('the request carries no bearer token')
     return token
 
--- a/guavagate/auth/_tokens.py
+++ b/guavagate/auth/_tokens.py
@@ -12,6 +12,8 @@
 
 _PREFIX: Final = 'gg_'
 _RANDOM_BYTES: Final = 32
+_SCHEME: Final = 'bearer'
+_MAX_TOKEN: Final = 512
 
 
 def make_token() -> str:
@@ -24,6 +26,19 @@
     return f'sha256:{hashlib.sha256(token.encode()).hexdigest()}'
 
 
+def read_bearer(authorization: str | None) -> str | None:
+    """Return the token of an ``Authorization`` header, or nothing.
+
+    The scheme's case does not count. What is far longer than any token is
+    none, and is not hashed.
+    """
+    scheme, _, token = (authorization or '').partition(' ')
+    token = token.strip()
+    if scheme.lower() != _SCHEME or not token or len(token) > _MAX_TOKEN:
+        return None
+    return token
+
+
 def is_same_hash(left: str, right: str) -> bool:
     """Return whether two hashes are equal, in constant time."""
     return hmac.compare_digest(left.encode(), right.encode())
--- /dev/null
+++ b/guavagate/duties/_usage.py
@@ -0,0 +1,98 @@
+"""The usage of all callers: counted at each instance, reported by one."""
+
+from guavagate.clock import Clock
+from guavagate.duties._reporter import LEASE_PATH, UsageReporter
+from guavagate.duties._tally import UsageTally
+from guavagate.duties._teller import UsageTeller
+from guavagate.duties._true_time import TrueTime
+from guavagate.jobs import Ownership
+from guavagate.links import Bus
+from guavagate.models import InstanceId, TeamId
+from guavagate.ports.duties import DutyClient
+from guavagate.ports.store import ObjectStore
+from guavagate.rollouts import Lease, Renewals
+from guavagate.util.boot_clock import read_boot_clock
+
+_DUTY = 'usage'
+# Who is told of each renewal: two that fail at once leave one that has heard.
+SUCCESSORS = 3
+
+
+class Usage:
+    """One instance's part in it.
+
+    Parameters
+    ----------
+    length
+        Of a window, in seconds.
+    due
+        Whether usage has to be reported at all.
+    counts
+        Whether callers come here.
+    """
+
+    def __init__(
+        self,
+        me: InstanceId,
+        clock: Clock,
+        bus: Bus,
+        store: ObjectStore,
+        client: DutyClient,
+        ownership: Ownership,
+        renewals: Renewals,
+        length: float,
+        lease_seconds: float,
+        *,
+        due: bool,
+        counts: bool,
+    ) -> None:
+        self._me = me
+        self._ownership = ownership
+        self._due = due
+        self._counts = counts
+        true_time = TrueTime(clock.wall, read_boot_clock)
+        self._teller = UsageTeller(
+            me, clock, bus, UsageTally(length), true_time, self._rank
+        )
+        lease = Lease(
+            store,
+            LEASE_PATH,
+            me,
+            lease_seconds,
+            renewals,
+            self._list_successors,
+        )
+        self._reporter = UsageReporter(
+            me,
+            clock,
+            bus,
+            store,
+            lease,
+            client,
+            true_time,
+            length,
+            self._is_first,
+        )
+
+    def start(self) -> None:
+        """Begin to count, and to report if that is this instance's duty."""
+        if self._due and self._counts:
+            self._teller.start()
+        if self._due:
+            self._reporter.start()
+
+    def note(self, team: TeamId, seconds_ago: float) -> None:
+        """Count a request that an upstream began so many seconds ago."""
+        if self._due:
+            self._teller.note(team, seconds_ago)
+
+    def _rank(self) -> list[InstanceId]:
+        return self._ownership.rank_for(_DUTY)
+
+    def _list_successors(self) -> list[InstanceId]:
+        return [each for each in self._rank() if each != self._me][:SUCCESSORS]
+
+    def _is_first(self) -> bool:
+        ranked = self._rank()
+        first = bool(ranked) and ranked[0] == self._me
+        return self._ownership.settled and first
--- a/guavagate/events/__init__.py
+++ b/guavagate/events/__init__.py
@@ -3,7 +3,7 @@
 Each area has its own module and range of numbers: 1000 routing and placement,
 2000 partitions and ledger, 3000 fleet, 4000 settings, 5000 callers' edge,
 6000 runs and weights, 7000 the data folder, 8000 forwarding and upstreams,
-9000 jobs and orders to samplers.
+9000 jobs and orders to samplers, 9200 calls to the platform for all.
 """
 
 from guavagate.events._event import Event, catalogue, watch_events, write
--- a/guavagate/events/edge.py
+++ b/guavagate/events/edge.py
@@ -34,6 +34,18 @@
     'A request was refused as no configuration is known here yet',
     'check that the store or another instance is reached if this lasts',
 )
+KEY_DENIED = Event(
+    5015,
+    logging.INFO,
+    'A request was denied for its key',
+    'a caller whose key was taken away, or was never given, needs a new one',
+)
+REFUSED_UNPROVEN = Event(
+    5016,
+    logging.WARNING,
+    'A request was refused as the configuration here may be an old one',
+    'check that the store or a relay is reached from here if this lasts',
+)
 EDGE_LISTENING = Event(5020, logging.INFO, 'edge listens')
 STOP_PROGRESS = Event(5030, logging.INFO, 'planned stop')
 DRAIN_ASKED = Event(
--- a/guavagate/feeds/__init__.py
+++ b/guavagate/feeds/__init__.py
@@ -7,7 +7,8 @@
 """
 
 from guavagate.feeds._feed import Feed
+from guavagate.feeds._proof import Proof
 from guavagate.feeds._relays import rank_relays
 from guavagate.feeds._table import FeedTable
 
-__all__ = ('Feed', 'FeedTable', 'rank_relays')
+__all__ = ('Feed', 'FeedTable', 'Proof', 'rank_relays')
--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -16,11 +16,14 @@
 from guavagate.feeds._messages import (
     FeedBeat,
     FeedChange,
+    FeedClock,
     FeedCopy,
     FeedEntry,
     ReadFeed,
+    ReadFeedClock,
 )
 from guavagate.feeds._packing import unpack
+from guavagate.feeds._proof import Proof
 from guavagate.feeds._relays import (
     STALE_SECONDS,
     STAND_INS,
@@ -34,6 +37,7 @@
 from guavagate.models import InstanceId
 from guavagate.ports.store import ObjectStore, StoredObject
 from guavagate.runtime import Members
+from guavagate.util.boot_clock import read_boot_clock
 from guavagate.util.seniority import BootOf, forget_boots
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -53,6 +57,7 @@
 BEAT_SECONDS: Final = 0.4
 CHECK_SECONDS: Final = 0.1
 READ_SECONDS: Final = 0.6
+COMPARE_SECONDS: Final = 60.0
 # A fleet that starts for the first time has no callers yet. Its instances ask
 # the relays for what they have, and watch for themselves only if there is none
 # by then: were all to watch until they are told, the start would be half of a
@@ -90,6 +95,10 @@
         the store is away.
     first_start
         Whether the whole fleet starts for the first time.
+    proving
+        The prefix of which it must be known how new what is held is, also
+        while neither a relay nor the store answers; empty for none. An
+        instance that watches for itself then asks as often as a relay does.
     may_stand_in
         Whether this instance may relay for others without being the first in
         rank. One that works on jobs may not: cut off from the store and the
@@ -101,6 +110,8 @@
     ----------
     relaying
         Whether this instance tells the others.
+    proof
+        When what is held of the prefix `proving` was surely the newest.
     """
 
     def __init__(
@@ -115,8 +126,13 @@
         boot_of: BootOf = forget_boots,
         *,
         first_start: bool = True,
+        proving: str = '',
         may_stand_in: Callable[[], bool] = _always,
+        boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
+        self._proving = proving
+        self._boot_clock = boot_clock
+        self.proof = Proof(boot_clock)
         self._store = store
         self._clock = clock
         self._bus = bus
@@ -146,6 +162,7 @@
         bus.register(FeedChange, self._on_change)
         bus.register(FeedBeat, self._on_beat)
         bus.register(ReadFeed, self._on_read)
+        bus.register(ReadFeedClock, self._on_read_clock)
 
     def handle(self, prefix: str, put: Put, remove: Remove | None) -> None:
         """Set what is called, without blocking, for objects of a prefix."""
@@ -169,6 +186,8 @@
             self._clock.spawn(self._check),
             self._clock.spawn(self._beat),
         ]
+        if self._proving:
+            self._tasks.append(self._clock.spawn(self._compare_clocks))
 
     def _join(self) -> None:
         """Read all from a relay, if one is there."""
@@ -255,6 +274,7 @@
         wait = RELAY_WAIT_SECONDS if relaying else None
         for prefix in self._prefixes:
             lapses = prefix in self._lapsing
+            proves = prefix == self._proving
             pause = LAPSING_PAUSE_SECONDS if lapses else RELAY_PAUSE_SECONDS
             mirror = Mirror(
                 self._store,
@@ -263,11 +283,13 @@
                 self._take_stored,
                 functools.partial(self._take_gone, prefix),
                 lapses=lapses,
-                wait=wait,
+                wait=RELAY_WAIT_SECONDS if proves else wait,
                 pause=pause if relaying else ALONE_PAUSE_SECONDS,
                 settles=not relaying,
                 held=self._table.versions(prefix),
                 loaded=self._note_mirror_loaded,
+                proved=self.proof.note_own if proves else None,
+                boot_clock=self._boot_clock,
             )
             self._mirrors.append(mirror)
         for mirror in self._mirrors:
@@ -307,7 +329,11 @@
             self._clock.sleep(BEAT_SECONDS)
             if self.relaying:
                 beat = FeedBeat(
-                    boot=self._boot, number=self._number, age=self._age()
+                    boot=self._boot,
+                    number=self._number,
+                    age=self._age(),
+                    proved_at=self.proof.at,
+                    clock=self._boot_clock(),
                 )
                 self._send_all(beat)
 
@@ -336,8 +362,14 @@
             revision=min(each.revision for each in self._mirrors),
             entries=[] if packed else self._table.entries(),
             packed=self._table.pack_entries() if packed else b'',
+            proved_at=self.proof.at,
+            clock=self._boot_clock(),
         )
 
+    def _on_read_clock(self, _: InstanceId, message: Message) -> FeedClock:
+        expect(message, ReadFeedClock)
+        return FeedClock(boot=self._boot, clock=self._boot_clock())
+
     # What a follower does.
 
     def _on_change(self, sender: InstanceId, message: Message) -> None:
@@ -358,6 +390,7 @@
         if relay is not None and known and relay.number >= beat.number:
             relay.heard_at = self._clock.now()
             relay.age = beat.age
+            self.proof.note_told(beat.boot, beat.proved_at, beat.clock)
             return
         if relay is None or not relay.reading:
             self._read_copy(sender)
@@ -367,6 +400,7 @@
         before = self._relays.get(sender)
         never = self._clock.now() - STALE_SECONDS
         self._relays[sender] = _Relay(0, 0, never, 0, reading=True)
+        asked_at = self._boot_clock()
         try:
             copy = self._bus.request(
                 sender, ReadFeed(packed=True), FeedCopy, READ_SECONDS
@@ -377,9 +411,34 @@
             self._relays.pop(sender)
             return
         self._table.take_all(entries, copy.revision)
+        self.proof.compare(copy.boot, asked_at, copy.clock)
+        self.proof.note_told(copy.boot, copy.proved_at, copy.clock)
         self._relays[sender] = _Relay(
             copy.boot, copy.number, self._clock.now(), copy.age
         )
         self._loaded.set()
         if before is None:
             _LOGGER.debug('following %s', sender)
+
+    def _compare_clocks(self) -> None:
+        """Ask the relays for their boot clocks now and then.
+
+        Two machines' clocks drift apart by seconds in a day, and a proof that
+        is told by the relay's would seem to be older, or newer, by that.
+        """
+        while True:
+            self._clock.sleep(COMPARE_SECONDS)
+            for relay, heard in list(self._relays.items()):
+                if not heard.reading and heard.boot:
+                    self._compare_clock(relay)
+
+    def _compare_clock(self, relay: InstanceId) -> None:
+        asked_at = self._boot_clock()
+        try:
+            told = self._bus.request(
+                relay, ReadFeedClock(), FeedClock, READ_SECONDS
+            )
+        except LinkError as error:
+            _LOGGER.debug('%s told no clock: %s', relay, error)
+            return
+        self.proof.compare(told.boot, asked_at, told.clock)
--- a/guavagate/feeds/_messages.py
+++ b/guavagate/feeds/_messages.py
@@ -24,12 +24,16 @@
     """A relay's sign of life.
 
     `age` is how long ago, in seconds, it last heard from the store that it
-    has all; `number` is that of its newest change.
+    has all; `number` is that of its newest change. `proved_at` is when what
+    it holds of the configuration was surely the store's newest, and `clock`
+    is now, both by its boot clock; nothing from a release that proves nothing.
     """
 
     boot: int
     number: int
     age: float
+    proved_at: float | None = None
+    clock: float | None = None
 
 
 class ReadFeed(Message, frozen=True, kw_only=True):
@@ -54,3 +58,16 @@
     revision: Revision
     entries: list[FeedEntry] = []
     packed: bytes = b''
+    proved_at: float | None = None
+    clock: float | None = None
+
+
+class ReadFeedClock(Message, frozen=True, kw_only=True):
+    """Asks a relay for its boot clock."""
+
+
+class FeedClock(Message, frozen=True, kw_only=True):
+    """A relay's boot clock, in seconds."""
+
+    boot: int
+    clock: float
--- a/guavagate/forwarding/_answers.py
+++ b/guavagate/forwarding/_answers.py
@@ -55,6 +55,8 @@
     exchange.respond(NOT_RUN_STATUS, headers, f'not run: {reason}\n'.encode())
 
 
-def say(exchange: Exchange, status: int, text: str) -> None:
+def say(
+    exchange: Exchange, status: int, text: str, *headers: tuple[bytes, bytes]
+) -> None:
     """Send a short text."""
-    exchange.respond(status, [_TEXT], f'{text}\n'.encode())
+    exchange.respond(status, [_TEXT, *headers], f'{text}\n'.encode())
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -56,6 +56,8 @@
     """The end of a request; `retry_after` in seconds.
 
     `failed_answers` counts the upstreams that ran it and answered 500.
+    `began_at` is when it was sent to the first upstream that may have run it,
+    on the runtime's clock; nothing where none has.
     """
 
     kind: OutcomeKind
@@ -63,6 +65,7 @@
     reason: str = ''
     retry_after: float = RETRY_AFTER_SECONDS
     failed_answers: int = 0
+    began_at: float | None = None
 
 
 class _Progress:
@@ -77,6 +80,7 @@
         self.may_have_run = False
         self.failed_answers = 0
         self.best: Attempt | None = None
+        self.sent: dict[UpstreamId, float] = {}
 
 
 class Choices(Protocol):
@@ -123,6 +127,7 @@
         try:
             outcome = self._run(call, route, service, progress)
             outcome.failed_answers = progress.failed_answers
+            outcome.began_at = min(progress.sent.values(), default=None)
             return outcome
         finally:
             for task in progress.tasks:
@@ -163,7 +168,9 @@
         return self._conclude(call, progress)
 
     def _take_failure(self, progress: _Progress, attempt: Attempt) -> None:
-        if attempt.state is not AttemptState.NOT_RUN:
+        if attempt.state is AttemptState.NOT_RUN:
+            progress.sent.pop(attempt.upstream.id, None)
+        else:
             progress.may_have_run = True
         if attempt.state is AttemptState.ANSWERED:
             progress.best = attempt
@@ -182,6 +189,7 @@
         if upstream is None:
             return
         progress.tried.add(upstream.id)
+        progress.sent[upstream.id] = self._clock.now()
         progress.running += 1
         # A kept connection that the upstream closes just now leaves unknown
         # whether a request ran; where it may not be repeated, that is lost.
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -43,12 +43,17 @@
         run = _StreamRun(exchange, call)
         tried: set[UpstreamId] = set()
         outcome = Outcome(OutcomeKind.NOT_RUN, reason='no upstream')
+        began_at: float | None = None
         while len(tried) < max(route.max_attempts, 1):
             upstream = self._upstreams.choose(service, tried)
             if upstream is None:
                 break
             tried.add(upstream.id)
+            sent_at = self._clock.now()
             outcome = self._try(run, upstream)
+            if began_at is None and run.may_have_run:
+                began_at = sent_at
+            outcome.began_at = began_at
             if outcome.kind is OutcomeKind.ANSWER:
                 return outcome
             if outcome.kind is OutcomeKind.UNKNOWN and not route.resumable:
--- /dev/null
+++ b/guavagate/front/_jobs.py
@@ -0,0 +1,153 @@
+"""Trainers' calls for jobs: accepted, read, ended."""
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from guavagate.clock import Clock
+from guavagate.events import jobs as events
+from guavagate.events import write
+from guavagate.forwarding import refuse, say
+from guavagate.helpers.store_writes import MaybeWrittenError, NotWrittenError
+from guavagate.http1 import Exchange
+from guavagate.jobs import (
+    ItemId,
+    Job,
+    JobId,
+    JobReader,
+    JobShelf,
+    Knowledge,
+    OtherJobError,
+    Page,
+)
+from guavagate.metrics import Metrics, names
+from guavagate.models import TeamId
+from guavagate.routing import RouteTable
+
+_LOGGER: Final = logging.getLogger(__name__)
+_JSON: Final = (b'Content-Type', b'application/json')
+_OCTETS: Final = (b'Content-Type', b'application/octet-stream')
+# A trainer that is refused asks at another instance soon.
+JOB_RETRY_SECONDS: Final = 0.5
+UNSURE_RETRY_SECONDS: Final = 0.3
+ACCEPT_SECONDS: Final = 2.5
+END_SECONDS: Final = 2.5
+MAX_WAIT_SECONDS: Final = 1.0
+
+
+class JobCalls:
+    """Answers calls for jobs at any instance.
+
+    Parameters
+    ----------
+    encode_page
+        Returns results as trainers read them.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        routes: RouteTable,
+        shelf: JobShelf,
+        reader: JobReader,
+        metrics: Metrics,
+        encode_page: Callable[[Page], bytes],
+    ) -> None:
+        self._clock = clock
+        self._routes = routes
+        self._shelf = shelf
+        self._reader = reader
+        self._metrics = metrics
+        self._encode_page = encode_page
+
+    def accept(self, exchange: Exchange, job: Job) -> None:
+        """Keep a job, and say so once it is durable."""
+        try:
+            new = self._shelf.accept(job, ACCEPT_SECONDS)
+        except OtherJobError:
+            say(exchange, 409, 'the id is taken by another job; use a new one')
+        except (NotWrittenError, MaybeWrittenError) as error:
+            self._tell_not_accepted(exchange, job, error)
+        else:
+            self._tell_accepted(exchange, job, new=new)
+
+    def _tell_accepted(
+        self, exchange: Exchange, job: Job, *, new: bool
+    ) -> None:
+        self._reader.remember(job)
+        seconds = self._clock.now() - exchange.arrived
+        self._metrics.observe(names.ACCEPT_SECONDS, seconds)
+        write(
+            _LOGGER,
+            events.ACCEPTED,
+            job=job.id,
+            step=job.step,
+            items=len(job.items),
+            new=new,
+            seconds=round(seconds, 3),
+        )
+        exchange.respond(202, [], b'')
+
+    def _tell_not_accepted(
+        self, exchange: Exchange, job: Job, error: Exception
+    ) -> None:
+        if isinstance(error, MaybeWrittenError):
+            write(_LOGGER, events.UNSURE, job=job.id)
+            say(exchange, 504, 'it may have been accepted; send it again')
+            return
+        write(_LOGGER, events.REFUSED, job=job.id, reason='no store')
+        refuse(exchange, 'the store takes no writes', JOB_RETRY_SECONDS)
+
+    def read(
+        self,
+        exchange: Exchange,
+        job: JobId,
+        after: int,
+        wait: float,
+        team: TeamId,
+    ) -> None:
+        """Tell results from a position on; `wait` in seconds."""
+        known, page = self._reader.read(
+            self._routes.job_services(),
+            job,
+            after,
+            min(wait, MAX_WAIT_SECONDS),
+            team,
+        )
+        if page is None:
+            _tell_unknown(exchange, known)
+            return
+        exchange.respond(200, [_JSON], self._encode_page(page))
+
+    def read_item(
+        self, exchange: Exchange, job: JobId, item: ItemId, team: TeamId
+    ) -> None:
+        """Tell an item's body."""
+        known, body = self._reader.read_item(
+            self._routes.job_services(), job, item, team
+        )
+        if known is not Knowledge.FOUND:
+            _tell_unknown(exchange, known)
+            return
+        exchange.respond(200, [_OCTETS], body)
+
+    def end(self, exchange: Exchange, job: JobId, team: TeamId) -> None:
+        """End a job, and say so once that is durable."""
+        services = self._routes.job_services()
+        known = self._reader.exists(services, job, team)
+        if known is not Knowledge.FOUND:
+            _tell_unknown(exchange, known)
+            return
+        try:
+            self._shelf.end(job, END_SECONDS)
+        except (NotWrittenError, MaybeWrittenError):
+            say(exchange, 504, 'it may have been ended; send it again')
+        else:
+            exchange.respond(200, [], b'')
+
+
+def _tell_unknown(exchange: Exchange, known: Knowledge) -> None:
+    if known is Knowledge.MISSING:
+        say(exchange, 404, 'there is no such job or item')
+        return
+    refuse(exchange, 'not known at the moment', UNSURE_RETRY_SECONDS)
--- /dev/null
+++ b/guavagate/helpers/event_stream.py
@@ -0,0 +1,65 @@
+"""Whole events of a sampler's stream, whatever its chunks."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from guavagate.exceptions import UpstreamError
+from guavagate.http1 import Answer
+from guavagate.models import WeightVersion
+from guavagate.ports.sampler import TextEvent
+
+_EVENT_END: Final = b'\n\n'
+
+
+class EventStream:
+    """Implements `ports.sampler.ItemRun` over a sampler's answer.
+
+    Parameters
+    ----------
+    version_name
+        Of the header, and of an event's line, that tell the version of the
+        weights; in lower case.
+    """
+
+    def __init__(
+        self, answer: Answer, resume_after: int, version_name: bytes
+    ) -> None:
+        self._answer = answer
+        self._last = resume_after
+        self._version_name = version_name.decode()
+        self._version = WeightVersion(
+            int(answer.find(version_name).split(',')[-1] or 0)
+        )
+
+    def events(self) -> Iterator[TextEvent]:
+        """Yield whole events; ends cleanly only at the stream's whole end."""
+        rest = b''
+        for chunk in self._answer.chunks():
+            *whole, rest = (rest + chunk).split(_EVENT_END)
+            for block in whole:
+                yield self._parse(block)
+        if rest.strip():
+            self.cancel()
+            raise UpstreamError(
+                'ended in the middle of an event',
+                'nothing; the item goes on elsewhere',
+            )
+
+    def cancel(self) -> None:
+        """Leave; the sampler drops the work."""
+        self._answer.close()
+
+    def _parse(self, block: bytes) -> TextEvent:
+        number = self._last + 1
+        data: list[str] = []
+        for line in block.decode('utf-8', 'surrogateescape').split('\n'):
+            name, _, value = line.partition(':')
+            value = value.removeprefix(' ')
+            if name == 'data':
+                data.append(value)
+            elif name == 'id' and value.isdigit():
+                number = int(value)
+            elif name == self._version_name and value.isdigit():
+                self._version = WeightVersion(int(value))
+        self._last = number
+        return TextEvent(number, '\n'.join(data), self._version)
--- a/guavagate/helpers/mirror.py
+++ b/guavagate/helpers/mirror.py
@@ -11,6 +11,7 @@
 from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.models import Revision
 from guavagate.ports.store import ObjectStore, StoredObject, WatchCompactedError
+from guavagate.util.boot_clock import read_boot_clock
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -53,6 +54,11 @@
         themselves; then one that is missing is kept for a while.
     loaded
         Called, without blocking, each time that all was listed.
+    proved
+        Called, without blocking, each time that all is held that the store
+        had at some moment, with that moment by the boot clock: when the call
+        was sent, as its answer may have been on its way for as long as the
+        call took.
     """
 
     def __init__(
@@ -69,7 +75,11 @@
         settles: bool = False,
         held: dict[str, Revision] | None = None,
         loaded: Callable[[], None] | None = None,
+        proved: Callable[[float], None] | None = None,
+        boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
+        self._on_proved = proved
+        self._boot_clock = boot_clock
         self._store = store
         self._clock = clock
         self._prefix = prefix
@@ -121,12 +131,14 @@
 
     def _follow(self) -> None:
         since = self._since
+        asked_at = self._boot_clock()
         if since is None:
             objects, listed_at = self._store.list_under(self._prefix)
             self._note_back()
             self._take_list(objects)
             self._note_seen(listed_at)
             self.loaded = True
+            self._note_proved(asked_at)
             if self._on_loaded is not None:
                 self._on_loaded()
             if self._settles:
@@ -149,6 +161,7 @@
                     StoredObject(change.path, change.value, change.version)
                 )
         self._drop_missing()
+        self._note_proved(asked_at)
         if changes and self._pause:
             self._clock.sleep(self._pause)
 
@@ -157,6 +170,10 @@
         self.revision = revision
         self.confirmed_at = self._clock.now()
 
+    def _note_proved(self, asked_at: float) -> None:
+        if self._on_proved is not None:
+            self._on_proved(asked_at)
+
     def _take_list(self, objects: list[StoredObject]) -> None:
         present = {each.path for each in objects}
         for path in [each for each in self._held if each not in present]:
--- a/guavagate/http1/_exchange.py
+++ b/guavagate/http1/_exchange.py
@@ -35,6 +35,14 @@
         """Return a request header by its name in lower case."""
         return find_header(self.request.headers, name)
 
+    def find_all(self, name: bytes) -> list[str]:
+        """Return all values of a request header by its name in lower case."""
+        return [
+            content.decode('latin-1')
+            for held, content in self.request.headers
+            if held.lower() == name
+        ]
+
     def on_gone(self, call: Callable[[], None] | None) -> None:
         """Call back, without blocking, when the caller leaves."""
         self._link.on_gone = call
--- a/guavagate/integrations/object_api/_caller.py
+++ b/guavagate/integrations/object_api/_caller.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import secrets
 from collections.abc import Callable
 from typing import Final
 
@@ -45,6 +46,10 @@
 
 
 PRODUCT_RATES: Final = Rates()
+# Of the store's rates; the rest is for members that do not know of each other
+# yet.
+RATE_SHARE: Final = 0.8
+PROBE_SECONDS: Final = 0.6
 
 
 class Caller:
@@ -179,3 +184,24 @@
 
 def _held_back(problem: str) -> StoreUnavailableError:
     return _unavailable(problem, may_be_written=False)
+
+
+def share_rates(
+    carry: Transport,
+    clock: Clock,
+    members: Callable[[], int],
+    *,
+    reads: float,
+    writes: float,
+) -> Caller:
+    """Return a caller that keeps to its share of the store's rates.
+
+    Parameters
+    ----------
+    members
+        Returns how many instances share them.
+    reads, writes
+        Calls a second that all of them may make together.
+    """
+    rates = Rates(reads * RATE_SHARE, writes * RATE_SHARE, PROBE_SECONDS)
+    return Caller(carry, clock, members, secrets.SystemRandom(), rates)
--- /dev/null
+++ b/guavagate/integrations/object_api/over_pool.py
@@ -0,0 +1,43 @@
+"""Carries calls to the object API over kept connections."""
+
+from typing import Final
+
+from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.http1 import ConnectionPool, Request
+from guavagate.integrations.object_api.models import (
+    Answer,
+    Call,
+    NoAnswerError,
+    NotSentError,
+    Transport,
+)
+
+_REFUSED: Final = frozenset((429, 503))
+
+
+def connect_store(address: str, pool: ConnectionPool) -> Transport:
+    """Return what carries one call to the store.
+
+    A refusal, 429 or 503, promises that nothing was done, as a connection
+    that can't be made does.
+    """
+
+    def carry(call: Call) -> Answer:
+        headers = [(b'Host', address.encode())]
+        if call.body:
+            headers.append((b'Content-Type', b'application/json'))
+        request = Request(call.method, call.path, headers)
+        try:
+            answer = pool.send(
+                address, request, call.body, timeout=call.timeout
+            )
+            body = answer.read()
+        except UpstreamNotStartedError as error:
+            raise NotSentError(error.problem) from error
+        except UpstreamError as error:
+            raise NoAnswerError(error.problem) from error
+        if answer.status in _REFUSED:
+            raise NotSentError(f'the store answered {answer.status}')
+        return Answer(status=answer.status, body=body)
+
+    return carry
--- a/guavagate/jobs/_carried.py
+++ b/guavagate/jobs/_carried.py
@@ -17,7 +17,7 @@
     ResultState,
 )
 from guavagate.jobs._work import JobWork, Text
-from guavagate.models import WeightVersion
+from guavagate.models import TeamId, WeightVersion
 
 # Two or three steps of each of a few trainers; older ones are too stale.
 MOST_ITEMS: Final = 2000
@@ -26,6 +26,7 @@
 class _Kept(msgspec.Struct):
     """What is there of an item; `result` if it was finished."""
 
+    team: TeamId
     item: JobItem
     text: Text
     result: Result | None = None
@@ -50,7 +51,9 @@
                 continue
             result = results.get(item.id)
             if result is not None or progress.text.last:
-                self._kept[item.id] = _Kept(item, progress.text, result)
+                self._kept[item.id] = _Kept(
+                    work.job.team, item, progress.text, result
+                )
                 self._kept.move_to_end(item.id)
         while len(self._kept) > MOST_ITEMS:
             self._kept.popitem(last=False)
@@ -63,6 +66,8 @@
             kept = self._kept.pop(progress.item.id, None)
             if kept is None or not _is_same(kept.item, progress.item):
                 continue
+            if kept.team != job.team:
+                continue
             # A signature is that of the request that gave it, whichever step
             # asked for it; for another request only the text is of use.
             rated = kept.item.reward == progress.item.reward
--- a/guavagate/jobs/_held.py
+++ b/guavagate/jobs/_held.py
@@ -31,6 +31,7 @@
 from guavagate.jobs._shelf import JobShelf
 from guavagate.jobs._work import JobWork
 from guavagate.metrics import Metrics, names
+from guavagate.models import TeamId
 from guavagate.ports.store import StoredObject
 from guavagate.rollouts import ModelDemand
 
@@ -41,6 +42,7 @@
 # Readers of a job in doubt wait at least so long for its look-up, fifty usual
 # answers of the store; then they ask the store themselves.
 SETTLE_SECONDS: Final = 0.3
+_ANYBODY: Final = TeamId('')
 
 
 class HeldJob(msgspec.Struct):
@@ -144,10 +146,10 @@
         return demands
 
     def read(
-        self, job: JobId, after: int, wait: float
+        self, job: JobId, after: int, wait: float, team: TeamId = _ANYBODY
     ) -> tuple[Knowledge, Page | None]:
         """Return results from a position on, once there are any."""
-        known, held = self._find(job)
+        known, held = self._find_for(job, team)
         if held is None:
             return known, None
         doubtful = not held.has(after) and held.is_doubtful()
@@ -166,9 +168,11 @@
         total = len(held.work.items)
         return Knowledge.FOUND, cut_page(results, total, after, PAGE_BYTES)
 
-    def read_item(self, job: JobId, item: ItemId) -> tuple[Knowledge, bytes]:
+    def read_item(
+        self, job: JobId, item: ItemId, team: TeamId = _ANYBODY
+    ) -> tuple[Knowledge, bytes]:
         """Return an item's body."""
-        known, held = self._find(job)
+        known, held = self._find_for(job, team)
         if held is None:
             return known, b''
         progress = held.work.items.get(item)
@@ -243,6 +247,19 @@
         self._held.clear()
         self._expected.clear()
 
+    def _find_for(
+        self, job: JobId, team: TeamId
+    ) -> tuple[Knowledge, HeldJob | None]:
+        """Return a job if a team's callers may see it.
+
+        To others it is not there: whether an id is taken tells of the work of
+        another team.
+        """
+        known, held = self._find(job)
+        if held is not None and not held.work.job.is_open_to(team):
+            return Knowledge.MISSING, None
+        return known, held
+
     def _find(self, job: JobId) -> tuple[Knowledge, HeldJob | None]:
         """Return a job in work; one not heard of yet is looked for."""
         if not self.active:
--- a/guavagate/jobs/_messages.py
+++ b/guavagate/jobs/_messages.py
@@ -4,7 +4,7 @@
 
 from guavagate.jobs._models import ItemId, JobId, Page
 from guavagate.links import Message
-from guavagate.models import ServiceId
+from guavagate.models import ServiceId, TeamId
 
 
 class Knowledge(enum.Enum):
@@ -16,12 +16,13 @@
 
 
 class ReadPage(Message, frozen=True, kw_only=True):
-    """Asks for results from a position on; `wait` in seconds."""
+    """Asks, for a team, for results from a position on; `wait` in seconds."""
 
     service: ServiceId
     job: JobId
     after: int
     wait: float
+    team: TeamId = TeamId('')
 
 
 class PageReply(Message, frozen=True, kw_only=True):
@@ -32,11 +33,12 @@
 
 
 class ReadItem(Message, frozen=True, kw_only=True):
-    """Asks for an item's body."""
+    """Asks, for a team, for an item's body."""
 
     service: ServiceId
     job: JobId
     item: ItemId
+    team: TeamId = TeamId('')
 
 
 class ItemReply(Message, frozen=True, kw_only=True):
--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from guavagate.models import ServiceId, WeightVersion
+from guavagate.models import ServiceId, TeamId, WeightVersion
 from guavagate.ports.rewards import RewardRequest
 
 JobId = NewType('JobId', str)
@@ -44,7 +44,9 @@
     """One step of a trainer; times in seconds, `submitted_at` since 1970.
 
     `fingerprint` stands for the content as the trainer sent it, so that a
-    repeated submission is told from another one under the same id.
+    repeated submission is told from another one under the same id. `team` is
+    empty where the configuration knew none, as in records of a release that
+    knew none: these are any caller's, since nobody can be told to be theirs.
     """
 
     id: JobId
@@ -62,6 +64,11 @@
     single_version: bool = False
     items: list[JobItem] = []
     parts: int = 0
+    team: TeamId = TeamId('')
+
+    def is_open_to(self, team: TeamId) -> bool:
+        """Return whether a team's callers may see and end the job."""
+        return not self.team or self.team == team
 
 
 class Result(msgspec.Struct, frozen=True):
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -33,7 +33,7 @@
 from guavagate.jobs._shelf import JobShelf, decode_job
 from guavagate.jobs._work import JobWork, Progress
 from guavagate.metrics import Metrics, names
-from guavagate.models import InstanceId, ServiceId
+from guavagate.models import InstanceId, ServiceId, TeamId
 from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
 from guavagate.ports.store import StoredObject
@@ -61,6 +61,7 @@
 # How many instances keep a copy of each text: the next owner and, should it
 # fail with this one, the one after it.
 COPIES: Final = 2
+_ANYBODY: Final = TeamId('')
 
 
 class JobOwner:
@@ -176,15 +177,25 @@
         """Return what the open jobs, and the next ones, ask of each model."""
         return self._held.demands()
 
+    def count_open(self) -> dict[str, int]:
+        """Return the items by model that are not done."""
+        counts: dict[str, int] = {}
+        for work in self._held.list_open():
+            undone = sum(not each.done for each in work.items.values())
+            counts[work.job.model] = counts.get(work.job.model, 0) + undone
+        return counts
+
     def read(
-        self, job: JobId, after: int, wait: float
+        self, job: JobId, after: int, wait: float, team: TeamId = _ANYBODY
     ) -> tuple[Knowledge, Page | None]:
         """Return results from a position on, once there are any."""
-        return self._held.read(job, after, wait)
+        return self._held.read(job, after, wait, team)
 
-    def read_item(self, job: JobId, item: ItemId) -> tuple[Knowledge, bytes]:
+    def read_item(
+        self, job: JobId, item: ItemId, team: TeamId = _ANYBODY
+    ) -> tuple[Knowledge, bytes]:
         """Return an item's body."""
-        return self._held.read_item(job, item)
+        return self._held.read_item(job, item, team)
 
     def _bring(self, work: JobWork) -> None:
         """Give a job that is taken over what there is of its texts."""
--- a/guavagate/jobs/_ownership.py
+++ b/guavagate/jobs/_ownership.py
@@ -52,8 +52,11 @@
 
     def rank(self, service: ServiceId) -> list[InstanceId]:
         """Return who may own a service's jobs, the first choice first."""
-        key = f'jobs of {service}'
-        return rank_seniors(key, self._list_candidates(), self._boot_of)
+        return self.rank_for(f'jobs of {service}')
+
+    def rank_for(self, duty: str) -> list[InstanceId]:
+        """Return who may take a duty for all, the first choice first."""
+        return rank_seniors(duty, self._list_candidates(), self._boot_of)
 
     def is_among_eldest(self) -> bool:
         """Return whether nobody who may own jobs has run for longer."""
--- a/guavagate/jobs/_reader.py
+++ b/guavagate/jobs/_reader.py
@@ -19,7 +19,7 @@
 from guavagate.jobs._ownership import Ownership
 from guavagate.jobs._shelf import JobShelf, measure_item
 from guavagate.links import Bus, Message, expect
-from guavagate.models import InstanceId, ServiceId
+from guavagate.models import InstanceId, ServiceId, TeamId
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -29,6 +29,8 @@
 # Bodies of jobs accepted or read here; an entry has little memory.
 CACHED_BYTES: Final = 8_000_000
 
+_ANYBODY: Final = TeamId('')
+
 FindOwner = Callable[[ServiceId], JobOwner | None]
 
 
@@ -64,7 +66,12 @@
             self._cached_bytes -= measure(oldest)
 
     def read(
-        self, services: list[ServiceId], job: JobId, after: int, wait: float
+        self,
+        services: list[ServiceId],
+        job: JobId,
+        after: int,
+        wait: float,
+        team: TeamId = _ANYBODY,
     ) -> tuple[Knowledge, Page | None]:
         """Return results from a position on; `wait` in seconds.
 
@@ -72,53 +79,63 @@
         ----------
         services
             Those whose jobs may be meant; their owners are asked in turn.
+        team
+            Whose callers ask; another team's job is not there for them.
         """
         for service in services:
-            message = ReadPage(service=service, job=job, after=after, wait=wait)
+            message = ReadPage(
+                service=service, job=job, after=after, wait=wait, team=team
+            )
             reply = self._ask_page(message)
             if reply is not None and reply.known is Knowledge.FOUND:
                 return reply.known, reply.page
-        return self._read_stored(job, after)
+        return self._read_stored(job, after, team)
 
     def read_item(
-        self, services: list[ServiceId], job: JobId, item: ItemId
+        self,
+        services: list[ServiceId],
+        job: JobId,
+        item: ItemId,
+        team: TeamId = _ANYBODY,
     ) -> tuple[Knowledge, bytes]:
         """Return an item's body."""
-        cached = self._cache.get(job)
-        if cached is None:
-            for service in services:
-                message = ReadItem(service=service, job=job, item=item)
-                reply = self._ask_item(message)
-                if reply is not None and reply.known is Knowledge.FOUND:
-                    return reply.known, reply.body
-            try:
-                cached = self._shelf.read(job)
-            except StoreError as error:
-                _LOGGER.debug('job %s can not be read: %s', job, error)
-                return Knowledge.UNSURE, b''
-        if cached is None:
+        if job in self._cache:
+            return _find_body(self._cache[job], item, team)
+        for service in services:
+            message = ReadItem(service=service, job=job, item=item, team=team)
+            reply = self._ask_item(message)
+            if reply is not None and reply.known is Knowledge.FOUND:
+                return reply.known, reply.body
+        try:
+            found = self._shelf.read(job)
+        except StoreError as error:
+            _LOGGER.debug('job %s can not be read: %s', job, error)
+            return Knowledge.UNSURE, b''
+        if found is None:
             return Knowledge.MISSING, b''
-        self.remember(cached)
-        for each in cached.items:
-            if each.id == item:
-                return Knowledge.FOUND, each.body
-        return Knowledge.MISSING, b''
+        self.remember(found)
+        return _find_body(found, item, team)
 
-    def exists(self, services: list[ServiceId], job: JobId) -> Knowledge:
-        """Return whether there is such a job."""
-        if job in self._cache:
+    def exists(
+        self, services: list[ServiceId], job: JobId, team: TeamId = _ANYBODY
+    ) -> Knowledge:
+        """Return whether there is such a job for a team."""
+        cached = self._cache.get(job)
+        if cached is not None and cached.is_open_to(team):
             return Knowledge.FOUND
-        known, _ = self.read(services, job, 0, 0)
+        known, _ = self.read(services, job, 0, 0, team)
         return known
 
     def _read_stored(
-        self, job: JobId, after: int
+        self, job: JobId, after: int, team: TeamId
     ) -> tuple[Knowledge, Page | None]:
         try:
             found = self._cache.get(job) or self._shelf.read(job)
             if found is None:
                 return Knowledge.MISSING, None
             self.remember(found)
+            if not found.is_open_to(team):
+                return Knowledge.MISSING, None
             log = self._shelf.make_log(job)
             log.load()
         except StoreError as error:
@@ -162,17 +179,27 @@
         owner = self._find_owner(message.service)
         if owner is None:
             return PageReply(known=Knowledge.UNSURE)
-        known, page = owner.read(message.job, message.after, message.wait)
+        known, page = owner.read(
+            message.job, message.after, message.wait, message.team
+        )
         return PageReply(known=known, page=page)
 
     def _serve_item(self, message: ReadItem) -> ItemReply:
         owner = self._find_owner(message.service)
         if owner is None:
             return ItemReply(known=Knowledge.UNSURE)
-        known, body = owner.read_item(message.job, message.item)
+        known, body = owner.read_item(message.job, message.item, message.team)
         return ItemReply(known=known, body=body)
 
 
+def _find_body(job: Job, item: ItemId, team: TeamId) -> tuple[Knowledge, bytes]:
+    if job.is_open_to(team):
+        for each in job.items:
+            if each.id == item:
+                return Knowledge.FOUND, each.body
+    return Knowledge.MISSING, b''
+
+
 def measure(job: Job) -> int:
     """Return about how many bytes a job takes."""
     return sum(measure_item(each) for each in job.items)
--- a/guavagate/jobs/_runner.py
+++ b/guavagate/jobs/_runner.py
@@ -108,6 +108,7 @@
             headers=progress.item.headers,
             body=progress.item.body,
             resume_after=progress.text.last,
+            team=job.team,
         )
         with self._clock.timeout(HEAD_SECONDS, _silence(upstream)):
             run = self._client.run(upstream, request, job.model)
--- a/guavagate/jobs/_shelf.py
+++ b/guavagate/jobs/_shelf.py
@@ -71,7 +71,9 @@
         if other is None:
             return True
         try:
-            same = decode_job(other.value).fingerprint == job.fingerprint
+            held = decode_job(other.value)
+            same = held.fingerprint == job.fingerprint
+            same = same and held.is_open_to(job.team)
         except ValueError:
             same = False
         if not same:
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -32,6 +32,17 @@
     labels=('pool',),
     plotted=True,
 )
+KEYS_DENIED: Final = Metric(
+    name='guavagate_keys_denied_total',
+    kind=MetricKind.COUNTER,
+    text='Requests denied or refused for their key, by reason',
+    labels=('reason',),
+)
+PROOF_SECONDS: Final = Metric(
+    name='guavagate_configuration_proof_seconds',
+    kind=MetricKind.GAUGE,
+    text='How long ago the configuration here was surely the newest',
+)
 MEMBERS: Final = Metric(
     name='guavagate_members',
     kind=MetricKind.GAUGE,
--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -7,13 +7,20 @@
     drop_hop_by_hop,
     find_header,
 )
+from guavagate.models import TeamId
 from guavagate.platform import const
 from guavagate.ports.dialect import AnswerMarks, Call
 from guavagate.ports.upstreams import Upstream
 
 _REPLACED = frozenset(
-    (const.DEADLINE.lower(), const.TARGET.lower(), const.RESUME.lower())
+    (
+        const.DEADLINE.lower(),
+        const.TARGET.lower(),
+        const.RESUME.lower(),
+        const.TENANT.lower(),
+    )
 )
+_CREDENTIALS = frozenset((const.AUTHORIZATION,))
 _MISDIRECTED = 421
 
 
@@ -28,12 +35,15 @@
             each
             for each in drop_hop_by_hop(call.request.headers)
             if each[0].lower() not in _REPLACED
+            and not (call.keyed and each[0].lower() in _CREDENTIALS)
         ]
         millis = max(int(left * const.MILLIS), 1)
         headers += [
             (const.DEADLINE, str(millis).encode()),
             (const.TARGET, upstream.id.encode()),
         ]
+        if call.team:
+            headers.append((const.TENANT, call.team.encode()))
         if resume_after:
             headers.append((const.RESUME, str(resume_after).encode()))
         return Request(call.request.method, call.request.target, headers)
@@ -66,12 +76,21 @@
     )
 
 
-def to_headers(headers: dict[str, str]) -> Headers:
-    """Return headers in the form that they are sent in."""
-    return [
+def to_headers(headers: dict[str, str], team: TeamId) -> Headers:
+    """Return an item's headers in the form that they are sent in.
+
+    A trainer must not name a team for its items; neither it nor a sampler is
+    told of keys.
+    """
+    sent = [
         (name.encode('latin-1'), value.encode('latin-1'))
         for name, value in headers.items()
     ]
+    if not team:
+        return sent
+    ours = {const.TENANT.lower(), const.AUTHORIZATION}
+    kept = [each for each in sent if each[0].lower() not in ours]
+    return [*kept, (const.TENANT, team.encode())]
 
 
 def _read_busy(text: str) -> int | None:
--- /dev/null
+++ b/guavagate/platform/_duties.py
@@ -0,0 +1,77 @@
+"""Usage reports and orders of samplers on the platform's wire."""
+
+import logging
+from typing import Any, Final
+
+import msgspec
+
+from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.http1 import ConnectionPool, Request
+from guavagate.platform import const
+from guavagate.ports.duties import Counts, DutyAnswer, Holder, ScaleOrder
+
+_LOGGER: Final = logging.getLogger(__name__)
+CALL_SECONDS: Final = 1.5
+_ANSWERS: Final = {
+    200: DutyAnswer.TAKEN,
+    202: DutyAnswer.TAKEN,
+    409: DutyAnswer.NOT_NOW,
+    429: DutyAnswer.UNKNOWN,
+}
+_CLIENT_ERRORS: Final = range(400, 500)
+
+
+class PlatformDuties:
+    """Implements `ports.duties.DutyClient`."""
+
+    def __init__(self, address: str, pool: ConnectionPool) -> None:
+        self._address = address
+        self._pool = pool
+
+    def report_usage(
+        self, holder: Holder, window: int, counts: Counts
+    ) -> DutyAnswer:
+        """Report the requests of each team that began in a window."""
+        body = {'window-id': window, 'counts': counts}
+        return self._call(holder, '/usage', body)
+
+    def order(self, holder: Holder, order: ScaleOrder) -> DutyAnswer:
+        """Order samplers."""
+        body = {
+            'service': order.service,
+            'zone': order.zone,
+            # The wire's name is that of a step's groups; here it is the
+            # number of samplers.
+            'target-groups': order.amount,
+        }
+        if order.spot:
+            body['spot'] = True
+        return self._call(holder, '/scale', body)
+
+    def _call(
+        self, holder: Holder, path: str, body: dict[str, Any]
+    ) -> DutyAnswer:
+        headers = [
+            (b'Host', self._address.encode()),
+            (b'Content-Type', b'application/json'),
+            (const.DUTY_HOLDER, holder.instance.encode()),
+            (const.DUTY_FENCE, str(holder.generation).encode()),
+        ]
+        request = Request('POST', path, headers)
+        try:
+            answer = self._pool.send(
+                self._address,
+                request,
+                msgspec.json.encode(body),
+                timeout=CALL_SECONDS,
+            )
+            text = answer.read()
+        except (UpstreamError, UpstreamNotStartedError) as error:
+            _LOGGER.debug('%s got no answer: %s', path, error)
+            return DutyAnswer.UNKNOWN
+        if answer.status in _ANSWERS:
+            return _ANSWERS[answer.status]
+        _LOGGER.debug('%s got %s: %r', path, answer.status, text[:200])
+        if answer.status in _CLIENT_ERRORS:
+            return DutyAnswer.REFUSED
+        return DutyAnswer.UNKNOWN
--- a/guavagate/platform/_jobs.py
+++ b/guavagate/platform/_jobs.py
@@ -9,7 +9,7 @@
 import xxhash
 
 from guavagate.jobs import GroupId, ItemId, Job, JobId, JobItem, Page, Result
-from guavagate.models import ServiceId, WeightVersion
+from guavagate.models import ServiceId, TeamId, WeightVersion
 from guavagate.platform import const
 from guavagate.ports.configuration import Route
 from guavagate.ports.rewards import RewardRequest
@@ -45,6 +45,7 @@
     target_groups: int = 0
 
 
+_NO_TEAM: Final = TeamId('')
 _MAX_ID: Final = 200
 _MAX_REWARD_BYTES: Final = 1_000_000
 
@@ -56,6 +57,7 @@
     service: ServiceId,
     now: float,
     hosts: Container[str] = (),
+    team: TeamId = _NO_TEAM,
 ) -> Job:
     """Return a submission as a job; `now` in seconds since 1970.
 
@@ -63,6 +65,8 @@
     ----------
     hosts
         Those of the configuration in force, for reward requests.
+    team
+        Whose key the trainer showed.
 
     Raises
     ------
@@ -96,6 +100,7 @@
         objective=route.job_objective,
         single_version=route.single_version,
         items=items,
+        team=team,
     )
 
 
--- a/guavagate/platform/_manifest.py
+++ b/guavagate/platform/_manifest.py
@@ -4,15 +4,18 @@
 
 import msgspec
 
+from guavagate.auth import hash_token
 from guavagate.http1 import ServerLimits
-from guavagate.models import ServiceId
+from guavagate.models import ServiceId, TeamId, ZoneId
 from guavagate.platform.const import MILLIS
 from guavagate.ports.configuration import (
     Configuration,
     Route,
     RouteKind,
+    Scaling,
     Service,
     ServiceShare,
+    Team,
 )
 
 _KINDS: Final = {
@@ -47,6 +50,7 @@
     single_version: bool = False
     item_ttl_s: float = 60
     target_run_ms: float = 60_000
+    no_auth: bool = False
 
 
 class _Model(_Table, frozen=True, kw_only=True):
@@ -59,11 +63,20 @@
     models: list[_Model] = []
 
 
+class _Scaling(_Table, frozen=True, kw_only=True):
+    min: int = 0
+    max: int = 0
+    boot_s: float = 0
+    spot_price: float = 1
+    zone_prices: dict[str, float] = {}
+
+
 class _Service(_Table, frozen=True, kw_only=True):
     name: str
     health_path: str = ''
     max_conns: int = 100
     engine: _Engine = _Engine()
+    scaling: _Scaling | None = None
 
 
 class _Limits(_Table, frozen=True, kw_only=True):
@@ -73,11 +86,18 @@
     idle_timeout_ms: float = 15_000
 
 
+class _Tenant(_Table, frozen=True, kw_only=True):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
 class _Manifest(_Table, frozen=True, kw_only=True):
     version: int
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
+    tenants: list[_Tenant] = []
 
 
 def decode_manifest(value: bytes) -> Configuration:
@@ -94,6 +114,7 @@
             header_timeout=limits.header_timeout_ms / MILLIS,
             idle_timeout=limits.idle_timeout_ms / MILLIS,
         ),
+        teams=tuple(_to_team(each) for each in manifest.tenants),
     )
 
 
@@ -117,6 +138,7 @@
         single_version=route.single_version,
         item_ttl=route.item_ttl_s,
         job_objective=route.target_run_ms / MILLIS,
+        open=route.no_auth,
     )
 
 
@@ -129,4 +151,25 @@
         slots=engine.slots,
         cache_tokens=engine.kv_capacity,
         models=tuple(each.name for each in engine.models),
+        scaling=None if service.scaling is None else _to_scaling(service),
+    )
+
+
+def _to_scaling(service: _Service) -> Scaling:
+    assert service.scaling is not None
+    wire = service.scaling
+    return Scaling(
+        least=wire.min,
+        most=wire.max,
+        boot=wire.boot_s,
+        spot_price=wire.spot_price,
+        zone_prices={ZoneId(zone): p for zone, p in wire.zone_prices.items()},
+    )
+
+
+def _to_team(tenant: _Tenant) -> Team:
+    return Team(
+        id=TeamId(tenant.name),
+        key_hashes=tuple(hash_token(each) for each in tenant.api_keys),
+        priority=tenant.priority,
     )
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -4,11 +4,9 @@
 import secrets
 from typing import Final
 
-from gevent.event import Event
-
 from guavagate.clock import SystemClock
+from guavagate.duties import Usage
 from guavagate.events import edge as edge_events
-from guavagate.events import forwarding as events
 from guavagate.events import write
 from guavagate.exceptions import SettingsError
 from guavagate.feeds import Feed
@@ -18,20 +16,21 @@
     RewardForwarder,
     StreamForwarder,
 )
+from guavagate.front import Gate, JobCalls, RequestCalls
 from guavagate.helpers.mirror import Mirror
 from guavagate.http1 import (
     ConnectionPool,
-    Exchange,
     HttpServer,
     ServerLimits,
 )
 from guavagate.integrations.object_api import (
-    Caller,
     PeerRoute,
-    Rates,
+    share_rates,
     time_calls,
 )
+from guavagate.integrations.object_api.over_pool import connect_store
 from guavagate.jobs import JobReader, JobShelf, Ownership
+from guavagate.lifecycle import Lifecycle
 from guavagate.links import ZmqBus
 from guavagate.membership import Membership
 from guavagate.membership.registry import MemberRegistry
@@ -40,12 +39,14 @@
 from guavagate.models import UpstreamId
 from guavagate.platform import const
 from guavagate.platform._dialect import PlatformDialect
+from guavagate.platform._duties import PlatformDuties
 from guavagate.platform._edge import Edge
+from guavagate.platform._jobs import encode_page
 from guavagate.platform._manifest import decode_manifest
 from guavagate.platform._samplers import PlatformSamplers
 from guavagate.platform._servers import decode_server, decode_version
 from guavagate.platform._settings import NodeSettings, load_settings
-from guavagate.platform._store import PlatformStore, connect_store
+from guavagate.platform._store import PlatformStore
 from guavagate.ports.store import StoredObject
 from guavagate.retirement import Retirement
 from guavagate.rollouts import Renewals
@@ -54,14 +55,8 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-# Of the store's rates, what is left covers members that do not know of each
-# other yet.
-RATE_SHARE: Final = 0.8
-PROBE_SECONDS: Final = 0.6
-# The balancer asks once a second and takes an instance out after two misses.
-BALANCER_SECONDS: Final = 2.6
-# Of the grace time; the rest is for the process's end on a slow machine.
-STOP_SHARE: Final = 0.875
+# What the metric shows where there is no proof.
+NO_PROOF_SECONDS: Final = 1e6
 
 
 class PlatformProcess:
@@ -88,10 +83,15 @@
             me.availability_zone,
             is_connected=self._pool.is_connected,
         )
+        self._upstreams.subscribe_left(self._pool.forget)
         self._upstreams.subscribe_restarts(
             lambda upstream: self._pool.forget(upstream.address)
         )
         ownership = Ownership(self._members, me.id, self._members.boot)
+        self._ownership = ownership
+        self._me = me.id
+        self._renewals = Renewals(self._bus)
+        self._duties = self._make_duties()
         shelf = JobShelf(
             self._store, self._clock, f'{me.id}/{secrets.token_hex(4)}'
         )
@@ -113,9 +113,12 @@
             settings.bounds.lease_ms / const.MILLIS,
             self._metrics,
             settings.bounds.retention_s,
-            Renewals(self._bus),
+            self._renewals,
             self._bus,
             settings.data_dir,
+            self._duties
+            if const.SCALE_DUTY in settings.cloud_api.duties
+            else None,
         )
         reader = JobReader(
             self._clock, self._bus, shelf, ownership, self._services.find
@@ -123,12 +126,22 @@
         self._registry = MemberRegistry(
             self._store, self._clock, self._members, me, settings.bootstrap
         )
-        self._me = me.id
+        self._usage = self._make_usage()
         self._feed = self._make_feed()
-        self._asked = Event()
-        self._stopping = False
+        self.lifecycle = Lifecycle(
+            self._clock,
+            self._metrics,
+            self._members,
+            self._is_able,
+            self._hand_over,
+            settings.bounds.grace_s,
+        )
+        self._metrics.before_reading(self._refresh_gauges)
         self._servers = self._make_servers(shelf, reader)
 
+        self.ask_to_stop = self.lifecycle.ask_to_stop
+        self.wait_asked = self.lifecycle.wait_asked
+
     def start(self) -> None:
         """Start every part, the callers' edge last."""
         self._members.start()
@@ -147,32 +160,13 @@
             server.start()
         self._clock.spawn(self._services.begin, self._registry)
         self._members.subscribe(self._services.refresh)
+        self._usage.start()
         self._pool.start_sweeping()
 
-    def ask_to_stop(self) -> None:
-        """Begin a planned stop; returns at once."""
-        self._asked.set()
-
-    def wait_asked(self) -> None:
-        """Block until a planned stop is asked for."""
-        self._asked.wait()
-
     def stop(self) -> None:
-        """Stop as planned: cut no request.
-
-        Jobs go to another instance at once; callers are served until the
-        balancer has seen that this instance is not ready.
-        """
-        self._stopping = True
-        until = self._clock.now() + self._settings.bounds.grace_s * STOP_SHARE
-        self._hand_over()
-        for server in self._servers:
-            server.announce_stop()
-        if self._settings.listen.front:
-            self._clock.sleep(BALANCER_SECONDS)
-        cut = sum(server.finish(until) for server in self._servers)
-        self._members.stop()
-        write(_LOGGER, events.READY, ready=False, cut=cut, stopped=True)
+        """Stop as planned: cut no request."""
+        balanced = bool(self._settings.listen.front)
+        self.lifecycle.stop(self._servers, balanced=balanced)
 
     def _make_route(self) -> PeerRoute:
         table = self._settings.platform
@@ -191,17 +185,12 @@
 
     def _make_store(self) -> PlatformStore:
         table = self._settings.platform
-        rates = Rates(
-            table.reads_per_s * RATE_SHARE,
-            table.writes_per_s * RATE_SHARE,
-            PROBE_SECONDS,
-        )
-        caller = Caller(
+        caller = share_rates(
             self._route.carry,
             self._clock,
             lambda: len(self._members.alive()),
-            secrets.SystemRandom(),
-            rates,
+            reads=table.reads_per_s,
+            writes=table.writes_per_s,
         )
         return PlatformStore(caller)
 
@@ -216,6 +205,7 @@
             (const.SERVERS,),
             self._members.boot,
             first_start=self._settings.bootstrap,
+            proving=const.CONFIG,
             may_stand_in=lambda: not self._services.active,
         )
         feed.handle(const.CONFIG, self._put_config, None)
@@ -237,18 +227,7 @@
             )
         ]
         if listen.front:
-            edge = Edge(
-                self._clock,
-                self._routes,
-                Forwarder(self._clock, self._upstreams, self._make_attempts()),
-                StreamForwarder(
-                    self._clock, self._upstreams, self._make_attempts()
-                ),
-                shelf,
-                reader,
-                self._feed.wait_loaded,
-                self._metrics,
-            )
+            edge = self._make_edge(shelf, reader)
             servers.append(
                 HttpServer(
                     listen.front, self._clock, edge.handle, self._get_limits
@@ -256,10 +235,48 @@
             )
         if listen.ready:
             servers.append(
-                HttpServer(listen.ready, self._clock, self._tell_ready)
+                HttpServer(listen.ready, self._clock, self.lifecycle.tell_ready)
             )
         return servers
 
+    def _make_edge(self, shelf: JobShelf, reader: JobReader) -> Edge:
+        clock, routes, metrics = self._clock, self._routes, self._metrics
+        attempts = self._make_attempts()
+        bounds = self._settings.bounds
+        return Edge(
+            clock,
+            routes,
+            Gate(routes, metrics, self._feed.proof.age, bounds.to_proof()),
+            RequestCalls(
+                clock,
+                Forwarder(clock, self._upstreams, attempts),
+                StreamForwarder(clock, self._upstreams, attempts),
+                metrics,
+                self._usage.note,
+            ),
+            JobCalls(clock, routes, shelf, reader, metrics, encode_page),
+            self._feed.wait_loaded,
+        )
+
+    def _make_duties(self) -> PlatformDuties:
+        return PlatformDuties(self._settings.cloud_api.address, self._pool)
+
+    def _make_usage(self) -> Usage:
+        bounds = self._settings.bounds
+        return Usage(
+            self._me,
+            self._clock,
+            self._bus,
+            self._store,
+            self._duties,
+            self._ownership,
+            self._renewals,
+            bounds.usage_window_s,
+            bounds.lease_ms / const.MILLIS,
+            due=const.USAGE_DUTY in self._settings.cloud_api.duties,
+            counts=bool(self._settings.listen.front),
+        )
+
     def _make_attempts(self) -> Attempts:
         return Attempts(
             self._clock, self._pool, self._upstreams, PlatformDialect()
@@ -282,32 +299,29 @@
         else:
             write(_LOGGER, edge_events.SETTINGS_READ)
 
-    def _tell_ready(self, exchange: Exchange) -> None:
-        exchange.read_body(0)
-        known = self._routes.configuration is not None and self._feed.loaded
-        ready = known and not self._stopping
-        self._metrics.set_gauge(names.READY, int(ready))
+    def _is_able(self) -> bool:
+        return self._routes.configuration is not None and self._feed.loaded
+
+    def _refresh_gauges(self) -> None:
+        age = min(self._feed.proof.age(), NO_PROOF_SECONDS)
+        self._metrics.set_gauge(names.PROOF_SECONDS, age)
         self._metrics.set_gauge(names.MEMBERS, len(self._members.alive()))
-        exchange.respond(200 if ready else 503, [], b'')
 
     def _put_config(self, stored: StoredObject) -> None:
-        if stored.path == const.CONFIG_PATH:
-            self._routes.take(decode_manifest(stored.value))
-            self._services.refresh()
+        if stored.path != const.CONFIG_PATH:
+            return
+        # Until it is read: an older one stays in force if it can not be.
+        self._feed.proof.set_void(void=True)
+        self._routes.take(decode_manifest(stored.value))
+        self._feed.proof.set_void(void=False)
+        self._services.refresh()
 
     def _put_server(self, stored: StoredObject) -> None:
         name = stored.path.partition('/')[2]
-        held = self._upstreams.get(UpstreamId(name))
-        upstream = decode_server(name, stored.value)
-        self._upstreams.put(upstream)
-        if held is not None and held.address != upstream.address:
-            self._pool.forget(held.address)
+        self._upstreams.put(decode_server(name, stored.value))
 
     def _drop_server(self, name: str) -> None:
-        held = self._upstreams.get(UpstreamId(name))
         self._upstreams.remove(UpstreamId(name))
-        if held is not None:
-            self._pool.forget(held.address)
 
     def _put_version(self, name: str, stored: StoredObject) -> None:
         model, version = decode_version(stored.value)
--- a/guavagate/platform/_samplers.py
+++ b/guavagate/platform/_samplers.py
@@ -1,13 +1,12 @@
 """Requests to model samplers: items, reports, orders."""
 
-from collections.abc import Iterator
 from typing import Final
 
 import msgspec
 
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.helpers.event_stream import EventStream
 from guavagate.http1 import Answer, ConnectionPool, Request
-from guavagate.models import WeightVersion
 from guavagate.platform import const
 from guavagate.platform._dialect import read_marks, to_headers
 from guavagate.platform._servers import ModelState, read_models
@@ -17,7 +16,6 @@
     ItemRequest,
     OrderRefusedError,
     SamplerReport,
-    TextEvent,
     VersionOrder,
 )
 from guavagate.ports.upstreams import Upstream
@@ -26,7 +24,6 @@
 _ACCEPTED: Final = 202
 _IMPOSSIBLE: Final = 422
 _FAILED: Final = 500
-_EVENT_END: Final = b'\n\n'
 REPORT_SECONDS: Final = 1.0
 ORDER_SECONDS: Final = 1.0
 _CONTINUE: Final = 'continue'
@@ -42,47 +39,6 @@
     born: float = 0
 
 
-class EventStream:
-    """Implements `ports.sampler.ItemRun` over a sampler's answer."""
-
-    def __init__(self, answer: Answer, resume_after: int) -> None:
-        self._answer = answer
-        self._last = resume_after
-        self._version = WeightVersion(
-            int(answer.find(const.VERSION).split(',')[-1] or 0)
-        )
-
-    def events(self) -> Iterator[TextEvent]:
-        """Yield whole events; ends cleanly only at the stream's whole end."""
-        rest = b''
-        for chunk in self._answer.chunks():
-            *whole, rest = (rest + chunk).split(_EVENT_END)
-            for block in whole:
-                yield self._parse(block)
-        if rest.strip():
-            self.cancel()
-            raise _broken('ended in the middle of an event')
-
-    def cancel(self) -> None:
-        """Leave; the sampler drops the work."""
-        self._answer.close()
-
-    def _parse(self, block: bytes) -> TextEvent:
-        number = self._last + 1
-        data: list[str] = []
-        for line in block.decode('utf-8', 'surrogateescape').split('\n'):
-            name, _, value = line.partition(':')
-            value = value.removeprefix(' ')
-            if name == 'data':
-                data.append(value)
-            elif name == 'id' and value.isdigit():
-                number = int(value)
-            elif name.encode() == const.VERSION and value.isdigit():
-                self._version = WeightVersion(int(value))
-        self._last = number
-        return TextEvent(number, '\n'.join(data), self._version)
-
-
 class PlatformSamplers:
     """Implements `ports.sampler.SamplerClient`."""
 
@@ -97,7 +53,7 @@
             (b'Host', item.host.encode()),
             (const.REQUEST_ID, item.id.encode()),
             (const.TARGET, upstream.id.encode()),
-            *to_headers(item.headers),
+            *to_headers(item.headers, item.team),
         ]
         if item.resume_after:
             after = str(item.resume_after).encode()
@@ -107,7 +63,7 @@
             upstream.address, request, item.body, timeout=None
         )
         _check(item.id, upstream, answer)
-        return EventStream(answer, item.resume_after)
+        return EventStream(answer, item.resume_after, const.VERSION)
 
     def report(self, upstream: Upstream) -> SamplerReport:
         """Return the sampler's state."""
--- a/guavagate/platform/_servers.py
+++ b/guavagate/platform/_servers.py
@@ -33,6 +33,7 @@
     models: list[ModelState] = []
     # Of its start, in Unix milliseconds by its own clock.
     born: float = 0
+    spot: bool = False
 
 
 class _Version(msgspec.Struct, frozen=True, kw_only=True):
@@ -64,6 +65,7 @@
         slots=server.slots,
         versions=read_models(server.models),
         incarnation=int(server.born),
+        spot=server.spot,
     )
 
 
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -2,8 +2,10 @@
 
 import msgspec
 
+from guavagate.auth import ProofBounds, make_bounds
 from guavagate.exceptions import SettingsError
 from guavagate.models import InstanceId, RegionId, ZoneId
+from guavagate.platform.const import MILLIS
 from guavagate.settings import InstanceSettings, PlatformSettings
 
 
@@ -26,6 +28,18 @@
     thaw_slack_ms: float = 300
     retention_s: float = 120
     drain_ms: float = 2000
+    config_apply_ms: float = 2000
+    strict_revoke: bool = False
+    revoke_ms: float = 5000
+    usage_window_s: float = 5
+
+    def to_proof(self) -> ProofBounds:
+        """Return how new the configuration must surely be."""
+        return make_bounds(
+            self.config_apply_ms / MILLIS,
+            self.revoke_ms / MILLIS,
+            strict=self.strict_revoke,
+        )
 
 
 class StoreTable(_Table, frozen=True, kw_only=True):
@@ -37,6 +51,14 @@
     value_bytes: int = 1_048_576
 
 
+class DutiesTable(_Table, frozen=True, kw_only=True):
+    """Where the platform takes calls that one instance makes for all."""
+
+    address: str = ''
+    duties: list[str] = []
+    duty_per_s: float = 50
+
+
 class NodeSettings(_Table, frozen=True, kw_only=True):
     """One process's settings."""
 
@@ -51,6 +73,7 @@
     listen: ListenTable = ListenTable()
     bounds: BoundsTable = BoundsTable()
     platform: StoreTable
+    cloud_api: DutiesTable = DutiesTable()
 
     def to_instance(self) -> InstanceSettings:
         """Return the product's form of these settings."""
--- a/guavagate/platform/_store.py
+++ b/guavagate/platform/_store.py
@@ -1,7 +1,5 @@
 """The platform's store behind the product's store port."""
 
-import json
-import logging
 from typing import Any, Final
 from urllib.parse import quote
 
@@ -10,18 +8,13 @@
 from guavagate.exceptions import (
     StoreConflictError,
     StoreUnavailableError,
-    UpstreamError,
-    UpstreamNotStartedError,
 )
+from guavagate.helpers.lenient import decode_leniently
 from guavagate.helpers.unreadable import UnreadableObjects
-from guavagate.http1 import ConnectionPool, Request
 from guavagate.integrations.object_api import Caller, Priority
 from guavagate.integrations.object_api.models import (
     Answer,
     Call,
-    NoAnswerError,
-    NotSentError,
-    Transport,
 )
 from guavagate.models import Revision
 from guavagate.platform.const import MILLIS
@@ -31,13 +24,11 @@
     WatchCompactedError,
 )
 
-_LOGGER: Final = logging.getLogger(__name__)
 _UNREADABLE: Final = UnreadableObjects()
 _OK: Final = 200
 _MISSING: Final = 404
 _CONFLICT: Final = 409
 _COMPACTED: Final = 410
-_REFUSED: Final = frozenset((429, 503))
 _CREATE: Final = Revision(0)
 # It answers in milliseconds; at sixty times that it is still in time.
 CALL_SECONDS: Final = 1.0
@@ -77,34 +68,6 @@
     events: list[_Event] = []
 
 
-def connect_store(address: str, pool: ConnectionPool) -> Transport:
-    """Return what carries one call to the store.
-
-    A refusal, 429 or 503, promises that nothing was done, as a connection
-    that can't be made does.
-    """
-
-    def carry(call: Call) -> Answer:
-        headers = [(b'Host', address.encode())]
-        if call.body:
-            headers.append((b'Content-Type', b'application/json'))
-        request = Request(call.method, call.path, headers)
-        try:
-            answer = pool.send(
-                address, request, call.body, timeout=call.timeout
-            )
-            body = answer.read()
-        except UpstreamNotStartedError as error:
-            raise NotSentError(error.problem) from error
-        except UpstreamError as error:
-            raise NoAnswerError(error.problem) from error
-        if answer.status in _REFUSED:
-            raise NotSentError(f'the store answered {answer.status}')
-        return Answer(status=answer.status, body=body)
-
-    return carry
-
-
 class PlatformStore:
     """Objects under ``kind/name``; the value is an object's ``spec``."""
 
@@ -240,28 +203,9 @@
     return read
 
 
-def _clean(body: bytes) -> bytes:
-    """Return a body without what only a lenient reader takes for JSON.
-
-    An object by another writer may hold bytes that are no text, half of a
-    character, or a number that is none; the others of its page hold.
-    """
-    try:
-        found = json.loads(
-            body.decode('utf-8', 'replace'), parse_constant=lambda _: None
-        )
-    except ValueError:
-        return body
-    return json.dumps(found, ensure_ascii=False).encode('utf-8', 'replace')
-
-
 def _decode(answer: Answer, kind: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(answer.body, type=kind)
-    except msgspec.MsgspecError:
-        _LOGGER.debug('an answer of the store is read leniently')
-    try:
-        return msgspec.json.decode(_clean(answer.body), type=kind)
+        return decode_leniently(answer.body, kind)
     except msgspec.MsgspecError as error:
         raise StoreUnavailableError(
             f'the store sent what is no answer ({error})',
--- a/guavagate/ports/configuration.py
+++ b/guavagate/ports/configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from guavagate.http1 import ServerLimits
-from guavagate.models import ServiceId
+from guavagate.models import ServiceId, TeamId, ZoneId
 
 
 class RouteKind(enum.Enum):
@@ -25,7 +25,10 @@
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
-    """Requests of one host and path prefix; times in seconds."""
+    """Requests of one host and path prefix; times in seconds.
+
+    `open` is a route whose callers need no key.
+    """
 
     name: str
     host: str
@@ -40,6 +43,37 @@
     single_version: bool = False
     item_ttl: float = 60.0
     job_objective: float = 60.0
+    open: bool = False
+
+
+class Team(msgspec.Struct, frozen=True, kw_only=True):
+    """A team, and the hashes of the keys that its callers may show."""
+
+    id: TeamId
+    key_hashes: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+class Scaling(msgspec.Struct, frozen=True, kw_only=True):
+    """How many upstreams of a service may be ordered in each zone.
+
+    Attributes
+    ----------
+    least, most
+        Bounds of both kinds together, in one zone.
+    boot
+        Seconds until a new upstream serves.
+    spot_price
+        What one that may be reclaimed costs, as a share of a regular one.
+    zone_prices
+        What a second of an upstream costs by zone.
+    """
+
+    least: int = 0
+    most: int = 0
+    boot: float = 0
+    spot_price: float = 1
+    zone_prices: dict[ZoneId, float] = {}
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
@@ -51,6 +85,7 @@
     slots: int = 0
     cache_tokens: int = 0
     models: tuple[str, ...] = ()
+    scaling: Scaling | None = None
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,4 +94,5 @@
     version: int
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
+    teams: tuple[Team, ...] = ()
     limits: ServerLimits = ServerLimits()
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -5,17 +5,24 @@
 import msgspec
 
 from guavagate.http1 import Answer, Headers, Request
+from guavagate.models import TeamId
 from guavagate.ports.upstreams import Upstream
 
 
 class Call(msgspec.Struct, frozen=True, kw_only=True):
-    """A caller's request that is forwarded; `until` on the runtime's clock."""
+    """A caller's request that is forwarded; `until` on the runtime's clock.
+
+    `team` is whose key the caller showed; `keyed` says that the configuration
+    knows keys, so none of a caller's credentials may go on to an upstream.
+    """
 
     id: str
     request: Request
     body: bytes
     until: float
     resume_after: int = 0
+    team: TeamId = TeamId('')
+    keyed: bool = False
 
 
 class AnswerMarks(msgspec.Struct, frozen=True, kw_only=True):
--- a/guavagate/ports/sampler.py
+++ b/guavagate/ports/sampler.py
@@ -5,12 +5,15 @@
 
 import msgspec
 
-from guavagate.models import WeightVersion
+from guavagate.models import TeamId, WeightVersion
 from guavagate.ports.upstreams import Upstream
 
 
 class ItemRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """One item to generate, after the event number `resume_after` if any."""
+    """One item to generate, after the event number `resume_after` if any.
+
+    `team` is that of the job, where the configuration knows teams.
+    """
 
     id: str
     host: str
@@ -18,6 +21,7 @@
     headers: dict[str, str]
     body: bytes
     resume_after: int = 0
+    team: TeamId = TeamId('')
 
 
 class TextEvent(msgspec.Struct, frozen=True):
--- a/guavagate/ports/upstreams.py
+++ b/guavagate/ports/upstreams.py
@@ -21,3 +21,4 @@
     slots: int = 0
     versions: dict[str, WeightVersion] = {}
     incarnation: int = 0
+    spot: bool = False
--- a/guavagate/rollouts/__init__.py
+++ b/guavagate/rollouts/__init__.py
@@ -6,7 +6,9 @@
     Lease,
     LeaseHeldError,
     LeaseRecord,
+    lease_path,
     list_holders,
+    secure_for_orders,
 )
 from guavagate.rollouts._plan import ModelDemand
 from guavagate.rollouts._renewals import Renewals
@@ -23,5 +25,7 @@
     'SamplerState',
     'SamplerStates',
     'assign',
+    'lease_path',
     'list_holders',
+    'secure_for_orders',
 )
--- a/guavagate/rollouts/_coordinator.py
+++ b/guavagate/rollouts/_coordinator.py
@@ -19,7 +19,11 @@
 )
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts._assign import assign
-from guavagate.rollouts._lease import Lease, LeaseHeldError
+from guavagate.rollouts._lease import (
+    Lease,
+    LeaseHeldError,
+    secure_for_orders,
+)
 from guavagate.rollouts._plan import (
     ModelDemand,
     PlannedOrder,
@@ -135,7 +139,7 @@
         planned = self._plan(serving)
         if not planned:
             return
-        self._secure()
+        secure_for_orders(self._lease, self._clock)
         by_id = {each.id: each for each in serving}
         for order in planned:
             if not self._lease.may_order():
@@ -149,13 +153,6 @@
                 )
             )
 
-    def _secure(self) -> None:
-        self._lease.secure()
-        wait = self._lease.wait_seconds()
-        if wait:
-            self._clock.sleep(wait)
-            self._lease.secure()
-
     def _assign(self, serving: list[Upstream]) -> None:
         described = self._routes.find_service(self._service)
         models = () if described is None else described.models
--- a/guavagate/rollouts/_lease.py
+++ b/guavagate/rollouts/_lease.py
@@ -1,4 +1,7 @@
-"""The right to order samplers: one holder for each service, by the store.
+"""The right to act for all: one holder of each lease, by the store.
+
+The owner of a service orders its samplers, and how many of them there are,
+under one lease; whoever reports usage holds another one.
 
 Samplers may not check fencing numbers, so two holders must never order
 within one lease time of each other. A holder renews with a conditional write
@@ -15,7 +18,9 @@
 from typing import Final
 
 import msgspec
+from gevent.lock import RLock
 
+from guavagate.clock import Clock
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import StoreConflictError, StoreUnavailableError
@@ -55,10 +60,12 @@
 
 
 class Lease:
-    """One instance's side of a service's lease.
+    """One instance's side of a lease; several of its tasks may share it.
 
     Parameters
     ----------
+    path
+        Of the lease's object in the store.
     lease_seconds
         The time within which no two holders may order.
     renewals
@@ -70,7 +77,7 @@
     def __init__(
         self,
         store: ObjectStore,
-        service: ServiceId,
+        path: str,
         me: InstanceId,
         lease_seconds: float,
         renewals: Renewals,
@@ -78,7 +85,9 @@
         boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._store = store
-        self._path = f'{LEASES}/{service}'
+        self._path = path
+        self._lock = RLock()
+        self._renewed_at = float('-inf')
         self._me = me
         self._lease_seconds = lease_seconds
         self._now = boot_clock
@@ -115,12 +124,17 @@
         StoreUnavailableError
             The store gives no answer; no order may be sent.
         """
-        if self._revision is None:
-            self._acquire()
-            return
         asked = self._now()
-        if self._now() < self._first_order_at:
-            return
+        with self._lock:
+            if self.may_order() and self._renewed_at > asked:
+                return  # Another task has renewed it meanwhile.
+            if self._revision is None:
+                self._acquire()
+            elif self._now() >= self._first_order_at:
+                self._renew(self._revision)
+
+    def _renew(self, revision: Revision) -> None:
+        asked = self._now()
         # The content differs at each renewal: a write that changes nothing
         # would keep its revision, and a later holder's would not be noticed.
         self._nonce = secrets.token_hex(8)
@@ -131,10 +145,11 @@
         # told, and what it may order counts from here in any case.
         self._tell(record)
         try:
-            self._revision = self._put(record, self._revision)
+            self._revision = self._put(record, revision)
         except StoreConflictError as conflict:
             self._revision = self._settle(conflict.current, record)
         self._valid_until = asked + VALID_SECONDS
+        self._renewed_at = asked
 
     def release(self) -> None:
         """Stop ordering; the object stays for the successor's generation."""
@@ -235,6 +250,20 @@
         raise LeaseHeldError(self._path)
 
 
+def lease_path(service: ServiceId) -> str:
+    """Return where the lease for orders to a service's samplers is kept."""
+    return f'{LEASES}/{service}'
+
+
+def secure_for_orders(lease: Lease, clock: Clock) -> None:
+    """Hold a lease, and wait out what its former holder may still send."""
+    lease.secure()
+    wait = lease.wait_seconds()
+    if wait:
+        clock.sleep(wait)
+        lease.secure()
+
+
 def _decode(stored: StoredObject) -> LeaseRecord:
     """Return a record; one that can not be read is some other holder's.
 
--- a/guavagate/routing/_routes.py
+++ b/guavagate/routing/_routes.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from guavagate.auth import KeyRing
 from guavagate.events import forwarding as events
 from guavagate.events import write
 from guavagate.models import ServiceId
@@ -24,6 +25,7 @@
 
     def __init__(self) -> None:
         self.configuration: Configuration | None = None
+        self.keys = KeyRing()
         self._by_host: dict[str, list[Route]] = {}
         self._services: dict[ServiceId, Service] = {}
         self._subscribers: list[Callable[[], None]] = []
@@ -48,6 +50,7 @@
             routes.sort(key=_measure_prefix, reverse=True)
         self._by_host = by_host
         self._services = {each.id: each for each in configuration.services}
+        self.keys = KeyRing(configuration.teams)
         self.configuration = configuration
         write(
             _LOGGER,
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -50,6 +50,7 @@
         self._incarnations: dict[UpstreamId, int] = {}
         self._subscribers: list[Callable[[], None]] = []
         self._on_restart: list[Callable[[Upstream], None]] = []
+        self._on_left: list[Callable[[str], None]] = []
 
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call back, without blocking, after each change."""
@@ -59,6 +60,13 @@
         """Call back, without blocking, when an upstream has started again."""
         self._on_restart.append(restarted)
 
+    def subscribe_left(self, left: Callable[[str], None]) -> None:
+        """Call back, without blocking, with an address that one has left.
+
+        Another upstream may be there soon; connections to it are not kept.
+        """
+        self._on_left.append(left)
+
     def put(self, upstream: Upstream) -> None:
         """Take in what an upstream registered."""
         held = self._all.get(upstream.id)
@@ -73,6 +81,8 @@
                 service=upstream.service,
                 address=upstream.address,
             )
+        if held is not None and held.address != upstream.address:
+            self._tell_left(held)
         self._note_start(upstream)
         self._tell()
 
@@ -105,6 +115,7 @@
         self._loads.pop(upstream, None)
         if gone is not None:
             write(_LOGGER, events.UPSTREAM_GONE, upstream=upstream)
+            self._tell_left(gone)
             self._tell()
 
     def get(self, upstream: UpstreamId) -> Upstream | None:
@@ -174,6 +185,10 @@
             seconds=seconds,
         )
 
+    def _tell_left(self, upstream: Upstream) -> None:
+        for left in self._on_left:
+            left(upstream.address)
+
     def _tell(self) -> None:
         for changed in self._subscribers:
             changed()
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from guavagate.clock import Clock
+from guavagate.duties import Scaler
 from guavagate.exceptions import StoreUnavailableError
 from guavagate.jobs import (
     JobOwner,
@@ -17,6 +18,7 @@
 from guavagate.membership.registry import MemberRegistry
 from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, ServiceId, WeightVersion
+from guavagate.ports.duties import DutyClient
 from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
 from guavagate.rollouts import (
@@ -25,6 +27,7 @@
     NamedVersions,
     Renewals,
     SamplerStates,
+    lease_path,
     list_holders,
 )
 from guavagate.routing import RouteTable, UpstreamTable
@@ -39,11 +42,31 @@
     """One service's owner and coordinator."""
 
     def __init__(
-        self, owner: JobOwner, coordinator: Coordinator, states: SamplerStates
+        self,
+        owner: JobOwner,
+        coordinator: Coordinator,
+        states: SamplerStates,
+        scaler: Scaler | None,
     ) -> None:
         self.owner = owner
         self.coordinator = coordinator
         self.states = states
+        self.scaler = scaler
+
+    def start(self) -> None:
+        """Work on the service."""
+        self.owner.start()
+        self.owner.doubt()
+        self.coordinator.start()
+        if self.scaler is not None:
+            self.scaler.start()
+
+    def stop(self) -> None:
+        """Leave it to others."""
+        if self.scaler is not None:
+            self.scaler.stop()
+        self.coordinator.stop()
+        self.owner.stop()
 
 
 class Services:
@@ -65,7 +88,9 @@
         renewals: Renewals,
         bus: Bus,
         data_dir: str,
+        duties: DutyClient | None = None,
     ) -> None:
+        self._duties = duties
         self._renewals = renewals
         self._copies = TextCopies(bus)
         self._folder = TextFolder(data_dir)
@@ -155,13 +180,10 @@
         }
         for service in owned:
             held = self._services.get(service) or self._make(service)
-            held.owner.start()
-            held.owner.doubt()
-            held.coordinator.start()
+            held.start()
         for service, held in self._services.items():
             if service not in owned:
-                held.coordinator.stop()
-                held.owner.stop()
+                held.stop()
         if owned:
             self._start_versions()
         else:
@@ -186,7 +208,7 @@
         )
         lease = Lease(
             self._shelf.store,
-            service,
+            lease_path(service),
             self._me,
             self._lease_seconds,
             self._renewals,
@@ -206,10 +228,28 @@
             lambda: self._count_slots(service),
         )
         states.subscribe(coordinator.wake)
-        held = _Service(owner, coordinator, states)
+        scaler = self._make_scaler(service, lease, owner)
+        held = _Service(owner, coordinator, states, scaler)
         self._services[service] = held
         return held
 
+    def _make_scaler(
+        self, service: ServiceId, lease: Lease, owner: JobOwner
+    ) -> Scaler | None:
+        if self._duties is None:
+            return None
+        return Scaler(
+            service,
+            self._me,
+            self._clock,
+            lease,
+            self._routes,
+            self._upstreams,
+            self._duties,
+            owner.count_open,
+            lambda: self._count_slots(service),
+        )
+
     def _list_successors(self, service: ServiceId) -> list[InstanceId]:
         ranked = self._ownership.rank(service)
         return [each for each in ranked if each != self._me][:SUCCESSORS]
--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -47,8 +47,8 @@
     Safeguard(
         'orders need a renewal that is fresh',
         'guavagate/rollouts/_lease.py',
-        'self._valid_until = asked + VALID_SECONDS\n\n',
-        'self._valid_until = asked + 60\n\n',
+        'self._valid_until = asked + VALID_SECONDS\n        self._renewed_at',
+        'self._valid_until = asked + 60\n        self._renewed_at',
         'tests/rollouts/test_lease.py',
     ),
     Safeguard(
--- /dev/null
+++ b/standins/_safeguard_teams.py
@@ -0,0 +1,115 @@
+"""What is removed of keys, usage and scaling, one safeguard a row."""
+
+from typing import Final
+
+from standins._safeguard_rows import Safeguard
+
+TEAM_SAFEGUARDS: Final = (
+    Safeguard(
+        'a key is honoured only with a young proof',
+        'guavagate/auth/_keys.py',
+        '        if proof_age < bounds.honour:\n',
+        '        if True:\n',
+        'tests/test_keys.py',
+    ),
+    Safeguard(
+        'nobody is denied by old news',
+        'guavagate/auth/_keys.py',
+        '    if not may_deny(proof_age, bounds):\n',
+        '    if False:\n',
+        'tests/test_keys.py',
+    ),
+    Safeguard(
+        'no route is denied by old news',
+        'guavagate/front/_gate.py',
+        '        if may_deny(self._proof_age(), self._bounds):\n',
+        '        if True:\n',
+        'tests/platform/test_edge_keys.py',
+    ),
+    Safeguard(
+        'a relay tells its proof as a moment of its own clock',
+        'guavagate/feeds/_proof.py',
+        '        self.note_own(proved_at + offset)\n',
+        '        self.note_own(self._now() - (clock - proved_at))\n',
+        'tests/feeds/test_proof.py',
+    ),
+    Safeguard(
+        'a proof is as old as the question',
+        'guavagate/helpers/mirror.py',
+        '        asked_at = self._boot_clock()\n',
+        '        asked_at = self._boot_clock() + 3600\n',
+        'tests/feeds/test_feed.py',
+    ),
+    Safeguard(
+        'what can not be read leaves no proof',
+        'guavagate/feeds/_proof.py',
+        '        if self.at is None or self._void:\n',
+        '        if self.at is None:\n',
+        'tests/feeds/test_proof.py',
+    ),
+    Safeguard(
+        'no key goes on to an upstream',
+        'guavagate/platform/_dialect.py',
+        '            and not (call.keyed and each[0].lower() in _CREDENTIALS)\n',
+        '',
+        'tests/platform/test_edge_keys.py',
+    ),
+    Safeguard(
+        'no caller names its team itself',
+        'guavagate/platform/_dialect.py',
+        '        const.TENANT.lower(),\n    )\n)',
+        '    )\n)',
+        'tests/platform/test_edge_keys.py',
+    ),
+    Safeguard(
+        "another team's job is not there",
+        'guavagate/jobs/_models.py',
+        'return not self.team or self.team == team',
+        'return True',
+        'tests/jobs/test_teams.py',
+    ),
+    Safeguard(
+        'a window has one content',
+        'guavagate/duties/_reporter.py',
+        '            counts = _decode(other.value)\n',
+        '            pass\n',
+        'tests/duties/test_reporter.py',
+    ),
+    Safeguard(
+        'a successor reporter waits the former one out',
+        'guavagate/duties/_reporter.py',
+        '            secure_for_orders(self._lease, self._clock)\n'
+        '        if not self._lease.may_order():\n'
+        '            return\n',
+        '            self._lease.secure()\n',
+        'tests/duties/test_reporter.py',
+    ),
+    Safeguard(
+        'a total that comes twice adds nothing',
+        'guavagate/duties/_book.py',
+        '                self._totals[window][source] = counts\n',
+        '                self._totals[window][f"{source}{len(held)}"] = counts\n',
+        'tests/duties/test_counts.py',
+    ),
+    Safeguard(
+        'the time of day is that of most machines',
+        'guavagate/duties/_true_time.py',
+        'return statistics.median([mine, *self._others.values()])',
+        'return mine',
+        'tests/duties/test_true_time.py',
+    ),
+    Safeguard(
+        'no upstream is sent away that was there',
+        'guavagate/duties/_scaler.py',
+        'self._base[zone] = max(self._base.get(zone, 0), regular)',
+        'self._base.setdefault(zone, regular)',
+        'tests/duties/test_scaler.py',
+    ),
+    Safeguard(
+        'tasks that share a lease renew it in turn',
+        'guavagate/rollouts/_lease.py',
+        '        with self._lock:\n',
+        '        if True:\n',
+        'tests/rollouts/test_lease.py',
+    ),
+)
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -17,8 +17,13 @@
 
 from standins._safeguard_jobs import JOB_SAFEGUARDS
 from standins._safeguard_rows import PLATFORM_SAFEGUARDS, Safeguard
+from standins._safeguard_teams import TEAM_SAFEGUARDS
 
-SAFEGUARDS: Final = (*PLATFORM_SAFEGUARDS, *JOB_SAFEGUARDS)
+SAFEGUARDS: Final = (
+    *PLATFORM_SAFEGUARDS,
+    *JOB_SAFEGUARDS,
+    *TEAM_SAFEGUARDS,
+)
 ROOT: Final = pathlib.Path(__file__).parents[1]
 _TEST_SECONDS: Final = 120
 # pytest's own code for tests that ran and failed; others are accidents.
--- /dev/null
+++ b/tests/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that one instance does for all."""
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -79,7 +79,9 @@
             ('config', 'servers'),
             ('servers',),
             first_start=first,
+            proving='config',
             may_stand_in=lambda: name not in self.working,
+            boot_clock=self.clock.now,
         )
         feed.handle('config', put, None)
 
@@ -114,6 +116,10 @@
         for store in self.stores.values():
             store.asked = 0
 
+    def ages(self, names: Sequence[str]) -> list[float]:
+        """Return how old these hold their configuration to be at most."""
+        return [self.feeds[name].proof.age() for name in names]
+
     def values(self, names: list[str]) -> set[bytes]:
         """Return what these hold of the configuration."""
         return {self.known[name]['config/main'] for name in names}
@@ -381,3 +387,62 @@
     fleet.clock.advance(0.05)
     assert fleet.known['a']
     assert fleet.feeds['a'].loaded
+
+
+def test_all_know_their_configuration_to_be_new(fleet: _Fleet) -> None:
+    """Nothing changes for minutes, and every key is honoured all the time."""
+    for _ in range(200):
+        fleet.clock.advance(0.31)
+        assert max(fleet.ages(fleet.names)) < 2.7
+
+
+def test_the_relay_is_lost_and_the_proof_stays_young(fleet: _Fleet) -> None:
+    """A stand-in proves within the time in which keys are honoured."""
+    for relay in fleet.rank()[:2]:
+        fleet.world.kill(relay)
+    rest = fleet.others()[1:]
+    for _ in range(40):
+        fleet.clock.advance(0.2)
+        assert max(fleet.ages(rest)) < 4.5
+
+
+def test_one_that_is_cut_off_knows_that_its_news_is_old(fleet: _Fleet) -> None:
+    """A key is taken away meanwhile; nobody can tell this instance.
+
+    It goes on hearing nothing, neither from the relays nor from the store.
+    """
+    alone = fleet.others()[-1]
+    fleet.stores[alone].cut = True
+    for other in fleet.names:
+        if other != alone:
+            one, two = InstanceId(alone), InstanceId(other)
+            fleet.world.network.blocked |= {(one, two), (two, one)}
+    fleet.clock.advance(5)
+    assert min(fleet.ages([alone])) > 4.5
+
+
+def test_one_wakes_and_knows_at_once_that_its_news_is_old(
+    fleet: _Fleet,
+) -> None:
+    """A suspended process finds in its sockets what relays sent before.
+
+    Its first request comes at the same moment as this old news.
+    """
+    asleep = fleet.others()[-1]
+    fleet.world.pause(asleep)
+    fleet.clock.advance(20)
+    fleet.world.store.change('config/main', b'2')
+    fleet.world.resume(asleep)
+    assert min(fleet.ages([asleep])) > 15
+
+
+def test_nobody_reaches_the_store_and_nobody_claims_to_be_new(
+    fleet: _Fleet,
+) -> None:
+    """Relays go on beating; what they tell gets older all the same."""
+    fleet.world.store.outage = True
+    fleet.clock.advance(6)
+    assert min(fleet.ages(fleet.names)) > 4.5
+    fleet.world.store.outage = False
+    fleet.clock.advance(3)
+    assert max(fleet.ages(fleet.names)) < 2.7
--- a/tests/jobs/samplers.py
+++ b/tests/jobs/samplers.py
@@ -84,6 +84,7 @@
         self.reports: Counter[str] = Counter()
         self.made: Counter[str] = Counter()
         self.started: list[tuple[str, str, int]] = []
+        self.requests: list[ItemRequest] = []
 
     def run(self, upstream: Upstream, item: ItemRequest, model: str) -> FakeRun:
         """Start an item."""
@@ -91,6 +92,7 @@
         if upstream.id in self.down:
             raise UpstreamUnreachableError('refused', 'nothing')
         self.started.append((item.id, upstream.id, item.resume_after))
+        self.requests.append(item)
         return FakeRun(self, upstream, item)
 
     def report(self, upstream: Upstream) -> SamplerReport:
--- /dev/null
+++ b/tests/jobs/test_teams.py
@@ -0,0 +1,90 @@
+"""Jobs of teams: who may see, send again and end them."""
+
+import msgspec
+import pytest
+
+from guavagate.jobs import Job, Knowledge, OtherJobError
+from guavagate.models import TeamId
+from tests.jobs.fleet import JobFleet, find_other, make_job
+from tests.jobs.samplers import SERVICE
+
+_BLUE, _RED = TeamId('blue'), TeamId('red')
+
+
+class _OldJob(msgspec.Struct, frozen=True, kw_only=True):
+    """What a release that knows no teams reads of a record."""
+
+    id: str
+    fingerprint: str
+
+
+def _look(fleet: JobFleet, at: str, team: TeamId) -> set[Knowledge]:
+    """Return what a team's caller finds of a job at an instance."""
+    node = fleet.nodes[at]
+    job = make_job().id
+    item = make_job().items[0].id
+    asked = [
+        node.clock.spawn(node.reader.read, [SERVICE], job, 0, 0, team),
+        node.clock.spawn(node.reader.read_item, [SERVICE], job, item, team),
+        node.clock.spawn(node.reader.exists, [SERVICE], job, team),
+    ]
+    fleet.clock.run_until(lambda: all(each.ready() for each in asked), 5)
+    page, body, known = (each.get(block=False) for each in asked)
+    return {page[0], body[0], known}
+
+
+def test_another_teams_job_is_not_there() -> None:
+    """Also for an id that exists; a key of the team itself finds all."""
+    fleet = JobFleet()
+    fleet.submit(make_job(team=_BLUE), 'a')
+    fleet.clock.advance(3)
+    for name in fleet.nodes:
+        assert _look(fleet, name, _RED) == {Knowledge.MISSING}
+        assert _look(fleet, name, _BLUE) == {Knowledge.FOUND}
+
+
+def test_another_teams_job_is_not_there_when_the_owner_is_lost() -> None:
+    """Whoever is asked then reads the store itself."""
+    fleet = JobFleet()
+    fleet.submit(make_job(team=_BLUE), 'a')
+    fleet.clock.advance(3)
+    other = find_other(fleet)
+    fleet.world.kill(fleet.owner())
+    assert _look(fleet, other, _RED) == {Knowledge.MISSING}
+    assert _look(fleet, other, _BLUE) == {Knowledge.FOUND}
+
+
+def test_an_id_that_another_team_took_is_taken() -> None:
+    """Neither may the other's job be accepted as its own, word for word."""
+    fleet = JobFleet()
+    fleet.submit(make_job(team=_BLUE), 'a')
+    assert not fleet.submit(make_job(team=_BLUE), 'b')
+    with pytest.raises(OtherJobError):
+        fleet.submit(make_job(team=_RED), 'b')
+
+
+def test_a_record_of_a_release_without_teams_is_anybodys() -> None:
+    """It was accepted, and must be read and ended all the same."""
+    record = msgspec.json.decode(msgspec.json.encode(make_job()))
+    record.pop('team')
+    job = msgspec.convert(record, Job)
+    assert job.is_open_to(_RED)
+    assert job.is_open_to(_BLUE)
+
+
+def test_a_release_without_teams_reads_new_records() -> None:
+    """Both run side by side while a fleet is replaced."""
+    record = msgspec.json.encode(make_job(team=_BLUE))
+    assert msgspec.json.decode(record, type=_OldJob).id == 'job-1'
+    assert msgspec.json.decode(record, type=Job).team == _BLUE
+
+
+def test_an_items_run_names_the_jobs_team() -> None:
+    """Samplers are told whose request it is, at each run."""
+    fleet = JobFleet()
+    fleet.submit(make_job(team=_BLUE), 'a')
+    fleet.clock.advance(3)
+    runs = [
+        each for node in fleet.nodes.values() for each in node.samplers.requests
+    ]
+    assert {each.team for each in runs} == {_BLUE}
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -15,6 +15,7 @@
     NamedVersions,
     Renewals,
     SamplerStates,
+    lease_path,
 )
 from guavagate.routing import RouteTable, UpstreamTable
 from tests.jobs.samplers import MODEL, SERVICE, FakeSamplers, make_upstream
@@ -56,7 +57,7 @@
         self.samplers = FakeSamplers(self.clock)
         self.lease = Lease(
             store,
-            SERVICE,
+            lease_path(SERVICE),
             InstanceId('me'),
             3.0,
             Renewals(world.bus('me'), self.clock.now),
--- a/tests/rollouts/test_lease.py
+++ b/tests/rollouts/test_lease.py
@@ -5,7 +5,13 @@
 from guavagate.exceptions import StoreUnavailableError
 from guavagate.measure.fakes import MemoryStore, World
 from guavagate.models import InstanceId, ServiceId
-from guavagate.rollouts import Lease, LeaseHeldError, Renewals, list_holders
+from guavagate.rollouts import (
+    Lease,
+    LeaseHeldError,
+    Renewals,
+    lease_path,
+    list_holders,
+)
 
 _LEASE_SECONDS = 3.0
 
@@ -24,7 +30,7 @@
         me = InstanceId(name)
         return Lease(
             MemoryStore(self.clock, self.state),
-            ServiceId('llm'),
+            lease_path(ServiceId('llm')),
             me,
             _LEASE_SECONDS,
             Renewals(self.world.bus(name), self.clock.now),
@@ -274,3 +280,21 @@
     held.secure(again)
     assert not again.may_order()
     assert again.wait_seconds() > _LEASE_SECONDS
+
+
+def test_two_tasks_share_one_lease() -> None:
+    """One orders versions and one orders samplers, at the same moment.
+
+    The renewal of one would meet that of the other in the store, and be taken
+    for another holder's: the lease would be given up in the middle of orders.
+    """
+    held = _Holders()
+    lease = held.make('a')
+    held.secure(lease)
+    held.clock.advance(2)
+    tasks = [held.clock.spawn(lease.secure) for _ in range(4)]
+    held.clock.run_until(lambda: all(each.ready() for each in tasks), 10)
+    for task in tasks:
+        task.get(block=False)
+    assert lease.may_order()
+    assert lease.generation == 1
