--- a/standins/_safeguard_teams.py
+++ b/standins/_safeguard_teams.py
@@ -50,8 +50,8 @@
     Safeguard(
         'no key goes on to an upstream',
         'guavagate/platform/_dialect.py',
-        '            and not (call.keyed and each[0].lower() in _CREDENTIALS)\n',
-        '',
+        'each[0].lower() in _CREDENTIALS)',
+        'False)',
         'tests/platform/test_edge_keys.py',
     ),
     Safeguard(
@@ -87,8 +87,8 @@
     Safeguard(
         'a total that comes twice adds nothing',
         'guavagate/duties/_book.py',
-        '                self._totals[window][source] = counts\n',
-        '                self._totals[window][f"{source}{len(held)}"] = counts\n',
+        'self._totals[window][source] = counts\n',
+        'self._totals[window][f"{source}{len(held)}"] = counts\n',
         'tests/duties/test_counts.py',
     ),
     Safeguard(
--- a/standins/platform/checks.py
+++ b/standins/platform/checks.py
@@ -82,10 +82,26 @@
         whole_at = self._journal.whole_at.get(item, came)
         self.expect(came >= whole_at, 'EARLY', f'{item} {came} {whole_at}')
 
-    def check_orders(self, journal: Journal) -> None:
+    def check_teams(self, journal: Journal, team: str) -> None:
+        """Check that samplers were told the team, and never a key.
+
+        A reward request is nobody's.
+        """
+        told = set(journal.teams) - {''}
+        self.expect(told <= {team}, 'TEAM', f'{journal.teams}')
+        seen = journal.keys_seen
+        self.expect(not seen, 'KEY', f'samplers saw {seen} keys')
+
+    def check_windows(self, windows: dict[int, list[Any]]) -> None:
+        """Check that each window of usage has one content."""
+        for window, contents in windows.items():
+            one = len(contents) == 1
+            self.expect(one, 'WINDOW', f'{window} {contents}')
+
+    def check_orders(self, orders: list[tuple[float, str, int]]) -> None:
         """Check that no two holders ordered within one lease time."""
         before: tuple[float, str, int] | None = None
-        for when, holder, generation in sorted(journal.orders):
+        for when, holder, generation in sorted(orders):
             if before is not None and holder != before[1]:
                 gap = when - before[0]
                 apart = gap >= LEASE_SECONDS - _SLACK_SECONDS
--- /dev/null
+++ b/standins/platform/duties.py
@@ -0,0 +1,35 @@
+"""Where the platform takes usage reports; keeps what came from whom."""
+
+from typing import Any, Final
+
+import msgspec
+
+from guavagate.clock import SystemClock
+from guavagate.http1 import Exchange, HttpServer
+from guavagate.platform import const
+
+WINDOW_SECONDS: Final = 2
+
+
+class Duties:
+    """The platform's address for calls that one instance makes for all."""
+
+    def __init__(self, address: str) -> None:
+        self.reports: list[tuple[float, str, int]] = []
+        self.windows: dict[int, list[Any]] = {}
+        self._clock = SystemClock()
+        self._server = HttpServer(address, self._clock, self._handle)
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.start()
+
+    def _handle(self, exchange: Exchange) -> None:
+        report = msgspec.json.decode(exchange.read_body(1_000_000))
+        holder = exchange.find(const.DUTY_HOLDER.lower())
+        generation = int(exchange.find(const.DUTY_FENCE.lower()))
+        self.reports.append((self._clock.now(), holder, generation))
+        contents = self.windows.setdefault(report['window-id'], [])
+        if report['counts'] not in contents:
+            contents.append(report['counts'])
+        exchange.respond(200, [], b'')
--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -10,6 +10,8 @@
 
 import gevent
 
+from standins.platform.duties import WINDOW_SECONDS
+
 _ROOT: Final = pathlib.Path(__file__).parents[2]
 _SETTINGS: Final = """
 node-name = "{name}"
@@ -25,17 +27,31 @@
 grace-s = 8
 lease-ms = 3000
 retention-s = 120
+strict-revoke = true
+revoke-ms = {revoke}
+config-apply-ms = 2000
+usage-window-s = {window}
 [platform]
 address = "{store}"
+[cloud-api]
+address = "{duties}"
+duties = ["metering"]
 """
+REVOKE_SECONDS: Final = 5
 
 
 class Daemon:
     """One guavagated process; `faults` are when and what was done to it."""
 
     def __init__(
-        self, name: str, ip: str, store: str, folder: pathlib.Path
+        self,
+        name: str,
+        ip: str,
+        store: str,
+        folder: pathlib.Path,
+        duties: str = '',
     ) -> None:
+        self._duties = duties
         self.name = name
         self.ip = ip
         self.entry = name.startswith('entry')
@@ -59,6 +75,9 @@
             disk='' if self.entry else 'data-dir = "/nowhere"',
             listen=listen if self.entry else '',
             store=self._store,
+            duties=self._duties,
+            revoke=REVOKE_SECONDS * 1000,
+            window=WINDOW_SECONDS,
         )
         path.write_text(text)
         self._first = False
--- a/standins/platform/manifest.py
+++ b/standins/platform/manifest.py
@@ -1,6 +1,14 @@
 """The manifests that the soak's operator writes."""
 
-from typing import Any
+from typing import Any, Final
+
+TEAM: Final = 'blue'
+KEY: Final = 'key-that-stays'
+
+
+def make_passing_key(version: int) -> str:
+    """Return a key that only this version and the next one know."""
+    return f'key-of-{version}'
 
 
 def make_manifest(version: int, model: str) -> dict[str, Any]:
@@ -38,4 +46,14 @@
         'version': version,
         'routes': [*plain, jobs],
         'services': [{'name': 'llm', 'engine': engine}, {'name': 'desk'}],
+        'tenants': [
+            {
+                'name': TEAM,
+                'api-keys': [
+                    KEY,
+                    make_passing_key(version - 1),
+                    make_passing_key(version),
+                ],
+            }
+        ],
     }
--- a/standins/platform/sampler.py
+++ b/standins/platform/sampler.py
@@ -28,6 +28,9 @@
 
     def __init__(self) -> None:
         self.runs: Counter[str] = Counter()
+        # What samplers were told of whose requests they run.
+        self.teams: Counter[str] = Counter()
+        self.keys_seen = 0
         self.orders: list[tuple[float, str, int]] = []
         # When a reward request came, by the seal that answered it, and when
         # the last event of an item was first made.
@@ -109,8 +112,13 @@
         elif exchange.request.target == '/order':
             self._order(exchange, msgspec.json.decode(body))
         else:
+            self._note_team(exchange)
             self._serve(exchange, exchange.find(const.REQUEST_ID.lower()))
 
+    def _note_team(self, exchange: Exchange) -> None:
+        self._journal.teams[exchange.find(const.TENANT.lower())] += 1
+        self._journal.keys_seen += bool(exchange.find(const.AUTHORIZATION))
+
     def _report(self, exchange: Exchange) -> None:
         report = {
             'models': self._models(),
--- a/standins/platform/soak.py
+++ b/standins/platform/soak.py
@@ -18,8 +18,14 @@
 from guavagate.http1 import Answer, ConnectionPool, Headers, Request
 from guavagate.platform import const
 from standins.platform.checks import Verdict
-from standins.platform.fleet import Daemon, wait_ended
-from standins.platform.manifest import make_manifest
+from standins.platform.duties import Duties
+from standins.platform.fleet import REVOKE_SECONDS, Daemon, wait_ended
+from standins.platform.manifest import (
+    KEY,
+    TEAM,
+    make_manifest,
+    make_passing_key,
+)
 from standins.platform.proxy import Proxy
 from standins.platform.sampler import Journal, Sampler
 from standins.platform.store import Store
@@ -58,6 +64,8 @@
         self._version = 1
         self._block = block
         self.store = Store(self._place(250, 8000), seed)
+        self.duties = Duties(self._place(249, 8000))
+        self._passed: list[tuple[float, str]] = []
         self.proxies = [Proxy(self._place(251, 8000), self._place(250, 8000))]
         self.samplers = [
             self._make_sampler(number) for number in range(_SAMPLERS + _DESKS)
@@ -66,7 +74,11 @@
         names += [f'worker-{number}' for number in range(_WORKERS)]
         self.daemons = [
             Daemon(
-                name, f'127.0.{block}.{number}', self._place(251, 8000), folder
+                name,
+                f'127.0.{block}.{number}',
+                self._place(251, 8000),
+                folder,
+                self._place(249, 8000),
             )
             for number, name in enumerate(names, 1)
         ]
@@ -93,6 +105,7 @@
     def run(self, seconds: float) -> Verdict:
         """Run for so many seconds, then check what must still be there."""
         self.store.start()
+        self.duties.start()
         for start in (
             *(proxy.start for proxy in self.proxies),
             *(sampler.start for sampler in self.samplers),
@@ -104,7 +117,13 @@
             gevent.sleep(_WARM_SECONDS)
             tasks = [
                 gevent.spawn(run)
-                for run in (self._ask, self._ask, self._file, self.trainer.run)
+                for run in (
+                    self._ask,
+                    self._ask,
+                    self._ask_too_late,
+                    self._file,
+                    self.trainer.run,
+                )
             ]
             self._trouble(seconds)
             self._stopped = True
@@ -121,6 +140,8 @@
         self._version += 1
         manifest = make_manifest(self._version, MODEL)
         self.store.write('config', 'main', manifest)
+        passed = make_passing_key(self._version - 2)
+        self._passed.append((self.clock.now(), passed))
 
     # Faults.
 
@@ -213,9 +234,13 @@
         target: str,
         name: str,
         body: bytes = b'',
-        extra: Headers | None = None,
+        key: str = KEY,
     ) -> tuple[int, bytes, Answer]:
-        headers = [_HOST, (const.REQUEST_ID, name.encode()), *(extra or [])]
+        headers: Headers = [
+            _HOST,
+            (const.REQUEST_ID, name.encode()),
+            (b'Authorization', f'Bearer {key}'.encode()),
+        ]
         request = Request(method, target, headers)
         answer = self._pool.send(
             daemon.address, request, body, timeout=6, reuse=True
@@ -251,6 +276,25 @@
                 whole = body == f'answer to {name}'.encode()
                 self.verdict.expect(whole, 'ANSWER', f'{name} {body!r}')
 
+    def _ask_too_late(self) -> None:
+        """Ask with a key that was taken away longer ago than its bound."""
+        while True:
+            gevent.sleep(self.random.uniform(0.05, 0.2))
+            before = self.clock.now() - REVOKE_SECONDS
+            gone = [key for when, key in self._passed if when < before]
+            if not gone:
+                continue
+            name = f'k{self.random.getrandbits(48):x}'
+            with contextlib.suppress(UpstreamError):
+                self._call(
+                    self._pick(), 'POST', f'/ask/{name}', name, b'x', gone[-1]
+                )
+            gevent.spawn_later(3, self._check_revoked, name)
+
+    def _check_revoked(self, name: str) -> None:
+        ran = self.journal.runs[name]
+        self.verdict.expect(not ran, 'REVOKED', f'{name} ran {ran} times')
+
     def _check_cut(
         self, daemon: Daemon, began: float, error: UpstreamError
     ) -> None:
@@ -301,4 +345,9 @@
             self.verdict.expect(
                 status == _OK, 'CONFIG', f'{daemon.name} answers {status}'
             )
-        self.verdict.check_orders(self.journal)
+        self.verdict.check_orders(self.journal.orders)
+        self.verdict.check_orders(self.duties.reports)
+        self.verdict.check_windows(self.duties.windows)
+        reported = bool(self.duties.windows)
+        self.verdict.expect(reported, 'UNREPORTED', 'no window was reported')
+        self.verdict.check_teams(self.journal, TEAM)
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -69,7 +69,7 @@
     journal = Journal()
     journal.orders = [(1.0, 'a', 2), (3.0, 'b', 1)]
     verdict = Verdict(journal)
-    verdict.check_orders(journal)
+    verdict.check_orders(journal.orders)
     rules = {each.partition(':')[0] for each in verdict.violations}
     assert rules == {'HOLDERS', 'GENERATION'}
 
@@ -118,3 +118,15 @@
     assert process is not None
     assert process.returncode == 0
     assert 'GG8030' in log.read_text()
+
+
+def test_a_window_with_two_contents_and_a_foreign_team_are_found() -> None:
+    """As is a key that a sampler was shown."""
+    journal = Journal()
+    verdict = Verdict(journal)
+    verdict.check_windows({7: [{'blue': 1}, {'blue': 2}], 8: [{}]})
+    journal.teams.update(['blue', '', 'red'])
+    journal.keys_seen = 1
+    verdict.check_teams(journal, 'blue')
+    rules = [each.partition(':')[0] for each in verdict.violations]
+    assert rules == ['WINDOW', 'TEAM', 'KEY']
