Take a job that the store has just told of for new, whatever clocks say

Change: the age of a job that comes by the watch is nothing; only one that a list tells of is aged by the clocks.

--- a/guavagate/helpers/mirror.py
+++ b/guavagate/helpers/mirror.py
@@ -100,6 +100,9 @@
         self._unreadable = UnreadableObjects()
         self._task: Task | None = None
         self.loaded = False
+        # Whether what is told just now has happened just now: a list tells of
+        # what may be as old as the watch before it.
+        self.is_news = False
 
     def start(self) -> None:
         """Begin to follow the store."""
@@ -153,6 +156,7 @@
         changes, seen = self._store.watch(self._prefix, since, wait)
         self._note_back()
         self._note_seen(seen)
+        self.is_news = True
         for change in changes:
             if change.value is None:
                 self._take_missing(change.path)
@@ -175,6 +179,7 @@
             self._on_proved(asked_at)
 
     def _take_list(self, objects: list[StoredObject]) -> None:
+        self.is_news = False
         present = {each.path for each in objects}
         for path in [each for each in self._held if each not in present]:
             self._take_missing(path)
--- a/guavagate/jobs/_held.py
+++ b/guavagate/jobs/_held.py
@@ -317,19 +317,32 @@
             if not fresh:
                 log.load()
             if job.id not in self._held and self.active:
-                # That a job is fresh is told by clocks, which may jump.
-                self._hold(job, log, doubtful=fresh)
+                # Should another have listed results already, the first chunk
+                # meets the one that is there.
+                self._hold(job, log, fresh=fresh)
         finally:
             self._loading.pop(job.id)
             done.set()
 
-    def _hold(self, job: Job, log: JobLog, *, doubtful: bool) -> None:
-        age = max(self._clock.wall() - job.submitted_at, 0)
+    def _find_age(self, job: Job, *, fresh: bool) -> float:
+        """Return how long ago a job was submitted, in seconds.
+
+        One that the store has just told of was submitted just now, whatever
+        the clocks of the two instances say. By a clock that was set back by
+        seconds a new step would seem to be late from its start, and would be
+        put behind all others.
+        """
+        if fresh:
+            return 0
+        return max(self._clock.wall() - job.submitted_at, 0)
+
+    def _hold(self, job: Job, log: JobLog, *, fresh: bool) -> None:
+        age = self._find_age(job, fresh=fresh)
         work = JobWork(job, log, self._clock.now(), age)
         self._bring(work)
         changed = Event()
         committer = Committer(self._clock, work, changed.set)
-        held = HeldJob(work, committer, changed, int(doubtful))
+        held = HeldJob(work, committer, changed, int(fresh))
         self._held[job.id] = held
         self._cadences[job.model].note(job.step, work.since)
         write(
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -47,9 +47,6 @@
 
 # Changes wake the owner; this finds items that may be tried again.
 IDLE_SECONDS: Final = 0.1
-# A job first seen so soon after its submission has no results yet; should
-# that be wrong, the first chunk meets the one that is there.
-FRESH_SECONDS: Final = 1.5
 # The owner looks ten times a second. One that was frozen for less than this
 # was not taken for dead, as that takes more than a second.
 PAUSE_SECONDS: Final = 0.8
@@ -216,8 +213,7 @@
         job = decode_job(stored.value)
         if job.service != self._service or job.id in self._held:
             return
-        age = self._clock.wall() - job.submitted_at
-        fresh = self._jobs.loaded and age < FRESH_SECONDS
+        fresh = self._jobs.loaded and self._jobs.is_news
         self._held.expect(job.id)
         self._clock.spawn(self._held.take_stored, job.id, stored, fresh)
 
