Reckon with full bursts until the first ones are known

Change: for its first half minute the owner orders as many spot samplers as there may be; what is not needed is given back then.

--- a/guavagate/duties/_scaler.py
+++ b/guavagate/duties/_scaler.py
@@ -99,11 +99,14 @@
         described = self._routes.find_service(self._service)
         if described is None or described.scaling is None:
             return
+        now = self._clock.now()
         wanted = self._measure_wanted()
         fleets = self._count_fleets(described.scaling)
-        if not self._peaks or not fleets:
-            return
-        now = self._clock.now()
+        if now - self._began_at < PEAK_SECONDS:
+            # Nothing is known of the bursts yet. One that finds too few slots
+            # is late, and its trainer's next ones with it; some idle ones for
+            # half a minute cost less.
+            wanted = max(wanted, described.scaling.most * len(fleets))
         out = [zone for zone, end in self._out_until.items() if end > now]
         targets = choose_targets(described.scaling, self._base, wanted, out)
         for key, amount in targets.items():
