Refuse at once while a whole service is dark

Cause: with every upstream of a service hanging, each caller was held until its deadline and learnt nothing; an attempt that is cut at the deadline was not noted as a failure of its upstream at all.

Change: an upstream that sent nothing for three objectives is noted as silent; once all of a service's are, twice in a row, each is asked by one request at a time and others are told at once that nothing ran. The first answer ends it.

--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -37,8 +37,13 @@
 # left is enough for a usual answer from another upstream.
 HEDGE_AFTER: Final = 0.45
 HEDGE_LEAST_SECONDS: Final = 0.03
+# In objectives: an upstream that works has answered by then.
+SILENT_AFTER: Final = 3.0
+SILENT_LEAST_SECONDS: Final = 0.5
 # An upstream that was full has places again after about one request's work.
 RETRY_AFTER_SECONDS: Final = 0.2
+# Without any upstream, or with none that answers, that is too soon.
+DARK_RETRY_SECONDS: Final = 0.4
 _SERVER_ERROR: Final = 500
 
 
@@ -81,6 +86,7 @@
         self.failed_answers = 0
         self.best: Attempt | None = None
         self.sent: dict[UpstreamId, float] = {}
+        self.unheard: dict[UpstreamId, float] = {}
 
 
 class Choices(Protocol):
@@ -91,6 +97,9 @@
     ) -> Upstream | None:
         """Return where one more request goes, among those not tried."""
 
+    def note_silence(self, upstream: UpstreamId) -> None:
+        """Note that a request got nothing in all the time that it had."""
+
 
 class Forwarder:
     """Forwards requests of routes that are not streams."""
@@ -148,6 +157,7 @@
         while progress.running:
             now = self._clock.now()
             if now >= late:
+                self._note_silent(progress, route)
                 return Outcome(OutcomeKind.LATE, reason='no answer in time')
             waits = hedge_at if repeat and hedge_at > now else late
             try:
@@ -157,7 +167,9 @@
                     self._start(call, route, service, progress)
                 continue
             if attempt is None:
+                self._note_silent(progress, route)
                 return Outcome(OutcomeKind.CALLER_LEFT)
+            progress.unheard.pop(attempt.upstream.id, None)
             progress.running -= 1
             if attempt.good:
                 self._hedges.earn()
@@ -167,6 +179,14 @@
                 self._start(call, route, service, progress)
         return self._conclude(call, progress)
 
+    def _note_silent(self, progress: _Progress, route: Route) -> None:
+        """Note which upstreams had time enough, and sent nothing."""
+        enough = max(route.objective * SILENT_AFTER, SILENT_LEAST_SECONDS)
+        before = self._clock.now() - enough
+        for upstream, sent_at in progress.unheard.items():
+            if sent_at <= before:
+                self._upstreams.note_silence(upstream)
+
     def _take_failure(self, progress: _Progress, attempt: Attempt) -> None:
         if attempt.state is AttemptState.NOT_RUN:
             progress.sent.pop(attempt.upstream.id, None)
@@ -190,6 +210,7 @@
             return
         progress.tried.add(upstream.id)
         progress.sent[upstream.id] = self._clock.now()
+        progress.unheard[upstream.id] = self._clock.now()
         progress.running += 1
         # A kept connection that the upstream closes just now leaves unknown
         # whether a request ran; where it may not be repeated, that is lost.
@@ -208,8 +229,13 @@
             return Outcome(OutcomeKind.LATE, reason='no answer in time')
         if progress.may_have_run:
             return Outcome(OutcomeKind.UNKNOWN, reason='answers were lost')
-        reason = 'no upstream took it' if progress.tried else 'no upstream'
-        return Outcome(OutcomeKind.NOT_RUN, reason=reason)
+        if progress.tried:
+            return Outcome(OutcomeKind.NOT_RUN, reason='no upstream took it')
+        return Outcome(
+            OutcomeKind.NOT_RUN,
+            reason='no upstream answers',
+            retry_after=DARK_RETRY_SECONDS,
+        )
 
 
 def log_outcome(
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -56,6 +56,10 @@
         }
         return self._upstreams.choose(service, tried | others)
 
+    def note_silence(self, upstream: UpstreamId) -> None:
+        """Note that a request got nothing in all the time that it had."""
+        self._upstreams.note_silence(upstream)
+
     def _list_sound(self, service: ServiceId) -> list[Upstream]:
         """Return the upstreams in use, ejected ones if there are no others."""
         now = self._clock.now()
--- a/guavagate/routing/_choice.py
+++ b/guavagate/routing/_choice.py
@@ -42,7 +42,9 @@
 class Load(msgspec.Struct):
     """What one instance knows of an upstream's load; times in seconds.
 
-    `callers` is how many places others' requests were last seen to take.
+    `callers` is how many places others' requests were last seen to take,
+    `silences` how many requests in a row got nothing in all the time that
+    their callers allowed.
     """
 
     held: int = 0
@@ -50,6 +52,7 @@
     reported_at: float = -1e9
     callers: float = 0
     failures: float = 0
+    silences: int = 0
     latency: float = 0
     out_until: float = 0
 
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -12,6 +12,7 @@
 from guavagate.models import ServiceId, UpstreamId, ZoneId
 from guavagate.ports.upstreams import Upstream
 from guavagate.routing._choice import IsConnected, Load, choose, keep_none
+from guavagate.routing._dark import list_askable
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -137,10 +138,13 @@
     def choose(
         self, service: ServiceId, tried: set[UpstreamId]
     ) -> Upstream | None:
-        """Return where one more request goes, among those not tried."""
-        candidates = [
-            each for each in self.serving(service) if each.id not in tried
-        ]
+        """Return where one more request goes, among those not tried.
+
+        Nothing while the whole service is dark and each of its upstreams is
+        being asked already.
+        """
+        askable = list_askable(self.serving(service), self._loads)
+        candidates = [each for each in askable if each.id not in tried]
         return choose(
             candidates,
             self._loads,
@@ -165,9 +169,14 @@
         """Note an answer, whatever it says."""
         load = self.load(upstream)
         load.failures = 0
+        load.silences = 0
         share = LATENCY_SHARE if load.latency else 1
         load.latency += (seconds - load.latency) * share
 
+    def note_silence(self, upstream: UpstreamId) -> None:
+        """Note that a request got nothing in all the time that it had."""
+        self.load(upstream).silences += 1
+
     def note_failure(self, upstream: UpstreamId) -> None:
         """Note that a request broke off or got no answer."""
         load = self.load(upstream)
--- a/tests/forwarding/test_forward.py
+++ b/tests/forwarding/test_forward.py
@@ -11,7 +11,7 @@
     OutcomeKind,
 )
 from guavagate.http1 import Request
-from guavagate.models import ServiceId, ZoneId
+from guavagate.models import ServiceId, UpstreamId, ZoneId
 from guavagate.ports.configuration import RouteKind
 from guavagate.ports.dialect import Call
 from guavagate.ports.upstreams import Upstream
@@ -188,3 +188,32 @@
     lost = (0.5, AttemptState.BROKEN, 0)
     outcome, _ = _Setting(a=lost).forward(limit=0.5)
     assert outcome.kind is OutcomeKind.LATE
+
+
+def test_a_dark_service_refuses_at_once_and_truly() -> None:
+    """All upstreams hang. The first callers are held until their time is over.
+
+    Those that come while somebody is finding out are told that nothing ran,
+    instead of holding a connection for as long.
+    """
+    setting = _Setting(a=_SILENT, b=_SILENT)
+    for _ in range(2):
+        outcome, seconds = setting.forward()
+        assert outcome.kind is OutcomeKind.LATE
+        assert seconds > 1
+    for name in 'ab':
+        setting.upstreams.load(UpstreamId(name)).held += 1
+    made = len(setting.attempts.made)
+    outcome, seconds = setting.forward()
+    assert outcome.kind is OutcomeKind.NOT_RUN
+    assert seconds < 0.05
+    assert outcome.retry_after > 0
+    assert len(setting.attempts.made) == made
+
+
+def test_a_caller_in_a_hurry_makes_no_upstream_dark() -> None:
+    """It allows less than a usual answer takes."""
+    setting = _Setting(a=_SLOW, b=_SLOW)
+    for _ in range(5):
+        setting.forward(limit=0.2)
+    assert setting.upstreams.load(UpstreamId('a')).silences == 0
