--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -12,7 +12,7 @@
 from guavagate.clock import Clock, Task
 from guavagate.events import forwarding as events
 from guavagate.events import write
-from guavagate.exceptions import LinkError
+from guavagate.exceptions import LinkError, StoreError
 from guavagate.feeds._messages import (
     FeedBeat,
     FeedChange,
@@ -58,6 +58,7 @@
 CHECK_SECONDS: Final = 0.1
 READ_SECONDS: Final = 0.6
 COMPARE_SECONDS: Final = 60.0
+PROVE_SECONDS: Final = 1.0
 # A fleet that starts for the first time has no callers yet. Its instances ask
 # the relays for what they have, and watch for themselves only if there is none
 # by then: were all to watch until they are told, the start would be half of a
@@ -96,9 +97,12 @@
     first_start
         Whether the whole fleet starts for the first time.
     proving
-        The prefix of which it must be known how new what is held is, also
-        while neither a relay nor the store answers; empty for none. An
-        instance that watches for itself then asks as often as a relay does.
+        The prefix of which it is known how new what is held is, by its
+        watch.
+    proving_path
+        An object that is read besides, again and again, by whoever watches
+        for itself; empty for none. A watch may hear nothing of a change for a
+        while, when the store drops its history; a read never does.
     may_stand_in
         Whether this instance may relay for others without being the first in
         rank. One that works on jobs may not: cut off from the store and the
@@ -127,10 +131,12 @@
         *,
         first_start: bool = True,
         proving: str = '',
+        proving_path: str = '',
         may_stand_in: Callable[[], bool] = _always,
         boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._proving = proving
+        self._proving_path = proving_path
         self._boot_clock = boot_clock
         self.proof = Proof(boot_clock)
         self._store = store
@@ -188,6 +194,8 @@
         ]
         if self._proving:
             self._tasks.append(self._clock.spawn(self._compare_clocks))
+        if self._proving_path:
+            self._tasks.append(self._clock.spawn(self._prove))
 
     def _join(self) -> None:
         """Read all from a relay, if one is there."""
@@ -274,7 +282,7 @@
         wait = RELAY_WAIT_SECONDS if relaying else None
         for prefix in self._prefixes:
             lapses = prefix in self._lapsing
-            proves = prefix == self._proving
+            proves = prefix == self._proving and not self._proving_path
             pause = LAPSING_PAUSE_SECONDS if lapses else RELAY_PAUSE_SECONDS
             mirror = Mirror(
                 self._store,
@@ -283,7 +291,7 @@
                 self._take_stored,
                 functools.partial(self._take_gone, prefix),
                 lapses=lapses,
-                wait=RELAY_WAIT_SECONDS if proves else wait,
+                wait=wait,
                 pause=pause if relaying else ALONE_PAUSE_SECONDS,
                 settles=not relaying,
                 held=self._table.versions(prefix),
@@ -296,6 +304,24 @@
             mirror.start()
         write(_LOGGER, events.FEED_DIRECT, relaying=relaying)
 
+    def _prove(self) -> None:
+        """Read what must be known to be the newest, while watching."""
+        while True:
+            if self._mirrors:
+                self._read_proof()
+            self._clock.sleep(PROVE_SECONDS)
+
+    def _read_proof(self) -> None:
+        asked_at = self._boot_clock()
+        try:
+            stored = self._store.get(self._proving_path)
+        except StoreError as error:
+            _LOGGER.debug('no proof: %s', error)
+            return
+        if stored is not None:
+            self._take_stored(stored.path, stored)
+        self.proof.note_own(asked_at)
+
     def _stop_watching(self) -> None:
         if not self._mirrors:
             return
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -206,6 +206,7 @@
             self._members.boot,
             first_start=self._settings.bootstrap,
             proving=const.CONFIG,
+            proving_path=self._settings.bounds.find_proof(),
             may_stand_in=lambda: not self._services.active,
         )
         feed.handle(const.CONFIG, self._put_config, None)
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -5,7 +5,7 @@
 from guavagate.auth import ProofBounds, make_bounds
 from guavagate.exceptions import SettingsError
 from guavagate.models import InstanceId, RegionId, ZoneId
-from guavagate.platform.const import MILLIS
+from guavagate.platform.const import CONFIG_PATH, MILLIS
 from guavagate.settings import InstanceSettings, PlatformSettings
 
 
@@ -33,6 +33,10 @@
     revoke_ms: float = 5000
     usage_window_s: float = 5
 
+    def find_proof(self) -> str:
+        """Return the object that has to be known to be the newest, if any."""
+        return CONFIG_PATH if self.strict_revoke else ''
+
     def to_proof(self) -> ProofBounds:
         """Return how new the configuration must surely be."""
         return make_bounds(
--- a/standins/_safeguard_teams.py
+++ b/standins/_safeguard_teams.py
@@ -35,9 +35,18 @@
     ),
     Safeguard(
         'a proof is as old as the question',
-        'guavagate/helpers/mirror.py',
-        '        asked_at = self._boot_clock()\n',
-        '        asked_at = self._boot_clock() + 3600\n',
+        'guavagate/feeds/_feed.py',
+        '        asked_at = self._boot_clock()\n'
+        '        try:\n            stored',
+        '        asked_at = self._boot_clock() + 3600\n'
+        '        try:\n            stored',
+        'tests/feeds/test_feed.py',
+    ),
+    Safeguard(
+        'a watch alone proves nothing',
+        'guavagate/feeds/_feed.py',
+        'prefix == self._proving and not self._proving_path',
+        'prefix == self._proving',
         'tests/feeds/test_feed.py',
     ),
     Safeguard(
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from guavagate.exceptions import StoreUnavailableError
 from guavagate.feeds import Feed, FeedTable, rank_relays
 from guavagate.feeds._messages import FeedEntry
 from guavagate.measure.fakes import MemoryStore, World
@@ -19,6 +20,11 @@
     asked = 0
     cut = False
 
+    def get(self, path: str) -> StoredObject | None:
+        """Count a read."""
+        self._note()
+        return super().get(path)
+
     def list_under(self, prefix: str) -> tuple[list[StoredObject], Revision]:
         """Count a list."""
         self._note()
@@ -40,8 +46,11 @@
 class _Fleet:
     """Instances in three zones that follow two prefixes."""
 
-    def __init__(self, names: Sequence[str] = _NAMES) -> None:
+    def __init__(
+        self, names: Sequence[str] = _NAMES, *, strict: bool = False
+    ) -> None:
         self.names = names
+        self.proving_path = 'config/main' if strict else ''
         self.world = World()
         self.clock = self.world.clock
         self.known: dict[str, dict[str, bytes]] = {}
@@ -80,6 +89,7 @@
             ('servers',),
             first_start=first,
             proving='config',
+            proving_path=self.proving_path,
             may_stand_in=lambda: name not in self.working,
             boot_clock=self.clock.now,
         )
@@ -131,6 +141,12 @@
     return _Fleet()
 
 
+@pytest.fixture
+def strict() -> _Fleet:
+    """Return six instances that must know how new their news is."""
+    return _Fleet(strict=True)
+
+
 def test_one_instance_watches_for_a_small_fleet(fleet: _Fleet) -> None:
     """At rest only they call the store; a change is everywhere at once."""
     fleet.world.store.calls.clear()
@@ -142,6 +158,14 @@
     assert fleet.values(list(_NAMES)) == {b'2'}
 
 
+def test_one_instance_proves_for_a_small_fleet(strict: _Fleet) -> None:
+    """That costs one more call a second, however many instances there are."""
+    strict.world.store.calls.clear()
+    strict.clock.advance(10)
+    calls = sum(strict.world.store.calls.values())
+    assert calls < 3 * 10 / 0.9 + 4
+
+
 def test_the_first_stand_in_is_of_another_zone() -> None:
     """A zone that goes takes the relay along, and not its stand-in."""
     world = World()
@@ -389,60 +413,99 @@
     assert fleet.feeds['a'].loaded
 
 
-def test_all_know_their_configuration_to_be_new(fleet: _Fleet) -> None:
+def test_all_know_their_configuration_to_be_new(strict: _Fleet) -> None:
     """Nothing changes for minutes, and every key is honoured all the time."""
     for _ in range(200):
-        fleet.clock.advance(0.31)
-        assert max(fleet.ages(fleet.names)) < 2.7
+        strict.clock.advance(0.31)
+        assert max(strict.ages(strict.names)) < 2.7
 
 
-def test_the_relay_is_lost_and_the_proof_stays_young(fleet: _Fleet) -> None:
+def test_the_relay_is_lost_and_the_proof_stays_young(strict: _Fleet) -> None:
     """A stand-in proves within the time in which keys are honoured."""
-    for relay in fleet.rank()[:2]:
-        fleet.world.kill(relay)
-    rest = fleet.others()[1:]
+    for relay in strict.rank()[:2]:
+        strict.world.kill(relay)
+    rest = strict.others()[1:]
     for _ in range(40):
-        fleet.clock.advance(0.2)
-        assert max(fleet.ages(rest)) < 4.5
+        strict.clock.advance(0.2)
+        assert max(strict.ages(rest)) < 4.5
 
 
-def test_one_that_is_cut_off_knows_that_its_news_is_old(fleet: _Fleet) -> None:
+def test_one_that_is_cut_off_knows_that_its_news_is_old(strict: _Fleet) -> None:
     """A key is taken away meanwhile; nobody can tell this instance.
 
     It goes on hearing nothing, neither from the relays nor from the store.
     """
-    alone = fleet.others()[-1]
-    fleet.stores[alone].cut = True
-    for other in fleet.names:
+    alone = strict.others()[-1]
+    strict.stores[alone].cut = True
+    for other in strict.names:
         if other != alone:
             one, two = InstanceId(alone), InstanceId(other)
-            fleet.world.network.blocked |= {(one, two), (two, one)}
-    fleet.clock.advance(5)
-    assert min(fleet.ages([alone])) > 4.5
+            strict.world.network.blocked |= {(one, two), (two, one)}
+    strict.clock.advance(5)
+    assert min(strict.ages([alone])) > 4.5
 
 
 def test_one_wakes_and_knows_at_once_that_its_news_is_old(
-    fleet: _Fleet,
+    strict: _Fleet,
 ) -> None:
     """A suspended process finds in its sockets what relays sent before.
 
     Its first request comes at the same moment as this old news.
     """
-    asleep = fleet.others()[-1]
-    fleet.world.pause(asleep)
-    fleet.clock.advance(20)
-    fleet.world.store.change('config/main', b'2')
-    fleet.world.resume(asleep)
-    assert min(fleet.ages([asleep])) > 15
+    asleep = strict.others()[-1]
+    strict.world.pause(asleep)
+    strict.clock.advance(20)
+    strict.world.store.change('config/main', b'2')
+    strict.world.resume(asleep)
+    assert min(strict.ages([asleep])) > 15
 
 
 def test_nobody_reaches_the_store_and_nobody_claims_to_be_new(
-    fleet: _Fleet,
+    strict: _Fleet,
 ) -> None:
     """Relays go on beating; what they tell gets older all the same."""
-    fleet.world.store.outage = True
-    fleet.clock.advance(6)
-    assert min(fleet.ages(fleet.names)) > 4.5
-    fleet.world.store.outage = False
-    fleet.clock.advance(3)
-    assert max(fleet.ages(fleet.names)) < 2.7
+    strict.world.store.outage = True
+    strict.clock.advance(6)
+    assert min(strict.ages(strict.names)) > 4.5
+    strict.world.store.outage = False
+    strict.clock.advance(3)
+    assert max(strict.ages(strict.names)) < 2.7
+
+
+def test_a_watch_that_hears_nothing_proves_nothing(strict: _Fleet) -> None:
+    """The store drops its history: for a while its watches hear no change.
+
+    They end without an event, as if nothing had happened. A key that was taken
+    away meanwhile would be honoured as if that were proved.
+    """
+
+    def hear_nothing(
+        prefix: str, since: Revision, timeout: float
+    ) -> tuple[list[StoreChange], Revision]:
+        strict.clock.sleep(timeout)
+        return [], since
+
+    for store in strict.stores.values():
+        store.watch = hear_nothing  # type: ignore[method-assign]
+    strict.clock.advance(2)
+    strict.world.store.change('config/main', b'2')
+    changed_at = strict.clock.now()
+    for _ in range(30):
+        strict.clock.advance(0.1)
+        for name in strict.names:
+            proved_at = strict.clock.now() - strict.feeds[name].proof.age()
+            newest = strict.known[name]['config/main'] == b'2'
+            assert newest or proved_at <= changed_at
+    assert strict.values(list(strict.names)) == {b'2'}
+
+
+def test_without_a_read_a_watch_alone_proves_nothing(strict: _Fleet) -> None:
+    """Reads get no answer while the watches go on ending without an event."""
+
+    def give_up(path: str) -> StoredObject | None:
+        raise StoreUnavailableError('no answer', 'nothing')
+
+    for store in strict.stores.values():
+        store.get = give_up  # type: ignore[method-assign]
+    strict.clock.advance(4)
+    assert min(strict.ages(strict.names)) >= 3.9
