Forget the clocks of instances that are gone; one vote for one's own

Cause: reading the change as a newcomer: nothing called what forgets clocks, so those of machines that are gone went on to vote for the time of day, and the reporter's own counted twice, as it tells itself too.

Change: members that go take their clocks along; Usage has tests as a process puts it together: one report for all, nothing where it is no duty, no votes of the lost.

--- a/guavagate/duties/_reporter.py
+++ b/guavagate/duties/_reporter.py
@@ -98,7 +98,8 @@
 
     def _on_told(self, sender: InstanceId, message: Message) -> UsageTaken:
         told = expect(message, TellUsage)
-        self._true_time.note(sender, told.wall)
+        if sender != self._me:  # Its own clock has a vote already.
+            self._true_time.note(sender, told.wall)
         self._book.take(told.source, told.windows)
         now = self._true_time.now() if self._is_first() else None
         return UsageTaken(now=now)
--- a/guavagate/duties/_tally.py
+++ b/guavagate/duties/_tally.py
@@ -1,12 +1,13 @@
 """Requests that began, by window of true time and team; no network."""
 
-from collections import OrderedDict, defaultdict
+from collections import defaultdict
+from typing import Final
 
 from guavagate.models import InstanceId, TeamId
 from guavagate.ports.duties import Counts
 
 # In windows. Beyond that a window was reported, or nobody can any more.
-KEPT: int = 8
+KEPT: Final = 8
 
 
 class UsageTally:
@@ -20,7 +21,7 @@
 
     def __init__(self, length: float) -> None:
         self.length = length
-        self._windows: OrderedDict[int, Counts] = OrderedDict()
+        self._windows: dict[int, Counts] = {}
         self._told: defaultdict[InstanceId, dict[int, int]] = defaultdict(dict)
 
     def note(self, team: TeamId, at: float) -> None:
@@ -28,8 +29,7 @@
         counts = self._windows.setdefault(int(at // self.length), {})
         counts[team] = counts.get(team, 0) + 1
         while len(self._windows) > KEPT:
-            oldest = min(self._windows)
-            self._windows.pop(oldest)
+            self._windows.pop(min(self._windows))
 
     def list_news(self, peer: InstanceId) -> dict[int, Counts]:
         """Return the windows of which a peer has not taken all.
--- a/guavagate/duties/_teller.py
+++ b/guavagate/duties/_teller.py
@@ -12,6 +12,7 @@
 from guavagate.exceptions import LinkError
 from guavagate.links import Bus
 from guavagate.models import InstanceId, TeamId
+from guavagate.ports.duties import Counts
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -74,7 +75,7 @@
             if news or self._clock.now() - compared >= COMPARE_SECONDS:
                 self._clock.spawn(self._tell, peer, news)
 
-    def _tell(self, peer: InstanceId, news: dict[int, dict]) -> None:
+    def _tell(self, peer: InstanceId, news: dict[int, Counts]) -> None:
         message = TellUsage(
             source=self._source, wall=self._clock.wall(), windows=news
         )
--- a/guavagate/duties/_usage.py
+++ b/guavagate/duties/_usage.py
@@ -1,5 +1,8 @@
 """The usage of all callers: counted at each instance, reported by one."""
 
+from collections.abc import Callable
+from typing import Final
+
 from guavagate.clock import Clock
 from guavagate.duties._reporter import LEASE_PATH, UsageReporter
 from guavagate.duties._tally import UsageTally
@@ -10,12 +13,11 @@
 from guavagate.models import InstanceId, TeamId
 from guavagate.ports.duties import DutyClient
 from guavagate.ports.store import ObjectStore
-from guavagate.rollouts import Lease, Renewals
+from guavagate.rollouts import SUCCESSORS, Lease, Renewals
+from guavagate.runtime import Members
 from guavagate.util.boot_clock import read_boot_clock
 
-_DUTY = 'usage'
-# Who is told of each renewal: two that fail at once leave one that has heard.
-SUCCESSORS = 3
+_DUTY: Final = 'usage'
 
 
 class Usage:
@@ -38,6 +40,7 @@
         bus: Bus,
         store: ObjectStore,
         client: DutyClient,
+        members: Members,
         ownership: Ownership,
         renewals: Renewals,
         length: float,
@@ -45,12 +48,16 @@
         *,
         due: bool,
         counts: bool,
+        boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._me = me
         self._ownership = ownership
         self._due = due
         self._counts = counts
-        true_time = TrueTime(clock.wall, read_boot_clock)
+        true_time = TrueTime(clock.wall, boot_clock)
+        members.subscribe(
+            lambda: true_time.forget({each.id for each in members.alive()})
+        )
         self._teller = UsageTeller(
             me, clock, bus, UsageTally(length), true_time, self._rank
         )
@@ -61,6 +68,7 @@
             lease_seconds,
             renewals,
             self._list_successors,
+            boot_clock,
         )
         self._reporter = UsageReporter(
             me,
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -267,6 +267,7 @@
             self._bus,
             self._store,
             self._duties,
+            self._members,
             self._ownership,
             self._renewals,
             bounds.usage_window_s,
--- a/guavagate/rollouts/__init__.py
+++ b/guavagate/rollouts/__init__.py
@@ -11,10 +11,11 @@
     secure_for_orders,
 )
 from guavagate.rollouts._plan import ModelDemand
-from guavagate.rollouts._renewals import Renewals
+from guavagate.rollouts._renewals import SUCCESSORS, Renewals
 from guavagate.rollouts._states import SamplerState, SamplerStates
 
 __all__ = (
+    'SUCCESSORS',
     'Coordinator',
     'Lease',
     'LeaseHeldError',
--- a/guavagate/rollouts/_renewals.py
+++ b/guavagate/rollouts/_renewals.py
@@ -7,11 +7,15 @@
 """
 
 from collections.abc import Callable
+from typing import Final
 
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId
 from guavagate.util.boot_clock import read_boot_clock
 
+# Who is told of each renewal: two that fail at once leave one that has heard.
+SUCCESSORS: Final = 3
+
 
 class LeaseRenewed(Message, frozen=True, kw_only=True):
     """A holder's renewal, by what it writes to the store."""
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -22,6 +22,7 @@
 from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
 from guavagate.rollouts import (
+    SUCCESSORS,
     Coordinator,
     Lease,
     NamedVersions,
@@ -34,9 +35,6 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-# Who is told of each renewal: two that fail at once leave one that has heard.
-SUCCESSORS: Final = 3
-
 
 class _Service:
     """One service's owner and coordinator."""
--- /dev/null
+++ b/tests/duties/test_usage.py
@@ -0,0 +1,100 @@
+"""One instance's part in usage, put together as a process does."""
+
+from guavagate.duties import Usage
+from guavagate.jobs import Ownership
+from guavagate.measure.fakes import World
+from guavagate.models import InstanceId, TeamId
+from guavagate.ports.duties import Counts, DutyAnswer, Holder, ScaleOrder
+from guavagate.rollouts import Renewals
+
+_BLUE = TeamId('blue')
+_LENGTH = 5.0
+
+
+class _Platform:
+    """Takes all reports."""
+
+    def __init__(self) -> None:
+        self.windows: dict[int, Counts] = {}
+
+    def report_usage(
+        self, holder: Holder, window: int, counts: Counts
+    ) -> DutyAnswer:
+        """Keep a report."""
+        self.windows[window] = counts
+        return DutyAnswer.TAKEN
+
+    def order(self, holder: Holder, order: ScaleOrder) -> DutyAnswer:
+        """Take no orders."""
+        raise NotImplementedError
+
+
+def _start(
+    world: World, name: str, platform: _Platform, *, due: bool = True
+) -> Usage:
+    me = InstanceId(name)
+    members = world.members[me]
+    ownership = Ownership(members, me)
+    ownership.settled = True
+    usage = Usage(
+        me,
+        world.hosts[me].clock,
+        world.bus(name),
+        world.store_of(name),
+        platform,
+        members,
+        ownership,
+        Renewals(world.bus(name), world.clock.now),
+        _LENGTH,
+        3.0,
+        due=due,
+        counts=True,
+        boot_clock=world.clock.now,
+    )
+    usage.start()
+    return usage
+
+
+def _make(*, due: bool = True) -> tuple[World, _Platform, list[Usage]]:
+    world, platform = World(), _Platform()
+    for name in 'abc':
+        world.add(name)
+    world.clock.advance(1)
+    parts = [_start(world, name, platform, due=due) for name in 'abc']
+    return world, platform, parts
+
+
+def test_what_all_count_is_reported_by_one() -> None:
+    """Each instance counts for its own callers."""
+    world, platform, parts = _make()
+    world.clock.advance(2 * _LENGTH)
+    for usage in parts:
+        usage.note(_BLUE, 0)
+    world.clock.advance(2 * _LENGTH)
+    total = sum(counts.get(_BLUE, 0) for counts in platform.windows.values())
+    assert total == 3
+
+
+def test_where_usage_is_no_duty_nothing_is_counted_or_sent() -> None:
+    """Other deployments pay nothing for it."""
+    world, platform, parts = _make(due=False)
+    world.store.calls.clear()
+    for usage in parts:
+        usage.note(_BLUE, 0)
+    world.clock.advance(4 * _LENGTH)
+    assert not platform.windows
+    assert not world.store.calls
+
+
+def test_clocks_of_instances_that_are_gone_do_not_vote() -> None:
+    """Two of three instances had wrong clocks, and are lost for good."""
+    world, _, parts = _make()
+    clock = parts[0]._reporter._true_time
+    wrong = world.clock.wall() + 50
+    for name in 'bc':
+        clock.note(InstanceId(name), wrong)
+    assert abs(clock.now() - wrong) < 1
+    for name in 'bc':
+        world.kill(name)
+    world.clock.advance(4)
+    assert abs(clock.now() - world.hosts[InstanceId('a')].clock.wall()) < 1
