Split the feed: what a follower hears stands apart from who watches

Change: feeds/_follower.py takes in what relays tell, reads what was missed and compares clocks; feeds/_feed.py decides who watches and relays. Nothing else moves.

--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -3,16 +3,16 @@
 import functools
 import logging
 import secrets
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
-import msgspec
 from gevent.event import Event
 
 from guavagate.clock import Clock, Task
 from guavagate.events import forwarding as events
 from guavagate.events import write
 from guavagate.exceptions import LinkError, StoreError
+from guavagate.feeds._follower import NEVER_SECONDS, Follower
 from guavagate.feeds._messages import (
     FeedBeat,
     FeedChange,
@@ -22,7 +22,6 @@
     ReadFeed,
     ReadFeedClock,
 )
-from guavagate.feeds._packing import unpack
 from guavagate.feeds._proof import Proof
 from guavagate.feeds._relays import (
     STALE_SECONDS,
@@ -56,8 +55,6 @@
 ALONE_PAUSE_SECONDS: Final = 1.2
 BEAT_SECONDS: Final = 0.4
 CHECK_SECONDS: Final = 0.1
-READ_SECONDS: Final = 0.6
-COMPARE_SECONDS: Final = 60.0
 PROVE_SECONDS: Final = 1.0
 # A fleet that starts for the first time has no callers yet. Its instances ask
 # the relays for what they have, and watch for themselves only if there is none
@@ -66,8 +63,6 @@
 # store answers sooner than the members are known.
 START_SECONDS: Final = 2.0
 JOIN_SECONDS: Final = 0.1
-# The age of news that nobody has told.
-NEVER_SECONDS: Final = 1e9
 # Relays have to be fresh for so long before their news is relied upon again.
 TRUST_SECONDS: Final = 1.0
 
@@ -76,16 +71,6 @@
     return True
 
 
-class _Relay(msgspec.Struct):
-    """What was last heard from a relay."""
-
-    boot: int
-    number: int
-    heard_at: float
-    age: float
-    reading: bool = False
-
-
 class Feed:
     """One instance's copy of what all follow.
 
@@ -153,9 +138,7 @@
         self._boot = secrets.randbits(62)
         self._number = 0
         self._started_at = clock.now()
-        self._heard_at = clock.now()
         self._patience = START_SECONDS if first_start else 0
-        self._relays: dict[InstanceId, _Relay] = {}
         # Asked for ten times a second; sorting hundreds of members each time
         # would be a third of what control may cost.
         self._ranked: list[InstanceId] | None = None
@@ -165,8 +148,9 @@
         self._fresh_since: float | None = None
         self._tasks: list[Task] = []
         self._loaded = Event()
-        bus.register(FeedChange, self._on_change)
-        bus.register(FeedBeat, self._on_beat)
+        self._follower = Follower(
+            clock, bus, self._table, self.proof, self._loaded.set, boot_clock
+        )
         bus.register(ReadFeed, self._on_read)
         bus.register(ReadFeedClock, self._on_read_clock)
 
@@ -186,14 +170,15 @@
     def start(self) -> None:
         """Begin to follow."""
         self._started_at = self._clock.now()
-        self._heard_at = self._started_at
+        self._follower.heard_at = self._started_at
         self._tasks = [
             self._clock.spawn(self._join),
             self._clock.spawn(self._check),
             self._clock.spawn(self._beat),
         ]
         if self._proving:
-            self._tasks.append(self._clock.spawn(self._compare_clocks))
+            compare = self._follower.compare_clocks
+            self._tasks.append(self._clock.spawn(compare))
         if self._proving_path:
             self._tasks.append(self._clock.spawn(self._prove))
 
@@ -203,7 +188,7 @@
             first = self._rank()[: STAND_INS + 1]
             for relay in first:
                 if relay != self._me and not self.loaded:
-                    self._read_copy(relay)
+                    self._follower.read_copy(relay)
             self._clock.sleep(JOIN_SECONDS)
 
     def _check(self) -> None:
@@ -247,19 +232,8 @@
         now = self._clock.now()
         if not self.loaded:
             return now - self._started_at >= self._patience
-        age = self._read_age(self._relays)
-        return is_due(rank, now - self._heard_at, age)
-
-    def _read_age(self, relays: Iterable[InstanceId]) -> float:
-        """Return how old the newest news of some relays is, in seconds."""
-        now = self._clock.now()
-        heard = [self._relays[each] for each in relays if each in self._relays]
-        ages = (
-            now - relay.heard_at + relay.age
-            for relay in heard
-            if not relay.reading
-        )
-        return min(ages, default=NEVER_SECONDS)
+        age = self._follower.read_age(self._follower.list_relays())
+        return is_due(rank, now - self._follower.heard_at, age)
 
     def _is_followed(self, seniors: Sequence[InstanceId]) -> bool:
         """Return whether the news of some relay before us can be relied upon.
@@ -268,7 +242,7 @@
         and all news would be old until they step in again.
         """
         now = self._clock.now()
-        if self._read_age(seniors) >= STALE_SECONDS:
+        if self._follower.read_age(seniors) >= STALE_SECONDS:
             self._fresh_since = None
             return False
         if self._fresh_since is None:
@@ -329,7 +303,8 @@
             mirror.stop()
         self._mirrors = []
         self.relaying = False
-        write(_LOGGER, events.FEED_FOLLOWED, relays=sorted(self._relays))
+        relays = self._follower.list_relays()
+        write(_LOGGER, events.FEED_FOLLOWED, relays=relays)
 
     def _take_gone(self, prefix: str, name: str) -> None:
         self._table.remove(f'{prefix}/{name}')
@@ -395,76 +370,3 @@
     def _on_read_clock(self, _: InstanceId, message: Message) -> FeedClock:
         expect(message, ReadFeedClock)
         return FeedClock(boot=self._boot, clock=self._boot_clock())
-
-    # What a follower does.
-
-    def _on_change(self, sender: InstanceId, message: Message) -> None:
-        change = expect(message, FeedChange)
-        self._heard_at = self._clock.now()
-        relay = self._relays.get(sender)
-        if relay is None or relay.boot != change.boot:
-            return  # The next beat has the whole copy read.
-        if change.number == relay.number + 1:
-            relay.number = change.number
-        self._table.take(change.entry)
-
-    def _on_beat(self, sender: InstanceId, message: Message) -> None:
-        beat = expect(message, FeedBeat)
-        self._heard_at = self._clock.now()
-        relay = self._relays.get(sender)
-        known = relay is not None and relay.boot == beat.boot
-        if relay is not None and known and relay.number >= beat.number:
-            relay.heard_at = self._clock.now()
-            relay.age = beat.age
-            self.proof.note_told(beat.boot, beat.proved_at, beat.clock)
-            return
-        if relay is None or not relay.reading:
-            self._read_copy(sender)
-
-    def _read_copy(self, sender: InstanceId) -> None:
-        """Read all from a relay that is new, or whose change was missed."""
-        before = self._relays.get(sender)
-        never = self._clock.now() - STALE_SECONDS
-        self._relays[sender] = _Relay(0, 0, never, 0, reading=True)
-        asked_at = self._boot_clock()
-        try:
-            copy = self._bus.request(
-                sender, ReadFeed(packed=True), FeedCopy, READ_SECONDS
-            )
-            entries = unpack(copy.packed) if copy.packed else copy.entries
-        except LinkError as error:
-            _LOGGER.debug('%s was not read: %s', sender, error)
-            self._relays.pop(sender)
-            return
-        self._table.take_all(entries, copy.revision)
-        self.proof.compare(copy.boot, asked_at, copy.clock)
-        self.proof.note_told(copy.boot, copy.proved_at, copy.clock)
-        self._relays[sender] = _Relay(
-            copy.boot, copy.number, self._clock.now(), copy.age
-        )
-        self._loaded.set()
-        if before is None:
-            _LOGGER.debug('following %s', sender)
-
-    def _compare_clocks(self) -> None:
-        """Ask the relays for their boot clocks now and then.
-
-        Two machines' clocks drift apart by seconds in a day, and a proof that
-        is told by the relay's would seem to be older, or newer, by that.
-        """
-        while True:
-            self._clock.sleep(COMPARE_SECONDS)
-            for relay, heard in list(self._relays.items()):
-                if not heard.reading and heard.boot:
-                    self._compare_clock(relay)
-
-    def _compare_clock(self, relay: InstanceId) -> None:
-        asked_at = self._boot_clock()
-        try:
-            told = self._bus.request(
-                relay, ReadFeedClock(), FeedClock, READ_SECONDS
-            )
-        except LinkError as error:
-            _LOGGER.debug('%s told no clock: %s', relay, error)
-            return
-        self.proof.compare(told.boot, asked_at, told.clock)
