Take the list that brings the configuration for a proof as well

Change: a list is a read like any other and proves; only a watch does not. The test with slow reads fails without it.

--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -256,7 +256,7 @@
         wait = RELAY_WAIT_SECONDS if relaying else None
         for prefix in self._prefixes:
             lapses = prefix in self._lapsing
-            proves = prefix == self._proving and not self._proving_path
+            proves = prefix == self._proving
             pause = LAPSING_PAUSE_SECONDS if lapses else RELAY_PAUSE_SECONDS
             mirror = Mirror(
                 self._store,
@@ -271,6 +271,7 @@
                 held=self._table.versions(prefix),
                 loaded=self._note_mirror_loaded,
                 proved=self.proof.note_own if proves else None,
+                watch_proves=not self._proving_path,
                 boot_clock=self._boot_clock,
             )
             self._mirrors.append(mirror)
--- a/guavagate/helpers/mirror.py
+++ b/guavagate/helpers/mirror.py
@@ -59,6 +59,9 @@
         had at some moment, with that moment by the boot clock: when the call
         was sent, as its answer may have been on its way for as long as the
         call took.
+    watch_proves
+        Whether a watch that ends tells this too. It may hear nothing of a
+        change while the store drops its history; a list never does.
     """
 
     def __init__(
@@ -76,9 +79,11 @@
         held: dict[str, Revision] | None = None,
         loaded: Callable[[], None] | None = None,
         proved: Callable[[float], None] | None = None,
+        watch_proves: bool = True,
         boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._on_proved = proved
+        self._watch_proves = watch_proves
         self._boot_clock = boot_clock
         self._store = store
         self._clock = clock
@@ -165,7 +170,8 @@
                     StoredObject(change.path, change.value, change.version)
                 )
         self._drop_missing()
-        self._note_proved(asked_at)
+        if self._watch_proves:
+            self._note_proved(asked_at)
         if changes and self._pause:
             self._clock.sleep(self._pause)
 
--- a/standins/_safeguard_teams.py
+++ b/standins/_safeguard_teams.py
@@ -45,8 +45,8 @@
     Safeguard(
         'a watch alone proves nothing',
         'guavagate/feeds/_feed.py',
-        'prefix == self._proving and not self._proving_path',
-        'prefix == self._proving',
+        'watch_proves=not self._proving_path',
+        'watch_proves=True',
         'tests/feeds/test_feed_proof.py',
     ),
     Safeguard(
--- a/tests/feeds/fleet.py
+++ b/tests/feeds/fleet.py
@@ -15,10 +15,13 @@
 
     asked = 0
     cut = False
+    # Seconds by which reads of single objects are late.
+    late = float(0)
 
     def get(self, path: str) -> StoredObject | None:
         """Count a read."""
         self._note()
+        self.clock.sleep(self.late)
         return super().get(path)
 
     def list_under(self, prefix: str) -> tuple[list[StoredObject], Revision]:
--- a/tests/feeds/test_feed_proof.py
+++ b/tests/feeds/test_feed_proof.py
@@ -118,3 +118,25 @@
         store.get = give_up  # type: ignore[method-assign]
     strict.clock.advance(4)
     assert min(strict.ages(strict.names)) >= 3.9
+
+
+def test_one_that_has_read_all_has_a_proof_at_the_same_moment() -> None:
+    """All were killed and are back; callers are waiting, and reads are slow.
+
+    The list that brought the configuration was a read as well: callers that
+    come before the next one would be refused for nothing.
+    """
+    fleet = Fleet(strict=True)
+    for name in fleet.names:
+        fleet.world.kill(name)
+    fleet.clock.advance(3)
+    for name in fleet.names:
+        fleet.world.add(name)
+    for name in fleet.names:
+        fleet._start(name, first=False)
+        fleet.stores[name].late = 0.2
+    for _ in range(300):
+        fleet.clock.advance(0.001)
+        ready = [name for name in fleet.names if fleet.feeds[name].loaded]
+        assert max(fleet.ages(ready), default=0) < 0.5
+    assert len(ready) == len(fleet.names)
