--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -1,5 +1,6 @@
 """Jobs while their owners die, pause and disagree, and the store fails."""
 
+import msgspec
 import pytest
 
 from guavagate.jobs import ItemId, JobId, Knowledge
