Log what request an upstream ran when its process ended

Now GG8011, GG8012 and GG9011 carry a digest of team, method, host, path and body, and GG8031 names each request that an upstream ran when it ended: one probe after connections to it broke, which only a closed port refuses. An upstream that was leaving or is no longer registered is marked as expected to end. What is sent where is unchanged.

--- a/guavagate/events/forwarding.py
+++ b/guavagate/events/forwarding.py
@@ -69,6 +69,12 @@
     logging.INFO,
     'This instance receives the configuration from the relays',
 )
+UPSTREAM_ENDED: Final = Event(
+    8031,
+    logging.WARNING,
+    'An upstream ended while it ran a request',
+    'compare `content` with that of other requests under which one ended',
+)
 READINESS_CHANGED: Final = Event(
     8030, logging.INFO, 'The readiness of this instance changed'
 )
--- a/guavagate/exceptions.py
+++ b/guavagate/exceptions.py
@@ -97,6 +97,10 @@
     """An upstream failed."""
 
 
+class UpstreamDisconnectedError(UpstreamError):
+    """The upstream closed or reset the connection before its answer ended."""
+
+
 class UpstreamNotStartedError(UpstreamError):
     """The upstream didn't start the work."""
 
--- a/guavagate/forwarding/__init__.py
+++ b/guavagate/forwarding/__init__.py
@@ -13,6 +13,7 @@
     OutcomeKind,
     log_outcome,
 )
+from guavagate.forwarding._forwarders import Forwarders, make_forwarders
 from guavagate.forwarding._rewards import RewardForwarder
 from guavagate.forwarding._stream import StreamForwarder
 
@@ -21,11 +22,13 @@
     'AttemptRunner',
     'AttemptState',
     'Forwarder',
+    'Forwarders',
     'Outcome',
     'OutcomeKind',
     'RewardForwarder',
     'StreamForwarder',
     'log_outcome',
+    'make_forwarders',
     'read_or_refuse',
     'refuse',
     'send_outcome',
--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -9,10 +9,15 @@
 from guavagate.clock import Clock
 from guavagate.events import forwarding as events
 from guavagate.events import write
-from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.exceptions import (
+    UpstreamDisconnectedError,
+    UpstreamError,
+    UpstreamNotStartedError,
+)
 from guavagate.http1 import Answer, ConnectionPool, Headers
 from guavagate.ports.dialect import Call, Dialect
 from guavagate.ports.upstreams import Upstream
+from guavagate.quarantine import BrokenRun, EndDetector
 from guavagate.routing import UpstreamTable
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -59,11 +64,13 @@
         pool: ConnectionPool,
         upstreams: UpstreamTable,
         dialect: Dialect,
+        ends: EndDetector,
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._upstreams = upstreams
         self._dialect = dialect
+        self._ends = ends
 
     def make(self, call: Call, upstream: Upstream, *, reuse: bool) -> Attempt:
         """Send a request once and read the complete answer.
@@ -89,6 +96,7 @@
             )
             if not self._had_short_deadline(call, started_at):
                 self._upstreams.record_failure(upstream.id)
+            self.record_break(call, upstream, error, started_at)
         finally:
             load.in_flight -= 1
             if answer is not None:
@@ -96,6 +104,21 @@
         self._record_result(call, attempt, self._clock.now() - started_at)
         return attempt
 
+    def record_break(
+        self,
+        call: Call,
+        upstream: Upstream,
+        error: UpstreamError,
+        started_at: float,
+    ) -> None:
+        """Record a run whose connection the upstream closed."""
+        if isinstance(error, UpstreamDisconnectedError):
+            seconds = self._clock.now() - started_at
+            run = BrokenRun(
+                request=call.id, identity=call.identify(), seconds=seconds
+            )
+            self._ends.record_break(upstream, run)
+
     def _had_short_deadline(self, call: Call, started_at: float) -> bool:
         """Return whether the caller's deadline was too short for an answer.
 
@@ -165,6 +188,7 @@
             _LOGGER,
             events.ATTEMPT_FAILED,
             request=call.id,
+            content=call.identify().content,
             upstream=attempt.upstream.id,
             state=attempt.state.value,
             problem=attempt.problem,
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -251,10 +251,12 @@
 ) -> None:
     """Log the outcome of a request."""
     event = events.FORWARDED
+    fields: dict[str, str] = {}
     if outcome.kind is OutcomeKind.CALLER_LEFT:
         event = events.CALLER_DISCONNECTED
     elif outcome.kind is not OutcomeKind.ANSWER:
         event = events.REQUEST_GIVEN_UP
+        fields['content'] = call.identify().content
     attempt = outcome.attempt
     write(
         _LOGGER,
@@ -266,4 +268,5 @@
         status=None if attempt is None else attempt.status,
         reason=outcome.reason,
         seconds=round(seconds, 3),
+        **fields,
     )
--- /dev/null
+++ b/guavagate/forwarding/_forwarders.py
@@ -0,0 +1,38 @@
+"""Makes the forwarders of an instance, which share connections and loads."""
+
+import msgspec
+
+from guavagate.clock import Clock
+from guavagate.forwarding._attempt import AttemptRunner
+from guavagate.forwarding._forward import Forwarder
+from guavagate.forwarding._rewards import RewardForwarder
+from guavagate.forwarding._stream import StreamForwarder
+from guavagate.http1 import ConnectionPool
+from guavagate.ports.dialect import Dialect
+from guavagate.quarantine import EndDetector
+from guavagate.routing import RouteTable, UpstreamTable
+
+
+class Forwarders(msgspec.Struct, frozen=True, kw_only=True):
+    """One forwarder for each kind of request."""
+
+    unary: Forwarder
+    streams: StreamForwarder
+    rewards: RewardForwarder
+
+
+def make_forwarders(
+    clock: Clock,
+    pool: ConnectionPool,
+    routes: RouteTable,
+    upstreams: UpstreamTable,
+    dialect: Dialect,
+    ends: EndDetector,
+) -> Forwarders:
+    """Return the forwarders of an instance."""
+    runner = AttemptRunner(clock, pool, upstreams, dialect, ends)
+    return Forwarders(
+        unary=Forwarder(clock, upstreams, runner),
+        streams=StreamForwarder(clock, upstreams, runner),
+        rewards=RewardForwarder(clock, routes, upstreams, runner, dialect),
+    )
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -50,7 +50,7 @@
                 break
             tried.add(upstream.id)
             sent_at = self._clock.now()
-            outcome = self._try_upstream(progress, upstream)
+            outcome = self._try_upstream(progress, upstream, sent_at)
             if began_at is None and progress.may_have_run:
                 began_at = sent_at
             outcome.began_at = began_at
@@ -63,7 +63,7 @@
         return outcome
 
     def _try_upstream(
-        self, progress: '_StreamProgress', upstream: Upstream
+        self, progress: '_StreamProgress', upstream: Upstream, sent_at: float
     ) -> Outcome:
         """Forward a stream from one upstream; return the outcome."""
         try:
@@ -74,6 +74,7 @@
             return Outcome(kind, reason=error.problem)
         except UpstreamError as error:
             self._record_break(progress, upstream, error)
+            self._runner.record_break(progress.call, upstream, error, sent_at)
             return Outcome(OutcomeKind.UNKNOWN, reason=error.problem)
         return Outcome(OutcomeKind.ANSWER)
 
@@ -138,6 +139,7 @@
             _LOGGER,
             events.ATTEMPT_FAILED,
             request=progress.call.id,
+            content=progress.call.identify().content,
             upstream=upstream.id,
             state='broken',
             after=progress.last_event_id,
--- a/guavagate/http1/__init__.py
+++ b/guavagate/http1/__init__.py
@@ -18,6 +18,7 @@
     drop_hop_by_hop,
     find_header,
 )
+from guavagate.http1._probe import refuses_connections
 from guavagate.http1._server import HttpServer
 
 __all__ = (
@@ -33,4 +34,5 @@
     'SlowBodyError',
     'drop_hop_by_hop',
     'find_header',
+    'refuses_connections',
 )
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -11,6 +11,7 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import (
+    UpstreamDisconnectedError,
     UpstreamError,
     UpstreamNotStartedError,
     UpstreamUnreachableError,
@@ -102,7 +103,9 @@
             elif isinstance(event, h11.EndOfMessage):
                 self.complete = True
             else:
-                raise self._make_error('closed in the middle of its answer')
+                raise self._make_error(
+                    'closed in the middle of its answer', disconnected=True
+                )
         self._release()
 
     def read(self) -> bytes:
@@ -119,20 +122,33 @@
         connection = self._connection
         if connection is None:
             raise self._make_error('was left by us')
+        disconnected = False
         try:
             while True:
                 event = connection.http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                connection.http.receive_data(connection.sock.recv(_READ_BYTES))
-        except (OSError, h11.RemoteProtocolError) as error:
+                received = connection.sock.recv(_READ_BYTES)
+                disconnected = not received
+                connection.http.receive_data(received)
+        except OSError as error:
+            raise self._make_error(
+                str(error) or type(error).__name__, disconnected=True
+            ) from error
+        except h11.RemoteProtocolError as error:
             raise self._make_error(
-                str(error) or type(error).__name__
+                str(error) or type(error).__name__, disconnected=disconnected
             ) from error
 
-    def _make_error(self, problem: str) -> UpstreamError:
+    def _make_error(
+        self, problem: str, *, disconnected: bool = False
+    ) -> UpstreamError:
+        closed_here = self._connection is None
         self.close()
-        return UpstreamError(
+        kind = UpstreamError
+        if disconnected and not closed_here:
+            kind = UpstreamDisconnectedError
+        return kind(
             f'{self._address}: {problem}',
             'check the upstream; whether it ran the request is unknown',
         )
--- /dev/null
+++ b/guavagate/http1/_probe.py
@@ -0,0 +1,22 @@
+"""Tells a process that has ended from one that can't be reached."""
+
+from typing import Final
+
+from gevent import socket
+
+# A refusal takes a round trip; no answer at all means a partition or a machine
+# without power.
+PROBE_SECONDS: Final = 0.5
+
+
+def refuses_connections(address: str) -> bool:
+    """Return whether no process listens at an address; one may be cut off."""
+    host, _, port = address.rpartition(':')
+    try:
+        probe = socket.create_connection((host, int(port)), PROBE_SECONDS)
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    probe.close()
+    return False
--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -7,6 +7,8 @@
 
 from guavagate.models import ServiceId, TeamId, WeightVersion
 from guavagate.ports.rewards import RewardRequest
+from guavagate.ports.sampler import ITEM_METHOD
+from guavagate.quarantine import RequestIdentity, identify
 
 JobId = NewType('JobId', str)
 ItemId = NewType('ItemId', str)
@@ -71,6 +73,10 @@
         """Return whether a team's callers may read and end the job."""
         return not self.team or self.team == team
 
+    def identify(self, item: JobItem) -> RequestIdentity:
+        """Return what recognizes an item's request, whatever its id."""
+        return identify(self.team, ITEM_METHOD, self.host, item.path, item.body)
+
 
 class Result(msgspec.Struct, frozen=True):
     """The committed result of an item.
--- a/guavagate/jobs/_runner.py
+++ b/guavagate/jobs/_runner.py
@@ -10,12 +10,13 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import (
+    UpstreamDisconnectedError,
     UpstreamError,
     UpstreamNotStartedError,
     UpstreamUnreachableError,
 )
 from guavagate.jobs._event_interval import EventIntervalMeter
-from guavagate.jobs._models import Result, ResultState
+from guavagate.jobs._models import Job, Result, ResultState
 from guavagate.jobs._work import ItemProgress, JobWork, Text
 from guavagate.ports.sampler import (
     ItemFailedError,
@@ -25,6 +26,7 @@
     TextEvent,
 )
 from guavagate.ports.upstreams import Upstream
+from guavagate.quarantine import BrokenRun, EndDetector
 from guavagate.rollouts import SamplerStates
 from guavagate.routing import UpstreamTable
 
@@ -52,9 +54,11 @@
         client: SamplerClient,
         upstreams: UpstreamTable,
         states: SamplerStates,
+        ends: EndDetector,
         finish: Finish,
         handle_complete_text: HandleCompleteText,
     ) -> None:
+        self._ends = ends
         self._handle_complete_text = handle_complete_text
         self._clock = clock
         self._client = client
@@ -80,6 +84,7 @@
             if not progress.cancelled:
                 problem = str(error)
                 self._handle_interruption(progress, upstream, error)
+                self._record_break(work.job, progress, upstream, error)
         finally:
             self._release_slot(progress, upstream)
         if problem:
@@ -88,12 +93,30 @@
                 events.ITEM_INTERRUPTED,
                 job=work.job.id,
                 item=progress.item.id,
+                content=work.job.identify(progress.item).content,
                 sampler=upstream.id,
                 after=progress.text.last_number,
                 seconds=round(self._clock.now() - started_at, 3),
                 problem=problem,
             )
 
+    def _record_break(
+        self,
+        job: Job,
+        progress: ItemProgress,
+        upstream: Upstream,
+        error: UpstreamError,
+    ) -> None:
+        if not isinstance(error, UpstreamDisconnectedError):
+            return
+        started_at = progress.started_at or self._clock.now()
+        run = BrokenRun(
+            request=progress.item.id,
+            identity=job.identify(progress.item),
+            seconds=self._clock.now() - started_at,
+        )
+        self._ends.record_break(upstream, run)
+
     def _stream(
         self, work: JobWork, progress: ItemProgress, upstream: Upstream
     ) -> None:
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -10,18 +10,14 @@
 from guavagate.events import write
 from guavagate.exceptions import SettingsError
 from guavagate.feeds import Feed
-from guavagate.forwarding import (
-    AttemptRunner,
-    Forwarder,
-    RewardForwarder,
-    StreamForwarder,
-)
+from guavagate.forwarding import make_forwarders
 from guavagate.front import JobHandler, KeyAuthenticator, RequestHandler
 from guavagate.helpers.mirror import Mirror
 from guavagate.http1 import (
     ConnectionPool,
     HttpServer,
     ServerLimits,
+    refuses_connections,
 )
 from guavagate.integrations.object_api import (
     PeerFallback,
@@ -48,6 +44,7 @@
 from guavagate.platform._settings import NodeSettings, load_settings
 from guavagate.platform._store import PlatformStore
 from guavagate.ports.store import StoredObject
+from guavagate.quarantine import EndDetector
 from guavagate.retirement import Retirement
 from guavagate.rollouts import Renewals
 from guavagate.routing import RouteTable, UpstreamTable
@@ -87,6 +84,17 @@
         self._upstreams.subscribe_restarts(
             lambda upstream: self._pool.close_idle(upstream.address)
         )
+        ends = EndDetector(
+            self._clock, refuses_connections, self._upstreams.get
+        )
+        self._forwarders = make_forwarders(
+            self._clock,
+            self._pool,
+            self._routes,
+            self._upstreams,
+            PlatformDialect(),
+            ends,
+        )
         ownership = Ownership(self._members, me.id, self._members.boot)
         self._ownership = ownership
         self._instance_id = me.id
@@ -103,13 +111,8 @@
             self._routes,
             self._upstreams,
             PlatformSamplers(self._pool),
-            RewardForwarder(
-                self._clock,
-                self._routes,
-                self._upstreams,
-                self._make_attempt_runner(),
-                PlatformDialect(),
-            ),
+            self._forwarders.rewards,
+            ends,
             settings.bounds.lease_ms / const.MILLIS,
             self._metrics,
             settings.bounds.retention_s,
@@ -246,7 +249,6 @@
 
     def _make_edge(self, job_store: JobStore, reader: JobReader) -> Edge:
         clock, routes, metrics = self._clock, self._routes, self._metrics
-        runner = self._make_attempt_runner()
         bounds = self._settings.bounds
         return Edge(
             clock,
@@ -256,8 +258,8 @@
             ),
             RequestHandler(
                 clock,
-                Forwarder(clock, self._upstreams, runner),
-                StreamForwarder(clock, self._upstreams, runner),
+                self._forwarders.unary,
+                self._forwarders.streams,
                 metrics,
                 self._usage.record,
             ),
@@ -282,11 +284,6 @@
             serves_callers=bool(self._settings.listen.front),
         )
 
-    def _make_attempt_runner(self) -> AttemptRunner:
-        return AttemptRunner(
-            self._clock, self._pool, self._upstreams, PlatformDialect()
-        )
-
     def _get_limits(self) -> ServerLimits:
         configuration = self._routes.configuration
         return ServerLimits() if configuration is None else configuration.limits
--- a/guavagate/platform/_samplers.py
+++ b/guavagate/platform/_samplers.py
@@ -11,6 +11,7 @@
 from guavagate.platform._dialect import read_marks, to_headers
 from guavagate.platform._servers import ModelState, read_models
 from guavagate.ports.sampler import (
+    ITEM_METHOD,
     ItemFailedError,
     ItemImpossibleError,
     ItemRequest,
@@ -58,7 +59,7 @@
         if item.resume_after:
             after = str(item.resume_after).encode()
             headers.append((const.RESUME, after))
-        request = Request('POST', item.path, headers)
+        request = Request(ITEM_METHOD, item.path, headers)
         answer = self._pool.send(
             upstream.address, request, item.body, timeout=None
         )
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
-from guavagate.http1 import Answer, Headers, Request
+from guavagate.http1 import Answer, Headers, Request, find_header
 from guavagate.models import TeamId
 from guavagate.ports.upstreams import Upstream
+from guavagate.quarantine import RequestIdentity, identify
 
 
 class Call(msgspec.Struct, frozen=True, kw_only=True):
@@ -25,6 +26,14 @@
     team: TeamId = TeamId('')
     keyed: bool = False
 
+    def identify(self) -> RequestIdentity:
+        """Return what recognizes the request under another id."""
+        request = self.request
+        host = find_header(request.headers, b'host')
+        return identify(
+            self.team, request.method, host, request.target, self.body
+        )
+
 
 class AnswerMarks(msgspec.Struct, frozen=True, kw_only=True):
     """Metadata of an answer.
--- a/guavagate/ports/sampler.py
+++ b/guavagate/ports/sampler.py
@@ -1,13 +1,16 @@
 """Interface to model samplers."""
 
 from collections.abc import Iterator
-from typing import Protocol
+from typing import Final, Protocol
 
 import msgspec
 
 from guavagate.models import TeamId, WeightVersion
 from guavagate.ports.upstreams import Upstream
 
+# The HTTP method of an item's request.
+ITEM_METHOD: Final = 'POST'
+
 
 class ItemRequest(msgspec.Struct, frozen=True, kw_only=True):
     """An item to generate; resumes after event `resume_after` unless 0.
--- a/tests/forwarding/test_rewards.py
+++ b/tests/forwarding/test_rewards.py
@@ -16,6 +16,7 @@
 from guavagate.ports.rewards import RewardKind, RewardOutcome, RewardRequest
 from guavagate.routing import RouteTable, UpstreamTable
 from tests.forwarding.common import start_upstream
+from tests.quarantine.common import make_ends
 from tests.routing.test_routes import make_route
 
 _REWARD = RewardRequest(
@@ -53,7 +54,11 @@
             self.routes,
             self.upstreams,
             AttemptRunner(
-                clock, ConnectionPool(clock), self.upstreams, PlatformDialect()
+                clock,
+                ConnectionPool(clock),
+                self.upstreams,
+                PlatformDialect(),
+                make_ends(clock, self.upstreams),
             ),
             PlatformDialect(),
         )
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -28,6 +28,7 @@
 from guavagate.ports.upstreams import Upstream
 from guavagate.routing import UpstreamTable
 from tests.forwarding.common import start_upstream
+from tests.quarantine.common import make_ends
 from tests.routing.test_routes import make_route
 
 _HEAD = (
@@ -134,6 +135,7 @@
                 ConnectionPool(self.clock),
                 self.upstreams,
                 _Dialect(),
+                make_ends(self.clock, self.upstreams),
             ),
         )
 
--- a/tests/platform/test_edge_keys.py
+++ b/tests/platform/test_edge_keys.py
@@ -22,6 +22,7 @@
 from guavagate.ports.configuration import Configuration, RouteKind, Team
 from guavagate.routing import RouteTable, UpstreamTable
 from tests.forwarding.common import start_upstream
+from tests.quarantine.common import make_ends
 from tests.routing.test_routes import make_route
 
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -78,7 +79,11 @@
         self.upstream, upstream = start_upstream('u', 'z', self._serve)
         upstreams.put(upstream)
         runner = AttemptRunner(
-            clock, ConnectionPool(clock), upstreams, PlatformDialect()
+            clock,
+            ConnectionPool(clock),
+            upstreams,
+            PlatformDialect(),
+            make_ends(clock, upstreams),
         )
         jobs = self.jobs
         edge = Edge(
--- /dev/null
+++ b/tests/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quarantine of requests that crash upstreams."""
