Reproduce a request that crashes each sampler, as a test that fails

Callers saw 503 for seconds at a time, because one request returned under new ids and ended every sampler of its service each time.

--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -3,6 +3,7 @@
 import pathlib
 import sys
 import tempfile
+from collections.abc import Callable
 from typing import Final
 
 import click
@@ -10,6 +11,8 @@
 
 from standins.platform.soak import Soak
 
+Command = Callable[..., None]
+
 # Each seed uses its own loopback addresses, 127.0.BLOCK.x.
 FIRST_BLOCK: Final = 10
 BLOCKS: Final = 240
@@ -25,9 +28,18 @@
 }
 
 
+def _add_seed_options(command: Command) -> Command:
+    first = click.option(
+        '--seed', default=1, show_default=True, help='First seed.'
+    )
+    count = click.option(
+        '--seeds', default=1, show_default=True, help='Number of seeds.'
+    )
+    return first(count(command))
+
+
 @click.command()
-@click.option('--seed', default=1, show_default=True, help='First seed.')
-@click.option('--seeds', default=1, show_default=True, help='Number of seeds.')
+@_add_seed_options
 @click.option(
     '--seconds',
     default=40,
@@ -40,8 +52,18 @@
 @click.option(
     '--regressions', is_flag=True, help='Run the seeds that failed before.'
 )
+@click.option(
+    '--calm',
+    is_flag=True,
+    help='Inject no faults but a request that crashes samplers.',
+)
 def main(
-    seed: int, seeds: int, seconds: int, jobs: int, regressions: bool
+    seed: int,
+    seeds: int,
+    seconds: int,
+    jobs: int,
+    regressions: bool,
+    calm: bool,
 ) -> None:
     """Run the soak test; exit with 1 if there were violations."""
     waiting = list(range(seed, seed + seeds))
@@ -52,7 +74,7 @@
     def work() -> None:
         while waiting:
             number = waiting.pop(0)
-            if _run(number, seconds):
+            if _run(number, seconds, calm=calm):
                 broken.append(number)
 
     tasks = [gevent.spawn(work) for _ in range(jobs)]
@@ -61,12 +83,12 @@
         sys.exit(1)
 
 
-def _run(seed: int, seconds: int) -> int:
+def _run(seed: int, seconds: int, *, calm: bool) -> int:
     """Run one seed and return the number of violations."""
     block = FIRST_BLOCK + seed % BLOCKS
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, block, pathlib.Path(folder))
-        verdict = soak.run(seconds)
+        verdict = soak.run(seconds, calm=calm)
     click.echo(
         f'seed {seed}: {verdict.checked} checks,'
         f' {len(soak.journal.orders)} orders,'
--- a/standins/platform/proxy.py
+++ b/standins/platform/proxy.py
@@ -18,14 +18,31 @@
 
     def __init__(self, address: str, target: str) -> None:
         host, _, port = address.rpartition(':')
+        self._address = (host, int(port))
         self._target = target
         self.fault = ''
-        self._server = StreamServer((host, int(port)), self._serve)
+        self._server: StreamServer | None = None
+        self._sockets: set[socket.socket] = set()
+
+    @property
+    def closed(self) -> bool:
+        """Return whether connections are refused."""
+        return self._server is None
 
     def start(self) -> None:
-        """Start listening."""
+        """Start listening, also after `close`."""
+        self._server = StreamServer(self._address, self._serve)
         self._server.start()
 
+    def close(self) -> None:
+        """Break all connections and refuse new ones, as if it had crashed."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for sock in list(self._sockets):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def _serve(self, sock: socket.socket, _: object) -> None:
         host, _, port = self._target.rpartition(':')
         try:
@@ -34,9 +51,11 @@
             sock.close()
             return
         upstream.settimeout(None)
+        self._sockets |= {sock, upstream}
         responses = gevent.spawn(self._pump, upstream, sock)
         self._pump(sock, upstream)
         responses.join()
+        self._sockets -= {sock, upstream}
 
     def _pump(self, source: socket.socket, target: socket.socket) -> None:
         with contextlib.suppress(OSError):
--- a/standins/platform/sampler.py
+++ b/standins/platform/sampler.py
@@ -20,12 +20,16 @@
     HttpServer,
 )
 from guavagate.platform import const
+from standins.platform.proxy import Proxy
 from standins.platform.store import Store
 
 _ACCEPTED: Final = 202
 _BUSY: Final = 409
 _MISDIRECTED: Final = 421
 _LOAD_SECONDS: Final = 0.3
+# A request with this path crashes each sampler that starts to run it.
+CRASH_PATH: Final = '/ask/crash'
+_DOWN_SECONDS: Final = 2.0
 _STREAM: Final = (b'Content-Type', b'text/event-stream')
 
 
@@ -41,6 +45,10 @@
         # Name and arrival time of each reward request, by the signature in its
         # answer.
         self.rewards: dict[str, tuple[str, float]] = {}
+        # Time and id of each crashing request that a sampler received, and the
+        # time of each crash.
+        self.crash_arrivals: list[tuple[float, str]] = []
+        self.crashes: list[float] = []
         # When the last event of an item was first sent.
         self.completed_at: dict[str, float] = {}
 
@@ -56,8 +64,12 @@
         store: Store,
         journal: Journal,
         model: str = '',
+        proxy: Proxy | None = None,
     ) -> None:
         self.name = name
+        self._first_name = name
+        self._proxy = proxy
+        self._crashes = 0
         self.model = model
         self.version = 1
         self.abort_probability = float(0)
@@ -96,6 +108,22 @@
         self._loading = False
         self._register()
 
+    def crash(self) -> None:
+        """Break all connections, and return later under a new id."""
+        if self._proxy is None or self._proxy.closed:
+            return
+        self._crashes += 1
+        self._journal.crashes.append(self._clock.now())
+        self._proxy.close()
+        gevent.spawn_later(_DOWN_SECONDS, self._return)
+
+    def _return(self) -> None:
+        self._store.write('servers', self.name, {}, delete=True)
+        self.name = f'{self._first_name}.{self._crashes}'
+        self.restart()
+        if self._proxy is not None:
+            self._proxy.start()
+
     def _list_models(self) -> list[dict[str, Any]]:
         if not self.model:
             return []
@@ -161,6 +189,11 @@
 
     def _serve(self, exchange: Exchange, name: str) -> None:
         self._journal.runs[name] += 1
+        if exchange.request.target == CRASH_PATH:
+            self._journal.crash_arrivals.append((self._clock.now(), name))
+            gevent.sleep(self._random.uniform(0.01, 0.06))
+            self.crash()
+            return
         headers = [
             (const.REQUEST_ID, name.encode()),
             (const.VERSION, str(self.version).encode()),
--- a/standins/platform/soak.py
+++ b/standins/platform/soak.py
@@ -18,6 +18,7 @@
 from guavagate.http1 import Answer, ConnectionPool, Headers, Request
 from guavagate.platform import const
 from standins.platform.checks import Verdict
+from standins.platform.crashes import CrashingCallers
 from standins.platform.duties import DutyServer
 from standins.platform.fleet import REVOKE_SECONDS, Daemon, wait_for_exit
 from standins.platform.manifest import (
@@ -36,6 +37,7 @@
 _NOT_RUN: Final = frozenset((408, 421, 429, 503))
 _WARM_UP_SECONDS: Final = 6.0
 _SETTLE_SECONDS: Final = 12.0
+_CALM_SETTLE_SECONDS: Final = 4.0
 _PLANNED_STOP_SECONDS: Final = 10.0
 _ENTRIES: Final = 3
 _WORKERS: Final = 2
@@ -60,7 +62,6 @@
         self.journal = Journal()
         self.verdict = Verdict(self.journal)
         self.faults: list[tuple[float, str]] = []
-        self._stopped = False
         self._version = 1
         self._block = block
         self.store = Store(self._make_address(250, 8000), seed)
@@ -86,6 +87,14 @@
             for number, name in enumerate(names, 1)
         ]
         self._pool = ConnectionPool(self.clock)
+        self.crashing = CrashingCallers(
+            self.clock,
+            self.random,
+            self.verdict,
+            self.journal,
+            self._call_any_entry,
+            self._list_fault_times,
+        )
         self.trainer = Trainer(
             self.clock,
             self.random,
@@ -101,7 +110,8 @@
         model = MODEL if number < _SAMPLERS else ''
         target = self._make_address(100 + number, 9000)
         proxy_address = self._make_address(150 + number, 9000)
-        self.proxies.append(Proxy(proxy_address, target))
+        proxy = Proxy(proxy_address, target)
+        self.proxies.append(proxy)
         service = 'llm' if model else 'desk'
         sampler = Sampler(
             f'i-{number}',
@@ -110,12 +120,13 @@
             self.store,
             self.journal,
             model,
+            proxy,
         )
         sampler.listen(target)
         return sampler
 
-    def run(self, seconds: float) -> Verdict:
-        """Inject faults for a time, then check the final state."""
+    def run(self, seconds: float, *, calm: bool = False) -> Verdict:
+        """Inject faults for a time, unless calm; check the final state."""
         self.store.start()
         self.duty_server.start()
         for start in (
@@ -127,20 +138,21 @@
         self._configure()
         try:
             gevent.sleep(_WARM_UP_SECONDS)
-            tasks = [
-                gevent.spawn(run)
-                for run in (
-                    self._send_idempotent_requests,
-                    self._send_idempotent_requests,
-                    self._send_revoked_keys,
-                    self._send_non_idempotent_requests,
-                    self.trainer.run,
-                )
+            callers = [
+                self._send_idempotent_requests,
+                self._send_idempotent_requests,
+                self._send_revoked_keys,
+                self._send_non_idempotent_requests,
+                self.trainer.run,
             ]
-            self._inject_faults(seconds)
-            self._stopped = True
+            if calm:
+                callers += self.crashing.callers
+            tasks = [gevent.spawn(run) for run in callers]
+            self._inject_faults(seconds, calm=calm)
             self.trainer.stop()
-            gevent.sleep(_SETTLE_SECONDS)
+            gevent.sleep(_CALM_SETTLE_SECONDS if calm else _SETTLE_SECONDS)
+            if calm:
+                self.crashing.check()
             gevent.killall(tasks)
             self._check_end()
         finally:
@@ -157,7 +169,10 @@
 
     # Faults.
 
-    def _inject_faults(self, seconds: float) -> None:
+    def _inject_faults(self, seconds: float, *, calm: bool) -> None:
+        if calm:
+            gevent.sleep(seconds)
+            return
         until = self.clock.now() + seconds
         kinds: list[Callable[[], None]] = [
             self._kill,
@@ -237,6 +252,10 @@
         gevent.sleep(1)
         self._record_fault('samplers')
 
+    def _list_fault_times(self) -> list[float]:
+        lists = [self.faults, *(each.faults for each in self.daemons)]
+        return [when for faults in lists for when, _ in faults]
+
     # Callers.
 
     def _call(
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -14,10 +14,25 @@
 
 _ROOT = pathlib.Path(__file__).parents[2]
 _FAULT_SECONDS = 8
+_CRASH_SECONDS = 12
 _START_SECONDS = 2.5
 _LIMIT_SECONDS = 120
 
 
+def _run_soak(*options: str) -> None:
+    ended = subprocess.run(
+        [sys.executable, '-m', 'standins.platform', *options],
+        cwd=_ROOT,
+        env={**os.environ, 'PYTHONPATH': str(_ROOT)},
+        capture_output=True,
+        text=True,
+        timeout=_LIMIT_SECONDS,
+        check=False,
+    )
+    assert ended.returncode == 0, ended.stdout + ended.stderr
+    assert '0 violations' in ended.stdout
+
+
 def _make_result(item: str, version: int = 2) -> dict[str, object]:
     lines = [
         f'{item}/{number}/{version}'
@@ -78,25 +93,16 @@
 
 def test_a_short_soak_has_no_violations() -> None:
     """Runs five daemons for eight seconds with overlapping faults."""
-    ended = subprocess.run(
-        [
-            sys.executable,
-            '-m',
-            'standins.platform',
-            '--seed',
-            '3',
-            '--seconds',
-            str(_FAULT_SECONDS),
-        ],
-        cwd=_ROOT,
-        env={**os.environ, 'PYTHONPATH': str(_ROOT)},
-        capture_output=True,
-        text=True,
-        timeout=_LIMIT_SECONDS,
-        check=False,
-    )
-    assert ended.returncode == 0, ended.stdout + ended.stderr
-    assert '0 violations' in ended.stdout
+    _run_soak('--seed', '3', '--seconds', str(_FAULT_SECONDS))
+
+
+def test_a_request_that_crashes_samplers_is_stopped_by_the_fleet() -> None:
+    """One request returns under new ids, at any entry.
+
+    Each sampler that runs it crashes, and is back after two seconds under a new
+    id. A request beside it must still be served.
+    """
+    _run_soak('--seed', '7', '--seconds', str(_CRASH_SECONDS), '--calm')
 
 
 def test_a_second_sigterm_does_not_end_a_planned_stop(
