Stop a request that crashes the samplers that run it, in the whole fleet

What callers saw: 503 for about three seconds, again and again, because no sampler of the service was left. One request returned under new ids at any entry, and each time ended every sampler in turn.

Cause: failed attempts counted against the sampler only, never against the request. A retry under another id, or at another instance, started from nothing; no instance could see that the same request had ended three samplers, and nothing told it.

Why it works: a request is recognized by team, method, host, path and body. All ends of samplers, and what each instance had sent there, go to two hubs, which judge them together and tell all instances at once; the record is in the store and reaches those that start later or were cut off. A request is the cause if three samplers ended under it and no other request ran at all of them; one that was answered is cleared, so what only ran beside it is served. Before each attempt, hedge and resumption of a plain, keyed or streamed request an instance looks it up: 503 with the time until it may run again if it has not run, 502 if an attempt had.

The record's prefix is sent only to instances that follow it, so an earlier release can follow a relay of this one. The relay's part of the feed and the watch of retirements move to modules of their own.

--- a/guavagate/events/forwarding.py
+++ b/guavagate/events/forwarding.py
@@ -75,6 +75,23 @@
     'An upstream ended while it ran a request',
     'compare `content` with that of other requests under which one ended',
 )
+REQUEST_STOPPED: Final = Event(
+    8032,
+    logging.WARNING,
+    'A request ended several upstreams; it is sent to no upstream any more',
+    'search the logs for its content; remove its record to let it run again',
+)
+REQUEST_RELEASED: Final = Event(
+    8033,
+    logging.INFO,
+    'The record of a stopped request was removed; the request may run again',
+)
+TOO_MANY_CULPRITS: Final = Event(
+    8034,
+    logging.ERROR,
+    'Many requests seem to end upstreams; no further ones are stopped',
+    'check the upstreams: they may crash whatever they run',
+)
 READINESS_CHANGED: Final = Event(
     8030, logging.INFO, 'The readiness of this instance changed'
 )
--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -2,7 +2,6 @@
 
 import functools
 import logging
-import secrets
 from collections.abc import Callable, Sequence
 from typing import Final
 
@@ -11,18 +10,11 @@
 from guavagate.clock import Clock, Task
 from guavagate.events import forwarding as events
 from guavagate.events import write
-from guavagate.exceptions import LinkError, StoreError
-from guavagate.feeds._follower import UNKNOWN_AGE_SECONDS, Follower
-from guavagate.feeds._messages import (
-    FeedBeat,
-    FeedChange,
-    FeedClock,
-    FeedCopy,
-    FeedEntry,
-    ReadFeed,
-    ReadFeedClock,
-)
+from guavagate.exceptions import StoreError
+from guavagate.feeds._follower import Follower
+from guavagate.feeds._messages import FeedEntry
 from guavagate.feeds._proof import Proof
+from guavagate.feeds._relay import Relay
 from guavagate.feeds._relays import (
     STALE_SECONDS,
     STANDBY_COUNT,
@@ -32,7 +24,7 @@
 from guavagate.feeds._table import FeedTable, Put, Remove
 from guavagate.helpers.mirror import Mirror
 from guavagate.helpers.waits import wait_for
-from guavagate.links import Bus, Message, expect
+from guavagate.links import Bus
 from guavagate.models import InstanceId
 from guavagate.ports.store import ObjectStore, StoredObject
 from guavagate.runtime import Members
@@ -54,7 +46,6 @@
 # An instance that watches for itself alone stops when it receives data from a
 # relay. That takes about this long, so its first watch usually never starts.
 DIRECT_PAUSE_SECONDS: Final = 1.2
-HEARTBEAT_INTERVAL_SECONDS: Final = 0.4
 CHECK_INTERVAL_SECONDS: Final = 0.1
 PROOF_INTERVAL_SECONDS: Final = 1.0
 # A fleet that starts for the first time has no callers yet. Its instances
@@ -81,7 +72,8 @@
     ----------
     prefixes
         The prefixes to follow; `lapsing` are those whose objects may lapse
-        while the store is unavailable.
+        while the store is unavailable, `later` those that the first release
+        does not follow.
     first_start
         Whether the whole fleet starts for the first time.
     proof_prefix
@@ -100,8 +92,6 @@
 
     Attributes
     ----------
-    relaying
-        Whether this instance sends its objects to the others.
     proof
         When the objects under `proof_prefix` were last known to be the newest.
     """
@@ -117,6 +107,7 @@
         lapsing: tuple[str, ...] = (),
         boot_of: BootOf = ignore_boots,
         *,
+        later: tuple[str, ...] = (),
         first_start: bool = True,
         proof_prefix: str = '',
         proof_path: str = '',
@@ -129,7 +120,6 @@
         self.proof = Proof(boot_clock)
         self._store = store
         self._clock = clock
-        self._bus = bus
         self._members = members
         self._me = me
         self._prefixes = prefixes
@@ -137,9 +127,6 @@
         self._boot_of = boot_of
         self._may_be_standby = may_be_standby
         self._table = FeedTable()
-        self._table.on_change = self._publish_change
-        self._boot = secrets.randbits(62)
-        self._change_number = 0
         self._started_at = clock.now()
         self._start_wait_seconds = START_WAIT_SECONDS if first_start else 0
         # Needed ten times a second. Sorting hundreds of members each time
@@ -147,15 +134,31 @@
         self._relay_order: list[InstanceId] | None = None
         members.subscribe(self._clear_relay_order)
         self._mirrors: list[Mirror] = []
-        self.relaying = False
         self._fresh_since: float | None = None
         self._tasks: list[Task] = []
         self._loaded = Event()
         self._follower = Follower(
-            clock, bus, self._table, self.proof, self._loaded.set, boot_clock
+            clock,
+            bus,
+            self._table,
+            self.proof,
+            prefixes,
+            later,
+            self._loaded.set,
+            boot_clock,
+        )
+        self._relay = Relay(
+            clock,
+            bus,
+            members,
+            me,
+            self._table,
+            self.proof,
+            prefixes,
+            later,
+            lambda: self._mirrors,
+            boot_clock,
         )
-        bus.register(ReadFeed, self._on_read_feed)
-        bus.register(ReadFeedClock, self._on_read_clock)
 
     def register_handlers(
         self, prefix: str, put: Put, remove: Remove | None
@@ -163,6 +166,11 @@
         """Register handlers, which must not block, for a prefix."""
         self._table.register_handlers(prefix, put, remove)
 
+    @property
+    def relaying(self) -> bool:
+        """Return whether this instance sends its objects to the others."""
+        return self._relay.active
+
     @property
     def loaded(self) -> bool:
         """Return whether all followed objects were read once."""
@@ -179,7 +187,7 @@
         self._tasks = [
             self._clock.spawn(self._join),
             self._clock.spawn(self._check),
-            self._clock.spawn(self._send_heartbeats),
+            self._clock.spawn(self._relay.send_heartbeats),
         ]
         if self._proof_prefix:
             compare = self._follower.compare_clocks
@@ -190,7 +198,7 @@
     def _join(self) -> None:
         """Try the relays for a snapshot until loaded or watching the store."""
         while not (self.loaded or self._mirrors):
-            first = self._order_relays()[: STANDBY_COUNT + 1]
+            first = self.order_relays()[: STANDBY_COUNT + 1]
             for relay in first:
                 if relay != self._me and not self.loaded:
                     self._follower.read_snapshot(relay)
@@ -203,7 +211,7 @@
             self._clock.sleep(CHECK_INTERVAL_SECONDS)
 
     def _choose_source(self) -> None:
-        ranked = self._order_relays()
+        ranked = self.order_relays()
         rank = ranked.index(self._me) if self._me in ranked else len(ranked)
         if rank == 0 and len(ranked) > 1:
             if not self.relaying:
@@ -224,7 +232,8 @@
         if all(each.loaded for each in self._mirrors):
             self._loaded.set()
 
-    def _order_relays(self) -> list[InstanceId]:
+    def order_relays(self) -> list[InstanceId]:
+        """Return all instances in the order in which they become relays."""
         if self._relay_order is None:
             self._relay_order = rank_relays(
                 self._members.alive(), self._boot_of
@@ -262,7 +271,7 @@
 
     def _watch_directly(self, *, relaying: bool) -> None:
         self._stop_watching()
-        self.relaying = relaying
+        self._relay.active = relaying
         wait = RELAY_WAIT_SECONDS if relaying else None
         for prefix in self._prefixes:
             lapses = prefix in self._lapsing
@@ -313,7 +322,7 @@
         for mirror in self._mirrors:
             mirror.stop()
         self._mirrors = []
-        self.relaying = False
+        self._relay.active = False
         relays = self._follower.list_relays()
         write(_LOGGER, events.FEED_FROM_RELAYS, relays=relays)
 
@@ -326,61 +335,3 @@
                 path=stored.path, version=stored.version, value=stored.value
             )
         )
-
-    # Methods of a relay.
-
-    def _publish_change(self, entry: FeedEntry) -> None:
-        if not self.relaying:
-            return
-        self._change_number += 1
-        message = FeedChange(
-            boot=self._boot, number=self._change_number, entry=entry
-        )
-        self._broadcast(message)
-
-    def _send_heartbeats(self) -> None:
-        while True:
-            self._clock.sleep(HEARTBEAT_INTERVAL_SECONDS)
-            if self.relaying:
-                beat = FeedBeat(
-                    boot=self._boot,
-                    number=self._change_number,
-                    age=self._compute_age(),
-                    proved_at=self.proof.at,
-                    clock=self._boot_clock(),
-                )
-                self._broadcast(beat)
-
-    def _broadcast(self, message: Message) -> None:
-        for peer in self._members.alive():
-            if peer.id != self._me:
-                self._bus.send(peer.id, message)
-
-    def _compute_age(self) -> float:
-        if not all(each.loaded for each in self._mirrors):
-            return UNKNOWN_AGE_SECONDS
-        confirmed = [each.confirmed_at for each in self._mirrors]
-        return self._clock.now() - min(confirmed, default=0)
-
-    def _on_read_feed(self, _: InstanceId, message: Message) -> FeedCopy:
-        packed = expect(message, ReadFeed).packed
-        loaded = all(each.loaded for each in self._mirrors)
-        if not self.relaying or not loaded:
-            raise LinkError(
-                f'{self._me} does not relay the feed',
-                'send the request to another instance',
-            )
-        return FeedCopy(
-            boot=self._boot,
-            number=self._change_number,
-            age=self._compute_age(),
-            revision=min(each.revision for each in self._mirrors),
-            entries=[] if packed else self._table.entries(),
-            packed=self._table.pack_entries() if packed else b'',
-            proved_at=self.proof.at,
-            clock=self._boot_clock(),
-        )
-
-    def _on_read_clock(self, _: InstanceId, message: Message) -> FeedClock:
-        expect(message, ReadFeedClock)
-        return FeedClock(boot=self._boot, clock=self._boot_clock())
--- a/guavagate/feeds/_follower.py
+++ b/guavagate/feeds/_follower.py
@@ -9,6 +9,7 @@
 from guavagate.clock import Clock
 from guavagate.exceptions import LinkError
 from guavagate.feeds._messages import (
+    FeedAddition,
     FeedBeat,
     FeedChange,
     FeedClock,
@@ -46,6 +47,9 @@
 
     Parameters
     ----------
+    prefixes, later
+        The followed prefixes, and those of them that the first release does
+        not relay.
     on_loaded
         Called after a snapshot was applied; must not block.
 
@@ -61,6 +65,8 @@
         bus: Bus,
         table: FeedTable,
         proof: Proof,
+        prefixes: tuple[str, ...],
+        later: tuple[str, ...],
         on_loaded: Callable[[], None],
         boot_clock: Callable[[], float],
     ) -> None:
@@ -68,11 +74,16 @@
         self._bus = bus
         self._table = table
         self._proof = proof
+        self._prefixes = prefixes
+        self._first_prefixes = tuple(
+            each for each in prefixes if each not in later
+        )
         self._on_loaded = on_loaded
         self._boot_clock = boot_clock
         self._relays: dict[InstanceId, _Relay] = {}
         self.last_message_at = clock.now()
         bus.register(FeedChange, self._on_change)
+        bus.register(FeedAddition, self._on_change)
         bus.register(FeedBeat, self._on_beat)
 
     def list_relays(self) -> list[InstanceId]:
@@ -98,7 +109,10 @@
         requested_at = self._boot_clock()
         try:
             snapshot = self._bus.request(
-                sender, ReadFeed(packed=True), FeedCopy, READ_TIMEOUT_SECONDS
+                sender,
+                ReadFeed(packed=True, prefixes=self._prefixes),
+                FeedCopy,
+                READ_TIMEOUT_SECONDS,
             )
             entries = (
                 unpack(snapshot.packed) if snapshot.packed else snapshot.entries
@@ -107,7 +121,11 @@
             _LOGGER.debug('could not read from relay %s: %s', sender, error)
             self._relays.pop(sender)
             return
-        self._table.apply_snapshot(entries, snapshot.revision)
+        self._table.apply_snapshot(
+            entries,
+            snapshot.revision,
+            snapshot.prefixes or self._first_prefixes,
+        )
         self._proof.record_clock(snapshot.boot, requested_at, snapshot.clock)
         self._proof.record_relayed(
             snapshot.boot, snapshot.proved_at, snapshot.clock
--- a/guavagate/feeds/_messages.py
+++ b/guavagate/feeds/_messages.py
@@ -20,6 +20,13 @@
     entry: FeedEntry
 
 
+class FeedAddition(FeedChange, frozen=True, kw_only=True):
+    """A change under a prefix that earlier releases do not follow.
+
+    They could not apply it, and ignore a kind of message that they don't know.
+    """
+
+
 class FeedBeat(Message, frozen=True, kw_only=True):
     """A relay's heartbeat.
 
@@ -41,16 +48,19 @@
     """Requests all objects of a relay; `packed` allows a compressed reply.
 
     A release that does not know `packed` would read a compressed snapshot as
-    an empty one and drop all its objects.
+    an empty one and drop all its objects. One that states no `prefixes` follows
+    only those of the first release, and could not read others.
     """
 
     packed: bool = False
+    prefixes: tuple[str, ...] = ()
 
 
 class FeedCopy(Message, frozen=True, kw_only=True):
     """A snapshot of a relay's objects, complete up to a store revision.
 
-    It is in `entries` or, if the request allowed that, in `packed`.
+    It is in `entries` or, if the request allowed that, in `packed`. `prefixes`
+    are those that it covers, if they are more than those of the first release.
     """
 
     boot: int
@@ -59,6 +69,7 @@
     revision: Revision
     entries: list[FeedEntry] = []
     packed: bytes = b''
+    prefixes: tuple[str, ...] = ()
     proved_at: float | None = None
     clock: float | None = None
 
--- a/guavagate/feeds/_table.py
+++ b/guavagate/feeds/_table.py
@@ -35,11 +35,12 @@
         """Register handlers, which must not block, for a prefix."""
         self._handlers[prefix] = (put, remove)
 
-    def entries(self) -> list[FeedEntry]:
-        """Return all current objects."""
+    def entries(self, without: tuple[str, ...] = ()) -> list[FeedEntry]:
+        """Return all current objects, but those under some prefixes."""
         return [
             FeedEntry(path=each.path, version=each.version, value=each.value)
             for each in self._objects.values()
+            if find_prefix(each.path) not in without
         ]
 
     def pack_entries(self) -> bytes:
@@ -53,7 +54,7 @@
         return {
             path: current.version
             for path, current in self._objects.items()
-            if _find_prefix(path) == prefix
+            if find_prefix(path) == prefix
         }
 
     def apply(self, entry: FeedEntry) -> None:
@@ -80,7 +81,7 @@
         the objects after it in a snapshot, and would not reach the instances
         that may be able to read it.
         """
-        put, remove = self._handlers[_find_prefix(stored.path)]
+        put, remove = self._handlers[find_prefix(stored.path)]
         try:
             put(stored)
         except ValueError as error:
@@ -98,24 +99,36 @@
         self._removed_versions[path] = current.version
         self._packed = None
         self._unreadable.forget(path)
-        _, remove = self._handlers[_find_prefix(path)]
+        _, remove = self._handlers[find_prefix(path)]
         if remove is not None:
             remove(path.partition('/')[2])
         self.on_change(FeedEntry(path=path, version=current.version))
 
     def apply_snapshot(
-        self, entries: list[FeedEntry], revision: Revision
+        self,
+        entries: list[FeedEntry],
+        revision: Revision,
+        prefixes: tuple[str, ...],
     ) -> None:
-        """Apply a snapshot that is complete up to a revision of the store."""
+        """Apply a snapshot that is complete up to a revision of the store.
+
+        Parameters
+        ----------
+        prefixes
+            What the snapshot covers; it says nothing about other objects.
+        """
         present = {each.path for each in entries}
         for path, current in list(self._objects.items()):
-            if path not in present and current.version <= revision:
+            if path in present or find_prefix(path) not in prefixes:
+                continue
+            if current.version <= revision:
                 self.remove(path)
         for entry in entries:
             self.apply(entry)
 
 
-def _find_prefix(path: str) -> str:
+def find_prefix(path: str) -> str:
+    """Return the prefix of an object's path."""
     return path.partition('/')[0]
 
 
--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -17,7 +17,7 @@
 from guavagate.http1 import Answer, ConnectionPool, Headers
 from guavagate.ports.dialect import Call, Dialect
 from guavagate.ports.upstreams import Upstream
-from guavagate.quarantine import BrokenRun, EndDetector
+from guavagate.quarantine import BrokenRun, Quarantine
 from guavagate.routing import UpstreamTable
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -64,13 +64,13 @@
         pool: ConnectionPool,
         upstreams: UpstreamTable,
         dialect: Dialect,
-        ends: EndDetector,
+        quarantine: Quarantine,
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._upstreams = upstreams
         self._dialect = dialect
-        self._ends = ends
+        self._quarantine = quarantine
 
     def make(self, call: Call, upstream: Upstream, *, reuse: bool) -> Attempt:
         """Send a request once and read the complete answer.
@@ -115,9 +115,11 @@
         if isinstance(error, UpstreamDisconnectedError):
             seconds = self._clock.now() - started_at
             run = BrokenRun(
-                request=call.id, identity=call.identify(), seconds=seconds
+                request=call.id,
+                identity=call.content.identify(),
+                seconds=seconds,
             )
-            self._ends.record_break(upstream, run)
+            self._quarantine.record_break(upstream, run)
 
     def _had_short_deadline(self, call: Call, started_at: float) -> bool:
         """Return whether the caller's deadline was too short for an answer.
@@ -188,7 +190,7 @@
             _LOGGER,
             events.ATTEMPT_FAILED,
             request=call.id,
-            content=call.identify().content,
+            content=call.content.identify().content,
             upstream=attempt.upstream.id,
             state=attempt.state.value,
             problem=attempt.problem,
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -9,6 +9,7 @@
 
 import enum
 import logging
+import math
 from typing import Final, Protocol
 
 import msgspec
@@ -29,6 +30,7 @@
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import Call
 from guavagate.ports.upstreams import Upstream
+from guavagate.quarantine import Quarantine, StoppedRequest
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -84,6 +86,7 @@
         self.may_have_run = False
         self.failed_answers = 0
         self.failed_answer: Attempt | None = None
+        self.stopped: StoppedRequest | None = None
         # Send time by upstream, without those that have not run the request.
         self.sent_at: dict[UpstreamId, float] = {}
         # Send time by upstream, for the attempts in flight.
@@ -106,8 +109,13 @@
     """Forwards requests of routes without streaming."""
 
     def __init__(
-        self, clock: Clock, upstreams: UpstreamChooser, runner: AttemptRunner
+        self,
+        clock: Clock,
+        upstreams: UpstreamChooser,
+        runner: AttemptRunner,
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._clock = clock
         self._upstreams = upstreams
         self._runner = runner
@@ -180,6 +188,7 @@
             progress.running -= 1
             if attempt.is_final:
                 self._hedges.earn()
+                self._quarantine.record_answer(call.content)
                 return Outcome(OutcomeKind.ANSWER, attempt)
             self._record_failure(progress, attempt)
             if may_repeat or not progress.may_have_run:
@@ -212,6 +221,9 @@
     ) -> None:
         if len(progress.tried) >= max(route.max_attempts, 1):
             return
+        progress.stopped = self._quarantine.find(call.content)
+        if progress.stopped is not None:
+            return
         upstream = self._upstreams.choose(service, progress.tried)
         if upstream is None:
             return
@@ -235,6 +247,11 @@
             return Outcome(OutcomeKind.ANSWER, progress.failed_answer)
         if progress.may_have_run and self._clock.now() >= call.until:
             return Outcome(OutcomeKind.LATE, reason='no answer in time')
+        if progress.stopped is not None:
+            wait = self._quarantine.compute_wait(progress.stopped)
+            return make_stopped_outcome(
+                progress.stopped, wait, ran=progress.may_have_run
+            )
         if progress.may_have_run:
             return Outcome(OutcomeKind.UNKNOWN, reason='answers were lost')
         if progress.tried:
@@ -246,6 +263,20 @@
         )
 
 
+def make_stopped_outcome(
+    stopped: StoppedRequest, wait: float, *, ran: bool
+) -> Outcome:
+    """Return the outcome of a request that is stopped for `wait` seconds.
+
+    `ran` tells whether an attempt started before it was stopped.
+    """
+    return Outcome(
+        OutcomeKind.UNKNOWN if ran else OutcomeKind.NOT_RUN,
+        reason=f'{len(stopped.upstreams)} upstreams ended under this request',
+        retry_after=math.ceil(wait),
+    )
+
+
 def log_outcome(
     call: Call, route: Route, outcome: Outcome, seconds: float
 ) -> None:
@@ -256,7 +287,7 @@
         event = events.CALLER_DISCONNECTED
     elif outcome.kind is not OutcomeKind.ANSWER:
         event = events.REQUEST_GIVEN_UP
-        fields['content'] = call.identify().content
+        fields['content'] = call.content.identify().content
     attempt = outcome.attempt
     write(
         _LOGGER,
--- a/guavagate/forwarding/_forwarders.py
+++ b/guavagate/forwarding/_forwarders.py
@@ -9,7 +9,7 @@
 from guavagate.forwarding._stream import StreamForwarder
 from guavagate.http1 import ConnectionPool
 from guavagate.ports.dialect import Dialect
-from guavagate.quarantine import EndDetector
+from guavagate.quarantine import Quarantine
 from guavagate.routing import RouteTable, UpstreamTable
 
 
@@ -27,12 +27,14 @@
     routes: RouteTable,
     upstreams: UpstreamTable,
     dialect: Dialect,
-    ends: EndDetector,
+    quarantine: Quarantine,
 ) -> Forwarders:
     """Return the forwarders of an instance."""
-    runner = AttemptRunner(clock, pool, upstreams, dialect, ends)
+    runner = AttemptRunner(clock, pool, upstreams, dialect, quarantine)
     return Forwarders(
-        unary=Forwarder(clock, upstreams, runner),
-        streams=StreamForwarder(clock, upstreams, runner),
-        rewards=RewardForwarder(clock, routes, upstreams, runner, dialect),
+        unary=Forwarder(clock, upstreams, runner, quarantine),
+        streams=StreamForwarder(clock, upstreams, runner, quarantine),
+        rewards=RewardForwarder(
+            clock, routes, upstreams, runner, dialect, quarantine
+        ),
     )
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -18,6 +18,7 @@
     RewardRoute,
 )
 from guavagate.ports.upstreams import Upstream
+from guavagate.quarantine import Quarantine
 from guavagate.routing import RouteTable, UpstreamTable, pick_service
 
 # Assumed for an upstream that registers no number of slots.
@@ -89,12 +90,13 @@
         upstreams: UpstreamTable,
         runner: AttemptRunner,
         dialect: Dialect,
+        quarantine: Quarantine,
     ) -> None:
         self._clock = clock
         self._routes = routes
         self._dialect = dialect
         self._background = BackgroundUpstreams(clock, upstreams)
-        self._forwarder = Forwarder(clock, self._background, runner)
+        self._forwarder = Forwarder(clock, self._background, runner, quarantine)
 
     def find_route(self, reward: RewardRequest) -> RewardRoute | None:
         """Return where a request would be sent now, or `None`."""
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -10,12 +10,17 @@
 from guavagate.events import write
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
 from guavagate.forwarding._attempt import AttemptRunner
-from guavagate.forwarding._forward import Outcome, OutcomeKind
+from guavagate.forwarding._forward import (
+    Outcome,
+    OutcomeKind,
+    make_stopped_outcome,
+)
 from guavagate.http1 import Answer, Exchange, drop_hop_by_hop
 from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.configuration import Route
 from guavagate.ports.dialect import Call
 from guavagate.ports.upstreams import Upstream
+from guavagate.quarantine import Quarantine
 from guavagate.routing import UpstreamTable
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -30,8 +35,13 @@
     """Forwards streams; a caller receives complete events only."""
 
     def __init__(
-        self, clock: Clock, upstreams: UpstreamTable, runner: AttemptRunner
+        self,
+        clock: Clock,
+        upstreams: UpstreamTable,
+        runner: AttemptRunner,
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._clock = clock
         self._upstreams = upstreams
         self._runner = runner
@@ -45,6 +55,13 @@
         outcome = Outcome(OutcomeKind.NOT_RUN, reason='no upstream')
         began_at: float | None = None
         while len(tried) < max(route.max_attempts, 1):
+            stopped = self._quarantine.find(call.content)
+            if stopped is not None:
+                wait = self._quarantine.compute_wait(stopped)
+                outcome = make_stopped_outcome(
+                    stopped, wait, ran=progress.may_have_run
+                )
+                break
             upstream = self._upstreams.choose(service, tried)
             if upstream is None:
                 break
@@ -55,6 +72,7 @@
                 began_at = sent_at
             outcome.began_at = began_at
             if outcome.kind is OutcomeKind.ANSWER:
+                self._quarantine.record_answer(call.content)
                 return outcome
             if outcome.kind is OutcomeKind.UNKNOWN and not route.resumable:
                 break
@@ -139,7 +157,7 @@
             _LOGGER,
             events.ATTEMPT_FAILED,
             request=progress.call.id,
-            content=progress.call.identify().content,
+            content=progress.call.content.identify().content,
             upstream=upstream.id,
             state='broken',
             after=progress.last_event_id,
--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -8,7 +8,7 @@
 from guavagate.models import ServiceId, TeamId, WeightVersion
 from guavagate.ports.rewards import RewardRequest
 from guavagate.ports.sampler import ITEM_METHOD
-from guavagate.quarantine import RequestIdentity, identify
+from guavagate.quarantine import RequestContent
 
 JobId = NewType('JobId', str)
 ItemId = NewType('ItemId', str)
@@ -73,9 +73,15 @@
         """Return whether a team's callers may read and end the job."""
         return not self.team or self.team == team
 
-    def identify(self, item: JobItem) -> RequestIdentity:
-        """Return what recognizes an item's request, whatever its id."""
-        return identify(self.team, ITEM_METHOD, self.host, item.path, item.body)
+    def describe(self, item: JobItem) -> RequestContent:
+        """Return what an item's request is, whatever its id."""
+        return RequestContent(
+            team=self.team,
+            method=ITEM_METHOD,
+            host=self.host,
+            target=item.path,
+            body=item.body,
+        )
 
 
 class Result(msgspec.Struct, frozen=True):
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -39,7 +39,7 @@
 from guavagate.ports.sampler import SamplerClient
 from guavagate.ports.store import StoredObject
 from guavagate.ports.upstreams import Upstream
-from guavagate.quarantine import EndDetector
+from guavagate.quarantine import Quarantine
 from guavagate.rollouts import ModelDemand, SamplerStates
 from guavagate.routing import UpstreamTable
 from guavagate.util.boot_clock import read_boot_clock
@@ -75,7 +75,7 @@
         states: SamplerStates,
         client: SamplerClient,
         rewards: RewardClient,
-        ends: EndDetector,
+        quarantine: Quarantine,
         slots: Callable[[], int],
         metrics: Metrics,
         retention: float,
@@ -106,7 +106,7 @@
             client,
             upstreams,
             states,
-            ends,
+            quarantine,
             self._finish,
             self._on_text_complete,
         )
--- a/guavagate/jobs/_runner.py
+++ b/guavagate/jobs/_runner.py
@@ -26,7 +26,7 @@
     TextEvent,
 )
 from guavagate.ports.upstreams import Upstream
-from guavagate.quarantine import BrokenRun, EndDetector
+from guavagate.quarantine import BrokenRun, Quarantine
 from guavagate.rollouts import SamplerStates
 from guavagate.routing import UpstreamTable
 
@@ -54,11 +54,11 @@
         client: SamplerClient,
         upstreams: UpstreamTable,
         states: SamplerStates,
-        ends: EndDetector,
+        quarantine: Quarantine,
         finish: Finish,
         handle_complete_text: HandleCompleteText,
     ) -> None:
-        self._ends = ends
+        self._quarantine = quarantine
         self._handle_complete_text = handle_complete_text
         self._clock = clock
         self._client = client
@@ -93,7 +93,7 @@
                 events.ITEM_INTERRUPTED,
                 job=work.job.id,
                 item=progress.item.id,
-                content=work.job.identify(progress.item).content,
+                content=work.job.describe(progress.item).identify().content,
                 sampler=upstream.id,
                 after=progress.text.last_number,
                 seconds=round(self._clock.now() - started_at, 3),
@@ -112,10 +112,10 @@
         started_at = progress.started_at or self._clock.now()
         run = BrokenRun(
             request=progress.item.id,
-            identity=job.identify(progress.item),
+            identity=job.describe(progress.item).identify(),
             seconds=self._clock.now() - started_at,
         )
-        self._ends.record_break(upstream, run)
+        self._quarantine.record_break(upstream, run)
 
     def _stream(
         self, work: JobWork, progress: ItemProgress, upstream: Upstream
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -49,6 +49,12 @@
     text='Instances that this one sees alive',
     plotted=True,
 )
+STOPPED_REQUESTS: Final = Metric(
+    name='guavagate_stopped_requests',
+    kind=MetricKind.GAUGE,
+    text='Requests that are sent to no upstream, as upstreams ended under them',
+    plotted=True,
+)
 PARTITIONS_LED: Final = Metric(
     name='guavagate_partitions_led',
     kind=MetricKind.GAUGE,
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -17,7 +17,6 @@
     ConnectionPool,
     HttpServer,
     ServerLimits,
-    refuses_connections,
 )
 from guavagate.integrations.object_api import (
     PeerFallback,
@@ -44,7 +43,7 @@
 from guavagate.platform._settings import NodeSettings, load_settings
 from guavagate.platform._store import PlatformStore
 from guavagate.ports.store import StoredObject
-from guavagate.quarantine import EndDetector
+from guavagate.quarantine import STOPPED_REQUESTS, make_quarantine
 from guavagate.retirement import Retirement
 from guavagate.rollouts import Renewals
 from guavagate.routing import RouteTable, UpstreamTable
@@ -84,8 +83,13 @@
         self._upstreams.subscribe_restarts(
             lambda upstream: self._pool.close_idle(upstream.address)
         )
-        ends = EndDetector(
-            self._clock, refuses_connections, self._upstreams.get
+        self._quarantine = make_quarantine(
+            self._clock,
+            self._bus,
+            self._store,
+            me.id,
+            lambda: self._feed.order_relays(),
+            self._upstreams.get,
         )
         self._forwarders = make_forwarders(
             self._clock,
@@ -93,7 +97,7 @@
             self._routes,
             self._upstreams,
             PlatformDialect(),
-            ends,
+            self._quarantine,
         )
         ownership = Ownership(self._members, me.id, self._members.boot)
         self._ownership = ownership
@@ -112,7 +116,7 @@
             self._upstreams,
             PlatformSamplers(self._pool),
             self._forwarders.rewards,
-            ends,
+            self._quarantine,
             settings.bounds.lease_ms / const.MILLIS,
             self._metrics,
             settings.bounds.retention_s,
@@ -153,16 +157,19 @@
         self._registry.start()
         self._feed.start()
         if self._settings.data_dir:
-            Mirror(
-                self._store,
+            Retirement(
                 self._clock,
+                self._store,
                 const.RETIREMENTS,
-                self._put_retirement,
+                self._instance_id,
+                self._hand_over,
+                lambda path: self._store.put_status(path, const.RETIRED),
             ).start()
         for server in self._servers:
             server.start()
         self._clock.spawn(self._services.take_ownership, self._registry)
         self._members.subscribe(self._services.refresh)
+        self._quarantine.start()
         self._usage.start()
         self._pool.start_sweeping()
 
@@ -204,9 +211,10 @@
             self._bus,
             self._members,
             self._instance_id,
-            (const.CONFIG, const.SERVERS),
+            (const.CONFIG, const.SERVERS, STOPPED_REQUESTS),
             (const.SERVERS,),
             self._members.boot,
+            later=(STOPPED_REQUESTS,),
             first_start=self._settings.bootstrap,
             proof_prefix=const.CONFIG,
             proof_path=self._settings.bounds.get_proof_path(),
@@ -216,6 +224,9 @@
         feed.register_handlers(
             const.SERVERS, self._put_server, self._remove_server
         )
+        feed.register_handlers(
+            STOPPED_REQUESTS, self._quarantine.put, self._quarantine.remove
+        )
         versions = Mirror(
             self._store, self._clock, const.VERSIONS, self._put_version
         )
@@ -303,6 +314,7 @@
     def _refresh_gauges(self) -> None:
         age = min(self._feed.proof.age(), NO_PROOF_SECONDS)
         self._metrics.set_gauge(names.PROOF_AGE_SECONDS, age)
+        self._metrics.set_gauge(names.STOPPED_REQUESTS, self._quarantine.size)
         self._metrics.set_gauge(names.MEMBERS, len(self._members.alive()))
 
     def _put_config(self, stored: StoredObject) -> None:
@@ -325,15 +337,6 @@
         model, version = decode_version(stored.value)
         self._services.record_published_version(model, version)
 
-    def _put_retirement(self, name: str, stored: StoredObject) -> None:
-        """Hand over this instance's work if the object names it."""
-        if name == self._instance_id:
-            Retirement(
-                self._clock,
-                self._hand_over,
-                lambda path: self._store.put_status(path, const.RETIRED),
-            ).start(stored.path)
-
     def _hand_over(self) -> None:
         self._services.leave()
         self._members.start_leaving()
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -7,7 +7,7 @@
 from guavagate.http1 import Answer, Headers, Request, find_header
 from guavagate.models import TeamId
 from guavagate.ports.upstreams import Upstream
-from guavagate.quarantine import RequestIdentity, identify
+from guavagate.quarantine import RequestContent
 
 
 class Call(msgspec.Struct, frozen=True, kw_only=True):
@@ -26,12 +26,15 @@
     team: TeamId = TeamId('')
     keyed: bool = False
 
-    def identify(self) -> RequestIdentity:
-        """Return what recognizes the request under another id."""
-        request = self.request
-        host = find_header(request.headers, b'host')
-        return identify(
-            self.team, request.method, host, request.target, self.body
+    @property
+    def content(self) -> RequestContent:
+        """Return what the request is, whatever its id."""
+        return RequestContent(
+            team=self.team,
+            method=self.request.method,
+            host=find_header(self.request.headers, b'host'),
+            target=self.request.target,
+            body=self.body,
         )
 
 
--- a/guavagate/quarantine/_ends.py
+++ b/guavagate/quarantine/_ends.py
@@ -77,7 +77,7 @@
         self._clock = clock
         self._refuses = refuses
         self._find = find
-        self._on_end = on_end
+        self.on_end = on_end
         self._broken: dict[UpstreamId, list[BrokenRun]] = {}
 
     def record_break(self, upstream: Upstream, run: BrokenRun) -> None:
@@ -101,7 +101,7 @@
             runs=tuple(runs),
         )
         _log(ended_upstream)
-        self._on_end(ended_upstream)
+        self.on_end(ended_upstream)
 
 
 def _log(ended: EndedUpstream) -> None:
--- a/guavagate/quarantine/_identity.py
+++ b/guavagate/quarantine/_identity.py
@@ -12,6 +12,8 @@
 # are taken for one.
 _CONTENT_BYTES: Final = 16
 _QUERY_BYTES: Final = 8
+# Stands for every query, also for none.
+ANY_QUERY: Final = '*'
 
 
 class RequestIdentity(msgspec.Struct, frozen=True, kw_only=True):
@@ -24,26 +26,50 @@
     content
         Digest of the team, the method, the host, the path and the body.
     query
-        Digest of the query, or '' if there is none. It is not part of the
-        content, because a caller may vary it between repetitions.
+        Digest of the query, '' if there is none, or `ANY_QUERY`. It is not
+        part of the content, because a caller may vary it between repetitions.
     """
 
     path: str
     content: str
     query: str = ''
 
+    def covers(self, other: 'RequestIdentity') -> bool:
+        """Return whether this is the other request, or any query of it."""
+        if self.content != other.content:
+            return False
+        return self.query in {ANY_QUERY, other.query}
 
-def identify(
-    team: TeamId, method: str, host: str, target: str, body: bytes
-) -> RequestIdentity:
-    """Return the identity of a request of a team; `team` may be ''."""
-    path, _, query = target.partition('?')
-    place = (team, host.lower(), path)
-    return RequestIdentity(
-        path=_digest(_PATH_BYTES, *place),
-        content=_digest(_CONTENT_BYTES, *place, method, body=body),
-        query=_digest(_QUERY_BYTES, query) if query else '',
-    )
+
+class RequestContent(msgspec.Struct, frozen=True, kw_only=True):
+    """What a request is, whatever its id; `team` may be ''."""
+
+    team: TeamId
+    method: str
+    host: str
+    target: str
+    body: bytes
+
+    def digest_path(self) -> str:
+        """Return the digest of the path alone, which needs no body."""
+        return _digest(_PATH_BYTES, *self._get_place())
+
+    def identify(self) -> RequestIdentity:
+        """Return the identity of the request."""
+        query = self.target.partition('?')[2]
+        return RequestIdentity(
+            path=self.digest_path(),
+            content=_digest(
+                _CONTENT_BYTES,
+                *self._get_place(),
+                self.method,
+                body=self.body,
+            ),
+            query=_digest(_QUERY_BYTES, query) if query else '',
+        )
+
+    def _get_place(self) -> tuple[str, str, str]:
+        return self.team, self.host.lower(), self.target.partition('?')[0]
 
 
 def _digest(size: int, *parts: str, body: bytes = b'') -> str:
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -21,7 +21,7 @@
 from guavagate.ports.duties import DutyClient
 from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
-from guavagate.quarantine import EndDetector
+from guavagate.quarantine import Quarantine
 from guavagate.rollouts import (
     MAX_SUCCESSORS,
     Coordinator,
@@ -81,7 +81,7 @@
         upstreams: UpstreamTable,
         client: SamplerClient,
         rewards: RewardClient,
-        ends: EndDetector,
+        quarantine: Quarantine,
         lease_seconds: float,
         metrics: Metrics,
         retention: float,
@@ -102,7 +102,7 @@
         self._upstreams = upstreams
         self._client = client
         self._rewards = rewards
-        self._ends = ends
+        self._quarantine = quarantine
         self._lease_seconds = lease_seconds
         self._metrics = metrics
         self._retention = retention
@@ -204,7 +204,7 @@
             states,
             self._client,
             self._rewards,
-            self._ends,
+            self._quarantine,
             lambda: self._count_slots(service),
             self._metrics,
             self._retention,
--- a/standins/platform/soak.py
+++ b/standins/platform/soak.py
@@ -144,15 +144,13 @@
                 self._send_revoked_keys,
                 self._send_non_idempotent_requests,
                 self.trainer.run,
+                *self.crashing.callers,
             ]
-            if calm:
-                callers += self.crashing.callers
             tasks = [gevent.spawn(run) for run in callers]
             self._inject_faults(seconds, calm=calm)
             self.trainer.stop()
             gevent.sleep(_CALM_SETTLE_SECONDS if calm else _SETTLE_SECONDS)
-            if calm:
-                self.crashing.check()
+            self.crashing.check()
             gevent.killall(tasks)
             self._check_end()
         finally:
--- a/tests/feeds/test_feed.py
+++ b/tests/feeds/test_feed.py
@@ -190,7 +190,7 @@
     table.apply(FeedEntry(path='servers/x', version=Revision(3)))
     table.apply(entry)
     assert not objects
-    table.apply_snapshot([], Revision(9))
+    table.apply_snapshot([], Revision(9), ('servers',))
     table.apply(FeedEntry(path='servers/x', version=Revision(10), value=b'2'))
     assert objects
 
--- a/tests/forwarding/test_ended_upstreams.py
+++ b/tests/forwarding/test_ended_upstreams.py
@@ -17,7 +17,7 @@
 from guavagate.ports.dialect import Call
 from guavagate.routing import UpstreamTable
 from tests.forwarding.common import start_upstream
-from tests.quarantine.common import make_ends
+from tests.quarantine.common import make_quarantine
 from tests.routing.test_routes import make_route
 
 
@@ -30,14 +30,15 @@
         upstreams = UpstreamTable(self._clock, ZoneId('z'))
         self.server, upstream = start_upstream('a', 'z', self._serve)
         upstreams.put(upstream)
+        quarantine = make_quarantine(self._clock, upstreams)
         runner = AttemptRunner(
             self._clock,
             ConnectionPool(self._clock),
             upstreams,
             PlatformDialect(),
-            make_ends(self._clock, upstreams),
+            quarantine,
         )
-        self._forwarder = Forwarder(self._clock, upstreams, runner)
+        self._forwarder = Forwarder(self._clock, upstreams, runner, quarantine)
 
     def forward(self, request: str, target: str) -> None:
         """Forward a request and wait until the break has been looked into."""
--- a/tests/forwarding/test_forward.py
+++ b/tests/forwarding/test_forward.py
@@ -1,5 +1,6 @@
 """Forwarded requests: retried where allowed, otherwise refused at once."""
 
+import msgspec
 from gevent.queue import Queue
 
 from guavagate.clock import PausedClock
@@ -16,6 +17,7 @@
 from guavagate.ports.dialect import Call
 from guavagate.ports.upstreams import Upstream
 from guavagate.routing import UpstreamTable
+from tests.quarantine.common import make_quarantine, stop
 from tests.routing.test_routes import make_route, make_upstream
 
 
@@ -51,10 +53,12 @@
         for name in plans:
             zone = 'z' if name == 'a' else 'y'
             self.upstreams.put(make_upstream(name, zone))
+        self.quarantine = make_quarantine(self.clock, self.upstreams)
         self.forwarder = Forwarder(
             self.clock,
             self.upstreams,
             self.attempts,  # type: ignore[arg-type]
+            self.quarantine,
         )
         self.results: Queue = Queue()
 
@@ -63,12 +67,7 @@
     ) -> tuple[Outcome, float]:
         """Forward one request; return its outcome and how long it took."""
         started_at = self.clock.now()
-        call = Call(
-            id='1',
-            request=Request('GET', '/', []),
-            body=b'',
-            until=started_at + limit,
-        )
+        call = make_call(started_at + limit)
         task = self.clock.spawn(
             self.forwarder.forward,
             call,
@@ -83,6 +82,11 @@
         return task.get(block=False), ended_at[0] - started_at
 
 
+def make_call(until: float) -> Call:
+    """Return the request that the bench forwards."""
+    return Call(id='1', request=Request('GET', '/', []), body=b'', until=until)
+
+
 _GOOD = (0.05, AttemptState.ANSWERED, 200)
 _SLOW = (1.0, AttemptState.ANSWERED, 200)
 _FAILED = (0.01, AttemptState.ANSWERED, 500)
@@ -222,3 +226,41 @@
     for _ in range(5):
         bench.forward(limit=0.2)
     assert bench.upstreams.load(UpstreamId('a')).timeouts == 0
+
+
+def test_a_stopped_request_is_refused_at_once_and_reaches_no_upstream() -> None:
+    """Upstreams have ended under it; the refusal says that it has not run.
+
+    Its caller learns when it may run again; a retry before is in vain.
+    """
+    bench = _Bench(a=_GOOD, b=_GOOD)
+    stop(bench.quarantine, make_call(0).content)
+    outcome, seconds = bench.forward()
+    assert outcome.kind is OutcomeKind.NOT_RUN
+    assert outcome.retry_after > 1
+    assert seconds < 0.01
+    assert not bench.attempts.made
+
+
+def test_a_request_that_is_stopped_between_attempts_has_run() -> None:
+    """The first attempt ends an upstream, the third of the fleet.
+
+    There is no second attempt, and the caller is not told that it did not run.
+    """
+    bench = _Bench(a=(0.2, AttemptState.BROKEN, 0), b=_GOOD)
+    bench.clock.call_at(
+        bench.clock.now() + 0.05,
+        lambda: stop(bench.quarantine, make_call(0).content),
+    )
+    outcome, _ = bench.forward(RouteKind.IDEMPOTENT)
+    assert outcome.kind is OutcomeKind.UNKNOWN
+    assert len(bench.attempts.made) == 1
+
+
+def test_another_body_at_the_path_of_a_stopped_request_is_served() -> None:
+    """Only the request under which upstreams ended is stopped."""
+    bench = _Bench(a=_GOOD, b=_GOOD)
+    other = msgspec.structs.replace(make_call(0), body=b'other')
+    stop(bench.quarantine, other.content)
+    outcome, _ = bench.forward()
+    assert outcome.kind is OutcomeKind.ANSWER
--- a/tests/forwarding/test_rewards.py
+++ b/tests/forwarding/test_rewards.py
@@ -16,7 +16,7 @@
 from guavagate.ports.rewards import RewardKind, RewardOutcome, RewardRequest
 from guavagate.routing import RouteTable, UpstreamTable
 from tests.forwarding.common import start_upstream
-from tests.quarantine.common import make_ends
+from tests.quarantine.common import make_quarantine
 from tests.routing.test_routes import make_route
 
 _REWARD = RewardRequest(
@@ -49,6 +49,7 @@
         self.routes = RouteTable()
         self.upstreams = UpstreamTable(clock, ZoneId('z'))
         self.put_route()
+        quarantine = make_quarantine(clock, self.upstreams)
         self.client = RewardForwarder(
             clock,
             self.routes,
@@ -58,9 +59,10 @@
                 ConnectionPool(clock),
                 self.upstreams,
                 PlatformDialect(),
-                make_ends(clock, self.upstreams),
+                quarantine,
             ),
             PlatformDialect(),
+            quarantine,
         )
 
     def put_route(
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -1,6 +1,6 @@
 """Forwarded streams over real sockets: resumed or cut, never corrupted."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import gevent
 import pytest
@@ -22,13 +22,14 @@
     HttpServer,
     Request,
 )
-from guavagate.models import ServiceId, ZoneId
+from guavagate.models import ServiceId, TeamId, ZoneId
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import AnswerMarks, Call
 from guavagate.ports.upstreams import Upstream
+from guavagate.quarantine import RequestContent
 from guavagate.routing import UpstreamTable
 from tests.forwarding.common import start_upstream
-from tests.quarantine.common import make_ends
+from tests.quarantine.common import make_quarantine, stop
 from tests.routing.test_routes import make_route
 
 _HEAD = (
@@ -83,13 +84,32 @@
         self.outcomes: list[Outcome] = []
         self.servers: list[StreamServer] = []
         self.disconnected: list[str] = []
+        self.quarantine = make_quarantine(self.clock, self.upstreams)
+
+    def stop(self) -> None:
+        """Stop the request that `stream` sends."""
+        stop(
+            self.quarantine,
+            RequestContent(
+                team=TeamId(''), method='POST', host='x', target='/', body=b''
+            ),
+        )
 
-    def add(self, name: str, zone: str, raw: bytes, pause: float = 0) -> None:
+    def add(
+        self,
+        name: str,
+        zone: str,
+        raw: bytes,
+        pause: float = 0,
+        then: Callable[[], None] | None = None,
+    ) -> None:
         """Add an upstream; those in zone z are tried first."""
 
         def serve(sock: socket.socket, _: object) -> None:
             self.requests[name] = sock.recv(65_536)
             sock.sendall(raw)
+            if then is not None:
+                then()
             if pause:
                 sock.settimeout(pause)
                 try:
@@ -135,8 +155,9 @@
                 ConnectionPool(self.clock),
                 self.upstreams,
                 _Dialect(),
-                make_ends(self.clock, self.upstreams),
+                self.quarantine,
             ),
+            self.quarantine,
         )
 
         def handle(exchange: Exchange) -> None:
@@ -211,6 +232,33 @@
     assert 'b' not in bench.requests
 
 
+def test_a_stopped_stream_is_refused_and_reaches_no_upstream(
+    bench: _Bench,
+) -> None:
+    """Upstreams have ended under it at other instances."""
+    bench.add('a', 'z', _HEAD + _chunk(_event(1)) + _END)
+    bench.stop()
+    assert b' 503 ' in bench.stream()
+    assert bench.outcomes[0].kind is OutcomeKind.NOT_RUN
+    assert bench.outcomes[0].retry_after > 1
+    assert not bench.requests
+
+
+def test_a_stream_that_is_stopped_on_the_way_does_not_resume(
+    bench: _Bench,
+) -> None:
+    """Its upstream is the third to end under it.
+
+    Its caller must see that the stream is not complete.
+    """
+    bench.add('a', 'z', _HEAD + _chunk(_event(1)), then=bench.stop)
+    bench.add('b', 'y', _HEAD + _chunk(_event(2)) + _END)
+    received = bench.stream()
+    assert _list_event_ids(received) == [1]
+    assert not received.endswith(_END)
+    assert 'b' not in bench.requests
+
+
 def test_a_full_upstream_is_skipped_whatever_the_route(
     bench: _Bench,
 ) -> None:
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -23,7 +23,7 @@
 from guavagate.routing import UpstreamTable
 from tests.jobs.rewards import FakeRewardClient, make_reward
 from tests.jobs.samplers import MODEL, SERVICE, FakeSamplers, make_upstream
-from tests.quarantine.common import make_ends
+from tests.quarantine.common import make_quarantine
 
 
 def make_job(
@@ -99,7 +99,7 @@
             self.states,
             self.samplers,
             self.rewards,
-            make_ends(self.clock, self.upstreams),
+            make_quarantine(self.clock, self.upstreams),
             lambda: 4,
             self.metrics,
             120.0,
--- a/tests/platform/test_edge_keys.py
+++ b/tests/platform/test_edge_keys.py
@@ -22,7 +22,7 @@
 from guavagate.ports.configuration import Configuration, RouteKind, Team
 from guavagate.routing import RouteTable, UpstreamTable
 from tests.forwarding.common import start_upstream
-from tests.quarantine.common import make_ends
+from tests.quarantine.common import make_quarantine
 from tests.routing.test_routes import make_route
 
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -78,12 +78,13 @@
         upstreams = UpstreamTable(clock, ZoneId('z'))
         self.upstream, upstream = start_upstream('u', 'z', self._serve)
         upstreams.put(upstream)
+        quarantine = make_quarantine(clock, upstreams)
         runner = AttemptRunner(
             clock,
             ConnectionPool(clock),
             upstreams,
             PlatformDialect(),
-            make_ends(clock, upstreams),
+            quarantine,
         )
         jobs = self.jobs
         edge = Edge(
@@ -97,8 +98,8 @@
             ),
             RequestHandler(
                 clock,
-                Forwarder(clock, upstreams, runner),
-                StreamForwarder(clock, upstreams, runner),
+                Forwarder(clock, upstreams, runner, quarantine),
+                StreamForwarder(clock, upstreams, runner, quarantine),
                 Metrics(),
                 lambda team, _: self.usage.append(team),
             ),
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -150,6 +150,7 @@
         table.apply_snapshot(
             entries,
             Revision(3),
+            ('servers',),
         )
         for version in range(4, 30):
             table.apply(_entry('b', b'"\xff', version))
--- a/tests/quarantine/test_ends.py
+++ b/tests/quarantine/test_ends.py
@@ -6,15 +6,15 @@
 
 from guavagate.clock import PausedClock
 from guavagate.http1 import refuses_connections
-from guavagate.models import TeamId, UpstreamId, ZoneId
+from guavagate.models import UpstreamId, ZoneId
 from guavagate.ports.upstreams import Upstream
 from guavagate.quarantine import (
     BrokenRun,
     EndDetector,
     EndedUpstream,
-    identify,
 )
 from guavagate.routing import UpstreamTable
+from tests.quarantine.common import identify
 from tests.routing.test_routes import make_upstream
 
 
@@ -33,7 +33,7 @@
 
     def break_run(self, upstream: Upstream, request: str) -> None:
         """Break the connection of a request."""
-        identity = identify(TeamId(''), 'POST', 'h', f'/{request}', b'')
+        identity = identify(f'/{request}')
         run = BrokenRun(request=request, identity=identity, seconds=0.1)
         self.detector.record_break(upstream, run)
 
--- a/tests/quarantine/test_identity.py
+++ b/tests/quarantine/test_identity.py
@@ -3,7 +3,7 @@
 import pytest
 
 from guavagate.models import TeamId
-from guavagate.quarantine import RequestIdentity, identify
+from guavagate.quarantine import RequestContent, RequestIdentity
 
 
 def _identify(
@@ -13,7 +13,11 @@
     target: str = '/a/b?page=2',
     body: bytes = b'x',
 ) -> RequestIdentity:
-    return identify(TeamId(team), method, host, target, body)
+    content = RequestContent(
+        team=TeamId(team), method=method, host=host, target=target, body=body
+    )
+    assert content.digest_path() == content.identify().path
+    return content.identify()
 
 
 def test_a_repetition_has_the_same_identity() -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,7 +13,7 @@
 from guavagate.util.uptime import BootOf, ignore_boots
 from tests.jobs.rewards import FakeRewardClient
 from tests.jobs.samplers import SERVICE, FakeSamplers
-from tests.quarantine.common import make_ends
+from tests.quarantine.common import make_quarantine
 from tests.rollouts.test_coordinator import make_configuration
 
 _NAMES = tuple(InstanceId(name) for name in 'abc')
@@ -52,7 +52,7 @@
         UpstreamTable(clock, ZoneId('zone-0')),
         FakeSamplers(clock),
         FakeRewardClient(clock),
-        make_ends(clock),
+        make_quarantine(clock),
         3.0,
         Metrics(),
         120.0,
