Hold back an item whose reward request is stopped, without failing it

What operators saw: with a reward request stopped, GG9020 ("failed; it is retried up to the failure limit") about once a second for each item until its time was up, though nothing was sent and nothing had failed.

Cause: a stopped request was an ordinary failure to the job owner, which repeats those with a backoff of 0.8 s at most. Now it is an outcome of its own: the item keeps its complete text, is logged once (GG9026), and is looked up each second without a call, so it goes on when the record is removed.

--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -63,7 +63,8 @@
 
     `failed_answers` counts the upstreams that ran it and answered 500.
     `began_at` is when it was sent to the first upstream that may have run it,
-    on the runtime's clock, or `None` if none has.
+    on the runtime's clock, or `None` if none has. `stopped` means that it is
+    sent to no upstream, because upstreams ended under it.
     """
 
     kind: OutcomeKind
@@ -72,6 +73,7 @@
     retry_after: float = RETRY_AFTER_SECONDS
     failed_answers: int = 0
     began_at: float | None = None
+    stopped: bool = False
 
 
 class _Progress:
@@ -274,6 +276,7 @@
         OutcomeKind.UNKNOWN if ran else OutcomeKind.NOT_RUN,
         reason=f'{len(stopped.upstreams)} upstreams ended under this request',
         retry_after=math.ceil(wait),
+        stopped=True,
     )
 
 
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -141,6 +141,8 @@
         A success without a signature does not count, and an incomplete or
         mismatched answer never arrives here as an answer.
         """
+        if outcome.stopped:
+            return RewardOutcome(kind=RewardKind.STOPPED, reason=outcome.reason)
         attempt = outcome.attempt
         if attempt is None or outcome.kind is not OutcomeKind.ANSWER:
             return RewardOutcome(
--- a/guavagate/jobs/_rewards.py
+++ b/guavagate/jobs/_rewards.py
@@ -35,6 +35,8 @@
 # A missing route may return with the next configuration, which takes effect
 # within two seconds; the lookup is cheap.
 ROUTE_CHECK_SECONDS: Final = 0.5
+# A stopped request is looked up without a call.
+STOPPED_CHECK_SECONDS: Final = 1.0
 
 Finish = Callable[[JobWork, Result], None]
 
@@ -114,6 +116,8 @@
         progress.reward_failures += outcome.failures
         if outcome.kind is RewardKind.SUCCEEDED:
             self._finish_rated(work, progress, outcome, seconds)
+        elif outcome.kind is RewardKind.STOPPED:
+            self._hold_back(progress, outcome)
         else:
             self._handle_failure(work, progress, route, outcome, seconds)
         self._wake()
@@ -171,6 +175,27 @@
             result = Result(progress.item.id, ResultState.ERRORED, '', [])
             self._finish(work, result)
 
+    def _hold_back(
+        self, progress: ItemProgress, outcome: RewardOutcome
+    ) -> None:
+        """Wait until the request is released; log it once.
+
+        The item is not given up: its text is complete, and an operator may
+        release the request once the upstreams are mended.
+        """
+        progress.reward_retry_at = self._clock.now() + STOPPED_CHECK_SECONDS
+        if progress.reward_held_back:
+            return
+        progress.reward_held_back = True
+        assert progress.item.reward is not None
+        write(
+            _LOGGER,
+            events.REWARD_STOPPED,
+            item=progress.item.id,
+            reward=progress.item.reward.id,
+            reason=outcome.reason,
+        )
+
     def _postpone(self, progress: ItemProgress, now: float) -> None:
         """Check again later for a missing route; log it once."""
         progress.reward_retry_at = now + ROUTE_CHECK_SECONDS
--- a/guavagate/jobs/_work.py
+++ b/guavagate/jobs/_work.py
@@ -59,7 +59,8 @@
     `started_at` is None for an item that didn't run here: its result was
     already committed or comes from an earlier job with the same item.
     `reward_task` requests the reward of a complete text, and `reward_failures`
-    counts responses with status 500.
+    counts responses with status 500; `reward_held_back` tells that the request
+    was found stopped.
     """
 
     item: JobItem
@@ -79,6 +80,7 @@
     reward_failures: int = 0
     reward_attempts: int = 0
     reward_retry_at: float = 0
+    reward_held_back: bool = False
     done: bool = False
 
     def cancel(self) -> None:
--- a/guavagate/ports/rewards.py
+++ b/guavagate/ports/rewards.py
@@ -23,6 +23,7 @@
     SUCCEEDED = 'given'
     FAILED = 'failed'
     NO_ROUTE = 'no route'
+    STOPPED = 'stopped'
 
 
 class RewardOutcome(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/forwarding/test_rewards.py
+++ b/tests/forwarding/test_rewards.py
@@ -10,13 +10,14 @@
 from guavagate.clock import SystemClock
 from guavagate.forwarding import AttemptRunner, RewardForwarder
 from guavagate.http1 import ConnectionPool
-from guavagate.models import ServiceId, UpstreamId, ZoneId
+from guavagate.models import ServiceId, TeamId, UpstreamId, ZoneId
 from guavagate.platform._dialect import PlatformDialect
 from guavagate.ports.configuration import Configuration, RouteKind
 from guavagate.ports.rewards import RewardKind, RewardOutcome, RewardRequest
+from guavagate.quarantine import RequestContent
 from guavagate.routing import RouteTable, UpstreamTable
 from tests.forwarding.common import start_upstream
-from tests.quarantine.common import make_quarantine
+from tests.quarantine.common import make_quarantine, stop
 from tests.routing.test_routes import make_route
 
 _REWARD = RewardRequest(
@@ -49,7 +50,7 @@
         self.routes = RouteTable()
         self.upstreams = UpstreamTable(clock, ZoneId('z'))
         self.put_route()
-        quarantine = make_quarantine(clock, self.upstreams)
+        self.quarantine = make_quarantine(clock, self.upstreams)
         self.client = RewardForwarder(
             clock,
             self.routes,
@@ -59,10 +60,10 @@
                 ConnectionPool(clock),
                 self.upstreams,
                 PlatformDialect(),
-                quarantine,
+                self.quarantine,
             ),
             PlatformDialect(),
-            quarantine,
+            self.quarantine,
         )
 
     def put_route(
@@ -196,3 +197,18 @@
     assert bench.client.count_available(service) == 0
     assert bench.send().kind is RewardKind.FAILED
     assert not bench.requests
+
+
+def test_a_stopped_reward_request_reaches_no_upstream(bench: _Bench) -> None:
+    """Upstreams of the scoring service have ended under it."""
+    bench.add('a', _GOOD)
+    content = RequestContent(
+        team=TeamId(''),
+        method='POST',
+        host=_REWARD.host,
+        target=_REWARD.path,
+        body=_REWARD.body,
+    )
+    stop(bench.quarantine, content)
+    assert bench.send().kind is RewardKind.STOPPED
+    assert not bench.requests
--- a/tests/jobs/rewards.py
+++ b/tests/jobs/rewards.py
@@ -25,7 +25,8 @@
     """Implements `ports.rewards.RewardClient`.
 
     `sent` lists each request with its time. `failures` and `lost` count, by
-    request, how many responses have status 500 or get lost at first.
+    request, how many responses have status 500 or get lost at first. Those in
+    `stopped` are sent to no upstream.
     """
 
     def __init__(self, clock: Clock, capacity: int = 6) -> None:
@@ -39,6 +40,7 @@
         self.cancelled: list[str] = []
         self.failures: Counter[str] = Counter()
         self.lost: Counter[str] = Counter()
+        self.stopped: set[str] = set()
 
     def find_route(self, reward: RewardRequest) -> RewardRoute | None:
         """Return the route, or None without one."""
@@ -52,6 +54,8 @@
 
     def send(self, reward: RewardRequest) -> RewardOutcome:
         """Respond after `seconds`."""
+        if reward.id in self.stopped:
+            return RewardOutcome(kind=RewardKind.STOPPED)
         self.sent.append((self.clock.now(), reward.id))
         self.in_flight += 1
         try:
--- a/tests/jobs/test_rewards.py
+++ b/tests/jobs/test_rewards.py
@@ -1,8 +1,11 @@
 """Rewards of complete texts while owners, upstreams and routes fail."""
 
+import logging
+
 import msgspec
 import pytest
 
+from guavagate.events.jobs import REWARD_FAILED, REWARD_STOPPED
 from guavagate.jobs import JobId, Result, ResultState
 from guavagate.jobs._result_log import ResultLog
 from guavagate.jobs._rewards import order_pending_rewards
@@ -228,3 +231,25 @@
     rewards.capacity = 6
     fleet.clock.advance(1.5)
     _check_rated(fleet, 12)
+
+
+def test_a_stopped_reward_request_holds_back_only_its_item(
+    fleet: JobFleet, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Upstreams end under it, so it is sent to none until it is released.
+
+    It must not fail its item, which has a complete text, nor fill the log.
+    """
+    caplog.set_level(logging.INFO)
+    rewards = _owner(fleet).rewards
+    rewards.stopped.add('reward-0-0')
+    fleet.submit(make_job(rated=True), 'a')
+    fleet.clock.advance(_COMPLETION_SECONDS)
+    assert len(_check_rated(fleet, 5)) == 5
+    events = [getattr(record, 'event', '') for record in caplog.records]
+    assert events.count(REWARD_STOPPED.code) == 1
+    assert REWARD_FAILED.code not in events
+    rewards.stopped.clear()
+    fleet.clock.advance(_COMPLETION_SECONDS)
+    results = _check_rated(fleet, 6)
+    assert {each.state for each in results} == {ResultState.COMPLETED}
