Hold back an item that crashes samplers

What trainers saw: a step whose item crashes samplers took down one sampler after the other, with all texts there: the owner resumes an interrupted item elsewhere at once, as often as it is interrupted.

Cause: the same as for callers' requests. An interruption counts against the sampler, and only answers of 500 count against the item. Now the owner holds an item back that the fleet has stopped, also in a later job that submits its group again, and cuts a run that it still has; a complete text clears it. It is not committed as errored before its time, and runs again if the record is removed.

--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -31,6 +31,7 @@
 from guavagate.jobs._rewards import RewardDispatcher
 from guavagate.jobs._runner import ItemRunner
 from guavagate.jobs._snapshots import TextSnapshots
+from guavagate.jobs._stops import mark_stopped_items
 from guavagate.jobs._store import JobStore, decode_job
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.metrics import Metrics, names
@@ -135,6 +136,8 @@
         self._end_mirror = Mirror(store, clock, ENDS_PREFIX, self._put_end)
         states.subscribe(self._wake.set)
         upstreams.subscribe_restarts(self._cancel_stale_runs)
+        self._quarantine = quarantine
+        quarantine.subscribe(self._mark_stopped_items)
 
     @property
     def active(self) -> bool:
@@ -204,12 +207,21 @@
         self._snapshots.restore(work)
 
     def _on_text_complete(self, work: JobWork, progress: ItemProgress) -> None:
+        self._quarantine.record_answer(work.job.describe(progress.item))
         self._dispatcher.record_text(work, progress)
         self._rewards.handle_complete_text(work, progress)
 
     def _on_job_loaded(self, job: Job) -> None:
         amount = sum(max(each.expected_tokens, 1) for each in job.items)
         self._states.record_workload(job.model, amount)
+        active = self._active_jobs.get(job.id)
+        if active is not None:
+            mark_stopped_items(active.work, self._quarantine)
+        self._wake.set()
+
+    def _mark_stopped_items(self) -> None:
+        for work in self._active_jobs.list_open():
+            mark_stopped_items(work, self._quarantine)
         self._wake.set()
 
     def _put_job(self, name: str, stored: StoredObject) -> None:
--- a/guavagate/jobs/_work.py
+++ b/guavagate/jobs/_work.py
@@ -60,7 +60,8 @@
     already committed or comes from an earlier job with the same item.
     `reward_task` requests the reward of a complete text, and `reward_failures`
     counts responses with status 500; `reward_held_back` tells that the request
-    was found stopped.
+    was found stopped. `stopped` means that samplers ended under the item, so it
+    is sent to none.
     """
 
     item: JobItem
@@ -81,6 +82,7 @@
     reward_attempts: int = 0
     reward_retry_at: float = 0
     reward_held_back: bool = False
+    stopped: bool = False
     done: bool = False
 
     def cancel(self) -> None:
@@ -96,7 +98,7 @@
 
     def is_waiting(self, now: float) -> bool:
         """Return whether the item can be started."""
-        if self.done or self.text.complete:
+        if self.done or self.stopped or self.text.complete:
             return False
         return self.sampler is None and now >= self.retry_at
 
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -89,6 +89,14 @@
             )
         self.states.update(self.upstreams.all())
         self.rewards = FakeRewardClient(self.clock)
+        self.quarantine = make_quarantine(
+            self.clock,
+            self.upstreams,
+            lambda address: any(
+                address == make_upstream(each).address
+                for each in self.samplers.down
+            ),
+        )
         self.metrics = Metrics()
         self.replicas = TextReplicas(world.bus(name))
         self.owner = JobOwner(
@@ -99,7 +107,7 @@
             self.states,
             self.samplers,
             self.rewards,
-            make_quarantine(self.clock, self.upstreams),
+            self.quarantine,
             lambda: 4,
             self.metrics,
             120.0,
--- a/tests/jobs/samplers.py
+++ b/tests/jobs/samplers.py
@@ -1,10 +1,14 @@
 """Fakes samplers in memory: streams, crashes, version orders."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from guavagate.clock import Clock
-from guavagate.exceptions import UpstreamError, UpstreamUnreachableError
+from guavagate.exceptions import (
+    UpstreamDisconnectedError,
+    UpstreamError,
+    UpstreamUnreachableError,
+)
 from guavagate.models import ServiceId, UpstreamId, WeightVersion, ZoneId
 from guavagate.ports.sampler import (
     ItemRequest,
@@ -57,6 +61,10 @@
             if (name, number) in samplers.skipped:
                 samplers.skipped.remove((name, number))
                 continue
+            if self._item.id in samplers.crashing:
+                samplers.crash(name)
+            if name in samplers.crashed:
+                raise UpstreamDisconnectedError('crashed', 'nothing')
             version = samplers.versions.get(name, WeightVersion(1))
             samplers.generated[self._item.id] += 1
             yield TextEvent(number, f'{self._item.id}/{number}', version)
@@ -72,6 +80,8 @@
     `event_seconds` is the event interval by sampler. A `stalled` sampler sends
     no more events, a `down` one refuses connections, and `skipped` lists events
     that a sampler leaves out. The first `lost_orders` orders get no response.
+    The items in `crashing` crash the samplers that run them, with all other
+    runs there.
     """
 
     def __init__(self, clock: Clock, length: int = 5) -> None:
@@ -90,6 +100,9 @@
         self.generated: Counter[str] = Counter()
         self.started: list[tuple[str, str, int]] = []
         self.requests: list[ItemRequest] = []
+        self.crashing: set[str] = set()
+        self.crashed: list[str] = []
+        self.on_crash: Callable[[str], None] = self.down.add
 
     def run(self, upstream: Upstream, item: ItemRequest, model: str) -> FakeRun:
         """Start an item."""
@@ -100,6 +113,13 @@
         self.requests.append(item)
         return FakeRun(self, upstream, item)
 
+    def crash(self, name: str) -> None:
+        """End a sampler."""
+        if name not in self.crashed:
+            self.crashed.append(name)
+            self.down.add(name)
+            self.on_crash(name)
+
     def report(self, upstream: Upstream) -> SamplerReport:
         """Return the sampler's state."""
         self.clock.sleep(0.002)
