Watch the records of stopped requests with a third of the calls

The relay's watch of stopped-requests ended each 0.9 s, as those do that prove how new the configuration is.

Nobody needs that proof for these records: hubs tell them to all at once, and a watch is answered at each change. It now waits three seconds.

--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -37,6 +37,8 @@
 # the relay is up to date, and one relay's calls cost less than each change
 # would cost if all instances watched.
 RELAY_WAIT_SECONDS: Final = 0.9
+# The same for later prefixes, whose objects instances also tell each other.
+LATER_WAIT_SECONDS: Final = 3.0
 # How long a relay waits after a change, so that the changes that often follow
 # come in one answer. Registrations, the objects that may lapse, change often
 # while samplers load, and a short delay does no harm: instances have two
@@ -133,7 +135,8 @@
         # would use a third of the processor time allowed for control.
         self._relay_order: list[InstanceId] | None = None
         members.subscribe(self._clear_relay_order)
-        self._mirrors: list[Mirror] = []
+        self._mirrors: dict[str, Mirror] = {}
+        self._later = later
         self._fresh_since: float | None = None
         self._tasks: list[Task] = []
         self._loaded = Event()
@@ -229,7 +232,7 @@
         once a second. If the next check, a tenth of a second later, set it,
         an instance would sometimes miss that probe.
         """
-        if all(each.loaded for each in self._mirrors):
+        if all(each.loaded for each in self._mirrors.values()):
             self._loaded.set()
 
     def order_relays(self) -> list[InstanceId]:
@@ -272,7 +275,6 @@
     def _watch_directly(self, *, relaying: bool) -> None:
         self._stop_watching()
         self._relay.active = relaying
-        wait = RELAY_WAIT_SECONDS if relaying else None
         for prefix in self._prefixes:
             lapses = prefix in self._lapsing
             proves = prefix == self._proof_prefix
@@ -284,7 +286,7 @@
                 self._apply_stored,
                 functools.partial(self._apply_removal, prefix),
                 expires_in_outage=lapses,
-                wait=wait,
+                wait=self._choose_wait(prefix) if relaying else None,
                 pause=pause if relaying else DIRECT_PAUSE_SECONDS,
                 pause_after_list=not relaying,
                 known_revisions=self._table.versions(prefix),
@@ -293,11 +295,15 @@
                 watch_proves=not self._proof_path,
                 boot_clock=self._boot_clock,
             )
-            self._mirrors.append(mirror)
-        for mirror in self._mirrors:
+            self._mirrors[prefix] = mirror
+        for mirror in self._mirrors.values():
             mirror.start()
         write(_LOGGER, events.FEED_FROM_STORE, relaying=relaying)
 
+    def _choose_wait(self, prefix: str) -> float:
+        later = prefix in self._later
+        return LATER_WAIT_SECONDS if later else RELAY_WAIT_SECONDS
+
     def _prove_periodically(self) -> None:
         """Read the proof object periodically while watching the store."""
         while True:
@@ -319,9 +325,9 @@
     def _stop_watching(self) -> None:
         if not self._mirrors:
             return
-        for mirror in self._mirrors:
+        for mirror in self._mirrors.values():
             mirror.stop()
-        self._mirrors = []
+        self._mirrors = {}
         self._relay.active = False
         relays = self._follower.list_relays()
         write(_LOGGER, events.FEED_FROM_RELAYS, relays=relays)
--- a/guavagate/feeds/_follower.py
+++ b/guavagate/feeds/_follower.py
@@ -122,9 +122,11 @@
             self._relays.pop(sender)
             return
         self._table.apply_snapshot(
-            entries,
-            snapshot.revision,
-            snapshot.prefixes or self._first_prefixes,
+            entries, snapshot.revision, self._first_prefixes
+        )
+        later = set(snapshot.prefixes) - set(self._first_prefixes)
+        self._table.apply_snapshot(
+            entries, snapshot.later_revision, tuple(later)
         )
         self._proof.record_clock(snapshot.boot, requested_at, snapshot.clock)
         self._proof.record_relayed(
--- a/guavagate/feeds/_messages.py
+++ b/guavagate/feeds/_messages.py
@@ -60,7 +60,8 @@
     """A snapshot of a relay's objects, complete up to a store revision.
 
     It is in `entries` or, if the request allowed that, in `packed`. `prefixes`
-    are those that it covers, if they are more than those of the first release.
+    are those that it covers, if they are more than those of the first release;
+    the others are complete up to `later_revision`.
     """
 
     boot: int
@@ -70,6 +71,7 @@
     entries: list[FeedEntry] = []
     packed: bytes = b''
     prefixes: tuple[str, ...] = ()
+    later_revision: Revision = Revision(0)
     proved_at: float | None = None
     clock: float | None = None
 
--- a/guavagate/feeds/_relay.py
+++ b/guavagate/feeds/_relay.py
@@ -1,7 +1,7 @@
 """Sends what a relay knows to all other instances."""
 
 import secrets
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from guavagate.clock import Clock
@@ -21,7 +21,7 @@
 from guavagate.feeds._table import FeedTable, find_prefix
 from guavagate.helpers.mirror import Mirror
 from guavagate.links import Bus, Message, expect
-from guavagate.models import InstanceId
+from guavagate.models import InstanceId, Revision
 from guavagate.runtime import Members
 
 HEARTBEAT_INTERVAL_SECONDS: Final = 0.4
@@ -36,7 +36,8 @@
         The prefixes to relay, and those of them that the first release does
         not follow.
     list_mirrors
-        Returns the mirrors of the store that this instance runs now.
+        Returns the mirrors of the store that this instance runs now, by
+        prefix.
 
     Attributes
     ----------
@@ -54,7 +55,7 @@
         proof: Proof,
         prefixes: tuple[str, ...],
         later: tuple[str, ...],
-        list_mirrors: Callable[[], Sequence[Mirror]],
+        list_mirrors: Callable[[], Mapping[str, Mirror]],
         boot_clock: Callable[[], float],
     ) -> None:
         self._clock = clock
@@ -102,32 +103,49 @@
             if peer.id != self._me:
                 self._bus.send(peer.id, message)
 
+    def _is_loaded(self) -> bool:
+        return all(each.loaded for each in self._list_mirrors().values())
+
+    def _split_mirrors(self) -> tuple[list[Mirror], list[Mirror]]:
+        """Return the mirrors of the first prefixes, and of the later ones.
+
+        The later ones are confirmed less often, so the age that is told and
+        the revision of a snapshot are those of the first ones.
+        """
+        first: list[Mirror] = []
+        later: list[Mirror] = []
+        for prefix, mirror in self._list_mirrors().items():
+            (later if prefix in self._later else first).append(mirror)
+        return first, later
+
     def _compute_age(self) -> float:
-        mirrors = self._list_mirrors()
-        if not all(each.loaded for each in mirrors):
+        if not self._is_loaded():
             return UNKNOWN_AGE_SECONDS
-        confirmed = [each.confirmed_at for each in mirrors]
+        first, _ = self._split_mirrors()
+        confirmed = [each.confirmed_at for each in first]
         return self._clock.now() - min(confirmed, default=0)
 
     def _on_read_feed(self, _: InstanceId, message: Message) -> FeedCopy:
         request = expect(message, ReadFeed)
-        mirrors = self._list_mirrors()
-        loaded = all(each.loaded for each in mirrors)
-        if not self.active or not loaded:
+        if not self.active or not self._is_loaded():
             raise LinkError(
                 f'{self._me} does not relay the feed',
                 'send the request to another instance',
             )
+        first, later = self._split_mirrors()
         follows_all = set(self._prefixes) <= set(request.prefixes)
         packed = request.packed and (follows_all or not self._later)
         return FeedCopy(
             boot=self._boot,
             number=self._change_number,
             age=self._compute_age(),
-            revision=min(each.revision for each in mirrors),
+            revision=min(each.revision for each in first),
             entries=[] if packed else self._table.entries(self._later),
             packed=self._table.pack_entries() if packed else b'',
             prefixes=self._prefixes if packed else (),
+            later_revision=min(
+                (each.revision for each in later), default=Revision(0)
+            ),
             proved_at=self._proof.at,
             clock=self._boot_clock(),
         )
--- a/guavagate/feeds/_table.py
+++ b/guavagate/feeds/_table.py
@@ -124,7 +124,8 @@
             if current.version <= revision:
                 self.remove(path)
         for entry in entries:
-            self.apply(entry)
+            if find_prefix(entry.path) in prefixes:
+                self.apply(entry)
 
 
 def find_prefix(path: str) -> str:
--- a/tests/feeds/test_later_prefixes.py
+++ b/tests/feeds/test_later_prefixes.py
@@ -1,5 +1,7 @@
 """Prefixes that earlier releases do not follow reach only who follows them."""
 
+from collections.abc import Callable
+
 from guavagate.feeds import Feed
 from guavagate.feeds._messages import FeedCopy, FeedEntry, ReadFeed
 from guavagate.feeds._table import FeedTable
@@ -48,12 +50,11 @@
         def put(stored: StoredObject) -> None:
             objects[stored.path] = stored.value
 
-        def remove_stop(gone: str) -> None:
-            objects.pop(f'stops/{gone}')
+        def make_remove(prefix: str) -> Callable[[str], None]:
+            return lambda gone: objects.pop(f'{prefix}/{gone}', None)
 
-        feed.register_handlers('config', put, None)
-        if prefixes == _LATER:
-            feed.register_handlers('stops', put, remove_stop)
+        for prefix in prefixes:
+            feed.register_handlers(prefix, put, make_remove(prefix))
         self.feeds[name] = feed
         feed.start()
 
@@ -116,3 +117,35 @@
     assert objects
     table.apply_snapshot([], Revision(9), _LATER)
     assert not objects
+
+
+def test_a_prefix_that_is_confirmed_seldom_makes_no_data_seem_old() -> None:
+    """Its watch waits longer, and nobody watches because of that."""
+    fleet = _Fleet()
+    fleet.world.store.calls.clear()
+    fleet.world.clock.advance(9)
+    relaying = [name for name in _NAMES if fleet.feeds[name].relaying]
+    assert len(relaying) == 1
+    # Ten watches of the configuration and three of the other prefix.
+    assert fleet.world.store.calls.total() <= 16
+
+
+def test_a_missed_removal_is_seen_whenever_a_later_prefix_was_confirmed() -> (
+    None
+):
+    """A follower is cut off while an object of a first prefix is removed.
+
+    The other prefix is complete only up to a revision before that.
+    """
+    fleet = _Fleet()
+    fleet.world.store.change('config/x', b'1')
+    fleet.world.clock.advance(1)
+    relay = next(name for name in 'abc' if fleet.feeds[name].relaying)
+    follower = next(name for name in 'abc' if name != relay)
+    way = (InstanceId(relay), InstanceId(follower))
+    fleet.world.network.blocked.add(way)
+    fleet.world.store.change('config/x', None)
+    fleet.world.clock.advance(0.05)
+    fleet.world.network.blocked.clear()
+    fleet.world.clock.advance(0.5)
+    assert 'config/x' not in fleet.objects[follower]
