--- a/tests/feeds/test_later_prefixes.py
+++ b/tests/feeds/test_later_prefixes.py
@@ -1,6 +1,6 @@
 """Prefixes that earlier releases do not follow reach only who follows them."""
 
-from collections.abc import Callable
+import functools
 
 from guavagate.feeds import Feed
 from guavagate.feeds._messages import FeedCopy, FeedEntry, ReadFeed
@@ -50,11 +50,13 @@
         def put(stored: StoredObject) -> None:
             objects[stored.path] = stored.value
 
-        def make_remove(prefix: str) -> Callable[[str], None]:
-            return lambda gone: objects.pop(f'{prefix}/{gone}', None)
+        def remove(prefix: str, gone: str) -> None:
+            objects.pop(f'{prefix}/{gone}', None)
 
         for prefix in prefixes:
-            feed.register_handlers(prefix, put, make_remove(prefix))
+            feed.register_handlers(
+                prefix, put, functools.partial(remove, prefix)
+            )
         self.feeds[name] = feed
         feed.start()
 
