Grant a speculative run to work that lost its first run before the offer

What trainers saw: now and then a sample whose engine crashed was not generated again until its deadline, twelve minutes later, with idle engines beside it.

If the first run failed in between, the pool had another run and did not queue the work again; the offer found no permit and dropped that run too. The entry's request stayed with the queue owner and matched nothing.

The new test stops a sample in that moment and waited in vain before.

--- a/guavagate/permits/_speculation.py
+++ b/guavagate/permits/_speculation.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from guavagate.decisions import Decision, Refused
+from guavagate.decisions import Decision, Placement, Refused
 from guavagate.models import SamplerId
 from guavagate.permits._messages import (
     Permit,
@@ -53,7 +53,7 @@
         for placement in owned.pool.speculate(now):
             grant = owned.granted.get(placement.work.id)
             if grant is None:
-                owned.pool.cancel(placement.work.id, now)
+                self._use_for_retry(owned, placement, now)
                 continue
             record_decision(self._runtime, placement.decision)
             permit = owned.make_permit(placement.work.id, placement.sampler)
@@ -62,6 +62,25 @@
             elif self.start_locally is not None:
                 self.start_locally(permit)
 
+    def _use_for_retry(
+        self, owned: OwnedPool, placement: Placement, now: float
+    ) -> None:
+        """Grant a run to work whose first run failed before it was offered.
+
+        The pool counts it as running and has not queued it again. If the run
+        were dropped, the work would wait until its deadline.
+        """
+        work_id = placement.work.id
+        queued = owned.queued.pop(work_id, None)
+        if queued is None:
+            owned.pool.cancel(work_id, now)
+            return
+        record_decision(self._runtime, placement.decision)
+        permit = owned.grant(
+            queued, placement.sampler, now, placement.expected_token_interval
+        )
+        queued.answer.set(PermitReply(permit=permit))
+
     def end(self, owned: OwnedPool, release: ReleasePermit, now: float) -> None:
         """Free a failed run's slot; refuse the work if nothing else runs it."""
         ended = owned.pool.fail(
--- a/tests/permits/test_queue_owner.py
+++ b/tests/permits/test_queue_owner.py
@@ -3,18 +3,20 @@
 import pytest
 
 from guavagate.clock import Task
-from guavagate.decisions import Work
+from guavagate.decisions import Work, WorkKind
 from guavagate.exceptions import RefusalError
 from guavagate.measure.fakes import FakeDecisionLog, FakeTeams, World
 from guavagate.models import (
     CallerId,
     InstanceId,
     RequestId,
+    RunId,
     SamplerId,
     TeamId,
 )
 from guavagate.partitions import LocalPartitions
 from guavagate.permits import (
+    FailedAttempt,
     Permit,
     PermitClient,
     QueueOwner,
@@ -24,7 +26,7 @@
     serve_queue_owner,
 )
 from guavagate.runtime import Runtime
-from guavagate.settings import parse_team_settings
+from guavagate.settings import TeamSettings, parse_team_settings
 
 _POOL = 'trust/booking-desk/0'
 _TEAM = parse_team_settings("""
@@ -40,9 +42,13 @@
 
 
 class Entries:
-    """Three instances that share one upstream with two slots."""
+    """Three instances that share the upstreams of a team.
 
-    def __init__(self) -> None:
+    By default that is one with two slots.
+    """
+
+    def __init__(self, team: TeamSettings = _TEAM) -> None:
+        self._team = team
         self.world = World(1)
         self.clock = self.world.clock
         self.clients: dict[str, PermitClient] = {}
@@ -61,7 +67,7 @@
             bus=self.world.bus(name),
             store=self.world.store_of(name),
             members=self.world.members[instance],
-            teams=FakeTeams([_TEAM]),
+            teams=FakeTeams([self._team]),
             partitions=LocalPartitions({}),
             decisions=FakeDecisionLog(),
         )
@@ -71,10 +77,10 @@
         self.queue_owners[name].start()
         self.clients[name].start()
 
-    def find_owner(self) -> str:
-        """Return the pool's queue owner."""
+    def find_owner(self, pool: str = _POOL) -> str:
+        """Return a pool's queue owner."""
         alive = self.world.members[InstanceId('a')].alive()
-        return str(find_queue_owner(_POOL, alive))
+        return str(find_queue_owner(pool, alive))
 
     def list_others(self) -> list[str]:
         """Return the instances that are not the queue owner."""
@@ -262,3 +268,59 @@
     )
     entries.queue_owners[owner].release(InstanceId(one), late)
     assert entries.count_running(owner) == 1
+
+
+_MODEL_POOL = 'trust/coach-models/0'
+_MODELS = parse_team_settings("""
+team = "trust"
+[[deployments]]
+id = "coach-models"
+[[deployments.samplers]]
+id = "s0"
+slots = 1
+address = "127.0.0.1:1"
+availability_zone = "zone-0"
+[[deployments.samplers]]
+id = "s1"
+slots = 1
+address = "127.0.0.1:2"
+availability_zone = "zone-0"
+""")
+
+
+def _make_sample(name: str, step: int) -> Work:
+    return Work(
+        id=RequestId(name),
+        team=TeamId('trust'),
+        caller=CallerId('run'),
+        kind=WorkKind.ROLLOUT,
+        run=RunId('run'),
+        step=step,
+        expected_tokens=200,
+    )
+
+
+def test_a_sample_that_fails_as_its_speculative_run_starts_runs_again() -> None:
+    """The pool has started the run, and has not told the sample's entry yet.
+
+    The run has nobody to report its end, and the sample would wait for it.
+    """
+    entries = Entries(_MODELS)
+    name = entries.find_owner(_MODEL_POOL)
+    client = entries.clients[name]
+    clock = entries.world.hosts[InstanceId(name)].clock
+    straggler = _make_sample('a', step=1)
+    permits = []
+    for work in (straggler, _make_sample('b', step=2)):
+        task = clock.spawn(client.acquire, _MODEL_POOL, work)
+        assert entries.clock.run_until(task.ready, 5)
+        permits.append(task.get(block=False))
+    slow, other = permits
+    client.report_slow(slow, token_interval=10)
+    entries.clock.advance(8)
+    client.release(other, Release.DONE, tokens=200, seconds=1)
+    client.drop(slow)
+    failed = FailedAttempt(upstream=slow.upstream, started=True)
+    task = clock.spawn(client.acquire, _MODEL_POOL, straggler, failed)
+    assert entries.clock.run_until(task.ready, 5)
+    assert task.get(block=False).work_id == straggler.id
