Stop requests that crash upstreams on the product's own HTTP too

What callers and trainers saw: a prompt, call, keyed call, sample or score that crashes each upstream that runs it took them down one after the other, under each new id or key.

A queue owner limits the attempts and the retry budget of one piece of work, and the next id starts anew.

Change: work carries what recognizes it. The permit client is the one place through which all of it passes, so it reports what ran at an upstream that closed a connection, clears what is answered, and refuses what the fleet has stopped: 503 `stopped`, with the time until it may run again. Engines here have no incarnation: a run that began after an end belongs to the next start, so an upstream that returns at once is counted each time.

--- a/guavagate/assembly.py
+++ b/guavagate/assembly.py
@@ -91,7 +91,7 @@
             self._partitions.list_owned,
         )
         self._instance.readiness.add('stop', self._check_stopping)
-        self._runtime.metrics.add_refresher(self._count_traffic)
+        self._runtime.metrics.add_refresher(self._refresh_metrics)
         self._instance.readiness.add('id', self._check_superseded)
         self._stop_requested = Event()
 
@@ -149,9 +149,12 @@
         self._bus.stop()
         self._log('stopped', cut=cut)
 
-    def _count_traffic(self) -> None:
-        """Update the metrics of the traffic between instances."""
+    def _refresh_metrics(self) -> None:
+        """Update the gauges, and the traffic between instances."""
         metrics = self._runtime.metrics
+        metrics.set_gauge(
+            names.STOPPED_REQUESTS, self._instance.quarantine.size
+        )
         for by, traffic in (
             ('links', self._bus.traffic),
             ('probes', self._members.traffic),
--- a/guavagate/callers/_completions.py
+++ b/guavagate/callers/_completions.py
@@ -45,6 +45,7 @@
     estimate_tokens,
     exhaust,
     hash_prefixes,
+    identify_generation,
     stream_answer,
 )
 from guavagate.ports.engine import Generation, ModelEngine, Piece
@@ -267,7 +268,15 @@
     team, deployment = _find_deployment(
         context, caller_request, completion.model
     )
-    work = _make_work(context, caller_request, team, completion)
+    generation = Generation(
+        exchange=caller_request.id,
+        prompt=completion.prompt,
+        max_tokens=completion.max_tokens,
+        temperature=completion.temperature,
+        seed=completion.seed,
+        stop=completion.stops,
+    )
+    work = _make_work(context, caller_request, team, generation, deployment.id)
     pool = context.chooser.choose(
         context.queue_owner.specs(), team.team, deployment.id, work
     )
@@ -277,14 +286,6 @@
         pool=pool,
         token_timeout=parse_duration(deployment.token_timeout),
     )
-    generation = Generation(
-        exchange=caller_request.id,
-        prompt=completion.prompt,
-        max_tokens=completion.max_tokens,
-        temperature=completion.temperature,
-        seed=completion.seed,
-        stop=completion.stops,
-    )
     return stream_answer(source, work, generation, progress)
 
 
@@ -310,7 +311,8 @@
     context: CompletionContext,
     caller_request: CallerRequest,
     team: TeamSettings,
-    completion: _CompletionRequest,
+    generation: Generation,
+    deployment: DeploymentId,
 ) -> Work:
     caller = find_caller(team, caller_request.identity)
     return Work(
@@ -318,12 +320,13 @@
         team=team.team,
         caller=caller_request.identity.caller,
         deadline=caller_request.deadline,
-        prefix_keys=hash_prefixes(completion.prompt),
-        prompt_tokens=estimate_tokens(completion.prompt),
-        expected_tokens=completion.max_tokens,
+        prefix_keys=hash_prefixes(generation.prompt),
+        prompt_tokens=estimate_tokens(generation.prompt),
+        expected_tokens=generation.max_tokens,
         weight=caller.weight if caller else 1.0,
         team_weight=team.weight,
         zone=context.runtime.settings.availability_zone,
+        identity=identify_generation(team.team, deployment, generation),
     )
 
 
--- a/guavagate/callers/_services.py
+++ b/guavagate/callers/_services.py
@@ -28,7 +28,6 @@
 from guavagate.exceptions import (
     RefusalError,
     UpstreamError,
-    UpstreamNotStartedError,
 )
 from guavagate.ledger import Answer, Ledger
 from guavagate.models import NotRun, RequestId
@@ -37,12 +36,12 @@
     Permit,
     PermitClient,
     Release,
-    describe_failure,
 )
 from guavagate.ports.plain_service import (
     PlainService,
     ServiceRequest,
 )
+from guavagate.quarantine import RequestContent, RequestIdentity
 from guavagate.runtime import Runtime
 from guavagate.settings import ServiceSettings, TeamSettings
 from guavagate.util.units import parse_duration
@@ -151,18 +150,21 @@
             call.request,
             exchange=RequestId(f'{call.caller_request.id}.{attempt}'),
         )
+        sent_at = context.permits.now()
+        attempt += 1
         try:
             return _call_upstream(context, call, permit, request)
-        except UpstreamNotStartedError as error:
-            failed = describe_failure(permit, error)
         except UpstreamError as error:
-            failed = describe_failure(permit, error)
+            failed = context.permits.record_failure(
+                permit, work, error, context.permits.now() - sent_at
+            )
+            if not failed.started:
+                continue
             started = True
             if not call.request.repeatable:
                 raise _end_with_unknown_outcome(
                     context, permit, error
                 ) from error
-        attempt += 1
 
 
 def _acquire(
@@ -285,4 +287,15 @@
         weight=caller.weight if caller else 1.0,
         team_weight=call.team.weight,
         zone=context.runtime.settings.availability_zone,
+        identity=_identify(call),
     )
+
+
+def _identify(call: ServiceCall) -> RequestIdentity:
+    return RequestContent(
+        team=call.team.team,
+        method=call.request.method,
+        host=call.settings.id,
+        target=call.request.path,
+        body=call.request.body,
+    ).identify()
--- a/guavagate/decisions/_work.py
+++ b/guavagate/decisions/_work.py
@@ -15,6 +15,7 @@
     WeightVersion,
     ZoneId,
 )
+from guavagate.quarantine import RequestIdentity
 
 # Cost of a prompt token relative to a generated one. Prefill reads a prompt in
 # parallel, and published engines read 20 to 100 times as fast as they write.
@@ -96,6 +97,9 @@
         The caller's or run's weight within its team.
     step
         A trainer's step; older steps are served first.
+    identity
+        What recognizes the request under another id. Work without one is not
+        stopped, whatever upstreams end under it.
     """
 
     id: RequestId
@@ -115,6 +119,7 @@
     weight: float = 1.0
     team_weight: float = 1.0
     zone: ZoneId = ZoneId('')
+    identity: RequestIdentity | None = None
 
 
 class Decision(msgspec.Struct, frozen=True, kw_only=True):
--- a/guavagate/instance.py
+++ b/guavagate/instance.py
@@ -13,13 +13,16 @@
 from guavagate.integrations.plain_service import HttpPlainService
 from guavagate.ledger import Ledger
 from guavagate.metrics import make_request_observer
+from guavagate.models import InstanceId
 from guavagate.permits import (
     PermitClient,
     PoolChooser,
     QueueOwner,
     ReportReader,
+    find_upstream,
     serve_queue_owner,
 )
+from guavagate.quarantine import follow_store, make_quarantine
 from guavagate.runs import (
     HostedStates,
     RunDriver,
@@ -28,6 +31,7 @@
 )
 from guavagate.runtime import Runtime
 from guavagate.scoring import Scorer
+from guavagate.util.rendezvous import rank
 from guavagate.web import ActiveRequests, add_error_handlers, make_server
 from guavagate.weights import WeightRollout
 
@@ -45,7 +49,15 @@
         self.queue_owner = QueueOwner(runtime)
         serve_queue_owner(runtime, self.queue_owner)
         self.chooser = PoolChooser(runtime)
-        self.permits = PermitClient(runtime, self.queue_owner)
+        self.quarantine = make_quarantine(
+            runtime.clock,
+            runtime.bus,
+            runtime.store,
+            runtime.settings.id,
+            self._order_hubs,
+            lambda name: find_upstream(runtime.teams.all(), name),
+        )
+        self.permits = PermitClient(runtime, self.queue_owner, self.quarantine)
         self.reports = ReportReader(
             runtime, self.queue_owner, self.engine, self.service
         )
@@ -76,6 +88,8 @@
 
     def start(self) -> None:
         """Start all parts; the HTTP server starts last."""
+        self.quarantine.start()
+        follow_store(self.runtime.clock, self.runtime.store, self.quarantine)
         self.queue_owner.start()
         self.permits.start()
         self.reports.start()
@@ -94,6 +108,10 @@
         finally:
             self.server.stop(timeout=1)
 
+    def _order_hubs(self) -> list[InstanceId]:
+        alive = (each.id for each in self.runtime.members.alive())
+        return rank('quarantine', alive)
+
     def _wait_idle(self) -> None:
         """Wait until no request, sample or permit is in flight."""
         self.active.wait_idle()
--- a/guavagate/integrations/_http.py
+++ b/guavagate/integrations/_http.py
@@ -14,10 +14,18 @@
 from gevent import socket
 from geventhttpclient.client import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
-from geventhttpclient.response import HTTPParseError, HTTPSocketPoolResponse
+from geventhttpclient.response import (
+    HTTPConnectionClosed,
+    HTTPParseError,
+    HTTPSocketPoolResponse,
+)
 
 from guavagate.clock import Clock
-from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.exceptions import (
+    UpstreamDisconnectedError,
+    UpstreamError,
+    UpstreamNotStartedError,
+)
 
 CONNECT_SECONDS: Final = 1.0
 # A firewall or balancer may drop the state of a connection that is idle for
@@ -225,7 +233,9 @@
 
 def _make_broken_error(address: str, error: Exception) -> UpstreamError:
     """Return the error for an interrupted exchange."""
-    return UpstreamError(
+    disconnected = isinstance(error, OSError | HTTPConnectionClosed)
+    kind = UpstreamDisconnectedError if disconnected else UpstreamError
+    return kind(
         f'{address} broke the exchange off ({error})',
         'check the upstream; whether it ran the request is unknown',
     )
--- a/guavagate/integrations/model_engine/_client.py
+++ b/guavagate/integrations/model_engine/_client.py
@@ -9,7 +9,11 @@
 import msgspec
 
 from guavagate.clock import Clock
-from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.exceptions import (
+    UpstreamDisconnectedError,
+    UpstreamError,
+    UpstreamNotStartedError,
+)
 from guavagate.integrations._errors import make_error, make_malformed_error
 from guavagate.integrations._http import Connections, Response
 from guavagate.integrations.model_engine import const
@@ -146,7 +150,7 @@
             if piece.finish is not None:
                 self._drain(address, answer)
                 return
-        raise UpstreamError(
+        raise UpstreamDisconnectedError(
             f'{address} ended its stream without a terminal event',
             'ask again from the last piece received',
         )
--- a/guavagate/permits/__init__.py
+++ b/guavagate/permits/__init__.py
@@ -10,12 +10,13 @@
     MAX_POOL,
     PoolSpec,
     find_queue_owner,
+    find_upstream,
     list_pools,
 )
 from guavagate.permits._generate import (
     AnswerSource,
-    describe_failure,
     exhaust,
+    identify_generation,
     run_speculatively,
     stream_answer,
 )
@@ -52,11 +53,12 @@
     'Release',
     'ReleasePermit',
     'ReportReader',
-    'describe_failure',
     'estimate_tokens',
     'exhaust',
     'find_queue_owner',
+    'find_upstream',
     'hash_prefixes',
+    'identify_generation',
     'list_pools',
     'run_speculatively',
     'serve_queue_owner',
--- a/guavagate/permits/_client.py
+++ b/guavagate/permits/_client.py
@@ -14,10 +14,23 @@
     PERMIT_REFUSED,
     QUEUE_OWNER_UNREACHABLE,
 )
-from guavagate.exceptions import LinkError, RefusalError
+from guavagate.exceptions import (
+    LinkError,
+    RefusalError,
+    UpstreamDisconnectedError,
+    UpstreamError,
+    UpstreamLeavingError,
+    UpstreamNotStartedError,
+)
 from guavagate.links import Message, expect
-from guavagate.models import InstanceId, RequestId, UpstreamId
-from guavagate.permits._directory import find_queue_owner
+from guavagate.models import (
+    InstanceId,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+    ZoneId,
+)
+from guavagate.permits._directory import find_queue_owner, name_upstream
 from guavagate.permits._messages import (
     AskHeld,
     AskPermit,
@@ -33,6 +46,8 @@
     WithdrawWork,
 )
 from guavagate.permits._queue_owner import QueueOwner
+from guavagate.ports.upstreams import Upstream
+from guavagate.quarantine import BrokenRun, Quarantine
 from guavagate.runtime import Runtime
 
 _LOGGER = logging.getLogger(__name__)
@@ -43,6 +58,7 @@
 POLL_INTERVAL_SECONDS: Final = 2.0
 LINK_MARGIN_SECONDS: Final = 0.5
 RETRY_PAUSE_SECONDS: Final = 0.05
+_STOPPED: Final = 'stopped'
 
 
 class FailedAttempt(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,7 +72,13 @@
 class PermitClient:
     """Tracks the permits of this instance; one for each process."""
 
-    def __init__(self, runtime: Runtime, queue_owner: QueueOwner) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        queue_owner: QueueOwner,
+        quarantine: Quarantine,
+    ) -> None:
+        self._quarantine = quarantine
         self._runtime = runtime
         self._queue_owner = queue_owner
         self._me = runtime.settings.id
@@ -91,16 +113,63 @@
         Raises
         ------
         RefusalError
-            The queue owner refused, or none answered in time. Apart from a
-            failed attempt, the work has not run.
+            The queue owner refused, or none answered in time, or the fleet has
+            stopped the work. Apart from a failed attempt, it has not run.
         """
+        self._refuse_if_stopped(work)
         try:
-            return self._acquire(pool, work, failed)
+            permit = self._acquire(pool, work, failed)
         except gevent.GreenletExit:
             # The caller has disconnected. Without this the work would stay
             # queued until it counts as abandoned, and might get a permit.
             self._withdraw(pool, work)
             raise
+        try:
+            self._refuse_if_stopped(work)
+        except RefusalError:
+            self.release(permit, Release.CANCELLED)
+            raise
+        return permit
+
+    def record_failure(
+        self, permit: Permit, work: Work, error: UpstreamError, seconds: float
+    ) -> FailedAttempt:
+        """Record a failed attempt; return its report for the queue owner.
+
+        Parameters
+        ----------
+        seconds
+            How long the attempt had run.
+        """
+        if work.identity and isinstance(error, UpstreamDisconnectedError):
+            run = BrokenRun(
+                request=work.id, identity=work.identity, seconds=seconds
+            )
+            upstream = Upstream(
+                id=name_upstream(permit.pool, permit.upstream),
+                service=ServiceId(permit.pool),
+                address=permit.address,
+                zone=ZoneId(''),
+            )
+            self._quarantine.record_break(upstream, run)
+        return FailedAttempt(
+            upstream=permit.upstream,
+            started=not isinstance(error, UpstreamNotStartedError),
+            leaving=isinstance(error, UpstreamLeavingError),
+        )
+
+    def _refuse_if_stopped(self, work: Work) -> None:
+        if work.identity is None:
+            return
+        stopped = self._quarantine.find_identity(work.identity)
+        if stopped is not None:
+            write(_LOGGER, PERMIT_REFUSED, request=work.id, reason=_STOPPED)
+            raise RefusalError(
+                f'{len(stopped.upstreams)} upstreams ended under this request',
+                'send another one, or have the record of this one removed',
+                reason=_STOPPED,
+                retry_after=self._quarantine.compute_wait(stopped),
+            )
 
     def _acquire(
         self, pool: str, work: Work, failed: FailedAttempt | None
@@ -138,6 +207,8 @@
         self, permit: Permit, *, tokens: int = 0, seconds: float = 0
     ) -> None:
         """Release a speculative run's permit; without tokens it has failed."""
+        if tokens:
+            self._record_answer(permit)
         self._send_release(
             ReleasePermit(
                 pool=permit.pool,
@@ -164,6 +235,8 @@
         cached_tokens: int = 0,
     ) -> None:
         """Release a permit with the measurements of its work."""
+        if ended is Release.DONE:
+            self._record_answer(permit)
         self.drop(permit)
         self._send_release(
             ReleasePermit(
@@ -178,6 +251,11 @@
             )
         )
 
+    def _record_answer(self, permit: Permit) -> None:
+        held = self._permits.get(permit.pool, {}).get(permit.work_id)
+        if held is not None and held.work.identity is not None:
+            self._quarantine.record_identity_answer(held.work.identity)
+
     def report_slow(self, permit: Permit, token_interval: float) -> None:
         """Report a slow stream to the queue owner; seconds per token."""
         report = ReportSlow(
--- a/guavagate/permits/_directory.py
+++ b/guavagate/permits/_directory.py
@@ -20,6 +20,7 @@
     UpstreamId,
     ZoneId,
 )
+from guavagate.ports.upstreams import Upstream
 from guavagate.settings import (
     DeploymentSettings,
     PeerSettings,
@@ -107,6 +108,29 @@
     return pools
 
 
+def name_upstream(pool: str, upstream: UpstreamId) -> UpstreamId:
+    """Return a name that no upstream of another pool has."""
+    return UpstreamId(f'{pool}/{upstream}')
+
+
+def find_upstream(
+    teams: list[TeamSettings], name: UpstreamId
+) -> Upstream | None:
+    """Return the declared upstream of such a name, or `None`."""
+    key, _, upstream = name.rpartition('/')
+    spec = list_pools(teams).get(key)
+    for member in () if spec is None else spec.members:
+        if member.id == upstream:
+            return Upstream(
+                id=name,
+                service=ServiceId(key),
+                address=member.address,
+                zone=member.zone,
+                slots=member.slots,
+            )
+    return None
+
+
 def find_queue_owner(key: str, alive: list[PeerSettings]) -> InstanceId | None:
     """Return the queue owner of a pool among the live instances.
 
--- a/guavagate/permits/_generate.py
+++ b/guavagate/permits/_generate.py
@@ -12,17 +12,19 @@
 import msgspec
 
 from guavagate.decisions import SLOW_STREAM_FACTOR, Work
-from guavagate.exceptions import (
-    RefusalError,
-    UpstreamError,
-    UpstreamLeavingError,
-    UpstreamNotStartedError,
+from guavagate.exceptions import RefusalError, UpstreamError
+from guavagate.models import (
+    DeploymentId,
+    NotRun,
+    RequestId,
+    SamplerId,
+    TeamId,
 )
-from guavagate.models import NotRun, RequestId, SamplerId
 from guavagate.permits._client import FailedAttempt, PermitClient
 from guavagate.permits._messages import Permit, Release
 from guavagate.permits._progress import Progress, add_piece
 from guavagate.ports.engine import Generation, ModelEngine, Piece
+from guavagate.quarantine import RequestContent, RequestIdentity
 
 # Over fewer tokens than this a single pause would dominate the token interval.
 MIN_INTERVAL_TOKENS: Final = 8
@@ -69,12 +71,15 @@
     attempt = 0
     while True:
         permit = _acquire(source, work, failed, started=started)
+        sent_at = source.client.now()
         try:
             yield from _run_exchange(
                 source, permit, _resume(generation, progress, attempt), progress
             )
         except UpstreamError as error:
-            failed = describe_failure(permit, error)
+            failed = source.client.record_failure(
+                permit, work, error, source.client.now() - sent_at
+            )
             started = started or failed.started
             work = _exclude(work, permit)
             attempt += 1
@@ -83,7 +88,7 @@
 
 
 def run_speculatively(
-    source: AnswerSource, permit: Permit, generation: Generation
+    source: AnswerSource, permit: Permit, work: Work, generation: Generation
 ) -> Progress:
     """Generate a second answer for some work, from its start.
 
@@ -105,7 +110,9 @@
     try:
         for piece in pieces:
             add_piece(progress, piece, permit.upstream)
-    except UpstreamError:
+    except UpstreamError as error:
+        seconds = source.client.now() - started_at
+        source.client.record_failure(permit, work, error, seconds)
         source.client.end_speculative_run(permit)
         raise
     seconds = source.client.now() - started_at
@@ -120,13 +127,20 @@
     collections.deque(pieces, maxlen=0)
 
 
-def describe_failure(permit: Permit, error: UpstreamError) -> FailedAttempt:
-    """Return the report of a failed attempt for the queue owner."""
-    return FailedAttempt(
-        upstream=permit.upstream,
-        started=not isinstance(error, UpstreamNotStartedError),
-        leaving=isinstance(error, UpstreamLeavingError),
+def identify_generation(
+    team: TeamId, deployment: DeploymentId, generation: Generation
+) -> RequestIdentity:
+    """Return what recognizes a generation, whatever its exchange."""
+    fresh = msgspec.structs.replace(
+        generation, exchange=RequestId(''), resume_text='', resume_tokens=0
     )
+    return RequestContent(
+        team=team,
+        method='POST',
+        host='',
+        target=f'/{deployment}',
+        body=msgspec.json.encode(fresh),
+    ).identify()
 
 
 def _acquire(
--- a/guavagate/quarantine/__init__.py
+++ b/guavagate/quarantine/__init__.py
@@ -5,7 +5,7 @@
 by chance, then take one upstream after the other from all other callers.
 """
 
-from guavagate.quarantine._assembly import make_quarantine
+from guavagate.quarantine._assembly import follow_store, make_quarantine
 from guavagate.quarantine._ends import BrokenRun, EndDetector, EndedUpstream
 from guavagate.quarantine._hubs import Hubs
 from guavagate.quarantine._identity import RequestContent, RequestIdentity
@@ -22,5 +22,6 @@
     'RequestContent',
     'RequestIdentity',
     'StoppedRequest',
+    'follow_store',
     'make_quarantine',
 )
--- a/guavagate/quarantine/_assembly.py
+++ b/guavagate/quarantine/_assembly.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from guavagate.clock import Clock
+from guavagate.helpers.mirror import Mirror
 from guavagate.http1 import refuses_connections
 from guavagate.links import Bus
 from guavagate.models import InstanceId, UpstreamId
@@ -11,6 +12,7 @@
 from guavagate.quarantine._ends import EndDetector
 from guavagate.quarantine._hubs import Hubs
 from guavagate.quarantine._quarantine import Quarantine
+from guavagate.quarantine._records import STOPPED_REQUESTS
 
 
 def make_quarantine(
@@ -36,3 +38,16 @@
         EndDetector(clock, refuses_connections, find_upstream),
         lambda apply: Hubs(clock, bus, me, order, apply),
     )
+
+
+def follow_store(
+    clock: Clock, store: ObjectStore, quarantine: Quarantine
+) -> None:
+    """Keep a quarantine up to date with the records of the store."""
+    Mirror(
+        store,
+        clock,
+        STOPPED_REQUESTS,
+        lambda _, stored: quarantine.put(stored),
+        quarantine.remove,
+    ).start()
--- a/guavagate/quarantine/_evidence.py
+++ b/guavagate/quarantine/_evidence.py
@@ -29,9 +29,11 @@
 # decide these cases.
 MAX_ENDS: Final = 5
 SHORT_RUN_SECONDS: Final = 1.0
-# Reports of one end arrive within a round trip, and an upstream takes longer to
-# start again.
+# Reports of one end arrive within this time, late ones through a second hub.
 SAME_END_SECONDS: Final = 1.0
+# A run that started this long after an end met another one. Shorter differences
+# may be the time that a report was on its way.
+NEXT_START_SECONDS: Final = 0.2
 EVIDENCE_SECONDS: Final = 600.0
 REMEMBERED_ENDS: Final = 128
 # When upstreams crash whatever they run, each request seems to be the cause.
@@ -77,7 +79,10 @@
         process = (self.upstream, self.incarnation)
         if process != (end.upstream, end.incarnation):
             return False
-        return now - self.at <= SAME_END_SECONDS
+        if now - self.at > SAME_END_SECONDS:
+            return False
+        longest = max((run.seconds for run in end.runs), default=0)
+        return now - longest <= self.at + NEXT_START_SECONDS
 
 
 class Evidence:
--- a/guavagate/runs/_race.py
+++ b/guavagate/runs/_race.py
@@ -77,7 +77,9 @@
 
     def _run_speculative(self, permit: Permit) -> None:
         try:
-            progress = run_speculatively(self._source, permit, self._generation)
+            progress = run_speculatively(
+                self._source, permit, self._work, self._generation
+            )
         except UpstreamError:
             return
         self._resolve(progress, None)
--- a/guavagate/runs/_worker.py
+++ b/guavagate/runs/_worker.py
@@ -33,6 +33,7 @@
     QueueOwner,
     estimate_tokens,
     hash_prefixes,
+    identify_generation,
 )
 from guavagate.ports.engine import Generation, ModelEngine
 from guavagate.runs._client import RunsClient
@@ -155,7 +156,8 @@
                 f'deployment {deployment_key} is not declared here',
                 'declare it with `guavagate settings apply`',
             )
-        work = self._make_work(request)
+        generation = _make_generation(request)
+        work = self._make_work(request, deployment, generation)
         write(
             _LOGGER,
             SAMPLE_STARTED,
@@ -163,7 +165,7 @@
             run=request.run,
             attempt=request.attempt,
         )
-        progress = self._generate(request, deployment, work)
+        progress = self._generate(request, deployment, work, generation)
         sample = FinishedSample(
             sample_id=request.sample_id,
             group_id=request.group.group_id,
@@ -222,6 +224,7 @@
         request: GenerateSample,
         deployment: DeploymentSettings,
         work: Work,
+        generation: Generation,
     ) -> Progress:
         pool = self._chooser.choose(
             self._queue_owner.specs(), request.team, deployment.id, work
@@ -232,20 +235,17 @@
             pool=pool,
             token_timeout=parse_duration(deployment.token_timeout),
         )
-        generation = Generation(
-            exchange=work.id,
-            prompt=request.group.prompt,
-            max_tokens=request.group.max_tokens,
-            temperature=request.group.temperature,
-        )
         race = SampleRace(self._runtime.clock, source, work, generation)
         return race.run()
 
-    def _make_work(self, request: GenerateSample) -> Work:
+    def _make_work(
+        self,
+        request: GenerateSample,
+        deployment: DeploymentSettings,
+        generation: Generation,
+    ) -> Work:
         return Work(
-            id=RequestId(
-                f'{request.run}/{request.sample_id}#{request.attempt}'
-            ),
+            id=generation.exchange,
             team=request.team,
             caller=CallerId(request.run),
             kind=WorkKind.ROLLOUT,
@@ -258,6 +258,9 @@
             step=request.step_order,
             weight=request.weight,
             zone=self._runtime.settings.availability_zone,
+            identity=identify_generation(
+                request.team, deployment.id, generation
+            ),
         )
 
     def _score_with_retries(
@@ -288,3 +291,14 @@
             request.group.prompt,
             text,
         )
+
+
+def _make_generation(request: GenerateSample) -> Generation:
+    return Generation(
+        exchange=RequestId(
+            f'{request.run}/{request.sample_id}#{request.attempt}'
+        ),
+        prompt=request.group.prompt,
+        max_tokens=request.group.max_tokens,
+        temperature=request.group.temperature,
+    )
--- a/guavagate/scoring.py
+++ b/guavagate/scoring.py
@@ -8,6 +8,7 @@
 from guavagate.integrations.scoring_service import HttpScoringService
 from guavagate.models import CallerId, RequestId, SampleId, ServiceId, TeamId
 from guavagate.permits import PermitClient, Release
+from guavagate.quarantine import RequestContent
 from guavagate.runtime import Runtime
 
 SCORE_TIMEOUT_SECONDS: Final = 10.0
@@ -44,6 +45,13 @@
             kind=WorkKind.ROLLOUT,
             deadline=self._runtime.clock.now() + SCORE_DEADLINE_SECONDS,
             expected_tokens=1,
+            identity=RequestContent(
+                team=team,
+                method='POST',
+                host=service,
+                target='/score',
+                body=f'{prompt}\0{text}'.encode(),
+            ).identify(),
         )
         permit = self._permits.acquire(f'{team}/{service}/0', work)
         release = Release.CANCELLED
@@ -53,8 +61,10 @@
                 permit.address, sample_id, prompt, text, SCORE_TIMEOUT_SECONDS
             )
             release = Release.DONE
-        except UpstreamError:
+        except UpstreamError as error:
             release = Release.FAILED
+            seconds = self._runtime.clock.now() - started_at
+            self._permits.record_failure(permit, work, error, seconds)
             raise
         finally:
             seconds = self._runtime.clock.now() - started_at
--- a/tests/permits/test_queue_owner.py
+++ b/tests/permits/test_queue_owner.py
@@ -27,6 +27,7 @@
 )
 from guavagate.runtime import Runtime
 from guavagate.settings import TeamSettings, parse_team_settings
+from tests.quarantine.common import make_quarantine
 
 _POOL = 'trust/booking-desk/0'
 _TEAM = parse_team_settings("""
@@ -73,7 +74,11 @@
         )
         self.queue_owners[name] = QueueOwner(runtime)
         serve_queue_owner(runtime, self.queue_owners[name])
-        self.clients[name] = PermitClient(runtime, self.queue_owners[name])
+        self.clients[name] = PermitClient(
+            runtime,
+            self.queue_owners[name],
+            make_quarantine(runtime.clock),
+        )
         self.queue_owners[name].start()
         self.clients[name].start()
 
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -245,3 +245,23 @@
         load.run(bad, rounds=10)
         assert load.bench.stopped == [bad]
         assert load.crashes <= MAX_ENDS
+
+
+def test_an_upstream_that_returns_at_once_ends_several_times() -> None:
+    """It has no incarnation, and a supervisor starts it again quickly."""
+    bench = _Bench()
+    for _ in range(3):
+        bench.report('i-1', identify('/bad'))
+        bench.now += 0.3
+    assert bench.stopped == [identify('/bad')]
+
+
+def test_a_report_that_took_long_is_about_the_same_end() -> None:
+    """Another instance's requests there, passed on by the second hub."""
+    bench = _Bench()
+    bench.report('i-1', identify('/bad'))
+    bench.now += 0.1
+    bench.report('i-1', identify('/bad'))
+    bench.now += 0.1
+    bench.report('i-1', identify('/bad'), seconds=0.8)
+    assert not bench.stopped
--- a/tests/runs/test_race.py
+++ b/tests/runs/test_race.py
@@ -56,6 +56,11 @@
     def drop(self, permit: Permit) -> None:
         """Accept the call."""
 
+    def record_failure(
+        self, permit: Permit, work: Work, error: object, seconds: float
+    ) -> None:
+        """Ignore what failed attempts tell of their samplers."""
+
     def end_speculative_run(self, permit: Permit, **measured: int) -> None:
         """Record the tokens of a speculative run."""
         self.ended.append((permit.address, measured.get('tokens', 0)))
--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -2,9 +2,10 @@
 
 import json
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
+import falcon
 import pytest
 from geventhttpclient import HTTPClient
 
@@ -81,17 +82,23 @@
 
 
 class RunningInstance:
-    """One instance and its stand-in upstreams."""
+    """One instance and its stand-in upstreams.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    start
+        Starts the application of an upstream.
+    """
+
+    def __init__(self, start: Callable[[falcon.App], Server] = serve) -> None:
         options = engine_standin.EngineOptions(
             token_s=0.001, report_lag_s=0, swap_s=0
         )
         self.engines = [
-            serve(engine_standin.make_app(options)) for _ in range(2)
+            start(engine_standin.make_app(options)) for _ in range(2)
         ]
-        self.desk = serve(plain.make_app())
-        self.scoring = serve(scoring.make_app())
+        self.desk = start(plain.make_app())
+        self.scoring = start(scoring.make_app())
         settings = parse_instance_settings(f"""
 id = "i1"
 availability_zone = "jhb-east"
