Count the longest run of a request at an upstream that ended

The later report replaced the earlier one, so the text seemed short, and short runs need fewer ends to be stopped. The longest run counts now.

--- a/guavagate/quarantine/_evidence.py
+++ b/guavagate/quarantine/_evidence.py
@@ -238,7 +238,8 @@
         if run.identity not in end.runs:
             self._paths[run.identity.path] += 1
             self._contents[run.identity.content] += 1
-        end.runs[run.identity] = run.seconds
+        known = end.runs.get(run.identity, 0)
+        end.runs[run.identity] = max(known, run.seconds)
 
     def _drop_run(self, end: _End, identity: RequestIdentity) -> None:
         if end.runs.pop(identity, None) is not None:
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -265,3 +265,13 @@
     bench.now += 0.1
     bench.report('i-1', identify('/bad'), seconds=0.8)
     assert not bench.stopped
+
+
+def test_a_text_sent_again_to_an_upstream_that_ends_has_run_for_long() -> None:
+    """Its connection breaks, and a second one before the end is known."""
+    bench = _Bench()
+    for number in range(MAX_ENDS - 1):
+        bench.now += 3
+        bench.report(f'i-{number}', identify('/text'), seconds=_LONG)
+        bench.report(f'i-{number}', identify('/text'), seconds=0)
+    assert not bench.stopped
