Send nothing to an upstream that another instance found ended

What callers saw: after two of three upstreams had ended, 503 from entries that did not know it yet. Each entry learnt from refused connections of its own, and with two attempts a request met the two that were gone while the third was idle; a registration lapses only after three missed heartbeats.

The findings about an upstream that ended go to all instances anyway.

--- a/guavagate/events/forwarding.py
+++ b/guavagate/events/forwarding.py
@@ -75,6 +75,11 @@
     'An upstream ended while it ran a request',
     'compare `content` with that of other requests under which one ended',
 )
+UPSTREAM_FOUND_ENDED: Final = Event(
+    8035,
+    logging.INFO,
+    'An instance found that an upstream ended; it receives no work for a while',
+)
 REQUEST_STOPPED: Final = Event(
     8032,
     logging.WARNING,
--- a/guavagate/quarantine/_quarantine.py
+++ b/guavagate/quarantine/_quarantine.py
@@ -16,7 +16,7 @@
 from guavagate.events import forwarding as events
 from guavagate.events import write
 from guavagate.exceptions import StoreConflictError, StoreError
-from guavagate.models import Revision
+from guavagate.models import Revision, UpstreamId
 from guavagate.ports.store import ObjectStore, StoredObject
 from guavagate.ports.upstreams import Upstream
 from guavagate.quarantine._ends import BrokenRun, EndDetector, EndedUpstream
@@ -71,6 +71,7 @@
         self._stored: set[str] = set()
         self._judging = False
         self._subscribers: list[Callable[[], None]] = []
+        self._end_subscribers: list[Callable[[UpstreamId, int], None]] = []
 
     def start(self) -> None:
         """Start removing the records whose time is over."""
@@ -80,6 +81,15 @@
         """Call `callback`, which must not block, after each change."""
         self._subscribers.append(callback)
 
+    def subscribe_ends(
+        self, callback: Callable[[UpstreamId, int], None]
+    ) -> None:
+        """Call `callback`, which must not block, for each ended upstream.
+
+        It receives the id and the incarnation that ended.
+        """
+        self._end_subscribers.append(callback)
+
     @property
     def size(self) -> int:
         """Return the number of stopped requests."""
@@ -150,6 +160,8 @@
         now = self._clock.now()
         for end in findings.ends:
             self._evidence.record_end(end, now)
+            for callback in self._end_subscribers:
+                callback(end.upstream, end.incarnation)
         for identity in findings.answers:
             self._evidence.record_answer(identity)
         for record in findings.stops:
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -208,6 +208,26 @@
             seconds=seconds,
         )
 
+    def record_end(self, upstream: UpstreamId, incarnation: int) -> None:
+        """Eject an upstream that has ended, though it is still registered.
+
+        Its registration lapses after seconds. Until then each instance would
+        learn from refused connections of its own, and a request that meets two
+        of several ended upstreams is refused while the others are idle.
+        """
+        registered = self._all.get(upstream)
+        if registered is None or registered.incarnation != incarnation:
+            return
+        load = self.load(upstream)
+        load.failures = max(load.failures, EJECT_AFTER_FAILURES)
+        load.ejected_until = self._clock.now() + EJECT_MAX_SECONDS
+        write(
+            _LOGGER,
+            events.UPSTREAM_FOUND_ENDED,
+            upstream=upstream,
+            seconds=EJECT_MAX_SECONDS,
+        )
+
     def _notify_address_released(self, upstream: Upstream) -> None:
         for callback in self._on_address_released:
             callback(upstream.address)
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -3,6 +3,8 @@
 import random
 from collections import Counter
 
+import msgspec
+
 from guavagate.clock import PausedClock
 from guavagate.models import ServiceId, UpstreamId, ZoneId
 from guavagate.ports.upstreams import Upstream
@@ -72,3 +74,34 @@
     table = _make_table({'10.0.0.1:1'})
     table.record_failure(UpstreamId('u1'))
     assert 'u1' not in _choose_repeatedly(table, 10, in_flight=False)
+
+
+def test_an_upstream_that_ended_gets_no_request_until_it_returns() -> None:
+    """Another instance has found it ended; it is registered for seconds yet.
+
+    With two attempts, a request would meet only upstreams that are gone while
+    the others are idle.
+    """
+    table = _make_table(set())
+    for name in ('u0', 'u3'):
+        table.record_end(UpstreamId(name), 0)
+    counts = _choose_repeatedly(table, 20, in_flight=False)
+    assert set(counts) == {'u1', 'u2'}
+    upstream = table.get(UpstreamId('u0'))
+    assert upstream is not None
+    table.remove(upstream.id)
+    table.put(upstream)
+    counts = _choose_repeatedly(table, 20, in_flight=False)
+    assert set(counts) == {'u0'}
+
+
+def test_an_end_before_the_present_start_counts_for_nothing() -> None:
+    """The report was on its way while the upstream started again."""
+    table = _make_table(set())
+    upstream = table.get(UpstreamId('u0'))
+    assert upstream is not None
+    for incarnation in (1, 2):
+        table.put(msgspec.structs.replace(upstream, incarnation=incarnation))
+    table.record_end(UpstreamId('u0'), 1)
+    counts = _choose_repeatedly(table, 20, in_flight=False)
+    assert 'u0' in counts
