Let the findings about ended upstreams reach the choice of an upstream

Now the forwarders subscribe the table of upstreams. An upstream that is ejected already is neither ejected again nor logged, as both hubs pass a report on. The new test drives the forwarders as they are made for an instance and failed before. routing, quarantine, forwarding and platform passed.

--- a/guavagate/forwarding/_forwarders.py
+++ b/guavagate/forwarding/_forwarders.py
@@ -30,6 +30,7 @@
     quarantine: Quarantine,
 ) -> Forwarders:
     """Return the forwarders of an instance."""
+    quarantine.subscribe_ends(upstreams.record_end)
     runner = AttemptRunner(clock, pool, upstreams, dialect, quarantine)
     return Forwarders(
         unary=Forwarder(clock, upstreams, runner, quarantine),
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -219,8 +219,11 @@
         if registered is None or registered.incarnation != incarnation:
             return
         load = self.load(upstream)
+        now = self._clock.now()
+        if load.ejected_until > now:
+            return
         load.failures = max(load.failures, EJECT_AFTER_FAILURES)
-        load.ejected_until = self._clock.now() + EJECT_MAX_SECONDS
+        load.ejected_until = now + EJECT_MAX_SECONDS
         write(
             _LOGGER,
             events.UPSTREAM_FOUND_ENDED,
--- a/tests/forwarding/test_ended_upstreams.py
+++ b/tests/forwarding/test_ended_upstreams.py
@@ -8,17 +8,18 @@
 from gevent import socket
 from gevent.queue import Queue
 
-from guavagate.clock import SystemClock
+from guavagate.clock import PausedClock, SystemClock
 from guavagate.events import forwarding as events
-from guavagate.forwarding import AttemptRunner, Forwarder
+from guavagate.forwarding import AttemptRunner, Forwarder, make_forwarders
 from guavagate.http1 import ConnectionPool, Request
 from guavagate.models import ServiceId, ZoneId
 from guavagate.platform._dialect import PlatformDialect
 from guavagate.ports.dialect import Call
-from guavagate.routing import UpstreamTable
+from guavagate.quarantine import BrokenRun
+from guavagate.routing import RouteTable, UpstreamTable
 from tests.forwarding.common import start_upstream
-from tests.quarantine.common import make_quarantine
-from tests.routing.test_routes import make_route
+from tests.quarantine.common import identify, make_quarantine
+from tests.routing.test_routes import make_route, make_upstream
 
 
 class _Bench:
@@ -93,3 +94,27 @@
     _Bench(ends=False).forward('1', '/a')
     assert _list_lines(caplog, events.ATTEMPT_FAILED.code)
     assert not _list_lines(caplog, events.UPSTREAM_ENDED.code)
+
+
+def test_an_upstream_that_ended_is_ejected_at_once() -> None:
+    """One request broke there; the next must not be sent after it."""
+    clock = PausedClock()
+    upstreams = UpstreamTable(clock, ZoneId('z'))
+    for name in 'ab':
+        upstreams.put(make_upstream(name))
+    quarantine = make_quarantine(clock, upstreams, lambda address: True)
+    make_forwarders(
+        clock,
+        ConnectionPool(clock),
+        RouteTable(),
+        upstreams,
+        PlatformDialect(),
+        quarantine,
+    )
+    run = BrokenRun(request='1', identity=identify(), seconds=0.1)
+    quarantine.record_break(make_upstream('a'), run)
+    clock.advance(0.1)
+    for _ in range(9):
+        chosen = upstreams.choose(ServiceId('s'), set())
+        assert chosen is not None
+        assert chosen.id == 'b'
