Keep the last upstream of a service from a request under which two ended

What callers saw: for three seconds no upstream of the service was left, each time a new request of this kind came, because three ends are needed to know it and the service has three upstreams.

A request under which two upstreams have ended in short runs, without another one that ran at both, is now refused as not run while only one upstream of its service is left, at most five seconds after an end. Its repetition then ends one upstream of several, or is served if the two were killed by chance. Its callers are told when that is.

--- a/guavagate/forwarding/__init__.py
+++ b/guavagate/forwarding/__init__.py
@@ -7,13 +7,10 @@
     send_text,
 )
 from guavagate.forwarding._attempt import Attempt, AttemptRunner, AttemptState
-from guavagate.forwarding._forward import (
-    Forwarder,
-    Outcome,
-    OutcomeKind,
-    log_outcome,
-)
+from guavagate.forwarding._forward import Forwarder
 from guavagate.forwarding._forwarders import Forwarders, make_forwarders
+from guavagate.forwarding._guard import RequestGuard
+from guavagate.forwarding._outcome import Outcome, OutcomeKind, log_outcome
 from guavagate.forwarding._rewards import RewardForwarder
 from guavagate.forwarding._stream import StreamForwarder
 
@@ -25,6 +22,7 @@
     'Forwarders',
     'Outcome',
     'OutcomeKind',
+    'RequestGuard',
     'RewardForwarder',
     'StreamForwarder',
     'log_outcome',
--- a/guavagate/forwarding/_answers.py
+++ b/guavagate/forwarding/_answers.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from guavagate.forwarding._forward import Outcome, OutcomeKind
+from guavagate.forwarding._outcome import Outcome, OutcomeKind
 from guavagate.http1 import (
     BodyTooLargeError,
     Exchange,
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -7,32 +7,25 @@
 are slow, a second attempt only adds load, so a budget limits these hedges.
 """
 
-import enum
-import logging
-import math
 from typing import Final, Protocol
 
-import msgspec
 from gevent.queue import Queue
 
 from guavagate.clock import Clock, Task
 from guavagate.decisions.retries import HEDGE_SHARE, Budget
-from guavagate.events import forwarding as events
-from guavagate.events import write
 from guavagate.forwarding._attempt import (
     GRACE_SECONDS,
     Attempt,
     AttemptRunner,
     AttemptState,
 )
+from guavagate.forwarding._guard import RequestGuard
+from guavagate.forwarding._outcome import Outcome, OutcomeKind
 from guavagate.helpers.waits import QueueTimeoutError, get_within
 from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import Call
 from guavagate.ports.upstreams import Upstream
-from guavagate.quarantine import Quarantine, StoppedRequest
-
-_LOGGER: Final = logging.getLogger(__name__)
 
 # Share of the objective after which a second attempt starts; the rest is enough
 # for a usual answer from another upstream.
@@ -41,41 +34,11 @@
 # In multiples of the objective; a working upstream has answered by then.
 TIMEOUT_OBJECTIVES: Final = 3.0
 MIN_TIMEOUT_SECONDS: Final = 0.5
-# A full upstream has a free slot again after about one request's work.
-RETRY_AFTER_SECONDS: Final = 0.2
 # Longer, as no upstream is registered or none responds.
 UNAVAILABLE_RETRY_SECONDS: Final = 0.4
 _SERVER_ERROR: Final = 500
 
 
-class OutcomeKind(enum.Enum):
-    """How a request ended for its caller."""
-
-    ANSWER = 'answer'
-    NOT_RUN = 'not run'
-    UNKNOWN = 'unknown'
-    LATE = 'late'
-    CALLER_LEFT = 'caller left'
-
-
-class Outcome(msgspec.Struct):
-    """The outcome of a request; `retry_after` in seconds.
-
-    `failed_answers` counts the upstreams that ran it and answered 500.
-    `began_at` is when it was sent to the first upstream that may have run it,
-    on the runtime's clock, or `None` if none has. `stopped` means that it is
-    sent to no upstream, because upstreams ended under it.
-    """
-
-    kind: OutcomeKind
-    attempt: Attempt | None = None
-    reason: str = ''
-    retry_after: float = RETRY_AFTER_SECONDS
-    failed_answers: int = 0
-    began_at: float | None = None
-    stopped: bool = False
-
-
 class _Progress:
     """The attempts of one request."""
 
@@ -88,7 +51,8 @@
         self.may_have_run = False
         self.failed_answers = 0
         self.failed_answer: Attempt | None = None
-        self.stopped: StoppedRequest | None = None
+        # Why no further attempt was started.
+        self.refusal: Outcome | None = None
         # Send time by upstream, without those that have not run the request.
         self.sent_at: dict[UpstreamId, float] = {}
         # Send time by upstream, for the attempts in flight.
@@ -115,9 +79,9 @@
         clock: Clock,
         upstreams: UpstreamChooser,
         runner: AttemptRunner,
-        quarantine: Quarantine,
+        guard: RequestGuard,
     ) -> None:
-        self._quarantine = quarantine
+        self._guard = guard
         self._clock = clock
         self._upstreams = upstreams
         self._runner = runner
@@ -190,7 +154,7 @@
             progress.running -= 1
             if attempt.is_final:
                 self._hedges.earn()
-                self._quarantine.record_answer(call.content)
+                self._guard.record_answer(call)
                 return Outcome(OutcomeKind.ANSWER, attempt)
             self._record_failure(progress, attempt)
             if may_repeat or not progress.may_have_run:
@@ -223,8 +187,10 @@
     ) -> None:
         if len(progress.tried) >= max(route.max_attempts, 1):
             return
-        progress.stopped = self._quarantine.find(call.content)
-        if progress.stopped is not None:
+        progress.refusal = self._guard.check(
+            call, service, ran=progress.may_have_run
+        )
+        if progress.refusal is not None:
             return
         upstream = self._upstreams.choose(service, progress.tried)
         if upstream is None:
@@ -249,11 +215,8 @@
             return Outcome(OutcomeKind.ANSWER, progress.failed_answer)
         if progress.may_have_run and self._clock.now() >= call.until:
             return Outcome(OutcomeKind.LATE, reason='no answer in time')
-        if progress.stopped is not None:
-            wait = self._quarantine.compute_wait(progress.stopped)
-            return make_stopped_outcome(
-                progress.stopped, wait, ran=progress.may_have_run
-            )
+        if progress.refusal is not None:
+            return progress.refusal
         if progress.may_have_run:
             return Outcome(OutcomeKind.UNKNOWN, reason='answers were lost')
         if progress.tried:
@@ -263,44 +226,3 @@
             reason='no upstream answers',
             retry_after=UNAVAILABLE_RETRY_SECONDS,
         )
-
-
-def make_stopped_outcome(
-    stopped: StoppedRequest, wait: float, *, ran: bool
-) -> Outcome:
-    """Return the outcome of a request that is stopped for `wait` seconds.
-
-    `ran` tells whether an attempt started before it was stopped.
-    """
-    return Outcome(
-        OutcomeKind.UNKNOWN if ran else OutcomeKind.NOT_RUN,
-        reason=f'{len(stopped.upstreams)} upstreams ended under this request',
-        retry_after=math.ceil(wait),
-        stopped=True,
-    )
-
-
-def log_outcome(
-    call: Call, route: Route, outcome: Outcome, seconds: float
-) -> None:
-    """Log the outcome of a request."""
-    event = events.FORWARDED
-    fields: dict[str, str] = {}
-    if outcome.kind is OutcomeKind.CALLER_LEFT:
-        event = events.CALLER_DISCONNECTED
-    elif outcome.kind is not OutcomeKind.ANSWER:
-        event = events.REQUEST_GIVEN_UP
-        fields['content'] = call.content.identify().content
-    attempt = outcome.attempt
-    write(
-        _LOGGER,
-        event,
-        request=call.id,
-        route=route.name,
-        kind=outcome.kind.value,
-        upstream=None if attempt is None else attempt.upstream.id,
-        status=None if attempt is None else attempt.status,
-        reason=outcome.reason,
-        seconds=round(seconds, 3),
-        **fields,
-    )
--- a/guavagate/forwarding/_forwarders.py
+++ b/guavagate/forwarding/_forwarders.py
@@ -5,6 +5,7 @@
 from guavagate.clock import Clock
 from guavagate.forwarding._attempt import AttemptRunner
 from guavagate.forwarding._forward import Forwarder
+from guavagate.forwarding._guard import RequestGuard
 from guavagate.forwarding._rewards import RewardForwarder
 from guavagate.forwarding._stream import StreamForwarder
 from guavagate.http1 import ConnectionPool
@@ -32,10 +33,11 @@
     """Return the forwarders of an instance."""
     quarantine.subscribe_ends(upstreams.record_end)
     runner = AttemptRunner(clock, pool, upstreams, dialect, quarantine)
+    guard = RequestGuard(quarantine, upstreams)
     return Forwarders(
-        unary=Forwarder(clock, upstreams, runner, quarantine),
-        streams=StreamForwarder(clock, upstreams, runner, quarantine),
+        unary=Forwarder(clock, upstreams, runner, guard),
+        streams=StreamForwarder(clock, upstreams, runner, guard),
         rewards=RewardForwarder(
-            clock, routes, upstreams, runner, dialect, quarantine
+            clock, routes, upstreams, runner, dialect, guard
         ),
     )
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -7,7 +7,9 @@
 from guavagate.clock import Clock
 from guavagate.decisions.background import limit_background
 from guavagate.forwarding._attempt import AttemptRunner
-from guavagate.forwarding._forward import Forwarder, Outcome, OutcomeKind
+from guavagate.forwarding._forward import Forwarder
+from guavagate.forwarding._guard import RequestGuard
+from guavagate.forwarding._outcome import Outcome, OutcomeKind
 from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import Call, Dialect
@@ -18,7 +20,6 @@
     RewardRoute,
 )
 from guavagate.ports.upstreams import Upstream
-from guavagate.quarantine import Quarantine
 from guavagate.routing import RouteTable, UpstreamTable, pick_service
 
 # Assumed for an upstream that registers no number of slots.
@@ -90,13 +91,13 @@
         upstreams: UpstreamTable,
         runner: AttemptRunner,
         dialect: Dialect,
-        quarantine: Quarantine,
+        guard: RequestGuard,
     ) -> None:
         self._clock = clock
         self._routes = routes
         self._dialect = dialect
         self._background = BackgroundUpstreams(clock, upstreams)
-        self._forwarder = Forwarder(clock, self._background, runner, quarantine)
+        self._forwarder = Forwarder(clock, self._background, runner, guard)
 
     def find_route(self, reward: RewardRequest) -> RewardRoute | None:
         """Return where a request would be sent now, or `None`."""
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -10,17 +10,13 @@
 from guavagate.events import write
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
 from guavagate.forwarding._attempt import AttemptRunner
-from guavagate.forwarding._forward import (
-    Outcome,
-    OutcomeKind,
-    make_stopped_outcome,
-)
+from guavagate.forwarding._guard import RequestGuard
+from guavagate.forwarding._outcome import Outcome, OutcomeKind
 from guavagate.http1 import Answer, Exchange, drop_hop_by_hop
 from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.configuration import Route
 from guavagate.ports.dialect import Call
 from guavagate.ports.upstreams import Upstream
-from guavagate.quarantine import Quarantine
 from guavagate.routing import UpstreamTable
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -39,9 +35,9 @@
         clock: Clock,
         upstreams: UpstreamTable,
         runner: AttemptRunner,
-        quarantine: Quarantine,
+        guard: RequestGuard,
     ) -> None:
-        self._quarantine = quarantine
+        self._guard = guard
         self._clock = clock
         self._upstreams = upstreams
         self._runner = runner
@@ -55,12 +51,11 @@
         outcome = Outcome(OutcomeKind.NOT_RUN, reason='no upstream')
         began_at: float | None = None
         while len(tried) < max(route.max_attempts, 1):
-            stopped = self._quarantine.find(call.content)
-            if stopped is not None:
-                wait = self._quarantine.compute_wait(stopped)
-                outcome = make_stopped_outcome(
-                    stopped, wait, ran=progress.may_have_run
-                )
+            refusal = self._guard.check(
+                call, service, ran=progress.may_have_run
+            )
+            if refusal is not None:
+                outcome = refusal
                 break
             upstream = self._upstreams.choose(service, tried)
             if upstream is None:
@@ -72,7 +67,7 @@
                 began_at = sent_at
             outcome.began_at = began_at
             if outcome.kind is OutcomeKind.ANSWER:
-                self._quarantine.record_answer(call.content)
+                self._guard.record_answer(call)
                 return outcome
             if outcome.kind is OutcomeKind.UNKNOWN and not route.resumable:
                 break
--- a/guavagate/quarantine/_evidence.py
+++ b/guavagate/quarantine/_evidence.py
@@ -12,6 +12,7 @@
 would have ended the upstream instead.
 """
 
+import math
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Final
@@ -24,6 +25,7 @@
 
 # Two ends may be chance for one request in a large fleet, three hardly.
 MIN_ENDS: Final = 3
+SUSPECT_ENDS: Final = 2
 # A request that ran for long is likely to meet an end that it did not cause,
 # and two that always ran together can't be told apart. The fourth and fifth end
 # decide these cases.
@@ -139,6 +141,16 @@
                 if run.content == content:
                     self._drop_run(end, run)
 
+    def is_suspect(self, identity: RequestIdentity) -> bool:
+        """Return whether a request is likely to be a cause, but not certain."""
+        ends = [
+            end
+            for end in self._ends
+            if end.runs.get(identity, math.inf) <= SHORT_RUN_SECONDS
+        ]
+        enough = len(ends) >= SUSPECT_ENDS
+        return enough and not self._has_companion(identity, ends)
+
     def find_culprits(self, is_stopped: IsStopped, now: float) -> list[Culprit]:
         """Return the requests to stop now, and clear what ran beside them.
 
--- a/guavagate/quarantine/_quarantine.py
+++ b/guavagate/quarantine/_quarantine.py
@@ -105,6 +105,12 @@
         """Return the record of a request that is stopped, or `None`."""
         return self._drop_expired(self._stops.find_identity(identity))
 
+    def is_suspect(self, content: RequestContent) -> bool:
+        """Return whether upstreams ended under a request, but too few yet."""
+        if not self._evidence.has_path(content.digest_path()):
+            return False
+        return self._evidence.is_suspect(content.identify())
+
     def compute_wait(self, record: StoppedRequest) -> float:
         """Return in how many seconds a stopped request may be sent again."""
         return record.compute_remaining(self._clock.wall())
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -27,6 +27,8 @@
 # Doubles with each further failure, up to the maximum.
 EJECT_SECONDS: Final = 1.0
 EJECT_MAX_SECONDS: Final = 4.0
+# An upstream that ended has started again by then, or has lapsed.
+RETURN_SECONDS: Final = 5.0
 LATENCY_SMOOTHING: Final = 0.2
 
 
@@ -56,6 +58,7 @@
         self._all: dict[UpstreamId, Upstream] = {}
         self._loads: dict[str, Load] = {}
         self._incarnations: dict[UpstreamId, int] = {}
+        self._ended_at: dict[ServiceId, float] = {}
         self._subscribers: list[Callable[[], None]] = []
         self._on_restart: list[Callable[[Upstream], None]] = []
         self._on_address_released: list[Callable[[str], None]] = []
@@ -224,6 +227,7 @@
             return
         load.failures = max(load.failures, EJECT_AFTER_FAILURES)
         load.ejected_until = now + EJECT_MAX_SECONDS
+        self._ended_at[registered.service] = now
         write(
             _LOGGER,
             events.UPSTREAM_FOUND_ENDED,
@@ -231,6 +235,22 @@
             seconds=EJECT_MAX_SECONDS,
         )
 
+    def compute_return_wait(self, service: ServiceId) -> float:
+        """Return the seconds until ended upstreams of a service may be back.
+
+        0 unless some have just ended and at most one is left.
+        """
+        now = self._clock.now()
+        wait = self._ended_at.get(service, -RETURN_SECONDS) + RETURN_SECONDS
+        if wait <= now:
+            return 0
+        left = [
+            each
+            for each in self.serving(service)
+            if self.load(each.id).ejected_until <= now
+        ]
+        return wait - now if len(left) <= 1 else 0
+
     def _notify_address_released(self, upstream: Upstream) -> None:
         for callback in self._on_address_released:
             callback(upstream.address)
--- a/tests/forwarding/test_ended_upstreams.py
+++ b/tests/forwarding/test_ended_upstreams.py
@@ -10,7 +10,12 @@
 
 from guavagate.clock import PausedClock, SystemClock
 from guavagate.events import forwarding as events
-from guavagate.forwarding import AttemptRunner, Forwarder, make_forwarders
+from guavagate.forwarding import (
+    AttemptRunner,
+    Forwarder,
+    RequestGuard,
+    make_forwarders,
+)
 from guavagate.http1 import ConnectionPool, Request
 from guavagate.models import ServiceId, ZoneId
 from guavagate.platform._dialect import PlatformDialect
@@ -39,7 +44,9 @@
             PlatformDialect(),
             quarantine,
         )
-        self._forwarder = Forwarder(self._clock, upstreams, runner, quarantine)
+        self._forwarder = Forwarder(
+            self._clock, upstreams, runner, RequestGuard(quarantine, upstreams)
+        )
 
     def forward(self, request: str, target: str) -> None:
         """Forward a request and wait until the break has been looked into."""
--- a/tests/forwarding/test_rewards.py
+++ b/tests/forwarding/test_rewards.py
@@ -8,7 +8,7 @@
 from gevent.server import StreamServer
 
 from guavagate.clock import SystemClock
-from guavagate.forwarding import AttemptRunner, RewardForwarder
+from guavagate.forwarding import AttemptRunner, RequestGuard, RewardForwarder
 from guavagate.http1 import ConnectionPool
 from guavagate.models import ServiceId, TeamId, UpstreamId, ZoneId
 from guavagate.platform._dialect import PlatformDialect
@@ -63,7 +63,7 @@
                 self.quarantine,
             ),
             PlatformDialect(),
-            self.quarantine,
+            RequestGuard(self.quarantine, self.upstreams),
         )
 
     def put_route(
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -12,6 +12,7 @@
     AttemptRunner,
     Outcome,
     OutcomeKind,
+    RequestGuard,
     StreamForwarder,
 )
 from guavagate.http1 import (
@@ -157,7 +158,7 @@
                 _Dialect(),
                 self.quarantine,
             ),
-            self.quarantine,
+            RequestGuard(self.quarantine, self.upstreams),
         )
 
         def handle(exchange: Exchange) -> None:
--- a/tests/platform/test_edge_keys.py
+++ b/tests/platform/test_edge_keys.py
@@ -10,7 +10,12 @@
 from guavagate.auth import hash_token, make_bounds
 from guavagate.clock import SystemClock
 from guavagate.exceptions import StoreUnavailableError
-from guavagate.forwarding import AttemptRunner, Forwarder, StreamForwarder
+from guavagate.forwarding import (
+    AttemptRunner,
+    Forwarder,
+    RequestGuard,
+    StreamForwarder,
+)
 from guavagate.front import JobHandler, KeyAuthenticator, RequestHandler
 from guavagate.http1 import ConnectionPool, HttpServer, ServerLimits
 from guavagate.jobs import Job, LookupStatus
@@ -79,6 +84,7 @@
         self.upstream, upstream = start_upstream('u', 'z', self._serve)
         upstreams.put(upstream)
         quarantine = make_quarantine(clock, upstreams)
+        guard = RequestGuard(quarantine, upstreams)
         runner = AttemptRunner(
             clock,
             ConnectionPool(clock),
@@ -98,8 +104,8 @@
             ),
             RequestHandler(
                 clock,
-                Forwarder(clock, upstreams, runner, quarantine),
-                StreamForwarder(clock, upstreams, runner, quarantine),
+                Forwarder(clock, upstreams, runner, guard),
+                StreamForwarder(clock, upstreams, runner, guard),
                 Metrics(),
                 lambda team, _: self.usage.append(team),
             ),
