Take different free ports in the test of a whole instance

Once in a full run a test failed with 'peer_address is the same as http_address': two free ports were looked for one after the other, and the system may give out the first again once its probe is closed. Both probes are now open at the same time.

--- a/tests/test_instance.py
+++ b/tests/test_instance.py
@@ -1,5 +1,6 @@
 """Tests of the complete path through one instance over HTTP with stand-ins."""
 
+import contextlib
 import json
 import socket
 from collections.abc import Callable, Iterator
@@ -38,11 +39,16 @@
 _TRAINER = 'trainer-token'
 
 
-def _free_address() -> str:
-    """Return an unused loopback address."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+def _find_free_addresses(count: int) -> list[str]:
+    """Return different unused loopback addresses.
+
+    All are bound before one is released, which the system may give out again.
+    """
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(('127.0.0.1', 0))
+        return [f'127.0.0.1:{probe.getsockname()[1]}' for probe in probes]
 
 
 def _team(samplers: list[Server], desk: Server, score: Server) -> TeamSettings:
@@ -99,12 +105,13 @@
         ]
         self.desk = start(plain.make_app())
         self.scoring = start(scoring.make_app())
+        http_address, peer_address = _find_free_addresses(2)
         settings = parse_instance_settings(f"""
 id = "i1"
 availability_zone = "jhb-east"
 region = "gauteng"
-http_address = "{_free_address()}"
-peer_address = "{_free_address()}"
+http_address = "{http_address}"
+peer_address = "{peer_address}"
 platform = {{object_api = "http://127.0.0.1:1"}}
 """)
         clock = SystemClock()
