Count stops by both hubs against the limit, and log saturation once

At most ten requests are stopped in a minute, in case upstreams crash whatever they run; but each of the two hubs counted its own stops, so 12 were stopped in the new test, and GG8034 was logged at each judgement while it lasted. A stop counts wherever it was judged, and the line comes when the state begins.

--- a/guavagate/explain/logs.py
+++ b/guavagate/explain/logs.py
@@ -26,6 +26,8 @@
         forwarding.MIRROR_RECOVERED,
         forwarding.STORE_THROUGH_PEER,
         forwarding.UPSTREAM_EJECTED,
+        forwarding.UPSTREAM_FOUND_ENDED,
+        forwarding.REQUEST_STOPPED,
         forwarding.UPSTREAM_LEAVING,
         forwarding.UPSTREAM_GONE,
         jobs.COORDINATOR_STARTED,
--- a/guavagate/quarantine/_evidence.py
+++ b/guavagate/quarantine/_evidence.py
@@ -133,6 +133,10 @@
         for end in self._ends:
             self._drop_run(end, identity)
 
+    def record_stop(self, now: float) -> None:
+        """Record that a request was stopped, by whichever hub."""
+        self._stopped_at.append(now)
+
     def forget(self, content: str) -> None:
         """Forget all evidence about a content."""
         self._answered.discard(content)
@@ -164,10 +168,9 @@
             ends = [] if is_stopped(identity) else self._judge(identity)
             if not ends:
                 continue
-            if not self._may_stop(now):
+            if len(culprits) >= self._count_allowed(now):
                 self.is_saturated = True
                 break
-            self._stopped_at.append(now)
             self._clear_beside(identity, ends)
             upstreams = tuple(end.upstream for end in ends)
             culprits.append(Culprit(identity=identity, upstreams=upstreams))
@@ -211,10 +214,10 @@
         )
         return bool(set.intersection(*contents))
 
-    def _may_stop(self, now: float) -> bool:
-        if len(self._stopped_at) < MAX_STOPS:
-            return True
-        return now - self._stopped_at[0] > STOPS_PERIOD_SECONDS
+    def _count_allowed(self, now: float) -> int:
+        """Return how many more requests may be stopped now."""
+        since = now - STOPS_PERIOD_SECONDS
+        return MAX_STOPS - sum(at > since for at in self._stopped_at)
 
     def _clear_beside(
         self, identity: RequestIdentity, ends: list[_End]
--- a/guavagate/quarantine/_quarantine.py
+++ b/guavagate/quarantine/_quarantine.py
@@ -70,6 +70,7 @@
         self._stops = StopTable()
         self._stored: set[str] = set()
         self._judging = False
+        self._was_saturated = False
         self._subscribers: list[Callable[[], None]] = []
         self._end_subscribers: list[Callable[[UpstreamId, int], None]] = []
 
@@ -171,6 +172,8 @@
         for identity in findings.answers:
             self._evidence.record_answer(identity)
         for record in findings.stops:
+            if record.name not in self._stops:
+                self._evidence.record_stop(now)
             self._add(record)
         if (findings.ends or findings.answers) and not self._judging:
             self._judging = True
@@ -185,8 +188,9 @@
             lambda identity: self.find_identity(identity) is not None,
             self._clock.now(),
         )
-        if self._evidence.is_saturated:
+        if self._evidence.is_saturated and not self._was_saturated:
             write(_LOGGER, events.TOO_MANY_CULPRITS, stopped=self.size)
+        self._was_saturated = self._evidence.is_saturated
         if culprits:
             stopped_at = self._clock.wall()
             stops = tuple(
--- a/tests/quarantine/test_evidence.py
+++ b/tests/quarantine/test_evidence.py
@@ -56,12 +56,9 @@
 
     def judge(self) -> None:
         """Stop whom the evidence names."""
-        self.stopped += [
-            culprit.identity
-            for culprit in self.evidence.find_culprits(
-                self.is_stopped, self.now
-            )
-        ]
+        for culprit in self.evidence.find_culprits(self.is_stopped, self.now):
+            self.stopped.append(culprit.identity)
+            self.evidence.record_stop(self.now)
 
     def is_stopped(self, request: RequestIdentity) -> bool:
         """Return whether a request is stopped."""
--- a/tests/quarantine/test_fleet.py
+++ b/tests/quarantine/test_fleet.py
@@ -1,5 +1,10 @@
 """A request that ends upstreams is stopped by all instances, for good."""
 
+import logging
+
+import pytest
+
+from guavagate.events.forwarding import REQUEST_STOPPED, TOO_MANY_CULPRITS
 from guavagate.helpers.mirror import Mirror
 from guavagate.measure.fakes import World
 from guavagate.models import InstanceId, UpstreamId, ZoneId
@@ -11,6 +16,7 @@
     Hubs,
     Quarantine,
 )
+from guavagate.quarantine._evidence import MAX_STOPS
 from guavagate.quarantine._quarantine import SWEEP_INTERVAL_SECONDS
 from guavagate.quarantine._records import STOP_SECONDS
 from guavagate.routing import UpstreamTable
@@ -242,3 +248,16 @@
     )
     stored = fleet.world.store.objects[fleet.list_stored()[0]]
     assert b'/bad' not in stored.value
+
+
+def test_many_culprits_fill_no_log(caplog: pytest.LogCaptureFixture) -> None:
+    """A release crashes under each request, twenty times a second."""
+    caplog.set_level(logging.INFO)
+    fleet = _Fleet()
+    for number in range(3 * MAX_STOPS):
+        for _ in range(3):
+            fleet.end_upstream(('c', f'/{number}'))
+    codes = [getattr(record, 'event', '') for record in caplog.records]
+    hubs = 2
+    assert codes.count(REQUEST_STOPPED.code) == MAX_STOPS * len(_NAMES)
+    assert 0 < codes.count(TOO_MANY_CULPRITS.code) <= hubs
