--- /dev/null
+++ b/standins/_safeguard_stops.py
@@ -0,0 +1,101 @@
+"""Mutations of what stops requests that crash upstreams."""
+
+from typing import Final
+
+from standins._safeguard_rows import Safeguard
+
+STOP_SAFEGUARDS: Final = (
+    Safeguard(
+        'a request with a companion at each end is not stopped yet',
+        'guavagate/quarantine/_evidence.py',
+        'if short < MIN_ENDS or self._has_companion(identity, ends):',
+        'if short < MIN_ENDS:',
+        'tests/quarantine/test_evidence.py',
+    ),
+    Safeguard(
+        'a request that was answered is cleared',
+        'guavagate/quarantine/_evidence.py',
+        '        for end in self._ends:\n'
+        '            self._drop_run(end, identity)\n',
+        '',
+        'tests/quarantine/test_evidence.py',
+    ),
+    Safeguard(
+        'long runs need more ends',
+        'guavagate/quarantine/_evidence.py',
+        'seconds is not None and seconds <= SHORT_RUN_SECONDS',
+        'seconds is not None',
+        'tests/quarantine/test_evidence.py',
+    ),
+    Safeguard(
+        'few requests are stopped when upstreams crash whatever they run',
+        'guavagate/quarantine/_evidence.py',
+        'if len(culprits) >= self._count_allowed(now):',
+        'if False:',
+        'tests/quarantine/test_evidence.py',
+    ),
+    Safeguard(
+        'an upstream that accepts connections has not ended',
+        'guavagate/quarantine/_ends.py',
+        '        if not ended:\n            return\n',
+        '',
+        'tests/quarantine/test_ends.py',
+    ),
+    Safeguard(
+        'the end of an upstream that leaves is no evidence',
+        'guavagate/quarantine/_quarantine.py',
+        '        if ended.expected:\n            return\n',
+        '',
+        'tests/quarantine/test_fleet.py',
+    ),
+    Safeguard(
+        'a second hub passes findings on',
+        'guavagate/quarantine/_hubs.py',
+        'HUBS: Final = 2',
+        'HUBS: Final = 1',
+        'tests/quarantine/test_fleet.py',
+    ),
+    Safeguard(
+        'hubs wait for the reports of other instances',
+        'guavagate/quarantine/_quarantine.py',
+        '        self._clock.sleep(JUDGE_SECONDS)\n',
+        '',
+        'tests/quarantine/test_fleet.py',
+    ),
+    Safeguard(
+        'the record of a stopped request is in the store',
+        'guavagate/quarantine/_quarantine.py',
+        'if self._hubs.place is not None and self._try_to_store(record):',
+        'if True:',
+        'tests/quarantine/test_fleet.py',
+    ),
+    Safeguard(
+        'a stopped request reaches no upstream',
+        'guavagate/forwarding/_forward.py',
+        '        if progress.refusal is not None:\n            return\n'
+        '        upstream',
+        '        upstream',
+        'tests/forwarding/test_guard.py',
+    ),
+    Safeguard(
+        'the last upstream is kept from a suspect',
+        'guavagate/forwarding/_guard.py',
+        'if wait and self._quarantine.is_suspect(call.content):',
+        'if False:',
+        'tests/forwarding/test_guard.py',
+    ),
+    Safeguard(
+        'a stopped item is held back',
+        'guavagate/jobs/_stops.py',
+        '        progress.stopped = stopped\n',
+        '',
+        'tests/jobs/test_stopped_items.py',
+    ),
+    Safeguard(
+        'a relay sends later prefixes only to who follows them',
+        'guavagate/feeds/_relay.py',
+        'self._table.entries(self._later)',
+        'self._table.entries()',
+        'tests/feeds/test_later_prefixes.py',
+    ),
+)
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -17,11 +17,13 @@
 
 from standins._safeguard_jobs import JOB_SAFEGUARDS
 from standins._safeguard_rows import PLATFORM_SAFEGUARDS, Safeguard
+from standins._safeguard_stops import STOP_SAFEGUARDS
 from standins._safeguard_teams import TEAM_SAFEGUARDS
 
 SAFEGUARDS: Final = (
     *PLATFORM_SAFEGUARDS,
     *JOB_SAFEGUARDS,
+    *STOP_SAFEGUARDS,
     *TEAM_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
