Free the slot of a failed attempt whose work is stopped

What callers would have seen: after a request was stopped on its third end, its last attempt counted as running at the queue owner until the permits were checked, so the pool had a slot less for seconds. A failed attempt is reported with the next request for a permit, and a stopped one makes none. It is now released by itself. The new test found the attempt still running before.

On the platform what the guard says is kept as a refusal, and whether the request had run is added when it is answered: a refusal of a hedge that came before an attempt broke could not say 'not run' any more. No case of it was found; tests/forwarding is unchanged.

--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -19,7 +19,7 @@
     AttemptRunner,
     AttemptState,
 )
-from guavagate.forwarding._guard import RequestGuard
+from guavagate.forwarding._guard import Refusal, RequestGuard
 from guavagate.forwarding._outcome import Outcome, OutcomeKind
 from guavagate.helpers.waits import QueueTimeoutError, get_within
 from guavagate.models import ServiceId, UpstreamId
@@ -52,7 +52,7 @@
         self.failed_answers = 0
         self.failed_answer: Attempt | None = None
         # Why no further attempt was started.
-        self.refusal: Outcome | None = None
+        self.refusal: Refusal | None = None
         # Send time by upstream, without those that have not run the request.
         self.sent_at: dict[UpstreamId, float] = {}
         # Send time by upstream, for the attempts in flight.
@@ -187,9 +187,7 @@
     ) -> None:
         if len(progress.tried) >= max(route.max_attempts, 1):
             return
-        progress.refusal = self._guard.check(
-            call, service, ran=progress.may_have_run
-        )
+        progress.refusal = self._guard.check(call, service)
         if progress.refusal is not None:
             return
         upstream = self._upstreams.choose(service, progress.tried)
@@ -216,7 +214,7 @@
         if progress.may_have_run and self._clock.now() >= call.until:
             return Outcome(OutcomeKind.LATE, reason='no answer in time')
         if progress.refusal is not None:
-            return progress.refusal
+            return progress.refusal.make_outcome(ran=progress.may_have_run)
         if progress.may_have_run:
             return Outcome(OutcomeKind.UNKNOWN, reason='answers were lost')
         if progress.tried:
--- a/guavagate/forwarding/_guard.py
+++ b/guavagate/forwarding/_guard.py
@@ -10,13 +10,35 @@
 
 import math
 
+import msgspec
+
 from guavagate.forwarding._outcome import Outcome, OutcomeKind
 from guavagate.models import ServiceId
 from guavagate.ports.dialect import Call
-from guavagate.quarantine import Quarantine, StoppedRequest
+from guavagate.quarantine import Quarantine
 from guavagate.routing import UpstreamTable
 
 
+class Refusal(msgspec.Struct, frozen=True, kw_only=True):
+    """Why a request may not be sent now, and for how many seconds.
+
+    `stopped` means that the fleet has stopped it, not only this service.
+    """
+
+    reason: str
+    seconds: float
+    stopped: bool = False
+
+    def make_outcome(self, *, ran: bool) -> Outcome:
+        """Return the outcome; `ran` tells whether an attempt had started."""
+        return Outcome(
+            OutcomeKind.UNKNOWN if ran else OutcomeKind.NOT_RUN,
+            reason=self.reason,
+            retry_after=math.ceil(self.seconds),
+            stopped=self.stopped,
+        )
+
+
 class RequestGuard:
     """Checks requests against what upstreams have ended under them."""
 
@@ -26,40 +48,24 @@
         self._quarantine = quarantine
         self._upstreams = upstreams
 
-    def check(
-        self, call: Call, service: ServiceId, *, ran: bool
-    ) -> Outcome | None:
-        """Return how a request ends that may not be sent, or `None`.
-
-        Parameters
-        ----------
-        ran
-            Whether an attempt has started before.
-        """
+    def check(self, call: Call, service: ServiceId) -> Refusal | None:
+        """Return why a request may not be sent now, or `None`."""
         stopped = self._quarantine.find(call.content)
         if stopped is not None:
-            wait = self._quarantine.compute_wait(stopped)
-            return _make_stopped_outcome(stopped, wait, ran=ran)
+            count = len(stopped.upstreams)
+            return Refusal(
+                reason=f'{count} upstreams ended under this request',
+                seconds=self._quarantine.compute_wait(stopped),
+                stopped=True,
+            )
         wait = self._upstreams.compute_return_wait(service)
         if wait and self._quarantine.is_suspect(call.content):
-            return Outcome(
-                OutcomeKind.UNKNOWN if ran else OutcomeKind.NOT_RUN,
+            return Refusal(
                 reason='one upstream is left, others ended under this request',
-                retry_after=math.ceil(wait),
+                seconds=wait,
             )
         return None
 
     def record_answer(self, call: Call) -> None:
         """Record that an upstream answered a request and did not end."""
         self._quarantine.record_answer(call.content)
-
-
-def _make_stopped_outcome(
-    stopped: StoppedRequest, wait: float, *, ran: bool
-) -> Outcome:
-    return Outcome(
-        OutcomeKind.UNKNOWN if ran else OutcomeKind.NOT_RUN,
-        reason=f'{len(stopped.upstreams)} upstreams ended under this request',
-        retry_after=math.ceil(wait),
-        stopped=True,
-    )
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -51,11 +51,9 @@
         outcome = Outcome(OutcomeKind.NOT_RUN, reason='no upstream')
         began_at: float | None = None
         while len(tried) < max(route.max_attempts, 1):
-            refusal = self._guard.check(
-                call, service, ran=progress.may_have_run
-            )
+            refusal = self._guard.check(call, service)
             if refusal is not None:
-                outcome = refusal
+                outcome = refusal.make_outcome(ran=progress.may_have_run)
                 break
             upstream = self._upstreams.choose(service, tried)
             if upstream is None:
--- a/guavagate/permits/_client.py
+++ b/guavagate/permits/_client.py
@@ -17,20 +17,14 @@
 from guavagate.exceptions import (
     LinkError,
     RefusalError,
-    UpstreamDisconnectedError,
     UpstreamError,
     UpstreamLeavingError,
     UpstreamNotStartedError,
 )
 from guavagate.links import Message, expect
-from guavagate.models import (
-    InstanceId,
-    RequestId,
-    ServiceId,
-    UpstreamId,
-    ZoneId,
-)
-from guavagate.permits._directory import find_queue_owner, name_upstream
+from guavagate.models import InstanceId, RequestId, UpstreamId
+from guavagate.permits._directory import find_queue_owner
+from guavagate.permits._guard import WorkGuard
 from guavagate.permits._messages import (
     AskHeld,
     AskPermit,
@@ -46,8 +40,7 @@
     WithdrawWork,
 )
 from guavagate.permits._queue_owner import QueueOwner
-from guavagate.ports.upstreams import Upstream
-from guavagate.quarantine import BrokenRun, Quarantine
+from guavagate.quarantine import Quarantine
 from guavagate.runtime import Runtime
 
 _LOGGER = logging.getLogger(__name__)
@@ -58,7 +51,6 @@
 POLL_INTERVAL_SECONDS: Final = 2.0
 LINK_MARGIN_SECONDS: Final = 0.5
 RETRY_PAUSE_SECONDS: Final = 0.05
-_STOPPED: Final = 'stopped'
 
 
 class FailedAttempt(msgspec.Struct, frozen=True, kw_only=True):
@@ -78,7 +70,7 @@
         queue_owner: QueueOwner,
         quarantine: Quarantine,
     ) -> None:
-        self._quarantine = quarantine
+        self._guard = WorkGuard(quarantine)
         self._runtime = runtime
         self._queue_owner = queue_owner
         self._me = runtime.settings.id
@@ -116,7 +108,11 @@
             The queue owner refused, or none answered in time, or the fleet has
             stopped the work. Apart from a failed attempt, it has not run.
         """
-        self._refuse_if_stopped(work)
+        try:
+            self._guard.check(work)
+        except RefusalError:
+            self._release_failed(pool, work, failed)
+            raise
         try:
             permit = self._acquire(pool, work, failed)
         except gevent.GreenletExit:
@@ -125,7 +121,7 @@
             self._withdraw(pool, work)
             raise
         try:
-            self._refuse_if_stopped(work)
+            self._guard.check(work)
         except RefusalError:
             self.release(permit, Release.CANCELLED)
             raise
@@ -141,34 +137,25 @@
         seconds
             How long the attempt had run.
         """
-        if work.identity and isinstance(error, UpstreamDisconnectedError):
-            run = BrokenRun(
-                request=work.id, identity=work.identity, seconds=seconds
-            )
-            upstream = Upstream(
-                id=name_upstream(permit.pool, permit.upstream),
-                service=ServiceId(permit.pool),
-                address=permit.address,
-                zone=ZoneId(''),
-            )
-            self._quarantine.record_break(upstream, run)
+        self._guard.record_failure(permit, work, error, seconds)
         return FailedAttempt(
             upstream=permit.upstream,
             started=not isinstance(error, UpstreamNotStartedError),
             leaving=isinstance(error, UpstreamLeavingError),
         )
 
-    def _refuse_if_stopped(self, work: Work) -> None:
-        if work.identity is None:
-            return
-        stopped = self._quarantine.find_identity(work.identity)
-        if stopped is not None:
-            write(_LOGGER, PERMIT_REFUSED, request=work.id, reason=_STOPPED)
-            raise RefusalError(
-                f'{len(stopped.upstreams)} upstreams ended under this request',
-                'send another one, or have the record of this one removed',
-                reason=_STOPPED,
-                retry_after=self._quarantine.compute_wait(stopped),
+    def _release_failed(
+        self, pool: str, work: Work, failed: FailedAttempt | None
+    ) -> None:
+        """Free the slot of a failed attempt that is not reported otherwise."""
+        if failed is not None:
+            self._send_release(
+                ReleasePermit(
+                    pool=pool,
+                    work_id=work.id,
+                    upstream=failed.upstream,
+                    ended=Release.FAILED,
+                )
             )
 
     def _acquire(
@@ -253,8 +240,7 @@
 
     def _record_answer(self, permit: Permit) -> None:
         held = self._permits.get(permit.pool, {}).get(permit.work_id)
-        if held is not None and held.work.identity is not None:
-            self._quarantine.record_identity_answer(held.work.identity)
+        self._guard.record_answer(held)
 
     def report_slow(self, permit: Permit, token_interval: float) -> None:
         """Report a slow stream to the queue owner; seconds per token."""
--- a/tests/permits/test_queue_owner.py
+++ b/tests/permits/test_queue_owner.py
@@ -25,9 +25,10 @@
     find_queue_owner,
     serve_queue_owner,
 )
+from guavagate.quarantine import Quarantine
 from guavagate.runtime import Runtime
 from guavagate.settings import TeamSettings, parse_team_settings
-from tests.quarantine.common import make_quarantine
+from tests.quarantine.common import describe, make_quarantine, stop
 
 _POOL = 'trust/booking-desk/0'
 _TEAM = parse_team_settings("""
@@ -53,6 +54,7 @@
         self.world = World(1)
         self.clock = self.world.clock
         self.clients: dict[str, PermitClient] = {}
+        self.quarantines: dict[str, Quarantine] = {}
         self.queue_owners: dict[str, QueueOwner] = {}
         for name in 'abc':
             self.world.add(name)
@@ -74,10 +76,9 @@
         )
         self.queue_owners[name] = QueueOwner(runtime)
         serve_queue_owner(runtime, self.queue_owners[name])
+        self.quarantines[name] = make_quarantine(runtime.clock)
         self.clients[name] = PermitClient(
-            runtime,
-            self.queue_owners[name],
-            make_quarantine(runtime.clock),
+            runtime, self.queue_owners[name], self.quarantines[name]
         )
         self.queue_owners[name].start()
         self.clients[name].start()
@@ -275,6 +276,35 @@
     assert entries.count_running(owner) == 1
 
 
+def test_work_that_is_stopped_after_a_failed_attempt_frees_its_slot() -> None:
+    """Its upstream was the third to end under it, and is not asked again.
+
+    The queue owner would count the attempt as running for seconds.
+    """
+    entries = Entries()
+    name = entries.find_owner()
+    clock = entries.world.hosts[InstanceId(name)].clock
+    content = describe('/bad')
+    work = Work(
+        id=RequestId('1'),
+        team=TeamId('trust'),
+        caller=CallerId('desk'),
+        identity=content.identify(),
+    )
+    client = entries.clients[name]
+    task = clock.spawn(client.acquire, _POOL, work)
+    assert entries.clock.run_until(task.ready, 5)
+    permit = task.get(block=False)
+    client.drop(permit)
+    stop(entries.quarantines[name], content)
+    failed = FailedAttempt(upstream=permit.upstream, started=True)
+    task = clock.spawn(client.acquire, _POOL, work, failed)
+    assert entries.clock.run_until(task.ready, 1)
+    assert isinstance(task.exception, RefusalError)
+    assert task.exception.reason == 'stopped'
+    assert not entries.count_running(name)
+
+
 _MODEL_POOL = 'trust/coach-models/0'
 _MODELS = parse_team_settings("""
 team = "trust"
