Count each end of an upstream once, however late it is reported

Cause: a hub that was paused, or an instance that was cut off, passes on seconds later what the others know already. An end was recognised by its time (one second), so such a copy counted as a second end of the same process, and a request under which two upstreams had ended was stopped although it had ended no third one.

Change: a process (id and incarnation) ends once. Each report has an id of its own, by which a copy is recognised also after the request was cleared. Reports of the release before have none and are never taken for copies.

--- a/guavagate/quarantine/_evidence.py
+++ b/guavagate/quarantine/_evidence.py
@@ -31,10 +31,9 @@
 # decide these cases.
 MAX_ENDS: Final = 5
 SHORT_RUN_SECONDS: Final = 1.0
-# Reports of one end arrive within this time, late ones through a second hub.
-SAME_END_SECONDS: Final = 1.0
-# A run that started this long after an end met another one. Shorter differences
-# may be the time that a report was on its way.
+# Where processes can't be told apart, a run that started this long after an end
+# met another one. Shorter differences may be the time that a report was on its
+# way.
 NEXT_START_SECONDS: Final = 0.2
 EVIDENCE_SECONDS: Final = 600.0
 REMEMBERED_ENDS: Final = 128
@@ -63,6 +62,7 @@
         self.incarnation = end.incarnation
         self.at = at
         self.runs: dict[RequestIdentity, float] = {}
+        self.reports: set[str] = set()
         self.cause = ''
 
     def find_seconds(self, identity: RequestIdentity) -> float | None:
@@ -81,8 +81,8 @@
         process = (self.upstream, self.incarnation)
         if process != (end.upstream, end.incarnation):
             return False
-        if now - self.at > SAME_END_SECONDS:
-            return False
+        if end.incarnation or end.report in self.reports:
+            return True
         longest = max((run.seconds for run in end.runs), default=0)
         return now - longest <= self.at + NEXT_START_SECONDS
 
@@ -113,17 +113,23 @@
         """Return whether there is evidence about a content."""
         return content in self._contents
 
-    def record_end(self, end: UpstreamEnd, now: float) -> None:
+    def record_end(self, end: UpstreamEnd, now: float) -> bool:
         """Record what an upstream ran when it ended, and for how long.
 
         Each instance reports what it had sent there, so the runs of one end
-        arrive in several reports.
+        arrive in several reports. A copy of a report counts for nothing, even
+        if its runs were cleared. Returns whether the report is new.
         """
         self._forget_old(now)
         known = self._find_end(end, now)
+        if end.report in known.reports:
+            return False
+        if end.report:
+            known.reports.add(end.report)
         for run in end.runs:
             if known.cause in {'', run.identity.content}:
                 self._add_run(known, run)
+        return True
 
     def record_answer(self, identity: RequestIdentity) -> None:
         """Clear a request that was answered: it ends no upstreams."""
--- a/guavagate/quarantine/_messages.py
+++ b/guavagate/quarantine/_messages.py
@@ -16,8 +16,16 @@
 
 
 class UpstreamEnd(msgspec.Struct, frozen=True, kw_only=True):
-    """The end of an upstream, and the requests of one instance there."""
+    """The end of an upstream, and the requests of one instance there.
 
+    Attributes
+    ----------
+    report
+        Differs in each report, so that its copies are recognized; empty from
+        instances of a release that does not send it.
+    """
+
+    report: str = ''
     upstream: UpstreamId
     incarnation: int
     runs: tuple[SuspectRun, ...]
--- a/guavagate/quarantine/_quarantine.py
+++ b/guavagate/quarantine/_quarantine.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import uuid
 from collections.abc import Callable
 from typing import Final
 
@@ -159,14 +160,18 @@
             for run in ended.runs
         )
         end = UpstreamEnd(
-            upstream=ended.upstream, incarnation=ended.incarnation, runs=runs
+            report=uuid.uuid4().hex,
+            upstream=ended.upstream,
+            incarnation=ended.incarnation,
+            runs=runs,
         )
         self._hubs.report(Findings(ends=(end,)))
 
     def _apply(self, findings: Findings) -> None:
         now = self._clock.now()
         for end in findings.ends:
-            self._evidence.record_end(end, now)
+            if not self._evidence.record_end(end, now):
+                continue
             for callback in self._end_subscribers:
                 callback(end.upstream, end.incarnation)
         for identity in findings.answers:
--- a/standins/_safeguard_stops.py
+++ b/standins/_safeguard_stops.py
@@ -34,6 +34,20 @@
         'if False:',
         'tests/quarantine/test_evidence.py',
     ),
+    Safeguard(
+        'a copy of a report counts for nothing',
+        'guavagate/quarantine/_evidence.py',
+        '        if end.report in known.reports:\n            return False\n',
+        '',
+        'tests/quarantine/test_late_reports.py',
+    ),
+    Safeguard(
+        'a process ends once',
+        'guavagate/quarantine/_evidence.py',
+        'if end.incarnation or end.report in self.reports:',
+        'if end.report in self.reports:',
+        'tests/quarantine/test_late_reports.py',
+    ),
     Safeguard(
         'an upstream that accepts connections has not ended',
         'guavagate/quarantine/_ends.py',
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -25,6 +25,8 @@
     108: 'a planned stop closed a connection with an unread request',
     122: 'the test waited for the replacement of a stopped process',
     203: 'the test waited for the replacement of a stopped process',
+    3129: 'ends that a hub passed on late counted twice',
+    3138: 'ends that a hub passed on late counted twice',
 }
 
 
--- a/tests/quarantine/test_fleet.py
+++ b/tests/quarantine/test_fleet.py
@@ -204,6 +204,18 @@
     assert fleet.list_stopping() == _NAMES
 
 
+def test_what_a_paused_hub_passes_on_late_is_no_second_end() -> None:
+    """Two upstreams ended, and all have learned of it from the other hub."""
+    fleet = _Fleet()
+    fleet.world.pause('a')
+    for name in 'cd':
+        fleet.end_upstream((name, '/bad'))
+    fleet.clock.advance(1)
+    fleet.world.resume('a')
+    fleet.clock.advance(_BOUND_SECONDS)
+    assert not fleet.list_stopping()
+
+
 def test_an_instance_that_reaches_only_the_store_stops_it_too() -> None:
     """Its links to all others are cut when the request is stopped."""
     fleet = _Fleet()
