Estimate a text's remaining length from the texts that were longer

Cause: a text beyond its estimate, or beyond the usual length, was assumed to have a quarter of the mean left. On a slow sampler a move then never appeared to gain, and texts of 152 events stayed there for 9.9 s.

Change: the remaining length is the mean residual life, over the completed texts of the model that were longer. A trainer's estimate is scaled the same way, by the texts that outlived theirs by as much, and is ignored while such estimates predict worse than the median length. Until long texts have completed, texts of 3 to 7 times the median are assumed beside the known ones.

--- a/guavagate/jobs/_lengths.py
+++ b/guavagate/jobs/_lengths.py
@@ -2,12 +2,21 @@
 
 Failure pattern: a tenth of a step's texts is several times as long as the
 others and takes most of the step's time. Trainers send an estimate in tokens
-with most items, but it is often far off, and how many events a token of an
-estimate stands for is only known from completed texts. So estimates are scaled
-by what the last completed texts of the model turned out to be.
+with some items, and it is often far off. So an estimate is scaled by what the
+last completed texts of the model turned out to be, and ignored while such
+estimates predict lengths worse than the usual length does.
+
+The longer a text already is, the likelier it is one of the long ones. The
+remaining length is therefore the mean residual life: the mean over those
+completed texts that were longer than this one is now. Long texts complete last,
+so the first completed texts are all short. Until long ones have completed,
+texts of a few times the median length are assumed beside them.
 """
 
+import math
+from bisect import bisect_right
 from collections import defaultdict, deque
+from collections.abc import Sequence
 from typing import Final
 
 import msgspec
@@ -21,6 +30,18 @@
 LONG_QUANTILE: Final = 0.95
 # Fewer texts say nothing about the long ones.
 MIN_TEXTS: Final = 20
+# Fewer longer texts don't give a mean.
+MIN_LONGER_TEXTS: Final = 5
+# Assumed long texts, relative to the median, while few longer ones are known.
+ASSUMED_LONG_RATIOS: Final = (3.0, 4.0, 5.0, 7.0)
+# The remaining share of a text that is longer than all known and assumed ones.
+OUTLIER_RATIO: Final = 0.25
+# Assumed until the first texts of a model have completed.
+DEFAULT_EVENTS: Final = 20.0
+DEFAULT_LONG_EVENTS: Final = 50.0
+DEFAULT_TOKENS_PER_EVENT: Final = 84.0
+# Texts with an estimate that show whether estimates are useful.
+MIN_ESTIMATED_TEXTS: Final = 10
 
 
 class RemainingLength(msgspec.Struct, frozen=True):
@@ -34,45 +55,141 @@
     conservative: float
 
 
-class _LengthHistory(msgspec.Struct):
+_UNKNOWN: Final = RemainingLength(DEFAULT_EVENTS, DEFAULT_LONG_EVENTS)
+
+
+class _EstimatedTexts:
+    """The completed texts with an estimate, sorted by events per token.
+
+    Texts are weighted by their estimated tokens. A high estimate is more often
+    too high than a low one, and the long texts are those with high estimates.
+    """
+
+    def __init__(self, texts: Sequence[tuple[int, int]]) -> None:
+        ordered = sorted((events / tokens, tokens) for events, tokens in texts)
+        self._ratios = [ratio for ratio, _ in ordered]
+        self._tokens = _sum_up([tokens for _, tokens in ordered])
+        self._events = _sum_up([ratio * tokens for ratio, tokens in ordered])
+
+    @property
+    def median_ratio(self) -> float:
+        """Return the usual events per token; 0 if unknown."""
+        if not self._ratios:
+            return 0
+        return self._ratios[len(self._ratios) // 2]
+
+    def predict(self, tokens: int, done: int) -> float | None:
+        """Return the length of a text with an estimate, given what is done.
+
+        None if too few texts have outlived their estimates by as much.
+        """
+        if not self._ratios:
+            return tokens / DEFAULT_TOKENS_PER_EVENT
+        shorter = bisect_right(self._ratios, done / tokens)
+        if done and len(self._ratios) - shorter < MIN_LONGER_TEXTS:
+            return None
+        events = self._events[-1] - self._events[shorter]
+        weight = self._tokens[-1] - self._tokens[shorter]
+        return tokens * events / weight
+
+
+class _LengthHistory:
     """The lengths of the last completed texts of one model."""
 
-    events: deque[int]
-    tokens: deque[int]
-    total_events: int = 0
-    total_tokens: int = 0
-    mean: float = 0
-    long: float = 0
-    longest: float = 0
+    def __init__(self) -> None:
+        # Pairs of events and the trainer's estimate in tokens, 0 if none.
+        self._texts: deque[tuple[int, int]] = deque(maxlen=MAX_TEXTS)
+        self._ordered: list[int] = []
+        self._estimated = _EstimatedTexts(())
+        self._residuals: dict[int, RemainingLength] = {}
+        self._outdated = False
+        self._uses_estimates = True
+
+    @property
+    def texts(self) -> int:
+        """Return the number of completed texts that are remembered."""
+        return len(self._texts)
 
     @property
-    def events_per_token(self) -> float:
-        """Return the events per estimated token; 1 if unknown."""
-        if not self.total_tokens:
-            return 1
-        return self.total_events / self.total_tokens
+    def uses_estimates(self) -> bool:
+        """Return whether estimates predict better than the usual length."""
+        self._refresh()
+        return self._uses_estimates
 
-    def record(self, events: int, tokens: int) -> None:
-        """Add a completed text; drop the oldest one if the history is full.
+    @property
+    def tokens_per_event(self) -> float:
+        """Return the estimated tokens per event; a default if unknown."""
+        self._refresh()
+        ratio = self._estimated.median_ratio
+        return 1 / ratio if ratio else DEFAULT_TOKENS_PER_EVENT
 
-        `tokens` is the trainer's estimate, 0 if it sent none.
+    def record(self, events: int, tokens: int) -> None:
+        """Add a completed text; drop the oldest one if the history is full."""
+        self._texts.append((events, tokens))
+        self._outdated = True
+
+    def estimate(self, done: int, tokens: int) -> RemainingLength:
+        """Return the remaining length of a text; at least one event."""
+        self._refresh()
+        if tokens and self._uses_estimates:
+            length = self._estimated.predict(tokens, done)
+            if length is not None:
+                if self._ordered and done < self._ordered[-1]:
+                    # Texts have a length limit.
+                    length = min(length, self._ordered[-1])
+                remaining = max(length - done, 1)
+                return RemainingLength(remaining, remaining)
+        if not self._ordered:
+            return _UNKNOWN
+        found = self._residuals.get(done)
+        if found is None:
+            found = self._compute_residual(done)
+            self._residuals[done] = found
+        return found
+
+    def _refresh(self) -> None:
+        """Sort the texts once after several of them have been recorded."""
+        if not self._outdated:
+            return
+        self._outdated = False
+        self._ordered = sorted(events for events, _ in self._texts)
+        self._residuals = {}
+        estimated = [each for each in self._texts if all(each)]
+        self._estimated = _EstimatedTexts(estimated)
+        self._uses_estimates = self._are_useful(estimated)
+
+    def _compute_residual(self, done: int) -> RemainingLength:
+        """Return the mean residual life and half of its long quantile.
+
+        If a text without an estimate were assumed to be long, each group would
+        seem late from its start.
         """
-        if len(self.events) == MAX_TEXTS:
-            oldest_tokens = self.tokens.popleft()
-            oldest_events = self.events.popleft()
-            self._add(-oldest_events, -oldest_tokens, bool(oldest_tokens))
-        self.events.append(events)
-        self.tokens.append(tokens)
-        self._add(events, tokens, bool(tokens))
-        ordered = sorted(self.events)
-        self.mean = sum(ordered) / len(ordered)
-        self.long = ordered[int(len(ordered) * LONG_QUANTILE)]
-        self.longest = ordered[-1]
-
-    def _add(self, events: int, tokens: int, has_estimate: bool) -> None:
-        if has_estimate:
-            self.total_events += events
-            self.total_tokens += tokens
+        shorter = bisect_right(self._ordered, done)
+        longer: Sequence[float] = self._ordered[shorter:]
+        if len(longer) < MIN_LONGER_TEXTS:
+            median = self._ordered[len(self._ordered) // 2]
+            assumed = (ratio * median for ratio in ASSUMED_LONG_RATIOS)
+            longer = sorted(
+                (*longer, *(each for each in assumed if each > done))
+            )
+        if not longer:
+            remaining = max(done * OUTLIER_RATIO, 1)
+            return RemainingLength(remaining, remaining)
+        typical = max(sum(longer) / len(longer) - done, 1)
+        long = longer[int(len(longer) * LONG_QUANTILE)] - done
+        return RemainingLength(typical, max(long / 2, typical))
+
+    def _are_useful(self, texts: Sequence[tuple[int, int]]) -> bool:
+        """Return whether estimates predict better than the median length."""
+        if len(texts) < MIN_ESTIMATED_TEXTS:
+            return True
+        ratio = self._estimated.median_ratio
+        median = sorted(events for events, _ in texts)[len(texts) // 2]
+        error = sum(
+            abs(math.log(events / (tokens * ratio))) for events, tokens in texts
+        )
+        usual = sum(abs(math.log(events / median)) for events, _ in texts)
+        return error <= usual
 
 
 class LengthEstimator:
@@ -80,7 +197,7 @@
 
     def __init__(self) -> None:
         self._histories: defaultdict[str, _LengthHistory] = defaultdict(
-            lambda: _LengthHistory(deque(), deque())
+            _LengthHistory
         )
 
     def record(self, model: str, progress: ItemProgress) -> None:
@@ -91,27 +208,26 @@
     def is_known(self, model: str) -> bool:
         """Return whether enough texts of a model have completed."""
         history = self._histories.get(model)
-        return history is not None and len(history.events) >= MIN_TEXTS
+        return history is not None and history.texts >= MIN_TEXTS
 
-    def estimate(self, model: str, progress: ItemProgress) -> RemainingLength:
-        """Return the remaining length of an item; at least one event.
+    def uses_estimates(self, model: str) -> bool:
+        """Return whether the trainer's estimates of a model are in use."""
+        return self._histories[model].uses_estimates
 
-        A text that already exceeds its estimate is assumed to go on for a
-        while: the estimate was wrong, and nothing says by how much.
-        """
-        history = self._histories[model]
-        done = progress.text.last_number
-        typical = history.mean
-        # Without an estimate a text most likely has a typical length. If it
-        # were assumed to be long, each group would seem late from its start.
-        conservative = max(history.long / 2, typical)
-        tokens = progress.item.expected_tokens
-        if tokens:
-            conservative = tokens * history.events_per_token
-            # Estimates are often far off, and texts have a length limit.
-            conservative = min(conservative, history.longest or conservative)
-            typical = conservative
-        minimum = max(history.mean / 4, 1)
-        return RemainingLength(
-            max(typical - done, minimum), max(conservative - done, minimum)
+    def get_tokens_per_event(self, model: str) -> float:
+        """Return the tokens per event that the estimates amount to."""
+        return self._histories[model].tokens_per_event
+
+    def estimate(self, model: str, progress: ItemProgress) -> RemainingLength:
+        """Return the remaining length of an item; at least one event."""
+        return self._histories[model].estimate(
+            progress.text.last_number, progress.item.expected_tokens
         )
+
+
+def _sum_up(values: Sequence[float]) -> list[float]:
+    """Return the sums of the first 0, 1, 2 and more values."""
+    sums = [float(0)]
+    for each in values:
+        sums.append(sums[-1] + each)
+    return sums
--- a/tests/jobs/test_lengths.py
+++ b/tests/jobs/test_lengths.py
@@ -1,7 +1,10 @@
 """Estimating text lengths from completed texts."""
 
+import random
+
 import pytest
 
+from guavagate.jobs._lengths import LengthEstimator
 from guavagate.jobs._work import ItemProgress
 from tests.jobs.samplers import MODEL
 from tests.jobs.test_forecast import make_lengths, make_work
@@ -44,3 +47,90 @@
     length = lengths.estimate(MODEL, _make_progress(0))
     assert length.conservative == 60
     assert 25 < length.typical < 60
+
+
+def _record(lengths: LengthEstimator, texts: list[tuple[int, int]]) -> None:
+    """Record completed texts: their events and estimated tokens."""
+    for events, tokens in texts:
+        progress = _make_progress(tokens)
+        progress.text.last_number = events
+        lengths.record(MODEL, progress)
+
+
+def _draw_lengths(count: int) -> list[int]:
+    """Return lengths of which a twelfth is about five times the others."""
+    rng = random.Random(1)
+    return [
+        rng.randint(50, 150) if number % 12 == 0 else rng.randint(6, 26)
+        for number in range(count)
+    ]
+
+
+def _estimate(
+    lengths: LengthEstimator, done: int, tokens: int = 0
+) -> tuple[float, float]:
+    progress = _make_progress(tokens)
+    progress.text.last_number = done
+    remaining = lengths.estimate(MODEL, progress)
+    return remaining.typical, remaining.conservative
+
+
+@pytest.mark.parametrize('tokens', [0, 1700])
+def test_a_text_longer_than_most_is_a_long_one(tokens: int) -> None:
+    """One of 40 events has no estimate, or one of 20 events.
+
+    It is treated as nearly done, so it stays on a slow sampler although fast
+    slots are free, and its step is late by the two seconds that this costs.
+    """
+    lengths = LengthEstimator()
+    drawn = _draw_lengths(240)
+    _record(lengths, [(events, 85 * events) for events in drawn])
+    longer = [events for events in drawn if events > 40]
+    expected = sum(longer) / len(longer) - 40
+    assert expected > 50
+    typical, conservative = _estimate(lengths, 40, tokens)
+    assert typical == pytest.approx(expected)
+    assert conservative >= typical
+
+
+def test_long_texts_are_assumed_before_any_has_completed() -> None:
+    """Of the first texts after a start, the short ones complete first.
+
+    The texts that are still running are longer than all completed ones. That
+    they are nearly done would be wrong for each of them.
+    """
+    lengths = LengthEstimator()
+    _record(
+        lengths, [(events, 0) for events in _draw_lengths(60) if events < 30]
+    )
+    assert _estimate(lengths, 30)[0] > 25
+
+
+def test_a_text_without_an_estimate_may_be_long_at_the_start() -> None:
+    """No text has completed yet; it must not start after all others."""
+    lengths = LengthEstimator()
+    assert _estimate(lengths, 0)[1] > _estimate(lengths, 0, tokens=1700)[1]
+    assert _estimate(lengths, 0)[1] < _estimate(lengths, 0, tokens=8400)[1]
+
+
+def test_estimates_worse_than_the_usual_length_are_ignored() -> None:
+    """A trainer's estimates are ten times too long for some of its items.
+
+    Used as they are, they would place short texts before the long ones.
+    """
+    lengths = LengthEstimator()
+    texts = [
+        (events, 85 * events * (10 if number % 2 else 1))
+        for number, events in enumerate(_draw_lengths(240))
+    ]
+    _record(lengths, texts)
+    assert not lengths.uses_estimates(MODEL)
+    assert _estimate(lengths, 0, tokens=17000) == _estimate(lengths, 0)
+
+
+def test_estimates_that_are_all_too_long_are_scaled() -> None:
+    """All of them are ten times too long, which the completed texts show."""
+    lengths = LengthEstimator()
+    texts = [(events, 850 * events) for events in _draw_lengths(240)]
+    _record(lengths, texts)
+    assert _estimate(lengths, 0, tokens=17000)[0] == pytest.approx(20)
