Move long texts off slow samplers before short items start

Cause: a text moved only while no item of its model waited. While a step starts some always wait, so the longest texts stayed on slow samplers for the second that matters. A move also named no target: the text was cancelled, and whichever item came first took the faster slot.

Change: the moves are in jobs/_moves.py. A text that would make its step late moves before shorter waiting items of its model, unless the free slots are needed by longer ones. The gain is computed from the expected remaining time, lateness from the conservative one. The slot on the target stays reserved until the run at the former sampler has ended. A sampler that has not been measured is no target for small gains. Moves are counted by reason in guavagate_texts_moved_total, and GG9017 names target, gain and urgency.

--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -11,14 +11,17 @@
 from guavagate.jobs._forecast import Forecast, GroupPlan, forecast
 from guavagate.jobs._lengths import LengthEstimator
 from guavagate.jobs._models import GroupId, JobId
-from guavagate.jobs._runner import ItemRunner
-from guavagate.jobs._schedule import (
-    ItemPlacement,
-    SamplerSlots,
+from guavagate.jobs._moves import (
+    EstimateTime,
+    Move,
+    RemainingTime,
     find_moves,
-    place,
+    find_urgent_moves,
 )
+from guavagate.jobs._runner import ItemRunner
+from guavagate.jobs._schedule import ItemPlacement, SamplerSlots, place
 from guavagate.jobs._slots import (
+    count_reserved_slots,
     find_median_interval,
     list_slots,
     sum_slots_by_model,
@@ -83,26 +86,31 @@
     def dispatch(self, works: Sequence[JobWork], now: float) -> None:
         """Start waiting items; move items off slow or stalled samplers."""
         self._leave_unresponsive(works, now)
-        samplers = self._list_samplers(now)
+        estimate = self._make_estimate()
         planned = self._forecast(works, now)
+        samplers = self._list_samplers(works, now)
+        moves = find_urgent_moves(works, samplers, now, estimate)
         by_id = {work.job.id: work for work in works}
         for placement in place(planned.groups, samplers, self._lengths):
             self._start(by_id[placement.job], placement, now)
-        moves = find_moves(
-            works, self._list_samplers(now), now, self._estimate_seconds
-        )
-        for progress in moves:
-            self._move(progress)
-
-    def _estimate_seconds(self, work: JobWork, progress: ItemProgress) -> float:
-        """Return an item's remaining seconds at median speed; 0 if unknown."""
-        model = work.job.model
-        if not self._lengths.is_known(model):
-            return 0
-        return (
-            self._lengths.estimate(model, progress).conservative
-            * self._find_median_interval()
-        )
+        moves += find_moves(works, samplers, now, estimate)
+        for move in moves:
+            self._move(move)
+
+    def _make_estimate(self) -> EstimateTime:
+        """Return the function that estimates remaining times at this moment."""
+        interval = self._find_median_interval()
+
+        def estimate(work: JobWork, progress: ItemProgress) -> RemainingTime:
+            model = work.job.model
+            if not self._lengths.is_known(model):
+                return RemainingTime()
+            length = self._lengths.estimate(model, progress)
+            return RemainingTime(
+                length.typical * interval, length.conservative * interval
+            )
+
+        return estimate
 
     def _find_median_interval(self) -> float:
         serving = self._upstreams.serving(self._service)
@@ -161,7 +169,11 @@
         self._states.notify()
 
     def _list_samplers(
-        self, now: float, *, include_upcoming: bool = False
+        self,
+        works: Sequence[JobWork],
+        now: float,
+        *,
+        include_upcoming: bool = False,
     ) -> list[SamplerSlots]:
         serving = self._upstreams.serving(self._service)
         return list_slots(
@@ -169,13 +181,16 @@
             self._states,
             self._default_slots(),
             now,
+            count_reserved_slots(works),
             include_upcoming=include_upcoming,
         )
 
     def _forecast(self, works: Sequence[JobWork], now: float) -> Forecast:
         planned = forecast(
             works,
-            sum_slots_by_model(self._list_samplers(now, include_upcoming=True)),
+            sum_slots_by_model(
+                self._list_samplers(works, now, include_upcoming=True)
+            ),
             self._find_median_interval(),
             self._lengths,
             now,
@@ -222,6 +237,7 @@
             return
         progress = work.items[placement.item]
         progress.sampler = upstream.id
+        progress.move_target = None
         progress.started_at = now
         state = self._states.get(upstream.id)
         state.in_flight += 1
@@ -237,14 +253,22 @@
         )
         self._clock.spawn(self._runner.run, work, progress, upstream)
 
-    def _move(self, progress: ItemProgress) -> None:
+    def _move(self, move: Move) -> None:
         """Cancel an item's run, so that it resumes on a faster sampler."""
+        progress = move.progress
         write(
             _LOGGER,
             events.ITEM_MOVED,
             item=progress.item.id,
             sampler=progress.sampler,
+            target=move.target,
             after=progress.text.last_number,
+            gain=round(move.gain, 2),
+            urgent=move.urgent,
+        )
+        self._metrics.count(
+            names.TEXTS_MOVED, reason='urgent' if move.urgent else 'faster'
         )
         progress.moves += 1
+        progress.move_target = move.target
         progress.cancel()
--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/_slots.py
@@ -1,14 +1,19 @@
 """Selects the samplers that can be given items now."""
 
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from types import MappingProxyType
 from typing import Final
 
 from guavagate.jobs._schedule import SamplerSlots
+from guavagate.jobs._work import JobWork
+from guavagate.models import UpstreamId
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerStates
 
 # About the duration of a weight load, and of the first backoff after a failure.
 UPCOMING_SECONDS: Final = 1.0
+_NONE_RESERVED: Final[Mapping[UpstreamId, int]] = MappingProxyType({})
 
 
 def list_slots(
@@ -16,6 +21,7 @@
     states: SamplerStates,
     default_slots: int,
     now: float,
+    reserved: Mapping[UpstreamId, int] = _NONE_RESERVED,
     *,
     include_upcoming: bool = False,
 ) -> list[SamplerSlots]:
@@ -25,6 +31,8 @@
     ----------
     default_slots
         Slots of a sampler that doesn't report how many it has.
+    reserved
+        The slots that are reserved for items that move.
     include_upcoming
         Whether to include samplers that become available within
         `UPCOMING_SECONDS`. A forecast needs them: while a model's samplers
@@ -40,21 +48,34 @@
         if state.loading and not include_upcoming:
             continue
         slots = upstream.slots or default_slots
+        used = state.in_flight + reserved.get(upstream.id, 0)
         listed.append(
             SamplerSlots(
                 id=upstream.id,
                 versions=state.versions,
-                free=max(slots - state.in_flight, 0),
+                free=max(slots - used, 0),
                 slots=slots,
                 relative_interval=state.event_interval / median
                 if median and state.event_interval
                 else 1.0,
+                measured=state.event_interval > 0,
                 models=states.get_models(upstream.id),
             )
         )
     return listed
 
 
+def count_reserved_slots(works: Iterable[JobWork]) -> dict[UpstreamId, int]:
+    """Return the slots that are reserved for items that move, by sampler."""
+    return Counter(
+        progress.move_target
+        for work in works
+        for progress in work.items.values()
+        if progress.move_target is not None
+        and not (progress.done or progress.text.complete)
+    )
+
+
 def find_median_interval(
     serving: Sequence[Upstream], states: SamplerStates
 ) -> float:
--- a/guavagate/jobs/_work.py
+++ b/guavagate/jobs/_work.py
@@ -56,6 +56,8 @@
 class ItemProgress(msgspec.Struct):
     """The progress of an item; `moves` counts its changes of sampler.
 
+    `move_target` is the sampler on which an item resumes that is being moved;
+    its slot there stays reserved until the run at the former sampler has ended.
     `started_at` is None for an item that didn't run here: its result was
     already committed or comes from an earlier job with the same item.
     `reward_task` requests the reward of a complete text, and `reward_failures`
@@ -73,6 +75,7 @@
     started_at: float | None = None
     failures: int = 0
     moves: int = 0
+    move_target: UpstreamId | None = None
     longest_gap: float = 0
     last_event_at: float = 0
     retry_at: float = 0
@@ -128,6 +131,8 @@
         self.pending: list[Result] = []
         self.items = {each.id: ItemProgress(item=each) for each in job.items}
         self._unfinished = _count_items_by_group(job.items)
+        groups = dict.fromkeys(each.group for each in job.items)
+        self._ranks = {group: rank for rank, group in enumerate(groups)}
         self.complete_groups = 0
         for result in log.results:
             self._mark_done(result.id)
@@ -162,6 +167,13 @@
         for item in committed:
             self._mark_done(item)
 
+    def is_wanted(self, group: GroupId) -> bool:
+        """Return whether the trainer waits for a group.
+
+        A trainer lists the groups that it needs most first.
+        """
+        return self._ranks[group] < self.job.target_groups
+
     def count_missing(self, group: GroupId) -> int:
         """Return how many items of a group are unfinished."""
         return self._unfinished[group]
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -120,6 +120,13 @@
     text='Groups of jobs that went behind others as they can not be in time',
     plotted=True,
 )
+TEXTS_MOVED: Final = Metric(
+    name='guavagate_texts_moved_total',
+    kind=MetricKind.COUNTER,
+    text='Texts that moved to a faster sampler; urgent for a step in time',
+    labels=('reason',),
+    plotted=True,
+)
 REWARD_SECONDS: Final = Metric(
     name='guavagate_reward_seconds',
     kind=MetricKind.HISTOGRAM,
--- a/tests/jobs/load_model.py
+++ b/tests/jobs/load_model.py
@@ -23,17 +23,22 @@
     Result,
     ResultState,
 )
+from guavagate.jobs._moves import (
+    RemainingTime,
+    find_moves,
+    find_urgent_moves,
+)
 from guavagate.jobs._result_log import ResultLog
-from guavagate.jobs._schedule import SamplerSlots, find_moves, place
+from guavagate.jobs._schedule import place
+from guavagate.jobs._slots import count_reserved_slots
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.measure.fakes import MemoryStore
-from guavagate.models import ServiceId, UpstreamId, WeightVersion
+from guavagate.models import ServiceId, WeightVersion
 from guavagate.ports.sampler import TextEvent
 from tests.jobs.load_parts import (
     DEADLINE_SECONDS,
     ESTIMATE_SPREAD,
     EVENT_SECONDS,
-    FULL_BATCH_SLOWDOWN,
     IN_TIME_SECONDS,
     IN_TIME_VALUE,
     LATE_VALUE,
@@ -49,6 +54,7 @@
     TrainerProfile,
     plan_forecast,
 )
+from tests.jobs.load_samplers import SimulatedSamplers
 
 TICK_SECONDS: Final = 0.1
 
@@ -77,24 +83,36 @@
         planner: Planner = plan_forecast,
         shared: bool = True,
         estimated_share: float = 1,
+        factors: Sequence[float] = (),
+        known_intervals: bool = True,
+        estimate_errors: Sequence[float] = (1,),
     ) -> None:
         self._random = random.Random(seed)
         self._planner = planner
         self._lengths = LengthEstimator()
         self._clock = PausedClock()
         self._store = MemoryStore(self._clock)
-        self._slots = slots
-        self._slowdowns = slowdowns
         self._trainers = [
             Trainer(f'm{number}', profile)
             for number, profile in enumerate(profiles)
         ]
-        self._interval_factors = [
-            self._random.uniform(0.85, 1.2) for _ in range(samplers)
-        ]
-        self._in_flight = [0] * samplers
-        self._shared = shared
+        drawn = [self._random.uniform(0.85, 1.2) for _ in range(samplers)]
+        names = [each.name for each in self._trainers]
+        self._samplers = SimulatedSamplers(
+            factors or drawn,
+            slots,
+            slowdowns,
+            [
+                frozenset(names if shared else (names[number % len(names)],))
+                for number in range(len(factors) or samplers)
+            ],
+            random.Random(seed),
+            known=known_intervals,
+        )
+        self.moves = 0
         self._estimated_share = estimated_share
+        self._estimate_errors = estimate_errors
+        self._error_random = random.Random(seed)
         self._lengths_by_item: dict[ItemId, float] = {}
         self._generated: dict[ItemId, float] = {}
         self._running: list[tuple[Trainer, Step, ItemProgress, int]] = []
@@ -109,10 +127,12 @@
             for trainer in self._trainers:
                 self._request_step(trainer, now)
             self._generate(now)
+            self._samplers.measure(now, TICK_SECONDS)
             for trainer in self._trainers:
                 self._collect_groups(trainer, now)
             self._start_items(now)
-        return self._summarize(seconds)
+        self.outcome = self._summarize(seconds)
+        return self.outcome
 
     def find_last_late(self) -> float:
         """Return when the last step was requested that was partly late."""
@@ -178,6 +198,7 @@
             estimate = 0
             if self._random.random() < self._estimated_share:
                 spread = self._random.lognormvariate(0, ESTIMATE_SPREAD)
+                spread *= self._error_random.choice(self._estimate_errors)
                 estimate = int(events * TOKENS_PER_EVENT * spread) + 1
             items.append(
                 JobItem(
@@ -191,15 +212,6 @@
             )
         return items
 
-    def _compute_factor(self, sampler: int, now: float) -> float:
-        factor = self._interval_factors[sampler]
-        for slowdown in self._slowdowns:
-            if slowdown.sampler == sampler and (
-                slowdown.since <= now < slowdown.until
-            ):
-                factor *= slowdown.factor
-        return factor
-
     def _generate(self, now: float) -> None:
         running = []
         for entry in self._running:
@@ -208,12 +220,8 @@
             if progress.done or progress.cancelled or step.work.ended:
                 self._release_slot(progress, sampler)
                 continue
-            fill = self._in_flight[sampler] / self._slots
-            factor = self._compute_factor(sampler, now)
-            if factor:
-                seconds = (
-                    EVENT_SECONDS * factor * (1 + FULL_BATCH_SLOWDOWN * fill)
-                )
+            seconds = self._samplers.compute_interval(sampler, now)
+            if seconds:
                 self._generated[item] = (
                     self._generated.get(item, 0) + TICK_SECONDS / seconds
                 )
@@ -228,7 +236,7 @@
         self._running = running
 
     def _release_slot(self, progress: ItemProgress, sampler: int) -> None:
-        self._in_flight[sampler] -= 1
+        self._samplers.in_flight[sampler] -= 1
         progress.sampler = None
         progress.run = None
 
@@ -289,56 +297,38 @@
             for trainer in self._trainers
             for step in trainer.steps
         }
-        samplers = self._list_slots(now)
+        samplers = self._samplers.list_slots(now, count_reserved_slots(works))
         plans = self._planner(works, samplers, self._lengths, now)
+        moves = find_urgent_moves(works, samplers, now, self._estimate_time)
         for placement in place(plans, samplers, self._lengths):
             trainer, step = steps_by_job[placement.job]
             progress = step.work.items[placement.item]
             sampler = int(placement.sampler)
-            self._in_flight[sampler] += 1
+            self._samplers.in_flight[sampler] += 1
             progress.sampler = placement.sampler
+            progress.move_target = None
             progress.started_at = now
             progress.cancelled = False
             progress.run = _Run()
             self._running.append((trainer, step, progress, sampler))
-        samplers = self._list_slots(now)
-        for progress in find_moves(
-            works, samplers, now, self._estimate_seconds
-        ):
-            progress.moves += 1
-            progress.cancelled = True
+        moves += find_moves(works, samplers, now, self._estimate_time)
+        self.moves += len(moves)
+        for move in moves:
+            move.progress.moves += 1
+            move.progress.move_target = move.target
+            move.progress.cancelled = True
 
-    def _estimate_seconds(self, work: JobWork, progress: ItemProgress) -> float:
+    def _estimate_time(
+        self, work: JobWork, progress: ItemProgress
+    ) -> RemainingTime:
         model = work.job.model
         if not self._lengths.is_known(model):
-            return 0
-        return (
-            self._lengths.estimate(model, progress).conservative * EVENT_SECONDS
+            return RemainingTime()
+        length = self._lengths.estimate(model, progress)
+        return RemainingTime(
+            length.typical * EVENT_SECONDS, length.conservative * EVENT_SECONDS
         )
 
-    def _list_slots(self, now: float) -> list[SamplerSlots]:
-        models = frozenset(each.name for each in self._trainers)
-        factors = [
-            self._compute_factor(each, now)
-            for each in range(len(self._interval_factors))
-        ]
-        median = sorted(factors)[len(factors) // 2] or 1
-        return [
-            SamplerSlots(
-                id=UpstreamId(str(number)),
-                versions=dict.fromkeys(models, WeightVersion(0)),
-                free=self._slots - self._in_flight[number],
-                slots=self._slots,
-                relative_interval=(factor or median) / median,
-                models=(
-                    models
-                    if self._shared
-                    else frozenset((f'm{number % len(models)}',))
-                ),
-            )
-            for number, factor in enumerate(factors)
-        ]
-
     def _summarize(self, seconds: float) -> Outcome:
         shares = {}
         requested = 0
--- a/tests/jobs/test_schedule.py
+++ b/tests/jobs/test_schedule.py
@@ -5,13 +5,14 @@
 from guavagate.clock import PausedClock
 from guavagate.jobs._forecast import forecast
 from guavagate.jobs._lengths import LengthEstimator
+from guavagate.jobs._moves import RemainingTime
+from guavagate.jobs._moves import find_moves as find_job_moves
 from guavagate.jobs._result_log import ResultLog
 from guavagate.jobs._schedule import (
     ItemPlacement,
     SamplerSlots,
     count_demands,
 )
-from guavagate.jobs._schedule import find_moves as find_job_moves
 from guavagate.jobs._schedule import place as place_plans
 from guavagate.jobs._slots import sum_slots_by_model
 from guavagate.jobs._work import ItemProgress, JobWork
@@ -59,7 +60,9 @@
     remaining: float = 0,
 ) -> list[ItemProgress]:
     """Find moves; `remaining` is each item's remaining seconds, if known."""
-    return find_job_moves(works, samplers, now, lambda *_: remaining)
+    time = RemainingTime(remaining, remaining)
+    moves = find_job_moves(works, samplers, now, lambda *_: time)
+    return [each.progress for each in moves]
 
 
 def test_only_as_many_items_as_free_slots_start() -> None:
