Count the idle connections of a pool by address

Cause: a job owner places many items at once, and whether there is any idle connection to a sampler does not say for how many of them.

Change: ConnectionPool.count_idle_connections beside has_idle_connection.

Tested: tests/http1/test_pool.py.

--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -231,6 +231,11 @@
         idle = self._idle.get(address)
         return bool(idle and idle[-1].is_fresh(self._clock.now()))
 
+    def count_idle_connections(self, address: str) -> int:
+        """Return how many idle connections to an address are fresh."""
+        now = self._clock.now()
+        return sum(each.is_fresh(now) for each in self._idle.get(address, ()))
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, ()):
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -75,6 +75,26 @@
     assert upstream.requests[0].startswith(b'GET /a%2Fb?c=%20 HTTP/1.1\r\n')
 
 
+def test_idle_connections_are_counted(
+    pool: ConnectionPool, upstream: _Upstream
+) -> None:
+    """Two requests at once leave two; a third one uses one of them.
+
+    The job owner places items where connections are left. If it counted those
+    in use, it would open more at one sampler beside idle ones at another.
+    """
+    upstream.answers = [_OK_ANSWER] * 3
+    request = Request('GET', '/', [(b'Host', b'x')])
+    answers = [pool.send(upstream.address, request, timeout=2) for _ in '12']
+    assert pool.count_idle_connections(upstream.address) == 0
+    for answer in answers:
+        answer.read()
+    assert pool.count_idle_connections(upstream.address) == 2
+    answer = pool.send(upstream.address, request, timeout=2)
+    assert pool.count_idle_connections(upstream.address) == 1
+    answer.close()
+
+
 def test_a_connection_with_surplus_data_is_not_reused(
     pool: ConnectionPool, upstream: _Upstream
 ) -> None:
