Place items by idle connections, and leave fast samplers to long ones

Cause: each slot that was ever in use costs a connection, and a job owner that starts spreads items over all samplers. Short items took slots of the fastest samplers as long ones did.

Change: between samplers that are about equal, one with an idle connection is preferred; each placement uses up one. For an item that is known to be short (less than half of the long quantile left), the event interval counts 0.6 and a connection more. SamplerClient gains count_idle_connections.

--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -182,6 +182,7 @@
             self._default_slots(),
             now,
             count_reserved_slots(works),
+            self._client.count_idle_connections,
             include_upcoming=include_upcoming,
         )
 
--- a/guavagate/jobs/_lengths.py
+++ b/guavagate/jobs/_lengths.py
@@ -36,6 +36,9 @@
 ASSUMED_LONG_RATIOS: Final = (3.0, 4.0, 5.0, 7.0)
 # The remaining share of a text that is longer than all known and assumed ones.
 OUTLIER_RATIO: Final = 0.25
+# A text with less left, relative to the long quantile, is short: it is complete
+# long before the texts that its step waits for.
+SHORT_RATIO: Final = 0.5
 # Assumed until the first texts of a model have completed.
 DEFAULT_EVENTS: Final = 20.0
 DEFAULT_LONG_EVENTS: Final = 50.0
@@ -110,6 +113,12 @@
         """Return the number of completed texts that are remembered."""
         return len(self._texts)
 
+    @property
+    def long(self) -> int:
+        """Return the long quantile of all lengths in events."""
+        self._refresh()
+        return self._ordered[int(len(self._ordered) * LONG_QUANTILE)]
+
     @property
     def uses_estimates(self) -> bool:
         """Return whether estimates predict better than the usual length."""
@@ -210,6 +219,14 @@
         history = self._histories.get(model)
         return history is not None and history.texts >= MIN_TEXTS
 
+    def is_short(self, model: str, progress: ItemProgress) -> bool:
+        """Return whether an item surely isn't one of the long ones."""
+        history = self._histories[model]
+        if history.texts < MIN_TEXTS:
+            return False
+        length = self.estimate(model, progress).conservative
+        return length < SHORT_RATIO * history.long
+
     def uses_estimates(self, model: str) -> bool:
         """Return whether the trainer's estimates of a model are in use."""
         return self._histories[model].uses_estimates
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -19,7 +19,7 @@
 
 from guavagate.jobs._forecast import GroupPlan
 from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._models import ItemId, JobId
+from guavagate.jobs._models import GroupId, ItemId, JobId
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.models import UpstreamId, WeightVersion
 from guavagate.rollouts import ModelDemand
@@ -30,6 +30,13 @@
 # A full batch slows each event by at most this much, also on unfamiliar kinds
 # of samplers.
 FULL_BATCH_COST: Final = 0.2
+# Between samplers that are about equally good, one with an idle connection is
+# preferred. For a short item, a fuller batch matters less than a connection.
+CONNECTED_BONUS: Final = 0.04
+SHORT_CONNECTED_BONUS: Final = 0.2
+# A short item is not on the critical path; the fast samplers are left to the
+# long ones.
+SHORT_SPEED_WEIGHT: Final = 0.6
 # The disadvantage of a sampler whose interval isn't known yet, as it may be a
 # slow one.
 UNMEASURED_COST: Final = 0.1
@@ -48,6 +55,7 @@
     slots: int
     relative_interval: float = 1.0
     measured: bool = True
+    idle_connections: int = 0
     models: frozenset[str] = frozenset()
     groups: set[str] = set()
 
@@ -71,9 +79,11 @@
         moving = progress.move_target is not None
         if not moving and not any(sampler.free for sampler in samplers):
             break
-        sampler = find_sampler(plan.work, progress, samplers)
+        short = lengths.is_short(plan.work.job.model, progress)
+        sampler = find_sampler(plan.work, progress, samplers, short=short)
         if sampler is None:
             continue
+        sampler.idle_connections = max(sampler.idle_connections - 1, 0)
         if sampler.id != progress.move_target:
             sampler.free -= 1
         sampler.groups.add(progress.item.group)
@@ -132,11 +142,16 @@
 
 
 def find_sampler(
-    work: JobWork, progress: ItemProgress, samplers: Sequence[SamplerSlots]
+    work: JobWork,
+    progress: ItemProgress,
+    samplers: Sequence[SamplerSlots],
+    *,
+    short: bool = False,
 ) -> SamplerSlots | None:
     """Return the best sampler with a free slot for an item.
 
-    An item that moves has its slot reserved on the target of the move.
+    An item that moves has its slot reserved on the target of the move. The
+    event interval matters less for an item that is known to be `short`.
     """
     model = work.job.model
     min_version = work.job.min_version
@@ -153,12 +168,22 @@
         if sampler.id == progress.move_target:
             return sampler
     group = progress.item.group
-
-    def compute_cost(sampler: SamplerSlots) -> float:
-        fill = 1 - (sampler.free - 1) / sampler.slots
-        bonus = SAME_GROUP_BONUS if group in sampler.groups else 0
-        if not sampler.measured:
-            bonus -= UNMEASURED_COST
-        return sampler.relative_interval * (1 + FULL_BATCH_COST * fill) - bonus
-
-    return min(eligible, key=compute_cost)
+    return min(
+        eligible,
+        key=lambda sampler: _compute_cost(sampler, group, short=short),
+    )
+
+
+def _compute_cost(
+    sampler: SamplerSlots, group: GroupId, *, short: bool
+) -> float:
+    fill = 1 - (sampler.free - 1) / sampler.slots
+    bonus = SAME_GROUP_BONUS if group in sampler.groups else 0
+    if sampler.idle_connections:
+        bonus += SHORT_CONNECTED_BONUS if short else CONNECTED_BONUS
+    if not sampler.measured:
+        bonus -= UNMEASURED_COST
+    if short:
+        interval = SHORT_SPEED_WEIGHT * sampler.relative_interval
+        return interval + FULL_BATCH_COST * fill - bonus
+    return sampler.relative_interval * (1 + FULL_BATCH_COST * fill) - bonus
--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/_slots.py
@@ -1,7 +1,7 @@
 """Selects the samplers that can be given items now."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from types import MappingProxyType
 from typing import Final
 
@@ -22,6 +22,7 @@
     default_slots: int,
     now: float,
     reserved: Mapping[UpstreamId, int] = _NONE_RESERVED,
+    count_idle: Callable[[Upstream], int] | None = None,
     *,
     include_upcoming: bool = False,
 ) -> list[SamplerSlots]:
@@ -33,6 +34,8 @@
         Slots of a sampler that doesn't report how many it has.
     reserved
         The slots that are reserved for items that move.
+    count_idle
+        Returns the idle connections to a sampler.
     include_upcoming
         Whether to include samplers that become available within
         `UPCOMING_SECONDS`. A forecast needs them: while a model's samplers
@@ -58,6 +61,7 @@
                 relative_interval=state.event_interval / median
                 if median and state.event_interval
                 else 1.0,
+                idle_connections=count_idle(upstream) if count_idle else 0,
                 measured=state.event_interval > 0,
                 models=states.get_models(upstream.id),
             )
--- a/guavagate/platform/_samplers.py
+++ b/guavagate/platform/_samplers.py
@@ -124,6 +124,10 @@
             )
         return answer.status == _OK
 
+    def count_idle_connections(self, upstream: Upstream) -> int:
+        """Return how many items could start without a new connection."""
+        return self._pool.count_idle_connections(upstream.address)
+
 
 def _raise_unless_stream(item: str, upstream: Upstream, answer: Answer) -> None:
     """Raise an error unless the answer is the stream of this item."""
--- a/guavagate/ports/sampler.py
+++ b/guavagate/ports/sampler.py
@@ -93,3 +93,6 @@
 
     def order(self, upstream: Upstream, order: VersionOrder) -> bool:
         """Order a version; return whether the sampler already had it."""
+
+    def count_idle_connections(self, upstream: Upstream) -> int:
+        """Return how many items could start without a new connection."""
--- a/tests/jobs/load_model.py
+++ b/tests/jobs/load_model.py
@@ -98,7 +98,7 @@
         ]
         drawn = [self._random.uniform(0.85, 1.2) for _ in range(samplers)]
         names = [each.name for each in self._trainers]
-        self._samplers = SimulatedSamplers(
+        self.samplers = SimulatedSamplers(
             factors or drawn,
             slots,
             slowdowns,
@@ -127,7 +127,7 @@
             for trainer in self._trainers:
                 self._request_step(trainer, now)
             self._generate(now)
-            self._samplers.measure(now, TICK_SECONDS)
+            self.samplers.measure(now, TICK_SECONDS)
             for trainer in self._trainers:
                 self._collect_groups(trainer, now)
             self._start_items(now)
@@ -218,9 +218,9 @@
             _, step, progress, sampler = entry
             item = progress.item.id
             if progress.done or progress.cancelled or step.work.ended:
-                self._release_slot(progress, sampler)
+                self._release_slot(progress, sampler, now, cut=True)
                 continue
-            seconds = self._samplers.compute_interval(sampler, now)
+            seconds = self.samplers.compute_interval(sampler, now)
             if seconds:
                 self._generated[item] = (
                     self._generated.get(item, 0) + TICK_SECONDS / seconds
@@ -230,13 +230,15 @@
             if self._generated.get(item, 0) >= self._lengths_by_item[item]:
                 self._lengths.record(step.work.job.model, progress)
                 self._finish(step.work, progress)
-                self._release_slot(progress, sampler)
+                self._release_slot(progress, sampler, now, cut=False)
                 continue
             running.append(entry)
         self._running = running
 
-    def _release_slot(self, progress: ItemProgress, sampler: int) -> None:
-        self._samplers.in_flight[sampler] -= 1
+    def _release_slot(
+        self, progress: ItemProgress, sampler: int, now: float, *, cut: bool
+    ) -> None:
+        self.samplers.release(sampler, now, cut=cut)
         progress.sampler = None
         progress.run = None
 
@@ -297,14 +299,14 @@
             for trainer in self._trainers
             for step in trainer.steps
         }
-        samplers = self._samplers.list_slots(now, count_reserved_slots(works))
+        samplers = self.samplers.list_slots(now, count_reserved_slots(works))
         plans = self._planner(works, samplers, self._lengths, now)
         moves = find_urgent_moves(works, samplers, now, self._estimate_time)
         for placement in place(plans, samplers, self._lengths):
             trainer, step = steps_by_job[placement.job]
             progress = step.work.items[placement.item]
             sampler = int(placement.sampler)
-            self._samplers.in_flight[sampler] += 1
+            self.samplers.start(sampler, now)
             progress.sampler = placement.sampler
             progress.move_target = None
             progress.started_at = now
--- a/tests/jobs/load_samplers.py
+++ b/tests/jobs/load_samplers.py
@@ -17,6 +17,9 @@
 # The standard deviation of a measured interval.
 MEASURING_NOISE: Final = 0.03
 
+# An idle connection is not used after this time.
+IDLE_SECONDS: Final = 9.0
+
 
 class SimulatedSamplers:
     """Samplers with factors of the usual event interval.
@@ -39,6 +42,9 @@
         known: bool = True,
     ) -> None:
         self.in_flight = [0] * len(factors)
+        self.connections = 0
+        # When each idle connection became idle, by sampler.
+        self._idle: list[list[float]] = [[] for _ in factors]
         self._factors = factors
         self._slots = slots
         self._slowdowns = slowdowns
@@ -48,6 +54,26 @@
         self._streamed = [float(0)] * len(factors)
         self._measured: dict[int, float] = {}
 
+    def start(self, sampler: int, now: float) -> None:
+        """Start a text, on an idle connection if there is one."""
+        self.in_flight[sampler] += 1
+        if self.count_idle(sampler, now):
+            self._idle[sampler].pop()
+        else:
+            self.connections += 1
+
+    def release(self, sampler: int, now: float, *, cut: bool) -> None:
+        """End a text; one that is cut off takes its connection along."""
+        self.in_flight[sampler] -= 1
+        if not cut:
+            self._idle[sampler].append(now)
+
+    def count_idle(self, sampler: int, now: float) -> int:
+        """Return the idle connections to a sampler."""
+        since = now - IDLE_SECONDS
+        self._idle[sampler] = [at for at in self._idle[sampler] if at > since]
+        return len(self._idle[sampler])
+
     def compute_interval(self, sampler: int, now: float) -> float:
         """Return the seconds per event; 0 if a sampler has stopped."""
         fill = self.in_flight[sampler] / self._slots
@@ -102,6 +128,7 @@
                     relative_interval=(intervals.get(number) or median)
                     / median,
                     measured=number in intervals,
+                    idle_connections=self.count_idle(number, now),
                     models=models,
                 )
             )
--- a/tests/jobs/samplers.py
+++ b/tests/jobs/samplers.py
@@ -77,11 +77,11 @@
 class FakeSamplers:
     """Implements `ports.sampler.SamplerClient`.
 
-    `event_seconds` is the event interval by sampler. A `stalled` sampler sends
-    no more events, a `down` one refuses connections, and `skipped` lists events
-    that a sampler leaves out. The first `lost_orders` orders get no response.
-    The items in `crashing` crash the samplers that run them, with all other
-    runs there.
+    `event_seconds` is the event interval by sampler, and `idle` its number of
+    idle connections. A `stalled` sampler sends no more events, a `down` one
+    refuses connections, and `skipped` lists events that a sampler leaves out.
+    The first `lost_orders` orders get no response. The items in `crashing`
+    crash the samplers that run them, with all other runs there.
     """
 
     def __init__(self, clock: Clock, length: int = 5) -> None:
@@ -97,6 +97,7 @@
         self.incarnation: dict[str, int] = {}
         self.stalled: set[str] = set()
         self.reports: Counter[str] = Counter()
+        self.idle: Counter[str] = Counter()
         self.generated: Counter[str] = Counter()
         self.started: list[tuple[str, str, int]] = []
         self.requests: list[ItemRequest] = []
@@ -148,3 +149,7 @@
         self.orders_taken[upstream.id] += 1
         self.versions[upstream.id] = order.version
         return False
+
+    def count_idle_connections(self, upstream: Upstream) -> int:
+        """Return the idle connections to a sampler."""
+        return self.idle[upstream.id]
