Decode the token counts of an item

Cause: nothing read what an item's headers say about its prompt, the most that it generates, and the parts of its prompt that other items share, so an engine's memory could not be taken into account.

Change: JobItem gains prompt_tokens, max_output_tokens and prompt_prefixes, which are decoded once, with defaults for records of earlier releases. Invalid counts are left out one by one. A length estimate such as a superscript digit or one of thousands of digits counted as a number and failed the submission with a ValueError; it is left out too.

--- a/guavagate/jobs/__init__.py
+++ b/guavagate/jobs/__init__.py
@@ -8,6 +8,7 @@
     JobId,
     JobItem,
     Page,
+    PromptPrefix,
     Result,
     ResultState,
 )
@@ -31,6 +32,7 @@
     'JobConflictError',
     'Ownership',
     'Page',
+    'PromptPrefix',
     'Result',
     'ResultState',
     'TextReplicas',
--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -26,9 +26,18 @@
     ERRORED = 'errored'
 
 
+class PromptPrefix(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a prompt that other items with the same id of it share."""
+
+    id: str
+    tokens: int
+
+
 class JobItem(msgspec.Struct, frozen=True, kw_only=True):
     """One item: a request to run, and the group that it belongs to.
 
+    `prompt_tokens` and `max_output_tokens` are 0 if the trainer sent none, and
+    in records of earlier releases; `prompt_prefixes` are parts of the prompt.
     `reward` is sent once the text is complete; the signature in the answer
     becomes the signature of the result.
     """
@@ -39,6 +48,9 @@
     body: bytes
     tokens: int = 0
     expected_tokens: int = 0
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    prompt_prefixes: tuple[PromptPrefix, ...] = ()
     group: GroupId
     reward: RewardRequest | None = None
 
--- a/guavagate/platform/_jobs.py
+++ b/guavagate/platform/_jobs.py
@@ -8,7 +8,16 @@
 import msgspec
 import xxhash
 
-from guavagate.jobs import GroupId, ItemId, Job, JobId, JobItem, Page, Result
+from guavagate.jobs import (
+    GroupId,
+    ItemId,
+    Job,
+    JobId,
+    JobItem,
+    Page,
+    PromptPrefix,
+    Result,
+)
 from guavagate.models import ServiceId, TeamId, WeightVersion
 from guavagate.platform import const
 from guavagate.ports.configuration import Route
@@ -47,6 +56,8 @@
 
 _NO_TEAM: Final = TeamId('')
 _MAX_ID: Final = 200
+# Longer numbers are no counts of tokens.
+_MAX_DIGITS: Final = 9
 _MAX_REWARD_BYTES: Final = 1_000_000
 
 
@@ -125,13 +136,20 @@
 
 def _to_item(item: _Item) -> JobItem:
     body = _decode_body(item.body, f'item {item.id}')
+    counts = _read_numbers(_read_header(item.headers, const.TOKEN_COUNT))
+    hint = _read_header(item.headers, const.LENGTH_HINT)
     return JobItem(
         id=ItemId(item.id),
         path=item.path,
         headers=item.headers,
         body=body,
         tokens=item.tokens,
-        expected_tokens=_read_length_hint(item.headers),
+        expected_tokens=_read_numbers(hint)[0],
+        prompt_tokens=counts[0],
+        max_output_tokens=counts[1] if len(counts) > 1 else 0,
+        prompt_prefixes=_read_prefixes(
+            _read_header(item.headers, const.PROMPT_PREFIX)
+        ),
         group=GroupId(item.group_id or item.id),
         reward=None if item.scorer is None else _to_reward(item.scorer),
     )
@@ -171,8 +189,29 @@
         raise BadJobError(f'{label}: its body is no base64') from error
 
 
-def _read_length_hint(headers: dict[str, Any]) -> int:
-    for name, value in headers.items():
-        if name.lower() == const.LENGTH_HINT and value.strip().isdigit():
-            return int(value)
-    return 0
+def _read_header(headers: dict[str, str], name: str) -> str:
+    """Return the value of a header in any case; empty if it is missing."""
+    for key, value in headers.items():
+        if key.lower() == name:
+            return value
+    return ''
+
+
+def _read_numbers(text: str) -> list[int]:
+    """Return numbers separated by commas; 0 in place of an invalid one."""
+    numbers = (each.strip() for each in text.split(','))
+    return [
+        int(each) if each.isdecimal() and len(each) <= _MAX_DIGITS else 0
+        for each in numbers
+    ]
+
+
+def _read_prefixes(text: str) -> tuple[PromptPrefix, ...]:
+    """Return the valid `ID:TOKENS` of a list, each id once."""
+    prefixes: dict[str, PromptPrefix] = {}
+    for each in text.split(','):
+        name, _, tokens = each.strip().rpartition(':')
+        count = _read_numbers(tokens)[0]
+        if name and count:
+            prefixes.setdefault(name, PromptPrefix(name, count))
+    return tuple(prefixes.values())
