Place texts only where an engine's memory holds them

Cause: an engine holds the prompt and all events of each running text. When it is full it preempts its newest texts, and nothing here knew of it.

Change: jobs/_memory.py reserves memory for each text by sampler. A text counts at ten moments ahead by the probability that it is still running, with the events that it has by then; it is placed or moved only where the sum fits at each. A prompt that a group shares counts once per sampler. A sampler without texts accepts any item, so none stays empty and a text larger than all memory runs alone. One sampler of each model is drained for the first item that finds a slot and no memory. Until lengths are known, a text reserves its slot's share at most. Tokens per event are learnt from estimates, within 42 and 105. GG9030 to GG9032 and two metrics show it. A limit on the output bounds the remaining length.

First try, not kept: each text counted with its whole expected length.

--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -98,6 +98,23 @@
     'Partial texts cannot be saved to disk; work continues without them',
     'check the free space and the permissions of the data folder',
 )
+MEMORY_FULL: Final = Event(
+    9030,
+    logging.INFO,
+    'An item waits, as no sampler has engine memory for its expected length',
+    'if this lasts, add samplers or compare the configured memory with theirs',
+)
+TEXT_ALONE: Final = Event(
+    9031,
+    logging.INFO,
+    "A text larger than an engine's whole memory starts on an empty sampler",
+)
+ESTIMATES_JUDGED: Final = Event(
+    9032,
+    logging.INFO,
+    "A model's length estimates are used again, or worse than the usual length",
+    'if `useful` stays false, check what the trainer sends as estimates',
+)
 COORDINATOR_STARTED: Final = Event(
     9100, logging.INFO, 'This instance coordinates the samplers of a service'
 )
--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -10,7 +10,12 @@
 from guavagate.exceptions import UpstreamError
 from guavagate.jobs._forecast import Forecast, GroupPlan, forecast
 from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._models import GroupId, JobId
+from guavagate.jobs._memory import (
+    EngineMemory,
+    make_memory_estimate,
+    reserve_running,
+)
+from guavagate.jobs._models import GroupId, ItemId, JobId
 from guavagate.jobs._moves import (
     EstimateTime,
     Move,
@@ -19,17 +24,23 @@
     find_urgent_moves,
 )
 from guavagate.jobs._runner import ItemRunner
-from guavagate.jobs._schedule import ItemPlacement, SamplerSlots, place
+from guavagate.jobs._schedule import (
+    ItemPlacement,
+    Placements,
+    SamplerSlots,
+    place,
+)
 from guavagate.jobs._slots import (
     count_reserved_slots,
     find_median_interval,
+    get_no_memory,
     list_slots,
     sum_slots_by_model,
 )
 from guavagate.jobs._stalls import find_unresponsive
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.metrics import Metrics, names
-from guavagate.models import ServiceId
+from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.sampler import SamplerClient
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerState, SamplerStates
@@ -53,6 +64,8 @@
     ----------
     default_slots
         Returns the slots of a sampler that doesn't report how many it has.
+    cache_tokens
+        Returns the tokens that a sampler's engine holds; 0 if unknown.
     """
 
     def __init__(
@@ -65,6 +78,7 @@
         runner: ItemRunner,
         default_slots: Callable[[], int],
         metrics: Metrics,
+        cache_tokens: Callable[[], int] = int,
     ) -> None:
         self._service = service
         self._clock = clock
@@ -74,6 +88,9 @@
         self._runner = runner
         self._default_slots = default_slots
         self._metrics = metrics
+        self._cache_tokens = cache_tokens
+        self._without_memory: set[ItemId] = set()
+        self._ignored_estimates: set[str] = set()
         self._lengths = LengthEstimator()
         self._deferred: set[tuple[JobId, GroupId]] = set()
         self._scanned_at = clock.now()
@@ -81,21 +98,33 @@
 
     def record_text(self, work: JobWork, progress: ItemProgress) -> None:
         """Record a complete text, to estimate the lengths of others."""
-        self._lengths.record(work.job.model, progress)
+        model = work.job.model
+        self._lengths.record(model, progress)
+        useful = self._lengths.uses_estimates(model)
+        if useful is (model in self._ignored_estimates):
+            self._ignored_estimates ^= {model}
+            write(_LOGGER, events.ESTIMATES_JUDGED, model=model, useful=useful)
 
     def dispatch(self, works: Sequence[JobWork], now: float) -> None:
         """Start waiting items; move items off slow or stalled samplers."""
         self._leave_unresponsive(works, now)
         estimate = self._make_estimate()
         planned = self._forecast(works, now)
-        samplers = self._list_samplers(works, now)
-        moves = find_urgent_moves(works, samplers, now, estimate)
+        slots, capacity = self._default_slots(), self._cache_tokens()
+        memory = make_memory_estimate(self._lengths, capacity, slots)
+        samplers = self._list_samplers(
+            works, now, get_memory=reserve_running(works, capacity, memory)
+        )
+        moves = find_urgent_moves(works, samplers, now, estimate, memory)
         by_id = {work.job.id: work for work in works}
-        for placement in place(planned.groups, samplers, self._lengths):
+        placements = place(planned.groups, samplers, self._lengths, memory)
+        for placement in placements.started:
             self._start(by_id[placement.job], placement, now)
-        moves += find_moves(works, samplers, now, estimate)
+        moves += find_moves(works, samplers, now, estimate, memory)
         for move in moves:
             self._move(move)
+        if capacity:
+            self._report_memory(samplers, placements)
 
     def _make_estimate(self) -> EstimateTime:
         """Return the function that estimates remaining times at this moment."""
@@ -174,6 +203,7 @@
         now: float,
         *,
         include_upcoming: bool = False,
+        get_memory: Callable[[UpstreamId], EngineMemory] | None = None,
     ) -> list[SamplerSlots]:
         serving = self._upstreams.serving(self._service)
         return list_slots(
@@ -183,6 +213,7 @@
             now,
             count_reserved_slots(works),
             self._client.count_idle_connections,
+            get_memory or get_no_memory,
             include_upcoming=include_upcoming,
         )
 
@@ -230,6 +261,27 @@
             backlog=round(planned.backlogs.get(job.model, 0), 2),
         )
 
+    def _report_memory(
+        self, samplers: Sequence[SamplerSlots], placements: Placements
+    ) -> None:
+        """Log and count an item once, however often it finds no memory."""
+        shares = [each.memory.reserved_share for each in samplers]
+        self._metrics.set_gauge(
+            names.ENGINE_MEMORY_RESERVED, sum(shares) / max(len(shares), 1)
+        )
+        for progress in placements.alone:
+            write(_LOGGER, events.TEXT_ALONE, item=progress.item.id)
+        waiting = {each.item.id for each in placements.without_memory}
+        for item in waiting - self._without_memory:
+            self._metrics.count(names.ITEMS_WITHOUT_MEMORY)
+            write(
+                _LOGGER,
+                events.MEMORY_FULL,
+                item=item,
+                reserved=round(max(shares), 2),
+            )
+        self._without_memory = waiting
+
     def _start(
         self, work: JobWork, placement: ItemPlacement, now: float
     ) -> None:
--- a/guavagate/jobs/_lengths.py
+++ b/guavagate/jobs/_lengths.py
@@ -59,6 +59,11 @@
 
 
 _UNKNOWN: Final = RemainingLength(DEFAULT_EVENTS, DEFAULT_LONG_EVENTS)
+_UNKNOWN_LENGTHS: Final = (10, 15, 20, 25, 80)
+# How many events ahead the memory of texts is forecast.
+HORIZONS: Final = (0, 8, 16, 24, 32, 48, 64, 96, 128, 192)
+# The probabilities that a text is longer by each of `HORIZONS`.
+Survival = tuple[float, ...]
 
 
 class _EstimatedTexts:
@@ -95,6 +100,30 @@
         weight = self._tokens[-1] - self._tokens[shorter]
         return tokens * events / weight
 
+    def survive(self, tokens: int, done: int) -> Survival | None:
+        """Return the survival of a text with an estimate.
+
+        None if too few texts have outlived their estimates by as much.
+        """
+        if not self._ratios:
+            length = max(tokens / DEFAULT_TOKENS_PER_EVENT, done + 1)
+            return _count_survivors((length,), done)
+        shorter = bisect_right(self._ratios, done / tokens)
+        if done and len(self._ratios) - shorter < MIN_LONGER_TEXTS:
+            return None
+        total = self._tokens[-1]
+        weight = total - self._tokens[shorter]
+        return tuple(
+            (
+                total
+                - self._tokens[
+                    bisect_right(self._ratios, (done + ahead) / tokens)
+                ]
+            )
+            / weight
+            for ahead in HORIZONS
+        )
+
 
 class _LengthHistory:
     """The lengths of the last completed texts of one model."""
@@ -105,6 +134,7 @@
         self._ordered: list[int] = []
         self._estimated = _EstimatedTexts(())
         self._residuals: dict[int, RemainingLength] = {}
+        self._survivals: dict[tuple[int, int], Survival] = {}
         self._outdated = False
         self._uses_estimates = True
 
@@ -132,6 +162,17 @@
         ratio = self._estimated.median_ratio
         return 1 / ratio if ratio else DEFAULT_TOKENS_PER_EVENT
 
+    def convert_limit(self, tokens: int) -> float:
+        """Return a limit in events; 0 while events per token are unknown.
+
+        Estimates that are all too high must not make a limit too low.
+        """
+        self._refresh()
+        ratio = self._estimated.median_ratio
+        if not ratio:
+            return 0
+        return tokens * max(ratio, 1 / DEFAULT_TOKENS_PER_EVENT)
+
     def record(self, events: int, tokens: int) -> None:
         """Add a completed text; drop the oldest one if the history is full."""
         self._texts.append((events, tokens))
@@ -156,6 +197,22 @@
             self._residuals[done] = found
         return found
 
+    def survive(self, done: int, tokens: int) -> Survival:
+        """Return the probabilities that a text is longer by each horizon."""
+        self._refresh()
+        if tokens and not self._uses_estimates:
+            tokens = 0
+        found = self._survivals.get((done, tokens))
+        if found is None:
+            if tokens:
+                found = self._estimated.survive(tokens, done)
+            if found is None:
+                longest = done * (1 + OUTLIER_RATIO)
+                lengths = self._list_longer(done) or (longest,)
+                found = _count_survivors(lengths, done)
+            self._survivals[done, tokens] = found
+        return found
+
     def _refresh(self) -> None:
         """Sort the texts once after several of them have been recorded."""
         if not self._outdated:
@@ -163,6 +220,7 @@
         self._outdated = False
         self._ordered = sorted(events for events, _ in self._texts)
         self._residuals = {}
+        self._survivals = {}
         estimated = [each for each in self._texts if all(each)]
         self._estimated = _EstimatedTexts(estimated)
         self._uses_estimates = self._are_useful(estimated)
@@ -173,14 +231,7 @@
         If a text without an estimate were assumed to be long, each group would
         seem late from its start.
         """
-        shorter = bisect_right(self._ordered, done)
-        longer: Sequence[float] = self._ordered[shorter:]
-        if len(longer) < MIN_LONGER_TEXTS:
-            median = self._ordered[len(self._ordered) // 2]
-            assumed = (ratio * median for ratio in ASSUMED_LONG_RATIOS)
-            longer = sorted(
-                (*longer, *(each for each in assumed if each > done))
-            )
+        longer = self._list_longer(done)
         if not longer:
             remaining = max(done * OUTLIER_RATIO, 1)
             return RemainingLength(remaining, remaining)
@@ -188,6 +239,20 @@
         long = longer[int(len(longer) * LONG_QUANTILE)] - done
         return RemainingLength(typical, max(long / 2, typical))
 
+    def _list_longer(self, done: int) -> Sequence[float]:
+        """Return the lengths above what is done, known or assumed."""
+        ordered = self._ordered
+        longer = ordered[bisect_right(ordered, done) :]
+        if len(longer) >= MIN_LONGER_TEXTS:
+            return longer
+        median = ordered[len(ordered) // 2] if ordered else 0
+        assumed = (
+            [ratio * median for ratio in ASSUMED_LONG_RATIOS]
+            if ordered
+            else _UNKNOWN_LENGTHS
+        )
+        return sorted((*longer, *(each for each in assumed if each > done)))
+
     def _are_useful(self, texts: Sequence[tuple[int, int]]) -> bool:
         """Return whether estimates predict better than the median length."""
         if len(texts) < MIN_ESTIMATED_TEXTS:
@@ -231,15 +296,33 @@
         """Return whether the trainer's estimates of a model are in use."""
         return self._histories[model].uses_estimates
 
+    def survive(self, model: str, progress: ItemProgress) -> Survival:
+        """Return the probabilities that an item is longer by each horizon."""
+        return self._histories[model].survive(
+            progress.text.last_number, progress.item.expected_tokens
+        )
+
     def get_tokens_per_event(self, model: str) -> float:
         """Return the tokens per event that the estimates amount to."""
         return self._histories[model].tokens_per_event
 
     def estimate(self, model: str, progress: ItemProgress) -> RemainingLength:
         """Return the remaining length of an item; at least one event."""
-        return self._histories[model].estimate(
-            progress.text.last_number, progress.item.expected_tokens
-        )
+        history, item = self._histories[model], progress.item
+        done = progress.text.last_number
+        length = history.estimate(done, item.expected_tokens)
+        limit = history.convert_limit(item.max_output_tokens) - done
+        if 0 < limit < length.conservative:
+            return RemainingLength(min(length.typical, limit), limit)
+        return length
+
+
+def _count_survivors(lengths: Sequence[float], done: int) -> Survival:
+    """Return the share of lengths, in order, above each horizon."""
+    return tuple(
+        1 - bisect_right(lengths, done + ahead) / len(lengths)
+        for ahead in HORIZONS
+    )
 
 
 def _sum_up(values: Sequence[float]) -> list[float]:
--- a/guavagate/jobs/_moves.py
+++ b/guavagate/jobs/_moves.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from guavagate.jobs._memory import EstimateMemory, estimate_no_memory
 from guavagate.jobs._schedule import (
     UNMEASURED_COST,
     SamplerSlots,
@@ -83,11 +84,12 @@
     samplers: Sequence[SamplerSlots],
     now: float,
     estimate: EstimateTime,
+    estimate_memory: EstimateMemory = estimate_no_memory,
 ) -> list[Move]:
     """Return the moves that come before the start of waiting items.
 
-    Reserves their slots in `samplers`. Only texts that would make their steps
-    late move, and only if fewer slots are needed by longer waiting items.
+    Reserves their slots and memory in `samplers`. Only texts that would make
+    their steps late move, and only if longer waiting items leave a slot free.
     """
     demands = count_demands(works, now)
     crowded = {each for each, demand in demands.items() if demand.waiting}
@@ -104,7 +106,7 @@
         free = [sampler.free for sampler in samplers]
         if len(longer) >= sum(free):
             continue
-        move = _make_move(candidate, samplers, now)
+        move = _make_move(candidate, samplers, now, estimate_memory)
         if move is not None:
             moves.append(move)
     return moves
@@ -115,13 +117,14 @@
     samplers: Sequence[SamplerSlots],
     now: float,
     estimate: EstimateTime,
+    estimate_memory: EstimateMemory = estimate_no_memory,
 ) -> list[Move]:
     """Return the moves of texts whose models have no waiting items."""
     demands = count_demands(works, now)
     models = {each for each, demand in demands.items() if not demand.waiting}
     moves = []
     for candidate in _list_candidates(works, samplers, estimate, models):
-        move = _make_move(candidate, samplers, now)
+        move = _make_move(candidate, samplers, now, estimate_memory)
         if move is not None:
             moves.append(move)
     return moves
@@ -188,17 +191,21 @@
 
 
 def _make_move(
-    candidate: _Candidate, samplers: Sequence[SamplerSlots], now: float
+    candidate: _Candidate,
+    samplers: Sequence[SamplerSlots],
+    now: float,
+    estimate_memory: EstimateMemory,
 ) -> Move | None:
     """Return a text's move, if any, and reserve its slot."""
     progress, current = candidate.progress, candidate.current
-    target = find_sampler(candidate.work, progress, samplers)
+    memory = estimate_memory(candidate.work, progress)
+    target = find_sampler(candidate.work, progress, samplers, memory)
     urgent = candidate.is_urgent(now)
     if target is None or not _is_move_worthwhile(
         progress, current, target, candidate.remaining, now, urgent=urgent
     ):
         return None
-    target.free -= 1
+    target.reserve(progress.item, memory)
     saved = current.relative_interval - _expect_interval(target)
     gain = candidate.remaining.typical * saved
     return Move(progress, target.id, gain, urgent)
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -19,7 +19,13 @@
 
 from guavagate.jobs._forecast import GroupPlan
 from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._models import GroupId, ItemId, JobId
+from guavagate.jobs._memory import (
+    EngineMemory,
+    EstimateMemory,
+    TextMemory,
+    estimate_no_memory,
+)
+from guavagate.jobs._models import GroupId, ItemId, JobId, JobItem
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.models import UpstreamId, WeightVersion
 from guavagate.rollouts import ModelDemand
@@ -40,6 +46,7 @@
 # The disadvantage of a sampler whose interval isn't known yet, as it may be a
 # slow one.
 UNMEASURED_COST: Final = 0.1
+_NO_MEMORY: Final = TextMemory()
 
 
 class SamplerSlots(msgspec.Struct, kw_only=True):
@@ -58,6 +65,14 @@
     idle_connections: int = 0
     models: frozenset[str] = frozenset()
     groups: set[str] = set()
+    memory: EngineMemory = msgspec.field(default_factory=EngineMemory)
+
+    def reserve(self, item: JobItem, memory: TextMemory) -> None:
+        """Reserve a slot, and memory, for an item."""
+        self.free -= 1
+        self.idle_connections = max(self.idle_connections - 1, 0)
+        self.groups.add(item.group)
+        self.memory.reserve(memory)
 
 
 class ItemPlacement(msgspec.Struct, frozen=True):
@@ -68,28 +83,60 @@
     sampler: UpstreamId
 
 
+class Placements(msgspec.Struct):
+    """The items to start, and those for which no sampler has memory.
+
+    The items `alone` are larger than the whole memory of their samplers.
+    """
+
+    started: list[ItemPlacement] = []
+    without_memory: list[ItemProgress] = []
+    alone: list[ItemProgress] = []
+
+
 def place(
     plans: Sequence[GroupPlan],
     samplers: Sequence[SamplerSlots],
     lengths: LengthEstimator,
-) -> list[ItemPlacement]:
-    """Return the items to start now; reserve their slots in `samplers`."""
-    placements: list[ItemPlacement] = []
+    estimate_memory: EstimateMemory = estimate_no_memory,
+) -> Placements:
+    """Return the items to start now; reserve their slots in `samplers`.
+
+    Where an item has a free slot but no memory, smaller items would take each
+    bit that becomes free. So the sampler with the least memory in use is left
+    to the first such item of each model.
+    """
+    placements = Placements()
+    drained: set[str] = set()
     for plan, progress in order_items(plans, lengths):
         moving = progress.move_target is not None
         if not moving and not any(sampler.free for sampler in samplers):
             break
-        short = lengths.is_short(plan.work.job.model, progress)
-        sampler = find_sampler(plan.work, progress, samplers, short=short)
-        if sampler is None:
-            continue
-        sampler.idle_connections = max(sampler.idle_connections - 1, 0)
-        if sampler.id != progress.move_target:
-            sampler.free -= 1
-        sampler.groups.add(progress.item.group)
-        placements.append(
-            ItemPlacement(plan.work.job.id, progress.item.id, sampler.id)
+        model = plan.work.job.model
+        memory = estimate_memory(plan.work, progress)
+        sampler = find_sampler(
+            plan.work,
+            progress,
+            samplers,
+            memory,
+            short=lengths.is_short(model, progress),
         )
+        if sampler is not None:
+            if sampler.memory.is_too_small_for(memory):
+                placements.alone.append(progress)
+            if sampler.id != progress.move_target:
+                sampler.reserve(progress.item, memory)
+            placements.started.append(
+                ItemPlacement(plan.work.job.id, progress.item.id, sampler.id)
+            )
+            continue
+        usable = _list_usable(plan.work, progress, samplers)
+        if not usable:
+            continue
+        placements.without_memory.append(progress)
+        if model not in drained and plan.wanted and not plan.deferred:
+            drained.add(model)
+            min(usable, key=lambda each: each.memory.reserved_share).free = 0
     return placements
 
 
@@ -145,39 +192,48 @@
     work: JobWork,
     progress: ItemProgress,
     samplers: Sequence[SamplerSlots],
+    memory: TextMemory = _NO_MEMORY,
     *,
     short: bool = False,
 ) -> SamplerSlots | None:
-    """Return the best sampler with a free slot for an item.
+    """Return the best sampler with a free slot and memory for an item.
 
     An item that moves has its slot reserved on the target of the move. The
     event interval matters less for an item that is known to be `short`.
     """
+    usable = _list_usable(work, progress, samplers)
+    for sampler in usable:
+        if sampler.id == progress.move_target:
+            return sampler
+    group = progress.item.group
+    return min(
+        (each for each in usable if each.memory.fits(memory)),
+        key=lambda sampler: _compute_cost(sampler, group, short=short),
+        default=None,
+    )
+
+
+def _list_usable(
+    work: JobWork, progress: ItemProgress, samplers: Sequence[SamplerSlots]
+) -> list[SamplerSlots]:
+    """Return the samplers with a free slot and an accepted version."""
     model = work.job.model
     min_version = work.job.min_version
-    eligible = [
+    return [
         sampler
         for sampler in samplers
         if (sampler.free > 0 or sampler.id == progress.move_target)
         and model in sampler.models
         and sampler.versions.get(model, 0) >= min_version
     ]
-    if not eligible:
-        return None
-    for sampler in eligible:
-        if sampler.id == progress.move_target:
-            return sampler
-    group = progress.item.group
-    return min(
-        eligible,
-        key=lambda sampler: _compute_cost(sampler, group, short=short),
-    )
 
 
 def _compute_cost(
     sampler: SamplerSlots, group: GroupId, *, short: bool
 ) -> float:
-    fill = 1 - (sampler.free - 1) / sampler.slots
+    fill = max(
+        1 - (sampler.free - 1) / sampler.slots, sampler.memory.reserved_share
+    )
     bonus = SAME_GROUP_BONUS if group in sampler.groups else 0
     if sampler.idle_connections:
         bonus += SHORT_CONNECTED_BONUS if short else CONNECTED_BONUS
--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/_slots.py
@@ -5,6 +5,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from guavagate.jobs._memory import EngineMemory
 from guavagate.jobs._schedule import SamplerSlots
 from guavagate.jobs._work import JobWork
 from guavagate.models import UpstreamId
@@ -16,6 +17,11 @@
 _NONE_RESERVED: Final[Mapping[UpstreamId, int]] = MappingProxyType({})
 
 
+def get_no_memory(_: UpstreamId) -> EngineMemory:
+    """Return the memory of an engine without a known limit."""
+    return EngineMemory()
+
+
 def list_slots(
     serving: Sequence[Upstream],
     states: SamplerStates,
@@ -23,6 +29,7 @@
     now: float,
     reserved: Mapping[UpstreamId, int] = _NONE_RESERVED,
     count_idle: Callable[[Upstream], int] | None = None,
+    get_memory: Callable[[UpstreamId], EngineMemory] = get_no_memory,
     *,
     include_upcoming: bool = False,
 ) -> list[SamplerSlots]:
@@ -36,6 +43,8 @@
         The slots that are reserved for items that move.
     count_idle
         Returns the idle connections to a sampler.
+    get_memory
+        Returns the memory of a sampler's engine.
     include_upcoming
         Whether to include samplers that become available within
         `UPCOMING_SECONDS`. A forecast needs them: while a model's samplers
@@ -64,6 +73,7 @@
                 idle_connections=count_idle(upstream) if count_idle else 0,
                 measured=state.event_interval > 0,
                 models=states.get_models(upstream.id),
+                memory=get_memory(upstream.id),
             )
         )
     return listed
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -127,6 +127,16 @@
     labels=('reason',),
     plotted=True,
 )
+ITEMS_WITHOUT_MEMORY: Final = Metric(
+    name='guavagate_items_without_memory_total',
+    kind=MetricKind.COUNTER,
+    text='Items that found a free slot, but no engine memory for their length',
+)
+ENGINE_MEMORY_RESERVED: Final = Metric(
+    name='guavagate_engine_memory_reserved_ratio',
+    kind=MetricKind.GAUGE,
+    text="Mean share of the samplers' engine memory that texts reserve",
+)
 REWARD_SECONDS: Final = Metric(
     name='guavagate_reward_seconds',
     kind=MetricKind.HISTOGRAM,
--- a/tests/jobs/test_lengths.py
+++ b/tests/jobs/test_lengths.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from guavagate.jobs._lengths import LengthEstimator
@@ -134,3 +135,22 @@
     texts = [(events, 850 * events) for events in _draw_lengths(240)]
     _record(lengths, texts)
     assert _estimate(lengths, 0, tokens=17000)[0] == pytest.approx(20)
+
+
+@pytest.mark.parametrize('error', [1, 10])
+def test_a_text_ends_at_its_limit(error: int) -> None:
+    """An item without an estimate has a limit of thirty events.
+
+    Five of them are left, also if all estimates are ten times too long. A limit
+    that the text has already exceeded tells nothing.
+    """
+    lengths = LengthEstimator()
+    _record(lengths, [(each, 84 * error * each) for each in _draw_lengths(240)])
+    progress = _make_progress(0)
+    progress.item = msgspec.structs.replace(
+        progress.item, max_output_tokens=30 * 84
+    )
+    progress.text.last_number = 25
+    assert lengths.estimate(MODEL, progress).typical == pytest.approx(5)
+    progress.text.last_number = 31
+    assert lengths.estimate(MODEL, progress).typical > 25
