Hand a service's engine memory to its job owner

Cause: Service.cache_tokens was decoded and read by nothing.

Change: JobServices hands it to JobOwner, which hands it to its Dispatcher; 0 is no limit, as before.

Tested: tests/jobs/test_dispatch.py, moves and memory at a job owner.

--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -84,6 +84,7 @@
         snapshots: TextSnapshots,
         list_successors: Callable[[], list[InstanceId]],
         boot_clock: Callable[[], float] = read_boot_clock,
+        cache_tokens: Callable[[], int] = int,
     ) -> None:
         self._boot_clock = boot_clock
         self._service = service
@@ -112,7 +113,15 @@
             self._on_text_complete,
         )
         self._dispatcher = Dispatcher(
-            service, clock, upstreams, states, client, runner, slots, metrics
+            service,
+            clock,
+            upstreams,
+            states,
+            client,
+            runner,
+            slots,
+            metrics,
+            cache_tokens,
         )
         self._active_jobs = ActiveJobs(
             clock,
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -211,6 +211,7 @@
             self._replicas,
             self._snapshots,
             lambda: self._list_successors(service),
+            cache_tokens=lambda: self._get_cache_tokens(service),
         )
         lease = Lease(
             self._job_store.object_store,
@@ -264,6 +265,10 @@
         described = self._routes.find_service(service)
         return 1 if described is None else max(described.slots, 1)
 
+    def _get_cache_tokens(self, service: ServiceId) -> int:
+        described = self._routes.find_service(service)
+        return 0 if described is None else described.cache_tokens
+
     def _wake(self) -> None:
         for service in self._services.values():
             if service.owner.active:
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -119,6 +119,7 @@
                 if each != InstanceId(name)
             ],
             self.clock.now,
+            cache_tokens=lambda: fleet.cache_tokens,
         )
         self.reader = JobReader(
             self.clock,
@@ -143,6 +144,7 @@
         self.folders = folders or {}
         self.clock = self.world.clock
         self.length = length
+        self.cache_tokens = 0
         self.samplers = samplers
         self.nodes: dict[str, Node] = {}
         for name in names:
