Estimate memory only for samplers that may get an item

Cause: the memory of all running texts was estimated in each dispatch, and each text on a slow sampler was tried as a move, though no item started or moved in most of them.

Change: what running texts reserve is computed once a placement asks for it, and a text that cannot gain enough on the fastest free sampler is no candidate.

Same placements: tests/jobs passes unchanged.

--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -123,7 +123,7 @@
         moves += find_moves(works, samplers, now, estimate, memory)
         for move in moves:
             self._move(move)
-        if capacity:
+        if capacity and planned.groups:
             self._report_memory(samplers, placements)
 
     def _make_estimate(self) -> EstimateTime:
--- a/guavagate/jobs/_memory.py
+++ b/guavagate/jobs/_memory.py
@@ -20,6 +20,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Final
 
 import msgspec
@@ -49,7 +50,9 @@
 class EngineMemory(msgspec.Struct):
     """The memory of one sampler's engine in tokens; capacity 0 is no limit.
 
-    `reserved` are the tokens at each of `HORIZONS` without shared prompts.
+    `reserved` are the tokens at each of `HORIZONS` without shared prompts. What
+    running texts reserve is `deferred` until it is asked for: most of the time
+    no item starts or moves.
     """
 
     capacity: int = 0
@@ -59,16 +62,19 @@
     shared: int = 0
     texts: int = 0
     prefixes: set[str] = set()
+    deferred: list[Callable[[], TextMemory]] = []
 
     @property
     def reserved_share(self) -> float:
         """Return the largest reserved share of the capacity; 0 if no limit."""
         if not self.capacity:
             return 0
+        self._reserve_deferred()
         return (max(self.reserved) + self.shared) / self.capacity
 
     def fits(self, text: TextMemory) -> bool:
         """Return whether a text can be placed here."""
+        self._reserve_deferred()
         if not (self.capacity and self.texts):
             return True
         free = self.capacity - self.shared - self._add_shared(text)
@@ -90,6 +96,11 @@
         for number, own in enumerate(text.own):
             self.reserved[number] += own
 
+    def _reserve_deferred(self) -> None:
+        deferred, self.deferred = self.deferred, []
+        for estimate in deferred:
+            self.reserve(estimate())
+
     def _add_shared(self, text: TextMemory) -> int:
         """Return the tokens of a text's shared prompt that aren't here yet."""
         return sum(
@@ -169,5 +180,7 @@
                 continue
             for sampler in (progress.sampler, progress.move_target):
                 if sampler is not None:
-                    memories[sampler].reserve(estimate(work, progress))
+                    memories[sampler].deferred.append(
+                        partial(estimate, work, progress)
+                    )
     return memories.__getitem__
--- a/guavagate/jobs/_moves.py
+++ b/guavagate/jobs/_moves.py
@@ -71,6 +71,12 @@
     current: SamplerSlots
     remaining: RemainingTime
 
+    def may_gain(self, fastest: float) -> bool:
+        """Return whether a move to the fastest sampler could be worthwhile."""
+        saved = self.current.relative_interval - fastest
+        gain = self.remaining.typical * saved
+        return not self.remaining.typical or gain >= MIN_URGENT_GAIN_SECONDS
+
     def is_urgent(self, now: float) -> bool:
         """Return whether the text may make its step late where it runs."""
         if not self.work.is_wanted(self.progress.item.group):
@@ -143,7 +149,8 @@
     intervals = [
         sampler.relative_interval for sampler in samplers if sampler.free > 0
     ]
-    slow_interval = MIN_MOVE_RATIO * min(intervals, default=0)
+    fastest = min(intervals, default=0)
+    slow_interval = MIN_MOVE_RATIO * fastest
     slow_samplers = {
         sampler.id: sampler
         for sampler in samplers
@@ -157,6 +164,7 @@
         if work.job.model in models
         for progress, current in _list_movable(work, slow_samplers)
     ]
+    candidates = [each for each in candidates if each.may_gain(fastest)]
     candidates.sort(
         key=lambda each: (
             -each.remaining.typical * each.current.relative_interval
