Record the lengths of texts that another instance has committed

Cause: a new job owner knew no lengths until twenty texts of a model had completed there, while the longest texts of open steps were running.

--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -105,6 +105,10 @@
             self._ignored_estimates ^= {model}
             write(_LOGGER, events.ESTIMATES_JUDGED, model=model, useful=useful)
 
+    def record_results(self, work: JobWork) -> None:
+        """Record the committed texts of a job that was taken over."""
+        self._lengths.record_results(work)
+
     def dispatch(self, works: Sequence[JobWork], now: float) -> None:
         """Start waiting items; move items off slow or stalled samplers."""
         self._leave_unresponsive(works, now)
--- a/guavagate/jobs/_lengths.py
+++ b/guavagate/jobs/_lengths.py
@@ -21,7 +21,8 @@
 
 import msgspec
 
-from guavagate.jobs._work import ItemProgress
+from guavagate.jobs._models import ResultState
+from guavagate.jobs._work import EVENT_SEPARATOR, ItemProgress, JobWork
 
 # Completed texts remembered for each model: those of a few steps.
 MAX_TEXTS: Final = 256
@@ -279,6 +280,20 @@
         tokens = progress.item.expected_tokens
         self._histories[model].record(progress.text.last_number, tokens)
 
+    def record_results(self, work: JobWork) -> None:
+        """Record the lengths of texts that another instance has committed.
+
+        A new owner starts without them, while the longest texts of its steps
+        run. An event that contains a separator counts twice; few do.
+        """
+        history = self._histories[work.job.model]
+        for result in work.log.results:
+            progress = work.items.get(result.id)
+            if progress is None or result.state is not ResultState.COMPLETED:
+                continue
+            events = result.text.count(EVENT_SEPARATOR) + 1
+            history.record(events, progress.item.expected_tokens)
+
     def is_known(self, model: str) -> bool:
         """Return whether enough texts of a model have completed."""
         history = self._histories.get(model)
