Add safeguards of long texts and engine memory

The row of a move's reserved slot showed that its test checked nothing; the test now checks that no waiting item takes the slot.

Tested: each row is caught by its test.

--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -19,12 +19,14 @@
 from standins._safeguard_rows import PLATFORM_SAFEGUARDS, Safeguard
 from standins._safeguard_stops import STOP_SAFEGUARDS
 from standins._safeguard_teams import TEAM_SAFEGUARDS
+from standins._safeguard_texts import TEXT_SAFEGUARDS
 
 SAFEGUARDS: Final = (
     *PLATFORM_SAFEGUARDS,
     *JOB_SAFEGUARDS,
     *STOP_SAFEGUARDS,
     *TEAM_SAFEGUARDS,
+    *TEXT_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
 _TEST_SECONDS: Final = 120
--- a/tests/jobs/test_moves.py
+++ b/tests/jobs/test_moves.py
@@ -117,7 +117,7 @@
     the text would resume on another slow sampler.
     """
     work = _make_work(size=1)
-    older = _make_work()
+    older = _make_work(name='older')
     states = SamplerStates()
     for name in ('slow', 'fast'):
         states.assigned[UpstreamId(name)] = frozenset((MODEL,))
@@ -133,10 +133,10 @@
         reserved = count_reserved_slots(works)
         samplers = list_slots(serving, states, 4, NOW, reserved)
         placed = place(planned.groups, samplers, LengthEstimator()).started
-        return [each.sampler for each in placed if each.item == '0-0']
+        return [f'{each.job} {each.item} {each.sampler}' for each in placed]
 
     assert not place_items()
     states.get(UpstreamId('slow')).in_flight = 0
     progress.sampler = None
     progress.run = None
-    assert place_items() == ['fast']
+    assert place_items() == ['job-1 0-0 fast', 'older 0-1 slow']
