Keep texts where they are if they end long before their step is due

Cause: each text on a slow sampler moved for a gain of half a second, though its step waited for longer ones anyway. Each move costs about one connection.

Change: a text whose conservative end is more than 0.3 of the objective before the step is due moves only for a gain of a second or more.

Tested: tests/jobs/test_moves.py; the load tests keep their limits.

--- a/guavagate/jobs/_moves.py
+++ b/guavagate/jobs/_moves.py
@@ -35,6 +35,11 @@
 MIN_MOVE_GAIN_SECONDS: Final = 0.5
 # The least expected gain for a text that would make its step late.
 MIN_URGENT_GAIN_SECONDS: Final = 0.3
+# A text that ends earlier than its step is due, by this share of the step's
+# objective, delays nothing where it runs, and a move costs a connection. It
+# moves for a large gain only.
+MOVE_SLACK_RATIO: Final = 0.3
+LARGE_GAIN_SECONDS: Final = 1.0
 # Most items end sooner; one that runs for longer is one of the long ones.
 MOVE_AFTER_SECONDS: Final = 1.5
 MAX_MOVES: Final = 2
@@ -71,18 +76,30 @@
     current: SamplerSlots
     remaining: RemainingTime
 
-    def may_gain(self, fastest: float) -> bool:
+    def may_gain(self, fastest: float, now: float) -> bool:
         """Return whether a move to the fastest sampler could be worthwhile."""
+        if not self.remaining.typical:
+            return True
         saved = self.current.relative_interval - fastest
         gain = self.remaining.typical * saved
-        return not self.remaining.typical or gain >= MIN_URGENT_GAIN_SECONDS
+        if gain < MIN_URGENT_GAIN_SECONDS:
+            return False
+        slack = MOVE_SLACK_RATIO * self.work.job.objective
+        late = self._find_end(now) > self.work.due - slack
+        return late or gain >= LARGE_GAIN_SECONDS
 
     def is_urgent(self, now: float) -> bool:
         """Return whether the text may make its step late where it runs."""
         if not self.work.is_wanted(self.progress.item.group):
             return False
+        return (
+            self.remaining.typical > 0 and self._find_end(now) > self.work.due
+        )
+
+    def _find_end(self, now: float) -> float:
+        """Return when the text ends at the latest where it runs."""
         seconds = self.remaining.conservative * self.current.relative_interval
-        return self.remaining.typical > 0 and now + seconds > self.work.due
+        return now + seconds
 
 
 def find_urgent_moves(
@@ -101,7 +118,7 @@
     crowded = {each for each, demand in demands.items() if demand.waiting}
     waiting: Mapping[str, list[float]] | None = None
     moves: list[Move] = []
-    for candidate in _list_candidates(works, samplers, estimate, crowded):
+    for candidate in _list_candidates(works, samplers, now, estimate, crowded):
         if not candidate.is_urgent(now):
             continue
         if waiting is None:
@@ -129,7 +146,7 @@
     demands = count_demands(works, now)
     models = {each for each, demand in demands.items() if not demand.waiting}
     moves = []
-    for candidate in _list_candidates(works, samplers, estimate, models):
+    for candidate in _list_candidates(works, samplers, now, estimate, models):
         move = _make_move(candidate, samplers, now, estimate_memory)
         if move is not None:
             moves.append(move)
@@ -139,6 +156,7 @@
 def _list_candidates(
     works: Sequence[JobWork],
     samplers: Sequence[SamplerSlots],
+    now: float,
     estimate: EstimateTime,
     models: set[str],
 ) -> list[_Candidate]:
@@ -164,7 +182,7 @@
         if work.job.model in models
         for progress, current in _list_movable(work, slow_samplers)
     ]
-    candidates = [each for each in candidates if each.may_gain(fastest)]
+    candidates = [each for each in candidates if each.may_gain(fastest, now)]
     candidates.sort(
         key=lambda each: (
             -each.remaining.typical * each.current.relative_interval
--- a/tests/jobs/test_moves.py
+++ b/tests/jobs/test_moves.py
@@ -100,6 +100,22 @@
     assert not _find_urgent(_make_work(target_groups=0), LONG)[0]
 
 
+def test_a_text_that_ends_long_before_its_step_is_due_stays() -> None:
+    """A fast slot is free, and the text would gain half a second there.
+
+    Its step waits for others for two more seconds, and a move costs a
+    connection.
+    """
+    work = _make_work(size=1)
+    samplers = [
+        _make_sampler('slow', free=0, interval=1.3),
+        _make_sampler('fast'),
+    ]
+    early = RemainingTime(1.9, 1.9)
+    assert not find_moves([work], samplers, NOW, lambda *_: early)
+    assert find_moves([work], samplers, NOW + 2.5, lambda *_: early)
+
+
 def test_a_sampler_not_yet_measured_is_no_target_for_small_gains() -> None:
     """It may be as slow as the current one, and the move would cost time."""
     work = _make_work(size=1)
