Make the test of an owner's clock that was set back check what it claims

Cause: the task that loads the job lacked an argument; its TypeError was never read, so the test passed whatever the code did. Change: the argument, and the task's result is read. Result: passes; with the safeguard removed (a fresh job that counts as reconciled) it fails with an empty page.

--- a/tests/jobs/test_owner.py
+++ b/tests/jobs/test_owner.py
@@ -287,8 +287,11 @@
     )
     fleet.clock.run_until(reading.ready, 5)
     stored = reading.get(block=False)
-    loading = other.clock.spawn(active_jobs.load_stored, stored, True)
+    loading = other.clock.spawn(
+        active_jobs.load_stored, JobId('job-1'), stored, True
+    )
     fleet.clock.run_until(loading.ready, 5)
+    loading.get(block=False)
     page_read = other.clock.spawn(active_jobs.read, JobId('job-1'), 0, 0)
     fleet.clock.run_until(page_read.ready, 5)
     status, page = page_read.get(block=False)
