Bound text replicas by the link instead of 100,000 characters a message

Events have 400 characters here, twenty a second in up to 270 texts, so a message of 100,000 characters had room for a twentieth of what was new, and after a cut the longest texts alone filled it. Ruled out: wrong successor (the next owner was the one that the replicas went to), order of messages, version bounds.

Change: a message may use a twentieth of the instance's link for the time between two messages (link-mbps of the settings; as before without it).

Result: test_replicas_keep_up_with_a_burst_of_texts fails with the old limit.

--- a/guavagate/jobs/__init__.py
+++ b/guavagate/jobs/__init__.py
@@ -14,7 +14,7 @@
 from guavagate.jobs._owner import JobOwner
 from guavagate.jobs._ownership import Ownership
 from guavagate.jobs._reader import JobReader
-from guavagate.jobs._replicas import TextReplicas
+from guavagate.jobs._replicas import TextReplicas, compute_message_limit
 from guavagate.jobs._snapshots import TextSnapshots
 from guavagate.jobs._store import JobConflictError, JobStore
 
@@ -35,4 +35,5 @@
     'ResultState',
     'TextReplicas',
     'TextSnapshots',
+    'compute_message_limit',
 )
--- a/guavagate/jobs/_replicas.py
+++ b/guavagate/jobs/_replicas.py
@@ -27,10 +27,14 @@
 # A takeover loses this much of each text: about ten events, of the hundred
 # that a long text has.
 REPLICATION_INTERVAL_SECONDS: Final = 0.5
-# Limit of one message. The longest texts go first, the rest follows in the next
-# message. A burst of 190 texts at twenty events a second is 60,000 characters;
-# a larger one would take link capacity from other messages of a large fleet.
-MAX_MESSAGE_CHARACTERS: Final = 100_000
+# Limit of one message if the link's capacity is unknown. The longest texts go
+# first, the rest follows in the next message.
+DEFAULT_MESSAGE_CHARACTERS: Final = 100_000
+# Share of the instance's link that replicas for one peer may use. Events of 400
+# characters, twenty a second in each of 270 texts, are two megabytes a second.
+# With a limit below that rate most texts have no replica, and a takeover
+# restarts them from the first event.
+LINK_SHARE: Final = 0.05
 # Covers the current and former owners of a few services; replicas of older
 # sources are useless.
 MAX_SOURCES: Final = 8
@@ -91,11 +95,34 @@
 _Replicas: TypeAlias = dict[JobId, dict[ItemId, _Replica]]
 
 
+def compute_message_limit(link_bytes_per_second: float) -> int:
+    """Return the characters that one replication message may have.
+
+    Parameters
+    ----------
+    link_bytes_per_second
+        Capacity of this instance's link; 0 if unknown.
+    """
+    if not link_bytes_per_second:
+        return DEFAULT_MESSAGE_CHARACTERS
+    share = link_bytes_per_second * LINK_SHARE * REPLICATION_INTERVAL_SECONDS
+    return int(share)
+
+
 class TextReplicas:
-    """Sends replicas to peers and stores those of other instances."""
+    """Sends replicas to peers and stores those of other instances.
 
-    def __init__(self, bus: Bus) -> None:
+    Parameters
+    ----------
+    message_limit
+        The most characters of events in one message.
+    """
+
+    def __init__(
+        self, bus: Bus, message_limit: int = DEFAULT_MESSAGE_CHARACTERS
+    ) -> None:
         self._bus = bus
+        self._message_limit = message_limit
         self._boot = secrets.randbits(62)
         self._numbers = itertools.count(1)
         # Two instances that both believe they own a service produce two texts
@@ -181,7 +208,7 @@
             and (part := self._make_part(work.job.id, progress, sent))
         ]
         updates.sort(key=lambda each: -each[0].text.last_number)
-        left = MAX_MESSAGE_CHARACTERS
+        left = self._message_limit
         chosen: list[tuple[ItemProgress, TextPart]] = []
         for progress, part in updates:
             left -= sum(map(len, part.events))
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -18,12 +18,7 @@
     HttpServer,
     ServerLimits,
 )
-from guavagate.integrations.object_api import (
-    PeerFallback,
-    make_shared_client,
-    measure_calls,
-)
-from guavagate.integrations.object_api.pool_transport import make_pool_transport
+from guavagate.integrations.object_api.fleet_client import make_fleet_client
 from guavagate.jobs import JobReader, JobStore, Ownership
 from guavagate.lifecycle import Lifecycle
 from guavagate.links import ZmqBus
@@ -71,7 +66,6 @@
             me.id, me.peer_address, self._members.address, self._clock
         )
         self._pool = ConnectionPool(self._clock)
-        self._peer_fallback = self._make_peer_fallback()
         self._store = self._make_store()
         self._routes = RouteTable()
         self._upstreams = UpstreamTable(
@@ -123,6 +117,7 @@
             self._renewals,
             self._bus,
             settings.data_dir,
+            settings.limits.link_bytes_per_second,
             self._duties
             if const.SCALE_DUTY in settings.cloud_api.duties
             else None,
@@ -178,27 +173,16 @@
         behind_balancer = bool(self._settings.listen.front)
         self.lifecycle.stop(self._servers, behind_balancer=behind_balancer)
 
-    def _make_peer_fallback(self) -> PeerFallback:
+    def _make_store(self) -> PlatformStore:
         table = self._settings.platform
-        return PeerFallback(
-            measure_calls(
-                make_pool_transport(table.address, ConnectionPool(self._clock)),
-                self._metrics,
-                self._clock,
-            ),
-            self._bus,
+        self._peer_fallback, client = make_fleet_client(
+            table.address,
             self._clock,
-            self._members.others,
+            self._bus,
+            self._metrics,
+            self._members,
             const.PROBE_PATH,
             lambda: self._services.active or self._feed.relaying,
-        )
-
-    def _make_store(self) -> PlatformStore:
-        table = self._settings.platform
-        client = make_shared_client(
-            self._peer_fallback.call,
-            self._clock,
-            lambda: len(self._members.alive()),
             reads=table.reads_per_s,
             writes=table.writes_per_s,
         )
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -13,6 +13,7 @@
     Ownership,
     TextReplicas,
     TextSnapshots,
+    compute_message_limit,
 )
 from guavagate.links import Bus
 from guavagate.membership.registry import MemberRegistry
@@ -88,11 +89,14 @@
         renewals: Renewals,
         bus: Bus,
         data_dir: str,
+        link_bytes_per_second: float = 0,
         duties: DutyClient | None = None,
     ) -> None:
         self._duties = duties
         self._renewals = renewals
-        self._replicas = TextReplicas(bus)
+        self._replicas = TextReplicas(
+            bus, compute_message_limit(link_bytes_per_second)
+        )
         self._snapshots = TextSnapshots(data_dir)
         self._me = me
         self._clock = clock
--- a/tests/jobs/test_texts.py
+++ b/tests/jobs/test_texts.py
@@ -5,7 +5,12 @@
 import pytest
 
 from guavagate.jobs import ItemId, JobId
-from guavagate.jobs._replicas import TextCopy, TextPart, TextReplicas
+from guavagate.jobs._replicas import (
+    TextCopy,
+    TextPart,
+    TextReplicas,
+    compute_message_limit,
+)
 from guavagate.jobs._work import JobWork, Text
 from guavagate.models import InstanceId, WeightVersion
 from guavagate.ports.sampler import TextEvent
@@ -240,6 +245,30 @@
         assert list(replicas[job.id]) == expected
 
 
+def test_replicas_keep_up_with_a_burst_of_texts(fleet: JobFleet) -> None:
+    """Three steps start at once, and the owner is lost after a second.
+
+    270 texts grow by ten events of 400 characters between two messages. If a
+    message has room for a few of them only, the next owner restarts the others
+    from their first event.
+    """
+    node = fleet.nodes['a']
+    job = make_job(groups=27, size=10)
+    work = JobWork(job, node.job_store.open_log(job.id), 0, 0)
+    limit = compute_message_limit(link_bytes_per_second=75_000_000)
+    replicas = TextReplicas(fleet.world.bus('a'), limit)
+    for first in (1, 11):
+        for number in range(first, first + 10):
+            event = TextEvent(number, 'x' * 400, WeightVersion(1))
+            for progress in work.items.values():
+                progress.text.add(event)
+        _send(fleet, 'a', work, replicas)
+    taken_over = JobWork(job, node.job_store.open_log(job.id), 0, 0)
+    fleet.nodes['b'].replicas.restore(taken_over)
+    restored = {each.text.last_number for each in taken_over.items.values()}
+    assert restored == {20}
+
+
 def test_replica_of_too_old_a_version_is_not_restored(fleet: JobFleet) -> None:
     """A peer stores a text of version 1; the job requires version 2."""
     node = fleet.nodes['a']
