Save the long partial texts of open jobs in the store

Change: each 2 s the owner writes one object for each job whose texts of 1.5 s or more have grown (job-texts/ID); whoever takes a job over reads it.

Result: test_long_texts_resume_after_all_copies_are_lost fails without the restore.

--- a/guavagate/jobs/_active.py
+++ b/guavagate/jobs/_active.py
@@ -77,9 +77,12 @@
         Called with a job that was loaded and may be worked on.
     finish
         Called with results that resubmitted items have from an earlier job.
+    load_texts
+        Called with a job that is taken over and its results, to read its
+        partial texts from the store; may block.
     restore_texts
         Called with a job before it is worked on, to restore partial texts that
-        were replicated or saved.
+        were replicated or saved; must not block.
 
     Attributes
     ----------
@@ -94,6 +97,7 @@
         metrics: Metrics,
         on_loaded: Callable[[Job], None],
         finish: Callable[[JobWork, Result], None],
+        load_texts: Callable[[JobId, ResultLog, int], None],
         restore_texts: Callable[[JobWork], None],
     ) -> None:
         self.owning = False
@@ -102,6 +106,7 @@
         self._metrics = metrics
         self._on_loaded = on_loaded
         self._finish = finish
+        self._load_texts = load_texts
         self._restore_texts = restore_texts
         self._jobs: dict[JobId, ActiveJob] = {}
         self._ended: set[JobId] = set()
@@ -311,6 +316,7 @@
             log = self._job_store.open_log(job.id)
             if not fresh:
                 log.load()
+                self._load_texts(job.id, log, len(job.items))
             if job.id not in self._jobs and self.owning:
                 # If another instance already committed results, the first
                 # commit finds its chunk.
--- a/guavagate/jobs/_expiry.py
+++ b/guavagate/jobs/_expiry.py
@@ -13,6 +13,7 @@
     job_path,
     part_path,
     results_prefix,
+    texts_path,
 )
 from guavagate.ports.store import ObjectStore
 
@@ -39,6 +40,7 @@
         store.delete(chunk.path, None)
     for number in range(job.parts):
         store.delete(part_path(job.id, number), None)
+    store.delete(texts_path(job.id), None)
     store.delete(end_path(job.id), None)
     store.delete(job_path(JobId(job.id)), None)
     age = round(clock.wall() - job.submitted_at)
--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -133,14 +133,24 @@
     return f'{ENDS_PREFIX}/{job}'
 
 
+def texts_path(job: JobId) -> str:
+    """Return the path of a job's saved partial texts."""
+    return f'job-texts/{job}'
+
+
 def results_prefix(job: JobId) -> str:
     """Return the path prefix of a job's results."""
     return f'{_RESULTS_PREFIX}-{job}'
 
 
+def get_chunk_name(number: int) -> str:
+    """Return the name of a chunk; names are in the order of the numbers."""
+    return f'{number:06}'
+
+
 def chunk_path(job: JobId, number: int) -> str:
     """Return the path of a chunk of results."""
-    return f'{results_prefix(job)}/{number:06}'
+    return f'{results_prefix(job)}/{get_chunk_name(number)}'
 
 
 def make_page(
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -13,6 +13,10 @@
 from guavagate.helpers.mirror import Mirror
 from guavagate.helpers.waits import wait_for
 from guavagate.jobs._active import ActiveJobs
+from guavagate.jobs._checkpoints import (
+    CHECKPOINT_INTERVAL_SECONDS,
+    TextCheckpoints,
+)
 from guavagate.jobs._dispatch import Dispatcher
 from guavagate.jobs._event_interval import STALL_SECONDS
 from guavagate.jobs._expiry import is_expired, remove_job
@@ -114,12 +118,14 @@
         self._dispatcher = Dispatcher(
             service, clock, upstreams, states, client, runner, slots, metrics
         )
+        self._checkpoints = TextCheckpoints(job_store.object_store, clock)
         self._active_jobs = ActiveJobs(
             clock,
             job_store,
             metrics,
             self._on_job_loaded,
             self._finish,
+            self._checkpoints.load,
             self._restore_texts,
         )
         self._task: Task | None = None
@@ -158,6 +164,7 @@
             self._background_tasks = [
                 self._clock.spawn(self._remove_expired),
                 self._clock.spawn(self._replicate_texts),
+                self._clock.spawn(self._checkpoint_texts),
             ]
 
     def stop(self) -> None:
@@ -205,6 +212,7 @@
         """Restore the partial texts of a job that is taken over."""
         self._replicas.restore(work)
         self._snapshots.restore(work)
+        self._checkpoints.restore(work)
 
     def _on_text_complete(self, work: JobWork, progress: ItemProgress) -> None:
         self._quarantine.record_answer(work.job.describe(progress.item))
@@ -268,6 +276,12 @@
                 peers = self._list_successors()[:REPLICA_COUNT]
                 self._replicas.send(self._service, works, peers)
 
+    def _checkpoint_texts(self) -> None:
+        """Save the long partial texts in the store."""
+        while True:
+            self._clock.sleep(CHECKPOINT_INTERVAL_SECONDS)
+            self._checkpoints.save(self._active_jobs.list_open())
+
     def _run(self) -> None:
         last_run_at = self._boot_clock()
         while True:
--- a/guavagate/jobs/_snapshots.py
+++ b/guavagate/jobs/_snapshots.py
@@ -23,10 +23,15 @@
 
 from guavagate.events import jobs as events
 from guavagate.events import write
-from guavagate.jobs._models import ItemId, JobId
-from guavagate.jobs._replicas import adopt_text
-from guavagate.jobs._work import JobWork, Text
-from guavagate.models import ServiceId, WeightVersion
+from guavagate.jobs._models import JobId
+from guavagate.jobs._saved_texts import (
+    SavedText,
+    list_uncommitted,
+    make_saved_text,
+    restore_text,
+)
+from guavagate.jobs._work import JobWork
+from guavagate.models import ServiceId
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -42,16 +47,6 @@
     return gevent.get_hub().threadpool.spawn(work)
 
 
-class _SavedText(msgspec.Struct, frozen=True, array_like=True):
-    """A text that is not committed yet."""
-
-    job: JobId
-    item: ItemId
-    events: list[str]
-    versions: list[WeightVersion]
-    whole: bool
-
-
 class TextSnapshots:
     """Saves and restores the texts of the jobs that this instance owns.
 
@@ -71,7 +66,7 @@
         self._busy = False
         self._problem = ''
         self._problem_logged = False
-        self._loaded: dict[JobId, list[_SavedText]] = {}
+        self._loaded: dict[JobId, list[SavedText]] = {}
 
     def load(self, service: ServiceId) -> None:
         """Load the snapshot of an earlier run of this instance."""
@@ -86,17 +81,9 @@
             return
         self._log_problem()
         texts = [
-            _SavedText(
-                work.job.id,
-                progress.item.id,
-                progress.text.events,
-                progress.text.versions,
-                progress.text.complete,
-            )
+            make_saved_text(work, progress)
             for work in works
-            for progress in work.items.values()
-            if progress.text.last_number
-            and progress.item.id not in work.log.committed
+            for progress in list_uncommitted(work)
         ]
         content = msgspec.msgpack.encode(texts)
         self._busy = True
@@ -105,13 +92,7 @@
     def restore(self, work: JobWork) -> None:
         """Restore the saved texts into a job that is taken over."""
         for saved in self._loaded.pop(work.job.id, []):
-            text = Text(
-                list(saved.events),
-                list(saved.versions),
-                len(saved.events),
-                saved.whole,
-            )
-            adopt_text(work, saved.item, text)
+            restore_text(work, saved)
 
     def _get_path(self, service: ServiceId) -> pathlib.Path | None:
         if self._path is None:
@@ -123,7 +104,7 @@
         try:
             with path.open('rb') as file:
                 content = file.read(MAX_FILE_BYTES)
-            texts = msgspec.msgpack.decode(content, type=list[_SavedText])
+            texts = msgspec.msgpack.decode(content, type=list[SavedText])
         except FileNotFoundError:
             return
         except (OSError, msgspec.MsgspecError) as error:
