Spread calls to the store over peers, and reload only new chunks

Ruled out: blocking on the bus (each message has a task of its own), the watches.

Change: every peer that answered counts as working, and the one with the fewest calls in flight makes the next call. A result log that is loaded again lists only what follows the last known chunk, by the names of chunks, so that a store that returns the known ones too adds none twice.

Result: test_calls_are_spread_over_the_peers_that_answer and test_a_second_load_adds_only_new_chunks fail before.

--- a/guavagate/integrations/object_api/_client.py
+++ b/guavagate/integrations/object_api/_client.py
@@ -94,7 +94,9 @@
         self._known_versions.record(path, version)
         return StoredObject(path, answer.body, version)
 
-    def list_under(self, prefix: str) -> tuple[list[StoredObject], Revision]:
+    def list_under(
+        self, prefix: str, after: str = ''
+    ) -> tuple[list[StoredObject], Revision]:
         """Return all objects under a prefix and the revision of the list."""
         query = urlencode({'prefix': prefix})
         answer = self._read(f'/v1/objects?{query}', find_priority(prefix))
@@ -106,6 +108,8 @@
         objects = []
         for each in body.objects:
             self._known_versions.record(each.path, each.version)
+            if after and each.path <= f'{prefix}/{after}':
+                continue
             value = bytes(each.value)
             objects.append(StoredObject(each.path, value, each.version))
         return objects, body.revision
--- a/guavagate/integrations/object_api/_peer_selector.py
+++ b/guavagate/integrations/object_api/_peer_selector.py
@@ -2,8 +2,14 @@
 
 A network partition between an instance and the store often separates it from
 some peers too, which other members still see alive. A call through such a peer
-waits for its time limit. The peer that answered last is therefore preferred,
-and one that failed is avoided for a while.
+waits for its time limit. Peers that answered are therefore preferred, and one
+that failed is avoided for a while.
+
+Load pattern: a job owner that is cut off from the store lists its jobs and
+results through peers, megabytes at a time, while it commits results. Through a
+single peer, small calls wait behind large ones on that peer's link and are
+answered a second late. Calls are therefore spread over all peers that answered,
+the one with the fewest calls in flight first.
 """
 
 import random
@@ -23,33 +29,39 @@
     def __init__(self, clock: Clock, rng: random.Random) -> None:
         self._clock = clock
         self._random = rng
-        self._last_working: InstanceId | None = None
+        # Calls in flight, by peer that has answered.
+        self._working: dict[InstanceId, int] = {}
         self._avoided_until: dict[InstanceId, float] = {}
 
     def has_working_peer(self) -> bool:
         """Return whether a peer is known to answer."""
-        return self._last_working is not None
+        return bool(self._working)
 
     def rank(self, peers: Sequence[InstanceId]) -> list[InstanceId]:
-        """Return the peers, the last one to answer first, failed ones last."""
+        """Return the peers, those that answered first and failed ones last."""
         now = self._clock.now()
         shuffled = list(peers)
         self._random.shuffle(shuffled)
         return sorted(
             shuffled,
             key=lambda peer: (
-                peer != self._last_working,
+                peer not in self._working,
+                self._working.get(peer, 0),
                 self._avoided_until.get(peer, 0) > now,
             ),
         )
 
+    def record_sent(self, peer: InstanceId) -> None:
+        """Record that a call was sent to a peer."""
+        if peer in self._working:
+            self._working[peer] += 1
+
     def record_answer(self, peer: InstanceId) -> None:
         """Record that a peer made a call."""
         self._avoided_until.pop(peer, None)
-        self._last_working = peer
+        self._working[peer] = max(self._working.get(peer, 0) - 1, 0)
 
     def record_failure(self, peer: InstanceId) -> None:
         """Record that a peer did not answer or could not reach the store."""
         self._avoided_until[peer] = self._clock.now() + AVOID_SECONDS
-        if self._last_working == peer:
-            self._last_working = None
+        self._working.pop(peer, None)
--- a/guavagate/integrations/object_api/_peers.py
+++ b/guavagate/integrations/object_api/_peers.py
@@ -239,6 +239,7 @@
         """Return a peer's answer, or why the call has not run."""
         timeout = call.timeout + PEER_GRACE_SECONDS
         message = StoreCall(call=call)
+        self._peers.record_sent(peer)
         try:
             reply = self._bus.request(peer, message, StoreAnswer, timeout)
         except LinkRefusedError:
--- a/guavagate/jobs/_result_log.py
+++ b/guavagate/jobs/_result_log.py
@@ -16,6 +16,7 @@
     JobId,
     Result,
     chunk_path,
+    get_chunk_name,
     results_prefix,
 )
 from guavagate.ports.store import ObjectStore, StoredObject
@@ -42,10 +43,16 @@
         self.committed: set[ItemId] = set()
 
     def load(self) -> None:
-        """Read all chunks; raises `StoreUnavailableError`."""
-        chunks, _ = self._store.list_under(results_prefix(self._job))
-        ordered = sorted(chunks, key=lambda each: each.path)
-        for stored in ordered[self._next_number :]:
+        """Read the chunks that are not known yet.
+
+        Raises `StoreUnavailableError`. Chunks never change, and all chunks of a
+        job are up to a megabyte, which a slow route carries in a second.
+        """
+        known = self._next_number
+        after = get_chunk_name(known - 1) if known else ''
+        chunks, _ = self._store.list_under(results_prefix(self._job), after)
+        by_path = {each.path: each for each in chunks}
+        while stored := by_path.get(chunk_path(self._job, self._next_number)):
             self._apply(_decode(stored))
 
     def append(self, results: list[Result]) -> list[Result]:
--- a/guavagate/measure/fakes/_store.py
+++ b/guavagate/measure/fakes/_store.py
@@ -132,12 +132,19 @@
         self._call('get')
         return self.state.get_readable().get(path)
 
-    def list_under(self, prefix: str) -> tuple[list[StoredObject], Revision]:
+    def list_under(
+        self, prefix: str, after: str = ''
+    ) -> tuple[list[StoredObject], Revision]:
         """Return all objects under a prefix and the revision of the list."""
         self._call('list')
         found = sorted(self.state.get_readable().items())
+        first = f'{prefix}/{after}' if after else ''
         return (
-            [one for path, one in found if path.startswith(prefix)],
+            [
+                one
+                for path, one in found
+                if path.startswith(prefix) and path > first
+            ],
             Revision(self.state.revision),
         )
 
--- a/guavagate/platform/_store.py
+++ b/guavagate/platform/_store.py
@@ -81,12 +81,14 @@
             return None
         return _to_stored(path, _decode(_require_ok(answer), _Object))
 
-    def list_under(self, prefix: str) -> tuple[list[StoredObject], Revision]:
+    def list_under(
+        self, prefix: str, after: str = ''
+    ) -> tuple[list[StoredObject], Revision]:
         """Return all objects of a kind, and the store's revision."""
         objects: list[StoredObject] = []
         first = Revision(0)
-        query = ''
         while True:
+            query = f'?after={quote(after, safe="")}' if after else ''
             answer = self._call('GET', f'{_make_target(prefix)}{query}')
             page = _decode(_require_ok(answer), _List)
             # The watch starts here and so reports changes during later pages.
@@ -98,7 +100,7 @@
             ]
             if not page.has_more or not read:
                 return objects, first
-            query = f'?after={quote(read[-1].metadata.name, safe="")}'
+            after = read[-1].metadata.name
 
     def put(
         self, path: str, value: bytes, expected: Revision | None
--- a/guavagate/ports/store.py
+++ b/guavagate/ports/store.py
@@ -37,8 +37,13 @@
     def get(self, path: str) -> StoredObject | None:
         """Return the object, or `None`."""
 
-    def list_under(self, prefix: str) -> tuple[list[StoredObject], Revision]:
-        """Return all objects under a prefix, and the revision of the list."""
+    def list_under(
+        self, prefix: str, after: str = ''
+    ) -> tuple[list[StoredObject], Revision]:
+        """Return all objects under a prefix, and the revision of the list.
+
+        With `after`, only those whose names follow it.
+        """
 
     def put(
         self,
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -87,7 +87,7 @@
         if method == 'GET' and 'watch' in query:
             return _OK, self._watch(path[0], query)
         if method == 'GET' and len(path) == 1:
-            return _OK, self._list(path[0])
+            return _OK, self._list(path[0], query.get('after', ''))
         if method == 'GET':
             stored = self.kinds.get(path[0], {}).get(path[1])
             return (_MISSING, {}) if stored is None else (_OK, stored)
@@ -112,10 +112,12 @@
             return _CONFLICT, stored
         return _OK, self.write(kind, name, sent.get('spec'))
 
-    def _list(self, kind: str) -> dict[str, Any]:
+    def _list(self, kind: str, after: str) -> dict[str, Any]:
         objects = self.kinds.get(kind, {})
         return {
-            'items': [objects[name] for name in sorted(objects)],
+            'items': [
+                objects[name] for name in sorted(objects) if name > after
+            ],
             'has-more': False,
             'store-revision': self.revision,
         }
--- a/tests/feeds/fleet.py
+++ b/tests/feeds/fleet.py
@@ -24,10 +24,12 @@
         self.clock.sleep(self.read_delay)
         return super().get(path)
 
-    def list_under(self, prefix: str) -> tuple[list[StoredObject], Revision]:
+    def list_under(
+        self, prefix: str, after: str = ''
+    ) -> tuple[list[StoredObject], Revision]:
         """Count a list."""
         self._count_call()
-        return super().list_under(prefix)
+        return super().list_under(prefix, after)
 
     def watch(
         self, prefix: str, since: Revision, timeout: float
--- a/tests/integrations/test_peers.py
+++ b/tests/integrations/test_peers.py
@@ -19,9 +19,10 @@
 
 
 class _Fleet:
-    """Three instances; the store rejects some of them."""
+    """Instances of which the store rejects some."""
 
-    def __init__(self) -> None:
+    def __init__(self, names: str = 'abc') -> None:
+        self.names = names
         self.world = World()
         self.rejections: dict[str, Exception] = {}
         self.stalled: set[str] = set()
@@ -30,13 +31,14 @@
         self.fallbacks: dict[str, PeerFallback] = {}
         self.urgent = True
         self.latency = float(0)
-        for name in 'abc':
+        for name in names:
             self.world.add(name)
-        for name in 'abc':
+        for name in names:
             self._start(name)
         self.world.clock.advance(1)
 
     def _start(self, name: str) -> None:
+        names = self.names
         clock = self.world.hosts[InstanceId(name)].clock
 
         def transport(call: Call) -> Answer:
@@ -56,7 +58,7 @@
             transport,
             self.world.bus(name),
             self.world.hosts[InstanceId(name)].clock,
-            lambda: [InstanceId(each) for each in 'abc' if each != name],
+            lambda: [InstanceId(each) for each in names if each != name],
             _PROBE,
             lambda: self.urgent,
         )
@@ -211,3 +213,21 @@
     for _ in range(20):
         assert fleet.call('a').status == 200
     assert world.clock.now() - start < 0.5
+
+
+def test_calls_are_spread_over_the_peers_that_answer() -> None:
+    """A cut-off job owner lists megabytes while it commits results.
+
+    Through one peer the commits would wait behind the lists on its link.
+    """
+    fleet = _Fleet('abcde')
+    fleet.rejections['a'] = NotSentError('503')
+    fleet.call('a')
+    fleet.calls.clear()
+    fleet.latency = 0.5
+    tasks = [
+        fleet.world.clock.spawn(fleet.fallbacks['a'].call, _CALL)
+        for _ in range(8)
+    ]
+    fleet.world.clock.run_until(lambda: all(each.ready() for each in tasks), 5)
+    assert sorted(fleet.calls) == sorted('bcde' * 2)
--- a/tests/jobs/test_result_log.py
+++ b/tests/jobs/test_result_log.py
@@ -7,12 +7,32 @@
 from guavagate.jobs import ItemId, JobId, Result, ResultState
 from guavagate.jobs._result_log import ResultLog
 from guavagate.measure.fakes import MemoryStore, StoreState
+from guavagate.models import Revision
+from guavagate.ports.store import StoredObject
 
 
 def _make_result(name: str, text: str = 't') -> Result:
     return Result(ItemId(name), ResultState.COMPLETED, text, [1])  # type: ignore[list-item]
 
 
+class _ListingStore(MemoryStore):
+    """Records the objects that lists return; may ignore where to start."""
+
+    def __init__(self, clock: PausedClock, state: StoreState) -> None:
+        super().__init__(clock, state)
+        self.listed: list[str] = []
+        self.ignores_after = False
+
+    def list_under(
+        self, prefix: str, after: str = ''
+    ) -> tuple[list[StoredObject], Revision]:
+        """Return and record the objects of a list."""
+        start = '' if self.ignores_after else after
+        objects, revision = super().list_under(prefix, start)
+        self.listed = [each.path for each in objects]
+        return objects, revision
+
+
 class _Logs:
     """Two writers of one job's results."""
 
@@ -118,3 +138,22 @@
     logs.clock.run_until(task.ready, 5)
     read_back = [(each.id, each.text) for each in reader.results]
     assert read_back == [('i', 'first'), ('j', 't')]
+
+
+@pytest.mark.parametrize('ignores_after', [False, True])
+def test_a_second_load_adds_only_new_chunks(*, ignores_after: bool) -> None:
+    """An owner that is cut off loads its logs again through a peer.
+
+    Complete logs of all jobs are megabytes, and commits wait behind them on the
+    peer's link. A store that returns the known chunks too adds no result twice.
+    """
+    logs = _Logs()
+    store = _ListingStore(logs.clock, logs.state)
+    store.ignores_after = ignores_after
+    reader = ResultLog(store, logs.clock, JobId('job-1'), 'c')
+    for number in range(3):
+        logs.append(0, _make_result(f'{number}'))
+        task = logs.clock.spawn(reader.load)
+        logs.clock.run_until(task.ready, 5)
+    assert [each.id for each in reader.results] == ['0', '1', '2']
+    assert ignores_after or len(store.listed) == 1
