Count how many steps a trainer is behind its schedule

Cause: capacity is to follow lateness, and nothing told how late a trainer is. The cadence kept only the first step's time; an owner that read an older step later lost the newest one.

Change: the cadence remembers the times of up to 64 steps, computes the period from them in any order, and counts the steps behind: by the newest submission, and by the next one while the trainer has open steps. A trainer that stopped is not behind.

--- a/guavagate/jobs/_cadence.py
+++ b/guavagate/jobs/_cadence.py
@@ -6,34 +6,63 @@
 step shows is the trainer's period.
 """
 
+from typing import Final
+
 import msgspec
 
+# The steps of which the times are remembered; a trainer's period rarely changes
+# within as many.
+MAX_STEPS: Final = 64
+# A trainer without open steps has stopped once its next one is this many
+# periods overdue.
+STOPPED_PERIODS: Final = 3.0
+
 
 class Cadence(msgspec.Struct):
     """The observed submission times of one model's jobs, in seconds."""
 
-    first_step: int | None = None
-    first_submitted_at: float = 0
     period: float | None = None
-    latest_step: int = 0
+    submitted: dict[int, float] = {}
 
     def observe(self, step: int, submitted_at: float) -> None:
         """Update the period from the submission of a step."""
-        if self.first_step is None or step < self.first_step:
-            self.first_step = step
-            self.first_submitted_at = submitted_at
-            self.period = None
-            self.latest_step = step
-            return
-        self.latest_step = max(self.latest_step, step)
-        steps = step - self.first_step
-        if steps:
-            observed = (submitted_at - self.first_submitted_at) / steps
-            self.period = min(observed, self.period or observed)
+        self.submitted.setdefault(step, submitted_at)
+        if len(self.submitted) > MAX_STEPS:
+            self.submitted.pop(sorted(self.submitted)[1])
+        first = min(self.submitted)
+        periods = [
+            (at - self.submitted[first]) / (other - first)
+            for other, at in self.submitted.items()
+            if other > first
+        ]
+        if periods:
+            self.period = min(periods)
 
     def predict_next(self) -> float | None:
         """Return when the next step is due, or None if unknown."""
-        if self.first_step is None or self.period is None:
+        if self.period is None:
             return None
-        steps = self.latest_step + 1 - self.first_step
-        return self.first_submitted_at + steps * self.period
+        return self._compute_due(max(self.submitted) + 1, self.period)
+
+    def count_steps_behind(self, now: float, *, working: bool) -> float:
+        """Return how far the trainer is behind its schedule, in steps.
+
+        Parameters
+        ----------
+        working
+            Whether it has open steps.
+        """
+        if not self.period:
+            return 0
+        latest = max(self.submitted)
+        behind = self.submitted[latest] - self._compute_due(latest, self.period)
+        overdue = now - self._compute_due(latest + 1, self.period)
+        if working:
+            behind = max(behind, overdue)
+        elif overdue > STOPPED_PERIODS * self.period:
+            return 0
+        return max(behind, 0) / self.period
+
+    def _compute_due(self, step: int, period: float) -> float:
+        first = min(self.submitted)
+        return self.submitted[first] + (step - first) * period
