Borrow a sampler only for items that wait longer than a load

One that has an accepted version is borrowed as before. A borrowed sampler loads no newer version than the items need.

--- a/guavagate/rollouts/_plan.py
+++ b/guavagate/rollouts/_plan.py
@@ -39,7 +39,9 @@
     counts items without a slot, `waiting_seconds` is how long some of them have
     waited, `version_age` how long ago the trainer published the newest version,
     `open_jobs` counts the jobs in progress, and `seconds_to_next_job` is the
-    expected time to the next job, if known.
+    expected time to the next job, if known. `steps_behind` is how far the
+    trainer is behind its schedule, in steps, and `item_seconds` how long an
+    item usually runs, 0 while unknown.
     """
 
     newest: WeightVersion = WeightVersion(0)
@@ -49,10 +51,15 @@
     version_age: float = 0
     open_jobs: int = 0
     seconds_to_next_job: float | None = None
+    steps_behind: float = 0
+    item_seconds: float = 0
 
 
 class SamplerView(msgspec.Struct):
-    """A sampler's state for planning; `free` is its number of free slots."""
+    """A sampler's state for planning; `free` is its number of free slots.
+
+    `models` contains the model that it is `borrowed` for, if there is one.
+    """
 
     id: UpstreamId
     versions: Mapping[str, WeightVersion]
@@ -60,6 +67,7 @@
     loading: bool = False
     in_flight: int = 0
     free: int = 0
+    borrowed: str | None = None
 
 
 class PlannedOrder(msgspec.Struct, frozen=True):
@@ -88,7 +96,13 @@
             for each in outdated
             if each.versions.get(model, 0) < demand.required
         ]
-        may_load = [each for each in outdated if each not in must_load]
+        # A borrowed sampler has what the waiting items need; another load
+        # would only cost.
+        may_load = [
+            each
+            for each in outdated
+            if each not in must_load and each.borrowed != model
+        ]
         urgent += [_make_order(each, model, demand) for each in must_load]
         if not must_load and may_load and _may_load_now(demand):
             serving = sum(not each.loading for each in group)
@@ -113,7 +127,8 @@
 
     Load pattern: a model has lost a sampler, or one of its two is slow, while
     the samplers of other models are idle between their steps. A load costs less
-    than a late step.
+    than a late step. Items that start before a load could end gain nothing by
+    it; a sampler that has a version that they accept needs no load.
     """
     short = [
         model
@@ -122,6 +137,12 @@
         and demand.waiting_seconds > BORROW_AFTER_SECONDS
     ]
     short.sort(key=lambda model: -demands[model].waiting)
+    worth_load = {
+        model
+        for model in short
+        if count_left_waiting(model, samplers, demands[model])
+        >= BORROW_MIN_WAITING
+    }
     borrowed: dict[UpstreamId, str] = {}
     for sampler in sorted(samplers, key=_get_in_flight):
         own_waiting = any(
@@ -132,13 +153,43 @@
         if own_waiting or sampler.loading or sampler.free < BORROW_MIN_WAITING:
             continue
         for model in short:
-            if model not in sampler.models:
+            if model in sampler.models:
+                continue
+            if model in worth_load or _can_serve(
+                sampler, model, demands[model]
+            ):
                 borrowed[sampler.id] = model
                 short.remove(model)
                 break
     return borrowed
 
 
+def count_left_waiting(
+    model: str, samplers: Sequence[SamplerView], demand: ModelDemand
+) -> float:
+    """Return how many of a model's items still wait when a load would end.
+
+    Until then its samplers start an item in each free slot, and in each other
+    one whenever an item there ends. While the length of items is unknown, all
+    of them count as waiting.
+    """
+    if not demand.item_seconds:
+        return demand.waiting
+    started = float(0)
+    for sampler in samplers:
+        if model not in sampler.models:
+            continue
+        started += sampler.free
+        if not sampler.loading and _can_serve(sampler, model, demand):
+            slots = sampler.free + sampler.in_flight
+            started += slots * LOAD_SECONDS / demand.item_seconds
+    return demand.waiting - started
+
+
+def _can_serve(sampler: SamplerView, model: str, demand: ModelDemand) -> bool:
+    return sampler.versions.get(model, 0) >= max(demand.required, 1)
+
+
 def _may_load_now(demand: ModelDemand) -> bool:
     """Return whether a load now delays no item."""
     if demand.version_age > MAX_DEFERRAL_SECONDS:
