Assign samplers by capacity on the coordinator

Cause: the decision needs usual intervals, expected events and lateness.

GG9110 tells that an assignment was recovered, GG9111 that moves wait. Metrics count moves and borrowed samplers and show the work per slot.

Tested: tests/rollouts/test_assigner.py: a successor that starts between two moves changes nothing of the former assignment.

--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -135,3 +135,13 @@
 SAMPLERS_ASSIGNED: Final = Event(
     9108, logging.INFO, 'Samplers were assigned to the models'
 )
+ASSIGNMENT_RECOVERED: Final = Event(
+    9110,
+    logging.INFO,
+    "The former owner's assignment was recovered from the loaded versions",
+)
+SAMPLER_MOVES_DELAYED: Final = Event(
+    9111,
+    logging.INFO,
+    'Further samplers move between models later, as each move costs a load',
+)
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -138,6 +138,24 @@
     text='Jobs that this instance works on',
     plotted=True,
 )
+SAMPLERS_MOVED: Final = Metric(
+    name='guavagate_samplers_moved_total',
+    kind=MetricKind.COUNTER,
+    text='Samplers that were moved to another model, by reason',
+    labels=('reason',),
+)
+SAMPLERS_BORROWED: Final = Metric(
+    name='guavagate_samplers_borrowed_total',
+    kind=MetricKind.COUNTER,
+    text='Idle samplers that were borrowed for a model whose items wait',
+    labels=('model',),
+)
+MODEL_WORK_PER_SLOT: Final = Metric(
+    name='guavagate_model_work_per_slot',
+    kind=MetricKind.GAUGE,
+    text='Work of a job over slots at usual speed, where samplers are uneven',
+    labels=('model',),
+)
 CPU_SECONDS: Final = Metric(
     name='process_cpu_seconds_total',
     kind=MetricKind.COUNTER,
--- a/guavagate/rollouts/__init__.py
+++ b/guavagate/rollouts/__init__.py
@@ -1,7 +1,7 @@
 """Rolls out weight versions to samplers and assigns samplers to models."""
 
 from guavagate.rollouts._assign import assign_samplers
-from guavagate.rollouts._coordinator import Coordinator, PublishedVersions
+from guavagate.rollouts._coordinator import Coordinator
 from guavagate.rollouts._lease import (
     Lease,
     LeaseHeldError,
@@ -11,6 +11,7 @@
     list_holders,
 )
 from guavagate.rollouts._plan import ModelDemand
+from guavagate.rollouts._published import PublishedVersions
 from guavagate.rollouts._renewals import MAX_SUCCESSORS, Renewals
 from guavagate.rollouts._states import SamplerState, SamplerStates
 
--- a/guavagate/rollouts/_coordinator.py
+++ b/guavagate/rollouts/_coordinator.py
@@ -11,6 +11,7 @@
 from guavagate.events import write
 from guavagate.exceptions import StoreUnavailableError, UpstreamError
 from guavagate.helpers.waits import wait_for
+from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, ServiceId, WeightVersion
 from guavagate.ports.sampler import (
     OrderRefusedError,
@@ -18,7 +19,7 @@
     VersionOrder,
 )
 from guavagate.ports.upstreams import Upstream
-from guavagate.rollouts._assign import assign_samplers
+from guavagate.rollouts._assigner import SamplerAssigner
 from guavagate.rollouts._lease import (
     Lease,
     LeaseHeldError,
@@ -28,9 +29,9 @@
     ModelDemand,
     PlannedOrder,
     SamplerView,
-    choose_samplers_to_borrow,
     plan_orders,
 )
+from guavagate.rollouts._published import PublishedVersions
 from guavagate.rollouts._states import SamplerState, SamplerStates
 from guavagate.routing import RouteTable, UpstreamTable
 
@@ -49,25 +50,6 @@
 MAX_DOUBLINGS: Final = 3
 
 
-class PublishedVersions:
-    """The newest version of each model that its trainer has published."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self.newest: dict[str, WeightVersion] = {}
-        self.published_at: dict[str, float] = {}
-        self.on_change: Callable[[], None] = _do_nothing
-
-    def put(self, model: str, version: WeightVersion) -> None:
-        """Record a version; one that is not newer is ignored."""
-        if version <= self.newest.get(model, 0):
-            return
-        self.newest[model] = version
-        self.published_at[model] = self._clock.now()
-        write(_LOGGER, events.VERSION_PUBLISHED, model=model, version=version)
-        self.on_change()
-
-
 class Coordinator:
     """Sends load orders to a service's samplers while this instance owns it."""
 
@@ -84,6 +66,7 @@
         client: SamplerClient,
         demands: Callable[[], dict[str, ModelDemand]],
         count_slots: Callable[[], int],
+        metrics: Metrics | None = None,
     ) -> None:
         self._service = service
         self._me = me
@@ -96,6 +79,9 @@
         self._client = client
         self._demands = demands
         self._count_slots = count_slots
+        self._assigner = SamplerAssigner(
+            service, clock, routes, states, count_slots, metrics or Metrics()
+        )
         self._wake = Event()
         self._task: Task | None = None
         self._orders: list[Task] = []
@@ -114,6 +100,7 @@
             order.kill(block=False)
         self._orders = []
         self._states.reset_loading()
+        self._assigner.reset()
         self._task = None
         self._lease.release()
 
@@ -136,8 +123,9 @@
     def _check(self) -> None:
         serving = self._upstreams.serving(self._service)
         self._states.update(serving)
-        self._assign(serving)
-        planned = self._plan(serving)
+        demands = self._collect_demands(serving)
+        self._assigner.assign(serving, demands)
+        planned = self._plan(serving, demands)
         if not planned:
             return
         acquire_for_orders(self._lease, self._clock)
@@ -154,38 +142,17 @@
                 )
             )
 
-    def _assign(self, serving: list[Upstream]) -> None:
-        configured = self._routes.find_service(self._service)
-        models = () if configured is None else configured.models
-        versions = {
-            each.id: self._states.get(each.id).versions for each in serving
-        }
-        assigned = assign_samplers(
-            models, versions, self._states.assigned, self._states.workloads
-        )
-        if assigned != self._states.assigned:
-            self._states.assigned = assigned
-            sorted_models = {
-                each: sorted(models) for each, models in assigned.items()
-            }
-            write(
-                _LOGGER,
-                events.SAMPLERS_ASSIGNED,
-                service=self._service,
-                samplers=sorted_models,
-            )
-            self._states.notify()
-
-    def _plan(self, serving: list[Upstream]) -> list[PlannedOrder]:
+    def _plan(
+        self, serving: list[Upstream], demands: dict[str, ModelDemand]
+    ) -> list[PlannedOrder]:
         """Return the orders to send now, after borrowing idle samplers."""
-        demands = self._collect_demands()
         views = [self._make_view(each) for each in serving]
         usable = [
             each
             for each in views
             if self._states.get(each.id).avoid_until <= self._clock.now()
         ]
-        self._update_borrowed(usable, demands)
+        self._assigner.update_borrowed(usable, demands)
         # Otherwise a sampler that refuses connections would get endless orders.
         now = self._clock.now()
         views = [
@@ -195,9 +162,15 @@
         ]
         return plan_orders(views, demands)
 
-    def _collect_demands(self) -> dict[str, ModelDemand]:
+    def _collect_demands(
+        self, serving: list[Upstream]
+    ) -> dict[str, ModelDemand]:
         demands = self._demands()
         now = self._clock.now()
+        interval = self._states.find_usual_interval(serving)
+        for model, demand in demands.items():
+            events_per_text = self._states.texts[model].estimate_events()
+            demand.item_seconds = events_per_text * interval
         for model, newest in self._published.newest.items():
             demand = demands.setdefault(model, ModelDemand())
             demand.newest = newest
@@ -207,6 +180,7 @@
     def _make_view(self, upstream: Upstream) -> SamplerView:
         state = self._states.get(upstream.id)
         slots = upstream.slots or self._count_slots()
+        borrower = self._states.borrowed.get(upstream.id)
         return SamplerView(
             id=upstream.id,
             versions=state.versions,
@@ -214,24 +188,9 @@
             loading=state.loading,
             in_flight=state.in_flight,
             free=max(slots - state.in_flight, 0),
+            borrowed=borrower,
         )
 
-    def _update_borrowed(
-        self, usable: list[SamplerView], demands: dict[str, ModelDemand]
-    ) -> None:
-        """Borrow samplers; return those whose model has no items waiting."""
-        borrowed = self._states.borrowed
-        for sampler, model in list(borrowed.items()):
-            if model not in demands or not demands[model].waiting:
-                borrowed.pop(sampler)
-        for sampler, model in choose_samplers_to_borrow(
-            usable, demands
-        ).items():
-            borrowed[sampler] = model
-            write(
-                _LOGGER, events.SAMPLER_BORROWED, sampler=sampler, model=model
-            )
-
     def _execute_order(
         self, upstream: Upstream, model: str, version: WeightVersion
     ) -> None:
@@ -370,7 +329,3 @@
             self._fetch_report(upstream)
         except UpstreamError as error:
             _LOGGER.debug('no report from the sampler: %s', error)
-
-
-def _do_nothing() -> None:
-    """Do nothing."""
--- a/guavagate/rollouts/_states.py
+++ b/guavagate/rollouts/_states.py
@@ -1,18 +1,31 @@
 """The coordinator's view of each sampler."""
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable
+from typing import Final
 
 import msgspec
 
 from guavagate.models import UpstreamId, WeightVersion
 from guavagate.ports.upstreams import Upstream
+from guavagate.rollouts._capacity import ModelWork, SamplerCapacity
 
 _INTERVAL_SMOOTHING = 0.3
 _WORKLOAD_SMOOTHING = 0.3
+# A full sampler is measured about twenty times a second, and capacity must not
+# follow a slowdown that ends within a second or two.
+_USUAL_INTERVAL_SMOOTHING: Final = 0.02
+# The texts of about one step.
+_TEXT_SMOOTHING: Final = 0.01
+# Fewer texts of a model say little, because the short ones complete first.
+_MIN_TEXTS: Final = 20
 
 
 class SamplerState(msgspec.Struct):
-    """One sampler; `event_interval` in seconds per event, 0 while unknown.
+    """One sampler; intervals in seconds per event, 0 while unknown.
+
+    `event_interval` is the newest one, and `usual_interval` the average over
+    the last `measurements`.
 
     `orders_taken` is None until the sampler has reported it. An `unresponsive`
     sampler gets no items until it responds again. The state belongs to one
@@ -24,6 +37,8 @@
     loading: bool = False
     in_flight: int = 0
     event_interval: float = 0
+    usual_interval: float = 0
+    measurements: int = 0
     avoid_until: float = 0
     unreachable: int = 0
     failed_orders: int = 0
@@ -32,6 +47,18 @@
     unresponsive: bool = False
 
 
+class ModelTexts(msgspec.Struct):
+    """What is known of a model's texts; averages over the last ones."""
+
+    items_per_job: float = 0
+    texts: int = 0
+    events_per_text: float = 0
+
+    def estimate_events(self) -> float:
+        """Return the average number of events; 0 while unknown."""
+        return self.events_per_text if self.texts >= _MIN_TEXTS else 0
+
+
 class SamplerStates:
     """States by sampler; versions only increase during an incarnation."""
 
@@ -42,6 +69,7 @@
         self.borrowed: dict[UpstreamId, str] = {}
         # The work in a job of each model, smoothed over its recent jobs.
         self.workloads: dict[str, float] = {}
+        self.texts: defaultdict[str, ModelTexts] = defaultdict(ModelTexts)
         self._subscribers: list[Callable[[], None]] = []
 
     def subscribe(self, callback: Callable[[], None]) -> None:
@@ -95,10 +123,64 @@
         self._states[sampler] = fresh
         self.borrowed.pop(sampler, None)
 
-    def record_workload(self, model: str, amount: float) -> None:
-        """Record the amount of work in a job."""
+    def record_workload(
+        self, model: str, amount: float, items: int = 0
+    ) -> None:
+        """Record the amount of work in a job, and its number of items."""
         before = self.workloads.get(model, amount)
         self.workloads[model] = before + (amount - before) * _WORKLOAD_SMOOTHING
+        texts = self.texts[model]
+        weight = _WORKLOAD_SMOOTHING if texts.items_per_job else 1
+        texts.items_per_job += (items - texts.items_per_job) * weight
+
+    def record_text(self, model: str, events: int) -> None:
+        """Record the length of a completed text."""
+        texts = self.texts[model]
+        texts.texts += 1
+        weight = max(1 / texts.texts, _TEXT_SMOOTHING)
+        texts.events_per_text += (events - texts.events_per_text) * weight
+
+    def get_work(self, model: str, steps_behind: float) -> ModelWork:
+        """Return the work of a model in a job."""
+        texts = self.texts[model]
+        return ModelWork(
+            workload=self.workloads.get(model, 0),
+            events=texts.items_per_job * texts.estimate_events(),
+            steps_behind=steps_behind,
+        )
+
+    def list_capacities(
+        self, upstreams: Iterable[Upstream], default_slots: int
+    ) -> dict[UpstreamId, SamplerCapacity]:
+        """Return the capacity of each sampler.
+
+        Parameters
+        ----------
+        default_slots
+            Slots of a sampler that doesn't report how many it has.
+        """
+        listed = list(upstreams)
+        median = self.find_usual_interval(listed)
+        capacities = {}
+        for upstream in listed:
+            state = self.get(upstream.id)
+            capacities[upstream.id] = SamplerCapacity(
+                slots=upstream.slots or default_slots,
+                versions=state.versions,
+                relative_interval=state.usual_interval / median
+                if median
+                else 0,
+            )
+        return capacities
+
+    def find_usual_interval(self, upstreams: Iterable[Upstream]) -> float:
+        """Return the samplers' median event interval; 0 while unknown."""
+        intervals = sorted(
+            interval
+            for each in upstreams
+            if (interval := self.get(each.id).usual_interval)
+        )
+        return intervals[len(intervals) // 2] if intervals else 0
 
     def record_version(
         self, sampler: UpstreamId, model: str, version: WeightVersion
@@ -114,6 +196,9 @@
         state = self.get(sampler)
         weight = _INTERVAL_SMOOTHING if state.event_interval else 1
         state.event_interval += (seconds - state.event_interval) * weight
+        state.measurements += 1
+        weight = max(1 / state.measurements, _USUAL_INTERVAL_SMOOTHING)
+        state.usual_interval += (seconds - state.usual_interval) * weight
 
     def notify(self) -> None:
         """Call the subscribers."""
