--- a/guavagate/jobs/_active.py
+++ b/guavagate/jobs/_active.py
@@ -136,6 +136,9 @@
             if due is not None:
                 demand = demands.setdefault(model, ModelDemand())
                 demand.seconds_to_next_job = due - now
+                demand.steps_behind = cadence.count_steps_behind(
+                    now, working=demand.open_jobs > 0
+                )
         return demands
 
     def read(
