--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -213,7 +213,7 @@
 
     def _on_job_loaded(self, job: Job) -> None:
         amount = sum(max(each.expected_tokens, 1) for each in job.items)
-        self._states.record_workload(job.model, amount)
+        self._states.record_workload(job.model, amount, len(job.items))
         active = self._active_jobs.get(job.id)
         if active is not None:
             mark_stopped_items(active.work, self._quarantine)
