--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -79,6 +79,7 @@
     def record_text(self, work: JobWork, progress: ItemProgress) -> None:
         """Record a complete text, to estimate the lengths of others."""
         self._lengths.record(work.job.model, progress)
+        self._states.record_text(work.job.model, progress.text.last_number)
 
     def dispatch(self, works: Sequence[JobWork], now: float) -> None:
         """Start waiting items; move items off slow or stalled samplers."""
