--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -232,6 +232,7 @@
             self._client,
             owner.collect_demands,
             lambda: self._count_slots(service),
+            self._metrics,
         )
         states.subscribe(coordinator.wake)
         scaler = self._make_scaler(service, lease, owner)
