Read how much time a leaving sampler has left

Cause: a registration says `leaves_ms` when its sampler is reclaimed, and nothing read it; all texts there were cut at the same moment.

Change: the upstream has the time left, and can turn it into a deadline on the clock of the instance that received it.

Tested: tests/platform/test_servers.py.

--- a/guavagate/platform/_servers.py
+++ b/guavagate/platform/_servers.py
@@ -1,7 +1,7 @@
 """Decodes samplers' registrations into upstreams."""
 
 import ipaddress
-from typing import Final
+from typing import Final, Literal
 
 import msgspec
 
@@ -12,7 +12,6 @@
 _MAX_PORT: Final = 65_535
 # Far beyond any engine's batch size; a larger number is an error.
 _MAX_SLOTS: Final = 100_000
-_STATES: Final = frozenset((_READY, 'draining'))
 
 
 class ModelState(msgspec.Struct, frozen=True):
@@ -28,11 +27,13 @@
     address: str
     zone: str
     slots: int
-    state: str
+    state: Literal['ready', 'draining']
     models: list[ModelState] = []
     # Start time in Unix milliseconds by the sampler's own clock.
     born: float = 0
     spot: bool = False
+    # Given while it drains.
+    leaves_ms: float | None = None
 
 
 class _Version(msgspec.Struct, frozen=True, kw_only=True):
@@ -49,8 +50,6 @@
         The value is not a valid registration of a sampler.
     """
     server = msgspec.json.decode(value, type=_Server)
-    if server.state not in _STATES:
-        raise ValueError(f'unknown state {server.state!r}')
     if not _is_address(server.address):
         raise ValueError(f'{server.address!r} is not an IP address with a port')
     if not 0 <= server.slots <= _MAX_SLOTS:
@@ -65,6 +64,7 @@
         versions=read_models(server.models),
         incarnation=int(server.born),
         spot=server.spot,
+        leaves_in=None if server.leaves_ms is None else server.leaves_ms / 1000,
     )
 
 
