Set an upstream's deadline when its registration arrives

One line in the table, as only it knows the clock and the registration before. A registration that is read again does not move the deadline (tests/jobs/test_reclaim.py).

--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -84,6 +84,7 @@
     def put(self, upstream: Upstream) -> None:
         """Record an upstream's registration."""
         previous = self._all.get(upstream.id)
+        upstream = upstream.set_deadline(previous, self._clock.now())
         self._all[upstream.id] = upstream
         if previous is None or previous.leaving != upstream.leaving:
             write(
