Let items avoid a sampler while others have a free slot

Long texts are to keep off spot samplers of a zone that was reclaimed recently, but not to wait for that. Tested in tests/jobs/test_reclaim.py; tests/jobs/test_schedule.py is unchanged.

--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -27,6 +27,8 @@
 # Items of a group share a prompt. Reading it again on another sampler takes a
 # tenth of an event interval.
 SAME_GROUP_BONUS: Final = 0.06
+# More than any difference in speed.
+AVOIDED_COST: Final = 100.0
 # A full batch slows each event by at most this much, also on unfamiliar kinds
 # of samplers.
 FULL_BATCH_COST: Final = 0.2
@@ -46,7 +48,8 @@
     """A sampler that can be given items of its models.
 
     `relative_interval` is its event interval relative to the median: a sampler
-    with 2 is half as fast as usual.
+    with 2 is half as fast as usual. The items in `avoided_by` start there only
+    if no other sampler has a free slot.
     """
 
     id: UpstreamId
@@ -56,6 +59,7 @@
     relative_interval: float = 1.0
     models: frozenset[str] = frozenset()
     groups: set[str] = set()
+    avoided_by: set[ItemId] = set()
 
 
 # Returns the remaining seconds of an item at the median event interval; 0 if
@@ -232,6 +236,8 @@
     def compute_cost(sampler: SamplerSlots) -> float:
         fill = 1 - (sampler.free - 1) / sampler.slots
         bonus = SAME_GROUP_BONUS if group in sampler.groups else 0
+        if progress.item.id in sampler.avoided_by:
+            bonus -= AVOIDED_COST
         return sampler.relative_interval * (1 + FULL_BATCH_COST * fill) - bonus
 
     return min(eligible, key=compute_cost)
