--- a/guavagate/events/duties.py
+++ b/guavagate/events/duties.py
@@ -43,3 +43,14 @@
     'The platform did not accept an order of upstreams',
     'if this lasts, ask the platform for capacity; other zones are tried',
 )
+SPOT_RECLAIMED: Final = Event(
+    9220,
+    logging.INFO,
+    "A zone's spot upstreams are reclaimed; none are ordered for a while",
+)
+ORDER_NOT_EXECUTED: Final = Event(
+    9221,
+    logging.WARNING,
+    'No upstream of an accepted order has come; it is repeated later',
+    'if this lasts, ask the platform why; other zones are tried meanwhile',
+)
--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -140,6 +140,11 @@
     logging.INFO,
     "The former owner's assignment was recovered from the loaded versions",
 )
+ITEM_MOVED_OFF: Final = Event(
+    9112,
+    logging.INFO,
+    'An item moves off a sampler that leaves before the item could end',
+)
 SAMPLER_MOVES_DELAYED: Final = Event(
     9111,
     logging.INFO,
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -156,6 +156,22 @@
     text='Work of a job over slots at usual speed, where samplers are uneven',
     labels=('model',),
 )
+SCALE_ORDERS: Final = Metric(
+    name='guavagate_scale_orders_total',
+    kind=MetricKind.COUNTER,
+    text='Orders of upstreams, by kind and the answer to them',
+    labels=('kind', 'answer'),
+)
+SPOT_UNAVAILABLE: Final = Metric(
+    name='guavagate_spot_unavailable_zones',
+    kind=MetricKind.GAUGE,
+    text='Zones in which no spot upstreams can be ordered now',
+)
+TEXTS_MOVED_OFF: Final = Metric(
+    name='guavagate_texts_moved_off_total',
+    kind=MetricKind.COUNTER,
+    text='Texts that moved off a sampler before it left',
+)
 CPU_SECONDS: Final = Metric(
     name='process_cpu_seconds_total',
     kind=MetricKind.COUNTER,
