--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -11,6 +11,7 @@
 from guavagate.jobs._forecast import Forecast, GroupPlan, forecast
 from guavagate.jobs._lengths import LengthEstimator
 from guavagate.jobs._models import GroupId, JobId
+from guavagate.jobs._reclaim import Reclaims
 from guavagate.jobs._runner import ItemRunner
 from guavagate.jobs._schedule import (
     ItemPlacement,
@@ -72,6 +73,9 @@
         self._default_slots = default_slots
         self._metrics = metrics
         self._lengths = LengthEstimator()
+        self._reclaims = Reclaims(
+            service, upstreams, states, metrics, self._estimate_seconds
+        )
         self._deferred: set[tuple[JobId, GroupId]] = set()
         self._scanned_at = clock.now()
         self._resumed_at = clock.now()
@@ -85,15 +89,18 @@
         """Start waiting items; move items off slow or stalled samplers."""
         self._leave_unresponsive(works, now)
         samplers = self._list_samplers(now)
+        self._reclaims.mark_risky(works, samplers, now)
         planned = self._forecast(works, now)
         by_id = {work.job.id: work for work in works}
         for placement in place(planned.groups, samplers, self._lengths):
             self._start(by_id[placement.job], placement, now)
-        moves = find_moves(
-            works, self._list_samplers(now), now, self._estimate_seconds
-        )
-        for progress in moves:
+        samplers = self._list_samplers(now)
+        self._reclaims.mark_risky(works, samplers, now)
+        for progress in find_moves(
+            works, samplers, now, self._estimate_seconds
+        ):
             self._move(progress)
+        self._reclaims.move_texts(works, samplers, now)
 
     def _estimate_seconds(self, work: JobWork, progress: ItemProgress) -> float:
         """Return an item's remaining seconds at median speed; 0 if unknown."""
