Store notes for the successor with a lease

Cause: the next owner of a service counts the regular samplers that replace spot ones to those that stay, and pays for them for ever.

Change: the record has notes, empty by default; the next holder has them once it took the lease.

Tested: tests/rollouts/test_lease.py.

--- a/guavagate/rollouts/_lease.py
+++ b/guavagate/rollouts/_lease.py
@@ -47,13 +47,15 @@
     """The stored record of a lease.
 
     `ordered` is set before the first order of a generation: while it is not
-    set, the holder has certainly sent no order.
+    set, the holder has certainly sent no order. `notes` are what the holder's
+    successor must know of its orders.
     """
 
     holder: InstanceId
     generation: int
     nonce: str
     ordered: bool = False
+    notes: dict[str, int] = {}
 
 
 class LeaseHeldError(Exception):
@@ -73,6 +75,12 @@
         Announces this holder's renewals and records those of other holders.
     list_successors
         Returns the instances that may take the lease over from this one.
+
+    Attributes
+    ----------
+    notes
+        Stored with each renewal; the next holder has them once it took the
+        lease.
     """
 
     def __init__(
@@ -99,6 +107,7 @@
         self._valid_until = float(0)
         self._first_order_at = float(0)
         self.generation = 0
+        self.notes: dict[str, int] = {}
 
     @property
     def held(self) -> bool:
@@ -140,7 +149,11 @@
         # keep the revision, and a later holder's write would go unnoticed.
         self._nonce = secrets.token_hex(8)
         record = LeaseRecord(
-            self._me, self.generation, self._nonce, ordered=True
+            self._me,
+            self.generation,
+            self._nonce,
+            ordered=True,
+            notes=dict(self.notes),
         )
         # Announced before it is written, so that a holder that is killed during
         # the write has announced it. Its validity counts from here anyway.
@@ -200,8 +213,13 @@
         generation = 1 if previous is None else previous.generation + 1
         wait = self._compute_wait(previous)
         self._nonce = secrets.token_hex(8)
+        self.notes = {} if previous is None else dict(previous.notes)
         record = LeaseRecord(
-            self._me, generation, self._nonce, ordered=not wait
+            self._me,
+            generation,
+            self._nonce,
+            ordered=not wait,
+            notes=dict(self.notes),
         )
         expected = _NEW if current is None else current.version
         try:
--- a/tests/rollouts/test_lease.py
+++ b/tests/rollouts/test_lease.py
@@ -306,3 +306,22 @@
         task.get(block=False)
     assert lease.may_order()
     assert lease.generation == 1
+
+
+def test_a_successor_reads_the_notes_of_its_predecessor() -> None:
+    """The holder noted what it ordered, and was lost.
+
+    Notes of a renewal that the store never took are not passed on.
+    """
+    holders = _Holders()
+    first, second = holders.make('a'), holders.make('b')
+    holders.acquire_or_renew(first)
+    first.notes = {'zone-0': 8}
+    holders.clock.advance(0.6)
+    holders.acquire_or_renew(first)
+    first.notes = {'zone-0': 9}
+    holders.acquire_or_renew(second)
+    assert second.notes == {'zone-0': 8}
+    restarted = holders.make('b')
+    holders.acquire_or_renew(restarted)
+    assert restarted.notes == {'zone-0': 8}
