Order samplers by what is available and what steps need

Cause: a refused order made regular samplers replace a whole zone's share for 20 s, at 4.5 times the price, whether steps needed them or not; an order that was accepted and not carried out was repeated each 6 s.

Change: a zone without spot samplers is tried after 8 s (reclaim) or 4, 8 and 16 s (refusal, or an order that brought nothing); other zones fill in; regular ones come for what the largest burst needs by the lengths of its texts. Both kinds of a zone stay within the limit between any two orders. A successor reads the baseline from the lease's notes.

Tested: tests/duties/test_reclaims.py checks the limit at every order that the platform accepts; tests/duties/test_supply.py; the older tests of targets and scaler hold, the scaler's set-up has a route and can make a second scaler.

--- a/guavagate/duties/_scaler.py
+++ b/guavagate/duties/_scaler.py
@@ -1,11 +1,13 @@
 """Scales a service's upstreams from its job owner, under its lease."""
 
 import logging
-from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from guavagate.clock import Clock, Task
+from guavagate.duties._demand import PEAK_SECONDS, BurstDemand
+from guavagate.duties._orders import Orders
+from guavagate.duties._supply import Key, Supply
 from guavagate.duties._targets import (
     CapacityType,
     Targets,
@@ -15,32 +17,30 @@
 from guavagate.events import duties as events
 from guavagate.events import write
 from guavagate.exceptions import StoreUnavailableError
+from guavagate.metrics import Metrics, names
 from guavagate.models import InstanceId, ServiceId, ZoneId
-from guavagate.ports.configuration import Scaling
+from guavagate.ports.configuration import RouteKind, Scaling
 from guavagate.ports.duties import (
     DutyAnswer,
     DutyClient,
     LeaseHolder,
     ScaleOrder,
 )
-from guavagate.rollouts import Lease, LeaseHeldError, acquire_for_orders
+from guavagate.ports.upstreams import Upstream
+from guavagate.rollouts import (
+    Lease,
+    LeaseHeldError,
+    TextSeconds,
+    acquire_for_orders,
+)
 from guavagate.routing import RouteTable, UpstreamTable
 
 _LOGGER: Final = logging.getLogger(__name__)
 
 CHECK_INTERVAL_SECONDS: Final = 0.5
-# Peaks count for this long, which covers some steps, so that upstreams do not
-# come and go when a trainer stops or is slow once.
-PEAK_SECONDS: Final = 30.0
-# How long regular upstreams replace spot ones in a zone where an order for spot
-# ones failed.
-SPOT_UNAVAILABLE_SECONDS: Final = 20.0
-# An order counts as lost if its upstreams are still missing this long after
-# their boot time.
-OVERDUE_SECONDS: Final = 2.0
 
 CountOpen = Callable[[], dict[str, int]]
-_Key = tuple[ZoneId, CapacityType]
+EstimateTexts = Callable[[Iterable[Upstream]], dict[str, TextSeconds]]
 
 
 class Scaler:
@@ -52,6 +52,9 @@
         Returns the number of unfinished items by model.
     count_slots
         Returns the number of slots of an upstream.
+    estimate_texts
+        Returns how long the texts of each model run; without it, steps are
+        taken to need a slot for each item.
     """
 
     def __init__(
@@ -65,6 +68,8 @@
         client: DutyClient,
         count_open: CountOpen,
         count_slots: Callable[[], int],
+        estimate_texts: EstimateTexts | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._service = service
         self._me = me
@@ -75,11 +80,13 @@
         self._client = client
         self._count_open = count_open
         self._count_slots = count_slots
-        self._peaks: dict[str, deque[tuple[float, int]]] = {}
+        self._estimate_texts = estimate_texts
+        self._metrics = metrics or Metrics()
+        self._demand = BurstDemand()
         self._baseline: dict[ZoneId, int] = {}
-        self._ordered: Targets = {}
-        self._ordered_at: dict[_Key, float] = {}
-        self._spot_unavailable_until: dict[ZoneId, float] = {}
+        self._orders = Orders()
+        self._supply = Supply()
+        self._restored_generation = 0
         self._started_at = float(0)
         self._task: Task | None = None
 
@@ -96,8 +103,9 @@
         self._task.kill(block=False)
         self._task = None
         self._baseline.clear()
-        self._ordered.clear()
-        self._ordered_at.clear()
+        self._orders.clear()
+        self._supply.clear()
+        self._restored_generation = 0
 
     def _run(self) -> None:
         while True:
@@ -111,51 +119,143 @@
         configured = self._routes.find_service(self._service)
         if configured is None or configured.scaling is None:
             return
+        scaling = configured.scaling
         now = self._clock.now()
-        demand = self._compute_demand()
-        counts = self._count_upstreams(configured.scaling)
-        if now - self._started_at < PEAK_SECONDS:
-            # The bursts are still unknown. One that gets too few slots is late,
-            # and delays the next steps of its trainer; idle upstreams for half
-            # a minute cost less.
-            demand = max(demand, configured.scaling.max_upstreams * len(counts))
-        spot_unavailable = [
+        counts = self._count_upstreams(scaling)
+        self._restore_baseline(counts, now)
+        self._watch_supply(counts, scaling, now)
+        retried = [
             zone
-            for zone, end in self._spot_unavailable_until.items()
-            if end > now
+            for zone in counts
+            if self._supply.is_retry_due((zone, CapacityType.SPOT), now)
         ]
-        targets = choose_targets(
-            configured.scaling, self._baseline, demand, spot_unavailable
+        targets = self._choose_targets(scaling, counts, retried, now)
+        due = self._orders.list_due(
+            targets, counts, self._supply, retried, scaling, now
         )
-        for key, amount in targets.items():
-            if self._is_due(key, amount, counts, configured.scaling):
+        if due and not self._lease.held:
+            # What the former holder noted may change what is due.
+            acquire_for_orders(self._lease, self._clock)
+            return
+        for key, amount in due:
+            if self._orders.fits(key, amount, counts, scaling):
                 self._send_order(key, amount)
 
-    def _compute_demand(self) -> float:
-        """Return how many upstreams the largest recent bursts would fill.
+    def _restore_baseline(
+        self, counts: dict[ZoneId, UpstreamCounts], now: float
+    ) -> None:
+        """Take over the baseline of the lease's former holder.
 
-        Adds up the peaks of the models, because each has its own upstreams.
+        Its regular upstreams that replace spot ones are no part of it. They are
+        released when spot upstreams are available again, which is tried first.
         """
-        now = self._clock.now()
-        for model, amount in self._count_open().items():
-            peaks = self._peaks.setdefault(model, deque())
-            while peaks and peaks[-1][1] <= amount:
-                peaks.pop()
-            peaks.append((now, amount))
-        for recent in self._peaks.values():
-            while recent and now - recent[0][0] > PEAK_SECONDS:
-                recent.popleft()
-        items = sum(each[0][1] for each in self._peaks.values() if each)
-        return items / max(self._count_slots(), 1)
+        lease = self._lease
+        if not lease.held:
+            return
+        if lease.generation != self._restored_generation:
+            self._restored_generation = lease.generation
+            for name, amount in lease.notes.items():
+                zone = ZoneId(name)
+                self._baseline[zone] = amount
+                if counts.get(zone, UpstreamCounts()).regular > amount:
+                    self._supply.record_refusal((zone, CapacityType.SPOT), now)
+        present = {zone: count.regular for zone, count in counts.items()}
+        if not self._orders.has_replacements(self._baseline, present):
+            lease.notes = {}
+
+    def _watch_supply(
+        self,
+        counts: dict[ZoneId, UpstreamCounts],
+        scaling: Scaling,
+        now: float,
+    ) -> None:
+        """Update where upstreams are available from those that are there."""
+        for key in self._orders.record_counts(counts):
+            self._supply.record_arrival(key)
+        for zone in self._orders.find_reclaimed(counts):
+            count = counts[zone]
+            if self._supply.is_available((zone, CapacityType.SPOT)):
+                self._supply.record_reclaim(zone, now)
+                write(
+                    _LOGGER,
+                    events.SPOT_RECLAIMED,
+                    service=self._service,
+                    zone=zone,
+                    leaving=count.reclaimed,
+                    left=count.spot,
+                )
+        for key in self._orders.list_missing(counts, scaling, now):
+            if self._supply.is_available(key) or self._supply.is_awaited(key):
+                retry_at = self._supply.record_refusal(key, now)
+                write(
+                    _LOGGER,
+                    events.ORDER_NOT_EXECUTED,
+                    service=self._service,
+                    zone=key[0],
+                    kind=key[1].value,
+                    retry_after=round(retry_at - now, 1),
+                )
+        self._metrics.set_gauge(
+            names.SPOT_UNAVAILABLE, len(self._supply.list_unavailable(counts))
+        )
+
+    def _choose_targets(
+        self,
+        scaling: Scaling,
+        counts: dict[ZoneId, UpstreamCounts],
+        retried: list[ZoneId],
+        now: float,
+    ) -> Targets:
+        self._demand.record(self._count_open(), now)
+        demand = self._demand.compute_upstreams(self._count_slots())
+        if now - self._started_at < PEAK_SECONDS:
+            # The bursts are still unknown. One that gets too few slots is late,
+            # and delays the next steps of its trainer; idle upstreams for half
+            # a minute cost less.
+            demand = max(demand, scaling.max_upstreams * len(counts))
+        return choose_targets(
+            scaling,
+            self._baseline,
+            demand,
+            self._supply.list_unavailable(counts),
+            self._compute_needed(),
+            retried,
+            {
+                zone: self._orders.standing.get((zone, CapacityType.SPOT), 0)
+                if self._supply.is_awaited((zone, CapacityType.SPOT))
+                else count.spot
+                for zone, count in counts.items()
+            },
+        )
+
+    def _compute_needed(self) -> float | None:
+        """Return the upstreams without which steps would be late, if known."""
+        objectives = [
+            route.job_objective
+            for route in self._routes.routes()
+            if route.kind is RouteKind.JOB
+            and any(each.service == self._service for each in route.shares)
+        ]
+        if self._estimate_texts is None or not objectives:
+            return None
+        texts = self._estimate_texts(self._upstreams.serving(self._service))
+        return self._demand.compute_needed(
+            texts, self._count_slots(), min(objectives)
+        )
 
     def _count_upstreams(
         self, scaling: Scaling
     ) -> dict[ZoneId, UpstreamCounts]:
         counts = {zone: UpstreamCounts() for zone in scaling.zone_prices}
-        for upstream in self._upstreams.serving(self._service):
+        for upstream in self._upstreams.all():
+            if upstream.service != self._service:
+                continue
             count = counts.setdefault(upstream.zone, UpstreamCounts())
-            count.spot += upstream.spot
-            count.regular += not upstream.spot
+            if upstream.leaving:
+                count.reclaimed += upstream.is_reclaimed
+            else:
+                count.spot += upstream.spot
+                count.regular += not upstream.spot
         for zone, count in counts.items():
             self._update_baseline(zone, count.regular)
         return counts
@@ -169,29 +269,14 @@
         the baseline stays, as the number may then include regular upstreams
         that replace spot ones.
         """
-        if (zone, CapacityType.REGULAR) not in self._ordered:
+        ordered = (zone, CapacityType.REGULAR) in self._orders.standing
+        noted = self._lease.held and zone in self._lease.notes
+        if not ordered and not noted:
             self._baseline[zone] = max(self._baseline.get(zone, 0), regular)
 
-    def _is_due(
-        self,
-        key: _Key,
-        amount: int,
-        counts: dict[ZoneId, UpstreamCounts],
-        scaling: Scaling,
-    ) -> bool:
-        zone, kind = key
-        count = counts.get(zone, UpstreamCounts())
-        current = count.spot if kind is CapacityType.SPOT else count.regular
-        if self._ordered.get(key, current) != amount:
-            return True
-        if current >= amount:
-            return False
-        elapsed = self._clock.now() - self._ordered_at.get(
-            key, self._started_at
-        )
-        return elapsed > scaling.boot_seconds + OVERDUE_SECONDS
-
-    def _send_order(self, key: _Key, amount: int) -> None:
+    def _send_order(self, key: Key, amount: int) -> None:
+        if key[1] is CapacityType.REGULAR:
+            self._note_baseline(key[0], amount)
         if not self._lease.may_order():
             acquire_for_orders(self._lease, self._clock)
         if not self._lease.may_order():
@@ -206,11 +291,16 @@
         holder = LeaseHolder(self._me, self._lease.generation)
         answer = self._client.order(holder, order)
         now = self._clock.now()
-        self._ordered[key] = amount
-        self._ordered_at[key] = now
         accepted = answer is DutyAnswer.ACCEPTED
-        if not accepted and kind is CapacityType.SPOT:
-            self._spot_unavailable_until[zone] = now + SPOT_UNAVAILABLE_SECONDS
+        retry_at = now
+        if accepted or answer is DutyAnswer.UNKNOWN:
+            self._orders.record(key, amount, now)
+            self._supply.record_acceptance(key, now)
+        else:
+            retry_at = self._supply.record_refusal(key, now)
+        self._metrics.count(
+            names.SCALE_ORDERS, kind=kind.value, answer=answer.value
+        )
         write(
             _LOGGER,
             events.SCALE_ORDERED if accepted else events.SCALE_FAILED,
@@ -219,5 +309,18 @@
             kind=kind.value,
             amount=amount,
             answer=answer.value,
+            retry_after=round(retry_at - now, 1),
             generation=holder.generation,
         )
+
+    def _note_baseline(self, zone: ZoneId, amount: int) -> None:
+        """Store the baseline with the lease before replacements are ordered.
+
+        A successor that counted the replacements to the baseline would keep
+        them for ever.
+        """
+        replaced = self._orders.has_replacements(self._baseline, {zone: amount})
+        notes = {str(each): count for each, count in self._baseline.items()}
+        if replaced and self._lease.notes != notes:
+            self._lease.notes = notes
+            self._lease.acquire_or_renew()
--- a/guavagate/rollouts/__init__.py
+++ b/guavagate/rollouts/__init__.py
@@ -13,7 +13,11 @@
 from guavagate.rollouts._plan import ModelDemand
 from guavagate.rollouts._published import PublishedVersions
 from guavagate.rollouts._renewals import MAX_SUCCESSORS, Renewals
-from guavagate.rollouts._states import SamplerState, SamplerStates
+from guavagate.rollouts._states import (
+    SamplerState,
+    SamplerStates,
+    TextSeconds,
+)
 
 __all__ = (
     'MAX_SUCCESSORS',
@@ -26,6 +30,7 @@
     'Renewals',
     'SamplerState',
     'SamplerStates',
+    'TextSeconds',
     'acquire_for_orders',
     'assign_samplers',
     'lease_path',
--- a/guavagate/rollouts/_states.py
+++ b/guavagate/rollouts/_states.py
@@ -17,6 +17,8 @@
 _USUAL_INTERVAL_SMOOTHING: Final = 0.02
 # The texts of about one step.
 _TEXT_SMOOTHING: Final = 0.01
+# The longest text counts half after those of about three steps.
+_LONGEST_DECAY: Final = 0.998
 # Fewer texts of a model say little, because the short ones complete first.
 _MIN_TEXTS: Final = 20
 
@@ -47,12 +49,24 @@
     unresponsive: bool = False
 
 
+class TextSeconds(msgspec.Struct, frozen=True):
+    """How long a model's texts run on a usual sampler, in seconds."""
+
+    mean: float
+    longest: float
+
+
 class ModelTexts(msgspec.Struct):
-    """What is known of a model's texts; averages over the last ones."""
+    """What is known of a model's texts; averages over the last ones.
+
+    `longest` is the number of events of the longest one, reduced by each text
+    since.
+    """
 
     items_per_job: float = 0
     texts: int = 0
     events_per_text: float = 0
+    longest: float = 0
 
     def estimate_events(self) -> float:
         """Return the average number of events; 0 while unknown."""
@@ -139,6 +153,7 @@
         texts.texts += 1
         weight = max(1 / texts.texts, _TEXT_SMOOTHING)
         texts.events_per_text += (events - texts.events_per_text) * weight
+        texts.longest = max(events, texts.longest * _LONGEST_DECAY)
 
     def get_work(self, model: str, steps_behind: float) -> ModelWork:
         """Return the work of a model in a job."""
@@ -149,6 +164,19 @@
             steps_behind=steps_behind,
         )
 
+    def estimate_texts(
+        self, upstreams: Iterable[Upstream]
+    ) -> dict[str, TextSeconds]:
+        """Return how long the texts of each model run, if known."""
+        interval = self.find_usual_interval(upstreams)
+        return {
+            model: TextSeconds(
+                texts.events_per_text * interval, texts.longest * interval
+            )
+            for model, texts in self.texts.items()
+            if interval and texts.estimate_events()
+        }
+
     def list_capacities(
         self, upstreams: Iterable[Upstream], default_slots: int
     ) -> dict[UpstreamId, SamplerCapacity]:
--- a/tests/duties/test_scaler.py
+++ b/tests/duties/test_scaler.py
@@ -3,7 +3,14 @@
 from guavagate.duties import Scaler
 from guavagate.measure.fakes import MemoryStore, World
 from guavagate.models import InstanceId, ServiceId, UpstreamId, ZoneId
-from guavagate.ports.configuration import Configuration, Scaling, Service
+from guavagate.ports.configuration import (
+    Configuration,
+    Route,
+    RouteKind,
+    Scaling,
+    Service,
+    ServiceShare,
+)
 from guavagate.ports.duties import (
     DutyAnswer,
     LeaseHolder,
@@ -11,7 +18,7 @@
     TeamCounts,
 )
 from guavagate.ports.upstreams import Upstream
-from guavagate.rollouts import Lease, Renewals, lease_path
+from guavagate.rollouts import Lease, Renewals, TextSeconds, lease_path
 from guavagate.routing import RouteTable, UpstreamTable
 
 _SERVICE = ServiceId('llm')
@@ -77,17 +84,25 @@
         )
         self.platform = _Platform(self)
         self.open: dict[str, int] = {}
-        me = InstanceId('me')
+        self.texts: dict[str, TextSeconds] = {}
+        self._world = world
+        self.scaler = self.make_scaler('me')
+
+    def make_scaler(self, name: str) -> Scaler:
+        """Return the scaler of an instance; all share the store."""
+        me = InstanceId(name)
+        if name not in self._world.hosts:
+            self._world.add(name)
         lease = Lease(
-            MemoryStore(self.clock, world.store),
+            MemoryStore(self.clock, self._world.store),
             lease_path(_SERVICE),
             me,
             3.0,
-            Renewals(world.bus('me'), self.clock.now),
+            Renewals(self._world.bus(name), self.clock.now),
             list,
             self.clock.now,
         )
-        self.scaler = Scaler(
+        return Scaler(
             _SERVICE,
             me,
             self.clock,
@@ -97,14 +112,27 @@
             self.platform,
             lambda: self.open,
             lambda: _SLOTS,
+            lambda _: self.texts,
         )
 
     def put_scaling(self, scaling: Scaling | None) -> None:
         """Activate a configuration with these scaling settings."""
         service = Service(id=_SERVICE, scaling=scaling)
+        route = Route(
+            name='r',
+            host='a.example',
+            prefix='/x/',
+            kind=RouteKind.JOB,
+            shares=(ServiceShare(_SERVICE, 1),),
+            timeout=10,
+            objective=0.4,
+            job_objective=7.5,
+        )
         current = self.routes.configuration
         version = 1 if current is None else current.version + 1
-        self.routes.apply(Configuration(version=version, services=(service,)))
+        self.routes.apply(
+            Configuration(version=version, services=(service,), routes=(route,))
+        )
 
     def add(self, name: str, zone: ZoneId, *, spot: bool = False) -> None:
         """Register an upstream."""
