--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -235,13 +235,17 @@
             self._metrics,
         )
         states.subscribe(coordinator.wake)
-        scaler = self._make_scaler(service, lease, owner)
+        scaler = self._make_scaler(service, lease, owner, states)
         created = _Service(owner, coordinator, states, scaler)
         self._services[service] = created
         return created
 
     def _make_scaler(
-        self, service: ServiceId, lease: Lease, owner: JobOwner
+        self,
+        service: ServiceId,
+        lease: Lease,
+        owner: JobOwner,
+        states: SamplerStates,
     ) -> Scaler | None:
         if self._duties is None:
             return None
@@ -255,6 +259,8 @@
             self._duties,
             owner.count_open,
             lambda: self._count_slots(service),
+            states.estimate_texts,
+            self._metrics,
         )
 
     def _list_successors(self, service: ServiceId) -> list[InstanceId]:
