--- a/standins/_safeguard_capacity.py
+++ b/standins/_safeguard_capacity.py
@@ -1,4 +1,4 @@
-"""Mutations that each remove one safeguard of the sharing of samplers."""
+"""Mutations that each remove one safeguard of sharing and scaling."""
 
 from typing import Final
 
@@ -27,4 +27,39 @@
         '',
         'tests/rollouts/test_borrow.py',
     ),
+    Safeguard(
+        'short texts end where they are',
+        'guavagate/jobs/_reclaim.py',
+        '    return not remaining or needed > left\n',
+        '    return True\n',
+        'tests/jobs/test_reclaim.py',
+    ),
+    Safeguard(
+        'texts leave a sampler in stages',
+        'guavagate/jobs/_reclaim.py',
+        '        target.free = min(target.free, TEXTS_PER_STAGE)\n',
+        '        pass\n',
+        'tests/jobs/test_reclaim.py',
+    ),
+    Safeguard(
+        'a zone never gets more than its limit between two orders',
+        'guavagate/duties/_scaler.py',
+        '            if self._orders.fits(key, amount, counts, scaling):\n',
+        '            if True:\n',
+        'tests/duties/test_reclaims.py',
+    ),
+    Safeguard(
+        "replacements do not become a successor's baseline",
+        'guavagate/duties/_scaler.py',
+        '                self._baseline[zone] = amount\n',
+        '                pass\n',
+        'tests/duties/test_reclaims.py',
+    ),
+    Safeguard(
+        'nothing is ordered right after a reclaim',
+        'guavagate/duties/_scaler.py',
+        '                self._supply.record_reclaim(zone, now)\n',
+        '                pass\n',
+        'tests/duties/test_reclaims.py',
+    ),
 )
