--- a/tests/jobs/test_cadence.py
+++ b/tests/jobs/test_cadence.py
@@ -1,5 +1,7 @@
 """Predicting when a trainer's next step is due."""
 
+import random
+
 from guavagate.jobs._cadence import Cadence
 
 
@@ -64,3 +66,38 @@
     assert cadence.count_steps_behind(5, working=True) == 0
     cadence.observe(4, 1)
     assert cadence.count_steps_behind(5, working=True) == 0
+
+
+def test_a_late_first_step_does_not_shorten_the_period() -> None:
+    """The deployment starts, and the first step is accepted two seconds late.
+
+    With a period of the shortest time from that step, half a second would be
+    missing at each step, and the trainer would seem later and later.
+    """
+    cadence = Cadence()
+    for step in range(40):
+        cadence.observe(step, 2.0 if step == 0 else 4.0 * step)
+    assert cadence.count_steps_behind(156, working=True) < 0.1
+    due = cadence.predict_next()
+    assert due is not None
+    assert abs(due - 160) < 0.2
+
+
+def test_jitter_of_submissions_is_no_lateness() -> None:
+    """Submissions arrive up to a tenth of a second late, the first one most."""
+    rng = random.Random(5)
+    cadence = Cadence()
+    for step in range(200):
+        jitter = 0.1 if step == 0 else rng.uniform(0, 0.1)
+        cadence.observe(step, 4.0 * step + jitter)
+        now = 4.0 * step + 0.1
+        assert cadence.count_steps_behind(now, working=True) < 0.1
+
+
+def test_lateness_is_counted_after_many_steps_on_time() -> None:
+    """From step 10 on, each step is half a second later than the one before."""
+    cadence = Cadence()
+    for step in range(35):
+        cadence.observe(step, 4.0 * step + max(step - 10, 0) / 2)
+    behind = cadence.count_steps_behind(4.0 * 34 + 12, working=True)
+    assert abs(behind - 3) < 0.2
