--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -152,3 +152,18 @@
 SAMPLERS_ASSIGNED: Final = Event(
     9108, logging.INFO, 'Samplers were assigned to the models'
 )
+ASSIGNMENT_RECOVERED: Final = Event(
+    9110,
+    logging.INFO,
+    "The former owner's assignment was recovered from the loaded versions",
+)
+ITEM_MOVED_OFF: Final = Event(
+    9112,
+    logging.INFO,
+    'An item moves off a sampler that leaves before the item could end',
+)
+SAMPLER_MOVES_DELAYED: Final = Event(
+    9111,
+    logging.INFO,
+    'Further samplers move between models later, as each move costs a load',
+)
--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -23,6 +23,7 @@
     find_moves,
     find_urgent_moves,
 )
+from guavagate.jobs._reclaim import Reclaims
 from guavagate.jobs._runner import ItemRunner
 from guavagate.jobs._schedule import (
     ItemPlacement,
@@ -92,6 +93,10 @@
         self._without_memory: set[ItemId] = set()
         self._ignored_estimates: set[str] = set()
         self._lengths = LengthEstimator()
+        self._estimate = self._make_estimate()
+        self._reclaims = Reclaims(
+            service, upstreams, states, metrics, self._estimate_seconds
+        )
         self._deferred: set[tuple[JobId, GroupId]] = set()
         self._scanned_at = clock.now()
         self._resumed_at = clock.now()
@@ -100,6 +105,7 @@
         """Record a complete text, to estimate the lengths of others."""
         model = work.job.model
         self._lengths.record(model, progress)
+        self._states.record_text(model, progress.text.last_number)
         useful = self._lengths.uses_estimates(model)
         if useful is (model in self._ignored_estimates):
             self._ignored_estimates ^= {model}
@@ -113,12 +119,14 @@
         """Start waiting items; move items off slow or stalled samplers."""
         self._leave_unresponsive(works, now)
         estimate = self._make_estimate()
+        self._estimate = estimate
         planned = self._forecast(works, now)
         slots, capacity = self._default_slots(), self._cache_tokens()
         memory = make_memory_estimate(self._lengths, capacity, slots)
         samplers = self._list_samplers(
             works, now, get_memory=reserve_running(works, capacity, memory)
         )
+        self._reclaims.mark_risky(works, samplers, now)
         moves = find_urgent_moves(works, samplers, now, estimate, memory)
         by_id = {work.job.id: work for work in works}
         placements = place(planned.groups, samplers, self._lengths, memory)
@@ -127,6 +135,7 @@
         moves += find_moves(works, samplers, now, estimate, memory)
         for move in moves:
             self._move(move)
+        self._reclaims.move_texts(works, samplers, now)
         if capacity and planned.groups:
             self._report_memory(samplers, placements)
 
@@ -145,6 +154,10 @@
 
         return estimate
 
+    def _estimate_seconds(self, work: JobWork, progress: ItemProgress) -> float:
+        """Return an item's remaining seconds at median speed; 0 if unknown."""
+        return self._estimate(work, progress).conservative
+
     def _find_median_interval(self) -> float:
         serving = self._upstreams.serving(self._service)
         return find_median_interval(serving, self._states)
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -12,7 +12,7 @@
 groups that it needs most first.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 import msgspec
@@ -25,7 +25,7 @@
     TextMemory,
     estimate_no_memory,
 )
-from guavagate.jobs._models import GroupId, ItemId, JobId, JobItem
+from guavagate.jobs._models import ItemId, JobId, JobItem
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.models import UpstreamId, WeightVersion
 from guavagate.rollouts import ModelDemand
@@ -33,6 +33,8 @@
 # Items of a group share a prompt. Reading it again on another sampler takes a
 # tenth of an event interval.
 SAME_GROUP_BONUS: Final = 0.06
+# More than any difference in speed.
+AVOIDED_COST: Final = 100.0
 # A full batch slows each event by at most this much, also on unfamiliar kinds
 # of samplers.
 FULL_BATCH_COST: Final = 0.2
@@ -48,12 +50,17 @@
 UNMEASURED_COST: Final = 0.1
 _NO_MEMORY: Final = TextMemory()
 
+# Returns the remaining seconds of an item at the median event interval; 0 if
+# unknown.
+EstimateSeconds = Callable[[JobWork, ItemProgress], float]
+
 
 class SamplerSlots(msgspec.Struct, kw_only=True):
     """A sampler that can be given items of its models.
 
     `relative_interval` is its event interval relative to the median: a sampler
     with 2 is half as fast as usual. It is 1 until the sampler is `measured`.
+    The items in `avoided_by` start there only if no other one has a free slot.
     """
 
     id: UpstreamId
@@ -65,6 +72,7 @@
     idle_connections: int = 0
     models: frozenset[str] = frozenset()
     groups: set[str] = set()
+    avoided_by: set[ItemId] = set()
     memory: EngineMemory = msgspec.field(default_factory=EngineMemory)
 
     def reserve(self, item: JobItem, memory: TextMemory) -> None:
@@ -205,10 +213,9 @@
     for sampler in usable:
         if sampler.id == progress.move_target:
             return sampler
-    group = progress.item.group
     return min(
         (each for each in usable if each.memory.fits(memory)),
-        key=lambda sampler: _compute_cost(sampler, group, short=short),
+        key=lambda sampler: _compute_cost(sampler, progress.item, short=short),
         default=None,
     )
 
@@ -229,14 +236,16 @@
 
 
 def _compute_cost(
-    sampler: SamplerSlots, group: GroupId, *, short: bool
+    sampler: SamplerSlots, item: JobItem, *, short: bool
 ) -> float:
     fill = max(
         1 - (sampler.free - 1) / sampler.slots, sampler.memory.reserved_share
     )
-    bonus = SAME_GROUP_BONUS if group in sampler.groups else 0
+    bonus = SAME_GROUP_BONUS if item.group in sampler.groups else 0
     if sampler.idle_connections:
         bonus += SHORT_CONNECTED_BONUS if short else CONNECTED_BONUS
+    if item.id in sampler.avoided_by:
+        bonus -= AVOIDED_COST
     if not sampler.measured:
         bonus -= UNMEASURED_COST
     if short:
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -46,6 +46,12 @@
         )
 
 
+class LimitsTable(_Table, frozen=True, kw_only=True):
+    """Limits of the instance's machine; 0 where unknown."""
+
+    link_mbps: float = 0
+
+
 class StoreTable(_Table, frozen=True, kw_only=True):
     """The platform's store, with rate limits for all instances together."""
 
@@ -76,6 +82,7 @@
     data_dir: str = ''
     listen: ListenTable = ListenTable()
     bounds: BoundsTable = BoundsTable()
+    limits: LimitsTable = LimitsTable()
     platform: StoreTable
     cloud_api: DutiesTable = DutiesTable()
 
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -13,6 +13,7 @@
     Ownership,
     TextReplicas,
     TextSnapshots,
+    compute_message_limit,
 )
 from guavagate.links import Bus
 from guavagate.membership.registry import MemberRegistry
@@ -88,11 +89,14 @@
         renewals: Renewals,
         bus: Bus,
         data_dir: str,
+        link_bytes_per_second: float = 0,
         duties: DutyClient | None = None,
     ) -> None:
         self._duties = duties
         self._renewals = renewals
-        self._replicas = TextReplicas(bus)
+        self._replicas = TextReplicas(
+            bus, compute_message_limit(link_bytes_per_second)
+        )
         self._snapshots = TextSnapshots(data_dir)
         self._me = me
         self._clock = clock
@@ -233,15 +237,20 @@
             self._client,
             owner.collect_demands,
             lambda: self._count_slots(service),
+            self._metrics,
         )
         states.subscribe(coordinator.wake)
-        scaler = self._make_scaler(service, lease, owner)
+        scaler = self._make_scaler(service, lease, owner, states)
         created = _Service(owner, coordinator, states, scaler)
         self._services[service] = created
         return created
 
     def _make_scaler(
-        self, service: ServiceId, lease: Lease, owner: JobOwner
+        self,
+        service: ServiceId,
+        lease: Lease,
+        owner: JobOwner,
+        states: SamplerStates,
     ) -> Scaler | None:
         if self._duties is None:
             return None
@@ -255,6 +264,8 @@
             self._duties,
             owner.count_open,
             lambda: self._count_slots(service),
+            states.estimate_texts,
+            self._metrics,
         )
 
     def _list_successors(self, service: ServiceId) -> list[InstanceId]:
