--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -10,24 +10,38 @@
 from guavagate.exceptions import UpstreamError
 from guavagate.jobs._forecast import Forecast, GroupPlan, forecast
 from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._models import GroupId, JobId
+from guavagate.jobs._memory import (
+    EngineMemory,
+    make_memory_estimate,
+    reserve_running,
+)
+from guavagate.jobs._models import GroupId, ItemId, JobId
+from guavagate.jobs._moves import (
+    EstimateTime,
+    Move,
+    RemainingTime,
+    find_moves,
+    find_urgent_moves,
+)
 from guavagate.jobs._reclaim import Reclaims
 from guavagate.jobs._runner import ItemRunner
 from guavagate.jobs._schedule import (
     ItemPlacement,
+    Placements,
     SamplerSlots,
-    find_moves,
     place,
 )
 from guavagate.jobs._slots import (
+    count_reserved_slots,
     find_median_interval,
+    get_no_memory,
     list_slots,
     sum_slots_by_model,
 )
 from guavagate.jobs._stalls import find_unresponsive
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.metrics import Metrics, names
-from guavagate.models import ServiceId
+from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.sampler import SamplerClient
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerState, SamplerStates
@@ -51,6 +65,8 @@
     ----------
     default_slots
         Returns the slots of a sampler that doesn't report how many it has.
+    cache_tokens
+        Returns the tokens that a sampler's engine holds; 0 if unknown.
     """
 
     def __init__(
@@ -63,6 +79,7 @@
         runner: ItemRunner,
         default_slots: Callable[[], int],
         metrics: Metrics,
+        cache_tokens: Callable[[], int] = int,
     ) -> None:
         self._service = service
         self._clock = clock
@@ -72,7 +89,11 @@
         self._runner = runner
         self._default_slots = default_slots
         self._metrics = metrics
+        self._cache_tokens = cache_tokens
+        self._without_memory: set[ItemId] = set()
+        self._ignored_estimates: set[str] = set()
         self._lengths = LengthEstimator()
+        self._estimate = self._make_estimate()
         self._reclaims = Reclaims(
             service, upstreams, states, metrics, self._estimate_seconds
         )
@@ -82,35 +103,60 @@
 
     def record_text(self, work: JobWork, progress: ItemProgress) -> None:
         """Record a complete text, to estimate the lengths of others."""
-        self._lengths.record(work.job.model, progress)
-        self._states.record_text(work.job.model, progress.text.last_number)
+        model = work.job.model
+        self._lengths.record(model, progress)
+        self._states.record_text(model, progress.text.last_number)
+        useful = self._lengths.uses_estimates(model)
+        if useful is (model in self._ignored_estimates):
+            self._ignored_estimates ^= {model}
+            write(_LOGGER, events.ESTIMATES_JUDGED, model=model, useful=useful)
+
+    def record_results(self, work: JobWork) -> None:
+        """Record the committed texts of a job that was taken over."""
+        self._lengths.record_results(work)
 
     def dispatch(self, works: Sequence[JobWork], now: float) -> None:
         """Start waiting items; move items off slow or stalled samplers."""
         self._leave_unresponsive(works, now)
-        samplers = self._list_samplers(now)
-        self._reclaims.mark_risky(works, samplers, now)
+        estimate = self._make_estimate()
+        self._estimate = estimate
         planned = self._forecast(works, now)
+        slots, capacity = self._default_slots(), self._cache_tokens()
+        memory = make_memory_estimate(self._lengths, capacity, slots)
+        samplers = self._list_samplers(
+            works, now, get_memory=reserve_running(works, capacity, memory)
+        )
+        self._reclaims.mark_risky(works, samplers, now)
+        moves = find_urgent_moves(works, samplers, now, estimate, memory)
         by_id = {work.job.id: work for work in works}
-        for placement in place(planned.groups, samplers, self._lengths):
+        placements = place(planned.groups, samplers, self._lengths, memory)
+        for placement in placements.started:
             self._start(by_id[placement.job], placement, now)
-        samplers = self._list_samplers(now)
-        self._reclaims.mark_risky(works, samplers, now)
-        for progress in find_moves(
-            works, samplers, now, self._estimate_seconds
-        ):
-            self._move(progress)
+        moves += find_moves(works, samplers, now, estimate, memory)
+        for move in moves:
+            self._move(move)
         self._reclaims.move_texts(works, samplers, now)
+        if capacity and planned.groups:
+            self._report_memory(samplers, placements)
+
+    def _make_estimate(self) -> EstimateTime:
+        """Return the function that estimates remaining times at this moment."""
+        interval = self._find_median_interval()
+
+        def estimate(work: JobWork, progress: ItemProgress) -> RemainingTime:
+            model = work.job.model
+            if not self._lengths.is_known(model):
+                return RemainingTime()
+            length = self._lengths.estimate(model, progress)
+            return RemainingTime(
+                length.typical * interval, length.conservative * interval
+            )
+
+        return estimate
 
     def _estimate_seconds(self, work: JobWork, progress: ItemProgress) -> float:
         """Return an item's remaining seconds at median speed; 0 if unknown."""
-        model = work.job.model
-        if not self._lengths.is_known(model):
-            return 0
-        return (
-            self._lengths.estimate(model, progress).conservative
-            * self._find_median_interval()
-        )
+        return self._estimate(work, progress).conservative
 
     def _find_median_interval(self) -> float:
         serving = self._upstreams.serving(self._service)
@@ -169,7 +215,12 @@
         self._states.notify()
 
     def _list_samplers(
-        self, now: float, *, include_upcoming: bool = False
+        self,
+        works: Sequence[JobWork],
+        now: float,
+        *,
+        include_upcoming: bool = False,
+        get_memory: Callable[[UpstreamId], EngineMemory] | None = None,
     ) -> list[SamplerSlots]:
         serving = self._upstreams.serving(self._service)
         return list_slots(
@@ -177,13 +228,18 @@
             self._states,
             self._default_slots(),
             now,
+            count_reserved_slots(works),
+            self._client.count_idle_connections,
+            get_memory or get_no_memory,
             include_upcoming=include_upcoming,
         )
 
     def _forecast(self, works: Sequence[JobWork], now: float) -> Forecast:
         planned = forecast(
             works,
-            sum_slots_by_model(self._list_samplers(now, include_upcoming=True)),
+            sum_slots_by_model(
+                self._list_samplers(works, now, include_upcoming=True)
+            ),
             self._find_median_interval(),
             self._lengths,
             now,
@@ -222,6 +278,27 @@
             backlog=round(planned.backlogs.get(job.model, 0), 2),
         )
 
+    def _report_memory(
+        self, samplers: Sequence[SamplerSlots], placements: Placements
+    ) -> None:
+        """Log and count an item once, however often it finds no memory."""
+        shares = [each.memory.reserved_share for each in samplers]
+        self._metrics.set_gauge(
+            names.ENGINE_MEMORY_RESERVED, sum(shares) / max(len(shares), 1)
+        )
+        for progress in placements.alone:
+            write(_LOGGER, events.TEXT_ALONE, item=progress.item.id)
+        waiting = {each.item.id for each in placements.without_memory}
+        for item in waiting - self._without_memory:
+            self._metrics.count(names.ITEMS_WITHOUT_MEMORY)
+            write(
+                _LOGGER,
+                events.MEMORY_FULL,
+                item=item,
+                reserved=round(max(shares), 2),
+            )
+        self._without_memory = waiting
+
     def _start(
         self, work: JobWork, placement: ItemPlacement, now: float
     ) -> None:
@@ -230,6 +307,7 @@
             return
         progress = work.items[placement.item]
         progress.sampler = upstream.id
+        progress.move_target = None
         progress.started_at = now
         state = self._states.get(upstream.id)
         state.in_flight += 1
@@ -245,14 +323,22 @@
         )
         self._clock.spawn(self._runner.run, work, progress, upstream)
 
-    def _move(self, progress: ItemProgress) -> None:
+    def _move(self, move: Move) -> None:
         """Cancel an item's run, so that it resumes on a faster sampler."""
+        progress = move.progress
         write(
             _LOGGER,
             events.ITEM_MOVED,
             item=progress.item.id,
             sampler=progress.sampler,
+            target=move.target,
             after=progress.text.last_number,
+            gain=round(move.gain, 2),
+            urgent=move.urgent,
+        )
+        self._metrics.count(
+            names.TEXTS_MOVED, reason='urgent' if move.urgent else 'faster'
         )
         progress.moves += 1
+        progress.move_target = move.target
         progress.cancel()
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -88,6 +88,7 @@
         snapshots: TextSnapshots,
         list_successors: Callable[[], list[InstanceId]],
         boot_clock: Callable[[], float] = read_boot_clock,
+        cache_tokens: Callable[[], int] = int,
     ) -> None:
         self._boot_clock = boot_clock
         self._service = service
@@ -116,7 +117,15 @@
             self._on_text_complete,
         )
         self._dispatcher = Dispatcher(
-            service, clock, upstreams, states, client, runner, slots, metrics
+            service,
+            clock,
+            upstreams,
+            states,
+            client,
+            runner,
+            slots,
+            metrics,
+            cache_tokens,
         )
         self._checkpoints = TextCheckpoints(job_store.object_store, clock)
         self._active_jobs = ActiveJobs(
@@ -224,6 +233,7 @@
         self._states.record_workload(job.model, amount, len(job.items))
         active = self._active_jobs.get(job.id)
         if active is not None:
+            self._dispatcher.record_results(active.work)
             mark_stopped_items(active.work, self._quarantine)
         self._wake.set()
 
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -19,7 +19,13 @@
 
 from guavagate.jobs._forecast import GroupPlan
 from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._models import ItemId, JobId
+from guavagate.jobs._memory import (
+    EngineMemory,
+    EstimateMemory,
+    TextMemory,
+    estimate_no_memory,
+)
+from guavagate.jobs._models import ItemId, JobId, JobItem
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.models import UpstreamId, WeightVersion
 from guavagate.rollouts import ModelDemand
@@ -32,24 +38,29 @@
 # A full batch slows each event by at most this much, also on unfamiliar kinds
 # of samplers.
 FULL_BATCH_COST: Final = 0.2
-# A fuller batch alone explains a smaller difference.
-MIN_MOVE_RATIO: Final = 1.25
-# The least gain of a move; connecting and reading the prompt cost a tenth of
-# it.
-MIN_MOVE_GAIN_SECONDS: Final = 0.5
-# Most items end sooner; one that runs for longer is one of the long ones.
-MOVE_AFTER_SECONDS: Final = 1.5
-MAX_MOVES: Final = 2
-# Allows one more move where the current sampler is this many times slower.
-EXTRA_MOVE_RATIO: Final = 2.0
+# Between samplers that are about equally good, one with an idle connection is
+# preferred. For a short item, a fuller batch matters less than a connection.
+CONNECTED_BONUS: Final = 0.04
+SHORT_CONNECTED_BONUS: Final = 0.2
+# A short item is not on the critical path; the fast samplers are left to the
+# long ones.
+SHORT_SPEED_WEIGHT: Final = 0.6
+# The disadvantage of a sampler whose interval isn't known yet, as it may be a
+# slow one.
+UNMEASURED_COST: Final = 0.1
+_NO_MEMORY: Final = TextMemory()
+
+# Returns the remaining seconds of an item at the median event interval; 0 if
+# unknown.
+EstimateSeconds = Callable[[JobWork, ItemProgress], float]
 
 
 class SamplerSlots(msgspec.Struct, kw_only=True):
     """A sampler that can be given items of its models.
 
     `relative_interval` is its event interval relative to the median: a sampler
-    with 2 is half as fast as usual. The items in `avoided_by` start there only
-    if no other sampler has a free slot.
+    with 2 is half as fast as usual. It is 1 until the sampler is `measured`.
+    The items in `avoided_by` start there only if no other one has a free slot.
     """
 
     id: UpstreamId
@@ -57,14 +68,19 @@
     free: int
     slots: int
     relative_interval: float = 1.0
+    measured: bool = True
+    idle_connections: int = 0
     models: frozenset[str] = frozenset()
     groups: set[str] = set()
     avoided_by: set[ItemId] = set()
+    memory: EngineMemory = msgspec.field(default_factory=EngineMemory)
 
-
-# Returns the remaining seconds of an item at the median event interval; 0 if
-# unknown.
-EstimateSeconds = Callable[[JobWork, ItemProgress], float]
+    def reserve(self, item: JobItem, memory: TextMemory) -> None:
+        """Reserve a slot, and memory, for an item."""
+        self.free -= 1
+        self.idle_connections = max(self.idle_connections - 1, 0)
+        self.groups.add(item.group)
+        self.memory.reserve(memory)
 
 
 class ItemPlacement(msgspec.Struct, frozen=True):
@@ -75,73 +91,61 @@
     sampler: UpstreamId
 
 
+class Placements(msgspec.Struct):
+    """The items to start, and those for which no sampler has memory.
+
+    The items `alone` are larger than the whole memory of their samplers.
+    """
+
+    started: list[ItemPlacement] = []
+    without_memory: list[ItemProgress] = []
+    alone: list[ItemProgress] = []
+
+
 def place(
     plans: Sequence[GroupPlan],
     samplers: Sequence[SamplerSlots],
     lengths: LengthEstimator,
-) -> list[ItemPlacement]:
-    """Return the items to start now; reserve their slots in `samplers`."""
-    placements: list[ItemPlacement] = []
+    estimate_memory: EstimateMemory = estimate_no_memory,
+) -> Placements:
+    """Return the items to start now; reserve their slots in `samplers`.
+
+    Where an item has a free slot but no memory, smaller items would take each
+    bit that becomes free. So the sampler with the least memory in use is left
+    to the first such item of each model.
+    """
+    placements = Placements()
+    drained: set[str] = set()
     for plan, progress in order_items(plans, lengths):
-        if not any(sampler.free for sampler in samplers):
+        moving = progress.move_target is not None
+        if not moving and not any(sampler.free for sampler in samplers):
             break
-        sampler = _find_sampler(plan.work, progress, samplers)
-        if sampler is None:
-            continue
-        sampler.free -= 1
-        sampler.groups.add(progress.item.group)
-        placements.append(
-            ItemPlacement(plan.work.job.id, progress.item.id, sampler.id)
+        model = plan.work.job.model
+        memory = estimate_memory(plan.work, progress)
+        sampler = find_sampler(
+            plan.work,
+            progress,
+            samplers,
+            memory,
+            short=lengths.is_short(model, progress),
         )
-    return placements
-
-
-def find_moves(
-    works: Sequence[JobWork],
-    samplers: Sequence[SamplerSlots],
-    now: float,
-    estimate_seconds: EstimateSeconds,
-) -> list[ItemProgress]:
-    """Return the items to move from slow samplers to faster, free ones.
-
-    Failure pattern: one sampler becomes slow, or is slower anyway, and the
-    longest texts of a step run there while faster samplers idle. A short text
-    loses little by that; a long one makes its step late. A sampler reads a
-    prompt and partial text a hundred times faster than it generates them, so a
-    move is cheap. Each item moves a few times at most, those that gain most
-    first, and waiting items get free slots before moves do.
-    """
-    free_intervals = [
-        sampler.relative_interval for sampler in samplers if sampler.free > 0
-    ]
-    slow_interval = MIN_MOVE_RATIO * min(free_intervals, default=0)
-    slow_samplers = {
-        sampler.id: sampler
-        for sampler in samplers
-        if sampler.relative_interval >= slow_interval
-    }
-    if not free_intervals or not slow_samplers:
-        return []
-    demands = count_demands(works, now)
-    candidates = []
-    for work in works:
-        if demands[work.job.model].waiting:
+        if sampler is not None:
+            if sampler.memory.is_too_small_for(memory):
+                placements.alone.append(progress)
+            if sampler.id != progress.move_target:
+                sampler.reserve(progress.item, memory)
+            placements.started.append(
+                ItemPlacement(plan.work.job.id, progress.item.id, sampler.id)
+            )
+            continue
+        usable = _list_usable(plan.work, progress, samplers)
+        if not usable:
             continue
-        for progress in work.items.values():
-            current = slow_samplers.get(progress.sampler or UpstreamId(''))
-            if current is not None and progress.run is not None:
-                remaining = estimate_seconds(work, progress)
-                candidates.append((remaining, work, progress, current))
-    candidates.sort(key=lambda each: -each[0] * each[3].relative_interval)
-    moves: list[ItemProgress] = []
-    for remaining, work, progress, current in candidates:
-        target = _find_sampler(work, progress, samplers)
-        if target is not None and _is_move_worthwhile(
-            progress, current, target, remaining, now
-        ):
-            target.free -= 1
-            moves.append(progress)
-    return moves
+        placements.without_memory.append(progress)
+        if model not in drained and plan.wanted and not plan.deferred:
+            drained.add(model)
+            min(usable, key=lambda each: each.memory.reserved_share).free = 0
+    return placements
 
 
 def count_demands(
@@ -161,36 +165,6 @@
     return demands
 
 
-def _is_move_worthwhile(
-    progress: ItemProgress,
-    current: SamplerSlots,
-    target: SamplerSlots,
-    remaining: float,
-    now: float,
-) -> bool:
-    """Return whether an item gains from a move.
-
-    If lengths are unknown, an item that has run for long counts as a long one.
-    An item that has just moved stays for a while: measured intervals are noisy,
-    and if it used up its moves at once it could end up on a slow sampler.
-    """
-    if progress.started_at is None or progress.moves > MAX_MOVES:
-        return False
-    ratio = current.relative_interval / target.relative_interval
-    min_ratio = (
-        MIN_MOVE_RATIO if progress.moves < MAX_MOVES else EXTRA_MOVE_RATIO
-    )
-    if ratio < min_ratio:
-        return False
-    settled = now - progress.started_at > MOVE_AFTER_SECONDS
-    if remaining and (settled or not progress.moves):
-        return (
-            remaining * (current.relative_interval - target.relative_interval)
-            >= MIN_MOVE_GAIN_SECONDS
-        )
-    return settled and not remaining
-
-
 def order_items(
     plans: Sequence[GroupPlan], lengths: LengthEstimator
 ) -> list[tuple[GroupPlan, ItemProgress]]:
@@ -207,7 +181,12 @@
 def _make_sort_key(
     plan: GroupPlan, progress: ItemProgress, lengths: LengthEstimator
 ) -> tuple[float, ...]:
-    """Return the sort key of a waiting item; the lowest starts first."""
+    """Return the sort key of a waiting item; the lowest starts first.
+
+    An item that moves has already run, and its slot is reserved.
+    """
+    if progress.move_target is not None:
+        return (-1,)
     length = lengths.estimate(plan.work.job.model, progress).conservative
     head = (not plan.wanted, plan.deferred)
     if plan.deferred:
@@ -217,27 +196,59 @@
     return (*head, plan.due, plan.work.opened_at, -length, plan.rank)
 
 
-def _find_sampler(
-    work: JobWork, progress: ItemProgress, samplers: Sequence[SamplerSlots]
+def find_sampler(
+    work: JobWork,
+    progress: ItemProgress,
+    samplers: Sequence[SamplerSlots],
+    memory: TextMemory = _NO_MEMORY,
+    *,
+    short: bool = False,
 ) -> SamplerSlots | None:
+    """Return the best sampler with a free slot and memory for an item.
+
+    An item that moves has its slot reserved on the target of the move. The
+    event interval matters less for an item that is known to be `short`.
+    """
+    usable = _list_usable(work, progress, samplers)
+    for sampler in usable:
+        if sampler.id == progress.move_target:
+            return sampler
+    return min(
+        (each for each in usable if each.memory.fits(memory)),
+        key=lambda sampler: _compute_cost(sampler, progress.item, short=short),
+        default=None,
+    )
+
+
+def _list_usable(
+    work: JobWork, progress: ItemProgress, samplers: Sequence[SamplerSlots]
+) -> list[SamplerSlots]:
+    """Return the samplers with a free slot and an accepted version."""
     model = work.job.model
     min_version = work.job.min_version
-    eligible = [
+    return [
         sampler
         for sampler in samplers
-        if sampler.free > 0
+        if (sampler.free > 0 or sampler.id == progress.move_target)
         and model in sampler.models
         and sampler.versions.get(model, 0) >= min_version
     ]
-    if not eligible:
-        return None
-    group = progress.item.group
-
-    def compute_cost(sampler: SamplerSlots) -> float:
-        fill = 1 - (sampler.free - 1) / sampler.slots
-        bonus = SAME_GROUP_BONUS if group in sampler.groups else 0
-        if progress.item.id in sampler.avoided_by:
-            bonus -= AVOIDED_COST
-        return sampler.relative_interval * (1 + FULL_BATCH_COST * fill) - bonus
-
-    return min(eligible, key=compute_cost)
+
+
+def _compute_cost(
+    sampler: SamplerSlots, item: JobItem, *, short: bool
+) -> float:
+    fill = max(
+        1 - (sampler.free - 1) / sampler.slots, sampler.memory.reserved_share
+    )
+    bonus = SAME_GROUP_BONUS if item.group in sampler.groups else 0
+    if sampler.idle_connections:
+        bonus += SHORT_CONNECTED_BONUS if short else CONNECTED_BONUS
+    if item.id in sampler.avoided_by:
+        bonus -= AVOIDED_COST
+    if not sampler.measured:
+        bonus -= UNMEASURED_COST
+    if short:
+        interval = SHORT_SPEED_WEIGHT * sampler.relative_interval
+        return interval + FULL_BATCH_COST * fill - bonus
+    return sampler.relative_interval * (1 + FULL_BATCH_COST * fill) - bonus
--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/_slots.py
@@ -1,14 +1,25 @@
 """Selects the samplers that can be given items now."""
 
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from types import MappingProxyType
 from typing import Final
 
+from guavagate.jobs._memory import EngineMemory
 from guavagate.jobs._schedule import SamplerSlots
+from guavagate.jobs._work import JobWork
+from guavagate.models import UpstreamId
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerStates
 
 # About the duration of a weight load, and of the first backoff after a failure.
 UPCOMING_SECONDS: Final = 1.0
+_NONE_RESERVED: Final[Mapping[UpstreamId, int]] = MappingProxyType({})
+
+
+def get_no_memory(_: UpstreamId) -> EngineMemory:
+    """Return the memory of an engine without a known limit."""
+    return EngineMemory()
 
 
 def list_slots(
@@ -16,6 +27,9 @@
     states: SamplerStates,
     default_slots: int,
     now: float,
+    reserved: Mapping[UpstreamId, int] = _NONE_RESERVED,
+    count_idle: Callable[[Upstream], int] | None = None,
+    get_memory: Callable[[UpstreamId], EngineMemory] = get_no_memory,
     *,
     include_upcoming: bool = False,
 ) -> list[SamplerSlots]:
@@ -25,6 +39,12 @@
     ----------
     default_slots
         Slots of a sampler that doesn't report how many it has.
+    reserved
+        The slots that are reserved for items that move.
+    count_idle
+        Returns the idle connections to a sampler.
+    get_memory
+        Returns the memory of a sampler's engine.
     include_upcoming
         Whether to include samplers that become available within
         `UPCOMING_SECONDS`. A forecast needs them: while a model's samplers
@@ -40,21 +60,36 @@
         if state.loading and not include_upcoming:
             continue
         slots = upstream.slots or default_slots
+        used = state.in_flight + reserved.get(upstream.id, 0)
         listed.append(
             SamplerSlots(
                 id=upstream.id,
                 versions=state.versions,
-                free=max(slots - state.in_flight, 0),
+                free=max(slots - used, 0),
                 slots=slots,
                 relative_interval=state.event_interval / median
                 if median and state.event_interval
                 else 1.0,
+                idle_connections=count_idle(upstream) if count_idle else 0,
+                measured=state.event_interval > 0,
                 models=states.get_models(upstream.id),
+                memory=get_memory(upstream.id),
             )
         )
     return listed
 
 
+def count_reserved_slots(works: Iterable[JobWork]) -> dict[UpstreamId, int]:
+    """Return the slots that are reserved for items that move, by sampler."""
+    return Counter(
+        progress.move_target
+        for work in works
+        for progress in work.items.values()
+        if progress.move_target is not None
+        and not (progress.done or progress.text.complete)
+    )
+
+
 def find_median_interval(
     serving: Sequence[Upstream], states: SamplerStates
 ) -> float:
