Remove each safeguard of texts and store calls, with the test that catches it

Cause: replicas, checkpoints, spread peers, partial reloads and rate shares had tests but no rows that show what the tests are worth.

--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -17,6 +17,7 @@
 
 from standins._safeguard_capacity import CAPACITY_SAFEGUARDS
 from standins._safeguard_jobs import JOB_SAFEGUARDS
+from standins._safeguard_recovery import RECOVERY_SAFEGUARDS
 from standins._safeguard_rows import PLATFORM_SAFEGUARDS, Safeguard
 from standins._safeguard_stops import STOP_SAFEGUARDS
 from standins._safeguard_teams import TEAM_SAFEGUARDS
@@ -25,6 +26,7 @@
 SAFEGUARDS: Final = (
     *PLATFORM_SAFEGUARDS,
     *JOB_SAFEGUARDS,
+    *RECOVERY_SAFEGUARDS,
     *STOP_SAFEGUARDS,
     *TEAM_SAFEGUARDS,
     *CAPACITY_SAFEGUARDS,
