Decode the load that upstreams report into one typed report

Cause: only the sum of running and waiting requests was read, the fourth figure (how much slower work is at the moment) was discarded, and one bad figure cost the whole header. A digit of another script raised ValueError.

Change: ports/load.py has LoadReport (running, waiting, slots, slowdown); PlatformDialect decodes each figure alone. A slowdown of 0 and 0 slots can not be and are left out. AnswerMarks.load replaces the field busy, which stays as a property.

--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -10,6 +10,7 @@
 from guavagate.models import TeamId
 from guavagate.platform import const
 from guavagate.ports.dialect import AnswerMarks, Call
+from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
 
 _REPLACED = frozenset(
@@ -22,6 +23,10 @@
 )
 _CREDENTIALS = frozenset((const.AUTHORIZATION,))
 _MISDIRECTED = 421
+# What an upstream reports as the time of its work while nothing slows it down.
+_USUAL_PERCENT = 100
+# Larger figures are false, and very large ones can not be read at all.
+_MAX_DIGITS = 9
 
 
 class PlatformDialect:
@@ -74,7 +79,7 @@
     return AnswerMarks(
         not_run=not_run,
         mismatched=bool(echoed) and echoed != request_id,
-        busy=_parse_load(answer.get_header(const.LOAD)),
+        load=decode_load(answer.get_header(const.LOAD)),
     )
 
 
@@ -95,9 +100,21 @@
     return [*forwarded, (const.TENANT, team.encode())]
 
 
-def _parse_load(text: str) -> int | None:
-    """Return running plus waiting, from "running,waiting,slots"."""
-    parts = text.split(',')
-    if len(parts) < 2 or not all(part.strip().isdigit() for part in parts):
+def decode_load(text: str) -> LoadReport:
+    """Return the load of "running,waiting,slots" or "...,slowdown"."""
+    parts = [*text.split(','), '', '', ''][:4]
+    running, waiting, slots, percent = (_parse_figure(each) for each in parts)
+    return LoadReport(
+        running=running,
+        waiting=waiting,
+        slots=slots or None,
+        slowdown=percent / _USUAL_PERCENT if percent else None,
+    )
+
+
+def _parse_figure(text: str) -> int | None:
+    """Return a whole number, or `None` for anything else."""
+    digits = text.strip()
+    if len(digits) > _MAX_DIGITS or not digits.isascii():
         return None
-    return int(parts[0]) + int(parts[1])
+    return int(digits) if digits.isdigit() else None
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -6,6 +6,7 @@
 
 from guavagate.http1 import Answer, Headers, Request, find_header
 from guavagate.models import TeamId
+from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
 from guavagate.quarantine import RequestContent
 
@@ -43,12 +44,17 @@
 
     `not_run`: the upstream has not run the request.
     `mismatched`: the answer belongs to another request.
-    `busy`: the upstream's running and waiting requests, if it reports them.
+    `load`: the upstream's load as far as it reports it.
     """
 
     not_run: bool = False
     mismatched: bool = False
-    busy: int | None = None
+    load: LoadReport = LoadReport()
+
+    @property
+    def busy(self) -> int | None:
+        """Return the upstream's running and waiting requests, if known."""
+        return self.load.busy
 
 
 class Dialect(Protocol):
