Choose short work's upstream also by its reported slowdown

Cause: services on shared machines report how much slower work is at the moment; the figure was discarded.

Change: the cost of an upstream grows by (slowdown - 1) x (1 + queue) x 0.15 while the report is younger than half a second, its weight decaying to zero. Without a fresh slowdown the choice is as before, and its tests are unchanged. A slowdown of 2.5 costs more than the way to another zone and less than a new connection. Of upstreams that differ by less than 0.1 of slowdown alone, the better of two random ones is taken, so that instances with the same reports do not all take one. Streams ignore slowdowns. False figures are bounded to 0.5 to 4. Load.report keeps the newest report; an answer without any figure leaves it.

--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -150,8 +150,7 @@
             reuse=reuse,
         )
         marks = self._dialect.read(call, answer)
-        if marks.busy is not None:
-            self._upstreams.record_report(upstream.id, marks.busy)
+        self._upstreams.record_report(upstream.id, marks.load)
         if marks.mismatched:
             answer.close()
             raise UpstreamError(
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -55,7 +55,7 @@
             if refusal is not None:
                 outcome = refusal.make_outcome(ran=progress.may_have_run)
                 break
-            upstream = self._upstreams.choose(service, tried)
+            upstream = self._upstreams.choose(service, tried, lasting=True)
             if upstream is None:
                 break
             tried.add(upstream.id)
--- a/guavagate/routing/_choice.py
+++ b/guavagate/routing/_choice.py
@@ -5,6 +5,11 @@
 an earlier response covers the other instances' requests for a while. Without
 the report, two instances fill the same upstream; without the instance's own
 count, a burst between two reports goes to a single upstream.
+
+Services on shared machines also report a slowdown, which changes within a
+second. The expected time of short work is slowdown x (1 + queue). Instances
+that received the same reports would all take the fastest upstream, so each
+takes the better of two random ones among those that are about equal.
 """
 
 import random
@@ -13,6 +18,7 @@
 
 import msgspec
 
+from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
 
 # A report describes the load at the time of a response. When it is older than
@@ -33,6 +39,18 @@
 # `REMOTE_ZONE_COST`, because the round trip to another zone is no longer than
 # the connection setup that it saves.
 NEW_CONNECTION_COST: Final = 0.3
+# Cost of one usual time of work. With it, an upstream that is 2.5 times as slow
+# costs 0.225: more than the way to another zone, less than a new connection,
+# which is worth more than the 47 ms that it would gain.
+SLOWDOWN_COST: Final = 0.15
+# A slowdown changes about every 0.6 s; its weight decays to zero over this age.
+SLOWDOWN_MAX_AGE_SECONDS: Final = 0.5
+# Reports may be false: a lower one would attract all requests, and a higher one
+# would outweigh failures.
+SLOWDOWN_BOUNDS: Final = (0.5, 4.0)
+# Upstreams whose costs differ by less are about equal; less than one request in
+# flight on six slots.
+ABOUT_EQUAL_COST: Final = 0.1
 
 
 IsConnected: TypeAlias = Callable[[str], bool]
@@ -48,10 +66,13 @@
 
     `caller_slots` is the smoothed number of slots that are in use beyond this
     instance's requests, `timeouts` the number of consecutive requests that
-    received nothing within the time that their callers allowed.
+    received nothing within the time that their callers allowed. `report` is the
+    newest one, received at `report_at`; `reported_busy` may be older.
     """
 
     in_flight: int = 0
+    report: LoadReport = LoadReport()
+    report_at: float = -1e9
     reported_busy: int = 0
     reported_at: float = -1e9
     caller_slots: float = 0
@@ -68,6 +89,8 @@
     now: float,
     rng: random.Random,
     is_connected: IsConnected = has_no_connection,
+    *,
+    lasting: bool = False,
 ) -> Upstream | None:
     """Return the upstream for one more request, or None if there is none.
 
@@ -78,6 +101,8 @@
     ----------
     is_connected
         Returns whether this instance has an idle connection to an address.
+    lasting
+        Whether the work lasts longer than a reported slowdown.
     """
     if not upstreams:
         return None
@@ -86,20 +111,65 @@
         for each in upstreams
         if loads.setdefault(each.id, Load()).ejected_until <= now
     ]
-    return min(
-        usable or upstreams,
-        key=lambda each: (
+    ranked = [
+        _Rank(
             score(each, loads[each.id], zone, now)
             + (0 if is_connected(each.address) else NEW_CONNECTION_COST),
+            0 if lasting else score_slowdown(each, loads[each.id], now),
             rng.random(),
-        ),
-    )
+            each,
+        )
+        for each in usable or upstreams
+    ]
+    best = min(ranked, key=_Rank.get_key)
+    if not any(each.delay for each in ranked):
+        return best.upstream
+    equal = [each for each in ranked if each.is_about_equal(best)]
+    pair = rng.sample(equal, min(len(equal), 2))
+    return min(pair, key=_Rank.get_key).upstream
+
+
+class _Rank(msgspec.Struct, frozen=True):
+    """An upstream's cost, apart from and by its slowdown; `lot` breaks ties."""
+
+    cost: float
+    delay: float
+    lot: float
+    upstream: Upstream
+
+    def get_key(self) -> tuple[float, float]:
+        """Return what upstreams are sorted by."""
+        return self.cost + self.delay, self.lot
+
+    def is_about_equal(self, best: '_Rank') -> bool:
+        """Return whether only the slowdown is a little worse than the best's.
+
+        Neither a queue nor a new connection is worth being spread.
+        """
+        difference = self.cost + self.delay - best.cost - best.delay
+        return self.cost <= best.cost and difference <= ABOUT_EQUAL_COST
 
 
 def score(upstream: Upstream, load: Load, zone: str, now: float) -> float:
     """Return the estimated cost of using an upstream; lower is better."""
-    fresh = now - load.reported_at < REPORT_MAX_AGE_SECONDS
-    busy = max(load.in_flight, load.reported_busy if fresh else 0)
+    busy = _estimate_busy(load, now)
     slots = max(upstream.slots, 1)
     zone_cost = 0 if upstream.zone == zone else REMOTE_ZONE_COST
     return busy / slots + zone_cost + load.failures * FAILURE_COST
+
+
+def score_slowdown(upstream: Upstream, load: Load, now: float) -> float:
+    """Return the cost of a reported slowdown; 0 without a fresh one."""
+    weight = 1 - (now - load.report_at) / SLOWDOWN_MAX_AGE_SECONDS
+    if load.report.slowdown is None or weight <= 0:
+        return 0
+    low, high = SLOWDOWN_BOUNDS
+    slowdown = min(max(load.report.slowdown, low), high)
+    slots = max(upstream.slots, 1)
+    queue = max(_estimate_busy(load, now) + 1 - slots, 0) / slots
+    return (slowdown - 1) * weight * (1 + queue) * SLOWDOWN_COST
+
+
+def _estimate_busy(load: Load, now: float) -> int:
+    fresh = now - load.reported_at < REPORT_MAX_AGE_SECONDS
+    return max(load.in_flight, load.reported_busy if fresh else 0)
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -10,6 +10,7 @@
 from guavagate.events import forwarding as events
 from guavagate.events import write
 from guavagate.models import ServiceId, UpstreamId, ZoneId
+from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
 from guavagate.routing._choice import (
     IsConnected,
@@ -151,12 +152,21 @@
         ]
 
     def choose(
-        self, service: ServiceId, tried: set[UpstreamId]
+        self,
+        service: ServiceId,
+        tried: set[UpstreamId],
+        *,
+        lasting: bool = False,
     ) -> Upstream | None:
         """Return the upstream for one more request, among those not tried.
 
         Returns None while the whole service is unavailable and each of its
         upstreams already has a request in flight.
+
+        Parameters
+        ----------
+        lasting
+            Whether the work lasts for seconds, longer than reported slowdowns.
         """
         eligible = list_eligible(self.serving(service), self._loads)
         candidates = [each for each in eligible if each.id not in tried]
@@ -167,15 +177,26 @@
             self._clock.now(),
             self._random,
             self._is_connected,
+            lasting=lasting,
         )
 
     def load(self, upstream: UpstreamId) -> Load:
         """Return this instance's view of an upstream's load."""
         return self._loads.setdefault(upstream, Load())
 
-    def record_report(self, upstream: UpstreamId, busy: int) -> None:
-        """Record the load that an upstream reported with a response."""
+    def record_report(self, upstream: UpstreamId, report: LoadReport) -> None:
+        """Record the load that an upstream reported with a response.
+
+        A response without any figure leaves the earlier report to its age.
+        """
+        if report == LoadReport():
+            return
         load = self.load(upstream)
+        load.report = report
+        load.report_at = self._clock.now()
+        busy = report.busy
+        if busy is None:
+            return
         load.reported_busy = busy
         load.reported_at = self._clock.now()
         load.caller_slots = average_caller_slots(
