Count upstreams as unresponsive that answer no probe or refuse connections

Cause: an upstream counted only after two requests had timed out there, so that an instance with a request each ten seconds learned at the price of held requests, and refused callers all returned after 0.4 s.

Change (pure part; nothing sends probes yet): Load knows when a probe got no answer or its address refused, and when anything last arrived. A service is unavailable while each upstream has timed out twice or is silent. Any answer ends silence, but an answered probe does not make up for requests that timed out. While others respond, a silent upstream costs as much as a failed one.

Tested: tests/routing/test_silent_upstreams.py, failing before. The tests of test_outage.py and test_choice.py are unchanged and pass, as do tests/forwarding.

--- a/guavagate/routing/_choice.py
+++ b/guavagate/routing/_choice.py
@@ -31,6 +31,9 @@
 REMOTE_ZONE_COST: Final = 0.2
 # Cost of each consecutive failed request.
 FAILURE_COST: Final = 1.0
+# How long an unanswered probe counts. The next one of a service that is
+# unresponsive ends within four seconds.
+SILENT_SECONDS: Final = 6.0
 # A new connection costs a round trip before the request, work on both sides,
 # and one of the few connections that an upstream accepts from all instances
 # together. With ninety instances and four upstreams, each instance would open a
@@ -68,6 +71,11 @@
     instance's requests, `timeouts` the number of consecutive requests that
     received nothing within the time that their callers allowed. `report` is the
     newest one, received at `report_at`; `reported_busy` may be older.
+
+    `heard_at` is when an answer last began to arrive, `silent_at` when a probe
+    last got none, `silent_since` when the first of these did, and `refusing`
+    whether the address then refused a connection. `trial_at` is when a request
+    last tried the upstream while it was silent.
     """
 
     in_flight: int = 0
@@ -80,6 +88,11 @@
     timeouts: int = 0
     latency: float = 0
     ejected_until: float = 0
+    heard_at: float = -1e9
+    silent_at: float = -1e9
+    silent_since: float = -1e9
+    refusing: bool = False
+    trial_at: float = -1e9
 
 
 def choose_upstream(
@@ -155,7 +168,14 @@
     busy = _estimate_busy(load, now)
     slots = max(upstream.slots, 1)
     zone_cost = 0 if upstream.zone == zone else REMOTE_ZONE_COST
-    return busy / slots + zone_cost + load.failures * FAILURE_COST
+    failures = load.failures + is_silent(load, now)
+    return busy / slots + zone_cost + failures * FAILURE_COST
+
+
+def is_silent(load: Load, now: float) -> bool:
+    """Return whether a probe got no answer, and nothing arrived since then."""
+    fresh = now - load.silent_at < SILENT_SECONDS
+    return fresh and load.silent_at > load.heard_at
 
 
 def score_slowdown(upstream: Upstream, load: Load, now: float) -> float:
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -17,8 +17,14 @@
     Load,
     choose_upstream,
     has_no_connection,
+    is_silent,
+)
+from guavagate.routing._outage import (
+    are_all_silent,
+    compute_retry_after,
+    is_unavailable,
+    list_eligible,
 )
-from guavagate.routing._outage import list_eligible
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -60,6 +66,7 @@
         self._loads: dict[str, Load] = {}
         self._incarnations: dict[UpstreamId, int] = {}
         self._ended_at: dict[ServiceId, float] = {}
+        self._unavailable_since: dict[ServiceId, float] = {}
         self._subscribers: list[Callable[[], None]] = []
         self._on_restart: list[Callable[[Upstream], None]] = []
         self._on_address_released: list[Callable[[str], None]] = []
@@ -160,25 +167,57 @@
     ) -> Upstream | None:
         """Return the upstream for one more request, among those not tried.
 
-        Returns None while the whole service is unavailable and each of its
-        upstreams already has a request in flight.
+        Returns None while the whole service is unavailable and none of its
+        upstreams may be tried.
 
         Parameters
         ----------
         lasting
             Whether the work lasts for seconds, longer than reported slowdowns.
         """
-        eligible = list_eligible(self.serving(service), self._loads)
+        now = self._clock.now()
+        serving = self.serving(service)
+        eligible = list_eligible(serving, self._loads, now)
+        self._note_availability(service, serving, now)
         candidates = [each for each in eligible if each.id not in tried]
-        return choose_upstream(
+        chosen = choose_upstream(
             candidates,
             self._loads,
             self._zone,
-            self._clock.now(),
+            now,
             self._random,
             self._is_connected,
             lasting=lasting,
         )
+        if chosen is not None and is_silent(self._loads[chosen.id], now):
+            self._loads[chosen.id].trial_at = now
+        return chosen
+
+    def is_unavailable(self, service: ServiceId) -> bool:
+        """Return whether all upstreams of a service are unresponsive."""
+        return is_unavailable(self._list_loads(service), self._clock.now())
+
+    def is_silent(self, service: ServiceId) -> bool:
+        """Return whether no upstream of a service answers a probe."""
+        return are_all_silent(self._list_loads(service), self._clock.now())
+
+    def compute_retry_after(self, service: ServiceId) -> float:
+        """Return when a caller refused by the whole service should return."""
+        now = self._clock.now()
+        since = self._unavailable_since.setdefault(service, now)
+        return compute_retry_after(now - since, self._random)
+
+    def _list_loads(self, service: ServiceId) -> list[Load]:
+        return [self.load(each.id) for each in self.serving(service)]
+
+    def _note_availability(
+        self, service: ServiceId, serving: list[Upstream], now: float
+    ) -> None:
+        loads = [self._loads[each.id] for each in serving]
+        if loads and not is_unavailable(loads, now):
+            self._unavailable_since.pop(service, None)
+        else:
+            self._unavailable_since.setdefault(service, now)
 
     def load(self, upstream: UpstreamId) -> Load:
         """Return this instance's view of an upstream's load."""
@@ -189,9 +228,10 @@
 
         A response without any figure leaves the earlier report to its age.
         """
+        load = self.load(upstream)
+        load.heard_at = self._clock.now()
         if report == LoadReport():
             return
-        load = self.load(upstream)
         load.report = report
         load.report_at = self._clock.now()
         busy = report.busy
@@ -215,6 +255,31 @@
         """Record that a request received nothing within its timeout."""
         self.load(upstream).timeouts += 1
 
+    def record_silence(
+        self, upstream: UpstreamId, sent_at: float, *, refused: bool = False
+    ) -> None:
+        """Record that a probe got no answer, or its address refused it.
+
+        Parameters
+        ----------
+        sent_at
+            When it was sent. It tells nothing if an answer to anything else
+            has arrived since.
+        """
+        load = self.load(upstream)
+        now = self._clock.now()
+        if load.heard_at >= sent_at:
+            return
+        if not is_silent(load, now):
+            load.silent_since = now
+        load.silent_at = now
+        load.refusing = refused
+
+    def forget_silence(self, service: ServiceId) -> None:
+        """Have a service's upstreams tried again, as they are said to work."""
+        for load in self._list_loads(service):
+            load.silent_at = load.heard_at
+
     def record_failure(self, upstream: UpstreamId) -> None:
         """Record that a request was cut off or got no response."""
         load = self.load(upstream)
