Send probes to upstreams' health paths

Cause: nothing asks whether an upstream responds at all but callers' requests.

Change: Prober sends one probe with a time limit that includes connecting, over an idle connection or, if it may, a new one (ConnectionPool.send gets connect=False for 'not at all'). It tells answered (with the load), silent, refused (also by a 421, as another process answers there) and unknown. A time-out that comes too late says nothing, since this process was suspended. ProbeDialect is what the platform implements for it.

Tested: tests/forwarding/test_probes.py over real sockets, failing before. tests/forwarding and tests/platform pass.

--- a/guavagate/forwarding/__init__.py
+++ b/guavagate/forwarding/__init__.py
@@ -11,6 +11,12 @@
 from guavagate.forwarding._forwarders import Forwarders, make_forwarders
 from guavagate.forwarding._guard import RequestGuard
 from guavagate.forwarding._outcome import Outcome, OutcomeKind, log_outcome
+from guavagate.forwarding._probes import (
+    Probe,
+    Prober,
+    ProbeResult,
+    ProbeState,
+)
 from guavagate.forwarding._rewards import RewardForwarder
 from guavagate.forwarding._stream import StreamForwarder
 
@@ -22,6 +28,10 @@
     'Forwarders',
     'Outcome',
     'OutcomeKind',
+    'Probe',
+    'ProbeResult',
+    'ProbeState',
+    'Prober',
     'RequestGuard',
     'RewardForwarder',
     'StreamForwarder',
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -175,6 +175,7 @@
         *,
         timeout: float | None,
         reuse: bool = True,
+        connect: bool = True,
     ) -> Answer:
         """Send a request once and wait for the headers of its response.
 
@@ -185,16 +186,22 @@
             the connection ends.
         reuse
             Whether the request may use an idle connection of the pool.
+        connect
+            Whether a new connection may be opened for the request.
 
         Raises
         ------
         UpstreamNotStartedError
-            Nothing was sent: no connection was established, or the request is
-            not valid HTTP/1.1.
+            Nothing was sent: no connection was established or idle, or the
+            request is not valid HTTP/1.1.
         UpstreamError
             Part of the request may have been sent.
         """
         connection = self._acquire(address) if reuse else None
+        if connection is None and not connect:
+            raise UpstreamNotStartedError(
+                f'no connection to {address} is idle', 'open a new one'
+            )
         if connection is None:
             connection = self._connect(address)
         answer = Answer(self, address, connection)
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -99,6 +99,20 @@
     labels=('outcome',),
     plotted=True,
 )
+PROBES: Final = Metric(
+    name='guavagate_upstream_probes_total',
+    kind=MetricKind.COUNTER,
+    text="Probes of upstreams' health paths, by what they found",
+    labels=('state',),
+    plotted=True,
+)
+UNRESPONSIVE_SERVICES: Final = Metric(
+    name='guavagate_unresponsive_services',
+    kind=MetricKind.GAUGE,
+    text='Services of which no upstream answers this instance or, as another'
+    ' one found, anybody',
+    plotted=True,
+)
 ACCEPT_SECONDS: Final = Metric(
     name='guavagate_job_accept_seconds',
     kind=MetricKind.HISTOGRAM,
--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -30,7 +30,7 @@
 
 
 class PlatformDialect:
-    """Implements `ports.dialect.Dialect`."""
+    """Implements `ports.dialect.Dialect` and `ProbeDialect`."""
 
     def prepare(
         self, call: Call, upstream: Upstream, left: float, resume_after: int
@@ -69,6 +69,20 @@
         """Return what the headers of an answer say about its request."""
         return read_marks(call.id, answer)
 
+    def make_probe(self, upstream: Upstream, path: str) -> Request:
+        """Return a request for an upstream's health path."""
+        headers = [
+            (b'Host', upstream.address.encode()),
+            (const.TARGET, upstream.id.encode()),
+        ]
+        return Request('GET', path, headers)
+
+    def read_probe(self, answer: Answer) -> LoadReport | None:
+        """Return the reported load, or `None` if another process answered."""
+        if answer.status == _MISDIRECTED:
+            return None
+        return decode_load(answer.get_header(const.LOAD))
+
 
 def read_marks(request_id: str, answer: Answer) -> AnswerMarks:
     """Return what the headers of an answer say about a request."""
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -81,3 +81,13 @@
 
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
         """Return the metadata from the head of an answer."""
+
+
+class ProbeDialect(Protocol):
+    """Encodes probes of upstreams' health paths and decodes their answers."""
+
+    def make_probe(self, upstream: Upstream, path: str) -> Request:
+        """Return a request that an upstream answers without taking a slot."""
+
+    def read_probe(self, answer: Answer) -> LoadReport | None:
+        """Return the reported load, or `None` if another process answered."""
