Refuse requests at once while no upstream of a service responds

Cause: when all upstreams hang, each request was held until its deadline, and an instance learned of the outage only from requests of its own, one each ten seconds.

Change: a request without any answer after 1.25 objectives has all upstreams probed in parallel, over idle connections first; new ones are within a budget of one check per twenty answers. If all are silent or refuse, an idempotent request ends as timed out, and later ones are refused as not run (503) with a spread Retry-After. If one answers, an idempotent request is tried once more within the hedging budget. A non-idempotent request waits for its deadline: it may have run, and its caller can not repeat it. The finder leaves a probe with each upstream, so that the first answer ends the state, and tells all instances through two hubs (ServiceNotice). These refuse only after a probe of their own, which a request awaits for a tenth of its objective; an instance that is cut off by itself is refuted. Of several finders the one with the first id goes on probing. Probes are never awaited while an answer could come. Attempts that meet a refused connection record it. The hedging budget is no longer spent when a route allows no further attempt.

Events 8040 to 8043, guavagate_upstream_probes_total and guavagate_unresponsive_services.

--- a/guavagate/events/forwarding.py
+++ b/guavagate/events/forwarding.py
@@ -100,3 +100,23 @@
 READINESS_CHANGED: Final = Event(
     8030, logging.INFO, 'The readiness of this instance changed'
 )
+SERVICE_UNRESPONSIVE: Final = Event(
+    8040,
+    logging.WARNING,
+    'No upstream of a service answers a probe; its requests are refused',
+    'check the upstreams and the way to them; GG8041 follows when one answers',
+)
+SERVICE_RESPONSIVE: Final = Event(
+    8041, logging.INFO, 'An upstream of an unresponsive service answers again'
+)
+OUTAGE_CONFIRMED: Final = Event(
+    8042,
+    logging.INFO,
+    'A service that another instance found unresponsive does not answer here',
+)
+OUTAGE_REFUTED: Final = Event(
+    8043,
+    logging.WARNING,
+    'A service that another instance found unresponsive answers here',
+    "check the way from the instance `finder` to the service's upstreams",
+)
--- a/guavagate/forwarding/__init__.py
+++ b/guavagate/forwarding/__init__.py
@@ -8,8 +8,14 @@
 )
 from guavagate.forwarding._attempt import Attempt, AttemptRunner, AttemptState
 from guavagate.forwarding._forward import Forwarder
-from guavagate.forwarding._forwarders import Forwarders, make_forwarders
+from guavagate.forwarding._forwarders import (
+    Forwarders,
+    make_forwarders,
+    make_outage_detector,
+)
 from guavagate.forwarding._guard import RequestGuard
+from guavagate.forwarding._notices import ServiceNotice, ServiceNotices
+from guavagate.forwarding._outages import OutageDetector
 from guavagate.forwarding._outcome import Outcome, OutcomeKind, log_outcome
 from guavagate.forwarding._probes import (
     Probe,
@@ -26,6 +32,7 @@
     'AttemptState',
     'Forwarder',
     'Forwarders',
+    'OutageDetector',
     'Outcome',
     'OutcomeKind',
     'Probe',
@@ -34,9 +41,12 @@
     'Prober',
     'RequestGuard',
     'RewardForwarder',
+    'ServiceNotice',
+    'ServiceNotices',
     'StreamForwarder',
     'log_outcome',
     'make_forwarders',
+    'make_outage_detector',
     'read_or_refuse',
     'refuse',
     'send_outcome',
--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -13,7 +13,9 @@
     UpstreamDisconnectedError,
     UpstreamError,
     UpstreamNotStartedError,
+    UpstreamUnreachableError,
 )
+from guavagate.forwarding._probes import refused_connection
 from guavagate.http1 import Answer, ConnectionPool, Headers
 from guavagate.ports.dialect import Call, Dialect
 from guavagate.ports.upstreams import Upstream
@@ -142,13 +144,21 @@
         """
         remaining = max(call.until - self._clock.now(), 0)
         request = self._dialect.prepare(call, upstream, remaining, resume_after)
-        answer = self._pool.send(
-            upstream.address,
-            request,
-            call.body,
-            timeout=remaining + GRACE_SECONDS,
-            reuse=reuse,
-        )
+        started_at = self._clock.now()
+        try:
+            answer = self._pool.send(
+                upstream.address,
+                request,
+                call.body,
+                timeout=remaining + GRACE_SECONDS,
+                reuse=reuse,
+            )
+        except UpstreamUnreachableError as error:
+            if refused_connection(error):
+                self._upstreams.record_silence(
+                    upstream.id, started_at, refused=True
+                )
+            raise
         marks = self._dialect.read(call, answer)
         self._upstreams.record_report(upstream.id, marks.load)
         if marks.mismatched:
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -5,9 +5,16 @@
 goes to a second upstream after a delay, or at once after a failure; the first
 complete answer counts and the other attempt is cancelled. When all upstreams
 are slow, a second attempt only adds load, so a budget limits these hedges.
+
+A request without any answer has the upstreams probed (`_outages`). When none of
+them responds, an idempotent request ends at once; when one does, the request is
+tried once more, as those tried may hang. A non-idempotent one waits until its
+deadline: it may have run, so its caller can not repeat it and loses nothing by
+waiting for the answer.
 """
 
-from typing import Final, Protocol
+from collections.abc import Callable
+from typing import Final, Protocol, TypeAlias
 
 from gevent.queue import Queue
 
@@ -19,6 +26,7 @@
     AttemptRunner,
     AttemptState,
 )
+from guavagate.forwarding._finding import Finding, NoOutages, OutageChecker
 from guavagate.forwarding._guard import Refusal, RequestGuard
 from guavagate.forwarding._outcome import Outcome, OutcomeKind
 from guavagate.helpers.waits import QueueTimeoutError, get_within
@@ -34,18 +42,28 @@
 # In multiples of the objective; a working upstream has answered by then.
 TIMEOUT_OBJECTIVES: Final = 3.0
 MIN_TIMEOUT_SECONDS: Final = 0.5
-# Longer, as no upstream is registered or none responds.
-UNAVAILABLE_RETRY_SECONDS: Final = 0.4
+# In multiples of the objective: when a request that got no answer anywhere has
+# the upstreams probed. Three in a hundred requests take seven times as long as
+# the others, 1.14 of an objective of 191 ms; they need no probes.
+CHECK_OBJECTIVES: Final = 1.25
 _SERVER_ERROR: Final = 500
+_UNRESPONSIVE: Final = 'no upstream responds'
+
+_Timer: TypeAlias = tuple[float, Callable[['_Progress'], None]]
 
 
 class _Progress:
-    """The attempts of one request."""
+    """One request and its attempts."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, call: Call, route: Route, service: ServiceId, results: Queue
+    ) -> None:
+        self.call = call
+        self.route = route
+        self.service = service
+        self.results = results
         self.tried: set[UpstreamId] = set()
         self.tasks: list[Task] = []
-        self.results: Queue = Queue()
         self.running = 0
         self.may_repeat = False
         self.may_have_run = False
@@ -57,6 +75,8 @@
         self.sent_at: dict[UpstreamId, float] = {}
         # Send time by upstream, for the attempts in flight.
         self.unanswered: dict[UpstreamId, float] = {}
+        # What is to be done while no answer has arrived, and when.
+        self.timers: list[_Timer] = []
 
 
 class UpstreamChooser(Protocol):
@@ -70,6 +90,9 @@
     def record_timeout(self, upstream: UpstreamId) -> None:
         """Record that an upstream sent no answer in the time it had."""
 
+    def compute_retry_after(self, service: ServiceId) -> float:
+        """Return when a caller refused by the whole service should return."""
+
 
 class Forwarder:
     """Forwards requests of routes without streaming."""
@@ -80,7 +103,9 @@
         upstreams: UpstreamChooser,
         runner: AttemptRunner,
         guard: RequestGuard,
+        outages: OutageChecker | None = None,
     ) -> None:
+        self._outages = outages or NoOutages()
         self._guard = guard
         self._clock = clock
         self._upstreams = upstreams
@@ -105,11 +130,10 @@
         may_repeat
             Whether the request may be repeated regardless of its route.
         """
-        progress = _Progress()
-        progress.results = results
+        progress = _Progress(call, route, service, results)
         progress.may_repeat = may_repeat or route.kind is RouteKind.IDEMPOTENT
         try:
-            outcome = self._run(call, route, service, progress)
+            outcome = self._run(progress)
             outcome.failed_answers = progress.failed_answers
             outcome.began_at = min(progress.sent_at.values(), default=None)
             return outcome
@@ -117,53 +141,106 @@
             for task in progress.tasks:
                 task.kill(block=False)
 
-    def _run(
-        self,
-        call: Call,
-        route: Route,
-        service: ServiceId,
-        progress: _Progress,
-    ) -> Outcome:
-        may_repeat = progress.may_repeat
-        hedge_delay = max(
-            route.objective * HEDGE_DELAY_SHARE, MIN_HEDGE_SECONDS
-        )
-        hedge_at = self._clock.now() + hedge_delay
-        give_up_at = call.until + GRACE_SECONDS
-        self._start(call, route, service, progress)
-        while progress.running:
-            now = self._clock.now()
-            if now >= give_up_at:
-                self._record_timeouts(progress, route)
-                return Outcome(OutcomeKind.LATE, reason='no answer in time')
-            wait_until = (
-                hedge_at if may_repeat and hedge_at > now else give_up_at
+    def _run(self, progress: _Progress) -> Outcome:
+        objective = progress.route.objective
+        if self._outages.refuses(progress.service, objective):
+            return self._refuse(progress.service)
+        started_at = self._clock.now()
+        check_at = started_at + objective * CHECK_OBJECTIVES
+        progress.timers.append((check_at, self._start_check))
+        if progress.may_repeat:
+            hedge_delay = max(objective * HEDGE_DELAY_SHARE, MIN_HEDGE_SECONDS)
+            progress.timers.append((started_at + hedge_delay, self._hedge))
+        self._start(progress)
+        outcome: Outcome | None = None
+        while progress.running and outcome is None:
+            outcome = self._step(progress)
+        return outcome or self._conclude(progress)
+
+    def _step(self, progress: _Progress) -> Outcome | None:
+        """Wait for the next result; return the outcome once it is known."""
+        give_up_at = progress.call.until + GRACE_SECONDS
+        if self._clock.now() >= give_up_at:
+            self._record_timeouts(progress)
+            return Outcome(OutcomeKind.LATE, reason='no answer in time')
+        try:
+            result = self._wait(progress, give_up_at)
+        except QueueTimeoutError:
+            return None
+        if result is None:
+            self._record_timeouts(progress)
+            return Outcome(OutcomeKind.CALLER_LEFT)
+        if isinstance(result, Finding):
+            return self._apply_finding(progress, result)
+        progress.unanswered.pop(result.upstream.id, None)
+        progress.running -= 1
+        if result.is_final:
+            self._hedges.earn()
+            self._outages.record_answer()
+            self._guard.record_answer(progress.call)
+            return Outcome(OutcomeKind.ANSWER, result)
+        self._record_failure(progress, result)
+        if progress.may_repeat or not progress.may_have_run:
+            self._start(progress)
+        return None
+
+    def _wait(
+        self, progress: _Progress, give_up_at: float
+    ) -> Attempt | Finding | None:
+        """Return the next result, or run the timer that is due before it.
+
+        Raises
+        ------
+        QueueTimeoutError
+            A timer ran, or the time is over.
+        """
+        timer = min(progress.timers, key=_get_due, default=None)
+        due = give_up_at if timer is None else min(timer[0], give_up_at)
+        try:
+            return get_within(
+                self._clock, progress.results, due - self._clock.now()
+            )
+        except QueueTimeoutError:
+            if timer is not None and due < give_up_at:
+                progress.timers.remove(timer)
+                timer[1](progress)
+            raise
+
+    def _hedge(self, progress: _Progress) -> None:
+        if len(progress.tried) < progress.route.max_attempts and (
+            self._hedges.spend()
+        ):
+            self._start(progress)
+
+    def _start_check(self, progress: _Progress) -> None:
+        """Have the upstreams probed; not cancelled, as others wait for it."""
+
+        def check() -> None:
+            finding = self._outages.check(
+                progress.service, progress.route.objective
             )
-            try:
-                attempt = get_within(
-                    self._clock, progress.results, wait_until - now
-                )
-            except QueueTimeoutError:
-                if wait_until < give_up_at and self._hedges.spend():
-                    self._start(call, route, service, progress)
-                continue
-            if attempt is None:
-                self._record_timeouts(progress, route)
-                return Outcome(OutcomeKind.CALLER_LEFT)
-            progress.unanswered.pop(attempt.upstream.id, None)
-            progress.running -= 1
-            if attempt.is_final:
-                self._hedges.earn()
-                self._guard.record_answer(call)
-                return Outcome(OutcomeKind.ANSWER, attempt)
-            self._record_failure(progress, attempt)
-            if may_repeat or not progress.may_have_run:
-                self._start(call, route, service, progress)
-        return self._conclude(call, progress)
-
-    def _record_timeouts(self, progress: _Progress, route: Route) -> None:
+            progress.results.put(finding)
+
+        self._clock.spawn(check)
+
+    def _apply_finding(
+        self, progress: _Progress, finding: Finding
+    ) -> Outcome | None:
+        """Give up if no upstream answers, or hedge again if one does."""
+        if not progress.may_repeat:
+            return None
+        if finding is Finding.SILENT:
+            return Outcome(OutcomeKind.LATE, reason=_UNRESPONSIVE)
+        if finding is Finding.ANSWERS:
+            self._hedge(progress)
+        check_at = self._clock.now() + progress.route.objective
+        progress.timers.append((check_at, self._start_check))
+        return None
+
+    def _record_timeouts(self, progress: _Progress) -> None:
         """Record the upstreams that had enough time but did not answer."""
-        needed = max(route.objective * TIMEOUT_OBJECTIVES, MIN_TIMEOUT_SECONDS)
+        objective = progress.route.objective
+        needed = max(objective * TIMEOUT_OBJECTIVES, MIN_TIMEOUT_SECONDS)
         before = self._clock.now() - needed
         for upstream, sent_at in progress.unanswered.items():
             if sent_at <= before:
@@ -178,14 +255,9 @@
             progress.failed_answer = attempt
             progress.failed_answers += attempt.status == _SERVER_ERROR
 
-    def _start(
-        self,
-        call: Call,
-        route: Route,
-        service: ServiceId,
-        progress: _Progress,
-    ) -> None:
-        if len(progress.tried) >= max(route.max_attempts, 1):
+    def _start(self, progress: _Progress) -> None:
+        call, service = progress.call, progress.service
+        if len(progress.tried) >= max(progress.route.max_attempts, 1):
             return
         progress.refusal = self._guard.check(call, service)
         if progress.refusal is not None:
@@ -208,10 +280,10 @@
 
         progress.tasks.append(self._clock.spawn(run))
 
-    def _conclude(self, call: Call, progress: _Progress) -> Outcome:
+    def _conclude(self, progress: _Progress) -> Outcome:
         if progress.failed_answer is not None:
             return Outcome(OutcomeKind.ANSWER, progress.failed_answer)
-        if progress.may_have_run and self._clock.now() >= call.until:
+        if progress.may_have_run and self._clock.now() >= progress.call.until:
             return Outcome(OutcomeKind.LATE, reason='no answer in time')
         if progress.refusal is not None:
             return progress.refusal.make_outcome(ran=progress.may_have_run)
@@ -219,8 +291,16 @@
             return Outcome(OutcomeKind.UNKNOWN, reason='answers were lost')
         if progress.tried:
             return Outcome(OutcomeKind.NOT_RUN, reason='no upstream took it')
+        return self._refuse(progress.service)
+
+    def _refuse(self, service: ServiceId) -> Outcome:
+        """Return the outcome of a request that was sent to no upstream."""
         return Outcome(
             OutcomeKind.NOT_RUN,
-            reason='no upstream answers',
-            retry_after=UNAVAILABLE_RETRY_SECONDS,
+            reason=_UNRESPONSIVE,
+            retry_after=self._upstreams.compute_retry_after(service),
         )
+
+
+def _get_due(timer: _Timer) -> float:
+    return timer[0]
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -7,6 +7,7 @@
 from guavagate.clock import Clock
 from guavagate.decisions.background import limit_background
 from guavagate.forwarding._attempt import AttemptRunner
+from guavagate.forwarding._finding import OutageChecker
 from guavagate.forwarding._forward import Forwarder
 from guavagate.forwarding._guard import RequestGuard
 from guavagate.forwarding._outcome import Outcome, OutcomeKind
@@ -64,6 +65,10 @@
         """Record that an upstream sent no answer in the time it had."""
         self._upstreams.record_timeout(upstream)
 
+    def compute_retry_after(self, service: ServiceId) -> float:
+        """Return when a caller refused by the whole service should return."""
+        return self._upstreams.compute_retry_after(service)
+
     def _list_healthy(self, service: ServiceId) -> list[Upstream]:
         """Return the upstreams that are not ejected, or all if all are."""
         now = self._clock.now()
@@ -92,12 +97,15 @@
         runner: AttemptRunner,
         dialect: Dialect,
         guard: RequestGuard,
+        outages: OutageChecker | None = None,
     ) -> None:
         self._clock = clock
         self._routes = routes
         self._dialect = dialect
         self._background = BackgroundUpstreams(clock, upstreams)
-        self._forwarder = Forwarder(clock, self._background, runner, guard)
+        self._forwarder = Forwarder(
+            clock, self._background, runner, guard, outages
+        )
 
     def find_route(self, reward: RewardRequest) -> RewardRoute | None:
         """Return where a request would be sent now, or `None`."""
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -48,7 +48,11 @@
         """Forward a stream; any outcome but `ANSWER` is still to be sent."""
         progress = _StreamProgress(exchange, call)
         tried: set[UpstreamId] = set()
-        outcome = Outcome(OutcomeKind.NOT_RUN, reason='no upstream')
+        outcome = Outcome(
+            OutcomeKind.NOT_RUN,
+            reason='no upstream',
+            retry_after=self._upstreams.compute_retry_after(service),
+        )
         began_at: float | None = None
         while len(tried) < max(route.max_attempts, 1):
             refusal = self._guard.check(call, service)
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -10,7 +10,6 @@
 from guavagate.events import write
 from guavagate.exceptions import SettingsError
 from guavagate.feeds import Feed
-from guavagate.forwarding import make_forwarders
 from guavagate.front import JobHandler, KeyAuthenticator, RequestHandler
 from guavagate.helpers.mirror import Mirror
 from guavagate.http1 import (
@@ -33,9 +32,9 @@
 from guavagate.metrics.exposition import count_events, serve_metrics
 from guavagate.models import UpstreamId
 from guavagate.platform import const
-from guavagate.platform._dialect import PlatformDialect
 from guavagate.platform._duties import PlatformDuties
 from guavagate.platform._edge import Edge
+from guavagate.platform._forwarding import make_platform_forwarders
 from guavagate.platform._jobs import encode_page
 from guavagate.platform._manifest import decode_manifest
 from guavagate.platform._samplers import PlatformSamplers
@@ -91,13 +90,16 @@
             lambda: self._feed.order_relays(),
             self._upstreams.get,
         )
-        self._forwarders = make_forwarders(
+        self._forwarders = make_platform_forwarders(
             self._clock,
             self._pool,
             self._routes,
             self._upstreams,
-            PlatformDialect(),
             self._quarantine,
+            self._metrics,
+            self._bus,
+            me.id,
+            lambda: self._feed.order_relays(),
         )
         ownership = Ownership(self._members, me.id, self._members.boot)
         self._ownership = ownership
--- /dev/null
+++ b/tests/forwarding/outage_fleet.py
@@ -0,0 +1,218 @@
+"""Instances with forwarders before upstreams that may hang or refuse."""
+
+import enum
+from collections import Counter
+
+import msgspec
+from gevent.queue import Queue
+
+from guavagate.clock import Clock, Task
+from guavagate.forwarding import (
+    Attempt,
+    AttemptState,
+    Forwarder,
+    OutageDetector,
+    Outcome,
+    ProbeResult,
+    ProbeState,
+    RequestGuard,
+    ServiceNotices,
+)
+from guavagate.measure.fakes import World
+from guavagate.models import InstanceId, ServiceId, ZoneId
+from guavagate.ports.configuration import RouteKind
+from guavagate.ports.load import LoadReport
+from guavagate.ports.upstreams import Upstream
+from guavagate.routing import UpstreamTable
+from tests.forwarding.bench import make_call
+from tests.quarantine.common import make_quarantine
+from tests.routing.test_routes import make_route, make_upstream
+
+SERVICE = ServiceId('s')
+UPSTREAMS = ('u0', 'u1', 'u2')
+OBJECTIVE = 0.2
+WORK_SECONDS = 0.031
+_WAY_SECONDS = 0.001
+_STEP_SECONDS = 0.01
+
+
+class Mood(enum.Enum):
+    """What an upstream answers."""
+
+    WELL = 'requests and probes'
+    HANGS = 'nothing'
+    REFUSES = 'no connections'
+    PROBES_ONLY = 'probes'
+    REQUESTS_ONLY = 'requests'
+
+
+class End(msgspec.Struct):
+    """How one request ended."""
+
+    outcome: Outcome
+    seconds: float
+    at: float
+
+
+class _Instance:
+    """An instance: its view of the upstreams, its connections and forwarder."""
+
+    def __init__(self, fleet: 'OutageFleet', name: str) -> None:
+        self._fleet = fleet
+        host = fleet.world.add(name)
+        members = fleet.world.members[InstanceId(name)]
+        self.name = name
+        self.clock: Clock = host.clock
+        self.idle: set[str] = set()
+        self.cut_off = False
+        self.sent: Counter[str] = Counter()
+        self.table = UpstreamTable(
+            host.clock,
+            ZoneId('z'),
+            fleet.world.random,
+            lambda address: address in self.idle,
+        )
+        for each in fleet.moods:
+            upstream = make_upstream(each)
+            self.table.put(msgspec.structs.replace(upstream, address=each))
+        notices = ServiceNotices(
+            host.clock,
+            fleet.world.bus(name),
+            InstanceId(name),
+            lambda: [each.id for each in members.alive()],
+        )
+        self.detector = OutageDetector(
+            host.clock, self.table, self.probe, notices
+        )
+        self.forwarder = Forwarder(
+            host.clock,
+            self.table,
+            self,  # type: ignore[arg-type]
+            RequestGuard(make_quarantine(host.clock, self.table), self.table),
+            self.detector if fleet.with_probes else None,
+        )
+
+    def _read_mood(self, upstream: Upstream) -> Mood:
+        return Mood.HANGS if self.cut_off else self._fleet.moods[upstream.id]
+
+    def _connect(self, upstream: Upstream) -> bool:
+        """Take an idle connection or a new one; return whether that worked."""
+        if upstream.id in self.idle:
+            self.idle.discard(upstream.id)
+        else:
+            self._fleet.connections += 1
+        return self._read_mood(upstream) is not Mood.REFUSES
+
+    def probe(
+        self, upstream: Upstream, seconds: float, connect: bool
+    ) -> ProbeResult:
+        """Probe an upstream; one that hangs answers once it goes on."""
+        if not connect and upstream.id not in self.idle:
+            return ProbeResult(ProbeState.UNKNOWN)
+        self._fleet.probes += 1
+        if not self._connect(upstream):
+            return ProbeResult(ProbeState.REFUSED)
+        silent = {Mood.HANGS, Mood.REQUESTS_ONLY}
+        until = self.clock.now() + seconds
+        while self._read_mood(upstream) in silent:
+            if self.clock.now() >= until:
+                return ProbeResult(ProbeState.SILENT)
+            self.clock.sleep(min(_STEP_SECONDS, until - self.clock.now()))
+        self.clock.sleep(_WAY_SECONDS)
+        self.idle.add(upstream.id)
+        return ProbeResult(ProbeState.ANSWERED)
+
+    def make(self, call: object, upstream: Upstream, *, reuse: bool) -> Attempt:
+        """Run a request at an upstream."""
+        load = self.table.load(upstream.id)
+        load.in_flight += 1
+        self.sent[upstream.id] += 1
+        began_at = self.clock.now()
+        try:
+            return self._run(upstream, began_at)
+        finally:
+            load.in_flight -= 1
+
+    def _run(self, upstream: Upstream, began_at: float) -> Attempt:
+        if not self._connect(upstream):
+            self.table.record_silence(upstream.id, began_at, refused=True)
+            return Attempt(upstream, AttemptState.NOT_RUN)
+        while self._read_mood(upstream) in {Mood.HANGS, Mood.PROBES_ONLY}:
+            self.clock.sleep(_STEP_SECONDS)
+        self.clock.sleep(self._fleet.work_seconds)
+        self.idle.add(upstream.id)
+        self.table.record_report(upstream.id, LoadReport())
+        self.table.record_success(upstream.id, self.clock.now() - began_at)
+        return Attempt(upstream, AttemptState.ANSWERED, 200)
+
+
+class OutageFleet:
+    """Some instances and three upstreams.
+
+    Attributes
+    ----------
+    probes, connections
+        How many of all instances the upstreams received.
+    """
+
+    def __init__(
+        self,
+        *names: str,
+        with_probes: bool = True,
+        **moods: Mood,
+    ) -> None:
+        self.world = World()
+        self.clock = self.world.clock
+        self.with_probes = with_probes
+        self.work_seconds = WORK_SECONDS
+        self.probes = 0
+        self.connections = 0
+        self.moods: dict[str, Mood] = moods or dict.fromkeys(
+            UPSTREAMS, Mood.WELL
+        )
+        self.instances = {
+            name: _Instance(self, name) for name in names or ('a',)
+        }
+        self.clock.advance(1)
+
+    def set_mood(self, mood: Mood, *names: str) -> None:
+        """Change what some upstreams answer, by default all."""
+        for name in names or UPSTREAMS:
+            self.moods[name] = mood
+
+    def start(
+        self,
+        name: str = 'a',
+        kind: RouteKind = RouteKind.IDEMPOTENT,
+        limit: float = 1.5,
+    ) -> tuple[Task, list[End]]:
+        """Start a request; its end is put into the list."""
+        instance = self.instances[name]
+        ends: list[End] = []
+
+        def run() -> None:
+            began_at = self.clock.now()
+            outcome = instance.forwarder.forward(
+                make_call(began_at + limit),
+                make_route('/', kind=kind, objective=OBJECTIVE, max_attempts=3),
+                SERVICE,
+                Queue(),
+            )
+            now = self.clock.now()
+            ends.append(End(outcome, now - began_at, now))
+
+        return instance.clock.spawn(run), ends
+
+    def send(self, name: str = 'a', **fields: object) -> End:
+        """Send a request and wait for its end."""
+        task, ends = self.start(name, **fields)  # type: ignore[arg-type]
+        self.clock.run_until(task.ready, 10)
+        return ends[0]
+
+
+def make_hanging(*names: str) -> OutageFleet:
+    """Return a fleet whose upstreams hang after an answer to the first one."""
+    fleet = OutageFleet(*names)
+    fleet.send()
+    fleet.set_mood(Mood.HANGS)
+    return fleet
