Keep idle connections with probes where slowdowns are reported

Cause: an instance sends a request each twelve seconds, and upstreams close idle connections after ten, so that every second request opens a connection, which costs as much as thirty probes.

Change: ConnectionKeeper probes over an idle connection in its last second, up to four times after each answered request.

--- a/guavagate/forwarding/_forwarders.py
+++ b/guavagate/forwarding/_forwarders.py
@@ -1,12 +1,14 @@
 """Makes the forwarders of an instance, which share connections and loads."""
 
+import functools
+
 import msgspec
 
 from guavagate.clock import Clock
 from guavagate.forwarding._attempt import AttemptRunner
-from guavagate.forwarding._finding import OutageChecker
 from guavagate.forwarding._forward import Forwarder
 from guavagate.forwarding._guard import RequestGuard
+from guavagate.forwarding._keeping import ConnectionKeeper
 from guavagate.forwarding._notices import ServiceNotices
 from guavagate.forwarding._outages import OutageDetector
 from guavagate.forwarding._probes import Prober
@@ -25,6 +27,12 @@
     unary: Forwarder
     streams: StreamForwarder
     rewards: RewardForwarder
+    keeper: ConnectionKeeper | None = None
+
+    def start(self) -> None:
+        """Start what runs beside requests."""
+        if self.keeper is not None:
+            self.keeper.start()
 
 
 def make_forwarders(
@@ -34,18 +42,23 @@
     upstreams: UpstreamTable,
     dialect: Dialect,
     quarantine: Quarantine,
-    outages: OutageChecker | None = None,
+    outages: OutageDetector | None = None,
 ) -> Forwarders:
     """Return the forwarders of an instance."""
     quarantine.subscribe_ends(upstreams.record_end)
     runner = AttemptRunner(clock, pool, upstreams, dialect, quarantine)
     guard = RequestGuard(quarantine, upstreams)
+    keeper = None
+    if outages is not None:
+        probe = functools.partial(outages.ask, connect=False)
+        keeper = ConnectionKeeper(clock, pool, upstreams, probe)
     return Forwarders(
         unary=Forwarder(clock, upstreams, runner, guard, outages),
         streams=StreamForwarder(clock, upstreams, runner, guard),
         rewards=RewardForwarder(
             clock, routes, upstreams, runner, dialect, guard, outages
         ),
+        keeper=keeper,
     )
 
 
--- a/guavagate/forwarding/_outages.py
+++ b/guavagate/forwarding/_outages.py
@@ -210,7 +210,7 @@
             return
         hint.probing = Event()
         try:
-            state = self._ask(upstream, limit, connect=True)
+            state = self.ask(upstream, limit, connect=True)
         finally:
             hint.probing.set()
             hint.probing = None
@@ -241,7 +241,7 @@
         started_at = self._clock.now()
 
         def ask(upstream: Upstream) -> None:
-            state = self._ask(upstream, limit, connect=connect)
+            state = self.ask(upstream, limit, connect=connect)
             results.put((upstream.id, state))
 
         for each in upstreams:
@@ -266,7 +266,7 @@
         preferred = hint is not None and hint.finder < self._notices.me
         return service not in self._watched and not preferred
 
-    def _ask(
+    def ask(
         self, upstream: Upstream, limit: float, *, connect: bool
     ) -> ProbeState:
         """Probe an upstream and record what that found."""
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -47,7 +47,11 @@
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the idle time is within the upstream's timeout."""
-        return now - self.idle_since <= self.idle_limit * IDLE_LIMIT_SHARE
+        return self.seconds_left(now) >= 0
+
+    def seconds_left(self, now: float) -> float:
+        """Return how long an idle connection stays fresh."""
+        return self.idle_since + self.idle_limit * IDLE_LIMIT_SHARE - now
 
     def is_usable(self, now: float) -> bool:
         """Return whether an idle connection may carry another request.
@@ -238,6 +242,11 @@
         idle = self._idle.get(address)
         return bool(idle and idle[-1].is_fresh(self._clock.now()))
 
+    def get_idle_seconds_left(self, address: str) -> float | None:
+        """Return how long there is an idle connection, `None` without one."""
+        idle = self._idle.get(address)
+        return idle[-1].seconds_left(self._clock.now()) if idle else None
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, ()):
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -174,6 +174,7 @@
         self._quarantine.start()
         self._usage.start()
         self._pool.start_sweeping()
+        self._forwarders.start()
 
     def stop(self) -> None:
         """Stop without interrupting requests."""
--- a/guavagate/routing/_choice.py
+++ b/guavagate/routing/_choice.py
@@ -70,7 +70,8 @@
     `caller_slots` is the smoothed number of slots that are in use beyond this
     instance's requests, `timeouts` the number of consecutive requests that
     received nothing within the time that their callers allowed. `report` is the
-    newest one, received at `report_at`; `reported_busy` may be older.
+    newest one, received at `report_at`; `reported_busy` may be older. `answers`
+    counts requests that were answered.
 
     `heard_at` is when an answer last began to arrive, `silent_at` when a probe
     last got none, `silent_since` when the first of these did, and `refusing`
@@ -87,6 +88,7 @@
     failures: float = 0
     timeouts: int = 0
     latency: float = 0
+    answers: int = 0
     ejected_until: float = 0
     heard_at: float = -1e9
     silent_at: float = -1e9
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -246,6 +246,7 @@
     def record_success(self, upstream: UpstreamId, seconds: float) -> None:
         """Record a response, whatever its status."""
         load = self.load(upstream)
+        load.answers += 1
         load.failures = 0
         load.timeouts = 0
         weight = LATENCY_SMOOTHING if load.latency else 1
