--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -71,11 +71,9 @@
 
     def make_probe(self, upstream: Upstream, path: str) -> Request:
         """Return a request for an upstream's health path."""
-        headers = [
-            (b'Host', upstream.address.encode()),
-            (const.TARGET, upstream.id.encode()),
-        ]
-        return Request('GET', path, headers)
+        host = (b'Host', upstream.address.encode())
+        target = (const.TARGET, upstream.id.encode())
+        return Request('GET', path, [host, target])
 
     def read_probe(self, answer: Answer) -> LoadReport | None:
         """Return the reported load, or `None` if another process answered."""
--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -249,7 +249,7 @@
     Safeguard(
         'a request that may have run is not repeated',
         'guavagate/forwarding/_forward.py',
-        'if may_repeat or not progress.may_have_run:',
+        'if progress.may_repeat or not progress.may_have_run:',
         'if True:',
         'tests/forwarding',
     ),
