--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -155,7 +155,7 @@
             )
         except UpstreamUnreachableError as error:
             if refused_connection(error):
-                self._upstreams.record_silence(
+                self._upstreams.record_failed_probe(
                     upstream.id, started_at, refused=True
                 )
             raise
--- a/guavagate/forwarding/_finding.py
+++ b/guavagate/forwarding/_finding.py
@@ -9,7 +9,7 @@
 class Finding(enum.Enum):
     """What a check of a service found; `UNKNOWN` if it could not probe."""
 
-    SILENT = 'no upstream answers'
+    UNRESPONSIVE = 'no upstream answers'
     ANSWERS = 'an upstream answers'
     UNKNOWN = 'unknown'
 
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -229,7 +229,7 @@
         """Give up if no upstream answers, or hedge again if one does."""
         if not progress.may_repeat:
             return None
-        if finding is Finding.SILENT:
+        if finding is Finding.UNRESPONSIVE:
             return Outcome(OutcomeKind.LATE, reason=_UNRESPONSIVE)
         if finding is Finding.ANSWERS:
             self._hedge(progress)
--- a/guavagate/forwarding/_forwarders.py
+++ b/guavagate/forwarding/_forwarders.py
@@ -8,7 +8,7 @@
 from guavagate.forwarding._attempt import AttemptRunner
 from guavagate.forwarding._forward import Forwarder
 from guavagate.forwarding._guard import RequestGuard
-from guavagate.forwarding._keeping import ConnectionKeeper
+from guavagate.forwarding._keep_alive import ConnectionKeepAlive
 from guavagate.forwarding._notices import ServiceNotices
 from guavagate.forwarding._outages import OutageDetector
 from guavagate.forwarding._probes import Prober
@@ -27,12 +27,12 @@
     unary: Forwarder
     streams: StreamForwarder
     rewards: RewardForwarder
-    keeper: ConnectionKeeper | None = None
+    keep_alive: ConnectionKeepAlive | None = None
 
     def start(self) -> None:
         """Start what runs beside requests."""
-        if self.keeper is not None:
-            self.keeper.start()
+        if self.keep_alive is not None:
+            self.keep_alive.start()
 
 
 def make_forwarders(
@@ -48,17 +48,17 @@
     quarantine.subscribe_ends(upstreams.record_end)
     runner = AttemptRunner(clock, pool, upstreams, dialect, quarantine)
     guard = RequestGuard(quarantine, upstreams)
-    keeper = None
+    keep_alive = None
     if outages is not None:
         probe = functools.partial(outages.ask, connect=False)
-        keeper = ConnectionKeeper(clock, pool, upstreams, probe)
+        keep_alive = ConnectionKeepAlive(clock, pool, upstreams, probe)
     return Forwarders(
         unary=Forwarder(clock, upstreams, runner, guard, outages),
         streams=StreamForwarder(clock, upstreams, runner, guard),
         rewards=RewardForwarder(
             clock, routes, upstreams, runner, dialect, guard, outages
         ),
-        keeper=keeper,
+        keep_alive=keep_alive,
     )
 
 
--- a/guavagate/forwarding/_keeping.py
+++ b/guavagate/forwarding/_keep_alive.py
@@ -29,7 +29,7 @@
 _PROBE_SECONDS: Final = 0.25
 
 
-class ConnectionKeeper:
+class ConnectionKeepAlive:
     """Probes over idle connections before they are too old.
 
     Parameters
--- a/guavagate/forwarding/_outages.py
+++ b/guavagate/forwarding/_outages.py
@@ -10,7 +10,7 @@
 - If none is answered, the instance refuses requests at once, tells the others,
   and leaves a probe with each upstream; the first answer ends the state.
 - An instance that is told so asks the upstream that its next request would go
-  to, for a small share of the objective, and refuses only if that is silent
+  to, for a small share of the objective, and refuses only if that fails
   too. So an instance that is cut off by itself stops no other one.
 """
 
@@ -47,7 +47,7 @@
 CHECKS_PER_ANSWER: Final = 0.05
 # An answer to another request within this share of the objective tells as much
 # as a check.
-HEARD_SHARE: Final = 0.5
+ANSWERED_SHARE: Final = 0.5
 # A request waits this share of its objective for a probe that confirms what
 # another instance found.
 CONFIRM_SHARE: Final = 0.1
@@ -57,7 +57,7 @@
 # how long a refuted one is ignored.
 CONFIRMED_SECONDS: Final = 1.0
 REFUTED_SECONDS: Final = 5.0
-# Time of a probe that is left with a silent upstream. A suspended process
+# Time of a probe that is left with an upstream. A suspended process
 # answers it as soon as it goes on. Where packets were dropped, a new connection
 # is quicker than the old one's next repeat, so that it is given up in the end.
 WATCH_SECONDS: Final = 1.0
@@ -67,7 +67,7 @@
 # How soon an answer to anything else ends the wait for probes.
 _POLL_SECONDS: Final = 0.25
 
-_FOUND_SILENT: Final = frozenset((ProbeState.SILENT, ProbeState.REFUSED))
+_FAILED: Final = frozenset((ProbeState.TIMED_OUT, ProbeState.REFUSED))
 
 
 class _Check(msgspec.Struct):
@@ -139,7 +139,7 @@
         """
         now = self._clock.now()
         serving = self._upstreams.serving(service)
-        if self._has_heard(serving, now - objective * HEARD_SHARE):
+        if self._has_answered(serving, now - objective * ANSWERED_SHARE):
             return Finding.ANSWERS
         low, high = CHECK_BOUNDS
         limit = min(max(objective * CHECK_SHARE, low), high)
@@ -154,9 +154,9 @@
         return self._conclude(service, check)
 
     def _conclude(self, service: ServiceId, check: _Check) -> Finding:
-        if self._upstreams.is_silent(service):
-            return Finding.SILENT
-        if self._has_heard(self._upstreams.serving(service), check.began_at):
+        if self._upstreams.is_failing_probes(service):
+            return Finding.UNRESPONSIVE
+        if self._has_answered(self._upstreams.serving(service), check.began_at):
             return Finding.ANSWERS
         return Finding.UNKNOWN
 
@@ -164,14 +164,14 @@
         began_at = self._clock.now()
         serving = self._upstreams.serving(service)
         found = self._ask_all(serving, limit, connect=False)
-        if not self._has_heard(serving, began_at) and self._budget.spend():
+        if not self._has_answered(serving, began_at) and self._budget.spend():
             unknown = [
-                each
-                for each in serving
-                if found.get(each.id) not in _FOUND_SILENT
+                each for each in serving if found.get(each.id) not in _FAILED
             ]
             self._ask_all(unknown, limit, connect=True)
-        if self._upstreams.is_silent(service) and self._is_first(service):
+        if self._upstreams.is_failing_probes(service) and self._is_first(
+            service
+        ):
             self._watched.add(service)
             write(
                 _LOGGER,
@@ -185,13 +185,15 @@
         """Leave a probe with each upstream until one answers."""
         since = self._clock.now()
         limit = WATCH_SECONDS
-        while service in self._watched and self._upstreams.is_silent(service):
+        while service in self._watched and self._upstreams.is_failing_probes(
+            service
+        ):
             self._notices.send(service, unresponsive=True)
             round_ends_at = self._clock.now() + _MIN_ROUND_SECONDS
             serving = self._upstreams.serving(service)
             self._ask_all(serving, limit, connect=True)
             limit = min(limit * 2, WATCH_MAX_SECONDS)
-            if self._upstreams.is_silent(service):
+            if self._upstreams.is_failing_probes(service):
                 self._clock.sleep(round_ends_at - self._clock.now())
         if service not in self._watched:
             return
@@ -217,7 +219,7 @@
         if state is ProbeState.ANSWERED:
             hint.refuted_at = self._clock.now()
             event = events.OUTAGE_REFUTED
-        elif state in _FOUND_SILENT:
+        elif state in _FAILED:
             hint.confirmed_at = self._clock.now()
             event = events.OUTAGE_CONFIRMED
         else:
@@ -252,7 +254,7 @@
             try:
                 name, state = get_within(self._clock, results, _POLL_SECONDS)
             except QueueTimeoutError:
-                if self._has_heard(upstreams, started_at):
+                if self._has_answered(upstreams, started_at):
                     break
                 continue
             found[name] = state
@@ -277,25 +279,25 @@
             return ProbeState.UNKNOWN
         if result.state is ProbeState.ANSWERED:
             self._upstreams.record_report(upstream.id, result.load)
-        elif result.state in _FOUND_SILENT:
+        elif result.state in _FAILED:
             refused = result.state is ProbeState.REFUSED
-            self._upstreams.record_silence(
+            self._upstreams.record_failed_probe(
                 upstream.id, sent_at, refused=refused
             )
         return result.state
 
-    def _has_heard(
+    def _has_answered(
         self, upstreams: Sequence[Upstream], started_at: float
     ) -> bool:
         loads = (self._upstreams.load(each.id) for each in upstreams)
-        return any(each.heard_at >= started_at for each in loads)
+        return any(each.answered_at >= started_at for each in loads)
 
     def _on_notice(self, notice: ServiceNotice) -> None:
         service = notice.service
         if not notice.unresponsive:
             self._hints.pop(service, None)
             if service not in self._watched:
-                self._upstreams.forget_silence(service)
+                self._upstreams.forget_failed_probes(service)
             return
         hint = self._find_hint(service)
         if hint is None:
--- a/guavagate/forwarding/_probes.py
+++ b/guavagate/forwarding/_probes.py
@@ -35,7 +35,7 @@
     """
 
     ANSWERED = 'answered'
-    SILENT = 'silent'
+    TIMED_OUT = 'timed out'
     REFUSED = 'refused'
     UNKNOWN = 'unknown'
 
@@ -87,7 +87,7 @@
             late = self._clock.now() - sent_at - seconds
             suspended = late > SUSPENDED_SECONDS
             result = ProbeResult(
-                ProbeState.UNKNOWN if suspended else ProbeState.SILENT
+                ProbeState.UNKNOWN if suspended else ProbeState.TIMED_OUT
             )
         self._metrics.count(names.PROBES, state=result.state.value)
         return result
@@ -103,7 +103,7 @@
         except UpstreamUnreachableError as error:
             if refused_connection(error):
                 return ProbeResult(ProbeState.REFUSED)
-            return ProbeResult(ProbeState.SILENT)
+            return ProbeResult(ProbeState.TIMED_OUT)
         except UpstreamError:
             return ProbeResult(ProbeState.UNKNOWN)
         try:
--- a/guavagate/routing/_choice.py
+++ b/guavagate/routing/_choice.py
@@ -33,7 +33,7 @@
 FAILURE_COST: Final = 1.0
 # How long an unanswered probe counts. The next one of a service that is
 # unresponsive ends within four seconds.
-SILENT_SECONDS: Final = 6.0
+FAILED_PROBE_SECONDS: Final = 6.0
 # A new connection costs a round trip before the request, work on both sides,
 # and one of the few connections that an upstream accepts from all instances
 # together. With ninety instances and four upstreams, each instance would open a
@@ -73,10 +73,10 @@
     newest one, received at `report_at`; `reported_busy` may be older. `answers`
     counts requests that were answered.
 
-    `heard_at` is when an answer last began to arrive, `silent_at` when a probe
-    last got none, `silent_since` when the first of these did, and `refusing`
-    whether the address then refused a connection. `trial_at` is when a request
-    last tried the upstream while it was silent.
+    `answered_at` is when an answer last began to arrive, `probe_failed_at` when
+    a probe last got none, `failing_since` when the first of these did, and
+    `refusing` whether the address then refused a connection. `trial_at` is when
+    a request last tried the upstream while it failed probes.
     """
 
     in_flight: int = 0
@@ -90,9 +90,9 @@
     latency: float = 0
     answers: int = 0
     ejected_until: float = 0
-    heard_at: float = -1e9
-    silent_at: float = -1e9
-    silent_since: float = -1e9
+    answered_at: float = -1e9
+    probe_failed_at: float = -1e9
+    failing_since: float = -1e9
     refusing: bool = False
     trial_at: float = -1e9
 
@@ -145,16 +145,16 @@
 
 
 class _Rank(msgspec.Struct, frozen=True):
-    """An upstream's cost, apart from and by its slowdown; `lot` breaks ties."""
+    """An upstream's cost without its slowdown, and the slowdown's cost."""
 
     cost: float
     delay: float
-    lot: float
+    tie_break: float
     upstream: Upstream
 
     def get_key(self) -> tuple[float, float]:
         """Return what upstreams are sorted by."""
-        return self.cost + self.delay, self.lot
+        return self.cost + self.delay, self.tie_break
 
     def is_about_equal(self, best: '_Rank') -> bool:
         """Return whether only the slowdown is a little worse than the best's.
@@ -170,14 +170,14 @@
     busy = _estimate_busy(load, now)
     slots = max(upstream.slots, 1)
     zone_cost = 0 if upstream.zone == zone else REMOTE_ZONE_COST
-    failures = load.failures + is_silent(load, now)
+    failures = load.failures + is_failing_probes(load, now)
     return busy / slots + zone_cost + failures * FAILURE_COST
 
 
-def is_silent(load: Load, now: float) -> bool:
+def is_failing_probes(load: Load, now: float) -> bool:
     """Return whether a probe got no answer, and nothing arrived since then."""
-    fresh = now - load.silent_at < SILENT_SECONDS
-    return fresh and load.silent_at > load.heard_at
+    fresh = now - load.probe_failed_at < FAILED_PROBE_SECONDS
+    return fresh and load.probe_failed_at > load.answered_at
 
 
 def score_slowdown(upstream: Upstream, load: Load, now: float) -> float:
--- a/guavagate/routing/_outage.py
+++ b/guavagate/routing/_outage.py
@@ -19,7 +19,7 @@
 from typing import Final
 
 from guavagate.ports.upstreams import Upstream
-from guavagate.routing._choice import Load, is_silent
+from guavagate.routing._choice import Load, is_failing_probes
 
 # A single timeout may be just a lost response.
 UNAVAILABLE_AFTER_TIMEOUTS: Final = 2
@@ -36,7 +36,7 @@
 def is_unresponsive(load: Load, now: float) -> bool:
     """Return whether an upstream neither answers requests nor probes."""
     timed_out = load.timeouts >= UNAVAILABLE_AFTER_TIMEOUTS
-    return timed_out or is_silent(load, now)
+    return timed_out or is_failing_probes(load, now)
 
 
 def is_unavailable(loads: Collection[Load], now: float) -> bool:
@@ -44,9 +44,9 @@
     return bool(loads) and all(is_unresponsive(each, now) for each in loads)
 
 
-def are_all_silent(loads: Collection[Load], now: float) -> bool:
+def are_all_failing(loads: Collection[Load], now: float) -> bool:
     """Return whether there are upstreams and no probe of one is answered."""
-    return bool(loads) and all(is_silent(each, now) for each in loads)
+    return bool(loads) and all(is_failing_probes(each, now) for each in loads)
 
 
 def list_eligible(
@@ -62,9 +62,9 @@
 def _may_be_tried(load: Load, now: float) -> bool:
     if load.in_flight:
         return False
-    if load.refusing or not is_silent(load, now):
+    if load.refusing or not is_failing_probes(load, now):
         return True
-    return now - max(load.silent_since, load.trial_at) >= TRIAL_SECONDS
+    return now - max(load.failing_since, load.trial_at) >= TRIAL_SECONDS
 
 
 def compute_retry_after(lasted: float, rng: random.Random) -> float:
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -17,10 +17,10 @@
     Load,
     choose_upstream,
     has_no_connection,
-    is_silent,
+    is_failing_probes,
 )
 from guavagate.routing._outage import (
-    are_all_silent,
+    are_all_failing,
     compute_retry_after,
     is_unavailable,
     list_eligible,
@@ -189,7 +189,9 @@
             self._is_connected,
             lasting=lasting,
         )
-        if chosen is not None and is_silent(self._loads[chosen.id], now):
+        if chosen is not None and is_failing_probes(
+            self._loads[chosen.id], now
+        ):
             self._loads[chosen.id].trial_at = now
         return chosen
 
@@ -197,9 +199,9 @@
         """Return whether all upstreams of a service are unresponsive."""
         return is_unavailable(self._list_loads(service), self._clock.now())
 
-    def is_silent(self, service: ServiceId) -> bool:
+    def is_failing_probes(self, service: ServiceId) -> bool:
         """Return whether no upstream of a service answers a probe."""
-        return are_all_silent(self._list_loads(service), self._clock.now())
+        return are_all_failing(self._list_loads(service), self._clock.now())
 
     def compute_retry_after(self, service: ServiceId) -> float:
         """Return when a caller refused by the whole service should return."""
@@ -229,7 +231,7 @@
         A response without any figure leaves the earlier report to its age.
         """
         load = self.load(upstream)
-        load.heard_at = self._clock.now()
+        load.answered_at = self._clock.now()
         if report == LoadReport():
             return
         load.report = report
@@ -256,7 +258,7 @@
         """Record that a request received nothing within its timeout."""
         self.load(upstream).timeouts += 1
 
-    def record_silence(
+    def record_failed_probe(
         self, upstream: UpstreamId, sent_at: float, *, refused: bool = False
     ) -> None:
         """Record that a probe got no answer, or its address refused it.
@@ -269,17 +271,17 @@
         """
         load = self.load(upstream)
         now = self._clock.now()
-        if load.heard_at >= sent_at:
+        if load.answered_at >= sent_at:
             return
-        if not is_silent(load, now):
-            load.silent_since = now
-        load.silent_at = now
+        if not is_failing_probes(load, now):
+            load.failing_since = now
+        load.probe_failed_at = now
         load.refusing = refused
 
-    def forget_silence(self, service: ServiceId) -> None:
+    def forget_failed_probes(self, service: ServiceId) -> None:
         """Have a service's upstreams tried again, as they are said to work."""
         for load in self._list_loads(service):
-            load.silent_at = load.heard_at
+            load.probe_failed_at = load.answered_at
 
     def record_failure(self, upstream: UpstreamId) -> None:
         """Record that a request was cut off or got no response."""
--- a/standins/_safeguard_routing.py
+++ b/standins/_safeguard_routing.py
@@ -7,7 +7,7 @@
 _OUTAGES: Final = 'guavagate/forwarding/_outages.py'
 _OUTAGE_TEST: Final = 'tests/forwarding/test_outages.py'
 _NOTICE_TEST: Final = 'tests/forwarding/test_outage_notices.py'
-_SILENT_TEST: Final = 'tests/routing/test_silent_upstreams.py'
+_PROBE_TEST: Final = 'tests/routing/test_failed_probes.py'
 _SLOWDOWN_TEST: Final = 'tests/routing/test_slowdown.py'
 _CHOICE: Final = 'guavagate/routing/_choice.py'
 _FORWARD: Final = 'guavagate/forwarding/_forward.py'
@@ -42,25 +42,25 @@
         _SLOWDOWN_TEST,
     ),
     Safeguard(
-        'an answer ends silence',
+        'an answer counts more than an earlier failed probe',
         _CHOICE,
-        'return fresh and load.silent_at > load.heard_at',
+        'return fresh and load.probe_failed_at > load.answered_at',
         'return fresh',
-        _SILENT_TEST,
+        _PROBE_TEST,
     ),
     Safeguard(
         'a probe sent before an answer tells nothing',
         'guavagate/routing/_upstreams.py',
-        'if load.heard_at >= sent_at:',
+        'if load.answered_at >= sent_at:',
         'if False:',
-        _SILENT_TEST,
+        _PROBE_TEST,
     ),
     Safeguard(
         'Retry-After is spread',
         'guavagate/routing/_outage.py',
         'rng.uniform(*RETRY_SPREAD)',
         '1',
-        _SILENT_TEST,
+        _PROBE_TEST,
     ),
     Safeguard(
         'a non-idempotent request waits for its answer',
@@ -70,17 +70,17 @@
         _OUTAGE_TEST,
     ),
     Safeguard(
-        'an idempotent request ends once all upstreams are silent',
+        'an idempotent request ends once all upstreams fail probes',
         _FORWARD,
-        'if finding is Finding.SILENT:',
+        'if finding is Finding.UNRESPONSIVE:',
         'if False:',
         _OUTAGE_TEST,
     ),
     Safeguard(
         'checks over new connections have a budget',
         _OUTAGES,
-        'if not self._has_heard(serving, began_at) and self._budget.spend():',
-        'if not self._has_heard(serving, began_at):',
+        'began_at) and self._budget.spend():',
+        'began_at):',
         _OUTAGE_TEST,
     ),
     Safeguard(
@@ -120,10 +120,10 @@
     ),
     Safeguard(
         'probes that keep connections are paid for by answers',
-        'guavagate/forwarding/_keeping.py',
+        'guavagate/forwarding/_keep_alive.py',
         'if probes < MAX_PROBES:',
         'if True:',
-        'tests/forwarding/test_keeping.py',
+        'tests/forwarding/test_keep_alive.py',
     ),
     Safeguard(
         'a bad figure is left out alone',
--- a/tests/forwarding/outage_fleet.py
+++ b/tests/forwarding/outage_fleet.py
@@ -35,7 +35,7 @@
 _STEP_SECONDS: Final = 0.01
 
 
-class Mood(enum.Enum):
+class Behavior(enum.Enum):
     """What an upstream answers."""
 
     WELL = 'requests and probes'
@@ -84,14 +84,18 @@
             else None,
         )
 
-    def _read_mood(self, upstream: Upstream) -> Mood:
-        return Mood.HANGS if self.cut_off else self._fleet.moods[upstream.id]
+    def _find_behavior(self, upstream: Upstream) -> Behavior:
+        return (
+            Behavior.HANGS
+            if self.cut_off
+            else self._fleet.behaviors[upstream.id]
+        )
 
     def _connect(self, upstream: Upstream) -> bool:
         """Take an idle connection or a new one; return whether that worked."""
         self._fleet.connections += upstream.id not in self.idle
         self.idle.discard(upstream.id)
-        return self._read_mood(upstream) is not Mood.REFUSES
+        return self._find_behavior(upstream) is not Behavior.REFUSES
 
     def probe(
         self, upstream: Upstream, seconds: float, connect: bool
@@ -103,9 +107,12 @@
         if not self._connect(upstream):
             return ProbeResult(ProbeState.REFUSED)
         until = self.clock.now() + seconds
-        while self._read_mood(upstream) in {Mood.HANGS, Mood.REQUESTS_ONLY}:
+        while self._find_behavior(upstream) in {
+            Behavior.HANGS,
+            Behavior.REQUESTS_ONLY,
+        }:
             if self.clock.now() >= until:
-                return ProbeResult(ProbeState.SILENT)
+                return ProbeResult(ProbeState.TIMED_OUT)
             self.clock.sleep(min(_STEP_SECONDS, until - self.clock.now()))
         self.clock.sleep(0.001)
         self.idle.add(upstream.id)
@@ -124,9 +131,12 @@
 
     def _run(self, upstream: Upstream, began_at: float) -> Attempt:
         if not self._connect(upstream):
-            self.table.record_silence(upstream.id, began_at, refused=True)
+            self.table.record_failed_probe(upstream.id, began_at, refused=True)
             return Attempt(upstream, AttemptState.NOT_RUN)
-        while self._read_mood(upstream) in {Mood.HANGS, Mood.PROBES_ONLY}:
+        while self._find_behavior(upstream) in {
+            Behavior.HANGS,
+            Behavior.PROBES_ONLY,
+        }:
             self.clock.sleep(_STEP_SECONDS)
         self.clock.sleep(self._fleet.work_seconds)
         self.idle.add(upstream.id)
@@ -145,13 +155,13 @@
         self.work_seconds = 0.031
         self.probes = 0
         self.connections = 0
-        self.moods = dict.fromkeys(UPSTREAMS, Mood.WELL)
+        self.behaviors = dict.fromkeys(UPSTREAMS, Behavior.WELL)
         self.instances = {name: _Instance(self, name) for name in names}
         self.clock.advance(1)
 
-    def set_mood(self, mood: Mood, *names: str) -> None:
+    def set_behavior(self, behavior: Behavior, *names: str) -> None:
         """Change what some upstreams answer, by default all."""
-        self.moods.update(dict.fromkeys(names or UPSTREAMS, mood))
+        self.behaviors.update(dict.fromkeys(names or UPSTREAMS, behavior))
 
     def start(
         self,
@@ -187,5 +197,5 @@
     """Return a fleet whose upstreams hang after an answer to the first one."""
     fleet = OutageFleet(*names or ('a',))
     fleet.send()
-    fleet.set_mood(Mood.HANGS)
+    fleet.set_behavior(Behavior.HANGS)
     return fleet
--- a/tests/forwarding/test_keeping.py
+++ b/tests/forwarding/test_keep_alive.py
@@ -1,7 +1,7 @@
 """Probes that keep idle connections until the next request."""
 
 from guavagate.clock import PausedClock
-from guavagate.forwarding._keeping import MAX_PROBES, ConnectionKeeper
+from guavagate.forwarding._keep_alive import MAX_PROBES, ConnectionKeepAlive
 from guavagate.models import UpstreamId, ZoneId
 from guavagate.ports.load import LoadReport
 from guavagate.routing import UpstreamTable
@@ -21,13 +21,13 @@
         self.table.put(make_upstream(_NAME))
         self._report = LoadReport(running=0, slowdown=slowdown)
         self.answer()
-        keeper = ConnectionKeeper(
+        keep_alive = ConnectionKeepAlive(
             self.clock,
             self,  # type: ignore[arg-type]
             self.table,
             self._probe,
         )
-        keeper.start()
+        keep_alive.start()
 
     def get_idle_seconds_left(self, address: str = '') -> float | None:
         """Return how long the connection may still be used."""
--- a/tests/forwarding/test_outage_notices.py
+++ b/tests/forwarding/test_outage_notices.py
@@ -16,8 +16,8 @@
 from tests.forwarding.outage_fleet import (
     OBJECTIVE,
     UPSTREAMS,
+    Behavior,
     End,
-    Mood,
     OutageFleet,
     make_hanging,
 )
@@ -48,7 +48,7 @@
     fleet.clock.advance(2)
     for name in 'bcd':
         assert fleet.send(name).outcome.kind is OutcomeKind.NOT_RUN
-    fleet.set_mood(Mood.WELL)
+    fleet.set_behavior(Behavior.WELL)
     fleet.clock.advance(0.3)
     for name in _NAMES:
         assert fleet.send(name).outcome.kind is OutcomeKind.ANSWER
@@ -79,10 +79,10 @@
     fleet.clock.advance(0.1)
     fleet.send('b')
     fleet.world.kill('a')
-    fleet.set_mood(Mood.WELL)
+    fleet.set_behavior(Behavior.WELL)
     fleet.clock.advance(1)
     assert fleet.send('b').outcome.kind is OutcomeKind.ANSWER
-    fleet.set_mood(Mood.HANGS)
+    fleet.set_behavior(Behavior.HANGS)
     fleet.clock.advance(NOTICE_SECONDS)
     assert fleet.send('b').outcome.kind is OutcomeKind.LATE
     fleet.clock.advance(0.1)
@@ -106,8 +106,8 @@
     fleet = OutageFleet(*names, with_probes=with_probes)
     rng = random.Random(1)
     ends: list[list[list[End]]] = []
-    for mood in (Mood.WELL, Mood.HANGS, Mood.WELL):
-        fleet.set_mood(mood)
+    for behavior in (Behavior.WELL, Behavior.HANGS, Behavior.WELL):
+        fleet.set_behavior(behavior)
         ends.append([])
         until = fleet.clock.now() + 8
         while fleet.clock.now() < until:
--- a/tests/forwarding/test_outages.py
+++ b/tests/forwarding/test_outages.py
@@ -9,7 +9,7 @@
     OBJECTIVE,
     SERVICE,
     UPSTREAMS,
-    Mood,
+    Behavior,
     make_hanging,
 )
 
@@ -17,7 +17,7 @@
 
 
 @pytest.mark.parametrize('refusing', [(), UPSTREAMS[:2]])
-def test_requests_end_at_once_while_all_upstreams_are_silent(
+def test_requests_end_at_once_while_all_upstreams_fail_probes(
     refusing: tuple[str, ...],
 ) -> None:
     """The first one was sent, so it timed out; later ones have run nowhere.
@@ -26,12 +26,12 @@
     where some upstreams have ended and the others hang.
     """
     fleet = make_hanging()
-    fleet.set_mood(Mood.REFUSES, *refusing or ('',))
+    fleet.set_behavior(Behavior.REFUSES, *refusing or ('',))
     end = fleet.send()
     assert end.outcome.kind is OutcomeKind.LATE
     assert end.outcome.began_at is not None
     assert end.seconds < 2.5 * OBJECTIVE
-    fleet.set_mood(Mood.HANGS)
+    fleet.set_behavior(Behavior.HANGS)
     fleet.clock.advance(4)
     sent = fleet.instances['a'].sent.total()
     for kind in (_WRITE, _READ):
@@ -50,7 +50,7 @@
     fleet = make_hanging()
     ends = fleet.start(kind=_WRITE)
     fleet.clock.advance(0.5)
-    fleet.set_mood(Mood.WELL)
+    fleet.set_behavior(Behavior.WELL)
     fleet.clock.advance(0.1)
     assert ends[0].outcome.kind is OutcomeKind.ANSWER
     assert fleet.instances['a'].sent.total() == 2
@@ -61,7 +61,7 @@
     fleet = make_hanging()
     fleet.send()
     fleet.clock.advance(3)
-    fleet.set_mood(Mood.WELL, 'u1')
+    fleet.set_behavior(Behavior.WELL, 'u1')
     fleet.clock.advance(0.3)
     assert fleet.send().outcome.kind is OutcomeKind.ANSWER
 
@@ -69,18 +69,18 @@
 def test_refusing_upstreams_are_known_without_a_probe() -> None:
     """All processes have ended; each attempt ends within a round trip."""
     fleet = make_hanging()
-    fleet.set_mood(Mood.REFUSES)
+    fleet.set_behavior(Behavior.REFUSES)
     end = fleet.send(kind=_WRITE)
     assert end.outcome.kind is OutcomeKind.NOT_RUN
     assert end.seconds < 0.05
-    fleet.set_mood(Mood.WELL)
+    fleet.set_behavior(Behavior.WELL)
     assert fleet.send(kind=_WRITE).outcome.kind is OutcomeKind.ANSWER
 
 
 def test_upstreams_that_answer_probes_only_count_by_their_requests() -> None:
     """Two requests that time out at each upstream count, as without probes."""
     fleet = make_hanging()
-    fleet.set_mood(Mood.PROBES_ONLY)
+    fleet.set_behavior(Behavior.PROBES_ONLY)
     table = fleet.instances['a'].table
     for _ in range(2):
         assert fleet.send(kind=_WRITE).outcome.kind is OutcomeKind.LATE
@@ -103,7 +103,7 @@
     Their answers are passed on at once, and end what the probes found.
     """
     fleet = make_hanging()
-    fleet.set_mood(Mood.REQUESTS_ONLY)
+    fleet.set_behavior(Behavior.REQUESTS_ONLY)
     fleet.work_seconds = objectives * OBJECTIVE
     for _ in range(2):
         end = fleet.send(kind=_WRITE)
@@ -117,14 +117,14 @@
     Nor is there any probe while other requests are answered.
     """
     fleet = make_hanging()
-    fleet.set_mood(Mood.WELL)
+    fleet.set_behavior(Behavior.WELL)
     fleet.work_seconds = 1.4 * OBJECTIVE
     fleet.instances['a'].idle.update(UPSTREAMS)
     before = fleet.connections, fleet.probes
     fleet.send(kind=_WRITE)
     assert fleet.connections == before[0]
     assert fleet.probes > before[1]
-    fleet.set_mood(Mood.HANGS, 'u2')
+    fleet.set_behavior(Behavior.HANGS, 'u2')
     fleet.instances['a'].idle.clear()
     fleet.instances['a'].idle.add('u2')
     fleet.work_seconds = 0.02
@@ -142,7 +142,7 @@
     The connections of a check cost nearly as much as the request is worth.
     """
     fleet = make_hanging()
-    fleet.set_mood(Mood.WELL)
+    fleet.set_behavior(Behavior.WELL)
     fleet.work_seconds = 1.4 * OBJECTIVE
     before = fleet.probes
     for _ in range(200):
@@ -152,10 +152,10 @@
     assert 0 < fleet.probes - before <= 15 * len(UPSTREAMS)
 
 
-def test_a_third_upstream_is_tried_when_the_first_two_are_silent() -> None:
+def test_a_third_upstream_is_tried_when_the_first_two_fail_probes() -> None:
     """The request and its hedge hang until the deadline, and one is idle."""
     fleet = make_hanging()
-    fleet.set_mood(Mood.WELL, 'u2')
+    fleet.set_behavior(Behavior.WELL, 'u2')
     fleet.instances['a'].idle.clear()
     fleet.instances['a'].idle.update(UPSTREAMS[:2])
     end = fleet.send()
@@ -179,5 +179,5 @@
         table.put(msgspec.structs.replace(upstream, incarnation=2))
     table.remove(upstream.id)
     fleet.clock.advance(OBJECTIVE)
-    assert not table.is_silent(SERVICE)
+    assert not table.is_failing_probes(SERVICE)
     assert table.get(upstream.id) is None
--- a/tests/forwarding/test_probes.py
+++ b/tests/forwarding/test_probes.py
@@ -107,7 +107,7 @@
     process was itself suspended meanwhile, the answer may lie in its socket.
     """
     bench.answer = b''
-    assert bench.probe() is ProbeState.SILENT
+    assert bench.probe() is ProbeState.TIMED_OUT
     assert not bench.pool.has_idle_connection(bench.upstream.address)
     assert bench.probe(clock=_JumpingClock()) is ProbeState.UNKNOWN
 
@@ -118,7 +118,7 @@
         (b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n', ProbeState.ANSWERED),
         (b'HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n', ProbeState.REFUSED),
         (b'nonsense\r\n\r\n', ProbeState.UNKNOWN),
-        (b'HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n', ProbeState.SILENT),
+        (b'HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n', ProbeState.TIMED_OUT),
     ],
 )
 def test_what_an_answer_says_about_the_upstream(
