Share set-ups among the tests of outages

Cause: the tests were longer than the code that they test.

Tested: tests/forwarding, quarantine, routing, platform, test_docs.

--- a/standins/_safeguard_routing.py
+++ b/standins/_safeguard_routing.py
@@ -6,7 +6,7 @@
 
 _OUTAGES: Final = 'guavagate/forwarding/_outages.py'
 _OUTAGE_TEST: Final = 'tests/forwarding/test_outages.py'
-_NOTICE_TEST: Final = 'tests/forwarding/test_outage_notices.py'
+_NOTICE_TEST: Final = _OUTAGE_TEST
 _PROBE_TEST: Final = 'tests/routing/test_failed_probes.py'
 _SLOWDOWN_TEST: Final = 'tests/routing/test_slowdown.py'
 _CHOICE: Final = 'guavagate/routing/_choice.py'
