Give the soak's plain service a health path and load reports

Cause: no stand-in had a health path, so that real processes sent no probes. A stream asked for a Retry-After before it was known to be refused.

Change: the stand-in of a plain service answers /health and reports its load with a slowdown, so that the soak's processes check and keep connections.

--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -48,11 +48,7 @@
         """Forward a stream; any outcome but `ANSWER` is still to be sent."""
         progress = _StreamProgress(exchange, call)
         tried: set[UpstreamId] = set()
-        outcome = Outcome(
-            OutcomeKind.NOT_RUN,
-            reason='no upstream',
-            retry_after=self._upstreams.compute_retry_after(service),
-        )
+        outcome = Outcome(OutcomeKind.NOT_RUN, reason='no upstream')
         began_at: float | None = None
         while len(tried) < max(route.max_attempts, 1):
             refusal = self._guard.check(call, service)
@@ -61,6 +57,8 @@
                 break
             upstream = self._upstreams.choose(service, tried, lasting=True)
             if upstream is None:
+                retry_after = self._upstreams.compute_retry_after(service)
+                outcome.retry_after = retry_after
                 break
             tried.add(upstream.id)
             sent_at = self._clock.now()
--- a/standins/platform/manifest.py
+++ b/standins/platform/manifest.py
@@ -4,6 +4,8 @@
 
 TEAM: Final = 'blue'
 PERMANENT_KEY: Final = 'key-that-stays'
+# Upstreams answer it at once, also while they run requests.
+HEALTH_PATH: Final = '/health'
 
 
 def make_expiring_key(version: int) -> str:
@@ -45,7 +47,10 @@
     return {
         'version': version,
         'routes': [*plain, jobs],
-        'services': [{'name': 'llm', 'engine': engine}, {'name': 'desk'}],
+        'services': [
+            {'name': 'llm', 'engine': engine},
+            {'name': 'desk', 'health-path': HEALTH_PATH},
+        ],
         'tenants': [
             {
                 'name': TEAM,
--- a/standins/platform/sampler.py
+++ b/standins/platform/sampler.py
@@ -20,6 +20,7 @@
     HttpServer,
 )
 from guavagate.platform import const
+from standins.platform.manifest import HEALTH_PATH
 from standins.platform.proxy import Proxy
 from standins.platform.store import Store
 
@@ -30,6 +31,7 @@
 # A request with this path crashes each sampler that starts to run it.
 CRASH_PATH: Final = '/ask/crash'
 _DOWN_SECONDS: Final = 2.0
+_LOAD: Final = (const.LOAD, b'0,0,6,100')
 _STREAM: Final = (b'Content-Type', b'text/event-stream')
 
 
@@ -142,6 +144,8 @@
         target = exchange.get_header(const.TARGET.lower())
         if target and target != self.name:
             exchange.respond(_MISDIRECTED, [(const.NOT_RUN, b'1')], b'')
+        elif exchange.request.target == HEALTH_PATH:
+            exchange.respond(200, [_LOAD], b'')
         elif exchange.request.target == '/report':
             self._send_report(exchange)
         elif exchange.request.target == '/order':
@@ -216,7 +220,7 @@
             return
         seal = f'{self.name}.{self._random.getrandbits(48):x}'
         self._journal.rewards[seal] = (name, received_at)
-        headers = [*headers, (const.SEAL, seal.encode())]
+        headers = [*headers, (const.SEAL, seal.encode()), _LOAD]
         exchange.respond(200, headers, f'answer to {name}'.encode())
 
     def _stream(self, exchange: Exchange, name: str, last: int) -> None:
