--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -55,8 +55,10 @@
             if refusal is not None:
                 outcome = refusal.make_outcome(ran=progress.may_have_run)
                 break
-            upstream = self._upstreams.choose(service, tried)
+            upstream = self._upstreams.choose(service, tried, lasting=True)
             if upstream is None:
+                retry_after = self._upstreams.compute_retry_after(service)
+                outcome.retry_after = retry_after
                 break
             tried.add(upstream.id)
             sent_at = self._clock.now()
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -47,7 +47,11 @@
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the idle time is within the upstream's timeout."""
-        return now - self.idle_since <= self.idle_limit * IDLE_LIMIT_SHARE
+        return self.seconds_left(now) >= 0
+
+    def seconds_left(self, now: float) -> float:
+        """Return how long an idle connection stays fresh."""
+        return self.idle_since + self.idle_limit * IDLE_LIMIT_SHARE - now
 
     def is_usable(self, now: float) -> bool:
         """Return whether an idle connection may carry another request.
@@ -175,6 +179,7 @@
         *,
         timeout: float | None,
         reuse: bool = True,
+        connect: bool = True,
     ) -> Answer:
         """Send a request once and wait for the headers of its response.
 
@@ -185,16 +190,22 @@
             the connection ends.
         reuse
             Whether the request may use an idle connection of the pool.
+        connect
+            Whether a new connection may be opened for the request.
 
         Raises
         ------
         UpstreamNotStartedError
-            Nothing was sent: no connection was established, or the request is
-            not valid HTTP/1.1.
+            Nothing was sent: no connection was established or idle, or the
+            request is not valid HTTP/1.1.
         UpstreamError
             Part of the request may have been sent.
         """
         connection = self._acquire(address) if reuse else None
+        if connection is None and not connect:
+            raise UpstreamNotStartedError(
+                f'no connection to {address} is idle', 'open a new one'
+            )
         if connection is None:
             connection = self._connect(address)
         answer = Answer(self, address, connection)
@@ -236,6 +247,11 @@
         now = self._clock.now()
         return sum(each.is_fresh(now) for each in self._idle.get(address, ()))
 
+    def get_idle_seconds_left(self, address: str) -> float | None:
+        """Return how long there is an idle connection, `None` without one."""
+        idle = self._idle.get(address)
+        return idle[-1].seconds_left(self._clock.now()) if idle else None
+
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, ()):
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -10,14 +10,21 @@
 from guavagate.events import forwarding as events
 from guavagate.events import write
 from guavagate.models import ServiceId, UpstreamId, ZoneId
+from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
 from guavagate.routing._choice import (
     IsConnected,
     Load,
     choose_upstream,
     has_no_connection,
+    is_failing_probes,
+)
+from guavagate.routing._outage import (
+    are_all_failing,
+    compute_retry_after,
+    is_unavailable,
+    list_eligible,
 )
-from guavagate.routing._outage import list_eligible
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -59,6 +66,7 @@
         self._loads: dict[str, Load] = {}
         self._incarnations: dict[UpstreamId, int] = {}
         self._ended_at: dict[ServiceId, float] = {}
+        self._unavailable_since: dict[ServiceId, float] = {}
         self._subscribers: list[Callable[[], None]] = []
         self._on_restart: list[Callable[[Upstream], None]] = []
         self._on_address_released: list[Callable[[str], None]] = []
@@ -152,31 +160,86 @@
         ]
 
     def choose(
-        self, service: ServiceId, tried: set[UpstreamId]
+        self,
+        service: ServiceId,
+        tried: set[UpstreamId],
+        *,
+        lasting: bool = False,
     ) -> Upstream | None:
         """Return the upstream for one more request, among those not tried.
 
-        Returns None while the whole service is unavailable and each of its
-        upstreams already has a request in flight.
+        Returns None while the whole service is unavailable and none of its
+        upstreams may be tried.
+
+        Parameters
+        ----------
+        lasting
+            Whether the work lasts for seconds, longer than reported slowdowns.
         """
-        eligible = list_eligible(self.serving(service), self._loads)
+        now = self._clock.now()
+        serving = self.serving(service)
+        eligible = list_eligible(serving, self._loads, now)
+        self._note_availability(service, serving, now)
         candidates = [each for each in eligible if each.id not in tried]
-        return choose_upstream(
+        chosen = choose_upstream(
             candidates,
             self._loads,
             self._zone,
-            self._clock.now(),
+            now,
             self._random,
             self._is_connected,
+            lasting=lasting,
         )
+        if chosen is not None and is_failing_probes(
+            self._loads[chosen.id], now
+        ):
+            self._loads[chosen.id].trial_at = now
+        return chosen
+
+    def is_unavailable(self, service: ServiceId) -> bool:
+        """Return whether all upstreams of a service are unresponsive."""
+        return is_unavailable(self._list_loads(service), self._clock.now())
+
+    def is_failing_probes(self, service: ServiceId) -> bool:
+        """Return whether no upstream of a service answers a probe."""
+        return are_all_failing(self._list_loads(service), self._clock.now())
+
+    def compute_retry_after(self, service: ServiceId) -> float:
+        """Return when a caller refused by the whole service should return."""
+        now = self._clock.now()
+        since = self._unavailable_since.setdefault(service, now)
+        return compute_retry_after(now - since, self._random)
+
+    def _list_loads(self, service: ServiceId) -> list[Load]:
+        return [self.load(each.id) for each in self.serving(service)]
+
+    def _note_availability(
+        self, service: ServiceId, serving: list[Upstream], now: float
+    ) -> None:
+        loads = [self._loads[each.id] for each in serving]
+        if loads and not is_unavailable(loads, now):
+            self._unavailable_since.pop(service, None)
+        else:
+            self._unavailable_since.setdefault(service, now)
 
     def load(self, upstream: UpstreamId) -> Load:
         """Return this instance's view of an upstream's load."""
         return self._loads.setdefault(upstream, Load())
 
-    def record_report(self, upstream: UpstreamId, busy: int) -> None:
-        """Record the load that an upstream reported with a response."""
+    def record_report(self, upstream: UpstreamId, report: LoadReport) -> None:
+        """Record the load that an upstream reported with a response.
+
+        A response without any figure leaves the earlier report to its age.
+        """
         load = self.load(upstream)
+        load.answered_at = self._clock.now()
+        if report == LoadReport():
+            return
+        load.report = report
+        load.report_at = self._clock.now()
+        busy = report.busy
+        if busy is None:
+            return
         load.reported_busy = busy
         load.reported_at = self._clock.now()
         load.caller_slots = average_caller_slots(
@@ -186,6 +249,7 @@
     def record_success(self, upstream: UpstreamId, seconds: float) -> None:
         """Record a response, whatever its status."""
         load = self.load(upstream)
+        load.answers += 1
         load.failures = 0
         load.timeouts = 0
         weight = LATENCY_SMOOTHING if load.latency else 1
@@ -195,6 +259,31 @@
         """Record that a request received nothing within its timeout."""
         self.load(upstream).timeouts += 1
 
+    def record_failed_probe(
+        self, upstream: UpstreamId, sent_at: float, *, refused: bool = False
+    ) -> None:
+        """Record that a probe got no answer, or its address refused it.
+
+        Parameters
+        ----------
+        sent_at
+            When it was sent. It tells nothing if an answer to anything else
+            has arrived since.
+        """
+        load = self.load(upstream)
+        now = self._clock.now()
+        if load.answered_at >= sent_at:
+            return
+        if not is_failing_probes(load, now):
+            load.failing_since = now
+        load.probe_failed_at = now
+        load.refusing = refused
+
+    def forget_failed_probes(self, service: ServiceId) -> None:
+        """Have a service's upstreams tried again, as they are said to work."""
+        for load in self._list_loads(service):
+            load.probe_failed_at = load.answered_at
+
     def record_failure(self, upstream: UpstreamId) -> None:
         """Record that a request was cut off or got no response."""
         load = self.load(upstream)
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -18,6 +18,7 @@
 from standins._safeguard_capacity import CAPACITY_SAFEGUARDS
 from standins._safeguard_jobs import JOB_SAFEGUARDS
 from standins._safeguard_recovery import RECOVERY_SAFEGUARDS
+from standins._safeguard_routing import ROUTING_SAFEGUARDS
 from standins._safeguard_rows import PLATFORM_SAFEGUARDS, Safeguard
 from standins._safeguard_stops import STOP_SAFEGUARDS
 from standins._safeguard_teams import TEAM_SAFEGUARDS
@@ -31,6 +32,7 @@
     *TEAM_SAFEGUARDS,
     *CAPACITY_SAFEGUARDS,
     *TEXT_SAFEGUARDS,
+    *ROUTING_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
 _TEST_SECONDS: Final = 120
--- a/tests/quarantine/common.py
+++ b/tests/quarantine/common.py
@@ -26,7 +26,7 @@
 _FAR_FUTURE = 4e9
 
 
-class _NoBus:
+class NoBus:
     """The bus of an instance without others."""
 
     def register(self, kind: type[Message], handler: Handler) -> None:
@@ -40,7 +40,7 @@
 ) -> Quarantine:
     """Return the quarantine of a fleet of one instance."""
     table = upstreams or UpstreamTable(clock, ZoneId('z'))
-    bus: Bus = _NoBus()  # type: ignore[assignment]
+    bus: Bus = NoBus()  # type: ignore[assignment]
     state = StoreState(rng=random.Random(1), sleep=clock.sleep)
     return Quarantine(
         clock,
