Reserve the loopback addresses of a soak, so that two do not clash

The test of a second SIGTERM had one address too. Change: a block of addresses is reserved by a socket bound in it; a taken one makes the soak use the next.

--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -9,13 +9,11 @@
 import click
 import gevent
 
+from standins.platform.addresses import AddressBlock
 from standins.platform.soak import Soak
 
 Command = Callable[..., None]
 
-# Each seed uses its own loopback addresses, 127.0.BLOCK.x.
-FIRST_BLOCK: Final = 10
-BLOCKS: Final = 240
 _SHOWN: Final = 10
 # Seeds that failed in the past and the causes; see docs/soak.md.
 REGRESSIONS: Final = {
@@ -87,10 +85,11 @@
 
 def _run(seed: int, seconds: int, *, calm: bool) -> int:
     """Run one seed and return the number of violations."""
-    block = FIRST_BLOCK + seed % BLOCKS
+    block = AddressBlock(seed)
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, block, pathlib.Path(folder))
+        soak = Soak(seed, block.number, pathlib.Path(folder))
         verdict = soak.run(seconds, calm=calm)
+    block.release()
     click.echo(
         f'seed {seed}: {verdict.checked} checks,'
         f' {len(soak.journal.orders)} orders,'
--- a/tests/standins/test_soak.py
+++ b/tests/standins/test_soak.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from standins.platform.addresses import AddressBlock
 from standins.platform.checks import Verdict
 from standins.platform.fleet import Daemon, wait_for_exit
 from standins.platform.sampler import Journal, count_events
@@ -33,6 +34,14 @@
     assert '0 violations' in ended.stdout
 
 
+def test_two_soaks_of_one_seed_use_different_addresses() -> None:
+    """Two CI runs on a machine failed with "Address already in use"."""
+    blocks = [AddressBlock(os.getpid()) for _ in range(3)]
+    assert len({each.number for each in blocks}) == len(blocks)
+    for each in blocks:
+        each.release()
+
+
 def _make_result(item: str, version: int = 2) -> dict[str, object]:
     lines = [
         f'{item}/{number}/{version}'
@@ -112,7 +121,9 @@
 
     Ending at once would cut the requests that the stop waits for.
     """
-    daemon = Daemon('entry-0', '127.0.9.1', '127.0.9.250:8000', tmp_path)
+    block = AddressBlock(9)
+    prefix = f'127.0.{block.number}'
+    daemon = Daemon('entry-0', f'{prefix}.1', f'{prefix}.250:8000', tmp_path)
     daemon.start()
     log = tmp_path / 'entry-0.log'
     try:
@@ -123,6 +134,7 @@
         assert wait_for_exit(process, _LIMIT_SECONDS)
     finally:
         daemon.kill()
+        block.release()
     assert process is not None
     assert process.returncode == 0
     assert 'GG8030' in log.read_text()
