Announce accepted and ended jobs to the owner and its successor

Change: the entry that stored a job sends it to the owner and to the owner's first successor, in a task of its own; likewise the end of a job. Known, ended and expired jobs are ignored, and the watch remains authoritative. A job of several parts is left to the watch, as its frame of megabytes would delay the heartbeats on the same connection. A job that is submitted again is not announced: the stored one differs in its time.

--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -98,6 +98,9 @@
     'Partial texts cannot be saved to disk; work continues without them',
     'check the free space and the permissions of the data folder',
 )
+JOB_ANNOUNCED: Final = Event(
+    9040, logging.INFO, 'The entry that accepted a job announced it'
+)
 COORDINATOR_STARTED: Final = Event(
     9100, logging.INFO, 'This instance coordinates the samplers of a service'
 )
--- a/guavagate/front/_jobs.py
+++ b/guavagate/front/_jobs.py
@@ -15,8 +15,8 @@
     Job,
     JobConflictError,
     JobId,
+    JobIntake,
     JobReader,
-    JobStore,
     LookupStatus,
     Page,
 )
@@ -48,14 +48,14 @@
         self,
         clock: Clock,
         routes: RouteTable,
-        job_store: JobStore,
+        intake: JobIntake,
         reader: JobReader,
         metrics: Metrics,
         encode_page: Callable[[Page], bytes],
     ) -> None:
         self._clock = clock
         self._routes = routes
-        self._job_store = job_store
+        self._intake = intake
         self._reader = reader
         self._metrics = metrics
         self._encode_page = encode_page
@@ -63,7 +63,7 @@
     def accept(self, exchange: Exchange, job: Job) -> None:
         """Store a job, and answer once it is durable."""
         try:
-            new = self._job_store.accept(job, ACCEPT_SECONDS)
+            new = self._intake.accept(job, ACCEPT_SECONDS)
         except JobConflictError:
             send_text(
                 exchange, 409, 'the id is taken by another job; use a new one'
@@ -141,7 +141,7 @@
             _respond_not_found(exchange, status)
             return
         try:
-            self._job_store.end(job, END_SECONDS)
+            self._intake.end(job, END_SECONDS)
         except (NotWrittenError, MaybeWrittenError):
             send_text(exchange, 504, 'it may have been ended; send it again')
         else:
--- a/guavagate/jobs/__init__.py
+++ b/guavagate/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Jobs: items submitted together, run later, with results read by position."""
 
+from guavagate.jobs._announcements import AnnouncedJobs, JobIntake
 from guavagate.jobs._messages import LookupStatus
 from guavagate.jobs._models import (
     GroupId,
@@ -19,10 +20,12 @@
 from guavagate.jobs._store import JobConflictError, JobStore
 
 __all__ = (
+    'AnnouncedJobs',
     'GroupId',
     'ItemId',
     'Job',
     'JobId',
+    'JobIntake',
     'JobItem',
     'JobOwner',
     'JobReader',
--- a/guavagate/jobs/_active.py
+++ b/guavagate/jobs/_active.py
@@ -5,15 +5,15 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
-import msgspec
 from gevent.event import Event
 
-from guavagate.clock import Clock, Task
+from guavagate.clock import Clock
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import StoreError
 from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.helpers.waits import wait_for
+from guavagate.jobs._active_job import ActiveJob
 from guavagate.jobs._cadence import Cadence
 from guavagate.jobs._committer import Committer
 from guavagate.jobs._messages import LookupStatus
@@ -38,36 +38,6 @@
 _ANY_TEAM: Final = TeamId('')
 
 
-class ActiveJob(msgspec.Struct):
-    """An active job and the event that wakes readers of its results.
-
-    `invalidations` counts how often another instance may have committed results
-    that are unknown here, `reconciled` how many of these were resolved by a
-    read of the store; `ended_at` is on the runtime's clock.
-    """
-
-    work: JobWork
-    committer: Committer
-    changed: Event
-    invalidations: int = 0
-    reconciled: int = 0
-    ended_at: float | None = None
-    reconcile_task: Task | None = None
-
-    def may_grow(self) -> bool:
-        """Return whether further results may become known here."""
-        return self.work.open or self.is_uncertain()
-
-    def has(self, position: int) -> bool:
-        """Return whether a position has a result."""
-        return len(self.work.log.results) > position
-
-    def is_uncertain(self) -> bool:
-        """Return whether another instance may have committed more results."""
-        complete = len(self.work.log.committed) >= len(self.work.items)
-        return self.invalidations > self.reconciled and not complete
-
-
 class ActiveJobs:
     """The active jobs of one owner.
 
@@ -193,6 +163,32 @@
         """Record that a job is about to be loaded."""
         self._expected.add(job)
 
+    def add_announced(self, job: Job) -> None:
+        """Add a job that an entry has just accepted; needs no store call."""
+        if job.id not in self._ended:
+            self._load(job, fresh=True)
+
+    def load_announced(self, job: Job, received_at: float) -> None:
+        """Add an announced job of the former owner, and read its results.
+
+        The items may run before the store has answered. Results that the
+        former owner committed then end the runs of their items.
+        """
+        try:
+            self._load(job, fresh=True, age=self._clock.now() - received_at)
+            while self.owning and self._is_unread(job.id):
+                self._reconcile(self._jobs[job.id])
+                if self._is_unread(job.id):
+                    self._clock.sleep(RETRY_INTERVAL_SECONDS)
+        finally:
+            self._expected.discard(job.id)
+
+    def _is_unread(self, job: JobId) -> bool:
+        active = self._jobs.get(job)
+        if active is None or active.work.ended:
+            return False
+        return not active.reconciled
+
     def load_stored(
         self, job: JobId, stored: StoredObject, fresh: bool
     ) -> None:
@@ -299,7 +295,7 @@
             active.reconciled = max(active.reconciled, invalidations)
         active.changed.set()
 
-    def _load(self, job: Job, *, fresh: bool) -> None:
+    def _load(self, job: Job, *, fresh: bool, age: float | None = None) -> None:
         """Load and activate a job; wait if another task is loading it."""
         other = self._loading.get(job.id)
         if other is not None:
@@ -314,7 +310,9 @@
             if job.id not in self._jobs and self.owning:
                 # If another instance already committed results, the first
                 # commit finds its chunk.
-                self._activate(job, log, fresh=fresh)
+                if age is None:
+                    age = self._find_age(job, fresh=fresh)
+                self._activate(job, log, age, fresh=fresh)
         finally:
             self._loading.pop(job.id)
             done.set()
@@ -322,17 +320,18 @@
     def _find_age(self, job: Job, *, fresh: bool) -> float:
         """Return how long ago a job was submitted, in seconds.
 
-        A fresh job, which the store has just announced, has age zero whatever
-        the clocks of the two instances say. If the clock of its entry was set
-        back by seconds, a new step would seem late from its start and would be
-        scheduled after all others.
+        A fresh job, which the store or its entry has just announced, has age
+        zero whatever the clocks of the two instances say. If the clock of its
+        entry was set back by seconds, a new step would seem late from its start
+        and would be scheduled after all others.
         """
         if fresh:
             return 0
         return max(self._clock.wall() - job.submitted_at, 0)
 
-    def _activate(self, job: Job, log: ResultLog, *, fresh: bool) -> None:
-        age = self._find_age(job, fresh=fresh)
+    def _activate(
+        self, job: Job, log: ResultLog, age: float, *, fresh: bool
+    ) -> None:
         work = JobWork(job, log, self._clock.now(), age)
         self._restore_texts(work)
         changed = Event()
--- a/guavagate/jobs/_expiry.py
+++ b/guavagate/jobs/_expiry.py
@@ -1,11 +1,14 @@
 """Removes jobs from the store after their retention time."""
 
 import logging
+from collections.abc import Iterable
 from typing import Final
 
 from guavagate.clock import Clock
 from guavagate.events import jobs as events
 from guavagate.events import write
+from guavagate.exceptions import StoreError
+from guavagate.jobs._active_job import ActiveJob
 from guavagate.jobs._models import (
     Job,
     JobId,
@@ -23,6 +26,30 @@
 CLOCK_SKEW_SECONDS: Final = 60.0
 
 
+EXPIRY_INTERVAL_SECONDS: Final = 10.0
+
+
+def remove_expired_jobs(
+    store: ObjectStore,
+    clock: Clock,
+    active_jobs: Iterable[ActiveJob],
+    retention: float,
+) -> None:
+    """Remove closed jobs after their retention time; does not return."""
+    while True:
+        clock.sleep(EXPIRY_INTERVAL_SECONDS)
+        now = clock.wall()
+        for active in active_jobs:
+            job = active.work.job
+            if active.work.open or not is_expired(job, now, retention):
+                continue
+            try:
+                remove_job(store, clock, job)
+            except StoreError as error:
+                _LOGGER.debug('job %s could not be removed: %s', job.id, error)
+                break
+
+
 def is_expired(job: Job, now: float, retention: float) -> bool:
     """Return whether a closed job may be removed; `now` is in Unix time."""
     return now - job.submitted_at > retention + CLOCK_SKEW_SECONDS
--- a/guavagate/jobs/_messages.py
+++ b/guavagate/jobs/_messages.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from guavagate.jobs._models import ItemId, JobId, Page
+from guavagate.jobs._models import ItemId, Job, JobId, Page
 from guavagate.links import Message
 from guavagate.models import ServiceId, TeamId
 
@@ -46,3 +46,16 @@
 
     known: LookupStatus
     body: bytes = b''
+
+
+class JobAnnounced(Message, frozen=True, kw_only=True):
+    """Announces an accepted job, as the store has it."""
+
+    job: Job
+
+
+class JobEndAnnounced(Message, frozen=True, kw_only=True):
+    """Announces that a job was ended; the store has the end."""
+
+    service: ServiceId
+    job: JobId
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -9,13 +9,13 @@
 from guavagate.clock import Clock, Task
 from guavagate.events import jobs as events
 from guavagate.events import write
-from guavagate.exceptions import StoreError
 from guavagate.helpers.mirror import Mirror
 from guavagate.helpers.waits import wait_for
 from guavagate.jobs._active import ActiveJobs
+from guavagate.jobs._announcements import AnnouncedJobs
 from guavagate.jobs._dispatch import Dispatcher
 from guavagate.jobs._event_interval import STALL_SECONDS
-from guavagate.jobs._expiry import is_expired, remove_job
+from guavagate.jobs._expiry import is_expired, remove_expired_jobs
 from guavagate.jobs._messages import LookupStatus
 from guavagate.jobs._models import (
     ENDS_PREFIX,
@@ -57,7 +57,6 @@
 MAX_TAKEOVER_SECONDS: Final = 0.6
 # An item expires late rather than early.
 TTL_SLACK_SECONDS: Final = 1.0
-EXPIRY_INTERVAL_SECONDS: Final = 10.0
 # Replicas of each text: at the next owner and, in case it fails together with
 # this one, at the one after it.
 REPLICA_COUNT: Final = 2
@@ -83,6 +82,7 @@
         replicas: TextReplicas,
         snapshots: TextSnapshots,
         list_successors: Callable[[], list[InstanceId]],
+        announced: AnnouncedJobs,
         boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._boot_clock = boot_clock
@@ -96,6 +96,8 @@
         self._replicas = replicas
         self._snapshots = snapshots
         self._list_successors = list_successors
+        self._announced = announced
+        announced.subscribe(service, self._on_announced, self._on_announced_end)
         self._wake = Event()
         self._started_at = clock.now()
         self._taken_over = False
@@ -154,9 +156,16 @@
             self._taken_over = False
             self._job_mirror.start()
             self._end_mirror.start()
+            self._load_announced()
             self._task = self._clock.spawn(self._run)
             self._background_tasks = [
-                self._clock.spawn(self._remove_expired),
+                self._clock.spawn(
+                    remove_expired_jobs,
+                    self._job_store.object_store,
+                    self._clock,
+                    self._active_jobs,
+                    self._retention,
+                ),
                 self._clock.spawn(self._replicate_texts),
             ]
 
@@ -224,6 +233,23 @@
             mark_stopped_items(work, self._quarantine)
         self._wake.set()
 
+    def _load_announced(self) -> None:
+        """Load the announced jobs, even if the store does not answer now."""
+        for each in self._announced.list_jobs(self._service):
+            self._active_jobs.expect(each.job.id)
+            self._clock.spawn(
+                self._active_jobs.load_announced, each.job, each.received_at
+            )
+
+    def _on_announced(self, job: Job) -> None:
+        expired = is_expired(job, self._clock.wall(), self._retention)
+        if self.active and not expired:
+            self._active_jobs.add_announced(job)
+
+    def _on_announced_end(self, job: JobId) -> None:
+        if self.active:
+            self._active_jobs.end(job)
+
     def _put_job(self, name: str, stored: StoredObject) -> None:
         job = decode_job(stored.value)
         if job.service != self._service or job.id in self._active_jobs:
@@ -238,26 +264,6 @@
     def _put_end(self, name: str, stored: StoredObject) -> None:
         self._active_jobs.end(JobId(name))
 
-    def _remove_expired(self) -> None:
-        """Remove closed jobs after their retention time."""
-        while True:
-            self._clock.sleep(EXPIRY_INTERVAL_SECONDS)
-            now = self._clock.wall()
-            for active in self._active_jobs:
-                work = active.work
-                expired = is_expired(work.job, now, self._retention)
-                if work.open or not expired:
-                    continue
-                try:
-                    remove_job(
-                        self._job_store.object_store, self._clock, work.job
-                    )
-                except StoreError as error:
-                    _LOGGER.debug(
-                        'job %s could not be removed: %s', work.job.id, error
-                    )
-                    break
-
     def _replicate_texts(self) -> None:
         """Save partial texts on disk, and replicate them to successors."""
         while True:
--- a/guavagate/jobs/_ownership.py
+++ b/guavagate/jobs/_ownership.py
@@ -60,6 +60,14 @@
         """Return the candidates for a service's jobs, first choice first."""
         return self.rank_for_duty(f'jobs of {service}')
 
+    def list_in_turn(self, service: ServiceId) -> list[InstanceId]:
+        """Return the owner, then its successors in the order of takeover."""
+        owner = self.find_owner(service)
+        if owner is None:
+            return []
+        ranked = self.rank_candidates(service)
+        return [owner, *(each for each in ranked if each != owner)]
+
     def rank_for_duty(self, duty: str) -> list[InstanceId]:
         """Return the candidates for a fleet-wide duty, first choice first."""
         return rank_by_uptime(duty, self._list_candidates(), self._boot_of)
--- a/guavagate/jobs/_reader.py
+++ b/guavagate/jobs/_reader.py
@@ -17,7 +17,7 @@
 from guavagate.jobs._models import ItemId, Job, JobId, Page, make_page
 from guavagate.jobs._owner import JobOwner
 from guavagate.jobs._ownership import Ownership
-from guavagate.jobs._store import JobStore, measure_item
+from guavagate.jobs._store import JobStore, measure_job
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId, ServiceId, TeamId
 
@@ -204,8 +204,3 @@
             if each.id == item:
                 return LookupStatus.FOUND, each.body
     return LookupStatus.MISSING, b''
-
-
-def measure_job(job: Job) -> int:
-    """Return the approximate size of a job in bytes."""
-    return sum(measure_item(each) for each in job.items)
--- a/guavagate/jobs/_store.py
+++ b/guavagate/jobs/_store.py
@@ -131,6 +131,11 @@
     return size
 
 
+def measure_job(job: Job) -> int:
+    """Return the approximate size of a job in bytes."""
+    return sum(measure_item(each) for each in job.items)
+
+
 def split_items(items: list[JobItem]) -> list[list[JobItem]]:
     """Return the items in parts that each fit into one store object."""
     parts: list[list[JobItem]] = [[]]
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -132,6 +132,11 @@
     text='Time of calls to the store, watches left out',
     labels=('method', 'outcome'),
 )
+ANNOUNCED_JOBS: Final = Metric(
+    name='guavagate_announced_jobs_total',
+    kind=MetricKind.COUNTER,
+    text='Jobs that entries announced to this instance',
+)
 OPEN_JOBS: Final = Metric(
     name='guavagate_open_jobs',
     kind=MetricKind.GAUGE,
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -144,7 +144,7 @@
             settings.bounds.grace_s,
         )
         self._metrics.add_refresher(self._refresh_gauges)
-        self._servers = self._make_servers(job_store, reader)
+        self._servers = self._make_servers(reader)
 
         self.request_stop = self.lifecycle.request_stop
         self.wait_stop_requested = self.lifecycle.wait_stop_requested
@@ -233,9 +233,7 @@
         self._services.set_version_watch(versions.start, versions.stop)
         return feed
 
-    def _make_servers(
-        self, job_store: JobStore, reader: JobReader
-    ) -> list[HttpServer]:
+    def _make_servers(self, reader: JobReader) -> list[HttpServer]:
         listen = self._settings.listen
         address = f'{self._settings.ip}:{const.METRICS_PORT}'
         servers = [
@@ -244,7 +242,7 @@
             )
         ]
         if listen.front:
-            edge = self._make_edge(job_store, reader)
+            edge = self._make_edge(reader)
             servers.append(
                 HttpServer(
                     listen.front, self._clock, edge.handle, self._get_limits
@@ -258,9 +256,10 @@
             )
         return servers
 
-    def _make_edge(self, job_store: JobStore, reader: JobReader) -> Edge:
+    def _make_edge(self, reader: JobReader) -> Edge:
         clock, routes, metrics = self._clock, self._routes, self._metrics
         bounds = self._settings.bounds
+        intake = self._services.intake
         return Edge(
             clock,
             routes,
@@ -274,7 +273,7 @@
                 metrics,
                 self._usage.record,
             ),
-            JobHandler(clock, routes, job_store, reader, metrics, encode_page),
+            JobHandler(clock, routes, intake, reader, metrics, encode_page),
             self._feed.wait_loaded,
         )
 
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -8,6 +8,8 @@
 from guavagate.duties import Scaler
 from guavagate.exceptions import StoreUnavailableError
 from guavagate.jobs import (
+    AnnouncedJobs,
+    JobIntake,
     JobOwner,
     JobStore,
     Ownership,
@@ -94,6 +96,16 @@
         self._renewals = renewals
         self._replicas = TextReplicas(bus)
         self._snapshots = TextSnapshots(data_dir)
+        self._announced = AnnouncedJobs(clock, bus, metrics)
+        self.intake = JobIntake(
+            clock,
+            bus,
+            me,
+            job_store,
+            ownership,
+            self._announced,
+            routes.job_services,
+        )
         self._me = me
         self._clock = clock
         self._job_store = job_store
@@ -211,6 +223,7 @@
             self._replicas,
             self._snapshots,
             lambda: self._list_successors(service),
+            self._announced,
         )
         lease = Lease(
             self._job_store.object_store,
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -1,10 +1,12 @@
 """Instances that own jobs, with fakes of all their dependencies."""
 
 from guavagate.jobs import (
+    AnnouncedJobs,
     GroupId,
     ItemId,
     Job,
     JobId,
+    JobIntake,
     JobItem,
     JobOwner,
     JobReader,
@@ -99,6 +101,18 @@
         )
         self.metrics = Metrics()
         self.replicas = TextReplicas(world.bus(name))
+        self.announced = AnnouncedJobs(
+            self.clock, world.bus(name), self.metrics
+        )
+        self.intake = JobIntake(
+            self.clock,
+            world.bus(name),
+            InstanceId(name),
+            self.job_store,
+            self.ownership,
+            self.announced,
+            lambda: [SERVICE],
+        )
         self.owner = JobOwner(
             SERVICE,
             self.clock,
@@ -118,6 +132,7 @@
                 for each in self.ownership.rank_candidates(SERVICE)
                 if each != InstanceId(name)
             ],
+            self.announced,
             self.clock.now,
         )
         self.reader = JobReader(
@@ -169,7 +184,7 @@
         """Accept a job at an instance."""
         node = self.nodes[at]
         stamped = self.stamp(job)
-        task = node.clock.spawn(node.job_store.accept, stamped, 2.5)
+        task = node.clock.spawn(node.intake.accept, stamped, 2.5)
         self.clock.run_until(task.ready, 5)
         return bool(task.get(block=False))
 
