Let an instance ping a peer on a new connection

Cause: whether an instance that sends nothing is lost can not be told from the link: a device may have dropped the state of its connection, and a frozen process still accepts connections. Change: Bus.probe opens a connection of its own, pings and closes it. The bus closes running probes when it stops, as closing the context blocks until every socket is closed. Tested: tests/links with real sockets on loopback: a stalled connection, a frozen and a dead peer, a stop during a probe.

--- a/guavagate/links/_bus.py
+++ b/guavagate/links/_bus.py
@@ -63,3 +63,9 @@
 
     def send(self, peer: InstanceId, message: Message) -> None:
         """Send a one-way message without confirmation of its arrival."""
+
+    def probe(self, peer: InstanceId, timeout: float) -> bool:
+        """Return whether a peer answers a ping on a new connection in time.
+
+        A stalled connection or a dead link tells nothing about the peer.
+        """
--- a/guavagate/links/_zmq_bus.py
+++ b/guavagate/links/_zmq_bus.py
@@ -7,11 +7,13 @@
 
 import msgspec
 import zmq
+from gevent.event import Event
 
 from guavagate.clock import Clock, Task
 from guavagate.exceptions import LinkRefusedError
+from guavagate.helpers.waits import wait_for
 from guavagate.links._bus import Handler, Message, Reply
-from guavagate.links._connection import connect_peer
+from guavagate.links._connection import Connection, connect_peer
 from guavagate.links._link import Link
 from guavagate.links._server import Resolve, Server, bind_server
 from guavagate.models import InstanceId
@@ -58,6 +60,7 @@
         self._numbers = itertools.count(1)
         self._server = Server(me, self._boot, clock)
         self._links: dict[InstanceId, tuple[str, Link]] = {}
+        self._probes: set[Connection] = set()
         self._open = False
         self._checker: Task | None = None
 
@@ -79,9 +82,11 @@
             self._checker.kill()
         links = [link for _, link in self._links.values()]
         self._links.clear()
-        for link in links:
+        # Closing the context blocks until every socket is closed.
+        closing: list[Link | Connection] = [*links, *self._probes]
+        for link in closing:
             link.close()
-        for link in links:
+        for link in closing:
             link.join(_CLOSE_TIMEOUT_SECONDS)
         self._server.stop(_CLOSE_TIMEOUT_SECONDS)
         self._context.term()
@@ -107,6 +112,36 @@
         except LinkRefusedError as refused:
             _LOGGER.debug('Dropped a one-way message: %s', refused)
 
+    def probe(self, peer: InstanceId, timeout: float) -> bool:
+        """Ping a peer on a new connection; see `Bus.probe`."""
+        address = self._resolve(peer)
+        if address is None or not self._open:
+            return False
+        ended = Event()
+        answered = False
+
+        def handle_answer(*_: object) -> None:
+            nonlocal answered
+            answered = True
+            ended.set()
+
+        connection = Connection(
+            connect_peer(self._context, address, self._credential),
+            self._clock,
+            self.traffic,
+            handle_answer,
+            lambda _: ended.set(),
+        )
+        self._probes.add(connection)
+        connection.ping()
+        try:
+            wait_for(self._clock, ended, timeout)
+        finally:
+            connection.close()
+            connection.join(_CLOSE_TIMEOUT_SECONDS)
+            self._probes.discard(connection)
+        return answered
+
     def _get_link(self, peer: InstanceId) -> Link:
         address = self._resolve(peer)
         if address is None or not self._open:
--- a/guavagate/measure/fakes/_bus.py
+++ b/guavagate/measure/fakes/_bus.py
@@ -7,7 +7,7 @@
 from typing import Any, TypeVar
 
 import msgspec
-from gevent.event import AsyncResult
+from gevent.event import AsyncResult, Event
 
 from guavagate.clock import PausedClock
 from guavagate.exceptions import (
@@ -15,6 +15,7 @@
     LinkError,
     LinkRefusedError,
 )
+from guavagate.helpers.waits import wait_for
 from guavagate.links import Handler, Message
 from guavagate.measure.fakes._host import Host
 from guavagate.models import InstanceId
@@ -157,6 +158,27 @@
                 self.host.instance, peer, kind, len(raw), arrive
             )
 
+    def probe(self, peer: InstanceId, timeout: float) -> bool:
+        """Return whether a peer answers in time."""
+        me, network = self.host.instance, self._network
+        answered = Event()
+
+        def answer() -> None:
+            network.transmit(
+                peer,
+                me,
+                'probe.reply',
+                1,
+                lambda: self.host.deliver(answered.set),
+            )
+
+        def arrive() -> None:
+            if peer in network.buses:
+                network.buses[peer].host.deliver(answer)
+
+        network.transmit(me, peer, 'probe', 1, arrive)
+        return wait_for(self.host.clock, answered, timeout)
+
     def handle(
         self,
         source: InstanceId,
--- a/tests/links/test_stalled_connection.py
+++ b/tests/links/test_stalled_connection.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+from gevent import socket
 from gevent.event import Event
 
 from guavagate.clock import SystemClock
@@ -136,3 +137,51 @@
     assert requests.find((1, 0)) is None
     assert requests.may_have_dropped(100)
     assert not requests.may_have_dropped(100.1)
+
+
+def test_probe_reaches_a_peer_behind_a_stalled_connection(
+    peers: Peers,
+) -> None:
+    """A device dropped the link's connection; the peer works.
+
+    An instance that judged the peer by that connection would take its work
+    over.
+    """
+    peers.ask('one')
+    peers.relay.stall_connections()
+    assert peers.client.probe(B, 1)
+
+
+def test_probe_of_a_frozen_peer_fails_in_time(peers: Peers) -> None:
+    """The kernel of a frozen process accepts connections all the same."""
+    peers.relay.stop()
+    with socket.socket() as frozen:
+        frozen.bind(('127.0.0.1', 0))
+        frozen.listen()
+        address = f'127.0.0.1:{frozen.getsockname()[1]}'
+        peers.client._resolve = {B: address}.get
+        with gevent.Timeout(1):
+            assert not peers.client.probe(B, 0.2)
+
+
+def test_probe_of_a_dead_peer_fails_before_its_time_limit(
+    peers: Peers,
+) -> None:
+    """The address of a killed process refuses connections."""
+    peers.client._resolve = {B: free_address()}.get
+    with gevent.Timeout(1):
+        assert not peers.client.probe(B, 30)
+
+
+def test_bus_stops_during_a_probe(peers: Peers) -> None:
+    """The process stops while a probe waits; its socket must not block it."""
+    with socket.socket() as frozen:
+        frozen.bind(('127.0.0.1', 0))
+        frozen.listen()
+        addresses = {B: f'127.0.0.1:{frozen.getsockname()[1]}'}
+        bus = ZmqBus(A, free_address(), addresses.get, SystemClock())
+        bus.start()
+        probe = gevent.spawn(bus.probe, B, 30)
+        gevent.sleep(0.1)
+        bus.stop()
+        probe.kill()
