Let a coordinator track samplers without sending orders

Cause: an instance that works on the jobs of a lost owner needs samplers that are assigned to their models, but must not order them: the owner may be alive and hold the lease. Change: Coordinator.start(ordering=False) applies registrations and assigns the samplers; it plans no orders and takes no lease. Tested: tests/rollouts/test_coordinator.py.

--- a/guavagate/rollouts/_coordinator.py
+++ b/guavagate/rollouts/_coordinator.py
@@ -98,10 +98,12 @@
         self._count_slots = count_slots
         self._wake = Event()
         self._task: Task | None = None
+        self._ordering = True
         self._orders: list[Task] = []
 
-    def start(self) -> None:
-        """Start sending orders."""
+    def start(self, *, ordering: bool = True) -> None:
+        """Start sending orders; without them, only track the samplers."""
+        self._ordering = ordering
         if self._task is None:
             self._task = self._clock.spawn(self._run)
 
@@ -137,7 +139,7 @@
         serving = self._upstreams.serving(self._service)
         self._states.update(serving)
         self._assign(serving)
-        planned = self._plan(serving)
+        planned = self._plan(serving) if self._ordering else []
         if not planned:
             return
         acquire_for_orders(self._lease, self._clock)
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -146,6 +146,26 @@
     assert not setup.lease.may_order()
 
 
+def test_without_ordering_samplers_are_assigned_and_get_no_orders() -> None:
+    """This instance works on the jobs of an owner that may still be alive.
+
+    Items need samplers that are assigned to their model. Orders need the lease,
+    which the owner may hold. They follow once this instance is the owner.
+    """
+    setup = _Setup()
+    setup.coordinator.stop()
+    setup.states.assigned = {}
+    setup.coordinator.start(ordering=False)
+    setup.publish(2)
+    setup.clock.advance(3)
+    assert set(setup.states.assigned) == set('abcdef')
+    assert not setup.samplers.orders
+    assert not setup.lease.held
+    setup.coordinator.start()
+    setup.clock.advance(3)
+    assert setup.samplers.orders
+
+
 def test_a_dead_sampler_does_not_get_endless_orders() -> None:
     """It stays registered for some seconds and refuses connections.
 
