Let the first successor work on the jobs of an owner that is lost

Change: the owner sends a heartbeat to two successors each 0.2 s. The first one probes it on a new connection after 0.45 s of silence and asks up to three others to do so. It works on the jobs after 0.8 s if nobody reached the owner and another instance answered, and never after it was frozen itself. It assigns samplers and sends no orders. It returns the jobs after 0.3 s of heartbeats and hands its texts over; the owner adopts those that are longer, after it cancelled the runs that they replace, and reads what was committed. Owners that leave hand their texts over too. Readers ask the successor when the owner gave no reply, and ask it first for 2 s. The 24 longest texts are replicated each 0.25 s, all others each 0.5 s as before, to each successor in a task of its own.

--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -101,6 +101,23 @@
 JOB_ANNOUNCED: Final = Event(
     9040, logging.INFO, 'The entry that accepted a job announced it'
 )
+OWNER_PROBED: Final = Event(
+    9041, logging.INFO, 'An owner sent no heartbeats and was probed'
+)
+JOBS_TAKEN_OVER: Final = Event(
+    9042,
+    logging.WARNING,
+    'The owner is lost; its successor works on the jobs until it returns',
+    'check the machine of the owner and its connections',
+)
+JOBS_RETURNED: Final = Event(
+    9043, logging.INFO, 'The owner works again and gets its jobs back'
+)
+TEXTS_ADOPTED: Final = Event(
+    9044,
+    logging.INFO,
+    'The owner adopted texts that its successor generated in its place',
+)
 COORDINATOR_STARTED: Final = Event(
     9100, logging.INFO, 'This instance coordinates the samplers of a service'
 )
--- a/guavagate/explain/logs.py
+++ b/guavagate/explain/logs.py
@@ -30,6 +30,8 @@
         forwarding.REQUEST_STOPPED,
         forwarding.UPSTREAM_LEAVING,
         forwarding.UPSTREAM_GONE,
+        jobs.JOBS_TAKEN_OVER,
+        jobs.JOBS_RETURNED,
         jobs.COORDINATOR_STARTED,
         jobs.COORDINATOR_STOPPED,
         jobs.LEASE_ACQUIRED,
--- a/guavagate/jobs/__init__.py
+++ b/guavagate/jobs/__init__.py
@@ -13,6 +13,7 @@
     ResultState,
 )
 from guavagate.jobs._owner import JobOwner
+from guavagate.jobs._owner_watch import OwnerWatch
 from guavagate.jobs._ownership import Ownership
 from guavagate.jobs._reader import JobReader
 from guavagate.jobs._replicas import TextReplicas
@@ -33,6 +34,7 @@
     'LookupStatus',
     'JobConflictError',
     'Ownership',
+    'OwnerWatch',
     'Page',
     'Result',
     'ResultState',
--- a/guavagate/jobs/_messages.py
+++ b/guavagate/jobs/_messages.py
@@ -4,7 +4,7 @@
 
 from guavagate.jobs._models import ItemId, Job, JobId, Page
 from guavagate.links import Message
-from guavagate.models import ServiceId, TeamId
+from guavagate.models import InstanceId, ServiceId, TeamId
 
 
 class LookupStatus(enum.Enum):
@@ -59,3 +59,21 @@
 
     service: ServiceId
     job: JobId
+
+
+class OwnerHeartbeat(Message, frozen=True, kw_only=True):
+    """Tells a successor that the owner of a service's jobs works."""
+
+    service: ServiceId
+
+
+class ProbeOwner(Message, frozen=True, kw_only=True):
+    """Requests that an instance probes an owner on a new connection."""
+
+    owner: InstanceId
+
+
+class OwnerProbed(Message, frozen=True, kw_only=True):
+    """Whether the owner answered."""
+
+    reached: bool
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -27,12 +27,13 @@
     Result,
     ResultState,
 )
-from guavagate.jobs._replicas import REPLICATION_INTERVAL_SECONDS, TextReplicas
+from guavagate.jobs._replicas import TextReplicas
 from guavagate.jobs._rewards import RewardDispatcher
 from guavagate.jobs._runner import ItemRunner
 from guavagate.jobs._snapshots import TextSnapshots
 from guavagate.jobs._stops import mark_stopped_items
 from guavagate.jobs._store import JobStore, decode_job
+from guavagate.jobs._text_backups import TextBackups
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.metrics import Metrics, names
 from guavagate.models import InstanceId, ServiceId, TeamId
@@ -57,9 +58,6 @@
 MAX_TAKEOVER_SECONDS: Final = 0.6
 # An item expires late rather than early.
 TTL_SLACK_SECONDS: Final = 1.0
-# Replicas of each text: at the next owner and, in case it fails together with
-# this one, at the one after it.
-REPLICA_COUNT: Final = 2
 _ANY_TEAM: Final = TeamId('')
 
 
@@ -93,9 +91,6 @@
         self._states = states
         self._metrics = metrics
         self._retention = retention
-        self._replicas = replicas
-        self._snapshots = snapshots
-        self._list_successors = list_successors
         self._announced = announced
         announced.subscribe(service, self._on_announced, self._on_announced_end)
         self._wake = Event()
@@ -122,10 +117,19 @@
             metrics,
             self._on_job_loaded,
             self._finish,
-            self._restore_texts,
+            lambda work: self._backups.restore(work),
+        )
+        self._backups = TextBackups(
+            service,
+            clock,
+            replicas,
+            snapshots,
+            self._active_jobs.list_open,
+            list_successors,
+            self._handle_return,
         )
         self._task: Task | None = None
-        self._background_tasks: list[Task] = []
+        self._expiry_task: Task | None = None
         store = job_store.object_store
         self._job_mirror = Mirror(
             store,
@@ -149,35 +153,33 @@
     def start(self) -> None:
         """Take the service's jobs over."""
         if self._task is None:
-            write(_LOGGER, events.COORDINATOR_STARTED, service=self._service)
             self._active_jobs.owning = True
-            self._snapshots.load(self._service)
+            self._backups.start()
             self._started_at = self._clock.now()
             self._taken_over = False
             self._job_mirror.start()
             self._end_mirror.start()
             self._load_announced()
             self._task = self._clock.spawn(self._run)
-            self._background_tasks = [
-                self._clock.spawn(
-                    remove_expired_jobs,
-                    self._job_store.object_store,
-                    self._clock,
-                    self._active_jobs,
-                    self._retention,
-                ),
-                self._clock.spawn(self._replicate_texts),
-            ]
-
-    def stop(self) -> None:
-        """Release the service's jobs to another instance."""
+            self._expiry_task = self._clock.spawn(
+                remove_expired_jobs,
+                self._job_store.object_store,
+                self._clock,
+                self._active_jobs,
+                self._retention,
+            )
+
+    def stop(self, next_owner: InstanceId | None = None) -> None:
+        """Release the service's jobs, and send their texts to another owner."""
         if self._task is None:
             return
-        write(_LOGGER, events.COORDINATOR_STOPPED, service=self._service)
+        if next_owner is not None:
+            self._backups.hand_over(next_owner)
+        self._backups.stop()
         self._task.kill(block=False)
         self._task = None
-        for task in self._background_tasks:
-            task.kill(block=False)
+        if self._expiry_task is not None:
+            self._expiry_task.kill(block=False)
         self._job_mirror.stop()
         self._end_mirror.stop()
         self._active_jobs.clear()
@@ -210,10 +212,11 @@
         """Return an item's body."""
         return self._active_jobs.read_item(job, item, team)
 
-    def _restore_texts(self, work: JobWork) -> None:
-        """Restore the partial texts of a job that is taken over."""
-        self._replicas.restore(work)
-        self._snapshots.restore(work)
+    def _handle_return(self) -> None:
+        """Continue jobs that another instance worked on meanwhile."""
+        if self.active:
+            self._active_jobs.mark_uncertain()
+            self._wake.set()
 
     def _on_text_complete(self, work: JobWork, progress: ItemProgress) -> None:
         self._quarantine.record_answer(work.job.describe(progress.item))
@@ -264,16 +267,6 @@
     def _put_end(self, name: str, stored: StoredObject) -> None:
         self._active_jobs.end(JobId(name))
 
-    def _replicate_texts(self) -> None:
-        """Save partial texts on disk, and replicate them to successors."""
-        while True:
-            self._clock.sleep(REPLICATION_INTERVAL_SECONDS)
-            works = self._active_jobs.list_open()
-            if works:
-                self._snapshots.save(self._service, works)
-                peers = self._list_successors()[:REPLICA_COUNT]
-                self._replicas.send(self._service, works, peers)
-
     def _run(self) -> None:
         last_run_at = self._boot_clock()
         while True:
@@ -303,6 +296,7 @@
         self._metrics.set_gauge(names.OPEN_JOBS, len(works))
         if not works:
             return
+        self._backups.adopt(works)
         for work in works:
             self._fail_expired_items(work, now)
         self._dispatcher.dispatch(works, now)
--- a/guavagate/jobs/_ownership.py
+++ b/guavagate/jobs/_ownership.py
@@ -25,6 +25,8 @@
 
     Attributes
     ----------
+    me
+        The id of this instance.
     ready
         Whether this instance may own jobs: its view of the members had time to
         converge, and it is not leaving.
@@ -38,7 +40,7 @@
     ) -> None:
         self._members = members
         self._boot_of = boot_of
-        self._me = me
+        self.me = me
         self._former_by_service: Mapping[ServiceId, InstanceId] = {}
         self.ready = False
 
@@ -74,7 +76,7 @@
 
     def is_among_longest_running(self) -> bool:
         """Return whether no candidate has run for longer than this instance."""
-        own_bucket = find_start_bucket(self._me, self._boot_of)
+        own_bucket = find_start_bucket(self.me, self._boot_of)
         return all(
             find_start_bucket(each, self._boot_of) >= own_bucket
             for each in self._list_candidates()
@@ -88,7 +90,7 @@
     def _started_together(self, *others: InstanceId) -> bool:
         buckets = {
             find_start_bucket(each, self._boot_of)
-            for each in (self._me, *others)
+            for each in (self.me, *others)
         }
         return len(buckets) == 1
 
@@ -98,4 +100,4 @@
         False until the membership view had time to converge. When all instances
         start, each would otherwise consider itself the owner of everything.
         """
-        return self.ready and self.find_owner(service) == self._me
+        return self.ready and self.find_owner(service) == self.me
--- a/guavagate/jobs/_reader.py
+++ b/guavagate/jobs/_reader.py
@@ -1,8 +1,8 @@
 """Serves reads of jobs at any instance, from the owner or from the store."""
 
 import logging
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Iterator
+from typing import Final, TypeVar
 
 from guavagate.clock import Clock
 from guavagate.exceptions import LinkError, StoreError
@@ -26,11 +26,15 @@
 # The owner replies from memory. If it does not reply in time, the store is read
 # while the reader still waits.
 OWNER_TIMEOUT_SECONDS: Final = 0.6
+# How long the successor is asked before an owner that did not reply. By then
+# the membership has found out whether the owner is lost.
+SILENT_SECONDS: Final = 2.0
 # For bodies of jobs accepted or read here; an entry has little memory.
 MAX_CACHE_BYTES: Final = 8_000_000
 
 _ANY_TEAM: Final = TeamId('')
 
+Reply = TypeVar('Reply', bound=Message)
 FindLocalOwner = Callable[[ServiceId], JobOwner | None]
 
 
@@ -52,6 +56,7 @@
         self._find_local_owner = find_local_owner
         self._cache: dict[JobId, Job] = {}
         self._cached_bytes = 0
+        self._silent_until: dict[InstanceId, float] = {}
         bus.register(ReadPage, self._on_read_page)
         bus.register(ReadItem, self._on_read_item)
 
@@ -147,31 +152,63 @@
         )
 
     def _request_page(self, message: ReadPage) -> PageReply | None:
-        owner = self._ownership.find_owner(message.service)
-        if owner is None:
-            return None
-        if self._ownership.is_owner(message.service):
-            return self._serve_page(message)
         timeout = message.wait + OWNER_TIMEOUT_SECONDS
-        try:
-            return self._bus.request(owner, message, PageReply, timeout)
-        except LinkError as error:
-            _LOGGER.debug('owner %s did not reply: %s', owner, error)
-            return None
+        for peer in self._list_peers(message.service):
+            reply = (
+                self._serve_page(message)
+                if peer == self._ownership.me
+                else self._request(peer, message, PageReply, timeout)
+            )
+            if reply is not None and reply.known is not LookupStatus.UNCERTAIN:
+                return reply
+        return None
 
     def _request_item(self, message: ReadItem) -> ItemReply | None:
-        owner = self._ownership.find_owner(message.service)
-        if owner is None:
-            return None
-        if self._ownership.is_owner(message.service):
-            return self._serve_item(message)
-        try:
-            return self._bus.request(
-                owner, message, ItemReply, OWNER_TIMEOUT_SECONDS
+        for peer in self._list_peers(message.service):
+            reply = (
+                self._serve_item(message)
+                if peer == self._ownership.me
+                else self._request(
+                    peer, message, ItemReply, OWNER_TIMEOUT_SECONDS
+                )
             )
+            if reply is not None and reply.known is not LookupStatus.UNCERTAIN:
+                return reply
+        return None
+
+    def _list_peers(self, service: ServiceId) -> Iterator[InstanceId]:
+        """Yield the owner; and its successor if the owner does not reply.
+
+        The successor replies with results only if it works on the jobs.
+        """
+        in_turn = self._ownership.list_in_turn(service)
+        owner, successors = in_turn[:1], in_turn[1:2]
+        was_silent = any(map(self._is_silent, owner))
+        if was_silent:
+            yield from successors
+        yield from owner
+        if not was_silent and any(map(self._is_silent, owner)):
+            yield from successors
+
+    def _is_silent(self, instance: InstanceId) -> bool:
+        until = self._silent_until.get(instance, 0)
+        return self._clock.now() < until
+
+    def _request(
+        self,
+        peer: InstanceId,
+        message: Message,
+        reply: type[Reply],
+        timeout: float,
+    ) -> Reply | None:
+        try:
+            replied = self._bus.request(peer, message, reply, timeout)
         except LinkError as error:
-            _LOGGER.debug('owner %s did not reply: %s', owner, error)
+            _LOGGER.debug('%s did not reply: %s', peer, error)
+            self._silent_until[peer] = self._clock.now() + SILENT_SECONDS
             return None
+        self._silent_until.pop(peer, None)
+        return replied
 
     def _on_read_page(self, _: InstanceId, message: Message) -> Message:
         return self._serve_page(expect(message, ReadPage))
--- a/guavagate/jobs/_replicas.py
+++ b/guavagate/jobs/_replicas.py
@@ -11,11 +11,12 @@
 import logging
 import secrets
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable
 from typing import Final, TypeAlias
 
 import msgspec
 
+from guavagate.clock import Clock
 from guavagate.exceptions import LinkError
 from guavagate.jobs._models import ItemId, JobId
 from guavagate.jobs._work import ItemProgress, JobWork, Text
@@ -24,9 +25,6 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-# A takeover loses this much of each text: about ten events, of the hundred
-# that a long text has.
-REPLICATION_INTERVAL_SECONDS: Final = 0.5
 # Limit of one message. The longest texts go first, the rest follows in the next
 # message. A burst of 190 texts at twenty events a second is 60,000 characters;
 # a larger one would take link capacity from other messages of a large fleet.
@@ -36,9 +34,16 @@
 MAX_SOURCES: Final = 8
 # A peer that does not reply in time gets the complete texts next time.
 REPLY_TIMEOUT_SECONDS: Final = 0.4
+# How often each message of a handover is tried; the jobs are continued without
+# the texts then.
+HANDOVER_ATTEMPTS: Final = 3
+HANDOVER_RETRY_SECONDS: Final = 0.2
+# Interrupting a run costs a connection, and reading the text again costs about
+# as much time as its sampler needs for two events.
+MIN_ADOPTED_EVENTS: Final = 10
 
 
-class TextPart(msgspec.Struct, frozen=True):
+class TextPart(msgspec.Struct, frozen=True, omit_defaults=True):
     """The events of an item's text that follow the first `after` events.
 
     `number` distinguishes the texts of one item: a restarted text has another.
@@ -57,13 +62,15 @@
     """New events of an owner's texts; `jobs` are its open jobs.
 
     `boot` is a random number of the sending process, as text numbers are
-    unique only within a process.
+    unique only within a process. With `handover`, the sender has stopped to
+    work on the jobs, and the receiver continues them.
     """
 
     service: ServiceId
     boot: int
     jobs: list[JobId]
     parts: list[TextPart]
+    handover: bool = False
 
 
 class TextCopied(Message, frozen=True, kw_only=True):
@@ -89,6 +96,7 @@
 _Key: TypeAlias = tuple[JobId, ItemId]
 _Source: TypeAlias = tuple[ServiceId, InstanceId, int]
 _Replicas: TypeAlias = dict[JobId, dict[ItemId, _Replica]]
+_Updates: TypeAlias = list[tuple[ItemProgress, TextPart]]
 
 
 class TextReplicas:
@@ -105,47 +113,114 @@
         self._sent: dict[
             tuple[ServiceId, InstanceId], dict[_Key, _SentText]
         ] = {}
+        self._on_handover: dict[ServiceId, Callable[[], None]] = {}
         bus.register(TextCopy, self._on_copy)
 
+    def subscribe_handover(
+        self, service: ServiceId, callback: Callable[[], None]
+    ) -> None:
+        """Call `callback`, which must not block, when jobs are handed over."""
+        self._on_handover[service] = callback
+
     def send(
         self,
         service: ServiceId,
         works: list[JobWork],
-        peers: Iterable[InstanceId],
+        peer: InstanceId,
+        longest: int | None = None,
     ) -> None:
-        """Send peers the events since the last message to each of them."""
-        for peer in peers:
-            sent = self._sent.get((service, peer), {})
-            updates = self._select_updates(works, sent)
-            copy = TextCopy(
-                service=service,
-                boot=self._boot,
-                jobs=[work.job.id for work in works],
-                parts=[part for _, part in updates],
-            )
-            # Counted before the request, as the texts grow while it runs.
-            counts = {
-                (part.job, part.item): _SentText(
-                    progress.text,
-                    part.number,
-                    part.after + len(part.events),
-                    part.whole,
-                )
-                for progress, part in updates
+        """Send a peer the events since the last message to it.
+
+        Parameters
+        ----------
+        longest
+            How many texts to send, the longest first; None for all.
+        """
+        sent = self._sent.get((service, peer), {})
+        updates = self._select_updates(works, sent, longest)
+        copy = self._make_copy(service, works, updates)
+        # Counted before the request, as the texts grow while it runs.
+        counts = _count_sent(updates)
+        try:
+            self._bus.request(peer, copy, TextCopied, REPLY_TIMEOUT_SECONDS)
+        except LinkError as error:
+            _LOGGER.debug('%s did not store a replica: %s', peer, error)
+            self._sent.pop((service, peer), None)
+        else:
+            open_jobs = set(copy.jobs)
+            unchanged = {
+                key: each for key, each in sent.items() if key[0] in open_jobs
             }
+            self._sent[service, peer] = {**unchanged, **counts}
+
+    def hand_over(
+        self,
+        service: ServiceId,
+        works: list[JobWork],
+        peer: InstanceId,
+        clock: Clock,
+    ) -> None:
+        """Send a peer all texts of jobs that it continues from now on.
+
+        The peer may have used the earlier replicas up, so nothing that it
+        acknowledged counts. At least one message is sent: without any text,
+        it still tells the peer that another instance worked on the jobs.
+        """
+        self._sent.pop((service, peer), None)
+        sent: dict[_Key, _SentText] = {}
+        updates = self._select_updates(works, sent)
+        attempts = HANDOVER_ATTEMPTS
+        while attempts:
+            copy = self._make_copy(service, works, updates, handover=True)
             try:
                 self._bus.request(peer, copy, TextCopied, REPLY_TIMEOUT_SECONDS)
             except LinkError as error:
-                _LOGGER.debug('%s did not store a replica: %s', peer, error)
-                self._sent.pop((service, peer), None)
-            else:
-                open_jobs = set(copy.jobs)
-                unchanged = {
-                    key: each
-                    for key, each in sent.items()
-                    if key[0] in open_jobs
-                }
-                self._sent[service, peer] = {**unchanged, **counts}
+                _LOGGER.debug('%s took no texts over: %s', peer, error)
+                attempts -= 1
+                clock.sleep(HANDOVER_RETRY_SECONDS)
+                continue
+            sent.update(_count_sent(updates))
+            updates = self._select_updates(works, sent)
+            if not updates:
+                return
+
+    def adopt(self, work: JobWork) -> int:
+        """Adopt replicas into a job in progress; return how many.
+
+        The runs of texts that are much shorter than their replicas are
+        cancelled. Call this again until they have ended.
+        """
+        adopted = 0
+        for (service, _, _), replicas in self._received.items():
+            if service != work.job.service:
+                continue
+            texts = replicas.get(work.job.id, {})
+            for item, replica in list(texts.items()):
+                progress = work.items.get(item)
+                if progress is None or progress.sampler is None:
+                    texts.pop(item)
+                    adopted += adopt_text(work, item, replica.text)
+                elif _is_much_longer(replica.text, progress.text):
+                    progress.cancel()
+                else:
+                    texts.pop(item)
+        return adopted
+
+    def _make_copy(
+        self,
+        service: ServiceId,
+        works: list[JobWork],
+        updates: _Updates,
+        *,
+        handover: bool = False,
+    ) -> TextCopy:
+        return TextCopy(
+            service=service,
+            boot=self._boot,
+            jobs=[work.job.id for work in works],
+            parts=[part for _, part in updates],
+            handover=handover,
+        )
 
     def restore(self, work: JobWork) -> None:
         """Restore the replicated texts into a job that is taken over."""
@@ -167,11 +242,17 @@
         for part in copy.parts:
             if part.job in replicas:
                 _apply_part(replicas[part.job], part)
+        on_handover = self._on_handover.get(copy.service)
+        if copy.handover and on_handover is not None:
+            on_handover()
         return TextCopied()
 
     def _select_updates(
-        self, works: list[JobWork], sent: dict[_Key, _SentText]
-    ) -> list[tuple[ItemProgress, TextPart]]:
+        self,
+        works: list[JobWork],
+        sent: dict[_Key, _SentText],
+        longest: int | None = None,
+    ) -> _Updates:
         """Return the parts of uncommitted texts that a peer lacks."""
         updates = [
             (progress, part)
@@ -182,8 +263,8 @@
         ]
         updates.sort(key=lambda each: -each[0].text.last_number)
         left = MAX_MESSAGE_CHARACTERS
-        chosen: list[tuple[ItemProgress, TextPart]] = []
-        for progress, part in updates:
+        chosen: _Updates = []
+        for progress, part in updates[:longest]:
             left -= sum(map(len, part.events))
             if left < 0 and chosen:
                 break
@@ -218,11 +299,17 @@
         )
 
 
-def adopt_text(work: JobWork, item: ItemId, text: Text) -> None:
-    """Resume an item from a text if it is usable and longer than its own."""
+def adopt_text(work: JobWork, item: ItemId, text: Text) -> bool:
+    """Resume an item from a text if it is usable and longer than its own.
+
+    Returns
+    -------
+    bool
+        Whether the text was adopted.
+    """
     progress = work.items.get(item)
-    if progress is None or progress.done:
-        return
+    if progress is None or progress.done or progress.text.complete:
+        return False
     current = progress.text
     longer = (text.last_number, text.complete) > (
         current.last_number,
@@ -230,6 +317,26 @@
     )
     if longer and text.meets_version_bounds(work.job.min_version, None):
         progress.text = text
+        return True
+    return False
+
+
+def _is_much_longer(text: Text, current: Text) -> bool:
+    """Return whether a replica is worth interrupting a run for."""
+    gain = text.last_number - current.last_number
+    return gain >= MIN_ADOPTED_EVENTS or (gain >= 0 and text.complete)
+
+
+def _count_sent(updates: _Updates) -> dict[_Key, _SentText]:
+    return {
+        (part.job, part.item): _SentText(
+            progress.text,
+            part.number,
+            part.after + len(part.events),
+            part.whole,
+        )
+        for progress, part in updates
+    }
 
 
 def _apply_part(replicas: dict[ItemId, _Replica], part: TextPart) -> None:
--- /dev/null
+++ b/guavagate/jobs/_text_backups.py
@@ -0,0 +1,134 @@
+"""Backs up the partial texts of an owner's jobs, and hands them over.
+
+A text is durable only once it is committed. Until then its replicas at the
+possible successors and the snapshot on the owner's disk save most of it.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from guavagate.clock import Clock, Task
+from guavagate.events import jobs as events
+from guavagate.events import write
+from guavagate.jobs._replicas import TextReplicas
+from guavagate.jobs._snapshots import TextSnapshots
+from guavagate.jobs._work import JobWork
+from guavagate.models import InstanceId, ServiceId
+
+_LOGGER: Final = logging.getLogger(__name__)
+
+# A takeover loses this much of each text: about ten events, of the hundred
+# that a long text has.
+REPLICATION_INTERVAL_SECONDS: Final = 0.5
+# The longest texts are replicated twice as often, as a step waits for them.
+# That many parts cost as many bytes as the shorter encoding of all parts saves.
+LONGEST_COUNT: Final = 24
+# Replicas of each text: at the next owner and, in case it fails together with
+# this one, at the one after it.
+REPLICA_COUNT: Final = 2
+# How long after its return an owner looks for texts that its successor
+# generated. Runs that are interrupted for them end within milliseconds.
+ADOPTION_SECONDS: Final = 1.0
+
+
+class TextBackups:
+    """The replicas and snapshots of the texts of one service's jobs.
+
+    Parameters
+    ----------
+    list_open
+        Returns the open jobs that this instance works on.
+    on_returned
+        Called when an instance that worked on the jobs in the place of this
+        one has returned them; must not block.
+    """
+
+    def __init__(
+        self,
+        service: ServiceId,
+        clock: Clock,
+        replicas: TextReplicas,
+        snapshots: TextSnapshots,
+        list_open: Callable[[], list[JobWork]],
+        list_successors: Callable[[], list[InstanceId]],
+        on_returned: Callable[[], None],
+    ) -> None:
+        self._service = service
+        self._clock = clock
+        self._replicas = replicas
+        self._snapshots = snapshots
+        self._list_open = list_open
+        self._list_successors = list_successors
+        self._on_returned = on_returned
+        self._adopt_until = float('-inf')
+        self._tasks: list[Task] = []
+        self._sending: dict[InstanceId, Task] = {}
+        replicas.subscribe_handover(service, self._handle_return)
+
+    def start(self) -> None:
+        """Start to back up the texts of the open jobs."""
+        self._snapshots.load(self._service)
+        self._tasks = [self._clock.spawn(self._back_up)]
+
+    def stop(self) -> None:
+        """Stop backing up texts."""
+        for task in (*self._tasks, *self._sending.values()):
+            task.kill(block=False)
+        self._tasks = []
+        self._sending = {}
+
+    def restore(self, work: JobWork) -> None:
+        """Restore the texts of a job before it is worked on."""
+        self._replicas.restore(work)
+        self._snapshots.restore(work)
+
+    def hand_over(self, peer: InstanceId) -> None:
+        """Send all texts to the instance that works on the jobs from now on."""
+        self._clock.spawn(
+            self._replicas.hand_over,
+            self._service,
+            self._list_open(),
+            peer,
+            self._clock,
+        )
+
+    def adopt(self, works: list[JobWork]) -> None:
+        """Adopt the texts that were returned with the jobs.
+
+        Called before items are started: a text must not be replaced while a
+        run appends to it, so such a run is cancelled first.
+        """
+        if self._clock.now() > self._adopt_until:
+            return
+        adopted = sum(self._replicas.adopt(work) for work in works)
+        if adopted:
+            write(
+                _LOGGER,
+                events.TEXTS_ADOPTED,
+                service=self._service,
+                texts=adopted,
+            )
+
+    def _handle_return(self) -> None:
+        self._adopt_until = self._clock.now() + ADOPTION_SECONDS
+        self._on_returned()
+
+    def _back_up(self) -> None:
+        while True:
+            for longest in (LONGEST_COUNT, None):
+                self._clock.sleep(REPLICATION_INTERVAL_SECONDS / 2)
+                works = self._list_open()
+                if works:
+                    self._replicate(works, longest)
+            if works:
+                self._snapshots.save(self._service, works)
+
+    def _replicate(self, works: list[JobWork], longest: int | None) -> None:
+        """Send replicas to each successor, whether or not another answers."""
+        for peer in self._list_successors()[:REPLICA_COUNT]:
+            running = self._sending.get(peer)
+            if running is None or running.dead:
+                self._sending[peer] = self._clock.spawn(
+                    self._replicas.send, self._service, works, peer, longest
+                )
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -137,6 +137,12 @@
     kind=MetricKind.COUNTER,
     text='Jobs that entries announced to this instance',
 )
+EARLY_TAKEOVERS: Final = Metric(
+    name='guavagate_early_takeovers_total',
+    kind=MetricKind.COUNTER,
+    text='Times that this instance worked on jobs in the place of their owner',
+    plotted=True,
+)
 OPEN_JOBS: Final = Metric(
     name='guavagate_open_jobs',
     kind=MetricKind.GAUGE,
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -6,6 +6,8 @@
 
 from guavagate.clock import Clock
 from guavagate.duties import Scaler
+from guavagate.events import jobs as events
+from guavagate.events import write
 from guavagate.exceptions import StoreUnavailableError
 from guavagate.jobs import (
     AnnouncedJobs,
@@ -13,6 +15,7 @@
     JobOwner,
     JobStore,
     Ownership,
+    OwnerWatch,
     TextReplicas,
     TextSnapshots,
 )
@@ -35,39 +38,70 @@
     list_holders,
 )
 from guavagate.routing import RouteTable, UpstreamTable
+from guavagate.util.boot_clock import read_boot_clock
 
 _LOGGER: Final = logging.getLogger(__name__)
 
 
 class _Service:
-    """The job owner, coordinator and scaler of one service."""
+    """The job owner, coordinator and scaler of one service.
+
+    Attributes
+    ----------
+    coordinating
+        Whether this instance may order samplers, not only work on the jobs.
+    """
 
     def __init__(
         self,
+        service: ServiceId,
         owner: JobOwner,
         coordinator: Coordinator,
         states: SamplerStates,
         scaler: Scaler | None,
     ) -> None:
+        self._id = service
+        self.coordinating = False
         self.owner = owner
         self.coordinator = coordinator
         self.states = states
         self.scaler = scaler
 
     def start(self) -> None:
-        """Start working on the service's jobs."""
+        """Start working on the service's jobs and samplers."""
+        if not self.coordinating:
+            write(_LOGGER, events.COORDINATOR_STARTED, service=self._id)
+        self.coordinating = True
         self.owner.start()
         self.owner.mark_uncertain()
         self.coordinator.start()
         if self.scaler is not None:
             self.scaler.start()
 
-    def stop(self) -> None:
+    def stand_in(self) -> None:
+        """Start working on the jobs only; their owner may still be alive.
+
+        The coordinator tracks the samplers, so that items can be placed.
+        """
+        self._stop_coordinating()
+        self.owner.start()
+        self.owner.mark_uncertain()
+        self.coordinator.start(ordering=False)
+
+    def stop(self, next_owner: InstanceId | None) -> None:
         """Stop, so that another instance can take the service over."""
+        self._stop_coordinating()
+        self.coordinator.stop()
+        self.owner.stop(next_owner)
+
+    def _stop_coordinating(self) -> None:
+        if not self.coordinating:
+            return
+        write(_LOGGER, events.COORDINATOR_STOPPED, service=self._id)
+        self.coordinating = False
         if self.scaler is not None:
             self.scaler.stop()
         self.coordinator.stop()
-        self.owner.stop()
 
 
 class JobServices:
@@ -91,7 +125,12 @@
         bus: Bus,
         data_dir: str,
         duties: DutyClient | None = None,
+        boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
+        self._watch = OwnerWatch(
+            clock, bus, me, ownership, metrics, self.refresh, boot_clock
+        )
+        self._boot_clock = boot_clock
         self._duties = duties
         self._renewals = renewals
         self._replicas = TextReplicas(bus)
@@ -156,6 +195,7 @@
         else:
             registry.wait_for_discovery()
         self._ownership.ready = not self._leaving
+        self._watch.start()
         self.refresh()
 
     def _load_former_owners(self) -> bool:
@@ -190,22 +230,25 @@
 
     def refresh(self) -> None:
         """Start newly owned services and stop those no longer owned."""
-        owned = {
-            each
-            for each in self._routes.job_services()
-            if self._ownership.is_owner(each)
-        }
+        services = self._routes.job_services()
+        self._watch.update(services)
+        owned = {each for each in services if self._ownership.is_owner(each)}
         for service in owned:
-            running = self._services.get(service) or self._make(service)
-            running.start()
+            self._get(service).start()
+        stands_in = set(filter(self._watch.stands_in, services))
+        for service in stands_in:
+            self._get(service).stand_in()
         for service, running in self._services.items():
-            if service not in owned:
-                running.stop()
+            if service not in owned | stands_in:
+                running.stop(self._find_next_owner(service))
         if owned:
             self._start_versions()
         else:
             self._stop_versions()
 
+    def _get(self, service: ServiceId) -> _Service:
+        return self._services.get(service) or self._make(service)
+
     def _make(self, service: ServiceId) -> _Service:
         states = SamplerStates()
         owner = JobOwner(
@@ -232,6 +275,7 @@
             self._lease_seconds,
             self._renewals,
             lambda: self._list_successors(service),
+            self._boot_clock,
         )
         coordinator = Coordinator(
             service,
@@ -248,7 +292,7 @@
         )
         states.subscribe(coordinator.wake)
         scaler = self._make_scaler(service, lease, owner)
-        created = _Service(owner, coordinator, states, scaler)
+        created = _Service(service, owner, coordinator, states, scaler)
         self._services[service] = created
         return created
 
@@ -273,6 +317,10 @@
         ranked = self._ownership.rank_candidates(service)
         return [each for each in ranked if each != self._me][:MAX_SUCCESSORS]
 
+    def _find_next_owner(self, service: ServiceId) -> InstanceId | None:
+        in_turn = self._ownership.list_in_turn(service)
+        return next((each for each in in_turn if each != self._me), None)
+
     def _count_slots(self, service: ServiceId) -> int:
         described = self._routes.find_service(service)
         return 1 if described is None else max(described.slots, 1)
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -13,6 +13,7 @@
     JobStore,
     LookupStatus,
     Ownership,
+    OwnerWatch,
     Result,
     ResultState,
     TextReplicas,
@@ -142,6 +143,26 @@
             self.ownership,
             lambda _: self.owner if self.owner.active else None,
         )
+        self.watch = OwnerWatch(
+            self.clock,
+            world.bus(name),
+            InstanceId(name),
+            self.ownership,
+            self.metrics,
+            self.refresh,
+            self.clock.now,
+        )
+        self.watch.start()
+
+    def refresh(self) -> None:
+        """Start or stop the job owner, as `JobServices` does."""
+        self.watch.update([SERVICE])
+        is_owner = self.ownership.is_owner(SERVICE)
+        if is_owner or self.watch.stands_in(SERVICE):
+            self.owner.start()
+            self.owner.mark_uncertain()
+        else:
+            self.owner.stop(self.ownership.find_owner(SERVICE))
 
 
 class JobFleet:
@@ -170,15 +191,8 @@
 
     def follow_membership(self, node: Node) -> None:
         """Start and stop a node's owner when the membership changes."""
-
-        def refresh() -> None:
-            if node.ownership.is_owner(SERVICE):
-                node.owner.start()
-            else:
-                node.owner.stop()
-
-        node.ownership._members.subscribe(refresh)
-        refresh()
+        node.ownership._members.subscribe(node.refresh)
+        node.refresh()
 
     def submit(self, job: Job, at: str) -> bool:
         """Accept a job at an instance."""
--- a/tests/jobs/test_texts.py
+++ b/tests/jobs/test_texts.py
@@ -138,7 +138,7 @@
     for number in range(1, 40):
         progress.text.add(TextEvent(number, f'new/{number}', WeightVersion(1)))
     task = node.clock.spawn(
-        node.replicas.send, SERVICE, [active.work], [InstanceId(survivor)]
+        node.replicas.send, SERVICE, [active.work], InstanceId(survivor)
     )
     fleet.clock.run_until(task.ready, 2)
     work = JobWork(active.work.job, active.work.log, 0, 0)
@@ -151,7 +151,7 @@
 ) -> None:
     """Send the replicas of a job's texts from one instance to instance b."""
     node = fleet.nodes[sender]
-    task = node.clock.spawn(replicas.send, SERVICE, [work], [InstanceId('b')])
+    task = node.clock.spawn(replicas.send, SERVICE, [work], InstanceId('b'))
     fleet.clock.run_until(task.ready, 2)
 
 
@@ -233,7 +233,7 @@
     peer = fleet.nodes['b'].replicas
     for expected in (['0-2'], ['0-2', '0-1', '0-0']):
         task = node.clock.spawn(
-            node.replicas.send, SERVICE, [work], [InstanceId('b')]
+            node.replicas.send, SERVICE, [work], InstanceId('b')
         )
         fleet.clock.run_until(task.ready, 2)
         replicas = next(iter(peer._received.values()))
@@ -248,7 +248,7 @@
     progress = work.items[ItemId('0-0')]
     progress.text.add(TextEvent(1, '0-0/1', WeightVersion(1)))
     task = node.clock.spawn(
-        node.replicas.send, SERVICE, [work], [InstanceId('b')]
+        node.replicas.send, SERVICE, [work], InstanceId('b')
     )
     fleet.clock.run_until(task.ready, 2)
     other = JobWork(job, node.job_store.open_log(job.id), 0, 0)
--- a/tests/rollouts/test_coordinator.py
+++ b/tests/rollouts/test_coordinator.py
@@ -147,7 +147,7 @@
 
 
 def test_without_ordering_samplers_are_assigned_and_get_no_orders() -> None:
-    """This instance works on the jobs of an owner that may still be alive.
+    """Its instance works on the jobs of an owner that may still be alive.
 
     Items need samplers that are assigned to their model. Orders need the lease,
     which the owner may hold. They follow once this instance is the owner.
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -2,17 +2,20 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from guavagate.clock import PausedClock
 from guavagate.jobs import JobStore, Ownership
+from guavagate.jobs._replicas import TextCopy
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
-from guavagate.models import InstanceId, ZoneId
+from guavagate.models import InstanceId, WeightVersion, ZoneId
 from guavagate.rollouts import Renewals
 from guavagate.routing import RouteTable, UpstreamTable
 from guavagate.service import JobServices
 from guavagate.util.uptime import BootOf, ignore_boots
 from tests.jobs.rewards import FakeRewardClient
-from tests.jobs.samplers import SERVICE, FakeSamplers
+from tests.jobs.samplers import MODEL, SERVICE, FakeSamplers, make_upstream
 from tests.quarantine.common import make_quarantine
 from tests.rollouts.test_coordinator import make_configuration
 
@@ -39,17 +42,20 @@
     boot_of: BootOf = ignore_boots,
 ) -> JobServices:
     """Start the services of one instance."""
-    clock: PausedClock = world.clock
+    clock = world.hosts[name].clock
     store = world.store_of(name)
     routes = RouteTable()
     routes.apply(make_configuration())
+    upstreams = UpstreamTable(clock, ZoneId('zone-0'))
+    for sampler in 'xyz':
+        upstreams.put(make_upstream(sampler))
     services = JobServices(
         name,
         clock,
         JobStore(store, clock, name),
         Ownership(world.members[name], name, boot_of),
         routes,
-        UpstreamTable(clock, ZoneId('zone-0')),
+        upstreams,
         FakeSamplers(clock),
         FakeRewardClient(clock),
         make_quarantine(clock),
@@ -59,7 +65,9 @@
         Renewals(world.bus(name), clock.now),
         world.bus(name),
         '',
+        boot_clock=clock.now,
     )
+    world.members[name].subscribe(services.refresh)
     clock.spawn(services.take_ownership, registry)
     return services
 
@@ -132,3 +140,75 @@
     world = _make_world()
     world.store.outage = True
     assert _find_owners(world, first_start=False) == [first]
+
+
+class _Fleet:
+    """The services of three instances, one of which is killed."""
+
+    def __init__(self) -> None:
+        self.world = _make_world()
+        self.services = {
+            name: _start_services(
+                self.world, name, _FakeRegistry(first_start=True)
+            )
+            for name in _NAMES
+        }
+        self.world.clock.advance(1)
+        self.owner = self.find_active()[0]
+
+    def find_active(self) -> list[InstanceId]:
+        """Return the instances that work on the service's jobs."""
+        return [name for name, each in self.services.items() if each.active]
+
+    def publish(self, version: int) -> None:
+        """Let all instances that follow the versions learn of a new one."""
+        for services in self.services.values():
+            services.record_published_version(MODEL, WeightVersion(version))
+
+    def find_lease_holder(self) -> str:
+        """Return who took the lease for orders last."""
+        stored = self.world.store.objects[f'leases/{SERVICE}']
+        return str(msgspec.json.decode(stored.value)['holder'])
+
+
+def test_instance_that_stands_in_sends_no_orders_before_it_is_the_owner() -> (
+    None
+):
+    """The owner is killed. Its successor works on the jobs after a second.
+
+    As long as the membership counts the owner as alive, the lease for orders
+    stays with it, and its waiting rules apply to the successor afterwards.
+    """
+    fleet = _Fleet()
+    fleet.publish(2)
+    fleet.world.clock.advance(2)
+    assert fleet.find_lease_holder() == fleet.owner
+    fleet.world.kill(fleet.owner)
+    fleet.services.pop(fleet.owner)
+    fleet.world.clock.advance(1.2)
+    successor = fleet.find_active()[0]
+    fleet.publish(3)
+    fleet.world.clock.advance(0.5)
+    assert fleet.find_lease_holder() == fleet.owner
+    fleet.world.clock.advance(5)
+    assert fleet.find_active() == [successor]
+    assert fleet.find_lease_holder() == successor
+
+
+def test_instance_that_stands_in_knows_the_samplers_of_each_model() -> None:
+    """Without assigned samplers it could not place a single item."""
+    fleet = _Fleet()
+    fleet.world.kill(fleet.owner)
+    fleet.services.pop(fleet.owner)
+    fleet.world.clock.advance(1.2)
+    successor = fleet.find_active()[0]
+    running = fleet.services[successor]._services[SERVICE]
+    assert set(running.states.assigned) == set('xyz')
+
+
+def test_owner_that_leaves_sends_its_texts_to_another_instance() -> None:
+    """It leaves before the membership knows, and still counts as the owner."""
+    fleet = _Fleet()
+    fleet.services[fleet.owner].leave()
+    fleet.world.clock.advance(0.5)
+    assert fleet.world.network.messages[TextCopy.__name__] == 1
