Keep the store's rate of writes for commits that trainers wait for

Cause: the instances share the rate of writes alike. With 75 members and 400 writes a second an owner has 4.3, and its batches of six open jobs need 11. The commit of the last group that a trainer waits for queued with them; so did renewals of the lease for orders. An urgent commit that failed waited for another batch before its retry. An urgent commit doesn't wait, and takes the batch of its job along, so that no chunk of its own is in flight before it. It stays urgent until it is written. Ruled out: writing the next chunk before the outcome of the last one is known. Readers count chunks, so a missing number would shift positions.

--- a/guavagate/integrations/object_api/_retrying_client.py
+++ b/guavagate/integrations/object_api/_retrying_client.py
@@ -87,6 +87,16 @@
         """Return whether calls are rejected because the platform is down."""
         return self._circuit.is_open()
 
+    def has_spare_writes(self) -> bool:
+        """Return whether a write now leaves the rate for urgent ones.
+
+        Callers that can wait ask before they write.
+        """
+        now = self._clock.now()
+        rate = self._rates.writes / max(self._fleet_size(), 1)
+        self._writes.change_rate(rate, now)
+        return self._writes.has_spare(Priority.STATUS, now)
+
     def call(self, call: Call, priority: Priority, deadline: float) -> Answer:
         """Make a call and retry it while that is safe and in time.
 
--- a/guavagate/integrations/object_api/_token_bucket.py
+++ b/guavagate/integrations/object_api/_token_bucket.py
@@ -52,6 +52,12 @@
             return 0
         return missing / self._rate
 
+    def has_spare(self, priority: Priority, now: float) -> bool:
+        """Return whether a call of this priority would be admitted now."""
+        self._refill(now)
+        floor = _RESERVED_SHARES[priority] * self._get_capacity()
+        return self._tokens >= floor + 1
+
     def empty(self, now: float) -> None:
         """Remove all tokens, so that calls resume gradually."""
         self._tokens = 0
--- a/guavagate/jobs/_active.py
+++ b/guavagate/jobs/_active.py
@@ -335,7 +335,9 @@
         work = JobWork(job, log, self._clock.now(), age)
         self._restore_texts(work)
         changed = Event()
-        committer = Committer(self._clock, work, changed.set)
+        committer = Committer(
+            self._clock, work, changed.set, self._job_store.has_spare_writes
+        )
         active = ActiveJob(work, committer, changed, int(fresh))
         self._jobs[job.id] = active
         self._cadences[job.model].observe(job.step, work.opened_at)
--- a/guavagate/jobs/_committer.py
+++ b/guavagate/jobs/_committer.py
@@ -20,6 +20,10 @@
 # and its last result does not wait, so a trainer sees no delay.
 BATCH_SECONDS: Final = 0.3
 RETRY_INTERVAL_SECONDS: Final = 0.2
+# While the store's rate of writes is used up. A batch that has waited for long
+# is written all the same, as readers wait for its results.
+SPARE_CHECK_SECONDS: Final = 0.1
+MAX_SPARE_WAIT_SECONDS: Final = 3.0
 
 
 class Committer:
@@ -29,11 +33,20 @@
     ----------
     on_committed
         Called after results were committed; must not block.
+    has_spare_writes
+        Returns whether a batch may be written now. The instances share the
+        store's rate of writes alike; with many members, an owner's batches
+        alone exceed its share, and urgent results would queue with them.
     """
 
     def __init__(
-        self, clock: Clock, work: JobWork, on_committed: Callable[[], None]
+        self,
+        clock: Clock,
+        work: JobWork,
+        on_committed: Callable[[], None],
+        has_spare_writes: Callable[[], bool],
     ) -> None:
+        self._has_spare_writes = has_spare_writes
         self._clock = clock
         self._work = work
         self._on_committed = on_committed
@@ -52,10 +65,20 @@
         if self._task is not None:
             self._task.kill(block=False)
 
+    def _wait_for_batch(self) -> None:
+        """Wait for more results, and until a batch takes no urgent write."""
+        wait_for(self._clock, self._urgent, BATCH_SECONDS)
+        latest = self._clock.now() + MAX_SPARE_WAIT_SECONDS
+        while not self._urgent.is_set() and self._clock.now() < latest:
+            if self._has_spare_writes():
+                return
+            wait_for(self._clock, self._urgent, SPARE_CHECK_SECONDS)
+
     def _run(self) -> None:
         work = self._work
         while work.pending:
-            wait_for(self._clock, self._urgent, BATCH_SECONDS)
+            self._wait_for_batch()
+            urgent = self._urgent.is_set()
             self._urgent.clear()
             try:
                 added = work.log.append(list(work.pending))
@@ -68,6 +91,8 @@
                     problem=repr(error),
                 )
                 self._clock.sleep(RETRY_INTERVAL_SECONDS)
+                if urgent:
+                    self._urgent.set()
                 continue
             work.apply_committed()
             write(
--- a/guavagate/jobs/_store.py
+++ b/guavagate/jobs/_store.py
@@ -1,5 +1,6 @@
 """Stores accepted jobs: written once, readable by any instance."""
 
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -28,6 +29,10 @@
 _UNREADABLE: Final = UnreadableObjects()
 
 
+def _always() -> bool:
+    return True
+
+
 class JobConflictError(Exception):
     """A different job was accepted under the same id."""
 
@@ -39,10 +44,20 @@
     ----------
     writer
         Identifies this process in the chunks that it writes.
+    has_spare_writes
+        Returns whether a write that can wait leaves the store's rate of calls
+        for urgent ones.
     """
 
-    def __init__(self, store: ObjectStore, clock: Clock, writer: str) -> None:
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        writer: str,
+        has_spare_writes: Callable[[], bool] = _always,
+    ) -> None:
         self.object_store = store
+        self.has_spare_writes = has_spare_writes
         self._clock = clock
         self._writer = writer
 
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -104,9 +104,9 @@
         self._instance_id = me.id
         self._renewals = Renewals(self._bus)
         self._duties = PlatformDuties(settings.cloud_api.address, self._pool)
-        job_store = JobStore(
-            self._store, self._clock, f'{me.id}/{secrets.token_hex(4)}'
-        )
+        writer = f'{me.id}/{secrets.token_hex(4)}'
+        spare = self._store.client.has_spare_writes
+        job_store = JobStore(self._store, self._clock, writer, spare)
         self._services = JobServices(
             me.id,
             self._clock,
--- a/guavagate/platform/_store.py
+++ b/guavagate/platform/_store.py
@@ -72,7 +72,7 @@
     """Stores objects under ``kind/name``; the value is the ``spec``."""
 
     def __init__(self, client: RetryingClient) -> None:
-        self._client = client
+        self.client = client
 
     def get(self, path: str) -> StoredObject | None:
         """Return the object, or `None`."""
@@ -161,7 +161,7 @@
         deadline: float = DEADLINE_SECONDS,
     ) -> Answer:
         call = Call(method=method, path=target, body=body, timeout=timeout)
-        return self._client.call(call, Priority.RECORDS, deadline)
+        return self.client.call(call, Priority.RECORDS, deadline)
 
 
 def _make_target(path: str) -> str:
