--- a/standins/_safeguard_jobs.py
+++ b/standins/_safeguard_jobs.py
@@ -64,7 +64,7 @@
     ),
     Safeguard(
         'partial texts are saved on disk',
-        'guavagate/jobs/_owner.py',
+        'guavagate/jobs/_text_backups.py',
         '                self._snapshots.save(self._service, works)\n',
         '',
         'tests/jobs/test_snapshots.py',
--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -118,7 +118,7 @@
     ),
     Safeguard(
         'a job owner that was paused reads results that others have listed',
-        'guavagate/jobs/_active.py',
+        'guavagate/jobs/_active_job.py',
         'return self.invalidations > self.reconciled and not complete',
         'return False',
         'tests/jobs/test_owner.py',
@@ -190,9 +190,9 @@
     ),
     Safeguard(
         'texts are replicated to successors',
-        'guavagate/jobs/_owner.py',
-        'peers = self._list_successors()[:REPLICA_COUNT]',
-        'peers = []',
+        'guavagate/jobs/_text_backups.py',
+        'for peer in self._list_successors()[:REPLICA_COUNT]:',
+        'for peer in ():',
         'tests/jobs/test_texts.py',
     ),
     Safeguard(
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -15,6 +15,7 @@
 
 import click
 
+from standins._safeguard_failover import FAILOVER_SAFEGUARDS
 from standins._safeguard_jobs import JOB_SAFEGUARDS
 from standins._safeguard_rows import PLATFORM_SAFEGUARDS, Safeguard
 from standins._safeguard_stops import STOP_SAFEGUARDS
@@ -23,6 +24,7 @@
 SAFEGUARDS: Final = (
     *PLATFORM_SAFEGUARDS,
     *JOB_SAFEGUARDS,
+    *FAILOVER_SAFEGUARDS,
     *STOP_SAFEGUARDS,
     *TEAM_SAFEGUARDS,
 )
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -226,6 +226,41 @@
         return known, [] if page is None else page.results
 
 
+class RoleFleet(JobFleet):
+    """Instances by their roles: owner, successors, and one for callers."""
+
+    def __init__(self, names: str, length: int) -> None:
+        super().__init__(names, length)
+        self.clock.advance(1)
+        in_turn = self.nodes['a'].ownership.list_in_turn(SERVICE)
+        nodes = [self.nodes[str(each)] for each in in_turn]
+        self.first, self.successor = nodes[:2]
+        self.entry = nodes[-1]
+
+    def cut(self, node: Node, *others: Node) -> None:
+        """Drop all messages between an instance and some or all others."""
+        me = node.ownership.me
+        for other in others or self.nodes.values():
+            peer = other.ownership.me
+            self.world.network.blocked |= {(me, peer), (peer, me)}
+
+    def accept(self, job: Job) -> None:
+        """Accept a job at the entry."""
+        self.submit(job, self.entry.ownership.me)
+
+    def kill_owner(self) -> None:
+        """Kill the owner; the others notice after 2 s."""
+        self.world.kill(self.first.ownership.me)
+
+    def complete(self, items: int = 6) -> None:
+        """Heal the network; check the results that each instance returns."""
+        self.clock.advance(20)
+        self.world.network.blocked.clear()
+        for name in self.nodes:
+            if not self.world.hosts[InstanceId(name)].dead:
+                check_complete(self, name, items)
+
+
 def find_other(fleet: JobFleet) -> str:
     """Return the name of an instance that is not the owner."""
     return next(name for name in fleet.nodes if name != fleet.owner())
