Let any instance witness that an owner is lost

Cause: witnesses were the other candidates for the jobs. Change: any member can be a witness, one of each other zone first, and half of those that were asked have to answer. A successor that is cut off with its zone takes nothing over by the word of its neighbours. Tested: tests/jobs/test_ownership.py.

--- a/guavagate/jobs/_owner_watch.py
+++ b/guavagate/jobs/_owner_watch.py
@@ -36,8 +36,8 @@
 _LOGGER: Final = logging.getLogger(__name__)
 
 DECISION_INTERVAL_SECONDS: Final = 0.1
-# The first successor may take over; the second one is a witness that the owner
-# is lost.
+# The first successor may take over. Views of the members differ for moments, so
+# the second one may consider itself the first.
 SUCCESSOR_COUNT: Final = 2
 # How many others probe the owner, and for how long. Their answers have to be
 # there before this instance's own probe times out.
@@ -106,7 +106,7 @@
             if ready and in_turn[:1] == [self._me]:
                 self._recipients[service] = in_turn[1 : 1 + SUCCESSOR_COUNT]
             if ready and in_turn[1:2] == [self._me]:
-                self._watch_owner(service, in_turn[0], in_turn[2:])
+                self._watch_owner(service, in_turn[0])
             else:
                 self._watches.pop(service, None)
 
@@ -115,16 +115,12 @@
         watch = self._watches.get(service)
         return watch is not None and watch.failover.working
 
-    def _watch_owner(
-        self,
-        service: ServiceId,
-        owner: InstanceId,
-        witnesses: list[InstanceId],
-    ) -> None:
+    def _watch_owner(self, service: ServiceId, owner: InstanceId) -> None:
         watch = self._watches.get(service)
         if watch is None or watch.owner != owner:
             watch = _Watch(owner, [], Failover(self._now()))
             self._watches[service] = watch
+        witnesses = self._ownership.list_witnesses(owner)
         watch.witnesses = witnesses[:WITNESS_COUNT]
 
     def _send_heartbeats(self) -> None:
@@ -176,8 +172,11 @@
         # Each has a time limit of its own.
         gevent.joinall(asked)
         known = [each.value for each in asked if each.value is not None]
+        # If most do not answer, this instance is probably cut off with them.
         watch.failover.record_probe(
-            now, reached=reached or any(known), reached_others=bool(known)
+            now,
+            reached=reached or any(known),
+            reached_others=bool(known) and 2 * len(known) >= len(asked),
         )
         write(
             _LOGGER,
--- a/guavagate/jobs/_ownership.py
+++ b/guavagate/jobs/_ownership.py
@@ -1,9 +1,11 @@
 """Determines which instance owns a service's jobs, without messages."""
 
+from collections import Counter
 from collections.abc import Mapping
 
 from guavagate.models import InstanceId, ServiceId
 from guavagate.runtime import Members
+from guavagate.util.rendezvous import weigh
 from guavagate.util.uptime import (
     BootOf,
     find_start_bucket,
@@ -70,6 +72,26 @@
         ranked = self.rank_candidates(service)
         return [owner, *(each for each in ranked if each != owner)]
 
+    def list_witnesses(self, owner: InstanceId) -> list[InstanceId]:
+        """Return others that can tell whether an owner is lost, best first.
+
+        One of each zone comes first, and the own zone last: a zone that is cut
+        off as a whole would agree that the owner is lost.
+        """
+        alive = self._members.alive()
+        own_zone = [
+            each.availability_zone for each in alive if each.id == self.me
+        ]
+        counts = Counter(own_zone)
+        ordered = []
+        shuffled = sorted(alive, key=lambda each: weigh(owner, each.id))
+        for peer in shuffled:
+            if peer.id not in {owner, self.me}:
+                zone = peer.availability_zone
+                ordered.append((counts[zone], peer.id))
+                counts[zone] += 1
+        return [witness for _, witness in sorted(ordered)]
+
     def rank_for_duty(self, duty: str) -> list[InstanceId]:
         """Return the candidates for a fleet-wide duty, first choice first."""
         return rank_by_uptime(duty, self._list_candidates(), self._boot_of)
--- a/tests/jobs/test_ownership.py
+++ b/tests/jobs/test_ownership.py
@@ -1,5 +1,7 @@
 """The owner of a service's jobs after restarts of one or all instances."""
 
+import msgspec
+
 from guavagate.jobs import Ownership
 from guavagate.measure.fakes import World
 from guavagate.models import InstanceId, ServiceId
@@ -52,6 +54,29 @@
         assert ownership.find_owner(_SERVICE) == first
 
 
+def test_instances_with_callers_witness_that_an_owner_is_lost() -> None:
+    """Two workers and three entries: the owner and its successor are workers.
+
+    No other worker can tell whether the owner is lost or the successor is cut
+    off. Each witness is in another zone, as a zone may be cut off as a whole.
+    """
+    world = World()
+    for number in range(5):
+        peer = world.add(f'n{number}').instance
+        address = '' if number < 2 else '127.0.0.1:2'
+        world.peers[peer] = msgspec.structs.replace(
+            world.peers[peer], http_address=address
+        )
+    peers = dict(world.peers)
+    name = InstanceId('n0')
+    world.members[name].peers = peers
+    ownership = Ownership(world.members[name], name)
+    witnesses = ownership.list_witnesses(InstanceId('n1'))
+    assert set(witnesses) == {'n2', 'n3', 'n4'}
+    zones = [peers[each].availability_zone for each in witnesses[:2]]
+    assert zones == ['zone-2', 'zone-1'] or zones == ['zone-1', 'zone-2']
+
+
 def test_former_owner_that_is_gone_is_ignored() -> None:
     """All instances were killed, and the former owner does not return."""
     fleet = _Fleet()
