--- a/guavagate/jobs/__init__.py
+++ b/guavagate/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Jobs: items submitted together, run later, with results read by position."""
 
+from guavagate.jobs._announcements import AnnouncedJobs, JobIntake
 from guavagate.jobs._messages import LookupStatus
 from guavagate.jobs._models import (
     GroupId,
@@ -13,6 +14,7 @@
     ResultState,
 )
 from guavagate.jobs._owner import JobOwner
+from guavagate.jobs._owner_watch import OwnerWatch
 from guavagate.jobs._ownership import Ownership
 from guavagate.jobs._reader import JobReader
 from guavagate.jobs._replicas import TextReplicas, compute_message_limit
@@ -20,10 +22,12 @@
 from guavagate.jobs._store import JobConflictError, JobStore
 
 __all__ = (
+    'AnnouncedJobs',
     'GroupId',
     'ItemId',
     'Job',
     'JobId',
+    'JobIntake',
     'JobItem',
     'JobOwner',
     'JobReader',
@@ -31,6 +35,7 @@
     'LookupStatus',
     'JobConflictError',
     'Ownership',
+    'OwnerWatch',
     'Page',
     'PromptPrefix',
     'Result',
--- a/guavagate/jobs/_messages.py
+++ b/guavagate/jobs/_messages.py
@@ -2,9 +2,9 @@
 
 import enum
 
-from guavagate.jobs._models import ItemId, JobId, Page
+from guavagate.jobs._models import ItemId, Job, JobId, Page
 from guavagate.links import Message
-from guavagate.models import ServiceId, TeamId
+from guavagate.models import InstanceId, ServiceId, TeamId
 
 
 class LookupStatus(enum.Enum):
@@ -46,3 +46,34 @@
 
     known: LookupStatus
     body: bytes = b''
+
+
+class JobAnnounced(Message, frozen=True, kw_only=True):
+    """Announces an accepted job, as the store has it."""
+
+    job: Job
+
+
+class JobEndAnnounced(Message, frozen=True, kw_only=True):
+    """Announces that a job was ended; the store has the end."""
+
+    service: ServiceId
+    job: JobId
+
+
+class OwnerHeartbeat(Message, frozen=True, kw_only=True):
+    """Tells a successor that the owner of a service's jobs works."""
+
+    service: ServiceId
+
+
+class ProbeOwner(Message, frozen=True, kw_only=True):
+    """Requests that an instance probes an owner on a new connection."""
+
+    owner: InstanceId
+
+
+class OwnerProbed(Message, frozen=True, kw_only=True):
+    """Whether the owner answered."""
+
+    reached: bool
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -9,17 +9,14 @@
 from guavagate.clock import Clock, Task
 from guavagate.events import jobs as events
 from guavagate.events import write
-from guavagate.exceptions import StoreError
 from guavagate.helpers.mirror import Mirror
 from guavagate.helpers.waits import wait_for
 from guavagate.jobs._active import ActiveJobs
-from guavagate.jobs._checkpoints import (
-    CHECKPOINT_INTERVAL_SECONDS,
-    TextCheckpoints,
-)
+from guavagate.jobs._announcements import AnnouncedJobs
+from guavagate.jobs._checkpoints import TextCheckpoints
 from guavagate.jobs._dispatch import Dispatcher
 from guavagate.jobs._event_interval import STALL_SECONDS
-from guavagate.jobs._expiry import is_expired, remove_job
+from guavagate.jobs._expiry import is_expired, remove_expired_jobs
 from guavagate.jobs._messages import LookupStatus
 from guavagate.jobs._models import (
     ENDS_PREFIX,
@@ -31,12 +28,13 @@
     Result,
     ResultState,
 )
-from guavagate.jobs._replicas import REPLICATION_INTERVAL_SECONDS, TextReplicas
+from guavagate.jobs._replicas import TextReplicas
 from guavagate.jobs._rewards import RewardDispatcher
 from guavagate.jobs._runner import ItemRunner
 from guavagate.jobs._snapshots import TextSnapshots
 from guavagate.jobs._stops import mark_stopped_items
 from guavagate.jobs._store import JobStore, decode_job
+from guavagate.jobs._text_backups import TextBackups
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.metrics import Metrics, names
 from guavagate.models import InstanceId, ServiceId, TeamId
@@ -61,10 +59,6 @@
 MAX_TAKEOVER_SECONDS: Final = 0.6
 # An item expires late rather than early.
 TTL_SLACK_SECONDS: Final = 1.0
-EXPIRY_INTERVAL_SECONDS: Final = 10.0
-# Replicas of each text: at the next owner and, in case it fails together with
-# this one, at the one after it.
-REPLICA_COUNT: Final = 2
 _ANY_TEAM: Final = TeamId('')
 
 
@@ -87,6 +81,7 @@
         replicas: TextReplicas,
         snapshots: TextSnapshots,
         list_successors: Callable[[], list[InstanceId]],
+        announced: AnnouncedJobs,
         boot_clock: Callable[[], float] = read_boot_clock,
         cache_tokens: Callable[[], int] = int,
     ) -> None:
@@ -98,9 +93,8 @@
         self._states = states
         self._metrics = metrics
         self._retention = retention
-        self._replicas = replicas
-        self._snapshots = snapshots
-        self._list_successors = list_successors
+        self._announced = announced
+        announced.subscribe(service, self._on_announced, self._on_announced_end)
         self._wake = Event()
         self._started_at = clock.now()
         self._taken_over = False
@@ -135,10 +129,19 @@
             self._on_job_loaded,
             self._finish,
             self._checkpoints.load,
-            self._restore_texts,
+            lambda work: self._backups.restore(work),
+        )
+        self._backups = TextBackups(
+            service,
+            clock,
+            replicas,
+            snapshots,
+            self._checkpoints,
+            self._active_jobs.list_open,
+            list_successors,
+            self._handle_return,
         )
-        self._task: Task | None = None
-        self._background_tasks: list[Task] = []
+        self._tasks: list[Task] = []
         store = job_store.object_store
         self._job_mirror = Mirror(
             store,
@@ -157,34 +160,39 @@
     @property
     def active(self) -> bool:
         """Return whether this instance owns the service's jobs."""
-        return self._task is not None
+        return bool(self._tasks)
 
     def start(self) -> None:
         """Take the service's jobs over."""
-        if self._task is None:
-            write(_LOGGER, events.COORDINATOR_STARTED, service=self._service)
+        if not self._tasks:
             self._active_jobs.owning = True
-            self._snapshots.load(self._service)
+            self._backups.start()
             self._started_at = self._clock.now()
             self._taken_over = False
             self._job_mirror.start()
             self._end_mirror.start()
-            self._task = self._clock.spawn(self._run)
-            self._background_tasks = [
-                self._clock.spawn(self._remove_expired),
-                self._clock.spawn(self._replicate_texts),
-                self._clock.spawn(self._checkpoint_texts),
+            self._load_announced()
+            self._tasks = [
+                self._clock.spawn(self._run),
+                self._clock.spawn(
+                    remove_expired_jobs,
+                    self._job_store.object_store,
+                    self._clock,
+                    self._active_jobs,
+                    self._retention,
+                ),
             ]
 
-    def stop(self) -> None:
-        """Release the service's jobs to another instance."""
-        if self._task is None:
+    def stop(self, next_owner: InstanceId | None = None) -> None:
+        """Release the service's jobs, and send their texts to another owner."""
+        if not self._tasks:
             return
-        write(_LOGGER, events.COORDINATOR_STOPPED, service=self._service)
-        self._task.kill(block=False)
-        self._task = None
-        for task in self._background_tasks:
+        if next_owner is not None:
+            self._backups.hand_over(next_owner)
+        self._backups.stop()
+        for task in self._tasks:
             task.kill(block=False)
+        self._tasks = []
         self._job_mirror.stop()
         self._end_mirror.stop()
         self._active_jobs.clear()
@@ -217,11 +225,11 @@
         """Return an item's body."""
         return self._active_jobs.read_item(job, item, team)
 
-    def _restore_texts(self, work: JobWork) -> None:
-        """Restore the partial texts of a job that is taken over."""
-        self._replicas.restore(work)
-        self._snapshots.restore(work)
-        self._checkpoints.restore(work)
+    def _handle_return(self) -> None:
+        """Continue jobs that another instance worked on meanwhile."""
+        if self.active:
+            self._active_jobs.mark_uncertain()
+            self._wake.set()
 
     def _on_text_complete(self, work: JobWork, progress: ItemProgress) -> None:
         self._quarantine.record_answer(work.job.describe(progress.item))
@@ -242,6 +250,23 @@
             mark_stopped_items(work, self._quarantine)
         self._wake.set()
 
+    def _load_announced(self) -> None:
+        """Load the announced jobs, even if the store does not answer now."""
+        for each in self._announced.list_jobs(self._service):
+            self._active_jobs.expect(each.job.id)
+            self._clock.spawn(
+                self._active_jobs.load_announced, each.job, each.received_at
+            )
+
+    def _on_announced(self, job: Job) -> None:
+        expired = is_expired(job, self._clock.wall(), self._retention)
+        if self.active and not expired:
+            self._active_jobs.add_announced(job)
+
+    def _on_announced_end(self, job: JobId) -> None:
+        if self.active:
+            self._active_jobs.end(job)
+
     def _put_job(self, name: str, stored: StoredObject) -> None:
         job = decode_job(stored.value)
         if job.service != self._service or job.id in self._active_jobs:
@@ -256,42 +281,6 @@
     def _put_end(self, name: str, stored: StoredObject) -> None:
         self._active_jobs.end(JobId(name))
 
-    def _remove_expired(self) -> None:
-        """Remove closed jobs after their retention time."""
-        while True:
-            self._clock.sleep(EXPIRY_INTERVAL_SECONDS)
-            now = self._clock.wall()
-            for active in self._active_jobs:
-                work = active.work
-                expired = is_expired(work.job, now, self._retention)
-                if work.open or not expired:
-                    continue
-                try:
-                    remove_job(
-                        self._job_store.object_store, self._clock, work.job
-                    )
-                except StoreError as error:
-                    _LOGGER.debug(
-                        'job %s could not be removed: %s', work.job.id, error
-                    )
-                    break
-
-    def _replicate_texts(self) -> None:
-        """Save partial texts on disk, and replicate them to successors."""
-        while True:
-            self._clock.sleep(REPLICATION_INTERVAL_SECONDS)
-            works = self._active_jobs.list_open()
-            if works:
-                self._snapshots.save(self._service, works)
-                peers = self._list_successors()[:REPLICA_COUNT]
-                self._replicas.send(self._service, works, peers)
-
-    def _checkpoint_texts(self) -> None:
-        """Save the long partial texts in the store."""
-        while True:
-            self._clock.sleep(CHECKPOINT_INTERVAL_SECONDS)
-            self._checkpoints.save(self._active_jobs.list_open())
-
     def _run(self) -> None:
         last_run_at = self._boot_clock()
         while True:
@@ -321,6 +310,7 @@
         self._metrics.set_gauge(names.OPEN_JOBS, len(works))
         if not works:
             return
+        self._backups.adopt(works)
         for work in works:
             self._fail_expired_items(work, now)
         self._dispatcher.dispatch(works, now)
--- a/guavagate/jobs/_ownership.py
+++ b/guavagate/jobs/_ownership.py
@@ -1,9 +1,11 @@
 """Determines which instance owns a service's jobs, without messages."""
 
+from collections import Counter
 from collections.abc import Mapping
 
 from guavagate.models import InstanceId, ServiceId
 from guavagate.runtime import Members
+from guavagate.util.rendezvous import weigh
 from guavagate.util.uptime import (
     BootOf,
     find_start_bucket,
@@ -25,6 +27,8 @@
 
     Attributes
     ----------
+    me
+        The id of this instance.
     ready
         Whether this instance may own jobs: its view of the members had time to
         converge, and it is not leaving.
@@ -38,7 +42,7 @@
     ) -> None:
         self._members = members
         self._boot_of = boot_of
-        self._me = me
+        self.me = me
         self._former_by_service: Mapping[ServiceId, InstanceId] = {}
         self.ready = False
 
@@ -60,13 +64,41 @@
         """Return the candidates for a service's jobs, first choice first."""
         return self.rank_for_duty(f'jobs of {service}')
 
+    def list_in_turn(self, service: ServiceId) -> list[InstanceId]:
+        """Return the owner, then its successors in the order of takeover."""
+        owner = self.find_owner(service)
+        if owner is None:
+            return []
+        ranked = self.rank_candidates(service)
+        return [owner, *(each for each in ranked if each != owner)]
+
+    def list_witnesses(self, owner: InstanceId) -> list[InstanceId]:
+        """Return others that can tell whether an owner is lost, best first.
+
+        One of each zone comes first, and the own zone last: a zone that is cut
+        off as a whole would agree that the owner is lost.
+        """
+        alive = self._members.alive()
+        own_zone = [
+            each.availability_zone for each in alive if each.id == self.me
+        ]
+        counts = Counter(own_zone)
+        ordered = []
+        shuffled = sorted(alive, key=lambda each: weigh(owner, each.id))
+        for peer in shuffled:
+            if peer.id not in {owner, self.me}:
+                zone = peer.availability_zone
+                ordered.append((counts[zone], peer.id))
+                counts[zone] += 1
+        return [witness for _, witness in sorted(ordered)]
+
     def rank_for_duty(self, duty: str) -> list[InstanceId]:
         """Return the candidates for a fleet-wide duty, first choice first."""
         return rank_by_uptime(duty, self._list_candidates(), self._boot_of)
 
     def is_among_longest_running(self) -> bool:
         """Return whether no candidate has run for longer than this instance."""
-        own_bucket = find_start_bucket(self._me, self._boot_of)
+        own_bucket = find_start_bucket(self.me, self._boot_of)
         return all(
             find_start_bucket(each, self._boot_of) >= own_bucket
             for each in self._list_candidates()
@@ -80,7 +112,7 @@
     def _started_together(self, *others: InstanceId) -> bool:
         buckets = {
             find_start_bucket(each, self._boot_of)
-            for each in (self._me, *others)
+            for each in (self.me, *others)
         }
         return len(buckets) == 1
 
@@ -90,4 +122,4 @@
         False until the membership view had time to converge. When all instances
         start, each would otherwise consider itself the owner of everything.
         """
-        return self.ready and self.find_owner(service) == self._me
+        return self.ready and self.find_owner(service) == self.me
--- a/guavagate/jobs/_saved_texts.py
+++ b/guavagate/jobs/_saved_texts.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
+from guavagate.jobs._adoption import adopt_text
 from guavagate.jobs._models import ItemId, JobId
-from guavagate.jobs._replicas import adopt_text
 from guavagate.jobs._work import ItemProgress, JobWork, Text
 from guavagate.models import WeightVersion
 
--- a/guavagate/rollouts/_coordinator.py
+++ b/guavagate/rollouts/_coordinator.py
@@ -84,10 +84,12 @@
         )
         self._wake = Event()
         self._task: Task | None = None
+        self._ordering = True
         self._orders: list[Task] = []
 
-    def start(self) -> None:
-        """Start sending orders."""
+    def start(self, *, ordering: bool = True) -> None:
+        """Start sending orders; without them, only track the samplers."""
+        self._ordering = ordering
         if self._task is None:
             self._task = self._clock.spawn(self._run)
 
@@ -125,7 +127,7 @@
         self._states.update(serving)
         demands = self._collect_demands(serving)
         self._assigner.assign(serving, demands)
-        planned = self._plan(serving, demands)
+        planned = self._plan(serving, demands) if self._ordering else []
         if not planned:
             return
         acquire_for_orders(self._lease, self._clock)
--- a/standins/_safeguard_recovery.py
+++ b/standins/_safeguard_recovery.py
@@ -14,7 +14,7 @@
     ),
     Safeguard(
         'long texts resume from the store',
-        'guavagate/jobs/_owner.py',
+        'guavagate/jobs/_text_backups.py',
         '        self._checkpoints.restore(work)\n',
         '',
         'tests/jobs/test_checkpoints.py',
--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -111,14 +111,14 @@
     ),
     Safeguard(
         'a replica is used only if its versions are allowed',
-        'guavagate/jobs/_replicas.py',
+        'guavagate/jobs/_adoption.py',
         'if longer and text.meets_version_bounds(work.job.min_version, None):',
         'if longer:',
         'tests/jobs/test_texts.py',
     ),
     Safeguard(
         'a job owner that was paused reads results that others have listed',
-        'guavagate/jobs/_active.py',
+        'guavagate/jobs/_active_job.py',
         'return self.invalidations > self.reconciled and not complete',
         'return False',
         'tests/jobs/test_owner.py',
@@ -190,9 +190,9 @@
     ),
     Safeguard(
         'texts are replicated to successors',
-        'guavagate/jobs/_owner.py',
-        'peers = self._list_successors()[:REPLICA_COUNT]',
-        'peers = []',
+        'guavagate/jobs/_text_backups.py',
+        'for peer in self._list_successors()[:REPLICA_COUNT]:',
+        'for peer in ():',
         'tests/jobs/test_texts.py',
     ),
     Safeguard(
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -16,6 +16,7 @@
 import click
 
 from standins._safeguard_capacity import CAPACITY_SAFEGUARDS
+from standins._safeguard_failover import FAILOVER_SAFEGUARDS
 from standins._safeguard_jobs import JOB_SAFEGUARDS
 from standins._safeguard_recovery import RECOVERY_SAFEGUARDS
 from standins._safeguard_routing import ROUTING_SAFEGUARDS
@@ -28,6 +29,7 @@
     *PLATFORM_SAFEGUARDS,
     *JOB_SAFEGUARDS,
     *RECOVERY_SAFEGUARDS,
+    *FAILOVER_SAFEGUARDS,
     *STOP_SAFEGUARDS,
     *TEAM_SAFEGUARDS,
     *CAPACITY_SAFEGUARDS,
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -1,16 +1,19 @@
 """Instances that own jobs, with fakes of all their dependencies."""
 
 from guavagate.jobs import (
+    AnnouncedJobs,
     GroupId,
     ItemId,
     Job,
     JobId,
+    JobIntake,
     JobItem,
     JobOwner,
     JobReader,
     JobStore,
     LookupStatus,
     Ownership,
+    OwnerWatch,
     Result,
     ResultState,
     TextReplicas,
@@ -99,6 +102,18 @@
         )
         self.metrics = Metrics()
         self.replicas = TextReplicas(world.bus(name))
+        self.announced = AnnouncedJobs(
+            self.clock, world.bus(name), self.metrics
+        )
+        self.intake = JobIntake(
+            self.clock,
+            world.bus(name),
+            InstanceId(name),
+            self.job_store,
+            self.ownership,
+            self.announced,
+            lambda: [SERVICE],
+        )
         self.owner = JobOwner(
             SERVICE,
             self.clock,
@@ -118,6 +133,7 @@
                 for each in self.ownership.rank_candidates(SERVICE)
                 if each != InstanceId(name)
             ],
+            self.announced,
             self.clock.now,
             cache_tokens=lambda: fleet.cache_tokens,
         )
@@ -128,6 +144,26 @@
             self.ownership,
             lambda _: self.owner if self.owner.active else None,
         )
+        self.watch = OwnerWatch(
+            self.clock,
+            world.bus(name),
+            InstanceId(name),
+            self.ownership,
+            self.metrics,
+            self.refresh,
+            self.clock.now,
+        )
+        self.watch.start()
+
+    def refresh(self) -> None:
+        """Start or stop the job owner, as `JobServices` does."""
+        self.watch.update([SERVICE])
+        is_owner = self.ownership.is_owner(SERVICE)
+        if is_owner or self.watch.stands_in(SERVICE):
+            self.owner.start()
+            self.owner.mark_uncertain()
+        else:
+            self.owner.stop(self.ownership.find_owner(SERVICE))
 
 
 class JobFleet:
@@ -157,21 +193,14 @@
 
     def follow_membership(self, node: Node) -> None:
         """Start and stop a node's owner when the membership changes."""
+        node.ownership._members.subscribe(node.refresh)
+        node.refresh()
 
-        def refresh() -> None:
-            if node.ownership.is_owner(SERVICE):
-                node.owner.start()
-            else:
-                node.owner.stop()
-
-        node.ownership._members.subscribe(refresh)
-        refresh()
-
-    def submit(self, job: Job, at: str) -> bool:
-        """Accept a job at an instance."""
+    def submit(self, job: Job, at: str, *, announced: bool = True) -> bool:
+        """Accept a job at an instance; its announcement may be lost."""
         node = self.nodes[at]
-        stamped = self.stamp(job)
-        task = node.clock.spawn(node.job_store.accept, stamped, 2.5)
+        intake = node.intake if announced else node.job_store
+        task = node.clock.spawn(intake.accept, self.stamp(job), 2.5)
         self.clock.run_until(task.ready, 5)
         return bool(task.get(block=False))
 
@@ -199,6 +228,41 @@
         return known, [] if page is None else page.results
 
 
+class RoleFleet(JobFleet):
+    """Instances by their roles: owner, successors, and one for callers."""
+
+    def __init__(self, names: str, length: int) -> None:
+        super().__init__(names, length)
+        self.clock.advance(1)
+        in_turn = self.nodes['a'].ownership.list_in_turn(SERVICE)
+        nodes = [self.nodes[str(each)] for each in in_turn]
+        self.first, self.successor = nodes[:2]
+        self.entry = nodes[-1]
+
+    def cut(self, node: Node, *others: Node) -> None:
+        """Drop all messages between an instance and some or all others."""
+        me = node.ownership.me
+        for other in others or self.nodes.values():
+            peer = other.ownership.me
+            self.world.network.blocked |= {(me, peer), (peer, me)}
+
+    def accept(self, job: Job) -> None:
+        """Accept a job at the entry."""
+        self.submit(job, self.entry.ownership.me)
+
+    def kill_owner(self) -> None:
+        """Kill the owner; the others notice after 2 s."""
+        self.world.kill(self.first.ownership.me)
+
+    def complete(self, items: int = 6) -> None:
+        """Heal the network; check the results that each instance returns."""
+        self.clock.advance(20)
+        self.world.network.blocked.clear()
+        for name in self.nodes:
+            if not self.world.hosts[InstanceId(name)].dead:
+                check_complete(self, name, items)
+
+
 def find_other(fleet: JobFleet) -> str:
     """Return the name of an instance that is not the owner."""
     return next(name for name in fleet.nodes if name != fleet.owner())
--- a/tests/jobs/test_texts.py
+++ b/tests/jobs/test_texts.py
@@ -143,7 +143,7 @@
     for number in range(1, 40):
         progress.text.add(TextEvent(number, f'new/{number}', WeightVersion(1)))
     task = node.clock.spawn(
-        node.replicas.send, SERVICE, [active.work], [InstanceId(survivor)]
+        node.replicas.send, SERVICE, [active.work], InstanceId(survivor)
     )
     fleet.clock.run_until(task.ready, 2)
     work = JobWork(active.work.job, active.work.log, 0, 0)
@@ -156,7 +156,7 @@
 ) -> None:
     """Send the replicas of a job's texts from one instance to instance b."""
     node = fleet.nodes[sender]
-    task = node.clock.spawn(replicas.send, SERVICE, [work], [InstanceId('b')])
+    task = node.clock.spawn(replicas.send, SERVICE, [work], InstanceId('b'))
     fleet.clock.run_until(task.ready, 2)
 
 
@@ -238,7 +238,7 @@
     peer = fleet.nodes['b'].replicas
     for expected in (['0-2'], ['0-2', '0-1', '0-0']):
         task = node.clock.spawn(
-            node.replicas.send, SERVICE, [work], [InstanceId('b')]
+            node.replicas.send, SERVICE, [work], InstanceId('b')
         )
         fleet.clock.run_until(task.ready, 2)
         replicas = next(iter(peer._received.values()))
@@ -277,7 +277,7 @@
     progress = work.items[ItemId('0-0')]
     progress.text.add(TextEvent(1, '0-0/1', WeightVersion(1)))
     task = node.clock.spawn(
-        node.replicas.send, SERVICE, [work], [InstanceId('b')]
+        node.replicas.send, SERVICE, [work], InstanceId('b')
     )
     fleet.clock.run_until(task.ready, 2)
     other = JobWork(job, node.job_store.open_log(job.id), 0, 0)
@@ -297,3 +297,22 @@
     fleet.submit(make_job(), 'a')
     fleet.clock.advance(_COMPLETION_SECONDS)
     check_complete(fleet, 'a', 6)
+
+
+def test_silent_successor_does_not_delay_the_replicas_of_another() -> None:
+    """The first successor is frozen; the second one gets replicas in time.
+
+    Each request to the frozen one takes until its time limit.
+    """
+    fleet = JobFleet(length=60)
+    for node in fleet.nodes.values():
+        node.samplers.length = 60
+    first, successor, second = fleet.nodes['a'].ownership.list_in_turn(SERVICE)
+    fleet.submit(make_job(groups=1), first)
+    fleet.world.pause(successor)
+    fleet.clock.advance(1.55)
+    work = fleet.nodes[first].owner._active_jobs.list_open()[0]
+    events = work.items[ItemId('0-0')].text.last_number
+    replicas = fleet.nodes[second].replicas
+    received = next(iter(replicas._received.values()))[work.job.id]
+    assert events - received[ItemId('0-0')].text.last_number <= 6
