Read streams on while their callers are slow

Cause: a stream's upstream was read only as fast as its caller took the events, so that the upstream cut the answer off; without a time limit a caller that took nothing held its run for good. When a caller left, the closed answer counted as the upstream's failure, and a resumable stream began again at each further upstream.

A caller that is not slow gets each event by the same write as before. The last part waits for the caller after the upstream is free. A caller that leaves or is cut off ends the stream with CALLER_LEFT, and nothing is recorded against the upstream.

--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -1,4 +1,9 @@
-"""Forwards streams event by event and resumes them at another upstream."""
+"""Forwards streams event by event and resumes them at another upstream.
+
+Load pattern: a caller reads slowly. An upstream cuts off an answer that stays
+unread for some seconds, so it is read on into a buffer, up to a limit. A caller
+that takes nothing for the idle timeout is cut off, which ends its run.
+"""
 
 import functools
 import logging
@@ -12,7 +17,12 @@
 from guavagate.forwarding._attempt import AttemptRunner
 from guavagate.forwarding._guard import RequestGuard
 from guavagate.forwarding._outcome import Outcome, OutcomeKind
-from guavagate.http1 import Answer, Exchange, drop_hop_by_hop
+from guavagate.http1 import (
+    Answer,
+    CallerDisconnectedError,
+    Exchange,
+    drop_hop_by_hop,
+)
 from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.configuration import Route
 from guavagate.ports.dialect import Call
@@ -66,8 +76,8 @@
             outcome.began_at = began_at
             if outcome.kind is OutcomeKind.ANSWER:
                 self._guard.record_answer(call)
-                return outcome
-            if outcome.kind is OutcomeKind.UNKNOWN and not route.resumable:
+                return self._end(exchange, outcome)
+            if not _may_go_on(outcome, route):
                 break
         if exchange.started:
             exchange.abort()
@@ -79,16 +89,30 @@
         """Forward a stream from one upstream; return the outcome."""
         try:
             self._forward_from(progress, upstream)
+        except CallerDisconnectedError:
+            return Outcome(OutcomeKind.CALLER_LEFT)
         except UpstreamNotStartedError as error:
             ran = progress.may_have_run
             kind = OutcomeKind.UNKNOWN if ran else OutcomeKind.NOT_RUN
             return Outcome(kind, reason=error.problem)
         except UpstreamError as error:
+            if progress.exchange.disconnected.is_set():
+                # The answer was closed here, so the upstream is not at fault.
+                progress.may_have_run = True
+                return Outcome(OutcomeKind.CALLER_LEFT)
             self._record_break(progress, upstream, error)
             self._runner.record_break(progress.call, upstream, error, sent_at)
             return Outcome(OutcomeKind.UNKNOWN, reason=error.problem)
         return Outcome(OutcomeKind.ANSWER)
 
+    def _end(self, exchange: Exchange, outcome: Outcome) -> Outcome:
+        """Wait for the caller; the upstream is already free for other work."""
+        try:
+            exchange.end()
+        except CallerDisconnectedError:
+            outcome.kind = OutcomeKind.CALLER_LEFT
+        return outcome
+
     def _forward_from(
         self, progress: '_StreamProgress', upstream: Upstream
     ) -> None:
@@ -127,15 +151,14 @@
             if chunk is None:
                 break
             for event in progress.split_events(chunk):
-                progress.exchange.send(event)
+                progress.exchange.send_ahead(event)
         if progress.partial and answer.status == _OK:
             raise UpstreamError(
                 f'{upstream.id} ended in the middle of an event',
                 'check the upstream; the stream goes on elsewhere if it may',
             )
         if progress.partial:
-            progress.exchange.send(progress.partial)
-        progress.exchange.end()
+            progress.exchange.send_ahead(progress.partial)
 
     def _record_break(
         self,
@@ -179,6 +202,13 @@
             yield event + _EVENT_END
 
 
+def _may_go_on(outcome: Outcome, route: Route) -> bool:
+    """Return whether another upstream may go on with a stream."""
+    if outcome.kind is OutcomeKind.UNKNOWN:
+        return route.resumable
+    return outcome.kind is OutcomeKind.NOT_RUN
+
+
 def _make_stall_error(upstream: Upstream) -> UpstreamError:
     return UpstreamError(
         f'{upstream.id} was silent',
