Refuse bodies that an entry has no memory for

Cause: nothing limited the memory of an entry. Bodies go up to 32 MB, and a few of them, or answers that callers do not read, got the process killed with all its requests.

Change: the settings' `memory-mb`, less what the process needs, is a budget for bodies, answers being read and answers that wait for callers. A body is refused before it is read, or as it grows: 503, not run, with a spread Retry-After, and the connection closes. Bodies over 16 KB may fill three quarters of the budget, smaller ones all of it. A body over the configured limit is refused by its declared length. Bodies are sent to upstreams without a copy of them.

The code that loads the configuration before bodies are read, and that finds the route and the team, moves to front/, as the adapter must not grow. `max-fds`, `cpu-share` and `cores` are not read: nothing uses them.

Tested: tests/admission; the load tests measure the peak of a process.

--- a/guavagate/forwarding/_answers.py
+++ b/guavagate/forwarding/_answers.py
@@ -1,9 +1,11 @@
 """Answers that an instance sends itself, and when they say "not run"."""
 
+from collections.abc import Callable
 from typing import Final
 
 from guavagate.forwarding._outcome import Outcome, OutcomeKind
 from guavagate.http1 import (
+    BodyRefusedError,
     BodyTooLargeError,
     Exchange,
     Headers,
@@ -19,10 +21,22 @@
 NOT_RUN_STATUS: Final = 503
 
 
-def read_or_refuse(exchange: Exchange, limit: int) -> bytes | None:
-    """Return a request's body, or `None` after refusing the request."""
+def read_or_refuse(
+    exchange: Exchange, limit: int, refuse_body: Callable[[], float]
+) -> bytes | None:
+    """Return a request's body, or `None` after refusing the request.
+
+    Parameters
+    ----------
+    refuse_body
+        Returns when to retry, in seconds, if there is no memory for the body.
+    """
     try:
         return exchange.read_body(limit)
+    except BodyRefusedError:
+        # On a new connection the balancer may choose another instance.
+        exchange.keep_open = False
+        refuse(exchange, 'too little memory for the body', refuse_body())
     except BodyTooLargeError:
         send_text(exchange, 413, f'send a body of at most {limit} bytes')
     except SlowBodyError:
--- a/guavagate/front/_authenticator.py
+++ b/guavagate/front/_authenticator.py
@@ -18,6 +18,7 @@
 from guavagate.http1 import Exchange
 from guavagate.metrics import Metrics, names
 from guavagate.models import TeamId
+from guavagate.ports.configuration import Route
 from guavagate.routing import RouteTable
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -27,6 +28,7 @@
     KeyState.MISSING: 'send one `Authorization: Bearer KEY` of your team',
     KeyState.UNKNOWN: 'the key is not known; ask for a key of your team',
 }
+_NO_TEAM: Final = TeamId('')
 # An instance stays isolated for seconds, but another one can serve.
 UNPROVEN_RETRY_SECONDS: Final = 0.3
 
@@ -52,9 +54,18 @@
         self._proof_age = proof_age
         self._bounds = bounds
 
-    def authenticate(
-        self, exchange: Exchange, request_id: str
-    ) -> TeamId | None:
+    def find_route(self, exchange: Exchange) -> tuple[Route, TeamId] | None:
+        """Return a request's route and team, or `None` after refusing it."""
+        route = self._routes.find(
+            exchange.get_header(b'host'), exchange.request.target
+        )
+        if route is None:
+            self.refuse_no_route(exchange, exchange.id)
+            return None
+        team = _NO_TEAM if route.open else self.authenticate(exchange)
+        return None if team is None else (route, team)
+
+    def authenticate(self, exchange: Exchange) -> TeamId | None:
         """Return the team of a request, or `None` after refusing it."""
         verdict = check_key(
             self._routes.keys,
@@ -64,7 +75,7 @@
         )
         if verdict.allowed:
             return verdict.team
-        self._refuse_key(exchange, request_id, verdict)
+        self._refuse_key(exchange, exchange.id, verdict)
         return None
 
     def refuse_no_route(self, exchange: Exchange, request_id: str) -> None:
--- a/guavagate/http1/__init__.py
+++ b/guavagate/http1/__init__.py
@@ -16,7 +16,7 @@
     BodyTooLargeError,
     Exchange,
 )
-from guavagate.http1._memory import MemoryAccount
+from guavagate.http1._memory import MemoryAccount, ServerMemory
 from guavagate.http1._messages import (
     Headers,
     Request,
@@ -38,6 +38,7 @@
     'MemoryAccount',
     'Request',
     'ServerLimits',
+    'ServerMemory',
     'SlowBodyError',
     'SlowCallerError',
     'drop_hop_by_hop',
--- a/guavagate/http1/_caller_writer.py
+++ b/guavagate/http1/_caller_writer.py
@@ -85,8 +85,8 @@
         self._check_failure()
         if not self._queue:
             self._progress_at = self._clock.now()
-            data = data[self._send_at_once(data) :]
-        if data:
+            self._offset = self._send_at_once(data)
+        if self._queue or self._offset < len(data):
             self._queue.append(data)
             self._set_size(self.size + len(data))
             if self._flusher is None:
@@ -176,6 +176,7 @@
 
     def _discard(self) -> None:
         self._queue.clear()
+        self._offset = 0
         self._set_size(0)
 
     def _set_size(self, size: int) -> None:
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -1,9 +1,10 @@
 """HTTP client with pooled connections to upstreams."""
 
 import contextlib
+import io
 import select
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import h11
@@ -27,6 +28,8 @@
 # lost. Requests that must not be repeated get a new connection.
 IDLE_LIMIT_SHARE: Final = 0.9
 _READ_BYTES: Final = 65_536
+# A longer body is sent without a copy of it, after the head.
+_JOINED_BYTES: Final = 65_536
 SWEEP_INTERVAL_SECONDS: Final = 5.0
 _MAX_IDLE_CONNECTIONS: Final = 32
 # The patched `poll` would let other tasks run and change the list of idle
@@ -109,8 +112,16 @@
         self._release()
 
     def read(self) -> bytes:
-        """Return the complete body."""
-        return b''.join(self.chunks())
+        """Return the complete body; its memory counts while it is read."""
+        # Unlike a list of parts, it makes no second copy of the body.
+        body = io.BytesIO()
+        try:
+            for chunk in self.chunks():
+                self._pool.charge(len(chunk))
+                body.write(chunk)
+            return body.getvalue()
+        finally:
+            self._pool.charge(-body.tell())
 
     def close(self) -> None:
         """Close the connection unless it is back in the pool."""
@@ -159,11 +170,25 @@
             self._pool.release(self._address, connection, self)
 
 
+def _charge_nothing(growth: int) -> None:
+    """Count no memory."""
+
+
 class ConnectionPool:
-    """A process's connections to upstreams, by address."""
+    """A process's connections to upstreams, by address.
 
-    def __init__(self, clock: Clock) -> None:
+    Parameters
+    ----------
+    charge
+        Called with the bytes by which the answers being read grow, or shrink
+        if negative.
+    """
+
+    def __init__(
+        self, clock: Clock, charge: Callable[[int], None] = _charge_nothing
+    ) -> None:
         self._clock = clock
+        self.charge = charge
         self._idle: dict[str, deque[Connection]] = {}
         self.opened = 0
 
@@ -303,17 +328,16 @@
     if body or request.method not in {'GET', 'HEAD', 'DELETE'}:
         headers.append((b'Content-Length', str(len(body)).encode()))
     try:
-        parts = [
-            http.send(
-                h11.Request(
-                    method=request.method,
-                    target=request.target,
-                    headers=headers,
-                )
-            ),
-            http.send(h11.Data(data=body)) if body else b'',
-            http.send(h11.EndOfMessage()),
-        ]
+        head = http.send(
+            h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=headers,
+            )
+        )
+        # With a `Content-Length` the body is sent unchanged.
+        content = http.send(h11.Data(data=body)) if body else b''
+        http.send(h11.EndOfMessage())
     except h11.LocalProtocolError as error:
         raise UpstreamNotStartedError(
             f'the request can not be sent on ({error})',
@@ -322,7 +346,11 @@
     # An upstream may respond and close while a long body is being sent. The
     # write then fails, but the response can still be read.
     with contextlib.suppress(OSError):
-        connection.sock.sendall(b''.join(part for part in parts if part))
+        if len(body) > _JOINED_BYTES:
+            connection.sock.sendall(head)
+            connection.sock.sendall(content)
+        else:
+            connection.sock.sendall(head + content)
 
 
 def _read_keep_alive(answer: Answer) -> float:
--- a/guavagate/http1/_exchange.py
+++ b/guavagate/http1/_exchange.py
@@ -28,7 +28,15 @@
 
 
 class Exchange:
-    """A request of a caller and the response to it."""
+    """A request of a caller and the response to it.
+
+    Attributes
+    ----------
+    id
+        The request's id, for the log; set by a handler that knows it.
+    keep_open
+        Whether the connection may carry another request after this one.
+    """
 
     def __init__(
         self,
@@ -40,7 +48,7 @@
         self.request = request
         self.account = account or UnlimitedAccount()
         connection.writer.on_size = self.account.hold_answer
-        # Whether the connection may carry another request after this one.
+        self.id = ''
         self.keep_open = True
         self.disconnected = connection.disconnected
         self.started = False
--- a/guavagate/http1/_memory.py
+++ b/guavagate/http1/_memory.py
@@ -1,4 +1,4 @@
-"""Interface to the account of the memory that a request holds."""
+"""Interface to the accounts of the memory that requests hold."""
 
 from typing import Protocol
 
@@ -23,6 +23,16 @@
         """Release all memory of the request."""
 
 
+class ServerMemory(Protocol):
+    """The memory of a server's requests."""
+
+    def open_account(self) -> MemoryAccount:
+        """Return the account of a new request."""
+
+    def record_slow_caller(self, request_id: str) -> None:
+        """Record that a caller was cut off as it took nothing."""
+
+
 class UnlimitedAccount:
     """The account of a server without a memory limit."""
 
@@ -38,3 +48,14 @@
 
     def close(self) -> None:
         """Release nothing."""
+
+
+class UnlimitedMemory:
+    """The memory of a server without a limit."""
+
+    def open_account(self) -> MemoryAccount:
+        """Return an account that counts nothing."""
+        return UnlimitedAccount()
+
+    def record_slow_caller(self, request_id: str) -> None:
+        """Record nothing."""
--- a/guavagate/http1/_server.py
+++ b/guavagate/http1/_server.py
@@ -13,7 +13,7 @@
 from guavagate.http1._caller_connection import CallerConnection, ServerLimits
 from guavagate.http1._caller_writer import CallerDisconnectedError
 from guavagate.http1._exchange import Exchange, Handler
-from guavagate.http1._memory import MemoryAccount, UnlimitedAccount
+from guavagate.http1._memory import ServerMemory, UnlimitedMemory
 from guavagate.http1._messages import Request
 from guavagate.http1._sockets import set_caller_options
 
@@ -36,14 +36,8 @@
     ----------
     limits
         Returns the limits in force; called for each connection and request.
-    open_account
-        Returns the memory account of a request; called for each request.
-
-    Attributes
-    ----------
-    report_slow_caller
-        Called with each request whose caller was cut off, as it accepted no
-        byte of its answer within the idle timeout.
+    memory
+        Counts what requests hold; without one there is no limit.
     """
 
     def __init__(
@@ -52,14 +46,13 @@
         clock: Clock,
         handle: Handler,
         limits: Callable[[], ServerLimits] = ServerLimits,
-        open_account: Callable[[], MemoryAccount] = UnlimitedAccount,
+        memory: ServerMemory | None = None,
     ) -> None:
         host, _, port = address.rpartition(':')
         self._clock = clock
         self._handle = handle
         self._limits = limits
-        self._open_account = open_account
-        self.report_slow_caller: Callable[[Exchange], None] | None = None
+        self._memory = memory or UnlimitedMemory()
         listener = take_listener(address)
         if listener is None:
             self._server = StreamServer(
@@ -173,7 +166,7 @@
             head.target.decode('latin-1'),
             list(head.headers.raw_items()),
         )
-        exchange = Exchange(connection, request, self._open_account())
+        exchange = Exchange(connection, request, self._memory.open_account())
         self._running.add(connection)
         try:
             self._run(exchange)
@@ -187,8 +180,8 @@
         connection.on_disconnect = None
         connection.writer.on_size = None
         exchange.account.close()
-        if connection.writer.is_cut_off and self.report_slow_caller:
-            self.report_slow_caller(exchange)
+        if connection.writer.is_cut_off:
+            self._memory.record_slow_caller(exchange.id)
 
     def _run(self, exchange: Exchange) -> None:
         try:
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -150,3 +150,19 @@
     text='Memory of the process',
     plotted=True,
 )
+HELD_BYTES: Final = Metric(
+    name='guavagate_request_memory_bytes',
+    kind=MetricKind.GAUGE,
+    text='Memory held by requests: bodies, answers and buffers of streams',
+    plotted=True,
+)
+BODIES_REFUSED: Final = Metric(
+    name='guavagate_bodies_refused_total',
+    kind=MetricKind.COUNTER,
+    text='Requests refused before their bodies were read, for want of memory',
+)
+SLOW_CALLERS: Final = Metric(
+    name='guavagate_slow_callers_total',
+    kind=MetricKind.COUNTER,
+    text='Callers cut off as they took no byte of their answer for too long',
+)
--- a/guavagate/platform/_edge.py
+++ b/guavagate/platform/_edge.py
@@ -1,15 +1,16 @@
 """Dispatches HTTP requests of callers and trainers to their handlers."""
 
-import logging
-from collections.abc import Callable
 from typing import Final
 from urllib.parse import SplitResult, parse_qs, unquote, urlsplit
 
 from guavagate.clock import Clock
-from guavagate.events import edge as edge_events
-from guavagate.events import write
-from guavagate.forwarding import read_or_refuse, refuse, send_text
-from guavagate.front import JobHandler, KeyAuthenticator, RequestHandler
+from guavagate.forwarding import send_text
+from guavagate.front import (
+    BodyReader,
+    JobHandler,
+    KeyAuthenticator,
+    RequestHandler,
+)
 from guavagate.http1 import Exchange
 from guavagate.jobs import ItemId, JobId
 from guavagate.models import TeamId
@@ -19,15 +20,8 @@
 from guavagate.ports.dialect import Call
 from guavagate.routing import RouteTable, pick_service
 
-_LOGGER: Final = logging.getLogger(__name__)
-
-UNREADY_RETRY_SECONDS: Final = 0.3
-# A starting process loads its configuration in a few milliseconds, so callers
-# wait. A refused one returns after ten times as long, or not at all.
-LOADING_WAIT_SECONDS: Final = 0.1
 _LOTS: Final = '/lots/'
 _ITEMS: Final = '/items/'
-_NO_TEAM: Final = TeamId('')
 
 
 class Edge:
@@ -40,29 +34,19 @@
         authenticator: KeyAuthenticator,
         requests: RequestHandler,
         jobs: JobHandler,
-        wait_loaded: Callable[[float], bool],
+        bodies: BodyReader,
     ) -> None:
         self._clock = clock
         self._routes = routes
         self._authenticator = authenticator
         self._requests = requests
         self._jobs = jobs
-        self._wait_loaded = wait_loaded
+        self._bodies = bodies
 
     def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
-        loaded = self._wait_loaded(LOADING_WAIT_SECONDS)
-        configuration = self._routes.configuration
-        if configuration is None or not loaded:
-            write(
-                _LOGGER,
-                edge_events.REFUSED_UNCONFIGURED,
-                request=_find_id(exchange),
-                loaded=loaded,
-            )
-            refuse(exchange, 'no configuration yet', UNREADY_RETRY_SECONDS)
-            return
-        body = read_or_refuse(exchange, configuration.limits.body_bytes)
+        exchange.id = exchange.get_header(const.REQUEST_ID.lower())
+        body = self._bodies.read(exchange)
         if body is None:
             return
         target = exchange.request.target
@@ -72,18 +56,11 @@
             self._handle_route(exchange, body)
 
     def _handle_route(self, exchange: Exchange, body: bytes) -> None:
-        route = self._routes.find(
-            exchange.get_header(b'host'), exchange.request.target
-        )
-        request_id = _find_id(exchange)
-        if route is None:
-            self._authenticator.refuse_no_route(exchange, request_id)
-            return
-        team: TeamId | None = _NO_TEAM
-        if not route.open:
-            team = self._authenticator.authenticate(exchange, request_id)
-        if team is None:
+        found = self._authenticator.find_route(exchange)
+        if found is None:
             return
+        route, team = found
+        request_id = exchange.id
         if not request_id:
             name = const.REQUEST_ID.decode()
             send_text(exchange, 400, f'send {name}')
@@ -129,6 +106,7 @@
         if exchange.request.method != 'POST':
             send_text(exchange, 405, 'submit with POST')
             return
+        self._bodies.hold_job(exchange, body)
         try:
             job = decode_submission(
                 request_id,
@@ -145,7 +123,7 @@
             self._jobs.accept(exchange, job)
 
     def _handle_job_call(self, exchange: Exchange, target: str) -> None:
-        team = self._authenticator.authenticate(exchange, _find_id(exchange))
+        team = self._authenticator.authenticate(exchange)
         if team is None:
             return
         url = urlsplit(target)
@@ -172,7 +150,3 @@
         wait = exchange.get_header(const.WAIT)
         seconds = int(wait) / const.MILLIS if wait.isdigit() else 0
         self._jobs.read(exchange, job, int(after), seconds, team)
-
-
-def _find_id(exchange: Exchange) -> str:
-    return exchange.get_header(const.REQUEST_ID.lower())
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -4,6 +4,7 @@
 import secrets
 from typing import Final
 
+from guavagate.admission import EntryMemory
 from guavagate.clock import SystemClock
 from guavagate.duties import UsageAccounting
 from guavagate.events import edge as edge_events
@@ -11,7 +12,12 @@
 from guavagate.exceptions import SettingsError
 from guavagate.feeds import Feed
 from guavagate.forwarding import make_forwarders
-from guavagate.front import JobHandler, KeyAuthenticator, RequestHandler
+from guavagate.front import (
+    BodyReader,
+    JobHandler,
+    KeyAuthenticator,
+    RequestHandler,
+)
 from guavagate.helpers.mirror import Mirror
 from guavagate.http1 import (
     ConnectionPool,
@@ -70,7 +76,8 @@
         self._bus = ZmqBus(
             me.id, me.peer_address, self._members.address, self._clock
         )
-        self._pool = ConnectionPool(self._clock)
+        self._memory = EntryMemory(self._metrics, settings.limits.memory_mb)
+        self._pool = ConnectionPool(self._clock, self._memory.budget.change)
         self._peer_fallback = self._make_peer_fallback()
         self._store = self._make_store()
         self._routes = RouteTable()
@@ -247,7 +254,11 @@
             edge = self._make_edge(job_store, reader)
             servers.append(
                 HttpServer(
-                    listen.front, self._clock, edge.handle, self._get_limits
+                    listen.front,
+                    self._clock,
+                    edge.handle,
+                    self._get_limits,
+                    self._memory,
                 )
             )
         if listen.ready:
@@ -275,7 +286,7 @@
                 self._usage.record,
             ),
             JobHandler(clock, routes, job_store, reader, metrics, encode_page),
-            self._feed.wait_loaded,
+            BodyReader(routes, self._feed.wait_loaded, self._memory),
         )
 
     def _make_usage(self) -> UsageAccounting:
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -63,6 +63,12 @@
     duty_per_s: float = 50
 
 
+class LimitsTable(_Table, frozen=True, kw_only=True):
+    """Limits of the process, which is killed beyond `memory_mb`; 0 for none."""
+
+    memory_mb: float = 0
+
+
 class NodeSettings(_Table, frozen=True, kw_only=True):
     """The settings of one process."""
 
@@ -76,6 +82,7 @@
     data_dir: str = ''
     listen: ListenTable = ListenTable()
     bounds: BoundsTable = BoundsTable()
+    limits: LimitsTable = LimitsTable()
     platform: StoreTable
     cloud_api: DutiesTable = DutiesTable()
 
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission control at entries."""
--- /dev/null
+++ b/tests/admission/entry_process.py
@@ -0,0 +1,43 @@
+"""An entry's server in its own process, with a memory limit, for load tests.
+
+It answers each request with its own body, which is held for a while as if an
+upstream worked on it.
+"""
+
+import sys
+
+import gevent
+
+from guavagate.admission import EntryMemory
+from guavagate.clock import SystemClock
+from guavagate.front import BodyReader
+from guavagate.http1 import Exchange, HttpServer
+from guavagate.metrics import Metrics
+from guavagate.ports.configuration import Configuration
+from guavagate.routing import RouteTable
+
+_WORK_SECONDS = 0.1
+
+
+def main() -> None:
+    """Serve until the process is ended; print the port."""
+    routes = RouteTable()
+    routes.apply(Configuration(version=1))
+    memory = EntryMemory(Metrics(), megabytes=float(sys.argv[1]))
+    bodies = BodyReader(routes, lambda _: True, memory)
+
+    def handle(exchange: Exchange) -> None:
+        body = bodies.read(exchange)
+        if body is not None:
+            gevent.sleep(_WORK_SECONDS)
+            exchange.respond(200, [], body)
+
+    server = HttpServer('127.0.0.1:0', SystemClock(), handle, memory=memory)
+    server.start()
+    sys.stdout.write(f'{server._server.server_port}\n')
+    sys.stdout.flush()
+    gevent.sleep(60)
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -140,3 +140,15 @@
     taken.close()
     with pytest.raises(UpstreamUnreachableError):
         pool.send(address, Request('GET', '/', []), timeout=1)
+
+
+def test_an_answer_counts_while_it_is_read(upstream: _Upstream) -> None:
+    """Answers of many megabytes are held before they are passed on."""
+    growths: list[int] = []
+    pool = ConnectionPool(SystemClock(), growths.append)
+    upstream.answers = [_OK_ANSWER, _INCOMPLETE_CHUNKS]
+    assert _send(pool, upstream) == b'ok'
+    upstream.close_after = True
+    with pytest.raises(UpstreamError):
+        _send(pool, upstream)
+    assert growths == [2, -2, 2, -2]
--- a/tests/http1/test_slow_callers.py
+++ b/tests/http1/test_slow_callers.py
@@ -28,6 +28,7 @@
         self.sock.sendall(_HEAD)
 
     def _respond(self, exchange: Exchange) -> None:
+        exchange.id = 'r-1'
         try:
             exchange.respond(200, [], bytes(self.body))
         except SlowCallerError:
@@ -47,15 +48,16 @@
         return size
 
 
-def test_a_caller_that_takes_nothing_is_cut_off() -> None:
+def test_a_caller_that_takes_nothing_is_cut_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """It would hold its answer, a connection and a task without an end."""
     caller = _Caller()
-    caller.bench.server.report_slow_caller = lambda exchange: (
-        caller.ends.append(exchange.request.target)
-    )
+    memory = caller.bench.server._memory
+    monkeypatch.setattr(memory, 'record_slow_caller', caller.ends.append)
     caller.read(1000)
     gevent.sleep(0.8)
-    assert caller.ends == ['slow', '/']
+    assert caller.ends == ['slow', 'r-1']
     assert caller.bench.server.active == 0
 
 
--- a/tests/platform/test_edge_keys.py
+++ b/tests/platform/test_edge_keys.py
@@ -7,6 +7,7 @@
 import pytest
 from gevent import socket
 
+from guavagate.admission import EntryMemory
 from guavagate.auth import hash_token, make_bounds
 from guavagate.clock import SystemClock
 from guavagate.exceptions import StoreUnavailableError
@@ -16,7 +17,12 @@
     RequestGuard,
     StreamForwarder,
 )
-from guavagate.front import JobHandler, KeyAuthenticator, RequestHandler
+from guavagate.front import (
+    BodyReader,
+    JobHandler,
+    KeyAuthenticator,
+    RequestHandler,
+)
 from guavagate.http1 import ConnectionPool, HttpServer, ServerLimits
 from guavagate.jobs import Job, LookupStatus
 from guavagate.metrics import Metrics
@@ -117,7 +123,7 @@
                 Metrics(),
                 encode_page,
             ),
-            lambda _: True,
+            BodyReader(self.routes, lambda _: True, EntryMemory(Metrics())),
         )
         self.server = HttpServer(
             '127.0.0.1:0', clock, edge.handle, ServerLimits
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -1,5 +1,7 @@
 """Decoding and encoding of the platform's messages."""
 
+from pathlib import Path
+
 import msgspec
 import pytest
 
@@ -275,3 +277,23 @@
     store, _ = _make_store((200, b'<html>'))
     with pytest.raises(StoreUnavailableError):
         store.get('k/n')
+
+
+@pytest.mark.parametrize(
+    ('table', 'expected'),
+    [
+        ('', 0),
+        ('[limits]\ncores = 0.5', 0),
+        ('[limits]\nmemory-mb = 200\nmax-fds = 500', 200),
+    ],
+)
+def test_the_memory_limit_is_read_from_the_settings(
+    tmp_path: Path, table: str, expected: float
+) -> None:
+    """Without a table or a value there is no limit."""
+    path = tmp_path / 'settings.toml'
+    path.write_text(
+        'node-name = "n"\nip = "10.0.0.1"\nzone = "z"\nregion = "r"\n'
+        f'port-range = [1, 9]\n{table}\n[platform]\naddress = "10.0.0.2:80"\n'
+    )
+    assert load_settings(str(path)).limits.memory_mb == expected
