Order requests of a saturated service by priority and fair share

Cause: under more requests than slots the upstreams served whoever came first. A team that sent twenty times its share took slots from all others, nothing read a priority, and a burst that could have been served within its deadline was refused at once.

Change: while the upstreams of a plain service refuse as full, or report that requests wait, entries ask the service's queue owner (rendezvous over the live members) before they send. It grants as many requests as there are slots, by priority, then in fair shares by team (FairQueue), refuses what can't start in time, and gives each refused caller a time to return of its own. An owner that does not reply within a twentieth of the objective is left out for 0.25 s. A request that finds all upstreams full has run nowhere and waits like the others. While a service has room no message is sent.

--- a/guavagate/events/admission.py
+++ b/guavagate/events/admission.py
@@ -16,3 +16,15 @@
     logging.INFO,
     'A caller was cut off: it accepted no byte of its answer for too long',
 )
+SERVICE_SATURATED: Final = Event(
+    8052,
+    logging.WARNING,
+    'A service has more requests than slots; its queue owner is asked first',
+    'if this lasts, add upstreams to the service',
+)
+QUEUE_OWNER_SILENT: Final = Event(
+    8053,
+    logging.WARNING,
+    'A queue owner did not answer; requests go on without its permission',
+    'check the owner, and the links between it and this instance',
+)
--- a/guavagate/front/_bodies.py
+++ b/guavagate/front/_bodies.py
@@ -6,10 +6,11 @@
 from typing import Final
 
 from guavagate.admission import EntryMemory
+from guavagate.clock import Clock
 from guavagate.events import edge as events
 from guavagate.events import write
 from guavagate.forwarding import read_or_refuse, refuse
-from guavagate.http1 import Exchange
+from guavagate.http1 import Exchange, HttpServer, ServerLimits
 from guavagate.routing import RouteTable
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -18,6 +19,8 @@
 # A starting process loads its configuration in a few milliseconds, so callers
 # wait. A refused one returns after ten times as long, or not at all.
 LOADING_WAIT_SECONDS: Final = 0.1
+Handler = Callable[[Exchange], None]
+
 # A body of 3.6 MB held 4.1 times its size more while its job was decoded and
 # encoded for the store (a trial).
 JOB_COPIES: Final = 5
@@ -43,6 +46,14 @@
         self._wait_loaded = wait_loaded
         self._memory = memory
 
+    def make_server(
+        self, address: str, clock: Clock, handle: Handler
+    ) -> HttpServer:
+        """Return a server, not yet started, that counts its requests."""
+        return HttpServer(
+            address, clock, handle, self._get_limits, self._memory
+        )
+
     def read(self, exchange: Exchange) -> bytes | None:
         """Return the body, or `None` after refusing the request."""
         loaded = self._wait_loaded(LOADING_WAIT_SECONDS)
@@ -62,6 +73,10 @@
             functools.partial(self._memory.refuse_body, exchange.id),
         )
 
+    def _get_limits(self) -> ServerLimits:
+        configuration = self._routes.configuration
+        return ServerLimits() if configuration is None else configuration.limits
+
     def hold_job(self, exchange: Exchange, body: bytes) -> None:
         """Count what a job needs while it is decoded and stored."""
         exchange.account.hold_body(len(body) * JOB_COPIES)
--- a/guavagate/front/_requests.py
+++ b/guavagate/front/_requests.py
@@ -1,13 +1,16 @@
 """Handles callers' requests that are forwarded to upstreams."""
 
 from collections.abc import Callable
+from typing import Final
 
 from gevent.queue import Queue
 
+from guavagate.admission import Permission, ServiceAdmission
 from guavagate.clock import Clock
 from guavagate.forwarding import (
     Forwarder,
     Outcome,
+    OutcomeKind,
     StreamForwarder,
     log_outcome,
     send_outcome,
@@ -18,6 +21,10 @@
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import Call
 
+# A request that finds all upstreams full waits for a slot, and may find them
+# full again: those that ask nobody use slots too.
+MAX_FULL_TRIES: Final = 4
+
 CountUsage = Callable[[TeamId, float], None]
 
 
@@ -38,12 +45,14 @@
         streams: StreamForwarder,
         metrics: Metrics,
         count_usage: CountUsage,
+        admission: ServiceAdmission,
     ) -> None:
         self._clock = clock
         self._forwarder = forwarder
         self._streams = streams
         self._metrics = metrics
         self._count_usage = count_usage
+        self._admission = admission
 
     def forward(
         self, exchange: Exchange, call: Call, route: Route, service: ServiceId
@@ -66,8 +75,47 @@
     ) -> Outcome:
         if route.kind is RouteKind.STREAM:
             return self._streams.forward(exchange, call, route, service)
+        outcome, may_wait = self._send(exchange, call, route, service)
+        for _ in range(MAX_FULL_TRIES):
+            if not may_wait or self._clock.now() >= call.until:
+                break
+            outcome, may_wait = self._send(exchange, call, route, service)
+        return outcome
+
+    def _send(
+        self, exchange: Exchange, call: Call, route: Route, service: ServiceId
+    ) -> tuple[Outcome, bool]:
+        """Send a request, once it is permitted.
+
+        Returns
+        -------
+        The outcome, and whether the request may wait for a slot: it has run
+        nowhere, as all upstreams were full.
+        """
+        permission = self._admission.enter(exchange, call, route, service)
+        if not permission.granted:
+            return _make_outcome(permission), False
         results: Queue = Queue()
         exchange.on_disconnect(lambda: results.put(None))
-        outcome = self._forwarder.forward(call, route, service, results)
-        exchange.on_disconnect(None)
-        return outcome
+        refused = False
+        try:
+            outcome = self._forwarder.forward(call, route, service, results)
+            refused = outcome.kind is OutcomeKind.NOT_RUN
+        finally:
+            exchange.on_disconnect(None)
+            permission.release(refused)
+        if not refused or outcome.stopped:
+            return outcome, False
+        full = self._admission.record_refusal(service)
+        return outcome, full and not permission.without_owner
+
+
+def _make_outcome(permission: Permission) -> Outcome:
+    """Return the outcome of a request that was sent nowhere."""
+    if permission.caller_left:
+        return Outcome(OutcomeKind.CALLER_LEFT)
+    return Outcome(
+        OutcomeKind.NOT_RUN,
+        reason=permission.reason,
+        retry_after=permission.retry_after,
+    )
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -14,10 +14,10 @@
 from guavagate.exceptions import (
     UpstreamDisconnectedError,
     UpstreamError,
-    UpstreamNotStartedError,
     UpstreamUnreachableError,
 )
 from guavagate.http1._messages import Headers, Request, find_header
+from guavagate.http1._request_writer import send_request
 from guavagate.http1._sockets import set_socket_options
 
 CONNECT_SECONDS: Final = 1.0
@@ -28,8 +28,6 @@
 # lost. Requests that must not be repeated get a new connection.
 IDLE_LIMIT_SHARE: Final = 0.9
 _READ_BYTES: Final = 65_536
-# A longer body is sent without a copy of it, after the head.
-_JOINED_BYTES: Final = 65_536
 SWEEP_INTERVAL_SECONDS: Final = 5.0
 _MAX_IDLE_CONNECTIONS: Final = 32
 # The patched `poll` would let other tasks run and change the list of idle
@@ -225,7 +223,7 @@
         answer = Answer(self, address, connection)
         with self._limit_time(address, timeout):
             try:
-                _write(connection, request, body)
+                send_request(connection.http, connection.sock, request, body)
                 answer.read_head()
             except BaseException:
                 answer.close()
@@ -321,38 +319,6 @@
         )
 
 
-def _write(connection: Connection, request: Request, body: bytes) -> None:
-    """Send a request; the upstream may respond before all is sent."""
-    http = connection.http
-    headers = list(request.headers)
-    if body or request.method not in {'GET', 'HEAD', 'DELETE'}:
-        headers.append((b'Content-Length', str(len(body)).encode()))
-    try:
-        head = http.send(
-            h11.Request(
-                method=request.method,
-                target=request.target,
-                headers=headers,
-            )
-        )
-        # With a `Content-Length` the body is sent unchanged.
-        content = http.send(h11.Data(data=body)) if body else b''
-        http.send(h11.EndOfMessage())
-    except h11.LocalProtocolError as error:
-        raise UpstreamNotStartedError(
-            f'the request can not be sent on ({error})',
-            'send a request that is valid HTTP/1.1',
-        ) from error
-    # An upstream may respond and close while a long body is being sent. The
-    # write then fails, but the response can still be read.
-    with contextlib.suppress(OSError):
-        if len(body) > _JOINED_BYTES:
-            connection.sock.sendall(head)
-            connection.sock.sendall(content)
-        else:
-            connection.sock.sendall(head + content)
-
-
 def _read_keep_alive(answer: Answer) -> float:
     for part in answer.get_header(b'keep-alive').split(','):
         name, _, amount = part.strip().partition('=')
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -166,3 +166,15 @@
     kind=MetricKind.COUNTER,
     text='Callers cut off as they took no byte of their answer for too long',
 )
+ADMISSIONS: Final = Metric(
+    name='guavagate_admissions_total',
+    kind=MetricKind.COUNTER,
+    text='Requests of saturated services, by what their queue owner said',
+    labels=('result',),
+)
+ADMISSIONS_WAITING: Final = Metric(
+    name='guavagate_admissions_waiting',
+    kind=MetricKind.GAUGE,
+    text='Requests that wait for a slot of their service at this queue owner',
+    plotted=True,
+)
--- a/guavagate/platform/_edge.py
+++ b/guavagate/platform/_edge.py
@@ -11,7 +11,7 @@
     KeyAuthenticator,
     RequestHandler,
 )
-from guavagate.http1 import Exchange
+from guavagate.http1 import Exchange, HttpServer
 from guavagate.jobs import ItemId, JobId
 from guavagate.models import TeamId
 from guavagate.platform import const
@@ -43,6 +43,10 @@
         self._jobs = jobs
         self._bodies = bodies
 
+    def serve(self, address: str) -> HttpServer:
+        """Return a server for callers and trainers, not yet started."""
+        return self._bodies.make_server(address, self._clock, self.handle)
+
     def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         exchange.id = exchange.get_header(const.REQUEST_ID.lower())
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -4,7 +4,7 @@
 import secrets
 from typing import Final
 
-from guavagate.admission import EntryMemory
+from guavagate.admission import EntryMemory, ServiceAdmission
 from guavagate.clock import SystemClock
 from guavagate.duties import UsageAccounting
 from guavagate.events import edge as edge_events
@@ -19,11 +19,7 @@
     RequestHandler,
 )
 from guavagate.helpers.mirror import Mirror
-from guavagate.http1 import (
-    ConnectionPool,
-    HttpServer,
-    ServerLimits,
-)
+from guavagate.http1 import ConnectionPool, HttpServer
 from guavagate.integrations.object_api import (
     PeerFallback,
     make_shared_client,
@@ -109,6 +105,15 @@
         ownership = Ownership(self._members, me.id, self._members.boot)
         self._ownership = ownership
         self._instance_id = me.id
+        self._admission = ServiceAdmission(
+            self._clock,
+            self._bus,
+            self._members,
+            me.id,
+            self._routes,
+            self._upstreams,
+            self._metrics,
+        )
         self._renewals = Renewals(self._bus)
         self._duties = PlatformDuties(settings.cloud_api.address, self._pool)
         job_store = JobStore(
@@ -252,15 +257,7 @@
         ]
         if listen.front:
             edge = self._make_edge(job_store, reader)
-            servers.append(
-                HttpServer(
-                    listen.front,
-                    self._clock,
-                    edge.handle,
-                    self._get_limits,
-                    self._memory,
-                )
-            )
+            servers.append(edge.serve(listen.front))
         if listen.ready:
             servers.append(
                 HttpServer(
@@ -284,6 +281,7 @@
                 self._forwarders.streams,
                 metrics,
                 self._usage.record,
+                self._admission,
             ),
             JobHandler(clock, routes, job_store, reader, metrics, encode_page),
             BodyReader(routes, self._feed.wait_loaded, self._memory),
@@ -306,10 +304,6 @@
             serves_callers=bool(self._settings.listen.front),
         )
 
-    def _get_limits(self) -> ServerLimits:
-        configuration = self._routes.configuration
-        return ServerLimits() if configuration is None else configuration.limits
-
     def reload(self, path: str) -> None:
         """Read the settings again; parts that are built keep the old ones."""
         try:
--- a/tests/platform/test_edge_keys.py
+++ b/tests/platform/test_edge_keys.py
@@ -32,6 +32,7 @@
 from guavagate.platform._jobs import encode_page
 from guavagate.ports.configuration import Configuration, RouteKind, Team
 from guavagate.routing import RouteTable, UpstreamTable
+from tests.admission.common import make_admission
 from tests.forwarding.common import start_upstream
 from tests.quarantine.common import make_quarantine
 from tests.routing.test_routes import make_route
@@ -114,6 +115,7 @@
                 StreamForwarder(clock, upstreams, runner, guard),
                 Metrics(),
                 lambda team, _: self.usage.append(team),
+                make_admission(clock, self.routes, upstreams),
             ),
             JobHandler(
                 clock,
