Follow the queue owner only to upstreams that work here

Cause: a request went to the upstream that the owner named even if this entry had ejected it, or was to send it probes only.

Change: the named upstream is chosen by the table's rules, and not while it is ejected here.

--- a/guavagate/forwarding/_forwarders.py
+++ b/guavagate/forwarding/_forwarders.py
@@ -36,7 +36,9 @@
     runner = AttemptRunner(clock, pool, upstreams, dialect, quarantine)
     guard = RequestGuard(quarantine, upstreams)
     return Forwarders(
-        unary=Forwarder(clock, PreferredUpstreams(upstreams), runner, guard),
+        unary=Forwarder(
+            clock, PreferredUpstreams(clock, upstreams), runner, guard
+        ),
         streams=StreamForwarder(clock, upstreams, runner, guard),
         rewards=RewardForwarder(
             clock, routes, upstreams, runner, dialect, guard
--- a/guavagate/forwarding/_preferred.py
+++ b/guavagate/forwarding/_preferred.py
@@ -10,6 +10,7 @@
 from contextvars import ContextVar
 from typing import Final
 
+from guavagate.clock import Clock
 from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.upstreams import Upstream
 from guavagate.routing import UpstreamTable
@@ -31,7 +32,8 @@
 class PreferredUpstreams:
     """Chooses the preferred upstream first; implements `UpstreamChooser`."""
 
-    def __init__(self, upstreams: UpstreamTable) -> None:
+    def __init__(self, clock: Clock, upstreams: UpstreamTable) -> None:
+        self._clock = clock
         self._upstreams = upstreams
 
     def choose(
@@ -39,11 +41,22 @@
     ) -> Upstream | None:
         """Return an upstream that was not tried, or `None`."""
         preferred = _PREFERRED.get()
-        for upstream in self._upstreams.serving(service):
-            if upstream.id == preferred and upstream.id not in tried:
+        if preferred is not None and self._is_healthy(preferred):
+            others = {
+                each.id
+                for each in self._upstreams.serving(service)
+                if each.id != preferred
+            }
+            # Not if it leaves, or gets probes only.
+            upstream = self._upstreams.choose(service, tried | others)
+            if upstream is not None:
                 return upstream
         return self._upstreams.choose(service, tried)
 
+    def _is_healthy(self, upstream: UpstreamId) -> bool:
+        load = self._upstreams.load(upstream)
+        return load.ejected_until <= self._clock.now()
+
     def record_timeout(self, upstream: UpstreamId) -> None:
         """Record that an upstream sent no answer in the time it had."""
         self._upstreams.record_timeout(upstream)
--- a/tests/admission/test_fair_failures.py
+++ b/tests/admission/test_fair_failures.py
@@ -176,3 +176,18 @@
     fleet.send('a', entry)
     fleet.clock.advance(0.2)
     assert fleet.count_messages() == 0
+
+
+def test_an_entry_does_not_follow_the_owner_to_a_failing_upstream() -> None:
+    """The owner has not met its failures yet."""
+    fleet = Fleet()
+    _saturate(fleet)
+    entry = _find_entry(fleet)
+    for _ in range(2):
+        fleet.tables[entry].record_failure(UpstreamId('u-0'))
+    for _ in range(2):
+        fleet.send('a', entry)
+        fleet.clock.advance(0.02)
+        assert fleet.busy['u-0'] == 0
+    fleet.clock.advance(0.2)
+    assert len(fleet.list_served()) == 2
