Notice lost callers as soon as before while their requests run

Cause: the kernel's limit for unacknowledged data had been raised to the idle timeout for the whole connection of a caller. It also decides how long probes may stay unanswered, so a caller that was lost without a reset was noticed after 15 s instead of 3 s, and its upstream ran on.

Change: the longer limit holds from the start of an answer to the next request only.

Tested: tests/http1/test_slow_callers.py (new test and its row among the safeguards, caught).

--- a/guavagate/http1/_caller_connection.py
+++ b/guavagate/http1/_caller_connection.py
@@ -13,6 +13,7 @@
 
 from guavagate.clock import Clock, Task
 from guavagate.http1._caller_writer import STREAM_BUFFER_BYTES, CallerWriter
+from guavagate.http1._sockets import limit_unacknowledged
 
 _READ_BYTES: Final = 65_536
 # Most bytes buffered ahead of the request being served; reading then pauses.
@@ -111,6 +112,16 @@
             self._read_resumed.set()
             self._data_arrived.wait()
 
+    def begin_request(self) -> None:
+        """Detect a lost caller soon, while nothing is sent to it."""
+        with contextlib.suppress(OSError):
+            limit_unacknowledged(self._sock, 0)
+
+    def begin_answer(self) -> None:
+        """Allow the caller to read nothing for the idle timeout."""
+        with contextlib.suppress(OSError):
+            limit_unacknowledged(self._sock, self._limits.idle_timeout)
+
     def write(self, event: h11.Event) -> None:
         """Send an event of the response; block until the kernel has it all."""
         data = self.http.send(event)
--- a/guavagate/http1/_exchange.py
+++ b/guavagate/http1/_exchange.py
@@ -130,6 +130,7 @@
         )
         extra = [] if keep_open else [(b'Connection', b'close')]
         self.started = True
+        self._connection.begin_answer()
         self._connection.write(
             h11.Response(
                 status_code=status,
--- a/guavagate/http1/_server.py
+++ b/guavagate/http1/_server.py
@@ -142,7 +142,7 @@
 
     def _serve(self, sock: socket.socket, _: object) -> None:
         limits = self._limits()
-        set_caller_options(sock, limits.idle_timeout)
+        set_caller_options(sock)
         connection = CallerConnection(
             sock, self._clock, limits, self._is_closing
         )
@@ -168,6 +168,7 @@
         )
         exchange = Exchange(connection, request, self._memory.open_account())
         self._running.add(connection)
+        connection.begin_request()
         try:
             self._run(exchange)
         finally:
--- a/guavagate/http1/_sockets.py
+++ b/guavagate/http1/_sockets.py
@@ -21,19 +21,22 @@
 CALLER_RECEIVE_BYTES: Final = 131_072
 
 
-def set_caller_options(sock: socket.socket, idle_timeout: float) -> None:
-    """Set the options of a caller's connection.
-
-    The kernel takes a peer that accepts no data for unresponsive, even one that
-    acknowledges its probes. Callers may read nothing for the idle timeout.
-    """
+def set_caller_options(sock: socket.socket) -> None:
+    """Set the options of a caller's connection."""
     set_socket_options(sock)
-    millis = max(int(idle_timeout * 1000), UNACKNOWLEDGED_MILLIS)
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, millis)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CALLER_RECEIVE_BYTES)
 
 
+def limit_unacknowledged(sock: socket.socket, seconds: float) -> None:
+    """Set how long the peer may accept no data, or not answer a probe.
+
+    The kernel takes a peer that reads nothing for unresponsive, even one that
+    answers its probes. No limit is shorter than the usual one.
+    """
+    millis = max(int(seconds * 1000), UNACKNOWLEDGED_MILLIS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, millis)
+
+
 def set_socket_options(sock: socket.socket) -> None:
     """Send small writes at once, and detect an unresponsive peer."""
     tcp = socket.IPPROTO_TCP
--- a/standins/_safeguard_admission.py
+++ b/standins/_safeguard_admission.py
@@ -22,10 +22,17 @@
     Safeguard(
         'the kernel allows callers the idle timeout',
         'guavagate/http1/_sockets.py',
-        'millis = max(int(idle_timeout * 1000), UNACKNOWLEDGED_MILLIS)',
+        'millis = max(int(seconds * 1000), UNACKNOWLEDGED_MILLIS)',
         'millis = UNACKNOWLEDGED_MILLIS',
         'tests/http1/test_slow_callers.py',
     ),
+    Safeguard(
+        'a caller lost without a reset is noticed while its request runs',
+        'guavagate/http1/_server.py',
+        '        connection.begin_request()\n',
+        '',
+        'tests/http1/test_slow_callers.py',
+    ),
     Safeguard(
         'a caller that is still sending can read its refusal',
         'guavagate/http1/_caller_connection.py',
--- a/tests/http1/test_slow_callers.py
+++ b/tests/http1/test_slow_callers.py
@@ -92,6 +92,26 @@
     assert caller.read(_LARGE - 1000) == _LARGE - 1000
 
 
+def test_a_lost_caller_is_still_noticed_soon_while_its_request_runs() -> None:
+    """Only an answer under way has the longer limit of the kernel.
+
+    The limit also decides how long a caller may leave probes unanswered.
+    """
+    limits: list[int] = []
+
+    def note(exchange: Exchange) -> None:
+        sock = exchange._connection._sock
+        option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        limits.append(sock.getsockopt(*option))
+        exchange.respond(200, [], b'')
+        limits.append(sock.getsockopt(*option))
+
+    bench = ServerBench(note, ServerLimits(idle_timeout=9))
+    for _ in range(2):
+        bench.send(_HEAD)
+    assert limits == [3000, 9000, 3000, 9000]
+
+
 def test_a_stop_waits_for_callers_that_make_progress_only(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
