--- a/standins/_safeguard_admission.py
+++ b/standins/_safeguard_admission.py
@@ -53,7 +53,7 @@
         'guavagate/forwarding/_stream.py',
         'if progress.exchange.disconnected.is_set():',
         'if False:',
-        'tests/forwarding/test_slow_streams.py',
+        'tests/forwarding/test_stream.py',
     ),
     Safeguard(
         'small requests go on beside large bodies',
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -5,6 +5,7 @@
 import pytest
 
 from guavagate.forwarding import OutcomeKind
+from guavagate.models import UpstreamId
 from tests.forwarding.stream_bench import (
     END,
     FULL,
@@ -128,8 +129,13 @@
 ) -> None:
     """The upstream sees its connection closed while it still streams."""
     bench.add('a', 'z', HEAD + make_chunk(make_event(1)), pause=2)
+    bench.add('b', 'y', HEAD + make_chunk(make_event(2)), pause=2)
     bench.stream(leave=True)
     assert bench.disconnected == ['a']
+    # The upstream is not at fault, and nobody is there to resume for.
+    assert list(bench.requests) == ['a']
+    assert bench.outcomes[0].kind is OutcomeKind.CALLER_LEFT
+    assert bench.upstreams.load(UpstreamId('a')).failures == 0
 
 
 def test_the_answer_to_another_request_is_not_forwarded(
