Cut off no caller because this instance was suspended

Cause: the idle timeout of a write went on while the process was suspended, so that a caller that waited for it was cut off on its return.

Change: a try of a write that took longer than a second was interrupted, and the caller's time begins anew.

Tested: tests/forwarding/test_slow_streams.py (new test, fails before; its row among the safeguards is caught).

--- a/guavagate/http1/_caller_writer.py
+++ b/guavagate/http1/_caller_writer.py
@@ -21,6 +21,9 @@
 # Between two tries of a write. A caller that takes nothing is cut off so much
 # late at most, and its upstream run must be cancelled within 0.5 s.
 CHECK_SECONDS: Final = 0.1
+# A try that takes longer was interrupted: this process was suspended, and the
+# caller had no chance to take anything.
+SUSPENSION_SECONDS: Final = 1.0
 # Events of a stream that wait for its caller. A whole stream of 700 events of
 # a few hundred bytes fits, and 300 slow callers hold 75 MB.
 STREAM_BUFFER_BYTES: Final = 262_144
@@ -126,13 +129,14 @@
 
     def _flush(self) -> None:
         while self._queue:
+            before = self._clock.now()
             try:
                 sent = self._send_when_writable()
             except OSError:
                 self._fail()
                 return
             now = self._clock.now()
-            if sent:
+            if sent or now - before > SUSPENSION_SECONDS:
                 self._progress_at = now
             elif now - self._progress_at >= self._idle_timeout:
                 self.is_cut_off = True
--- a/standins/_safeguard_admission.py
+++ b/standins/_safeguard_admission.py
@@ -19,6 +19,13 @@
         'self._clock.timeout(self._idle_timeout, _NotWritableError)',
         'tests/http1/test_slow_callers.py',
     ),
+    Safeguard(
+        'a suspension of the instance cuts off no caller',
+        'guavagate/http1/_caller_writer.py',
+        'if sent or now - before > SUSPENSION_SECONDS:',
+        'if sent:',
+        'tests/forwarding/test_slow_streams.py',
+    ),
     Safeguard(
         'the kernel allows callers the idle timeout',
         'guavagate/http1/_sockets.py',
--- a/tests/forwarding/test_slow_streams.py
+++ b/tests/forwarding/test_slow_streams.py
@@ -36,6 +36,16 @@
 )
 
 
+class _SuspendedClock(SystemClock):
+    """A clock whose time jumps ahead, as after a suspension."""
+
+    suspended: float = 0
+
+    def now(self) -> float:
+        """Return the monotonic time."""
+        return super().now() + self.suspended
+
+
 @pytest.fixture
 def bench() -> Iterator[StreamBench]:
     """Return a bench without upstreams."""
@@ -91,6 +101,21 @@
     assert bench.upstreams.load(UpstreamId('a')).failures == 0
 
 
+def test_a_suspension_of_the_instance_cuts_off_nobody() -> None:
+    """The caller had no chance to take anything meanwhile."""
+    clock = _SuspendedClock()
+    caller, entry = socket.socketpair()
+    writer = CallerWriter(entry, clock, 0.4, caller.close)
+    writing = gevent.spawn(writer.write, bytes(2_000_000))
+    gevent.sleep(0.15)
+    clock.suspended = 20
+    gevent.sleep(0.15)
+    with gevent.Timeout(1, TimeoutError):
+        while not writing.ready():
+            caller.recv(100_000)
+    assert writing.successful()
+
+
 def test_the_upstream_is_read_until_the_buffer_is_full() -> None:
     """An upstream cuts off an answer that stays unread for some seconds."""
     caller, entry = socket.socketpair()
