Let small requests go on beside the answers of large ones

Cause: on a busy machine a small request was refused in the load test. Two bodies of 32 MB and their answers, which nobody may refuse, take 128 MB, and the budget of an instance of 200 MB is 127 MB.

Change: requests of up to 16 KB go on up to 1.1 times the budget, into the tenth that is set aside for the allocator.

Tested: tests/admission/test_memory.py (the test of the hard bound covers it and fails before), and the load tests three times beside fourteen busy loops on twelve cores.

--- a/guavagate/admission/_memory.py
+++ b/guavagate/admission/_memory.py
@@ -17,6 +17,10 @@
 # Share of the budget that large bodies may fill. The rest is for answers, and
 # for small requests, which go on.
 LARGE_SHARE: Final = 0.75
+# Share up to which small requests go on, into what is set aside for the
+# allocator: the answers of two 32 MB bodies, beside these, exceed the budget of
+# an instance of 200 MB by a hundredth.
+SMALL_SHARE: Final = 1.1
 # Memory of a body while it is read, relative to its size: the buffer grows by
 # an eighth at a time, and received data waits beside it.
 READING_SHARE: Final = 1.2
@@ -42,7 +46,7 @@
         growth
             The bytes that it takes beyond those it has reserved.
         """
-        share = 1 if size <= SMALL_BODY_BYTES else LARGE_SHARE
+        share = SMALL_SHARE if size <= SMALL_BODY_BYTES else LARGE_SHARE
         return self.held + growth <= self.limit * share
 
     def change(self, growth: int) -> None:
