--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -66,6 +66,7 @@
         self.tasks: list[Task] = []
         self.running = 0
         self.may_repeat = False
+        self.preferred: UpstreamId | None = None
         self.may_have_run = False
         self.failed_answers = 0
         self.failed_answer: Attempt | None = None
@@ -83,7 +84,11 @@
     """Chooses an upstream for each attempt."""
 
     def choose(
-        self, service: ServiceId, tried: set[UpstreamId]
+        self,
+        service: ServiceId,
+        tried: set[UpstreamId],
+        *,
+        preferred: UpstreamId | None = None,
     ) -> Upstream | None:
         """Return an upstream that was not tried, or `None`."""
 
@@ -120,6 +125,7 @@
         results: Queue,
         *,
         may_repeat: bool = False,
+        preferred: UpstreamId | None = None,
     ) -> Outcome:
         """Return the outcome; attempts that are still running are cancelled.
 
@@ -129,9 +135,12 @@
             Queue that receives `None` when the caller disconnects.
         may_repeat
             Whether the request may be repeated regardless of its route.
+        preferred
+            The upstream to try first, if it is usable.
         """
         progress = _Progress(call, route, service, results)
         progress.may_repeat = may_repeat or route.kind is RouteKind.IDEMPOTENT
+        progress.preferred = preferred
         try:
             outcome = self._run(progress)
             outcome.failed_answers = progress.failed_answers
@@ -262,7 +271,9 @@
         progress.refusal = self._guard.check(call, service)
         if progress.refusal is not None:
             return
-        upstream = self._upstreams.choose(service, progress.tried)
+        upstream = self._upstreams.choose(
+            service, progress.tried, preferred=progress.preferred
+        )
         if upstream is None:
             return
         progress.tried.add(upstream.id)
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -46,7 +46,11 @@
         )
 
     def choose(
-        self, service: ServiceId, tried: set[UpstreamId]
+        self,
+        service: ServiceId,
+        tried: set[UpstreamId],
+        *,
+        preferred: UpstreamId | None = None,
     ) -> Upstream | None:
         """Return an upstream for one request, or `None` if all are full."""
         with_capacity = {
@@ -59,7 +63,9 @@
             for each in self._upstreams.serving(service)
             if each.id not in with_capacity
         }
-        return self._upstreams.choose(service, tried | excluded)
+        return self._upstreams.choose(
+            service, tried | excluded, preferred=preferred
+        )
 
     def record_timeout(self, upstream: UpstreamId) -> None:
         """Record that an upstream sent no answer in the time it had."""
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -1,9 +1,10 @@
 """HTTP client with pooled connections to upstreams."""
 
 import contextlib
+import io
 import select
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import h11
@@ -17,6 +18,7 @@
     UpstreamUnreachableError,
 )
 from guavagate.http1._messages import Headers, Request, find_header
+from guavagate.http1._request_writer import send_request
 from guavagate.http1._sockets import set_socket_options
 
 CONNECT_SECONDS: Final = 1.0
@@ -113,8 +115,16 @@
         self._release()
 
     def read(self) -> bytes:
-        """Return the complete body."""
-        return b''.join(self.chunks())
+        """Return the complete body; its memory counts while it is read."""
+        # Unlike a list of parts, it makes no second copy of the body.
+        body = io.BytesIO()
+        try:
+            for chunk in self.chunks():
+                self._pool.charge(len(chunk))
+                body.write(chunk)
+            return body.getvalue()
+        finally:
+            self._pool.charge(-body.tell())
 
     def close(self) -> None:
         """Close the connection unless it is back in the pool."""
@@ -163,11 +173,25 @@
             self._pool.release(self._address, connection, self)
 
 
+def _charge_nothing(growth: int) -> None:
+    """Count no memory."""
+
+
 class ConnectionPool:
-    """A process's connections to upstreams, by address."""
+    """A process's connections to upstreams, by address.
 
-    def __init__(self, clock: Clock) -> None:
+    Parameters
+    ----------
+    charge
+        Called with the bytes by which the answers being read grow, or shrink
+        if negative.
+    """
+
+    def __init__(
+        self, clock: Clock, charge: Callable[[int], None] = _charge_nothing
+    ) -> None:
         self._clock = clock
+        self.charge = charge
         self._idle: dict[str, deque[Connection]] = {}
         self.opened = 0
 
@@ -211,7 +235,7 @@
         answer = Answer(self, address, connection)
         with self._limit_time(address, timeout):
             try:
-                _write(connection, request, body)
+                send_request(connection.http, connection.sock, request, body)
                 answer.read_head()
             except BaseException:
                 answer.close()
@@ -317,35 +341,6 @@
         )
 
 
-def _write(connection: Connection, request: Request, body: bytes) -> None:
-    """Send a request; the upstream may respond before all is sent."""
-    http = connection.http
-    headers = list(request.headers)
-    if body or request.method not in {'GET', 'HEAD', 'DELETE'}:
-        headers.append((b'Content-Length', str(len(body)).encode()))
-    try:
-        parts = [
-            http.send(
-                h11.Request(
-                    method=request.method,
-                    target=request.target,
-                    headers=headers,
-                )
-            ),
-            http.send(h11.Data(data=body)) if body else b'',
-            http.send(h11.EndOfMessage()),
-        ]
-    except h11.LocalProtocolError as error:
-        raise UpstreamNotStartedError(
-            f'the request can not be sent on ({error})',
-            'send a request that is valid HTTP/1.1',
-        ) from error
-    # An upstream may respond and close while a long body is being sent. The
-    # write then fails, but the response can still be read.
-    with contextlib.suppress(OSError):
-        connection.sock.sendall(b''.join(part for part in parts if part))
-
-
 def _read_keep_alive(answer: Answer) -> float:
     for part in answer.get_header(b'keep-alive').split(','):
         name, _, amount = part.strip().partition('=')
--- a/guavagate/http1/_exchange.py
+++ b/guavagate/http1/_exchange.py
@@ -1,14 +1,14 @@
 """A request of a caller and the response to it."""
 
+import io
 from collections.abc import Callable
 from typing import Final
 
 import h11
 
-from guavagate.http1._caller_connection import (
-    CallerConnection,
-    CallerDisconnectedError,
-)
+from guavagate.http1._caller_connection import CallerConnection
+from guavagate.http1._caller_writer import CallerDisconnectedError
+from guavagate.http1._memory import MemoryAccount, UnlimitedAccount
 from guavagate.http1._messages import Headers, Request, find_header
 
 _REASON_PHRASES: Final = {
@@ -23,12 +23,33 @@
     """The request body exceeds the limit."""
 
 
-class Exchange:
-    """A request of a caller and the response to it."""
+class BodyRefusedError(Exception):
+    """There is no memory for the request body; the rest is not read."""
+
 
-    def __init__(self, connection: CallerConnection, request: Request) -> None:
+class Exchange:
+    """A request of a caller and the response to it.
+
+    Attributes
+    ----------
+    id
+        The request's id, for the log; set by a handler that knows it.
+    keep_open
+        Whether the connection may carry another request after this one.
+    """
+
+    def __init__(
+        self,
+        connection: CallerConnection,
+        request: Request,
+        account: MemoryAccount | None = None,
+    ) -> None:
         self._connection = connection
         self.request = request
+        self.account = account or UnlimitedAccount()
+        connection.writer.on_size = self.account.hold_answer
+        self.id = ''
+        self.keep_open = True
         self.disconnected = connection.disconnected
         self.started = False
         self.ended = False
@@ -59,23 +80,38 @@
         ------
         BodyTooLargeError
             The body exceeds the limit; the rest is not read.
+        BodyRefusedError
+            There is no memory for it; the rest is not read.
         CallerDisconnectedError
             The caller disconnected before the body was complete.
         SlowBodyError
             No more of it arrived within the idle timeout.
         """
-        parts: list[bytes] = []
-        size = 0
+        declared = self._get_declared_size()
+        if declared > limit:
+            raise BodyTooLargeError
+        if not self.account.admit_body(declared):
+            raise BodyRefusedError
+        # Unlike a list of parts, it makes no second copy of the body.
+        body = io.BytesIO()
         while True:
             event = self._connection.next_body_event()
             if isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
+                self.account.hold_body(body.tell())
+                return body.getvalue()
             if not isinstance(event, h11.Data):
                 raise CallerDisconnectedError
-            size += len(event.data)
+            size = body.tell() + len(event.data)
             if size > limit:
                 raise BodyTooLargeError
-            parts.append(bytes(event.data))
+            if size > declared and not self.account.admit_body(size):
+                raise BodyRefusedError
+            body.write(event.data)
+
+    def _get_declared_size(self) -> int:
+        """Return the body's `Content-Length`, or 0 if it has none."""
+        declared = self.get_header(b'content-length')
+        return int(declared) if declared.isdecimal() else 0
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
@@ -90,9 +126,11 @@
         keep_open = (
             self._connection.discard_body()
             and not self._connection.is_closing()
+            and self.keep_open
         )
         extra = [] if keep_open else [(b'Connection', b'close')]
         self.started = True
+        self._connection.begin_answer()
         self._connection.write(
             h11.Response(
                 status_code=status,
@@ -102,9 +140,13 @@
         )
 
     def send(self, part: bytes) -> None:
-        """Send a part of the response body."""
+        """Send a part of the response body; wait for the caller."""
         self._connection.write(h11.Data(data=part))
 
+    def send_ahead(self, part: bytes) -> None:
+        """Send a part of the response body; wait only on a full buffer."""
+        self._connection.write_ahead(h11.Data(data=part))
+
     def end(self) -> None:
         """Mark the response as complete."""
         self._connection.write(h11.EndOfMessage())
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -4,19 +4,21 @@
 import secrets
 from typing import Final
 
+from guavagate.admission import EntryMemory, ServiceAdmission
 from guavagate.clock import SystemClock
 from guavagate.duties import UsageAccounting
 from guavagate.events import edge as edge_events
 from guavagate.events import write
 from guavagate.exceptions import SettingsError
 from guavagate.feeds import Feed
-from guavagate.front import JobHandler, KeyAuthenticator, RequestHandler
-from guavagate.helpers.mirror import Mirror
-from guavagate.http1 import (
-    ConnectionPool,
-    HttpServer,
-    ServerLimits,
+from guavagate.front import (
+    BodyReader,
+    JobHandler,
+    KeyAuthenticator,
+    RequestHandler,
 )
+from guavagate.helpers.mirror import Mirror
+from guavagate.http1 import ConnectionPool, HttpServer
 from guavagate.integrations.object_api.fleet_client import make_fleet_client
 from guavagate.jobs import JobReader, JobStore, Ownership
 from guavagate.lifecycle import Lifecycle
@@ -64,7 +66,8 @@
         self._bus = ZmqBus(
             me.id, me.peer_address, self._members.address, self._clock
         )
-        self._pool = ConnectionPool(self._clock)
+        self._memory = EntryMemory(self._metrics, settings.limits.memory_mb)
+        self._pool = ConnectionPool(self._clock, self._memory.budget.change)
         self._store = self._make_store()
         self._routes = RouteTable()
         self._upstreams = UpstreamTable(
@@ -98,6 +101,15 @@
         ownership = Ownership(self._members, me.id, self._members.boot)
         self._ownership = ownership
         self._instance_id = me.id
+        self._admission = ServiceAdmission(
+            self._clock,
+            self._bus,
+            self._members,
+            me.id,
+            self._routes,
+            self._upstreams,
+            self._metrics,
+        )
         self._renewals = Renewals(self._bus)
         self._duties = PlatformDuties(settings.cloud_api.address, self._pool)
         writer = f'{me.id}/{secrets.token_hex(4)}'
@@ -231,11 +243,7 @@
         ]
         if listen.front:
             edge = self._make_edge(reader)
-            servers.append(
-                HttpServer(
-                    listen.front, self._clock, edge.handle, self._get_limits
-                )
-            )
+            servers.append(edge.serve(listen.front))
         if listen.ready:
             servers.append(
                 HttpServer(
@@ -260,9 +268,10 @@
                 self._forwarders.streams,
                 metrics,
                 self._usage.record,
+                self._admission,
             ),
             JobHandler(clock, routes, intake, reader, metrics, encode_page),
-            self._feed.wait_loaded,
+            BodyReader(routes, self._feed.wait_loaded, self._memory),
         )
 
     def _make_usage(self) -> UsageAccounting:
@@ -282,10 +291,6 @@
             serves_callers=bool(self._settings.listen.front),
         )
 
-    def _get_limits(self) -> ServerLimits:
-        configuration = self._routes.configuration
-        return ServerLimits() if configuration is None else configuration.limits
-
     def reload(self, path: str) -> None:
         """Read the settings again; parts that are built keep the old ones."""
         try:
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -47,9 +47,13 @@
 
 
 class LimitsTable(_Table, frozen=True, kw_only=True):
-    """Limits of the instance's machine; 0 where unknown."""
+    """Limits of the machine and of the process; 0 where unknown.
+
+    The process is killed beyond `memory_mb`.
+    """
 
     link_mbps: float = 0
+    memory_mb: float = 0
 
 
 class StoreTable(_Table, frozen=True, kw_only=True):
--- a/guavagate/routing/_choice.py
+++ b/guavagate/routing/_choice.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from guavagate.models import UpstreamId
 from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
 
@@ -106,6 +107,7 @@
     is_connected: IsConnected = has_no_connection,
     *,
     lasting: bool = False,
+    preferred: UpstreamId | None = None,
 ) -> Upstream | None:
     """Return the upstream for one more request, or None if there is none.
 
@@ -118,6 +120,9 @@
         Returns whether this instance has an idle connection to an address.
     lasting
         Whether the work lasts longer than a reported slowdown.
+    preferred
+        The upstream that the service's queue owner has granted, if any. The
+        owner knows the requests of all instances, this one only its own.
     """
     if not upstreams:
         return None
@@ -126,6 +131,9 @@
         for each in upstreams
         if loads.setdefault(each.id, Load()).ejected_until <= now
     ]
+    granted = [each for each in usable if each.id == preferred]
+    if granted:
+        return granted[0]
     ranked = [
         _Rank(
             score(each, loads[each.id], zone, now)
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -165,6 +165,7 @@
         tried: set[UpstreamId],
         *,
         lasting: bool = False,
+        preferred: UpstreamId | None = None,
     ) -> Upstream | None:
         """Return the upstream for one more request, among those not tried.
 
@@ -175,6 +176,8 @@
         ----------
         lasting
             Whether the work lasts for seconds, longer than reported slowdowns.
+        preferred
+            The upstream to choose if it is usable.
         """
         now = self._clock.now()
         serving = self.serving(service)
@@ -189,6 +192,7 @@
             self._random,
             self._is_connected,
             lasting=lasting,
+            preferred=preferred,
         )
         if chosen is not None and is_failing_probes(
             self._loads[chosen.id], now
--- a/tests/platform/test_edge_keys.py
+++ b/tests/platform/test_edge_keys.py
@@ -7,6 +7,7 @@
 import pytest
 from gevent import socket
 
+from guavagate.admission import EntryMemory
 from guavagate.auth import hash_token, make_bounds
 from guavagate.clock import SystemClock
 from guavagate.exceptions import StoreUnavailableError
@@ -16,7 +17,12 @@
     RequestGuard,
     StreamForwarder,
 )
-from guavagate.front import JobHandler, KeyAuthenticator, RequestHandler
+from guavagate.front import (
+    BodyReader,
+    JobHandler,
+    KeyAuthenticator,
+    RequestHandler,
+)
 from guavagate.http1 import ConnectionPool, HttpServer, ServerLimits
 from guavagate.jobs import Job, LookupStatus
 from guavagate.metrics import Metrics
@@ -26,6 +32,7 @@
 from guavagate.platform._jobs import encode_page
 from guavagate.ports.configuration import Configuration, RouteKind, Team
 from guavagate.routing import RouteTable, UpstreamTable
+from tests.admission.common import make_admission
 from tests.forwarding.common import start_upstream
 from tests.quarantine.common import make_quarantine
 from tests.routing.test_routes import make_route
@@ -108,6 +115,7 @@
                 StreamForwarder(clock, upstreams, runner, guard),
                 Metrics(),
                 lambda team, _: self.usage.append(team),
+                make_admission(clock, self.routes, upstreams),
             ),
             JobHandler(
                 clock,
@@ -117,7 +125,7 @@
                 Metrics(),
                 encode_page,
             ),
-            lambda _: True,
+            BodyReader(self.routes, lambda _: True, EntryMemory(Metrics())),
         )
         self.server = HttpServer(
             '127.0.0.1:0', clock, edge.handle, ServerLimits
