Decide in one place which upstreams a request may use

Cause: seven paths lead to an upstream (plain requests, streams, hedges, rewards, probes, items, orders), and only 'leaving' was known to them. Evacuations, regions and warm-up would each have to be added to all.

`all()` is now `registered()`, for bookkeeping only. Refusals name the obstacle.

--- a/guavagate/duties/_scaler.py
+++ b/guavagate/duties/_scaler.py
@@ -247,7 +247,7 @@
         self, scaling: Scaling
     ) -> dict[ZoneId, UpstreamCounts]:
         counts = {zone: UpstreamCounts() for zone in scaling.zone_prices}
-        for upstream in self._upstreams.all():
+        for upstream in self._upstreams.registered():
             if upstream.service != self._service:
                 continue
             count = counts.setdefault(upstream.zone, UpstreamCounts())
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -28,12 +28,17 @@
 )
 from guavagate.forwarding._finding import Finding, NoOutages, OutageChecker
 from guavagate.forwarding._guard import Refusal, RequestGuard
-from guavagate.forwarding._outcome import Outcome, OutcomeKind
+from guavagate.forwarding._outcome import (
+    Outcome,
+    OutcomeKind,
+    describe_obstacle,
+)
 from guavagate.helpers.waits import QueueTimeoutError, get_within
-from guavagate.models import ServiceId, UpstreamId
+from guavagate.models import ANYWHERE, Regions, ServiceId, UpstreamId
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import Call
 from guavagate.ports.upstreams import Upstream
+from guavagate.routing import Obstacle
 
 # Share of the objective after which a second attempt starts; the rest is enough
 # for a usual answer from another upstream.
@@ -89,9 +94,15 @@
         tried: set[UpstreamId],
         *,
         preferred: UpstreamId | None = None,
+        regions: Regions = ANYWHERE,
     ) -> Upstream | None:
         """Return an upstream that was not tried, or `None`."""
 
+    def explain(
+        self, service: ServiceId, regions: Regions = ANYWHERE
+    ) -> Obstacle | None:
+        """Return why a request may use no upstream of a service, if so."""
+
     def record_timeout(self, upstream: UpstreamId) -> None:
         """Record that an upstream sent no answer in the time it had."""
 
@@ -153,7 +164,7 @@
     def _run(self, progress: _Progress) -> Outcome:
         objective = progress.route.objective
         if self._outages.refuses(progress.service, objective):
-            return self._refuse(progress.service)
+            return self._refuse(progress)
         started_at = self._clock.now()
         check_at = started_at + objective * CHECK_OBJECTIVES
         progress.timers.append((check_at, self._start_check))
@@ -272,7 +283,10 @@
         if progress.refusal is not None:
             return
         upstream = self._upstreams.choose(
-            service, progress.tried, preferred=progress.preferred
+            service,
+            progress.tried,
+            preferred=progress.preferred,
+            regions=call.regions,
         )
         if upstream is None:
             return
@@ -302,13 +316,15 @@
             return Outcome(OutcomeKind.UNKNOWN, reason='answers were lost')
         if progress.tried:
             return Outcome(OutcomeKind.NOT_RUN, reason='no upstream took it')
-        return self._refuse(progress.service)
+        return self._refuse(progress)
 
-    def _refuse(self, service: ServiceId) -> Outcome:
+    def _refuse(self, progress: _Progress) -> Outcome:
         """Return the outcome of a request that was sent to no upstream."""
+        service, regions = progress.service, progress.call.regions
+        obstacle = self._upstreams.explain(service, regions)
         return Outcome(
             OutcomeKind.NOT_RUN,
-            reason=_UNRESPONSIVE,
+            reason=describe_obstacle(obstacle) or _UNRESPONSIVE,
             retry_after=self._upstreams.compute_retry_after(service),
         )
 
--- a/guavagate/forwarding/_forwarders.py
+++ b/guavagate/forwarding/_forwarders.py
@@ -117,7 +117,7 @@
     notices: ServiceNotices,
 ) -> OutageDetector:
     """Return what finds services of which no upstream responds."""
-    prober = Prober(clock, pool, routes, dialect, metrics)
+    prober = Prober(clock, pool, routes, dialect, metrics, upstreams)
     detector = OutageDetector(clock, upstreams, prober.probe, notices)
     metrics.add_refresher(
         lambda: metrics.set_gauge(
--- a/guavagate/forwarding/_keep_alive.py
+++ b/guavagate/forwarding/_keep_alive.py
@@ -64,7 +64,7 @@
 
     def probe_due(self) -> None:
         """Probe where the newest idle connection is nearly too old."""
-        for upstream in self._upstreams.all():
+        for upstream in self._upstreams.registered():
             left = self._pool.get_idle_seconds_left(upstream.address)
             if left is not None and 0 <= left <= MARGIN_SECONDS:
                 self._keep(upstream)
--- a/guavagate/forwarding/_outages.py
+++ b/guavagate/forwarding/_outages.py
@@ -109,7 +109,7 @@
 
     def count_unresponsive(self) -> int:
         """Return the number of services that this instance refuses."""
-        services = {each.service for each in self._upstreams.all()}
+        services = {each.service for each in self._upstreams.registered()}
         return sum(
             self._upstreams.is_unavailable(each) or self._is_confirmed(each)
             for each in services
--- a/guavagate/forwarding/_outcome.py
+++ b/guavagate/forwarding/_outcome.py
@@ -11,6 +11,7 @@
 from guavagate.forwarding._attempt import Attempt
 from guavagate.ports.configuration import Route
 from guavagate.ports.dialect import Call
+from guavagate.routing import Obstacle
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -46,6 +47,11 @@
     stopped: bool = False
 
 
+def describe_obstacle(obstacle: Obstacle | None) -> str:
+    """Return the reason of a refusal, or '' if upstreams may be used."""
+    return '' if obstacle is None else f'no upstream: {obstacle.value}'
+
+
 def log_outcome(
     call: Call, route: Route, outcome: Outcome, seconds: float
 ) -> None:
--- a/guavagate/forwarding/_probes.py
+++ b/guavagate/forwarding/_probes.py
@@ -21,7 +21,7 @@
 from guavagate.ports.dialect import ProbeDialect
 from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
-from guavagate.routing import RouteTable
+from guavagate.routing import RouteTable, UpstreamTable
 
 # A time-out that comes this much too late says nothing about the upstream: this
 # process itself was suspended, and the answer may lie in its socket.
@@ -65,7 +65,9 @@
         routes: RouteTable,
         dialect: ProbeDialect,
         metrics: Metrics,
+        upstreams: UpstreamTable,
     ) -> None:
+        self._upstreams = upstreams
         self._clock = clock
         self._pool = pool
         self._routes = routes
@@ -79,6 +81,8 @@
         service = self._routes.find_service(upstream.service)
         if service is None or not service.health_path:
             return ProbeResult(ProbeState.UNKNOWN)
+        if self._upstreams.find_obstacle(upstream) is not None:
+            return ProbeResult(ProbeState.UNKNOWN)
         sent_at = self._clock.now()
         try:
             with self._clock.timeout(seconds, _ProbeExpiredError):
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -11,7 +11,7 @@
 from guavagate.forwarding._forward import Forwarder
 from guavagate.forwarding._guard import RequestGuard
 from guavagate.forwarding._outcome import Outcome, OutcomeKind
-from guavagate.models import ServiceId, UpstreamId
+from guavagate.models import ANYWHERE, Regions, ServiceId, UpstreamId
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import Call, Dialect
 from guavagate.ports.rewards import (
@@ -21,7 +21,12 @@
     RewardRoute,
 )
 from guavagate.ports.upstreams import Upstream
-from guavagate.routing import RouteTable, UpstreamTable, pick_service
+from guavagate.routing import (
+    Obstacle,
+    RouteTable,
+    UpstreamTable,
+    pick_service,
+)
 
 # Assumed for an upstream that registers no number of slots.
 DEFAULT_SLOTS: Final = 4
@@ -51,6 +56,7 @@
         tried: set[UpstreamId],
         *,
         preferred: UpstreamId | None = None,
+        regions: Regions = ANYWHERE,
     ) -> Upstream | None:
         """Return an upstream for one request, or `None` if all are full."""
         with_capacity = {
@@ -64,9 +70,18 @@
             if each.id not in with_capacity
         }
         return self._upstreams.choose(
-            service, tried | excluded, preferred=preferred
+            service,
+            tried | excluded,
+            preferred=preferred,
+            regions=regions,
         )
 
+    def explain(
+        self, service: ServiceId, regions: Regions = ANYWHERE
+    ) -> Obstacle | None:
+        """Return why a request may use no upstream of a service, if so."""
+        return self._upstreams.explain(service, regions)
+
     def record_timeout(self, upstream: UpstreamId) -> None:
         """Record that an upstream sent no answer in the time it had."""
         self._upstreams.record_timeout(upstream)
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -16,7 +16,11 @@
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
 from guavagate.forwarding._attempt import AttemptRunner
 from guavagate.forwarding._guard import RequestGuard
-from guavagate.forwarding._outcome import Outcome, OutcomeKind
+from guavagate.forwarding._outcome import (
+    Outcome,
+    OutcomeKind,
+    describe_obstacle,
+)
 from guavagate.http1 import (
     Answer,
     CallerDisconnectedError,
@@ -65,8 +69,12 @@
             if refusal is not None:
                 outcome = refusal.make_outcome(ran=progress.may_have_run)
                 break
-            upstream = self._upstreams.choose(service, tried, lasting=True)
+            upstream = self._upstreams.choose(
+                service, tried, lasting=True, regions=call.regions
+            )
             if upstream is None:
+                obstacle = self._upstreams.explain(service, call.regions)
+                outcome.reason = describe_obstacle(obstacle) or outcome.reason
                 retry_after = self._upstreams.compute_retry_after(service)
                 outcome.retry_after = retry_after
                 break
--- a/guavagate/jobs/_reclaim.py
+++ b/guavagate/jobs/_reclaim.py
@@ -264,6 +264,6 @@
     def _list_upstreams(self) -> list[Upstream]:
         return [
             each
-            for each in self._upstreams.all()
+            for each in self._upstreams.registered()
             if each.service == self._service
         ]
--- a/guavagate/models.py
+++ b/guavagate/models.py
@@ -1,7 +1,7 @@
 """Ids and states shared by all packages."""
 
 import enum
-from typing import NewType
+from typing import Final, NewType, TypeAlias
 
 InstanceId = NewType('InstanceId', str)
 ZoneId = NewType('ZoneId', str)
@@ -20,6 +20,10 @@
 Revision = NewType('Revision', int)
 WeightVersion = NewType('WeightVersion', int)
 
+# The regions that a request is bound to; `None` if it may use any.
+Regions: TypeAlias = frozenset[RegionId] | None
+ANYWHERE: Final[Regions] = None
+
 
 class NotRun(enum.Enum):
     """Whether a refused request is known not to have run."""
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -44,7 +44,7 @@
 from guavagate.quarantine import STOPPED_REQUESTS, make_quarantine
 from guavagate.retirement import Retirement
 from guavagate.rollouts import Renewals
-from guavagate.routing import RouteTable
+from guavagate.routing import EligibleSamplers, RouteTable
 from guavagate.service import JobServices
 
 _DECODER: Final = ObjectDecoder(
@@ -107,7 +107,7 @@
             ownership,
             routes,
             upstreams,
-            PlatformSamplers(pool),
+            EligibleSamplers(PlatformSamplers(pool), upstreams),
             self._forwarders.rewards,
             quarantine,
             settings.bounds.lease_ms / const.MILLIS,
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from guavagate.http1 import Answer, Headers, Request, find_header
-from guavagate.models import TeamId
+from guavagate.models import ANYWHERE, Regions, TeamId
 from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
 from guavagate.quarantine import RequestContent
@@ -16,7 +16,7 @@
 
     `team` is the team of the caller's key. `keyed` means that the
     configuration defines keys, so a caller's credentials must not be forwarded
-    to an upstream.
+    to an upstream. `regions` are those to which the request is bound.
     """
 
     id: str
@@ -26,6 +26,7 @@
     resume_after: int = 0
     team: TeamId = TeamId('')
     keyed: bool = False
+    regions: Regions = ANYWHERE
 
     @property
     def content(self) -> RequestContent:
--- a/guavagate/ports/sampler.py
+++ b/guavagate/ports/sampler.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from guavagate.models import TeamId, WeightVersion
+from guavagate.models import ANYWHERE, Regions, TeamId, WeightVersion
 from guavagate.ports.upstreams import Upstream
 
 # The HTTP method of an item's request.
@@ -15,7 +15,8 @@
 class ItemRequest(msgspec.Struct, frozen=True, kw_only=True):
     """An item to generate; resumes after event `resume_after` unless 0.
 
-    `team` is the job's team if the configuration defines teams.
+    `team` is the job's team if the configuration defines teams, and `regions`
+    those to which the job is bound.
     """
 
     id: str
@@ -25,6 +26,7 @@
     body: bytes
     resume_after: int = 0
     team: TeamId = TeamId('')
+    regions: Regions = ANYWHERE
 
 
 class TextEvent(msgspec.Struct, frozen=True):
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -9,7 +9,14 @@
 from guavagate.decisions.background import average_caller_slots
 from guavagate.events import forwarding as events
 from guavagate.events import write
-from guavagate.models import ServiceId, UpstreamId, ZoneId
+from guavagate.exceptions import UpstreamNotStartedError
+from guavagate.models import (
+    ANYWHERE,
+    Regions,
+    ServiceId,
+    UpstreamId,
+    ZoneId,
+)
 from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
 from guavagate.routing._choice import (
@@ -19,6 +26,7 @@
     has_no_connection,
     is_failing_probes,
 )
+from guavagate.routing._eligibility import Eligibility, Obstacle
 from guavagate.routing._outage import (
     are_all_failing,
     compute_retry_after,
@@ -40,7 +48,7 @@
 
 
 class UpstreamTable:
-    """Upstreams by service; those that are leaving get no new work.
+    """Upstreams by service; new work goes to those that are eligible.
 
     Parameters
     ----------
@@ -49,6 +57,8 @@
     is_connected
         Returns whether this instance has an idle connection to an address;
         upstreams at such addresses are preferred.
+    eligibility
+        Decides which upstreams may get new work.
     """
 
     def __init__(
@@ -57,7 +67,9 @@
         zone: ZoneId,
         rng: random.Random | None = None,
         is_connected: IsConnected = has_no_connection,
+        eligibility: Eligibility | None = None,
     ) -> None:
+        self.eligibility = eligibility or Eligibility()
         self._is_connected = is_connected
         self._clock = clock
         self._zone = zone
@@ -147,18 +159,61 @@
         """Return an upstream, or None if it is not registered."""
         return self._all.get(upstream)
 
-    def all(self) -> list[Upstream]:
-        """Return every registered upstream."""
+    def registered(self) -> list[Upstream]:
+        """Return every registration, for bookkeeping.
+
+        Not for requests: some of them may not be used.
+        """
         return list(self._all.values())
 
-    def serving(self, service: ServiceId) -> list[Upstream]:
-        """Return the upstreams of a service that accept new work."""
+    def serving(
+        self, service: ServiceId, regions: Regions = ANYWHERE
+    ) -> list[Upstream]:
+        """Return the upstreams of a service that a request may use."""
         return [
             each
             for each in self._all.values()
-            if each.service == service and not each.leaving
+            if each.service == service
+            and self.eligibility.find_obstacle(each, regions) is None
         ]
 
+    def explain(
+        self, service: ServiceId, regions: Regions = ANYWHERE
+    ) -> Obstacle | None:
+        """Return why a request may use no upstream of a service, if so."""
+        listed = (
+            each for each in self._all.values() if each.service == service
+        )
+        return self.eligibility.explain(listed, regions)
+
+    def find_obstacle(
+        self, upstream: Upstream, regions: Regions = ANYWHERE
+    ) -> Obstacle | None:
+        """Return why a request may not use an upstream now, or `None`.
+
+        Its newest registration counts, not the one at hand.
+        """
+        newest = self._all.get(upstream.id, upstream)
+        return self.eligibility.find_obstacle(newest, regions)
+
+    def check(self, upstream: Upstream, regions: Regions = ANYWHERE) -> None:
+        """Check an upstream right before a request is sent to it.
+
+        A request that was placed a moment earlier would otherwise reach an
+        upstream that may not be used any more.
+
+        Raises
+        ------
+        UpstreamNotStartedError
+            The request may not use the upstream.
+        """
+        obstacle = self.find_obstacle(upstream, regions)
+        if obstacle is not None:
+            raise UpstreamNotStartedError(
+                f'{upstream.id} may not be used: {obstacle.value}',
+                'no action needed; another upstream is used',
+            )
+
     def choose(
         self,
         service: ServiceId,
@@ -166,6 +221,7 @@
         *,
         lasting: bool = False,
         preferred: UpstreamId | None = None,
+        regions: Regions = ANYWHERE,
     ) -> Upstream | None:
         """Return the upstream for one more request, among those not tried.
 
@@ -178,9 +234,11 @@
             Whether the work lasts for seconds, longer than reported slowdowns.
         preferred
             The upstream to choose if it is usable.
+        regions
+            The regions that the request may use.
         """
         now = self._clock.now()
-        serving = self.serving(service)
+        serving = self.serving(service, regions)
         eligible = list_eligible(serving, self._loads, now)
         self._note_availability(service, serving, now)
         candidates = [each for each in eligible if each.id not in tried]
--- a/tests/forwarding/test_probes.py
+++ b/tests/forwarding/test_probes.py
@@ -49,6 +49,7 @@
         self.requests: list[bytes] = []
         self.load = LoadReport()
         self.pool = ConnectionPool(SystemClock())
+        self.table = UpstreamTable(SystemClock(), ZoneId('z'))
         self.server, self.upstream = start_upstream('a', 'z', self._serve)
 
     def _serve(self, sock: socket.socket, _: object) -> None:
@@ -79,6 +80,7 @@
             self.configure(path),
             PlatformDialect(),
             Metrics(),
+            self.table,
         )
         with gevent.Timeout(1):
             result = prober.probe(self.upstream, 0.05, connect)
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -90,7 +90,7 @@
             self.states.assigned[make_upstream(sampler).id] = frozenset(
                 (MODEL,)
             )
-        self.states.update(self.upstreams.all())
+        self.states.update(self.upstreams.registered())
         self.rewards = FakeRewardClient(self.clock)
         self.quarantine = make_quarantine(
             self.clock,
--- a/tests/jobs/test_reclaim.py
+++ b/tests/jobs/test_reclaim.py
@@ -185,9 +185,9 @@
     until = clock.now() + NOTICE
     clock.advance(1)
     table.put(leaving)
-    assert table.all()[0].leaves_at == until
+    assert table.registered()[0].leaves_at == until
     table.put(make_upstream('x'))
-    assert table.all()[0].leaves_at is None
+    assert table.registered()[0].leaves_at is None
 
 
 def test_texts_are_estimated_a_few_times_a_second() -> None:
--- a/tests/jobs/test_stopped_items.py
+++ b/tests/jobs/test_stopped_items.py
@@ -62,7 +62,7 @@
         new = make_upstream(f"{name}'")
         node.upstreams.put(new)
         node.states.assigned[new.id] = frozenset((MODEL,))
-        node.states.update(node.upstreams.all())
+        node.states.update(node.upstreams.registered())
 
 
 @pytest.fixture
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -154,12 +154,12 @@
         )
         for version in range(4, 30):
             table.apply(_entry('b', b'"\xff', version))
-    assert sorted(each.id for each in upstreams.all()) == ['a', 'c']
+    assert sorted(each.id for each in upstreams.registered()) == ['a', 'c']
     text = 'An object in the store cannot be read and is not used'
     assert sum(text in each.message for each in caplog.records) == 1
     assert len(changes_seen) == 29
     table.apply(_entry('c', b'{}', 30))
-    assert [each.id for each in upstreams.all()] == ['a']
+    assert [each.id for each in upstreams.registered()] == ['a']
 
 
 # A lone surrogate as JSON escapes it.
