--- a/guavagate/routing/_eligibility.py
+++ b/guavagate/routing/_eligibility.py
@@ -27,6 +27,7 @@
 # What a caller is told if upstreams have different obstacles: first what no
 # retry changes.
 _BY_WEIGHT: Final = tuple(Obstacle)
+_NO_REGIONS: Final[Mapping[ZoneId, RegionId]] = MappingProxyType({})
 
 
 class Eligibility:
@@ -42,7 +43,7 @@
     """
 
     def __init__(
-        self, region_of: Mapping[ZoneId, RegionId] = MappingProxyType({})
+        self, region_of: Mapping[ZoneId, RegionId] = _NO_REGIONS
     ) -> None:
         self.evacuated: frozenset[ZoneId] = frozenset()
         self.region_of = region_of
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -34,7 +34,7 @@
 from tests.routing.test_routes import make_upstream
 
 _PACKAGE = pathlib.Path(__file__).parents[2] / 'guavagate'
-_NORTH = frozenset({RegionId('north')})
+_NORTH = frozenset((RegionId('north'),))
 _SERVICE = ServiceId('s')
 # What sends requests to upstreams; each checks them right before.
 _SENDERS = {
@@ -81,7 +81,7 @@
 def test_an_evacuated_zone_is_used_by_no_path() -> None:
     """Operators evacuate a zone, and requests go on to its upstreams."""
     table = _make_table('a', 'b')
-    table.eligibility.evacuated = frozenset({ZoneId('a')})
+    table.eligibility.evacuated = frozenset((ZoneId('a'),))
     assert _list_serving(table) == ['b']
     chosen = table.choose(_SERVICE, set(), preferred=UpstreamId('a'))
     assert chosen is not None
@@ -95,7 +95,7 @@
     bound = table.serving(_SERVICE, _NORTH)
     assert [each.id for each in bound] == ['a']
     assert table.choose(_SERVICE, {UpstreamId('a')}, regions=_NORTH) is None
-    south = frozenset({RegionId('south')})
+    south = frozenset((RegionId('south'),))
     assert table.explain(_SERVICE, south) is Obstacle.OUTSIDE_REGIONS
     assert table.explain(_SERVICE, frozenset()) is Obstacle.OUTSIDE_REGIONS
     assert table.explain(_SERVICE, ANYWHERE) is None
@@ -104,7 +104,7 @@
 def test_the_reason_is_the_one_that_lasts_longest() -> None:
     """A caller told to return for a leaving upstream would return in vain."""
     table = _make_table('a', 'b')
-    table.eligibility.evacuated = frozenset({ZoneId('a')})
+    table.eligibility.evacuated = frozenset((ZoneId('a'),))
     leaving = msgspec.structs.replace(make_upstream('b', 'b'), leaving=True)
     table.put(leaving)
     assert table.explain(_SERVICE) is Obstacle.EVACUATED
@@ -140,21 +140,21 @@
         orders_taken=0,
     )
     problems = []
-    for call in (
-        lambda: client.run(upstream, item, 'm'),
-        lambda: client.report(upstream),
-        lambda: client.order(upstream, order),
-    ):
-        with pytest.raises(UpstreamNotStartedError) as caught:
-            call()
-        problems.append(caught.value.problem)
-    return problems
+    with pytest.raises(UpstreamNotStartedError) as caught:
+        client.run(upstream, item, 'm')
+    problems.append(caught.value.problem)
+    with pytest.raises(UpstreamNotStartedError) as caught:
+        client.report(upstream)
+    problems.append(caught.value.problem)
+    with pytest.raises(UpstreamNotStartedError) as caught:
+        client.order(upstream, order)
+    return [*problems, caught.value.problem]
 
 
 def test_items_reports_and_orders_stop_at_an_evacuated_zone() -> None:
     """An item was placed before its sampler's zone was evacuated."""
     table = _make_table('a')
-    table.eligibility.evacuated = frozenset({ZoneId('a')})
+    table.eligibility.evacuated = frozenset((ZoneId('a'),))
     upstream = table.registered()[0]
     problems = _call_all(EligibleSamplers(_Samplers(), table), upstream)
     assert problems == ['a may not be used: its zone is evacuated'] * 3
@@ -163,7 +163,7 @@
 def test_probes_stop_at_an_evacuated_zone() -> None:
     """A slow request elsewhere has all upstreams of its service probed."""
     table = _make_table('a')
-    table.eligibility.evacuated = frozenset({ZoneId('a')})
+    table.eligibility.evacuated = frozenset((ZoneId('a'),))
     routes = RouteTable()
     service = Service(id=_SERVICE, health_path='/health')
     routes.apply(Configuration(version=1, services=(service,)))
