Limit how often requests start at upstreams that may be cold

Cause: a sampler that has just started takes 8.2 requests per second and crashes well above that. Starts of items and retries of refused ones, every 0.1 s, brought 22 requests to one within a second.

Change: guavagate/warmup decides which upstreams count as cold, keeps a sliding log of the starts at each, and permits them by the role of the holder: what the sole holder and any other one may use add up to the bound, also while an upstream counts as warm. The job owner takes each start from its log; the schedule knows what is left, so that warm samplers go first and no text is cancelled for a sampler that may not take it. Entries ask the holder. Each permit is checked right before sending and ends after 0.1 s. The lease for orders proves that a holder is the only one.

--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -142,7 +142,7 @@
         UpstreamError
             Also for an answer that belongs to another request.
         """
-        self._upstreams.check(upstream, call.regions)
+        self._upstreams.check(upstream, call.regions, starts=True)
         remaining = max(call.until - self._clock.now(), 0)
         request = self._dialect.prepare(call, upstream, remaining, resume_after)
         started_at = self._clock.now()
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -95,6 +95,7 @@
         *,
         preferred: UpstreamId | None = None,
         regions: Regions = ANYWHERE,
+        hedge: bool = False,
     ) -> Upstream | None:
         """Return an upstream that was not tried, or `None`."""
 
@@ -230,7 +231,7 @@
         if len(progress.tried) < progress.route.max_attempts and (
             self._hedges.spend()
         ):
-            self._start(progress)
+            self._start(progress, hedge=True)
 
     def _start_check(self, progress: _Progress) -> None:
         """Have the upstreams probed; not cancelled, as others wait for it."""
@@ -275,7 +276,7 @@
             progress.failed_answer = attempt
             progress.failed_answers += attempt.status == _SERVER_ERROR
 
-    def _start(self, progress: _Progress) -> None:
+    def _start(self, progress: _Progress, *, hedge: bool = False) -> None:
         call, service = progress.call, progress.service
         if len(progress.tried) >= max(progress.route.max_attempts, 1):
             return
@@ -287,6 +288,7 @@
             progress.tried,
             preferred=progress.preferred,
             regions=call.regions,
+            hedge=hedge,
         )
         if upstream is None:
             return
--- a/guavagate/forwarding/_outages.py
+++ b/guavagate/forwarding/_outages.py
@@ -207,7 +207,7 @@
         )
 
     def _confirm(self, service: ServiceId, hint: _Hint, limit: float) -> None:
-        upstream = self._upstreams.choose(service, set())
+        upstream = self._upstreams.rank_first(service, set())
         if upstream is None:
             return
         hint.probing = Event()
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -57,6 +57,7 @@
         *,
         preferred: UpstreamId | None = None,
         regions: Regions = ANYWHERE,
+        hedge: bool = False,
     ) -> Upstream | None:
         """Return an upstream for one request, or `None` if all are full."""
         with_capacity = {
@@ -74,6 +75,7 @@
             tried | excluded,
             preferred=preferred,
             regions=regions,
+            hedge=hedge,
         )
 
     def explain(
--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -46,6 +46,7 @@
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerState, SamplerStates
 from guavagate.routing import UpstreamTable
+from guavagate.warmup import ServiceStarts
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -67,6 +68,8 @@
         Returns the slots of a sampler that doesn't report how many it has.
     cache_tokens
         Returns the tokens that a sampler's engine holds; 0 if unknown.
+    starts
+        The limit on starts at each sampler; `None` if there is none.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         default_slots: Callable[[], int],
         metrics: Metrics,
         cache_tokens: Callable[[], int] = int,
+        starts: ServiceStarts | None = None,
     ) -> None:
         self._service = service
         self._clock = clock
@@ -90,6 +94,8 @@
         self._default_slots = default_slots
         self._metrics = metrics
         self._cache_tokens = cache_tokens
+        self._starts = starts
+        self._delayed: set[ItemId] = set()
         self._without_memory: set[ItemId] = set()
         self._ignored_estimates: set[str] = set()
         self._lengths = LengthEstimator()
@@ -136,6 +142,7 @@
         for move in moves:
             self._move(move)
         self._reclaims.move_texts(works, samplers, now)
+        self._count_delayed(planned, samplers, placements)
         if capacity and planned.groups:
             self._report_memory(samplers, placements)
 
@@ -231,14 +238,28 @@
             count_reserved_slots(works),
             self._client.count_idle_connections,
             get_memory or get_no_memory,
+            self._get_limits(),
             include_upcoming=include_upcoming,
         )
 
+    def _get_limits(self) -> ServiceStarts | None:
+        limited = self._starts is not None and self._starts.applies()
+        return self._starts if limited else None
+
+    def _estimate_texts(self) -> dict[str, float]:
+        """Return how long texts run, where a limit on starts matters."""
+        if self._get_limits() is None:
+            return {}
+        serving = self._upstreams.serving(self._service)
+        texts = self._states.estimate_texts(serving)
+        return {model: each.mean for model, each in texts.items()}
+
     def _forecast(self, works: Sequence[JobWork], now: float) -> Forecast:
         planned = forecast(
             works,
             sum_slots_by_model(
-                self._list_samplers(works, now, include_upcoming=True)
+                self._list_samplers(works, now, include_upcoming=True),
+                self._estimate_texts(),
             ),
             self._find_median_interval(),
             self._lengths,
@@ -299,6 +320,28 @@
             )
         self._without_memory = waiting
 
+    def _count_delayed(
+        self,
+        planned: Forecast,
+        samplers: Sequence[SamplerSlots],
+        placements: Placements,
+    ) -> None:
+        """Count an item once, however often it waits for the start limit."""
+        if not any(each.held_back for each in samplers):
+            self._delayed.clear()
+            return
+        started = {each.item for each in placements.started}
+        waiting = {
+            progress.item.id
+            for plan in planned.groups
+            for progress in plan.waiting
+            if progress.item.id not in started
+        }
+        delayed = len(waiting - self._delayed)
+        if delayed:
+            self._metrics.count(names.STARTS_DELAYED, delayed)
+        self._delayed = waiting
+
     def _start(
         self, work: JobWork, placement: ItemPlacement, now: float
     ) -> None:
@@ -306,8 +349,11 @@
         if upstream is None:
             return
         progress = work.items[placement.item]
-        progress.sampler = upstream.id
         progress.move_target = None
+        limits = self._get_limits()
+        if limits is not None and not limits.start(upstream.id, now):
+            return
+        progress.sampler = upstream.id
         progress.started_at = now
         state = self._states.get(upstream.id)
         state.in_flight += 1
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -46,6 +46,7 @@
 from guavagate.rollouts import ModelDemand, SamplerStates
 from guavagate.routing import UpstreamTable
 from guavagate.util.boot_clock import read_boot_clock
+from guavagate.warmup import ServiceStarts
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -84,7 +85,9 @@
         announced: AnnouncedJobs,
         boot_clock: Callable[[], float] = read_boot_clock,
         cache_tokens: Callable[[], int] = int,
+        starts: ServiceStarts | None = None,
     ) -> None:
+        self._starts = starts
         self._boot_clock = boot_clock
         self._service = service
         self._clock = clock
@@ -109,6 +112,7 @@
             quarantine,
             self._finish,
             self._on_text_complete,
+            lambda: starts is not None and starts.applies(),
         )
         self._dispatcher = Dispatcher(
             service,
@@ -120,6 +124,7 @@
             slots,
             metrics,
             cache_tokens,
+            starts,
         )
         self._checkpoints = TextCheckpoints(job_store.object_store, clock)
         self._active_jobs = ActiveJobs(
@@ -165,6 +170,8 @@
     def start(self) -> None:
         """Take the service's jobs over."""
         if not self._tasks:
+            if self._starts is not None:
+                self._starts.record_work(working=True)
             self._active_jobs.owning = True
             self._backups.start()
             self._started_at = self._clock.now()
@@ -190,6 +197,8 @@
         if next_owner is not None:
             self._backups.hand_over(next_owner)
         self._backups.stop()
+        if self._starts is not None:
+            self._starts.record_work(working=False)
         for task in self._tasks:
             task.kill(block=False)
         self._tasks = []
--- a/guavagate/jobs/_runner.py
+++ b/guavagate/jobs/_runner.py
@@ -39,6 +39,8 @@
 # A sampler that is full or loading refuses at once and is tried again after
 # this time.
 REFUSED_BACKOFF_SECONDS: Final = 0.1
+# A sampler loads a version in about a second.
+MAX_REFUSED_DOUBLINGS: Final = 3
 FAILED_BACKOFF_SECONDS: Final = 0.5
 
 Finish = Callable[[JobWork, Result], None]
@@ -46,7 +48,14 @@
 
 
 class ItemRunner:
-    """Runs the items of a job owner, each in its own task."""
+    """Runs the items of a job owner, each in its own task.
+
+    Parameters
+    ----------
+    limits_starts
+        Returns whether starts at samplers are limited. A refusal uses up a
+        start too, so a sampler that refuses is then asked less and less often.
+    """
 
     def __init__(
         self,
@@ -57,7 +66,9 @@
         quarantine: Quarantine,
         finish: Finish,
         handle_complete_text: HandleCompleteText,
+        limits_starts: Callable[[], bool] = bool,
     ) -> None:
+        self._limits_starts = limits_starts
         self._quarantine = quarantine
         self._handle_complete_text = handle_complete_text
         self._clock = clock
@@ -136,7 +147,9 @@
         ):
             run = self._client.run(upstream, request, job.model)
         progress.run = run
-        self._states.get(upstream.id).unreachable = 0
+        state = self._states.get(upstream.id)
+        state.unreachable = 0
+        state.refusals = 0
         try:
             if progress.done or work.ended:
                 return
@@ -237,9 +250,12 @@
             state.avoid_until = max(state.avoid_until, now + backoff)
             return
         if isinstance(error, UpstreamNotStartedError):
-            state.avoid_until = max(
-                state.avoid_until, now + REFUSED_BACKOFF_SECONDS
-            )
+            if now >= state.avoid_until:
+                state.refusals += 1
+            backoff = REFUSED_BACKOFF_SECONDS
+            if self._limits_starts():
+                backoff *= 2 ** min(state.refusals - 1, MAX_REFUSED_DOUBLINGS)
+            state.avoid_until = max(state.avoid_until, now + backoff)
             return
         load = self._upstreams.load(upstream.id)
         self._upstreams.record_failure(upstream.id)
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -12,6 +12,7 @@
 groups that it needs most first.
 """
 
+import math
 from collections.abc import Callable, Sequence
 from typing import Final
 
@@ -48,6 +49,8 @@
 # The disadvantage of a sampler whose interval isn't known yet, as it may be a
 # slow one.
 UNMEASURED_COST: Final = 0.1
+# A cold sampler is used last, except for texts that would be cut elsewhere.
+COLD_COST: Final = 10.0
 _NO_MEMORY: Final = TextMemory()
 
 # Returns the remaining seconds of an item at the median event interval; 0 if
@@ -61,6 +64,9 @@
     `relative_interval` is its event interval relative to the median: a sampler
     with 2 is half as fast as usual. It is 1 until the sampler is `measured`.
     The items in `avoided_by` start there only if no other one has a free slot.
+    `free` counts the slots that may be used now; `held_back` are free too, but
+    have to wait for the limit of `rate` starts per second. A `cold` sampler is
+    used if no other one has a free slot.
     """
 
     id: UpstreamId
@@ -69,6 +75,9 @@
     slots: int
     relative_interval: float = 1.0
     measured: bool = True
+    cold: bool = False
+    held_back: int = 0
+    rate: float = math.inf
     idle_connections: int = 0
     models: frozenset[str] = frozenset()
     groups: set[str] = set()
@@ -246,6 +255,8 @@
         bonus += SHORT_CONNECTED_BONUS if short else CONNECTED_BONUS
     if item.id in sampler.avoided_by:
         bonus -= AVOIDED_COST
+    if sampler.cold:
+        bonus -= COLD_COST
     if not sampler.measured:
         bonus -= UNMEASURED_COST
     if short:
--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/_slots.py
@@ -11,10 +11,12 @@
 from guavagate.models import UpstreamId
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerStates
+from guavagate.warmup import ServiceStarts
 
 # About the duration of a weight load, and of the first backoff after a failure.
 UPCOMING_SECONDS: Final = 1.0
 _NONE_RESERVED: Final[Mapping[UpstreamId, int]] = MappingProxyType({})
+_UNKNOWN_SECONDS: Final[Mapping[str, float]] = MappingProxyType({})
 
 
 def get_no_memory(_: UpstreamId) -> EngineMemory:
@@ -30,6 +32,7 @@
     reserved: Mapping[UpstreamId, int] = _NONE_RESERVED,
     count_idle: Callable[[Upstream], int] | None = None,
     get_memory: Callable[[UpstreamId], EngineMemory] = get_no_memory,
+    starts: ServiceStarts | None = None,
     *,
     include_upcoming: bool = False,
 ) -> list[SamplerSlots]:
@@ -45,6 +48,8 @@
         Returns the idle connections to a sampler.
     get_memory
         Returns the memory of a sampler's engine.
+    starts
+        The limit on starts at each sampler, if the service has one.
     include_upcoming
         Whether to include samplers that become available within
         `UPCOMING_SECONDS`. A forecast needs them: while a model's samplers
@@ -60,12 +65,12 @@
         if state.loading and not include_upcoming:
             continue
         slots = upstream.slots or default_slots
-        used = state.in_flight + reserved.get(upstream.id, 0)
+        moving = reserved.get(upstream.id, 0)
         listed.append(
             SamplerSlots(
                 id=upstream.id,
                 versions=state.versions,
-                free=max(slots - used, 0),
+                free=max(slots - state.in_flight - moving, 0),
                 slots=slots,
                 relative_interval=state.event_interval / median
                 if median and state.event_interval
@@ -76,9 +81,22 @@
                 memory=get_memory(upstream.id),
             )
         )
+        if starts is not None:
+            _limit_starts(listed[-1], starts, moving, now)
     return listed
 
 
+def _limit_starts(
+    sampler: SamplerSlots, starts: ServiceStarts, moving: int, now: float
+) -> None:
+    """Hold back the free slots that may not be used yet."""
+    allowed = max(starts.count_allowed(sampler.id, now) - moving, 0)
+    sampler.held_back = max(sampler.free - allowed, 0)
+    sampler.free -= sampler.held_back
+    sampler.cold = starts.is_cold(sampler.id, now)
+    sampler.rate = starts.find_rate(sampler.id, now)
+
+
 def count_reserved_slots(works: Iterable[JobWork]) -> dict[UpstreamId, int]:
     """Return the slots that are reserved for items that move, by sampler."""
     return Counter(
@@ -105,17 +123,27 @@
     return intervals[len(intervals) // 2] if intervals else 0
 
 
-def sum_slots_by_model(samplers: Sequence[SamplerSlots]) -> dict[str, float]:
+def sum_slots_by_model(
+    samplers: Sequence[SamplerSlots],
+    text_seconds: Mapping[str, float] = _UNKNOWN_SECONDS,
+) -> dict[str, float]:
     """Return each model's share of the slots, in slots of median speed.
 
     A sampler that serves several models counts for each in equal parts, and
-    one that takes twice the median interval for an event counts half.
+    one that takes twice the median interval for an event counts half. A limit
+    on starts leaves slots empty where texts are short.
+
+    Parameters
+    ----------
+    text_seconds
+        How long the texts of each model run at median speed, if known.
     """
     slots: dict[str, float] = {}
     for sampler in samplers:
         for model in sampler.models:
-            share = (
-                sampler.slots / sampler.relative_interval / len(sampler.models)
-            )
+            used = sampler.slots / sampler.relative_interval
+            if model in text_seconds:
+                used = min(used, sampler.rate * text_seconds[model])
+            share = used / len(sampler.models)
             slots[model] = slots.get(model, 0) + share
     return slots
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -254,3 +254,20 @@
     text='Requests that wait for a slot of their service at this queue owner',
     plotted=True,
 )
+COLD_UPSTREAMS: Final = Metric(
+    name='guavagate_cold_upstreams',
+    kind=MetricKind.GAUGE,
+    text='Upstreams of services with a warm-up that count as cold here',
+    plotted=True,
+)
+STARTS_DELAYED: Final = Metric(
+    name='guavagate_starts_delayed_total',
+    kind=MetricKind.COUNTER,
+    text='Items that found a free slot, but had to wait for the start limit',
+)
+START_GRANTS: Final = Metric(
+    name='guavagate_start_grants_total',
+    kind=MetricKind.COUNTER,
+    text='Requests of services with a warm-up, by what the holder said',
+    labels=('result',),
+)
--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -1,5 +1,7 @@
 """Headers of requests to upstreams and of their answers."""
 
+import msgspec
+
 from guavagate.http1 import (
     Answer,
     Headers,
@@ -79,7 +81,10 @@
         """Return the reported load, or `None` if another process answered."""
         if answer.status == _MISDIRECTED:
             return None
-        return decode_load(answer.get_header(const.LOAD))
+        load = decode_load(answer.get_header(const.LOAD))
+        cold = _parse_figure(answer.get_header(const.COLD))
+        cold_for = None if cold is None else cold / const.MILLIS
+        return msgspec.structs.replace(load, cold_for=cold_for)
 
 
 def read_marks(request_id: str, answer: Answer) -> AnswerMarks:
--- a/guavagate/platform/_manifest.py
+++ b/guavagate/platform/_manifest.py
@@ -16,6 +16,7 @@
     Service,
     ServiceShare,
     Team,
+    Warmup,
 )
 
 _KINDS: Final = {
@@ -77,6 +78,8 @@
     max_conns: int = 100
     engine: _Engine = _Engine()
     scaling: _Scaling | None = None
+    cold_per_s: float = 0
+    cold_start_s: float = 0
 
 
 class _Limits(_Table, frozen=True, kw_only=True):
@@ -152,6 +155,11 @@
         cache_tokens=engine.kv_capacity,
         models=tuple(each.name for each in engine.models),
         scaling=None if service.scaling is None else _to_scaling(service),
+        warmup=Warmup(
+            per_second=service.cold_per_s, start_seconds=service.cold_start_s
+        )
+        if service.cold_per_s > 0
+        else None,
     )
 
 
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -46,6 +46,7 @@
 from guavagate.rollouts import Renewals
 from guavagate.routing import EligibleSamplers, RouteTable
 from guavagate.service import JobServices
+from guavagate.warmup import limit_starts
 
 _DECODER: Final = ObjectDecoder(
     configuration_path=const.CONFIG_PATH,
@@ -84,13 +85,17 @@
             clock, bus, store, me.id, self._order_relays, upstreams.get
         )
         self._quarantine = quarantine
+        ownership = Ownership(self._members, me.id, self._members.boot)
+        self._ownership = ownership
+        bound = settings.bounds.to_warmup_bound()
+        budgets = limit_starts(
+            clock, bus, members, ownership, routes, upstreams, metrics, bound
+        )
         dialect = PlatformDialect()
         fleet = Fleet(bus, me.id, self._order_relays)
         self._forwarders = make_fleet_forwarders(
             clock, pool, routes, upstreams, dialect, quarantine, metrics, fleet
         )
-        ownership = Ownership(self._members, me.id, self._members.boot)
-        self._ownership = ownership
         self._instance_id = me.id
         self._admission = ServiceAdmission(
             clock, bus, members, me.id, routes, upstreams, metrics
@@ -120,6 +125,7 @@
             self._duties
             if const.SCALE_DUTY in settings.cloud_api.duties
             else None,
+            budgets=budgets,
         )
         find = self._services.find
         reader = JobReader(clock, bus, job_store, ownership, find)
--- a/guavagate/platform/_servers.py
+++ b/guavagate/platform/_servers.py
@@ -34,6 +34,7 @@
     spot: bool = False
     # Given while it drains.
     leaves_ms: float | None = None
+    cold: float | None = msgspec.field(default=None, name='cold-remaining-ms')
 
 
 class _Version(msgspec.Struct, frozen=True, kw_only=True):
@@ -65,6 +66,7 @@
         incarnation=int(server.born),
         spot=server.spot,
         leaves_in=None if server.leaves_ms is None else server.leaves_ms / 1000,
+        cold_for=None if server.cold is None else max(server.cold, 0) / 1000,
     )
 
 
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -7,6 +7,7 @@
 from guavagate.models import InstanceId, RegionId, ZoneId
 from guavagate.platform.const import CONFIG_PATH, MILLIS
 from guavagate.settings import InstanceSettings, PlatformSettings
+from guavagate.warmup import WarmupBound
 
 
 class _Table(msgspec.Struct, frozen=True, kw_only=True, rename='kebab'):
@@ -32,11 +33,17 @@
     strict_revoke: bool = False
     revoke_ms: float = 5000
     usage_window_s: float = 5
+    cold_excess: float = 1
+    cold_slack: float = 0
 
     def get_proof_path(self) -> str:
         """Return the object that must be proven current, or ''."""
         return CONFIG_PATH if self.strict_revoke else ''
 
+    def to_warmup_bound(self) -> WarmupBound:
+        """Return the bound on requests to cold upstreams."""
+        return WarmupBound(self.cold_excess, self.cold_slack)
+
     def to_proof_bounds(self) -> ProofBounds:
         """Return how recently the configuration must be proven current."""
         return make_bounds(
--- a/guavagate/ports/configuration.py
+++ b/guavagate/ports/configuration.py
@@ -76,6 +76,21 @@
     zone_prices: dict[ZoneId, float] = {}
 
 
+class Warmup(msgspec.Struct, frozen=True, kw_only=True):
+    """How an upstream has to be treated after it has started.
+
+    Attributes
+    ----------
+    per_second
+        Requests per second that it takes while it is cold.
+    start_seconds
+        How long it is cold after a start.
+    """
+
+    per_second: float
+    start_seconds: float
+
+
 class Service(msgspec.Struct, frozen=True, kw_only=True):
     """A service behind routes; `models` are those of its samplers."""
 
@@ -86,6 +101,7 @@
     cache_tokens: int = 0
     models: tuple[str, ...] = ()
     scaling: Scaling | None = None
+    warmup: Warmup | None = None
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
--- a/guavagate/ports/load.py
+++ b/guavagate/ports/load.py
@@ -15,12 +15,15 @@
     slowdown
         How many times as long as usual work takes there at that moment; above
         0. Only services whose machines are shared report it.
+    cold_for
+        How many seconds longer the upstream is cold; 0 if it is warm.
     """
 
     running: int | None = None
     waiting: int | None = None
     slots: int | None = None
     slowdown: float | None = None
+    cold_for: float | None = None
 
     @property
     def busy(self) -> int | None:
--- a/guavagate/ports/upstreams.py
+++ b/guavagate/ports/upstreams.py
@@ -14,7 +14,8 @@
     it reports none. A restarted upstream keeps its id but has lost its state.
     `leaves_in` is how many seconds a leaving upstream had left by its
     registration, and `leaves_at` when these end on this instance's clock; both
-    are None if it names no time.
+    are None if it names no time. `cold_for` is how many seconds longer it was
+    cold by its registration, or None if it does not say.
     """
 
     id: UpstreamId
@@ -28,6 +29,7 @@
     spot: bool = False
     leaves_in: float | None = None
     leaves_at: float | None = None
+    cold_for: float | None = None
 
     @property
     def is_reclaimed(self) -> bool:
--- a/guavagate/rollouts/_lease.py
+++ b/guavagate/rollouts/_lease.py
@@ -119,6 +119,20 @@
         now = self._now()
         return self.held and self._first_order_at <= now < self._valid_until
 
+    def is_proven(self, margin: float) -> bool:
+        """Return whether no later holder may have ended its wait.
+
+        Unlike for orders, which are in transit for a moment, the last renewal
+        counts until the wait of a later holder ends.
+
+        Parameters
+        ----------
+        margin
+            By how many seconds this has to be earlier than that.
+        """
+        full = self._lease_seconds + VALID_SECONDS + ORDER_TRANSIT_SECONDS
+        return self.held and self._now() < self._renewed_at + full - margin
+
     def wait_seconds(self) -> float:
         """Return how long a new holder still has to wait."""
         return max(self._first_order_at - self._now(), 0)
--- a/guavagate/rollouts/_states.py
+++ b/guavagate/rollouts/_states.py
@@ -43,6 +43,7 @@
     measurements: int = 0
     avoid_until: float = 0
     unreachable: int = 0
+    refusals: int = 0
     failed_orders: int = 0
     order_after: float = 0
     incarnation: int = 0
--- a/guavagate/routing/__init__.py
+++ b/guavagate/routing/__init__.py
@@ -4,6 +4,7 @@
 from guavagate.routing._eligibility import Eligibility, Obstacle
 from guavagate.routing._gate import EligibleSamplers
 from guavagate.routing._routes import RouteTable, pick_service
+from guavagate.routing._start_gate import OpenGate, StartGate
 from guavagate.routing._upstreams import UpstreamTable
 
 __all__ = (
@@ -11,7 +12,9 @@
     'EligibleSamplers',
     'Load',
     'Obstacle',
+    'OpenGate',
     'RouteTable',
+    'StartGate',
     'UpstreamTable',
     'choose_upstream',
     'pick_service',
--- a/guavagate/routing/_choice.py
+++ b/guavagate/routing/_choice.py
@@ -97,6 +97,11 @@
     refusing: bool = False
     trial_at: float = -1e9
 
+    def count_busy(self, now: float) -> int:
+        """Return how many requests are at the upstream, as far as known."""
+        fresh = now - self.reported_at < REPORT_MAX_AGE_SECONDS
+        return max(self.in_flight, self.reported_busy if fresh else 0)
+
 
 def choose_upstream(
     upstreams: Sequence[Upstream],
@@ -175,7 +180,7 @@
 
 def score(upstream: Upstream, load: Load, zone: str, now: float) -> float:
     """Return the estimated cost of using an upstream; lower is better."""
-    busy = _estimate_busy(load, now)
+    busy = load.count_busy(now)
     slots = max(upstream.slots, 1)
     zone_cost = 0 if upstream.zone == zone else REMOTE_ZONE_COST
     failures = load.failures + is_failing_probes(load, now)
@@ -196,10 +201,5 @@
     low, high = SLOWDOWN_BOUNDS
     slowdown = min(max(load.report.slowdown, low), high)
     slots = max(upstream.slots, 1)
-    queue = max(_estimate_busy(load, now) + 1 - slots, 0) / slots
+    queue = max(load.count_busy(now) + 1 - slots, 0) / slots
     return (slowdown - 1) * weight * (1 + queue) * SLOWDOWN_COST
-
-
-def _estimate_busy(load: Load, now: float) -> int:
-    fresh = now - load.reported_at < REPORT_MAX_AGE_SECONDS
-    return max(load.in_flight, load.reported_busy if fresh else 0)
--- a/guavagate/routing/_gate.py
+++ b/guavagate/routing/_gate.py
@@ -24,7 +24,7 @@
 
     def run(self, upstream: Upstream, item: ItemRequest, model: str) -> ItemRun:
         """Start an item and wait for the head of its response."""
-        self._upstreams.check(upstream, item.regions)
+        self._upstreams.check(upstream, item.regions, starts=True)
         return self._client.run(upstream, item, model)
 
     def report(self, upstream: Upstream) -> SamplerReport:
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -3,7 +3,7 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Final
+from typing import Final, TypeAlias
 
 from guavagate.clock import Clock
 from guavagate.decisions.background import average_caller_slots
@@ -33,6 +33,7 @@
     is_unavailable,
     list_eligible,
 )
+from guavagate.routing._start_gate import OpenGate, StartGate
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -46,6 +47,8 @@
 RETURN_SECONDS: Final = 5.0
 LATENCY_SMOOTHING: Final = 0.2
 
+OnRegistration: TypeAlias = Callable[[Upstream, Upstream | None], None]
+
 
 class UpstreamTable:
     """Upstreams by service; new work goes to those that are eligible.
@@ -70,6 +73,7 @@
         eligibility: Eligibility | None = None,
     ) -> None:
         self.eligibility = eligibility or Eligibility()
+        self.gate: StartGate = OpenGate()
         self._is_connected = is_connected
         self._clock = clock
         self._zone = zone
@@ -82,6 +86,31 @@
         self._subscribers: list[Callable[[], None]] = []
         self._on_restart: list[Callable[[Upstream], None]] = []
         self._on_address_released: list[Callable[[str], None]] = []
+        self._on_zone_return: list[Callable[[ZoneId], None]] = []
+        self._on_registration: list[OnRegistration] = []
+        self._on_cold_report: list[Callable[[UpstreamId, float], None]] = []
+
+    def subscribe_zone_returns(
+        self, callback: Callable[[ZoneId], None]
+    ) -> None:
+        """Call `callback`, which must not block, when an evacuation ends."""
+        self._on_zone_return.append(callback)
+
+    def subscribe_registrations(self, callback: OnRegistration) -> None:
+        """Call `callback`, which must not block, with each registration.
+
+        Its second argument is the registration that it replaces, if any.
+        """
+        self._on_registration.append(callback)
+
+    def subscribe_cold_reports(
+        self, callback: Callable[[UpstreamId, float], None]
+    ) -> None:
+        """Call `callback`, which must not block, with each cold report.
+
+        It gets the upstream and for how many seconds longer it is cold.
+        """
+        self._on_cold_report.append(callback)
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call `callback`, which must not block, after each change."""
@@ -118,6 +147,8 @@
             )
         if previous is not None and previous.address != upstream.address:
             self._notify_address_released(previous)
+        for callback in self._on_registration:
+            callback(upstream, previous)
         self._detect_restart(upstream)
         self._notify()
 
@@ -184,7 +215,10 @@
         listed = (
             each for each in self._all.values() if each.service == service
         )
-        return self.eligibility.explain(listed, regions)
+        obstacle = self.eligibility.explain(listed, regions)
+        if obstacle is None and self.gate.find_retry_after(service) is not None:
+            return Obstacle.WARMING_UP
+        return obstacle
 
     def find_obstacle(
         self, upstream: Upstream, regions: Regions = ANYWHERE
@@ -196,18 +230,32 @@
         newest = self._all.get(upstream.id, upstream)
         return self.eligibility.find_obstacle(newest, regions)
 
-    def check(self, upstream: Upstream, regions: Regions = ANYWHERE) -> None:
+    def check(
+        self,
+        upstream: Upstream,
+        regions: Regions = ANYWHERE,
+        *,
+        starts: bool = False,
+    ) -> None:
         """Check an upstream right before a request is sent to it.
 
         A request that was placed a moment earlier would otherwise reach an
         upstream that may not be used any more.
 
+        Parameters
+        ----------
+        starts
+            Whether the request counts as a start, which needs a permit where
+            the service limits starts.
+
         Raises
         ------
         UpstreamNotStartedError
             The request may not use the upstream.
         """
         obstacle = self.find_obstacle(upstream, regions)
+        if obstacle is None and starts and not self.gate.may_send(upstream):
+            obstacle = Obstacle.WARMING_UP
         if obstacle is not None:
             raise UpstreamNotStartedError(
                 f'{upstream.id} may not be used: {obstacle.value}',
@@ -222,11 +270,13 @@
         lasting: bool = False,
         preferred: UpstreamId | None = None,
         regions: Regions = ANYWHERE,
+        hedge: bool = False,
     ) -> Upstream | None:
         """Return the upstream for one more request, among those not tried.
 
         Returns None while the whole service is unavailable and none of its
-        upstreams may be tried.
+        upstreams may be tried, and while none may get a further request. May
+        wait for another instance's permission where the service limits starts.
 
         Parameters
         ----------
@@ -236,7 +286,36 @@
             The upstream to choose if it is usable.
         regions
             The regions that the request may use.
+        hedge
+            Whether the request already runs at another upstream.
         """
+        if self.gate.applies(service):
+            return self.gate.choose(
+                service,
+                tried,
+                lasting=lasting,
+                preferred=preferred,
+                regions=regions,
+                hedge=hedge,
+            )
+        return self.rank_first(
+            service,
+            tried,
+            lasting=lasting,
+            preferred=preferred,
+            regions=regions,
+        )
+
+    def rank_first(
+        self,
+        service: ServiceId,
+        tried: set[UpstreamId],
+        *,
+        lasting: bool = False,
+        preferred: UpstreamId | None = None,
+        regions: Regions = ANYWHERE,
+    ) -> Upstream | None:
+        """Return the best upstream by load, whether or not it may start."""
         now = self._clock.now()
         serving = self.serving(service, regions)
         eligible = list_eligible(serving, self._loads, now)
@@ -268,6 +347,9 @@
 
     def compute_retry_after(self, service: ServiceId) -> float:
         """Return when a caller refused by the whole service should return."""
+        limited = self.gate.find_retry_after(service)
+        if limited is not None:
+            return limited
         now = self._clock.now()
         since = self._unavailable_since.setdefault(service, now)
         return compute_retry_after(now - since, self._random)
@@ -295,6 +377,9 @@
         """
         load = self.load(upstream)
         load.answered_at = self._clock.now()
+        if report.cold_for:
+            for callback in self._on_cold_report:
+                callback(upstream, report.cold_for)
         if report == LoadReport():
             return
         load.report = report
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -40,6 +40,7 @@
 )
 from guavagate.routing import RouteTable, UpstreamTable
 from guavagate.util.boot_clock import read_boot_clock
+from guavagate.warmup import SoleProof, StartBudgets
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -60,7 +61,9 @@
         coordinator: Coordinator,
         states: SamplerStates,
         scaler: Scaler | None,
+        proof: SoleProof | None,
     ) -> None:
+        self._proof = proof
         self._id = service
         self.coordinating = False
         self.owner = owner
@@ -76,6 +79,8 @@
         self.owner.start()
         self.owner.mark_uncertain()
         self.coordinator.start()
+        if self._proof is not None:
+            self._proof.start()
         if self.scaler is not None:
             self.scaler.start()
 
@@ -100,6 +105,8 @@
             return
         write(_LOGGER, events.COORDINATOR_STOPPED, service=self._id)
         self.coordinating = False
+        if self._proof is not None:
+            self._proof.stop()
         if self.scaler is not None:
             self.scaler.stop()
         self.coordinator.stop()
@@ -128,7 +135,9 @@
         link_bytes_per_second: float = 0,
         duties: DutyClient | None = None,
         boot_clock: Callable[[], float] = read_boot_clock,
+        budgets: StartBudgets | None = None,
     ) -> None:
+        self._budgets = budgets
         self._watch = OwnerWatch(
             clock, bus, me, ownership, metrics, self.refresh, boot_clock
         )
@@ -255,6 +264,7 @@
 
     def _make(self, service: ServiceId) -> _Service:
         states = SamplerStates()
+        starts = None if self._budgets is None else self._budgets.get(service)
         owner = JobOwner(
             service,
             self._clock,
@@ -272,6 +282,7 @@
             lambda: self._list_successors(service),
             self._announced,
             cache_tokens=lambda: self._get_cache_tokens(service),
+            starts=starts,
         )
         lease = Lease(
             self._job_store.object_store,
@@ -298,7 +309,11 @@
         )
         states.subscribe(coordinator.wake)
         scaler = self._make_scaler(service, lease, owner, states)
-        created = _Service(service, owner, coordinator, states, scaler)
+        proof = None
+        if starts is not None:
+            proof = SoleProof(self._clock, lease, starts.applies)
+            starts.is_sole = proof.is_sole
+        created = _Service(service, owner, coordinator, states, scaler, proof)
         self._services[service] = created
         return created
 
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -22,8 +22,17 @@
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, WeightVersion, ZoneId
+from guavagate.ports.configuration import (
+    Configuration,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Warmup,
+)
 from guavagate.rollouts import SamplerStates
-from guavagate.routing import UpstreamTable
+from guavagate.routing import EligibleSamplers, RouteTable, UpstreamTable
+from guavagate.warmup import WarmupBound, limit_starts
 from tests.jobs.rewards import FakeRewardClient, make_reward
 from tests.jobs.samplers import MODEL, SERVICE, FakeSamplers, make_upstream
 from tests.quarantine.common import make_quarantine
@@ -83,6 +92,17 @@
         )
         self.ownership.ready = True
         self.upstreams = UpstreamTable(self.clock, ZoneId('zone-0'))
+        self.metrics = Metrics()
+        self.budgets = limit_starts(
+            self.clock,
+            world.bus(name),
+            world.members[InstanceId(name)],
+            self.ownership,
+            fleet.make_routes(),
+            self.upstreams,
+            self.metrics,
+            WarmupBound(excess=1.5, slack=5),
+        )
         self.states = SamplerStates()
         self.samplers = FakeSamplers(self.clock, fleet.length)
         for sampler in fleet.samplers:
@@ -100,7 +120,6 @@
                 for each in self.samplers.down
             ),
         )
-        self.metrics = Metrics()
         self.replicas = TextReplicas(world.bus(name))
         self.announced = AnnouncedJobs(
             self.clock, world.bus(name), self.metrics
@@ -120,7 +139,7 @@
             self.job_store,
             self.upstreams,
             self.states,
-            self.samplers,
+            EligibleSamplers(self.samplers, self.upstreams),
             self.rewards,
             self.quarantine,
             lambda: 4,
@@ -136,6 +155,7 @@
             self.announced,
             self.clock.now,
             cache_tokens=lambda: fleet.cache_tokens,
+            starts=self.budgets.get(SERVICE),
         )
         self.reader = JobReader(
             self.clock,
@@ -175,7 +195,9 @@
         length: int = 5,
         samplers: str = 'xyz',
         folders: dict[str, str] | None = None,
+        warmup: Warmup | None = None,
     ) -> None:
+        self.warmup = warmup
         self.world = World()
         self.folders = folders or {}
         self.clock = self.world.clock
@@ -191,6 +213,24 @@
         for node in self.nodes.values():
             self.follow_membership(node)
 
+    def make_routes(self) -> RouteTable:
+        """Return the routes of an instance: one for jobs."""
+        route = Route(
+            name='r',
+            host='a.example',
+            prefix='/x/',
+            kind=RouteKind.JOB,
+            shares=(ServiceShare(SERVICE, 1),),
+            timeout=10,
+            objective=0.4,
+        )
+        service = Service(id=SERVICE, slots=4, warmup=self.warmup)
+        routes = RouteTable()
+        routes.apply(
+            Configuration(version=1, routes=(route,), services=(service,))
+        )
+        return routes
+
     def follow_membership(self, node: Node) -> None:
         """Start and stop a node's owner when the membership changes."""
         node.ownership._members.subscribe(node.refresh)
--- a/tests/jobs/samplers.py
+++ b/tests/jobs/samplers.py
@@ -7,6 +7,7 @@
 from guavagate.exceptions import (
     UpstreamDisconnectedError,
     UpstreamError,
+    UpstreamNotStartedError,
     UpstreamUnreachableError,
 )
 from guavagate.models import ServiceId, UpstreamId, WeightVersion, ZoneId
@@ -24,7 +25,11 @@
 
 
 def make_upstream(
-    name: str, version: int = 1, slots: int = 4, incarnation: int = 0
+    name: str,
+    version: int = 1,
+    slots: int = 4,
+    incarnation: int = 0,
+    cold_for: float | None = 0,
 ) -> Upstream:
     """Return a sampler's registration."""
     return Upstream(
@@ -35,6 +40,7 @@
         slots=slots,
         versions={MODEL: WeightVersion(version)},
         incarnation=incarnation,
+        cold_for=cold_for,
     )
 
 
@@ -80,8 +86,9 @@
     `event_seconds` is the event interval by sampler, and `idle` its number of
     idle connections. A `stalled` sampler sends no more events, a `down` one
     refuses connections, and `skipped` lists events that a sampler leaves out.
-    The first `lost_orders` orders get no response. The items in `crashing`
-    crash the samplers that run them, with all other runs there.
+    The first `lost_orders` orders get no response. Those in `full` refuse
+    items. The items in `crashing` crash the samplers that run them, with all
+    other runs there.
     """
 
     def __init__(self, clock: Clock, length: int = 5) -> None:
@@ -100,6 +107,9 @@
         self.idle: Counter[str] = Counter()
         self.generated: Counter[str] = Counter()
         self.started: list[tuple[str, str, int]] = []
+        # Times of the requests that reached each sampler, also refused ones.
+        self.arrivals: dict[str, list[float]] = {}
+        self.full: set[str] = set()
         self.requests: list[ItemRequest] = []
         self.crashing: set[str] = set()
         self.crashed: list[str] = []
@@ -110,6 +120,9 @@
         self.clock.sleep(0.002)
         if upstream.id in self.down:
             raise UpstreamUnreachableError('refused', 'nothing')
+        self.arrivals.setdefault(upstream.id, []).append(self.clock.now())
+        if upstream.id in self.full:
+            raise UpstreamNotStartedError('full', 'nothing')
         self.started.append((item.id, upstream.id, item.resume_after))
         self.requests.append(item)
         return FakeRun(self, upstream, item)
--- /dev/null
+++ b/tests/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits on starts at cold upstreams."""
