Build an instance outside the platform folder

Most of _process.py built, started and stopped the parts of an instance, which translates nothing.

guavagate/fleet_instance/ now does this. It takes the values of the settings as InstanceOptions and what belongs to the platform (decoders, dialect, clients, paths, the callers' server) as a PlatformAdapter; PlatformProcess fills both in.

The records of answers, failures and reports move out of routing/_upstreams.py into routing/_loads.py, the base of UpstreamTable, so its callers stay as they are.

--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -4,8 +4,15 @@
 
 from guavagate.auth import ProofBounds, make_bounds
 from guavagate.exceptions import SettingsError
+from guavagate.fleet_instance import (
+    DutyOptions,
+    InstanceOptions,
+    LimitOptions,
+    ListenOptions,
+    StoreOptions,
+)
 from guavagate.models import InstanceId, RegionId, ZoneId
-from guavagate.platform.const import CONFIG_PATH, MILLIS
+from guavagate.platform import const
 from guavagate.settings import InstanceSettings, PlatformSettings
 
 
@@ -35,13 +42,13 @@
 
     def get_proof_path(self) -> str:
         """Return the object that must be proven current, or ''."""
-        return CONFIG_PATH if self.strict_revoke else ''
+        return const.CONFIG_PATH if self.strict_revoke else ''
 
     def to_proof_bounds(self) -> ProofBounds:
         """Return how recently the configuration must be proven current."""
         return make_bounds(
-            self.config_apply_ms / MILLIS,
-            self.revoke_ms / MILLIS,
+            self.config_apply_ms / const.MILLIS,
+            self.revoke_ms / const.MILLIS,
             strict=self.strict_revoke,
         )
 
@@ -104,6 +111,40 @@
             log_format='json',
         )
 
+    def to_options(self) -> InstanceOptions:
+        """Return what an instance is built with."""
+        bounds, duties = self.bounds, self.cloud_api.duties
+        return InstanceOptions(
+            me=self.to_instance(),
+            bootstrap=self.bootstrap,
+            data_dir=self.data_dir,
+            listen=ListenOptions(
+                front=self.listen.front,
+                ready=self.listen.ready,
+                metrics=f'{self.ip}:{const.METRICS_PORT}',
+            ),
+            store=StoreOptions(
+                address=self.platform.address,
+                reads_per_s=self.platform.reads_per_s,
+                writes_per_s=self.platform.writes_per_s,
+            ),
+            limits=LimitOptions(
+                memory_mb=self.limits.memory_mb,
+                link_bytes_per_s=self.limits.link_mbps
+                * const.BYTES_PER_MEGABIT,
+            ),
+            duties=DutyOptions(
+                reports_usage=const.USAGE_DUTY in duties,
+                scales=const.SCALE_DUTY in duties,
+                usage_window_s=bounds.usage_window_s,
+            ),
+            lease_s=bounds.lease_ms / const.MILLIS,
+            grace_s=bounds.grace_s,
+            retention_s=bounds.retention_s,
+            proof_path=bounds.get_proof_path(),
+            proof_bounds=bounds.to_proof_bounds(),
+        )
+
 
 def load_settings(path: str) -> NodeSettings:
     """Return the settings in a file.
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 from guavagate.clock import Clock
-from guavagate.decisions.background import average_caller_slots
 from guavagate.events import forwarding as events
 from guavagate.events import write
 from guavagate.exceptions import UpstreamNotStartedError
@@ -17,7 +16,6 @@
     UpstreamId,
     ZoneId,
 )
-from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
 from guavagate.routing._choice import (
     IsConnected,
@@ -27,6 +25,7 @@
     is_failing_probes,
 )
 from guavagate.routing._eligibility import Eligibility, Obstacle
+from guavagate.routing._loads import LoadRecords
 from guavagate.routing._outage import (
     are_all_failing,
     compute_retry_after,
@@ -36,18 +35,11 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-# At the usual rate of lost responses (a few percent), two consecutive failures
-# are unlikely to be chance; a single one only makes other upstreams preferred.
-EJECT_AFTER_FAILURES: Final = 2
-# Doubles with each further failure, up to the maximum.
-EJECT_SECONDS: Final = 1.0
-EJECT_MAX_SECONDS: Final = 4.0
 # An upstream that ended has started again by then, or has lapsed.
 RETURN_SECONDS: Final = 5.0
-LATENCY_SMOOTHING: Final = 0.2
 
 
-class UpstreamTable:
+class UpstreamTable(LoadRecords):
     """Upstreams by service; new work goes to those that are eligible.
 
     Parameters
@@ -71,11 +63,10 @@
     ) -> None:
         self.eligibility = eligibility or Eligibility()
         self._is_connected = is_connected
-        self._clock = clock
+        super().__init__(clock)
         self._zone = zone
         self._random = rng or random.Random()
         self._all: dict[UpstreamId, Upstream] = {}
-        self._loads: dict[str, Load] = {}
         self._incarnations: dict[UpstreamId, int] = {}
         self._ended_at: dict[ServiceId, float] = {}
         self._unavailable_since: dict[ServiceId, float] = {}
@@ -284,85 +275,11 @@
         else:
             self._unavailable_since.setdefault(service, now)
 
-    def load(self, upstream: UpstreamId) -> Load:
-        """Return this instance's view of an upstream's load."""
-        return self._loads.setdefault(upstream, Load())
-
-    def record_report(self, upstream: UpstreamId, report: LoadReport) -> None:
-        """Record the load that an upstream reported with a response.
-
-        A response without any figure leaves the earlier report to its age.
-        """
-        load = self.load(upstream)
-        load.answered_at = self._clock.now()
-        if report == LoadReport():
-            return
-        load.report = report
-        load.report_at = self._clock.now()
-        busy = report.busy
-        if busy is None:
-            return
-        load.reported_busy = busy
-        load.reported_at = self._clock.now()
-        load.caller_slots = average_caller_slots(
-            load.caller_slots, busy, load.in_flight
-        )
-
-    def record_success(self, upstream: UpstreamId, seconds: float) -> None:
-        """Record a response, whatever its status."""
-        load = self.load(upstream)
-        load.answers += 1
-        load.failures = 0
-        load.timeouts = 0
-        weight = LATENCY_SMOOTHING if load.latency else 1
-        load.latency += (seconds - load.latency) * weight
-
-    def record_timeout(self, upstream: UpstreamId) -> None:
-        """Record that a request received nothing within its timeout."""
-        self.load(upstream).timeouts += 1
-
-    def record_failed_probe(
-        self, upstream: UpstreamId, sent_at: float, *, refused: bool = False
-    ) -> None:
-        """Record that a probe got no answer, or its address refused it.
-
-        Parameters
-        ----------
-        sent_at
-            When it was sent. It tells nothing if an answer to anything else
-            has arrived since.
-        """
-        load = self.load(upstream)
-        now = self._clock.now()
-        if load.answered_at >= sent_at:
-            return
-        if not is_failing_probes(load, now):
-            load.failing_since = now
-        load.probe_failed_at = now
-        load.refusing = refused
-
     def forget_failed_probes(self, service: ServiceId) -> None:
         """Have a service's upstreams tried again, as they are said to work."""
         for load in self._list_loads(service):
             load.probe_failed_at = load.answered_at
 
-    def record_failure(self, upstream: UpstreamId) -> None:
-        """Record that a request was cut off or got no response."""
-        load = self.load(upstream)
-        load.failures += 1
-        if load.failures < EJECT_AFTER_FAILURES:
-            return
-        backoff = EJECT_SECONDS * 2 ** (load.failures - EJECT_AFTER_FAILURES)
-        seconds = min(backoff, EJECT_MAX_SECONDS)
-        load.ejected_until = self._clock.now() + seconds
-        write(
-            _LOGGER,
-            events.UPSTREAM_EJECTED,
-            upstream=upstream,
-            failures=load.failures,
-            seconds=seconds,
-        )
-
     def record_end(self, upstream: UpstreamId, incarnation: int) -> None:
         """Eject an upstream that has ended, though it is still registered.
 
@@ -373,19 +290,8 @@
         registered = self._all.get(upstream)
         if registered is None or registered.incarnation != incarnation:
             return
-        load = self.load(upstream)
-        now = self._clock.now()
-        if load.ejected_until > now:
-            return
-        load.failures = max(load.failures, EJECT_AFTER_FAILURES)
-        load.ejected_until = now + EJECT_MAX_SECONDS
-        self._ended_at[registered.service] = now
-        write(
-            _LOGGER,
-            events.UPSTREAM_FOUND_ENDED,
-            upstream=upstream,
-            seconds=EJECT_MAX_SECONDS,
-        )
+        if self._eject_ended(upstream):
+            self._ended_at[registered.service] = self._clock.now()
 
     def compute_return_wait(self, service: ServiceId) -> float:
         """Return the seconds until ended upstreams of a service may be back.
--- a/standins/_safeguard_routing.py
+++ b/standins/_safeguard_routing.py
@@ -50,7 +50,7 @@
     ),
     Safeguard(
         'a probe sent before an answer tells nothing',
-        'guavagate/routing/_upstreams.py',
+        'guavagate/routing/_loads.py',
         'if load.answered_at >= sent_at:',
         'if False:',
         _PROBE_TEST,
