Split the jobs package by what its parts decide

guavagate/jobs/ had 37 files side by side. What all four use (models, messages, items, the result log) and the owner that ties them together stay in jobs/, whose public names are the same. The packages import each other only through their __init__ modules and without cycles; for that the reader names what it needs of the owner as a protocol.

The check that no module sends past the eligibility check passed without looking at anything since the client of samplers is made in guavagate/fleet_instance/: it now demands that it is made once, there and inside EligibleSamplers, and it also finds a registered() that is passed on uncalled.

--- a/guavagate/jobs/__init__.py
+++ b/guavagate/jobs/__init__.py
@@ -1,6 +1,5 @@
 """Jobs: items submitted together, run later, with results read by position."""
 
-from guavagate.jobs._announcements import AnnouncedJobs, JobIntake
 from guavagate.jobs._messages import LookupStatus
 from guavagate.jobs._models import (
     GroupId,
@@ -14,12 +13,19 @@
     ResultState,
 )
 from guavagate.jobs._owner import JobOwner
-from guavagate.jobs._owner_watch import OwnerWatch
-from guavagate.jobs._ownership import Ownership
-from guavagate.jobs._reader import JobReader
-from guavagate.jobs._replicas import TextReplicas, compute_message_limit
-from guavagate.jobs._snapshots import TextSnapshots
-from guavagate.jobs._store import JobConflictError, JobStore
+from guavagate.jobs.ownership import Ownership, OwnerWatch
+from guavagate.jobs.records import (
+    AnnouncedJobs,
+    JobConflictError,
+    JobIntake,
+    JobReader,
+    JobStore,
+)
+from guavagate.jobs.texts import (
+    TextReplicas,
+    TextSnapshots,
+    compute_message_limit,
+)
 
 __all__ = (
     'AnnouncedJobs',
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -11,12 +11,6 @@
 from guavagate.events import write
 from guavagate.helpers.mirror import Mirror
 from guavagate.helpers.waits import wait_for
-from guavagate.jobs._active import ActiveJobs
-from guavagate.jobs._announcements import AnnouncedJobs
-from guavagate.jobs._checkpoints import TextCheckpoints
-from guavagate.jobs._dispatch import Dispatcher
-from guavagate.jobs._event_interval import STALL_SECONDS
-from guavagate.jobs._expiry import is_expired, remove_expired_jobs
 from guavagate.jobs._messages import LookupStatus
 from guavagate.jobs._models import (
     ENDS_PREFIX,
@@ -28,14 +22,28 @@
     Result,
     ResultState,
 )
-from guavagate.jobs._replicas import TextReplicas
-from guavagate.jobs._rewards import RewardDispatcher
-from guavagate.jobs._runner import ItemRunner
-from guavagate.jobs._snapshots import TextSnapshots
-from guavagate.jobs._stops import mark_stopped_items
-from guavagate.jobs._store import JobStore, decode_job
-from guavagate.jobs._text_backups import TextBackups
 from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.records import (
+    ActiveJobs,
+    AnnouncedJobs,
+    JobStore,
+    decode_job,
+    is_expired,
+    remove_expired_jobs,
+)
+from guavagate.jobs.scheduling import (
+    Dispatcher,
+    RewardDispatcher,
+    mark_stopped_items,
+)
+from guavagate.jobs.texts import (
+    STALL_SECONDS,
+    ItemRunner,
+    TextBackups,
+    TextCheckpoints,
+    TextReplicas,
+    TextSnapshots,
+)
 from guavagate.metrics import Metrics, names
 from guavagate.models import InstanceId, ServiceId, TeamId
 from guavagate.ports.rewards import RewardClient
--- a/guavagate/jobs/_owner_watch.py
+++ b/guavagate/jobs/ownership/_owner_watch.py
@@ -16,18 +16,18 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import LinkError
-from guavagate.jobs._failover import (
-    HEARTBEAT_INTERVAL_SECONDS,
-    PROBE_TIMEOUT_SECONDS,
-    Action,
-    Failover,
-)
 from guavagate.jobs._messages import (
     OwnerHeartbeat,
     OwnerProbed,
     ProbeOwner,
 )
-from guavagate.jobs._ownership import Ownership
+from guavagate.jobs.ownership._failover import (
+    HEARTBEAT_INTERVAL_SECONDS,
+    PROBE_TIMEOUT_SECONDS,
+    Action,
+    Failover,
+)
+from guavagate.jobs.ownership._ownership import Ownership
 from guavagate.links import Bus, Message, expect
 from guavagate.metrics import Metrics, names
 from guavagate.models import InstanceId, ServiceId
--- a/guavagate/jobs/_active.py
+++ b/guavagate/jobs/records/_active.py
@@ -13,16 +13,15 @@
 from guavagate.exceptions import StoreError
 from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.helpers.waits import wait_for
-from guavagate.jobs._active_job import ActiveJob
-from guavagate.jobs._cadence import Cadence
-from guavagate.jobs._committer import Committer
 from guavagate.jobs._messages import LookupStatus
 from guavagate.jobs._models import ItemId, Job, JobId, Page, Result, make_page
-from guavagate.jobs._partial_texts import PartialTexts
 from guavagate.jobs._result_log import ResultLog
-from guavagate.jobs._schedule import count_demands
-from guavagate.jobs._store import JobStore
 from guavagate.jobs._work import JobWork
+from guavagate.jobs.records._active_job import ActiveJob
+from guavagate.jobs.records._committer import Committer
+from guavagate.jobs.records._store import JobStore
+from guavagate.jobs.scheduling import Cadence, count_demands
+from guavagate.jobs.texts import PartialTexts
 from guavagate.metrics import Metrics, names
 from guavagate.models import TeamId
 from guavagate.ports.store import StoredObject
--- a/guavagate/jobs/_active_job.py
+++ b/guavagate/jobs/records/_active_job.py
@@ -10,9 +10,9 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import StoreError
-from guavagate.jobs._committer import Committer
 from guavagate.jobs._result_log import WRITE_TIMEOUT_SECONDS
 from guavagate.jobs._work import JobWork
+from guavagate.jobs.records._committer import Committer
 
 _LOGGER: Final = logging.getLogger(__name__)
 
--- a/guavagate/jobs/_announcements.py
+++ b/guavagate/jobs/records/_announcements.py
@@ -19,8 +19,8 @@
 from guavagate.events import write
 from guavagate.jobs._messages import JobAnnounced, JobEndAnnounced
 from guavagate.jobs._models import Job, JobId
-from guavagate.jobs._ownership import Ownership
-from guavagate.jobs._store import PART_BYTES, JobStore, measure_job
+from guavagate.jobs.ownership import Ownership
+from guavagate.jobs.records._store import PART_BYTES, JobStore, measure_job
 from guavagate.links import Bus, Message, expect
 from guavagate.metrics import Metrics, names
 from guavagate.models import InstanceId, ServiceId
--- a/guavagate/jobs/_expiry.py
+++ b/guavagate/jobs/records/_expiry.py
@@ -8,7 +8,6 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import StoreError
-from guavagate.jobs._active_job import ActiveJob
 from guavagate.jobs._models import (
     Job,
     JobId,
@@ -18,6 +17,7 @@
     results_prefix,
     texts_path,
 )
+from guavagate.jobs.records._active_job import ActiveJob
 from guavagate.ports.store import ObjectStore
 
 _LOGGER: Final = logging.getLogger(__name__)
--- a/guavagate/jobs/_reader.py
+++ b/guavagate/jobs/records/_reader.py
@@ -2,11 +2,10 @@
 
 import logging
 from collections.abc import Callable, Iterator
-from typing import Final, TypeVar
+from typing import Final, Protocol, TypeVar
 
 from guavagate.clock import Clock
 from guavagate.exceptions import LinkError, StoreError
-from guavagate.jobs._active import PAGE_BYTES
 from guavagate.jobs._messages import (
     ItemReply,
     LookupStatus,
@@ -15,9 +14,9 @@
     ReadPage,
 )
 from guavagate.jobs._models import ItemId, Job, JobId, Page, make_page
-from guavagate.jobs._owner import JobOwner
-from guavagate.jobs._ownership import Ownership
-from guavagate.jobs._store import JobStore, measure_job
+from guavagate.jobs.ownership import Ownership
+from guavagate.jobs.records._active import PAGE_BYTES
+from guavagate.jobs.records._store import JobStore, measure_job
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId, ServiceId, TeamId
 
@@ -35,7 +34,23 @@
 _ANY_TEAM: Final = TeamId('')
 
 Reply = TypeVar('Reply', bound=Message)
-FindLocalOwner = Callable[[ServiceId], JobOwner | None]
+
+
+class LocalOwner(Protocol):
+    """The job owner of a service, if it is on this instance."""
+
+    def read(
+        self, job: JobId, after: int, wait: float, team: TeamId = ...
+    ) -> tuple[LookupStatus, Page | None]:
+        """Return results from a position on, waiting until there are any."""
+
+    def read_item(
+        self, job: JobId, item: ItemId, team: TeamId = ...
+    ) -> tuple[LookupStatus, bytes]:
+        """Return an item's body."""
+
+
+FindLocalOwner = Callable[[ServiceId], LocalOwner | None]
 
 
 class JobReader:
--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/scheduling/_dispatch.py
@@ -8,38 +8,38 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import UpstreamError
-from guavagate.jobs._forecast import Forecast, GroupPlan, forecast
-from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._memory import (
+from guavagate.jobs._models import GroupId, ItemId, JobId
+from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._forecast import Forecast, GroupPlan, forecast
+from guavagate.jobs.scheduling._lengths import LengthEstimator
+from guavagate.jobs.scheduling._memory import (
     EngineMemory,
     make_memory_estimate,
     reserve_running,
 )
-from guavagate.jobs._models import GroupId, ItemId, JobId
-from guavagate.jobs._moves import (
+from guavagate.jobs.scheduling._moves import (
     EstimateTime,
     Move,
     RemainingTime,
     find_moves,
     find_urgent_moves,
 )
-from guavagate.jobs._reclaim import Reclaims
-from guavagate.jobs._runner import ItemRunner
-from guavagate.jobs._schedule import (
+from guavagate.jobs.scheduling._reclaim import Reclaims
+from guavagate.jobs.scheduling._schedule import (
     ItemPlacement,
     Placements,
     SamplerSlots,
     place,
 )
-from guavagate.jobs._slots import (
+from guavagate.jobs.scheduling._slots import (
     count_reserved_slots,
     find_median_interval,
     get_no_memory,
     list_slots,
     sum_slots_by_model,
 )
-from guavagate.jobs._stalls import find_unresponsive
-from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._stalls import find_unresponsive
+from guavagate.jobs.texts import ItemRunner
 from guavagate.metrics import Metrics, names
 from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.sampler import SamplerClient
--- a/guavagate/jobs/_forecast.py
+++ b/guavagate/jobs/scheduling/_forecast.py
@@ -21,9 +21,9 @@
 
 import msgspec
 
-from guavagate.jobs._lengths import LengthEstimator
 from guavagate.jobs._models import GroupId
 from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._lengths import LengthEstimator
 
 # A trainer reads results about twice a second and uses what is there.
 READ_SLACK_SECONDS: Final = 0.5
--- a/guavagate/jobs/_memory.py
+++ b/guavagate/jobs/scheduling/_memory.py
@@ -25,9 +25,9 @@
 
 import msgspec
 
-from guavagate.jobs._lengths import HORIZONS, LengthEstimator
 from guavagate.jobs._models import PromptPrefix
 from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._lengths import HORIZONS, LengthEstimator
 from guavagate.models import UpstreamId
 
 # Bounds of the tokens per event that are learnt from estimates. All estimates
--- a/guavagate/jobs/_moves.py
+++ b/guavagate/jobs/scheduling/_moves.py
@@ -18,14 +18,14 @@
 
 import msgspec
 
-from guavagate.jobs._memory import EstimateMemory, estimate_no_memory
-from guavagate.jobs._schedule import (
+from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._memory import EstimateMemory, estimate_no_memory
+from guavagate.jobs.scheduling._schedule import (
     UNMEASURED_COST,
     SamplerSlots,
     count_demands,
     find_sampler,
 )
-from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.models import UpstreamId
 
 # A fuller batch alone explains a smaller difference.
--- a/guavagate/jobs/_reclaim.py
+++ b/guavagate/jobs/scheduling/_reclaim.py
@@ -21,8 +21,8 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.jobs._models import ItemId, JobId
-from guavagate.jobs._schedule import EstimateSeconds, SamplerSlots
 from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._schedule import EstimateSeconds, SamplerSlots
 from guavagate.metrics import Metrics, names
 from guavagate.models import ServiceId, UpstreamId, ZoneId
 from guavagate.ports.upstreams import Upstream
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/scheduling/_schedule.py
@@ -17,16 +17,16 @@
 
 import msgspec
 
-from guavagate.jobs._forecast import GroupPlan
-from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._memory import (
+from guavagate.jobs._models import ItemId, JobId, JobItem
+from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._forecast import GroupPlan
+from guavagate.jobs.scheduling._lengths import LengthEstimator
+from guavagate.jobs.scheduling._memory import (
     EngineMemory,
     EstimateMemory,
     TextMemory,
     estimate_no_memory,
 )
-from guavagate.jobs._models import ItemId, JobId, JobItem
-from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.models import UpstreamId, WeightVersion
 from guavagate.rollouts import ModelDemand
 
--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/scheduling/_slots.py
@@ -5,9 +5,9 @@
 from types import MappingProxyType
 from typing import Final
 
-from guavagate.jobs._memory import EngineMemory
-from guavagate.jobs._schedule import SamplerSlots
 from guavagate.jobs._work import JobWork
+from guavagate.jobs.scheduling._memory import EngineMemory
+from guavagate.jobs.scheduling._schedule import SamplerSlots
 from guavagate.models import UpstreamId
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerStates
--- a/guavagate/jobs/_checkpoints.py
+++ b/guavagate/jobs/texts/_checkpoints.py
@@ -20,13 +20,13 @@
 from guavagate.exceptions import StoreError
 from guavagate.jobs._models import JobId, texts_path
 from guavagate.jobs._result_log import ResultLog
-from guavagate.jobs._saved_texts import (
+from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.texts._saved_texts import (
     SavedText,
     list_uncommitted,
     make_saved_text,
     restore_text,
 )
-from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.ports.store import ObjectStore
 
 _LOGGER: Final = logging.getLogger(__name__)
--- a/guavagate/jobs/_replicas.py
+++ b/guavagate/jobs/texts/_replicas.py
@@ -18,9 +18,9 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import LinkError
-from guavagate.jobs._adoption import adopt_text, is_much_longer
 from guavagate.jobs._models import ItemId, JobId
 from guavagate.jobs._work import ItemProgress, JobWork, Text
+from guavagate.jobs.texts._adoption import adopt_text, is_much_longer
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId, ServiceId, WeightVersion
 
--- a/guavagate/jobs/_runner.py
+++ b/guavagate/jobs/texts/_runner.py
@@ -15,9 +15,9 @@
     UpstreamNotStartedError,
     UpstreamUnreachableError,
 )
-from guavagate.jobs._event_interval import EventIntervalMeter
 from guavagate.jobs._models import Job, Result, ResultState
 from guavagate.jobs._work import ItemProgress, JobWork, Text
+from guavagate.jobs.texts._event_interval import EventIntervalMeter
 from guavagate.ports.sampler import (
     ItemFailedError,
     ItemImpossibleError,
--- a/guavagate/jobs/_saved_texts.py
+++ b/guavagate/jobs/texts/_saved_texts.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from guavagate.jobs._adoption import adopt_text
 from guavagate.jobs._models import ItemId, JobId
 from guavagate.jobs._work import ItemProgress, JobWork, Text
+from guavagate.jobs.texts._adoption import adopt_text
 from guavagate.models import WeightVersion
 
 
--- a/guavagate/jobs/_snapshots.py
+++ b/guavagate/jobs/texts/_snapshots.py
@@ -24,13 +24,13 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.jobs._models import JobId
-from guavagate.jobs._saved_texts import (
+from guavagate.jobs._work import JobWork
+from guavagate.jobs.texts._saved_texts import (
     SavedText,
     list_uncommitted,
     make_saved_text,
     restore_text,
 )
-from guavagate.jobs._work import JobWork
 from guavagate.models import ServiceId
 
 _LOGGER: Final = logging.getLogger(__name__)
--- a/guavagate/jobs/_text_backups.py
+++ b/guavagate/jobs/texts/_text_backups.py
@@ -12,13 +12,16 @@
 from guavagate.clock import Clock, Task
 from guavagate.events import jobs as events
 from guavagate.events import write
-from guavagate.jobs._checkpoints import (
+from guavagate.jobs._work import JobWork
+from guavagate.jobs.texts._checkpoints import (
     CHECKPOINT_INTERVAL_SECONDS,
     TextCheckpoints,
 )
-from guavagate.jobs._replicas import REPLICATION_INTERVAL_SECONDS, TextReplicas
-from guavagate.jobs._snapshots import TextSnapshots
-from guavagate.jobs._work import JobWork
+from guavagate.jobs.texts._replicas import (
+    REPLICATION_INTERVAL_SECONDS,
+    TextReplicas,
+)
+from guavagate.jobs.texts._snapshots import TextSnapshots
 from guavagate.models import InstanceId, ServiceId
 
 _LOGGER: Final = logging.getLogger(__name__)
--- a/standins/_safeguard_capacity.py
+++ b/standins/_safeguard_capacity.py
@@ -29,17 +29,17 @@
     ),
     Safeguard(
         'short texts end where they are',
-        'guavagate/jobs/_reclaim.py',
+        'guavagate/jobs/scheduling/_reclaim.py',
         '    return not remaining or needed > left\n',
         '    return True\n',
-        'tests/jobs/test_reclaim.py',
+        'tests/jobs/scheduling/test_reclaim.py',
     ),
     Safeguard(
         'texts leave a sampler in stages',
-        'guavagate/jobs/_reclaim.py',
+        'guavagate/jobs/scheduling/_reclaim.py',
         '        target.free = min(target.free, TEXTS_PER_STAGE)\n',
         '        pass\n',
-        'tests/jobs/test_reclaim.py',
+        'tests/jobs/scheduling/test_reclaim.py',
     ),
     Safeguard(
         'a zone never gets more than its limit between two orders',
--- a/standins/_safeguard_failover.py
+++ b/standins/_safeguard_failover.py
@@ -4,12 +4,12 @@
 
 from standins._safeguard_rows import Safeguard
 
-_ANNOUNCEMENTS: Final = 'guavagate/jobs/_announcements.py'
-_FAILOVER: Final = 'guavagate/jobs/_failover.py'
-_REPLICAS: Final = 'guavagate/jobs/_replicas.py'
-_TEST_ANNOUNCEMENTS: Final = 'tests/jobs/test_announcements.py'
-_TEST_FAILOVER: Final = 'tests/jobs/test_failover.py'
-_TEST_STANDING_IN: Final = 'tests/jobs/test_standing_in.py'
+_ANNOUNCEMENTS: Final = 'guavagate/jobs/records/_announcements.py'
+_FAILOVER: Final = 'guavagate/jobs/ownership/_failover.py'
+_REPLICAS: Final = 'guavagate/jobs/texts/_replicas.py'
+_TEST_ANNOUNCEMENTS: Final = 'tests/jobs/records/test_announcements.py'
+_TEST_FAILOVER: Final = 'tests/jobs/ownership/test_failover.py'
+_TEST_STANDING_IN: Final = 'tests/jobs/ownership/test_standing_in.py'
 
 FAILOVER_SAFEGUARDS: Final = (
     Safeguard(
@@ -56,7 +56,7 @@
     ),
     Safeguard(
         'an owner that others reach is not replaced',
-        'guavagate/jobs/_owner_watch.py',
+        'guavagate/jobs/ownership/_owner_watch.py',
         'reached=reached or any(known)',
         'reached=reached',
         _TEST_STANDING_IN,
@@ -91,17 +91,17 @@
     ),
     Safeguard(
         'readers ask the successor of a silent owner',
-        'guavagate/jobs/_reader.py',
+        'guavagate/jobs/records/_reader.py',
         '        if was_silent:\n',
         '        if False:\n',
         _TEST_STANDING_IN,
     ),
     Safeguard(
         'batches leave the rate of writes to urgent commits',
-        'guavagate/jobs/_committer.py',
+        'guavagate/jobs/records/_committer.py',
         '            if self._has_spare_writes():\n',
         '            if True:\n',
-        'tests/jobs/test_commits.py',
+        'tests/jobs/records/test_commits.py',
     ),
     Safeguard(
         'an instance that has only listed follows a relay at once',
--- a/standins/_safeguard_recovery.py
+++ b/standins/_safeguard_recovery.py
@@ -7,24 +7,24 @@
 RECOVERY_SAFEGUARDS: Final = (
     Safeguard(
         'replicas keep up with the texts of a burst',
-        'guavagate/jobs/_replicas.py',
+        'guavagate/jobs/texts/_replicas.py',
         'LINK_SHARE: Final = 0.05',
         'LINK_SHARE: Final = 0.0027',
-        'tests/jobs/test_texts.py',
+        'tests/jobs/texts/test_texts.py',
     ),
     Safeguard(
         'long texts resume from the store',
-        'guavagate/jobs/_text_backups.py',
+        'guavagate/jobs/texts/_text_backups.py',
         '        self._checkpoints.restore(work)\n',
         '',
-        'tests/jobs/test_checkpoints.py',
+        'tests/jobs/texts/test_checkpoints.py',
     ),
     Safeguard(
         'a checkpoint fits into one object',
-        'guavagate/jobs/_checkpoints.py',
+        'guavagate/jobs/texts/_checkpoints.py',
         '        if left < 0:\n            break\n',
         '',
-        'tests/jobs/test_checkpoints.py',
+        'tests/jobs/texts/test_checkpoints.py',
     ),
     Safeguard(
         'calls are spread over working peers',
--- a/standins/_safeguard_stops.py
+++ b/standins/_safeguard_stops.py
@@ -100,10 +100,10 @@
     ),
     Safeguard(
         'a stopped item is held back',
-        'guavagate/jobs/_stops.py',
+        'guavagate/jobs/scheduling/_stops.py',
         '        progress.stopped = stopped\n',
         '',
-        'tests/jobs/test_stopped_items.py',
+        'tests/jobs/scheduling/test_stopped_items.py',
     ),
     Safeguard(
         'a relay sends later prefixes only to who follows them',
--- a/standins/_safeguard_teams.py
+++ b/standins/_safeguard_teams.py
@@ -75,7 +75,7 @@
         'guavagate/jobs/_models.py',
         'return not self.team or self.team == team',
         'return True',
-        'tests/jobs/test_teams.py',
+        'tests/jobs/records/test_teams.py',
     ),
     Safeguard(
         'a usage window is reported with one content',
--- a/tests/jobs/load_model.py
+++ b/tests/jobs/load_model.py
@@ -13,8 +13,6 @@
 from typing import Final
 
 from guavagate.clock import PausedClock
-from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._memory import make_memory_estimate, reserve_running
 from guavagate.jobs._models import (
     GroupId,
     ItemId,
@@ -25,15 +23,20 @@
     Result,
     ResultState,
 )
-from guavagate.jobs._moves import (
+from guavagate.jobs._result_log import ResultLog
+from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._lengths import LengthEstimator
+from guavagate.jobs.scheduling._memory import (
+    make_memory_estimate,
+    reserve_running,
+)
+from guavagate.jobs.scheduling._moves import (
     RemainingTime,
     find_moves,
     find_urgent_moves,
 )
-from guavagate.jobs._result_log import ResultLog
-from guavagate.jobs._schedule import place
-from guavagate.jobs._slots import count_reserved_slots
-from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._schedule import place
+from guavagate.jobs.scheduling._slots import count_reserved_slots
 from guavagate.measure.fakes import MemoryStore
 from guavagate.models import ServiceId, WeightVersion
 from guavagate.ports.sampler import TextEvent
--- a/tests/jobs/load_parts.py
+++ b/tests/jobs/load_parts.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from guavagate.jobs._forecast import GroupPlan, forecast
-from guavagate.jobs._lengths import LengthEstimator
 from guavagate.jobs._models import GroupId, JobItem
-from guavagate.jobs._schedule import SamplerSlots
-from guavagate.jobs._slots import sum_slots_by_model
 from guavagate.jobs._work import JobWork
+from guavagate.jobs.scheduling._forecast import GroupPlan, forecast
+from guavagate.jobs.scheduling._lengths import LengthEstimator
+from guavagate.jobs.scheduling._schedule import SamplerSlots
+from guavagate.jobs.scheduling._slots import sum_slots_by_model
 
 EVENT_SECONDS: Final = 0.04
 # The share by which a full batch slows each event.
--- a/tests/jobs/load_samplers.py
+++ b/tests/jobs/load_samplers.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
-from guavagate.jobs._memory import EngineMemory
-from guavagate.jobs._schedule import SamplerSlots
+from guavagate.jobs.scheduling._memory import EngineMemory
+from guavagate.jobs.scheduling._schedule import SamplerSlots
 from guavagate.models import UpstreamId, WeightVersion
 from tests.jobs.load_parts import (
     EVENT_SECONDS,
--- a/tests/jobs/test_failover.py
+++ b/tests/jobs/ownership/test_failover.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from guavagate.jobs._failover import (
+from guavagate.jobs.ownership._failover import (
     HEARTBEAT_INTERVAL_SECONDS,
     TAKEOVER_AFTER_SECONDS,
     Action,
--- a/tests/jobs/test_standing_in.py
+++ b/tests/jobs/ownership/test_standing_in.py
@@ -6,7 +6,7 @@
 
 from guavagate.exceptions import StoreUnavailableError
 from guavagate.jobs import ItemId, JobId, LookupStatus
-from guavagate.jobs._replicas import TextCopy, TextPart
+from guavagate.jobs.texts._replicas import TextCopy, TextPart
 from guavagate.models import WeightVersion
 from tests.jobs.fleet import Node, RoleFleet, make_job
 from tests.jobs.samplers import SERVICE
--- a/tests/jobs/test_announcements.py
+++ b/tests/jobs/records/test_announcements.py
@@ -6,12 +6,12 @@
 import pytest
 
 from guavagate.jobs import Job, JobId
-from guavagate.jobs._announcements import (
+from guavagate.jobs._messages import JobAnnounced
+from guavagate.jobs.records._announcements import (
     MAX_AGE_SECONDS,
     MAX_JOB_BYTES,
     MAX_STORED_BYTES,
 )
-from guavagate.jobs._messages import JobAnnounced
 from guavagate.models import ServiceId
 from tests.jobs.fleet import RoleFleet, make_job
 from tests.jobs.samplers import SERVICE
--- a/tests/jobs/test_commits.py
+++ b/tests/jobs/records/test_commits.py
@@ -6,9 +6,9 @@
 from guavagate.integrations.object_api import make_shared_client
 from guavagate.integrations.object_api.models import Answer, Call
 from guavagate.jobs import ItemId, JobId, Result, ResultState
-from guavagate.jobs._committer import Committer
-from guavagate.jobs._store import JobStore
 from guavagate.jobs._work import JobWork
+from guavagate.jobs.records._committer import Committer
+from guavagate.jobs.records._store import JobStore
 from guavagate.measure.fakes import MemoryStore, StoreState
 from guavagate.models import WeightVersion
 from guavagate.platform._store import PlatformStore
--- /dev/null
+++ b/tests/jobs/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `guavagate.jobs.scheduling`."""
--- a/tests/jobs/test_cadence.py
+++ b/tests/jobs/scheduling/test_cadence.py
@@ -2,7 +2,7 @@
 
 import random
 
-from guavagate.jobs._cadence import Cadence
+from guavagate.jobs.scheduling._cadence import Cadence
 
 
 def test_period_is_learned_from_steps_on_time() -> None:
--- a/tests/jobs/test_dispatch.py
+++ b/tests/jobs/scheduling/test_dispatch.py
@@ -6,11 +6,11 @@
 import pytest
 
 from guavagate.jobs import Job
-from guavagate.jobs._lengths import MIN_TEXTS
+from guavagate.jobs.scheduling._lengths import MIN_TEXTS
 from guavagate.models import UpstreamId
 from tests.jobs.fleet import JobFleet, check_complete, make_job
 from tests.jobs.samplers import MODEL
-from tests.jobs.test_forecast import make_work
+from tests.jobs.scheduling.test_forecast import make_work
 
 LENGTH = 60
 
--- a/tests/jobs/test_forecast.py
+++ b/tests/jobs/scheduling/test_forecast.py
@@ -3,10 +3,10 @@
 import msgspec
 
 from guavagate.clock import PausedClock
-from guavagate.jobs._forecast import GroupPlan, forecast
-from guavagate.jobs._lengths import MIN_TEXTS, LengthEstimator
 from guavagate.jobs._result_log import ResultLog
 from guavagate.jobs._work import JobWork
+from guavagate.jobs.scheduling._forecast import GroupPlan, forecast
+from guavagate.jobs.scheduling._lengths import MIN_TEXTS, LengthEstimator
 from guavagate.measure.fakes import MemoryStore
 from tests.jobs.fleet import make_job
 from tests.jobs.samplers import MODEL
--- a/tests/jobs/test_lengths.py
+++ b/tests/jobs/scheduling/test_lengths.py
@@ -5,10 +5,10 @@
 import msgspec
 import pytest
 
-from guavagate.jobs._lengths import LengthEstimator
 from guavagate.jobs._work import ItemProgress
+from guavagate.jobs.scheduling._lengths import LengthEstimator
 from tests.jobs.samplers import MODEL
-from tests.jobs.test_forecast import make_lengths, make_work
+from tests.jobs.scheduling.test_forecast import make_lengths, make_work
 
 
 def _make_progress(tokens: int) -> ItemProgress:
--- a/tests/jobs/test_memory.py
+++ b/tests/jobs/scheduling/test_memory.py
@@ -3,16 +3,19 @@
 import msgspec
 import pytest
 
-from guavagate.jobs._forecast import forecast
-from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._memory import make_memory_estimate, reserve_running
 from guavagate.jobs._models import PromptPrefix
-from guavagate.jobs._moves import RemainingTime, find_moves
-from guavagate.jobs._schedule import Placements, SamplerSlots, place
 from guavagate.jobs._work import JobWork
+from guavagate.jobs.scheduling._forecast import forecast
+from guavagate.jobs.scheduling._lengths import LengthEstimator
+from guavagate.jobs.scheduling._memory import (
+    make_memory_estimate,
+    reserve_running,
+)
+from guavagate.jobs.scheduling._moves import RemainingTime, find_moves
+from guavagate.jobs.scheduling._schedule import Placements, SamplerSlots, place
 from guavagate.models import UpstreamId, WeightVersion
 from tests.jobs.samplers import MODEL
-from tests.jobs.test_forecast import NOW, make_lengths, make_work
+from tests.jobs.scheduling.test_forecast import NOW, make_lengths, make_work
 
 SLOTS = 4
 # Each text has 100 events of 84 tokens at its end.
--- a/tests/jobs/test_moves.py
+++ b/tests/jobs/scheduling/test_moves.py
@@ -1,18 +1,18 @@
 """Which texts leave slow samplers while other items wait for slots."""
 
 from guavagate.clock import PausedClock
-from guavagate.jobs._forecast import forecast
-from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._moves import (
+from guavagate.jobs._result_log import ResultLog
+from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._forecast import forecast
+from guavagate.jobs.scheduling._lengths import LengthEstimator
+from guavagate.jobs.scheduling._moves import (
     Move,
     RemainingTime,
     find_moves,
     find_urgent_moves,
 )
-from guavagate.jobs._result_log import ResultLog
-from guavagate.jobs._schedule import SamplerSlots, place
-from guavagate.jobs._slots import count_reserved_slots, list_slots
-from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._schedule import SamplerSlots, place
+from guavagate.jobs.scheduling._slots import count_reserved_slots, list_slots
 from guavagate.measure.fakes import MemoryStore
 from guavagate.models import UpstreamId, WeightVersion
 from guavagate.rollouts import SamplerStates
--- a/tests/jobs/test_placement.py
+++ b/tests/jobs/scheduling/test_placement.py
@@ -3,12 +3,12 @@
 import msgspec
 import pytest
 
-from guavagate.jobs._forecast import forecast
-from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._schedule import SamplerSlots, place
+from guavagate.jobs.scheduling._forecast import forecast
+from guavagate.jobs.scheduling._lengths import LengthEstimator
+from guavagate.jobs.scheduling._schedule import SamplerSlots, place
 from guavagate.models import UpstreamId, WeightVersion
 from tests.jobs.samplers import MODEL
-from tests.jobs.test_forecast import NOW, make_lengths, make_work
+from tests.jobs.scheduling.test_forecast import NOW, make_lengths, make_work
 
 # Estimates of `make_lengths`, whose texts all have 25 events.
 USUAL_TOKENS = 1000
--- a/tests/jobs/test_reclaim.py
+++ b/tests/jobs/scheduling/test_reclaim.py
@@ -6,7 +6,8 @@
 import pytest
 
 from guavagate.clock import PausedClock
-from guavagate.jobs._reclaim import (
+from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._reclaim import (
     AVOID_SECONDS,
     STAGE_SECONDS,
     TEXTS_PER_STAGE,
@@ -17,8 +18,7 @@
     find_risky,
     list_long_texts,
 )
-from guavagate.jobs._schedule import SamplerSlots
-from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._schedule import SamplerSlots
 from guavagate.metrics import Metrics
 from guavagate.models import UpstreamId, ZoneId
 from guavagate.ports.upstreams import Upstream
@@ -26,7 +26,7 @@
 from guavagate.routing import UpstreamTable
 from tests.jobs.fleet import JobFleet, Node, check_complete, make_job
 from tests.jobs.samplers import SERVICE, make_upstream
-from tests.jobs.test_schedule import _make_sampler, _make_work, place
+from tests.jobs.scheduling.test_schedule import _make_sampler, _make_work, place
 
 NOW = 100.0
 NOTICE = 2.5
--- a/tests/jobs/test_rewards.py
+++ b/tests/jobs/scheduling/test_rewards.py
@@ -8,8 +8,8 @@
 from guavagate.events.jobs import REWARD_FAILED, REWARD_STOPPED
 from guavagate.jobs import JobId, Result, ResultState
 from guavagate.jobs._result_log import ResultLog
-from guavagate.jobs._rewards import order_pending_rewards
 from guavagate.jobs._work import JobWork
+from guavagate.jobs.scheduling._rewards import order_pending_rewards
 from guavagate.measure.fakes import World
 from tests.jobs.fleet import JobFleet, Node, find_other, make_job
 from tests.jobs.rewards import FakeRewardClient
--- a/tests/jobs/test_schedule.py
+++ b/tests/jobs/scheduling/test_schedule.py
@@ -3,19 +3,19 @@
 import msgspec
 
 from guavagate.clock import PausedClock
-from guavagate.jobs._forecast import forecast
-from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._moves import RemainingTime
-from guavagate.jobs._moves import find_moves as find_job_moves
 from guavagate.jobs._result_log import ResultLog
-from guavagate.jobs._schedule import (
+from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._forecast import forecast
+from guavagate.jobs.scheduling._lengths import LengthEstimator
+from guavagate.jobs.scheduling._moves import RemainingTime
+from guavagate.jobs.scheduling._moves import find_moves as find_job_moves
+from guavagate.jobs.scheduling._schedule import (
     ItemPlacement,
     SamplerSlots,
     count_demands,
 )
-from guavagate.jobs._schedule import place as place_plans
-from guavagate.jobs._slots import sum_slots_by_model
-from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._schedule import place as place_plans
+from guavagate.jobs.scheduling._slots import sum_slots_by_model
 from guavagate.measure.fakes import MemoryStore
 from guavagate.models import UpstreamId, WeightVersion
 from tests.jobs.fleet import make_job
--- a/tests/jobs/test_slots.py
+++ b/tests/jobs/scheduling/test_slots.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from guavagate.jobs._slots import list_slots, sum_slots_by_model
+from guavagate.jobs.scheduling._slots import list_slots, sum_slots_by_model
 from guavagate.models import UpstreamId
 from guavagate.rollouts import SamplerStates
 from tests.jobs.samplers import MODEL, make_upstream
--- a/tests/jobs/test_checkpoints.py
+++ b/tests/jobs/texts/test_checkpoints.py
@@ -1,10 +1,10 @@
 """Checkpoints of long texts in the store: losses of all other copies."""
 
 from guavagate.jobs import JobId
-from guavagate.jobs._checkpoints import MAX_CHARACTERS, TextCheckpoints
 from guavagate.jobs._models import texts_path
 from guavagate.jobs._result_log import ResultLog
 from guavagate.jobs._work import JobWork
+from guavagate.jobs.texts._checkpoints import MAX_CHARACTERS, TextCheckpoints
 from guavagate.measure.fakes import MemoryStore
 from guavagate.models import WeightVersion
 from guavagate.ports.sampler import TextEvent
--- a/tests/jobs/test_event_interval.py
+++ b/tests/jobs/texts/test_event_interval.py
@@ -2,7 +2,7 @@
 
 import random
 
-from guavagate.jobs._event_interval import EventIntervalMeter
+from guavagate.jobs.texts._event_interval import EventIntervalMeter
 from guavagate.models import UpstreamId
 from guavagate.rollouts import SamplerStates
 
--- a/tests/jobs/test_snapshots.py
+++ b/tests/jobs/texts/test_snapshots.py
@@ -9,8 +9,8 @@
 from guavagate.clock import PausedClock
 from guavagate.events import jobs as events
 from guavagate.jobs._result_log import ResultLog
-from guavagate.jobs._snapshots import TextSnapshots
 from guavagate.jobs._work import JobWork, Text
+from guavagate.jobs.texts._snapshots import TextSnapshots
 from guavagate.measure.fakes import MemoryStore
 from guavagate.models import WeightVersion
 from tests.jobs.fleet import JobFleet, Node, check_complete, make_job
--- a/tests/jobs/test_texts.py
+++ b/tests/jobs/texts/test_texts.py
@@ -5,13 +5,13 @@
 import pytest
 
 from guavagate.jobs import ItemId, JobId
-from guavagate.jobs._replicas import (
+from guavagate.jobs._work import JobWork, Text
+from guavagate.jobs.texts._replicas import (
     TextCopy,
     TextPart,
     TextReplicas,
     compute_message_limit,
 )
-from guavagate.jobs._work import JobWork, Text
 from guavagate.models import InstanceId, WeightVersion
 from guavagate.ports.sampler import TextEvent
 from tests.jobs.fleet import JobFleet, check_complete, find_other, make_job
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -42,6 +42,8 @@
     'forwarding/_probes.py',
     'platform/_samplers.py',
 }
+# What has the platform make its client of samplers, which sends unchecked.
+_MAKER = 'fleet_instance/_instance.py'
 # What sends requests to the platform itself.
 _OTHER_SENDERS = {
     'integrations/object_api/pool_transport.py',
@@ -52,7 +54,7 @@
     'duties/_scaler.py',
     'forwarding/_keep_alive.py',
     'forwarding/_outages.py',
-    'jobs/_reclaim.py',
+    'jobs/scheduling/_reclaim.py',
 }
 
 
@@ -183,9 +185,12 @@
 def test_no_module_sends_past_the_check() -> None:
     """A new path that sends by itself would ignore every condition."""
     assert _find_files(r'pool\.send\(') == _SENDERS | _OTHER_SENDERS
-    assert _find_files(r'\.registered\(\)') == _COUNTERS
-    wrapped = _find_files(r'EligibleSamplers\(PlatformSamplers\(')
-    assert _find_files(r'(?<!class )PlatformSamplers\(') == wrapped
+    assert _find_files(r'\.registered\b') == _COUNTERS
+    assert not _find_files(r'(?<!class )PlatformSamplers\(')
+    assert _find_files(r'\.make_samplers\b') == {_MAKER}
+    maker = (_PACKAGE / _MAKER).read_text()
+    assert maker.count('.make_samplers') == 1
+    assert 'EligibleSamplers(adapter.make_samplers(' in maker
     for name in ('forwarding/_attempt.py', 'forwarding/_probes.py'):
         text = (_PACKAGE / name).read_text()
         checks = r'upstreams\.(check|find_obstacle)\(upstream'
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,7 +6,7 @@
 
 from guavagate.clock import PausedClock
 from guavagate.jobs import JobStore, Ownership
-from guavagate.jobs._replicas import TextCopy
+from guavagate.jobs.texts._replicas import TextCopy
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, WeightVersion, ZoneId
