Follow evacuated zones and send nothing to their upstreams

Cause: nothing followed the objects under evacuations/, so requests went on to zones that operators had evacuated.

Change: guavagate/evacuation follows them through the feed, where settings give a bound, and sets the evacuated zones of the eligibility check. Until the feed is loaded no upstream is eligible. The prefix is relayed like the later ones, as earlier releases could not read it, but its watch waits no longer than that of the configuration. Idle connections to the zone are closed, also those that running requests return later. The coordinator, the scaler and the moves of texts treat a zone as one.

--- a/guavagate/duties/_scaler.py
+++ b/guavagate/duties/_scaler.py
@@ -6,6 +6,7 @@
 
 from guavagate.clock import Clock, Task
 from guavagate.duties._demand import PEAK_SECONDS, BurstDemand
+from guavagate.duties._replaced import ReplacedZones
 from guavagate.duties._orders import Orders
 from guavagate.duties._supply import Key, Supply
 from guavagate.duties._targets import (
@@ -15,6 +16,7 @@
     choose_targets,
 )
 from guavagate.events import duties as events
+from guavagate.events import evacuation as evacuation_events
 from guavagate.events import write
 from guavagate.exceptions import StoreUnavailableError
 from guavagate.metrics import Metrics, names
@@ -87,6 +89,7 @@
         self._orders = Orders()
         self._supply = Supply()
         self._restored_generation = 0
+        self._replaced = ReplacedZones()
         self._started_at = float(0)
         self._task: Task | None = None
 
@@ -105,6 +108,7 @@
         self._baseline.clear()
         self._orders.clear()
         self._supply.clear()
+        self._replaced.clear()
         self._restored_generation = 0
 
     def _run(self) -> None:
@@ -124,12 +128,14 @@
         counts = self._count_upstreams(scaling)
         self._restore_baseline(counts, now)
         self._watch_supply(counts, scaling, now)
+        replaced = self._update_replaced(counts, now)
         retried = [
             zone
             for zone in counts
-            if self._supply.is_retry_due((zone, CapacityType.SPOT), now)
+            if zone not in replaced
+            and self._supply.is_retry_due((zone, CapacityType.SPOT), now)
         ]
-        targets = self._choose_targets(scaling, counts, retried, now)
+        targets = self._choose_targets(scaling, counts, retried, replaced, now)
         due = self._orders.list_due(
             targets, counts, self._supply, retried, scaling, now
         )
@@ -204,6 +210,7 @@
         scaling: Scaling,
         counts: dict[ZoneId, UpstreamCounts],
         retried: list[ZoneId],
+        replaced: frozenset[ZoneId],
         now: float,
     ) -> Targets:
         self._demand.record(self._count_open(), now)
@@ -226,8 +233,23 @@
                 else count.spot
                 for zone, count in counts.items()
             },
+            replaced,
         )
 
+    def _update_replaced(
+        self, counts: dict[ZoneId, UpstreamCounts], now: float
+    ) -> frozenset[ZoneId]:
+        """Return the zones whose upstreams the other zones replace."""
+        evacuated = self._upstreams.eligibility.evacuated
+        if self._replaced.update(evacuated, counts, now):
+            write(
+                _LOGGER,
+                evacuation_events.CAPACITY_REPLACED,
+                service=self._service,
+                zones=sorted(self._replaced.ids),
+            )
+        return self._replaced.ids
+
     def _compute_needed(self) -> float | None:
         """Return the upstreams without which steps would be late, if known."""
         objectives = [
--- a/guavagate/duties/_targets.py
+++ b/guavagate/duties/_targets.py
@@ -53,6 +53,7 @@
     needed: float | None = None,
     retried: Collection[ZoneId] = (),
     present: Mapping[ZoneId, int] | None = None,
+    replaced: Container[ZoneId] = (),
 ) -> Targets:
     """Return the target number of upstreams by zone and capacity type.
 
@@ -73,16 +74,22 @@
         least one, and otherwise as many as fit beside the regular ones.
     present
         The number of spot upstreams in each zone.
+    replaced
+        The evacuated zones. They get no target, so nothing is ordered or given
+        back there, and the other zones replace their upstreams. These have no
+        spare capacity for the loss of another zone then.
     """
     left = present or {}
-    zones = sorted(baseline, key=lambda each: scaling.zone_prices.get(each, 1))
+    zones = [each for each in baseline if each not in replaced]
+    zones.sort(key=lambda each: scaling.zone_prices.get(each, 1))
     regular = {zone: _clamp(scaling, baseline[zone]) for zone in zones}
     room = {
         zone: max(scaling.max_upstreams - regular[zone], 0) for zone in zones
     }
     base = sum(regular.values())
     extra = max(math.ceil(demand * HEADROOM) - base, 0)
-    shares = _spread_over_zones(room, extra)
+    spare = 1 if len(zones) == len(baseline) else 0
+    shares = _spread_over_zones(room, extra, spare)
     spots = {
         zone: min(left.get(zone, 0), share)
         if zone in spot_unavailable
@@ -157,13 +164,13 @@
 
 
 def _spread_over_zones(
-    available: Mapping[ZoneId, int], extra: int
+    available: Mapping[ZoneId, int], extra: int, spare: int
 ) -> dict[ZoneId, int]:
     """Return the number of additional upstreams by zone.
 
-    The zones that are left after the loss of any one of them still have `extra`
-    upstreams, unless a zone has no room for its share.
+    The zones that are left after the loss of any `spare` of them still have
+    `extra` upstreams, unless a zone has no room for its share.
     """
-    others = max(len(available) - 1, 1)
+    others = max(len(available) - spare, 1)
     share = math.ceil(extra / others)
     return {zone: min(share, free) for zone, free in available.items()}
--- a/guavagate/exceptions.py
+++ b/guavagate/exceptions.py
@@ -105,6 +105,10 @@
     """The upstream didn't start the work."""
 
 
+class UpstreamExcludedError(UpstreamNotStartedError):
+    """The request may not use the upstream, so nothing was sent to it."""
+
+
 class UpstreamUnreachableError(UpstreamNotStartedError):
     """Connecting to the upstream failed."""
 
--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -75,7 +75,8 @@
     prefixes
         The prefixes to follow; `lapsing` are those whose objects may lapse
         while the store is unavailable, `later` those that the first release
-        does not follow.
+        does not follow, and `urgent` those of the later ones whose changes
+        must arrive within seconds, also if the store drops its history.
     first_start
         Whether the whole fleet starts for the first time.
     proof_prefix
@@ -110,6 +111,7 @@
         boot_of: BootOf = ignore_boots,
         *,
         later: tuple[str, ...] = (),
+        urgent: tuple[str, ...] = (),
         first_start: bool = True,
         proof_prefix: str = '',
         proof_path: str = '',
@@ -137,6 +139,7 @@
         members.subscribe(self._clear_relay_order)
         self._mirrors: dict[str, Mirror] = {}
         self._later = later
+        self._urgent = urgent
         self._fresh_since: float | None = None
         self._tasks: list[Task] = []
         self._loaded = Event()
@@ -159,6 +162,7 @@
             self.proof,
             prefixes,
             later,
+            urgent,
             lambda: self._mirrors,
             boot_clock,
         )
@@ -291,7 +295,7 @@
                 self._apply_stored,
                 functools.partial(self._apply_removal, prefix),
                 expires_in_outage=lapses,
-                wait=self._choose_wait(prefix) if relaying else None,
+                wait=self._choose_wait(prefix, relaying=relaying),
                 pause=pause if relaying else DIRECT_PAUSE_SECONDS,
                 pause_after_list=not relaying,
                 known_revisions=self._table.versions(prefix),
@@ -305,9 +309,13 @@
             mirror.start()
         write(_LOGGER, events.FEED_FROM_STORE, relaying=relaying)
 
-    def _choose_wait(self, prefix: str) -> float:
-        later = prefix in self._later
-        return LATER_WAIT_SECONDS if later else RELAY_WAIT_SECONDS
+    def _choose_wait(self, prefix: str, *, relaying: bool) -> float | None:
+        urgent = prefix in self._urgent
+        if not relaying:
+            return LATER_WAIT_SECONDS if urgent else None
+        if prefix in self._later and not urgent:
+            return LATER_WAIT_SECONDS
+        return RELAY_WAIT_SECONDS
 
     def _prove_periodically(self) -> None:
         """Read the proof object periodically while watching the store."""
@@ -338,7 +346,9 @@
         write(_LOGGER, events.FEED_FROM_RELAYS, relays=relays)
 
     def _apply_removal(self, prefix: str, name: str) -> None:
-        self._table.remove(f'{prefix}/{name}')
+        mirror = self._mirrors.get(prefix)
+        known = None if mirror is None else mirror.removed_revision
+        self._table.remove(f'{prefix}/{name}', known)
 
     def _apply_stored(self, name: str, stored: StoredObject) -> None:
         self._table.apply(
--- a/guavagate/feeds/_follower.py
+++ b/guavagate/feeds/_follower.py
@@ -20,7 +20,7 @@
 from guavagate.feeds._packing import unpack
 from guavagate.feeds._proof import Proof
 from guavagate.feeds._relays import STALE_SECONDS
-from guavagate.feeds._table import FeedTable
+from guavagate.feeds._table import FeedTable, find_prefix
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId
 
@@ -124,10 +124,14 @@
         self._table.apply_snapshot(
             entries, snapshot.revision, self._first_prefixes
         )
-        later = set(snapshot.prefixes) - set(self._first_prefixes)
-        self._table.apply_snapshot(
-            entries, snapshot.later_revision, tuple(later)
-        )
+        for prefix in snapshot.prefixes:
+            if prefix in self._prefixes and prefix not in self._first_prefixes:
+                # A watch that waits longer would hide for ever that an object
+                # of another prefix was removed meanwhile.
+                revision = snapshot.revisions.get(
+                    prefix, snapshot.later_revision
+                )
+                self._table.apply_snapshot(entries, revision, (prefix,))
         self._proof.record_clock(snapshot.boot, requested_at, snapshot.clock)
         self._proof.record_relayed(
             snapshot.boot, snapshot.proved_at, snapshot.clock
@@ -170,7 +174,8 @@
             return  # The next heartbeat triggers a read of the snapshot.
         if change.number == relay.number + 1:
             relay.number = change.number
-        self._table.apply(change.entry)
+        if find_prefix(change.entry.path) in self._prefixes:
+            self._table.apply(change.entry)
 
     def _on_beat(self, sender: InstanceId, message: Message) -> None:
         beat = expect(message, FeedBeat)
--- a/guavagate/feeds/_messages.py
+++ b/guavagate/feeds/_messages.py
@@ -61,7 +61,8 @@
 
     It is in `entries` or, if the request allowed that, in `packed`. `prefixes`
     are those that it covers, if they are more than those of the first release;
-    the others are complete up to `later_revision`.
+    the others are complete up to `later_revision`, or to the prefix's own one
+    in `revisions`, which not every release sends.
     """
 
     boot: int
@@ -72,6 +73,7 @@
     packed: bytes = b''
     prefixes: tuple[str, ...] = ()
     later_revision: Revision = Revision(0)
+    revisions: dict[str, Revision] = {}
     proved_at: float | None = None
     clock: float | None = None
 
--- a/guavagate/feeds/_relay.py
+++ b/guavagate/feeds/_relay.py
@@ -32,9 +32,10 @@
 
     Parameters
     ----------
-    prefixes, later
-        The prefixes to relay, and those of them that the first release does
-        not follow.
+    prefixes, later, urgent
+        The prefixes to relay, those of them that the first release does not
+        follow, and those of the later ones that have to be as fresh as the
+        first.
     list_mirrors
         Returns the mirrors of the store that this instance runs now, by
         prefix.
@@ -55,6 +56,7 @@
         proof: Proof,
         prefixes: tuple[str, ...],
         later: tuple[str, ...],
+        urgent: tuple[str, ...],
         list_mirrors: Callable[[], Mapping[str, Mirror]],
         boot_clock: Callable[[], float],
     ) -> None:
@@ -66,6 +68,7 @@
         self._proof = proof
         self._prefixes = prefixes
         self._later = later
+        self._urgent = urgent
         self._list_mirrors = list_mirrors
         self._boot_clock = boot_clock
         self._boot = secrets.randbits(62)
@@ -113,8 +116,8 @@
     def _split_mirrors(self) -> tuple[list[Mirror], list[Mirror]]:
         """Return the mirrors of the first prefixes, and of the later ones.
 
-        The later ones are confirmed less often, so the age that is told and
-        the revision of a snapshot are those of the first ones.
+        The later ones are confirmed less often, so the revision of a snapshot
+        is that of the first ones.
         """
         first: list[Mirror] = []
         later: list[Mirror] = []
@@ -125,8 +128,11 @@
     def _compute_age(self) -> float:
         if not self._is_loaded():
             return UNKNOWN_AGE_SECONDS
-        first, _ = self._split_mirrors()
-        confirmed = [each.confirmed_at for each in first]
+        confirmed = [
+            each.confirmed_at
+            for prefix, each in self._list_mirrors().items()
+            if prefix not in self._later or prefix in self._urgent
+        ]
         return self._clock.now() - min(confirmed, default=0)
 
     def _on_read_feed(self, _: InstanceId, message: Message) -> FeedCopy:
@@ -150,6 +156,10 @@
             later_revision=min(
                 (each.revision for each in later), default=Revision(0)
             ),
+            revisions={
+                prefix: each.revision
+                for prefix, each in self._list_mirrors().items()
+            },
             proved_at=self._proof.at,
             clock=self._boot_clock(),
         )
--- a/guavagate/feeds/_table.py
+++ b/guavagate/feeds/_table.py
@@ -60,7 +60,7 @@
     def apply(self, entry: FeedEntry) -> None:
         """Apply a change or a removal, if it is newer than what is stored."""
         if entry.value is None:
-            self.remove(entry.path)
+            self.remove(entry.path, entry.version)
             return
         stored = StoredObject(entry.path, entry.value, entry.version)
         current = self._objects.get(entry.path)
@@ -91,18 +91,30 @@
         else:
             self._unreadable.forget(stored.path)
 
-    def remove(self, path: str) -> None:
-        """Remove an object and record its last version."""
-        current = self._objects.pop(path, None)
+    def remove(self, path: str, known: Revision | None = None) -> None:
+        """Remove an object and record its last version.
+
+        Parameters
+        ----------
+        known
+            The newest revision that is gone, if known. A newer object was
+            created after the removal, and stays: two relays may report the
+            end of an object and its next creation in any order.
+        """
+        current = self._objects.get(path)
         if current is None:
             return
+        if known is not None and current.version > known:
+            return
+        self._objects.pop(path)
         self._removed_versions[path] = current.version
         self._packed = None
         self._unreadable.forget(path)
         _, remove = self._handlers[find_prefix(path)]
         if remove is not None:
             remove(path.partition('/')[2])
-        self.on_change(FeedEntry(path=path, version=current.version))
+        gone = max(current.version, known or current.version)
+        self.on_change(FeedEntry(path=path, version=gone))
 
     def apply_snapshot(
         self,
--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -12,6 +12,7 @@
 from guavagate.exceptions import (
     UpstreamDisconnectedError,
     UpstreamError,
+    UpstreamExcludedError,
     UpstreamNotStartedError,
     UpstreamUnreachableError,
 )
@@ -91,7 +92,8 @@
             attempt = Attempt(
                 upstream, AttemptState.NOT_RUN, problem=error.problem
             )
-            self._upstreams.record_failure(upstream.id)
+            if not isinstance(error, UpstreamExcludedError):
+                self._upstreams.record_failure(upstream.id)
         except UpstreamError as error:
             attempt = Attempt(
                 upstream, AttemptState.BROKEN, problem=error.problem
--- a/guavagate/forwarding/_keep_alive.py
+++ b/guavagate/forwarding/_keep_alive.py
@@ -71,7 +71,9 @@
 
     def _keep(self, upstream: Upstream) -> None:
         load = self._upstreams.load(upstream.id)
-        if upstream.leaving or load.report.slowdown is None:
+        if load.report.slowdown is None:
+            return
+        if self._upstreams.find_obstacle(upstream) is not None:
             return
         answers, probes = self._spent.get(upstream.id, (0, 0))
         if load.answers > answers:
--- a/guavagate/forwarding/_probes.py
+++ b/guavagate/forwarding/_probes.py
@@ -14,6 +14,7 @@
 from guavagate.clock import Clock
 from guavagate.exceptions import (
     UpstreamError,
+    UpstreamExcludedError,
     UpstreamUnreachableError,
 )
 from guavagate.http1 import ConnectionPool
@@ -81,7 +82,9 @@
         service = self._routes.find_service(upstream.service)
         if service is None or not service.health_path:
             return ProbeResult(ProbeState.UNKNOWN)
-        if self._upstreams.find_obstacle(upstream) is not None:
+        try:
+            self._upstreams.check(upstream)
+        except UpstreamExcludedError:
             return ProbeResult(ProbeState.UNKNOWN)
         sent_at = self._clock.now()
         try:
--- a/guavagate/helpers/mirror.py
+++ b/guavagate/helpers/mirror.py
@@ -97,6 +97,8 @@
         self._pause_after_list = pause_after_list
         self.confirmed_at = float(0)
         self.revision = Revision(0)
+        # While `remove` is called: versions up to this one are gone.
+        self.removed_revision = Revision(0)
         self._revisions: dict[str, Revision] = dict(known_revisions or {})
         self._since: Revision | None = None
         self._outage_since: float | None = None
@@ -147,8 +149,8 @@
         if since is None:
             objects, listed_at = self._store.list_under(self._prefix)
             self._record_recovery()
-            self._apply_list(objects)
             self._record_revision(listed_at)
+            self._apply_list(objects)
             self.loaded = True
             self._report_proof(requested_at)
             if self._on_loaded is not None:
@@ -237,6 +239,13 @@
     def _drop(self, path: str) -> None:
         revision = self._revisions.pop(path, None)
         if revision is not None and self._remove is not None:
+            # A list lacks whatever was removed by its revision. A watch that
+            # reports a removal may report the next creation after it.
+            self.removed_revision = (
+                revision
+                if self.is_live_change
+                else max(revision, self.revision)
+            )
             self._remove(path.partition('/')[2])
 
     def _record_outage(self, error: StoreUnavailableError) -> None:
--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -38,6 +38,7 @@
     list_slots,
     sum_slots_by_model,
 )
+from guavagate.jobs._sources import list_sources
 from guavagate.jobs._stalls import find_unresponsive
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.metrics import Metrics, names
@@ -127,12 +128,21 @@
             works, now, get_memory=reserve_running(works, capacity, memory)
         )
         self._reclaims.mark_risky(works, samplers, now)
-        moves = find_urgent_moves(works, samplers, now, estimate, memory)
+        sources = list_sources(
+            self._service,
+            self._upstreams,
+            self._states,
+            self._find_median_interval(),
+            slots,
+        )
+        moves = find_urgent_moves(
+            works, samplers, now, estimate, memory, sources
+        )
         by_id = {work.job.id: work for work in works}
         placements = place(planned.groups, samplers, self._lengths, memory)
         for placement in placements.started:
             self._start(by_id[placement.job], placement, now)
-        moves += find_moves(works, samplers, now, estimate, memory)
+        moves += find_moves(works, samplers, now, estimate, memory, sources)
         for move in moves:
             self._move(move)
         self._reclaims.move_texts(works, samplers, now)
@@ -199,8 +209,14 @@
     def _probe_until_responsive(
         self, upstream: Upstream, state: SamplerState
     ) -> None:
-        """Probe an unresponsive sampler until it responds or leaves."""
+        """Probe an unresponsive sampler until it responds or leaves.
+
+        Ends also if nothing may be sent to it any more, as its zone is
+        evacuated. It counts as responsive when it may be used again.
+        """
         while self._upstreams.get(upstream.id) == upstream:
+            if self._upstreams.find_obstacle(upstream) is not None:
+                break
             try:
                 self._client.report(upstream)
             except UpstreamError as error:
@@ -209,9 +225,9 @@
                 )
                 self._clock.sleep(PROBE_INTERVAL_SECONDS)
             else:
+                write(_LOGGER, events.SAMPLER_RECOVERED, sampler=upstream.id)
                 break
         state.unresponsive = False
-        write(_LOGGER, events.SAMPLER_RECOVERED, sampler=upstream.id)
         self._states.notify()
 
     def _list_samplers(
--- a/guavagate/jobs/_moves.py
+++ b/guavagate/jobs/_moves.py
@@ -108,17 +108,25 @@
     now: float,
     estimate: EstimateTime,
     estimate_memory: EstimateMemory = estimate_no_memory,
+    sources: Sequence[SamplerSlots] = (),
 ) -> list[Move]:
     """Return the moves that come before the start of waiting items.
 
     Reserves their slots and memory in `samplers`. Only texts that would make
     their steps late move, and only if longer waiting items leave a slot free.
+
+    Parameters
+    ----------
+    sources
+        Samplers that texts may leave, but none may move to.
     """
     demands = count_demands(works, now)
     crowded = {each for each, demand in demands.items() if demand.waiting}
     waiting: Mapping[str, list[float]] | None = None
     moves: list[Move] = []
-    for candidate in _list_candidates(works, samplers, now, estimate, crowded):
+    for candidate in _list_candidates(
+        works, samplers, now, estimate, crowded, sources
+    ):
         if not candidate.is_urgent(now):
             continue
         if waiting is None:
@@ -141,12 +149,15 @@
     now: float,
     estimate: EstimateTime,
     estimate_memory: EstimateMemory = estimate_no_memory,
+    sources: Sequence[SamplerSlots] = (),
 ) -> list[Move]:
     """Return the moves of texts whose models have no waiting items."""
     demands = count_demands(works, now)
     models = {each for each, demand in demands.items() if not demand.waiting}
     moves = []
-    for candidate in _list_candidates(works, samplers, now, estimate, models):
+    for candidate in _list_candidates(
+        works, samplers, now, estimate, models, sources
+    ):
         move = _make_move(candidate, samplers, now, estimate_memory)
         if move is not None:
             moves.append(move)
@@ -159,6 +170,7 @@
     now: float,
     estimate: EstimateTime,
     models: set[str],
+    sources: Sequence[SamplerSlots],
 ) -> list[_Candidate]:
     """Return the texts on slow samplers, those with the most time left first.
 
@@ -171,7 +183,7 @@
     slow_interval = MIN_MOVE_RATIO * fastest
     slow_samplers = {
         sampler.id: sampler
-        for sampler in samplers
+        for sampler in (*samplers, *sources)
         if sampler.relative_interval >= slow_interval
     }
     if not intervals or not slow_samplers or not models:
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -254,3 +254,15 @@
     text='Requests that wait for a slot of their service at this queue owner',
     plotted=True,
 )
+EVACUATED_ZONES: Final = Metric(
+    name='guavagate_evacuated_zones',
+    kind=MetricKind.GAUGE,
+    text='Zones that are evacuated as this instance sees it',
+    plotted=True,
+)
+REQUESTS_STOPPED: Final = Metric(
+    name='guavagate_requests_stopped_total',
+    kind=MetricKind.COUNTER,
+    text='Requests stopped right before they were sent, by obstacle',
+    labels=('obstacle',),
+)
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -6,6 +6,7 @@
 from guavagate.admission import EntryMemory, ServiceAdmission
 from guavagate.clock import SystemClock
 from guavagate.duties import UsageAccounting
+from guavagate.evacuation import make_evacuations
 from guavagate.feeds import Feed
 from guavagate.followed_objects import FollowedObjects, ObjectDecoder
 from guavagate.forwarding import (
@@ -77,6 +78,13 @@
         self._upstreams = make_upstream_table(
             self._clock, me.availability_zone, self._pool
         )
+        self._evacuations = make_evacuations(
+            self._clock,
+            self._upstreams,
+            self._pool,
+            self._metrics,
+            self._members,
+        )
         clock, bus, metrics = self._clock, self._bus, self._metrics
         members, routes = self._members, self._routes
         pool, store, upstreams = self._pool, self._store, self._upstreams
@@ -184,16 +192,19 @@
         return PlatformStore(client)
 
     def _make_feed(self) -> Feed:
+        bounded = bool(self._settings.bounds.evacuate_ms)
+        evacuations = (const.EVACUATIONS,) if bounded else ()
         feed = Feed(
             self._store,
             self._clock,
             self._bus,
             self._members,
             self._instance_id,
-            (const.CONFIG, const.SERVERS, STOPPED_REQUESTS),
+            (const.CONFIG, const.SERVERS, STOPPED_REQUESTS, *evacuations),
             (const.SERVERS,),
             self._members.boot,
-            later=(STOPPED_REQUESTS,),
+            later=(STOPPED_REQUESTS, *evacuations),
+            urgent=evacuations,
             first_start=self._settings.bootstrap,
             proof_prefix=const.CONFIG,
             proof_path=self._settings.bounds.get_proof_path(),
@@ -203,6 +214,7 @@
             self._routes, self._upstreams, self._services, feed, _DECODER
         )
         objects.register(const.SERVERS, self._quarantine)
+        self._evacuations.follow(feed, evacuations)
         versions = Mirror(
             self._store, self._clock, const.VERSIONS, objects.put_version
         )
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -32,6 +32,7 @@
     strict_revoke: bool = False
     revoke_ms: float = 5000
     usage_window_s: float = 5
+    evacuate_ms: float = 0
 
     def get_proof_path(self) -> str:
         """Return the object that must be proven current, or ''."""
--- a/guavagate/platform/const.py
+++ b/guavagate/platform/const.py
@@ -29,6 +29,7 @@
 CONFIG_PATH: Final = 'config/main'
 VERSIONS: Final = 'versions'
 RETIREMENTS: Final = 'retirements'
+EVACUATIONS: Final = 'evacuations'
 
 # The deploy file gives the platform these values too.
 METRICS_PORT: Final = 9464
--- a/guavagate/rollouts/_coordinator.py
+++ b/guavagate/rollouts/_coordinator.py
@@ -9,7 +9,11 @@
 from guavagate.clock import Clock, Task
 from guavagate.events import jobs as events
 from guavagate.events import write
-from guavagate.exceptions import StoreUnavailableError, UpstreamError
+from guavagate.exceptions import (
+    StoreUnavailableError,
+    UpstreamError,
+    UpstreamExcludedError,
+)
 from guavagate.helpers.waits import wait_for
 from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, ServiceId, WeightVersion
@@ -202,6 +206,10 @@
             if self._send(upstream, model, version):
                 self._wait_until_loaded(upstream, model, version)
                 state.failed_orders = 0
+        except UpstreamExcludedError as error:
+            # Its zone was evacuated meanwhile, perhaps after it took the order.
+            state.orders_taken = None
+            _LOGGER.debug('no order to %s: %s', upstream.id, error)
         except (UpstreamError, OrderRefusedError) as error:
             write(
                 _LOGGER,
--- a/guavagate/routing/_eligibility.py
+++ b/guavagate/routing/_eligibility.py
@@ -37,6 +37,9 @@
     ----------
     evacuated
         The zones whose upstreams get nothing new.
+    awaits_evacuations
+        Whether the evacuated zones are still unknown, as after a start. Any
+        zone may be one of them, so no upstream gets anything.
     region_of
         The region of each zone. A zone without one is in no region, so bound
         requests do not use it.
@@ -46,6 +49,7 @@
         self, region_of: Mapping[ZoneId, RegionId] = _NO_REGIONS
     ) -> None:
         self.evacuated: frozenset[ZoneId] = frozenset()
+        self.awaits_evacuations = False
         self.region_of = region_of
 
     def find_obstacle(
@@ -54,7 +58,7 @@
         """Return why a request may not use an upstream, or `None`."""
         if regions is not None and not self._is_inside(upstream, regions):
             return Obstacle.OUTSIDE_REGIONS
-        if upstream.zone in self.evacuated:
+        if self.awaits_evacuations or upstream.zone in self.evacuated:
             return Obstacle.EVACUATED
         if upstream.leaving:
             return Obstacle.LEAVING
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -9,7 +9,7 @@
 from guavagate.decisions.background import average_caller_slots
 from guavagate.events import forwarding as events
 from guavagate.events import write
-from guavagate.exceptions import UpstreamNotStartedError
+from guavagate.exceptions import UpstreamExcludedError
 from guavagate.models import (
     ANYWHERE,
     Regions,
@@ -82,6 +82,8 @@
         self._subscribers: list[Callable[[], None]] = []
         self._on_restart: list[Callable[[Upstream], None]] = []
         self._on_address_released: list[Callable[[str], None]] = []
+        self._on_zone_return: list[Callable[[ZoneId], None]] = []
+        self._on_stopped: list[Callable[[Obstacle], None]] = []
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call `callback`, which must not block, after each change."""
@@ -101,6 +103,31 @@
         """
         self._on_address_released.append(callback)
 
+    def subscribe_zone_returns(
+        self, callback: Callable[[ZoneId], None]
+    ) -> None:
+        """Call `callback`, which must not block, with each zone that returns.
+
+        It is called before the zone's upstreams may be used again. All of them
+        may have started anew while the zone was evacuated.
+        """
+        self._on_zone_return.append(callback)
+
+    def subscribe_stopped(self, callback: Callable[[Obstacle], None]) -> None:
+        """Call `callback`, which must not block, for each stopped request."""
+        self._on_stopped.append(callback)
+
+    def set_evacuated(
+        self, zones: frozenset[ZoneId], *, awaited: bool = False
+    ) -> None:
+        """Set the evacuated zones, and whether these are still unknown."""
+        for zone in sorted(self.eligibility.evacuated - zones):
+            for callback in self._on_zone_return:
+                callback(zone)
+        self.eligibility.evacuated = zones
+        self.eligibility.awaits_evacuations = awaited
+        self._notify()
+
     def put(self, upstream: Upstream) -> None:
         """Record an upstream's registration."""
         previous = self._all.get(upstream.id)
@@ -204,12 +231,14 @@
 
         Raises
         ------
-        UpstreamNotStartedError
+        UpstreamExcludedError
             The request may not use the upstream.
         """
         obstacle = self.find_obstacle(upstream, regions)
         if obstacle is not None:
-            raise UpstreamNotStartedError(
+            for callback in self._on_stopped:
+                callback(obstacle)
+            raise UpstreamExcludedError(
                 f'{upstream.id} may not be used: {obstacle.value}',
                 'no action needed; another upstream is used',
             )
--- /dev/null
+++ b/tests/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the evacuation of zones."""
--- /dev/null
+++ b/tests/evacuation/fleet.py
@@ -0,0 +1,123 @@
+"""Instances that follow evacuations and registrations through the feed."""
+
+from guavagate.evacuation import Evacuations
+from guavagate.feeds import Feed
+from guavagate.measure.fakes import World
+from guavagate.metrics import Metrics
+from guavagate.models import InstanceId, UpstreamId, ZoneId
+from guavagate.ports.store import StoredObject
+from guavagate.routing import UpstreamTable
+from tests.feeds.fleet import CountingStore
+from tests.routing.test_routes import make_upstream
+
+PREFIX = 'evacuations'
+NAMES = 'abcdef'
+
+
+class Node:
+    """One instance: its feed, its upstreams and its evacuations."""
+
+    def __init__(self, world: World, name: str, *, first: bool) -> None:
+        me = InstanceId(name)
+        host = world.hosts[me]
+        self.store = CountingStore(host.clock, world.store, name)
+        self.upstreams = UpstreamTable(host.clock, ZoneId('a'))
+        self.closed: list[str] = []
+        self.metrics = Metrics()
+        self.returned: list[str] = []
+        # What was usable at any change, also between two of them.
+        self.history: list[str] = []
+        self.upstreams.subscribe_zone_returns(self.returned.append)
+        self.upstreams.subscribe(
+            lambda: self.history.append(self.list_serving())
+        )
+        self.evacuations = Evacuations(
+            host.clock,
+            self.upstreams,
+            self.closed.append,
+            self.metrics,
+            lambda: [ZoneId('a'), ZoneId('b')],
+        )
+        self.feed = Feed(
+            self.store,
+            host.clock,
+            world.bus(name),
+            world.members[me],
+            me,
+            ('config', 'servers', PREFIX),
+            ('servers',),
+            later=(PREFIX,),
+            urgent=(PREFIX,),
+            first_start=first,
+            boot_clock=world.clock.now,
+        )
+        self.feed.register_handlers('config', lambda _: None, None)
+        self.feed.register_handlers('servers', self._put, self._remove)
+        self.evacuations.follow(self.feed, (PREFIX,))
+        self.feed.start()
+
+    def list_serving(self) -> str:
+        """Return the names of the upstreams that a request may use."""
+        some = make_upstream('a', 'a')
+        return ''.join(each.id for each in self.upstreams.serving(some.service))
+
+    def _put(self, stored: StoredObject) -> None:
+        name = stored.path.partition('/')[2]
+        self.upstreams.put(make_upstream(name, stored.value.decode()))
+
+    def _remove(self, name: str) -> None:
+        self.upstreams.remove(UpstreamId(name))
+
+
+class Fleet:
+    """Instances with an upstream in each of the zones a and b."""
+
+    def __init__(self, names: str = NAMES) -> None:
+        self.world = World()
+        self.clock = self.world.clock
+        self.nodes: dict[str, Node] = {}
+        for name in names:
+            self.world.add(name)
+        self.clock.advance(1)
+        self.world.store.change('config/main', b'1')
+        self.put_upstream('a', 'a')
+        self.put_upstream('b', 'b')
+        for name in names:
+            self.nodes[name] = Node(self.world, name, first=True)
+        self.clock.advance(4)
+
+    def put_upstream(self, name: str, zone: str) -> None:
+        """Register an upstream."""
+        self.world.store.change(f'servers/{name}', zone.encode())
+
+    def evacuate(self, zone: str, content: bytes = b'{}') -> None:
+        """Set an evacuation."""
+        self.world.store.change(f'{PREFIX}/{zone}', content)
+
+    def end(self, zone: str) -> None:
+        """Remove an evacuation."""
+        self.world.store.change(f'{PREFIX}/{zone}', None)
+
+    def list_serving(self) -> set[str]:
+        """Return what the live instances may use; one string if they agree."""
+        return {
+            node.list_serving()
+            for name, node in self.nodes.items()
+            if not self.world.hosts[InstanceId(name)].dead
+        }
+
+    def find_relay(self) -> str:
+        """Return the instance that relays."""
+        return next(
+            name
+            for name, node in self.nodes.items()
+            if node.feed.relaying
+            and not self.world.hosts[InstanceId(name)].dead
+        )
+
+    def restart(self, name: str) -> Node:
+        """Kill an instance, and start it again under the same id."""
+        self.world.hosts[InstanceId(name)].kill()
+        self.world.add(name)
+        self.nodes[name] = Node(self.world, name, first=False)
+        return self.nodes[name]
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -50,9 +50,11 @@
 # What counts registrations and sends nothing to those that it finds.
 _COUNTERS = {
     'duties/_scaler.py',
+    'evacuation/_evacuations.py',
     'forwarding/_keep_alive.py',
     'forwarding/_outages.py',
     'jobs/_reclaim.py',
+    'jobs/_sources.py',
 }
 
 
