--- a/guavagate/duties/_scaler.py
+++ b/guavagate/duties/_scaler.py
@@ -6,8 +6,8 @@
 
 from guavagate.clock import Clock, Task
 from guavagate.duties._demand import PEAK_SECONDS, BurstDemand
-from guavagate.duties._replaced import ReplacedZones
 from guavagate.duties._orders import Orders
+from guavagate.duties._replaced import ReplacedZones
 from guavagate.duties._supply import Key, Supply
 from guavagate.duties._targets import (
     CapacityType,
@@ -132,8 +132,7 @@
         retried = [
             zone
             for zone in counts
-            if zone not in replaced
-            and self._supply.is_retry_due((zone, CapacityType.SPOT), now)
+            if self._supply.is_retry_due((zone, CapacityType.SPOT), now)
         ]
         targets = self._choose_targets(scaling, counts, retried, replaced, now)
         due = self._orders.list_due(
--- /dev/null
+++ b/standins/_safeguard_evacuation.py
@@ -0,0 +1,138 @@
+"""Mutations that each remove one safeguard of the evacuation of zones."""
+
+from typing import Final
+
+from standins._safeguard_rows import Safeguard
+
+_EVACUATIONS: Final = 'guavagate/evacuation/_evacuations.py'
+_FOLLOWED: Final = 'tests/evacuation/test_evacuations.py'
+_ZONES: Final = 'tests/evacuation/test_zones.py'
+_SCALING: Final = 'tests/duties/test_evacuations.py'
+_TEXTS: Final = 'tests/jobs/test_evacuations.py'
+_ORDERS: Final = 'tests/rollouts/test_evacuations.py'
+_REQUESTS: Final = 'tests/forwarding/test_evacuations.py'
+
+EVACUATION_SAFEGUARDS: Final = (
+    Safeguard(
+        'an evacuation takes effect',
+        _EVACUATIONS,
+        'set_evacuated(self._zones.ids, awaited',
+        'set_evacuated(frozenset(), awaited',
+        _FOLLOWED,
+    ),
+    Safeguard(
+        'an instance that starts uses no zone before it knows the evacuations',
+        _EVACUATIONS,
+        'self._awaited = True\n        self._apply()\n',
+        'self._apply()\n',
+        _FOLLOWED,
+    ),
+    Safeguard(
+        'connections that running requests return are closed',
+        _EVACUATIONS,
+        '            self._close_connections()\n            self._report',
+        '            self._report',
+        _FOLLOWED,
+    ),
+    Safeguard(
+        'an unknown zone is reported once',
+        'guavagate/evacuation/_zones.py',
+        '            each.reported = True\n',
+        '            pass\n',
+        _ZONES,
+    ),
+    Safeguard(
+        'a watch that misses an evacuation ends soon',
+        'guavagate/feeds/_feed.py',
+        'if prefix in self._later and not urgent:',
+        'if prefix in self._later:',
+        _FOLLOWED,
+    ),
+    Safeguard(
+        'the age of a relay includes that of the evacuations',
+        'guavagate/feeds/_relay.py',
+        'if prefix not in self._later or prefix in self._urgent',
+        'if prefix not in self._later',
+        _FOLLOWED,
+    ),
+    Safeguard(
+        'a missed removal is seen whenever another prefix was confirmed',
+        'guavagate/feeds/_follower.py',
+        'snapshot.revisions.get(\n'
+        '                    prefix, snapshot.later_revision\n'
+        '                )',
+        'Revision(0)',
+        _FOLLOWED,
+    ),
+    Safeguard(
+        'a late removal does not remove the next creation',
+        'guavagate/feeds/_table.py',
+        'if known is not None and current.version > known:',
+        'if False:',
+        _ZONES,
+    ),
+    Safeguard(
+        'nothing is ordered or given back in an evacuated zone',
+        'guavagate/duties/_targets.py',
+        'if each not in replaced]',
+        'if True]',
+        _SCALING,
+    ),
+    Safeguard(
+        'replacements stay until the zone is warm',
+        'guavagate/duties/_replaced.py',
+        'now - at < RETURN_SECONDS',
+        'at == now',
+        _SCALING,
+    ),
+    Safeguard(
+        'the zones left need no spare capacity for another one',
+        'guavagate/duties/_targets.py',
+        'spare = 1 if len(zones) == len(baseline) else 0',
+        'spare = 1',
+        _SCALING,
+    ),
+    Safeguard(
+        'a text may leave a slow sampler of an evacuated zone',
+        'guavagate/jobs/_moves.py',
+        'for sampler in (*samplers, *sources)',
+        'for sampler in samplers',
+        _TEXTS,
+    ),
+    Safeguard(
+        'a sampler of an evacuated zone is no target of a move',
+        'guavagate/jobs/_sources.py',
+        'free=0,',
+        'free=1,',
+        _TEXTS,
+    ),
+    Safeguard(
+        'an unresponsive sampler is not probed in an evacuated zone',
+        'guavagate/jobs/_dispatch.py',
+        'if self._upstreams.find_obstacle(upstream) is not None:',
+        'if False:',
+        _TEXTS,
+    ),
+    Safeguard(
+        'an order that the evacuation ended is not blamed on the sampler',
+        'guavagate/rollouts/_coordinator.py',
+        '        except UpstreamExcludedError as error:\n',
+        '        except ZeroDivisionError as error:\n',
+        _ORDERS,
+    ),
+    Safeguard(
+        'a request that the check stops ejects no upstream',
+        'guavagate/forwarding/_attempt.py',
+        'if not isinstance(error, UpstreamExcludedError):',
+        'if True:',
+        _REQUESTS,
+    ),
+    Safeguard(
+        'no probe keeps a connection to an evacuated zone',
+        'guavagate/forwarding/_keep_alive.py',
+        '        if self._upstreams.find_obstacle(upstream) is not None:\n'
+        '            return\n',
+        '',
+        _REQUESTS,
+    ),
+)
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -17,6 +17,7 @@
 
 from standins._safeguard_admission import ADMISSION_SAFEGUARDS
 from standins._safeguard_capacity import CAPACITY_SAFEGUARDS
+from standins._safeguard_evacuation import EVACUATION_SAFEGUARDS
 from standins._safeguard_failover import FAILOVER_SAFEGUARDS
 from standins._safeguard_jobs import JOB_SAFEGUARDS
 from standins._safeguard_recovery import RECOVERY_SAFEGUARDS
@@ -37,6 +38,7 @@
     *TEXT_SAFEGUARDS,
     *ROUTING_SAFEGUARDS,
     *ADMISSION_SAFEGUARDS,
+    *EVACUATION_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
 _TEST_SECONDS: Final = 120
--- a/tests/evacuation/fleet.py
+++ b/tests/evacuation/fleet.py
@@ -4,8 +4,8 @@
 from guavagate.feeds import Feed
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
-from guavagate.models import InstanceId, UpstreamId, ZoneId
-from guavagate.ports.store import StoredObject
+from guavagate.models import InstanceId, Revision, UpstreamId, ZoneId
+from guavagate.ports.store import StoreChange, StoredObject
 from guavagate.routing import UpstreamTable
 from tests.feeds.fleet import CountingStore
 from tests.routing.test_routes import make_upstream
@@ -14,13 +14,37 @@
 NAMES = 'abcdef'
 
 
+class _Store(CountingStore):
+    """A store of which the calls for one prefix can hang."""
+
+    hanging = ''
+
+    def list_under(
+        self, prefix: str, after: str = ''
+    ) -> tuple[list[StoredObject], Revision]:
+        """List, or hang."""
+        self._hang(prefix)
+        return super().list_under(prefix, after)
+
+    def watch(
+        self, prefix: str, since: Revision, timeout: float
+    ) -> tuple[list[StoreChange], Revision]:
+        """Watch, or hang."""
+        self._hang(prefix)
+        return super().watch(prefix, since, timeout)
+
+    def _hang(self, prefix: str) -> None:
+        if prefix == self.hanging:
+            self.clock.sleep(60)
+
+
 class Node:
     """One instance: its feed, its upstreams and its evacuations."""
 
     def __init__(self, world: World, name: str, *, first: bool) -> None:
         me = InstanceId(name)
         host = world.hosts[me]
-        self.store = CountingStore(host.clock, world.store, name)
+        self.store = _Store(host.clock, world.store, name)
         self.upstreams = UpstreamTable(host.clock, ZoneId('a'))
         self.closed: list[str] = []
         self.metrics = Metrics()
--- a/tests/evacuation/test_evacuations.py
+++ b/tests/evacuation/test_evacuations.py
@@ -127,6 +127,19 @@
     assert {node.list_serving() for node in others} == {'b'}
 
 
+def test_a_relay_that_reads_only_the_other_objects_delays_no_instance(
+    fleet: Fleet,
+) -> None:
+    """Its calls for evacuations hang, and all others are answered."""
+    relay = fleet.find_relay()
+    fleet.nodes[relay].store.hanging = PREFIX
+    fleet.clock.advance(1)
+    fleet.evacuate('a')
+    fleet.clock.advance(3)
+    others = [node for name, node in fleet.nodes.items() if name != relay]
+    assert {node.list_serving() for node in others} == {'b'}
+
+
 def test_an_evacuation_that_is_removed_and_set_again_at_once(
     fleet: Fleet,
 ) -> None:
