Let a suspended instance catch up before it sends anything

Cause: an instance that is suspended while a zone is evacuated goes on with the items and requests that waited.

Change: after a suspension of more than a second the last check stops requests until the followed objects are known to be recent (3 s), for at most 1.5 s. The feed keeps a second proof for the first and urgent prefixes.

--- a/guavagate/evacuation/_evacuations.py
+++ b/guavagate/evacuation/_evacuations.py
@@ -1,10 +1,15 @@
 """Applies evacuations to an instance's upstreams and connections."""
 
+import functools
 import logging
 from collections.abc import Callable, Iterable
 from typing import Final
 
 from guavagate.clock import Clock
+from guavagate.evacuation._suspension import (
+    LOOK_INTERVAL_SECONDS,
+    SuspensionGuard,
+)
 from guavagate.evacuation._zones import EvacuatedZone, EvacuatedZones
 from guavagate.events import evacuation as events
 from guavagate.events import write
@@ -16,6 +21,7 @@
 from guavagate.ports.upstreams import Upstream
 from guavagate.routing import Obstacle, UpstreamTable
 from guavagate.runtime import Members
+from guavagate.util.boot_clock import read_boot_clock
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -43,6 +49,7 @@
         close_idle: Callable[[str], None],
         metrics: Metrics,
         list_zones: Callable[[], Iterable[ZoneId]] = tuple,
+        boot_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._clock = clock
         self._upstreams = upstreams
@@ -51,6 +58,8 @@
         self._list_zones = list_zones
         self._zones = EvacuatedZones()
         self._awaited = False
+        self._boot_clock = boot_clock
+        self._guard = SuspensionGuard(boot_clock())
         upstreams.subscribe_stopped(self._count_stopped)
 
     def follow(self, feed: Feed, prefixes: tuple[str, ...]) -> None:
@@ -66,7 +75,11 @@
         self._metrics.add_refresher(self._refresh)
         self._awaited = True
         self._apply()
+        self._upstreams.eligibility.may_be_outdated = functools.partial(
+            self._may_be_outdated, feed
+        )
         self._clock.spawn(self._run, feed)
+        self._clock.spawn(self._look_at_clock, feed)
 
     def list_zones(self) -> list[EvacuatedZone]:
         """Return the evacuated zones, ordered by id."""
@@ -108,6 +121,15 @@
             self._close_connections()
             self._report_unknown()
 
+    def _may_be_outdated(self, feed: Feed) -> bool:
+        now = self._boot_clock()
+        return self._guard.must_hold(now, feed.freshness.age())
+
+    def _look_at_clock(self, feed: Feed) -> None:
+        while True:
+            self._may_be_outdated(feed)
+            self._clock.sleep(LOOK_INTERVAL_SECONDS)
+
     def _apply(self) -> None:
         self._upstreams.set_evacuated(self._zones.ids, awaited=self._awaited)
 
--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -97,6 +97,8 @@
     ----------
     proof
         When the objects under `proof_prefix` were last known to be the newest.
+    freshness
+        When those under the first and urgent prefixes were.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         self._proof_path = proof_path
         self._boot_clock = boot_clock
         self.proof = Proof(boot_clock)
+        self.freshness = Proof(boot_clock, self.proof)
         self._store = store
         self._clock = clock
         self._members = members
@@ -148,6 +151,7 @@
             bus,
             self._table,
             self.proof,
+            self.freshness,
             prefixes,
             later,
             self._loaded.set,
@@ -300,8 +304,8 @@
                 pause_after_list=not relaying,
                 known_revisions=self._table.versions(prefix),
                 on_loaded=self._update_loaded,
-                on_proved=self.proof.record_own if proves else None,
-                watch_proves=not self._proof_path,
+                on_proved=self._choose_proof(prefix),
+                watch_proves=not (proves and self._proof_path),
                 boot_clock=self._boot_clock,
             )
             self._mirrors[prefix] = mirror
@@ -309,6 +313,11 @@
             mirror.start()
         write(_LOGGER, events.FEED_FROM_STORE, relaying=relaying)
 
+    def _choose_proof(self, prefix: str) -> Callable[[float], None] | None:
+        if prefix == self._proof_prefix:
+            return self.proof.record_own
+        return self.freshness.record_own if prefix in self._urgent else None
+
     def _choose_wait(self, prefix: str, *, relaying: bool) -> float | None:
         urgent = prefix in self._urgent
         if not relaying:
--- a/guavagate/feeds/_follower.py
+++ b/guavagate/feeds/_follower.py
@@ -65,6 +65,7 @@
         bus: Bus,
         table: FeedTable,
         proof: Proof,
+        freshness: Proof,
         prefixes: tuple[str, ...],
         later: tuple[str, ...],
         on_loaded: Callable[[], None],
@@ -74,6 +75,7 @@
         self._bus = bus
         self._table = table
         self._proof = proof
+        self._freshness = freshness
         self._prefixes = prefixes
         self._first_prefixes = tuple(
             each for each in prefixes if each not in later
@@ -133,9 +135,7 @@
                 )
                 self._table.apply_snapshot(entries, revision, (prefix,))
         self._proof.record_clock(snapshot.boot, requested_at, snapshot.clock)
-        self._proof.record_relayed(
-            snapshot.boot, snapshot.proved_at, snapshot.clock
-        )
+        self._record_proofs(snapshot)
         self._relays[sender] = _Relay(
             snapshot.boot, snapshot.number, self._clock.now(), snapshot.age
         )
@@ -185,7 +185,15 @@
         if relay is not None and known and relay.number >= beat.number:
             relay.updated_at = self._clock.now()
             relay.age = beat.age
-            self._proof.record_relayed(beat.boot, beat.proved_at, beat.clock)
+            self._record_proofs(beat)
             return
         if relay is None or not relay.reading:
             self.read_snapshot(sender)
+
+    def _record_proofs(self, message: FeedBeat | FeedCopy) -> None:
+        """Record that the data here are the relay's, and how old these are."""
+        boot, clock = message.boot, message.clock
+        self._proof.record_relayed(boot, message.proved_at, clock)
+        if clock is not None:
+            fresh_at = clock - message.age
+            self._freshness.record_relayed(boot, fresh_at, clock)
--- a/guavagate/feeds/_proof.py
+++ b/guavagate/feeds/_proof.py
@@ -12,6 +12,7 @@
 
 import math
 from collections.abc import Callable
+from typing import Self
 
 
 class Proof:
@@ -23,9 +24,12 @@
         That time by this instance's boot clock; None before the first proof.
     """
 
-    def __init__(self, boot_clock: Callable[[], float]) -> None:
+    def __init__(
+        self, boot_clock: Callable[[], float], other: Self | None = None
+    ) -> None:
         self._now = boot_clock
-        self._offsets: dict[int, float] = {}
+        # Shared by proofs of different data.
+        self._offsets: dict[int, float] = other._offsets if other else {}
         self._invalid = False
         self.at: float | None = None
 
--- a/guavagate/routing/_eligibility.py
+++ b/guavagate/routing/_eligibility.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
 from typing import Final
 
@@ -40,6 +40,9 @@
     awaits_evacuations
         Whether the evacuated zones are still unknown, as after a start. Any
         zone may be one of them, so no upstream gets anything.
+    may_be_outdated
+        Returns whether an evacuation may have been missed. Asked right before
+        a request is sent: the upstreams to choose from stay the same meanwhile.
     region_of
         The region of each zone. A zone without one is in no region, so bound
         requests do not use it.
@@ -50,6 +53,7 @@
     ) -> None:
         self.evacuated: frozenset[ZoneId] = frozenset()
         self.awaits_evacuations = False
+        self.may_be_outdated: Callable[[], bool] = bool
         self.region_of = region_of
 
     def find_obstacle(
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -235,6 +235,8 @@
             The request may not use the upstream.
         """
         obstacle = self.find_obstacle(upstream, regions)
+        if obstacle is None and self.eligibility.may_be_outdated():
+            obstacle = Obstacle.EVACUATED
         if obstacle is not None:
             for callback in self._on_stopped:
                 callback(obstacle)
--- a/standins/_safeguard_evacuation.py
+++ b/standins/_safeguard_evacuation.py
@@ -27,6 +27,20 @@
         'self._apply()\n',
         _FOLLOWED,
     ),
+    Safeguard(
+        'an instance that was suspended catches up before it sends',
+        'guavagate/routing/_upstreams.py',
+        'if obstacle is None and self.eligibility.may_be_outdated():',
+        'if False:',
+        _FOLLOWED,
+    ),
+    Safeguard(
+        'an instance that was suspended and is cut off goes on',
+        'guavagate/evacuation/_suspension.py',
+        ' or now - self._resumed_at > MAX_HOLD_SECONDS',
+        '',
+        'tests/evacuation/test_suspension.py',
+    ),
     Safeguard(
         'connections that running requests return are closed',
         _EVACUATIONS,
--- a/tests/duties/test_evacuations.py
+++ b/tests/duties/test_evacuations.py
@@ -23,6 +23,12 @@
     return sum(each.zone == zone for each in registered)
 
 
+def _list_orders(setup: _Setup) -> list[int]:
+    """Return the orders for the zone that is evacuated."""
+    orders = setup.platform.orders
+    return [each.amount for each in orders if each.zone == _ZONE]
+
+
 @pytest.fixture
 def setup() -> _Setup:
     """Return a scaler whose demand is known, with spot upstreams ordered."""
@@ -74,7 +80,7 @@
         setup.clock.advance(60)
     _evacuate(setup)
     setup.clock.advance(60)
-    assert not [each for each in setup.platform.orders if each.zone == _ZONE]
+    assert not _list_orders(setup)
     assert _count_registered(setup, _ZONE) == before
     # What replaced them was given back.
     assert setup.platform.orders[-1].zone in _OTHERS
@@ -126,12 +132,12 @@
     setup.platform.spot_unavailable.add(_ZONE)
     setup.open = {'m0': 380}
     setup.clock.advance(2)
-    assert [each for each in setup.platform.orders if each.zone == _ZONE]
+    assert _list_orders(setup)
     _evacuate(setup, _ZONE)
     setup.clock.advance(0.6)
     setup.platform.orders.clear()
     setup.clock.advance(40)
-    assert not [each for each in setup.platform.orders if each.zone == _ZONE]
+    assert not _list_orders(setup)
 
 
 def test_targets_stay_within_the_limits_of_the_other_zones() -> None:
--- a/tests/evacuation/fleet.py
+++ b/tests/evacuation/fleet.py
@@ -1,6 +1,10 @@
 """Instances that follow evacuations and registrations through the feed."""
 
+import contextlib
+from collections.abc import Sequence
+
 from guavagate.evacuation import Evacuations
+from guavagate.exceptions import UpstreamExcludedError
 from guavagate.feeds import Feed
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
@@ -61,6 +65,7 @@
             self.closed.append,
             self.metrics,
             lambda: [ZoneId('a'), ZoneId('b')],
+            world.clock.now,
         )
         self.feed = Feed(
             self.store,
@@ -85,6 +90,15 @@
         some = make_upstream('a', 'a')
         return ''.join(each.id for each in self.upstreams.serving(some.service))
 
+    def list_sendable(self) -> str:
+        """Return the upstreams to which a request would be sent right now."""
+        names = ''
+        for upstream in self.upstreams.registered():
+            with contextlib.suppress(UpstreamExcludedError):
+                self.upstreams.check(upstream)
+                names += upstream.id
+        return names
+
     def _put(self, stored: StoredObject) -> None:
         name = stored.path.partition('/')[2]
         self.upstreams.put(make_upstream(name, stored.value.decode()))
@@ -96,7 +110,7 @@
 class Fleet:
     """Instances with an upstream in each of the zones a and b."""
 
-    def __init__(self, names: str = NAMES) -> None:
+    def __init__(self, names: Sequence[str] = NAMES) -> None:
         self.world = World()
         self.clock = self.world.clock
         self.nodes: dict[str, Node] = {}
--- a/tests/evacuation/test_evacuations.py
+++ b/tests/evacuation/test_evacuations.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from guavagate.models import InstanceId
+from guavagate.models import InstanceId, Revision
+from guavagate.ports.store import StoredObject
 from tests.evacuation.fleet import PREFIX, Fleet
 
 # Well within the 5 s that an instance has.
@@ -239,11 +240,53 @@
     store = fleet.world.store
     fleet.clock.advance(0.3)
     store.revision += 1
-    version = store.revision
-    store.objects[f'{PREFIX}/a'] = store.objects['config/main'].__class__(
-        f'{PREFIX}/a', b'{}', version
-    )
+    version = Revision(store.revision)
+    path = f'{PREFIX}/a'
+    store.objects[path] = StoredObject(path, b'{}', version)
     store.compacted = version + 1
     fleet.clock.advance(BOUND)
     store.compacted = 0
     assert fleet.list_serving() == {'b'}
+
+
+@pytest.mark.parametrize('lost', [False, True])
+def test_a_suspended_instance_sends_nothing_before_it_caught_up(
+    fleet: Fleet, lost: bool
+) -> None:
+    """A zone is evacuated while it is suspended.
+
+    What waited there is sent before it reads from its links, or after these
+    were lost and it has to read a snapshot.
+    """
+    relay = fleet.find_relay()
+    name = next(each for each in fleet.nodes if each != relay)
+    node = fleet.nodes[name]
+    fleet.world.pause(name)
+    fleet.clock.advance(1)
+    if lost:
+        fleet.world.network.blocked.add((InstanceId(relay), InstanceId(name)))
+    fleet.evacuate('a')
+    fleet.clock.advance(8)
+    fleet.world.network.blocked.clear()
+    fleet.world.resume(name)
+    sent = []
+    for _ in range(60):
+        sent.append(node.list_sendable())
+        fleet.clock.advance(0.03)
+    assert set(sent) == {'', 'b'}
+    assert sent.index('b') < 40
+
+
+def test_an_outage_or_a_short_pause_holds_nothing(fleet: Fleet) -> None:
+    """In an outage of the store nothing newer than the last state exists."""
+    node = fleet.nodes['c']
+    fleet.world.store.outage = True
+    for _ in range(100):
+        fleet.clock.advance(0.1)
+        assert node.list_sendable() == 'ab'
+    fleet.world.store.outage = False
+    fleet.clock.advance(3)
+    fleet.world.pause('c')
+    fleet.clock.advance(1.5)
+    fleet.world.resume('c')
+    assert node.list_sendable() == 'ab'
--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from guavagate.jobs._moves import RemainingTime, find_moves, find_urgent_moves
+from guavagate.jobs._schedule import SamplerSlots
 from guavagate.jobs._sources import list_sources
 from guavagate.models import UpstreamId, ZoneId
 from guavagate.rollouts import SamplerStates
@@ -129,7 +130,7 @@
     fast = _make_sampler('fast')
     remaining = RemainingTime(4, 6)
 
-    def find(*sources: object) -> list[str]:
+    def find(*sources: SamplerSlots) -> list[str]:
         work = _make_work(size=1)
         moves = find_moves(
             [work], [fast], NOW, lambda *_: remaining, sources=sources
--- a/tests/rollouts/test_evacuations.py
+++ b/tests/rollouts/test_evacuations.py
@@ -105,7 +105,7 @@
     setup.clock.advance(5)
     assert setup.samplers.reports['e'] == reports.get('e', 0)
     assert setup.samplers.reports['f'] == reports.get('f', 0)
-    assert not [each for each in caplog.messages if 'GG9106' in each]
+    assert not any('GG9106' in each for each in caplog.messages)
     setup.evacuate()
     setup.publish(3)
     setup.clock.advance(8)
