Know the evacuations before anything waits on the feed

Cause: a task that waits for the feed to be loaded could run before the one that applies the evacuations, and a first request would be refused.

Change: the feed calls its subscribers right before it is loaded. The timing of its watches moved into a module of its own.

--- a/guavagate/evacuation/_evacuations.py
+++ b/guavagate/evacuation/_evacuations.py
@@ -28,7 +28,6 @@
 # A request that was running when the zone was evacuated returns its connection
 # to the pool at its end; it is closed within this time.
 CLOSE_INTERVAL_SECONDS: Final = 1.0
-_LOAD_WAIT_SECONDS: Final = 60.0
 
 
 class Evacuations:
@@ -78,7 +77,7 @@
         self._upstreams.eligibility.may_be_outdated = functools.partial(
             self._may_be_outdated, feed
         )
-        self._clock.spawn(self._run, feed)
+        feed.subscribe_loaded(self._handle_loaded)
         self._clock.spawn(self._look_at_clock, feed)
 
     def list_zones(self) -> list[EvacuatedZone]:
@@ -109,13 +108,14 @@
             seconds=round(self._clock.now() - ended.since, 1),
         )
 
-    def _run(self, feed: Feed) -> None:
-        while not feed.wait_loaded(_LOAD_WAIT_SECONDS):
-            _LOGGER.debug('the evacuated zones are still unknown')
+    def _handle_loaded(self) -> None:
         self._awaited = False
         self._apply()
         for zone in self._zones.list_zones():
             self._report(zone)
+        self._clock.spawn(self._run)
+
+    def _run(self) -> None:
         while True:
             self._clock.sleep(CLOSE_INTERVAL_SECONDS)
             self._close_connections()
--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -22,6 +22,7 @@
     rank_relays,
 )
 from guavagate.feeds._table import FeedTable, Put, Remove
+from guavagate.feeds._timing import choose_timing
 from guavagate.helpers.mirror import Mirror
 from guavagate.helpers.waits import wait_for
 from guavagate.links import Bus
@@ -33,21 +34,6 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-# How long a relay's watch waits. Each answer, also an empty one, proves that
-# the relay is up to date, and one relay's calls cost less than each change
-# would cost if all instances watched.
-RELAY_WAIT_SECONDS: Final = 0.9
-# The same for later prefixes, whose objects instances also tell each other.
-LATER_WAIT_SECONDS: Final = 3.0
-# How long a relay waits after a change, so that the changes that often follow
-# come in one answer. Registrations, the objects that may lapse, change often
-# while samplers load, and a short delay does no harm: instances have two
-# seconds to stop using an upstream that leaves.
-RELAY_PAUSE_SECONDS: Final = 0.1
-LAPSING_PAUSE_SECONDS: Final = 0.4
-# An instance that watches for itself alone stops when it receives data from a
-# relay. That takes about this long, so its first watch usually never starts.
-DIRECT_PAUSE_SECONDS: Final = 1.2
 CHECK_INTERVAL_SECONDS: Final = 0.1
 PROOF_INTERVAL_SECONDS: Final = 1.0
 # A fleet that starts for the first time has no callers yet. Its instances
@@ -146,6 +132,7 @@
         self._fresh_since: float | None = None
         self._tasks: list[Task] = []
         self._loaded = Event()
+        self._on_loaded: list[Callable[[], None]] = []
         self._follower = Follower(
             clock,
             bus,
@@ -154,7 +141,7 @@
             self.freshness,
             prefixes,
             later,
-            self._loaded.set,
+            self._set_loaded,
             boot_clock,
         )
         self._relay = Relay(
@@ -177,6 +164,16 @@
         """Register handlers, which must not block, for a prefix."""
         self._table.register_handlers(prefix, put, remove)
 
+    def subscribe_loaded(self, callback: Callable[[], None]) -> None:
+        """Call `callback`, which must not block, before `loaded` is set."""
+        self._on_loaded.append(callback)
+
+    def _set_loaded(self) -> None:
+        callbacks, self._on_loaded = self._on_loaded, []
+        for callback in callbacks:
+            callback()
+        self._loaded.set()
+
     @property
     def relaying(self) -> bool:
         """Return whether this instance sends its objects to the others."""
@@ -241,7 +238,7 @@
         an instance would sometimes miss that probe.
         """
         if all(each.loaded for each in self._mirrors.values()):
-            self._loaded.set()
+            self._set_loaded()
             if self.relaying:
                 self._relay.send_heartbeat()
 
@@ -291,7 +288,12 @@
         for prefix in self._prefixes:
             lapses = prefix in self._lapsing
             proves = prefix == self._proof_prefix
-            pause = LAPSING_PAUSE_SECONDS if lapses else RELAY_PAUSE_SECONDS
+            timing = choose_timing(
+                relaying=relaying,
+                lapses=lapses,
+                later=prefix in self._later,
+                urgent=prefix in self._urgent,
+            )
             mirror = Mirror(
                 self._store,
                 self._clock,
@@ -299,8 +301,8 @@
                 self._apply_stored,
                 functools.partial(self._apply_removal, prefix),
                 expires_in_outage=lapses,
-                wait=self._choose_wait(prefix, relaying=relaying),
-                pause=pause if relaying else DIRECT_PAUSE_SECONDS,
+                wait=timing.wait,
+                pause=timing.pause,
                 pause_after_list=not relaying,
                 known_revisions=self._table.versions(prefix),
                 on_loaded=self._update_loaded,
@@ -318,14 +320,6 @@
             return self.proof.record_own
         return self.freshness.record_own if prefix in self._urgent else None
 
-    def _choose_wait(self, prefix: str, *, relaying: bool) -> float | None:
-        urgent = prefix in self._urgent
-        if not relaying:
-            return LATER_WAIT_SECONDS if urgent else None
-        if prefix in self._later and not urgent:
-            return LATER_WAIT_SECONDS
-        return RELAY_WAIT_SECONDS
-
     def _prove_periodically(self) -> None:
         """Read the proof object periodically while watching the store."""
         while True:
--- a/standins/_safeguard_evacuation.py
+++ b/standins/_safeguard_evacuation.py
@@ -57,9 +57,9 @@
     ),
     Safeguard(
         'a watch that misses an evacuation ends soon',
-        'guavagate/feeds/_feed.py',
-        'if prefix in self._later and not urgent:',
-        'if prefix in self._later:',
+        'guavagate/feeds/_timing.py',
+        'if later and not urgent else',
+        'if later else',
         _FOLLOWED,
     ),
     Safeguard(
