--- a/guavagate/fleet_instance/_adapter.py
+++ b/guavagate/fleet_instance/_adapter.py
@@ -37,6 +37,7 @@
     upstreams: str
     versions: str
     retirements: str
+    evacuations: str
     probe: str
 
 
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -27,6 +27,7 @@
     upstreams=const.SERVERS,
     versions=const.VERSIONS,
     retirements=const.RETIREMENTS,
+    evacuations=const.EVACUATIONS,
     probe=const.PROBE_PATH,
 )
 _DECODER: Final = ObjectDecoder(
