--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/scheduling/_slots.py
@@ -5,9 +5,9 @@
 from types import MappingProxyType
 from typing import Final
 
-from guavagate.jobs._memory import EngineMemory
-from guavagate.jobs._schedule import SamplerSlots
 from guavagate.jobs._work import JobWork
+from guavagate.jobs.scheduling._memory import EngineMemory
+from guavagate.jobs.scheduling._schedule import SamplerSlots
 from guavagate.models import UpstreamId
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerStates
@@ -65,12 +65,12 @@
         if state.loading and not include_upcoming:
             continue
         slots = upstream.slots or default_slots
-        moving = reserved.get(upstream.id, 0)
+        used = state.in_flight + reserved.get(upstream.id, 0)
         listed.append(
             SamplerSlots(
                 id=upstream.id,
                 versions=state.versions,
-                free=max(slots - state.in_flight - moving, 0),
+                free=max(slots - used, 0),
                 slots=slots,
                 relative_interval=state.event_interval / median
                 if median and state.event_interval
@@ -82,6 +82,7 @@
             )
         )
         if starts is not None:
+            moving = reserved.get(upstream.id, 0)
             _limit_starts(listed[-1], starts, moving, now)
     return listed
 
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -271,3 +271,15 @@
     text='Requests of services with a warm-up, by what the holder said',
     labels=('result',),
 )
+EVACUATED_ZONES: Final = Metric(
+    name='guavagate_evacuated_zones',
+    kind=MetricKind.GAUGE,
+    text='Zones that are evacuated as this instance sees it',
+    plotted=True,
+)
+REQUESTS_STOPPED: Final = Metric(
+    name='guavagate_requests_stopped_total',
+    kind=MetricKind.COUNTER,
+    text='Requests stopped right before they were sent, by obstacle',
+    labels=('obstacle',),
+)
--- a/tests/platform/test_warmup_names.py
+++ b/tests/platform/test_warmup_names.py
@@ -40,5 +40,5 @@
         f'port-range = [1, 9]\n[bounds]\n{lines}'
         '[platform]\naddress = "10.0.0.2:80"\n'
     )
-    read = load_settings(str(path)).bounds.to_warmup_bound()
+    read = load_settings(str(path)).to_options().warmup_bound
     assert (read.excess, read.slack) == bound
--- a/tests/warmup/test_cold.py
+++ b/tests/warmup/test_cold.py
@@ -96,8 +96,10 @@
     """They may have become cold while nothing was sent there."""
     bench = _Bench()
     bench.put(cold_for=0)
-    for callback in bench.table._on_zone_return:
-        callback(ZoneId('zone-0'))
+    bench.table.set_evacuated(frozenset((ZoneId('zone-0'),)))
+    bench.put(cold_for=0)
+    assert not bench.measure()
+    bench.table.set_evacuated(frozenset())
     assert bench.measure() == pytest.approx(3)
     bench.put(cold_for=5)
     assert bench.measure() == pytest.approx(5)
--- a/tests/warmup/test_items.py
+++ b/tests/warmup/test_items.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from guavagate.jobs._slots import list_slots, sum_slots_by_model
+from guavagate.jobs.scheduling._slots import list_slots, sum_slots_by_model
 from guavagate.models import UpstreamId
 from guavagate.ports.configuration import Warmup
 from tests.jobs.fleet import JobFleet, Node, check_complete, make_job
