Offer no ejected upstream for a start, and fight less for the lease

Cause: an entry named every eligible upstream to the holder, also ejected ones. Two instances that both take themselves for the owner took the lease from each other every 5 s, which delays orders.

Change: only the best choice and healthy upstreams are offered; a holder whose lease was taken acquires it again after 10 s. A start that was stopped here does not lengthen the backoff of its sampler.

--- a/guavagate/jobs/texts/_runner.py
+++ b/guavagate/jobs/texts/_runner.py
@@ -12,6 +12,7 @@
 from guavagate.exceptions import (
     UpstreamDisconnectedError,
     UpstreamError,
+    UpstreamExcludedError,
     UpstreamNotStartedError,
     UpstreamUnreachableError,
 )
@@ -250,11 +251,14 @@
             state.avoid_until = max(state.avoid_until, now + backoff)
             return
         if isinstance(error, UpstreamNotStartedError):
-            if now >= state.avoid_until:
+            refused = not isinstance(error, UpstreamExcludedError)
+            if refused and now >= state.avoid_until:
                 state.refusals += 1
             backoff = REFUSED_BACKOFF_SECONDS
             if self._limits_starts():
-                backoff *= 2 ** min(state.refusals - 1, MAX_REFUSED_DOUBLINGS)
+                backoff *= 2 ** min(
+                    max(state.refusals - 1, 0), MAX_REFUSED_DOUBLINGS
+                )
             state.avoid_until = max(state.avoid_until, now + backoff)
             return
         load = self._upstreams.load(upstream.id)
--- a/guavagate/warmup/_grants.py
+++ b/guavagate/warmup/_grants.py
@@ -87,6 +87,13 @@
         cold = {each.id for each in left if starts.is_cold(each.id, now)}
         full = {each.id for each in left if self._is_full(each, now)} - cold
 
+        unavailable = self._upstreams.is_unavailable(service)
+        healthy = {
+            each.id
+            for each in left
+            if self._upstreams.load(each.id).ejected_until <= now
+        }
+
         def rank(group: set[UpstreamId]) -> list[UpstreamId]:
             others = {each.id for each in serving} - group
             best = self._upstreams.rank_first(
@@ -98,7 +105,7 @@
             )
             if best is None:
                 return []
-            rest = sorted(group - {best.id})
+            rest = [] if unavailable else sorted(group & healthy - {best.id})
             self._random.shuffle(rest)
             return [best.id, *rest]
 
--- a/guavagate/warmup/_sole.py
+++ b/guavagate/warmup/_sole.py
@@ -19,7 +19,7 @@
 RENEWAL_SECONDS: Final = 0.7
 # How long a holder whose lease was taken leaves it to the other one. Views of
 # the members agree by then; two that take it in turns would prove nothing.
-HELD_SECONDS: Final = 5.0
+HELD_SECONDS: Final = 10.0
 # The starts before the proof ends must be outside the window of a successor,
 # which waits until the lease has ended.
 MARGIN_SECONDS: Final = WINDOW_SECONDS + PERMIT_SECONDS
@@ -35,6 +35,7 @@
         self._lease = lease
         self._applies = applies
         self._task: Task | None = None
+        self._acquire_at = clock.now()
 
     def start(self) -> None:
         """Start to renew the lease."""
@@ -54,9 +55,13 @@
     def _run(self) -> None:
         while True:
             if self._applies():
-                self._renew()
+                self._renew_if_held()
             self._clock.sleep(RENEWAL_SECONDS)
 
+    def _renew_if_held(self) -> None:
+        if self._lease.held or self._clock.now() >= self._acquire_at:
+            self._renew()
+
     def _renew(self) -> None:
         try:
             acquire_for_orders(self._lease, self._clock)
@@ -65,6 +70,6 @@
                 self._lease.acquire_or_renew()
         except LeaseHeldError:
             _LOGGER.debug('another instance holds the lease')
-            self._clock.sleep(HELD_SECONDS)
+            self._acquire_at = self._clock.now() + HELD_SECONDS
         except StoreUnavailableError as error:
             _LOGGER.debug('cannot renew the lease: %s', error)
--- a/standins/_safeguard_warmup.py
+++ b/standins/_safeguard_warmup.py
@@ -67,8 +67,8 @@
     Safeguard(
         'a sampler that refuses is asked less and less often',
         'guavagate/jobs/texts/_runner.py',
-        'backoff *= 2 ** min(state.refusals - 1, MAX_REFUSED_DOUBLINGS)',
-        'backoff *= 1',
+        'backoff *= 2 ** min(',
+        'backoff *= 1 ** min(',
         _ITEMS_TEST,
     ),
     Safeguard(
@@ -113,6 +113,13 @@
         'excluded = False',
         _GRANTS_TEST,
     ),
+    Safeguard(
+        'an ejected upstream is not offered',
+        _GRANTS,
+        'sorted(group & healthy - {best.id})',
+        'sorted(group - {best.id})',
+        _GRANTS_TEST,
+    ),
     Safeguard(
         'refused callers return one after the other',
         _STARTS,
--- a/tests/warmup/test_grants.py
+++ b/tests/warmup/test_grants.py
@@ -158,3 +158,15 @@
     fleet.cut(fleet.entries[0])
     assert [fleet.entries[0].choose() for _ in range(40)] == ['x'] * 40
     assert not fleet.world.network.messages['AskWarmup']
+
+
+def test_an_ejected_upstream_is_not_offered() -> None:
+    """The other one may take no request now, so the holder takes the next."""
+    fleet = Fleet()
+    fleet.register('x', cold_for=3)
+    fleet.register('y', cold_for=3)
+    entry = fleet.entries[0]
+    until = fleet.clock.now() + 9
+    entry.table.load(UpstreamId('y')).ejected_until = until
+    sent = [entry.choose() for _ in range(12)]
+    assert sent == ['x'] * 8 + [None] * 4
--- a/tests/warmup/test_sole.py
+++ b/tests/warmup/test_sole.py
@@ -92,3 +92,18 @@
     bench.proofs[0].start()
     bench.clock.advance(5)
     assert not bench.leases[0].held
+
+
+def test_a_holder_whose_lease_was_taken_leaves_it_for_a_while() -> None:
+    """Both take themselves for the owner, and both reach the store.
+
+    If each took the lease back at once, neither could send orders.
+    """
+    bench = _Bench()
+    for proof in bench.proofs:
+        proof.start()
+        bench.clock.advance(2)
+    generations = {each.generation for each in bench.leases}
+    bench.clock.advance(5)
+    assert {each.generation for each in bench.leases} == generations
+    assert [each.is_sole() for each in bench.proofs] == [False, True]
