Count a start anew if its permit ended while the process was busy

Cause: planning takes tens of milliseconds on a slow core, and a permit ends 0.1 s after the time at which planning began.

Change: a start counts from the moment at which its task is made. If the permit of a holder's own request has ended, the budget is asked again.

--- a/guavagate/jobs/scheduling/_dispatch.py
+++ b/guavagate/jobs/scheduling/_dispatch.py
@@ -367,7 +367,9 @@
         progress = work.items[placement.item]
         progress.move_target = None
         limits = self._get_limits()
-        if limits is not None and not limits.start(upstream.id, now):
+        # Planning takes a while, and a permit is valid from now on.
+        starts_at = self._clock.now()
+        if limits is not None and not limits.start(upstream.id, starts_at):
             return
         progress.sampler = upstream.id
         progress.started_at = now
--- a/guavagate/routing/_start_gate.py
+++ b/guavagate/routing/_start_gate.py
@@ -31,7 +31,7 @@
         """
 
     def may_send(self, upstream: Upstream) -> bool:
-        """Use up one permit for an upstream; return whether there was one."""
+        """Return whether a request may be sent now; use up a permit."""
 
     def find_retry_after(self, service: ServiceId) -> float | None:
         """Return when to retry if this gate has just refused a request."""
--- a/guavagate/warmup/_grants.py
+++ b/guavagate/warmup/_grants.py
@@ -122,8 +122,15 @@
         return self._obtain(message, cold, now)
 
     def may_send(self, upstream: Upstream) -> bool:
-        """Use up one permit for an upstream; return whether there was one."""
-        return self._budgets.permits.use(upstream)
+        """Return whether a request may be sent now; use up a permit.
+
+        If the permit of a holder's own request has ended, because the process
+        was busy, the request may be sent if the budget permits it anew.
+        """
+        if self._budgets.permits.use(upstream):
+            return True
+        starts = self._budgets.get(upstream.service)
+        return starts.held and starts.retake(upstream.id, self._clock.now())
 
     def find_retry_after(self, service: ServiceId) -> float | None:
         """Return when to retry if a request was refused just now."""
--- a/guavagate/warmup/_starts.py
+++ b/guavagate/warmup/_starts.py
@@ -107,6 +107,10 @@
         self._permits.put(upstream, now)
         return True
 
+    def retake(self, upstream: UpstreamId, now: float) -> bool:
+        """Count a start whose permit has ended; return whether it is sent."""
+        return self._limiter.take(upstream, now)
+
     def grant(
         self,
         upstreams: Iterable[UpstreamId],
