--- a/standins/_safeguard_warmup.py
+++ b/standins/_safeguard_warmup.py
@@ -46,7 +46,7 @@
     Safeguard(
         'each start of an item is counted',
         'guavagate/jobs/scheduling/_dispatch.py',
-        'if limits is not None and not limits.start(upstream.id, now):',
+        'if limits is not None and not limits.start(upstream.id, starts_at):',
         'if limits is None:',
         _ITEMS_TEST,
     ),
@@ -169,4 +169,18 @@
         '            if False:\n',
         _SOLE_TEST,
     ),
+    Safeguard(
+        'the owner uses the proof by its lease',
+        'guavagate/service.py',
+        '            starts.is_sole = proof.is_sole\n',
+        '',
+        'tests/warmup/test_wiring.py',
+    ),
+    Safeguard(
+        'a start whose permit ended is counted anew',
+        _GRANTS,
+        'return starts.held and starts.retake(',
+        'return starts.held or starts.retake(',
+        _ITEMS_TEST,
+    ),
 )
