--- a/guavagate/fleet_instance/_instance.py
+++ b/guavagate/fleet_instance/_instance.py
@@ -38,6 +38,7 @@
 from guavagate.rollouts import Renewals
 from guavagate.routing import EligibleSamplers, RouteTable
 from guavagate.service import JobServices
+from guavagate.warmup import limit_starts
 
 
 class FleetInstance:
@@ -91,6 +92,18 @@
             clock, bus, store, me.id, self._order_relays, upstreams.get
         )
         self._quarantine = quarantine
+        ownership = Ownership(self._members, me.id, self._members.boot)
+        self._ownership = ownership
+        budgets = limit_starts(
+            clock,
+            bus,
+            members,
+            ownership,
+            routes,
+            upstreams,
+            metrics,
+            options.warmup_bound,
+        )
         fleet = Fleet(bus, me.id, self._order_relays)
         self._forwarders = make_fleet_forwarders(
             clock,
@@ -102,8 +115,6 @@
             metrics,
             fleet,
         )
-        ownership = Ownership(self._members, me.id, self._members.boot)
-        self._ownership = ownership
         self._instance_id = me.id
         self._admission = ServiceAdmission(
             clock, bus, members, me.id, routes, upstreams, metrics
@@ -131,6 +142,7 @@
             options.data_dir,
             options.limits.link_bytes_per_s,
             self._duties if options.duties.scales else None,
+            budgets=budgets,
         )
         find = self._services.find
         reader = JobReader(clock, bus, job_store, ownership, find)
--- a/guavagate/fleet_instance/_options.py
+++ b/guavagate/fleet_instance/_options.py
@@ -4,6 +4,7 @@
 
 from guavagate.auth import ProofBounds
 from guavagate.settings import InstanceSettings
+from guavagate.warmup import WarmupBound
 
 
 class ListenOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,6 +57,8 @@
         The object that must be proven current, or ''.
     follows_evacuations
         Whether zones are evacuated in this deployment.
+    warmup_bound
+        The bound on requests to cold upstreams.
     """
 
     me: InstanceSettings
@@ -71,3 +74,4 @@
     proof_path: str
     proof_bounds: ProofBounds
     follows_evacuations: bool = False
+    warmup_bound: WarmupBound = WarmupBound()
--- a/guavagate/routing/_loads.py
+++ b/guavagate/routing/_loads.py
@@ -1,6 +1,7 @@
 """What this instance observes of the upstreams: answers, failures, reports."""
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 from guavagate.clock import Clock
@@ -28,6 +29,16 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._loads: dict[str, Load] = {}
+        self._on_cold_report: list[Callable[[UpstreamId, float], None]] = []
+
+    def subscribe_cold_reports(
+        self, callback: Callable[[UpstreamId, float], None]
+    ) -> None:
+        """Call `callback`, which must not block, with each cold report.
+
+        It gets the upstream and for how many seconds longer it is cold.
+        """
+        self._on_cold_report.append(callback)
 
     def load(self, upstream: UpstreamId) -> Load:
         """Return this instance's view of an upstream's load."""
@@ -40,6 +51,9 @@
         """
         load = self.load(upstream)
         load.answered_at = self._clock.now()
+        if report.cold_for:
+            for callback in self._on_cold_report:
+                callback(upstream, report.cold_for)
         if report == LoadReport():
             return
         load.report = report
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -26,6 +26,7 @@
 from standins._safeguard_stops import STOP_SAFEGUARDS
 from standins._safeguard_teams import TEAM_SAFEGUARDS
 from standins._safeguard_texts import TEXT_SAFEGUARDS
+from standins._safeguard_warmup import WARMUP_SAFEGUARDS
 
 SAFEGUARDS: Final = (
     *PLATFORM_SAFEGUARDS,
@@ -38,6 +39,7 @@
     *TEXT_SAFEGUARDS,
     *ROUTING_SAFEGUARDS,
     *ADMISSION_SAFEGUARDS,
+    *WARMUP_SAFEGUARDS,
     *EVACUATION_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
