--- a/guavagate/exceptions.py
+++ b/guavagate/exceptions.py
@@ -113,6 +113,10 @@
     """The upstream refused the work because it is leaving."""
 
 
+class OutsideRegionsError(GuavagateError):
+    """A job was not accepted, as it cannot run inside its regions."""
+
+
 class RefusalError(GuavagateError):
     """A caller's request is refused.
 
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -33,11 +33,13 @@
     OutcomeKind,
     describe_obstacle,
 )
+from guavagate.forwarding._regions import RegionGate
 from guavagate.helpers.waits import QueueTimeoutError, get_within
 from guavagate.models import ANYWHERE, Regions, ServiceId, UpstreamId
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import Call
 from guavagate.ports.upstreams import Upstream
+from guavagate.residency import RequestBounds
 from guavagate.routing import Obstacle
 
 # Share of the objective after which a second attempt starts; the rest is enough
@@ -111,7 +113,13 @@
 
 
 class Forwarder:
-    """Forwards requests of routes without streaming."""
+    """Forwards requests of routes without streaming.
+
+    Attributes
+    ----------
+    regions
+        Binds each attempt to the regions in force.
+    """
 
     def __init__(
         self,
@@ -120,7 +128,9 @@
         runner: AttemptRunner,
         guard: RequestGuard,
         outages: OutageChecker | None = None,
+        bounds: RequestBounds | None = None,
     ) -> None:
+        self.regions = RegionGate(upstreams, bounds)
         self._outages = outages or NoOutages()
         self._guard = guard
         self._clock = clock
@@ -149,6 +159,7 @@
         preferred
             The upstream to try first, if it is usable.
         """
+        call = self.regions.bind(call, route)
         progress = _Progress(call, route, service, results)
         progress.may_repeat = may_repeat or route.kind is RouteKind.IDEMPOTENT
         progress.preferred = preferred
@@ -276,7 +287,8 @@
             progress.failed_answers += attempt.status == _SERVER_ERROR
 
     def _start(self, progress: _Progress) -> None:
-        call, service = progress.call, progress.service
+        call = self.regions.bind(progress.call, progress.route)
+        service = progress.service
         if len(progress.tried) >= max(progress.route.max_attempts, 1):
             return
         progress.refusal = self._guard.check(call, service)
@@ -320,9 +332,10 @@
 
     def _refuse(self, progress: _Progress) -> Outcome:
         """Return the outcome of a request that was sent to no upstream."""
-        service, regions = progress.service, progress.call.regions
-        obstacle = self._upstreams.explain(service, regions)
-        return Outcome(
+        call, service = progress.call, progress.service
+        refusal = self.regions.refuse(call, progress.route, service)
+        obstacle = self._upstreams.explain(service, call.regions)
+        return refusal or Outcome(
             OutcomeKind.NOT_RUN,
             reason=describe_obstacle(obstacle) or _UNRESPONSIVE,
             retry_after=self._upstreams.compute_retry_after(service),
--- a/guavagate/forwarding/_forwarders.py
+++ b/guavagate/forwarding/_forwarders.py
@@ -1,7 +1,7 @@
 """Makes the forwarders of an instance, which share connections and loads."""
 
 import functools
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
@@ -21,7 +21,8 @@
 from guavagate.models import InstanceId, ZoneId
 from guavagate.ports.dialect import Dialect, ProbeDialect, UpstreamDialect
 from guavagate.quarantine import Quarantine
-from guavagate.routing import RouteTable, UpstreamTable
+from guavagate.residency import RequestBounds, make_region_map
+from guavagate.routing import Eligibility, RouteTable, UpstreamTable
 
 
 class Fleet(msgspec.Struct, frozen=True):
@@ -51,10 +52,24 @@
 
 
 def make_upstream_table(
-    clock: Clock, zone: ZoneId, pool: ConnectionPool
+    clock: Clock,
+    zone: ZoneId,
+    pool: ConnectionPool,
+    zones: Mapping[str, object],
 ) -> UpstreamTable:
-    """Return a table that knows the pool's connections, and closes old ones."""
-    table = UpstreamTable(clock, zone, is_connected=pool.has_idle_connection)
+    """Return a table that knows the pool's connections, and closes old ones.
+
+    Parameters
+    ----------
+    zones
+        The name of each zone's region, as the settings have it.
+    """
+    table = UpstreamTable(
+        clock,
+        zone,
+        is_connected=pool.has_idle_connection,
+        eligibility=Eligibility(make_region_map(zones)),
+    )
     table.subscribe_address_released(pool.close_idle)
     table.subscribe_restarts(lambda upstream: pool.close_idle(upstream.address))
     return table
@@ -68,6 +83,7 @@
     dialect: Dialect,
     quarantine: Quarantine,
     outages: OutageDetector | None = None,
+    bounds: RequestBounds | None = None,
 ) -> Forwarders:
     """Return the forwarders of an instance."""
     quarantine.subscribe_ends(upstreams.record_end)
@@ -78,10 +94,10 @@
         probe = functools.partial(outages.ask, connect=False)
         keep_alive = ConnectionKeepAlive(clock, pool, upstreams, probe)
     return Forwarders(
-        unary=Forwarder(clock, upstreams, runner, guard, outages),
-        streams=StreamForwarder(clock, upstreams, runner, guard),
+        unary=Forwarder(clock, upstreams, runner, guard, outages, bounds),
+        streams=StreamForwarder(clock, upstreams, runner, guard, bounds),
         rewards=RewardForwarder(
-            clock, routes, upstreams, runner, dialect, guard, outages
+            clock, routes, upstreams, runner, dialect, guard, outages, bounds
         ),
         keep_alive=keep_alive,
     )
@@ -96,6 +112,7 @@
     quarantine: Quarantine,
     metrics: Metrics,
     fleet: Fleet,
+    bounds: RequestBounds,
 ) -> Forwarders:
     """Return forwarders that find unresponsive services for the whole fleet."""
     notices = ServiceNotices(clock, fleet.bus, fleet.me, fleet.order)
@@ -103,7 +120,7 @@
         clock, pool, routes, upstreams, dialect, metrics, notices
     )
     return make_forwarders(
-        clock, pool, routes, upstreams, dialect, quarantine, outages
+        clock, pool, routes, upstreams, dialect, quarantine, outages, bounds
     )
 
 
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -21,6 +21,7 @@
     RewardRoute,
 )
 from guavagate.ports.upstreams import Upstream
+from guavagate.residency import RequestBounds
 from guavagate.routing import (
     Obstacle,
     RouteTable,
@@ -43,11 +44,13 @@
         self._clock = clock
         self._upstreams = upstreams
 
-    def count_available(self, service: ServiceId) -> int:
+    def count_available(
+        self, service: ServiceId, regions: Regions = ANYWHERE
+    ) -> int:
         """Return how many more requests a service's upstreams may take."""
         return sum(
             max(self._count_free_slots(each), 0)
-            for each in self._list_healthy(service)
+            for each in self._list_healthy(service, regions)
         )
 
     def choose(
@@ -61,7 +64,7 @@
         """Return an upstream for one request, or `None` if all are full."""
         with_capacity = {
             each.id
-            for each in self._list_healthy(service)
+            for each in self._list_healthy(service, regions)
             if self._count_free_slots(each) > 0
         }
         excluded = {
@@ -90,10 +93,12 @@
         """Return when a caller refused by the whole service should return."""
         return self._upstreams.compute_retry_after(service)
 
-    def _list_healthy(self, service: ServiceId) -> list[Upstream]:
+    def _list_healthy(
+        self, service: ServiceId, regions: Regions
+    ) -> list[Upstream]:
         """Return the upstreams that are not ejected, or all if all are."""
         now = self._clock.now()
-        serving = self._upstreams.serving(service)
+        serving = self._upstreams.serving(service, regions)
         healthy = [
             each
             for each in serving
@@ -119,13 +124,14 @@
         dialect: Dialect,
         guard: RequestGuard,
         outages: OutageChecker | None = None,
+        bounds: RequestBounds | None = None,
     ) -> None:
         self._clock = clock
         self._routes = routes
         self._dialect = dialect
         self._background = BackgroundUpstreams(clock, upstreams)
         self._forwarder = Forwarder(
-            clock, self._background, runner, guard, outages
+            clock, self._background, runner, guard, outages, bounds
         )
 
     def find_route(self, reward: RewardRequest) -> RewardRoute | None:
@@ -136,13 +142,18 @@
         return RewardRoute(
             service=pick_service(route, reward.id),
             max_failures=route.max_attempts,
+            regions=route.regions,
         )
 
-    def count_available(self, service: ServiceId) -> int:
+    def count_available(
+        self, service: ServiceId, regions: Regions = ANYWHERE
+    ) -> int:
         """Return how many more requests the service's upstreams may take."""
-        return self._background.count_available(service)
+        return self._background.count_available(service, regions)
 
-    def send(self, reward: RewardRequest) -> RewardOutcome:
+    def send(
+        self, reward: RewardRequest, regions: Regions = ANYWHERE
+    ) -> RewardOutcome:
         """Send a request and wait; cancelled when its task is killed."""
         route = self._find(reward)
         if route is None:
@@ -152,6 +163,7 @@
             request=self._dialect.compose(reward.id, reward.host, reward.path),
             body=reward.body,
             until=self._clock.now() + route.timeout,
+            regions=regions,
         )
         service = pick_service(route, reward.id)
         outcome = self._forwarder.forward(
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -21,6 +21,7 @@
     OutcomeKind,
     describe_obstacle,
 )
+from guavagate.forwarding._regions import RegionGate
 from guavagate.http1 import (
     Answer,
     CallerDisconnectedError,
@@ -31,6 +32,7 @@
 from guavagate.ports.configuration import Route
 from guavagate.ports.dialect import Call
 from guavagate.ports.upstreams import Upstream
+from guavagate.residency import RequestBounds
 from guavagate.routing import UpstreamTable
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -50,7 +52,9 @@
         upstreams: UpstreamTable,
         runner: AttemptRunner,
         guard: RequestGuard,
+        bounds: RequestBounds | None = None,
     ) -> None:
+        self._regions = RegionGate(upstreams, bounds)
         self._guard = guard
         self._clock = clock
         self._upstreams = upstreams
@@ -60,6 +64,7 @@
         self, exchange: Exchange, call: Call, route: Route, service: ServiceId
     ) -> Outcome:
         """Forward a stream; any outcome but `ANSWER` is still to be sent."""
+        call = self._regions.bind(call, route)
         progress = _StreamProgress(exchange, call)
         tried: set[UpstreamId] = set()
         outcome = Outcome(OutcomeKind.NOT_RUN, reason='no upstream')
@@ -69,14 +74,13 @@
             if refusal is not None:
                 outcome = refusal.make_outcome(ran=progress.may_have_run)
                 break
+            call = self._regions.bind(call, route)
+            progress.call = call
             upstream = self._upstreams.choose(
                 service, tried, lasting=True, regions=call.regions
             )
             if upstream is None:
-                obstacle = self._upstreams.explain(service, call.regions)
-                outcome.reason = describe_obstacle(obstacle) or outcome.reason
-                retry_after = self._upstreams.compute_retry_after(service)
-                outcome.retry_after = retry_after
+                outcome = self._refuse(progress, route, service, outcome)
                 break
             tried.add(upstream.id)
             sent_at = self._clock.now()
@@ -93,6 +97,24 @@
             exchange.abort()
         return outcome
 
+    def _refuse(
+        self,
+        progress: '_StreamProgress',
+        route: Route,
+        service: ServiceId,
+        outcome: Outcome,
+    ) -> Outcome:
+        """Return the outcome of a stream that no further upstream may take."""
+        call = progress.call
+        if not progress.may_have_run:
+            outside = self._regions.refuse(call, route, service)
+            if outside is not None:
+                return outside
+        obstacle = self._upstreams.explain(service, call.regions)
+        outcome.reason = describe_obstacle(obstacle) or outcome.reason
+        outcome.retry_after = self._upstreams.compute_retry_after(service)
+        return outcome
+
     def _try_upstream(
         self, progress: '_StreamProgress', upstream: Upstream, sent_at: float
     ) -> Outcome:
--- a/guavagate/front/_jobs.py
+++ b/guavagate/front/_jobs.py
@@ -7,6 +7,7 @@
 from guavagate.clock import Clock
 from guavagate.events import jobs as events
 from guavagate.events import write
+from guavagate.exceptions import OutsideRegionsError
 from guavagate.forwarding import refuse, send_text
 from guavagate.helpers.store_writes import MaybeWrittenError, NotWrittenError
 from guavagate.http1 import Exchange
@@ -22,6 +23,7 @@
 )
 from guavagate.metrics import Metrics, names
 from guavagate.models import TeamId
+from guavagate.residency import OUTSIDE_RETRY_SECONDS
 from guavagate.routing import RouteTable
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -68,6 +70,8 @@
             send_text(
                 exchange, 409, 'the id is taken by another job; use a new one'
             )
+        except OutsideRegionsError as error:
+            refuse(exchange, error.problem, OUTSIDE_RETRY_SECONDS)
         except (NotWrittenError, MaybeWrittenError) as error:
             self._respond_not_accepted(exchange, job, error)
         else:
--- a/guavagate/front/_requests.py
+++ b/guavagate/front/_requests.py
@@ -75,6 +75,9 @@
     ) -> Outcome:
         if route.kind is RouteKind.STREAM:
             return self._streams.forward(exchange, call, route, service)
+        refusal = self._forwarder.regions.refuse(call, route, service)
+        if refusal is not None:
+            return refusal
         outcome, may_wait = self._send(exchange, call, route, service)
         for _ in range(MAX_FULL_TRIES):
             if not may_wait or self._clock.now() >= call.until:
--- a/guavagate/integrations/object_api/_peer_selector.py
+++ b/guavagate/integrations/object_api/_peer_selector.py
@@ -33,9 +33,9 @@
         self._working: dict[InstanceId, int] = {}
         self._avoided_until: dict[InstanceId, float] = {}
 
-    def has_working_peer(self) -> bool:
-        """Return whether a peer is known to answer."""
-        return bool(self._working)
+    def has_working_peer(self, peers: Sequence[InstanceId]) -> bool:
+        """Return whether one of some peers is known to answer."""
+        return any(each in self._working for each in peers)
 
     def rank(self, peers: Sequence[InstanceId]) -> list[InstanceId]:
         """Return the peers, those that answered first and failed ones last."""
--- a/guavagate/integrations/object_api/_peers.py
+++ b/guavagate/integrations/object_api/_peers.py
@@ -13,7 +13,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from gevent.event import AsyncResult, Event
@@ -76,6 +76,10 @@
     problem: str = ''
 
 
+def _always(peer: InstanceId, path: str) -> bool:
+    return True
+
+
 class PeerFallback:
     """Makes calls directly, or through a peer while that fails.
 
@@ -86,6 +90,8 @@
     is_urgent
         Returns whether this instance's calls are urgent. Otherwise the route
         is not probed while it works, because each probe has a cost.
+    may_relay
+        Returns whether a peer may make a call for a path.
     """
 
     def __init__(
@@ -97,7 +103,9 @@
         probe_path: str,
         is_urgent: Callable[[], bool],
         rng: random.Random | None = None,
+        may_relay: Callable[[InstanceId, str], bool] = _always,
     ) -> None:
+        self._may_relay = may_relay
         self._direct = direct
         self._bus = bus
         self._clock = clock
@@ -219,10 +227,15 @@
         write(_LOGGER, events.STORE_THROUGH_PEER, problem=problem)
 
     def _call_through_peers(self, call: Call) -> Answer:
-        if not self._peers.has_working_peer():
-            self._find_peer()
+        peers = [
+            each
+            for each in self._list_peers()
+            if self._may_relay(each, call.path)
+        ]
+        if not self._peers.has_working_peer(peers):
+            self._find_peer(peers)
         problem = 'there is no peer'
-        for peer in self._peers.rank(self._list_peers())[:_MAX_TRIED_PEERS]:
+        for peer in self._peers.rank(peers)[:_MAX_TRIED_PEERS]:
             try:
                 answer, problem = self._call_peer(peer, call)
             except LinkRefusedError as error:
@@ -255,15 +268,14 @@
             raise NoAnswerError(reply.problem)
         return None, reply.problem
 
-    def _find_peer(self) -> None:
+    def _find_peer(self, peers: Sequence[InstanceId]) -> None:
         """Probe several peers at once and wait for the first to answer.
 
         Calls that arrive meanwhile wait for the same search.
         """
         if self._searching is None:
             self._searching = Event()
-            peers = self._peers.rank(self._list_peers())[:_MAX_SEARCHED_PEERS]
-            for peer in peers:
+            for peer in self._peers.rank(peers)[:_MAX_SEARCHED_PEERS]:
                 self._clock.spawn(self._probe_peer, peer, self._searching)
         search = self._searching
         wait_for(self._clock, search, SEARCH_TIMEOUT_SECONDS)
--- a/guavagate/integrations/object_api/fleet_client.py
+++ b/guavagate/integrations/object_api/fleet_client.py
@@ -15,6 +15,7 @@
 from guavagate.links import Bus
 from guavagate.membership import Membership
 from guavagate.metrics import Metrics
+from guavagate.models import InstanceId
 
 
 def make_fleet_client(
@@ -29,12 +30,13 @@
     writes: float,
     *,
     has_edge: bool,
+    may_relay: Callable[[InstanceId, str], bool],
 ) -> tuple[PeerFallback, RetryingClient]:
     """Return the client, and the peer fallback that has to be started.
 
     Parameters
     ----------
-    probe_path, is_urgent
+    probe_path, is_urgent, may_relay
         See `PeerFallback`.
     reads, writes
         Calls per second that all instances together may make.
@@ -49,6 +51,7 @@
         members.others,
         probe_path,
         is_urgent,
+        may_relay=may_relay,
     )
     client = make_shared_client(
         fallback.call,
--- a/guavagate/jobs/_announcements.py
+++ b/guavagate/jobs/_announcements.py
@@ -17,13 +17,20 @@
 from guavagate.clock import Clock
 from guavagate.events import jobs as events
 from guavagate.events import write
+from guavagate.exceptions import OutsideRegionsError
 from guavagate.jobs._messages import JobAnnounced, JobEndAnnounced
 from guavagate.jobs._models import Job, JobId
 from guavagate.jobs._ownership import Ownership
-from guavagate.jobs._store import PART_BYTES, JobStore, measure_job
+from guavagate.jobs._store import (
+    PART_BYTES,
+    JobStore,
+    measure_job,
+    split_items,
+)
 from guavagate.links import Bus, Message, expect
 from guavagate.metrics import Metrics, names
-from guavagate.models import InstanceId, ServiceId
+from guavagate.models import ANYWHERE, InstanceId, ServiceId
+from guavagate.residency import JobBounds, UnboundJobs
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -144,7 +151,9 @@
         ownership: Ownership,
         announced: AnnouncedJobs,
         list_services: Callable[[], Iterable[ServiceId]],
+        bounds: JobBounds | None = None,
     ) -> None:
+        self._bounds = bounds or UnboundJobs()
         self._clock = clock
         self._bus = bus
         self._me = me
@@ -154,7 +163,14 @@
         self._list_services = list_services
 
     def accept(self, job: Job, timeout: float) -> bool:
-        """Store a job; see `JobStore.accept`."""
+        """Store a job; see `JobStore.accept`.
+
+        Raises
+        ------
+        OutsideRegionsError
+            The job cannot run inside its regions, and was not accepted before.
+        """
+        job = self._bind(job)
         new = self._job_store.accept(job, timeout)
         # A repeated submission differs from the stored job in its time, and the
         # first one was announced.
@@ -162,6 +178,24 @@
             self.announce(job)
         return new
 
+    def _bind(self, job: Job) -> Job:
+        """Return a new job with its regions.
+
+        One that was accepted earlier may have run, whatever the configuration
+        says now; it is answered as accepted.
+        """
+        owner = self._ownership.find_owner(job.service)
+        try:
+            regions = self._bounds.check_job(job, owner)
+        except OutsideRegionsError:
+            if not self._job_store.may_exist(job.id):
+                raise
+            regions = self._bounds.find_job_regions(job)
+        if regions is ANYWHERE:
+            return job
+        parts = len(split_items(job.items))
+        return msgspec.structs.replace(job, regions=regions, parts=parts)
+
     def end(self, job: JobId, timeout: float) -> None:
         """Store that a job was ended; see `JobStore.end`."""
         self._job_store.end(job, timeout)
@@ -175,6 +209,8 @@
     def _announce(self, job: Job) -> None:
         message = JobAnnounced(job=job)
         for recipient in self._list_recipients(job.service):
+            if not self._bounds.may_hold(job.regions, recipient):
+                continue
             if recipient == self._me:
                 self._announced.put(job)
             else:
--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/_dispatch.py
@@ -231,6 +231,7 @@
             count_reserved_slots(works),
             self._client.count_idle_connections,
             get_memory or get_no_memory,
+            self._upstreams.eligibility.region_of,
             include_upcoming=include_upcoming,
         )
 
--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -5,7 +5,13 @@
 
 import msgspec
 
-from guavagate.models import ServiceId, TeamId, WeightVersion
+from guavagate.models import (
+    ANYWHERE,
+    Regions,
+    ServiceId,
+    TeamId,
+    WeightVersion,
+)
 from guavagate.ports.rewards import RewardRequest
 from guavagate.ports.sampler import ITEM_METHOD
 from guavagate.quarantine import RequestContent
@@ -61,7 +67,9 @@
     `fingerprint` identifies the content that the trainer sent, to distinguish a
     repeated submission from a different job under the same id. `team` is empty
     if the configuration had no teams, or in records of a release without teams.
-    Any caller may access such jobs, as their team is unknown.
+    Any caller may access such jobs, as their team is unknown. `path` is one of
+    its route, empty in records of earlier releases, and `regions` are those to
+    which it was bound when it was accepted.
     """
 
     id: JobId
@@ -80,6 +88,19 @@
     items: list[JobItem] = []
     parts: int = 0
     team: TeamId = TeamId('')
+    path: str = ''
+    regions: Regions = ANYWHERE
+
+    @property
+    def route_path(self) -> str:
+        """Return a path that the job's route matches."""
+        if self.path or not self.items:
+            return self.path
+        return self.items[0].path
+
+    def list_rewards(self) -> list[RewardRequest]:
+        """Return the reward requests of the items."""
+        return [each.reward for each in self.items if each.reward is not None]
 
     def is_accessible_to(self, team: TeamId) -> bool:
         """Return whether a team's callers may read and end the job."""
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -29,6 +29,7 @@
     ResultState,
 )
 from guavagate.jobs._replicas import TextReplicas
+from guavagate.jobs._residency import JobRegions
 from guavagate.jobs._rewards import RewardDispatcher
 from guavagate.jobs._runner import ItemRunner
 from guavagate.jobs._snapshots import TextSnapshots
@@ -43,6 +44,7 @@
 from guavagate.ports.store import StoredObject
 from guavagate.ports.upstreams import Upstream
 from guavagate.quarantine import Quarantine
+from guavagate.residency import JobBounds, UnboundJobs
 from guavagate.rollouts import ModelDemand, SamplerStates
 from guavagate.routing import UpstreamTable
 from guavagate.util.boot_clock import read_boot_clock
@@ -84,7 +86,9 @@
         announced: AnnouncedJobs,
         boot_clock: Callable[[], float] = read_boot_clock,
         cache_tokens: Callable[[], int] = int,
+        bounds: JobBounds | None = None,
     ) -> None:
+        self._regions = JobRegions(bounds or UnboundJobs(), upstreams, metrics)
         self._boot_clock = boot_clock
         self._service = service
         self._clock = clock
@@ -140,6 +144,7 @@
             self._active_jobs.list_open,
             list_successors,
             self._handle_return,
+            self._regions.may_send,
         )
         self._tasks: list[Task] = []
         store = job_store.object_store
@@ -188,6 +193,7 @@
         if not self._tasks:
             return
         if next_owner is not None:
+            self._regions.update(self._active_jobs.list_open())
             self._backups.hand_over(next_owner)
         self._backups.stop()
         for task in self._tasks:
@@ -196,6 +202,13 @@
         self._job_mirror.stop()
         self._end_mirror.stop()
         self._active_jobs.clear()
+        self._regions.clear()
+
+    def apply_regions(self) -> None:
+        """Apply the regions of the configuration in force to all jobs."""
+        self._regions.update(self._active_jobs.list_open())
+        for stored in self._regions.take_stored():
+            self._put_job(stored.path.partition('/')[2], stored)
 
     def mark_uncertain(self) -> None:
         """Record that another instance may have worked on the jobs."""
@@ -203,7 +216,9 @@
 
     def collect_demands(self) -> dict[str, ModelDemand]:
         """Return the demand of open and expected jobs on each model."""
-        return self._active_jobs.collect_demands()
+        demands = self._active_jobs.collect_demands()
+        self._regions.bind_demands(demands, self._active_jobs.list_open())
+        return demands
 
     def count_open(self) -> dict[str, int]:
         """Return the number of unfinished items by model."""
@@ -217,12 +232,16 @@
         self, job: JobId, after: int, wait: float, team: TeamId = _ANY_TEAM
     ) -> tuple[LookupStatus, Page | None]:
         """Return results from a position on, waiting until there are any."""
+        if job in self._regions:
+            return LookupStatus.UNCERTAIN, None
         return self._active_jobs.read(job, after, wait, team)
 
     def read_item(
         self, job: JobId, item: ItemId, team: TeamId = _ANY_TEAM
     ) -> tuple[LookupStatus, bytes]:
         """Return an item's body."""
+        if job in self._regions:
+            return LookupStatus.UNCERTAIN, b''
         return self._active_jobs.read_item(job, item, team)
 
     def _handle_return(self) -> None:
@@ -239,6 +258,7 @@
     def _on_job_loaded(self, job: Job) -> None:
         amount = sum(max(each.expected_tokens, 1) for each in job.items)
         self._states.record_workload(job.model, amount, len(job.items))
+        self._regions.record_job(job)
         active = self._active_jobs.get(job.id)
         if active is not None:
             self._dispatcher.record_results(active.work)
@@ -253,6 +273,8 @@
     def _load_announced(self) -> None:
         """Load the announced jobs, even if the store does not answer now."""
         for each in self._announced.list_jobs(self._service):
+            if not self._regions.may_hold(each.job):
+                continue
             self._active_jobs.expect(each.job.id)
             self._clock.spawn(
                 self._active_jobs.load_announced, each.job, each.received_at
@@ -260,7 +282,7 @@
 
     def _on_announced(self, job: Job) -> None:
         expired = is_expired(job, self._clock.wall(), self._retention)
-        if self.active and not expired:
+        if self.active and not expired and self._regions.may_hold(job):
             self._active_jobs.add_announced(job)
 
     def _on_announced_end(self, job: JobId) -> None:
@@ -271,14 +293,19 @@
         job = decode_job(stored.value)
         if job.service != self._service or job.id in self._active_jobs:
             return
+        if not self._regions.may_hold(job):
+            self._regions.put_aside(job, stored)
+            return
         fresh = self._job_mirror.loaded and self._job_mirror.is_live_change
         self._active_jobs.expect(job.id)
         self._clock.spawn(self._active_jobs.load_stored, job.id, stored, fresh)
 
     def _drop_job(self, name: str) -> None:
+        self._regions.drop(JobId(name))
         self._active_jobs.drop(JobId(name))
 
     def _put_end(self, name: str, stored: StoredObject) -> None:
+        self._regions.drop(JobId(name))
         self._active_jobs.end(JobId(name))
 
     def _run(self) -> None:
@@ -307,6 +334,7 @@
         if not self._taken_over:
             return
         works = self._active_jobs.list_open()
+        self._regions.update(works)
         self._metrics.set_gauge(names.OPEN_JOBS, len(works))
         if not works:
             return
--- a/guavagate/jobs/_ownership.py
+++ b/guavagate/jobs/_ownership.py
@@ -1,10 +1,11 @@
 """Determines which instance owns a service's jobs, without messages."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 
-from guavagate.models import InstanceId, ServiceId
+from guavagate.models import ANYWHERE, InstanceId, Regions, ServiceId
 from guavagate.runtime import Members
+from guavagate.settings import PeerSettings
 from guavagate.util.rendezvous import weigh
 from guavagate.util.uptime import (
     BootOf,
@@ -14,12 +15,26 @@
 )
 
 
+def find_no_regions(service: ServiceId) -> Regions:
+    """Return that a service's jobs are not bound."""
+    return ANYWHERE
+
+
+def prefer_workers(instances: Iterable[PeerSettings]) -> list[InstanceId]:
+    """Return the instances without a callers' edge, or all if all have one."""
+    listed = list(instances)
+    without_edge = [each.id for each in listed if not each.http_address]
+    return without_edge or [each.id for each in listed]
+
+
 class Ownership:
     """The owner of each service's jobs, by uptime among the live members.
 
     Instances without a callers' edge rank first, as job work delays no callers
-    there. Membership views may differ for some seconds; chunk numbers and the
-    lease for orders keep two owners from doing harm.
+    there. Owner and successors are inside the regions of the service's jobs, or
+    all in one region if none is alive inside. Membership views may differ for
+    some seconds; chunk numbers and the lease for orders keep two owners from
+    doing harm.
 
     After a restart of all instances, all have the same uptime. The former owner
     then continues: it held the lease for orders. Any other instance would have
@@ -39,7 +54,9 @@
         members: Members,
         me: InstanceId,
         boot_of: BootOf = ignore_boots,
+        find_regions: Callable[[ServiceId], Regions] = find_no_regions,
     ) -> None:
+        self._find_regions = find_regions
         self._members = members
         self._boot_of = boot_of
         self.me = me
@@ -62,7 +79,19 @@
 
     def rank_candidates(self, service: ServiceId) -> list[InstanceId]:
         """Return the candidates for a service's jobs, first choice first."""
-        return self.rank_for_duty(f'jobs of {service}')
+        duty = f'jobs of {service}'
+        regions = self._find_regions(service)
+        if regions is None:
+            return self.rank_for_duty(duty)
+        alive = self._members.alive()
+        inside = [each for each in alive if each.region in regions]
+        if not inside:
+            # The first one refuses bound jobs; its successors have the same
+            # regions, so that they hold no body that it may not hold.
+            first = self.rank_for_duty(duty)[:1]
+            region = [each.region for each in alive if each.id in first]
+            inside = [each for each in alive if each.region in region]
+        return rank_by_uptime(duty, prefer_workers(inside), self._boot_of)
 
     def list_in_turn(self, service: ServiceId) -> list[InstanceId]:
         """Return the owner, then its successors in the order of takeover."""
@@ -105,9 +134,7 @@
         )
 
     def _list_candidates(self) -> list[InstanceId]:
-        alive = self._members.alive()
-        without_edge = [each.id for each in alive if not each.http_address]
-        return without_edge or [each.id for each in alive]
+        return prefer_workers(self._members.alive())
 
     def _started_together(self, *others: InstanceId) -> bool:
         buckets = {
--- a/guavagate/jobs/_reader.py
+++ b/guavagate/jobs/_reader.py
@@ -20,6 +20,7 @@
 from guavagate.jobs._store import JobStore, measure_job
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId, ServiceId, TeamId
+from guavagate.residency import JobBounds, UnboundJobs
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -48,7 +49,9 @@
         job_store: JobStore,
         ownership: Ownership,
         find_local_owner: FindLocalOwner,
+        bounds: JobBounds | None = None,
     ) -> None:
+        self._bounds = bounds or UnboundJobs()
         self._clock = clock
         self._bus = bus
         self._job_store = job_store
@@ -61,8 +64,12 @@
         bus.register(ReadItem, self._on_read_item)
 
     def cache_job(self, job: Job) -> None:
-        """Cache a job for later reads of item bodies and totals."""
-        if job.id in self._cache:
+        """Cache a job for later reads of item bodies and totals.
+
+        Not outside its regions, as the next caller may be another one.
+        """
+        regions = self._bounds.find_job_regions(job)
+        if job.id in self._cache or not self._bounds.may_hold_here(regions):
             return
         self._cache[job.id] = job
         self._cached_bytes += measure_job(job)
--- a/guavagate/jobs/_reclaim.py
+++ b/guavagate/jobs/_reclaim.py
@@ -172,13 +172,10 @@
 
 def _reserve_slot(work: JobWork, samplers: Sequence[SamplerSlots]) -> bool:
     """Reserve a slot for a text; return whether there is one."""
-    model = work.job.model
     eligible = [
         sampler
         for sampler in samplers
-        if sampler.free > 0
-        and model in sampler.models
-        and sampler.versions.get(model, 0) >= work.job.min_version
+        if sampler.free > 0 and sampler.may_run(work)
     ]
     if not eligible:
         return False
--- a/guavagate/jobs/_rewards.py
+++ b/guavagate/jobs/_rewards.py
@@ -18,13 +18,14 @@
 from guavagate.jobs._models import GroupId, Result, ResultState
 from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.metrics import Metrics, names
-from guavagate.models import ServiceId
+from guavagate.models import Regions, ServiceId
 from guavagate.ports.rewards import (
     RewardClient,
     RewardKind,
     RewardOutcome,
     RewardRoute,
 )
+from guavagate.residency import combine_regions
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -78,7 +79,7 @@
 
     def dispatch(self, works: Sequence[JobWork], now: float) -> None:
         """Start the requests that the upstreams have capacity for."""
-        capacities: dict[ServiceId, int] = {}
+        capacities: dict[tuple[ServiceId, Regions], int] = {}
         for work, progress in order_pending_rewards(works, now):
             if progress.item.reward is None:
                 self.handle_complete_text(work, progress)
@@ -87,11 +88,12 @@
             if route is None:
                 self._postpone(progress, now)
                 continue
-            service = route.service
-            capacity = capacities.get(service)
+            regions = combine_regions(work.regions, route.regions)
+            key = route.service, regions
+            capacity = capacities.get(key)
             if capacity is None:
-                capacity = self._client.count_available(service)
-            capacities[service] = capacity - 1
+                capacity = self._client.count_available(route.service, regions)
+            capacities[key] = capacity - 1
             if capacity > 0:
                 progress.reward_task = self._clock.spawn(
                     self._request_reward, work, progress, route
@@ -104,7 +106,7 @@
         reward = progress.item.reward
         assert reward is not None
         try:
-            outcome = self._client.send(reward)
+            outcome = self._client.send(reward, work.regions)
         finally:
             progress.reward_task = None
         if progress.done or work.ended:
--- a/guavagate/jobs/_runner.py
+++ b/guavagate/jobs/_runner.py
@@ -130,6 +130,7 @@
             body=progress.item.body,
             resume_after=progress.text.last_number,
             team=job.team,
+            regions=work.regions,
         )
         with self._clock.timeout(
             RESPONSE_TIMEOUT_SECONDS, _make_timeout_error(upstream)
--- a/guavagate/jobs/_schedule.py
+++ b/guavagate/jobs/_schedule.py
@@ -27,7 +27,8 @@
 )
 from guavagate.jobs._models import ItemId, JobId, JobItem
 from guavagate.jobs._work import ItemProgress, JobWork
-from guavagate.models import UpstreamId, WeightVersion
+from guavagate.models import RegionId, UpstreamId, WeightVersion
+from guavagate.residency import is_inside
 from guavagate.rollouts import ModelDemand
 
 # Items of a group share a prompt. Reading it again on another sampler takes a
@@ -61,6 +62,7 @@
     `relative_interval` is its event interval relative to the median: a sampler
     with 2 is half as fast as usual. It is 1 until the sampler is `measured`.
     The items in `avoided_by` start there only if no other one has a free slot.
+    `region` is `None` if its zone is unknown; bound items do not use it then.
     """
 
     id: UpstreamId
@@ -74,6 +76,7 @@
     groups: set[str] = set()
     avoided_by: set[ItemId] = set()
     memory: EngineMemory = msgspec.field(default_factory=EngineMemory)
+    region: RegionId | None = None
 
     def reserve(self, item: JobItem, memory: TextMemory) -> None:
         """Reserve a slot, and memory, for an item."""
@@ -82,6 +85,15 @@
         self.groups.add(item.group)
         self.memory.reserve(memory)
 
+    def may_run(self, work: JobWork) -> bool:
+        """Return whether a job accepts the sampler's version and region."""
+        job = work.job
+        return (
+            job.model in self.models
+            and self.versions.get(job.model, 0) >= job.min_version
+            and is_inside(self.region, work.regions)
+        )
+
 
 class ItemPlacement(msgspec.Struct, frozen=True):
     """An item to start and the sampler to start it on."""
@@ -223,15 +235,12 @@
 def _list_usable(
     work: JobWork, progress: ItemProgress, samplers: Sequence[SamplerSlots]
 ) -> list[SamplerSlots]:
-    """Return the samplers with a free slot and an accepted version."""
-    model = work.job.model
-    min_version = work.job.min_version
+    """Return the samplers with a free slot that a job may use."""
     return [
         sampler
         for sampler in samplers
         if (sampler.free > 0 or sampler.id == progress.move_target)
-        and model in sampler.models
-        and sampler.versions.get(model, 0) >= min_version
+        and sampler.may_run(work)
     ]
 
 
--- a/guavagate/jobs/_slots.py
+++ b/guavagate/jobs/_slots.py
@@ -8,13 +8,14 @@
 from guavagate.jobs._memory import EngineMemory
 from guavagate.jobs._schedule import SamplerSlots
 from guavagate.jobs._work import JobWork
-from guavagate.models import UpstreamId
+from guavagate.models import RegionId, UpstreamId, ZoneId
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerStates
 
 # About the duration of a weight load, and of the first backoff after a failure.
 UPCOMING_SECONDS: Final = 1.0
 _NONE_RESERVED: Final[Mapping[UpstreamId, int]] = MappingProxyType({})
+_NO_REGIONS: Final[Mapping[ZoneId, RegionId]] = MappingProxyType({})
 
 
 def get_no_memory(_: UpstreamId) -> EngineMemory:
@@ -30,6 +31,7 @@
     reserved: Mapping[UpstreamId, int] = _NONE_RESERVED,
     count_idle: Callable[[Upstream], int] | None = None,
     get_memory: Callable[[UpstreamId], EngineMemory] = get_no_memory,
+    region_of: Mapping[ZoneId, RegionId] = _NO_REGIONS,
     *,
     include_upcoming: bool = False,
 ) -> list[SamplerSlots]:
@@ -45,6 +47,8 @@
         Returns the idle connections to a sampler.
     get_memory
         Returns the memory of a sampler's engine.
+    region_of
+        The region of each zone.
     include_upcoming
         Whether to include samplers that become available within
         `UPCOMING_SECONDS`. A forecast needs them: while a model's samplers
@@ -74,6 +78,7 @@
                 measured=state.event_interval > 0,
                 models=states.get_models(upstream.id),
                 memory=get_memory(upstream.id),
+                region=region_of.get(upstream.zone),
             )
         )
     return listed
--- a/guavagate/jobs/_store.py
+++ b/guavagate/jobs/_store.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from guavagate.clock import Clock
-from guavagate.helpers.store_writes import create
+from guavagate.exceptions import StoreError
+from guavagate.helpers.store_writes import MaybeWrittenError, create
 from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.jobs._models import (
     Job,
@@ -65,7 +66,9 @@
         """Store a job; return whether it is new.
 
         A large job's items are written first, in parts. The job object is
-        written last; the job is accepted once it exists.
+        written last; the job is accepted once it exists. The owners of all
+        services follow the job objects, wherever they are, so those of bound
+        jobs have no items: their bodies are in parts.
 
         Raises
         ------
@@ -75,7 +78,7 @@
             See `create`.
         """
         parts = split_items(job.items)
-        if len(parts) > 1:
+        if len(parts) > 1 or job.regions is not None:
             for number, items in enumerate(parts):
                 path = part_path(job.id, number)
                 value = msgspec.json.encode(items)
@@ -97,6 +100,19 @@
             raise JobConflictError(job.id)
         return False
 
+    def may_exist(self, job: JobId) -> bool:
+        """Return whether a job was accepted, or may have been.
+
+        Raises
+        ------
+        MaybeWrittenError
+            The store cannot be read now.
+        """
+        try:
+            return self.object_store.get(job_path(job)) is not None
+        except StoreError as error:
+            raise MaybeWrittenError(str(error)) from error
+
     def read(self, job: JobId) -> Job | None:
         """Return an accepted job, or None; reads the store, not a cache.
 
--- a/guavagate/jobs/_text_backups.py
+++ b/guavagate/jobs/_text_backups.py
@@ -34,6 +34,10 @@
 ADOPTION_SECONDS: Final = 1.0
 
 
+def _always(work: JobWork, peer: InstanceId) -> bool:
+    return True
+
+
 class TextBackups:
     """The replicas, snapshots and checkpoints of one service's texts.
 
@@ -44,6 +48,8 @@
     on_returned
         Called when an instance that worked on the jobs in the place of this
         one has returned them; must not block.
+    may_send
+        Returns whether an instance may get the texts of a job.
     """
 
     def __init__(
@@ -56,7 +62,9 @@
         list_open: Callable[[], list[JobWork]],
         list_successors: Callable[[], list[InstanceId]],
         on_returned: Callable[[], None],
+        may_send: Callable[[JobWork, InstanceId], bool] = _always,
     ) -> None:
+        self._may_send = may_send
         self._service = service
         self._clock = clock
         self._replicas = replicas
@@ -96,7 +104,7 @@
         self._clock.spawn(
             self._replicas.hand_over,
             self._service,
-            self._list_open(),
+            [each for each in self._list_open() if self._may_send(each, peer)],
             peer,
             self._clock,
         )
@@ -142,6 +150,7 @@
         for peer in self._list_successors()[:REPLICA_COUNT]:
             running = self._sending.get(peer)
             if running is None or running.dead:
+                sent = [each for each in works if self._may_send(each, peer)]
                 self._sending[peer] = self._clock.spawn(
-                    self._replicas.send, self._service, works, peer, longest
+                    self._replicas.send, self._service, sent, peer, longest
                 )
--- a/guavagate/jobs/_work.py
+++ b/guavagate/jobs/_work.py
@@ -9,7 +9,7 @@
 from guavagate.clock import Task
 from guavagate.jobs._models import GroupId, ItemId, Job, JobItem, Result
 from guavagate.jobs._result_log import ResultLog
-from guavagate.models import UpstreamId, WeightVersion
+from guavagate.models import Regions, UpstreamId, WeightVersion
 from guavagate.ports.sampler import ItemRun, TextEvent
 
 EVENT_SEPARATOR: Final = '\n'
@@ -115,6 +115,9 @@
 class JobWork:
     """A job's items and groups, and its results that aren't committed yet.
 
+    `regions` are those that bind it by the configuration in force; its owner
+    updates them before each use.
+
     `opened_at` is when the job was submitted and `acquired_at` when this
     instance became its owner, both on this instance's clock.
     """
@@ -128,6 +131,7 @@
         self.acquired_at = now
         self.due = self.opened_at + job.objective
         self.ended = False
+        self.regions: Regions = job.regions
         self.pending: list[Result] = []
         self.items = {each.id: ItemProgress(item=each) for each in job.items}
         self._unfinished = _count_items_by_group(job.items)
--- a/guavagate/measure/fakes/_world.py
+++ b/guavagate/measure/fakes/_world.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from guavagate.clock import PausedClock
 from guavagate.measure.fakes._bus import FakeBus, Network
 from guavagate.measure.fakes._host import Host
@@ -134,6 +136,13 @@
         self.announce(instance, alive=True, after=0.1)
         return host
 
+    def relocate(self, name: str, region: RegionId) -> None:
+        """Set an instance's region, before others learn of it."""
+        instance = InstanceId(name)
+        peer = msgspec.structs.replace(self.peers[instance], region=region)
+        self.peers[instance] = peer
+        self.members[instance].peers[instance] = peer
+
     def bus(self, name: str) -> FakeBus:
         """Return an instance's bus."""
         return self.network.buses[InstanceId(name)]
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -254,3 +254,15 @@
     text='Requests that wait for a slot of their service at this queue owner',
     plotted=True,
 )
+REGION_REFUSALS: Final = Metric(
+    name='guavagate_region_refusals_total',
+    kind=MetricKind.COUNTER,
+    text='Requests and jobs that were refused for their regions',
+    labels=('kind',),
+    plotted=True,
+)
+ITEMS_MOVED_INSIDE: Final = Metric(
+    name='guavagate_items_moved_inside_total',
+    kind=MetricKind.COUNTER,
+    text='Items cancelled at samplers outside the regions of their job',
+)
--- a/guavagate/platform/_jobs.py
+++ b/guavagate/platform/_jobs.py
@@ -95,6 +95,7 @@
     return Job(
         id=JobId(request_id),
         host=route.host,
+        path=route.prefix,
         service=service,
         model=submission.model,
         step=submission.step,
--- a/guavagate/platform/_manifest.py
+++ b/guavagate/platform/_manifest.py
@@ -17,6 +17,7 @@
     ServiceShare,
     Team,
 )
+from guavagate.residency import read_regions
 
 _KINDS: Final = {
     'idempotent': RouteKind.IDEMPOTENT,
@@ -51,6 +52,7 @@
     item_ttl_s: float = 60
     target_run_ms: float = 60_000
     no_auth: bool = False
+    allowed_regions: list[str] | None = None
 
 
 class _Model(_Table, frozen=True, kw_only=True):
@@ -90,6 +92,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Manifest(_Table, frozen=True, kw_only=True):
@@ -139,6 +142,7 @@
         item_ttl=route.item_ttl_s,
         job_objective=route.target_run_ms / MILLIS,
         open=route.no_auth,
+        regions=read_regions(route.allowed_regions),
     )
 
 
@@ -172,4 +176,5 @@
         id=TeamId(tenant.name),
         key_hashes=tuple(hash_token(each) for each in tenant.api_keys),
         priority=tenant.priority,
+        regions=read_regions(tenant.allowed_regions),
     )
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -42,6 +42,7 @@
 from guavagate.platform._settings import NodeSettings, load_settings
 from guavagate.platform._store import PlatformStore
 from guavagate.quarantine import STOPPED_REQUESTS, make_quarantine
+from guavagate.residency import Residency
 from guavagate.retirement import Retirement
 from guavagate.rollouts import Renewals
 from guavagate.routing import EligibleSamplers, RouteTable
@@ -75,7 +76,7 @@
         self._store = self._make_store()
         self._routes = RouteTable()
         self._upstreams = make_upstream_table(
-            self._clock, me.availability_zone, self._pool
+            self._clock, me.availability_zone, self._pool, settings.zones
         )
         clock, bus, metrics = self._clock, self._bus, self._metrics
         members, routes = self._members, self._routes
@@ -85,11 +86,23 @@
         )
         self._quarantine = quarantine
         dialect = PlatformDialect()
+        residency = Residency(routes, upstreams, members, me.id, metrics)
+        self._residency = residency.jobs
         fleet = Fleet(bus, me.id, self._order_relays)
         self._forwarders = make_fleet_forwarders(
-            clock, pool, routes, upstreams, dialect, quarantine, metrics, fleet
+            clock,
+            pool,
+            routes,
+            upstreams,
+            dialect,
+            quarantine,
+            metrics,
+            fleet,
+            residency.requests,
+        )
+        ownership = Ownership(
+            members, me.id, members.boot, self._residency.find_home_regions
         )
-        ownership = Ownership(self._members, me.id, self._members.boot)
         self._ownership = ownership
         self._instance_id = me.id
         self._admission = ServiceAdmission(
@@ -120,9 +133,12 @@
             self._duties
             if const.SCALE_DUTY in settings.cloud_api.duties
             else None,
+            bounds=self._residency,
         )
         find = self._services.find
-        reader = JobReader(clock, bus, job_store, ownership, find)
+        reader = JobReader(
+            clock, bus, job_store, ownership, find, self._residency
+        )
         self._registry = MemberRegistry(
             store, clock, members, me, settings.bootstrap
         )
@@ -180,6 +196,7 @@
             reads=table.reads_per_s,
             writes=table.writes_per_s,
             has_edge=bool(self._settings.listen.front),
+            may_relay=lambda peer, path: self._residency.may_relay(peer, path),
         )
         return PlatformStore(client)
 
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -1,5 +1,7 @@
 """Reads the settings file that the platform writes for a process."""
 
+from typing import Any
+
 import msgspec
 
 from guavagate.auth import ProofBounds, make_bounds
@@ -84,6 +86,7 @@
     serves: list[str] = []
     bootstrap: bool = False
     data_dir: str = ''
+    zones: dict[str, Any] = {}
     listen: ListenTable = ListenTable()
     bounds: BoundsTable = BoundsTable()
     limits: LimitsTable = LimitsTable()
--- a/guavagate/ports/configuration.py
+++ b/guavagate/ports/configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from guavagate.http1 import ServerLimits
-from guavagate.models import ServiceId, TeamId, ZoneId
+from guavagate.models import ANYWHERE, Regions, ServiceId, TeamId, ZoneId
 
 
 class RouteKind(enum.Enum):
@@ -27,7 +27,7 @@
 class Route(msgspec.Struct, frozen=True, kw_only=True):
     """A route for one host and path prefix; times in seconds.
 
-    Callers of an `open` route need no key.
+    Callers of an `open` route need no key. Requests are bound to `regions`.
     """
 
     name: str
@@ -44,14 +44,19 @@
     item_ttl: float = 60.0
     job_objective: float = 60.0
     open: bool = False
+    regions: Regions = ANYWHERE
 
 
 class Team(msgspec.Struct, frozen=True, kw_only=True):
-    """A team and the hashes of its callers' valid keys."""
+    """A team and the hashes of its callers' valid keys.
+
+    Its requests are bound to `regions`.
+    """
 
     id: TeamId
     key_hashes: tuple[str, ...] = ()
     priority: int | None = None
+    regions: Regions = ANYWHERE
 
 
 class Scaling(msgspec.Struct, frozen=True, kw_only=True):
--- a/guavagate/ports/rewards.py
+++ b/guavagate/ports/rewards.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from guavagate.models import ServiceId
+from guavagate.models import ANYWHERE, Regions, ServiceId
 
 
 class RewardRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -38,11 +38,13 @@
 class RewardRoute(msgspec.Struct, frozen=True, kw_only=True):
     """The route of a reward request in the current configuration.
 
-    `max_failures` is the number of 500 answers that the route allows.
+    `max_failures` is the number of 500 answers that the route allows, and
+    `regions` are those to which it binds its requests.
     """
 
     service: ServiceId
     max_failures: int
+    regions: Regions = ANYWHERE
 
 
 class RewardClient(Protocol):
@@ -51,8 +53,18 @@
     def find_route(self, reward: RewardRequest) -> RewardRoute | None:
         """Return the current route of a request, or `None`."""
 
-    def count_available(self, service: ServiceId) -> int:
+    def count_available(
+        self, service: ServiceId, regions: Regions = ANYWHERE
+    ) -> int:
         """Return how many more requests the service's upstreams accept."""
 
-    def send(self, reward: RewardRequest) -> RewardOutcome:
-        """Send a request and wait; killing the task cancels the request."""
+    def send(
+        self, reward: RewardRequest, regions: Regions = ANYWHERE
+    ) -> RewardOutcome:
+        """Send a request and wait; killing the task cancels the request.
+
+        Parameters
+        ----------
+        regions
+            Those to which the job is bound.
+        """
--- a/guavagate/rollouts/_assigner.py
+++ b/guavagate/rollouts/_assigner.py
@@ -8,7 +8,7 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.metrics import Metrics, names
-from guavagate.models import ServiceId
+from guavagate.models import Regions, ServiceId
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts._allocation import (
     Allocation,
@@ -16,13 +16,15 @@
     AllocationState,
     allocate_samplers,
 )
+from guavagate.rollouts._capacity import ModelWork
 from guavagate.rollouts._plan import (
     ModelDemand,
     SamplerView,
     choose_samplers_to_borrow,
 )
+from guavagate.rollouts._regions import allocate_within_regions
 from guavagate.rollouts._states import SamplerStates
-from guavagate.routing import RouteTable
+from guavagate.routing import Eligibility, RouteTable
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -42,7 +44,9 @@
         states: SamplerStates,
         count_slots: Callable[[], int],
         metrics: Metrics,
+        eligibility: Eligibility | None = None,
     ) -> None:
+        self._eligibility = eligibility or Eligibility()
         self._service = service
         self._clock = clock
         self._routes = routes
@@ -50,11 +54,14 @@
         self._count_slots = count_slots
         self._metrics = metrics
         self._state = AllocationState()
+        # The states of models that are bound to regions.
+        self._states_by_regions: dict[Regions, AllocationState] = {}
         self._assigned_at = clock.now() - ASSIGN_INTERVAL_SECONDS
 
     def reset(self) -> None:
         """Forget what was decided; another instance may decide meanwhile."""
         self._state = AllocationState()
+        self._states_by_regions = {}
 
     def assign(
         self,
@@ -75,20 +82,18 @@
             )
             for model in models
         }
-        delayed = self._state.delayed
-        allocation = allocate_samplers(
-            models,
-            self._states.list_capacities(serving, self._count_slots()),
-            works,
-            self._states.assigned,
-            self._state,
-            now,
-        )
+        delayed = self._count_delayed()
+        bounds = {
+            model: demands[model].regions
+            for model in models
+            if model in demands
+        }
+        allocation = self._allocate(models, serving, works, bounds, now)
         for model, quotient in allocation.quotients.items():
             self._metrics.set_gauge(
                 names.MODEL_WORK_PER_SLOT, quotient, model=model
             )
-        if self._state.delayed and not delayed:
+        if self._count_delayed() and not delayed:
             write(
                 _LOGGER,
                 events.SAMPLER_MOVES_DELAYED,
@@ -99,6 +104,37 @@
         if allocation.assignment != self._states.assigned:
             self._apply(allocation)
 
+    def _allocate(
+        self,
+        models: Sequence[str],
+        serving: Sequence[Upstream],
+        works: Mapping[str, ModelWork],
+        bounds: Mapping[str, Regions],
+        now: float,
+    ) -> Allocation:
+        fleet = self._states.list_capacities(serving, self._count_slots())
+        assigned = self._states.assigned
+        if all(each is None for each in bounds.values()):
+            self._states_by_regions = {}
+            return allocate_samplers(
+                models, fleet, works, assigned, self._state, now
+            )
+        region_of = self._eligibility.region_of
+        return allocate_within_regions(
+            models,
+            fleet,
+            works,
+            assigned,
+            self._states_by_regions,
+            now,
+            bounds,
+            {each.id: region_of.get(each.zone) for each in serving},
+        )
+
+    def _count_delayed(self) -> int:
+        states = (self._state, *self._states_by_regions.values())
+        return sum(each.delayed for each in states)
+
     def _apply(self, allocation: Allocation) -> None:
         before = self._states.assigned
         moved = sum(
--- a/guavagate/rollouts/_coordinator.py
+++ b/guavagate/rollouts/_coordinator.py
@@ -12,7 +12,13 @@
 from guavagate.exceptions import StoreUnavailableError, UpstreamError
 from guavagate.helpers.waits import wait_for
 from guavagate.metrics import Metrics
-from guavagate.models import InstanceId, ServiceId, WeightVersion
+from guavagate.models import (
+    ANYWHERE,
+    InstanceId,
+    Regions,
+    ServiceId,
+    WeightVersion,
+)
 from guavagate.ports.sampler import (
     OrderRefusedError,
     SamplerClient,
@@ -50,6 +56,10 @@
 MAX_DOUBLINGS: Final = 3
 
 
+def _find_no_regions(service: ServiceId) -> Regions:
+    return ANYWHERE
+
+
 class Coordinator:
     """Sends load orders to a service's samplers while this instance owns it."""
 
@@ -67,7 +77,9 @@
         demands: Callable[[], dict[str, ModelDemand]],
         count_slots: Callable[[], int],
         metrics: Metrics | None = None,
+        find_regions: Callable[[ServiceId], Regions] = _find_no_regions,
     ) -> None:
+        self._find_regions = find_regions
         self._service = service
         self._me = me
         self._clock = clock
@@ -80,7 +92,13 @@
         self._demands = demands
         self._count_slots = count_slots
         self._assigner = SamplerAssigner(
-            service, clock, routes, states, count_slots, metrics or Metrics()
+            service,
+            clock,
+            routes,
+            states,
+            count_slots,
+            metrics or Metrics(),
+            upstreams.eligibility,
         )
         self._wake = Event()
         self._task: Task | None = None
@@ -168,6 +186,7 @@
         self, serving: list[Upstream]
     ) -> dict[str, ModelDemand]:
         demands = self._demands()
+        self._add_default_demands(demands)
         now = self._clock.now()
         interval = self._states.find_usual_interval(serving)
         for model, demand in demands.items():
@@ -179,6 +198,19 @@
             demand.version_age = now - self._published.published_at[model]
         return demands
 
+    def _add_default_demands(self, demands: dict[str, ModelDemand]) -> None:
+        """Bind models without a known job to the regions that any job has.
+
+        Otherwise their first job would find their samplers outside, and wait
+        while others load.
+        """
+        regions = self._find_regions(self._service)
+        configured = self._routes.find_service(self._service)
+        if regions is None or configured is None:
+            return
+        for model in configured.models:
+            demands.setdefault(model, ModelDemand(regions=regions))
+
     def _make_view(self, upstream: Upstream) -> SamplerView:
         state = self._states.get(upstream.id)
         slots = upstream.slots or self._count_slots()
@@ -191,6 +223,7 @@
             in_flight=state.in_flight,
             free=max(slots - state.in_flight, 0),
             borrowed=borrower,
+            region=self._upstreams.eligibility.region_of.get(upstream.zone),
         )
 
     def _execute_order(
--- a/guavagate/rollouts/_plan.py
+++ b/guavagate/rollouts/_plan.py
@@ -15,7 +15,14 @@
 
 import msgspec
 
-from guavagate.models import UpstreamId, WeightVersion
+from guavagate.models import (
+    ANYWHERE,
+    RegionId,
+    Regions,
+    UpstreamId,
+    WeightVersion,
+)
+from guavagate.residency import is_inside
 
 # A load is deferred no longer than this; otherwise no sampler would have a
 # recent enough version for the next step.
@@ -41,7 +48,7 @@
     `open_jobs` counts the jobs in progress, and `seconds_to_next_job` is the
     expected time to the next job, if known. `steps_behind` is how far the
     trainer is behind its schedule, in steps, and `item_seconds` how long an
-    item usually runs, 0 while unknown.
+    item usually runs, 0 while unknown. `regions` are those of its jobs.
     """
 
     newest: WeightVersion = WeightVersion(0)
@@ -53,6 +60,7 @@
     seconds_to_next_job: float | None = None
     steps_behind: float = 0
     item_seconds: float = 0
+    regions: Regions = ANYWHERE
 
 
 class SamplerView(msgspec.Struct):
@@ -68,6 +76,7 @@
     in_flight: int = 0
     free: int = 0
     borrowed: str | None = None
+    region: RegionId | None = None
 
 
 class PlannedOrder(msgspec.Struct, frozen=True):
@@ -153,7 +162,9 @@
         if own_waiting or sampler.loading or sampler.free < BORROW_MIN_WAITING:
             continue
         for model in short:
-            if model in sampler.models:
+            if model in sampler.models or not is_inside(
+                sampler.region, demands[model].regions
+            ):
                 continue
             if model in worth_load or _can_serve(
                 sampler, model, demands[model]
--- a/guavagate/routing/_eligibility.py
+++ b/guavagate/routing/_eligibility.py
@@ -25,8 +25,14 @@
 
 
 # What a caller is told if upstreams have different obstacles: first what no
-# retry changes.
-_BY_WEIGHT: Final = tuple(Obstacle)
+# retry changes soon. Upstreams outside the regions are the reason only if there
+# are none inside.
+_BY_WEIGHT: Final = (
+    Obstacle.EVACUATED,
+    Obstacle.WARMING_UP,
+    Obstacle.LEAVING,
+    Obstacle.OUTSIDE_REGIONS,
+)
 _NO_REGIONS: Final[Mapping[ZoneId, RegionId]] = MappingProxyType({})
 
 
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -28,6 +28,7 @@
 from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
 from guavagate.quarantine import Quarantine
+from guavagate.residency import JobBounds, UnboundJobs
 from guavagate.rollouts import (
     MAX_SUCCESSORS,
     Coordinator,
@@ -128,7 +129,9 @@
         link_bytes_per_second: float = 0,
         duties: DutyClient | None = None,
         boot_clock: Callable[[], float] = read_boot_clock,
+        bounds: JobBounds | None = None,
     ) -> None:
+        self._bounds = bounds or UnboundJobs()
         self._watch = OwnerWatch(
             clock, bus, me, ownership, metrics, self.refresh, boot_clock
         )
@@ -148,6 +151,7 @@
             ownership,
             self._announced,
             routes.job_services,
+            self._bounds,
         )
         self._me = me
         self._clock = clock
@@ -243,7 +247,9 @@
         for service in stands_in:
             self._get(service).stand_in()
         for service, running in self._services.items():
-            if service not in owned | stands_in:
+            if service in owned | stands_in:
+                running.owner.apply_regions()
+            else:
                 running.stop(self._find_next_owner(service))
         if owned:
             self._start_versions()
@@ -272,6 +278,7 @@
             lambda: self._list_successors(service),
             self._announced,
             cache_tokens=lambda: self._get_cache_tokens(service),
+            bounds=self._bounds,
         )
         lease = Lease(
             self._job_store.object_store,
@@ -295,6 +302,7 @@
             owner.collect_demands,
             lambda: self._count_slots(service),
             self._metrics,
+            self._bounds.find_default_regions,
         )
         states.subscribe(coordinator.wake)
         scaler = self._make_scaler(service, lease, owner, states)
--- a/tests/forwarding/test_probes.py
+++ b/tests/forwarding/test_probes.py
@@ -22,6 +22,7 @@
 from guavagate.ports.configuration import Configuration, Service
 from guavagate.ports.dialect import Call
 from guavagate.ports.load import LoadReport
+from guavagate.residency import Unbound
 from guavagate.routing import RouteTable, UpstreamTable
 from tests.forwarding.common import start_upstream
 from tests.quarantine.common import NoBus, make_quarantine
@@ -175,6 +176,7 @@
         make_quarantine(clock, table),
         Metrics(),
         Fleet(NoBus(), me, lambda: [me]),  # type: ignore[arg-type]
+        Unbound(),
     ).unary
 
     def send(seconds: float) -> OutcomeKind:
--- a/tests/integrations/test_peers.py
+++ b/tests/integrations/test_peers.py
@@ -231,3 +231,22 @@
     ]
     fleet.world.clock.run_until(lambda: all(each.ready() for each in tasks), 5)
     assert sorted(fleet.calls) == sorted('bcde' * 2)
+
+
+def test_calls_with_bodies_go_through_permitted_peers_only() -> None:
+    """A job is bound to a region, and the peer that answered is in another.
+
+    Calls without bodies may still go through it.
+    """
+    fleet = _Fleet()
+    fallback = fleet.fallbacks['a']
+    fallback._may_relay = lambda peer, path: peer == 'c' or 'jobs' not in path
+    fleet.rejections['a'] = NotSentError('503')
+    job = Call(method='PUT', path='/objects/jobs/j', timeout=1)
+    for _ in range(10):
+        fleet.call('a', job)
+    assert set(fleet.calls) - {'a'} == {'c'}
+    fleet.rejections['c'] = NotSentError('503')
+    with pytest.raises(NotSentError):
+        fleet.call('a', job)
+    assert fleet.call('a').status == 200
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -1,5 +1,7 @@
 """Instances that own jobs, with fakes of all their dependencies."""
 
+import msgspec
+
 from guavagate.jobs import (
     AnnouncedJobs,
     GroupId,
@@ -21,9 +23,15 @@
 )
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
-from guavagate.models import InstanceId, WeightVersion, ZoneId
+from guavagate.models import InstanceId, RegionId, WeightVersion, ZoneId
+from guavagate.residency import Residency
 from guavagate.rollouts import SamplerStates
-from guavagate.routing import UpstreamTable
+from guavagate.routing import (
+    Eligibility,
+    EligibleSamplers,
+    RouteTable,
+    UpstreamTable,
+)
 from tests.jobs.rewards import FakeRewardClient, make_reward
 from tests.jobs.samplers import MODEL, SERVICE, FakeSamplers, make_upstream
 from tests.quarantine.common import make_quarantine
@@ -68,6 +76,14 @@
     return Job(**{**values, **fields})
 
 
+class Places(msgspec.Struct):
+    """The regions of instances and zones, and the zones of samplers."""
+
+    regions: dict[str, RegionId]
+    region_of: dict[ZoneId, RegionId]
+    zones: dict[str, ZoneId]
+
+
 class Node:
     """One instance with its job owner and job reader."""
 
@@ -78,15 +94,28 @@
         self.job_store = JobStore(
             store, self.clock, f'{name}/{len(fleet.nodes)}'
         )
+        self.upstreams = UpstreamTable(
+            self.clock,
+            ZoneId('zone-0'),
+            eligibility=Eligibility(fleet.region_of),
+        )
+        self.routes = RouteTable()
+        members = world.members[InstanceId(name)]
+        self.residency = Residency(
+            self.routes, self.upstreams, members, InstanceId(name), Metrics()
+        ).jobs
         self.ownership = Ownership(
-            world.members[InstanceId(name)], InstanceId(name)
+            members,
+            InstanceId(name),
+            find_regions=self.residency.find_home_regions,
         )
         self.ownership.ready = True
-        self.upstreams = UpstreamTable(self.clock, ZoneId('zone-0'))
         self.states = SamplerStates()
         self.samplers = FakeSamplers(self.clock, fleet.length)
         for sampler in fleet.samplers:
-            self.upstreams.put(make_upstream(sampler))
+            upstream = make_upstream(sampler)
+            zone = fleet.zones.get(sampler, upstream.zone)
+            self.upstreams.put(msgspec.structs.replace(upstream, zone=zone))
             self.states.assigned[make_upstream(sampler).id] = frozenset(
                 (MODEL,)
             )
@@ -113,6 +142,7 @@
             self.ownership,
             self.announced,
             lambda: [SERVICE],
+            self.residency,
         )
         self.owner = JobOwner(
             SERVICE,
@@ -120,7 +150,7 @@
             self.job_store,
             self.upstreams,
             self.states,
-            self.samplers,
+            EligibleSamplers(self.samplers, self.upstreams),
             self.rewards,
             self.quarantine,
             lambda: 4,
@@ -136,6 +166,7 @@
             self.announced,
             self.clock.now,
             cache_tokens=lambda: fleet.cache_tokens,
+            bounds=self.residency,
         )
         self.reader = JobReader(
             self.clock,
@@ -143,6 +174,7 @@
             self.job_store,
             self.ownership,
             lambda _: self.owner if self.owner.active else None,
+            self.residency,
         )
         self.watch = OwnerWatch(
             self.clock,
@@ -162,6 +194,7 @@
         if is_owner or self.watch.stands_in(SERVICE):
             self.owner.start()
             self.owner.mark_uncertain()
+            self.owner.apply_regions()
         else:
             self.owner.stop(self.ownership.find_owner(SERVICE))
 
@@ -175,8 +208,12 @@
         length: int = 5,
         samplers: str = 'xyz',
         folders: dict[str, str] | None = None,
+        places: Places | None = None,
     ) -> None:
         self.world = World()
+        self.zones = places.zones if places else {}
+        self.region_of = places.region_of if places else {}
+        regions = places.regions if places else {}
         self.folders = folders or {}
         self.clock = self.world.clock
         self.length = length
@@ -185,6 +222,8 @@
         self.nodes: dict[str, Node] = {}
         for name in names:
             self.world.add(name)
+            if name in regions:
+                self.world.relocate(name, regions[name])
         self.clock.advance(1)
         for name in names:
             self.nodes[name] = Node(self, name)
@@ -206,8 +245,6 @@
 
     def stamp(self, job: Job) -> Job:
         """Return a copy of a job that is submitted now."""
-        import msgspec
-
         return msgspec.structs.replace(job, submitted_at=self.clock.wall())
 
     def owner(self) -> str:
--- a/tests/jobs/rewards.py
+++ b/tests/jobs/rewards.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from guavagate.clock import Clock
-from guavagate.models import ServiceId
+from guavagate.models import ANYWHERE, Regions, ServiceId
 from guavagate.ports.rewards import (
     RewardKind,
     RewardOutcome,
@@ -41,6 +41,7 @@
         self.failures: Counter[str] = Counter()
         self.lost: Counter[str] = Counter()
         self.stopped: set[str] = set()
+        self.regions: list[Regions] = []
 
     def find_route(self, reward: RewardRequest) -> RewardRoute | None:
         """Return the route, or None without one."""
@@ -48,12 +49,17 @@
             return None
         return RewardRoute(service=RATING, max_failures=self.max_failures)
 
-    def count_available(self, service: ServiceId) -> int:
+    def count_available(
+        self, service: ServiceId, regions: Regions = ANYWHERE
+    ) -> int:
         """Return the free capacity."""
         return self.capacity - self.in_flight
 
-    def send(self, reward: RewardRequest) -> RewardOutcome:
+    def send(
+        self, reward: RewardRequest, regions: Regions = ANYWHERE
+    ) -> RewardOutcome:
         """Respond after `seconds`."""
+        self.regions.append(regions)
         if reward.id in self.stopped:
             return RewardOutcome(kind=RewardKind.STOPPED)
         self.sent.append((self.clock.now(), reward.id))
--- a/tests/jobs/test_rewards.py
+++ b/tests/jobs/test_rewards.py
@@ -65,10 +65,10 @@
     generated: dict[str, int] = {}
     send = owner.rewards.send
 
-    def record_and_send(reward: object) -> object:
+    def record_and_send(reward: object, regions: object) -> object:
         item = reward.id.removeprefix('reward-')  # type: ignore[attr-defined]
         generated[item] = owner.samplers.generated[item]
-        return send(reward)  # type: ignore[arg-type]
+        return send(reward, regions)  # type: ignore[arg-type]
 
     owner.rewards.send = record_and_send  # type: ignore[method-assign, assignment]
     fleet.clock.advance(_COMPLETION_SECONDS)
--- /dev/null
+++ b/tests/residency/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests and bodies that are bound to regions."""
--- /dev/null
+++ b/tests/residency/test_jobs.py
@@ -0,0 +1,200 @@
+"""Jobs that are bound to regions: their samplers, owners and bodies."""
+
+import msgspec
+import pytest
+
+from guavagate.exceptions import OutsideRegionsError
+from guavagate.jobs import JobId, LookupStatus
+from guavagate.jobs._store import decode_job
+from guavagate.models import InstanceId, RegionId
+from tests.jobs.fleet import check_complete
+from tests.jobs.samplers import SERVICE
+from tests.residency.bench import (
+    NORTH,
+    SOUTH,
+    TEAM,
+    RegionFleet,
+    make_bound_job,
+    make_job_route,
+)
+
+_INSIDE = {'s1', 's2'}
+
+
+def _find_holders(fleet: RegionFleet) -> set[str]:
+    """Return the instances that have a job's bodies or texts in memory."""
+    return {
+        name
+        for name, node in fleet.nodes.items()
+        if any(node.owner._active_jobs)
+        or node.announced.list_jobs(SERVICE)
+        or any(node.replicas._received.values())
+        or node.reader._cache
+    }
+
+
+def test_a_job_from_an_entry_outside_runs_and_stays_inside() -> None:
+    """Its body must reach neither samplers nor instances in other regions.
+
+    The record in the store names the job to the owners of all services, so it
+    has no bodies.
+    """
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(SOUTH))
+    assert set(fleet.list_owners()) == {'c', 'd'}
+    assert fleet.submit(make_bound_job(), 'a')
+    job = fleet.run(fleet.nodes['a'].job_store.read, JobId('job-1'))
+    assert job is not None
+    fleet.nodes['a'].reader.cache_job(job)
+    fleet.clock.advance(2)
+    assert fleet.list_used() == _INSIDE
+    assert _find_holders(fleet) == {'c', 'd'}
+    stored = fleet.run(fleet.world.store_of('a').get, 'jobs/job-1')
+    assert stored is not None
+    assert not decode_job(stored.value).items
+    fleet.clock.advance(10)
+    check_complete(fleet, 'a', 6)
+
+
+def test_the_successor_of_a_lost_owner_is_inside() -> None:
+    """An owner outside would read the bodies, and resume the texts there."""
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(SOUTH))
+    fleet.submit(make_bound_job(), 'a')
+    fleet.clock.advance(1)
+    owner, successor = fleet.list_owners()
+    fleet.list_used()
+    fleet.world.kill(owner)
+    fleet.clock.advance(5)
+    assert fleet.nodes[successor].owner.active
+    assert fleet.list_used() <= _INSIDE
+    fleet.clock.advance(10)
+    check_complete(fleet, 'a', 6)
+
+
+def test_items_outside_resume_inside_when_the_regions_change() -> None:
+    """Runs that go on outside would keep the data there until they end.
+
+    The texts so far are kept, also by the owner inside that takes over.
+    """
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(NORTH))
+    fleet.submit(make_bound_job(), 'a')
+    fleet.clock.advance(1.5)
+    assert fleet.list_used() == {'n1', 'n2'}
+    fleet.configure(make_job_route(SOUTH))
+    started = [
+        each for node in fleet.nodes.values() for each in node.samplers.started
+    ]
+    assert {sampler for _, sampler, _ in started} == _INSIDE
+    resumed = {item: after for item, _, after in started}
+    assert len(resumed) == 6
+    assert min(resumed.values()) > 10
+    fleet.clock.advance(10)
+    check_complete(fleet, 'a', 6)
+
+
+def test_items_outside_are_cancelled_by_an_owner_that_stays() -> None:
+    """The job is narrowed to a part of its regions while its owner is there."""
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(SOUTH, NORTH))
+    owner = fleet.list_owners()[0]
+    inside = fleet.nodes[owner].residency._members.get(InstanceId(owner))
+    assert inside is not None
+    fleet.submit(make_bound_job(), 'a')
+    fleet.clock.advance(1)
+    assert {each[0] for each in fleet.list_used()} == {'n', 's'}
+    fleet.configure(make_job_route(inside.region))
+    assert fleet.list_owners()[0] == owner
+    used = fleet.list_used()
+    assert used
+    assert {each[0] for each in used} == {inside.region[0]}
+    fleet.clock.advance(10)
+    check_complete(fleet, 'a', 6)
+
+
+@pytest.mark.parametrize(
+    ('route', 'team'),
+    [(SOUTH, NORTH), (RegionId('unknown'), RegionId('unknown'))],
+)
+def test_a_job_that_cannot_run_inside_is_refused(
+    route: RegionId, team: RegionId, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Route and team contradict each other, or nobody knows their region.
+
+    The refusal is a true "not run", so nothing may be stored.
+    """
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(route), team)
+    node = fleet.nodes['a']
+    with caplog.at_level('INFO'), pytest.raises(OutsideRegionsError):
+        fleet.run(node.intake.accept, make_bound_job(), 1)
+    assert 'GG8071' in caplog.text
+    assert not fleet.world.store.objects
+
+
+def test_a_job_that_was_accepted_is_not_refused_later() -> None:
+    """Its trainer repeats a submission whose answer was lost.
+
+    The items may have run before the regions changed, so that "not run" would
+    be false.
+    """
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(SOUTH))
+    fleet.submit(make_bound_job(), 'a')
+    fleet.configure(make_job_route(SOUTH), NORTH)
+    assert fleet.submit(make_bound_job(), 'b') is False
+
+
+def test_jobs_of_regions_without_their_owner_are_refused() -> None:
+    """Two routes have no region in common: one owner cannot serve both."""
+    fleet = RegionFleet()
+    north = make_job_route(NORTH)
+    south = msgspec.structs.replace(
+        make_job_route(SOUTH), name='/y/', prefix='/y/'
+    )
+    fleet.configure(north, others=(south,))
+    assert set(fleet.list_owners()) == {'a', 'b'}
+    assert fleet.submit(make_bound_job(), 'c')
+    with pytest.raises(OutsideRegionsError):
+        fleet.submit(
+            msgspec.structs.replace(make_bound_job('job-2'), path='/y/'), 'c'
+        )
+
+
+def test_an_owner_outside_holds_no_bodies_of_a_job() -> None:
+    """All instances inside are lost; the owner outside must not continue.
+
+    Readers get no false answer, and the job continues once one is back.
+    """
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(SOUTH))
+    fleet.submit(make_bound_job(), 'a')
+    fleet.clock.advance(1)
+    fleet.list_used()
+    for name in 'cd':
+        fleet.world.kill(name)
+    fleet.clock.advance(6)
+    assert set(fleet.list_owners()) == {'a', 'b'}
+    assert not fleet.list_used()
+    assert not _find_holders(fleet) & {'a', 'b'}
+    owner = fleet.nodes[fleet.list_owners()[0]].owner
+    status, _ = owner.read(JobId('job-1'), 0, 0, TEAM)
+    assert status is LookupStatus.UNCERTAIN
+    fleet.configure(make_job_route(NORTH, SOUTH))
+    fleet.clock.advance(10)
+    check_complete(fleet, 'a', 6)
+
+
+def test_regions_without_a_bound_change_nothing() -> None:
+    """A service without regions has the owner that it had before."""
+    fleet = RegionFleet()
+    before = fleet.list_owners()
+    fleet.configure(make_job_route())
+    assert fleet.list_owners() == before
+    fleet.submit(make_bound_job(), 'a')
+    fleet.clock.advance(1)
+    assert len(fleet.list_used()) > 2
+    stored = fleet.run(fleet.world.store_of('a').get, 'jobs/job-1')
+    assert stored is not None
+    assert decode_job(stored.value).items
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -53,6 +53,7 @@
     'forwarding/_keep_alive.py',
     'forwarding/_outages.py',
     'jobs/_reclaim.py',
+    'residency/_residency.py',
 }
 
 
