--- a/guavagate/exceptions.py
+++ b/guavagate/exceptions.py
@@ -114,7 +114,19 @@
 
 
 class OutsideRegionsError(GuavagateError):
-    """A job was not accepted, as it cannot run inside its regions."""
+    """A job was not accepted, as it cannot run inside its regions.
+
+    Parameters
+    ----------
+    retry_after
+        Seconds after which the trainer may submit it again.
+    """
+
+    def __init__(
+        self, problem: str, remedy: str, *, retry_after: float
+    ) -> None:
+        super().__init__(problem, remedy)
+        self.retry_after = retry_after
 
 
 class RefusalError(GuavagateError):
--- a/guavagate/forwarding/_regions.py
+++ b/guavagate/forwarding/_regions.py
@@ -26,6 +26,9 @@
     ) -> Obstacle | None:
         """Return why a request may use no upstream of a service, if so."""
 
+    def compute_retry_after(self, service: ServiceId) -> float:
+        """Return when a caller refused by the whole service should return."""
+
 
 class RegionGate:
     """Applies the regions in force to the attempts of requests."""
@@ -54,13 +57,20 @@
 
         `None` if there is one, whether or not it is free.
         """
-        call = self.bind(call, route)
-        obstacle = self._upstreams.explain(service, call.regions)
+        regions = self.bind(call, route).regions
+        if regions is None:
+            return None
+        obstacle = self._upstreams.explain(service, regions)
         if obstacle is not Obstacle.OUTSIDE_REGIONS:
             return None
         self._bounds.record_refusal(call, route, service)
+        # Upstreams inside may register at any moment; a contradiction lasts
+        # until another configuration is in force.
+        retry_after = OUTSIDE_RETRY_SECONDS
+        if regions:
+            retry_after = self._upstreams.compute_retry_after(service)
         return Outcome(
             OutcomeKind.NOT_RUN,
             reason=describe_obstacle(obstacle),
-            retry_after=OUTSIDE_RETRY_SECONDS,
+            retry_after=retry_after,
         )
--- a/guavagate/front/_jobs.py
+++ b/guavagate/front/_jobs.py
@@ -23,7 +23,6 @@
 )
 from guavagate.metrics import Metrics, names
 from guavagate.models import TeamId
-from guavagate.residency import OUTSIDE_RETRY_SECONDS
 from guavagate.routing import RouteTable
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -71,7 +70,7 @@
                 exchange, 409, 'the id is taken by another job; use a new one'
             )
         except OutsideRegionsError as error:
-            refuse(exchange, error.problem, OUTSIDE_RETRY_SECONDS)
+            refuse(exchange, error.problem, error.retry_after)
         except (NotWrittenError, MaybeWrittenError) as error:
             self._respond_not_accepted(exchange, job, error)
         else:
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -281,8 +281,11 @@
             )
 
     def _on_announced(self, job: Job) -> None:
+        inside = self._regions.may_hold(job)
+        if not inside:
+            return
         expired = is_expired(job, self._clock.wall(), self._retention)
-        if self.active and not expired and self._regions.may_hold(job):
+        if self.active and not expired:
             self._active_jobs.add_announced(job)
 
     def _on_announced_end(self, job: JobId) -> None:
--- a/guavagate/residency/__init__.py
+++ b/guavagate/residency/__init__.py
@@ -1,5 +1,6 @@
 """Binds requests and their bodies to the regions of routes and teams."""
 
+from guavagate.residency._const import OUTSIDE_RETRY_SECONDS
 from guavagate.residency._jobs import (
     BoundJob,
     JobBounds,
@@ -16,7 +17,6 @@
     read_regions,
 )
 from guavagate.residency._requests import (
-    OUTSIDE_RETRY_SECONDS,
     RequestBounds,
     RequestResidency,
     Unbound,
--- a/guavagate/residency/_bounds.py
+++ b/guavagate/residency/_bounds.py
@@ -47,6 +47,7 @@
         self._known: Configuration | None = None
         self._teams: dict[TeamId, Regions] = {}
         self._names_regions = False
+        self._services: dict[ServiceId, frozenset[Regions]] = {}
 
     def names_regions(self) -> bool:
         """Return whether a route or team names regions."""
@@ -88,8 +89,14 @@
             accepted=ANYWHERE if known else accepted,
         )
 
-    def list_for_service(self, service: ServiceId) -> Iterator[Regions]:
-        """Yield the regions of each route and team of a service's jobs."""
+    def list_for_service(self, service: ServiceId) -> frozenset[Regions]:
+        """Return the regions of each route and team of a service's jobs."""
+        self._update()
+        if service not in self._services:
+            self._services[service] = frozenset(self._combine(service))
+        return self._services[service]
+
+    def _combine(self, service: ServiceId) -> Iterator[Regions]:
         teams = self._list_teams()
         for route in self._routes.routes():
             services = {share.service for share in route.shares}
@@ -110,6 +117,7 @@
         if configuration is self._known or configuration is None:
             return
         self._known = configuration
+        self._services = {}
         self._teams = {each.id: each.regions for each in configuration.teams}
         self._names_regions = bool(list_bounds(configuration))
 
--- a/guavagate/residency/_jobs.py
+++ b/guavagate/residency/_jobs.py
@@ -11,6 +11,7 @@
 from guavagate.models import ANYWHERE, InstanceId, Regions, ServiceId, TeamId
 from guavagate.ports.rewards import RewardRequest
 from guavagate.residency._bounds import Bound, BoundTable, list_names
+from guavagate.residency._const import OUTSIDE_RETRY_SECONDS
 from guavagate.residency._regions import (
     combine_regions,
     find_default_regions,
@@ -22,6 +23,8 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
+# An instance or a sampler inside may be there at any moment.
+RETURN_SECONDS: Final = 0.5
 # Parts of the paths of store calls that carry bodies or texts of jobs.
 _BODY_PATHS: Final = ('jobs', 'job-parts', 'job-results', 'job-texts')
 
@@ -127,6 +130,8 @@
 
     def find_job_regions(self, job: BoundJob) -> Regions:
         """Return the regions that a job is bound to now."""
+        if job.regions is ANYWHERE and not self._bounds.names_regions():
+            return ANYWHERE
         return self._find_bound(job).regions
 
     def may_hold(self, regions: Regions, instance: InstanceId) -> bool:
@@ -159,8 +164,11 @@
             reason=problem,
             **bound.describe(),
         )
+        lasts = bound.regions is not None and not bound.regions
         raise OutsideRegionsError(
-            problem, 'compare the regions of its route, its team and upstreams'
+            problem,
+            'compare the regions of its route, its team and upstreams',
+            retry_after=OUTSIDE_RETRY_SECONDS if lasts else RETURN_SECONDS,
         )
 
     def find_home_regions(self, service: ServiceId) -> Regions:
--- a/guavagate/residency/_requests.py
+++ b/guavagate/residency/_requests.py
@@ -15,10 +15,6 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-# An accepted configuration is in force everywhere within this time. Until then
-# a refused request would be refused again.
-OUTSIDE_RETRY_SECONDS: Final = 2.0
-
 
 class RequestBounds(Protocol):
     """Determines the regions of each attempt, and reports refusals."""
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -20,6 +20,7 @@
 from standins._safeguard_failover import FAILOVER_SAFEGUARDS
 from standins._safeguard_jobs import JOB_SAFEGUARDS
 from standins._safeguard_recovery import RECOVERY_SAFEGUARDS
+from standins._safeguard_residency import RESIDENCY_SAFEGUARDS
 from standins._safeguard_routing import ROUTING_SAFEGUARDS
 from standins._safeguard_rows import PLATFORM_SAFEGUARDS, Safeguard
 from standins._safeguard_stops import STOP_SAFEGUARDS
@@ -37,6 +38,7 @@
     *TEXT_SAFEGUARDS,
     *ROUTING_SAFEGUARDS,
     *ADMISSION_SAFEGUARDS,
+    *RESIDENCY_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
 _TEST_SECONDS: Final = 120
--- a/tests/residency/test_jobs.py
+++ b/tests/residency/test_jobs.py
@@ -198,3 +198,20 @@
     stored = fleet.run(fleet.world.store_of('a').get, 'jobs/job-1')
     assert stored is not None
     assert decode_job(stored.value).items
+
+
+def test_store_calls_with_bodies_stay_in_the_region() -> None:
+    """A peer elsewhere would see the records and results that it relays.
+
+    Without regions in the configuration any peer may relay.
+    """
+    fleet = RegionFleet()
+    residency = fleet.nodes['a'].residency
+    near, far = InstanceId('b'), InstanceId('c')
+    fleet.configure(make_job_route())
+    assert residency.may_relay(far, '/objects/jobs/j')
+    fleet.configure(make_job_route(SOUTH))
+    for path in ('jobs/j', 'job-parts-j/0', 'job-results-j', 'job-texts/j'):
+        assert residency.may_relay(near, f'/objects/{path}')
+        assert not residency.may_relay(far, f'/objects/{path}')
+    assert residency.may_relay(far, '/objects/leases/llm')
