--- a/guavagate/fleet_instance/_options.py
+++ b/guavagate/fleet_instance/_options.py
@@ -58,6 +58,8 @@
         Seconds for which results of an ended job can be read.
     proof_path
         The object that must be proven current, or ''.
+    follows_evacuations
+        Whether zones are evacuated in this deployment.
     """
 
     me: InstanceSettings
@@ -73,3 +75,4 @@
     retention_s: float
     proof_path: str
     proof_bounds: ProofBounds
+    follows_evacuations: bool = False
--- a/guavagate/jobs/_announcements.py
+++ b/guavagate/jobs/records/_announcements.py
@@ -20,8 +20,8 @@
 from guavagate.exceptions import OutsideRegionsError
 from guavagate.jobs._messages import JobAnnounced, JobEndAnnounced
 from guavagate.jobs._models import Job, JobId
-from guavagate.jobs._ownership import Ownership
-from guavagate.jobs._store import (
+from guavagate.jobs.ownership import Ownership
+from guavagate.jobs.records._store import (
     PART_BYTES,
     JobStore,
     measure_job,
--- a/guavagate/jobs/_dispatch.py
+++ b/guavagate/jobs/scheduling/_dispatch.py
@@ -8,38 +8,39 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import UpstreamError
-from guavagate.jobs._forecast import Forecast, GroupPlan, forecast
-from guavagate.jobs._lengths import LengthEstimator
-from guavagate.jobs._memory import (
+from guavagate.jobs._models import GroupId, ItemId, JobId
+from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._forecast import Forecast, GroupPlan, forecast
+from guavagate.jobs.scheduling._lengths import LengthEstimator
+from guavagate.jobs.scheduling._memory import (
     EngineMemory,
     make_memory_estimate,
     reserve_running,
 )
-from guavagate.jobs._models import GroupId, ItemId, JobId
-from guavagate.jobs._moves import (
+from guavagate.jobs.scheduling._moves import (
     EstimateTime,
     Move,
     RemainingTime,
     find_moves,
     find_urgent_moves,
 )
-from guavagate.jobs._reclaim import Reclaims
-from guavagate.jobs._runner import ItemRunner
-from guavagate.jobs._schedule import (
+from guavagate.jobs.scheduling._reclaim import Reclaims
+from guavagate.jobs.scheduling._schedule import (
     ItemPlacement,
     Placements,
     SamplerSlots,
     place,
 )
-from guavagate.jobs._slots import (
+from guavagate.jobs.scheduling._slots import (
     count_reserved_slots,
     find_median_interval,
     get_no_memory,
     list_slots,
     sum_slots_by_model,
 )
-from guavagate.jobs._stalls import find_unresponsive
-from guavagate.jobs._work import ItemProgress, JobWork
+from guavagate.jobs.scheduling._sources import list_sources
+from guavagate.jobs.scheduling._stalls import find_unresponsive
+from guavagate.jobs.texts import ItemRunner
 from guavagate.metrics import Metrics, names
 from guavagate.models import ServiceId, UpstreamId
 from guavagate.ports.sampler import SamplerClient
@@ -127,12 +128,21 @@
             works, now, get_memory=reserve_running(works, capacity, memory)
         )
         self._reclaims.mark_risky(works, samplers, now)
-        moves = find_urgent_moves(works, samplers, now, estimate, memory)
+        sources = list_sources(
+            self._service,
+            self._upstreams,
+            self._states,
+            self._find_median_interval(),
+            slots,
+        )
+        moves = find_urgent_moves(
+            works, samplers, now, estimate, memory, sources
+        )
         by_id = {work.job.id: work for work in works}
         placements = place(planned.groups, samplers, self._lengths, memory)
         for placement in placements.started:
             self._start(by_id[placement.job], placement, now)
-        moves += find_moves(works, samplers, now, estimate, memory)
+        moves += find_moves(works, samplers, now, estimate, memory, sources)
         for move in moves:
             self._move(move)
         self._reclaims.move_texts(works, samplers, now)
@@ -199,8 +209,14 @@
     def _probe_until_responsive(
         self, upstream: Upstream, state: SamplerState
     ) -> None:
-        """Probe an unresponsive sampler until it responds or leaves."""
+        """Probe an unresponsive sampler until it responds or leaves.
+
+        Ends also if nothing may be sent to it any more, as its zone is
+        evacuated. It counts as responsive when it may be used again.
+        """
         while self._upstreams.get(upstream.id) == upstream:
+            if self._upstreams.find_obstacle(upstream) is not None:
+                break
             try:
                 self._client.report(upstream)
             except UpstreamError as error:
@@ -209,9 +225,9 @@
                 )
                 self._clock.sleep(PROBE_INTERVAL_SECONDS)
             else:
+                write(_LOGGER, events.SAMPLER_RECOVERED, sampler=upstream.id)
                 break
         state.unresponsive = False
-        write(_LOGGER, events.SAMPLER_RECOVERED, sampler=upstream.id)
         self._states.notify()
 
     def _list_samplers(
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -266,3 +266,15 @@
     kind=MetricKind.COUNTER,
     text='Items cancelled at samplers outside the regions of their job',
 )
+EVACUATED_ZONES: Final = Metric(
+    name='guavagate_evacuated_zones',
+    kind=MetricKind.GAUGE,
+    text='Zones that are evacuated as this instance sees it',
+    plotted=True,
+)
+REQUESTS_STOPPED: Final = Metric(
+    name='guavagate_requests_stopped_total',
+    kind=MetricKind.COUNTER,
+    text='Requests stopped right before they were sent, by obstacle',
+    labels=('obstacle',),
+)
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -41,6 +41,7 @@
     strict_revoke: bool = False
     revoke_ms: float = 5000
     usage_window_s: float = 5
+    evacuate_ms: float = 0
 
     def get_proof_path(self) -> str:
         """Return the object that must be proven current, or ''."""
@@ -147,6 +148,7 @@
             retention_s=bounds.retention_s,
             proof_path=bounds.get_proof_path(),
             proof_bounds=bounds.to_proof_bounds(),
+            follows_evacuations=bounds.evacuate_ms > 0,
         )
 
 
--- a/standins/_safeguard_residency.py
+++ b/standins/_safeguard_residency.py
@@ -44,7 +44,7 @@
     ),
     Safeguard(
         'items start on samplers inside only',
-        'guavagate/jobs/_schedule.py',
+        'guavagate/jobs/scheduling/_schedule.py',
         'and is_inside(self.region, work.regions)',
         'and True',
         _TEST_SCHEDULE,
@@ -58,14 +58,14 @@
     ),
     Safeguard(
         'owner and successors are inside',
-        'guavagate/jobs/_ownership.py',
+        'guavagate/jobs/ownership/_ownership.py',
         'inside = [each for each in alive if each.region in regions]',
         'inside = alive',
         _TEST_JOBS,
     ),
     Safeguard(
         'the record of a bound job has no bodies',
-        'guavagate/jobs/_store.py',
+        'guavagate/jobs/records/_store.py',
         'if len(parts) > 1 or job.regions is not None:',
         'if len(parts) > 1:',
         _TEST_JOBS,
@@ -79,14 +79,14 @@
     ),
     Safeguard(
         'an entry outside caches no bodies',
-        'guavagate/jobs/_reader.py',
+        'guavagate/jobs/records/_reader.py',
         ' or not self._bounds.may_hold_here(regions)',
         '',
         _TEST_JOBS,
     ),
     Safeguard(
         'a job that was accepted is not refused for its regions',
-        'guavagate/jobs/_announcements.py',
+        'guavagate/jobs/records/_announcements.py',
         '            if not self._job_store.may_exist(job.id):\n',
         '            if True:\n',
         _TEST_JOBS,
@@ -100,7 +100,7 @@
     ),
     Safeguard(
         'rewards are bound like their job',
-        'guavagate/jobs/_rewards.py',
+        'guavagate/jobs/scheduling/_rewards.py',
         'self._client.send(reward, work.regions)',
         'self._client.send(reward)',
         _TEST_SCHEDULE,
--- a/tests/residency/test_jobs.py
+++ b/tests/residency/test_jobs.py
@@ -5,7 +5,7 @@
 
 from guavagate.exceptions import OutsideRegionsError
 from guavagate.jobs import JobId, LookupStatus
-from guavagate.jobs._store import decode_job
+from guavagate.jobs.records._store import decode_job
 from guavagate.models import InstanceId, RegionId
 from tests.jobs.fleet import check_complete
 from tests.jobs.samplers import SERVICE
--- a/tests/residency/test_schedule.py
+++ b/tests/residency/test_schedule.py
@@ -4,16 +4,16 @@
 
 from guavagate.clock import PausedClock
 from guavagate.forwarding._rewards import BackgroundUpstreams
-from guavagate.jobs._reclaim import (
+from guavagate.jobs.scheduling._reclaim import (
     LeavingSampler,
     ReclaimState,
     choose_texts_to_move,
 )
-from guavagate.jobs._schedule import SamplerSlots, find_sampler
+from guavagate.jobs.scheduling._schedule import SamplerSlots, find_sampler
 from guavagate.models import Regions, ServiceId, UpstreamId, ZoneId
 from guavagate.routing import Eligibility, UpstreamTable
 from tests.jobs.fleet import make_job
-from tests.jobs.test_schedule import _make_sampler, _make_work
+from tests.jobs.scheduling.test_schedule import _make_sampler, _make_work
 from tests.residency.bench import (
     NORTH,
     SOUTH,
