--- a/guavagate/exceptions.py
+++ b/guavagate/exceptions.py
@@ -117,6 +117,22 @@
     """The upstream refused the work because it is leaving."""
 
 
+class OutsideRegionsError(GuavagateError):
+    """A job was not accepted, as it cannot run inside its regions.
+
+    Parameters
+    ----------
+    retry_after
+        Seconds after which the trainer may submit it again.
+    """
+
+    def __init__(
+        self, problem: str, remedy: str, *, retry_after: float
+    ) -> None:
+        super().__init__(problem, remedy)
+        self.retry_after = retry_after
+
+
 class RefusalError(GuavagateError):
     """A caller's request is refused.
 
--- a/guavagate/fleet_instance/_instance.py
+++ b/guavagate/fleet_instance/_instance.py
@@ -34,6 +34,7 @@
 from guavagate.metrics.exposition import count_events, serve_metrics
 from guavagate.models import InstanceId
 from guavagate.quarantine import STOPPED_REQUESTS, make_quarantine
+from guavagate.residency import Residency
 from guavagate.retirement import Retirement
 from guavagate.rollouts import Renewals
 from guavagate.routing import EligibleSamplers, RouteTable
@@ -72,11 +73,12 @@
             reads=options.store.reads_per_s,
             writes=options.store.writes_per_s,
             has_edge=bool(options.listen.front),
+            may_relay=lambda peer, path: self._residency.may_relay(peer, path),
         )
         self._store = adapter.make_store(store_client)
         self._routes = RouteTable()
         self._upstreams = make_upstream_table(
-            self._clock, me.availability_zone, self._pool
+            self._clock, me.availability_zone, self._pool, options.zones
         )
         self._evacuations = make_evacuations(
             self._clock,
@@ -88,11 +90,15 @@
         clock, bus, metrics = self._clock, self._bus, self._metrics
         members, routes = self._members, self._routes
         pool, store, upstreams = self._pool, self._store, self._upstreams
+        residency = Residency(routes, upstreams, members, me.id, metrics)
+        self._residency = residency.jobs
         quarantine = make_quarantine(
             clock, bus, store, me.id, self._order_relays, upstreams.get
         )
         self._quarantine = quarantine
-        ownership = Ownership(self._members, me.id, self._members.boot)
+        ownership = Ownership(
+            members, me.id, members.boot, self._residency.find_home_regions
+        )
         self._ownership = ownership
         budgets = limit_starts(
             clock,
@@ -114,6 +120,7 @@
             quarantine,
             metrics,
             fleet,
+            residency.requests,
         )
         self._instance_id = me.id
         self._admission = ServiceAdmission(
@@ -143,9 +150,12 @@
             options.limits.link_bytes_per_s,
             self._duties if options.duties.scales else None,
             budgets=budgets,
+            bounds=self._residency,
         )
         find = self._services.find
-        reader = JobReader(clock, bus, job_store, ownership, find)
+        reader = JobReader(
+            clock, bus, job_store, ownership, find, self._residency
+        )
         self._registry = MemberRegistry(
             store, clock, members, me, options.bootstrap
         )
--- a/guavagate/fleet_instance/_options.py
+++ b/guavagate/fleet_instance/_options.py
@@ -1,5 +1,7 @@
 """The values of an instance's settings that its parts use."""
 
+from collections.abc import Mapping
+
 import msgspec
 
 from guavagate.auth import ProofBounds
@@ -47,6 +49,8 @@
         Whether the whole fleet starts for the first time.
     data_dir
         Folder of the instance's own disk; empty if it has none.
+    zones
+        The name of each zone's region.
     lease_s
         Seconds for which a lease is valid after its renewal.
     grace_s
@@ -64,6 +68,7 @@
     me: InstanceSettings
     bootstrap: bool
     data_dir: str
+    zones: Mapping[str, object]
     listen: ListenOptions
     store: StoreOptions
     limits: LimitOptions
--- a/guavagate/jobs/scheduling/_schedule.py
+++ b/guavagate/jobs/scheduling/_schedule.py
@@ -28,7 +28,8 @@
     TextMemory,
     estimate_no_memory,
 )
-from guavagate.models import UpstreamId, WeightVersion
+from guavagate.models import RegionId, UpstreamId, WeightVersion
+from guavagate.residency import is_inside
 from guavagate.rollouts import ModelDemand
 
 # Items of a group share a prompt. Reading it again on another sampler takes a
@@ -67,6 +68,7 @@
     `free` counts the slots that may be used now; `held_back` are free too, but
     have to wait for the limit of `rate` starts per second. A `cold` sampler is
     used if no other one has a free slot.
+    `region` is `None` if its zone is unknown; bound items do not use it then.
     """
 
     id: UpstreamId
@@ -83,6 +85,7 @@
     groups: set[str] = set()
     avoided_by: set[ItemId] = set()
     memory: EngineMemory = msgspec.field(default_factory=EngineMemory)
+    region: RegionId | None = None
 
     def reserve(self, item: JobItem, memory: TextMemory) -> None:
         """Reserve a slot, and memory, for an item."""
@@ -91,6 +94,15 @@
         self.groups.add(item.group)
         self.memory.reserve(memory)
 
+    def may_run(self, work: JobWork) -> bool:
+        """Return whether a job accepts the sampler's version and region."""
+        job = work.job
+        return (
+            job.model in self.models
+            and self.versions.get(job.model, 0) >= job.min_version
+            and is_inside(self.region, work.regions)
+        )
+
 
 class ItemPlacement(msgspec.Struct, frozen=True):
     """An item to start and the sampler to start it on."""
@@ -232,15 +244,12 @@
 def _list_usable(
     work: JobWork, progress: ItemProgress, samplers: Sequence[SamplerSlots]
 ) -> list[SamplerSlots]:
-    """Return the samplers with a free slot and an accepted version."""
-    model = work.job.model
-    min_version = work.job.min_version
+    """Return the samplers with a free slot that a job may use."""
     return [
         sampler
         for sampler in samplers
         if (sampler.free > 0 or sampler.id == progress.move_target)
-        and model in sampler.models
-        and sampler.versions.get(model, 0) >= min_version
+        and sampler.may_run(work)
     ]
 
 
--- a/guavagate/jobs/scheduling/_slots.py
+++ b/guavagate/jobs/scheduling/_slots.py
@@ -8,7 +8,7 @@
 from guavagate.jobs._work import JobWork
 from guavagate.jobs.scheduling._memory import EngineMemory
 from guavagate.jobs.scheduling._schedule import SamplerSlots
-from guavagate.models import UpstreamId
+from guavagate.models import RegionId, UpstreamId, ZoneId
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import SamplerStates
 from guavagate.warmup import ServiceStarts
@@ -17,6 +17,7 @@
 UPCOMING_SECONDS: Final = 1.0
 _NONE_RESERVED: Final[Mapping[UpstreamId, int]] = MappingProxyType({})
 _UNKNOWN_SECONDS: Final[Mapping[str, float]] = MappingProxyType({})
+_NO_REGIONS: Final[Mapping[ZoneId, RegionId]] = MappingProxyType({})
 
 
 def get_no_memory(_: UpstreamId) -> EngineMemory:
@@ -33,6 +34,7 @@
     count_idle: Callable[[Upstream], int] | None = None,
     get_memory: Callable[[UpstreamId], EngineMemory] = get_no_memory,
     starts: ServiceStarts | None = None,
+    region_of: Mapping[ZoneId, RegionId] = _NO_REGIONS,
     *,
     include_upcoming: bool = False,
 ) -> list[SamplerSlots]:
@@ -50,6 +52,8 @@
         Returns the memory of a sampler's engine.
     starts
         The limit on starts at each sampler, if the service has one.
+    region_of
+        The region of each zone.
     include_upcoming
         Whether to include samplers that become available within
         `UPCOMING_SECONDS`. A forecast needs them: while a model's samplers
@@ -79,6 +83,7 @@
                 measured=state.event_interval > 0,
                 models=states.get_models(upstream.id),
                 memory=get_memory(upstream.id),
+                region=region_of.get(upstream.zone),
             )
         )
         if starts is not None:
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -271,6 +271,18 @@
     text='Requests of services with a warm-up, by what the holder said',
     labels=('result',),
 )
+REGION_REFUSALS: Final = Metric(
+    name='guavagate_region_refusals_total',
+    kind=MetricKind.COUNTER,
+    text='Requests and jobs that were refused for their regions',
+    labels=('kind',),
+    plotted=True,
+)
+ITEMS_MOVED_INSIDE: Final = Metric(
+    name='guavagate_items_moved_inside_total',
+    kind=MetricKind.COUNTER,
+    text='Items cancelled at samplers outside the regions of their job',
+)
 EVACUATED_ZONES: Final = Metric(
     name='guavagate_evacuated_zones',
     kind=MetricKind.GAUGE,
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -1,5 +1,7 @@
 """Reads the settings file that the platform writes for a process."""
 
+from typing import Any
+
 import msgspec
 
 from guavagate.auth import ProofBounds, make_bounds
@@ -95,6 +97,7 @@
     serves: list[str] = []
     bootstrap: bool = False
     data_dir: str = ''
+    zones: dict[str, Any] = {}
     listen: ListenTable = ListenTable()
     bounds: BoundsTable = BoundsTable()
     limits: LimitsTable = LimitsTable()
@@ -122,6 +125,7 @@
             me=self.to_instance(),
             bootstrap=self.bootstrap,
             data_dir=self.data_dir,
+            zones=self.zones,
             listen=ListenOptions(
                 front=self.listen.front,
                 ready=self.listen.ready,
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -21,6 +21,7 @@
 from standins._safeguard_failover import FAILOVER_SAFEGUARDS
 from standins._safeguard_jobs import JOB_SAFEGUARDS
 from standins._safeguard_recovery import RECOVERY_SAFEGUARDS
+from standins._safeguard_residency import RESIDENCY_SAFEGUARDS
 from standins._safeguard_routing import ROUTING_SAFEGUARDS
 from standins._safeguard_rows import PLATFORM_SAFEGUARDS, Safeguard
 from standins._safeguard_stops import STOP_SAFEGUARDS
@@ -41,6 +42,7 @@
     *ADMISSION_SAFEGUARDS,
     *WARMUP_SAFEGUARDS,
     *EVACUATION_SAFEGUARDS,
+    *RESIDENCY_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
 _TEST_SECONDS: Final = 120
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -58,6 +58,7 @@
     'jobs/scheduling/_reclaim.py',
     'jobs/scheduling/_sources.py',
     'warmup/_cold_watch.py',
+    'residency/_residency.py',
 }
 
 
