Count messages and bytes of the bus by kind, direction and distance

Cause: the totals of the bus do not show which messages carry the bytes between zones and regions.

Change: MessageTraffic counts each message at both ends; a reply counts under the kind of its request.

--- a/guavagate/assembly.py
+++ b/guavagate/assembly.py
@@ -15,7 +15,7 @@
 from guavagate.integrations.object_api import ObjectApi
 from guavagate.integrations.object_api.transport import make_http_transport
 from guavagate.ledger import make_ledger_states
-from guavagate.links import ZmqBus
+from guavagate.links import ZmqBus, watch_messages
 from guavagate.membership import Membership
 from guavagate.metrics import Metrics, names
 from guavagate.models import Epoch, PartitionId
@@ -91,7 +91,9 @@
             self._partitions.list_owned,
         )
         self._instance.readiness.add('stop', self._check_stopping)
-        self._runtime.metrics.add_refresher(self._refresh_metrics)
+        metrics = self._runtime.metrics
+        metrics.add_refresher(self._refresh_metrics)
+        watch_messages(metrics, self._bus.messages, self._members, settings.id)
         self._instance.readiness.add('id', self._check_superseded)
         self._stop_requested = Event()
 
--- a/guavagate/instance_gauges.py
+++ b/guavagate/instance_gauges.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from guavagate.feeds import Proof
+from guavagate.links import ZmqBus, watch_messages
 from guavagate.membership import Membership
 from guavagate.metrics import Metrics, names
 from guavagate.quarantine import Quarantine
@@ -16,8 +17,10 @@
     proof: Proof,
     quarantine: Quarantine,
     members: Membership,
+    bus: ZmqBus,
 ) -> None:
     """Set the gauges whenever the metrics are read."""
+    watch_messages(metrics, bus.messages, members, bus.me)
 
     def refresh() -> None:
         age = min(proof.age(), NO_PROOF_SECONDS)
--- a/guavagate/links/__init__.py
+++ b/guavagate/links/__init__.py
@@ -6,6 +6,16 @@
 """
 
 from guavagate.links._bus import Bus, Handler, Message, expect
+from guavagate.links._message_traffic import MessageTraffic
+from guavagate.links._watch import watch_messages
 from guavagate.links._zmq_bus import ZmqBus
 
-__all__ = ('Bus', 'Handler', 'Message', 'ZmqBus', 'expect')
+__all__ = (
+    'Bus',
+    'Handler',
+    'Message',
+    'MessageTraffic',
+    'ZmqBus',
+    'expect',
+    'watch_messages',
+)
--- a/guavagate/links/_connection.py
+++ b/guavagate/links/_connection.py
@@ -26,7 +26,8 @@
     Parameters
     ----------
     on_receive
-        Called with this connection and each envelope; must not block.
+        Called with this connection, each envelope and the size of its frame
+        in bytes; must not block.
     on_loss
         Called with this connection when it breaks or can't be established.
     """
@@ -36,7 +37,7 @@
         socket: zmq.Socket,
         clock: Clock,
         traffic: Traffic,
-        on_receive: Callable[['Connection', Envelope], None],
+        on_receive: Callable[['Connection', Envelope, int], None],
         on_loss: Callable[['Connection'], None],
     ) -> None:
         self._clock = clock
@@ -93,7 +94,7 @@
         except msgspec.MsgspecError:
             return
         self.boot = envelope.boot or self.boot
-        self._on_receive(self, envelope)
+        self._on_receive(self, envelope, len(frames[-1]))
 
 
 def connect_peer(
--- a/guavagate/links/_link.py
+++ b/guavagate/links/_link.py
@@ -31,6 +31,7 @@
     decode_error,
     encode_envelope,
 )
+from guavagate.links._message_traffic import MessageTraffic
 from guavagate.models import InstanceId
 from guavagate.util.traffic import Traffic
 
@@ -77,6 +78,7 @@
         connect: Callable[[], zmq.Socket],
         clock: Clock,
         traffic: Traffic,
+        messages: MessageTraffic,
     ) -> None:
         self._me = me
         self._boot = boot
@@ -84,6 +86,7 @@
         self._connect = connect
         self._clock = clock
         self._traffic = traffic
+        self._messages = messages
         self._pending: dict[int, _PendingRequest] = {}
         self._used_at = clock.now()
         self._probe: Connection | None = None
@@ -189,7 +192,7 @@
 
     def _put(self, envelope: Envelope) -> int:
         self._used_at = self._clock.now()
-        ticket = self._current.put([encode_envelope(envelope)])
+        ticket = self._put_frame(envelope)
         if ticket is None:
             raise LinkRefusedError(
                 f'the queue to {self._peer} is full',
@@ -197,7 +200,16 @@
             )
         return ticket
 
-    def _receive(self, source: Connection, envelope: Envelope) -> None:
+    def _put_frame(self, envelope: Envelope) -> int | None:
+        frame = encode_envelope(envelope)
+        ticket = self._current.put([frame])
+        if ticket is not None:
+            self._messages.record_sent(self._peer, envelope.kind, len(frame))
+        return ticket
+
+    def _receive(
+        self, source: Connection, envelope: Envelope, size: int
+    ) -> None:
         if source is self._probe:
             self._replace(source)
             return
@@ -206,6 +218,8 @@
         if pending is None:  # A heartbeat, or a reply after the timeout.
             return
         self._pending.pop(envelope.id)
+        kind = pending.envelope.kind
+        self._messages.record_received(self._peer, kind, size)
         if envelope.act == EnvelopeType.REPLY:
             pending.result.set(envelope.body)
             return
@@ -250,7 +264,7 @@
             pending.resent = True
             age = self._clock.now() - pending.first_sent_at
             envelope = msgspec.structs.replace(envelope, age=age)
-        pending.ticket = self._current.put([encode_envelope(envelope)])
+        pending.ticket = self._put_frame(envelope)
 
     def _make_timeout_error(self, pending: _PendingRequest) -> Exception:
         return self._withdraw(pending, 'gave no reply in time')
--- a/guavagate/links/_server.py
+++ b/guavagate/links/_server.py
@@ -25,6 +25,7 @@
     encode_refusal,
 )
 from guavagate.links._handled_requests import HandledRequest, HandledRequests
+from guavagate.links._message_traffic import UNKNOWN_KIND, MessageTraffic
 from guavagate.links._socket import Frames, SocketOwner
 from guavagate.models import InstanceId
 from guavagate.util.traffic import Traffic
@@ -41,10 +42,17 @@
 class Server:
     """Passes each message to the handler of its kind and sends the reply."""
 
-    def __init__(self, me: InstanceId, boot: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        me: InstanceId,
+        boot: int,
+        clock: Clock,
+        messages: MessageTraffic,
+    ) -> None:
         self._me = me
         self._boot = boot
         self._clock = clock
+        self._messages = messages
         self._handlers: dict[str, tuple[Handler, msgspec.msgpack.Decoder]] = {}
         self._handled_requests = HandledRequests()
         self._running = 0
@@ -75,8 +83,11 @@
         if envelope.act == EnvelopeType.PING:
             # Answered without a new task: a heartbeat shows that the
             # connection works, however busy the handlers are.
-            self._answer(identity, envelope.id, EnvelopeType.PONG, _EMPTY_BODY)
-        elif envelope.act == EnvelopeType.SEND:
+            self._put(identity, self._wrap(envelope.id, EnvelopeType.PONG))
+            return
+        sender, kind = InstanceId(envelope.sender), self._name_kind(envelope)
+        self._messages.record_received(sender, kind, len(frames[-1]))
+        if envelope.act == EnvelopeType.SEND:
             self._accept(identity, envelope)
         elif envelope.act == EnvelopeType.REQUEST:
             self._accept_once(identity, envelope)
@@ -87,14 +98,14 @@
         if handled is not None:
             handled.identity = identity
             if handled.done:
-                self._repeat_reply(envelope.id, handled)
+                self._repeat_reply(envelope, handled)
             return
         sent_at = self._clock.now() - envelope.age
         if envelope.age >= 0 and self._handled_requests.may_have_dropped(
             sent_at
         ):
             uncertain = encode_error(_make_uncertain_error(self._me))
-            self._answer(identity, envelope.id, EnvelopeType.ERROR, uncertain)
+            self._answer(identity, envelope, EnvelopeType.ERROR, uncertain)
             return
         self._accept(identity, envelope)
 
@@ -153,28 +164,47 @@
             return
         frame = self._wrap(envelope.id, act, body)
         self._handled_requests.record_reply(handled, frame)
-        self._put(handled.identity, frame)
+        self._reply(handled.identity, envelope, frame)
 
-    def _repeat_reply(self, number: int, handled: HandledRequest) -> None:
+    def _repeat_reply(
+        self, envelope: Envelope, handled: HandledRequest
+    ) -> None:
         if handled.reply is not None:
-            self._put(handled.identity, handled.reply)
+            self._reply(handled.identity, envelope, handled.reply)
             return
         uncertain = encode_error(_make_uncertain_error(self._me))
-        self._answer(handled.identity, number, EnvelopeType.ERROR, uncertain)
+        self._answer(handled.identity, envelope, EnvelopeType.ERROR, uncertain)
 
     def _refuse(
         self, identity: bytes, envelope: Envelope, problem: str, remedy: str
     ) -> None:
         if envelope.act == EnvelopeType.REQUEST:
             refusal = encode_refusal(problem, remedy)
-            self._answer(identity, envelope.id, EnvelopeType.REFUSED, refusal)
+            self._answer(identity, envelope, EnvelopeType.REFUSED, refusal)
 
     def _answer(
-        self, identity: bytes, number: int, act: EnvelopeType, body: bytes
+        self,
+        identity: bytes,
+        envelope: Envelope,
+        act: EnvelopeType,
+        body: bytes,
     ) -> None:
-        self._put(identity, self._wrap(number, act, body))
+        self._reply(identity, envelope, self._wrap(envelope.id, act, body))
+
+    def _reply(self, identity: bytes, envelope: Envelope, frame: bytes) -> None:
+        """Send a frame in reply to a request, and count it."""
+        peer, kind = InstanceId(envelope.sender), self._name_kind(envelope)
+        self._messages.record_sent(peer, kind, len(frame))
+        self._put(identity, frame)
+
+    def _name_kind(self, envelope: Envelope) -> str:
+        """Return the kind to count a message under."""
+        known = envelope.kind in self._handlers
+        return envelope.kind if known else UNKNOWN_KIND
 
-    def _wrap(self, number: int, act: EnvelopeType, body: bytes) -> bytes:
+    def _wrap(
+        self, number: int, act: EnvelopeType, body: bytes = _EMPTY_BODY
+    ) -> bytes:
         return encode_envelope(
             Envelope(
                 WIRE_VERSION,
--- a/guavagate/links/_zmq_bus.py
+++ b/guavagate/links/_zmq_bus.py
@@ -15,6 +15,7 @@
 from guavagate.links._bus import Handler, Message, Reply
 from guavagate.links._connection import Connection, connect_peer
 from guavagate.links._link import Link
+from guavagate.links._message_traffic import MessageTraffic
 from guavagate.links._server import Resolve, Server, bind_server
 from guavagate.models import InstanceId
 from guavagate.util.traffic import Traffic
@@ -49,16 +50,17 @@
         clock: Clock,
         credential: bytes = b'',
     ) -> None:
-        self._me = me
+        self.me = me
         self._address = address
         self._resolve = resolve
         self._clock = clock
         self._credential = credential
         self._context = zmq.Context()
         self.traffic = Traffic()
+        self.messages = MessageTraffic()
         self._boot = secrets.randbits(62)
         self._numbers = itertools.count(1)
-        self._server = Server(me, self._boot, clock)
+        self._server = Server(me, self._boot, clock, self.messages)
         self._links: dict[InstanceId, tuple[str, Link]] = {}
         self._probes: set[Connection] = set()
         self._open = False
@@ -163,7 +165,13 @@
             return connect_peer(self._context, address, self._credential)
 
         return Link(
-            self._me, self._boot, peer, connect, self._clock, self.traffic
+            self.me,
+            self._boot,
+            peer,
+            connect,
+            self._clock,
+            self.traffic,
+            self.messages,
         )
 
     def _check_links(self) -> None:
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -86,6 +86,18 @@
     text='Their bytes, without the headers of IP, TCP and UDP',
     labels=('by', 'way'),
 )
+BUS_MESSAGES: Final = Metric(
+    name='guavagate_bus_messages_total',
+    kind=MetricKind.COUNTER,
+    text='Messages on the bus by kind; a reply counts as its request',
+    labels=('message', 'way', 'distance'),
+)
+BUS_BYTES: Final = Metric(
+    name='guavagate_bus_bytes_total',
+    kind=MetricKind.COUNTER,
+    text='Their bytes; `distance` is what lies between the two instances',
+    labels=('message', 'way', 'distance'),
+)
 EVENTS: Final = Metric(
     name='guavagate_events_total',
     kind=MetricKind.COUNTER,
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -132,7 +132,7 @@
         self.lifecycle = Lifecycle(
             clock, metrics, members, ready, self._hand_over, grace
         )
-        watch_instance(metrics, self._feed.proof, quarantine, members)
+        watch_instance(metrics, self._feed.proof, quarantine, members, bus)
         self._servers = self._make_servers(reader)
         self.request_stop = self.lifecycle.request_stop
         self.wait_stop_requested = self.lifecycle.wait_stop_requested
