Send committed results to each zone once

Cause: trainers and other callers of a team read a job from any position, each time at another entry, and the owner sent all results to each of them. A look-up before an end carried a complete page as well.

Change: the owner answers a page of more than 16 kB between zones with its extent only. The entry gets the results from one instance of its zone that caches them by job and position and asks the owner just for the gap. The owner confirms each page, so a removed job, another team's job and a later job under the same id are found as before; without the cache the entry asks the owner for the complete page. Caches hold at most 8 MB and count in the memory budget. Fleets of several regions use no cache, as a job may be bound to some of them. A look-up carries no results.

--- a/guavagate/jobs/_active.py
+++ b/guavagate/jobs/_active.py
@@ -17,7 +17,15 @@
 from guavagate.jobs._cadence import Cadence
 from guavagate.jobs._committer import Committer
 from guavagate.jobs._messages import LookupStatus
-from guavagate.jobs._models import ItemId, Job, JobId, Page, Result, make_page
+from guavagate.jobs._models import (
+    PAGE_BYTES,
+    ItemId,
+    Job,
+    JobId,
+    Page,
+    Result,
+    make_page,
+)
 from guavagate.jobs._partial_texts import PartialTexts
 from guavagate.jobs._result_log import ResultLog
 from guavagate.jobs._schedule import count_demands
@@ -31,7 +39,6 @@
 _LOGGER: Final = logging.getLogger(__name__)
 
 RETRY_INTERVAL_SECONDS: Final = 0.1
-PAGE_BYTES: Final = 900_000
 # Readers of an uncertain job wait at least this long for its reconciliation,
 # fifty times the store's usual response time; then they read the store.
 RECONCILE_SECONDS: Final = 0.3
@@ -135,9 +142,10 @@
             wait_for(self._clock, active.changed, remaining)
         if not active.has(after) and active.is_uncertain():
             return LookupStatus.UNCERTAIN, None
-        results = active.work.log.results
+        results, identity = active.work.log.results, active.work.job.identify()
         total = len(active.work.items)
-        return LookupStatus.FOUND, make_page(results, total, after, PAGE_BYTES)
+        page = make_page(results, total, after, PAGE_BYTES, identity)
+        return LookupStatus.FOUND, page
 
     def read_item(
         self, job: JobId, item: ItemId, team: TeamId = _ANY_TEAM
--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -4,6 +4,7 @@
 from typing import Final, NewType
 
 import msgspec
+import xxhash
 
 from guavagate.models import ServiceId, TeamId, WeightVersion
 from guavagate.ports.rewards import RewardRequest
@@ -14,6 +15,8 @@
 ItemId = NewType('ItemId', str)
 GroupId = NewType('GroupId', str)
 
+# Limit of the texts in one page.
+PAGE_BYTES: Final = 900_000
 JOBS_PREFIX: Final = 'jobs'
 ENDS_PREFIX: Final = 'job-ends'
 _RESULTS_PREFIX: Final = 'job-results'
@@ -85,6 +88,14 @@
         """Return whether a team's callers may read and end the job."""
         return not self.team or self.team == team
 
+    def identify(self) -> int:
+        """Return a number that differs for a later job under the same id.
+
+        An id is free again once its job was removed from the store.
+        """
+        text = f'{self.id}\0{self.fingerprint}\0{self.submitted_at}'
+        return xxhash.xxh64_intdigest(text.encode())
+
     def describe(self, item: JobItem) -> RequestContent:
         """Return what an item's request is, whatever its id."""
         return RequestContent(
@@ -123,11 +134,15 @@
 
 
 class Page(msgspec.Struct, frozen=True):
-    """Results from a position on, and the position to read next."""
+    """Results from a position on, and the position to read next.
+
+    `identity` is that of the job; 0 if it is unknown.
+    """
 
     total: int
     next: int
     results: list[Result]
+    identity: int = 0
 
 
 def job_path(job: JobId) -> str:
@@ -166,7 +181,11 @@
 
 
 def make_page(
-    results: list[Result], total: int, after: int, max_bytes: int
+    results: list[Result],
+    total: int,
+    after: int,
+    max_bytes: int,
+    identity: int = 0,
 ) -> Page:
     """Return the results from a position on, limited to a size in bytes.
 
@@ -180,4 +199,4 @@
         if page and size > max_bytes:
             break
         page.append(result)
-    return Page(total, after + len(page), page)
+    return Page(total, after + len(page), page, identity)
--- a/guavagate/jobs/_ownership.py
+++ b/guavagate/jobs/_ownership.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections.abc import Mapping
 
+from guavagate.jobs._models import JobId
+from guavagate.jobs._zone_caches import choose_zone_cache
 from guavagate.models import InstanceId, ServiceId
 from guavagate.runtime import Members
 from guavagate.util.rendezvous import weigh
@@ -72,6 +74,12 @@
         ranked = self.rank_candidates(service)
         return [owner, *(each for each in ranked if each != owner)]
 
+    def find_zone_cache(
+        self, owner: InstanceId, job: JobId
+    ) -> InstanceId | None:
+        """Return the instance that caches an owner's job for this zone."""
+        return choose_zone_cache(self._members.alive(), self.me, owner, job)
+
     def list_witnesses(self, owner: InstanceId) -> list[InstanceId]:
         """Return others that can tell whether an owner is lost, best first.
 
--- a/guavagate/jobs/_reader.py
+++ b/guavagate/jobs/_reader.py
@@ -6,7 +6,6 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import LinkError, StoreError
-from guavagate.jobs._active import PAGE_BYTES
 from guavagate.jobs._messages import (
     ItemReply,
     LookupStatus,
@@ -14,9 +13,18 @@
     ReadItem,
     ReadPage,
 )
-from guavagate.jobs._models import ItemId, Job, JobId, Page, make_page
+from guavagate.jobs._models import (
+    PAGE_BYTES,
+    ItemId,
+    Job,
+    JobId,
+    Page,
+    make_page,
+)
 from guavagate.jobs._owner import JobOwner
 from guavagate.jobs._ownership import Ownership
+from guavagate.jobs._pages import PageClient, RequestPage, shorten_page
+from guavagate.jobs._result_cache import Budget, ResultCache
 from guavagate.jobs._store import JobStore, measure_job
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId, ServiceId, TeamId
@@ -39,7 +47,13 @@
 
 
 class JobReader:
-    """Serves reads of jobs, at any instance."""
+    """Serves reads of jobs, at any instance.
+
+    Parameters
+    ----------
+    budget
+        The memory budget that cached results count in.
+    """
 
     def __init__(
         self,
@@ -48,6 +62,7 @@
         job_store: JobStore,
         ownership: Ownership,
         find_local_owner: FindLocalOwner,
+        budget: Budget | None = None,
     ) -> None:
         self._clock = clock
         self._bus = bus
@@ -57,6 +72,14 @@
         self._cache: dict[JobId, Job] = {}
         self._cached_bytes = 0
         self._silent_until: dict[InstanceId, float] = {}
+        self._pages = PageClient(
+            clock,
+            bus,
+            ownership.me,
+            ResultCache(budget),
+            self._request_owner_page,
+            ownership.find_zone_cache,
+        )
         bus.register(ReadPage, self._on_read_page)
         bus.register(ReadItem, self._on_read_item)
 
@@ -91,7 +114,7 @@
             message = ReadPage(
                 service=service, job=job, after=after, wait=wait, team=team
             )
-            reply = self._request_page(message)
+            reply = self._request_page(message, self._pages.request)
             if reply is not None and reply.known is LookupStatus.FOUND:
                 return reply.known, reply.page
         return self._read_stored(job, after, team)
@@ -128,19 +151,27 @@
         cached = self._cache.get(job)
         if cached is not None and cached.is_accessible_to(team):
             return LookupStatus.FOUND
-        status, _ = self.read(services, job, 0, 0, team)
-        return status
+        for service in services:
+            message = ReadPage(
+                service=service,
+                job=job,
+                after=0,
+                wait=0,
+                team=team,
+                max_bytes=0,
+            )
+            reply = self._request_page(message, self._request_owner_page)
+            if reply is not None and reply.known is LookupStatus.FOUND:
+                return reply.known
+        return self._find_stored(job, team)[0]
 
     def _read_stored(
         self, job: JobId, after: int, team: TeamId
     ) -> tuple[LookupStatus, Page | None]:
+        status, found = self._find_stored(job, team)
+        if found is None:
+            return status, None
         try:
-            found = self._cache.get(job) or self._job_store.read(job)
-            if found is None:
-                return LookupStatus.MISSING, None
-            self.cache_job(found)
-            if not found.is_accessible_to(team):
-                return LookupStatus.MISSING, None
             log = self._job_store.open_log(job)
             log.load()
         except StoreError as error:
@@ -151,14 +182,35 @@
             log.results, total, after, PAGE_BYTES
         )
 
-    def _request_page(self, message: ReadPage) -> PageReply | None:
+    def _find_stored(
+        self, job: JobId, team: TeamId
+    ) -> tuple[LookupStatus, Job | None]:
+        """Look a job up in the store, and cache it."""
+        try:
+            found = self._cache.get(job) or self._job_store.read(job)
+        except StoreError as error:
+            _LOGGER.debug('job %s could not be read: %s', job, error)
+            return LookupStatus.UNCERTAIN, None
+        if found is None:
+            return LookupStatus.MISSING, None
+        self.cache_job(found)
+        if not found.is_accessible_to(team):
+            return LookupStatus.MISSING, None
+        return LookupStatus.FOUND, found
+
+    def _request_owner_page(
+        self, peer: InstanceId, message: ReadPage, timeout: float
+    ) -> PageReply | None:
+        if peer == self._ownership.me:
+            return self._serve_page(message)
+        return self._request(peer, message, PageReply, timeout)
+
+    def _request_page(
+        self, message: ReadPage, request: RequestPage
+    ) -> PageReply | None:
         timeout = message.wait + OWNER_TIMEOUT_SECONDS
         for peer in self._list_peers(message.service):
-            reply = (
-                self._serve_page(message)
-                if peer == self._ownership.me
-                else self._request(peer, message, PageReply, timeout)
-            )
+            reply = request(peer, message, timeout)
             if reply is not None and reply.known is not LookupStatus.UNCERTAIN:
                 return reply
         return None
@@ -223,7 +275,7 @@
         status, page = owner.read(
             message.job, message.after, message.wait, message.team
         )
-        return PageReply(known=status, page=page)
+        return shorten_page(message, status, page)
 
     def _serve_item(self, message: ReadItem) -> ItemReply:
         owner = self._find_local_owner(message.service)
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -121,8 +121,8 @@
             if const.SCALE_DUTY in settings.cloud_api.duties
             else None,
         )
-        find = self._services.find
-        reader = JobReader(clock, bus, job_store, ownership, find)
+        find, budget = self._services.find, self._memory.budget
+        reader = JobReader(clock, bus, job_store, ownership, find, budget)
         self._registry = MemberRegistry(
             store, clock, members, me, settings.bootstrap
         )
--- a/tests/jobs/samplers.py
+++ b/tests/jobs/samplers.py
@@ -67,7 +67,8 @@
                 raise UpstreamDisconnectedError('crashed', 'nothing')
             version = samplers.versions.get(name, WeightVersion(1))
             samplers.generated[self._item.id] += 1
-            yield TextEvent(number, f'{self._item.id}/{number}', version)
+            text = f'{self._item.id}/{number}{samplers.padding}'
+            yield TextEvent(number, text, version)
 
     def cancel(self) -> None:
         """Cancel the run."""
@@ -77,6 +78,7 @@
 class FakeSamplers:
     """Implements `ports.sampler.SamplerClient`.
 
+    `padding` ends the text of each event.
     `event_seconds` is the event interval by sampler, and `idle` its number of
     idle connections. A `stalled` sampler sends no more events, a `down` one
     refuses connections, and `skipped` lists events that a sampler leaves out.
@@ -87,6 +89,7 @@
     def __init__(self, clock: Clock, length: int = 5) -> None:
         self.clock = clock
         self.length = length
+        self.padding = ''
         self.event_seconds: dict[str, float] = {}
         self.down: set[str] = set()
         self.skipped: set[tuple[str, int]] = set()
