Compress large bodies on the bus between zones

Change: an envelope says that its sender can decompress zlib and whether its body is compressed. Bodies from 4 kB on are compressed at level 1 if the peer is known to be in another zone, has said that it can decompress, and a sample of 1 kB from the body's middle shrinks to half. Errors stay plain. A corrupt or oversized body is refused like one that does not decode.

--- a/guavagate/links/_connection.py
+++ b/guavagate/links/_connection.py
@@ -6,6 +6,7 @@
 import zmq
 
 from guavagate.clock import Clock
+from guavagate.links._compression import ZLIB
 from guavagate.links._credential import secure_client
 from guavagate.links._envelope import (
     MAX_FRAME_BYTES,
@@ -46,6 +47,7 @@
         self._pinged_at: float | None = None
         self.last_message_at = clock.now()
         self.boot = 0
+        self.accepts = 0
         self._owner = SocketOwner(
             socket, QUEUE_LIMIT, traffic, self._receive, self._handle_loss
         )
@@ -62,7 +64,9 @@
         """Request a heartbeat unless a request is already pending."""
         if self._pinged_at is None:
             self._pinged_at = self._clock.now()
-            frame = encode_envelope(Envelope(WIRE_VERSION, EnvelopeType.PING))
+            frame = encode_envelope(
+                Envelope(WIRE_VERSION, EnvelopeType.PING, accepts=ZLIB)
+            )
             self._owner.put([frame])
 
     def unanswered_seconds(self) -> float:
@@ -94,6 +98,7 @@
         except msgspec.MsgspecError:
             return
         self.boot = envelope.boot or self.boot
+        self.accepts = envelope.accepts
         self._on_receive(self, envelope, len(frames[-1]))
 
 
--- a/guavagate/links/_envelope.py
+++ b/guavagate/links/_envelope.py
@@ -49,6 +49,8 @@
     age
         Seconds since a request was first sent, if it is resent over a new
         connection; negative the first time.
+    codec, accepts
+        How the body is compressed, and whether the sender can decompress.
     """
 
     version: int
@@ -59,6 +61,8 @@
     body: msgspec.Raw = msgspec.Raw(b'\xc0')
     boot: int = 0
     age: float = -1
+    codec: int = 0
+    accepts: int = 0
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
--- a/guavagate/links/_link.py
+++ b/guavagate/links/_link.py
@@ -23,6 +23,12 @@
 from guavagate.clock import Clock
 from guavagate.events import fleet, write
 from guavagate.exceptions import LinkError, LinkRefusedError
+from guavagate.links._compression import (
+    ZLIB,
+    compress_body,
+    decode_body,
+    is_large,
+)
 from guavagate.links._connection import Connection
 from guavagate.links._envelope import (
     WIRE_VERSION,
@@ -51,7 +57,7 @@
 class _PendingRequest:
     """A request without a reply."""
 
-    result: 'AsyncResult[msgspec.Raw]'
+    result: 'AsyncResult[Envelope]'
     envelope: Envelope
     first_sent_at: float
     ticket: int | None = None
@@ -96,7 +102,7 @@
 
     def request(
         self, number: int, kind: str, body: bytes, timeout: float
-    ) -> msgspec.Raw:
+    ) -> bytes | msgspec.Raw:
         """Send a request and return the body of its reply."""
         envelope = self._wrap(EnvelopeType.REQUEST, number, kind, body)
         pending = _PendingRequest(AsyncResult(), envelope, self._clock.now())
@@ -106,9 +112,13 @@
             with self._clock.timeout(
                 timeout, lambda: self._make_timeout_error(pending)
             ):
-                return pending.result.get()
+                reply = pending.result.get()
         finally:
             self._pending.pop(number, None)
+        try:
+            return decode_body(reply)
+        except msgspec.MsgspecError as error:
+            raise self._make_uncertain_error(f'sent {error}') from error
 
     def send(self, kind: str, body: bytes) -> None:
         """Send a one-way message; raise `LinkRefusedError` on a full queue."""
@@ -180,14 +190,20 @@
     def _wrap(
         self, act: EnvelopeType, number: int, kind: str, body: bytes
     ) -> Envelope:
+        packed = None
+        if self._current.accepts and is_large(body):
+            far = self._messages.is_between_zones(self._peer)
+            packed = compress_body(body) if far else None
         return Envelope(
             WIRE_VERSION,
             act,
             number,
             self._me,
             kind,
-            msgspec.Raw(body),
+            msgspec.Raw(packed or body),
             self._boot,
+            codec=ZLIB if packed else 0,
+            accepts=ZLIB,
         )
 
     def _put(self, envelope: Envelope) -> int:
@@ -221,7 +237,7 @@
         kind = pending.envelope.kind
         self._messages.record_received(self._peer, kind, size)
         if envelope.act == EnvelopeType.REPLY:
-            pending.result.set(envelope.body)
+            pending.result.set(envelope)
             return
         error: Exception = decode_error(envelope.body)
         if envelope.act == EnvelopeType.REFUSED and pending.resent:
--- a/guavagate/links/_message_traffic.py
+++ b/guavagate/links/_message_traffic.py
@@ -30,6 +30,8 @@
     size: int = 0
 
 
+_BETWEEN_ZONES: Final = frozenset((Distance.SAME_REGION, Distance.OTHER_REGION))
+
 Key = tuple[str, Direction, Distance]
 Locate = Callable[[InstanceId], Distance]
 
@@ -63,6 +65,10 @@
         self._sent.clear()
         self._received.clear()
 
+    def is_between_zones(self, peer: InstanceId) -> bool:
+        """Return whether a peer is known to be in another zone."""
+        return self._locate(peer) in _BETWEEN_ZONES
+
     def record_sent(self, peer: InstanceId, kind: str, size: int) -> None:
         """Count one message sent; `size` in bytes."""
         count = self._sent.get((peer, kind))
--- a/guavagate/links/_server.py
+++ b/guavagate/links/_server.py
@@ -12,6 +12,12 @@
 from guavagate.events import fleet, write
 from guavagate.exceptions import GuavagateError, LinkError
 from guavagate.links._bus import Handler, Message
+from guavagate.links._compression import (
+    ZLIB,
+    compress_body,
+    decode_body,
+    is_large,
+)
 from guavagate.links._credential import secure_server
 from guavagate.links._envelope import (
     MAX_FRAME_BYTES,
@@ -129,7 +135,7 @@
             )
             return
         try:
-            message = decoder.decode(envelope.body)
+            message = decoder.decode(decode_body(envelope))
         except msgspec.MsgspecError as problem:
             self._refuse(
                 identity,
@@ -162,7 +168,10 @@
             self._running -= 1
         if envelope.act != EnvelopeType.REQUEST:
             return
-        frame = self._wrap(envelope.id, act, body)
+        packed = None
+        if act == EnvelopeType.REPLY:
+            packed = self._compress(envelope, body)
+        frame = self._wrap(envelope.id, act, body, packed)
         self._handled_requests.record_reply(handled, frame)
         self._reply(handled.identity, envelope, frame)
 
@@ -202,8 +211,19 @@
         known = envelope.kind in self._handlers
         return envelope.kind if known else UNKNOWN_KIND
 
+    def _compress(self, request: Envelope, body: bytes) -> bytes | None:
+        """Return the compressed body of a reply, or None to send it plain."""
+        if not request.accepts or not is_large(body):
+            return None
+        far = self._messages.is_between_zones(InstanceId(request.sender))
+        return compress_body(body) if far else None
+
     def _wrap(
-        self, number: int, act: EnvelopeType, body: bytes = _EMPTY_BODY
+        self,
+        number: int,
+        act: EnvelopeType,
+        body: bytes = _EMPTY_BODY,
+        packed: bytes | None = None,
     ) -> bytes:
         return encode_envelope(
             Envelope(
@@ -212,8 +232,10 @@
                 number,
                 self._me,
                 '',
-                msgspec.Raw(body),
+                msgspec.Raw(packed or body),
                 self._boot,
+                codec=ZLIB if packed else 0,
+                accepts=ZLIB,
             )
         )
 
