Leave a replica of each text when the owner's zone is lost

Cause: both successors with replicas may be in the owner's zone.

Change: if both are in the owner's zone, the second is replaced by the first successor outside, which takes over in that case. One successor in the own zone in place of a third zone is not chosen: the loss of two workers would restart the texts. An event tells that a zone's cache sent no results (GG8075).

--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -80,7 +80,7 @@
         retention: float,
         replicas: TextReplicas,
         snapshots: TextSnapshots,
-        list_successors: Callable[[], list[InstanceId]],
+        list_holders: Callable[[], list[InstanceId]],
         announced: AnnouncedJobs,
         boot_clock: Callable[[], float] = read_boot_clock,
         cache_tokens: Callable[[], int] = int,
@@ -138,7 +138,7 @@
             snapshots,
             self._checkpoints,
             self._active_jobs.list_open,
-            list_successors,
+            list_holders,
             self._handle_return,
         )
         self._tasks: list[Task] = []
--- a/guavagate/jobs/_ownership.py
+++ b/guavagate/jobs/_ownership.py
@@ -2,9 +2,10 @@
 
 from collections import Counter
 from collections.abc import Mapping
+from typing import Final
 
 from guavagate.jobs._models import JobId
-from guavagate.jobs._zone_caches import choose_zone_cache
+from guavagate.jobs._zones import choose_replica_holders, choose_zone_cache
 from guavagate.models import InstanceId, ServiceId
 from guavagate.runtime import Members
 from guavagate.util.rendezvous import weigh
@@ -15,6 +16,10 @@
     rank_by_uptime,
 )
 
+# Replicas of each text: at the next owner and, in case it fails together with
+# this one, at the one after it.
+REPLICA_COUNT: Final = 2
+
 
 class Ownership:
     """The owner of each service's jobs, by uptime among the live members.
@@ -80,6 +85,18 @@
         """Return the instance that caches an owner's job for this zone."""
         return choose_zone_cache(self._members.alive(), self.me, owner, job)
 
+    def list_replica_holders(self, service: ServiceId) -> list[InstanceId]:
+        """Return the successors that get replicas of this owner's texts."""
+        ranked = self.rank_candidates(service)
+        alive = self._members.alive()
+        zone_of = {each.id: each.availability_zone for each in alive}
+        return choose_replica_holders(
+            [each for each in ranked if each != self.me],
+            zone_of,
+            zone_of.get(self.me),
+            REPLICA_COUNT,
+        )
+
     def list_witnesses(self, owner: InstanceId) -> list[InstanceId]:
         """Return others that can tell whether an owner is lost, best first.
 
--- a/guavagate/jobs/_pages.py
+++ b/guavagate/jobs/_pages.py
@@ -14,6 +14,8 @@
 import msgspec
 
 from guavagate.clock import Clock
+from guavagate.events import pages as events
+from guavagate.events import write
 from guavagate.exceptions import LinkError
 from guavagate.jobs._messages import (
     LookupStatus,
@@ -89,6 +91,7 @@
         if page is not None:
             return PageReply(known=reply.known, page=page)
         self._failing_until[near] = self._clock.now() + FAILING_SECONDS
+        write(_LOGGER, events.CACHE_SILENT, cache=near, job=message.job)
         return self._request_owner(owner, message, timeout)
 
     def _request_missing(
--- a/guavagate/jobs/_text_backups.py
+++ b/guavagate/jobs/_text_backups.py
@@ -26,9 +26,6 @@
 # The longest texts are replicated twice as often, as a step waits for them.
 # With 144 running texts of short events, this takes a tenth more bytes.
 LONGEST_COUNT: Final = 12
-# Replicas of each text: at the next owner and, in case it fails together with
-# this one, at the one after it.
-REPLICA_COUNT: Final = 2
 # How long after its return an owner looks for texts that its successor
 # generated. Runs that are interrupted for them end within milliseconds.
 ADOPTION_SECONDS: Final = 1.0
@@ -41,6 +38,8 @@
     ----------
     list_open
         Returns the open jobs that this instance works on.
+    list_holders
+        Returns the instances that get replicas.
     on_returned
         Called when an instance that worked on the jobs in the place of this
         one has returned them; must not block.
@@ -54,7 +53,7 @@
         snapshots: TextSnapshots,
         checkpoints: TextCheckpoints,
         list_open: Callable[[], list[JobWork]],
-        list_successors: Callable[[], list[InstanceId]],
+        list_holders: Callable[[], list[InstanceId]],
         on_returned: Callable[[], None],
     ) -> None:
         self._service = service
@@ -63,7 +62,7 @@
         self._snapshots = snapshots
         self._checkpoints = checkpoints
         self._list_open = list_open
-        self._list_successors = list_successors
+        self._list_holders = list_holders
         self._on_returned = on_returned
         self._adopt_until = float('-inf')
         self._tasks: list[Task] = []
@@ -138,8 +137,8 @@
             self._checkpoints.save(self._list_open())
 
     def _replicate(self, works: list[JobWork], longest: int | None) -> None:
-        """Send replicas to each successor, whether or not another answers."""
-        for peer in self._list_successors()[:REPLICA_COUNT]:
+        """Send replicas to each holder, whether or not another answers."""
+        for peer in self._list_holders():
             running = self._sending.get(peer)
             if running is None or running.dead:
                 self._sending[peer] = self._clock.spawn(
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -269,7 +269,7 @@
             self._retention,
             self._replicas,
             self._snapshots,
-            lambda: self._list_successors(service),
+            lambda: self._ownership.list_replica_holders(service),
             self._announced,
             cache_tokens=lambda: self._get_cache_tokens(service),
         )
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -16,6 +16,7 @@
 import click
 
 from standins._safeguard_admission import ADMISSION_SAFEGUARDS
+from standins._safeguard_bytes import BYTES_SAFEGUARDS
 from standins._safeguard_capacity import CAPACITY_SAFEGUARDS
 from standins._safeguard_failover import FAILOVER_SAFEGUARDS
 from standins._safeguard_jobs import JOB_SAFEGUARDS
@@ -37,6 +38,7 @@
     *TEXT_SAFEGUARDS,
     *ROUTING_SAFEGUARDS,
     *ADMISSION_SAFEGUARDS,
+    *BYTES_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
 _TEST_SECONDS: Final = 120
--- a/tests/jobs/test_zone_pages.py
+++ b/tests/jobs/test_zone_pages.py
@@ -16,7 +16,7 @@
 from guavagate.jobs._messages import PageReply, ReadPage
 from guavagate.jobs._pages import PageClient
 from guavagate.jobs._result_cache import RESULT_HEAD_BYTES, ResultCache
-from guavagate.jobs._zone_caches import choose_zone_cache
+from guavagate.jobs._zones import choose_zone_cache
 from guavagate.measure.fakes import World
 from guavagate.models import InstanceId, RegionId, TeamId, ZoneId
 from guavagate.settings import PeerSettings
