Prefer upstreams of the own region by measured round trips

Cause: the choice of an upstream distinguishes only the own zone from all others, so a region 16 ms away costs as much as a zone 3 ms away.

Change: where settings name several regions, an upstream in another region costs the ratio of the round trips that the membership's probes measure, times the cost of another zone, and less than a failed request. With one region or none the costs are the same as before.

--- a/guavagate/forwarding/_forwarders.py
+++ b/guavagate/forwarding/_forwarders.py
@@ -1,7 +1,8 @@
 """Makes the forwarders of an instance, which share connections and loads."""
 
 import functools
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from typing import Protocol
 
 import msgspec
 
@@ -50,11 +51,26 @@
             self.keep_alive.start()
 
 
+class ZoneProbes(Protocol):
+    """Knows how far away zones are."""
+
+    def measure_zones(self) -> Mapping[ZoneId, float]:
+        """Return the round trips to other zones in seconds."""
+
+
 def make_upstream_table(
-    clock: Clock, zone: ZoneId, pool: ConnectionPool
+    clock: Clock,
+    zone: ZoneId,
+    pool: ConnectionPool,
+    members: ZoneProbes,
 ) -> UpstreamTable:
     """Return a table that knows the pool's connections, and closes old ones."""
-    table = UpstreamTable(clock, zone, is_connected=pool.has_idle_connection)
+    table = UpstreamTable(
+        clock,
+        zone,
+        is_connected=pool.has_idle_connection,
+        measure_zones=members.measure_zones,
+    )
     table.subscribe_address_released(pool.close_idle)
     table.subscribe_restarts(lambda upstream: pool.close_idle(upstream.address))
     return table
--- a/guavagate/membership/_detector.py
+++ b/guavagate/membership/_detector.py
@@ -72,6 +72,12 @@
         self._suspects: list[InstanceId] = []
         self._seen_changes = self.table.changes
 
+    def measure_round_trips(self) -> dict[InstanceId, float]:
+        """Return the round trip to each member that has answered a probe."""
+        round_trips = self._prober.round_trips
+        round_trips.retain(self.table.members)
+        return dict(round_trips)
+
     def on_tick(self, now: float) -> list[Send]:
         """Run what is due; the caller ticks about every 0.1 seconds."""
         if now - self._last_tick_at > PAUSED_AFTER_SECONDS:
@@ -182,7 +188,7 @@
             )
             return [(address, ack)]
         if packet.act == PacketType.ACK:
-            return self._prober.accept_ack(packet)
+            return self._prober.accept_ack(packet, now)
         if packet.act == PacketType.PING_REQUEST:
             return self._prober.probe_indirectly(address, packet, now)
         if packet.act == PacketType.SYNC:
--- a/guavagate/membership/_members.py
+++ b/guavagate/membership/_members.py
@@ -2,6 +2,7 @@
 
 import logging
 import secrets
+import statistics
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -20,7 +21,7 @@
 )
 from guavagate.membership._probes import Send
 from guavagate.membership._static import make_peer_settings
-from guavagate.models import InstanceId
+from guavagate.models import InstanceId, ZoneId
 from guavagate.settings import InstanceSettings, PeerSettings
 from guavagate.util.traffic import Traffic
 
@@ -149,6 +150,16 @@
         member = self._detector.table.members.get(instance)
         return None if member is None else member.contact.boot
 
+    def measure_zones(self) -> dict[ZoneId, float]:
+        """Return the middle round trip to the members of each zone, in s."""
+        by_zone: dict[ZoneId, list[float]] = {}
+        for peer, seconds in self._detector.measure_round_trips().items():
+            contact = self._detector.table.members[peer].contact
+            by_zone.setdefault(contact.availability_zone, []).append(seconds)
+        return {
+            zone: statistics.median(times) for zone, times in by_zone.items()
+        }
+
     def isolated(self) -> bool:
         """Return whether members are known but none sends anything.
 
--- a/guavagate/membership/_probes.py
+++ b/guavagate/membership/_probes.py
@@ -7,6 +7,7 @@
 
 from guavagate.membership._identity import Identity
 from guavagate.membership._packet import Packet, PacketType, Update
+from guavagate.membership._round_trips import RoundTrips
 from guavagate.membership._table import Table
 from guavagate.models import InstanceId
 
@@ -24,6 +25,7 @@
     """A probe without an answer."""
 
     target: InstanceId
+    sent_at: float
     direct_until: float
     until: float
     indirect: bool = False
@@ -51,6 +53,7 @@
         self._probes: dict[int, _Probe] = {}
         self._indirect_probes: dict[int, _IndirectProbe] = {}
         self._round: list[InstanceId] = []
+        self.round_trips = RoundTrips()
 
     def start(self, now: float) -> list[Send]:
         """Probe the next member of the round.
@@ -91,9 +94,11 @@
         """Drop the probes in flight; a missing answer proves nothing."""
         self._probes.clear()
 
-    def accept_ack(self, packet: Packet) -> list[Send]:
+    def accept_ack(self, packet: Packet, now: float) -> list[Send]:
         """Record an answer; forward it if another instance requested it."""
-        self._probes.pop(packet.sequence, None)
+        probe = self._probes.pop(packet.sequence, None)
+        if probe is not None and not probe.indirect:
+            self.round_trips.record(probe.target, now - probe.sent_at)
         indirect_probe = self._indirect_probes.pop(packet.sequence, None)
         if indirect_probe is None:
             return []
@@ -125,7 +130,7 @@
         number = next(self._sequence)
         direct_until = now + DIRECT_TIMEOUT_SECONDS
         self._probes[number] = _Probe(
-            target, direct_until, direct_until + INDIRECT_TIMEOUT_SECONDS
+            target, now, direct_until, direct_until + INDIRECT_TIMEOUT_SECONDS
         )
         claims = self._table.describe_accused(target)
         ping = self._build_packet(PacketType.PING, claims, sequence=number)
--- a/guavagate/platform/_process.py
+++ b/guavagate/platform/_process.py
@@ -75,7 +75,7 @@
         self._store = self._make_store()
         self._routes = RouteTable()
         self._upstreams = make_upstream_table(
-            self._clock, me.availability_zone, self._pool
+            self._clock, me.availability_zone, self._pool, self._members
         )
         clock, bus, metrics = self._clock, self._bus, self._metrics
         members, routes = self._members, self._routes
--- a/guavagate/routing/_choice.py
+++ b/guavagate/routing/_choice.py
@@ -18,18 +18,15 @@
 
 import msgspec
 
-from guavagate.models import UpstreamId
+from guavagate.models import UpstreamId, ZoneId
 from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
+from guavagate.routing._tiers import REMOTE_ZONE_COST
 
 # A report describes the load at the time of a response. When it is older than
 # this, a third of the usual gap between two responses, it misleads more than it
 # helps.
 REPORT_MAX_AGE_SECONDS: Final = 0.5
-# Costs are added to the used fraction of an upstream's slots. Queueing may take
-# longer than the round trip to another zone, so a free slot in another zone
-# beats a queue of one in this zone, but not an equally free upstream.
-REMOTE_ZONE_COST: Final = 0.2
 # Cost of each consecutive failed request.
 FAILURE_COST: Final = 1.0
 # How long an unanswered probe counts. The next one of a service that is
@@ -58,6 +55,7 @@
 
 
 IsConnected: TypeAlias = Callable[[str], bool]
+GetZoneCost: TypeAlias = Callable[[ZoneId], float]
 
 
 def has_no_connection(address: str) -> bool:
@@ -108,6 +106,7 @@
     *,
     lasting: bool = False,
     preferred: UpstreamId | None = None,
+    get_zone_cost: GetZoneCost | None = None,
 ) -> Upstream | None:
     """Return the upstream for one more request, or None if there is none.
 
@@ -123,6 +122,9 @@
     preferred
         The upstream that the service's queue owner has granted, if any. The
         owner knows the requests of all instances, this one only its own.
+    get_zone_cost
+        Returns the cost of the way to a zone; by default, all other zones are
+        equally far away.
     """
     if not upstreams:
         return None
@@ -136,7 +138,8 @@
         return granted[0]
     ranked = [
         _Rank(
-            score(each, loads[each.id], zone, now)
+            score(each, loads[each.id], now)
+            + _find_zone_cost(each, zone, get_zone_cost)
             + (0 if is_connected(each.address) else NEW_CONNECTION_COST),
             0 if lasting else score_slowdown(each, loads[each.id], now),
             rng.random(),
@@ -173,13 +176,20 @@
         return self.cost <= best.cost and difference <= ABOUT_EQUAL_COST
 
 
-def score(upstream: Upstream, load: Load, zone: str, now: float) -> float:
-    """Return the estimated cost of using an upstream; lower is better."""
+def _find_zone_cost(
+    upstream: Upstream, zone: str, get_zone_cost: GetZoneCost | None
+) -> float:
+    if get_zone_cost is not None:
+        return get_zone_cost(upstream.zone)
+    return 0 if upstream.zone == zone else REMOTE_ZONE_COST
+
+
+def score(upstream: Upstream, load: Load, now: float) -> float:
+    """Return the cost of an upstream's load and faults; lower is better."""
     busy = _estimate_busy(load, now)
     slots = max(upstream.slots, 1)
-    zone_cost = 0 if upstream.zone == zone else REMOTE_ZONE_COST
     failures = load.failures + is_failing_probes(load, now)
-    return busy / slots + zone_cost + failures * FAILURE_COST
+    return busy / slots + failures * FAILURE_COST
 
 
 def is_failing_probes(load: Load, now: float) -> bool:
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -33,6 +33,7 @@
     is_unavailable,
     list_eligible,
 )
+from guavagate.routing._tiers import MeasureZones, ZoneCosts, measure_nothing
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -59,6 +60,8 @@
         upstreams at such addresses are preferred.
     eligibility
         Decides which upstreams may get new work.
+    measure_zones
+        Returns the round trips to other zones in seconds.
     """
 
     def __init__(
@@ -68,11 +71,15 @@
         rng: random.Random | None = None,
         is_connected: IsConnected = has_no_connection,
         eligibility: Eligibility | None = None,
+        measure_zones: MeasureZones = measure_nothing,
     ) -> None:
         self.eligibility = eligibility or Eligibility()
         self._is_connected = is_connected
         self._clock = clock
         self._zone = zone
+        self._zone_costs = ZoneCosts(
+            zone, clock, self.eligibility, measure_zones
+        )
         self._random = rng or random.Random()
         self._all: dict[UpstreamId, Upstream] = {}
         self._loads: dict[str, Load] = {}
@@ -251,6 +258,7 @@
             self._is_connected,
             lasting=lasting,
             preferred=preferred,
+            get_zone_cost=self._zone_costs.get,
         )
         if chosen is not None and is_failing_probes(
             self._loads[chosen.id], now
--- a/standins/_safeguard_bytes.py
+++ b/standins/_safeguard_bytes.py
@@ -12,6 +12,8 @@
 _SERVER: Final = 'guavagate/links/_server.py'
 _TEST_PAGES: Final = 'tests/jobs/test_zone_pages.py'
 _TEST_LOSS: Final = 'tests/jobs/test_zone_loss.py'
+_TIERS: Final = 'guavagate/routing/_tiers.py'
+_TEST_TIERS: Final = 'tests/routing/test_tiers.py'
 _TEST_COMPRESSION: Final = 'tests/links/test_compression.py'
 _TEST_TRAFFIC: Final = 'tests/links/test_message_traffic.py'
 
@@ -135,4 +137,32 @@
         'if False:',
         _TEST_TRAFFIC,
     ),
+    Safeguard(
+        'a fleet of one region routes as without regions',
+        _TIERS,
+        'if len(set(region_of.values())) < 2:',
+        'if not region_of:',
+        _TEST_TIERS,
+    ),
+    Safeguard(
+        'a far region costs less than a failed request',
+        _TIERS,
+        'return min(max(ratio, 1) * REMOTE_ZONE_COST, MAX_REGION_COST)',
+        'return max(ratio, 1) * REMOTE_ZONE_COST',
+        _TEST_TIERS,
+    ),
+    Safeguard(
+        'a zone without a region is the farthest',
+        _TIERS,
+        '        if region is None:\n            return MAX_REGION_COST',
+        '        if region is None:\n            return REMOTE_ZONE_COST',
+        _TEST_TIERS,
+    ),
+    Safeguard(
+        'a late answer to a probe counts little',
+        'guavagate/membership/_round_trips.py',
+        'rise = max(seconds - usual, 0) * _SMOOTHING',
+        'rise = max(seconds - usual, 0)',
+        'tests/membership/test_round_trips.py',
+    ),
 )
