--- a/guavagate/feeds/_feed.py
+++ b/guavagate/feeds/_feed.py
@@ -22,6 +22,7 @@
     rank_relays,
 )
 from guavagate.feeds._table import FeedTable, Put, Remove
+from guavagate.feeds._timing import choose_timing
 from guavagate.helpers.mirror import Mirror
 from guavagate.helpers.waits import wait_for
 from guavagate.links import Bus
@@ -33,21 +34,6 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-# How long a relay's watch waits. Each answer, also an empty one, proves that
-# the relay is up to date, and one relay's calls cost less than each change
-# would cost if all instances watched.
-RELAY_WAIT_SECONDS: Final = 0.9
-# The same for later prefixes, whose objects instances also tell each other.
-LATER_WAIT_SECONDS: Final = 3.0
-# How long a relay waits after a change, so that the changes that often follow
-# come in one answer. Registrations, the objects that may lapse, change often
-# while samplers load, and a short delay does no harm: instances have two
-# seconds to stop using an upstream that leaves.
-RELAY_PAUSE_SECONDS: Final = 0.1
-LAPSING_PAUSE_SECONDS: Final = 0.4
-# An instance that watches for itself alone stops when it receives data from a
-# relay. That takes about this long, so its first watch usually never starts.
-DIRECT_PAUSE_SECONDS: Final = 1.2
 CHECK_INTERVAL_SECONDS: Final = 0.1
 PROOF_INTERVAL_SECONDS: Final = 1.0
 # A fleet that starts for the first time has no callers yet. Its instances
@@ -75,7 +61,8 @@
     prefixes
         The prefixes to follow; `lapsing` are those whose objects may lapse
         while the store is unavailable, `later` those that the first release
-        does not follow.
+        does not follow, and `urgent` those of the later ones whose changes
+        must arrive within seconds, also if the store drops its history.
     first_start
         Whether the whole fleet starts for the first time.
     proof_prefix
@@ -96,6 +83,8 @@
     ----------
     proof
         When the objects under `proof_prefix` were last known to be the newest.
+    freshness
+        When those under the first and urgent prefixes were.
     """
 
     def __init__(
@@ -110,6 +99,7 @@
         boot_of: BootOf = ignore_boots,
         *,
         later: tuple[str, ...] = (),
+        urgent: tuple[str, ...] = (),
         first_start: bool = True,
         proof_prefix: str = '',
         proof_path: str = '',
@@ -120,6 +110,7 @@
         self._proof_path = proof_path
         self._boot_clock = boot_clock
         self.proof = Proof(boot_clock)
+        self.freshness = Proof(boot_clock, self.proof)
         self._store = store
         self._clock = clock
         self._members = members
@@ -137,17 +128,20 @@
         members.subscribe(self._clear_relay_order)
         self._mirrors: dict[str, Mirror] = {}
         self._later = later
+        self._urgent = urgent
         self._fresh_since: float | None = None
         self._tasks: list[Task] = []
         self._loaded = Event()
+        self._on_loaded: list[Callable[[], None]] = []
         self._follower = Follower(
             clock,
             bus,
             self._table,
             self.proof,
+            self.freshness,
             prefixes,
             later,
-            self._loaded.set,
+            self._set_loaded,
             boot_clock,
         )
         self._relay = Relay(
@@ -159,6 +153,7 @@
             self.proof,
             prefixes,
             later,
+            urgent,
             lambda: self._mirrors,
             boot_clock,
         )
@@ -169,6 +164,16 @@
         """Register handlers, which must not block, for a prefix."""
         self._table.register_handlers(prefix, put, remove)
 
+    def subscribe_loaded(self, callback: Callable[[], None]) -> None:
+        """Call `callback`, which must not block, before `loaded` is set."""
+        self._on_loaded.append(callback)
+
+    def _set_loaded(self) -> None:
+        callbacks, self._on_loaded = self._on_loaded, []
+        for callback in callbacks:
+            callback()
+        self._loaded.set()
+
     @property
     def relaying(self) -> bool:
         """Return whether this instance sends its objects to the others."""
@@ -233,7 +238,7 @@
         an instance would sometimes miss that probe.
         """
         if all(each.loaded for each in self._mirrors.values()):
-            self._loaded.set()
+            self._set_loaded()
             if self.relaying:
                 self._relay.send_heartbeat()
 
@@ -283,7 +288,12 @@
         for prefix in self._prefixes:
             lapses = prefix in self._lapsing
             proves = prefix == self._proof_prefix
-            pause = LAPSING_PAUSE_SECONDS if lapses else RELAY_PAUSE_SECONDS
+            timing = choose_timing(
+                relaying=relaying,
+                lapses=lapses,
+                later=prefix in self._later,
+                urgent=prefix in self._urgent,
+            )
             mirror = Mirror(
                 self._store,
                 self._clock,
@@ -291,13 +301,13 @@
                 self._apply_stored,
                 functools.partial(self._apply_removal, prefix),
                 expires_in_outage=lapses,
-                wait=self._choose_wait(prefix) if relaying else None,
-                pause=pause if relaying else DIRECT_PAUSE_SECONDS,
+                wait=timing.wait,
+                pause=timing.pause,
                 pause_after_list=not relaying,
                 known_revisions=self._table.versions(prefix),
                 on_loaded=self._update_loaded,
-                on_proved=self.proof.record_own if proves else None,
-                watch_proves=not self._proof_path,
+                on_proved=self._choose_proof(prefix),
+                watch_proves=not (proves and self._proof_path),
                 boot_clock=self._boot_clock,
             )
             self._mirrors[prefix] = mirror
@@ -305,9 +315,10 @@
             mirror.start()
         write(_LOGGER, events.FEED_FROM_STORE, relaying=relaying)
 
-    def _choose_wait(self, prefix: str) -> float:
-        later = prefix in self._later
-        return LATER_WAIT_SECONDS if later else RELAY_WAIT_SECONDS
+    def _choose_proof(self, prefix: str) -> Callable[[float], None] | None:
+        if prefix == self._proof_prefix:
+            return self.proof.record_own
+        return self.freshness.record_own if prefix in self._urgent else None
 
     def _prove_periodically(self) -> None:
         """Read the proof object periodically while watching the store."""
@@ -338,7 +349,9 @@
         write(_LOGGER, events.FEED_FROM_RELAYS, relays=relays)
 
     def _apply_removal(self, prefix: str, name: str) -> None:
-        self._table.remove(f'{prefix}/{name}')
+        mirror = self._mirrors.get(prefix)
+        known = None if mirror is None else mirror.removed_revision
+        self._table.remove(f'{prefix}/{name}', known)
 
     def _apply_stored(self, name: str, stored: StoredObject) -> None:
         self._table.apply(
--- a/guavagate/jobs/_ownership.py
+++ b/guavagate/jobs/ownership/_ownership.py
@@ -5,7 +5,10 @@
 from typing import Final
 
 from guavagate.jobs._models import JobId
-from guavagate.jobs._zones import choose_replica_holders, choose_zone_cache
+from guavagate.jobs.ownership._zones import (
+    choose_replica_holders,
+    choose_zone_cache,
+)
 from guavagate.models import InstanceId, ServiceId
 from guavagate.runtime import Members
 from guavagate.util.rendezvous import weigh
--- a/guavagate/jobs/_pages.py
+++ b/guavagate/jobs/records/_pages.py
@@ -25,7 +25,7 @@
     ResultsReply,
 )
 from guavagate.jobs._models import PAGE_BYTES, JobId, Page, Result
-from guavagate.jobs._result_cache import ResultCache
+from guavagate.jobs.records._result_cache import ResultCache
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId
 
--- a/standins/_safeguard_bytes.py
+++ b/standins/_safeguard_bytes.py
@@ -4,9 +4,9 @@
 
 from standins._safeguard_rows import Safeguard
 
-_PAGES: Final = 'guavagate/jobs/_pages.py'
-_CACHE: Final = 'guavagate/jobs/_result_cache.py'
-_ZONES: Final = 'guavagate/jobs/_zones.py'
+_PAGES: Final = 'guavagate/jobs/records/_pages.py'
+_CACHE: Final = 'guavagate/jobs/records/_result_cache.py'
+_ZONES: Final = 'guavagate/jobs/ownership/_zones.py'
 _COMPRESSION: Final = 'guavagate/links/_compression.py'
 _LINK: Final = 'guavagate/links/_link.py'
 _SERVER: Final = 'guavagate/links/_server.py'
@@ -76,7 +76,7 @@
     ),
     Safeguard(
         'a look-up carries no results',
-        'guavagate/jobs/_reader.py',
+        'guavagate/jobs/records/_reader.py',
         '                max_bytes=0,\n',
         '',
         _TEST_PAGES,
--- a/standins/_safeguard_teams.py
+++ b/standins/_safeguard_teams.py
@@ -45,7 +45,7 @@
     Safeguard(
         'a watch alone proves nothing',
         'guavagate/feeds/_feed.py',
-        'watch_proves=not self._proof_path',
+        'watch_proves=not (proves and self._proof_path)',
         'watch_proves=True',
         'tests/feeds/test_feed_proof.py',
     ),
@@ -75,7 +75,7 @@
         'guavagate/jobs/_models.py',
         'return not self.team or self.team == team',
         'return True',
-        'tests/jobs/test_teams.py',
+        'tests/jobs/records/test_teams.py',
     ),
     Safeguard(
         'a usage window is reported with one content',
--- a/tests/jobs/test_zone_loss.py
+++ b/tests/jobs/test_zone_loss.py
@@ -5,7 +5,7 @@
 import pytest
 
 from guavagate.jobs import Ownership
-from guavagate.jobs._zones import choose_replica_holders
+from guavagate.jobs.ownership._zones import choose_replica_holders
 from guavagate.models import InstanceId, ZoneId
 from tests.jobs.fleet import JobFleet, check_complete, make_job
 from tests.jobs.samplers import SERVICE
--- a/tests/jobs/test_zone_pages.py
+++ b/tests/jobs/test_zone_pages.py
@@ -10,13 +10,13 @@
     Page,
     Result,
     ResultState,
-    _pages,
 )
-from guavagate.jobs._expiry import remove_job
 from guavagate.jobs._messages import PageReply, ReadPage
-from guavagate.jobs._pages import PageClient
-from guavagate.jobs._result_cache import RESULT_HEAD_BYTES, ResultCache
-from guavagate.jobs._zones import choose_zone_cache
+from guavagate.jobs.ownership._zones import choose_zone_cache
+from guavagate.jobs.records import _pages
+from guavagate.jobs.records._expiry import remove_job
+from guavagate.jobs.records._pages import PageClient
+from guavagate.jobs.records._result_cache import RESULT_HEAD_BYTES, ResultCache
 from guavagate.measure.fakes import World
 from guavagate.models import InstanceId, RegionId, TeamId, ZoneId
 from guavagate.settings import PeerSettings
--- a/tests/jobs/zones.py
+++ b/tests/jobs/zones.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from guavagate.jobs import Job, JobId, LookupStatus, Result, _pages
+from guavagate.jobs import Job, JobId, LookupStatus, Result
+from guavagate.jobs.records import _pages
 from guavagate.models import InstanceId, TeamId
 from tests.jobs.fleet import JobFleet, Node, make_job
 from tests.jobs.samplers import SERVICE
