Keep no cached job without results

Cause: a poll that gets no results left an entry of no size in the cache, which nothing ever removed.

Change: a job is cached with its first results.

Result: tests/jobs/test_zone_pages.py failed without the change and passes.

--- a/guavagate/jobs/records/_result_cache.py
+++ b/guavagate/jobs/records/_result_cache.py
@@ -85,7 +85,9 @@
         if cached is None or cached.identity != identity:
             self._drop(job)
             cached = _CachedJob(identity)
-            self._jobs[job] = cached
+        if not results:
+            return
+        self._jobs[job] = cached
         self._jobs.move_to_end(job)
         for position, result in enumerate(results, start):
             if position not in cached.results:
--- a/tests/jobs/test_zone_pages.py
+++ b/tests/jobs/test_zone_pages.py
@@ -292,6 +292,10 @@
     cache.put(JobId('job-99'), 2, 0, results[:1])
     assert len(cache.find(JobId('job-99'), 0, 900_000)[1]) == 1
     assert cache.size < 5000 + 2 * RESULT_HEAD_BYTES
+    cache.put(JobId('polled'), 1, 0, [])
+    cache.put(JobId('job-99'), 3, 0, [])
+    # Jobs without results would stay, as they have no size.
+    assert not cache._jobs
 
 
 def test_zone_cache_is_an_instance_without_edge_of_the_own_zone() -> None:
