--- a/guavagate/fleet_instance/_instance.py
+++ b/guavagate/fleet_instance/_instance.py
@@ -78,7 +78,11 @@
         self._store = adapter.make_store(store_client)
         self._routes = RouteTable()
         self._upstreams = make_upstream_table(
-            self._clock, me.availability_zone, self._pool, options.zones
+            self._clock,
+            me.availability_zone,
+            self._pool,
+            options.zones,
+            self._members,
         )
         self._evacuations = make_evacuations(
             self._clock,
@@ -152,9 +156,9 @@
             budgets=budgets,
             bounds=self._residency,
         )
-        find = self._services.find
+        find, budget = self._services.find, self._memory.budget
         reader = JobReader(
-            clock, bus, job_store, ownership, find, self._residency
+            clock, bus, job_store, ownership, find, self._residency, budget
         )
         self._registry = MemberRegistry(
             store, clock, members, me, options.bootstrap
@@ -169,7 +173,7 @@
             self._hand_over,
             options.grace_s,
         )
-        watch_instance(metrics, self._feed.proof, quarantine, members)
+        watch_instance(metrics, self._feed.proof, quarantine, members, bus)
         self._servers = self._make_servers(reader)
         self.request_stop = self.lifecycle.request_stop
         self.wait_stop_requested = self.lifecycle.wait_stop_requested
--- a/guavagate/forwarding/_forwarders.py
+++ b/guavagate/forwarding/_forwarders.py
@@ -2,6 +2,7 @@
 
 import functools
 from collections.abc import Callable, Mapping, Sequence
+from typing import Protocol
 
 import msgspec
 
@@ -51,11 +52,19 @@
             self.keep_alive.start()
 
 
+class ZoneProbes(Protocol):
+    """Knows how far away zones are."""
+
+    def measure_zones(self) -> Mapping[ZoneId, float]:
+        """Return the round trips to other zones in seconds."""
+
+
 def make_upstream_table(
     clock: Clock,
     zone: ZoneId,
     pool: ConnectionPool,
     zones: Mapping[str, object],
+    members: ZoneProbes,
 ) -> UpstreamTable:
     """Return a table that knows the pool's connections, and closes old ones.
 
@@ -69,6 +78,7 @@
         zone,
         is_connected=pool.has_idle_connection,
         eligibility=Eligibility(make_region_map(zones)),
+        measure_zones=members.measure_zones,
     )
     table.subscribe_address_released(pool.close_idle)
     table.subscribe_restarts(lambda upstream: pool.close_idle(upstream.address))
--- a/guavagate/jobs/ownership/_ownership.py
+++ b/guavagate/jobs/ownership/_ownership.py
@@ -2,7 +2,13 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
+from typing import Final
 
+from guavagate.jobs._models import JobId
+from guavagate.jobs.ownership._zones import (
+    choose_replica_holders,
+    choose_zone_cache,
+)
 from guavagate.models import ANYWHERE, InstanceId, Regions, ServiceId
 from guavagate.runtime import Members
 from guavagate.settings import PeerSettings
@@ -14,6 +20,10 @@
     rank_by_uptime,
 )
 
+# Replicas of each text: at the next owner and, in case it fails together with
+# this one, at the one after it.
+REPLICA_COUNT: Final = 2
+
 
 def find_no_regions(service: ServiceId) -> Regions:
     """Return that a service's jobs are not bound."""
@@ -101,6 +111,24 @@
         ranked = self.rank_candidates(service)
         return [owner, *(each for each in ranked if each != owner)]
 
+    def find_zone_cache(
+        self, owner: InstanceId, job: JobId
+    ) -> InstanceId | None:
+        """Return the instance that caches an owner's job for this zone."""
+        return choose_zone_cache(self._members.alive(), self.me, owner, job)
+
+    def list_replica_holders(self, service: ServiceId) -> list[InstanceId]:
+        """Return the successors that get replicas of this owner's texts."""
+        ranked = self.rank_candidates(service)
+        alive = self._members.alive()
+        zone_of = {each.id: each.availability_zone for each in alive}
+        return choose_replica_holders(
+            [each for each in ranked if each != self.me],
+            zone_of,
+            zone_of.get(self.me),
+            REPLICA_COUNT,
+        )
+
     def list_witnesses(self, owner: InstanceId) -> list[InstanceId]:
         """Return others that can tell whether an owner is lost, best first.
 
--- a/guavagate/links/_server.py
+++ b/guavagate/links/_server.py
@@ -12,6 +12,12 @@
 from guavagate.events import fleet, write
 from guavagate.exceptions import GuavagateError, LinkError
 from guavagate.links._bus import Handler, Message
+from guavagate.links._compression import (
+    ZLIB,
+    compress_body,
+    decode_body,
+    is_large,
+)
 from guavagate.links._credential import secure_server
 from guavagate.links._envelope import (
     MAX_FRAME_BYTES,
@@ -25,6 +31,7 @@
     encode_refusal,
 )
 from guavagate.links._handled_requests import HandledRequest, HandledRequests
+from guavagate.links._message_traffic import UNKNOWN_KIND, MessageTraffic
 from guavagate.links._socket import Frames, SocketOwner
 from guavagate.models import InstanceId
 from guavagate.util.traffic import Traffic
@@ -41,10 +48,17 @@
 class Server:
     """Passes each message to the handler of its kind and sends the reply."""
 
-    def __init__(self, me: InstanceId, boot: int, clock: Clock) -> None:
+    def __init__(
+        self,
+        me: InstanceId,
+        boot: int,
+        clock: Clock,
+        messages: MessageTraffic,
+    ) -> None:
         self._me = me
         self._boot = boot
         self._clock = clock
+        self._messages = messages
         self._handlers: dict[str, tuple[Handler, msgspec.msgpack.Decoder]] = {}
         self._handled_requests = HandledRequests()
         self._running = 0
@@ -75,8 +89,11 @@
         if envelope.act == EnvelopeType.PING:
             # Answered without a new task: a heartbeat shows that the
             # connection works, however busy the handlers are.
-            self._answer(identity, envelope.id, EnvelopeType.PONG, _EMPTY_BODY)
-        elif envelope.act == EnvelopeType.SEND:
+            self._put(identity, self._wrap(envelope.id, EnvelopeType.PONG))
+            return
+        sender, kind = InstanceId(envelope.sender), self._name_kind(envelope)
+        self._messages.record_received(sender, kind, len(frames[-1]))
+        if envelope.act == EnvelopeType.SEND:
             self._accept(identity, envelope)
         elif envelope.act == EnvelopeType.REQUEST:
             self._accept_once(identity, envelope)
@@ -87,14 +104,14 @@
         if handled is not None:
             handled.identity = identity
             if handled.done:
-                self._repeat_reply(envelope.id, handled)
+                self._repeat_reply(envelope, handled)
             return
         sent_at = self._clock.now() - envelope.age
         if envelope.age >= 0 and self._handled_requests.may_have_dropped(
             sent_at
         ):
             uncertain = encode_error(_make_uncertain_error(self._me))
-            self._answer(identity, envelope.id, EnvelopeType.ERROR, uncertain)
+            self._answer(identity, envelope, EnvelopeType.ERROR, uncertain)
             return
         self._accept(identity, envelope)
 
@@ -118,7 +135,7 @@
             )
             return
         try:
-            message = decoder.decode(envelope.body)
+            message = decoder.decode(decode_body(envelope))
         except msgspec.MsgspecError as problem:
             self._refuse(
                 identity,
@@ -151,30 +168,63 @@
             self._running -= 1
         if envelope.act != EnvelopeType.REQUEST:
             return
-        frame = self._wrap(envelope.id, act, body)
+        packed = None
+        if act == EnvelopeType.REPLY:
+            packed = self._compress(envelope, body)
+        frame = self._wrap(envelope.id, act, body, packed)
         self._handled_requests.record_reply(handled, frame)
-        self._put(handled.identity, frame)
+        self._reply(handled.identity, envelope, frame)
 
-    def _repeat_reply(self, number: int, handled: HandledRequest) -> None:
+    def _repeat_reply(
+        self, envelope: Envelope, handled: HandledRequest
+    ) -> None:
         if handled.reply is not None:
-            self._put(handled.identity, handled.reply)
+            self._reply(handled.identity, envelope, handled.reply)
             return
         uncertain = encode_error(_make_uncertain_error(self._me))
-        self._answer(handled.identity, number, EnvelopeType.ERROR, uncertain)
+        self._answer(handled.identity, envelope, EnvelopeType.ERROR, uncertain)
 
     def _refuse(
         self, identity: bytes, envelope: Envelope, problem: str, remedy: str
     ) -> None:
         if envelope.act == EnvelopeType.REQUEST:
             refusal = encode_refusal(problem, remedy)
-            self._answer(identity, envelope.id, EnvelopeType.REFUSED, refusal)
+            self._answer(identity, envelope, EnvelopeType.REFUSED, refusal)
 
     def _answer(
-        self, identity: bytes, number: int, act: EnvelopeType, body: bytes
+        self,
+        identity: bytes,
+        envelope: Envelope,
+        act: EnvelopeType,
+        body: bytes,
     ) -> None:
-        self._put(identity, self._wrap(number, act, body))
+        self._reply(identity, envelope, self._wrap(envelope.id, act, body))
+
+    def _reply(self, identity: bytes, envelope: Envelope, frame: bytes) -> None:
+        """Send a frame in reply to a request, and count it."""
+        peer, kind = InstanceId(envelope.sender), self._name_kind(envelope)
+        self._messages.record_sent(peer, kind, len(frame))
+        self._put(identity, frame)
+
+    def _name_kind(self, envelope: Envelope) -> str:
+        """Return the kind to count a message under."""
+        known = envelope.kind in self._handlers
+        return envelope.kind if known else UNKNOWN_KIND
 
-    def _wrap(self, number: int, act: EnvelopeType, body: bytes) -> bytes:
+    def _compress(self, request: Envelope, body: bytes) -> bytes | None:
+        """Return the compressed body of a reply, or None to send it plain."""
+        if not request.accepts or not is_large(body):
+            return None
+        far = self._messages.is_between_zones(InstanceId(request.sender))
+        return compress_body(body) if far else None
+
+    def _wrap(
+        self,
+        number: int,
+        act: EnvelopeType,
+        body: bytes = _EMPTY_BODY,
+        packed: bytes | None = None,
+    ) -> bytes:
         return encode_envelope(
             Envelope(
                 WIRE_VERSION,
@@ -182,8 +232,10 @@
                 number,
                 self._me,
                 '',
-                msgspec.Raw(body),
+                msgspec.Raw(packed or body),
                 self._boot,
+                codec=ZLIB if packed else 0,
+                accepts=ZLIB,
             )
         )
 
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -1,5 +1,7 @@
 """Instances that own jobs, with fakes of all their dependencies."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 from guavagate.jobs import (
@@ -177,11 +179,7 @@
             120.0,
             self.replicas,
             TextSnapshots(fleet.folders.get(name, ''), lambda work: work()),
-            lambda: [
-                each
-                for each in self.ownership.rank_candidates(SERVICE)
-                if each != InstanceId(name)
-            ],
+            lambda: self.ownership.list_replica_holders(SERVICE),
             self.announced,
             self.clock.now,
             cache_tokens=lambda: fleet.cache_tokens,
@@ -224,12 +222,13 @@
 
     def __init__(
         self,
-        names: str = 'abc',
+        names: Sequence[str] = 'abc',
         length: int = 5,
         samplers: str = 'xyz',
         folders: dict[str, str] | None = None,
         warmup: Warmup | None = None,
         places: Places | None = None,
+        zones: dict[str, str] | None = None,
     ) -> None:
         self.warmup = warmup
         self.world = World()
@@ -243,7 +242,7 @@
         self.samplers = samplers
         self.nodes: dict[str, Node] = {}
         for name in names:
-            self.world.add(name)
+            self.world.add(name, (zones or {}).get(name, ''))
             if name in regions:
                 self.world.relocate(name, regions[name])
         self.clock.advance(1)
