Check evacuation, warm-up and regions in the soak

The soak had one zone, no cold samplers and no bound routes, so nothing could show a violation of the three new invariants.

Its processes and samplers are now in three zones of two regions. Zones are evacuated and taken back, samplers are cold after a start, before their zone returns and without notice, bursts compete with items for them, and a caller and every second step use a route with allowed-regions. Samplers record each arrival with its zone and whether they are cold; zone_checks.py judges these. The callers move out of soak.py, and violations are counted by rule.

--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -95,7 +95,11 @@
         f' {len(soak.journal.orders)} orders,'
         f' {len(verdict.violations)} violations'
     )
-    for violation in verdict.violations[:_SHOWN]:
+    counts = verdict.count_by_rule()
+    if len(counts) > 1:
+        by_rule = ', '.join(f'{rule} {count}' for rule, count in counts.items())
+        click.echo(f'  {by_rule}')
+    for violation in verdict.list_examples(_SHOWN):
         click.echo(f'  {violation[:300]}')
     return len(verdict.violations)
 
--- a/standins/platform/checks.py
+++ b/standins/platform/checks.py
@@ -1,6 +1,6 @@
 """Checks the guarantees against what callers and samplers observe."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import Any, Final
 
 from standins.platform.sampler import Journal, count_events
@@ -31,6 +31,20 @@
         if not condition:
             self.fail(rule, what)
 
+    def count_by_rule(self) -> Counter[str]:
+        """Return the number of violations of each rule."""
+        return Counter(each.partition(':')[0] for each in self.violations)
+
+    def list_examples(self, limit: int) -> list[str]:
+        """Return the first violations, in turn of each rule."""
+        seen: Counter[str] = Counter()
+        ranked: list[tuple[int, int]] = []
+        for number, violation in enumerate(self.violations):
+            rule = violation.partition(':')[0]
+            ranked.append((seen[rule], number))
+            seen[rule] += 1
+        return [self.violations[number] for _, number in sorted(ranked)][:limit]
+
     def record_submission(self, job: str, items: set[str], oldest: int) -> None:
         """Record the items and the oldest allowed version of a job."""
         self._items[job] = items
--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -11,13 +11,20 @@
 import gevent
 
 from standins.platform.duties import WINDOW_SECONDS
+from standins.platform.topology import (
+    COLD_EXCESS,
+    COLD_SLACK,
+    EVACUATE_SECONDS,
+    HOME_ZONE,
+    REGION_OF,
+)
 
 _ROOT: Final = pathlib.Path(__file__).parents[2]
 _SETTINGS: Final = """
 node-name = "{name}"
 ip = "{ip}"
-zone = "z1"
-region = "r1"
+zone = "{zone}"
+region = "{region}"
 port-range = [7300, 7310]
 bootstrap = {first}
 {disk}
@@ -31,6 +38,11 @@
 revoke-ms = {revoke}
 config-apply-ms = 2000
 usage-window-s = {window}
+evacuate-ms = {evacuate}
+cold-excess = {excess}
+cold-slack = {slack}
+[zones]
+{zones}
 [platform]
 address = "{store}"
 [cloud-api]
@@ -38,6 +50,9 @@
 duties = ["metering"]
 """
 REVOKE_SECONDS: Final = 5
+_ZONES_TABLE: Final = '\n'.join(
+    f'{zone} = "{region}"' for zone, region in REGION_OF.items()
+)
 
 
 class Daemon:
@@ -50,7 +65,9 @@
         store: str,
         folder: pathlib.Path,
         duty_address: str = '',
+        zone: str = HOME_ZONE,
     ) -> None:
+        self._zone = zone
         self._duty_address = duty_address
         self.name = name
         self.ip = ip
@@ -81,6 +98,12 @@
             duties=self._duty_address,
             revoke=REVOKE_SECONDS * 1000,
             window=WINDOW_SECONDS,
+            zone=self._zone,
+            region=REGION_OF[self._zone],
+            zones=_ZONES_TABLE,
+            evacuate=EVACUATE_SECONDS * 1000,
+            excess=COLD_EXCESS,
+            slack=COLD_SLACK,
         )
         path.write_text(text)
         self._first = False
--- a/standins/platform/sampler.py
+++ b/standins/platform/sampler.py
@@ -20,9 +20,12 @@
     HttpServer,
 )
 from guavagate.platform import const
-from standins.platform.manifest import HEALTH_PATH
+from standins.platform.arrivals import Arrival, Kind
+from standins.platform.manifest import BURST_PATH, HEALTH_PATH
 from standins.platform.proxy import Proxy
 from standins.platform.store import Store
+from standins.platform.topology import COLD_START_SECONDS, HOME_ZONE
+from standins.platform.warmth import Warmth
 
 _ACCEPTED: Final = 202
 _BUSY: Final = 409
@@ -32,6 +35,12 @@
 CRASH_PATH: Final = '/ask/crash'
 _DOWN_SECONDS: Final = 2.0
 _LOAD: Final = (const.LOAD, b'0,0,6,100')
+_COLD: Final = b'Guavagate-Cold-Ms'
+_KINDS: Final = {
+    HEALTH_PATH: Kind.PROBE,
+    '/report': Kind.REPORT,
+    '/order': Kind.ORDER,
+}
 _STREAM: Final = (b'Content-Type', b'text/event-stream')
 
 
@@ -53,6 +62,7 @@
         self.crashes: list[float] = []
         # When the last event of an item was first sent.
         self.completed_at: dict[str, float] = {}
+        self.arrivals: list[Arrival] = []
 
 
 class Sampler:
@@ -67,7 +77,9 @@
         journal: Journal,
         model: str = '',
         proxy: Proxy | None = None,
+        zone: str = HOME_ZONE,
     ) -> None:
+        self.zone = zone
         self.name = name
         self._first_name = name
         self._proxy = proxy
@@ -86,11 +98,12 @@
         self._entry: dict[str, Any] = {
             'service': service,
             'address': address,
-            'zone': 'z1',
+            'zone': zone,
             'slots': 6,
             'state': 'ready',
         }
         self._server: HttpServer | None = None
+        self._warmth = Warmth(self._clock)
 
     def listen(self, address: str) -> None:
         """Set the address to listen on; a proxy may forward to it."""
@@ -100,6 +113,14 @@
         """Start listening and register with the platform's store."""
         if self._server is not None:
             self._server.start()
+        self.turn_cold()
+
+    def turn_cold(self) -> None:
+        """Become cold and register so; a plain service is never cold."""
+        if self.model:
+            self._warmth.turn_cold()
+            # A moment later, so that the time that is left is 0 then.
+            gevent.spawn_later(COLD_START_SECONDS + 0.05, self._register)
         self._register()
 
     def restart(self) -> None:
@@ -108,7 +129,7 @@
         self._started_at_ms = _read_millis()
         self._accepted_orders = 0
         self._loading = False
-        self._register()
+        self.turn_cold()
 
     def crash(self) -> None:
         """Break all connections, and return later under a new id."""
@@ -136,16 +157,19 @@
             **self._entry,
             'models': self._list_models(),
             'born': self._started_at_ms,
+            'cold-remaining-ms': self._warmth.read_remaining_ms(),
         }
         self._store.write('servers', self.name, entry)
 
     def _handle(self, exchange: Exchange) -> None:
-        body = exchange.read_body(1_000_000)
         target = exchange.get_header(const.TARGET.lower())
+        if not target or target == self.name:
+            self._record_arrival(exchange)
+        body = exchange.read_body(1_000_000)
         if target and target != self.name:
             exchange.respond(_MISDIRECTED, [(const.NOT_RUN, b'1')], b'')
         elif exchange.request.target == HEALTH_PATH:
-            exchange.respond(200, [_LOAD], b'')
+            exchange.respond(200, [_LOAD, self._make_cold_header()], b'')
         elif exchange.request.target == '/report':
             self._send_report(exchange)
         elif exchange.request.target == '/order':
@@ -154,6 +178,21 @@
             self._record_team(exchange)
             self._serve(exchange, exchange.get_header(const.REQUEST_ID.lower()))
 
+    def _record_arrival(self, exchange: Exchange) -> None:
+        path = exchange.request.target
+        arrival = Arrival(
+            at=self._clock.now(),
+            sampler=self._first_name,
+            zone=self.zone,
+            kind=_KINDS.get(path, Kind.RUN),
+            name=exchange.get_header(const.REQUEST_ID.lower()),
+            cold=self._warmth.cold,
+        )
+        self._journal.arrivals.append(arrival)
+
+    def _make_cold_header(self) -> tuple[bytes, bytes]:
+        return _COLD, str(self._warmth.read_remaining_ms()).encode()
+
     def _record_team(self, exchange: Exchange) -> None:
         self._journal.teams[exchange.get_header(const.TENANT.lower())] += 1
         self._journal.keys_seen += bool(
@@ -202,7 +241,7 @@
             (const.REQUEST_ID, name.encode()),
             (const.VERSION, str(self.version).encode()),
         ]
-        if not self.model:
+        if not self.model or exchange.request.target.startswith(BURST_PATH):
             self._answer(exchange, name, headers)
             return
         exchange.start(200, [*headers, _STREAM])
--- a/standins/platform/soak.py
+++ b/standins/platform/soak.py
@@ -4,7 +4,6 @@
 loopback addresses; the test ends only processes that it started.
 """
 
-import contextlib
 import pathlib
 import random
 import signal
@@ -14,15 +13,14 @@
 import gevent
 
 from guavagate.clock import SystemClock
-from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
-from guavagate.http1 import Answer, ConnectionPool, Headers, Request
-from guavagate.platform import const
+from guavagate.exceptions import UpstreamError
+from standins.platform.callers import Entries, PlainCallers
 from standins.platform.checks import Verdict
 from standins.platform.crashes import CrashingCallers
 from standins.platform.duties import DutyServer
-from standins.platform.fleet import REVOKE_SECONDS, Daemon, wait_for_exit
+from standins.platform.evacuations import Evacuations
+from standins.platform.fleet import Daemon, wait_for_exit
 from standins.platform.manifest import (
-    PERMANENT_KEY,
     TEAM,
     make_expiring_key,
     make_manifest,
@@ -30,19 +28,25 @@
 from standins.platform.proxy import Proxy
 from standins.platform.sampler import Journal, Sampler
 from standins.platform.store import Store
+from standins.platform.topology import pick_zone
 from standins.platform.trainer import MODEL, Trainer
+from standins.platform.zone_callers import ZoneCallers
+from standins.platform.zone_checks import (
+    check_cold_rates,
+    check_evacuations,
+    check_regions,
+    check_returns,
+    make_disturbances,
+)
 
-_HOST: Final = (b'Host', b'soak.example')
 _OK: Final = 200
-_NOT_RUN: Final = frozenset((408, 421, 429, 503))
 _WARM_UP_SECONDS: Final = 6.0
 _SETTLE_SECONDS: Final = 12.0
 _CALM_SETTLE_SECONDS: Final = 4.0
-_PLANNED_STOP_SECONDS: Final = 10.0
 _ENTRIES: Final = 3
 _WORKERS: Final = 2
 _SAMPLERS: Final = 3
-_PLAIN_UPSTREAMS: Final = 2
+_PLAIN_UPSTREAMS: Final = 3
 # The grace period of a planned stop and a margin for a busy machine.
 STOP_SECONDS: Final = 9
 
@@ -66,7 +70,7 @@
         self._block = block
         self.store = Store(self._make_address(250, 8000), seed)
         self.duty_server = DutyServer(self._make_address(249, 8000))
-        self._revoked_keys: list[tuple[float, str]] = []
+        self._ways: dict[Proxy, str] = {}
         self.proxies = [
             Proxy(self._make_address(251, 8000), self._make_address(250, 8000))
         ]
@@ -83,16 +87,31 @@
                 self._make_address(251, 8000),
                 folder,
                 self._make_address(249, 8000),
+                pick_zone(number - 1),
             )
             for number, name in enumerate(names, 1)
         ]
-        self._pool = ConnectionPool(self.clock)
+        self.entries = Entries(self.clock, self.random, self.daemons[:_ENTRIES])
+        self.plain = PlainCallers(
+            self.clock,
+            self.random,
+            self.verdict,
+            self.journal,
+            self.entries,
+            self.faults,
+        )
+        # With numbers of their own, so that the other faults stay the same.
+        zone_random = random.Random(f'zones {seed}')
+        self.zone_callers = ZoneCallers(zone_random, self.verdict, self.entries)
+        self.evacuations = Evacuations(
+            self.clock, zone_random, self.store, self.samplers
+        )
         self.crashing = CrashingCallers(
             self.clock,
             self.random,
             self.verdict,
             self.journal,
-            self._call_any_entry,
+            self.entries.call_any,
             self._list_fault_times,
         )
         self.trainer = Trainer(
@@ -100,7 +119,7 @@
             self.random,
             self.verdict,
             self.store,
-            self._call_any_entry,
+            self.entries.call_any,
         )
 
     def _make_address(self, last: int, port: int) -> str:
@@ -121,7 +140,9 @@
             self.journal,
             model,
             proxy,
+            pick_zone(number),
         )
+        self._ways[proxy] = sampler.name
         sampler.listen(target)
         return sampler
 
@@ -139,16 +160,18 @@
         try:
             gevent.sleep(_WARM_UP_SECONDS)
             callers = [
-                self._send_idempotent_requests,
-                self._send_idempotent_requests,
-                self._send_revoked_keys,
-                self._send_non_idempotent_requests,
+                *self.plain.callers,
                 self.trainer.run,
                 *self.crashing.callers,
+                *self.zone_callers.callers,
+                self.evacuations.turn_cold,
             ]
+            evacuating = gevent.spawn(self.evacuations.run)
             tasks = [gevent.spawn(run) for run in callers]
             self._inject_faults(seconds, calm=calm)
             self.trainer.stop()
+            self.evacuations.stop()
+            evacuating.join()
             gevent.sleep(_CALM_SETTLE_SECONDS if calm else _SETTLE_SECONDS)
             self.crashing.check()
             gevent.killall(tasks)
@@ -163,7 +186,7 @@
         manifest = make_manifest(self._version, MODEL)
         self.store.write('config', 'main', manifest)
         revoked_key = make_expiring_key(self._version - 2)
-        self._revoked_keys.append((self.clock.now(), revoked_key))
+        self.plain.revoked_keys.append((self.clock.now(), revoked_key))
 
     # Faults.
 
@@ -228,12 +251,12 @@
         self._record_fault('store')
 
     def _disturb_connections(self) -> None:
-        self._record_fault('way')
         proxy = self.random.choice(self.proxies)
+        self._record_fault(f'way {self._ways.get(proxy, "")}')
         proxy.fault = self.random.choice(('delay', 'reset', 'silent'))
         gevent.sleep(self.random.uniform(0.3, 2))
         proxy.fault = ''
-        self._record_fault('way')
+        self._record_fault(f'way {self._ways.get(proxy, "")}')
 
     def _cut_streams(self) -> None:
         self._record_fault('samplers')
@@ -254,121 +277,6 @@
         lists = [self.faults, *(each.faults for each in self.daemons)]
         return [when for faults in lists for when, _ in faults]
 
-    # Callers.
-
-    def _call(
-        self,
-        daemon: Daemon,
-        method: str,
-        target: str,
-        name: str,
-        body: bytes = b'',
-        key: str = PERMANENT_KEY,
-    ) -> tuple[int, bytes, Answer]:
-        headers: Headers = [
-            _HOST,
-            (const.REQUEST_ID, name.encode()),
-            (b'Authorization', f'Bearer {key}'.encode()),
-        ]
-        request = Request(method, target, headers)
-        answer = self._pool.send(
-            daemon.address, request, body, timeout=6, reuse=True
-        )
-        with gevent.Timeout(6, UpstreamError('late', 'look')):
-            return answer.status, answer.read(), answer
-
-    def _call_any_entry(
-        self, method: str, target: str, name: str, body: bytes = b''
-    ) -> tuple[int, bytes]:
-        status, answer, _ = self._call(
-            self._pick_entry(), method, target, name, body
-        )
-        return status, answer
-
-    def _pick_entry(self) -> Daemon:
-        return self.random.choice(self.daemons[:_ENTRIES])
-
-    def _send_idempotent_requests(self) -> None:
-        """Send idempotent requests and check that each answer is theirs."""
-        while True:
-            gevent.sleep(self.random.uniform(0.02, 0.1))
-            name = f'a{self.random.getrandbits(48):x}'
-            daemon, began = self._pick_entry(), self.clock.now()
-            try:
-                status, body, _ = self._call(
-                    daemon, 'POST', f'/ask/{name}', name, b'x'
-                )
-            except UpstreamNotStartedError:
-                continue
-            except UpstreamError as error:
-                self._check_cut(daemon, began, error)
-                continue
-            if status == _OK:
-                matches = body == f'answer to {name}'.encode()
-                self.verdict.expect(matches, 'ANSWER', f'{name} {body!r}')
-
-    def _send_revoked_keys(self) -> None:
-        """Send requests with a key whose revocation bound has passed."""
-        while True:
-            gevent.sleep(self.random.uniform(0.05, 0.2))
-            before = self.clock.now() - REVOKE_SECONDS
-            expired = [key for when, key in self._revoked_keys if when < before]
-            if not expired:
-                continue
-            name = f'k{self.random.getrandbits(48):x}'
-            with contextlib.suppress(UpstreamError):
-                self._call(
-                    self._pick_entry(),
-                    'POST',
-                    f'/ask/{name}',
-                    name,
-                    b'x',
-                    expired[-1],
-                )
-            gevent.spawn_later(3, self._check_revoked, name)
-
-    def _check_revoked(self, name: str) -> None:
-        run_count = self.journal.runs[name]
-        self.verdict.expect(
-            not run_count, 'REVOKED', f'{name} ran {run_count} times'
-        )
-
-    def _check_cut(
-        self, daemon: Daemon, began: float, error: UpstreamError
-    ) -> None:
-        """Report a cut request unless another fault explains it."""
-        since = began - _PLANNED_STOP_SECONDS
-        other_faults = {what for when, what in self.faults if when >= since}
-        own_faults = daemon.list_faults_since(since)
-        if own_faults <= {'stop'} and not other_faults:
-            self.verdict.fail('CUT', f'{daemon.name} {own_faults} {error}')
-
-    def _send_non_idempotent_requests(self) -> None:
-        """Send requests that may run once; a refused one must not have run."""
-        while True:
-            gevent.sleep(self.random.uniform(0.05, 0.2))
-            name = f'f{self.random.getrandbits(48):x}'
-            status = 0
-            with contextlib.suppress(UpstreamError):
-                status, _, _ = self._call(
-                    self._pick_entry(), 'POST', f'/file/{name}', name, b'x'
-                )
-            if status in _NOT_RUN:
-                gevent.spawn_later(3, self._check_not_run, name)
-            gevent.spawn_later(3, self._check_once, name)
-
-    def _check_not_run(self, name: str) -> None:
-        run_count = self.journal.runs[name]
-        self.verdict.expect(
-            not run_count, 'NOT RUN', f'{name} ran {run_count} times'
-        )
-
-    def _check_once(self, name: str) -> None:
-        run_count = self.journal.runs[name]
-        self.verdict.expect(
-            run_count <= 1, 'TWICE', f'{name} ran {run_count} times'
-        )
-
     def _check_end(self) -> None:
         """Check that accepted jobs and the last manifest are still served."""
         for number in range(self.trainer.step):
@@ -380,7 +288,9 @@
         for daemon in self.daemons[:_ENTRIES]:
             target = f'/v{self._version}/x'
             try:
-                status, _, _ = self._call(daemon, 'POST', target, 'end', b'x')
+                status, _ = self.entries.call(
+                    daemon, 'POST', target, 'end', b'x'
+                )
             except UpstreamError as error:
                 status = 0
                 self.verdict.fail('DOWN', f'{daemon.name} {error}')
@@ -393,3 +303,20 @@
         reported = bool(self.duty_server.windows)
         self.verdict.expect(reported, 'UNREPORTED', 'no window was reported')
         self.verdict.check_teams(self.journal, TEAM)
+        self.zone_callers.check()
+        self._check_zones()
+
+    def _check_zones(self) -> None:
+        arrivals, expect = self.journal.arrivals, self.verdict.expect
+        evacuations = self.evacuations.all
+        resumed = [
+            when
+            for daemon in self.daemons
+            for when, what in daemon.faults
+            if what == 'pause'
+        ]
+        disturbances = make_disturbances(self.faults, resumed)
+        check_evacuations(expect, arrivals, evacuations, disturbances)
+        check_returns(expect, arrivals, evacuations)
+        check_cold_rates(expect, arrivals, disturbances)
+        check_regions(expect, arrivals)
--- a/standins/platform/trainer.py
+++ b/standins/platform/trainer.py
@@ -11,7 +11,9 @@
 from guavagate.clock import Clock
 from guavagate.exceptions import UpstreamError
 from standins.platform.checks import Verdict
+from standins.platform.manifest import BOUND_JOBS_PATH, JOBS_PATH
 from standins.platform.store import Store
+from standins.platform.topology import make_bound_name
 
 MODEL: Final = 'm0'
 _OK: Final = 200
@@ -49,9 +51,13 @@
         version = 1
         while not self._stopped:
             job = f'j{self.step}'
+            bound = bool(self.step % 2)
             items = {f'{job}-{number}' for number in range(12)}
+            if bound:
+                items = set(map(make_bound_name, items))
             self._verdict.record_submission(job, items, max(version - 1, 1))
-            if self._submit(job, sorted(items), max(version - 1, 1)):
+            path = BOUND_JOBS_PATH if bound else JOBS_PATH
+            if self._submit(job, sorted(items), max(version - 1, 1), path):
                 self._poll_results(job, self._clock.now() + 8)
                 self._delete_job(job)
             self.step += 1
@@ -59,7 +65,9 @@
             record = {'model': MODEL, 'version': version}
             self._store.write('versions', MODEL, record)
 
-    def _submit(self, job: str, items: list[str], oldest: int) -> bool:
+    def _submit(
+        self, job: str, items: list[str], oldest: int, path: str
+    ) -> bool:
         body = msgspec.json.encode(
             {
                 'step': self.step,
@@ -69,7 +77,7 @@
                 'items': [
                     {
                         'id': item,
-                        'path': f'/jobs/{item}',
+                        'path': f'{path}{item}',
                         'body': base64.b64encode(item.encode()).decode(),
                         'group-id': f'{job}-{number // 4}',
                         'scorer': {
@@ -85,7 +93,7 @@
         )
         while not self._stopped:
             try:
-                status, _ = self._call('POST', f'/jobs/{job}', job, body)
+                status, _ = self._call('POST', f'{path}{job}', job, body)
             except UpstreamError:
                 status = 0
             if status == _ACCEPTED:
