List zones, evacuations and warm-ups as instances see them

An operator could not tell whether every instance follows an evacuation, whether anything still runs in the zone, or which upstreams are cold.

--- /dev/null
+++ b/guavagate/cli/_exposition.py
@@ -0,0 +1,56 @@
+"""Reads the metrics of an instance, in the text format of Prometheus."""
+
+import re
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+from geventhttpclient import HTTPClient
+
+_SAMPLE: Final = re.compile(r'^(\w+)(?:\{(.*)\})? ([-+.\w]+)$')
+# A value may hold any character, so it ends where the next label begins.
+_LABEL: Final = re.compile(r'(\w+)="(.*?)"(?=,\w+="|$)')
+_TIMEOUT_SECONDS: Final = 3.0
+_OK: Final = 200
+
+
+class Sample(msgspec.Struct, frozen=True):
+    """One value of a metric."""
+
+    metric: str
+    labels: dict[str, str]
+    amount: float
+
+
+def fetch_samples(address: str) -> list[Sample]:
+    """Return the metrics of the instance whose metrics address is given.
+
+    Raises
+    ------
+    OSError
+        The address gives no answer, or one that is no metrics.
+    ValueError
+        The text is no address, or an exported value is no number.
+    """
+    client = HTTPClient.from_url(
+        f'http://{address}',
+        connection_timeout=_TIMEOUT_SECONDS,
+        network_timeout=_TIMEOUT_SECONDS,
+    )
+    try:
+        response = client.get('/metrics', headers={'Accept': 'text/plain'})
+        content = bytes(response.read())
+    finally:
+        client.close()
+    if response.status_code != _OK:
+        raise OSError(f'answered {response.status_code}')
+    return list(parse_samples(content.decode('utf-8', 'replace')))
+
+
+def parse_samples(text: str) -> Iterator[Sample]:
+    """Return the samples of a text; comments and other lines are left out."""
+    for line in text.splitlines():
+        match = _SAMPLE.match(line)
+        if match is not None:
+            labels = dict(_LABEL.findall(match[2] or ''))
+            yield Sample(match[1], labels, float(match[3]))
--- a/guavagate/cli/_main.py
+++ b/guavagate/cli/_main.py
@@ -18,6 +18,7 @@
 from guavagate.cli._report import report
 from guavagate.cli._settings import settings
 from guavagate.cli._usage import usage
+from guavagate.cli._zones import zones
 
 _EPILOG: Final = """\b
 Exit codes:
@@ -100,6 +101,7 @@
 main.add_command(explain)
 main.add_command(report)
 main.add_command(usage)
+main.add_command(zones)
 
 
 @main.command()
--- a/guavagate/fleet_instance/_instance.py
+++ b/guavagate/fleet_instance/_instance.py
@@ -31,12 +31,13 @@
 from guavagate.membership.registry import MemberRegistry
 from guavagate.metrics import Metrics
 from guavagate.metrics.exposition import count_events, serve_metrics
-from guavagate.models import InstanceId
+from guavagate.models import InstanceId, UpstreamId
 from guavagate.quarantine import STOPPED_REQUESTS, make_quarantine
 from guavagate.retirement import Retirement
 from guavagate.rollouts import Renewals
 from guavagate.routing import EligibleSamplers, RouteTable
 from guavagate.service import JobServices
+from guavagate.zone_view import ZoneView, watch_zones
 
 
 class FleetInstance:
@@ -140,6 +141,12 @@
             options.grace_s,
         )
         watch_instance(metrics, self._feed.proof, quarantine, members)
+        self._zones = ZoneView(
+            upstreams.eligibility,
+            upstreams.registered,
+            lambda: [each.availability_zone for each in members.alive()],
+            self._count_running,
+        )
         self._servers = self._make_servers(reader)
         self.request_stop = self.lifecycle.request_stop
         self.wait_stop_requested = self.lifecycle.wait_stop_requested
@@ -161,6 +168,7 @@
         self._usage.start()
         self._pool.start_sweeping()
         self._forwarders.start()
+        watch_zones(self._metrics, self._clock, self._zones)
 
     def stop(self) -> None:
         """Stop without interrupting requests."""
@@ -271,6 +279,10 @@
     def _order_relays(self) -> list[InstanceId]:
         return self._feed.order_relays()
 
+    def _count_running(self, upstream: UpstreamId) -> int:
+        load = self._upstreams.load(upstream)
+        return load.in_flight + self._services.count_items(upstream)
+
     def _is_ready(self) -> bool:
         return self._routes.configuration is not None and self._feed.loaded
 
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -214,6 +214,50 @@
     kind=MetricKind.COUNTER,
     text='Texts that moved off a sampler before it left',
 )
+ZONE_INSTANCES: Final = Metric(
+    name='guavagate_zone_instances',
+    kind=MetricKind.GAUGE,
+    text='Instances of a zone that this one sees alive',
+    labels=('zone', 'region'),
+)
+ZONE_UPSTREAMS: Final = Metric(
+    name='guavagate_zone_upstreams',
+    kind=MetricKind.GAUGE,
+    text='Registered upstreams of a zone',
+    labels=('zone', 'region'),
+)
+ZONE_COLD: Final = Metric(
+    name='guavagate_zone_cold_upstreams',
+    kind=MetricKind.GAUGE,
+    text='Upstreams of a zone that count as cold here',
+    labels=('zone', 'region'),
+)
+ZONE_RUNNING: Final = Metric(
+    name='guavagate_zone_running',
+    kind=MetricKind.GAUGE,
+    text='Requests and items that this instance has running in a zone',
+    labels=('zone', 'region'),
+)
+ZONE_EVACUATED_SECONDS: Final = Metric(
+    name='guavagate_zone_evacuated_seconds',
+    kind=MetricKind.GAUGE,
+    text='Time since this instance follows the evacuation of a zone',
+    labels=('zone', 'region'),
+)
+COLD_SECONDS: Final = Metric(
+    name='guavagate_upstream_cold_seconds',
+    kind=MetricKind.GAUGE,
+    text='Time since an upstream counts as cold here',
+    labels=('upstream', 'service', 'zone'),
+)
+ZONE_METRICS: Final = (
+    ZONE_INSTANCES,
+    ZONE_UPSTREAMS,
+    ZONE_COLD,
+    ZONE_RUNNING,
+    ZONE_EVACUATED_SECONDS,
+    COLD_SECONDS,
+)
 CPU_SECONDS: Final = Metric(
     name='process_cpu_seconds_total',
     kind=MetricKind.COUNTER,
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -6,8 +6,6 @@
 
 from guavagate.clock import Clock
 from guavagate.duties import Scaler
-from guavagate.events import jobs as events
-from guavagate.events import write
 from guavagate.exceptions import StoreUnavailableError
 from guavagate.jobs import (
     AnnouncedJobs,
@@ -23,7 +21,13 @@
 from guavagate.links import Bus
 from guavagate.membership.registry import MemberRegistry
 from guavagate.metrics import Metrics
-from guavagate.models import InstanceId, ServiceId, WeightVersion
+from guavagate.models import (
+    InstanceId,
+    ServiceId,
+    UpstreamId,
+    WeightVersion,
+)
+from guavagate.owned_service import OwnedService
 from guavagate.ports.duties import DutyClient
 from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
@@ -44,67 +48,6 @@
 _LOGGER: Final = logging.getLogger(__name__)
 
 
-class _Service:
-    """The job owner, coordinator and scaler of one service.
-
-    Attributes
-    ----------
-    coordinating
-        Whether this instance may order samplers, not only work on the jobs.
-    """
-
-    def __init__(
-        self,
-        service: ServiceId,
-        owner: JobOwner,
-        coordinator: Coordinator,
-        states: SamplerStates,
-        scaler: Scaler | None,
-    ) -> None:
-        self._id = service
-        self.coordinating = False
-        self.owner = owner
-        self.coordinator = coordinator
-        self.states = states
-        self.scaler = scaler
-
-    def start(self) -> None:
-        """Start working on the service's jobs and samplers."""
-        if not self.coordinating:
-            write(_LOGGER, events.COORDINATOR_STARTED, service=self._id)
-        self.coordinating = True
-        self.owner.start()
-        self.owner.mark_uncertain()
-        self.coordinator.start()
-        if self.scaler is not None:
-            self.scaler.start()
-
-    def stand_in(self) -> None:
-        """Start working on the jobs only; their owner may still be alive.
-
-        The coordinator tracks the samplers, so that items can be placed.
-        """
-        self._stop_coordinating()
-        self.owner.start()
-        self.owner.mark_uncertain()
-        self.coordinator.start(ordering=False)
-
-    def stop(self, next_owner: InstanceId | None) -> None:
-        """Stop, so that another instance can take the service over."""
-        self._stop_coordinating()
-        self.coordinator.stop()
-        self.owner.stop(next_owner)
-
-    def _stop_coordinating(self) -> None:
-        if not self.coordinating:
-            return
-        write(_LOGGER, events.COORDINATOR_STOPPED, service=self._id)
-        self.coordinating = False
-        if self.scaler is not None:
-            self.scaler.stop()
-        self.coordinator.stop()
-
-
 class JobServices:
     """Starts and stops the work for the services that this instance owns."""
 
@@ -163,7 +106,7 @@
         self._retention = retention
         self._published = PublishedVersions(clock)
         self._published.on_change = self._wake
-        self._services: dict[ServiceId, _Service] = {}
+        self._services: dict[ServiceId, OwnedService] = {}
         self._leaving = False
         self._start_versions: Callable[[], None] = _do_nothing
         self._stop_versions: Callable[[], None] = _do_nothing
@@ -232,6 +175,14 @@
         """Return whether this instance works on any service's jobs."""
         return any(service.owner.active for service in self._services.values())
 
+    def count_items(self, upstream: UpstreamId) -> int:
+        """Return how many items of this instance's jobs run at an upstream."""
+        return sum(
+            service.states.get(upstream).in_flight
+            for service in self._services.values()
+            if service.owner.active
+        )
+
     def refresh(self) -> None:
         """Start newly owned services and stop those no longer owned."""
         services = self._routes.job_services()
@@ -250,10 +201,10 @@
         else:
             self._stop_versions()
 
-    def _get(self, service: ServiceId) -> _Service:
+    def _get(self, service: ServiceId) -> OwnedService:
         return self._services.get(service) or self._make(service)
 
-    def _make(self, service: ServiceId) -> _Service:
+    def _make(self, service: ServiceId) -> OwnedService:
         states = SamplerStates()
         owner = JobOwner(
             service,
@@ -298,7 +249,7 @@
         )
         states.subscribe(coordinator.wake)
         scaler = self._make_scaler(service, lease, owner, states)
-        created = _Service(service, owner, coordinator, states, scaler)
+        created = OwnedService(service, owner, coordinator, states, scaler)
         self._services[service] = created
         return created
 
--- a/standins/_safeguard_failover.py
+++ b/standins/_safeguard_failover.py
@@ -70,7 +70,7 @@
     ),
     Safeguard(
         'an instance that stands in sends no orders',
-        'guavagate/service.py',
+        'guavagate/owned_service.py',
         'self.coordinator.start(ordering=False)',
         'self.coordinator.start()',
         'tests/test_service.py',
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -25,6 +25,7 @@
 from standins._safeguard_stops import STOP_SAFEGUARDS
 from standins._safeguard_teams import TEAM_SAFEGUARDS
 from standins._safeguard_texts import TEXT_SAFEGUARDS
+from standins._safeguard_zones import ZONE_SAFEGUARDS
 
 SAFEGUARDS: Final = (
     *PLATFORM_SAFEGUARDS,
@@ -37,6 +38,7 @@
     *TEXT_SAFEGUARDS,
     *ROUTING_SAFEGUARDS,
     *ADMISSION_SAFEGUARDS,
+    *ZONE_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
 _TEST_SECONDS: Final = 120
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -52,6 +52,7 @@
 # What counts registrations and sends nothing to those that it finds.
 _COUNTERS = {
     'duties/_scaler.py',
+    'fleet_instance/_instance.py',
     'forwarding/_keep_alive.py',
     'forwarding/_outages.py',
     'jobs/scheduling/_reclaim.py',
--- /dev/null
+++ b/tests/zone_view/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `guavagate.zone_view`."""
