--- a/guavagate/fleet_instance/_instance.py
+++ b/guavagate/fleet_instance/_instance.py
@@ -5,6 +5,7 @@
 from guavagate.admission import EntryMemory, ServiceAdmission
 from guavagate.clock import SystemClock
 from guavagate.duties import UsageAccounting
+from guavagate.evacuation import make_evacuations
 from guavagate.feeds import Feed
 from guavagate.fleet_instance._adapter import EdgeHandlers, PlatformAdapter
 from guavagate.fleet_instance._options import InstanceOptions
@@ -77,6 +78,13 @@
         self._upstreams = make_upstream_table(
             self._clock, me.availability_zone, self._pool
         )
+        self._evacuations = make_evacuations(
+            self._clock,
+            self._upstreams,
+            self._pool,
+            self._metrics,
+            self._members,
+        )
         clock, bus, metrics = self._clock, self._bus, self._metrics
         members, routes = self._members, self._routes
         pool, store, upstreams = self._pool, self._store, self._upstreams
@@ -188,16 +196,24 @@
 
     def _make_feed(self) -> Feed:
         paths = self._adapter.paths
+        follows = self._options.follows_evacuations
+        evacuations = (paths.evacuations,) if follows else ()
         feed = Feed(
             self._store,
             self._clock,
             self._bus,
             self._members,
             self._instance_id,
-            (paths.configuration, paths.upstreams, STOPPED_REQUESTS),
+            (
+                paths.configuration,
+                paths.upstreams,
+                STOPPED_REQUESTS,
+                *evacuations,
+            ),
             (paths.upstreams,),
             self._members.boot,
-            later=(STOPPED_REQUESTS,),
+            later=(STOPPED_REQUESTS, *evacuations),
+            urgent=evacuations,
             first_start=self._options.bootstrap,
             proof_prefix=paths.configuration,
             proof_path=self._options.proof_path,
@@ -211,6 +227,7 @@
             self._adapter.decoder,
         )
         objects.register(paths.upstreams, self._quarantine)
+        self._evacuations.follow(feed, evacuations)
         versions = Mirror(
             self._store, self._clock, paths.versions, objects.put_version
         )
