--- a/standins/platform/soak.py
+++ b/standins/platform/soak.py
@@ -309,13 +309,7 @@
     def _check_zones(self) -> None:
         arrivals, expect = self.journal.arrivals, self.verdict.expect
         evacuations = self.evacuations.all
-        resumed = [
-            when
-            for daemon in self.daemons
-            for when, what in daemon.faults
-            if what == 'pause'
-        ]
-        disturbances = make_disturbances(self.faults, resumed)
+        disturbances = make_disturbances(self.faults)
         check_evacuations(expect, arrivals, evacuations, disturbances)
         check_returns(expect, arrivals, evacuations)
         check_cold_rates(expect, arrivals, disturbances)
--- a/standins/platform/zone_checks.py
+++ b/standins/platform/zone_checks.py
@@ -22,8 +22,6 @@
 _FOLLOW_SECONDS: Final = 3.0
 # Longest time for which a proxy holds back what was sent before.
 _HELD_SECONDS: Final = 2.5
-# A resumed process learns what changed meanwhile within this time.
-_RESUMED_SECONDS: Final = 1.0
 
 
 class Evacuated(msgspec.Struct, kw_only=True):
@@ -43,13 +41,10 @@
         When the store, or the way to it, began and ceased to be disturbed.
     ways
         The same for the way to each sampler, by the sampler's name.
-    resumed
-        When a suspended process was resumed.
     """
 
     store: Sequence[float] = ()
     ways: dict[str, list[float]] = {}
-    resumed: Sequence[float] = ()
 
     def compute_deadline(self, since: float) -> float:
         """Return when nothing new may arrive after an evacuation began."""
@@ -59,12 +54,6 @@
                 deadline = max(deadline, at + _FOLLOW_SECONDS)
         return deadline
 
-    def may_be_late(self, arrival: Arrival) -> bool:
-        """Return whether it may have been held back on its way."""
-        return self.was_held(arrival) or _is_near(
-            arrival.at, self.resumed, _RESUMED_SECONDS
-        )
-
     def was_held(self, arrival: Arrival) -> bool:
         """Return whether a proxy may have held it back."""
         return _is_near(
@@ -72,9 +61,7 @@
         )
 
 
-def make_disturbances(
-    faults: Iterable[tuple[float, str]], resumed: Sequence[float]
-) -> Disturbances:
+def make_disturbances(faults: Iterable[tuple[float, str]]) -> Disturbances:
     """Return the disturbances of a run by its faults; see `Disturbances`.
 
     The ways are `way` and the name of a sampler, or none for the store.
@@ -87,7 +74,7 @@
             store.append(at)
         elif kind == 'way':
             ways[sampler].append(at)
-    return Disturbances(store=store, ways=ways, resumed=resumed)
+    return Disturbances(store=store, ways=ways)
 
 
 def _is_near(at: float, times: Iterable[float], seconds: float) -> bool:
@@ -114,7 +101,7 @@
             if not deadline < arrival.at < evacuation.until:
                 continue
             expect(
-                disturbances.may_be_late(arrival),
+                disturbances.was_held(arrival),
                 'EVACUATED',
                 f'{arrival.kind.value} {arrival.name} reached'
                 f' {arrival.sampler} in {arrival.zone}'
--- a/tests/standins/test_zone_checks.py
+++ b/tests/standins/test_zone_checks.py
@@ -75,23 +75,20 @@
 
 def test_a_store_fault_extends_the_bound_only_if_it_began_before() -> None:
     """An outage during an evacuation must not end it."""
-    before = make_disturbances([(102, 'store'), (104.5, 'store')], [])
+    before = make_disturbances([(102, 'store'), (104.5, 'store')])
     assert not _is_evacuation_violated(_make_arrival(107), before)
     assert _is_evacuation_violated(_make_arrival(108), before)
-    after = make_disturbances([(_LATE + 1, 'store'), (_LATE + 3, 'way ')], [])
+    after = make_disturbances([(_LATE + 1, 'store'), (_LATE + 3, 'way ')])
     assert _is_evacuation_violated(_make_arrival(_LATE + 2), after)
 
 
 def test_only_the_way_to_the_same_sampler_excuses_an_arrival() -> None:
     """A fault elsewhere in the fleet would otherwise hide violations."""
     late = _make_arrival(_LATE + 1)
-    own = make_disturbances([(_LATE, 'way i-0')], [])
-    other = make_disturbances([(_LATE, 'way i-1'), (_LATE, 'samplers')], [])
+    own = make_disturbances([(_LATE, 'way i-0')])
+    other = make_disturbances([(_LATE, 'way i-1'), (_LATE, 'samplers')])
     assert not _is_evacuation_violated(late, own)
     assert _is_evacuation_violated(late, other)
-    assert not _is_evacuation_violated(
-        late, make_disturbances([], [_LATE + 0.5])
-    )
 
 
 def test_a_zone_that_is_not_used_after_its_return_is_found() -> None:
@@ -117,7 +114,7 @@
 
 def test_requests_that_a_proxy_held_back_are_not_a_burst() -> None:
     """A way that was silent for two seconds delivers all at once."""
-    held = make_disturbances([(4, 'way i-0'), (6, 'way i-0')], [])
+    held = make_disturbances([(4, 'way i-0'), (6, 'way i-0')])
     verdict = Verdict(Journal())
     check_cold_rates(verdict.expect, _make_cold(*[6.1] * 30), held)
     assert not verdict.violations
