--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -29,6 +29,7 @@
 from standins._safeguard_teams import TEAM_SAFEGUARDS
 from standins._safeguard_texts import TEXT_SAFEGUARDS
 from standins._safeguard_warmup import WARMUP_SAFEGUARDS
+from standins._safeguard_zones import ZONE_SAFEGUARDS
 
 SAFEGUARDS: Final = (
     *PLATFORM_SAFEGUARDS,
@@ -45,6 +46,7 @@
     *EVACUATION_SAFEGUARDS,
     *RESIDENCY_SAFEGUARDS,
     *BYTES_SAFEGUARDS,
+    *ZONE_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
 _TEST_SECONDS: Final = 120
