--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -191,7 +191,7 @@
     Safeguard(
         'texts are replicated to successors',
         'guavagate/jobs/texts/_text_backups.py',
-        'for peer in self._list_successors()[:REPLICA_COUNT]:',
+        'for peer in self._list_holders():',
         'for peer in ():',
         'tests/jobs/texts/test_texts.py',
     ),
