Drop bodies where a change of regions excludes their instance

Cause: announced jobs, replicas and cached jobs stayed in the memory of former successors and entries after the regions of a route had changed.

Change: `JobServices.refresh` drops them for services whose owner has to be in other regions, and readers drop cached jobs at each configuration.

Measured: tests/residency, test_service, jobs/records and jobs/ownership pass; both new rows are caught.

--- a/guavagate/fleet_instance/_instance.py
+++ b/guavagate/fleet_instance/_instance.py
@@ -144,6 +144,7 @@
         reader = JobReader(
             clock, bus, job_store, ownership, find, self._residency
         )
+        routes.subscribe(reader.drop_outside)
         self._registry = MemberRegistry(
             store, clock, members, me, options.bootstrap
         )
--- a/guavagate/jobs/records/_announcements.py
+++ b/guavagate/jobs/records/_announcements.py
@@ -112,6 +112,12 @@
         if on_end is not None:
             on_end(job)
 
+    def drop_service(self, service: ServiceId) -> None:
+        """Drop the jobs of a service that this instance may not hold."""
+        for job in [each.job for each in self._jobs.values()]:
+            if job.service == service:
+                self._drop(job.id)
+
     def _drop_old(self) -> None:
         oldest_kept = self._clock.now() - MAX_AGE_SECONDS
         while self._jobs:
--- a/guavagate/jobs/records/_reader.py
+++ b/guavagate/jobs/records/_reader.py
@@ -92,6 +92,13 @@
             oldest = self._cache.pop(next(iter(self._cache)))
             self._cached_bytes -= measure_job(oldest)
 
+    def drop_outside(self) -> None:
+        """Drop the cached jobs that this instance may not hold any more."""
+        for job in list(self._cache.values()):
+            regions = self._bounds.find_job_regions(job)
+            if not self._bounds.may_hold_here(regions):
+                self._cached_bytes -= measure_job(self._cache.pop(job.id))
+
     def read(
         self,
         services: list[ServiceId],
--- a/guavagate/jobs/texts/_replicas.py
+++ b/guavagate/jobs/texts/_replicas.py
@@ -234,6 +234,11 @@
                     texts.pop(item)
         return adopted
 
+    def drop_service(self, service: ServiceId) -> None:
+        """Drop the texts of a service that this instance may not hold."""
+        for source in [each for each in self._received if each[0] == service]:
+            self._received.pop(source)
+
     def _make_copy(
         self,
         service: ServiceId,
--- a/guavagate/residency/_jobs.py
+++ b/guavagate/residency/_jobs.py
@@ -72,6 +72,9 @@
     def may_hold_here(self, regions: Regions) -> bool:
         """Return whether this instance may hold bodies bound to regions."""
 
+    def find_home_regions(self, service: ServiceId) -> Regions:
+        """Return the regions in which a service's jobs have their owner."""
+
     def find_default_regions(self, service: ServiceId) -> Regions:
         """Return the regions for a model whose jobs are not known yet."""
 
@@ -100,6 +103,10 @@
         """Return that this instance may hold the body."""
         return True
 
+    def find_home_regions(self, service: ServiceId) -> Regions:
+        """Return that any instance may be the owner."""
+        return ANYWHERE
+
     def find_default_regions(self, service: ServiceId) -> Regions:
         """Return that a model may have any samplers."""
         return ANYWHERE
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -1,7 +1,7 @@
 """Starts and stops the job owners and coordinators of services with jobs."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from guavagate.clock import Clock
@@ -239,6 +239,7 @@
     def refresh(self) -> None:
         """Start newly owned services and stop those no longer owned."""
         services = self._routes.job_services()
+        self._drop_outside(services)
         self._watch.update(services)
         owned = {each for each in services if self._ownership.is_owner(each)}
         for service in owned:
@@ -256,6 +257,17 @@
         else:
             self._stop_versions()
 
+    def _drop_outside(self, services: Iterable[ServiceId]) -> None:
+        """Drop what this instance holds for services whose owner is elsewhere.
+
+        Their regions have changed, and exclude this instance now.
+        """
+        for service in services:
+            home = self._bounds.find_home_regions(service)
+            if not self._bounds.may_hold_here(home):
+                self._announced.drop_service(service)
+                self._replicas.drop_service(service)
+
     def _get(self, service: ServiceId) -> _Service:
         return self._services.get(service) or self._make(service)
 
--- a/standins/_safeguard_residency.py
+++ b/standins/_safeguard_residency.py
@@ -84,6 +84,20 @@
         '',
         _TEST_JOBS,
     ),
+    Safeguard(
+        'what a change excludes is dropped',
+        'guavagate/service.py',
+        '            if not self._bounds.may_hold_here(home):\n',
+        '            if False:\n',
+        'tests/test_service.py',
+    ),
+    Safeguard(
+        'cached jobs that a change excludes are dropped',
+        'guavagate/jobs/records/_reader.py',
+        '            if not self._bounds.may_hold_here(regions):\n',
+        '            if False:\n',
+        _TEST_JOBS,
+    ),
     Safeguard(
         'a job that was accepted is not refused for its regions',
         'guavagate/jobs/records/_announcements.py',
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -176,6 +176,7 @@
             lambda _: self.owner if self.owner.active else None,
             self.residency,
         )
+        self.routes.subscribe(self.reader.drop_outside)
         self.watch = OwnerWatch(
             self.clock,
             world.bus(name),
@@ -189,6 +190,10 @@
 
     def refresh(self) -> None:
         """Start or stop the job owner, as `JobServices` does."""
+        home = self.residency.find_home_regions(SERVICE)
+        if not self.residency.may_hold_here(home):
+            self.announced.drop_service(SERVICE)
+            self.replicas.drop_service(SERVICE)
         self.watch.update([SERVICE])
         is_owner = self.ownership.is_owner(SERVICE)
         if is_owner or self.watch.stands_in(SERVICE):
--- a/tests/residency/test_jobs.py
+++ b/tests/residency/test_jobs.py
@@ -82,6 +82,9 @@
     fleet.submit(make_bound_job(), 'a')
     fleet.clock.advance(1.5)
     assert fleet.list_used() == {'n1', 'n2'}
+    job = fleet.run(fleet.nodes['a'].job_store.read, JobId('job-1'))
+    fleet.nodes['a'].reader.cache_job(job)
+    assert _find_holders(fleet) == {'a', 'b'}
     fleet.configure(make_job_route(SOUTH))
     started = [
         each for node in fleet.nodes.values() for each in node.samplers.started
@@ -90,6 +93,7 @@
     resumed = {item: after for item, _, after in started}
     assert len(resumed) == 6
     assert min(resumed.values()) > 10
+    assert _find_holders(fleet) == {'c', 'd'}
     fleet.clock.advance(10)
     check_complete(fleet, 'a', 6)
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -9,11 +9,13 @@
 from guavagate.jobs.texts._replicas import TextCopy
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
-from guavagate.models import InstanceId, WeightVersion, ZoneId
+from guavagate.models import InstanceId, RegionId, WeightVersion, ZoneId
+from guavagate.residency import Residency
 from guavagate.rollouts import Renewals
 from guavagate.routing import RouteTable, UpstreamTable
 from guavagate.service import JobServices
 from guavagate.util.uptime import BootOf, ignore_boots
+from tests.jobs.fleet import make_job
 from tests.jobs.rewards import FakeRewardClient
 from tests.jobs.samplers import MODEL, SERVICE, FakeSamplers, make_upstream
 from tests.quarantine.common import make_quarantine
@@ -66,6 +68,9 @@
         world.bus(name),
         '',
         boot_clock=clock.now,
+        bounds=Residency(
+            routes, upstreams, world.members[name], name, Metrics()
+        ).jobs,
     )
     world.members[name].subscribe(services.refresh)
     clock.spawn(services.take_ownership, registry)
@@ -206,3 +211,27 @@
     fleet.services[fleet.owner].leave()
     fleet.world.clock.advance(0.5)
     assert fleet.world.network.messages[TextCopy.__name__] == 1
+
+
+def test_bodies_are_dropped_where_a_change_excludes_an_instance() -> None:
+    """An announced job would stay in the memory of its former successor."""
+    world = _make_world()
+    services = _start_services(
+        world, _NAMES[0], _FakeRegistry(first_start=True)
+    )
+    services._announced.put(make_job())
+    services._replicas._received[SERVICE, _NAMES[1], 1] = {}
+    services.refresh()
+    assert services._announced.list_jobs(SERVICE)
+    assert services._replicas._received
+    configuration = make_configuration()
+    route = configuration.routes[0]
+    bound = msgspec.structs.replace(
+        route, regions=frozenset((RegionId('elsewhere'),))
+    )
+    services._routes.apply(
+        msgspec.structs.replace(configuration, version=9, routes=(bound,))
+    )
+    services.refresh()
+    assert not services._announced.list_jobs(SERVICE)
+    assert not services._replicas._received
