--- a/guavagate/fleet_instance/_instance.py
+++ b/guavagate/fleet_instance/_instance.py
@@ -39,6 +39,7 @@
 from guavagate.rollouts import Renewals
 from guavagate.routing import EligibleSamplers, RouteTable
 from guavagate.service import JobServices
+from guavagate.warmup import limit_starts
 
 
 class FleetInstance:
@@ -95,6 +96,20 @@
             clock, bus, store, me.id, self._order_relays, upstreams.get
         )
         self._quarantine = quarantine
+        ownership = Ownership(
+            members, me.id, members.boot, self._residency.find_home_regions
+        )
+        self._ownership = ownership
+        budgets = limit_starts(
+            clock,
+            bus,
+            members,
+            ownership,
+            routes,
+            upstreams,
+            metrics,
+            options.warmup_bound,
+        )
         fleet = Fleet(bus, me.id, self._order_relays)
         self._forwarders = make_fleet_forwarders(
             clock,
@@ -107,10 +122,6 @@
             fleet,
             residency.requests,
         )
-        ownership = Ownership(
-            members, me.id, members.boot, self._residency.find_home_regions
-        )
-        self._ownership = ownership
         self._instance_id = me.id
         self._admission = ServiceAdmission(
             clock, bus, members, me.id, routes, upstreams, metrics
@@ -138,6 +149,7 @@
             options.data_dir,
             options.limits.link_bytes_per_s,
             self._duties if options.duties.scales else None,
+            budgets=budgets,
             bounds=self._residency,
         )
         find = self._services.find
--- a/guavagate/fleet_instance/_options.py
+++ b/guavagate/fleet_instance/_options.py
@@ -6,6 +6,7 @@
 
 from guavagate.auth import ProofBounds
 from guavagate.settings import InstanceSettings
+from guavagate.warmup import WarmupBound
 
 
 class ListenOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -60,6 +61,8 @@
         The object that must be proven current, or ''.
     follows_evacuations
         Whether zones are evacuated in this deployment.
+    warmup_bound
+        The bound on requests to cold upstreams.
     """
 
     me: InstanceSettings
@@ -76,3 +79,4 @@
     proof_path: str
     proof_bounds: ProofBounds
     follows_evacuations: bool = False
+    warmup_bound: WarmupBound = WarmupBound()
--- a/guavagate/forwarding/_forward.py
+++ b/guavagate/forwarding/_forward.py
@@ -97,6 +97,7 @@
         *,
         preferred: UpstreamId | None = None,
         regions: Regions = ANYWHERE,
+        hedge: bool = False,
     ) -> Upstream | None:
         """Return an upstream that was not tried, or `None`."""
 
@@ -241,7 +242,7 @@
         if len(progress.tried) < progress.route.max_attempts and (
             self._hedges.spend()
         ):
-            self._start(progress)
+            self._start(progress, hedge=True)
 
     def _start_check(self, progress: _Progress) -> None:
         """Have the upstreams probed; not cancelled, as others wait for it."""
@@ -286,7 +287,7 @@
             progress.failed_answer = attempt
             progress.failed_answers += attempt.status == _SERVER_ERROR
 
-    def _start(self, progress: _Progress) -> None:
+    def _start(self, progress: _Progress, *, hedge: bool = False) -> None:
         call = self.regions.bind(progress.call, progress.route)
         service = progress.service
         if len(progress.tried) >= max(progress.route.max_attempts, 1):
@@ -299,6 +300,7 @@
             progress.tried,
             preferred=progress.preferred,
             regions=call.regions,
+            hedge=hedge,
         )
         if upstream is None:
             return
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -60,6 +60,7 @@
         *,
         preferred: UpstreamId | None = None,
         regions: Regions = ANYWHERE,
+        hedge: bool = False,
     ) -> Upstream | None:
         """Return an upstream for one request, or `None` if all are full."""
         with_capacity = {
@@ -77,6 +78,7 @@
             tried | excluded,
             preferred=preferred,
             regions=regions,
+            hedge=hedge,
         )
 
     def explain(
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -16,6 +16,7 @@
 from guavagate.models import InstanceId, RegionId, ZoneId
 from guavagate.platform import const
 from guavagate.settings import InstanceSettings, PlatformSettings
+from guavagate.warmup import WarmupBound
 
 
 class _Table(msgspec.Struct, frozen=True, kw_only=True, rename='kebab'):
@@ -41,6 +42,8 @@
     strict_revoke: bool = False
     revoke_ms: float = 5000
     usage_window_s: float = 5
+    cold_excess: float = 1
+    cold_slack: float = 0
     evacuate_ms: float = 0
 
     def get_proof_path(self) -> str:
@@ -149,6 +152,7 @@
             proof_path=bounds.get_proof_path(),
             proof_bounds=bounds.to_proof_bounds(),
             follows_evacuations=bounds.evacuate_ms > 0,
+            warmup_bound=WarmupBound(bounds.cold_excess, bounds.cold_slack),
         )
 
 
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -3,7 +3,7 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Final
+from typing import Final, TypeAlias
 
 from guavagate.clock import Clock
 from guavagate.events import forwarding as events
@@ -32,12 +32,15 @@
     is_unavailable,
     list_eligible,
 )
+from guavagate.routing._start_gate import OpenGate, StartGate
 
 _LOGGER: Final = logging.getLogger(__name__)
 
 # An upstream that ended has started again by then, or has lapsed.
 RETURN_SECONDS: Final = 5.0
 
+OnRegistration: TypeAlias = Callable[[Upstream, Upstream | None], None]
+
 
 class UpstreamTable(LoadRecords):
     """Upstreams by service; new work goes to those that are eligible.
@@ -62,6 +65,7 @@
         eligibility: Eligibility | None = None,
     ) -> None:
         self.eligibility = eligibility or Eligibility()
+        self.gate: StartGate = OpenGate()
         self._is_connected = is_connected
         super().__init__(clock)
         self._zone = zone
@@ -74,8 +78,16 @@
         self._on_restart: list[Callable[[Upstream], None]] = []
         self._on_address_released: list[Callable[[str], None]] = []
         self._on_zone_return: list[Callable[[ZoneId], None]] = []
+        self._on_registration: list[OnRegistration] = []
         self._on_stopped: list[Callable[[Obstacle], None]] = []
 
+    def subscribe_registrations(self, callback: OnRegistration) -> None:
+        """Call `callback`, which must not block, with each registration.
+
+        Its second argument is the registration that it replaces, if any.
+        """
+        self._on_registration.append(callback)
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call `callback`, which must not block, after each change."""
         self._subscribers.append(callback)
@@ -136,6 +148,8 @@
             )
         if previous is not None and previous.address != upstream.address:
             self._notify_address_released(previous)
+        for callback in self._on_registration:
+            callback(upstream, previous)
         self._detect_restart(upstream)
         self._notify()
 
@@ -202,7 +216,10 @@
         listed = (
             each for each in self._all.values() if each.service == service
         )
-        return self.eligibility.explain(listed, regions)
+        obstacle = self.eligibility.explain(listed, regions)
+        if obstacle is None and self.gate.find_retry_after(service) is not None:
+            return Obstacle.WARMING_UP
+        return obstacle
 
     def find_obstacle(
         self, upstream: Upstream, regions: Regions = ANYWHERE
@@ -214,12 +231,24 @@
         newest = self._all.get(upstream.id, upstream)
         return self.eligibility.find_obstacle(newest, regions)
 
-    def check(self, upstream: Upstream, regions: Regions = ANYWHERE) -> None:
+    def check(
+        self,
+        upstream: Upstream,
+        regions: Regions = ANYWHERE,
+        *,
+        starts: bool = False,
+    ) -> None:
         """Check an upstream right before a request is sent to it.
 
         A request that was placed a moment earlier would otherwise reach an
         upstream that may not be used any more.
 
+        Parameters
+        ----------
+        starts
+            Whether the request counts as a start, which needs a permit where
+            the service limits starts.
+
         Raises
         ------
         UpstreamExcludedError
@@ -228,6 +257,8 @@
         obstacle = self.find_obstacle(upstream, regions)
         if obstacle is None and self.eligibility.may_be_outdated():
             obstacle = Obstacle.EVACUATED
+        if obstacle is None and starts and not self.gate.may_send(upstream):
+            obstacle = Obstacle.WARMING_UP
         if obstacle is not None:
             for callback in self._on_stopped:
                 callback(obstacle)
@@ -244,11 +275,13 @@
         lasting: bool = False,
         preferred: UpstreamId | None = None,
         regions: Regions = ANYWHERE,
+        hedge: bool = False,
     ) -> Upstream | None:
         """Return the upstream for one more request, among those not tried.
 
         Returns None while the whole service is unavailable and none of its
-        upstreams may be tried.
+        upstreams may be tried, and while none may get a further request. May
+        wait for another instance's permission where the service limits starts.
 
         Parameters
         ----------
@@ -258,7 +291,36 @@
             The upstream to choose if it is usable.
         regions
             The regions that the request may use.
+        hedge
+            Whether the request already runs at another upstream.
         """
+        if self.gate.applies(service):
+            return self.gate.choose(
+                service,
+                tried,
+                lasting=lasting,
+                preferred=preferred,
+                regions=regions,
+                hedge=hedge,
+            )
+        return self.rank_first(
+            service,
+            tried,
+            lasting=lasting,
+            preferred=preferred,
+            regions=regions,
+        )
+
+    def rank_first(
+        self,
+        service: ServiceId,
+        tried: set[UpstreamId],
+        *,
+        lasting: bool = False,
+        preferred: UpstreamId | None = None,
+        regions: Regions = ANYWHERE,
+    ) -> Upstream | None:
+        """Return the best upstream by load, whether or not it may start."""
         now = self._clock.now()
         serving = self.serving(service, regions)
         eligible = list_eligible(serving, self._loads, now)
@@ -290,6 +352,9 @@
 
     def compute_retry_after(self, service: ServiceId) -> float:
         """Return when a caller refused by the whole service should return."""
+        limited = self.gate.find_retry_after(service)
+        if limited is not None:
+            return limited
         now = self._clock.now()
         since = self._unavailable_since.setdefault(service, now)
         return compute_retry_after(now - since, self._random)
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -24,6 +24,14 @@
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, RegionId, WeightVersion, ZoneId
+from guavagate.ports.configuration import (
+    Configuration,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Warmup,
+)
 from guavagate.residency import Residency
 from guavagate.rollouts import SamplerStates
 from guavagate.routing import (
@@ -32,6 +40,7 @@
     RouteTable,
     UpstreamTable,
 )
+from guavagate.warmup import WarmupBound, limit_starts
 from tests.jobs.rewards import FakeRewardClient, make_reward
 from tests.jobs.samplers import MODEL, SERVICE, FakeSamplers, make_upstream
 from tests.quarantine.common import make_quarantine
@@ -110,6 +119,17 @@
             find_regions=self.residency.find_home_regions,
         )
         self.ownership.ready = True
+        self.metrics = Metrics()
+        self.budgets = limit_starts(
+            self.clock,
+            world.bus(name),
+            world.members[InstanceId(name)],
+            self.ownership,
+            fleet.make_routes(),
+            self.upstreams,
+            self.metrics,
+            WarmupBound(excess=1.5, slack=5),
+        )
         self.states = SamplerStates()
         self.samplers = FakeSamplers(self.clock, fleet.length)
         for sampler in fleet.samplers:
@@ -129,7 +149,6 @@
                 for each in self.samplers.down
             ),
         )
-        self.metrics = Metrics()
         self.replicas = TextReplicas(world.bus(name))
         self.announced = AnnouncedJobs(
             self.clock, world.bus(name), self.metrics
@@ -166,6 +185,7 @@
             self.announced,
             self.clock.now,
             cache_tokens=lambda: fleet.cache_tokens,
+            starts=self.budgets.get(SERVICE),
             bounds=self.residency,
         )
         self.reader = JobReader(
@@ -213,8 +233,10 @@
         length: int = 5,
         samplers: str = 'xyz',
         folders: dict[str, str] | None = None,
+        warmup: Warmup | None = None,
         places: Places | None = None,
     ) -> None:
+        self.warmup = warmup
         self.world = World()
         self.zones = places.zones if places else {}
         self.region_of = places.region_of if places else {}
@@ -235,6 +257,24 @@
         for node in self.nodes.values():
             self.follow_membership(node)
 
+    def make_routes(self) -> RouteTable:
+        """Return the routes of an instance: one for jobs."""
+        route = Route(
+            name='r',
+            host='a.example',
+            prefix='/x/',
+            kind=RouteKind.JOB,
+            shares=(ServiceShare(SERVICE, 1),),
+            timeout=10,
+            objective=0.4,
+        )
+        service = Service(id=SERVICE, slots=4, warmup=self.warmup)
+        routes = RouteTable()
+        routes.apply(
+            Configuration(version=1, routes=(route,), services=(service,))
+        )
+        return routes
+
     def follow_membership(self, node: Node) -> None:
         """Start and stop a node's owner when the membership changes."""
         node.ownership._members.subscribe(node.refresh)
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -57,6 +57,7 @@
     'forwarding/_outages.py',
     'jobs/scheduling/_reclaim.py',
     'jobs/scheduling/_sources.py',
+    'warmup/_cold_watch.py',
     'residency/_residency.py',
 }
 
