--- a/guavagate/fleet_instance/_instance.py
+++ b/guavagate/fleet_instance/_instance.py
@@ -161,6 +161,7 @@
         reader = JobReader(
             clock, bus, job_store, ownership, find, self._residency, budget
         )
+        routes.subscribe(reader.drop_outside)
         self._registry = MemberRegistry(
             store, clock, members, me, options.bootstrap
         )
