--- a/guavagate/fleet_instance/_instance.py
+++ b/guavagate/fleet_instance/_instance.py
@@ -32,13 +32,15 @@
 from guavagate.membership.registry import MemberRegistry
 from guavagate.metrics import Metrics
 from guavagate.metrics.exposition import count_events, serve_metrics
-from guavagate.models import InstanceId
+from guavagate.models import InstanceId, UpstreamId
 from guavagate.quarantine import STOPPED_REQUESTS, make_quarantine
+from guavagate.residency import Residency
 from guavagate.retirement import Retirement
 from guavagate.rollouts import Renewals
 from guavagate.routing import EligibleSamplers, RouteTable
 from guavagate.service import JobServices
 from guavagate.warmup import limit_starts
+from guavagate.zone_view import ZoneView, watch_zones
 
 
 class FleetInstance:
@@ -72,11 +74,16 @@
             reads=options.store.reads_per_s,
             writes=options.store.writes_per_s,
             has_edge=bool(options.listen.front),
+            may_relay=lambda peer, path: self._residency.may_relay(peer, path),
         )
         self._store = adapter.make_store(store_client)
         self._routes = RouteTable()
         self._upstreams = make_upstream_table(
-            self._clock, me.availability_zone, self._pool
+            self._clock,
+            me.availability_zone,
+            self._pool,
+            options.zones,
+            self._members,
         )
         self._evacuations = make_evacuations(
             self._clock,
@@ -88,11 +95,15 @@
         clock, bus, metrics = self._clock, self._bus, self._metrics
         members, routes = self._members, self._routes
         pool, store, upstreams = self._pool, self._store, self._upstreams
+        residency = Residency(routes, upstreams, members, me.id, metrics)
+        self._residency = residency.jobs
         quarantine = make_quarantine(
             clock, bus, store, me.id, self._order_relays, upstreams.get
         )
         self._quarantine = quarantine
-        ownership = Ownership(self._members, me.id, self._members.boot)
+        ownership = Ownership(
+            members, me.id, members.boot, self._residency.find_home_regions
+        )
         self._ownership = ownership
         budgets = limit_starts(
             clock,
@@ -114,6 +125,7 @@
             quarantine,
             metrics,
             fleet,
+            residency.requests,
         )
         self._instance_id = me.id
         self._admission = ServiceAdmission(
@@ -143,9 +155,13 @@
             options.limits.link_bytes_per_s,
             self._duties if options.duties.scales else None,
             budgets=budgets,
+            bounds=self._residency,
         )
-        find = self._services.find
-        reader = JobReader(clock, bus, job_store, ownership, find)
+        find, budget = self._services.find, self._memory.budget
+        reader = JobReader(
+            clock, bus, job_store, ownership, find, self._residency, budget
+        )
+        routes.subscribe(reader.drop_outside)
         self._registry = MemberRegistry(
             store, clock, members, me, options.bootstrap
         )
@@ -159,7 +175,14 @@
             self._hand_over,
             options.grace_s,
         )
-        watch_instance(metrics, self._feed.proof, quarantine, members)
+        watch_instance(metrics, self._feed.proof, quarantine, members, bus)
+        self._zones = ZoneView(
+            upstreams.eligibility,
+            upstreams.registered,
+            lambda: [each.availability_zone for each in members.alive()],
+            self._count_running,
+            lambda upstream: budgets.is_cold(upstream, clock.now()),
+        )
         self._servers = self._make_servers(reader)
         self.request_stop = self.lifecycle.request_stop
         self.wait_stop_requested = self.lifecycle.wait_stop_requested
@@ -181,6 +204,7 @@
         self._usage.start()
         self._pool.start_sweeping()
         self._forwarders.start()
+        watch_zones(self._metrics, self._clock, self._zones)
 
     def stop(self) -> None:
         """Stop without interrupting requests."""
@@ -300,6 +324,10 @@
     def _order_relays(self) -> list[InstanceId]:
         return self._feed.order_relays()
 
+    def _count_running(self, upstream: UpstreamId) -> int:
+        load = self._upstreams.load(upstream)
+        return load.in_flight + self._services.count_items(upstream)
+
     def _is_ready(self) -> bool:
         return self._routes.configuration is not None and self._feed.loaded
 
--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -4,8 +4,15 @@
 from typing import Final, NewType
 
 import msgspec
-
-from guavagate.models import ServiceId, TeamId, WeightVersion
+import xxhash
+
+from guavagate.models import (
+    ANYWHERE,
+    Regions,
+    ServiceId,
+    TeamId,
+    WeightVersion,
+)
 from guavagate.ports.rewards import RewardRequest
 from guavagate.ports.sampler import ITEM_METHOD
 from guavagate.quarantine import RequestContent
@@ -14,6 +21,8 @@
 ItemId = NewType('ItemId', str)
 GroupId = NewType('GroupId', str)
 
+# Limit of the texts in one page.
+PAGE_BYTES: Final = 900_000
 JOBS_PREFIX: Final = 'jobs'
 ENDS_PREFIX: Final = 'job-ends'
 _RESULTS_PREFIX: Final = 'job-results'
@@ -61,7 +70,9 @@
     `fingerprint` identifies the content that the trainer sent, to distinguish a
     repeated submission from a different job under the same id. `team` is empty
     if the configuration had no teams, or in records of a release without teams.
-    Any caller may access such jobs, as their team is unknown.
+    Any caller may access such jobs, as their team is unknown. `path` is one of
+    its route, empty in records of earlier releases, and `regions` are those to
+    which it was bound when it was accepted.
     """
 
     id: JobId
@@ -80,11 +91,32 @@
     items: list[JobItem] = []
     parts: int = 0
     team: TeamId = TeamId('')
+    path: str = ''
+    regions: Regions = ANYWHERE
+
+    @property
+    def route_path(self) -> str:
+        """Return a path that the job's route matches."""
+        if self.path or not self.items:
+            return self.path
+        return self.items[0].path
+
+    def list_rewards(self) -> list[RewardRequest]:
+        """Return the reward requests of the items."""
+        return [each.reward for each in self.items if each.reward is not None]
 
     def is_accessible_to(self, team: TeamId) -> bool:
         """Return whether a team's callers may read and end the job."""
         return not self.team or self.team == team
 
+    def identify(self) -> int:
+        """Return a number that differs for a later job under the same id.
+
+        An id is free again once its job was removed from the store.
+        """
+        text = f'{self.id}\0{self.fingerprint}\0{self.submitted_at}'
+        return xxhash.xxh64_intdigest(text.encode())
+
     def describe(self, item: JobItem) -> RequestContent:
         """Return what an item's request is, whatever its id."""
         return RequestContent(
@@ -123,11 +155,15 @@
 
 
 class Page(msgspec.Struct, frozen=True):
-    """Results from a position on, and the position to read next."""
+    """Results from a position on, and the position to read next.
+
+    `identity` is that of the job; 0 if it is unknown.
+    """
 
     total: int
     next: int
     results: list[Result]
+    identity: int = 0
 
 
 def job_path(job: JobId) -> str:
@@ -166,7 +202,11 @@
 
 
 def make_page(
-    results: list[Result], total: int, after: int, max_bytes: int
+    results: list[Result],
+    total: int,
+    after: int,
+    max_bytes: int,
+    identity: int = 0,
 ) -> Page:
     """Return the results from a position on, limited to a size in bytes.
 
@@ -180,4 +220,4 @@
         if page and size > max_bytes:
             break
         page.append(result)
-    return Page(total, after + len(page), page)
+    return Page(total, after + len(page), page, identity)
--- a/guavagate/jobs/scheduling/_dispatch.py
+++ b/guavagate/jobs/scheduling/_dispatch.py
@@ -255,6 +255,7 @@
             self._client.count_idle_connections,
             get_memory or get_no_memory,
             self._get_limits(),
+            self._upstreams.eligibility.region_of,
             include_upcoming=include_upcoming,
         )
 
--- a/guavagate/jobs/texts/_text_backups.py
+++ b/guavagate/jobs/texts/_text_backups.py
@@ -29,14 +29,15 @@
 # The longest texts are replicated twice as often, as a step waits for them.
 # With 144 running texts of short events, this takes a tenth more bytes.
 LONGEST_COUNT: Final = 12
-# Replicas of each text: at the next owner and, in case it fails together with
-# this one, at the one after it.
-REPLICA_COUNT: Final = 2
 # How long after its return an owner looks for texts that its successor
 # generated. Runs that are interrupted for them end within milliseconds.
 ADOPTION_SECONDS: Final = 1.0
 
 
+def _always(work: JobWork, peer: InstanceId) -> bool:
+    return True
+
+
 class TextBackups:
     """The replicas, snapshots and checkpoints of one service's texts.
 
@@ -44,9 +45,13 @@
     ----------
     list_open
         Returns the open jobs that this instance works on.
+    list_holders
+        Returns the instances that get replicas.
     on_returned
         Called when an instance that worked on the jobs in the place of this
         one has returned them; must not block.
+    may_send
+        Returns whether an instance may get the texts of a job.
     """
 
     def __init__(
@@ -57,16 +62,18 @@
         snapshots: TextSnapshots,
         checkpoints: TextCheckpoints,
         list_open: Callable[[], list[JobWork]],
-        list_successors: Callable[[], list[InstanceId]],
+        list_holders: Callable[[], list[InstanceId]],
         on_returned: Callable[[], None],
+        may_send: Callable[[JobWork, InstanceId], bool] = _always,
     ) -> None:
+        self._may_send = may_send
         self._service = service
         self._clock = clock
         self._replicas = replicas
         self._snapshots = snapshots
         self._checkpoints = checkpoints
         self._list_open = list_open
-        self._list_successors = list_successors
+        self._list_holders = list_holders
         self._on_returned = on_returned
         self._adopt_until = float('-inf')
         self._tasks: list[Task] = []
@@ -99,7 +106,7 @@
         self._clock.spawn(
             self._replicas.hand_over,
             self._service,
-            self._list_open(),
+            [each for each in self._list_open() if self._may_send(each, peer)],
             peer,
             self._clock,
         )
@@ -141,10 +148,11 @@
             self._checkpoints.save(self._list_open())
 
     def _replicate(self, works: list[JobWork], longest: int | None) -> None:
-        """Send replicas to each successor, whether or not another answers."""
-        for peer in self._list_successors()[:REPLICA_COUNT]:
+        """Send replicas to each holder, whether or not another answers."""
+        for peer in self._list_holders():
             running = self._sending.get(peer)
             if running is None or running.dead:
+                sent = [each for each in works if self._may_send(each, peer)]
                 self._sending[peer] = self._clock.spawn(
-                    self._replicas.send, self._service, works, peer, longest
+                    self._replicas.send, self._service, sent, peer, longest
                 )
--- a/guavagate/links/_connection.py
+++ b/guavagate/links/_connection.py
@@ -6,6 +6,7 @@
 import zmq
 
 from guavagate.clock import Clock
+from guavagate.links._compression import ZLIB
 from guavagate.links._credential import secure_client
 from guavagate.links._envelope import (
     MAX_FRAME_BYTES,
@@ -26,7 +27,8 @@
     Parameters
     ----------
     on_receive
-        Called with this connection and each envelope; must not block.
+        Called with this connection, each envelope and the size of its frame
+        in bytes; must not block.
     on_loss
         Called with this connection when it breaks or can't be established.
     """
@@ -36,7 +38,7 @@
         socket: zmq.Socket,
         clock: Clock,
         traffic: Traffic,
-        on_receive: Callable[['Connection', Envelope], None],
+        on_receive: Callable[['Connection', Envelope, int], None],
         on_loss: Callable[['Connection'], None],
     ) -> None:
         self._clock = clock
@@ -45,6 +47,7 @@
         self._pinged_at: float | None = None
         self.last_message_at = clock.now()
         self.boot = 0
+        self.accepts = 0
         self._owner = SocketOwner(
             socket, QUEUE_LIMIT, traffic, self._receive, self._handle_loss
         )
@@ -61,7 +64,9 @@
         """Request a heartbeat unless a request is already pending."""
         if self._pinged_at is None:
             self._pinged_at = self._clock.now()
-            frame = encode_envelope(Envelope(WIRE_VERSION, EnvelopeType.PING))
+            frame = encode_envelope(
+                Envelope(WIRE_VERSION, EnvelopeType.PING, accepts=ZLIB)
+            )
             self._owner.put([frame])
 
     def unanswered_seconds(self) -> float:
@@ -93,7 +98,8 @@
         except msgspec.MsgspecError:
             return
         self.boot = envelope.boot or self.boot
-        self._on_receive(self, envelope)
+        self.accepts = envelope.accepts
+        self._on_receive(self, envelope, len(frames[-1]))
 
 
 def connect_peer(
--- a/guavagate/links/_link.py
+++ b/guavagate/links/_link.py
@@ -23,6 +23,12 @@
 from guavagate.clock import Clock
 from guavagate.events import fleet, write
 from guavagate.exceptions import LinkError, LinkRefusedError
+from guavagate.links._compression import (
+    ZLIB,
+    compress_body,
+    decode_body,
+    is_large,
+)
 from guavagate.links._connection import Connection
 from guavagate.links._envelope import (
     WIRE_VERSION,
@@ -31,6 +37,7 @@
     decode_error,
     encode_envelope,
 )
+from guavagate.links._message_traffic import MessageTraffic
 from guavagate.models import InstanceId
 from guavagate.util.traffic import Traffic
 
@@ -50,7 +57,7 @@
 class _PendingRequest:
     """A request without a reply."""
 
-    result: 'AsyncResult[msgspec.Raw]'
+    result: 'AsyncResult[Envelope]'
     envelope: Envelope
     first_sent_at: float
     ticket: int | None = None
@@ -77,6 +84,7 @@
         connect: Callable[[], zmq.Socket],
         clock: Clock,
         traffic: Traffic,
+        messages: MessageTraffic,
     ) -> None:
         self._me = me
         self._boot = boot
@@ -84,6 +92,7 @@
         self._connect = connect
         self._clock = clock
         self._traffic = traffic
+        self._messages = messages
         self._pending: dict[int, _PendingRequest] = {}
         self._used_at = clock.now()
         self._probe: Connection | None = None
@@ -93,7 +102,7 @@
 
     def request(
         self, number: int, kind: str, body: bytes, timeout: float
-    ) -> msgspec.Raw:
+    ) -> bytes | msgspec.Raw:
         """Send a request and return the body of its reply."""
         envelope = self._wrap(EnvelopeType.REQUEST, number, kind, body)
         pending = _PendingRequest(AsyncResult(), envelope, self._clock.now())
@@ -103,9 +112,13 @@
             with self._clock.timeout(
                 timeout, lambda: self._make_timeout_error(pending)
             ):
-                return pending.result.get()
+                reply = pending.result.get()
         finally:
             self._pending.pop(number, None)
+        try:
+            return decode_body(reply)
+        except msgspec.MsgspecError as error:
+            raise self._make_uncertain_error(f'sent {error}') from error
 
     def send(self, kind: str, body: bytes) -> None:
         """Send a one-way message; raise `LinkRefusedError` on a full queue."""
@@ -177,19 +190,25 @@
     def _wrap(
         self, act: EnvelopeType, number: int, kind: str, body: bytes
     ) -> Envelope:
+        packed = None
+        if self._current.accepts and is_large(body):
+            far = self._messages.is_between_zones(self._peer)
+            packed = compress_body(body) if far else None
         return Envelope(
             WIRE_VERSION,
             act,
             number,
             self._me,
             kind,
-            msgspec.Raw(body),
+            msgspec.Raw(packed or body),
             self._boot,
+            codec=ZLIB if packed else 0,
+            accepts=ZLIB,
         )
 
     def _put(self, envelope: Envelope) -> int:
         self._used_at = self._clock.now()
-        ticket = self._current.put([encode_envelope(envelope)])
+        ticket = self._put_frame(envelope)
         if ticket is None:
             raise LinkRefusedError(
                 f'the queue to {self._peer} is full',
@@ -197,7 +216,16 @@
             )
         return ticket
 
-    def _receive(self, source: Connection, envelope: Envelope) -> None:
+    def _put_frame(self, envelope: Envelope) -> int | None:
+        frame = encode_envelope(envelope)
+        ticket = self._current.put([frame])
+        if ticket is not None:
+            self._messages.record_sent(self._peer, envelope.kind, len(frame))
+        return ticket
+
+    def _receive(
+        self, source: Connection, envelope: Envelope, size: int
+    ) -> None:
         if source is self._probe:
             self._replace(source)
             return
@@ -206,8 +234,10 @@
         if pending is None:  # A heartbeat, or a reply after the timeout.
             return
         self._pending.pop(envelope.id)
+        kind = pending.envelope.kind
+        self._messages.record_received(self._peer, kind, size)
         if envelope.act == EnvelopeType.REPLY:
-            pending.result.set(envelope.body)
+            pending.result.set(envelope)
             return
         error: Exception = decode_error(envelope.body)
         if envelope.act == EnvelopeType.REFUSED and pending.resent:
@@ -250,7 +280,7 @@
             pending.resent = True
             age = self._clock.now() - pending.first_sent_at
             envelope = msgspec.structs.replace(envelope, age=age)
-        pending.ticket = self._current.put([encode_envelope(envelope)])
+        pending.ticket = self._put_frame(envelope)
 
     def _make_timeout_error(self, pending: _PendingRequest) -> Exception:
         return self._withdraw(pending, 'gave no reply in time')
--- a/guavagate/metrics/names.py
+++ b/guavagate/metrics/names.py
@@ -86,6 +86,18 @@
     text='Their bytes, without the headers of IP, TCP and UDP',
     labels=('by', 'way'),
 )
+BUS_MESSAGES: Final = Metric(
+    name='guavagate_bus_messages_total',
+    kind=MetricKind.COUNTER,
+    text='Messages on the bus by kind; a reply counts as its request',
+    labels=('message', 'way', 'distance'),
+)
+BUS_BYTES: Final = Metric(
+    name='guavagate_bus_bytes_total',
+    kind=MetricKind.COUNTER,
+    text='Their bytes; `distance` is what lies between the two instances',
+    labels=('message', 'way', 'distance'),
+)
 EVENTS: Final = Metric(
     name='guavagate_events_total',
     kind=MetricKind.COUNTER,
@@ -214,6 +226,50 @@
     kind=MetricKind.COUNTER,
     text='Texts that moved off a sampler before it left',
 )
+ZONE_INSTANCES: Final = Metric(
+    name='guavagate_zone_instances',
+    kind=MetricKind.GAUGE,
+    text='Instances of a zone that this one sees alive',
+    labels=('zone', 'region'),
+)
+ZONE_UPSTREAMS: Final = Metric(
+    name='guavagate_zone_upstreams',
+    kind=MetricKind.GAUGE,
+    text='Registered upstreams of a zone',
+    labels=('zone', 'region'),
+)
+ZONE_COLD: Final = Metric(
+    name='guavagate_zone_cold_upstreams',
+    kind=MetricKind.GAUGE,
+    text='Upstreams of a zone that count as cold here',
+    labels=('zone', 'region'),
+)
+ZONE_RUNNING: Final = Metric(
+    name='guavagate_zone_running',
+    kind=MetricKind.GAUGE,
+    text='Requests and items that this instance has running in a zone',
+    labels=('zone', 'region'),
+)
+ZONE_EVACUATED_SECONDS: Final = Metric(
+    name='guavagate_zone_evacuated_seconds',
+    kind=MetricKind.GAUGE,
+    text='Time since this instance follows the evacuation of a zone',
+    labels=('zone', 'region'),
+)
+COLD_SECONDS: Final = Metric(
+    name='guavagate_upstream_cold_seconds',
+    kind=MetricKind.GAUGE,
+    text='Time since an upstream counts as cold here',
+    labels=('upstream', 'service', 'zone'),
+)
+ZONE_METRICS: Final = (
+    ZONE_INSTANCES,
+    ZONE_UPSTREAMS,
+    ZONE_COLD,
+    ZONE_RUNNING,
+    ZONE_EVACUATED_SECONDS,
+    COLD_SECONDS,
+)
 CPU_SECONDS: Final = Metric(
     name='process_cpu_seconds_total',
     kind=MetricKind.COUNTER,
@@ -271,6 +327,18 @@
     text='Requests of services with a warm-up, by what the holder said',
     labels=('result',),
 )
+REGION_REFUSALS: Final = Metric(
+    name='guavagate_region_refusals_total',
+    kind=MetricKind.COUNTER,
+    text='Requests and jobs that were refused for their regions',
+    labels=('kind',),
+    plotted=True,
+)
+ITEMS_MOVED_INSIDE: Final = Metric(
+    name='guavagate_items_moved_inside_total',
+    kind=MetricKind.COUNTER,
+    text='Items cancelled at samplers outside the regions of their job',
+)
 EVACUATED_ZONES: Final = Metric(
     name='guavagate_evacuated_zones',
     kind=MetricKind.GAUGE,
--- a/guavagate/routing/_upstreams.py
+++ b/guavagate/routing/_upstreams.py
@@ -33,6 +33,7 @@
     list_eligible,
 )
 from guavagate.routing._start_gate import OpenGate, StartGate
+from guavagate.routing._tiers import MeasureZones, ZoneCosts, measure_nothing
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -54,6 +55,8 @@
         upstreams at such addresses are preferred.
     eligibility
         Decides which upstreams may get new work.
+    measure_zones
+        Returns the round trips to other zones in seconds.
     """
 
     def __init__(
@@ -63,12 +66,16 @@
         rng: random.Random | None = None,
         is_connected: IsConnected = has_no_connection,
         eligibility: Eligibility | None = None,
+        measure_zones: MeasureZones = measure_nothing,
     ) -> None:
         self.eligibility = eligibility or Eligibility()
         self.gate: StartGate = OpenGate()
         self._is_connected = is_connected
         super().__init__(clock)
         self._zone = zone
+        self._zone_costs = ZoneCosts(
+            zone, clock, self.eligibility, measure_zones
+        )
         self._random = rng or random.Random()
         self._all: dict[UpstreamId, Upstream] = {}
         self._incarnations: dict[UpstreamId, int] = {}
@@ -335,6 +342,7 @@
             self._is_connected,
             lasting=lasting,
             preferred=preferred,
+            get_zone_cost=self._zone_costs.get,
         )
         if chosen is not None and is_failing_probes(
             self._loads[chosen.id], now
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -1,13 +1,11 @@
 """Starts and stops the job owners and coordinators of services with jobs."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from guavagate.clock import Clock
 from guavagate.duties import Scaler
-from guavagate.events import jobs as events
-from guavagate.events import write
 from guavagate.exceptions import StoreUnavailableError
 from guavagate.jobs import (
     AnnouncedJobs,
@@ -23,11 +21,18 @@
 from guavagate.links import Bus
 from guavagate.membership.registry import MemberRegistry
 from guavagate.metrics import Metrics
-from guavagate.models import InstanceId, ServiceId, WeightVersion
+from guavagate.models import (
+    InstanceId,
+    ServiceId,
+    UpstreamId,
+    WeightVersion,
+)
+from guavagate.owned_service import OwnedService
 from guavagate.ports.duties import DutyClient
 from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
 from guavagate.quarantine import Quarantine
+from guavagate.residency import JobBounds, UnboundJobs
 from guavagate.rollouts import (
     MAX_SUCCESSORS,
     Coordinator,
@@ -45,73 +50,6 @@
 _LOGGER: Final = logging.getLogger(__name__)
 
 
-class _Service:
-    """The job owner, coordinator and scaler of one service.
-
-    Attributes
-    ----------
-    coordinating
-        Whether this instance may order samplers, not only work on the jobs.
-    """
-
-    def __init__(
-        self,
-        service: ServiceId,
-        owner: JobOwner,
-        coordinator: Coordinator,
-        states: SamplerStates,
-        scaler: Scaler | None,
-        proof: SoleProof | None,
-    ) -> None:
-        self._proof = proof
-        self._id = service
-        self.coordinating = False
-        self.owner = owner
-        self.coordinator = coordinator
-        self.states = states
-        self.scaler = scaler
-
-    def start(self) -> None:
-        """Start working on the service's jobs and samplers."""
-        if not self.coordinating:
-            write(_LOGGER, events.COORDINATOR_STARTED, service=self._id)
-        self.coordinating = True
-        self.owner.start()
-        self.owner.mark_uncertain()
-        self.coordinator.start()
-        if self._proof is not None:
-            self._proof.start()
-        if self.scaler is not None:
-            self.scaler.start()
-
-    def stand_in(self) -> None:
-        """Start working on the jobs only; their owner may still be alive.
-
-        The coordinator tracks the samplers, so that items can be placed.
-        """
-        self._stop_coordinating()
-        self.owner.start()
-        self.owner.mark_uncertain()
-        self.coordinator.start(ordering=False)
-
-    def stop(self, next_owner: InstanceId | None) -> None:
-        """Stop, so that another instance can take the service over."""
-        self._stop_coordinating()
-        self.coordinator.stop()
-        self.owner.stop(next_owner)
-
-    def _stop_coordinating(self) -> None:
-        if not self.coordinating:
-            return
-        write(_LOGGER, events.COORDINATOR_STOPPED, service=self._id)
-        self.coordinating = False
-        if self._proof is not None:
-            self._proof.stop()
-        if self.scaler is not None:
-            self.scaler.stop()
-        self.coordinator.stop()
-
-
 class JobServices:
     """Starts and stops the work for the services that this instance owns."""
 
@@ -136,8 +74,10 @@
         duties: DutyClient | None = None,
         boot_clock: Callable[[], float] = read_boot_clock,
         budgets: StartBudgets | None = None,
+        bounds: JobBounds | None = None,
     ) -> None:
         self._budgets = budgets
+        self._bounds = bounds or UnboundJobs()
         self._watch = OwnerWatch(
             clock, bus, me, ownership, metrics, self.refresh, boot_clock
         )
@@ -157,6 +97,7 @@
             ownership,
             self._announced,
             routes.job_services,
+            self._bounds,
         )
         self._me = me
         self._clock = clock
@@ -172,7 +113,7 @@
         self._retention = retention
         self._published = PublishedVersions(clock)
         self._published.on_change = self._wake
-        self._services: dict[ServiceId, _Service] = {}
+        self._services: dict[ServiceId, OwnedService] = {}
         self._leaving = False
         self._start_versions: Callable[[], None] = _do_nothing
         self._stop_versions: Callable[[], None] = _do_nothing
@@ -241,9 +182,18 @@
         """Return whether this instance works on any service's jobs."""
         return any(service.owner.active for service in self._services.values())
 
+    def count_items(self, upstream: UpstreamId) -> int:
+        """Return how many items of this instance's jobs run at an upstream."""
+        return sum(
+            service.states.get(upstream).in_flight
+            for service in self._services.values()
+            if service.owner.active
+        )
+
     def refresh(self) -> None:
         """Start newly owned services and stop those no longer owned."""
         services = self._routes.job_services()
+        self._drop_outside(services)
         self._watch.update(services)
         owned = {each for each in services if self._ownership.is_owner(each)}
         for service in owned:
@@ -252,17 +202,30 @@
         for service in stands_in:
             self._get(service).stand_in()
         for service, running in self._services.items():
-            if service not in owned | stands_in:
+            if service in owned | stands_in:
+                running.owner.apply_regions()
+            else:
                 running.stop(self._find_next_owner(service))
         if owned:
             self._start_versions()
         else:
             self._stop_versions()
 
-    def _get(self, service: ServiceId) -> _Service:
+    def _drop_outside(self, services: Iterable[ServiceId]) -> None:
+        """Drop what this instance holds for services whose owner is elsewhere.
+
+        Their regions have changed, and exclude this instance now.
+        """
+        for service in services:
+            home = self._bounds.find_home_regions(service)
+            if not self._bounds.may_hold_here(home):
+                self._announced.drop_service(service)
+                self._replicas.drop_service(service)
+
+    def _get(self, service: ServiceId) -> OwnedService:
         return self._services.get(service) or self._make(service)
 
-    def _make(self, service: ServiceId) -> _Service:
+    def _make(self, service: ServiceId) -> OwnedService:
         states = SamplerStates()
         starts = None if self._budgets is None else self._budgets.get(service)
         owner = JobOwner(
@@ -279,10 +242,11 @@
             self._retention,
             self._replicas,
             self._snapshots,
-            lambda: self._list_successors(service),
+            lambda: self._ownership.list_replica_holders(service),
             self._announced,
             cache_tokens=lambda: self._get_cache_tokens(service),
             starts=starts,
+            bounds=self._bounds,
         )
         lease = Lease(
             self._job_store.object_store,
@@ -306,6 +270,7 @@
             owner.collect_demands,
             lambda: self._count_slots(service),
             self._metrics,
+            self._bounds.find_default_regions,
         )
         states.subscribe(coordinator.wake)
         scaler = self._make_scaler(service, lease, owner, states)
@@ -313,7 +278,9 @@
         if starts is not None:
             proof = SoleProof(self._clock, lease, starts.applies)
             starts.is_sole = proof.is_sole
-        created = _Service(service, owner, coordinator, states, scaler, proof)
+        created = OwnedService(
+            service, owner, coordinator, states, scaler, proof
+        )
         self._services[service] = created
         return created
 
--- a/guavagate/warmup/_holder.py
+++ b/guavagate/warmup/_holder.py
@@ -7,6 +7,7 @@
 from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, ServiceId
 from guavagate.ports.configuration import Warmup
+from guavagate.ports.upstreams import Upstream
 from guavagate.routing import RouteTable, UpstreamTable
 from guavagate.warmup._cold import ColdUpstreams
 from guavagate.warmup._cold_watch import ColdWatch
@@ -84,6 +85,10 @@
             self._services[service] = found
         return found
 
+    def is_cold(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an upstream counts as cold here."""
+        return self.get(upstream.service).is_cold(upstream.id, now)
+
     def refresh(self) -> None:
         """Apply a change of the members, which may change the holders."""
         for service, starts in self._services.items():
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -16,17 +16,20 @@
 import click
 
 from standins._safeguard_admission import ADMISSION_SAFEGUARDS
+from standins._safeguard_bytes import BYTES_SAFEGUARDS
 from standins._safeguard_capacity import CAPACITY_SAFEGUARDS
 from standins._safeguard_evacuation import EVACUATION_SAFEGUARDS
 from standins._safeguard_failover import FAILOVER_SAFEGUARDS
 from standins._safeguard_jobs import JOB_SAFEGUARDS
 from standins._safeguard_recovery import RECOVERY_SAFEGUARDS
+from standins._safeguard_residency import RESIDENCY_SAFEGUARDS
 from standins._safeguard_routing import ROUTING_SAFEGUARDS
 from standins._safeguard_rows import PLATFORM_SAFEGUARDS, Safeguard
 from standins._safeguard_stops import STOP_SAFEGUARDS
 from standins._safeguard_teams import TEAM_SAFEGUARDS
 from standins._safeguard_texts import TEXT_SAFEGUARDS
 from standins._safeguard_warmup import WARMUP_SAFEGUARDS
+from standins._safeguard_zones import ZONE_SAFEGUARDS
 
 SAFEGUARDS: Final = (
     *PLATFORM_SAFEGUARDS,
@@ -41,6 +44,9 @@
     *ADMISSION_SAFEGUARDS,
     *WARMUP_SAFEGUARDS,
     *EVACUATION_SAFEGUARDS,
+    *RESIDENCY_SAFEGUARDS,
+    *BYTES_SAFEGUARDS,
+    *ZONE_SAFEGUARDS,
 )
 ROOT: Final = pathlib.Path(__file__).parents[1]
 _TEST_SECONDS: Final = 120
--- a/tests/jobs/fleet.py
+++ b/tests/jobs/fleet.py
@@ -1,5 +1,9 @@
 """Instances that own jobs, with fakes of all their dependencies."""
 
+from collections.abc import Sequence
+
+import msgspec
+
 from guavagate.jobs import (
     AnnouncedJobs,
     GroupId,
@@ -21,7 +25,7 @@
 )
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
-from guavagate.models import InstanceId, WeightVersion, ZoneId
+from guavagate.models import InstanceId, RegionId, WeightVersion, ZoneId
 from guavagate.ports.configuration import (
     Configuration,
     Route,
@@ -30,8 +34,14 @@
     ServiceShare,
     Warmup,
 )
+from guavagate.residency import Residency
 from guavagate.rollouts import SamplerStates
-from guavagate.routing import EligibleSamplers, RouteTable, UpstreamTable
+from guavagate.routing import (
+    Eligibility,
+    EligibleSamplers,
+    RouteTable,
+    UpstreamTable,
+)
 from guavagate.warmup import WarmupBound, limit_starts
 from tests.jobs.rewards import FakeRewardClient, make_reward
 from tests.jobs.samplers import MODEL, SERVICE, FakeSamplers, make_upstream
@@ -77,6 +87,14 @@
     return Job(**{**values, **fields})
 
 
+class Places(msgspec.Struct):
+    """The regions of instances and zones, and the zones of samplers."""
+
+    regions: dict[str, RegionId]
+    region_of: dict[ZoneId, RegionId]
+    zones: dict[str, ZoneId]
+
+
 class Node:
     """One instance with its job owner and job reader."""
 
@@ -87,11 +105,22 @@
         self.job_store = JobStore(
             store, self.clock, f'{name}/{len(fleet.nodes)}'
         )
+        self.upstreams = UpstreamTable(
+            self.clock,
+            ZoneId('zone-0'),
+            eligibility=Eligibility(fleet.region_of),
+        )
+        self.routes = RouteTable()
+        members = world.members[InstanceId(name)]
+        self.residency = Residency(
+            self.routes, self.upstreams, members, InstanceId(name), Metrics()
+        ).jobs
         self.ownership = Ownership(
-            world.members[InstanceId(name)], InstanceId(name)
+            members,
+            InstanceId(name),
+            find_regions=self.residency.find_home_regions,
         )
         self.ownership.ready = True
-        self.upstreams = UpstreamTable(self.clock, ZoneId('zone-0'))
         self.metrics = Metrics()
         self.budgets = limit_starts(
             self.clock,
@@ -106,7 +135,9 @@
         self.states = SamplerStates()
         self.samplers = FakeSamplers(self.clock, fleet.length)
         for sampler in fleet.samplers:
-            self.upstreams.put(make_upstream(sampler))
+            upstream = make_upstream(sampler)
+            zone = fleet.zones.get(sampler, upstream.zone)
+            self.upstreams.put(msgspec.structs.replace(upstream, zone=zone))
             self.states.assigned[make_upstream(sampler).id] = frozenset(
                 (MODEL,)
             )
@@ -132,6 +163,7 @@
             self.ownership,
             self.announced,
             lambda: [SERVICE],
+            self.residency,
         )
         self.owner = JobOwner(
             SERVICE,
@@ -147,15 +179,12 @@
             120.0,
             self.replicas,
             TextSnapshots(fleet.folders.get(name, ''), lambda work: work()),
-            lambda: [
-                each
-                for each in self.ownership.rank_candidates(SERVICE)
-                if each != InstanceId(name)
-            ],
+            lambda: self.ownership.list_replica_holders(SERVICE),
             self.announced,
             self.clock.now,
             cache_tokens=lambda: fleet.cache_tokens,
             starts=self.budgets.get(SERVICE),
+            bounds=self.residency,
         )
         self.reader = JobReader(
             self.clock,
@@ -163,7 +192,9 @@
             self.job_store,
             self.ownership,
             lambda _: self.owner if self.owner.active else None,
+            self.residency,
         )
+        self.routes.subscribe(self.reader.drop_outside)
         self.watch = OwnerWatch(
             self.clock,
             world.bus(name),
@@ -177,11 +208,16 @@
 
     def refresh(self) -> None:
         """Start or stop the job owner, as `JobServices` does."""
+        home = self.residency.find_home_regions(SERVICE)
+        if not self.residency.may_hold_here(home):
+            self.announced.drop_service(SERVICE)
+            self.replicas.drop_service(SERVICE)
         self.watch.update([SERVICE])
         is_owner = self.ownership.is_owner(SERVICE)
         if is_owner or self.watch.stands_in(SERVICE):
             self.owner.start()
             self.owner.mark_uncertain()
+            self.owner.apply_regions()
         else:
             self.owner.stop(self.ownership.find_owner(SERVICE))
 
@@ -191,14 +227,19 @@
 
     def __init__(
         self,
-        names: str = 'abc',
+        names: Sequence[str] = 'abc',
         length: int = 5,
         samplers: str = 'xyz',
         folders: dict[str, str] | None = None,
         warmup: Warmup | None = None,
+        places: Places | None = None,
+        zones: dict[str, str] | None = None,
     ) -> None:
         self.warmup = warmup
         self.world = World()
+        self.zones = places.zones if places else {}
+        self.region_of = places.region_of if places else {}
+        regions = places.regions if places else {}
         self.folders = folders or {}
         self.clock = self.world.clock
         self.length = length
@@ -206,7 +247,9 @@
         self.samplers = samplers
         self.nodes: dict[str, Node] = {}
         for name in names:
-            self.world.add(name)
+            self.world.add(name, (zones or {}).get(name, ''))
+            if name in regions:
+                self.world.relocate(name, regions[name])
         self.clock.advance(1)
         for name in names:
             self.nodes[name] = Node(self, name)
@@ -246,8 +289,6 @@
 
     def stamp(self, job: Job) -> Job:
         """Return a copy of a job that is submitted now."""
-        import msgspec
-
         return msgspec.structs.replace(job, submitted_at=self.clock.wall())
 
     def owner(self) -> str:
--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -53,11 +53,13 @@
 _COUNTERS = {
     'duties/_scaler.py',
     'evacuation/_evacuations.py',
+    'fleet_instance/_instance.py',
     'forwarding/_keep_alive.py',
     'forwarding/_outages.py',
     'jobs/scheduling/_reclaim.py',
     'jobs/scheduling/_sources.py',
     'warmup/_cold_watch.py',
+    'residency/_residency.py',
 }
 
 
