--- a/tests/rollouts/test_evacuations.py
+++ b/tests/rollouts/test_evacuations.py
@@ -50,7 +50,8 @@
     first = _start()
     first.assign()
     owner = _Owner(first.list_loaded(7))
-    owner.states.assigned = before = dict(first.states.assigned)
+    before = dict(first.states.assigned)
+    owner.states.assigned = before
     everyone = owner.serving
     for serving in ([], everyone):
         owner.serving = serving
