Move the reports of the dispatcher into a module of its own

It mixed the decisions of a dispatch with the bookkeeping that logs and counts each waiting group or item once.

DispatchReports in scheduling/_reports.py now reports deferred groups, items without memory and delayed starts.

--- a/guavagate/jobs/scheduling/_dispatch.py
+++ b/guavagate/jobs/scheduling/_dispatch.py
@@ -8,9 +8,8 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import UpstreamError
-from guavagate.jobs._models import GroupId, ItemId, JobId
 from guavagate.jobs._work import ItemProgress, JobWork
-from guavagate.jobs.scheduling._forecast import Forecast, GroupPlan, forecast
+from guavagate.jobs.scheduling._forecast import Forecast, forecast
 from guavagate.jobs.scheduling._lengths import LengthEstimator
 from guavagate.jobs.scheduling._memory import (
     EngineMemory,
@@ -25,9 +24,9 @@
     find_urgent_moves,
 )
 from guavagate.jobs.scheduling._reclaim import Reclaims
+from guavagate.jobs.scheduling._reports import DispatchReports
 from guavagate.jobs.scheduling._schedule import (
     ItemPlacement,
-    Placements,
     SamplerSlots,
     place,
 )
@@ -96,15 +95,13 @@
         self._metrics = metrics
         self._cache_tokens = cache_tokens
         self._starts = starts
-        self._delayed: set[ItemId] = set()
-        self._without_memory: set[ItemId] = set()
         self._ignored_estimates: set[str] = set()
+        self._reports = DispatchReports(metrics)
         self._lengths = LengthEstimator()
         self._estimate = self._make_estimate()
         self._reclaims = Reclaims(
             service, upstreams, states, metrics, self._estimate_seconds
         )
-        self._deferred: set[tuple[JobId, GroupId]] = set()
         self._scanned_at = clock.now()
         self._resumed_at = clock.now()
 
@@ -152,9 +149,9 @@
         for move in moves:
             self._move(move)
         self._reclaims.move_texts(works, samplers, now)
-        self._count_delayed(planned, samplers, placements)
+        self._reports.count_delayed(planned, samplers, placements)
         if capacity and planned.groups:
-            self._report_memory(samplers, placements)
+            self._reports.report_memory(samplers, placements)
 
     def _make_estimate(self) -> EstimateTime:
         """Return the function that estimates remaining times at this moment."""
@@ -282,83 +279,9 @@
             self._lengths,
             now,
         )
-        self._report_deferred_groups(planned, now)
+        self._reports.report_deferred_groups(planned, now)
         return planned
 
-    def _report_deferred_groups(self, planned: Forecast, now: float) -> None:
-        """Log and count a group once, however often it is deferred."""
-        deferred = {
-            (each.work.job.id, each.group): each
-            for each in planned.groups
-            if each.deferred
-        }
-        for key, plan in deferred.items():
-            if key not in self._deferred:
-                self._metrics.count(names.GROUPS_DEFERRED)
-                self._log_deferred_group(plan, planned, now)
-        waiting = {(each.work.job.id, each.group) for each in planned.groups}
-        self._deferred = (self._deferred & waiting) | deferred.keys()
-
-    def _log_deferred_group(
-        self, plan: GroupPlan, planned: Forecast, now: float
-    ) -> None:
-        job = plan.work.job
-        write(
-            _LOGGER,
-            events.GROUP_DEFERRED,
-            job=job.id,
-            group=plan.group,
-            model=job.model,
-            waiting=len(plan.waiting),
-            left=round(plan.due - now, 2),
-            longest=round(plan.longest_seconds, 2),
-            work=round(plan.slot_seconds, 1),
-            backlog=round(planned.backlogs.get(job.model, 0), 2),
-        )
-
-    def _report_memory(
-        self, samplers: Sequence[SamplerSlots], placements: Placements
-    ) -> None:
-        """Log and count an item once, however often it finds no memory."""
-        shares = [each.memory.reserved_share for each in samplers]
-        self._metrics.set_gauge(
-            names.ENGINE_MEMORY_RESERVED, sum(shares) / max(len(shares), 1)
-        )
-        for progress in placements.alone:
-            write(_LOGGER, events.TEXT_ALONE, item=progress.item.id)
-        waiting = {each.item.id for each in placements.without_memory}
-        for item in waiting - self._without_memory:
-            self._metrics.count(names.ITEMS_WITHOUT_MEMORY)
-            write(
-                _LOGGER,
-                events.MEMORY_FULL,
-                item=item,
-                reserved=round(max(shares), 2),
-            )
-        self._without_memory = waiting
-
-    def _count_delayed(
-        self,
-        planned: Forecast,
-        samplers: Sequence[SamplerSlots],
-        placements: Placements,
-    ) -> None:
-        """Count an item once, however often it waits for the start limit."""
-        if not any(each.held_back for each in samplers):
-            self._delayed.clear()
-            return
-        started = {each.item for each in placements.started}
-        waiting = {
-            progress.item.id
-            for plan in planned.groups
-            for progress in plan.waiting
-            if progress.item.id not in started
-        }
-        delayed = len(waiting - self._delayed)
-        if delayed:
-            self._metrics.count(names.STARTS_DELAYED, delayed)
-        self._delayed = waiting
-
     def _start(
         self, work: JobWork, placement: ItemPlacement, now: float
     ) -> None:
