Move the registrations of upstreams into a module of their own

It mixed the record of who is registered, with its subscribers and the detection of restarts, with the choice among upstreams and the check before a request is sent.

Registrations in routing/_registrations.py now keeps that record. It extends LoadRecords, as a restart discards a load, and UpstreamTable extends it, so that no caller changes. The safeguard row on late registrations names the new file; its texts are unchanged.

--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -176,7 +176,7 @@
     ),
     Safeguard(
         'a late registration is not treated as a restart',
-        'guavagate/routing/_upstreams.py',
+        'guavagate/routing/_registrations.py',
         'if not before or upstream.incarnation <= before:',
         'if not before or upstream.incarnation == before:',
         'tests/routing/test_restarts.py',
