Move the loading of an owner's jobs into a module of its own

It mixed the life of a job (loaded once, activated, ended, removed) with the reads of results and their reconciliation.

--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -213,7 +213,7 @@
     ),
     Safeguard(
         'an ended job stops running',
-        'guavagate/jobs/records/_active.py',
+        'guavagate/jobs/records/_loaded.py',
         '        _cancel(work)\n        self._partial_texts',
         '        self._partial_texts',
         'tests/jobs/test_owner.py',
