Move the following of stored and announced jobs out of their owner

It mixed the work on jobs with following the store's watch and the announcements that bring them.

The log line of an item's result moves to ActiveJob, beside that of a job's start. Three safeguard rows name the new file; one of their texts calls is_owning in place of the owner's property. Two tests stop the store's mirrors through the loader; their checks are unchanged.

--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -1,20 +1,15 @@
 """Works on the jobs that this instance owns."""
 
-import logging
 from collections.abc import Callable
 from typing import Final
 
 from gevent.event import Event
 
 from guavagate.clock import Clock, Task
-from guavagate.events import jobs as events
-from guavagate.events import write
-from guavagate.helpers.mirror import Mirror
 from guavagate.helpers.waits import wait_for
+from guavagate.jobs._loader import JobLoader
 from guavagate.jobs._messages import LookupStatus
 from guavagate.jobs._models import (
-    ENDS_PREFIX,
-    JOBS_PREFIX,
     ItemId,
     Job,
     JobId,
@@ -28,8 +23,6 @@
     ActiveJobs,
     AnnouncedJobs,
     JobStore,
-    decode_job,
-    is_expired,
     remove_expired_jobs,
 )
 from guavagate.jobs.scheduling import (
@@ -49,7 +42,6 @@
 from guavagate.models import InstanceId, ServiceId, TeamId
 from guavagate.ports.rewards import RewardClient
 from guavagate.ports.sampler import SamplerClient
-from guavagate.ports.store import StoredObject
 from guavagate.ports.upstreams import Upstream
 from guavagate.quarantine import Quarantine
 from guavagate.residency import JobBounds, UnboundJobs
@@ -58,8 +50,6 @@
 from guavagate.util.boot_clock import read_boot_clock
 from guavagate.warmup import ServiceStarts
 
-_LOGGER: Final = logging.getLogger(__name__)
-
 # Changes wake the owner; this interval finds items that may be retried.
 DISPATCH_INTERVAL_SECONDS: Final = 0.1
 # The owner runs ten times a second. Other members consider an instance dead
@@ -108,8 +98,6 @@
         self._states = states
         self._metrics = metrics
         self._retention = retention
-        self._announced = announced
-        announced.subscribe(service, self._on_announced, self._on_announced_end)
         self._wake = Event()
         self._started_at = clock.now()
         self._taken_over = False
@@ -160,16 +148,16 @@
             self._regions.may_send,
         )
         self._tasks: list[Task] = []
-        store = job_store.object_store
-        self._job_mirror = Mirror(
-            store,
+        self._loader = JobLoader(
+            service,
             clock,
-            JOBS_PREFIX,
-            self._put_job,
-            self._drop_job,
-            on_loaded=self._active_jobs.mark_uncertain,
+            job_store.object_store,
+            self._active_jobs,
+            announced,
+            self._regions,
+            retention,
+            lambda: self.active,
         )
-        self._end_mirror = Mirror(store, clock, ENDS_PREFIX, self._put_end)
         states.subscribe(self._wake.set)
         upstreams.subscribe_restarts(self._cancel_stale_runs)
         self._quarantine = quarantine
@@ -189,9 +177,7 @@
             self._backups.start()
             self._started_at = self._clock.now()
             self._taken_over = False
-            self._job_mirror.start()
-            self._end_mirror.start()
-            self._load_announced()
+            self._loader.start()
             self._tasks = [
                 self._clock.spawn(self._run),
                 self._clock.spawn(
@@ -216,16 +202,14 @@
         for task in self._tasks:
             task.kill(block=False)
         self._tasks = []
-        self._job_mirror.stop()
-        self._end_mirror.stop()
+        self._loader.stop()
         self._active_jobs.clear()
         self._regions.clear()
 
     def apply_regions(self) -> None:
         """Apply the regions of the configuration in force to all jobs."""
         self._regions.update(self._active_jobs.list_open())
-        for stored in self._regions.take_stored():
-            self._put_job(stored.path.partition('/')[2], stored)
+        self._loader.reload_excluded()
 
     def mark_uncertain(self) -> None:
         """Record that another instance may have worked on the jobs."""
@@ -287,47 +271,6 @@
             mark_stopped_items(work, self._quarantine)
         self._wake.set()
 
-    def _load_announced(self) -> None:
-        """Load the announced jobs, even if the store does not answer now."""
-        for each in self._announced.list_jobs(self._service):
-            if not self._regions.may_hold(each.job):
-                continue
-            self._active_jobs.expect(each.job.id)
-            self._clock.spawn(
-                self._active_jobs.load_announced, each.job, each.received_at
-            )
-
-    def _on_announced(self, job: Job) -> None:
-        inside = self._regions.may_hold(job)
-        if not inside:
-            return
-        expired = is_expired(job, self._clock.wall(), self._retention)
-        if self.active and not expired:
-            self._active_jobs.add_announced(job)
-
-    def _on_announced_end(self, job: JobId) -> None:
-        if self.active:
-            self._active_jobs.end(job)
-
-    def _put_job(self, name: str, stored: StoredObject) -> None:
-        job = decode_job(stored.value)
-        if job.service != self._service or job.id in self._active_jobs:
-            return
-        if not self._regions.may_hold(job):
-            self._regions.put_aside(job, stored)
-            return
-        fresh = self._job_mirror.loaded and self._job_mirror.is_live_change
-        self._active_jobs.expect(job.id)
-        self._clock.spawn(self._active_jobs.load_stored, job.id, stored, fresh)
-
-    def _drop_job(self, name: str) -> None:
-        self._regions.drop(JobId(name))
-        self._active_jobs.drop(JobId(name))
-
-    def _put_end(self, name: str, stored: StoredObject) -> None:
-        self._regions.drop(JobId(name))
-        self._active_jobs.end(JobId(name))
-
     def _run(self) -> None:
         last_run_at = self._boot_clock()
         while True:
@@ -346,7 +289,7 @@
         """
         if now - self._started_at > MAX_TAKEOVER_SECONDS:
             return True
-        return self._job_mirror.loaded and self._active_jobs.is_complete
+        return self._loader.is_complete
 
     def _dispatch(self) -> None:
         now = self._clock.now()
@@ -399,17 +342,5 @@
             seconds = self._clock.now() - progress.started_at
             self._metrics.observe(names.ITEM_SECONDS, seconds)
         urgent = work.add_result(result)
-        write(
-            _LOGGER,
-            events.ITEM_DONE,
-            job=work.job.id,
-            item=result.id,
-            state=result.state.value,
-            versions=result.versions,
-            sampler=progress.sampler,
-            events=progress.text.last_number,
-            moves=progress.moves,
-            seconds=round(seconds, 2),
-            longest_gap=round(progress.longest_gap, 2),
-        )
+        active.log_result(result, seconds)
         active.committer.commit_pending(urgent=urgent or not work.open)
--- a/guavagate/jobs/records/_active_job.py
+++ b/guavagate/jobs/records/_active_job.py
@@ -10,6 +10,7 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import StoreError
+from guavagate.jobs._models import Result
 from guavagate.jobs._result_log import WRITE_TIMEOUT_SECONDS
 from guavagate.jobs._work import JobWork
 from guavagate.jobs.records._committer import Committer
@@ -81,3 +82,20 @@
             told=sum(bool(each.text.last_number) for each in items.values()),
             age=round(age, 2),
         )
+
+    def log_result(self, result: Result, seconds: float) -> None:
+        """Log an item's result and for how many seconds the item ran."""
+        progress = self.work.items[result.id]
+        write(
+            _LOGGER,
+            events.ITEM_DONE,
+            job=self.work.job.id,
+            item=result.id,
+            state=result.state.value,
+            versions=result.versions,
+            sampler=progress.sampler,
+            events=progress.text.last_number,
+            moves=progress.moves,
+            seconds=round(seconds, 2),
+            longest_gap=round(progress.longest_gap, 2),
+        )
--- a/standins/_safeguard_failover.py
+++ b/standins/_safeguard_failover.py
@@ -35,9 +35,9 @@
     ),
     Safeguard(
         'an announced job that has expired does not run',
-        'guavagate/jobs/_owner.py',
-        '        if self.active and not expired:\n',
-        '        if self.active:\n',
+        'guavagate/jobs/_loader.py',
+        '        if self._is_owning() and not expired:\n',
+        '        if self._is_owning():\n',
         _TEST_ANNOUNCEMENTS,
     ),
     Safeguard(
--- a/standins/_safeguard_jobs.py
+++ b/standins/_safeguard_jobs.py
@@ -22,7 +22,7 @@
     ),
     Safeguard(
         'a new owner waits until all jobs are loaded',
-        'guavagate/jobs/_owner.py',
+        'guavagate/jobs/_loader.py',
         'return self._job_mirror.loaded and self._active_jobs.is_complete',
         'return True',
         'tests/jobs/test_owner.py',
--- a/standins/_safeguard_residency.py
+++ b/standins/_safeguard_residency.py
@@ -72,7 +72,7 @@
     ),
     Safeguard(
         'an owner outside holds no bodies',
-        'guavagate/jobs/_owner.py',
+        'guavagate/jobs/_loader.py',
         '        if not self._regions.may_hold(job):\n',
         '        if False:\n',
         _TEST_JOBS,
--- a/tests/jobs/ownership/test_standing_in.py
+++ b/tests/jobs/ownership/test_standing_in.py
@@ -60,7 +60,7 @@
     started = node.samplers.started
     assert len(started) == 6
     assert min(after for _, _, after in started) > 15
-    node.owner._job_mirror.stop()
+    node.owner._loader._job_mirror.stop()
     fleet.accept(make_job('job-2', groups=1))
     fleet.clock.advance(0.2)
     assert len(started) == 8
--- a/tests/jobs/records/test_announcements.py
+++ b/tests/jobs/records/test_announcements.py
@@ -40,8 +40,8 @@
 def fleet() -> RoleFleet:
     """Return a fleet whose owner gets nothing from its watch."""
     fleet = _make_fleet(40)
-    fleet.first.owner._job_mirror.stop()
-    fleet.first.owner._end_mirror.stop()
+    fleet.first.owner._loader._job_mirror.stop()
+    fleet.first.owner._loader._end_mirror.stop()
     return fleet
 
 
