--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -176,7 +176,7 @@
     ),
     Safeguard(
         'a late registration is not treated as a restart',
-        'guavagate/routing/_upstreams.py',
+        'guavagate/routing/_registrations.py',
         'if not before or upstream.incarnation <= before:',
         'if not before or upstream.incarnation == before:',
         'tests/routing/test_restarts.py',
@@ -213,7 +213,7 @@
     ),
     Safeguard(
         'an ended job stops running',
-        'guavagate/jobs/records/_active.py',
+        'guavagate/jobs/records/_loaded.py',
         '        _cancel(work)\n        self._partial_texts',
         '        self._partial_texts',
         'tests/jobs/test_owner.py',
