Search for a peer only where a call may go through one

Cause: a store call with bodies whose instance has no permitted peer started a search that probes nobody. It ended at its time limit of 0.2 s, and all other calls, as those of leases, waited for it.

Change: such a call fails at once. Adds a test that failed before.

Measured: tests/integrations/test_peers.py passes.

--- a/guavagate/integrations/object_api/_peers.py
+++ b/guavagate/integrations/object_api/_peers.py
@@ -232,7 +232,7 @@
             for each in self._list_peers()
             if self._may_relay(each, call.path)
         ]
-        if not self._peers.has_working_peer(peers):
+        if peers and not self._peers.has_working_peer(peers):
             self._find_peer(peers)
         problem = 'there is no peer'
         for peer in self._peers.rank(peers)[:_MAX_TRIED_PEERS]:
--- a/tests/integrations/test_peers.py
+++ b/tests/integrations/test_peers.py
@@ -250,3 +250,22 @@
     with pytest.raises(NotSentError):
         fleet.call('a', job)
     assert fleet.call('a').status == 200
+
+
+def test_a_call_without_a_permitted_peer_delays_no_other_one() -> None:
+    """A search without peers ends at its time limit, and other calls join it.
+
+    The store calls of a lease would then wait for nothing each time that a
+    call with bodies fails.
+    """
+    fleet = _Fleet()
+    fleet.fallbacks['a']._may_relay = lambda peer, path: 'jobs' not in path
+    fleet.rejections['a'] = NotSentError('503')
+    job = Call(method='PUT', path='/objects/jobs/j', timeout=1)
+    clock = fleet.world.clock
+    refused = clock.spawn(fleet.fallbacks['a'].call, job)
+    lease = clock.spawn(fleet.fallbacks['a'].call, _CALL)
+    clock.advance(0.1)
+    assert refused.ready()
+    assert lease.ready()
+    assert lease.get(block=False).status == 200
