Remove a default that is never true, and a function that stood twice

Cause: ZoneView could be made without a function that tells which upstreams are cold. It then asked the eligibility check, which never says so. Two packages had the same function for jobs without regions, and a limit had no reason.

Change: the function is required; find_no_regions is in guavagate/residency.

--- a/guavagate/jobs/ownership/_ownership.py
+++ b/guavagate/jobs/ownership/_ownership.py
@@ -9,7 +9,8 @@
     choose_replica_holders,
     choose_zone_cache,
 )
-from guavagate.models import ANYWHERE, InstanceId, Regions, ServiceId
+from guavagate.models import InstanceId, Regions, ServiceId
+from guavagate.residency import find_no_regions
 from guavagate.runtime import Members
 from guavagate.settings import PeerSettings
 from guavagate.util.rendezvous import weigh
@@ -25,11 +26,6 @@
 REPLICA_COUNT: Final = 2
 
 
-def find_no_regions(service: ServiceId) -> Regions:
-    """Return that a service's jobs are not bound."""
-    return ANYWHERE
-
-
 def prefer_workers(instances: Iterable[PeerSettings]) -> list[InstanceId]:
     """Return the instances without a callers' edge, or all if all have one."""
     listed = list(instances)
--- a/guavagate/residency/_regions.py
+++ b/guavagate/residency/_regions.py
@@ -9,7 +9,12 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
-from guavagate.models import ANYWHERE, RegionId, Regions, ZoneId
+from guavagate.models import ANYWHERE, RegionId, Regions, ServiceId, ZoneId
+
+
+def find_no_regions(service: ServiceId) -> Regions:
+    """Return that the jobs of a service are not bound."""
+    return ANYWHERE
 
 
 def read_regions(names: Iterable[str] | None) -> Regions:
--- a/guavagate/rollouts/_coordinator.py
+++ b/guavagate/rollouts/_coordinator.py
@@ -17,7 +17,6 @@
 from guavagate.helpers.waits import wait_for
 from guavagate.metrics import Metrics
 from guavagate.models import (
-    ANYWHERE,
     InstanceId,
     Regions,
     ServiceId,
@@ -29,6 +28,7 @@
     VersionOrder,
 )
 from guavagate.ports.upstreams import Upstream
+from guavagate.residency import find_no_regions
 from guavagate.rollouts._assigner import SamplerAssigner
 from guavagate.rollouts._lease import (
     Lease,
@@ -60,10 +60,6 @@
 MAX_DOUBLINGS: Final = 3
 
 
-def _find_no_regions(service: ServiceId) -> Regions:
-    return ANYWHERE
-
-
 class Coordinator:
     """Sends load orders to a service's samplers while this instance owns it."""
 
@@ -81,7 +77,7 @@
         demands: Callable[[], dict[str, ModelDemand]],
         count_slots: Callable[[], int],
         metrics: Metrics | None = None,
-        find_regions: Callable[[ServiceId], Regions] = _find_no_regions,
+        find_regions: Callable[[ServiceId], Regions] = find_no_regions,
     ) -> None:
         self._find_regions = find_regions
         self._service = service
--- a/guavagate/warmup/_permits.py
+++ b/guavagate/warmup/_permits.py
@@ -9,6 +9,7 @@
 from guavagate.ports.upstreams import Upstream
 from guavagate.warmup._limits import PERMIT_SECONDS
 
+# Beyond this number, upstreams without permits are removed.
 _MAX_UPSTREAMS: Final = 200
 
 
--- a/guavagate/zone_view/_view.py
+++ b/guavagate/zone_view/_view.py
@@ -13,7 +13,7 @@
 
 from guavagate.models import RegionId, ServiceId, UpstreamId, ZoneId
 from guavagate.ports.upstreams import Upstream
-from guavagate.routing import Eligibility, Obstacle
+from guavagate.routing import Eligibility
 
 _Key = TypeVar('_Key', bound=str)
 
@@ -65,8 +65,7 @@
     count_running
         Returns how many requests and items this instance runs at an upstream.
     is_cold
-        Returns whether an upstream counts as cold; by default, whether the
-        eligibility check says so.
+        Returns whether an upstream counts as cold.
     """
 
     def __init__(
@@ -75,13 +74,13 @@
         list_upstreams: Callable[[], Iterable[Upstream]],
         list_instance_zones: Callable[[], Iterable[ZoneId]],
         count_running: Callable[[UpstreamId], int],
-        is_cold: Callable[[Upstream], bool] | None = None,
+        is_cold: Callable[[Upstream], bool],
     ) -> None:
         self._eligibility = eligibility
         self._list_upstreams = list_upstreams
         self._list_instance_zones = list_instance_zones
         self._count_running = count_running
-        self._is_cold = is_cold or self._is_warming_up
+        self._is_cold = is_cold
         self._evacuated = _Ages[ZoneId]()
         self._cold = _Ages[UpstreamId]()
 
@@ -149,10 +148,6 @@
             evacuated_for=None if since is None else now - since,
         )
 
-    def _is_warming_up(self, upstream: Upstream) -> bool:
-        obstacle = self._eligibility.find_obstacle(upstream)
-        return obstacle is Obstacle.WARMING_UP
-
 
 class _Ages(Generic[_Key]):
     """When each of some states began."""
