Test that bodies and texts reach no instance outside their regions

Cause: four checks could be removed without a failing test: those of the recipients of announcements, replicas and handovers, and the regions of a job whose route is gone. The checks of announced jobs at the owner had none either.

Change: adds five tests, and a safeguard row for each of the four checks.

Measured: tests/residency/test_jobs.py passes, and fails with each of the checks removed.

--- a/standins/_safeguard_residency.py
+++ b/standins/_safeguard_residency.py
@@ -154,4 +154,32 @@
         'return True',
         _TEST_JOBS,
     ),
+    Safeguard(
+        'jobs are announced to instances inside only',
+        'guavagate/jobs/records/_announcements.py',
+        'if not self._bounds.may_hold(job.regions, recipient):',
+        'if False:',
+        _TEST_JOBS,
+    ),
+    Safeguard(
+        'texts are replicated to instances inside only',
+        'guavagate/jobs/texts/_text_backups.py',
+        'sent = [each for each in works if self._may_send(each, peer)]',
+        'sent = works',
+        _TEST_JOBS,
+    ),
+    Safeguard(
+        'texts are handed over to an owner inside only',
+        'guavagate/jobs/texts/_text_backups.py',
+        '[each for each in self._list_open() if self._may_send(each, peer)]',
+        'list(self._list_open())',
+        _TEST_JOBS,
+    ),
+    Safeguard(
+        'a job whose route is gone stays inside',
+        'guavagate/residency/_bounds.py',
+        'accepted=ANYWHERE if known else accepted,',
+        'accepted=ANYWHERE,',
+        _TEST_JOBS,
+    ),
 )
--- a/tests/residency/test_jobs.py
+++ b/tests/residency/test_jobs.py
@@ -7,6 +7,7 @@
 from guavagate.jobs import JobId, LookupStatus
 from guavagate.jobs.records._store import decode_job
 from guavagate.models import InstanceId, RegionId
+from guavagate.ports.configuration import Route
 from tests.jobs.fleet import check_complete
 from tests.jobs.samplers import SERVICE
 from tests.residency.bench import (
@@ -219,3 +220,100 @@
         assert residency.may_relay(near, f'/objects/{path}')
         assert not residency.may_relay(far, f'/objects/{path}')
     assert residency.may_relay(far, '/objects/leases/llm')
+
+
+def _make_routes(region: RegionId) -> tuple[Route, ...]:
+    """Return two further routes of the service with a region."""
+    return tuple(
+        msgspec.structs.replace(
+            make_job_route(region), name=prefix, prefix=prefix
+        )
+        for prefix in ('/y/', '/z/')
+    )
+
+
+def _count_replicated(fleet: RegionFleet) -> dict[str, int]:
+    """Return the replicated events of each instance that has any."""
+    counts = {
+        name: sum(
+            replica.text.last_number
+            for jobs in node.replicas._received.values()
+            for texts in jobs.values()
+            for replica in texts.values()
+        )
+        for name, node in fleet.nodes.items()
+    }
+    return {name: count for name, count in counts.items() if count}
+
+
+def test_an_announcement_reaches_no_instance_outside() -> None:
+    """The regions changed while the entry stored the job."""
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(NORTH))
+    bound = msgspec.structs.replace(
+        fleet.stamp(make_bound_job()), regions=frozenset((SOUTH,))
+    )
+    fleet.nodes['c'].intake.announce(bound)
+    fleet.clock.advance(0.2)
+    assert not _find_holders(fleet)
+
+
+def test_an_announced_job_is_not_loaded_outside() -> None:
+    """The sender had other regions in force than the owner."""
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(SOUTH), others=_make_routes(NORTH))
+    owner = fleet.nodes[fleet.list_owners()[0]]
+    owner.announced.put(fleet.stamp(make_bound_job()))
+    fleet.clock.advance(0.5)
+    assert not any(owner.owner._active_jobs)
+    owner.owner.stop(None)
+    owner.owner.start()
+    fleet.clock.advance(2)
+    assert not any(owner.owner._active_jobs)
+
+
+def test_texts_are_replicated_to_no_successor_outside() -> None:
+    """A running job is bound to regions in which its owner is not.
+
+    The owner stays, as the service's routes have no region in common.
+    """
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(NORTH), others=_make_routes(NORTH))
+    fleet.submit(make_bound_job(), 'a')
+    fleet.clock.advance(1.5)
+    assert set(_count_replicated(fleet)) == {fleet.list_owners()[1]}
+    fleet.configure(make_job_route(SOUTH), others=_make_routes(NORTH))
+    assert set(fleet.list_owners()) == {'a', 'b'}
+    replicated = _count_replicated(fleet)
+    fleet.clock.advance(1)
+    assert _count_replicated(fleet) == replicated
+
+
+def test_texts_are_handed_over_to_no_owner_outside() -> None:
+    """Other routes of a service change their region, and its owner moves there.
+
+    A job that is bound to the former region stays in it.
+    """
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(SOUTH), others=_make_routes(SOUTH))
+    fleet.submit(make_bound_job(), 'a')
+    fleet.clock.advance(1.5)
+    assert set(_count_replicated(fleet)) <= {'c', 'd'}
+    fleet.configure(make_job_route(SOUTH), others=_make_routes(NORTH))
+    assert set(fleet.list_owners()) == {'a', 'b'}
+    assert not set(_count_replicated(fleet)) & {'a', 'b'}
+
+
+def test_a_job_whose_route_is_gone_stays_inside() -> None:
+    """Its body would go anywhere, as no route in force binds it any more."""
+    fleet = RegionFleet()
+    fleet.configure(make_job_route(SOUTH), others=_make_routes(SOUTH))
+    fleet.submit(make_bound_job(), 'a')
+    fleet.clock.advance(1)
+    fleet.list_used()
+    routes = _make_routes(SOUTH)
+    fleet.configure(routes[0], others=routes[1:])
+    node = fleet.nodes[fleet.list_owners()[0]]
+    job = next(iter(node.owner._active_jobs.list_open())).job
+    assert node.residency.find_job_regions(job) == {SOUTH}
+    assert fleet.list_used() <= _INSIDE
