Test that a cache sends no results of a removed job for a later one

Cause: the comparison of identities where a zone's cache serves an entry could be removed without a failing test. A caller would have got results of a removed job as those of a later job under the same id.

Change: adds a test and a safeguard row.

--- a/standins/_safeguard_bytes.py
+++ b/standins/_safeguard_bytes.py
@@ -46,6 +46,13 @@
         '        if True:\n',
         _TEST_PAGES,
     ),
+    Safeguard(
+        'a cache sends no results of a removed job for a later one',
+        _PAGES,
+        'if identity == asked.identity and len(cached) >= count:',
+        'if len(cached) >= count:',
+        _TEST_PAGES,
+    ),
     Safeguard(
         'a cache that sends nothing is not waited for again',
         _PAGES,
--- a/tests/jobs/records/test_zone_pages.py
+++ b/tests/jobs/records/test_zone_pages.py
@@ -1,5 +1,6 @@
 """Pages of results that come from a cache in the reader's zone."""
 
+import msgspec
 import pytest
 
 from guavagate.admission import MemoryBudget
@@ -11,7 +12,7 @@
     Result,
     ResultState,
 )
-from guavagate.jobs._messages import PageReply, ReadPage
+from guavagate.jobs._messages import PageReply, ReadPage, ReadResults
 from guavagate.jobs.ownership._zones import choose_zone_cache
 from guavagate.jobs.records import _pages
 from guavagate.jobs.records._expiry import remove_job
@@ -200,7 +201,7 @@
         world.add('me')
         me, self.name = InstanceId('me'), InstanceId('owner')
         self.cache = ResultCache()
-        self._client = PageClient(
+        self.client = PageClient(
             world.clock,
             world.bus(me),
             me,
@@ -212,7 +213,7 @@
     def read(self, after: int) -> Page:
         """Return the page that the client makes of the replies."""
         message = ReadPage(service=SERVICE, job=_JOB, after=after, wait=0)
-        reply = self._client.request(self.name, message, 1)
+        reply = self.client.request(self.name, message, 1)
         assert reply is not None
         assert reply.page is not None
         return reply.page
@@ -276,6 +277,29 @@
     assert owner.read(0).next == 9
 
 
+def test_results_of_a_removed_job_are_not_sent_for_a_later_one() -> None:
+    """An entry read the later job's page, and its zone's cache lags behind.
+
+    An owner that still has the removed job has no results for it either.
+    """
+    owner = _Owner(
+        _make_reply(0, 1, 1, 7),
+        _make_reply(0, 2, 2, 8),
+        _make_reply(0, 2, 2, 7),
+    )
+    owner.read(0)
+    asked = ReadResults(
+        owner=InstanceId('owner'),
+        page=ReadPage(service=SERVICE, job=_JOB, after=0, wait=0),
+        identity=8,
+        end=1,
+    )
+    assert len(owner.client._find_results(asked)) == 1
+    assert owner.asked[-1].identity == 7
+    later = msgspec.structs.replace(asked, identity=9)
+    assert not owner.client._find_results(later)
+
+
 def test_cached_bytes_are_bounded_and_counted() -> None:
     """Load: 100 jobs of 100 results of 5 KB, on a small instance."""
     budget = MemoryBudget(20_000_000)
--- a/tests/residency/test_jobs.py
+++ b/tests/residency/test_jobs.py
@@ -1,5 +1,7 @@
 """Jobs that are bound to regions: their samplers, owners and bodies."""
 
+from collections import Counter
+
 import msgspec
 import pytest
 
@@ -234,16 +236,12 @@
 
 def _count_replicated(fleet: RegionFleet) -> dict[str, int]:
     """Return the replicated events of each instance that has any."""
-    counts = {
-        name: sum(
-            replica.text.last_number
-            for jobs in node.replicas._received.values()
-            for texts in jobs.values()
-            for replica in texts.values()
-        )
-        for name, node in fleet.nodes.items()
-    }
-    return {name: count for name, count in counts.items() if count}
+    counts = Counter[str]()
+    for name, node in fleet.nodes.items():
+        for jobs in node.replicas._received.values():
+            texts = [each for job in jobs.values() for each in job.values()]
+            counts[name] += sum(each.text.last_number for each in texts)
+    return dict(+counts)
 
 
 def test_an_announcement_reaches_no_instance_outside() -> None:
