Test a holder that has just started, and instances without evacuations

Cause: two checks could be removed without a failing test. An instance that does not know the members yet is the first of those that it knows, and would grant starts. One whose settings name no evacuations would store those of its relay, get no removal of them, and relay them later.

Change: adds a test and a safeguard row for each.

Measured: tests/evacuation and tests/warmup/test_grants.py pass, and fail with the checks removed; mypy finds nothing.

--- a/standins/_safeguard_evacuation.py
+++ b/standins/_safeguard_evacuation.py
@@ -156,4 +156,11 @@
         '',
         _REQUESTS,
     ),
+    Safeguard(
+        'an instance keeps no objects that it does not follow',
+        'guavagate/feeds/_follower.py',
+        'if find_prefix(change.entry.path) in self._prefixes:',
+        'if True:',
+        _FOLLOWED,
+    ),
 )
--- a/standins/_safeguard_warmup.py
+++ b/standins/_safeguard_warmup.py
@@ -183,4 +183,11 @@
         'return starts.held or starts.retake(',
         _ITEMS_TEST,
     ),
+    Safeguard(
+        'an instance that has just started grants nothing',
+        'guavagate/warmup/_holder.py',
+        'return self._turns.ready and in_turn',
+        'return in_turn',
+        _GRANTS_TEST,
+    ),
 )
--- a/tests/evacuation/fleet.py
+++ b/tests/evacuation/fleet.py
@@ -45,8 +45,11 @@
 class Node:
     """One instance: its feed, its upstreams and its evacuations."""
 
-    def __init__(self, world: World, name: str, *, first: bool) -> None:
+    def __init__(
+        self, world: World, name: str, *, first: bool, follows: bool = True
+    ) -> None:
         me = InstanceId(name)
+        evacuations = (PREFIX,) if follows else ()
         host = world.hosts[me]
         self.store = _Store(host.clock, world.store, name)
         self.upstreams = UpstreamTable(host.clock, ZoneId('a'))
@@ -73,16 +76,16 @@
             world.bus(name),
             world.members[me],
             me,
-            ('config', 'servers', PREFIX),
+            ('config', 'servers', *evacuations),
             ('servers',),
-            later=(PREFIX,),
-            urgent=(PREFIX,),
+            later=evacuations,
+            urgent=evacuations,
             first_start=first,
             boot_clock=world.clock.now,
         )
         self.feed.register_handlers('config', lambda _: None, None)
         self.feed.register_handlers('servers', self._put, self._remove)
-        self.evacuations.follow(self.feed, (PREFIX,))
+        self.evacuations.follow(self.feed, evacuations)
         self.feed.start()
 
     def list_serving(self) -> str:
@@ -153,9 +156,15 @@
             and not self.world.hosts[InstanceId(name)].dead
         )
 
-    def restart(self, name: str) -> Node:
-        """Kill an instance, and start it again under the same id."""
+    def restart(self, name: str, *, follows: bool = True) -> Node:
+        """Kill an instance, and start it again under the same id.
+
+        Parameters
+        ----------
+        follows
+            Whether its settings ask for evacuations.
+        """
         self.world.hosts[InstanceId(name)].kill()
         self.world.add(name)
-        self.nodes[name] = Node(self.world, name, first=False)
+        self.nodes[name] = Node(self.world, name, first=False, follows=follows)
         return self.nodes[name]
--- a/tests/evacuation/test_evacuations.py
+++ b/tests/evacuation/test_evacuations.py
@@ -85,6 +85,26 @@
     assert fleet.list_serving() == {'ab'}
 
 
+def test_an_instance_whose_settings_name_no_evacuations(fleet: Fleet) -> None:
+    """It has no handler for what the relay sends.
+
+    It would keep objects that it gets no removal of, and relay them later.
+    """
+    name = next(each for each in fleet.nodes if each != fleet.find_relay())
+    node = fleet.restart(name, follows=False)
+    fleet.clock.advance(3)
+    assert not node.feed.relaying
+    fleet.evacuate('a')
+    fleet.clock.advance(BOUND)
+    assert fleet.list_serving() == {'ab', 'b'}
+    paths = {each.path for each in node.feed._table.entries()}
+    assert paths == {'config/main', 'servers/a', 'servers/b'}
+    fleet.put_upstream('c', 'b')
+    fleet.end('a')
+    fleet.clock.advance(BOUND)
+    assert fleet.list_serving() == {'abc'}
+
+
 def test_an_outage_of_the_store_ends_no_evacuation(fleet: Fleet) -> None:
     """The last known state is in force, also while relays change."""
     fleet.evacuate('a')
--- a/tests/warmup/test_grants.py
+++ b/tests/warmup/test_grants.py
@@ -7,6 +7,7 @@
 from guavagate.exceptions import UpstreamNotStartedError
 from guavagate.models import UpstreamId
 from guavagate.routing import Obstacle
+from guavagate.warmup import AskWarmup
 from tests.warmup.common import MAX_PER_SECOND, find_most
 from tests.warmup.fleet import SERVICE, Fleet
 
@@ -170,3 +171,15 @@
     entry.table.load(UpstreamId('y')).ejected_until = until
     sent = [entry.choose() for _ in range(12)]
     assert sent == ['x'] * 8 + [None] * 4
+
+
+def test_an_instance_that_has_just_started_grants_nothing() -> None:
+    """Until it knows the members it is the first of those that it knows."""
+    fleet = Fleet()
+    fleet.register('x', cold_for=0)
+    fleet.holder.turns.ready = False
+    fleet.holder.budgets.refresh()
+    message = AskWarmup(service=SERVICE, upstreams=(_X,))
+    assert not fleet.holder.budgets.ask(message).holder
+    fleet.holder.turns.ready = True
+    assert fleet.holder.budgets.ask(message).granted == _X
