Test streams and rewards whose regions change or contradict

Cause: two checks could be removed without a failing test. A stream that resumes would have used the regions that it began with, and a job whose reward route is bound to other regions would have been accepted, though no reward can come.

Change: adds a test and a safeguard row for each; the bench of streams takes bounds.

Measured: tests/residency and tests/forwarding/test_stream.py pass, and fail with the checks removed.

--- a/standins/_safeguard_residency.py
+++ b/standins/_safeguard_residency.py
@@ -182,4 +182,19 @@
         'accepted=ANYWHERE,',
         _TEST_JOBS,
     ),
+    Safeguard(
+        'a resumed stream uses the regions in force',
+        'guavagate/forwarding/_stream.py',
+        '            call = self._regions.bind(call, route)\n'
+        '            progress.call = call\n',
+        '',
+        _TEST_REQUESTS,
+    ),
+    Safeguard(
+        'a job whose rewards are bound elsewhere is refused',
+        _JOBS,
+        '        if contradicting:\n',
+        '        if False:\n',
+        _TEST_JOBS,
+    ),
 )
--- a/tests/forwarding/stream_bench.py
+++ b/tests/forwarding/stream_bench.py
@@ -27,6 +27,7 @@
 from guavagate.ports.dialect import AnswerMarks, Call
 from guavagate.ports.upstreams import Upstream
 from guavagate.quarantine import RequestContent
+from guavagate.residency import RequestBounds
 from guavagate.routing import UpstreamTable
 from tests.forwarding.common import start_upstream
 from tests.quarantine.common import make_quarantine, stop
@@ -89,6 +90,7 @@
         # Upstreams that could send all of their answer.
         self.taken: list[str] = []
         self.quarantine = make_quarantine(self.clock, self.upstreams)
+        self.bounds: RequestBounds | None = None
 
     def stop(self) -> None:
         """Stop the request that `stream` sends."""
@@ -170,6 +172,7 @@
                 self.quarantine,
             ),
             RequestGuard(self.quarantine, self.upstreams),
+            self.bounds,
         )
 
         def handle(exchange: Exchange) -> None:
--- a/tests/residency/test_jobs.py
+++ b/tests/residency/test_jobs.py
@@ -10,7 +10,7 @@
 from guavagate.jobs.records._store import decode_job
 from guavagate.models import InstanceId, RegionId
 from guavagate.ports.configuration import Route
-from tests.jobs.fleet import check_complete
+from tests.jobs.fleet import check_complete, make_job
 from tests.jobs.samplers import SERVICE
 from tests.residency.bench import (
     NORTH,
@@ -315,3 +315,20 @@
     job = next(iter(node.owner._active_jobs.list_open())).job
     assert node.residency.find_job_regions(job) == {SOUTH}
     assert fleet.list_used() <= _INSIDE
+
+
+def test_a_job_whose_rewards_are_bound_elsewhere_is_refused() -> None:
+    """Its texts would complete, and none of them ever get a reward."""
+    fleet = RegionFleet()
+    rating = msgspec.structs.replace(
+        make_job_route(NORTH), name='/r/', prefix='/r/'
+    )
+    job = msgspec.structs.replace(make_job(rated=True), path='/x/', team=TEAM)
+    fleet.configure(make_job_route(SOUTH), others=(rating,))
+    reward = job.list_rewards()[0]
+    assert fleet.nodes['a'].routes.find(reward.host, reward.path) is not None
+    owner = fleet.nodes['c']
+    with pytest.raises(OutsideRegionsError, match='reward route'):
+        owner.residency.check_job(job, None)
+    fleet.configure(make_job_route(SOUTH, NORTH), others=(rating,))
+    assert owner.residency.check_job(job, None) == {SOUTH, NORTH}
--- a/tests/residency/test_requests.py
+++ b/tests/residency/test_requests.py
@@ -14,12 +14,27 @@
 )
 from guavagate.http1 import Request
 from guavagate.metrics import Metrics
-from guavagate.models import InstanceId, RegionId, ServiceId, TeamId, ZoneId
+from guavagate.models import (
+    ANYWHERE,
+    InstanceId,
+    RegionId,
+    Regions,
+    ServiceId,
+    TeamId,
+    ZoneId,
+)
 from guavagate.ports.configuration import Configuration, Route, Team
 from guavagate.ports.dialect import Call
-from guavagate.residency import OUTSIDE_RETRY_SECONDS, Residency
+from guavagate.residency import OUTSIDE_RETRY_SECONDS, Residency, Unbound
 from guavagate.routing import Eligibility, RouteTable, UpstreamTable
 from tests.forwarding.bench import FULL, GOOD, FakeAttemptRunner
+from tests.forwarding.stream_bench import (
+    END,
+    HEAD,
+    StreamBench,
+    make_chunk,
+    make_event,
+)
 from tests.quarantine.common import make_quarantine
 from tests.residency.bench import NORTH, SOUTH, TEAM, make_regions
 from tests.routing.test_routes import make_route, make_upstream
@@ -169,6 +184,42 @@
     assert 's' not in entry.runner.made[1:]
 
 
+class _Changing(Unbound):
+    """Bounds that are in force from the second attempt on."""
+
+    def __init__(self) -> None:
+        self.regions: Regions = ANYWHERE
+
+    def find_regions(self, call: Call, route: Route) -> Regions:
+        """Return the regions in force."""
+        return self.regions
+
+
+def test_a_stream_resumes_in_the_regions_in_force() -> None:
+    """Its regions change while it runs, and the next upstream is outside.
+
+    The caller gets the events so far, and not the end.
+    """
+    bench = StreamBench()
+    bounds = _Changing()
+    bench.bounds = bounds
+    bench.upstreams.eligibility.region_of = {
+        ZoneId('z'): NORTH,
+        ZoneId('y'): SOUTH,
+    }
+
+    def change() -> None:
+        bounds.regions = make_regions(NORTH)
+
+    event = HEAD + make_chunk(make_event(1))
+    bench.add('a', 'z', event, then=change)
+    bench.add('b', 'y', event + END)
+    assert not bench.stream().endswith(END)
+    assert set(bench.requests) == {'a'}
+    for server in bench.servers:
+        server.stop()
+
+
 def test_requests_without_a_bound_use_any_upstream() -> None:
     """Bounds of other routes and teams must not affect them."""
     entry = _Entry('x')
