--- a/guavagate/residency/_regions.py
+++ b/guavagate/residency/_regions.py
@@ -60,8 +60,8 @@
     Parameters
     ----------
     bounds
-        The regions of each route and team that may submit jobs. Those that
-        contradict each other have no jobs.
+        The regions of the routes and teams that may submit jobs, each
+        different set once. Those that contradict each other have no jobs.
     """
     named = [each for each in bounds if each]
     if not named:
--- a/guavagate/zone_view/_gauges.py
+++ b/guavagate/zone_view/_gauges.py
@@ -38,7 +38,7 @@
     for cold in view.list_cold(now):
         metrics.set_gauge(
             names.COLD_SECONDS,
-            cold.cold_for,
+            cold.seconds,
             upstream=cold.upstream,
             service=cold.service,
             zone=cold.zone,
--- a/guavagate/zone_view/_view.py
+++ b/guavagate/zone_view/_view.py
@@ -45,12 +45,12 @@
 
 
 class ColdUpstream(msgspec.Struct, frozen=True, kw_only=True):
-    """An upstream that counts as cold here, and for how many seconds."""
+    """An upstream that counts as cold here, and since how many seconds."""
 
     upstream: UpstreamId
     service: ServiceId
     zone: ZoneId
-    cold_for: float
+    seconds: float
 
 
 class ZoneView:
@@ -123,7 +123,7 @@
                 upstream=each.id,
                 service=each.service,
                 zone=each.zone,
-                cold_for=now - self._cold.since[each.id],
+                seconds=now - self._cold.since[each.id],
             )
             for each in self._list_upstreams()
             if each.id in self._cold.since
--- a/tests/zone_view/test_view.py
+++ b/tests/zone_view/test_view.py
@@ -72,7 +72,7 @@
     bench = _Bench()
     bench.cold = {'u1', 'u2'}
     bench.view.observe(1)
-    ages = {each.upstream: each.cold_for for each in bench.view.list_cold(3)}
+    ages = {each.upstream: each.seconds for each in bench.view.list_cold(3)}
     assert ages == {'u1': 2, 'u2': 2}
     assert bench.view.list_zones(3)[0].cold == 1
     bench.cold = {'u2'}
