Add a safeguard row for calls without a permitted peer

Cause: the search that such a call starts had a test, but no row.

Change: adds the row.

Measured: the row is caught; tests/standins/test_safeguards.py passes.

--- a/standins/_safeguard_residency.py
+++ b/standins/_safeguard_residency.py
@@ -197,4 +197,11 @@
         '        if False:\n',
         _TEST_JOBS,
     ),
+    Safeguard(
+        'a call without a permitted peer delays no other one',
+        'guavagate/integrations/object_api/_peers.py',
+        'if peers and not self._peers.has_working_peer(peers):',
+        'if not self._peers.has_working_peer(peers):',
+        'tests/integrations/test_peers.py',
+    ),
 )
