--- a/guavagate/residency/_regions.py
+++ b/guavagate/residency/_regions.py
@@ -9,7 +9,12 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
-from guavagate.models import ANYWHERE, RegionId, Regions, ZoneId
+from guavagate.models import ANYWHERE, RegionId, Regions, ServiceId, ZoneId
+
+
+def find_no_regions(service: ServiceId) -> Regions:
+    """Return that the jobs of a service are not bound."""
+    return ANYWHERE
 
 
 def read_regions(names: Iterable[str] | None) -> Regions:
@@ -55,8 +60,8 @@
     Parameters
     ----------
     bounds
-        The regions of each route and team that may submit jobs. Those that
-        contradict each other have no jobs.
+        The regions of the routes and teams that may submit jobs, each
+        different set once. Those that contradict each other have no jobs.
     """
     named = [each for each in bounds if each]
     if not named:
--- a/guavagate/zone_view/_view.py
+++ b/guavagate/zone_view/_view.py
@@ -13,7 +13,7 @@
 
 from guavagate.models import RegionId, ServiceId, UpstreamId, ZoneId
 from guavagate.ports.upstreams import Upstream
-from guavagate.routing import Eligibility, Obstacle
+from guavagate.routing import Eligibility
 
 _Key = TypeVar('_Key', bound=str)
 
@@ -45,12 +45,12 @@
 
 
 class ColdUpstream(msgspec.Struct, frozen=True, kw_only=True):
-    """An upstream that counts as cold here, and for how many seconds."""
+    """An upstream that counts as cold here, and since how many seconds."""
 
     upstream: UpstreamId
     service: ServiceId
     zone: ZoneId
-    cold_for: float
+    seconds: float
 
 
 class ZoneView:
@@ -65,8 +65,7 @@
     count_running
         Returns how many requests and items this instance runs at an upstream.
     is_cold
-        Returns whether an upstream counts as cold; by default, whether the
-        eligibility check says so.
+        Returns whether an upstream counts as cold.
     """
 
     def __init__(
@@ -75,13 +74,13 @@
         list_upstreams: Callable[[], Iterable[Upstream]],
         list_instance_zones: Callable[[], Iterable[ZoneId]],
         count_running: Callable[[UpstreamId], int],
-        is_cold: Callable[[Upstream], bool] | None = None,
+        is_cold: Callable[[Upstream], bool],
     ) -> None:
         self._eligibility = eligibility
         self._list_upstreams = list_upstreams
         self._list_instance_zones = list_instance_zones
         self._count_running = count_running
-        self._is_cold = is_cold or self._is_warming_up
+        self._is_cold = is_cold
         self._evacuated = _Ages[ZoneId]()
         self._cold = _Ages[UpstreamId]()
 
@@ -124,7 +123,7 @@
                 upstream=each.id,
                 service=each.service,
                 zone=each.zone,
-                cold_for=now - self._cold.since[each.id],
+                seconds=now - self._cold.since[each.id],
             )
             for each in self._list_upstreams()
             if each.id in self._cold.since
@@ -149,10 +148,6 @@
             evacuated_for=None if since is None else now - since,
         )
 
-    def _is_warming_up(self, upstream: Upstream) -> bool:
-        obstacle = self._eligibility.find_obstacle(upstream)
-        return obstacle is Obstacle.WARMING_UP
-
 
 class _Ages(Generic[_Key]):
     """When each of some states began."""
