Release a running job that excludes its owner

Cause: a job's regions changed while other routes of its service kept the owner where it was; the owner went on with the job and kept its body outside the regions (found by review, reproduced). Change: the owner puts such a job aside, drops what it has of it, and lists the store again for its record. The test of replicas outside brings about another case, as the former one no longer runs: the job's route is removed and successors may be anywhere; without the check it fails.

--- a/guavagate/jobs/_loader.py
+++ b/guavagate/jobs/_loader.py
@@ -75,6 +75,24 @@
         self._job_mirror.stop()
         self._end_mirror.stop()
 
+    def release_excluded(self) -> None:
+        """Release the loaded jobs that exclude this instance now.
+
+        The store is listed again for their records, which have no bodies.
+        """
+        excluded = [
+            work.job
+            for work in self._active_jobs.list_open()
+            if not self._regions.may_hold(work.job)
+        ]
+        for job in excluded:
+            self._regions.put_aside(job, None)
+            self._active_jobs.release(job.id)
+            self._announced.drop_job(job.id)
+        if excluded:
+            self._job_mirror.stop()
+            self._job_mirror.start()
+
     def reload_excluded(self) -> None:
         """Load the jobs that excluded this instance and no longer do."""
         for stored in self._regions.take_stored():
@@ -109,6 +127,7 @@
         if not self._regions.may_hold(job):
             self._regions.put_aside(job, stored)
             return
+        self._regions.drop(job.id)
         fresh = self._job_mirror.loaded and self._job_mirror.is_live_change
         self._active_jobs.expect(job.id)
         self._clock.spawn(self._active_jobs.load_stored, job.id, stored, fresh)
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -209,6 +209,7 @@
     def apply_regions(self) -> None:
         """Apply the regions of the configuration in force to all jobs."""
         self._regions.update(self._active_jobs.list_open())
+        self._loader.release_excluded()
         self._loader.reload_excluded()
 
     def mark_uncertain(self) -> None:
--- a/guavagate/jobs/_residency.py
+++ b/guavagate/jobs/_residency.py
@@ -35,7 +35,8 @@
         self._upstreams = upstreams
         self._metrics = metrics
         self._latest: dict[str, Job] = {}
-        self._aside: dict[JobId, StoredObject] = {}
+        # Without its record until the store has been listed again.
+        self._aside: dict[JobId, StoredObject | None] = {}
 
     def __contains__(self, job: JobId) -> bool:
         """Return whether a job is put aside."""
@@ -49,7 +50,7 @@
         """Return whether a job's texts may be sent to another instance."""
         return self._bounds.may_hold(work.regions, peer)
 
-    def put_aside(self, job: Job, stored: StoredObject) -> None:
+    def put_aside(self, job: Job, stored: StoredObject | None) -> None:
         """Put a job aside that excludes this instance; log it once."""
         if job.id not in self._aside:
             write(
@@ -71,8 +72,11 @@
 
     def take_stored(self) -> Iterator[StoredObject]:
         """Return the jobs that were put aside, to be judged again."""
-        aside, self._aside = self._aside, {}
-        return iter(aside.values())
+        listed = [each for each in self._aside.values() if each is not None]
+        self._aside = {
+            job: None for job, stored in self._aside.items() if stored is None
+        }
+        return iter(listed)
 
     def record_job(self, job: Job) -> None:
         """Record what binds a model's jobs, without their items."""
--- a/guavagate/jobs/records/_announcements.py
+++ b/guavagate/jobs/records/_announcements.py
@@ -107,7 +107,7 @@
         if len(self._ended) > MAX_ENDED:
             self._ended.popitem(last=False)
         if job in self._jobs:
-            self._drop(job)
+            self.drop_job(job)
         on_end = self._on_end.get(service)
         if on_end is not None:
             on_end(job)
@@ -116,7 +116,7 @@
         """Drop the jobs of a service that this instance may not hold."""
         for job in [each.job for each in self._jobs.values()]:
             if job.service == service:
-                self._drop(job.id)
+                self.drop_job(job.id)
 
     def _drop_old(self) -> None:
         oldest_kept = self._clock.now() - MAX_AGE_SECONDS
@@ -125,10 +125,13 @@
             fits = self._bytes <= MAX_STORED_BYTES or len(self._jobs) == 1
             if fits and oldest.received_at >= oldest_kept:
                 return
-            self._drop(name)
+            self.drop_job(name)
 
-    def _drop(self, job: JobId) -> None:
-        self._bytes -= measure_job(self._jobs.pop(job).job)
+    def drop_job(self, job: JobId) -> None:
+        """Drop a job that ended, is old, or may not be held here."""
+        dropped = self._jobs.pop(job, None)
+        if dropped is not None:
+            self._bytes -= measure_job(dropped.job)
 
     def _on_announced(self, _: InstanceId, message: Message) -> None:
         self.put(expect(message, JobAnnounced).job)
--- a/guavagate/jobs/records/_loaded.py
+++ b/guavagate/jobs/records/_loaded.py
@@ -163,15 +163,20 @@
             active.work.ended = True
             _cancel(active.work)
 
-    def clear(self) -> None:
-        """Release all jobs to another owner."""
-        self.owning = False
-        for active in self:
+    def release(self, job: JobId) -> None:
+        """Stop working on a job that another instance may continue."""
+        active = self._jobs.pop(job, None)
+        if active is not None:
             active.committer.stop()
             active.work.ended = True
             _cancel(active.work)
             active.changed.set()
-        self._jobs.clear()
+
+    def clear(self) -> None:
+        """Release all jobs to another owner."""
+        self.owning = False
+        for job in list(self._jobs):
+            self.release(job)
         self._expected.clear()
 
     def _load(self, job: Job, *, fresh: bool, age: float | None = None) -> None:
--- a/standins/_safeguard_residency.py
+++ b/standins/_safeguard_residency.py
@@ -204,4 +204,11 @@
         'if not self._peers.has_working_peer(peers):',
         'tests/integrations/test_peers.py',
     ),
+    Safeguard(
+        'a running job leaves an owner that its regions exclude',
+        'guavagate/jobs/_owner.py',
+        '        self._loader.release_excluded()\n',
+        '',
+        'tests/residency/test_jobs.py',
+    ),
 )
--- a/tests/residency/test_jobs.py
+++ b/tests/residency/test_jobs.py
@@ -169,6 +169,35 @@
         )
 
 
+def test_a_running_job_leaves_an_owner_that_its_regions_exclude() -> None:
+    """Another route keeps the owner in the north as the job is bound south.
+
+    The owner stops and holds no body; readers get no false answer, and the job
+    continues once its regions include the owner again.
+    """
+    fleet = RegionFleet()
+    other = msgspec.structs.replace(
+        make_job_route(NORTH), name='/y/', prefix='/y/'
+    )
+    fleet.configure(make_job_route(NORTH, SOUTH), others=(other,))
+    fleet.submit(make_bound_job(), 'c')
+    fleet.clock.advance(1)
+    assert fleet.list_used()
+    fleet.configure(make_job_route(SOUTH), others=(other,))
+    owner = fleet.nodes[fleet.list_owners()[0]].owner
+    assert set(fleet.list_owners()) <= {'a', 'b'}
+    fleet.clock.advance(1)
+    fleet.list_used()
+    fleet.clock.advance(2)
+    assert not fleet.list_used()
+    assert not any(owner._active_jobs)
+    status, _ = owner.read(JobId('job-1'), 0, 0, TEAM)
+    assert status is LookupStatus.UNCERTAIN
+    fleet.configure(make_job_route(NORTH, SOUTH), others=(other,))
+    fleet.clock.advance(10)
+    check_complete(fleet, 'a', 6)
+
+
 def test_an_owner_outside_holds_no_bodies_of_a_job() -> None:
     """All instances inside are lost; the owner outside must not continue.
 
@@ -271,20 +300,35 @@
 
 
 def test_texts_are_replicated_to_no_successor_outside() -> None:
-    """A running job is bound to regions in which its owner is not.
+    """The job's route is removed, and the service's other routes are unbound.
 
-    The owner stays, as the service's routes have no region in common.
+    Successors are anywhere then, but the job keeps the regions that it was
+    accepted with.
     """
     fleet = RegionFleet()
-    fleet.configure(make_job_route(NORTH), others=_make_routes(NORTH))
-    fleet.submit(make_bound_job(), 'a')
+    unbound = msgspec.structs.replace(
+        make_job_route(), name='/y/', prefix='/y/'
+    )
+    fleet.configure(unbound)
+    owner = fleet.list_owners()[0]
+    home = fleet.nodes[owner].residency._members.get(InstanceId(owner))
+    assert home is not None
+    fleet.configure(make_job_route(home.region), others=(unbound,))
+    fleet.submit(make_bound_job(), owner)
     fleet.clock.advance(1.5)
-    assert set(_count_replicated(fleet)) == {fleet.list_owners()[1]}
-    fleet.configure(make_job_route(SOUTH), others=_make_routes(NORTH))
-    assert set(fleet.list_owners()) == {'a', 'b'}
-    replicated = _count_replicated(fleet)
+    assert _count_replicated(fleet)
+    fleet.configure(unbound)
+    holders = fleet.nodes[owner].ownership.list_replica_holders(SERVICE)
+    inside = {
+        each.id
+        for each in fleet.nodes[owner].residency._members.alive()
+        if each.region == home.region
+    }
+    outside = set(holders) - inside
+    assert outside
     fleet.clock.advance(1)
-    assert _count_replicated(fleet) == replicated
+    assert fleet.list_owners()[0] == owner
+    assert not outside & set(_count_replicated(fleet))
 
 
 def test_texts_are_handed_over_to_no_owner_outside() -> None:
