--- a/guavagate/routing/_eligibility.py
+++ b/guavagate/routing/_eligibility.py
@@ -24,7 +24,7 @@
     LEAVING = 'leaving'
 
 
-# What a caller is told if upstreams have different obstacles: first what no
+# The order in which a refusal names one of several obstacles: first what no
 # retry changes soon. Upstreams outside the regions are the reason only if there
 # are none inside.
 _BY_WEIGHT: Final = (
