--- a/tests/jobs/texts/test_snapshots.py
+++ b/tests/jobs/texts/test_snapshots.py
@@ -10,6 +10,7 @@
 from guavagate.events import jobs as events
 from guavagate.jobs._result_log import ResultLog
 from guavagate.jobs._work import JobWork, Text
+from guavagate.jobs.texts._checkpoints import CHECKPOINT_INTERVAL_SECONDS
 from guavagate.jobs.texts._snapshots import TextSnapshots
 from guavagate.measure.fakes import MemoryStore
 from guavagate.models import WeightVersion
@@ -52,7 +53,8 @@
     node = fleet.nodes['a']
     node.samplers.length = 60
     fleet.submit(make_job(), 'a')
-    fleet.clock.advance(2)
+    # The store has no checkpoint of the texts yet.
+    fleet.clock.advance(CHECKPOINT_INTERVAL_SECONDS - 0.1)
     node.owner.stop()
     fleet.nodes['a'] = Node(fleet, 'a')
     again = fleet.nodes['a']
