--- a/guavagate/front/_requests.py
+++ b/guavagate/front/_requests.py
@@ -22,7 +22,7 @@
 from guavagate.ports.dialect import Call
 
 # A request that finds all upstreams full waits for a slot, and may find them
-# full again: those that ask nobody use slots too.
+# full again: requests sent without asking the queue owner use slots too.
 MAX_FULL_TRIES: Final = 4
 
 CountUsage = Callable[[TeamId, float], None]
