--- a/review/2/case.py
+++ b/review/2/case.py
@@ -94,13 +94,21 @@
         """Crash the sampler soon if the item has begun there."""
         name = request.get('guavagate-request-id')
         step = self._trainer.step
-        ready = step is not None and step.number == 2
-        if ready and not self._item and kit.count_events(name) >= LONG_EVENTS:
+        if not self._item and step is not None and self._fits(step, name):
             self._item = name
         if name == self._item and self._left:
             self._left -= 1
             self._tasks.append(asyncio.create_task(self._crash(sampler)))
 
+    def _fits(self, step: kit.Step, name: str) -> bool:
+        """Return whether an item is long, and new with the third step."""
+        if step.number != 2 or kit.count_events(name) < LONG_EVENTS:
+            return False
+        return any(
+            each['id'] == name and each['group-id'].startswith('g2-')
+            for each in step.items
+        )
+
     async def _crash(self, sampler: kit.Sampler) -> None:
         await asyncio.sleep(CRASH_AFTER_SECONDS)
         await sampler.crash(DOWN_SECONDS)
