--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,6 +20,7 @@
 LONG_EVENTS = 60
 STABLE_SECONDS = 3.0
 LYING_SECONDS = 5.0
+NAMED_SECONDS = 6.0
 TICK_SECONDS = 0.05
 
 
@@ -38,8 +39,11 @@
 class Watch:
     """Sees at which samplers the items are, and how full these are."""
 
-    def __init__(self, deployment: kit.Deployment) -> None:
+    def __init__(
+        self, deployment: kit.Deployment, trainer: kit.Trainer
+    ) -> None:
         self._deployment = deployment
+        self._trainer = trainer
         self._record = deployment.record
         self.seen_at: dict[str, float] = {}
         self.full_at = 0.0
@@ -65,13 +69,15 @@
         finished: set[str] = set()
         for sampler in self._deployment.samplers:
             finished |= sampler.finished
+        named_until = self._trainer.named_at + NAMED_SECONDS
         begun = any(self.seen_at.get(each['id']) for each in step.items)
         for item in step.items:
             name = item['id']
             if item['group-id'] not in missing or name in finished:
                 continue
             left_at = self.seen_at.get(name, step.accepted_at)
-            lying = now - max(left_at, steady_from, self.full_at)
+            since = max(left_at, steady_from, self.full_at, named_until)
+            lying = now - since
             if begun and lying >= LYING_SECONDS:
                 self._record.break_rule(
                     'LOST',
@@ -126,7 +132,7 @@
         groups=10,
         wanted=9,
     )
-    watch = Watch(deployment)
+    watch = Watch(deployment, trainer)
     crashes = Crashes(trainer, watch)
     trainer.on_time_over = watch.check
     for sampler in deployment.samplers:
--- a/review/kit.py
+++ b/review/kit.py
@@ -875,7 +875,8 @@
         self._wanted = wanted
         self._carried: list[Any] = []
         self.step: Step | None = None
-        self.steps: list[Step] = []
+        # When the newest version was named.
+        self.named_at = 0.0
         self.on_time_over: Callable[[Step, list[str]], None] | None = None
         self.on_page: Callable[[Step, int, dict[str, Any]], None] | None = None
 
@@ -904,6 +905,7 @@
             await self._run_step(number)
             await asyncio.sleep(1.0)
             number += 1
+            self.named_at = self._record.now()
             spec = {'model': self.model, 'version': number + 1}
             self._deployment.store.write('versions', self.model, spec)
             self._record.write(f'{self.model} version {number + 1} is named')
@@ -912,7 +914,6 @@
     async def _run_step(self, number: int) -> None:
         step = self._make_step(number)
         self.step = step
-        self.steps.append(step)
         await self._submit(step)
         while True:
             left = step.sent_at + 12 - self._record.now()
