--- a/review/kit.py
+++ b/review/kit.py
@@ -26,7 +26,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-HELD, BROKEN, UNABLE = 0, 1, 2
+# What a case exits with; run.sh turns BROKEN into 1, and any other code into 2.
+HELD, UNABLE, BROKEN = 0, 2, 10
 ZONES = ('ilala-hall', 'kinondoni-hall', 'temeke-hall')
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
@@ -1047,6 +1048,8 @@
 
 def run_case(case: Case, folder: pathlib.Path, entries: int = 1) -> None:
     """Run a case with so many entries a zone; exit with its verdict."""
+    # Ends as at an error, so that the processes are ended too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(UNABLE))
     record = Record(folder)
     record.write(f'TROUBLE={int(TROUBLE)}')
     verdict = UNABLE
