Never stop items, rewards and samples as the cause of crashes

Callers saw: three samplers crash within 3 s under one item of a step.

Cause: the quarantine takes a request for the cause of crashes if three upstreams ended under it without a common companion. An owner resumes an item at once, on the sampler with the most free slots, so in a burst of crashes an item that is merely unlucky meets this. Reward requests, samples of a step and their scores were stopped in the same way.

Change: what belongs to accepted work is never stopped. Its runs have no identity in reports of ended upstreams, so they give no evidence, neither against themselves nor as companions of a caller's request. What is owed therefore runs within seconds once upstreams are sound, and an item that does end samplers takes one every two seconds at most.

The fake samplers reported a crash from outside as a cut connection, which is no evidence, so the test of killed samplers never met the quarantine; they now report it as the real client does.

--- a/guavagate/decisions/_work.py
+++ b/guavagate/decisions/_work.py
@@ -99,7 +99,8 @@
         A trainer's step; older steps are served first.
     identity
         What recognizes the request under another id. Work without one is not
-        stopped, whatever upstreams end under it.
+        stopped, whatever upstreams end under it; samples and their scores have
+        none, as a step can't be completed without them.
     """
 
     id: RequestId
--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -65,18 +65,6 @@
     'A reward request matches no route and waits until one does',
     'compare its host and path with the configuration in force',
 )
-REWARD_STOPPED: Final = Event(
-    9026,
-    logging.WARNING,
-    'A reward request is stopped, as upstreams ended under it; its item waits',
-    'search the logs for its content in GG8032',
-)
-ITEM_STOPPED: Final = Event(
-    9027,
-    logging.WARNING,
-    'An item is stopped, as samplers ended under it; it is sent to no sampler',
-    'search the logs for its content in GG8032',
-)
 GROUP_DEFERRED: Final = Event(
     9022,
     logging.INFO,
--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -120,7 +120,7 @@
             seconds = self._clock.now() - started_at
             run = BrokenRun(
                 request=call.id,
-                identity=call.content.identify(),
+                identity=None if call.owed else call.content.identify(),
                 seconds=seconds,
             )
             self._quarantine.record_break(upstream, run)
--- a/guavagate/forwarding/_guard.py
+++ b/guavagate/forwarding/_guard.py
@@ -50,6 +50,8 @@
 
     def check(self, call: Call, service: ServiceId) -> Refusal | None:
         """Return why a request may not be sent now, or `None`."""
+        if call.owed:
+            return None
         stopped = self._quarantine.find(call.content)
         if stopped is not None:
             count = len(stopped.upstreams)
--- a/guavagate/forwarding/_rewards.py
+++ b/guavagate/forwarding/_rewards.py
@@ -166,6 +166,7 @@
             body=reward.body,
             until=self._clock.now() + route.timeout,
             regions=regions,
+            owed=True,
         )
         service = pick_service(route, reward.id)
         outcome = self._forwarder.forward(
@@ -185,13 +186,12 @@
         A success without a signature does not count, and an incomplete or
         mismatched answer never arrives here as an answer.
         """
-        if outcome.stopped:
-            return RewardOutcome(kind=RewardKind.STOPPED, reason=outcome.reason)
         attempt = outcome.attempt
         if attempt is None or outcome.kind is not OutcomeKind.ANSWER:
             return RewardOutcome(
                 kind=RewardKind.FAILED,
                 failures=outcome.failed_answers,
+                lost=outcome.kind is OutcomeKind.UNKNOWN,
                 reason=outcome.reason,
             )
         signature = self._dialect.read_signature(attempt.headers)
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -28,7 +28,6 @@
 from guavagate.jobs.scheduling import (
     Dispatcher,
     RewardDispatcher,
-    mark_stopped_items,
 )
 from guavagate.jobs.texts import (
     STALL_SECONDS,
@@ -160,8 +159,6 @@
         )
         states.subscribe(self._wake.set)
         upstreams.subscribe_restarts(self._cancel_stale_runs)
-        self._quarantine = quarantine
-        quarantine.subscribe(self._mark_stopped_items)
 
     @property
     def active(self) -> bool:
@@ -253,7 +250,6 @@
             self._wake.set()
 
     def _on_text_complete(self, work: JobWork, progress: ItemProgress) -> None:
-        self._quarantine.record_answer(work.job.describe(progress.item))
         self._dispatcher.record_text(work, progress)
         self._rewards.handle_complete_text(work, progress)
 
@@ -264,12 +260,6 @@
         active = self._active_jobs.get(job.id)
         if active is not None:
             self._dispatcher.record_results(active.work)
-            mark_stopped_items(active.work, self._quarantine)
-        self._wake.set()
-
-    def _mark_stopped_items(self) -> None:
-        for work in self._active_jobs.list_open():
-            mark_stopped_items(work, self._quarantine)
         self._wake.set()
 
     def _run(self) -> None:
--- a/guavagate/jobs/_work.py
+++ b/guavagate/jobs/_work.py
@@ -60,10 +60,10 @@
     its slot there stays reserved until the run at the former sampler has ended.
     `started_at` is None for an item that didn't run here: its result was
     already committed or comes from an earlier job with the same item.
+    `breaks` counts the runs whose connection the sampler closed.
     `reward_task` requests the reward of a complete text, and `reward_failures`
-    counts responses with status 500; `reward_held_back` tells that the request
-    was found stopped. `stopped` means that samplers ended under the item, so it
-    is sent to none.
+    counts responses with status 500, `reward_losses` requests without a whole
+    answer.
     """
 
     item: JobItem
@@ -74,6 +74,7 @@
     cancelled: bool = False
     started_at: float | None = None
     failures: int = 0
+    breaks: int = 0
     moves: int = 0
     move_target: UpstreamId | None = None
     longest_gap: float = 0
@@ -82,10 +83,9 @@
     completed_at: float | None = None
     reward_task: Task | None = None
     reward_failures: int = 0
+    reward_losses: int = 0
     reward_attempts: int = 0
     reward_retry_at: float = 0
-    reward_held_back: bool = False
-    stopped: bool = False
     done: bool = False
 
     def cancel(self) -> None:
@@ -101,7 +101,7 @@
 
     def is_waiting(self, now: float) -> bool:
         """Return whether the item can be started."""
-        if self.done or self.stopped or self.text.complete:
+        if self.done or self.text.complete:
             return False
         return self.sampler is None and now >= self.retry_at
 
--- a/guavagate/jobs/scheduling/__init__.py
+++ b/guavagate/jobs/scheduling/__init__.py
@@ -4,12 +4,10 @@
 from guavagate.jobs.scheduling._dispatch import Dispatcher
 from guavagate.jobs.scheduling._rewards import RewardDispatcher
 from guavagate.jobs.scheduling._schedule import count_demands
-from guavagate.jobs.scheduling._stops import mark_stopped_items
 
 __all__ = (
     'Cadence',
     'Dispatcher',
     'RewardDispatcher',
     'count_demands',
-    'mark_stopped_items',
 )
--- a/guavagate/jobs/texts/_runner.py
+++ b/guavagate/jobs/texts/_runner.py
@@ -16,7 +16,7 @@
     UpstreamNotStartedError,
     UpstreamUnreachableError,
 )
-from guavagate.jobs._models import Job, Result, ResultState
+from guavagate.jobs._models import Result, ResultState
 from guavagate.jobs._work import ItemProgress, JobWork, Text
 from guavagate.jobs.texts._event_interval import EventIntervalMeter
 from guavagate.ports.sampler import (
@@ -43,6 +43,13 @@
 # A sampler loads a version in about a second.
 MAX_REFUSED_DOUBLINGS: Final = 3
 FAILED_BACKOFF_SECONDS: Final = 0.5
+# An item that lost its samplers this often resumes at once, as each loss may be
+# chance. Further restarts are spaced, so that an item that ends its samplers
+# doesn't take down one after the other. None waits longer than the maximum:
+# nothing tells such an item from a sound one that met a burst of crashes.
+MAX_IMMEDIATE_BREAKS: Final = 3
+BREAK_BACKOFF_SECONDS: Final = 0.25
+MAX_BREAK_BACKOFF_SECONDS: Final = 2.0
 
 Finish = Callable[[JobWork, Result], None]
 HandleCompleteText = Callable[[JobWork, ItemProgress], None]
@@ -96,7 +103,7 @@
             if not progress.cancelled:
                 problem = str(error)
                 self._handle_interruption(progress, upstream, error)
-                self._record_break(work.job, progress, upstream, error)
+                self._record_break(progress, upstream, error)
         finally:
             self._release_slot(progress, upstream)
         if problem:
@@ -110,23 +117,27 @@
                 after=progress.text.last_number,
                 seconds=round(self._clock.now() - started_at, 3),
                 problem=problem,
+                breaks=progress.breaks,
+                wait=round(max(progress.retry_at - self._clock.now(), 0), 3),
             )
 
     def _record_break(
         self,
-        job: Job,
         progress: ItemProgress,
         upstream: Upstream,
         error: UpstreamError,
     ) -> None:
+        """Space the restarts of an item, and report that a sampler may be gone.
+
+        The run bears no identity: an item is owed, so the fleet never stops it.
+        """
         if not isinstance(error, UpstreamDisconnectedError):
             return
-        started_at = progress.started_at or self._clock.now()
-        run = BrokenRun(
-            request=progress.item.id,
-            identity=job.describe(progress.item).identify(),
-            seconds=self._clock.now() - started_at,
-        )
+        now = self._clock.now()
+        progress.breaks += 1
+        progress.retry_at = now + _compute_break_backoff(progress.breaks)
+        started_at = progress.started_at or now
+        run = BrokenRun(request=progress.item.id, seconds=now - started_at)
         self._quarantine.record_break(upstream, run)
 
     def _stream(
@@ -268,6 +279,14 @@
         state.avoid_until = max(state.avoid_until, retry_at, load.ejected_until)
 
 
+def _compute_break_backoff(breaks: int) -> float:
+    """Return for how many seconds an item waits after its last break."""
+    if breaks <= MAX_IMMEDIATE_BREAKS:
+        return 0
+    doublings = breaks - MAX_IMMEDIATE_BREAKS - 1
+    return min(BREAK_BACKOFF_SECONDS * 2**doublings, MAX_BREAK_BACKOFF_SECONDS)
+
+
 def _make_timeout_error(upstream: Upstream) -> Callable[[], Exception]:
     return lambda: UpstreamError(
         f'{upstream.id} sent nothing before the timeout',
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -16,7 +16,9 @@
 
     `team` is the team of the caller's key. `keyed` means that the
     configuration defines keys, so a caller's credentials must not be forwarded
-    to an upstream. `regions` are those to which the request is bound.
+    to an upstream. `regions` are those to which the request is bound. The fleet
+    never stops a request that is `owed`: it belongs to an accepted job, which
+    can't be completed without it.
     """
 
     id: str
@@ -27,6 +29,7 @@
     team: TeamId = TeamId('')
     keyed: bool = False
     regions: Regions = ANYWHERE
+    owed: bool = False
 
     @property
     def content(self) -> RequestContent:
--- a/guavagate/ports/rewards.py
+++ b/guavagate/ports/rewards.py
@@ -23,15 +23,18 @@
     SUCCEEDED = 'given'
     FAILED = 'failed'
     NO_ROUTE = 'no route'
-    STOPPED = 'stopped'
 
 
 class RewardOutcome(msgspec.Struct, frozen=True, kw_only=True):
-    """The result of an attempt; `failures` counts upstreams' 500 answers."""
+    """The result of an attempt; `failures` counts upstreams' 500 answers.
+
+    `lost` means that it may have run, but no upstream gave a whole answer.
+    """
 
     kind: RewardKind
     signature: str = ''
     failures: int = 0
+    lost: bool = False
     reason: str = ''
 
 
--- a/guavagate/quarantine/_ends.py
+++ b/guavagate/quarantine/_ends.py
@@ -29,12 +29,13 @@
 class BrokenRun(msgspec.Struct, frozen=True, kw_only=True):
     """A request whose connection to an upstream broke while it ran there.
 
-    `request` is the id that it had, `seconds` how long it ran.
+    `request` is the id that it had, `seconds` how long it ran. One without an
+    `identity` is never stopped, whatever upstreams end under it.
     """
 
     request: str
-    identity: RequestIdentity
     seconds: float
+    identity: RequestIdentity | None = None
 
 
 class EndedUpstream(msgspec.Struct, frozen=True, kw_only=True):
@@ -106,13 +107,14 @@
 
 def _log(ended: EndedUpstream) -> None:
     for run in ended.runs:
+        identity = run.identity
         write(
             _LOGGER,
             events.UPSTREAM_ENDED,
             request=run.request,
             upstream=ended.upstream,
             expected=ended.expected,
-            content=run.identity.content,
-            query=run.identity.query,
+            content='' if identity is None else identity.content,
+            query='' if identity is None else identity.query,
             seconds=round(run.seconds, 3),
         )
--- a/guavagate/quarantine/_quarantine.py
+++ b/guavagate/quarantine/_quarantine.py
@@ -158,6 +158,7 @@
         runs = tuple(
             SuspectRun(identity=run.identity, seconds=run.seconds)
             for run in ended.runs
+            if run.identity is not None
         )
         end = UpstreamEnd(
             report=uuid.uuid4().hex,
--- a/guavagate/runs/_worker.py
+++ b/guavagate/runs/_worker.py
@@ -33,7 +33,6 @@
     QueueOwner,
     estimate_tokens,
     hash_prefixes,
-    identify_generation,
 )
 from guavagate.ports.engine import Generation, ModelEngine
 from guavagate.runs._client import RunsClient
@@ -157,7 +156,7 @@
                 'declare it with `guavagate settings apply`',
             )
         generation = _make_generation(request)
-        work = self._make_work(request, deployment, generation)
+        work = self._make_work(request, generation)
         write(
             _LOGGER,
             SAMPLE_STARTED,
@@ -241,7 +240,6 @@
     def _make_work(
         self,
         request: GenerateSample,
-        deployment: DeploymentSettings,
         generation: Generation,
     ) -> Work:
         return Work(
@@ -258,9 +256,6 @@
             step=request.step_order,
             weight=request.weight,
             zone=self._runtime.settings.availability_zone,
-            identity=identify_generation(
-                request.team, deployment.id, generation
-            ),
         )
 
     def _score_with_retries(
--- a/guavagate/scoring.py
+++ b/guavagate/scoring.py
@@ -8,7 +8,6 @@
 from guavagate.integrations.scoring_service import HttpScoringService
 from guavagate.models import CallerId, RequestId, SampleId, ServiceId, TeamId
 from guavagate.permits import PermitClient, Release
-from guavagate.quarantine import RequestContent
 from guavagate.runtime import Runtime
 
 SCORE_TIMEOUT_SECONDS: Final = 10.0
@@ -45,13 +44,6 @@
             kind=WorkKind.ROLLOUT,
             deadline=self._runtime.clock.now() + SCORE_DEADLINE_SECONDS,
             expected_tokens=1,
-            identity=RequestContent(
-                team=team,
-                method='POST',
-                host=service,
-                target='/score',
-                body=f'{prompt}\0{text}'.encode(),
-            ).identify(),
         )
         permit = self._permits.acquire(f'{team}/{service}/0', work)
         release = Release.CANCELLED
--- a/tests/jobs/samplers.py
+++ b/tests/jobs/samplers.py
@@ -62,6 +62,8 @@
             samplers.clock.sleep(samplers.event_seconds.get(name, 0.05))
             while name in samplers.stalled and not self.cancelled:
                 samplers.clock.sleep(0.02)
+            if name in samplers.crashed and not self.cancelled:
+                raise UpstreamDisconnectedError('crashed', 'nothing')
             if self.cancelled or name in samplers.down:
                 raise UpstreamError('cut', 'nothing')
             if (name, number) in samplers.skipped:
