Load jobs only at the owner of their own service

Cause: a read names no service, so the owners of all services with jobs are asked in turn. An owner that doesn't know a job looks it up in the store and worked on it, whatever its service; only the watch of the store compared.

Its own owner sends no item to the wrong samplers.

Change: one place, where a job becomes active, decides whether it is this owner's, for the watch, announcements and reads alike. The owner answers that the job is missing there. It remembers foreign jobs, so that polls cost no store calls.

The look-up had hidden that a service which no route names any more loses its owner, with its jobs open. It keeps it now until they have ended and for 30 s at least; instances that start later learn of such services from the leases.

--- a/guavagate/events/jobs.py
+++ b/guavagate/events/jobs.py
@@ -65,6 +65,16 @@
     'A reward request matches no route and waits until one does',
     'compare its host and path with the configuration in force',
 )
+FORMER_SERVICE_GIVEN_UP: Final = Event(
+    9028,
+    logging.INFO,
+    'A service without job routes has no open jobs left and loses its owner',
+)
+FOREIGN_JOB_IGNORED: Final = Event(
+    9029,
+    logging.INFO,
+    'A job of another service was asked for; this owner does not work on it',
+)
 GROUP_DEFERRED: Final = Event(
     9022,
     logging.INFO,
--- a/guavagate/jobs/_loader.py
+++ b/guavagate/jobs/_loader.py
@@ -122,7 +122,10 @@
 
     def _put_job(self, name: str, stored: StoredObject) -> None:
         job = decode_job(stored.value)
-        if job.service != self._service or job.id in self._active_jobs:
+        if job.service != self._service:
+            self._active_jobs.record_foreign(job.id)
+            return
+        if job.id in self._active_jobs:
             return
         if not self._regions.may_hold(job):
             self._regions.put_aside(job, stored)
--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -127,6 +127,7 @@
         )
         self._checkpoints = TextCheckpoints(job_store.object_store, clock)
         self._active_jobs = ActiveJobs(
+            service,
             clock,
             job_store,
             metrics,
@@ -213,6 +214,12 @@
         """Record that another instance may have worked on the jobs."""
         self._active_jobs.mark_uncertain()
 
+    def count_open_jobs(self) -> int | None:
+        """Return the number of open jobs, or `None` before all are loaded."""
+        if not self.active or not self._loader.is_complete:
+            return None
+        return len(self._active_jobs.list_open())
+
     def collect_demands(self) -> dict[str, ModelDemand]:
         """Return the demand of open and expected jobs on each model."""
         demands = self._active_jobs.collect_demands()
--- a/guavagate/jobs/records/_active.py
+++ b/guavagate/jobs/records/_active.py
@@ -105,6 +105,8 @@
         active = self._jobs.get(job)
         if active is not None:
             return LookupStatus.FOUND, active
+        if job in self._foreign:
+            return LookupStatus.MISSING, None
         try:
             found = self._job_store.read(job)
             if found is None:
@@ -113,9 +115,11 @@
         except StoreError as error:
             _LOGGER.debug('job %s could not be looked up: %s', job, error)
         active = self._jobs.get(job)
-        return (
-            LookupStatus.UNCERTAIN if active is None else LookupStatus.FOUND
-        ), active
+        if active is not None:
+            return LookupStatus.FOUND, active
+        if job in self._foreign:
+            return LookupStatus.MISSING, None
+        return LookupStatus.UNCERTAIN, None
 
     def _reconcile_soon(self, active: ActiveJob) -> None:
         """Load results that others may have committed, in a task of its own.
--- a/guavagate/jobs/records/_loaded.py
+++ b/guavagate/jobs/records/_loaded.py
@@ -21,6 +21,7 @@
 from guavagate.jobs.scheduling import Cadence
 from guavagate.jobs.texts import PartialTexts
 from guavagate.metrics import Metrics, names
+from guavagate.models import ServiceId
 from guavagate.ports.store import StoredObject
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -52,6 +53,7 @@
 
     def __init__(
         self,
+        service: ServiceId,
         clock: Clock,
         job_store: JobStore,
         metrics: Metrics,
@@ -61,6 +63,7 @@
         restore_texts: Callable[[JobWork], None],
     ) -> None:
         self.owning = False
+        self._service = service
         self._clock = clock
         self._job_store = job_store
         self._metrics = metrics
@@ -70,6 +73,8 @@
         self._restore_texts = restore_texts
         self._jobs: dict[JobId, ActiveJob] = {}
         self._ended: set[JobId] = set()
+        # Jobs of other services, so that reads of them need no store call.
+        self._foreign: set[JobId] = set()
         self._loading: dict[JobId, Event] = {}
         self._expected: set[JobId] = set()
         self._partial_texts = PartialTexts()
@@ -97,6 +102,10 @@
         """Return whether every expected job is loaded."""
         return not self._expected
 
+    def record_foreign(self, job: JobId) -> None:
+        """Record that a job belongs to another service."""
+        self._foreign.add(job)
+
     def expect(self, job: JobId) -> None:
         """Record that a job is about to be loaded."""
         self._expected.add(job)
@@ -158,6 +167,7 @@
 
     def drop(self, job: JobId) -> None:
         """Remove a job that was removed from the store."""
+        self._foreign.discard(job)
         active = self._jobs.pop(job, None)
         if active is not None:
             active.work.ended = True
@@ -178,9 +188,26 @@
         for job in list(self._jobs):
             self.release(job)
         self._expected.clear()
+        self._foreign.clear()
 
     def _load(self, job: Job, *, fresh: bool, age: float | None = None) -> None:
-        """Load and activate a job; wait if another task is loading it."""
+        """Load and activate a job; wait if another task is loading it.
+
+        Jobs arrive by the store's watch, by announcements and by reads, which
+        name no service. One of another service is loaded by none of these ways:
+        its items would run on samplers to which its route doesn't lead, beside
+        those of its own owner.
+        """
+        if job.service != self._service:
+            self.record_foreign(job.id)
+            write(
+                _LOGGER,
+                events.FOREIGN_JOB_IGNORED,
+                job=job.id,
+                service=job.service,
+                owned=self._service,
+            )
+            return
         other = self._loading.get(job.id)
         if other is not None:
             other.wait()
--- a/guavagate/rollouts/__init__.py
+++ b/guavagate/rollouts/__init__.py
@@ -9,6 +9,7 @@
     acquire_for_orders,
     lease_path,
     list_holders,
+    list_leased_services,
 )
 from guavagate.rollouts._plan import ModelDemand
 from guavagate.rollouts._published import PublishedVersions
@@ -35,4 +36,5 @@
     'assign_samplers',
     'lease_path',
     'list_holders',
+    'list_leased_services',
 )
--- a/guavagate/rollouts/_lease.py
+++ b/guavagate/rollouts/_lease.py
@@ -317,6 +317,12 @@
         return LeaseRecord(InstanceId(''), stored.version, '', ordered=True)
 
 
+def list_leased_services(store: ObjectStore) -> list[ServiceId]:
+    """Return the services that ever had a lease, also if nobody holds it."""
+    stored, _ = store.list_under(LEASES)
+    return [ServiceId(each.path.partition('/')[2]) for each in stored]
+
+
 def list_holders(store: ObjectStore) -> dict[ServiceId, InstanceId]:
     """Return the last holder of each service's lease."""
     stored, _ = store.list_under(LEASES)
--- a/guavagate/routing/_routes.py
+++ b/guavagate/routing/_routes.py
@@ -1,7 +1,7 @@
 """The active configuration, with routes by host and longest prefix."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import xxhash
@@ -28,6 +28,7 @@
         self.keys = KeyRing()
         self._by_host: dict[str, list[Route]] = {}
         self._services: dict[ServiceId, Service] = {}
+        self._former_job_services: dict[ServiceId, None] = {}
         self._subscribers: list[Callable[[], None]] = []
 
     def subscribe(self, callback: Callable[[], None]) -> None:
@@ -51,7 +52,9 @@
         self._by_host = by_host
         self._services = {each.id: each for each in configuration.services}
         self.keys = KeyRing(configuration.teams)
+        routed = _list_job_services(self.routes())
         self.configuration = configuration
+        self.add_former_job_services(routed)
         write(
             _LOGGER,
             events.CONFIGURATION_IN_FORCE,
@@ -87,14 +90,37 @@
         return frozenset(self._by_host)
 
     def job_services(self) -> list[ServiceId]:
-        """Return the services of all job routes."""
-        services = (
-            share.service
-            for route in self.routes()
-            if route.kind is RouteKind.JOB
-            for share in route.shares
-        )
-        return list(dict.fromkeys(services))
+        """Return the services that may have open jobs.
+
+        They are those of all job routes, then those whose routes have moved.
+        """
+        routed = _list_job_services(self.routes())
+        return [*routed, *self._former_job_services]
+
+    def former_job_services(self) -> list[ServiceId]:
+        """Return the services that had job routes and have none any more."""
+        return list(self._former_job_services)
+
+    def add_former_job_services(self, services: Iterable[ServiceId]) -> None:
+        """Add services that had job routes, unless they have some now."""
+        former = {**self._former_job_services, **dict.fromkeys(services)}
+        for service in _list_job_services(self.routes()):
+            former.pop(service, None)
+        self._former_job_services = former
+
+    def forget_former_job_service(self, service: ServiceId) -> None:
+        """Forget a service without job routes, as it has no open jobs."""
+        self._former_job_services.pop(service, None)
+
+
+def _list_job_services(routes: Iterable[Route]) -> list[ServiceId]:
+    services = (
+        share.service
+        for route in routes
+        if route.kind is RouteKind.JOB
+        for share in route.shares
+    )
+    return list(dict.fromkeys(services))
 
 
 def _get_prefix_length(route: Route) -> int:
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -7,6 +7,7 @@
 from guavagate.clock import Clock
 from guavagate.duties import Scaler
 from guavagate.exceptions import StoreUnavailableError
+from guavagate.former_services import FormerServices
 from guavagate.jobs import (
     AnnouncedJobs,
     JobIntake,
@@ -42,6 +43,7 @@
     SamplerStates,
     lease_path,
     list_holders,
+    list_leased_services,
 )
 from guavagate.routing import RouteTable, UpstreamTable
 from guavagate.util.boot_clock import read_boot_clock
@@ -115,6 +117,14 @@
         self._published.on_change = self._wake
         self._services: dict[ServiceId, OwnedService] = {}
         self._leaving = False
+        self._former = FormerServices(
+            clock,
+            routes,
+            retention,
+            self._count_open_jobs,
+            lambda: list_leased_services(job_store.object_store),
+            self.refresh,
+        )
         self._start_versions: Callable[[], None] = _do_nothing
         self._stop_versions: Callable[[], None] = _do_nothing
         upstreams.subscribe(self._wake)
@@ -150,6 +160,7 @@
             registry.wait_for_discovery()
         self._ownership.ready = not self._leaving
         self._watch.start()
+        self._former.start(load=not registry.first_start)
         self.refresh()
 
     def _load_former_owners(self) -> bool:
@@ -171,6 +182,10 @@
         self._ownership.set_former_owners(former)
         return self._me in former.values()
 
+    def _count_open_jobs(self, service: ServiceId) -> int | None:
+        running = self._services.get(service)
+        return None if running is None else running.owner.count_open_jobs()
+
     def leave(self) -> None:
         """Hand all services over and take none over again."""
         self._leaving = True
--- a/standins/_safeguard_jobs.py
+++ b/standins/_safeguard_jobs.py
@@ -5,6 +5,48 @@
 from standins._safeguard_rows import Safeguard
 
 JOB_SAFEGUARDS: Final = (
+    Safeguard(
+        'an owner loads no job of another service',
+        'guavagate/jobs/records/_loaded.py',
+        'if job.service != self._service:',
+        'if False:',
+        'tests/jobs/records/test_foreign_jobs.py',
+    ),
+    Safeguard(
+        "reads of another service's job cost no store calls",
+        'guavagate/jobs/_loader.py',
+        '            self._active_jobs.record_foreign(job.id)\n',
+        '',
+        'tests/jobs/records/test_foreign_jobs.py',
+    ),
+    Safeguard(
+        'a service whose routes moved keeps its owner',
+        'guavagate/routing/_routes.py',
+        '        self.add_former_job_services(routed)\n',
+        '',
+        'tests/test_moved_routes.py',
+    ),
+    Safeguard(
+        'an instance that starts later reads the former services',
+        'guavagate/former_services.py',
+        'if load:',
+        'if False:',
+        'tests/test_moved_routes.py',
+    ),
+    Safeguard(
+        'the former services are read again after an outage',
+        'guavagate/former_services.py',
+        '                continue\n',
+        '                return\n',
+        'tests/test_moved_routes.py',
+    ),
+    Safeguard(
+        'a former service without open jobs is given up',
+        'guavagate/former_services.py',
+        'return not open_jobs and seconds > LINGER_SECONDS',
+        'return False',
+        'tests/test_moved_routes.py',
+    ),
     Safeguard(
         'an uncertain chunk is dropped once its number exists',
         'guavagate/jobs/_result_log.py',
--- a/tests/routing/test_routes.py
+++ b/tests/routing/test_routes.py
@@ -141,3 +141,29 @@
     table.put(make_upstream('a'))
     table.put(make_upstream('a', leaving=True))
     assert table.choose(ServiceId('s'), set()) is None
+
+
+def _make_job_route(prefix: str, service: str) -> Route:
+    share = ServiceShare(ServiceId(service), 1)
+    return make_route(prefix, kind=RouteKind.JOB, shares=(share,))
+
+
+def test_a_service_keeps_its_jobs_after_its_routes_have_moved() -> None:
+    """Its open jobs would be worked on by nobody."""
+    table = RouteTable()
+    table.apply(_configure(1, _make_job_route('/a/', 'old')))
+    table.apply(_configure(2, _make_job_route('/a/', 'new')))
+    assert table.job_services() == ['new', 'old']
+    assert table.former_job_services() == ['old']
+
+
+def test_a_service_whose_routes_return_is_no_former_one() -> None:
+    """It would be given up later, with its new jobs open."""
+    table = RouteTable()
+    table.add_former_job_services([ServiceId('old'), ServiceId('older')])
+    table.apply(_configure(1, _make_job_route('/a/', 'new')))
+    table.apply(_configure(2, _make_job_route('/a/', 'old')))
+    assert table.former_job_services() == ['older', 'new']
+    table.forget_former_job_service(ServiceId('older'))
+    table.forget_former_job_service(ServiceId('old'))
+    assert table.job_services() == ['old', 'new']
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -10,6 +10,7 @@
 from guavagate.measure.fakes import World
 from guavagate.metrics import Metrics
 from guavagate.models import InstanceId, RegionId, WeightVersion, ZoneId
+from guavagate.ports.configuration import Configuration
 from guavagate.residency import Residency
 from guavagate.rollouts import Renewals
 from guavagate.routing import RouteTable, UpstreamTable
@@ -25,7 +26,7 @@
 _LEASE = b'{"holder":"%s","generation":4,"nonce":"n","ordered":true}'
 
 
-class _FakeRegistry:
+class FakeRegistry:
     """Fake registry that has discovered all members at once."""
 
     def __init__(self, *, first_start: bool) -> None:
@@ -37,17 +38,18 @@
         self.enough = is_enough()
 
 
-def _start_services(
+def start_services(
     world: World,
     name: InstanceId,
-    registry: _FakeRegistry,
+    registry: FakeRegistry,
     boot_of: BootOf = ignore_boots,
+    configuration: Configuration | None = None,
 ) -> JobServices:
     """Start the services of one instance."""
     clock = world.hosts[name].clock
     store = world.store_of(name)
     routes = RouteTable()
-    routes.apply(make_configuration())
+    routes.apply(configuration or make_configuration())
     upstreams = UpstreamTable(clock, ZoneId('zone-0'))
     for sampler in 'xyz':
         upstreams.put(make_upstream(sampler))
@@ -80,9 +82,7 @@
 def _find_owners(world: World, *, first_start: bool) -> list[InstanceId]:
     """Return the instances that own the service once all have started."""
     started = {
-        name: _start_services(
-            world, name, _FakeRegistry(first_start=first_start)
-        )
+        name: start_services(world, name, FakeRegistry(first_start=first_start))
         for name in _NAMES
     }
     world.clock.advance(1)
@@ -119,9 +119,9 @@
     world = _make_world()
     clock: PausedClock = world.clock
     world.store.change(f'leases/{SERVICE}', _LEASE % b'b')
-    registries = {name: _FakeRegistry(first_start=False) for name in _NAMES}
+    registries = {name: FakeRegistry(first_start=False) for name in _NAMES}
     for name, registry in registries.items():
-        _start_services(world, name, registry)
+        start_services(world, name, registry)
     clock.advance(0.1)
     enough = {name: each.enough for name, each in registries.items()}
     assert enough == {'a': False, 'b': True, 'c': False}
@@ -132,9 +132,9 @@
     world = _make_world()
     clock: PausedClock = world.clock
     world.store.change(f'leases/{SERVICE}', _LEASE % b'b')
-    registry = _FakeRegistry(first_start=False)
+    registry = FakeRegistry(first_start=False)
     boots = {'a': 0, 'b': 20_000, 'c': 0}
-    _start_services(world, InstanceId('b'), registry, boots.get)
+    start_services(world, InstanceId('b'), registry, boots.get)
     clock.advance(0.1)
     assert not registry.enough
 
@@ -153,8 +153,8 @@
     def __init__(self) -> None:
         self.world = _make_world()
         self.services = {
-            name: _start_services(
-                self.world, name, _FakeRegistry(first_start=True)
+            name: start_services(
+                self.world, name, FakeRegistry(first_start=True)
             )
             for name in _NAMES
         }
@@ -216,9 +216,7 @@
 def test_bodies_are_dropped_where_a_change_excludes_an_instance() -> None:
     """An announced job would stay in the memory of its former successor."""
     world = _make_world()
-    services = _start_services(
-        world, _NAMES[0], _FakeRegistry(first_start=True)
-    )
+    services = start_services(world, _NAMES[0], FakeRegistry(first_start=True))
     services._announced.put(make_job())
     services._replicas._received[SERVICE, _NAMES[1], 1] = {}
     services.refresh()
