Match each answer to its exchange, and bound bytes without end

Cause: each kind of exchange decided for itself whether an answer was its own. A request compared the echoed id only if there was one; probes, reports and orders took whatever came. A probe took a late extra answer, its connection went back to the pool with its own answer due, and the next request got that.

Change: the pool asks for each exchange whether an answer is its own, by its marks, and closes the connection if not; platform/_answers.py decides. An answer without a mark is believed only on a connection that has carried nothing else, so that "not run" is true. A success without a signature is not passed on. Bodies, interim answers and events without end are cut; calls of this instance itself bound the time of the body too.

--- a/guavagate/forwarding/_probes.py
+++ b/guavagate/forwarding/_probes.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import functools
 from collections.abc import Callable
 from typing import Final, TypeAlias
 
@@ -27,6 +28,8 @@
 # A time-out that comes this much too late says nothing about the upstream: this
 # process itself was suspended, and the answer may lie in its socket.
 SUSPENDED_SECONDS: Final = 0.1
+# The answer of a health path is empty or a few words.
+MAX_PROBE_BYTES: Final = 100_000
 
 
 class ProbeState(enum.Enum):
@@ -105,7 +108,11 @@
         request = self._dialect.make_probe(upstream, path)
         try:
             answer = self._pool.send(
-                upstream.address, request, timeout=None, connect=connect
+                upstream.address,
+                request,
+                timeout=None,
+                connect=connect,
+                is_own=functools.partial(self._dialect.owns_probe, upstream),
             )
         except UpstreamUnreachableError as error:
             if refused_connection(error):
@@ -114,7 +121,7 @@
         except UpstreamError:
             return ProbeResult(ProbeState.UNKNOWN)
         try:
-            answer.read()
+            answer.read(MAX_PROBE_BYTES)
         except UpstreamError:
             return ProbeResult(ProbeState.UNKNOWN)
         finally:
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -37,6 +37,8 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 _EVENT_END: Final = b'\n\n'
+# A faulty upstream may send an event without end.
+MAX_EVENT_BYTES: Final = 1_000_000
 _EVENT_ID: Final = b'id:'
 _OK: Final = 200
 # A sampler that sends no event for this long is lost or unreachable.
@@ -224,7 +226,13 @@
         self.may_have_run = False
 
     def split_events(self, chunk: bytes) -> Iterator[bytes]:
-        """Yield the events that are complete now; record their numbers."""
+        """Yield the events that are complete now; record their numbers.
+
+        Raises
+        ------
+        UpstreamError
+            The next event is larger than any.
+        """
         *complete, self.partial = (self.partial + chunk).split(_EVENT_END)
         for event in complete:
             for line in event.split(b'\n'):
@@ -232,6 +240,11 @@
                 if line.startswith(_EVENT_ID) and number.isdigit():
                     self.last_event_id = int(number)
             yield event + _EVENT_END
+        if len(self.partial) > MAX_EVENT_BYTES:
+            raise UpstreamError(
+                'the upstream sent an event without end',
+                'check the upstream; the stream goes on elsewhere if it may',
+            )
 
 
 def _may_go_on(outcome: Outcome, route: Route) -> bool:
--- a/guavagate/helpers/event_stream.py
+++ b/guavagate/helpers/event_stream.py
@@ -9,6 +9,10 @@
 from guavagate.ports.sampler import TextEvent
 
 _EVENT_END: Final = b'\n\n'
+# A faulty upstream may send bytes without end. A text has a few kilobytes, and
+# one event some hundred bytes.
+MAX_EVENT_BYTES: Final = 1_000_000
+MAX_STREAM_BYTES: Final = 16_000_000
 
 
 class EventStream:
@@ -34,8 +38,16 @@
     def events(self) -> Iterator[TextEvent]:
         """Yield complete events; raise if the stream ends within an event."""
         rest = b''
+        size = 0
         for chunk in self._answer.chunks():
             *blocks, rest = (rest + chunk).split(_EVENT_END)
+            size += len(chunk)
+            if len(rest) > MAX_EVENT_BYTES or size > MAX_STREAM_BYTES:
+                self.cancel()
+                raise UpstreamError(
+                    'the event stream is longer than any text',
+                    'check the sampler; the item resumes on another one',
+                )
             for block in blocks:
                 yield self._parse(block)
         if rest.strip():
--- a/guavagate/http1/__init__.py
+++ b/guavagate/http1/__init__.py
@@ -5,12 +5,13 @@
 where the bytes of a response end, and when the peer disconnects.
 """
 
+from guavagate.http1._answer import Answer
 from guavagate.http1._caller_connection import ServerLimits, SlowBodyError
 from guavagate.http1._caller_writer import (
     CallerDisconnectedError,
     SlowCallerError,
 )
-from guavagate.http1._client import Answer, ConnectionPool
+from guavagate.http1._client import ConnectionPool
 from guavagate.http1._exchange import (
     BodyRefusedError,
     BodyTooLargeError,
--- /dev/null
+++ b/guavagate/http1/_answer.py
@@ -0,0 +1,201 @@
+"""Connections to upstreams, and the answers that arrive on them."""
+
+import io
+import select
+from collections.abc import Iterator
+from typing import Final, Protocol
+
+import h11
+from gevent import monkey, socket
+
+from guavagate.clock import Clock
+from guavagate.exceptions import UpstreamDisconnectedError, UpstreamError
+from guavagate.http1._messages import Headers, find_header
+
+# Idle timeout assumed where a response has no Keep-Alive header.
+IDLE_SECONDS: Final = 10.0
+# Share of the idle timeout for which a connection is reused. An upstream closes
+# idle connections at its own timeout, and a request that crosses the close is
+# lost. Requests that must not be repeated get a new connection.
+IDLE_LIMIT_SHARE: Final = 0.9
+# A faulty upstream may send bytes without end, in a head or a body. The parser
+# bounds the lines of a head, and these bound the interim answers before it and
+# a body that is read as a whole.
+MAX_INTERIM_ANSWERS: Final = 16
+MAX_BODY_BYTES: Final = 16_000_000
+_READ_BYTES: Final = 65_536
+# The patched `poll` would let other tasks run and change the list of idle
+# connections while it is scanned.
+_poll: Final = monkey.get_original('select', 'poll')
+
+
+class AnswerPool(Protocol):
+    """What an answer uses of the pool that its connection belongs to."""
+
+    def release(
+        self, address: str, connection: 'Connection', answer: 'Answer'
+    ) -> None:
+        """Take a connection back."""
+
+    def record_reading(self, growth: int) -> None:
+        """Record by how many bytes the answers being read have grown."""
+
+    def may_read(self, size: int, limit: int) -> bool:
+        """Return whether an answer of a size so far may be read further."""
+
+
+class Connection:
+    """A connection to an upstream that carries one request at a time."""
+
+    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+        self.sock = sock
+        self.http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_READ_BYTES
+        )
+        self.idle_since = clock.now()
+        self.idle_limit = IDLE_SECONDS
+        self.is_used = False
+
+    def is_fresh(self, now: float) -> bool:
+        """Return whether the idle time is within the upstream's timeout."""
+        return self.seconds_left(now) >= 0
+
+    def seconds_left(self, now: float) -> float:
+        """Return how long an idle connection stays fresh."""
+        return self.idle_since + self.idle_limit * IDLE_LIMIT_SHARE - now
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether an idle connection may carry another request.
+
+        Readable data belongs to no request: it is a second or late response,
+        or the upstream's close.
+        """
+        if not self.is_fresh(now):
+            return False
+        poller = _poll()
+        poller.register(self.sock.fileno(), select.POLLIN)
+        return not poller.poll(0)
+
+    def close(self) -> None:
+        """Close the connection; the upstream abandons a running request."""
+        self.sock.close()
+
+
+class Answer:
+    """An upstream's response, read as it arrives.
+
+    Attributes
+    ----------
+    reused
+        Whether its connection has carried another exchange before, whose late
+        or extra answer this may be.
+    """
+
+    def __init__(
+        self, pool: AnswerPool, address: str, connection: Connection
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._connection: Connection | None = connection
+        self.status = 0
+        self.headers: Headers = []
+        self.complete = False
+        self.reused = connection.is_used
+        connection.is_used = True
+
+    def get_header(self, name: bytes) -> str:
+        """Return the value of a header; the name is in lower case."""
+        return find_header(self.headers, name)
+
+    def read_head(self) -> None:
+        """Read the final status and headers, past interim responses."""
+        for _ in range(MAX_INTERIM_ANSWERS):
+            event = self._next_event()
+            if isinstance(event, h11.Response):
+                self.status = event.status_code
+                self.headers = list(event.headers.raw_items())
+                return
+            if not isinstance(event, h11.InformationalResponse):
+                raise self._make_error(f'sent {event!r} for an answer')
+        raise self._make_error('sent one interim answer after the other')
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the body; an incomplete one raises `UpstreamError`."""
+        while not self.complete:
+            event = self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.complete = True
+            else:
+                raise self._make_error(
+                    'closed in the middle of its answer', disconnected=True
+                )
+        self._release()
+
+    def read(self, limit: int = MAX_BODY_BYTES) -> bytes:
+        """Return the complete body; its memory counts while it is read.
+
+        Raises
+        ------
+        UpstreamError
+            Also if the body has more bytes than the limit, or than there is
+            memory for.
+        """
+        # Unlike a list of parts, it makes no second copy of the body.
+        body = io.BytesIO()
+        try:
+            for chunk in self.chunks():
+                body.write(chunk)
+                self._pool.record_reading(len(chunk))
+                if not self._pool.may_read(body.tell(), limit):
+                    raise self._make_error('sent more than may be read')
+            return body.getvalue()
+        finally:
+            self._pool.record_reading(-body.tell())
+
+    def close(self) -> None:
+        """Close the connection unless it is back in the pool."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _next_event(self) -> object:
+        connection = self._connection
+        if connection is None:
+            raise self._make_error('was left by us')
+        disconnected = False
+        try:
+            while True:
+                event = connection.http.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                received = connection.sock.recv(_READ_BYTES)
+                disconnected = not received
+                connection.http.receive_data(received)
+        except OSError as error:
+            raise self._make_error(
+                str(error) or type(error).__name__, disconnected=True
+            ) from error
+        except h11.RemoteProtocolError as error:
+            raise self._make_error(
+                str(error) or type(error).__name__, disconnected=disconnected
+            ) from error
+
+    def _make_error(
+        self, problem: str, *, disconnected: bool = False
+    ) -> UpstreamError:
+        closed_here = self._connection is None
+        self.close()
+        kind = UpstreamError
+        if disconnected and not closed_here:
+            kind = UpstreamDisconnectedError
+        return kind(
+            f'{self._address}: {problem}',
+            'check the upstream; whether it ran the request is unknown',
+        )
+
+    def _release(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            self._pool.release(self._address, connection, self)
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -1,182 +1,49 @@
 """HTTP client with pooled connections to upstreams."""
 
 import contextlib
-import io
-import select
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Final
 
 import h11
-from gevent import monkey, socket
+from gevent import socket
 
 from guavagate.clock import Clock
 from guavagate.exceptions import (
-    UpstreamDisconnectedError,
     UpstreamError,
     UpstreamNotStartedError,
     UpstreamUnreachableError,
 )
-from guavagate.http1._messages import Headers, Request, find_header
+from guavagate.http1._answer import (
+    IDLE_SECONDS,
+    MAX_BODY_BYTES,
+    Answer,
+    Connection,
+)
+from guavagate.http1._messages import Request
 from guavagate.http1._request_writer import send_request
 from guavagate.http1._sockets import set_socket_options
 
 CONNECT_SECONDS: Final = 1.0
-# Idle timeout assumed where a response has no Keep-Alive header.
-IDLE_SECONDS: Final = 10.0
-# Share of the idle timeout for which a connection is reused. An upstream closes
-# idle connections at its own timeout, and a request that crosses the close is
-# lost. Requests that must not be repeated get a new connection.
-IDLE_LIMIT_SHARE: Final = 0.9
-_READ_BYTES: Final = 65_536
 SWEEP_INTERVAL_SECONDS: Final = 5.0
 _MAX_IDLE_CONNECTIONS: Final = 32
-# The patched `poll` would let other tasks run and change the list of idle
-# connections while it is scanned.
-_poll: Final = monkey.get_original('select', 'poll')
-
-
-class Connection:
-    """A connection to an upstream that carries one request at a time."""
-
-    def __init__(self, sock: socket.socket, clock: Clock) -> None:
-        self.sock = sock
-        self.http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_READ_BYTES
-        )
-        self.idle_since = clock.now()
-        self.idle_limit = IDLE_SECONDS
-
-    def is_fresh(self, now: float) -> bool:
-        """Return whether the idle time is within the upstream's timeout."""
-        return self.seconds_left(now) >= 0
-
-    def seconds_left(self, now: float) -> float:
-        """Return how long an idle connection stays fresh."""
-        return self.idle_since + self.idle_limit * IDLE_LIMIT_SHARE - now
-
-    def is_usable(self, now: float) -> bool:
-        """Return whether an idle connection may carry another request.
-
-        Readable data belongs to no request: it is a second or late response,
-        or the upstream's close.
-        """
-        if not self.is_fresh(now):
-            return False
-        poller = _poll()
-        poller.register(self.sock.fileno(), select.POLLIN)
-        return not poller.poll(0)
-
-    def close(self) -> None:
-        """Close the connection; the upstream abandons a running request."""
-        self.sock.close()
-
-
-class Answer:
-    """An upstream's response, read as it arrives."""
-
-    def __init__(
-        self, pool: 'ConnectionPool', address: str, connection: Connection
-    ) -> None:
-        self._pool = pool
-        self._address = address
-        self._connection: Connection | None = connection
-        self.status = 0
-        self.headers: Headers = []
-        self.complete = False
-
-    def get_header(self, name: bytes) -> str:
-        """Return the value of a header; the name is in lower case."""
-        return find_header(self.headers, name)
-
-    def read_head(self) -> None:
-        """Read the final status and headers, past interim responses."""
-        while True:
-            event = self._next_event()
-            if isinstance(event, h11.Response):
-                break
-            if not isinstance(event, h11.InformationalResponse):
-                raise self._make_error(f'sent {event!r} for an answer')
-        self.status = event.status_code
-        self.headers = list(event.headers.raw_items())
-
-    def chunks(self) -> Iterator[bytes]:
-        """Yield the body; an incomplete one raises `UpstreamError`."""
-        while not self.complete:
-            event = self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                self.complete = True
-            else:
-                raise self._make_error(
-                    'closed in the middle of its answer', disconnected=True
-                )
-        self._release()
-
-    def read(self) -> bytes:
-        """Return the complete body; its memory counts while it is read."""
-        # Unlike a list of parts, it makes no second copy of the body.
-        body = io.BytesIO()
-        try:
-            for chunk in self.chunks():
-                self._pool.charge(len(chunk))
-                body.write(chunk)
-            return body.getvalue()
-        finally:
-            self._pool.charge(-body.tell())
-
-    def close(self) -> None:
-        """Close the connection unless it is back in the pool."""
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
-
-    def _next_event(self) -> object:
-        connection = self._connection
-        if connection is None:
-            raise self._make_error('was left by us')
-        disconnected = False
-        try:
-            while True:
-                event = connection.http.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                received = connection.sock.recv(_READ_BYTES)
-                disconnected = not received
-                connection.http.receive_data(received)
-        except OSError as error:
-            raise self._make_error(
-                str(error) or type(error).__name__, disconnected=True
-            ) from error
-        except h11.RemoteProtocolError as error:
-            raise self._make_error(
-                str(error) or type(error).__name__, disconnected=disconnected
-            ) from error
-
-    def _make_error(
-        self, problem: str, *, disconnected: bool = False
-    ) -> UpstreamError:
-        closed_here = self._connection is None
-        self.close()
-        kind = UpstreamError
-        if disconnected and not closed_here:
-            kind = UpstreamDisconnectedError
-        return kind(
-            f'{self._address}: {problem}',
-            'check the upstream; whether it ran the request is unknown',
-        )
-
-    def _release(self) -> None:
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            self._pool.release(self._address, connection, self)
+# Bound of all answers that are being read. Above it, the next one that grows
+# beyond the small size is cut, so that answers of usual size still arrive.
+MAX_READING_BYTES: Final = 48_000_000
+SMALL_BODY_BYTES: Final = 1_000_000
+# For the body of an answer to a call of this instance itself.
+BODY_SECONDS: Final = 5.0
 
 
 def _charge_nothing(growth: int) -> None:
     """Count no memory."""
 
 
+def _accept_any(answer: Answer) -> bool:
+    """Take any answer for the exchange's own."""
+    return True
+
+
 class ConnectionPool:
     """A process's connections to upstreams, by address.
 
@@ -191,10 +58,23 @@
         self, clock: Clock, charge: Callable[[int], None] = _charge_nothing
     ) -> None:
         self._clock = clock
-        self.charge = charge
+        self._charge = charge
+        self._reading_bytes = 0
         self._idle: dict[str, deque[Connection]] = {}
         self.opened = 0
 
+    def record_reading(self, growth: int) -> None:
+        """Record by how many bytes the answers being read have grown."""
+        self._reading_bytes += growth
+        self._charge(growth)
+
+    def may_read(self, size: int, limit: int) -> bool:
+        """Return whether an answer of a size so far may be read further."""
+        if size > limit:
+            return False
+        is_small = size <= SMALL_BODY_BYTES
+        return is_small or self._reading_bytes <= MAX_READING_BYTES
+
     def send(
         self,
         address: str,
@@ -204,6 +84,7 @@
         timeout: float | None,
         reuse: bool = True,
         connect: bool = True,
+        is_own: Callable[[Answer], bool] = _accept_any,
     ) -> Answer:
         """Send a request once and wait for the headers of its response.
 
@@ -216,6 +97,10 @@
             Whether the request may use an idle connection of the pool.
         connect
             Whether a new connection may be opened for the request.
+        is_own
+            Returns whether an answer is the one to this request, by its status
+            and headers. If not, the connection is closed: what it carries next
+            can't be known.
 
         Raises
         ------
@@ -240,8 +125,38 @@
             except BaseException:
                 answer.close()
                 raise
+        if not is_own(answer):
+            answer.close()
+            raise UpstreamError(
+                f'{address} sent the answer to another request',
+                'check the upstream; its connection was closed',
+            )
         return answer
 
+    def fetch(
+        self,
+        address: str,
+        request: Request,
+        body: bytes = b'',
+        *,
+        timeout: float,
+        limit: int = MAX_BODY_BYTES,
+        is_own: Callable[[Answer], bool] = _accept_any,
+    ) -> tuple[Answer, bytes]:
+        """Send a request, and return its answer with the whole body.
+
+        The parameters and errors are those of `send`; the body has to arrive
+        within `BODY_SECONDS`.
+        """
+        answer = self.send(
+            address, request, body, timeout=timeout, is_own=is_own
+        )
+        try:
+            with self._limit_time(address, BODY_SECONDS):
+                return answer, answer.read(limit)
+        finally:
+            answer.close()
+
     def release(
         self, address: str, connection: Connection, answer: Answer
     ) -> None:
--- a/guavagate/integrations/object_api/pool_transport.py
+++ b/guavagate/integrations/object_api/pool_transport.py
@@ -44,5 +44,5 @@
 def _send(
     address: str, pool: ConnectionPool, request: Request, call: Call
 ) -> Answer:
-    answer = pool.send(address, request, call.body, timeout=call.timeout)
-    return Answer(status=answer.status, body=answer.read())
+    answer, body = pool.fetch(address, request, call.body, timeout=call.timeout)
+    return Answer(status=answer.status, body=body)
--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -11,6 +11,11 @@
 )
 from guavagate.models import TeamId
 from guavagate.platform import const
+from guavagate.platform._answers import (
+    answers_probe,
+    answers_request,
+    is_signed,
+)
 from guavagate.ports.dialect import AnswerMarks, Call
 from guavagate.ports.load import LoadReport
 from guavagate.ports.upstreams import Upstream
@@ -69,7 +74,14 @@
 
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
         """Return what the headers of an answer say about its request."""
-        return read_marks(call.id, answer)
+        marks = read_marks(call.id, answer)
+        if is_signed(answer):
+            return marks
+        return msgspec.structs.replace(marks, mismatched=True)
+
+    def owns_probe(self, upstream: Upstream, answer: Answer) -> bool:
+        """Return whether an answer is the one to a probe of an upstream."""
+        return answers_probe(upstream.id, answer)
 
     def make_probe(self, upstream: Upstream, path: str) -> Request:
         """Return a request for an upstream's health path."""
@@ -89,13 +101,12 @@
 
 def read_marks(request_id: str, answer: Answer) -> AnswerMarks:
     """Return what the headers of an answer say about a request."""
-    echoed = answer.get_header(const.REQUEST_ID.lower())
     not_run = (
         bool(answer.get_header(const.NOT_RUN)) or answer.status == _MISDIRECTED
     )
     return AnswerMarks(
         not_run=not_run,
-        mismatched=bool(echoed) and echoed != request_id,
+        mismatched=not answers_request(request_id, answer),
         load=decode_load(answer.get_header(const.LOAD)),
     )
 
--- a/guavagate/platform/_duties.py
+++ b/guavagate/platform/_duties.py
@@ -63,13 +63,12 @@
         ]
         request = Request('POST', path, headers)
         try:
-            answer = self._pool.send(
+            answer, text = self._pool.fetch(
                 self._address,
                 request,
                 msgspec.json.encode(body),
                 timeout=CALL_SECONDS,
             )
-            text = answer.read()
         except (UpstreamError, UpstreamNotStartedError) as error:
             _LOGGER.debug('%s got no answer: %s', path, error)
             return DutyAnswer.UNKNOWN
--- a/guavagate/platform/_samplers.py
+++ b/guavagate/platform/_samplers.py
@@ -8,6 +8,7 @@
 from guavagate.helpers.event_stream import EventStream
 from guavagate.http1 import Answer, ConnectionPool, Request
 from guavagate.platform import const
+from guavagate.platform._answers import answers_order, answers_report
 from guavagate.platform._dialect import read_marks, to_headers
 from guavagate.platform._servers import ModelState, read_models
 from guavagate.ports.sampler import (
@@ -27,6 +28,8 @@
 _FAILED: Final = 500
 REPORT_SECONDS: Final = 1.0
 ORDER_SECONDS: Final = 1.0
+# Answers to reports and orders; a report names each run of its sampler.
+MAX_CONTROL_BYTES: Final = 1_000_000
 _CONTINUE: Final = 'continue'
 _WAIT: Final = 'wait'
 
@@ -72,12 +75,13 @@
             (b'Host', upstream.address.encode()),
             (const.TARGET, upstream.id.encode()),
         ]
-        answer = self._pool.send(
+        answer, body = self._pool.fetch(
             upstream.address,
             Request('GET', '/report', headers),
             timeout=REPORT_SECONDS,
+            limit=MAX_CONTROL_BYTES,
+            is_own=answers_report,
         )
-        body = answer.read()
         if answer.status != _OK:
             raise _make_error(f'{upstream.id} answered {answer.status}')
         try:
@@ -111,13 +115,14 @@
             (const.TARGET, upstream.id.encode()),
             (b'Content-Type', b'application/json'),
         ]
-        answer = self._pool.send(
+        answer, text = self._pool.fetch(
             upstream.address,
             Request('POST', '/order', headers),
             body,
             timeout=ORDER_SECONDS,
+            limit=MAX_CONTROL_BYTES,
+            is_own=answers_order,
         )
-        text = answer.read()
         if answer.status not in {_OK, _ACCEPTED}:
             raise OrderRefusedError(
                 f'{upstream.id} answered {answer.status}: {text[:100]!r}'
--- a/guavagate/platform/const.py
+++ b/guavagate/platform/const.py
@@ -6,6 +6,7 @@
 
 # Headers: in lower case those that are looked up, others as they are sent.
 REQUEST_ID: Final = b'Guavagate-Request-Id'
+INSTANCE: Final = b'Guavagate-Instance-Id'
 DEADLINE: Final = b'Guavagate-Deadline-Ms'
 TARGET: Final = b'Guavagate-Target-Instance'
 NOT_RUN: Final = b'guavagate-not-executed'
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -93,6 +93,9 @@
     def make_probe(self, upstream: Upstream, path: str) -> Request:
         """Return a request that an upstream answers without taking a slot."""
 
+    def owns_probe(self, upstream: Upstream, answer: Answer) -> bool:
+        """Return whether an answer is the one to a probe of an upstream."""
+
     def read_probe(self, answer: Answer) -> LoadReport | None:
         """Return the reported load, or `None` if another process answered."""
 
--- a/standins/platform/sampler.py
+++ b/standins/platform/sampler.py
@@ -34,6 +34,7 @@
 # A request with this path crashes each sampler that starts to run it.
 CRASH_PATH: Final = '/ask/crash'
 _DOWN_SECONDS: Final = 2.0
+_JSON: Final = (b'Content-Type', b'application/json')
 _LOAD: Final = (const.LOAD, b'0,0,6,100')
 _COLD: Final = b'Guavagate-Cold-Ms'
 _KINDS: Final = {
@@ -167,9 +168,13 @@
             self._record_arrival(exchange)
         body = exchange.read_body(1_000_000)
         if target and target != self.name:
-            exchange.respond(_MISDIRECTED, [(const.NOT_RUN, b'1')], b'')
+            echoed = exchange.get_header(const.REQUEST_ID.lower()).encode()
+            headers = [(const.NOT_RUN, b'1'), (const.REQUEST_ID, echoed)]
+            exchange.respond(_MISDIRECTED, headers, b'')
         elif exchange.request.target == HEALTH_PATH:
-            exchange.respond(200, [_LOAD, self._make_cold_header()], b'')
+            sender = (const.INSTANCE, self.name.encode())
+            headers = [sender, _LOAD, self._make_cold_header()]
+            exchange.respond(200, headers, b'')
         elif exchange.request.target == '/report':
             self._send_report(exchange)
         elif exchange.request.target == '/order':
@@ -206,7 +211,7 @@
             'seq': self._accepted_orders,
             'born': self._started_at_ms,
         }
-        exchange.respond(200, [], msgspec.json.encode(report))
+        exchange.respond(200, [_JSON], msgspec.json.encode(report))
 
     def _handle_order(self, exchange: Exchange, order: dict[str, Any]) -> None:
         now = self._clock.now()
--- a/tests/forwarding/test_probes.py
+++ b/tests/forwarding/test_probes.py
@@ -29,11 +29,18 @@
 from tests.routing.test_routes import make_route
 
 _GOOD = (
-    b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n'
+    b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nGuavagate-Instance-Id: a\r\n'
     b'Guavagate-Server-Load: 1,0,6,250\r\n\r\n'
 )
 
 
+# The answer to the request '1'.
+_SERVED = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nGuavagate-Request-Id: 1\r\n'
+    b'Guavagate-Server-Seal: s\r\n\r\n'
+)
+
+
 class _JumpingClock(SystemClock):
     """A clock on which ten times as much time passes as is waited."""
 
@@ -58,7 +65,9 @@
             self.requests.append(data)
             while not self.answer:
                 gevent.sleep(0.01)
-            sock.sendall(self.answer)
+            good = self.answer == _GOOD
+            served = good and b' /work ' in data
+            sock.sendall(_SERVED if served else self.answer)
 
     def configure(self, path: str = '/health') -> RouteTable:
         """Return the routes of an instance."""
@@ -136,7 +145,7 @@
         (b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n', ProbeState.ANSWERED),
         (b'HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n', ProbeState.REFUSED),
         (b'nonsense\r\n\r\n', ProbeState.UNKNOWN),
-        (b'HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\n', ProbeState.TIMED_OUT),
+        (_GOOD.replace(b'Length: 0', b'Length: 9'), ProbeState.TIMED_OUT),
     ],
 )
 def test_what_an_answer_says_about_the_upstream(
--- a/tests/platform/test_edge_keys.py
+++ b/tests/platform/test_edge_keys.py
@@ -37,7 +37,10 @@
 from tests.quarantine.common import make_quarantine
 from tests.routing.test_routes import make_route
 
-_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nGuavagate-Request-Id: r-1\r\n'
+    b'Guavagate-Server-Seal: s\r\n\r\nok'
+)
 _BLUE = TeamId('blue')
 _TEAMS = (Team(id=_BLUE, key_hashes=(hash_token('key-1'),)),)
 
