Commit results in objects that the store takes

Callers saw nothing of a job any more after an outage of the store, although its items were complete: this loses accepted work. Found by reading in the review.

Cause: all pending results of a job went into one object. Above the store's size limit it is refused as often as it is sent, and later results wait behind it. `value-bytes` was read from the settings and used nowhere.

Change: a chunk takes the results that fit, in their order, or a single one that is larger; the others follow in the next chunks. The limit comes from the settings and holds for the parts of a job's items too.

--- a/guavagate/fleet_instance/_instance.py
+++ b/guavagate/fleet_instance/_instance.py
@@ -135,7 +135,9 @@
         self._duties = adapter.make_duties(self._pool)
         writer = f'{me.id}/{secrets.token_hex(4)}'
         spare = store_client.has_spare_writes
-        job_store = JobStore(store, clock, writer, spare)
+        job_store = JobStore(
+            store, clock, writer, spare, options.store.value_bytes
+        )
         self._services = JobServices(
             me.id,
             clock,
--- a/guavagate/fleet_instance/_options.py
+++ b/guavagate/fleet_instance/_options.py
@@ -23,6 +23,7 @@
     address: str
     reads_per_s: float
     writes_per_s: float
+    value_bytes: int
 
 
 class LimitOptions(msgspec.Struct, frozen=True, kw_only=True):
--- a/guavagate/jobs/_result_log.py
+++ b/guavagate/jobs/_result_log.py
@@ -25,14 +25,26 @@
 _UNREADABLE: Final = UnreadableObjects()
 # Time limit of one write; the owner retries for as long as it owns the job.
 WRITE_TIMEOUT_SECONDS: Final = 3.0
+# Results gather while the store is away. In one object of more bytes than the
+# store takes they would be refused as often as they are sent. Values grow by a
+# third on their way to a store that takes a megabyte.
+MAX_CHUNK_BYTES: Final = 600_000
+# Of a chunk without results, for its writer's name and the braces.
+_CHUNK_HEAD_BYTES: Final = 200
 
 
 class ResultLog:
     """The durable results of a job, in order."""
 
     def __init__(
-        self, store: ObjectStore, clock: Clock, job: JobId, writer: str
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        job: JobId,
+        writer: str,
+        max_chunk_bytes: int = MAX_CHUNK_BYTES,
     ) -> None:
+        self._max_chunk_bytes = max_chunk_bytes
         self._store = store
         self._clock = clock
         self._job = job
@@ -91,9 +103,16 @@
             )
 
     def _make_chunk(self, results: list[Result]) -> Chunk:
-        uncommitted = [
-            each for each in results if each.id not in self.committed
-        ]
+        """Return a chunk of the first results that fit, or of the first one."""
+        uncommitted: list[Result] = []
+        size = _CHUNK_HEAD_BYTES
+        for result in results:
+            if result.id in self.committed:
+                continue
+            size += len(msgspec.json.encode(result)) + 1
+            if uncommitted and size > self._max_chunk_bytes:
+                break
+            uncommitted.append(result)
         return Chunk(self._writer, uncommitted)
 
     def _apply(self, chunk: Chunk) -> None:
--- a/guavagate/jobs/records/_announcements.py
+++ b/guavagate/jobs/records/_announcements.py
@@ -202,7 +202,7 @@
             regions = self._bounds.find_job_regions(job)
         if regions is ANYWHERE:
             return job
-        parts = len(split_items(job.items))
+        parts = len(split_items(job.items, self._job_store.part_bytes))
         return msgspec.structs.replace(job, regions=regions, parts=parts)
 
     def end(self, job: JobId, timeout: float) -> None:
--- a/guavagate/jobs/records/_store.py
+++ b/guavagate/jobs/records/_store.py
@@ -23,6 +23,8 @@
 # Bodies grow by a third in JSON; the rest of the store's object size limit is
 # for the head of a job.
 PART_BYTES: Final = 600_000
+PART_SHARE: Final = 4 / 7
+DEFAULT_VALUE_BYTES: Final = 1_048_576
 # Estimate for ids, headers and the like of an item or its reward request.
 ITEM_HEAD_BYTES: Final = 500
 
@@ -48,6 +50,13 @@
     has_spare_writes
         Returns whether a write that can wait leaves the store's rate of calls
         for urgent ones.
+    value_bytes
+        Size limit of the store's objects.
+
+    Attributes
+    ----------
+    part_bytes
+        Size limit of a part of a job's items, and of a chunk of its results.
     """
 
     def __init__(
@@ -56,7 +65,9 @@
         clock: Clock,
         writer: str,
         has_spare_writes: Callable[[], bool] = _always,
+        value_bytes: int = DEFAULT_VALUE_BYTES,
     ) -> None:
+        self.part_bytes = min(int(value_bytes * PART_SHARE), PART_BYTES)
         self.object_store = store
         self.has_spare_writes = has_spare_writes
         self._clock = clock
@@ -77,7 +88,7 @@
         NotWrittenError, MaybeWrittenError
             See `create`.
         """
-        parts = split_items(job.items)
+        parts = split_items(job.items, self.part_bytes)
         if len(parts) > 1 or job.regions is not None:
             for number, items in enumerate(parts):
                 path = part_path(job.id, number)
@@ -146,7 +157,9 @@
 
     def open_log(self, job: JobId) -> ResultLog:
         """Return the log of a job's results, not loaded."""
-        return ResultLog(self.object_store, self._clock, job, self._writer)
+        return ResultLog(
+            self.object_store, self._clock, job, self._writer, self.part_bytes
+        )
 
 
 def decode_job(value: bytes) -> Job:
@@ -167,13 +180,15 @@
     return sum(measure_item(each) for each in job.items)
 
 
-def split_items(items: list[JobItem]) -> list[list[JobItem]]:
+def split_items(
+    items: list[JobItem], limit: int = PART_BYTES
+) -> list[list[JobItem]]:
     """Return the items in parts that each fit into one store object."""
     parts: list[list[JobItem]] = [[]]
     size = 0
     for item in items:
         size += measure_item(item)
-        if parts[-1] and size > PART_BYTES:
+        if parts[-1] and size > limit:
             parts.append([])
             size = measure_item(item)
         parts[-1].append(item)
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -135,6 +135,7 @@
                 address=self.platform.address,
                 reads_per_s=self.platform.reads_per_s,
                 writes_per_s=self.platform.writes_per_s,
+                value_bytes=self.platform.value_bytes,
             ),
             limits=LimitOptions(
                 memory_mb=self.limits.memory_mb,
--- a/standins/_safeguard_jobs.py
+++ b/standins/_safeguard_jobs.py
@@ -5,6 +5,13 @@
 from standins._safeguard_rows import Safeguard
 
 JOB_SAFEGUARDS: Final = (
+    Safeguard(
+        'results that gathered are committed in objects that the store takes',
+        'guavagate/jobs/_result_log.py',
+        'if uncommitted and size > self._max_chunk_bytes:',
+        'if False:',
+        'tests/jobs/test_result_log.py',
+    ),
     Safeguard(
         'an owner loads no job of another service',
         'guavagate/jobs/records/_loaded.py',
--- a/tests/jobs/test_result_log.py
+++ b/tests/jobs/test_result_log.py
@@ -5,7 +5,7 @@
 from guavagate.clock import PausedClock
 from guavagate.helpers.store_writes import MaybeWrittenError
 from guavagate.jobs import ItemId, JobId, Result, ResultState
-from guavagate.jobs._result_log import ResultLog
+from guavagate.jobs._result_log import MAX_CHUNK_BYTES, ResultLog
 from guavagate.measure.fakes import MemoryStore, StoreState
 from guavagate.models import Revision
 from guavagate.ports.store import StoredObject
@@ -157,3 +157,48 @@
         logs.clock.run_until(task.ready, 5)
     assert [each.id for each in reader.results] == ['0', '1', '2']
     assert ignores_after or len(store.listed) == 1
+
+
+def _commit(logs: _Logs, *results: Result) -> list[int]:
+    """Commit results as one writer; return the sizes of the objects."""
+    logs.append(0, *results)
+    chunks = logs.state.objects.values()
+    return [len(each.value) for each in chunks]
+
+
+def test_gathered_results_are_committed_in_objects_that_fit() -> None:
+    """The store was away, and refused their one object ever after.
+
+    None of the job's later results was listed then.
+    """
+    logs = _Logs()
+    results = [_make_result(f'{n}', 'x' * 50_000) for n in range(40)]
+    sizes = _commit(logs, *results)
+    assert max(sizes) <= MAX_CHUNK_BYTES
+    assert logs.logs[0].results == results
+    logs.clock.spawn(logs.logs[1].load)
+    logs.clock.advance(1)
+    assert logs.logs[1].results == results
+
+
+def test_a_result_larger_than_others_has_an_object_of_its_own() -> None:
+    """It must not keep those behind it from being committed."""
+    logs = _Logs()
+    large = _make_result('large', 'x' * 700_000)
+    results = [_make_result('a'), large, _make_result('b')]
+    sizes = _commit(logs, *results)
+    assert len(sizes) == 3
+    assert logs.logs[0].results == results
+
+
+def test_objects_follow_the_size_that_the_store_allows() -> None:
+    """A deployment's store may take smaller objects than usual."""
+    logs = _Logs()
+    store = MemoryStore(logs.clock, logs.state)
+    log = ResultLog(store, logs.clock, JobId('job-1'), 'a', 2_000)
+    results = [_make_result(f'{n}', 'x' * 300) for n in range(40)]
+    task = logs.clock.spawn(log.append, results)
+    logs.clock.run_until(task.ready, 10)
+    sizes = [len(each.value) for each in logs.state.objects.values()]
+    assert max(sizes) <= 2_000
+    assert log.results == results
