Bound the doublings of the pauses of items and rewards

Cause: the pauses double with each break or failure, without a bound on the exponent, so a thousand of them overflow a float and end the task that runs the item or requests the reward; neither is started again then.

Measured: one test for each fails before (OverflowError) and passes now.

--- a/guavagate/jobs/scheduling/_rewards.py
+++ b/guavagate/jobs/scheduling/_rewards.py
@@ -37,6 +37,8 @@
 # It is owed and never given up for that, but callers need the upstreams too.
 MAX_LOST_ANSWERS: Final = 3
 MAX_LOST_RETRY_SECONDS: Final = 5.0
+# Any more would not change the backoff, and thousands overflow a float.
+MAX_BACKOFF_DOUBLINGS: Final = 8
 # A missing route may return with the next configuration, which takes effect
 # within two seconds; the lookup is cheap.
 ROUTE_CHECK_SECONDS: Final = 0.5
@@ -233,7 +235,8 @@
 
 def _compute_backoff(progress: ItemProgress) -> float:
     """Return in how many seconds a reward is requested again."""
-    backoff = RETRY_SECONDS * 2 ** (progress.reward_attempts - 1)
+    doublings = min(progress.reward_attempts - 1, MAX_BACKOFF_DOUBLINGS)
+    backoff = RETRY_SECONDS * 2**doublings
     if progress.reward_losses > MAX_LOST_ANSWERS:
         return min(backoff, MAX_LOST_RETRY_SECONDS)
     return min(backoff, MAX_RETRY_SECONDS)
--- a/guavagate/jobs/texts/_runner.py
+++ b/guavagate/jobs/texts/_runner.py
@@ -50,6 +50,8 @@
 MAX_IMMEDIATE_BREAKS: Final = 3
 BREAK_BACKOFF_SECONDS: Final = 0.25
 MAX_BREAK_BACKOFF_SECONDS: Final = 2.0
+# Any more would not change the backoff, and thousands overflow a float.
+MAX_BACKOFF_DOUBLINGS: Final = 8
 
 Finish = Callable[[JobWork, Result], None]
 HandleCompleteText = Callable[[JobWork, ItemProgress], None]
@@ -283,7 +285,7 @@
     """Return for how many seconds an item waits after its last break."""
     if breaks <= MAX_IMMEDIATE_BREAKS:
         return 0
-    doublings = breaks - MAX_IMMEDIATE_BREAKS - 1
+    doublings = min(breaks - MAX_IMMEDIATE_BREAKS - 1, MAX_BACKOFF_DOUBLINGS)
     return min(BREAK_BACKOFF_SECONDS * 2**doublings, MAX_BREAK_BACKOFF_SECONDS)
 
 
--- a/tests/jobs/scheduling/test_crashed_samplers.py
+++ b/tests/jobs/scheduling/test_crashed_samplers.py
@@ -8,6 +8,7 @@
 from guavagate.events.jobs import ITEM_INTERRUPTED
 from guavagate.jobs import Job, ResultState
 from guavagate.jobs.texts import MAX_BREAK_BACKOFF_SECONDS
+from guavagate.jobs.texts._runner import _compute_break_backoff
 from guavagate.models import UpstreamId
 from tests.jobs.fleet import JobFleet, Node, find_other, make_job
 from tests.jobs.samplers import MODEL, make_upstream
@@ -160,6 +161,11 @@
     assert fleet.count_done() == 12
 
 
+def test_an_item_that_lost_thousands_of_samplers_waits_no_longer() -> None:
+    """Doubling its pause each time overflowed, and ended its owner's task."""
+    assert _compute_break_backoff(5_000) == MAX_BREAK_BACKOFF_SECONDS
+
+
 def test_an_item_is_no_suspect_however_many_samplers_crashed(
     fleet: _Fleet,
 ) -> None:
--- a/tests/jobs/scheduling/test_rewards.py
+++ b/tests/jobs/scheduling/test_rewards.py
@@ -7,9 +7,10 @@
 
 from guavagate.jobs import JobId, Result, ResultState
 from guavagate.jobs._result_log import ResultLog
-from guavagate.jobs._work import JobWork
+from guavagate.jobs._work import ItemProgress, JobWork
 from guavagate.jobs.scheduling._rewards import (
     MAX_LOST_RETRY_SECONDS,
+    _compute_backoff,
     order_pending_rewards,
 )
 from guavagate.measure.fakes import World
@@ -256,3 +257,11 @@
     fleet.clock.advance(MAX_LOST_RETRY_SECONDS + 1)
     results = _check_rated(fleet, 6)
     assert {each.state for each in results} == {ResultState.COMPLETED}
+
+
+def test_a_reward_that_was_lost_thousands_of_times_is_requested_again() -> None:
+    """Doubling its pause each time overflowed, and ended its task."""
+    progress = ItemProgress(item=make_job().items[0], reward_attempts=5_000)
+    assert _compute_backoff(progress) <= MAX_LOST_RETRY_SECONDS
+    progress.reward_losses = 5_000
+    assert _compute_backoff(progress) == MAX_LOST_RETRY_SECONDS
