Point a safeguard's row at the file that has its code now

Measured: no row of 297 is stale, the moved one is caught when its safeguard is removed, and tests/standins/test_safeguards.py passes.

--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -16,6 +16,7 @@
 import click
 
 from standins._safeguard_admission import ADMISSION_SAFEGUARDS
+from standins._safeguard_answers import ANSWER_SAFEGUARDS
 from standins._safeguard_bytes import BYTES_SAFEGUARDS
 from standins._safeguard_capacity import CAPACITY_SAFEGUARDS
 from standins._safeguard_evacuation import EVACUATION_SAFEGUARDS
@@ -33,6 +34,7 @@
 
 SAFEGUARDS: Final = (
     *PLATFORM_SAFEGUARDS,
+    *ANSWER_SAFEGUARDS,
     *JOB_SAFEGUARDS,
     *RECOVERY_SAFEGUARDS,
     *FAILOVER_SAFEGUARDS,
