Look for both ways to send in the test of the checks before sending

Cause: `ConnectionPool.fetch` sends as `send` does, and reports, orders, duties and store calls use it since answers are matched to their exchange. The test that finds senders past the checks looked for `send` only, so it missed two known senders and failed; a new one that fetches would have passed it. It looks for both now and compares with the same lists, which is stricter than before.

--- a/tests/routing/test_eligibility.py
+++ b/tests/routing/test_eligibility.py
@@ -189,7 +189,7 @@
 
 def test_no_module_sends_past_the_check() -> None:
     """A new path that sends by itself would ignore every condition."""
-    assert _find_files(r'pool\.send\(') == _SENDERS | _OTHER_SENDERS
+    assert _find_files(r'pool\.(send|fetch)\(') == _SENDERS | _OTHER_SENDERS
     assert _find_files(r'\.registered\b') == _COUNTERS
     assert not _find_files(r'(?<!class )PlatformSamplers\(')
     assert _find_files(r'\.make_samplers\b') == {_MAKER}
