--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -40,7 +40,7 @@
 
 
 def _accept_any(answer: Answer) -> bool:
-    """Take any answer for the exchange's own."""
+    """Accept any answer as the one to the request."""
     return True
 
 
--- a/guavagate/rollouts/_lease.py
+++ b/guavagate/rollouts/_lease.py
@@ -318,7 +318,7 @@
 
 
 def list_leased_services(store: ObjectStore) -> list[ServiceId]:
-    """Return the services that ever had a lease, also if nobody holds it."""
+    """Return the services that ever had a lease, held or not."""
     stored, _ = store.list_under(LEASES)
     return [ServiceId(each.path.partition('/')[2]) for each in stored]
 
