--- a/review/standins_2/sampler.py
+++ b/review/standins_2/sampler.py
@@ -39,6 +39,7 @@
         self.orders: list[tuple[float, str, int, Any]] = []
         self.arrivals: list[tuple[float, str, str]] = []
         self.running: dict[str, int] = {}
+        self.last_run_at = 0.0
         self._fleet = fleet
         self._record = fleet.record
         self._seq = 0
@@ -138,6 +139,7 @@
             await self.stream(name, model, after, channel)
         finally:
             self.running[name] -= 1
+            self.last_run_at = self._record.now()
 
     async def stream(
         self, name: str, model: str, after: int, channel: web.Channel
