Take only events for events in the streams of items

The sampler had sent ten bytes that are no event within one of 40 streams.

Cause: the parser took each block between two empty lines for an event and made up for what was missing. A block without a number got the next number, so the true event came too late and was left out; a block with a version alone changed the version of all later events; `id: ²` ended the run with a traceback, and bytes that are not UTF-8 became half of a surrogate pair, which no chunk of results can encode, so that none of the job's results was listed any more.

Change: a block is an event if it has the next number, data, perhaps a version in the first line, and no line that events don't have. All else is left out and logged (GG8014). Numbers have no gaps, so a damaged event shows by the number of the next one, or the stream ends without a following event; the item then resumes after the last good event. A text whose stream contradicts itself starts over.

--- a/guavagate/events/forwarding.py
+++ b/guavagate/events/forwarding.py
@@ -23,6 +23,12 @@
 ATTEMPT_FAILED: Final = Event(
     8011, logging.INFO, 'An attempt to send a request to an upstream failed'
 )
+FOREIGN_BYTES: Final = Event(
+    8014,
+    logging.WARNING,
+    'An upstream sent bytes that are no event within a stream',
+    'check the upstream; the bytes were left out',
+)
 REQUEST_GIVEN_UP: Final = Event(
     8012,
     logging.WARNING,
--- a/guavagate/exceptions.py
+++ b/guavagate/exceptions.py
@@ -101,6 +101,14 @@
     """The upstream closed or reset the connection before its answer ended."""
 
 
+class ContradictoryStreamError(UpstreamError):
+    """A stream has an event twice with different content.
+
+    Nothing tells which one is true, so the events of this stream so far are not
+    to be used.
+    """
+
+
 class UpstreamNotStartedError(UpstreamError):
     """The upstream didn't start the work."""
 
--- a/guavagate/jobs/texts/_runner.py
+++ b/guavagate/jobs/texts/_runner.py
@@ -10,6 +10,7 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import (
+    ContradictoryStreamError,
     UpstreamDisconnectedError,
     UpstreamError,
     UpstreamExcludedError,
@@ -169,6 +170,9 @@
             if progress.done or work.ended:
                 return
             self._read_events(work, progress, upstream)
+        except ContradictoryStreamError:
+            progress.text = Text()
+            raise
         finally:
             run.cancel()
         self._upstreams.record_success(upstream.id, 0)
--- a/guavagate/platform/_samplers.py
+++ b/guavagate/platform/_samplers.py
@@ -5,7 +5,10 @@
 import msgspec
 
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
-from guavagate.helpers.event_stream import EventStream
+from guavagate.helpers.event_stream import (
+    EventStream,
+    make_foreign_block_logger,
+)
 from guavagate.http1 import Answer, ConnectionPool, Request
 from guavagate.platform import const
 from guavagate.platform._answers import answers_order, answers_report
@@ -67,7 +70,12 @@
             upstream.address, request, item.body, timeout=None
         )
         _raise_unless_stream(item.id, upstream, answer)
-        return EventStream(answer, item.resume_after, const.VERSION)
+        return EventStream(
+            answer,
+            item.resume_after,
+            const.VERSION,
+            make_foreign_block_logger(item.id, upstream.id),
+        )
 
     def report(self, upstream: Upstream) -> SamplerReport:
         """Return the sampler's state."""
--- a/standins/_safeguard_answers.py
+++ b/standins/_safeguard_answers.py
@@ -4,6 +4,9 @@
 
 from standins._safeguard_rows import Safeguard
 
+_PARSER: Final = 'guavagate/helpers/event_stream.py'
+_PARSER_TESTS: Final = 'tests/helpers/test_event_stream.py'
+
 ANSWER_SAFEGUARDS: Final = (
     Safeguard(
         'an answer without an id is no answer to a request',
@@ -57,9 +60,74 @@
     ),
     Safeguard(
         'an event without end is cut',
-        'guavagate/helpers/event_stream.py',
-        'len(rest) > MAX_EVENT_BYTES or size > MAX_STREAM_BYTES',
+        _PARSER,
+        'if len(self._rest) > MAX_EVENT_BYTES:',
+        'if False:',
+        _PARSER_TESTS,
+    ),
+    Safeguard(
+        'a stream without end is cut',
+        _PARSER,
+        'if size > MAX_STREAM_BYTES:',
+        'if False:',
+        'tests/platform/test_item_streams.py',
+    ),
+    Safeguard(
+        'a block with a line that no event has is foreign',
+        _PARSER,
+        'set(names[1:]) != {_DATA}',
         'False',
-        'tests/platform/test_answer_ownership.py',
+        _PARSER_TESTS,
+    ),
+    Safeguard(
+        'an event has the next number',
+        _PARSER,
+        'if event.number == self.last_number + 1:',
+        'if True:',
+        _PARSER_TESTS,
+    ),
+    Safeguard(
+        'a stream does not end with a foreign block',
+        _PARSER,
+        '        if self._foreign_blocks:\n',
+        '        if False:\n',
+        _PARSER_TESTS,
+    ),
+    Safeguard(
+        'a stream does not end before an event that was left out',
+        _PARSER,
+        'if self._highest_number > self.last_number:',
+        'if False:',
+        _PARSER_TESTS,
+    ),
+    Safeguard(
+        'foreign blocks without end break the stream',
+        _PARSER,
+        'if self._foreign_blocks > MAX_FOREIGN_BLOCKS:',
+        'if False:',
+        _PARSER_TESTS,
+    ),
+    Safeguard(
+        'an event with two contents breaks the stream',
+        _PARSER,
+        'if event.number <= self.last_number and block != self._last_block:',
+        'if False:',
+        _PARSER_TESTS,
+    ),
+    Safeguard(
+        'a text starts over if its stream contradicts itself',
+        'guavagate/jobs/texts/_runner.py',
+        '        except ContradictoryStreamError:\n'
+        '            progress.text = Text()\n'
+        '            raise\n',
+        '',
+        'tests/jobs/texts/test_texts.py',
+    ),
+    Safeguard(
+        'a stream without a weight version is not used',
+        _PARSER,
+        'version = parse_whole_number(header)\n',
+        'version = parse_whole_number(header) or 0\n',
+        'tests/platform/test_item_streams.py',
     ),
 )
--- a/tests/jobs/samplers.py
+++ b/tests/jobs/samplers.py
@@ -5,6 +5,7 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import (
+    ContradictoryStreamError,
     UpstreamDisconnectedError,
     UpstreamError,
     UpstreamNotStartedError,
@@ -62,13 +63,13 @@
             samplers.clock.sleep(samplers.event_seconds.get(name, 0.05))
             while name in samplers.stalled and not self.cancelled:
                 samplers.clock.sleep(0.02)
-            if name in samplers.crashed and not self.cancelled:
-                raise UpstreamDisconnectedError('crashed', 'nothing')
-            if self.cancelled or name in samplers.down:
-                raise UpstreamError('cut', 'nothing')
+            self._check_connection()
             if (name, number) in samplers.skipped:
                 samplers.skipped.remove((name, number))
                 continue
+            if (name, number) in samplers.contradicted:
+                samplers.contradicted.remove((name, number))
+                raise ContradictoryStreamError('sent twice', 'nothing')
             if self._item.id in samplers.crashing:
                 samplers.crash(name)
             if name in samplers.crashed:
@@ -78,6 +79,13 @@
             text = f'{self._item.id}/{number}{samplers.padding}'
             yield TextEvent(number, text, version)
 
+    def _check_connection(self) -> None:
+        samplers, name = self._samplers, self._upstream.id
+        if name in samplers.crashed and not self.cancelled:
+            raise UpstreamDisconnectedError('crashed', 'nothing')
+        if self.cancelled or name in samplers.down:
+            raise UpstreamError('cut', 'nothing')
+
     def cancel(self) -> None:
         """Cancel the run."""
         self.cancelled = True
@@ -89,7 +97,8 @@
     `padding` ends the text of each event.
     `event_seconds` is the event interval by sampler, and `idle` its number of
     idle connections. A `stalled` sampler sends no more events, a `down` one
-    refuses connections, and `skipped` lists events that a sampler leaves out.
+    refuses connections, `skipped` lists events that a sampler leaves out, and
+    `contradicted` those before which it sends an earlier one with other data.
     The first `lost_orders` orders get no response. Those in `full` refuse
     items. The items in `crashing` crash the samplers that run them, with all
     other runs there.
@@ -102,6 +111,7 @@
         self.event_seconds: dict[str, float] = {}
         self.down: set[str] = set()
         self.skipped: set[tuple[str, int]] = set()
+        self.contradicted: set[tuple[str, int]] = set()
         self.versions: dict[str, WeightVersion] = {}
         self.orders_taken: Counter[str] = Counter()
         self.orders: list[tuple[float, str, VersionOrder]] = []
--- a/tests/jobs/texts/test_texts.py
+++ b/tests/jobs/texts/test_texts.py
@@ -40,6 +40,20 @@
     assert max(owner.samplers.generated.values()) <= 41
 
 
+def test_a_text_whose_stream_contradicts_itself_starts_over(
+    fleet: JobFleet,
+) -> None:
+    """One of its events may be foreign, and would stay in the result."""
+    owner = fleet.nodes[fleet.owner()]
+    owner.samplers.contradicted = {(name, 4) for name in 'xyz'}
+    fleet.submit(make_job(), 'a')
+    fleet.clock.advance(_COMPLETION_SECONDS)
+    check_complete(fleet, 'a', 6)
+    assert not owner.samplers.contradicted
+    assert not any(after for _, _, after in owner.samplers.started)
+    assert len(owner.samplers.started) == 9
+
+
 def test_resubmitted_items_resume_their_partial_texts(fleet: JobFleet) -> None:
     """The next job resubmits a group that was incomplete.
 
