Keep foreign bytes out of the streams of callers

Callers saw: whatever an upstream sent between its events reached them, and where the stream was resumed afterwards, the number of the last event could be one that came with those bytes; `id: ²` gave a traceback.

Cause: a second parser in the forwarder split the stream at empty lines and passed on each block, whatever it was.

Change: the forwarder takes its events from the parser of items; the dialect makes it, as the name of the version's line belongs to the platform. A foreign block between events is left out on every route, so the caller gets its whole answer. A damaged event is made again elsewhere where the stream is resumable, and cuts one that isn't, so that it doesn't look complete. Failures are passed on as they stand.

--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -17,6 +17,7 @@
     UpstreamUnreachableError,
 )
 from guavagate.forwarding._probes import refused_connection
+from guavagate.helpers.event_stream import EventParser
 from guavagate.http1 import Answer, ConnectionPool, Headers
 from guavagate.ports.dialect import Call, Dialect
 from guavagate.ports.upstreams import Upstream
@@ -108,6 +109,12 @@
         self._record_result(call, attempt, self._clock.now() - started_at)
         return attempt
 
+    def make_event_parser(
+        self, call: Call, upstream: Upstream, resume_after: int
+    ) -> EventParser:
+        """Return a parser of the stream that follows an event, 0 for none."""
+        return self._dialect.make_event_parser(call, upstream, resume_after)
+
     def record_break(
         self,
         call: Call,
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -7,7 +7,7 @@
 
 import functools
 import logging
-from collections.abc import Iterator
+from collections.abc import Callable
 from typing import Final
 
 from guavagate.clock import Clock
@@ -36,10 +36,6 @@
 from guavagate.routing import UpstreamTable
 
 _LOGGER: Final = logging.getLogger(__name__)
-_EVENT_END: Final = b'\n\n'
-# A faulty upstream may send an event without end.
-MAX_EVENT_BYTES: Final = 1_000_000
-_EVENT_ID: Final = b'id:'
 _OK: Final = 200
 # A sampler that sends no event for this long is lost or unreachable.
 STALL_SECONDS: Final = 2.0
@@ -177,22 +173,36 @@
         if not progress.exchange.started:
             headers = drop_hop_by_hop(answer.headers)
             progress.exchange.start(answer.status, headers)
+        if answer.status != _OK:
+            self._read_chunks(answer, upstream, progress.exchange.send_ahead)
+            return
+        parser = self._runner.make_event_parser(
+            progress.call, upstream, progress.last_event_id
+        )
+
+        def forward_events(chunk: bytes) -> None:
+            for event in parser.feed(chunk):
+                progress.last_event_id = event.number
+                progress.exchange.send_ahead(event.encoded)
+
+        self._read_chunks(answer, upstream, forward_events)
+        parser.end()
+
+    def _read_chunks(
+        self,
+        answer: Answer,
+        upstream: Upstream,
+        handle_chunk: Callable[[bytes], None],
+    ) -> None:
+        """Read an answer to its end; raise if the upstream stalls."""
         chunks = answer.chunks()
         make_error = functools.partial(_make_stall_error, upstream)
         while True:
             with self._clock.timeout(STALL_SECONDS, make_error):
                 chunk = next(chunks, None)
             if chunk is None:
-                break
-            for event in progress.split_events(chunk):
-                progress.exchange.send_ahead(event)
-        if progress.partial and answer.status == _OK:
-            raise UpstreamError(
-                f'{upstream.id} ended in the middle of an event',
-                'check the upstream; the stream goes on elsewhere if it may',
-            )
-        if progress.partial:
-            progress.exchange.send_ahead(progress.partial)
+                return
+            handle_chunk(chunk)
 
     def _record_break(
         self,
@@ -201,7 +211,6 @@
         error: UpstreamError,
     ) -> None:
         progress.may_have_run = True
-        progress.partial = b''
         self._upstreams.record_failure(upstream.id)
         write(
             _LOGGER,
@@ -222,30 +231,8 @@
         self.exchange = exchange
         self.call = call
         self.last_event_id = call.resume_after
-        self.partial = b''
         self.may_have_run = False
 
-    def split_events(self, chunk: bytes) -> Iterator[bytes]:
-        """Yield the events that are complete now; record their numbers.
-
-        Raises
-        ------
-        UpstreamError
-            The next event is larger than any.
-        """
-        *complete, self.partial = (self.partial + chunk).split(_EVENT_END)
-        for event in complete:
-            for line in event.split(b'\n'):
-                number = line[len(_EVENT_ID) :].strip()
-                if line.startswith(_EVENT_ID) and number.isdigit():
-                    self.last_event_id = int(number)
-            yield event + _EVENT_END
-        if len(self.partial) > MAX_EVENT_BYTES:
-            raise UpstreamError(
-                'the upstream sent an event without end',
-                'check the upstream; the stream goes on elsewhere if it may',
-            )
-
 
 def _may_go_on(outcome: Outcome, route: Route) -> bool:
     """Return whether another upstream may go on with a stream."""
--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -2,6 +2,10 @@
 
 import msgspec
 
+from guavagate.helpers.event_stream import (
+    EventParser,
+    make_foreign_block_logger,
+)
 from guavagate.http1 import (
     Answer,
     Headers,
@@ -79,6 +83,13 @@
             return marks
         return msgspec.structs.replace(marks, mismatched=True)
 
+    def make_event_parser(
+        self, call: Call, upstream: Upstream, resume_after: int
+    ) -> EventParser:
+        """Return a parser of the stream that follows an event, 0 for none."""
+        log_foreign_block = make_foreign_block_logger(call.id, upstream.id)
+        return EventParser(resume_after, const.VERSION, log_foreign_block)
+
     def owns_probe(self, upstream: Upstream, answer: Answer) -> bool:
         """Return whether an answer is the one to a probe of an upstream."""
         return answers_probe(upstream.id, answer)
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from guavagate.helpers.event_stream import EventParser
 from guavagate.http1 import Answer, Headers, Request, find_header
 from guavagate.models import ANYWHERE, Regions, TeamId
 from guavagate.ports.load import LoadReport
@@ -86,6 +87,11 @@
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
         """Return the metadata from the head of an answer."""
 
+    def make_event_parser(
+        self, call: Call, upstream: Upstream, resume_after: int
+    ) -> EventParser:
+        """Return a parser of the stream that follows an event, 0 for none."""
+
 
 class ProbeDialect(Protocol):
     """Encodes probes of upstreams' health paths and decodes their answers."""
--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -263,8 +263,8 @@
     Safeguard(
         'a stream resumes after its last complete event',
         'guavagate/forwarding/_stream.py',
-        "        progress.partial = b''\n",
-        '        progress.last_event_id += 0\n',
+        '                progress.last_event_id = event.number\n',
+        '',
         'tests/forwarding',
     ),
     Safeguard(
--- a/tests/forwarding/stream_bench.py
+++ b/tests/forwarding/stream_bench.py
@@ -1,8 +1,10 @@
 """A stream forwarder with upstreams and a caller over real sockets."""
 
+import itertools
 from collections.abc import Callable
 
 import gevent
+import h11
 from gevent import socket
 from gevent.server import StreamServer
 
@@ -13,6 +15,7 @@
     RequestGuard,
     StreamForwarder,
 )
+from guavagate.helpers.event_stream import EventParser
 from guavagate.http1 import (
     Answer,
     ConnectionPool,
@@ -51,6 +54,21 @@
     return b'id: %d\ndata: e%d%s\n\n' % (number, number, b'-' * size)
 
 
+def read_body(received: bytes) -> bytes:
+    """Return the body of an answer in chunks, as far as it has arrived."""
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method='GET', target='/', headers=[('Host', 'x')]))
+    parser.send(h11.EndOfMessage())
+    parser.receive_data(received)
+    events = iter(parser.next_event, h11.NEED_DATA)
+    ended = itertools.takewhile(_is_not_end, events)
+    return b''.join(each.data for each in ended if isinstance(each, h11.Data))
+
+
+def _is_not_end(event: object) -> bool:
+    return not isinstance(event, h11.EndOfMessage)
+
+
 class _Dialect:
     """Sends the last event's id as clients of server-sent events do."""
 
@@ -69,6 +87,12 @@
         """Return no signature; these upstreams send none."""
         return ''
 
+    def make_event_parser(
+        self, call: Call, upstream: Upstream, resume_after: int
+    ) -> EventParser:
+        """Return a parser of the stream that follows an event."""
+        return EventParser(resume_after, b'weight-versions')
+
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
         """Return whether the request ran and whether the answer matches."""
         return AnswerMarks(
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -13,7 +13,9 @@
     StreamBench,
     make_chunk,
     make_event,
+    read_body,
 )
+from tests.helpers.foreign_blocks import FOREIGN_BLOCKS
 
 
 @pytest.fixture
@@ -152,3 +154,55 @@
     received = bench.stream()
     assert _list_event_ids(received) == [1]
     assert b'other' not in received
+
+
+@pytest.mark.parametrize('resumable', [True, False])
+@pytest.mark.parametrize('block', FOREIGN_BLOCKS.values(), ids=FOREIGN_BLOCKS)
+def test_foreign_bytes_within_a_stream_do_not_reach_the_caller(
+    bench: StreamBench, block: bytes, *, resumable: bool
+) -> None:
+    """All events follow, so the caller gets its whole answer, and only that."""
+    events = [make_event(number) for number in range(1, 6)]
+    sent = [*events[:3], b'%b\n\n' % block, *events[3:]]
+    bench.add('a', 'z', HEAD + b''.join(map(make_chunk, sent)) + END)
+    received = bench.stream(resumable=resumable)
+    assert received.endswith(END)
+    assert read_body(received) == b''.join(events)
+
+
+def test_a_damaged_event_is_made_again_by_another_upstream(
+    bench: StreamBench,
+) -> None:
+    """The following events show that one is missing."""
+    events = [make_event(number) for number in range(1, 4)]
+    damaged = [events[0], b'k2%b' % events[1], events[2]]
+    bench.add('a', 'z', HEAD + b''.join(map(make_chunk, damaged)) + END)
+    rest = b''.join(map(make_chunk, events[1:]))
+    bench.add('b', 'y', HEAD + rest + END)
+    received = bench.stream()
+    assert received.endswith(END)
+    assert read_body(received) == b''.join(events)
+    assert b'Last-Event-Id: 1' in bench.requests['b']
+
+
+def test_a_damaged_event_cuts_a_stream_that_may_not_be_resumed(
+    bench: StreamBench,
+) -> None:
+    """The caller must see that its last event is missing."""
+    events = [make_event(number) for number in range(1, 4)]
+    damaged = [*events[:2], b'k2%b' % events[2]]
+    bench.add('a', 'z', HEAD + b''.join(map(make_chunk, damaged)) + END)
+    bench.add('b', 'y', HEAD + make_chunk(events[2]) + END)
+    received = bench.stream(resumable=False)
+    assert not received.endswith(END)
+    assert read_body(received) == b''.join(events[:2])
+    assert 'b' not in bench.requests
+
+
+def test_a_failure_is_forwarded_as_it_stands(bench: StreamBench) -> None:
+    """Its body is no event stream."""
+    failure = b'HTTP/1.1 500 X\r\nContent-Length: 9\r\n\r\nk2\n\nid: 9'
+    bench.add('a', 'z', failure)
+    received = bench.stream()
+    assert b' 500 ' in received
+    assert read_body(received) == b'k2\n\nid: 9'
