Count a damaged piece of a model engine as a gap

An engine that states no count of its tokens could lose a piece: bytes before it make its block one that doesn't begin with `data: `, which was skipped without asking whether a piece is missing, and the text counted as whole.

Change: a block that is no event counts as a piece of another exchange does, so the next piece shows the gap and the generation resumes after the last good one. Comments and empty blocks are keep-alives.

--- a/guavagate/helpers/event_stream.py
+++ b/guavagate/helpers/event_stream.py
@@ -119,7 +119,7 @@
             raise _make_error('the stream ended with bytes that are no event')
 
     def _take(self, block: bytes) -> StreamEvent | None:
-        if _is_blank(block):
+        if is_blank(block):
             return None
         event = self._parse(block)
         if event is not None:
@@ -250,7 +250,7 @@
     return log_foreign_block
 
 
-def _is_blank(block: bytes) -> bool:
+def is_blank(block: bytes) -> bool:
     """Return whether a block has no line but comments, as keep-alives have."""
     lines = block.split(b'\n')
     return all(not line or line.startswith(_COMMENT) for line in lines)
--- a/standins/_safeguard_answers.py
+++ b/standins/_safeguard_answers.py
@@ -114,6 +114,14 @@
         'if False:',
         _PARSER_TESTS,
     ),
+    Safeguard(
+        'a damaged piece of an engine is missing from its text',
+        'guavagate/integrations/model_engine/_client.py',
+        '                if not is_blank(event):\n'
+        '                    yield None\n',
+        '',
+        'tests/test_model_engine.py',
+    ),
     Safeguard(
         'a text starts over if its stream contradicts itself',
         'guavagate/jobs/texts/_runner.py',
--- a/tests/test_model_engine.py
+++ b/tests/test_model_engine.py
@@ -4,6 +4,8 @@
 
 import gevent
 import pytest
+from gevent import socket
+from gevent.server import StreamServer
 
 from guavagate.clock import SystemClock
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
@@ -114,6 +116,38 @@
         assert not find_fault('draft a condition', text)
 
 
+def test_a_damaged_piece_is_not_left_out_of_the_text(
+    client: HttpModelEngine,
+) -> None:
+    """The engine states no token count, so the next piece shows no gap."""
+    piece = (
+        b'data: {"id":"a","choices":[{"text":" %b","finish_reason":%b}],'
+        b'"usage":{"tokens":1},"weight_version":1}\n\n'
+    )
+    pieces = [
+        b': wait\n\n',
+        piece % (b'one', b'null'),
+        b'k2%b' % (piece % (b'two', b'null')),
+        piece % (b'three', b'"stop"'),
+    ]
+    body = b''.join(pieces)
+
+    def serve(sock: socket.socket, _: object) -> None:
+        sock.recv(65_536)
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+        sock.sendall(b'%b%b' % (head, body))
+        sock.close()
+
+    engine = StreamServer(('127.0.0.1', 0), serve)
+    engine.start()
+    address = f'127.0.0.1:{engine.server_port}'
+    stream = client.generate(address, _make_generation('a'), _TIMEOUT)
+    assert next(stream).text == ' one'
+    with pytest.raises(UpstreamError, match='left out'):
+        next(stream)
+    engine.stop()
+
+
 def test_a_stream_without_its_terminal_event_is_incomplete(
     client: HttpModelEngine, server: Server
 ) -> None:
