Decode whole numbers from outside in one place

Callers saw: 502 and "the request failed; see the log" for a request that never ran, if its Guavagate-Deadline-Ms, Last-Event-Id or Guavagate-Wait-Ms was `²` or had thousands of digits; an `after` of such digits likewise.

Cause: `isdigit` accepts what `int` refuses. The pair stood in nine places.

A caller's bad value gets 400 that names the field and the range, one of an upstream counts as missing. Numbers in submissions, reports and registrations have the same bound, as larger ones can't be sent to peers. Last-Event-Id is read on streaming routes only.

--- a/guavagate/callers/_request.py
+++ b/guavagate/callers/_request.py
@@ -10,6 +10,7 @@
 from guavagate.clock import Clock
 from guavagate.const import HEADER_DEADLINE, HEADER_REQUEST_ID
 from guavagate.exceptions import RefusalError
+from guavagate.helpers.numbers import parse_whole_number
 from guavagate.metrics import ENV_TEAM
 from guavagate.models import RequestId
 from guavagate.settings import CallerSettings, TeamSettings
@@ -17,6 +18,7 @@
 DEFAULT_DEADLINE_SECONDS: Final = 60.0
 MAX_DEADLINE_SECONDS: Final = 3600.0
 MAX_REQUEST_ID_LENGTH: Final = 128
+_MILLIS: Final = 1000
 
 
 class CallerRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -73,10 +75,7 @@
     text = request.get_header(HEADER_DEADLINE)
     if text is None:
         return DEFAULT_DEADLINE_SECONDS
-    try:
-        seconds = int(text) / 1000
-    except (ValueError, OverflowError) as error:
-        raise _make_deadline_refusal(text) from error
+    seconds = (parse_whole_number(text) or 0) / _MILLIS
     if not 0 < seconds <= MAX_DEADLINE_SECONDS:
         raise _make_deadline_refusal(text)
     return seconds
--- a/guavagate/exceptions.py
+++ b/guavagate/exceptions.py
@@ -93,6 +93,10 @@
     """The command may or may not have been applied."""
 
 
+class BadNumberError(GuavagateError):
+    """A field that comes from outside is no whole number in its range."""
+
+
 class UpstreamError(GuavagateError):
     """An upstream failed."""
 
--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -17,7 +17,10 @@
     UpstreamUnreachableError,
 )
 from guavagate.forwarding._probes import refused_connection
-from guavagate.helpers.event_stream import EventParser
+from guavagate.helpers.event_stream import (
+    EventParser,
+    make_foreign_block_logger,
+)
 from guavagate.http1 import Answer, ConnectionPool, Headers
 from guavagate.ports.dialect import Call, Dialect
 from guavagate.ports.upstreams import Upstream
@@ -113,7 +116,11 @@
         self, call: Call, upstream: Upstream, resume_after: int
     ) -> EventParser:
         """Return a parser of the stream that follows an event, 0 for none."""
-        return self._dialect.make_event_parser(call, upstream, resume_after)
+        return EventParser(
+            resume_after,
+            self._dialect.version_name,
+            make_foreign_block_logger(call.id, upstream.id),
+        )
 
     def record_break(
         self,
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -14,6 +14,7 @@
     UpstreamNotStartedError,
     UpstreamUnreachableError,
 )
+from guavagate.helpers.numbers import parse_whole_number
 from guavagate.http1._answer import (
     IDLE_SECONDS,
     MAX_BODY_BYTES,
@@ -259,6 +260,7 @@
 def _read_keep_alive(answer: Answer) -> float:
     for part in answer.get_header(b'keep-alive').split(','):
         name, _, amount = part.strip().partition('=')
-        if name.lower() == 'timeout' and amount.isdigit():
-            return float(amount)
+        seconds = parse_whole_number(amount)
+        if name.lower() == 'timeout' and seconds is not None:
+            return float(seconds)
     return IDLE_SECONDS
--- a/guavagate/http1/_exchange.py
+++ b/guavagate/http1/_exchange.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from guavagate.helpers.numbers import parse_whole_number
 from guavagate.http1._caller_connection import CallerConnection
 from guavagate.http1._caller_writer import CallerDisconnectedError
 from guavagate.http1._memory import MemoryAccount, UnlimitedAccount
@@ -111,7 +112,7 @@
     def _get_declared_size(self) -> int:
         """Return the body's `Content-Length`, or 0 if it has none."""
         declared = self.get_header(b'content-length')
-        return int(declared) if declared.isdecimal() else 0
+        return parse_whole_number(declared) or 0
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
--- a/guavagate/integrations/object_api/transport.py
+++ b/guavagate/integrations/object_api/transport.py
@@ -5,6 +5,7 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.helpers.numbers import parse_whole_number
 from guavagate.integrations._http import Connections, Response
 from guavagate.integrations.object_api import const
 from guavagate.integrations.object_api.models import (
@@ -64,5 +65,4 @@
 
 
 def _read_number(response: Response, header: str) -> int | None:
-    text = str(response.get(header.lower()))
-    return int(text) if text.isdigit() else None
+    return parse_whole_number(str(response.get(header.lower())))
--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -2,10 +2,7 @@
 
 import msgspec
 
-from guavagate.helpers.event_stream import (
-    EventParser,
-    make_foreign_block_logger,
-)
+from guavagate.helpers.numbers import parse_whole_number
 from guavagate.http1 import (
     Answer,
     Headers,
@@ -43,6 +40,8 @@
 class PlatformDialect:
     """Implements `ports.dialect.Dialect` and `ProbeDialect`."""
 
+    version_name = const.VERSION
+
     def prepare(
         self, call: Call, upstream: Upstream, left: float, resume_after: int
     ) -> Request:
@@ -83,13 +82,6 @@
             return marks
         return msgspec.structs.replace(marks, mismatched=True)
 
-    def make_event_parser(
-        self, call: Call, upstream: Upstream, resume_after: int
-    ) -> EventParser:
-        """Return a parser of the stream that follows an event, 0 for none."""
-        log_foreign_block = make_foreign_block_logger(call.id, upstream.id)
-        return EventParser(resume_after, const.VERSION, log_foreign_block)
-
     def owns_probe(self, upstream: Upstream, answer: Answer) -> bool:
         """Return whether an answer is the one to a probe of an upstream."""
         return answers_probe(upstream.id, answer)
@@ -153,7 +145,4 @@
 
 def _parse_figure(text: str) -> int | None:
     """Return a whole number, or `None` for anything else."""
-    digits = text.strip()
-    if len(digits) > _MAX_DIGITS or not digits.isascii():
-        return None
-    return int(digits) if digits.isdigit() else None
+    return parse_whole_number(text.strip(), _MAX_DIGITS)
--- a/guavagate/platform/_edge.py
+++ b/guavagate/platform/_edge.py
@@ -4,6 +4,7 @@
 from urllib.parse import SplitResult, parse_qs, unquote, urlsplit
 
 from guavagate.clock import Clock
+from guavagate.exceptions import BadNumberError
 from guavagate.forwarding import send_text
 from guavagate.front import (
     BodyReader,
@@ -11,6 +12,7 @@
     KeyAuthenticator,
     RequestHandler,
 )
+from guavagate.helpers.numbers import read_whole_number
 from guavagate.http1 import Exchange, HttpServer
 from guavagate.jobs import ItemId, JobId
 from guavagate.models import TeamId
@@ -22,6 +24,8 @@
 
 _LOTS: Final = '/lots/'
 _ITEMS: Final = '/items/'
+# More results than any job has.
+MAX_POSITION: Final = 10**9
 
 
 class Edge:
@@ -54,10 +58,13 @@
         if body is None:
             return
         target = exchange.request.target
-        if target.startswith((_LOTS, _ITEMS)):
-            self._handle_job_call(exchange, target)
-        else:
-            self._handle_route(exchange, body)
+        try:
+            if target.startswith((_LOTS, _ITEMS)):
+                self._handle_job_call(exchange, target)
+            else:
+                self._handle_route(exchange, body)
+        except BadNumberError as error:
+            send_text(exchange, 400, str(error))
 
     def _handle_route(self, exchange: Exchange, body: bytes) -> None:
         found = self._authenticator.find_route(exchange)
@@ -85,16 +92,18 @@
         team: TeamId,
     ) -> Call:
         timeout = route.timeout
-        deadline = exchange.get_header(const.DEADLINE.lower())
-        if deadline.isdigit():
-            timeout = min(timeout, int(deadline) / const.MILLIS)
-        resume = exchange.get_header(const.RESUME.lower())
+        deadline = _read_number(exchange, const.DEADLINE)
+        if deadline is not None:
+            timeout = min(timeout, deadline / const.MILLIS)
+        resume_after = 0
+        if route.kind is RouteKind.STREAM:
+            resume_after = _read_number(exchange, const.RESUME) or 0
         return Call(
             id=request_id,
             request=exchange.request,
             body=body,
             until=exchange.arrived_at + timeout,
-            resume_after=int(resume) if resume.isdigit() else 0,
+            resume_after=resume_after,
             team=team,
             keyed=self._routes.keys.needed,
         )
@@ -148,9 +157,12 @@
         self, exchange: Exchange, url: SplitResult, job: JobId, team: TeamId
     ) -> None:
         after = parse_qs(url.query).get('after', ['0'])[0]
-        if not after.isdigit():
-            send_text(exchange, 400, 'after is a whole number, 0 or more')
-            return
-        wait = exchange.get_header(const.WAIT)
-        seconds = int(wait) / const.MILLIS if wait.isdigit() else 0
-        self._jobs.read(exchange, job, int(after), seconds, team)
+        position = read_whole_number('after', after, MAX_POSITION)
+        wait = _read_number(exchange, const.WAIT) or 0
+        self._jobs.read(exchange, job, position, wait / const.MILLIS, team)
+
+
+def _read_number(exchange: Exchange, header: bytes) -> int | None:
+    """Return the number that a header contains, or `None` if it is missing."""
+    text = exchange.get_header(header.lower())
+    return read_whole_number(header.decode(), text) if text else None
--- a/guavagate/platform/_jobs.py
+++ b/guavagate/platform/_jobs.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from guavagate.helpers.numbers import WholeNumber, parse_whole_number
 from guavagate.jobs import (
     GroupId,
     ItemId,
@@ -40,18 +41,18 @@
     path: str
     headers: dict[str, str] = {}
     body: str = ''
-    tokens: int = 0
+    tokens: WholeNumber = 0
     group_id: str = ''
     scorer: _Scorer | None = None
 
 
 class _Submission(msgspec.Struct, rename='kebab'):
     items: list[_Item]
-    step: int = 0
+    step: WholeNumber = 0
     model: str = ''
-    min_version: int = 0
+    min_version: WholeNumber = 0
     # The number of complete groups the trainer waits for; it may send more.
-    target_groups: int = 0
+    target_groups: WholeNumber = 0
 
 
 _NO_TEAM: Final = TeamId('')
@@ -200,10 +201,9 @@
 
 def _read_numbers(text: str) -> list[int]:
     """Return numbers separated by commas; 0 in place of an invalid one."""
-    numbers = (each.strip() for each in text.split(','))
     return [
-        int(each) if each.isdecimal() and len(each) <= _MAX_DIGITS else 0
-        for each in numbers
+        parse_whole_number(each.strip(), _MAX_DIGITS) or 0
+        for each in text.split(',')
     ]
 
 
--- a/guavagate/platform/_samplers.py
+++ b/guavagate/platform/_samplers.py
@@ -9,6 +9,7 @@
     EventStream,
     make_foreign_block_logger,
 )
+from guavagate.helpers.numbers import WholeNumber, floor_number
 from guavagate.http1 import Answer, ConnectionPool, Request
 from guavagate.platform import const
 from guavagate.platform._answers import answers_order, answers_report
@@ -40,9 +41,9 @@
 class _Report(msgspec.Struct, rename='kebab'):
     models: list[ModelState] = []
     busy: bool = False
-    seq: int = 0
-    num_waiting: int = 0
-    num_running: int = 0
+    seq: WholeNumber = 0
+    num_waiting: WholeNumber = 0
+    num_running: WholeNumber = 0
     born: float = 0
 
 
@@ -102,7 +103,7 @@
             versions=read_models(report.models),
             running=report.num_running,
             waiting=report.num_waiting,
-            incarnation=int(report.born),
+            incarnation=floor_number(report.born),
         )
 
     def order(self, upstream: Upstream, order: VersionOrder) -> bool:
--- a/guavagate/platform/_servers.py
+++ b/guavagate/platform/_servers.py
@@ -5,6 +5,11 @@
 
 import msgspec
 
+from guavagate.helpers.numbers import (
+    WholeNumber,
+    floor_number,
+    parse_whole_number,
+)
 from guavagate.models import ServiceId, UpstreamId, WeightVersion, ZoneId
 from guavagate.ports.upstreams import Upstream
 
@@ -18,7 +23,7 @@
     """A model that a sampler serves, and the version of its weights."""
 
     name: str
-    version: int = 1
+    version: WholeNumber = 1
 
 
 class _Server(msgspec.Struct, frozen=True, kw_only=True):
@@ -39,7 +44,7 @@
 
 class _Version(msgspec.Struct, frozen=True, kw_only=True):
     model: str
-    version: int
+    version: WholeNumber
 
 
 def decode_server(name: str, value: bytes) -> Upstream:
@@ -63,7 +68,7 @@
         leaving=server.state != _READY,
         slots=server.slots,
         versions=read_models(server.models),
-        incarnation=int(server.born),
+        incarnation=floor_number(server.born),
         spot=server.spot,
         leaves_in=None if server.leaves_ms is None else server.leaves_ms / 1000,
         cold_for=None if server.cold is None else max(server.cold, 0) / 1000,
@@ -74,9 +79,9 @@
     host, _, port = text.rpartition(':')
     try:
         ipaddress.ip_address(host)
-        return 0 < int(port.encode('ascii')) <= _MAX_PORT
     except ValueError:
         return False
+    return 0 < (parse_whole_number(port) or 0) <= _MAX_PORT
 
 
 def read_models(models: list[ModelState]) -> dict[str, WeightVersion]:
--- a/guavagate/ports/dialect.py
+++ b/guavagate/ports/dialect.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from guavagate.helpers.event_stream import EventParser
 from guavagate.http1 import Answer, Headers, Request, find_header
 from guavagate.models import ANYWHERE, Regions, TeamId
 from guavagate.ports.load import LoadReport
@@ -63,7 +62,15 @@
 
 
 class Dialect(Protocol):
-    """Encodes requests and decodes answers in the upstreams' format."""
+    """Encodes requests and decodes answers in the upstreams' format.
+
+    Attributes
+    ----------
+    version_name
+        Name of the line in an event that contains the weight version.
+    """
+
+    version_name: bytes
 
     def prepare(
         self, call: Call, upstream: Upstream, left: float, resume_after: int
@@ -87,11 +94,6 @@
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
         """Return the metadata from the head of an answer."""
 
-    def make_event_parser(
-        self, call: Call, upstream: Upstream, resume_after: int
-    ) -> EventParser:
-        """Return a parser of the stream that follows an event, 0 for none."""
-
 
 class ProbeDialect(Protocol):
     """Encodes probes of upstreams' health paths and decodes their answers."""
--- a/guavagate/settings/_value_kinds.py
+++ b/guavagate/settings/_value_kinds.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from guavagate.exceptions import SettingsError
+from guavagate.helpers.numbers import parse_whole_number
 from guavagate.util.units import parse_duration
 
 _ID_PATTERN: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
@@ -113,7 +114,7 @@
 
 
 def _is_port(text: str) -> bool:
-    return text.isascii() and text.isdigit() and 0 < int(text) <= _MAX_PORT
+    return 0 < (parse_whole_number(text) or 0) <= _MAX_PORT
 
 
 def _is_ip(text: str) -> bool:
--- a/guavagate/web/_server.py
+++ b/guavagate/web/_server.py
@@ -8,6 +8,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from guavagate.exceptions import RefusalError
+from guavagate.helpers.numbers import parse_whole_number
 from guavagate.web._errors import encode_refusal
 
 # Seconds. A client that sends its headers byte by byte occupies a task and a
@@ -102,7 +103,7 @@
     """
     codings = headers.get_all('Transfer-Encoding') or []
     lengths = headers.get_all('Content-Length') or []
-    numeric = all(one.isascii() and one.isdigit() for one in lengths)
+    numeric = all(parse_whole_number(one) is not None for one in lengths)
     supported = not codings or [one.lower() for one in codings] == ['chunked']
     if supported and numeric and len(lengths) < 2:
         return
--- a/tests/forwarding/stream_bench.py
+++ b/tests/forwarding/stream_bench.py
@@ -15,7 +15,6 @@
     RequestGuard,
     StreamForwarder,
 )
-from guavagate.helpers.event_stream import EventParser
 from guavagate.http1 import (
     Answer,
     ConnectionPool,
@@ -72,6 +71,8 @@
 class _Dialect:
     """Sends the last event's id as clients of server-sent events do."""
 
+    version_name = b'weight-versions'
+
     def prepare(
         self, call: Call, upstream: Upstream, left: float, resume_after: int
     ) -> Request:
@@ -87,12 +88,6 @@
         """Return no signature; these upstreams send none."""
         return ''
 
-    def make_event_parser(
-        self, call: Call, upstream: Upstream, resume_after: int
-    ) -> EventParser:
-        """Return a parser of the stream that follows an event."""
-        return EventParser(resume_after, b'weight-versions')
-
     def read(self, call: Call, answer: Answer) -> AnswerMarks:
         """Return whether the request ran and whether the answer matches."""
         return AnswerMarks(
--- a/tests/platform/test_edge_keys.py
+++ b/tests/platform/test_edge_keys.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Iterator
+from urllib.parse import quote
 
 import gevent
 import pytest
@@ -141,6 +142,7 @@
         routes = (
             make_route('/p/'),
             make_route('/open/', open=True),
+            make_route('/stream/', kind=RouteKind.STREAM, open=True),
             make_route('/jobs/', kind=RouteKind.JOB),
         )
         self.routes.apply(
@@ -171,7 +173,9 @@
             f'Content-Length: {len(body)}',
             *lines,
         ]
-        sock.sendall('\r\n'.join((*head, '', '')).encode() + body)
+        sock.sendall(
+            '\r\n'.join((*head, '', '')).encode('latin-1', 'replace') + body
+        )
         with gevent.Timeout(3, TimeoutError):
             answer = sock.recv(65_536)
         sock.close()
@@ -305,3 +309,38 @@
     assert ' 404 ' in bench.send('/items/j?id=1', key, method='GET')
     assert ' 404 ' in bench.send('/lots/j', key, method='DELETE')
     assert bench.jobs.teams == [_BLUE] * 4
+
+
+_BAD_NUMBERS = ('\u00b2', '9' * 5_000, '-1', 'x', '1.5')
+
+
+@pytest.mark.parametrize('number', _BAD_NUMBERS, ids=lambda text: text[:5])
+@pytest.mark.parametrize(
+    ('method', 'path', 'field'),
+    [
+        ('POST', '/open/x', 'Guavagate-Deadline-Ms'),
+        ('POST', '/stream/x', 'Last-Event-Id'),
+        ('GET', '/lots/1', 'Guavagate-Wait-Ms'),
+        ('GET', '/lots/1', 'after'),
+    ],
+)
+def test_a_bad_number_is_refused_by_name(
+    bench: _EdgeBench, method: str, path: str, field: str, number: str
+) -> None:
+    """Callers got 502 for a request that never ran, or were not answered."""
+    key = 'Authorization: Bearer key-1'
+    if field == 'after':
+        path = f'{path}?after={quote(number)}'
+        answer = bench.send(path, key, method=method)
+    else:
+        answer = bench.send(path, key, f'{field}: {number}', method=method)
+    assert answer.startswith('HTTP/1.1 400')
+    assert f'{field} is ' in answer
+    assert not bench.seen
+
+
+def test_the_last_event_of_other_than_streams_is_not_read(
+    bench: _EdgeBench,
+) -> None:
+    """Only streams are resumed; other routes may have a use of their own."""
+    assert ' 200 ' in bench.send('/open/x', 'Last-Event-Id: x')
