Record each service in the store before its first job

Cause: instances that start read the former services from the leases for orders, and a service whose trainer has named no version yet has none.

Change: `job-services/SERVICE` is written before the first job of a service that an instance accepts, and read beside the leases at a start. If that write fails or its outcome is unknown, nothing of the job was sent, so it is refused as not run.

--- a/guavagate/jobs/_models.py
+++ b/guavagate/jobs/_models.py
@@ -25,6 +25,7 @@
 PAGE_BYTES: Final = 900_000
 JOBS_PREFIX: Final = 'jobs'
 ENDS_PREFIX: Final = 'job-ends'
+SERVICES_PREFIX: Final = 'job-services'
 _RESULTS_PREFIX: Final = 'job-results'
 
 
@@ -176,6 +177,11 @@
     return f'job-parts-{job}/{number:06}'
 
 
+def service_path(service: ServiceId) -> str:
+    """Return the path of the marker that a service has had jobs."""
+    return f'{SERVICES_PREFIX}/{service}'
+
+
 def end_path(job: JobId) -> str:
     """Return the path of the marker that a job was ended."""
     return f'{ENDS_PREFIX}/{job}'
--- a/guavagate/jobs/records/_store.py
+++ b/guavagate/jobs/records/_store.py
@@ -7,17 +7,24 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import StoreError
-from guavagate.helpers.store_writes import MaybeWrittenError, create
+from guavagate.helpers.store_writes import (
+    MaybeWrittenError,
+    NotWrittenError,
+    create,
+)
 from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.jobs._models import (
+    SERVICES_PREFIX,
     Job,
     JobId,
     JobItem,
     end_path,
     job_path,
     part_path,
+    service_path,
 )
 from guavagate.jobs._result_log import ResultLog
+from guavagate.models import ServiceId
 from guavagate.ports.store import ObjectStore, StoredObject
 
 # Bodies grow by a third in JSON; the rest of the store's object size limit is
@@ -27,7 +34,7 @@
 DEFAULT_VALUE_BYTES: Final = 1_048_576
 # Estimate for ids, headers and the like of an item or its reward request.
 ITEM_HEAD_BYTES: Final = 500
-
+_MARKER: Final = b'{}'
 
 _UNREADABLE: Final = UnreadableObjects()
 
@@ -72,6 +79,7 @@
         self.has_spare_writes = has_spare_writes
         self._clock = clock
         self._writer = writer
+        self._recorded_services: set[ServiceId] = set()
 
     def accept(self, job: Job, timeout: float) -> bool:
         """Store a job; return whether it is new.
@@ -88,6 +96,9 @@
         NotWrittenError, MaybeWrittenError
             See `create`.
         """
+        give_up_at = self._clock.now() + timeout
+        self._record_service(job.service, timeout)
+        timeout = max(give_up_at - self._clock.now(), 0)
         parts = split_items(job.items, self.part_bytes)
         if len(parts) > 1 or job.regions is not None:
             for number, items in enumerate(parts):
@@ -111,6 +122,32 @@
             raise JobConflictError(job.id)
         return False
 
+    def list_services(self) -> list[ServiceId]:
+        """Return the services that ever had a job; reads the store."""
+        stored, _ = self.object_store.list_under(SERVICES_PREFIX)
+        return [ServiceId(each.path.partition('/')[2]) for each in stored]
+
+    def _record_service(self, service: ServiceId, timeout: float) -> None:
+        """Store that a service has jobs, before the first one is accepted.
+
+        An instance that starts after the last route of a service has moved
+        learns of it from this alone, if no version was ordered yet: without an
+        order the service has no lease, and without an owner no job of it runs.
+
+        Raises
+        ------
+        NotWrittenError
+            The store can't be written, so no part of the job is.
+        """
+        if service in self._recorded_services:
+            return
+        path = service_path(service)
+        try:
+            create(self.object_store, self._clock, path, _MARKER, timeout)
+        except MaybeWrittenError as error:
+            raise NotWrittenError from error
+        self._recorded_services.add(service)
+
     def may_exist(self, job: JobId) -> bool:
         """Return whether a job was accepted, or may have been.
 
--- a/guavagate/service.py
+++ b/guavagate/service.py
@@ -122,7 +122,7 @@
             routes,
             retention,
             self._count_open_jobs,
-            lambda: list_leased_services(job_store.object_store),
+            self._list_former_services,
             self.refresh,
         )
         self._start_versions: Callable[[], None] = _do_nothing
@@ -182,6 +182,14 @@
         self._ownership.set_former_owners(former)
         return self._me in former.values()
 
+    def _list_former_services(self) -> set[ServiceId]:
+        """Return the services that ever had a job or a lease.
+
+        Jobs of earlier releases have left a lease alone.
+        """
+        leased = list_leased_services(self._job_store.object_store)
+        return {*leased, *self._job_store.list_services()}
+
     def _count_open_jobs(self, service: ServiceId) -> int | None:
         running = self._services.get(service)
         return None if running is None else running.owner.count_open_jobs()
--- a/standins/_safeguard_failover.py
+++ b/standins/_safeguard_failover.py
@@ -15,6 +15,20 @@
 _TEST_IDENTITY: Final = 'tests/membership/test_process_identity.py'
 
 FAILOVER_SAFEGUARDS: Final = (
+    Safeguard(
+        'a service is recorded before its first job',
+        'guavagate/jobs/records/_store.py',
+        '        self._record_service(job.service, timeout)\n',
+        '',
+        'tests/test_moved_routes.py',
+    ),
+    Safeguard(
+        'an uncertain record of a service refuses the job',
+        'guavagate/jobs/records/_store.py',
+        '            raise NotWrittenError from error\n',
+        '            raise\n',
+        'tests/jobs/records/test_job_store.py',
+    ),
     Safeguard(
         'a process with the same address came before',
         _IDENTITY,
--- a/tests/jobs/records/test_job_store.py
+++ b/tests/jobs/records/test_job_store.py
@@ -3,7 +3,7 @@
 import pytest
 
 from guavagate.clock import PausedClock
-from guavagate.helpers.store_writes import MaybeWrittenError
+from guavagate.helpers.store_writes import MaybeWrittenError, NotWrittenError
 from guavagate.jobs import JobConflictError, JobItem, JobStore
 from guavagate.measure.fakes import MemoryStore, StoreState
 from tests.jobs.fleet import make_job
@@ -61,11 +61,24 @@
     Reporting "not run" would be wrong, so the acceptance is uncertain.
     """
     setup = _PausedJobStore()
+    assert setup.call(setup.job_store.accept, make_job('job-0'), 5)
     setup.state.outage = True
     with pytest.raises(MaybeWrittenError):
         setup.call(setup.job_store.accept, make_job(), 1)
 
 
+def test_a_job_is_refused_before_its_service_is_recorded() -> None:
+    """Without the record, nobody might find the job after a restart."""
+    setup = _PausedJobStore()
+    setup.state.outage = True
+    with pytest.raises(NotWrittenError):
+        setup.call(setup.job_store.accept, make_job(), 1)
+    assert not setup.state.objects
+    setup.state.outage = False
+    assert setup.call(setup.job_store.accept, make_job(), 5)
+    assert 'job-services/llm' in setup.state.objects
+
+
 def test_lost_answer_still_accepts_the_job() -> None:
     """The first answer is lost; the retry finds the job in the store."""
     setup = _PausedJobStore()
--- a/tests/test_moved_routes.py
+++ b/tests/test_moved_routes.py
@@ -1,6 +1,7 @@
 """Jobs whose route has moved to another service, or away and back."""
 
 import msgspec
+import pytest
 
 from guavagate.former_services import LINGER_SECONDS
 from guavagate.jobs import Job, JobReader, Ownership, Result
@@ -82,6 +83,15 @@
         for name in _NAMES:
             self.start(name, first_start=False)
 
+    def restart_in_turn(self) -> None:
+        """Kill and start one instance after the other."""
+        for name in _NAMES:
+            self.kill(name)
+            self.clock.advance(0.5)
+            self.world.add(name)
+            self.start(name, first_start=False)
+            self.clock.advance(1.3)
+
     def lead(self) -> None:
         """Have the owner take the lease, by a version for its samplers."""
         for services in self.services.values():
@@ -210,6 +220,31 @@
     assert fleet.list_used() <= set('xyz')
 
 
+@pytest.mark.parametrize('at_once', [True, False])
+@pytest.mark.parametrize(
+    'moves', [[_NEW], [_NEW, SERVICE], [_NEW, ServiceId('llm-3')]]
+)
+def test_instances_that_start_later_know_a_service_without_a_lease(
+    moves: list[ServiceId], *, at_once: bool
+) -> None:
+    """Its trainer has named no version yet, so nothing was ordered for it.
+
+    All instances are restarted, at once or in turn, after the route has moved,
+    moved back or moved twice. Nobody worked on the open step any more.
+    """
+    fleet = _Fleet()
+    fleet.submit(msgspec.structs.replace(make_job(), item_ttl=60))
+    for version, service in enumerate(moves, 2):
+        fleet.move(version, service)
+    if at_once:
+        fleet.restart_all()
+    else:
+        fleet.restart_in_turn()
+    fleet.clock.advance(15)
+    fleet.check()
+    assert fleet.list_used() <= set('xyz')
+
+
 def test_instances_that_start_while_the_store_is_away_learn_of_it_later() -> (
     None
 ):
