Let the upstream of a stream that runs once be silent

Cause: the forwarder took a silence of two seconds for the loss of the upstream on every route.

Change: a stream that may not be resumed waits until its caller's deadline, as no other run is allowed. One that may be resumed goes on elsewhere after two seconds as before: its caller leaves soon after.

--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -37,7 +37,10 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 _OK: Final = 200
-# A sampler that sends no event for this long is lost or unreachable.
+# A stream that may be resumed goes on elsewhere after a silence of this length:
+# its caller leaves soon after it. Another run of any other stream is not
+# allowed, so its upstream may be silent until the caller's deadline. Upstreams
+# pause while they read a preempted request again from its start.
 STALL_SECONDS: Final = 2.0
 
 
@@ -63,7 +66,7 @@
     ) -> Outcome:
         """Forward a stream; any outcome but `ANSWER` is still to be sent."""
         call = self._regions.bind(call, route)
-        progress = _StreamProgress(exchange, call)
+        progress = _StreamProgress(exchange, call, resumable=route.resumable)
         tried: set[UpstreamId] = set()
         outcome = Outcome(OutcomeKind.NOT_RUN, reason='no upstream')
         began_at: float | None = None
@@ -174,7 +177,9 @@
             headers = drop_hop_by_hop(answer.headers)
             progress.exchange.start(answer.status, headers)
         if answer.status != _OK:
-            self._read_chunks(answer, upstream, progress.exchange.send_ahead)
+            self._read_chunks(
+                progress, answer, upstream, progress.exchange.send_ahead
+            )
             return
         parser = self._runner.make_event_parser(
             progress.call, upstream, progress.last_event_id
@@ -185,11 +190,12 @@
                 progress.last_event_id = event.number
                 progress.exchange.send_ahead(event.encoded)
 
-        self._read_chunks(answer, upstream, forward_events)
+        self._read_chunks(progress, answer, upstream, forward_events)
         parser.end()
 
     def _read_chunks(
         self,
+        progress: '_StreamProgress',
         answer: Answer,
         upstream: Upstream,
         handle_chunk: Callable[[bytes], None],
@@ -198,7 +204,8 @@
         chunks = answer.chunks()
         make_error = functools.partial(_make_stall_error, upstream)
         while True:
-            with self._clock.timeout(STALL_SECONDS, make_error):
+            limit = progress.limit_silence(self._clock.now())
+            with self._clock.timeout(limit, make_error):
                 chunk = next(chunks, None)
             if chunk is None:
                 return
@@ -227,12 +234,21 @@
 class _StreamProgress:
     """What a caller has received of a stream."""
 
-    def __init__(self, exchange: Exchange, call: Call) -> None:
+    def __init__(
+        self, exchange: Exchange, call: Call, *, resumable: bool
+    ) -> None:
+        self._resumable = resumable
         self.exchange = exchange
         self.call = call
         self.last_event_id = call.resume_after
         self.may_have_run = False
 
+    def limit_silence(self, now: float) -> float:
+        """Return for how many seconds the upstream may send nothing."""
+        if self._resumable:
+            return STALL_SECONDS
+        return max(self.call.until - now, STALL_SECONDS)
+
 
 def _may_go_on(outcome: Outcome, route: Route) -> bool:
     """Return whether another upstream may go on with a stream."""
--- a/tests/forwarding/stream_bench.py
+++ b/tests/forwarding/stream_bench.py
@@ -40,6 +40,7 @@
     b'Transfer-Encoding: chunked\r\n\r\n'
 )
 END = b'0\r\n\r\n'
+SILENCE_SECONDS = 0.6
 FULL = b'HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -127,13 +128,20 @@
         raw: bytes,
         pause: float = 0,
         then: Callable[[], None] | None = None,
+        later: bytes = b'',
     ) -> None:
-        """Add an upstream; those in zone z are tried first."""
+        """Add an upstream; those in zone z are tried first.
+
+        It sends `later` after a silence of `SILENCE_SECONDS`.
+        """
 
         def serve(sock: socket.socket, _: object) -> None:
             self.requests[name] = sock.recv(65_536)
             try:
                 sock.sendall(raw)
+                if later:
+                    gevent.sleep(SILENCE_SECONDS)
+                    sock.sendall(later)
             except OSError:
                 self.disconnected.append(name)
                 return
--- a/tests/forwarding/test_stream.py
+++ b/tests/forwarding/test_stream.py
@@ -107,6 +107,35 @@
     assert 'b' not in bench.requests
 
 
+def test_an_upstream_may_be_silent_in_a_stream_that_runs_once(
+    bench: StreamBench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The stream was cut after a pause, with most of the caller's time left.
+
+    Upstreams pause while they read a preempted request again.
+    """
+    monkeypatch.setattr('guavagate.forwarding._stream.STALL_SECONDS', 0.2)
+    rest = make_chunk(make_event(2)) + END
+    bench.add('a', 'z', HEAD + make_chunk(make_event(1)), later=rest)
+    received = bench.stream(resumable=False)
+    assert _list_event_ids(received) == [1, 2]
+    assert received.endswith(END)
+
+
+def test_a_resumable_stream_goes_on_elsewhere_after_a_silence(
+    bench: StreamBench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its caller would leave while it waits for a lost upstream."""
+    monkeypatch.setattr('guavagate.forwarding._stream.STALL_SECONDS', 0.2)
+    rest = make_chunk(make_event(2)) + END
+    bench.add('a', 'z', HEAD + make_chunk(make_event(1)), later=rest)
+    bench.add('b', 'y', HEAD + rest)
+    received = bench.stream()
+    assert _list_event_ids(received) == [1, 2]
+    assert received.endswith(END)
+    assert b'Last-Event-Id: 1' in bench.requests['b']
+
+
 def test_a_full_upstream_is_skipped_whatever_the_route(
     bench: StreamBench,
 ) -> None:
