Let a planned stop wait for callers that have time left

Cause: a stop didn't wait for a caller that had taken nothing for two seconds.

Change: a stop waits for each caller until its deadline, within the grace period. Only a stalled caller whose deadline has passed isn't waited for. What is cut in the end is named in the log (GG5017).

It is replaced by three: a caller that pauses is waited for, a stalled one after its deadline is not, and what is cut is named.

Stops under load were not measured again.

--- a/guavagate/events/edge.py
+++ b/guavagate/events/edge.py
@@ -15,6 +15,12 @@
 CALLER_DISCONNECTED = Event(
     5013, logging.INFO, 'A caller disconnected; its upstream work was cancelled'
 )
+REQUEST_CUT = Event(
+    5017,
+    logging.WARNING,
+    'A request was still running when the time of the planned stop ended',
+    'if this repeats, raise the grace period, or look for slow callers',
+)
 SETTINGS_RELOADED = Event(
     5040, logging.INFO, "The instance's settings file was reloaded"
 )
--- a/guavagate/front/_requests.py
+++ b/guavagate/front/_requests.py
@@ -58,6 +58,7 @@
         self, exchange: Exchange, call: Call, route: Route, service: ServiceId
     ) -> None:
         """Forward one request and answer it."""
+        exchange.deadline = call.until
         outcome = self._forward(exchange, call, route, service)
         now = self._clock.now()
         if outcome.began_at is not None:
--- a/guavagate/http1/_exchange.py
+++ b/guavagate/http1/_exchange.py
@@ -1,6 +1,7 @@
 """A request of a caller and the response to it."""
 
 import io
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -37,6 +38,9 @@
         The request's id, for the log; set by a handler that knows it.
     keep_open
         Whether the connection may carry another request after this one.
+    deadline
+        When the caller stops to wait, in seconds of the clock; set by a handler
+        that knows it.
     """
 
     def __init__(
@@ -51,6 +55,7 @@
         connection.writer.on_size = self.account.hold_answer
         self.id = ''
         self.keep_open = True
+        self.deadline = math.inf
         self.disconnected = connection.disconnected
         self.started = False
         self.ended = False
--- a/guavagate/http1/_server.py
+++ b/guavagate/http1/_server.py
@@ -9,6 +9,8 @@
 from gevent.server import StreamServer
 
 from guavagate.clock import Clock
+from guavagate.events import edge as events
+from guavagate.events import write
 from guavagate.helpers.listeners import take_listener
 from guavagate.http1._caller_connection import CallerConnection, ServerLimits
 from guavagate.http1._caller_writer import CallerDisconnectedError
@@ -20,8 +22,9 @@
 _LOGGER: Final = logging.getLogger(__name__)
 _BACKLOG: Final = 1024
 _DRAIN_CHECK_SECONDS: Final = 0.02
-# A planned stop waits no longer for a caller that has accepted nothing for so
-# long. Several lost packets in a row delay progress by about a second.
+# A planned stop doesn't wait for a caller that has accepted nothing for so long
+# once its deadline has passed. Several lost packets in a row delay progress by
+# about a second.
 STOP_STALL_SECONDS: Final = 2.0
 
 
@@ -64,7 +67,7 @@
                 socket.socket(fileno=listener.detach()), self._serve
             )
         self._idle: set[CallerConnection] = set()
-        self._running: set[CallerConnection] = set()
+        self._running: dict[CallerConnection, Exchange] = {}
         # Connections whose callers may not have read their answer yet.
         self._lingering = 0
         self.closing = False
@@ -110,6 +113,13 @@
                     connection.close_idle()
             if not self._must_wait():
                 break
+        for exchange in self._running.values():
+            write(
+                _LOGGER,
+                events.REQUEST_CUT,
+                request=exchange.id,
+                answered=exchange.started,
+            )
         return self.active
 
     def close(self) -> None:
@@ -132,12 +142,18 @@
         return self.closing
 
     def _must_wait(self) -> bool:
-        """Return whether a stop has to wait for a caller."""
+        """Return whether a stop has to wait for a caller.
+
+        A caller may pause while it reads its answer. It is waited for until its
+        deadline, as the process has time until the end of the stop.
+        """
         if self._idle or self._lingering:
             return True
-        return not all(
-            connection.writer.is_stalled(STOP_STALL_SECONDS)
-            for connection in self._running
+        now = self._clock.now()
+        return any(
+            exchange.deadline > now
+            or not connection.writer.is_stalled(STOP_STALL_SECONDS)
+            for connection, exchange in self._running.items()
         )
 
     def _serve(self, sock: socket.socket, _: object) -> None:
@@ -167,7 +183,7 @@
             list(head.headers.raw_items()),
         )
         exchange = Exchange(connection, request, self._memory.open_account())
-        self._running.add(connection)
+        self._running[connection] = exchange
         connection.begin_request()
         try:
             self._run(exchange)
@@ -177,7 +193,7 @@
         return states == (h11.DONE, h11.DONE) and not self.closing
 
     def _end(self, exchange: Exchange, connection: CallerConnection) -> None:
-        self._running.discard(connection)
+        self._running.pop(connection, None)
         connection.on_disconnect = None
         connection.writer.on_size = None
         exchange.account.close()
