Keep a SIGHUP that reaches a process while it starts

Cause: the handler was set after the imports and the start, about a second; the default effect of the signal is to end the process.

Change: the daemon records the signal first of all, and reads the settings again once it has started.

--- a/guavagate/daemon.py
+++ b/guavagate/daemon.py
@@ -7,14 +7,19 @@
 from pathlib import Path
 from typing import Protocol
 
+from guavagate.helpers.early_signals import record_early_signals
 from guavagate.helpers.listeners import listen_early
 from guavagate.platform.listen_addresses import read_listen_addresses
 
+# A SIGHUP would end a process that has no handler yet, and the imports and the
+# start take a second.
+early_reloads = record_early_signals(signal.SIGHUP)
+
 # The same backlog as the HTTP servers use.
 if '--on-platform' in sys.argv:
     listen_early(read_listen_addresses(), backlog=1024)
 
-from guavagate.helpers.patching import patch_blocking_calls
+from guavagate.helpers.patching import patch_blocking_calls  # noqa: E402
 
 patch_blocking_calls()
 
@@ -131,6 +136,8 @@
     gevent.signal_handler(
         signal.SIGHUP, lambda: process.reload(str(settings_file))
     )
+    if early_reloads:
+        process.reload(str(settings_file))
     process.wait_stop_requested()
     process.stop()
 
