Compute the pauses after failures in one place

Change: util/backoff.py bounds the doublings; ejections of upstreams, restarts of items and rewards use it. Other pauses bound their doublings themselves and are left.

Measured: test_thousands_of_failures_in_a_row_do_not_overflow failed before. Three new or moved rows of script/safeguards are caught.

--- a/guavagate/jobs/scheduling/_rewards.py
+++ b/guavagate/jobs/scheduling/_rewards.py
@@ -26,6 +26,7 @@
     RewardRoute,
 )
 from guavagate.residency import combine_regions
+from guavagate.util.backoff import compute_backoff
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -37,8 +38,6 @@
 # It is owed and never given up for that, but callers need the upstreams too.
 MAX_LOST_ANSWERS: Final = 3
 MAX_LOST_RETRY_SECONDS: Final = 5.0
-# Any more would not change the backoff, and thousands overflow a float.
-MAX_BACKOFF_DOUBLINGS: Final = 8
 # A missing route may return with the next configuration, which takes effect
 # within two seconds; the lookup is cheap.
 ROUTE_CHECK_SECONDS: Final = 0.5
@@ -235,11 +234,9 @@
 
 def _compute_backoff(progress: ItemProgress) -> float:
     """Return in how many seconds a reward is requested again."""
-    doublings = min(progress.reward_attempts - 1, MAX_BACKOFF_DOUBLINGS)
-    backoff = RETRY_SECONDS * 2**doublings
-    if progress.reward_losses > MAX_LOST_ANSWERS:
-        return min(backoff, MAX_LOST_RETRY_SECONDS)
-    return min(backoff, MAX_RETRY_SECONDS)
+    is_lost = progress.reward_losses > MAX_LOST_ANSWERS
+    longest = MAX_LOST_RETRY_SECONDS if is_lost else MAX_RETRY_SECONDS
+    return compute_backoff(RETRY_SECONDS, progress.reward_attempts, longest)
 
 
 def _make_result(progress: ItemProgress, signature: str) -> Result:
--- a/guavagate/jobs/texts/_runner.py
+++ b/guavagate/jobs/texts/_runner.py
@@ -31,6 +31,7 @@
 from guavagate.quarantine import BrokenRun, Quarantine
 from guavagate.rollouts import SamplerStates
 from guavagate.routing import UpstreamTable
+from guavagate.util.backoff import compute_backoff
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -51,8 +52,6 @@
 MAX_IMMEDIATE_BREAKS: Final = 3
 BREAK_BACKOFF_SECONDS: Final = 0.25
 MAX_BREAK_BACKOFF_SECONDS: Final = 2.0
-# Any more would not change the backoff, and thousands overflow a float.
-MAX_BACKOFF_DOUBLINGS: Final = 8
 
 Finish = Callable[[JobWork, Result], None]
 HandleCompleteText = Callable[[JobWork, ItemProgress], None]
@@ -287,10 +286,11 @@
 
 def _compute_break_backoff(breaks: int) -> float:
     """Return for how many seconds an item waits after its last break."""
-    if breaks <= MAX_IMMEDIATE_BREAKS:
-        return 0
-    doublings = min(breaks - MAX_IMMEDIATE_BREAKS - 1, MAX_BACKOFF_DOUBLINGS)
-    return min(BREAK_BACKOFF_SECONDS * 2**doublings, MAX_BREAK_BACKOFF_SECONDS)
+    return compute_backoff(
+        BREAK_BACKOFF_SECONDS,
+        breaks - MAX_IMMEDIATE_BREAKS,
+        MAX_BREAK_BACKOFF_SECONDS,
+    )
 
 
 def _make_timeout_error(upstream: Upstream) -> Callable[[], Exception]:
--- a/guavagate/routing/_loads.py
+++ b/guavagate/routing/_loads.py
@@ -11,6 +11,7 @@
 from guavagate.models import UpstreamId
 from guavagate.ports.load import LoadReport
 from guavagate.routing._choice import Load, is_failing_probes
+from guavagate.util.backoff import compute_backoff
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -104,10 +105,10 @@
         """Record that a request was cut off or got no response."""
         load = self.load(upstream)
         load.failures += 1
-        if load.failures < EJECT_AFTER_FAILURES:
+        further = load.failures - EJECT_AFTER_FAILURES
+        if further < 0:
             return
-        backoff = EJECT_SECONDS * 2 ** (load.failures - EJECT_AFTER_FAILURES)
-        seconds = min(backoff, EJECT_MAX_SECONDS)
+        seconds = compute_backoff(EJECT_SECONDS, further + 1, EJECT_MAX_SECONDS)
         load.ejected_until = self._clock.now() + seconds
         write(
             _LOGGER,
--- a/standins/_safeguard_answers.py
+++ b/standins/_safeguard_answers.py
@@ -136,6 +136,20 @@
         '',
         'tests/helpers/test_numbers.py',
     ),
+    Safeguard(
+        'pauses after many failures do not overflow',
+        'guavagate/util/backoff.py',
+        'min(failures - 1, _MAX_DOUBLINGS)',
+        'failures - 1',
+        'tests/util/test_backoff.py',
+    ),
+    Safeguard(
+        'changed settings do not end a process that starts',
+        'guavagate/daemon.py',
+        'early_reloads = record_early_signals(signal.SIGHUP)',
+        'early_reloads: list[int] = []',
+        'tests/standins/test_signals_at_start.py',
+    ),
     Safeguard(
         'a text starts over if its stream contradicts itself',
         'guavagate/jobs/texts/_runner.py',
--- a/standins/_safeguard_stops.py
+++ b/standins/_safeguard_stops.py
@@ -136,8 +136,8 @@
     Safeguard(
         'reward requests whose answers are lost are spaced',
         'guavagate/jobs/scheduling/_rewards.py',
-        'return min(backoff, MAX_LOST_RETRY_SECONDS)',
-        'return min(backoff, MAX_RETRY_SECONDS)',
+        'MAX_LOST_RETRY_SECONDS if is_lost else MAX_RETRY_SECONDS',
+        'MAX_RETRY_SECONDS',
         'tests/jobs/scheduling/test_rewards.py',
     ),
     Safeguard(
