Show the crowds of clients under which an entry exceeds its limits

Cause: a connection's memory and descriptors are counted only in part, and answers, streams, heads, data read ahead and refused clients are not bounded.

--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Mapping
 from typing import Final
 
 import gevent
@@ -32,6 +33,8 @@
 {disk}
 [listen]
 {listen}
+[limits]
+{limits}
 [bounds]
 grace-s = 8
 lease-ms = 3000
@@ -68,8 +71,10 @@
         folder: pathlib.Path,
         duty_address: str = '',
         zone: str = HOME_ZONE,
+        limits: Mapping[str, int] | None = None,
     ) -> None:
         self._zone = zone
+        self._limits = limits or {}
         self._duty_address = duty_address
         self.name = name
         self.ip = ip
@@ -98,6 +103,9 @@
             first=str(self._first).lower(),
             disk='' if self.is_entry else 'data-dir = "/nowhere"',
             listen=listen if self.is_entry else '',
+            limits='\n'.join(
+                f'{name} = {limit}' for name, limit in self._limits.items()
+            ),
             store=self._store,
             duties=self._duty_address,
             revoke=REVOKE_SECONDS * 1000,
--- /dev/null
+++ b/tests/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Crowds of clients that don't behave, against real processes."""
