Free what a block with a timeout referred to once it has ended

What callers saw: beside many clients that read long answers slowly, every ordinary request was refused, and the process outgrew its memory.

Cause: `Clock.timeout` raises a timer whose traceback refers to the block's frames, and one of these frames to the timer. Each write to a slow caller is tried within such a timeout, so each answer that waited was kept by a cycle after its caller had been cut off, until the garbage collector's last generation ran. Bytes don't count for its thresholds.

Change: the traceback of the timer is dropped before the error is raised. The new test fails without it. Both clocks do so.

--- a/guavagate/clock.py
+++ b/guavagate/clock.py
@@ -75,6 +75,10 @@
         except gevent.Timeout as caught:
             if caught is not timer:
                 raise
+            # The traceback refers to this frame, and the frame to the timer.
+            # Such a cycle would keep all that the block's frames refer to, such
+            # as a large answer, until the garbage collector finds it.
+            timer.__traceback__ = None
             raise error() from None
         finally:
             timer.close()
@@ -137,6 +141,7 @@
         except ClockTimeout as caught:
             if caught is not timeout_error:
                 raise
+            timeout_error.__traceback__ = None
             raise error() from None
         finally:
             active[0] = False
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -1,10 +1,14 @@
 """Tests of the paused clock."""
 
+import contextlib
+import gc
+import weakref
+
 import gevent
 import pytest
 from gevent.queue import Queue
 
-from guavagate.clock import PausedClock
+from guavagate.clock import PausedClock, SystemClock
 
 
 def _produce(clock: PausedClock, queue: 'Queue[int]', every: int) -> None:
@@ -52,3 +56,31 @@
     clock.advance(0.2)
     with pytest.raises(ValueError, match='too late'):
         task.get(block=False)
+
+
+class _Large:
+    """Stands for an answer of megabytes."""
+
+
+def _wait_with(clock: SystemClock, large: _Large) -> None:
+    with clock.timeout(0.01, TimeoutError):
+        gevent.sleep(1)
+        assert large
+
+
+def test_a_timeout_keeps_nothing_that_its_block_referred_to() -> None:
+    """A caller that reads slowly held its answer long after it was cut off.
+
+    Each write to it was tried within a timeout, whose traceback and frame
+    referred to each other, and to the answer.
+    """
+    gc.disable()
+    try:
+        large = _Large()
+        watched = weakref.ref(large)
+        with contextlib.suppress(TimeoutError):
+            _wait_with(SystemClock(), large)
+        del large
+        assert watched() is None
+    finally:
+        gc.enable()
