Keep growing bodies out of the heap from 128 KB on

Cause: blocks below 1 MB grew in the heap beside each other. Each time one moves, it leaves a hole that none of the others fits, as they grow too.

Change: blocks over 128 KB, the allocator's own first limit, are mapped separately; they grow without a copy and go back to the system when freed. The limit stays fixed, as before.

--- a/guavagate/util/resident.py
+++ b/guavagate/util/resident.py
@@ -10,7 +10,7 @@
 _KILOBYTE: Final = 1024
 # `M_MMAP_THRESHOLD` of glibc's malloc.h.
 _MMAP_THRESHOLD: Final = -3
-_LARGE_BLOCK_BYTES: Final = 1_048_576
+_LARGE_BLOCK_BYTES: Final = 131_072
 
 
 def read_resident_bytes() -> int:
@@ -25,8 +25,8 @@
     """Have the allocator return large blocks to the system once they are free.
 
     glibc raises its limit for that with each block that is freed, up to 32 MB,
-    and grows the heap for smaller ones. Then an instance of 200 MB that served
-    32 MB bodies, 76 MB at once, reached 166 MB; with it 104 MB (trials).
+    and grows the heap for smaller ones. Bodies that grow beside each other in
+    the heap leave holes there which none of them fits.
     """
     with contextlib.suppress(OSError, AttributeError):
         ctypes.CDLL(None).mallopt(_MMAP_THRESHOLD, _LARGE_BLOCK_BYTES)
