Have answers of upstreams wait for memory, and count them until they are sent

Cause: an entry read answers of up to 48 MB together, whatever its memory, and an answer that was read counted again only once it waited for its caller. Meanwhile the next ones were read. An answer for which there was no memory failed, and the failure was held against its upstream.

Change: an answer of over a megabyte announces its size by its Content-Length, and waits for memory before its body is read. It counts until it is sent on, or until its attempt is discarded. The only answer that is being read is never held up.

--- a/guavagate/forwarding/_answers.py
+++ b/guavagate/forwarding/_answers.py
@@ -52,6 +52,8 @@
     attempt = outcome.attempt
     if attempt is not None:
         headers = drop_hop_by_hop(attempt.headers)
+        # From here on it counts as an answer that waits for its caller.
+        attempt.release()
         exchange.respond(attempt.status, headers, attempt.body)
         return
     if outcome.kind is OutcomeKind.NOT_RUN:
--- a/guavagate/forwarding/_attempt.py
+++ b/guavagate/forwarding/_attempt.py
@@ -2,6 +2,8 @@
 
 import enum
 import logging
+import weakref
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -37,6 +39,10 @@
 MIN_DEADLINE_SECONDS: Final = 1.0
 
 
+def _release_nothing() -> None:
+    """Release nothing; there is no body."""
+
+
 class AttemptState(enum.Enum):
     """How an attempt ended."""
 
@@ -45,8 +51,12 @@
     BROKEN = 'broken'
 
 
-class Attempt(msgspec.Struct):
-    """The result of an attempt; headers and body if it was answered."""
+class Attempt(msgspec.Struct, weakref=True):
+    """The result of an attempt; headers and body if it was answered.
+
+    The memory of the body counts until `release` is called, which happens by
+    itself when the attempt is discarded.
+    """
 
     upstream: Upstream
     state: AttemptState
@@ -54,6 +64,7 @@
     headers: Headers = []
     body: bytes = b''
     problem: str = ''
+    release: Callable[[], object] = _release_nothing
 
     @property
     def is_final(self) -> bool:
@@ -197,14 +208,16 @@
         with self._clock.timeout(
             remaining, lambda: _make_timeout_error(upstream)
         ):
-            body = answer.read()
-        return Attempt(
+            body, release = answer.read_counted()
+        attempt = Attempt(
             upstream,
             AttemptState.ANSWERED,
             answer.status,
             answer.headers,
             body,
         )
+        attempt.release = weakref.finalize(attempt, release)
+        return attempt
 
     def _record_result(
         self, call: Call, attempt: Attempt, seconds: float
--- a/guavagate/http1/_answer.py
+++ b/guavagate/http1/_answer.py
@@ -1,8 +1,9 @@
 """Connections to upstreams, and the answers that arrive on them."""
 
+import functools
 import io
 import select
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final, Protocol
 
 import h11
@@ -10,6 +11,7 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import UpstreamDisconnectedError, UpstreamError
+from guavagate.helpers.numbers import parse_whole_number
 from guavagate.http1._messages import Headers, find_header
 
 # Idle timeout assumed where a response has no Keep-Alive header.
@@ -43,6 +45,9 @@
     def may_read(self, size: int, limit: int) -> bool:
         """Return whether an answer of a size so far may be read further."""
 
+    def reserve(self, size: int) -> None:
+        """Wait until there is memory for an answer of a size, and count it."""
+
 
 class Connection:
     """A connection to an upstream that carries one request at a time."""
@@ -142,17 +147,47 @@
             Also if the body has more bytes than the limit, or than there is
             memory for.
         """
+        body, release = self.read_counted(limit)
+        release()
+        return body
+
+    def read_counted(
+        self, limit: int = MAX_BODY_BYTES
+    ) -> tuple[bytes, Callable[[], None]]:
+        """Return the complete body, whose memory counts until it is released.
+
+        Returns
+        -------
+        The body, and the function that releases its memory. The errors are
+        those of `read`.
+        """
+        declared = parse_whole_number(self.get_header(b'content-length')) or 0
+        if declared > limit:
+            raise self._make_error('announced more than may be read')
         # Unlike a list of parts, it makes no second copy of the body.
         body = io.BytesIO()
+        self._pool.reserve(declared)
+        held = declared
+        is_complete = False
         try:
             for chunk in self.chunks():
                 body.write(chunk)
-                self._pool.record_reading(len(chunk))
-                if not self._pool.may_read(body.tell(), limit):
+                growth = body.tell() - held
+                if growth <= 0:
+                    continue
+                self._pool.record_reading(growth)
+                held += growth
+                if not self._pool.may_read(held, limit):
                     raise self._make_error('sent more than may be read')
-            return body.getvalue()
+            is_complete = True
         finally:
-            self._pool.record_reading(-body.tell())
+            if held and not is_complete:
+                self._pool.record_reading(-held)
+        return body.getvalue(), functools.partial(self._release_memory, held)
+
+    def _release_memory(self, size: int) -> None:
+        if size:
+            self._pool.record_reading(-size)
 
     def close(self) -> None:
         """Close the connection unless it is back in the pool."""
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -32,6 +32,8 @@
 # beyond the small size is cut, so that answers of usual size still arrive.
 MAX_READING_BYTES: Final = 48_000_000
 SMALL_BODY_BYTES: Final = 1_000_000
+# Between two looks for room for an answer.
+ROOM_CHECK_SECONDS: Final = 0.02
 # For the body of an answer to a call of this instance itself.
 BODY_SECONDS: Final = 5.0
 
@@ -40,6 +42,11 @@
     """Count no memory."""
 
 
+def _find_room(size: int) -> bool:
+    """Find room for any answer."""
+    return True
+
+
 def _accept_any(answer: Answer) -> bool:
     """Accept any answer as the one to the request."""
     return True
@@ -53,13 +60,23 @@
     charge
         Called with the bytes by which the answers being read grow, or shrink
         if negative.
+    make_room
+        Makes room for so many bytes of answers; returns whether there is.
+    max_reading
+        Bound of the bytes of all answers that are being read.
     """
 
     def __init__(
-        self, clock: Clock, charge: Callable[[int], None] = _charge_nothing
+        self,
+        clock: Clock,
+        charge: Callable[[int], None] = _charge_nothing,
+        make_room: Callable[[int], bool] = _find_room,
+        max_reading: float = MAX_READING_BYTES,
     ) -> None:
+        self._max_reading = max_reading
         self._clock = clock
         self._charge = charge
+        self._make_room = make_room
         self._reading_bytes = 0
         self._idle: dict[str, deque[Connection]] = {}
         self.opened = 0
@@ -73,8 +90,23 @@
         """Return whether an answer of a size so far may be read further."""
         if size > limit:
             return False
-        is_small = size <= SMALL_BODY_BYTES
-        return is_small or self._reading_bytes <= MAX_READING_BYTES
+        if size <= SMALL_BODY_BYTES or self._reading_bytes <= size:
+            return True
+        return self._reading_bytes <= self._max_reading and self._make_room(0)
+
+    def reserve(self, size: int) -> None:
+        """Wait until there is memory for an answer of a size, and count it.
+
+        The answers that are being read end and make room, so a larger one
+        waits for them, and is read in any case once it is the only one.
+        """
+        while size > SMALL_BODY_BYTES:
+            within = self._reading_bytes + size <= self._max_reading
+            if (within and self._make_room(size)) or not self._reading_bytes:
+                break
+            self._clock.sleep(ROOM_CHECK_SECONDS)
+        if size:
+            self.record_reading(size)
 
     def send(
         self,
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -13,6 +13,7 @@
     ConnectionPool,
     Request,
 )
+from guavagate.http1._client import SMALL_BODY_BYTES
 
 _OK_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 _INCOMPLETE_CHUNKS = (
@@ -172,3 +173,36 @@
     with pytest.raises(UpstreamError):
         _send(pool, upstream)
     assert growths == [2, -2, 2, -2]
+
+
+def test_a_large_answer_waits_for_memory_and_is_not_cut(
+    upstream: _Upstream,
+) -> None:
+    """An answer for which there was no memory failed, as if it were endless."""
+    size = 2 * SMALL_BODY_BYTES
+    held: list[int] = []
+    rooms = iter([False, False, True])
+    asked: list[int] = []
+
+    def make_room(wanted: int) -> bool:
+        asked.append(wanted)
+        return next(rooms)
+
+    pool = ConnectionPool(SystemClock(), held.append, make_room, 2 * size)
+    pool.record_reading(1)
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size
+    upstream.answers = [head + bytes(size)]
+    assert len(_send(pool, upstream)) == size
+    assert asked == [size] * 3
+    assert held == [1, size, -size]
+
+
+def test_a_single_large_answer_is_read_whatever_the_memory(
+    upstream: _Upstream,
+) -> None:
+    """It would wait for ever, as nothing else can end and make room."""
+    size = 2 * SMALL_BODY_BYTES
+    pool = ConnectionPool(SystemClock(), make_room=lambda _: False)
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % size
+    upstream.answers = [head + bytes(size)]
+    assert len(_send(pool, upstream)) == size
