Answer a malformed body with 400, and take a caller that leaves for gone

What callers saw: a body with a broken chunk got 502 "the request failed; see the log", as if an upstream had failed.

Cause: h11 raises RemoteProtocolError for a bad chunk, and also when a caller leaves within a chunked body. Nothing on the way caught it, so it reached the handler of unexpected errors.

Evidence: a crowd of chunked bodies that left wrote a traceback of some kilobytes for each client into the log; tests/crowds checks that the log has none. The three new tests in tests/http1/test_exchange.py fail before.

Change: a malformed body is the caller's fault and gets 400; a caller that leaves is gone, whatever part of its request was missing.

--- a/guavagate/http1/_caller_connection.py
+++ b/guavagate/http1/_caller_connection.py
@@ -53,6 +53,10 @@
     idle_timeout: float = 15.0
 
 
+class MalformedBodyError(Exception):
+    """A part of the request body is not valid HTTP/1.1."""
+
+
 class SlowBodyError(Exception):
     """No more of the request body arrived within the idle timeout."""
 
@@ -112,11 +116,22 @@
         return self.next_event()
 
     def next_body_event(self) -> object:
-        """Return the next event of a body, within the idle timeout."""
+        """Return the next event of a body, within the idle timeout.
+
+        Raises
+        ------
+        MalformedBodyError
+            The body is not valid HTTP/1.1.
+        """
         self._parsing.count()
         idle = self._limits.idle_timeout
-        with self.clock.timeout(idle, SlowBodyError):
-            return self.next_event()
+        try:
+            with self.clock.timeout(idle, SlowBodyError):
+                return self.next_event()
+        except h11.RemoteProtocolError as error:
+            if self.disconnected.is_set():
+                return h11.ConnectionClosed()
+            raise MalformedBodyError(str(error)) from error
 
     def discard_body(self) -> bool:
         """Discard the received part of a body; return whether it is complete.
--- a/guavagate/http1/_exchange.py
+++ b/guavagate/http1/_exchange.py
@@ -86,6 +86,8 @@
             The body exceeds the limit; the rest is not read.
         BodyRefusedError
             There is no memory for it; the rest is not read.
+        MalformedBodyError
+            It is not valid HTTP/1.1.
         CallerDisconnectedError
             The caller disconnected before the body was complete.
         SlowBodyError
--- a/guavagate/http1/_server.py
+++ b/guavagate/http1/_server.py
@@ -15,7 +15,11 @@
 from guavagate.events import edge as events
 from guavagate.events import write
 from guavagate.helpers.listeners import take_listener
-from guavagate.http1._caller_connection import CallerConnection, ServerLimits
+from guavagate.http1._caller_connection import (
+    CallerConnection,
+    MalformedBodyError,
+    ServerLimits,
+)
 from guavagate.http1._caller_writer import CallerDisconnectedError
 from guavagate.http1._exchange import Exchange, Handler
 from guavagate.http1._memory import (
@@ -286,6 +290,10 @@
             self._handle(exchange)
         except CallerDisconnectedError:
             raise
+        except MalformedBodyError as error:
+            exchange.respond(
+                400, [], f'{error}; send valid HTTP/1.1\n'.encode()
+            )
         except Exception:
             _LOGGER.exception('Request handler failed unexpectedly')
             if exchange.started:
--- a/tests/http1/test_exchange.py
+++ b/tests/http1/test_exchange.py
@@ -1,6 +1,7 @@
 """Tests of requests over real sockets: order, rejections, disconnects."""
 
 import gevent
+import pytest
 
 from guavagate.http1 import (
     BodyTooLargeError,
@@ -113,3 +114,24 @@
     answer = bench.send(head)
     assert b' 503 ' in answer
     assert b'connection: close' in answer.lower()
+
+
+@pytest.mark.parametrize('rest', [b'zz\r\n', b'2\r\nhixx\r\n'])
+def test_a_malformed_body_is_the_callers_fault(rest: bytes) -> None:
+    """It got 502, as if an upstream had failed, and a traceback in the log."""
+    head = b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+    assert b' 400 ' in ServerBench(echo).send(b'%b%b' % (head, rest))
+
+
+def test_a_caller_that_leaves_within_a_chunk_is_no_failure(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Each one that left wrote a traceback of fifty lines into the log."""
+    bench = ServerBench(echo)
+    head = b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+    bench.sock.sendall(b'%b9\r\nhi' % head)
+    gevent.sleep(0.05)
+    bench.sock.close()
+    gevent.sleep(0.05)
+    assert bench.server.active == 0
+    assert not caplog.records
