Close no connection for what would not fit even so

What callers saw: nothing yet; found by reading the account. A large body for which there is no room closed every idle connection and every slow caller, and was refused after all. An answer closed a hundred idle connections to free what one slow reader held.

Cause: connections were closed one by one until the new thing fitted, without a look at whether it ever would, and idle ones always went first.

Change: the connections to close are chosen first, and none is closed if all of them would not be enough. An answer is held in any case, so it closes what it can. Idle connections go first for descriptors, and last for memory. A request that waits for its admission counts as running, so that a stop waits for it.

--- a/guavagate/admission/_connections.py
+++ b/guavagate/admission/_connections.py
@@ -7,15 +7,18 @@
 
 Each connection has one account, from its acceptance until its socket is closed.
 When something is asked for that does not fit, connections that only wait for
-their callers are closed: idle ones first, then those that have waited longest.
+their callers are closed: for descriptors idle ones first, for memory those that
+have waited longest, and none if that would not be enough.
+
 How long a caller has been waited for counts, not when it last moved, so that
 one that sends or reads a byte now and then gains nothing.
 """
 
 import enum
+import itertools
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Final
 
 from guavagate.admission._memory import (
@@ -38,9 +41,9 @@
 SLOW_SECONDS: Final = 3.0
 # Of a running request: an attempt at an upstream and its hedge.
 REQUEST_DESCRIPTORS: Final = 2
-# Idle connections that are tried before those that wait for their callers. The
-# oldest come first; a request may have arrived on a few of them.
-_IDLE_TRIES: Final = 8
+# Idle connections on which a request has just arrived, or that are new; there
+# are few among the oldest, and each costs a system call.
+_IDLE_MISSES: Final = 8
 
 
 # How long the tasks of closed connections may take to release what they hold.
@@ -71,7 +74,7 @@
         self._ledger = ledger
         self._budget = ledger.budget
         self._held: dict[_Part, int] = {}
-        self._descriptors = 0
+        self.descriptors = 0
         self._closed = False
         self._evicted = False
         self._hold(_Part.CONNECTION, CONNECTION_BYTES)
@@ -159,7 +162,7 @@
         """Record that all of it is about to be released."""
         self._evicted = True
         self._budget.leaving += self.held
-        self._ledger.leaving_descriptors += self._descriptors
+        self._ledger.leaving_descriptors += self.descriptors
         self._ledger.remove(self)
 
     def close(self) -> None:
@@ -197,8 +200,8 @@
     def _hold_descriptors(self, count: int) -> None:
         if self._closed:
             return
-        growth = count - self._descriptors
-        self._descriptors = count
+        growth = count - self.descriptors
+        self.descriptors = count
         self._ledger.descriptors += growth
         if self._evicted:
             self._ledger.leaving_descriptors += growth
@@ -245,12 +248,14 @@
                 and held + CONNECTION_BYTES <= most
             )
 
-        return ConnectionAccount(self) if self.make_room(fits) else None
+        has_room = self.make_room(fits, idle_first=True)
+        return ConnectionAccount(self) if has_room else None
 
     def admit_descriptors(self, count: int) -> bool:
         """Return whether so many more descriptors may be used."""
         return self.wait_for_room(
-            lambda _, used: used + count <= self.max_descriptors
+            lambda _, used: used + count <= self.max_descriptors,
+            idle_first=True,
         )
 
     def make_room_for_answers(
@@ -265,17 +270,17 @@
         def fits(held: int, _: int) -> bool:
             return held + size <= self.budget.limit
 
-        self.make_room(fits, slow_seconds=0, keep=keep)
+        self.make_room(fits, slow_seconds=0, keep=keep, best_effort=True)
         return fits(self.budget.held, 0)
 
-    def wait_for_room(self, fits: Fits) -> bool:
+    def wait_for_room(self, fits: Fits, *, idle_first: bool = False) -> bool:
         """Close connections until something fits; return whether it does.
 
         Waits until what the closed connections held is released, which takes a
         few iterations of the event loop.
         """
         until = self.now() + RELEASE_SECONDS
-        while self.make_room(fits):
+        while self.make_room(fits, idle_first=idle_first):
             if fits(self.budget.held, self.descriptors):
                 return True
             if self.now() > until:
@@ -289,20 +294,44 @@
         *,
         slow_seconds: float = SLOW_SECONDS,
         keep: ConnectionAccount | None = None,
+        idle_first: bool = False,
+        best_effort: bool = False,
     ) -> bool:
         """Close connections until something fits; return whether it will.
 
         It fits once what the closed connections held is released.
+
+        Parameters
+        ----------
+        slow_seconds
+            How long a caller must have been waited for.
+        keep
+            A connection that is not closed.
+        idle_first
+            Whether idle connections are closed before others. They hold a
+            descriptor each, and hardly any memory.
+        best_effort
+            Whether connections are closed also if that is not enough.
         """
-        while not fits(
-            self.budget.held - self.budget.leaving,
-            self.descriptors - self.leaving_descriptors,
-        ):
-            found = self._find_idle() or self._find_waiting(slow_seconds, keep)
-            if found is None:
-                return False
-            self._evict(found)
-        return True
+        held = self.budget.held - self.budget.leaving
+        descriptors = self.descriptors - self.leaving_descriptors
+        if fits(held, descriptors):
+            return True
+        kinds = [self._list_waiting(slow_seconds, keep), self._list_idle()]
+        if idle_first:
+            kinds.reverse()
+        chosen: list[ConnectionAccount] = []
+        for account in itertools.chain.from_iterable(kinds):
+            chosen.append(account)
+            held -= account.held
+            descriptors -= account.descriptors
+            if fits(held, descriptors):
+                break
+        is_enough = fits(held, descriptors)
+        if is_enough or best_effort:
+            for account in chosen:
+                self._evict(account)
+        return is_enough
 
     def sort(self, account: ConnectionAccount) -> None:
         """Put an account among those that are idle or wait, or neither."""
@@ -323,23 +352,28 @@
         self._idle.pop(account, None)
         self._waiting.pop(account, None)
 
-    def _find_idle(self) -> ConnectionAccount | None:
-        for _, account in zip(range(_IDLE_TRIES), self._idle, strict=False):
+    def _list_idle(self) -> Iterator[ConnectionAccount]:
+        """Yield idle connections on which no request has arrived."""
+        misses = 0
+        for account in self._idle:
             connection = account.connection
             if connection is not None and connection.is_idle():
-                return account
-        return None
+                yield account
+                continue
+            misses += 1
+            if misses == _IDLE_MISSES:
+                return
 
-    def _find_waiting(
+    def _list_waiting(
         self, slow_seconds: float, keep: ConnectionAccount | None
-    ) -> ConnectionAccount | None:
-        account = next(
-            (each for each in self._waiting if each is not keep), None
-        )
-        if account is None:
-            return None
-        waited = self.now() - account.waits_since
-        return account if waited >= slow_seconds else None
+    ) -> Iterator[ConnectionAccount]:
+        """Yield the connections that wait for callers, the longest first."""
+        before = self.now() - slow_seconds
+        for account in self._waiting:
+            if account.waits_since > before:
+                return
+            if account is not keep:
+                yield account
 
     def _evict(self, account: ConnectionAccount) -> None:
         self.evicted += 1
--- a/guavagate/http1/_server.py
+++ b/guavagate/http1/_server.py
@@ -265,13 +265,13 @@
             head.target.decode('latin-1'),
             list(head.headers.raw_items()),
         )
-        if not connection.account.admit_request():
-            self._refuse_request(connection)
-            return False
         exchange = Exchange(connection, request)
         self._running[connection] = exchange
-        connection.begin_request()
         try:
+            if not connection.account.admit_request():
+                self._refuse_request(connection)
+                return False
+            connection.begin_request()
             self._run(exchange)
         finally:
             self._end(exchange, connection)
--- a/standins/_safeguard_admission.py
+++ b/standins/_safeguard_admission.py
@@ -121,8 +121,8 @@
     Safeguard(
         'a new body ends no other that is on its way',
         'guavagate/admission/_connections.py',
-        'return account if waited >= slow_seconds else None',
-        'return account',
+        'if account.waits_since > before:',
+        'if False:',
         'tests/admission/test_connections.py',
     ),
     Safeguard(
@@ -132,6 +132,20 @@
         'return True',
         'tests/admission/test_connections.py',
     ),
+    Safeguard(
+        'nobody is closed for what would not fit even so',
+        'guavagate/admission/_connections.py',
+        'if is_enough or best_effort:',
+        'if True:',
+        'tests/admission/test_connections.py',
+    ),
+    Safeguard(
+        'a turn goes to the one that has waited longest',
+        'guavagate/http1/_turns.py',
+        'self._queue.popleft().set()',
+        'self._queue.pop().set()',
+        'tests/http1/test_turns.py',
+    ),
     Safeguard(
         'descriptors of callers are bounded',
         'guavagate/admission/_connections.py',
@@ -156,8 +170,8 @@
     Safeguard(
         'a large answer waits for memory',
         'guavagate/http1/_client.py',
-        'if within and self._make_room(size) or not self._reading_bytes:',
-        'if True:',
+        'self._clock.sleep(ROOM_CHECK_SECONDS)',
+        'break',
         'tests/http1/test_pool.py',
     ),
     Safeguard(
--- a/tests/admission/test_connections.py
+++ b/tests/admission/test_connections.py
@@ -137,6 +137,37 @@
     assert bench.closed == ['ahead reset']
 
 
+def test_nobody_is_closed_for_what_does_not_fit_even_so() -> None:
+    """A large body closed all idle connections, and was refused after all."""
+    bench = _Bench()
+    for name in ('idle', 'idle too'):
+        bench.connect(name, Phase.IDLE)
+    bench.connect('running', Phase.RUNNING).account.hold_body(9_000_000)
+    bench.clock.advance(60)
+    large = bench.connect('large', Phase.RECEIVING)
+    assert not large.account.admit_body(3_000_000)
+    assert not bench.closed
+
+
+def test_an_answer_closes_what_it_can_though_it_is_not_enough() -> None:
+    """It is held in any case; each byte that others give back counts."""
+    bench = _Bench()
+    bench.connect('running', Phase.RUNNING).account.hold_body(9_000_000)
+    bench.connect('slow', Phase.RUNNING, _ANSWER // 10)
+    bench.connect('own', Phase.RUNNING, _ANSWER)
+    assert bench.closed == ['slow reset']
+
+
+def test_memory_comes_from_waiting_callers_before_idle_ones() -> None:
+    """A hundred idle connections would be closed for a single answer."""
+    bench = _Bench()
+    for _ in range(3):
+        bench.connect('idle', Phase.IDLE)
+    bench.connect('slow', Phase.RUNNING, 3 * _ANSWER)
+    bench.connect('next', Phase.RUNNING, _ANSWER)
+    assert bench.closed == ['slow reset']
+
+
 def test_what_a_closed_connection_held_counts_until_it_is_released() -> None:
     """Its task ends some iterations later; memory taken before is over."""
     bench = _Bench()
