Refuse a slow body without closing its own connection, and count turns by request

What callers saw: nothing yet; found by reading the diff. A body that had come for over three seconds and found no more room could be chosen itself to make room: its caller got a reset instead of the 503 that says when to return. And every sixteenth read of a kept connection waited for a turn behind a crowd, also if each request took a single read.

Change: whoever asks for room is not among those that make it. The work of a connection is counted anew for each request.

Measured: the two new tests fail before; tests/admission, tests/http1, tests/platform and tests/forwarding pass.

--- a/guavagate/admission/_connections.py
+++ b/guavagate/admission/_connections.py
@@ -111,7 +111,7 @@
         """Reserve what a running request needs; return whether it may run."""
         if self._closed or self._evicted:
             return False
-        if not self._ledger.admit_descriptors(REQUEST_DESCRIPTORS):
+        if not self._ledger.admit_descriptors(REQUEST_DESCRIPTORS, self):
             return False
         self._hold_descriptors(1 + REQUEST_DESCRIPTORS)
         return True
@@ -183,10 +183,11 @@
 
         if self._closed or self._evicted:
             return False
-        if not self._ledger.wait_for_room(fits):
+        if not self._ledger.wait_for_room(fits, self):
             return False
         self._hold(_Part.BODY, needed)
-        return True
+        # It may have been closed for others in the meantime.
+        return not self._evicted
 
     def _hold(self, part: _Part, size: int) -> None:
         if self._closed:
@@ -251,10 +252,11 @@
         has_room = self.make_room(fits, idle_first=True)
         return ConnectionAccount(self) if has_room else None
 
-    def admit_descriptors(self, count: int) -> bool:
-        """Return whether so many more descriptors may be used."""
+    def admit_descriptors(self, count: int, asker: ConnectionAccount) -> bool:
+        """Return whether a connection may use so many more descriptors."""
         return self.wait_for_room(
             lambda _, used: used + count <= self.max_descriptors,
+            asker,
             idle_first=True,
         )
 
@@ -273,14 +275,16 @@
         self.make_room(fits, slow_seconds=0, keep=keep, best_effort=True)
         return fits(self.budget.held, 0)
 
-    def wait_for_room(self, fits: Fits, *, idle_first: bool = False) -> bool:
-        """Close connections until something fits; return whether it does.
+    def wait_for_room(
+        self, fits: Fits, asker: ConnectionAccount, *, idle_first: bool = False
+    ) -> bool:
+        """Close others until something of a connection fits; return whether.
 
         Waits until what the closed connections held is released, which takes a
         few iterations of the event loop.
         """
         until = self.now() + RELEASE_SECONDS
-        while self.make_room(fits, idle_first=idle_first):
+        while self.make_room(fits, keep=asker, idle_first=idle_first):
             if fits(self.budget.held, self.descriptors):
                 return True
             if self.now() > until:
--- a/guavagate/http1/_caller_connection.py
+++ b/guavagate/http1/_caller_connection.py
@@ -111,6 +111,8 @@
 
     def next_head_event(self) -> object:
         """Return the next event, which should be the head of a request."""
+        self._parsing.reset()
+        self._reading.reset()
         if len(self.http.trailing_data[0]) > _LONG_HEAD_BYTES:
             self._turns.wait()
         return self.next_event()
--- a/guavagate/http1/_turns.py
+++ b/guavagate/http1/_turns.py
@@ -76,6 +76,10 @@
         self._batch = batch
         self._count = 0
 
+    def reset(self) -> None:
+        """Begin a new request, which has a batch of its own."""
+        self._count = 0
+
     def count(self) -> None:
         """Count a piece of work; wait for a turn after each batch."""
         self._count += 1
--- a/tests/admission/test_connections.py
+++ b/tests/admission/test_connections.py
@@ -137,6 +137,17 @@
     assert bench.closed == ['ahead reset']
 
 
+def test_a_body_that_finds_no_room_is_refused_and_not_closed() -> None:
+    """It has been waited for longest itself; its caller is owed an answer."""
+    bench = _Bench()
+    bench.connect('running', Phase.RUNNING).account.hold_body(5_000_000)
+    slow = bench.connect('slow', Phase.RECEIVING)
+    assert slow.account.admit_body(1_000_000)
+    bench.clock.advance(60)
+    assert not slow.account.admit_body(6_000_000)
+    assert not bench.closed
+
+
 def test_nobody_is_closed_for_what_does_not_fit_even_so() -> None:
     """A large body closed all idle connections, and was refused after all."""
     bench = _Bench()
--- a/tests/http1/test_turns.py
+++ b/tests/http1/test_turns.py
@@ -5,7 +5,7 @@
 
 from guavagate.clock import SystemClock
 from guavagate.http1 import Exchange
-from guavagate.http1._turns import TurnCounter, Turns
+from guavagate.http1._turns import READS_PER_TURN, TurnCounter, Turns
 from tests.http1.server_bench import ServerBench
 
 _HEAD = b'POST /%b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -75,3 +75,20 @@
     gevent.joinall([first, third], timeout=2, raise_error=True)
     assert third.successful()
     gevent.spawn(turns.wait).get(timeout=2)
+
+
+def test_many_small_requests_on_a_connection_take_no_turns() -> None:
+    """An ordinary caller that keeps its connection stood behind the crowd."""
+    served: list[str] = []
+
+    def handle(exchange: Exchange) -> None:
+        exchange.read_body(0)
+        served.append(exchange.request.target)
+        exchange.respond(200, [], b'')
+
+    bench = ServerBench(handle)
+    bench.server._turns._is_taken = True
+    with gevent.Timeout(10):
+        for _ in range(3 * READS_PER_TURN):
+            assert b' 200 ' in bench.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    assert len(served) == 3 * READS_PER_TURN
