Release the account of a connection whatever ends its task

What callers saw: nothing yet; found by reading the diff. If the options of a socket could not be set, or anything else failed before the first request, the account of the connection stayed open: a descriptor and 32 KB less for all others, for good.

Change: the account is closed by the task that was started with it, when it ends in any way.

Measured: the new test fails before; tests/admission, tests/http1, tests/platform and the rows of the safeguards pass.

--- a/guavagate/http1/_server.py
+++ b/guavagate/http1/_server.py
@@ -1,7 +1,6 @@
 """HTTP server that handles one request at a time on each connection."""
 
 import contextlib
-import functools
 import logging
 import os
 from collections.abc import Callable
@@ -200,7 +199,13 @@
         if account is None:
             self._refuse_connection(accepted[0])
             return
-        serve_counted = functools.partial(serve, account=account)
+
+        def serve_counted(sock: socket.socket, address: object) -> None:
+            try:
+                serve(sock, address, account=account)
+            finally:
+                account.close()
+
         self._clock.spawn(run, serve_counted, close, accepted)
 
     def _serve(
@@ -228,7 +233,6 @@
         try:
             connection.close()
         finally:
-            connection.account.close()
             self._lingering -= 1
 
     def _refuse_connection(self, sock: socket.socket) -> None:
--- a/standins/_safeguard_admission.py
+++ b/standins/_safeguard_admission.py
@@ -107,8 +107,8 @@
     Safeguard(
         'a connection counts until its socket is closed',
         'guavagate/http1/_server.py',
-        '            connection.account.close()\n',
-        '            pass\n',
+        '                account.close()\n',
+        '                pass\n',
         'tests/admission/test_memory.py',
     ),
     Safeguard(
--- a/tests/admission/test_memory.py
+++ b/tests/admission/test_memory.py
@@ -142,3 +142,20 @@
     stalled.close()
     gevent.sleep(0.05)
     assert entry.memory.budget.held == 0
+
+
+def test_a_connection_that_can_not_be_served_is_counted_no_longer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each one would take a descriptor and some memory for good."""
+
+    def fail(_: object) -> None:
+        raise OSError
+
+    monkeypatch.setattr('guavagate.http1._server.set_caller_options', fail)
+    entry = _Entry()
+    sock = entry.connect(0, 0)
+    gevent.sleep(0.05)
+    connections = entry.memory.connections
+    assert (entry.memory.budget.held, connections.descriptors) == (0, 0)
+    sock.close()
