Take no reset during a request for the end of its answer

What callers saw: part of a sampler's answer as a complete 200. The sampler had answered a long upload at once, without a length, and had reset the connection while the upload was still being written.

Cause: the failure of the write was suppressed, so that an early answer can still be read. The kernel reports a reset once, so the reader met a plain end of the connection, which is how an answer without a length ends.

Change: a connection on which the request could not be written whole is marked as broken. Its answer is whole only by its own length or last chunk, and the connection is not used again. Enough, because a reader that meets the reset itself gets an error, and whatever consumes it before is the write.

--- a/guavagate/http1/_answer.py
+++ b/guavagate/http1/_answer.py
@@ -50,7 +50,14 @@
 
 
 class Connection:
-    """A connection to an upstream that carries one request at a time."""
+    """A connection to an upstream that carries one request at a time.
+
+    Attributes
+    ----------
+    is_broken
+        Whether writing the request failed. The kernel has then reported the
+        reset already, and the reader sees a plain end of the connection.
+    """
 
     def __init__(self, sock: socket.socket, clock: Clock) -> None:
         self.sock = sock
@@ -60,6 +67,7 @@
         self.idle_since = clock.now()
         self.idle_limit = IDLE_SECONDS
         self.is_used = False
+        self.is_broken = False
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the idle time is within the upstream's timeout."""
@@ -207,6 +215,8 @@
                     return event
                 received = connection.sock.recv(_READ_BYTES)
                 disconnected = not received
+                if disconnected and connection.is_broken:
+                    raise ConnectionResetError('reset during the request')
                 connection.http.receive_data(received)
         except OSError as error:
             raise self._make_error(
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -153,7 +153,9 @@
         answer = Answer(self, address, connection)
         with self._limit_time(address, timeout):
             try:
-                send_request(connection.http, connection.sock, request, body)
+                connection.is_broken = not send_request(
+                    connection.http, connection.sock, request, body
+                )
                 answer.read_head()
             except BaseException:
                 answer.close()
@@ -199,6 +201,7 @@
         idle = self._idle.setdefault(address, deque())
         if (
             not done
+            or connection.is_broken
             or http.trailing_data[0]
             or len(idle) >= _MAX_IDLE_CONNECTIONS
         ):
--- a/guavagate/http1/_request_writer.py
+++ b/guavagate/http1/_request_writer.py
@@ -1,6 +1,5 @@
 """Writes requests to upstreams."""
 
-import contextlib
 from typing import Final
 
 import h11
@@ -15,8 +14,15 @@
 
 def send_request(
     http: h11.Connection, sock: socket.socket, request: Request, body: bytes
-) -> None:
-    """Send a request; the upstream may respond before all is sent."""
+) -> bool:
+    """Send a request; the upstream may respond before all is sent.
+
+    Returns
+    -------
+    bool
+        Whether all was written. If not, the connection is broken, but the
+        upstream may have responded before.
+    """
     headers = list(request.headers)
     if body or request.method not in {'GET', 'HEAD', 'DELETE'}:
         headers.append((b'Content-Length', str(len(body)).encode()))
@@ -36,11 +42,12 @@
             f'the request can not be sent on ({error})',
             'send a request that is valid HTTP/1.1',
         ) from error
-    # An upstream may respond and close while a long body is being sent. The
-    # write then fails, but the response can still be read.
-    with contextlib.suppress(OSError):
+    try:
         if len(body) > _JOINED_BYTES:
             sock.sendall(head)
             sock.sendall(content)
         else:
             sock.sendall(head + content)
+    except OSError:
+        return False
+    return True
