Decide in one place what is the head of an answer

What callers saw: a body that ended elsewhere than the sampler's, with a line of its head joined to the one before; statuses of 600 and above; control bytes within values. A status of 000, and a blank or a control byte elsewhere in a field's name, were refused already; their tests stay.

Cause: the parser decided what an answer is. It takes a line that begins with a blank for the continuation of the one before, so a Content-Length that a blank precedes vanishes, and the body then ends with the connection.

Change: the bytes of each head, interim ones too, are checked before the parser gets them: HTTP/1.x, a status from 100 to 599, tokens as names, no control byte in values, a body whose end is plain. The connection of anything else is closed, and the request counts as one that may have run. The bounds of heads and interim answers move there. Enough, because every exchange of the pool reads its head in one place.

--- a/guavagate/http1/_answer.py
+++ b/guavagate/http1/_answer.py
@@ -12,6 +12,11 @@
 from guavagate.clock import Clock
 from guavagate.exceptions import UpstreamDisconnectedError, UpstreamError
 from guavagate.helpers.numbers import parse_whole_number
+from guavagate.http1._answer_head import (
+    MAX_HEAD_BYTES,
+    HeadChecker,
+    MalformedHeadError,
+)
 from guavagate.http1._messages import Headers, find_header
 
 # Idle timeout assumed where a response has no Keep-Alive header.
@@ -20,10 +25,9 @@
 # idle connections at its own timeout, and a request that crosses the close is
 # lost. Requests that must not be repeated get a new connection.
 IDLE_LIMIT_SHARE: Final = 0.9
-# A faulty upstream may send bytes without end, in a head or a body. The parser
-# bounds the lines of a head, and these bound the interim answers before it and
-# a body that is read as a whole.
-MAX_INTERIM_ANSWERS: Final = 16
+# A faulty upstream may send bytes without end. This bounds a body that is read
+# as a whole, and the parser each chunk's head and the trailer; `_answer_head`
+# bounds what precedes the body.
 MAX_BODY_BYTES: Final = 16_000_000
 _READ_BYTES: Final = 65_536
 # The patched `poll` would let other tasks run and change the list of idle
@@ -57,17 +61,20 @@
     is_broken
         Whether writing the request failed. The kernel has then reported the
         reset already, and the reader sees a plain end of the connection.
+    has_ended
+        Whether the upstream has closed the connection.
     """
 
     def __init__(self, sock: socket.socket, clock: Clock) -> None:
         self.sock = sock
         self.http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=_READ_BYTES
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.idle_since = clock.now()
         self.idle_limit = IDLE_SECONDS
         self.is_used = False
         self.is_broken = False
+        self.has_ended = False
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the idle time is within the upstream's timeout."""
@@ -89,6 +96,14 @@
         poller.register(self.sock.fileno(), select.POLLIN)
         return not poller.poll(0)
 
+    def receive(self) -> bytes:
+        """Return what arrives next; nothing if the upstream has closed."""
+        received = self.sock.recv(_READ_BYTES)
+        self.has_ended = not received
+        if self.has_ended and self.is_broken:
+            raise ConnectionResetError('reset during the request')
+        return received
+
     def close(self) -> None:
         """Close the connection; the upstream abandons a running request."""
         self.sock.close()
@@ -113,6 +128,7 @@
         self.status = 0
         self.headers: Headers = []
         self.complete = False
+        self._head = HeadChecker()
         self.reused = connection.is_used
         connection.is_used = True
 
@@ -122,15 +138,13 @@
 
     def read_head(self) -> None:
         """Read the final status and headers, past interim responses."""
-        for _ in range(MAX_INTERIM_ANSWERS):
+        event = self._next_event()
+        while isinstance(event, h11.InformationalResponse):
             event = self._next_event()
-            if isinstance(event, h11.Response):
-                self.status = event.status_code
-                self.headers = list(event.headers.raw_items())
-                return
-            if not isinstance(event, h11.InformationalResponse):
-                raise self._make_error(f'sent {event!r} for an answer')
-        raise self._make_error('sent one interim answer after the other')
+        if not isinstance(event, h11.Response):
+            raise self._make_error(f'sent {event!r} for an answer')
+        self.status = event.status_code
+        self.headers = list(event.headers.raw_items())
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body; an incomplete one raises `UpstreamError`."""
@@ -207,26 +221,31 @@
         connection = self._connection
         if connection is None:
             raise self._make_error('was left by us')
-        disconnected = False
         try:
             while True:
                 event = connection.http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                received = connection.sock.recv(_READ_BYTES)
-                disconnected = not received
-                if disconnected and connection.is_broken:
-                    raise ConnectionResetError('reset during the request')
-                connection.http.receive_data(received)
+                self._receive(connection)
         except OSError as error:
             raise self._make_error(
                 str(error) or type(error).__name__, disconnected=True
             ) from error
+        except MalformedHeadError as error:
+            raise self._make_error(str(error)) from error
         except h11.RemoteProtocolError as error:
             raise self._make_error(
-                str(error) or type(error).__name__, disconnected=disconnected
+                str(error) or type(error).__name__,
+                disconnected=connection.has_ended,
             ) from error
 
+    def _receive(self, connection: Connection) -> None:
+        """Wait for more of the answer, and pass it to the parser."""
+        received = connection.receive()
+        if not self._head.is_complete:
+            self._head.feed(received)
+        connection.http.receive_data(received)
+
     def _make_error(
         self, problem: str, *, disconnected: bool = False
     ) -> UpstreamError:
--- a/tests/platform/test_answer_ownership.py
+++ b/tests/platform/test_answer_ownership.py
@@ -1,35 +1,25 @@
 """Whose answer it is, for each kind of exchange with an upstream."""
 
 import itertools
-import re
 from collections.abc import Iterator
 
 import gevent
 import pytest
-from gevent import socket
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from guavagate.clock import SystemClock
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
-from guavagate.forwarding import AttemptRunner, AttemptState
-from guavagate.forwarding._probes import Prober, ProbeState
-from guavagate.http1 import ConnectionPool, Request
-from guavagate.metrics import Metrics
-from guavagate.models import ServiceId, UpstreamId, WeightVersion, ZoneId
-from guavagate.platform._dialect import PlatformDialect
-from guavagate.platform._samplers import PlatformSamplers
-from guavagate.ports.configuration import Configuration, Service
+from guavagate.forwarding import AttemptState
+from guavagate.forwarding._probes import ProbeState
+from guavagate.http1 import Request
+from guavagate.models import WeightVersion
 from guavagate.ports.dialect import Call
 from guavagate.ports.sampler import (
     ItemRequest,
     OrderRefusedError,
-    VersionOrder,
 )
-from guavagate.ports.upstreams import Upstream
-from guavagate.routing import RouteTable, UpstreamTable
-from tests.forwarding.common import start_upstream
-from tests.quarantine.common import make_quarantine
+from tests.platform.answer_bench import AnswerBench
 
 _LIMIT_SECONDS = 10
 _MEGABYTE = 1_000_000
@@ -59,132 +49,19 @@
 _ACCEPTED = _encode(202, b'')
 _OTHER = _answer('other')
 _REFUSAL = _encode(503, b'', b'Guavagate-Not-Executed: 1')
-_ORDER = VersionOrder(
-    model='m',
-    version=WeightVersion(2),
-    keep_running=True,
-    holder='h',
-    generation=1,
-    orders_taken=0,
-)
-
-
-def _read_request(sock: socket.socket) -> bool:
-    """Read one whole request; return whether there was one."""
-    data = b''
-    while b'\r\n\r\n' not in data:
-        received = sock.recv(65_536)
-        if not received:
-            return False
-        data += received
-    head, _, body = data.partition(b'\r\n\r\n')
-    length = re.search(rb'(?i)content-length: *(\d+)', head)
-    missing = int(length.group(1)) - len(body) if length else 0
-    while missing > 0:
-        missing -= len(sock.recv(missing))
-    return True
-
-
-class _Bench:
-    """One upstream that sends scripted bytes, and every kind of exchange.
-
-    Each request gets the next bytes of `script`; a list is sent part by part.
-    """
-
-    def __init__(self) -> None:
-        clock = SystemClock()
-        self.script: list[bytes | Iterator[bytes]] = []
-        self.peak = 0
-        self._held = 0
-        self.pool = ConnectionPool(clock, self._charge)
-        self.routes = RouteTable()
-        service = Service(id=ServiceId('s'), slots=4, health_path='/health')
-        self.routes.apply(
-            Configuration(version=1, routes=(), services=(service,))
-        )
-        self.upstreams = UpstreamTable(clock, ZoneId('z'))
-        self.server, upstream = start_upstream('a', 'z', self._serve)
-        self.upstreams.put(upstream)
-        dialect = PlatformDialect()
-        self.runner = AttemptRunner(
-            clock,
-            self.pool,
-            self.upstreams,
-            dialect,
-            make_quarantine(clock, self.upstreams),
-        )
-        self.prober = Prober(
-            clock, self.pool, self.routes, dialect, Metrics(), self.upstreams
-        )
-        self.samplers = PlatformSamplers(self.pool)
-        self._clock = clock
-
-    @property
-    def upstream(self) -> Upstream:
-        """Return the upstream's registration."""
-        found = self.upstreams.get(UpstreamId('a'))
-        assert found is not None
-        return found
-
-    def request(self, name: str, seconds: float = 1.0) -> bytes | None:
-        """Send a request; return its answer's body, or `None`."""
-        call = Call(
-            id=name,
-            request=Request(
-                'POST',
-                '/x',
-                [(b'Host', b'h'), (b'Guavagate-Request-Id', name.encode())],
-            ),
-            body=b'x',
-            until=self._clock.now() + seconds,
-        )
-        attempt = self.runner.make(call, self.upstream, reuse=True)
-        answered = attempt.state is AttemptState.ANSWERED
-        return attempt.body if answered and attempt.status == 200 else None
-
-    def probe(self) -> ProbeState:
-        """Probe the upstream."""
-        return self.prober.probe(self.upstream, 0.3, True).state
-
-    def close(self) -> None:
-        """Stop the upstream."""
-        self.server.stop(0)
-
-    def _charge(self, growth: int) -> None:
-        self._held += growth
-        self.peak = max(self.peak, self._held)
-
-    def _serve(self, sock: socket.socket, _: object) -> None:
-        try:
-            while _read_request(sock):
-                part = self.script.pop(0) if self.script else b''
-                parts = (part,) if isinstance(part, bytes) else part
-                for each in parts:
-                    sock.sendall(each)
-        except OSError:
-            return
 
 
 @pytest.fixture
-def bench() -> Iterator[_Bench]:
+def bench() -> Iterator[AnswerBench]:
     """Return a bench whose server stops after the test."""
-    running = _Bench()
+    running = AnswerBench()
     with gevent.Timeout(_LIMIT_SECONDS):
         yield running
     running.close()
 
 
-def _run_item(bench: _Bench, name: str) -> list[str]:
-    """Run an item; return the texts of its events."""
-    item = ItemRequest(
-        id=name, host='h', path='/i', headers={}, body=b'', resume_after=0
-    )
-    run = bench.samplers.run(bench.upstream, item, 'm')
-    return [event.text for event in run.events()]
-
-
 def test_a_health_checks_answer_is_no_answer_to_a_request(
-    bench: _Bench,
+    bench: AnswerBench,
 ) -> None:
     """A late extra answer moved each answer to the exchange after its own."""
     bench.script = [_HEALTH]
@@ -192,14 +69,16 @@
 
 
 def test_a_success_without_a_signature_is_not_the_upstreams(
-    bench: _Bench,
+    bench: AnswerBench,
 ) -> None:
     """A caller must not take bytes for an answer that no upstream vouches."""
     bench.script = [_encode(200, b'x', b'Guavagate-Request-Id: r-1')]
     assert bench.request('r-1') is None
 
 
-def test_a_late_extra_answer_is_no_answer_to_a_probe(bench: _Bench) -> None:
+def test_a_late_extra_answer_is_no_answer_to_a_probe(
+    bench: AnswerBench,
+) -> None:
     """Its connection went back to the pool with the true answer still due."""
     bench.script = [_answer('r-1'), _answer('r-1')]
     assert bench.request('r-1') == b'r-1'
@@ -208,7 +87,7 @@
 
 
 def test_an_unmarked_refusal_on_a_used_connection_is_not_believed(
-    bench: _Bench,
+    bench: AnswerBench,
 ) -> None:
     """It may answer an earlier exchange, and "not run" would be false."""
     bench.script = [_answer('r-1'), _REFUSAL]
@@ -224,7 +103,7 @@
 
 
 def test_an_unmarked_refusal_on_a_new_connection_is_believed(
-    bench: _Bench,
+    bench: AnswerBench,
 ) -> None:
     """Nothing else was sent there, so it can't answer another request."""
     bench.script = [_REFUSAL]
@@ -235,19 +114,23 @@
         bench.samplers.run(bench.upstream, item, 'm')
 
 
-def test_a_stream_of_another_request_is_no_items_text(bench: _Bench) -> None:
+def test_a_stream_of_another_request_is_no_items_text(
+    bench: AnswerBench,
+) -> None:
     """Its events would be delivered as the item's text."""
     bench.script = [
         _encode(200, b'id: 1\ndata: x\n\n', b'Guavagate-Server-Seal: s')
     ]
     with pytest.raises(UpstreamError):
-        _run_item(bench, 'i-1')
+        bench.run_item('i-1')
 
 
 @pytest.mark.parametrize(
     'other', [_OTHER, _HEALTH, _ACCEPTED], ids=['request', 'probe', 'order']
 )
-def test_only_a_report_is_taken_for_one(bench: _Bench, other: bytes) -> None:
+def test_only_a_report_is_taken_for_one(
+    bench: AnswerBench, other: bytes
+) -> None:
     """Samplers would seem to have no models, or those of another moment."""
     bench.script = [other]
     with pytest.raises(UpstreamError):
@@ -259,13 +142,13 @@
     'other', [_OTHER, _HEALTH, _REPORT], ids=['request', 'probe', 'report']
 )
 def test_only_an_orders_answer_is_taken_for_one(
-    bench: _Bench, other: bytes
+    bench: AnswerBench, other: bytes
 ) -> None:
     """The order would count as carried out, or as holding already."""
     bench.script = [_REPORT, other]
     bench.samplers.report(bench.upstream)
     with pytest.raises((UpstreamError, OrderRefusedError)):
-        bench.samplers.order(bench.upstream, _ORDER)
+        bench.order()
 
 
 def _repeat_forever(part: bytes) -> Iterator[bytes]:
@@ -295,7 +178,7 @@
 )
 @pytest.mark.parametrize('kind', list(_MARKS))
 def test_bytes_without_end_are_bounded(
-    bench: _Bench, start: bytes, part: bytes, kind: str
+    bench: AnswerBench, start: bytes, part: bytes, kind: str
 ) -> None:
     """They were read until the deadline, or for ever, and filled the memory."""
     if start == _ENDLESS_BODY:
@@ -310,10 +193,10 @@
             bench.samplers.report(bench.upstream)
     elif kind == 'order':
         with pytest.raises((UpstreamError, OrderRefusedError)):
-            bench.samplers.order(bench.upstream, _ORDER)
+            bench.order()
     else:
         with pytest.raises(UpstreamError), gevent.Timeout(3):
-            _run_item(bench, 'r')
+            bench.run_item('r')
     assert bench.peak <= 17 * _MEGABYTE
 
 
@@ -346,7 +229,7 @@
 
     A request gets its own complete body or none, and a report its own models.
     """
-    bench = _Bench()
+    bench = AnswerBench()
     try:
         with gevent.Timeout(_LIMIT_SECONDS * 3):
             _play(bench, plan)
@@ -354,7 +237,7 @@
         bench.close()
 
 
-def _play(bench: _Bench, plan: list[tuple[str, bytes, bool, int]]) -> None:
+def _play(bench: AnswerBench, plan: list[tuple[str, bytes, bool, int]]) -> None:
     for number, (kind, extra, is_first, cut) in enumerate(plan):
         name = f'r-{number}'
         own = {
