Let the socket of a connection decide what belongs to an answer

Cause: the checks of heads and resets stood in the pool's reader of answers, so the adapters of the product's own ports, which read with a library, had none.

Change: UpstreamSocket, which takes over a connected socket, checks the bytes of a head and reports a reset that the write of the request met. It can limit what is read, and lets other tasks run after four full reads: a read that finds data doesn't wait, so an upstream that sends faster than it is read would occupy the process.

--- a/guavagate/http1/__init__.py
+++ b/guavagate/http1/__init__.py
@@ -5,7 +5,7 @@
 where the bytes of a response end, and when the peer disconnects.
 """
 
-from guavagate.http1._answer import Answer
+from guavagate.http1._answer import MAX_BODY_BYTES, Answer
 from guavagate.http1._caller_connection import ServerLimits, SlowBodyError
 from guavagate.http1._caller_writer import (
     CallerDisconnectedError,
@@ -31,12 +31,16 @@
 )
 from guavagate.http1._probe import refuses_connections
 from guavagate.http1._server import HttpServer
+from guavagate.http1._turns import Turns
+from guavagate.http1._upstream_socket import BrokenAnswerError, UpstreamSocket
 
 __all__ = (
+    'MAX_BODY_BYTES',
     'MAX_READING_BYTES',
     'Answer',
     'BodyRefusedError',
     'BodyTooLargeError',
+    'BrokenAnswerError',
     'CallerDisconnectedError',
     'ConnectionAccount',
     'ConnectionPool',
@@ -50,6 +54,8 @@
     'ServerMemory',
     'SlowBodyError',
     'SlowCallerError',
+    'Turns',
+    'UpstreamSocket',
     'drop_hop_by_hop',
     'find_header',
     'refuses_connections',
--- a/guavagate/http1/_answer.py
+++ b/guavagate/http1/_answer.py
@@ -7,17 +7,14 @@
 from typing import Final, Protocol
 
 import h11
-from gevent import monkey, socket
+from gevent import monkey
 
 from guavagate.clock import Clock
 from guavagate.exceptions import UpstreamDisconnectedError, UpstreamError
 from guavagate.helpers.numbers import parse_whole_number
-from guavagate.http1._answer_head import (
-    MAX_HEAD_BYTES,
-    HeadChecker,
-    MalformedHeadError,
-)
+from guavagate.http1._answer_head import MAX_HEAD_BYTES
 from guavagate.http1._messages import Headers, find_header
+from guavagate.http1._upstream_socket import BrokenAnswerError, UpstreamSocket
 
 # Idle timeout assumed where a response has no Keep-Alive header.
 IDLE_SECONDS: Final = 10.0
@@ -54,18 +51,9 @@
 
 
 class Connection:
-    """A connection to an upstream that carries one request at a time.
+    """A connection to an upstream that carries one request at a time."""
 
-    Attributes
-    ----------
-    is_broken
-        Whether writing the request failed. The kernel has then reported the
-        reset already, and the reader sees a plain end of the connection.
-    has_ended
-        Whether the upstream has closed the connection.
-    """
-
-    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+    def __init__(self, sock: UpstreamSocket, clock: Clock) -> None:
         self.sock = sock
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -73,8 +61,6 @@
         self.idle_since = clock.now()
         self.idle_limit = IDLE_SECONDS
         self.is_used = False
-        self.is_broken = False
-        self.has_ended = False
 
     def is_fresh(self, now: float) -> bool:
         """Return whether the idle time is within the upstream's timeout."""
@@ -96,14 +82,6 @@
         poller.register(self.sock.fileno(), select.POLLIN)
         return not poller.poll(0)
 
-    def receive(self) -> bytes:
-        """Return what arrives next; nothing if the upstream has closed."""
-        received = self.sock.recv(_READ_BYTES)
-        self.has_ended = not received
-        if self.has_ended and self.is_broken:
-            raise ConnectionResetError('reset during the request')
-        return received
-
     def close(self) -> None:
         """Close the connection; the upstream abandons a running request."""
         self.sock.close()
@@ -128,7 +106,6 @@
         self.status = 0
         self.headers: Headers = []
         self.complete = False
-        self._head = HeadChecker()
         self.reused = connection.is_used
         connection.is_used = True
 
@@ -226,26 +203,19 @@
                 event = connection.http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self._receive(connection)
+                received = connection.sock.recv(_READ_BYTES)
+                connection.http.receive_data(received)
         except OSError as error:
             raise self._make_error(
-                str(error) or type(error).__name__, disconnected=True
+                str(error) or type(error).__name__,
+                disconnected=not isinstance(error, BrokenAnswerError),
             ) from error
-        except MalformedHeadError as error:
-            raise self._make_error(str(error)) from error
         except h11.RemoteProtocolError as error:
             raise self._make_error(
                 str(error) or type(error).__name__,
-                disconnected=connection.has_ended,
+                disconnected=connection.sock.has_ended,
             ) from error
 
-    def _receive(self, connection: Connection) -> None:
-        """Wait for more of the answer, and pass it to the parser."""
-        received = connection.receive()
-        if not self._head.is_complete:
-            self._head.feed(received)
-        connection.http.receive_data(received)
-
     def _make_error(
         self, problem: str, *, disconnected: bool = False
     ) -> UpstreamError:
--- a/guavagate/http1/_answer_head.py
+++ b/guavagate/http1/_answer_head.py
@@ -57,6 +57,8 @@
         MalformedHeadError
             A head is not valid, larger than any, or only interim ones come.
         """
+        if self.is_complete:
+            return
         searched = max(len(self._received) - len(b'\r\n\r'), 0)
         self._received += data
         while not self.is_complete:
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -24,6 +24,8 @@
 from guavagate.http1._messages import Request
 from guavagate.http1._request_writer import send_request
 from guavagate.http1._sockets import set_socket_options
+from guavagate.http1._turns import Turns
+from guavagate.http1._upstream_socket import UpstreamSocket
 
 CONNECT_SECONDS: Final = 1.0
 SWEEP_INTERVAL_SECONDS: Final = 5.0
@@ -75,6 +77,7 @@
     ) -> None:
         self._max_reading = max_reading
         self._clock = clock
+        self._turns = Turns(clock)
         self._charge = charge
         self._make_room = make_room
         self._reading_bytes = 0
@@ -153,9 +156,7 @@
         answer = Answer(self, address, connection)
         with self._limit_time(address, timeout):
             try:
-                connection.is_broken = not send_request(
-                    connection.http, connection.sock, request, body
-                )
+                send_request(connection.http, connection.sock, request, body)
                 answer.read_head()
             except BaseException:
                 answer.close()
@@ -201,7 +202,7 @@
         idle = self._idle.setdefault(address, deque())
         if (
             not done
-            or connection.is_broken
+            or connection.sock.is_broken
             or http.trailing_data[0]
             or len(idle) >= _MAX_IDLE_CONNECTIONS
         ):
@@ -276,7 +277,7 @@
         sock.settimeout(None)
         set_socket_options(sock)
         self.opened += 1
-        return Connection(sock, self._clock)
+        return Connection(UpstreamSocket(sock, self._turns), self._clock)
 
     def _limit_time(
         self, address: str, timeout: float | None
