Read the adapters' answers through the sockets that check them

What callers saw: nothing yet; found with the tests of the pool, asked of the other client. A part of an answer that was reset while the request was written counted as whole there too, and so did statuses of 600 and above, other versions of HTTP and unknown codings of the body.

Cause: the library decides by itself what an answer is, reads as long as bytes arrive, and reads on after the write of a body has failed.

Change: the adapters' connections are UpstreamSockets. A body is read up to 16 MB and an event up to 1 MB. What is no answer counts as a failure of the upstream and not as its end, which is why its error is none of a disconnect.

--- a/guavagate/integrations/_http.py
+++ b/guavagate/integrations/_http.py
@@ -26,6 +26,13 @@
     UpstreamError,
     UpstreamNotStartedError,
 )
+from guavagate.helpers.event_stream import MAX_EVENT_BYTES
+from guavagate.http1 import (
+    MAX_BODY_BYTES,
+    BrokenAnswerError,
+    Turns,
+    UpstreamSocket,
+)
 
 CONNECT_SECONDS: Final = 1.0
 # A firewall or balancer may drop the state of a connection that is idle for
@@ -34,7 +41,26 @@
 IDLE_CONNECTIONS: Final = 8
 MAX_CONNECTIONS: Final = 100_000
 
-Response = HTTPSocketPoolResponse
+
+class Response:
+    """An upstream's answer whose head has arrived.
+
+    Attributes
+    ----------
+    sock
+        Its connection, which bounds what may be read.
+    """
+
+    def __init__(
+        self, answer: HTTPSocketPoolResponse, sock: UpstreamSocket
+    ) -> None:
+        self.sock = sock
+        self.status_code = answer.status_code
+        self.get = answer.get
+        self.items = answer.items
+        self.read = answer.read
+        self.readline = answer.readline
+        self.release = answer.release
 
 
 class _ConnectError(Exception):
@@ -60,10 +86,21 @@
         # The library tries up to `size` + 1 times; -1 switches retries off.
         self.size = -1
         self._clock = clock
+        self._turns = Turns(clock)
         self._max_idle = max_idle
         self._idle_since: dict[socket.socket, float] = {}
         # Tasks that wait for a connection and so have sent nothing.
         self.connecting: set[gevent.Greenlet] = set()
+        # The connection that a task's exchange uses.
+        self.in_use: dict[gevent.Greenlet, UpstreamSocket] = {}
+
+    def get_socket(self) -> socket.socket:
+        """Return the connection for the current task's exchange."""
+        sock = super().get_socket()
+        assert isinstance(sock, UpstreamSocket)
+        sock.begin_exchange()
+        self.in_use[gevent.getcurrent()] = sock
+        return sock
 
     def return_socket(self, sock: socket.socket) -> None:
         """Put the connection back for reuse, or close it."""
@@ -92,7 +129,7 @@
             raise _ConnectError(str(error)) from error
         self.connecting.discard(task)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return sock
+        return UpstreamSocket(sock, self._turns)
 
 
 class _Client(HTTPClient):
@@ -155,12 +192,15 @@
                 _translate_errors(address),
                 self.clock.timeout(timeout, make_timeout_error),
             ):
-                return client.request(method, path, body, dict(headers or {}))
+                answer = client.request(method, path, body, dict(headers or {}))
+                return Response(answer, client.pool.in_use[gevent.getcurrent()])
         finally:
             connecting.discard(gevent.getcurrent())
+            client.pool.in_use.pop(gevent.getcurrent(), None)
 
     def read(self, address: str, answer: Response, timeout: float) -> bytes:
-        """Read the complete body; a cut one raises `UpstreamError`."""
+        """Read the complete body; a cut or endless one raises an error."""
+        answer.sock.limit_reading(MAX_BODY_BYTES)
         with _translate_errors(address), self._limit_time(address, timeout):
             return bytes(answer.read())
 
@@ -169,9 +209,11 @@
     ) -> bytes:
         """Read a stream up to a delimiter; return nothing at its clean end.
 
-        This runs for each streamed event, so for speed it uses no context
-        manager but the clock's.
+        A part that is larger than any event raises `UpstreamError`. This runs
+        for each streamed event, so for speed it uses no context manager but
+        the clock's.
         """
+        answer.sock.limit_reading(MAX_EVENT_BYTES)
         try:
             with self._limit_time(address, timeout):
                 return answer.readline(end)
@@ -234,6 +276,7 @@
 def _make_broken_error(address: str, error: Exception) -> UpstreamError:
     """Return the error for an interrupted exchange."""
     disconnected = isinstance(error, OSError | HTTPConnectionClosed)
+    disconnected &= not isinstance(error, BrokenAnswerError)
     kind = UpstreamDisconnectedError if disconnected else UpstreamError
     return kind(
         f'{address} broke the exchange off ({error})',
--- a/tests/http1/answer_readers.py
+++ b/tests/http1/answer_readers.py
@@ -1,4 +1,4 @@
-"""The clients of the product, which read raw bytes of an upstream."""
+"""Both clients of the product, asked by raw bytes of an upstream."""
 
 import contextlib
 from collections.abc import Callable, Iterator
@@ -9,6 +9,7 @@
 
 from guavagate.clock import SystemClock
 from guavagate.http1 import ConnectionPool, Request
+from guavagate.integrations._http import Connections
 
 LIMIT_SECONDS: Final = 5.0
 
@@ -25,7 +26,17 @@
     return answer.status, content
 
 
-READERS: Final = {'pool': read_by_pool}
+def read_by_library(address: str, body: bytes = b'') -> tuple[int, bytes]:
+    """Read an answer as the adapters of the product's own ports do."""
+    connections = Connections(SystemClock())
+    answer = connections.send(
+        address, 'POST', '/', body=body, timeout=LIMIT_SECONDS
+    )
+    content = connections.read(address, answer, LIMIT_SECONDS)
+    return answer.status_code, content
+
+
+READERS: Final = {'pool': read_by_pool, 'library': read_by_library}
 
 
 @contextlib.contextmanager
--- a/tests/http1/test_cut_answers.py
+++ b/tests/http1/test_cut_answers.py
@@ -12,6 +12,7 @@
 from guavagate.clock import SystemClock
 from guavagate.exceptions import UpstreamDisconnectedError
 from guavagate.http1 import ConnectionPool, Request
+from tests.http1.answer_readers import READERS
 
 _LIMIT_SECONDS: Final = 10
 # More than the kernel buffers for both ends, so that it is still being written
@@ -63,7 +64,10 @@
 
 
 @pytest.mark.usefixtures('limit')
-def test_an_answer_without_a_length_that_is_reset_is_not_whole() -> None:
+@pytest.mark.parametrize('reader', list(READERS))
+def test_an_answer_without_a_length_that_is_reset_is_not_whole(
+    reader: str,
+) -> None:
     """Its part was passed on as the whole one.
 
     The upstream answers before it has read the request, and resets the
@@ -71,8 +75,22 @@
     to the write, and to the reader just the end of the connection, which is
     also how an answer without a length ends.
     """
+    upstream = _HastyUpstream(_HEAD % (b'', _PART))
     with pytest.raises(UpstreamDisconnectedError):
-        _upload(_HEAD % (b'', _PART))
+        READERS[reader](upstream.address, _LONG_BODY)
+    upstream.server.stop(0)
+
+
+@pytest.mark.parametrize('reader', list(READERS))
+@pytest.mark.parametrize('body', [b'', b'x'])
+def test_an_answer_that_is_reset_after_the_request_is_not_whole(
+    reader: str, body: bytes
+) -> None:
+    """The reader meets the reset itself, after the part of the answer."""
+    upstream = _HastyUpstream(_HEAD % (b'', _PART))
+    with pytest.raises(UpstreamDisconnectedError):
+        READERS[reader](upstream.address, body)
+    upstream.server.stop(0)
 
 
 @pytest.mark.usefixtures('limit')
