Bound the processor time that an answer takes

What callers saw: an instance that did nothing else for eight seconds. One upstream sent a body in chunks of a byte, or a stream of blank blocks or of tiny events, faster than they were read.

Cause: a read that finds data doesn't wait, and each chunk takes the parser as long as 64 KB do. The reader never let another task run, so not even the time limit of the request could end it. An event in tiny parts was searched and copied again for each of them.

Change: work on answers is done in turns, as that on requests of callers is. A body may have 65,536 parts beyond one for each 16 bytes, a body that is read as a whole 16 MB of framing, a stream 10,000 blank blocks in a row. Only what has just arrived is searched for the end of an event.

--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -187,6 +187,7 @@
 
         def forward_events(chunk: bytes) -> None:
             for event in parser.feed(chunk):
+                answer.count_work()
                 progress.last_event_id = event.number
                 progress.exchange.send_ahead(event.encoded)
 
--- a/guavagate/helpers/event_stream.py
+++ b/guavagate/helpers/event_stream.py
@@ -31,6 +31,8 @@
 MAX_STREAM_BYTES: Final = 16_000_000
 # In a row. An upstream that sends more of them is not about to go on.
 MAX_FOREIGN_BLOCKS: Final = 4
+# In a row: empty ones, and comments such as keep-alives, which carry nothing.
+MAX_BLANK_BLOCKS: Final = 10_000
 _LOGGED_BYTES: Final = 60
 
 HandleForeignBlock = Callable[[bytes], None]
@@ -84,9 +86,10 @@
         self.last_number = resume_after
         self._version_name = version_name.decode()
         self._on_foreign_block = on_foreign_block
-        self._rest = b''
+        self._rest = bytearray()
         self._last_block = b''
         self._foreign_blocks = 0
+        self._blank_blocks = 0
         # The highest number that any event had, also one that was left out.
         self._highest_number = resume_after
 
@@ -97,12 +100,11 @@
         ------
         UpstreamError
             The next block is larger than any event, or too many blocks in a row
-            were no events.
+            were no events or blank.
         ContradictoryStreamError
             An event has come before with other content.
         """
-        *blocks, self._rest = (self._rest + chunk).split(_BLOCK_END)
-        for block in blocks:
+        for block in self._split_blocks(chunk):
             event = self._take(block.lstrip(b'\n'))
             if event is not None:
                 yield event
@@ -118,8 +120,25 @@
         if self._foreign_blocks:
             raise _make_error('the stream ended with bytes that are no event')
 
+    def _split_blocks(self, chunk: bytes) -> list[bytes]:
+        """Return the blocks that are complete with this chunk.
+
+        Only the chunk is searched: an event that arrives in tiny parts would
+        else be searched once for each of them.
+        """
+        searched = max(len(self._rest) - len(_BLOCK_END) + 1, 0)
+        self._rest += chunk
+        if self._rest.find(_BLOCK_END, searched) < 0:
+            return []
+        *blocks, rest = bytes(self._rest).split(_BLOCK_END)
+        self._rest = bytearray(rest)
+        return blocks
+
     def _take(self, block: bytes) -> StreamEvent | None:
         if is_blank(block):
+            self._blank_blocks += 1
+            if self._blank_blocks > MAX_BLANK_BLOCKS:
+                raise _make_error('the upstream sent nothing but blank blocks')
             return None
         event = self._parse(block)
         if event is not None:
@@ -128,6 +147,7 @@
                 self.last_number = event.number
                 self._last_block = block
                 self._foreign_blocks = 0
+                self._blank_blocks = 0
                 return event
             if event.number <= self.last_number and block != self._last_block:
                 raise ContradictoryStreamError(
@@ -222,6 +242,7 @@
             if size > MAX_STREAM_BYTES:
                 raise _make_error('the stream is longer than any text')
             for event in self._parser.feed(chunk):
+                self._answer.count_work()
                 if event.version is not None:
                     self._version = event.version
                 yield TextEvent(event.number, event.text, self._version)
--- a/guavagate/http1/_answer.py
+++ b/guavagate/http1/_answer.py
@@ -14,6 +14,7 @@
 from guavagate.helpers.numbers import parse_whole_number
 from guavagate.http1._answer_head import MAX_HEAD_BYTES
 from guavagate.http1._messages import Headers, find_header
+from guavagate.http1._turns import EVENTS_PER_TURN, TurnCounter, Turns
 from guavagate.http1._upstream_socket import BrokenAnswerError, UpstreamSocket
 
 # Idle timeout assumed where a response has no Keep-Alive header.
@@ -26,6 +27,13 @@
 # as a whole, and the parser each chunk's head and the trailer; `_answer_head`
 # bounds what precedes the body.
 MAX_BODY_BYTES: Final = 16_000_000
+# Of the heads of chunks, beside the bytes of such a body.
+MAX_FRAMING_BYTES: Final = 16_000_000
+# Each part of a body takes the parser as long as 64 KB do. A body of tiny
+# chunks would take minutes, so beyond some parts they must have this size on
+# average. A token of a text that is sent by itself has some bytes.
+MAX_SMALL_PARTS: Final = 65_536
+MIN_PART_BYTES: Final = 16
 _READ_BYTES: Final = 65_536
 # The patched `poll` would let other tasks run and change the list of idle
 # connections while it is scanned.
@@ -35,6 +43,8 @@
 class AnswerPool(Protocol):
     """What an answer uses of the pool that its connection belongs to."""
 
+    turns: Turns
+
     def release(
         self, address: str, connection: 'Connection', answer: 'Answer'
     ) -> None:
@@ -106,6 +116,9 @@
         self.status = 0
         self.headers: Headers = []
         self.complete = False
+        self._work = TurnCounter(pool.turns, EVENTS_PER_TURN)
+        self._parts = 0
+        self._size = 0
         self.reused = connection.is_used
         connection.is_used = True
 
@@ -128,6 +141,7 @@
         while not self.complete:
             event = self._next_event()
             if isinstance(event, h11.Data):
+                self._count_part(len(event.data))
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.complete = True
@@ -137,6 +151,14 @@
                 )
         self._release()
 
+    def count_work(self) -> None:
+        """Count a piece of work on the body; wait for a turn after a batch.
+
+        An upstream that sends faster than its events are handled would keep
+        all other tasks waiting.
+        """
+        self._work.count()
+
     def read(self, limit: int = MAX_BODY_BYTES) -> bytes:
         """Return the complete body; its memory counts while it is read.
 
@@ -163,6 +185,8 @@
         declared = parse_whole_number(self.get_header(b'content-length')) or 0
         if declared > limit:
             raise self._make_error('announced more than may be read')
+        if self._connection is not None:
+            self._connection.sock.limit_reading(limit + MAX_FRAMING_BYTES)
         # Unlike a list of parts, it makes no second copy of the body.
         body = io.BytesIO()
         self._pool.reserve(declared)
@@ -194,6 +218,14 @@
             self._connection.close()
             self._connection = None
 
+    def _count_part(self, size: int) -> None:
+        self.count_work()
+        self._parts += 1
+        self._size += size
+        small_parts = self._parts - self._size // MIN_PART_BYTES
+        if small_parts > MAX_SMALL_PARTS:
+            raise self._make_error('sent its body in too many parts')
+
     def _next_event(self) -> object:
         connection = self._connection
         if connection is None:
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -66,6 +66,11 @@
         Makes room for so many bytes of answers; returns whether there is.
     max_reading
         Bound of the bytes of all answers that are being read.
+
+    Attributes
+    ----------
+    turns
+        Shares the processor among the answers that need much of it.
     """
 
     def __init__(
@@ -77,7 +82,7 @@
     ) -> None:
         self._max_reading = max_reading
         self._clock = clock
-        self._turns = Turns(clock)
+        self.turns = Turns(clock)
         self._charge = charge
         self._make_room = make_room
         self._reading_bytes = 0
@@ -277,7 +282,7 @@
         sock.settimeout(None)
         set_socket_options(sock)
         self.opened += 1
-        return Connection(UpstreamSocket(sock, self._turns), self._clock)
+        return Connection(UpstreamSocket(sock, self.turns), self._clock)
 
     def _limit_time(
         self, address: str, timeout: float | None
--- a/tests/http1/test_endless_answers.py
+++ b/tests/http1/test_endless_answers.py
@@ -11,6 +11,7 @@
 from guavagate.exceptions import UpstreamError
 from guavagate.integrations._http import Connections
 from tests.http1.answer_readers import LIMIT_SECONDS, READERS
+from tests.http1.task_watch import MAX_PAUSE_SECONDS, TaskWatch
 
 # The most that is read of a body, and what the kernel holds between the ends.
 _MAX_SENT_BYTES: Final = 40_000_000
@@ -28,6 +29,14 @@
         _OK % b'Transfer-Encoding: chunked\r\n\r\n',
         b'2710\r\n%b\r\n' % (b'a' * 10_000) * 10,
     ),
+    'tiny chunks': (
+        _OK % b'Transfer-Encoding: chunked\r\n\r\n',
+        b'1\r\na\r\n' * 10_000,
+    ),
+    'long chunk heads': (
+        _OK % b'Transfer-Encoding: chunked\r\n\r\n',
+        b'1;%b\r\na\r\n' % (b'a' * 1000) * 100,
+    ),
     'trailer': (
         _OK % b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
         b'Name: value\r\n' * 10_000,
@@ -70,6 +79,25 @@
     assert upstream.sent < _MAX_SENT_BYTES
 
 
+@pytest.mark.parametrize('reader', list(READERS))
+@pytest.mark.parametrize('name', ['body', 'tiny chunks'])
+def test_other_tasks_run_while_bytes_without_end_are_read(
+    reader: str, name: str
+) -> None:
+    """The process did nothing else for eight seconds.
+
+    A read that finds data doesn't wait, and each of these chunks takes the
+    parser as long as a large one, so that the upstream was always ahead. Not
+    even the time limit of the request could end it.
+    """
+    upstream = _EndlessUpstream(*_ENDLESS[name])
+    watch = TaskWatch()
+    with pytest.raises(UpstreamError):
+        READERS[reader](upstream.address, b'')
+    upstream.server.stop(0)
+    assert watch.stop() < MAX_PAUSE_SECONDS
+
+
 def test_an_event_without_end_is_read_to_a_limit() -> None:
     """The library reads on until the end of the event arrives."""
     upstream = _EndlessUpstream(_OK % b'\r\ndata: ', b'a' * 100_000)
