Start an item over whose text is too long to be stored

A sampler that sends well-formed events without end filled the owner's memory: each run added up to 16 MB, and a run that was ended resumed after them. A text of over 600 KB that did end would have been refused by the store as often as it was sent, and all results of its job behind it.

Cause: a stream was bounded, but not the text that is kept across streams.

Change: a text is counted, also one that another instance had begun. Beyond five sixths of what a chunk of results may hold it is discarded, the sampler counts as failed, and the item starts over elsewhere. The rest is for characters that JSON escapes.

--- a/guavagate/jobs/_owner.py
+++ b/guavagate/jobs/_owner.py
@@ -112,6 +112,7 @@
             self._finish,
             self._on_text_complete,
             lambda: starts is not None and starts.applies(),
+            job_store.max_text_bytes,
         )
         self._dispatcher = Dispatcher(
             service,
--- a/guavagate/jobs/_work.py
+++ b/guavagate/jobs/_work.py
@@ -15,21 +15,28 @@
 EVENT_SEPARATOR: Final = '\n'
 
 
+# Of an event in the text, as JSON: the line feed that separates it.
+_SEPARATOR_BYTES: Final = 2
+
+
 class Text(msgspec.Struct):
     """The text of an item so far, in complete events.
 
-    `complete` is set once the sampler has ended the text; only then can its
-    reward be requested. Events are numbered from 1 without gaps.
+    `size` is about how many bytes it takes in a result. `complete` is set once
+    the sampler has ended the text; only then can its reward be requested.
+    Events are numbered from 1 without gaps.
     """
 
     events: list[str] = []
     versions: list[WeightVersion] = []
     last_number: int = 0
     complete: bool = False
+    size: int = 0
 
     def add(self, event: TextEvent) -> None:
         """Append the next event."""
         self.events.append(event.text)
+        self.size += measure_event(event.text)
         self.last_number = event.number
         if event.version not in self.versions:
             self.versions.append(event.version)
@@ -53,6 +60,11 @@
         return EVENT_SEPARATOR.join(self.events)
 
 
+def measure_event(text: str) -> int:
+    """Return about how many bytes an event takes in a result."""
+    return len(text.encode()) + _SEPARATOR_BYTES
+
+
 class ItemProgress(msgspec.Struct):
     """The progress of an item; `moves` counts its changes of sampler.
 
--- a/guavagate/jobs/records/_store.py
+++ b/guavagate/jobs/records/_store.py
@@ -31,6 +31,8 @@
 # for the head of a job.
 PART_BYTES: Final = 600_000
 PART_SHARE: Final = 4 / 7
+# Of a chunk of results, for a text before its characters are escaped.
+TEXT_SHARE: Final = 5 / 6
 DEFAULT_VALUE_BYTES: Final = 1_048_576
 # Estimate for ids, headers and the like of an item or its reward request.
 ITEM_HEAD_BYTES: Final = 500
@@ -64,6 +66,8 @@
     ----------
     part_bytes
         Size limit of a part of a job's items, and of a chunk of its results.
+    max_text_bytes
+        Size limit of an item's text, whose result must fit into such a chunk.
     """
 
     def __init__(
@@ -75,6 +79,7 @@
         value_bytes: int = DEFAULT_VALUE_BYTES,
     ) -> None:
         self.part_bytes = min(int(value_bytes * PART_SHARE), PART_BYTES)
+        self.max_text_bytes = int(self.part_bytes * TEXT_SHARE)
         self.object_store = store
         self.has_spare_writes = has_spare_writes
         self._clock = clock
--- a/guavagate/jobs/texts/_replicas.py
+++ b/guavagate/jobs/texts/_replicas.py
@@ -19,7 +19,12 @@
 from guavagate.clock import Clock
 from guavagate.exceptions import LinkError
 from guavagate.jobs._models import ItemId, JobId
-from guavagate.jobs._work import ItemProgress, JobWork, Text
+from guavagate.jobs._work import (
+    ItemProgress,
+    JobWork,
+    Text,
+    measure_event,
+)
 from guavagate.jobs.texts._adoption import adopt_text, is_much_longer
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId, ServiceId, WeightVersion
@@ -359,5 +364,11 @@
     if not fits or (end, part.whole) <= (len(events), replica.text.complete):
         return
     events = [*events[: part.after], *part.events]
-    replica.text = Text(events, list(part.versions), len(events), part.whole)
+    replica.text = Text(
+        events,
+        list(part.versions),
+        len(events),
+        part.whole,
+        sum(map(measure_event, events)),
+    )
     replicas[part.item] = replica
--- a/guavagate/jobs/texts/_runner.py
+++ b/guavagate/jobs/texts/_runner.py
@@ -1,6 +1,7 @@
 """Runs an item on a sampler, event by event."""
 
 import logging
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -65,6 +66,8 @@
     limits_starts
         Returns whether starts at samplers are limited. A refusal uses up a
         start too, so a sampler that refuses is then asked less and less often.
+    max_text_bytes
+        A longer text can't be stored, and would hold up the results behind it.
     """
 
     def __init__(
@@ -77,7 +80,9 @@
         finish: Finish,
         handle_complete_text: HandleCompleteText,
         limits_starts: Callable[[], bool] = bool,
+        max_text_bytes: float = math.inf,
     ) -> None:
+        self._max_text_bytes = max_text_bytes
         self._limits_starts = limits_starts
         self._quarantine = quarantine
         self._handle_complete_text = handle_complete_text
@@ -218,6 +223,12 @@
             )
         self._states.record_version(upstream.id, job.model, event.version)
         progress.text.add(event)
+        if progress.text.size > self._max_text_bytes:
+            progress.text = Text()
+            raise UpstreamError(
+                f'{upstream.id} sent a longer text than can be stored',
+                'check the sampler; the item starts over elsewhere',
+            )
         single = event.version if job.single_version else None
         if not progress.text.meets_version_bounds(job.min_version, single):
             progress.text = Text()
--- a/tests/jobs/samplers.py
+++ b/tests/jobs/samplers.py
@@ -1,5 +1,6 @@
 """Fakes samplers in memory: streams, crashes, version orders."""
 
+import sys
 from collections import Counter
 from collections.abc import Callable, Iterator
 
@@ -23,6 +24,7 @@
 
 SERVICE = ServiceId('llm')
 MODEL = 'm0'
+ENDLESS_PADDING = 'x' * 50_000
 
 
 def make_upstream(
@@ -59,7 +61,9 @@
     def events(self) -> Iterator[TextEvent]:
         """Yield the events after `resume_after`."""
         samplers, name = self._samplers, self._upstream.id
-        for number in range(self._item.resume_after + 1, samplers.length + 1):
+        is_endless = name in samplers.endless
+        end = sys.maxsize if is_endless else samplers.length
+        for number in range(self._item.resume_after + 1, end + 1):
             samplers.clock.sleep(samplers.event_seconds.get(name, 0.05))
             while name in samplers.stalled and not self.cancelled:
                 samplers.clock.sleep(0.02)
@@ -76,7 +80,8 @@
                 raise UpstreamDisconnectedError('crashed', 'nothing')
             version = samplers.versions.get(name, WeightVersion(1))
             samplers.generated[self._item.id] += 1
-            text = f'{self._item.id}/{number}{samplers.padding}'
+            padding = ENDLESS_PADDING if is_endless else samplers.padding
+            text = f'{self._item.id}/{number}{padding}'
             yield TextEvent(number, text, version)
 
     def _check_connection(self) -> None:
@@ -99,6 +104,7 @@
     idle connections. A `stalled` sampler sends no more events, a `down` one
     refuses connections, `skipped` lists events that a sampler leaves out, and
     `contradicted` those before which it sends an earlier one with other data.
+    `endless` ones never end a text.
     The first `lost_orders` orders get no response. Those in `full` refuse
     items. The items in `crashing` crash the samplers that run them, with all
     other runs there.
@@ -110,6 +116,7 @@
         self.padding = ''
         self.event_seconds: dict[str, float] = {}
         self.down: set[str] = set()
+        self.endless: set[str] = set()
         self.skipped: set[tuple[str, int]] = set()
         self.contradicted: set[tuple[str, int]] = set()
         self.versions: dict[str, WeightVersion] = {}
--- a/tests/jobs/texts/test_texts.py
+++ b/tests/jobs/texts/test_texts.py
@@ -14,7 +14,13 @@
 )
 from guavagate.models import InstanceId, WeightVersion
 from guavagate.ports.sampler import TextEvent
-from tests.jobs.fleet import JobFleet, check_complete, find_other, make_job
+from tests.jobs.fleet import (
+    JobFleet,
+    Node,
+    check_complete,
+    find_other,
+    make_job,
+)
 from tests.jobs.samplers import SERVICE
 
 _COMPLETION_SECONDS = 20
@@ -54,6 +60,29 @@
     assert len(owner.samplers.started) == 9
 
 
+def test_a_text_without_end_starts_over_elsewhere(fleet: JobFleet) -> None:
+    """It filled the memory of the owner, and no store would have taken it.
+
+    The sampler sends well-formed events without end. The item must not resume
+    after them: its text would be too long to be stored wherever it ends.
+    """
+    owner = fleet.nodes[fleet.owner()]
+    owner.samplers.endless = {'x'}
+    fleet.submit(make_job(), 'a')
+    longest = 0
+    for _ in range(40):
+        fleet.clock.advance(0.5)
+        longest = max(longest, _measure_longest_text(owner))
+    check_complete(fleet, 'a', 6)
+    assert 0 < longest <= owner.job_store.max_text_bytes
+
+
+def _measure_longest_text(owner: Node) -> int:
+    works = owner.owner._active_jobs.list_open()
+    texts = [each.text for work in works for each in work.items.values()]
+    return max((len(text.join()) for text in texts), default=0)
+
+
 def test_resubmitted_items_resume_their_partial_texts(fleet: JobFleet) -> None:
     """The next job resubmits a group that was incomplete.
 
