Decode all that comes from outside with one type of error

What operators saw: machines that no longer followed the store, after another writer had left one entry with lists nested in lists. A number of thousands of digits or a port out of range in an entry did no harm; their tests stay.

Cause: for such nesting a decoder raises RecursionError, which no caller expects beside the decoder's own errors. The entry made its whole list unreadable, and the error ended the task: a mirror, the reader of all peers' messages, a link, the reporter of usage, a committer of results.

Change: one module decodes, and turns every error into the decoder's own. In a list of the store the content of an entry that is nested too deeply is read as null, so it names no sampler and the others hold; numbers that JSON can't have are too, where a list is read leniently. A usage window whose record can't be read is reported by nobody, a record of a partition that can't be read is refused, and an odd answer of a peer fails its request alone.

--- a/guavagate/cli/_client.py
+++ b/guavagate/cli/_client.py
@@ -7,6 +7,7 @@
 from geventhttpclient import HTTPClient
 
 from guavagate.cli._errors import ExitCode, ToolError, find_exit_code
+from guavagate.helpers.decoding import decode_json
 from guavagate.operators import ErrorBody, ErrorDetail
 
 _CONNECT_TIMEOUT_SECONDS: Final = 3.0
@@ -100,8 +101,8 @@
 def _decode_answer(status: int, content: bytes, kind: type[_Body]) -> _Body:
     try:
         if status < _FIRST_ERROR_STATUS:
-            return msgspec.json.decode(content, type=kind)
-        detail = msgspec.json.decode(content, type=ErrorBody).error
+            return decode_json(content, kind)
+        detail = decode_json(content, ErrorBody).error
     except (msgspec.DecodeError, UnicodeDecodeError):
         raise ToolError(
             f'the answer {status} is not from guavagate\ncheck that the'
--- a/guavagate/duties/_reporter.py
+++ b/guavagate/duties/_reporter.py
@@ -13,11 +13,13 @@
 from guavagate.events import duties as events
 from guavagate.events import write
 from guavagate.exceptions import StoreError
+from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.store_writes import (
     MaybeWrittenError,
     NotWrittenError,
     create,
 )
+from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId
 from guavagate.ports.duties import (
@@ -26,10 +28,11 @@
     LeaseHolder,
     TeamCounts,
 )
-from guavagate.ports.store import ObjectStore
+from guavagate.ports.store import ObjectStore, StoredObject
 from guavagate.rollouts import Lease, LeaseHeldError, acquire_for_orders
 
 _LOGGER: Final = logging.getLogger(__name__)
+_UNREADABLE: Final = UnreadableObjects()
 
 WINDOWS_FOLDER: Final = 'usage-windows'
 LEASE_PATH: Final = 'duty-leases/usage'
@@ -159,15 +162,22 @@
             if stored is None:
                 self._log_unknown(window)
                 return
-            self._unreported[window] = _decode(stored.value)
+            counts = _decode(stored)
+            if counts is None:
+                self._log_unknown(window)
+                return
+            self._unreported[window] = counts
             return
-        counts = self._totals.sum_window(window)
-        value = msgspec.json.encode(_Window(counts))
+        own = self._totals.sum_window(window)
+        value = msgspec.json.encode(_Window(own))
         existing = create(
             self._store, self._clock, path, value, CREATE_TIMEOUT_SECONDS
         )
-        if existing is not None:
-            counts = _decode(existing.value)
+        counts = own if existing is None else _decode(existing)
+        if counts is None:
+            # Another instance may have reported other counts for it.
+            self._log_unknown(window)
+            return
         self._unreported[window] = counts
         write(
             _LOGGER,
@@ -226,5 +236,10 @@
             self._attempts.pop(window)
 
 
-def _decode(value: bytes) -> TeamCounts:
-    return msgspec.json.decode(value, type=_Window).counts
+def _decode(stored: StoredObject) -> TeamCounts | None:
+    """Return a window's counts, `None` if they can't be read."""
+    try:
+        return decode_json(stored.value, _Window).counts
+    except msgspec.MsgspecError as error:
+        _UNREADABLE.report(stored.path, str(error))
+        return None
--- a/guavagate/explain/_recent.py
+++ b/guavagate/explain/_recent.py
@@ -9,6 +9,7 @@
 from guavagate.clock import Clock
 from guavagate.events import routing as events
 from guavagate.events import write
+from guavagate.helpers.decoding import decode_msgpack
 from guavagate.models import InstanceId
 
 _LOGGER = logging.getLogger(__name__)
@@ -95,7 +96,7 @@
     def find(self, subject: str) -> list[Decision]:
         """Return the stored decisions about a subject, oldest first."""
         return [
-            msgspec.msgpack.decode(packed, type=Decision)
+            decode_msgpack(packed, Decision)
             for packed in self._by_subject.get(subject[:_MAX_TEXT_CHARS], ())
         ]
 
--- a/guavagate/explain/logs.py
+++ b/guavagate/explain/logs.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from guavagate.events import fleet, forwarding, jobs
+from guavagate.helpers.decoding import decode_json
 
 # Events that affect all work; shown between the lines about a subject.
 _CLUSTER_EVENTS: Final = frozenset(
@@ -68,7 +69,7 @@
         if not brace:
             continue
         try:
-            record = msgspec.json.decode(f'{brace}{rest}', type=dict[str, Any])
+            record = decode_json(f'{brace}{rest}', dict[str, Any])
         except msgspec.DecodeError:
             _LOGGER.debug('not an event: %s', line[:80])
             continue
--- a/guavagate/feeds/_packing.py
+++ b/guavagate/feeds/_packing.py
@@ -15,6 +15,7 @@
 
 from guavagate.exceptions import LinkError
 from guavagate.feeds._messages import FeedEntry
+from guavagate.helpers.decoding import decode_msgpack
 
 # The fastest level; slower ones save little more on such repetitive text.
 COMPRESSION_LEVEL: Final = 1
@@ -43,7 +44,7 @@
                 'a snapshot of the feed is truncated or too large',
                 'no action needed; another relay is tried',
             )
-        return msgspec.msgpack.decode(content, type=list[FeedEntry])
+        return decode_msgpack(content, list[FeedEntry])
     except (zlib.error, msgspec.MsgspecError) as error:
         raise LinkError(
             f'a snapshot of the feed cannot be decoded: {error}',
--- a/guavagate/helpers/store_writes.py
+++ b/guavagate/helpers/store_writes.py
@@ -1,11 +1,12 @@
 """Creates objects with a known outcome in a store that may lose answers."""
 
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 
 from guavagate.clock import Clock
 from guavagate.exceptions import StoreConflictError, StoreUnavailableError
+from guavagate.helpers.decoding import decode_json
 from guavagate.ports.store import ObjectStore, StoredObject
 
 RETRY_SECONDS: Final = 0.1
@@ -68,7 +69,10 @@
     """Return whether two JSON texts have equal content."""
     if one == other:
         return True
-    return msgspec.json.decode(one) == msgspec.json.decode(other)
+    try:
+        return bool(decode_json(one, Any) == decode_json(other, Any))
+    except msgspec.MsgspecError:
+        return False  # Another writer's object, which can't be read.
 
 
 def _make_write_error(*, uncertain: bool) -> Exception:
--- a/guavagate/integrations/_errors.py
+++ b/guavagate/integrations/_errors.py
@@ -9,6 +9,7 @@
     UpstreamLeavingError,
     UpstreamNotStartedError,
 )
+from guavagate.helpers.decoding import decode_json
 
 LEAVING_CODE: Final = 'leaving'
 NOT_STARTED_CODES: Final = frozenset((LEAVING_CODE, 'overloaded'))
@@ -31,7 +32,7 @@
 def read_error_code(data: bytes) -> str:
     """Return the code of an error body, or an empty string."""
     try:
-        return msgspec.json.decode(data, type=ErrorAnswer).error.code
+        return decode_json(data, ErrorAnswer).error.code
     except msgspec.MsgspecError:
         return ''
 
--- a/guavagate/integrations/instance_list/_poller.py
+++ b/guavagate/integrations/instance_list/_poller.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from guavagate.clock import Clock, Task
+from guavagate.helpers.decoding import decode_json
 from guavagate.integrations.instance_list.models import (
     ListBody,
     ListedInstance,
@@ -91,14 +92,14 @@
 
 def _decode(body: bytes) -> list[ListedInstance] | None:
     try:
-        entries = msgspec.json.decode(body, type=ListBody).instances
+        entries = decode_json(body, ListBody).instances
     except msgspec.MsgspecError as error:
         _LOGGER.debug('The instance list is malformed: %s', error)
         return None
     listed = []
     for entry in entries:
         try:
-            listed.append(msgspec.json.decode(entry, type=ListedInstance))
+            listed.append(decode_json(entry, ListedInstance))
         except msgspec.MsgspecError as error:
             _LOGGER.debug(
                 'Skipped a malformed entry of the instance list: %s', error
--- a/guavagate/integrations/model_engine/_client.py
+++ b/guavagate/integrations/model_engine/_client.py
@@ -14,6 +14,7 @@
     UpstreamError,
     UpstreamNotStartedError,
 )
+from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.event_stream import is_blank
 from guavagate.integrations._errors import make_error, make_malformed_error
 from guavagate.integrations._http import Connections, Response
@@ -218,7 +219,7 @@
             self._raise_error(address, answer, timeout)
         data = self._connections.read(address, answer, timeout)
         try:
-            return msgspec.json.decode(data, type=kind)
+            return decode_json(data, kind)
         except msgspec.MsgspecError as error:
             raise make_malformed_error(address, error) from error
 
--- a/guavagate/integrations/model_engine/_wire.py
+++ b/guavagate/integrations/model_engine/_wire.py
@@ -3,12 +3,13 @@
 import msgspec
 
 from guavagate.exceptions import UpstreamError
+from guavagate.helpers.decoding import make_json_decoder
 from guavagate.integrations._errors import make_malformed_error
 from guavagate.integrations.model_engine.models import StreamEvent
 from guavagate.models import WeightVersion
 from guavagate.ports.engine import Generation, Piece
 
-_EVENT = msgspec.json.Decoder(StreamEvent)
+_EVENT = make_json_decoder(StreamEvent)
 
 
 def encode_request(generation: Generation) -> bytes:
@@ -22,7 +23,7 @@
 def decode_event(address: str, data: bytes) -> StreamEvent:
     """Return an event; a malformed one raises `UpstreamError`."""
     try:
-        return _EVENT.decode(data)
+        return _EVENT(data)
     except msgspec.MsgspecError as error:
         raise make_malformed_error(address, error) from error
 
--- a/guavagate/integrations/object_api/_client.py
+++ b/guavagate/integrations/object_api/_client.py
@@ -14,6 +14,7 @@
     StoreConflictError,
     StoreUnavailableError,
 )
+from guavagate.helpers.decoding import decode_json
 from guavagate.integrations.object_api import const
 from guavagate.integrations.object_api._known_versions import KnownVersions
 from guavagate.integrations.object_api._retrying_client import RetryingClient
@@ -233,7 +234,7 @@
 
 def _decode(answer: Answer, kind: type[Body]) -> Body:
     try:
-        return msgspec.json.decode(answer.body, type=kind)
+        return decode_json(answer.body, kind)
     except msgspec.MsgspecError as error:
         raise StoreUnavailableError(
             f'the platform sent what is no answer ({error})',
--- a/guavagate/integrations/plain_service/_client.py
+++ b/guavagate/integrations/plain_service/_client.py
@@ -7,6 +7,7 @@
 from guavagate.clock import Clock
 from guavagate.const import HEADER_EXCHANGE, HEADER_IDEMPOTENCY_KEY
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.helpers.decoding import decode_json
 from guavagate.integrations._errors import make_error, make_malformed_error
 from guavagate.integrations._http import Connections, Response
 from guavagate.integrations.plain_service import const
@@ -85,7 +86,7 @@
         if answer.status_code != 200:
             raise make_error(address, answer.status_code, data)
         try:
-            return msgspec.json.decode(data, type=ServiceReport)
+            return decode_json(data, ServiceReport)
         except msgspec.MsgspecError as error:
             raise make_malformed_error(address, error) from error
 
--- a/guavagate/integrations/scoring_service/_client.py
+++ b/guavagate/integrations/scoring_service/_client.py
@@ -4,6 +4,7 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import UpstreamError
+from guavagate.helpers.decoding import decode_json
 from guavagate.integrations._errors import make_error, make_malformed_error
 from guavagate.integrations._http import Connections
 from guavagate.integrations.scoring_service import const
@@ -56,7 +57,7 @@
         if answer.status_code != 200:
             raise make_error(address, answer.status_code, data)
         try:
-            score = msgspec.json.decode(data, type=ScoreAnswer)
+            score = decode_json(data, ScoreAnswer)
         except msgspec.MsgspecError as error:
             raise make_malformed_error(address, error) from error
         if score.sample_id != sample_id:
--- a/guavagate/integrations/weight_store/_client.py
+++ b/guavagate/integrations/weight_store/_client.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from guavagate.clock import Clock
+from guavagate.helpers.decoding import decode_json
 from guavagate.integrations._errors import make_error, make_malformed_error
 from guavagate.integrations._http import Connections
 from guavagate.integrations.weight_store import const
@@ -45,7 +46,7 @@
         if answer.status_code != 200:
             raise make_error(address, answer.status_code, data)
         try:
-            entry = msgspec.json.decode(data, type=WeightEntry)
+            entry = decode_json(data, WeightEntry)
         except msgspec.MsgspecError as error:
             raise make_malformed_error(address, error) from error
         return WeightObject(
--- a/guavagate/jobs/_result_log.py
+++ b/guavagate/jobs/_result_log.py
@@ -8,6 +8,7 @@
 from guavagate.clock import Clock
 from guavagate.events import jobs as events
 from guavagate.events import write
+from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.store_writes import create
 from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.jobs._models import (
@@ -138,7 +139,7 @@
     later results are committed after it.
     """
     try:
-        return msgspec.json.decode(stored.value, type=Chunk)
+        return decode_json(stored.value, Chunk)
     except msgspec.MsgspecError as error:
         _UNREADABLE.report(stored.path, str(error))
         return Chunk('', [])
--- a/guavagate/jobs/records/_store.py
+++ b/guavagate/jobs/records/_store.py
@@ -7,6 +7,7 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import StoreError
+from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.store_writes import (
     MaybeWrittenError,
     NotWrittenError,
@@ -190,7 +191,7 @@
             part = self.object_store.get(part_path(job.id, number))
             if part is None:
                 raise ValueError(f'part {number} of job {job.id} is missing')
-            items += msgspec.json.decode(part.value, type=list[JobItem])
+            items += decode_json(part.value, list[JobItem])
         return msgspec.structs.replace(job, items=items)
 
     def end(self, job: JobId, timeout: float) -> None:
@@ -206,7 +207,7 @@
 
 def decode_job(value: bytes) -> Job:
     """Return a job as stored, without the items that are in parts."""
-    return msgspec.json.decode(value, type=Job)
+    return decode_json(value, Job)
 
 
 def measure_item(item: JobItem) -> int:
--- a/guavagate/jobs/texts/_checkpoints.py
+++ b/guavagate/jobs/texts/_checkpoints.py
@@ -18,6 +18,7 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import StoreError
+from guavagate.helpers.decoding import decode_json
 from guavagate.jobs._models import JobId, texts_path
 from guavagate.jobs._result_log import ResultLog
 from guavagate.jobs._work import ItemProgress, JobWork
@@ -78,9 +79,7 @@
         try:
             stored = self._store.get(texts_path(job))
             if stored is not None:
-                self._loaded[job] = msgspec.json.decode(
-                    stored.value, type=list[SavedText]
-                )
+                self._loaded[job] = decode_json(stored.value, list[SavedText])
         except (StoreError, msgspec.MsgspecError) as error:
             _LOGGER.debug('texts of %s not loaded: %s', job, error)
 
--- a/guavagate/jobs/texts/_snapshots.py
+++ b/guavagate/jobs/texts/_snapshots.py
@@ -23,6 +23,7 @@
 
 from guavagate.events import jobs as events
 from guavagate.events import write
+from guavagate.helpers.decoding import decode_msgpack
 from guavagate.jobs._models import JobId
 from guavagate.jobs._work import JobWork
 from guavagate.jobs.texts._saved_texts import (
@@ -104,7 +105,7 @@
         try:
             with path.open('rb') as file:
                 content = file.read(MAX_FILE_BYTES)
-            texts = msgspec.msgpack.decode(content, type=list[SavedText])
+            texts = decode_msgpack(content, list[SavedText])
         except FileNotFoundError:
             return
         except (OSError, msgspec.MsgspecError) as error:
--- a/guavagate/ledger/_state.py
+++ b/guavagate/ledger/_state.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from guavagate.helpers.decoding import decode_msgpack
 from guavagate.ledger._messages import (
     Abort,
     Answer,
@@ -97,7 +98,7 @@
 
     def restore(self, snapshot: bytes) -> None:
         """Replace all records."""
-        state = msgspec.msgpack.decode(snapshot, type=_Snapshot)
+        state = decode_msgpack(snapshot, _Snapshot)
         self._records = state.records
         self._bytes = sum(
             _count_bytes(scope, record)
--- a/guavagate/links/_compression.py
+++ b/guavagate/links/_compression.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from guavagate.helpers.decoding import decode_msgpack
 from guavagate.links._envelope import MAX_FRAME_BYTES, Envelope
 
 # Value of `Envelope.codec` for zlib, and of `Envelope.accepts` if the sender
@@ -50,7 +51,7 @@
     """
     if not envelope.codec:
         return envelope.body
-    packed = msgspec.msgpack.decode(envelope.body, type=bytes)
+    packed = decode_msgpack(envelope.body, bytes)
     decompressor = zlib.decompressobj()
     try:
         body = decompressor.decompress(packed, MAX_FRAME_BYTES)
--- a/guavagate/links/_envelope.py
+++ b/guavagate/links/_envelope.py
@@ -8,6 +8,7 @@
 
 from guavagate.const import ATTR_NOT_RUN
 from guavagate.exceptions import GuavagateError, LinkError, LinkRefusedError
+from guavagate.helpers.decoding import decode_msgpack, make_msgpack_decoder
 from guavagate.models import NotRun
 
 WIRE_VERSION: Final = 1
@@ -75,7 +76,7 @@
 
 
 encode_envelope: Final = msgspec.msgpack.Encoder().encode
-decode_envelope: Final = msgspec.msgpack.Decoder(Envelope).decode
+decode_envelope: Final = make_msgpack_decoder(Envelope)
 
 
 def encode_error(error: GuavagateError) -> bytes:
@@ -110,10 +111,19 @@
 def decode_error(body: bytes | msgspec.Raw) -> GuavagateError:
     """Return the error that a peer raised.
 
-    An error of a class that this release does not know becomes a `LinkError`:
-    the peer may have handled the message.
+    An error of a class that this release does not know becomes a `LinkError`,
+    as does one that can't be read: the peer may have handled the message.
     """
-    wire = msgspec.msgpack.decode(body, type=ErrorBody)
+    try:
+        return _decode_error(decode_msgpack(body, ErrorBody))
+    except ValueError as error:
+        return LinkError(
+            f'the peer sent an error that can not be read ({error})',
+            'find out whether it handled the message before asking again',
+        )
+
+
+def _decode_error(wire: ErrorBody) -> GuavagateError:
     kinds = {
         kind.__name__: kind for kind in _iterate_subclasses(GuavagateError)
     }
--- a/guavagate/links/_server.py
+++ b/guavagate/links/_server.py
@@ -11,6 +11,7 @@
 from guavagate.clock import Clock
 from guavagate.events import fleet, write
 from guavagate.exceptions import GuavagateError, LinkError
+from guavagate.helpers.decoding import make_msgpack_decoder
 from guavagate.links._bus import Handler, Message
 from guavagate.links._compression import (
     ZLIB,
@@ -42,6 +43,8 @@
 _OUTBOX_LIMIT: Final = 10_000
 _EMPTY_BODY: Final = b'\xc0'
 
+_Decode = Callable[[bytes | msgspec.Raw], Message]
+
 _encode: Final = msgspec.msgpack.Encoder().encode
 
 
@@ -59,14 +62,14 @@
         self._boot = boot
         self._clock = clock
         self._messages = messages
-        self._handlers: dict[str, tuple[Handler, msgspec.msgpack.Decoder]] = {}
+        self._handlers: dict[str, tuple[Handler, _Decode]] = {}
         self._handled_requests = HandledRequests()
         self._running = 0
         self._owner: SocketOwner | None = None
 
     def register(self, kind: type[Message], handler: Handler) -> None:
         """Register the handler for messages of this kind."""
-        decoder = msgspec.msgpack.Decoder(kind)
+        decoder = make_msgpack_decoder(kind)
         self._handlers[kind.__name__] = (handler, decoder)
 
     def start(self, socket: zmq.Socket, traffic: Traffic) -> None:
@@ -135,7 +138,7 @@
             )
             return
         try:
-            message = decoder.decode(decode_body(envelope))
+            message = decoder(decode_body(envelope))
         except msgspec.MsgspecError as problem:
             self._refuse(
                 identity,
--- a/guavagate/links/_zmq_bus.py
+++ b/guavagate/links/_zmq_bus.py
@@ -10,7 +10,8 @@
 from gevent.event import Event
 
 from guavagate.clock import Clock, Task
-from guavagate.exceptions import LinkRefusedError
+from guavagate.exceptions import LinkError, LinkRefusedError
+from guavagate.helpers.decoding import decode_msgpack
 from guavagate.helpers.waits import wait_for
 from guavagate.links._bus import Handler, Message, Reply
 from guavagate.links._connection import Connection, connect_peer
@@ -105,7 +106,13 @@
         kind = type(message).__name__
         number = next(self._numbers)
         body = link.request(number, kind, _encode(message), timeout)
-        return msgspec.msgpack.decode(body, type=reply)
+        try:
+            return decode_msgpack(body, reply)
+        except msgspec.MsgspecError as error:
+            raise LinkError(
+                f'{peer} sent a reply that can not be read ({error})',
+                'find out whether it handled the message before asking again',
+            ) from error
 
     def send(self, peer: InstanceId, message: Message) -> None:
         """Send a one-way message; drop it if unreachable or the queue full."""
--- a/guavagate/membership/_packet.py
+++ b/guavagate/membership/_packet.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from guavagate.helpers.decoding import make_msgpack_decoder
 from guavagate.models import InstanceId, RegionId, ZoneId
 from guavagate.settings import PeerSettings
 
@@ -89,7 +90,7 @@
 
 
 _encoder: Final = msgspec.msgpack.Encoder()
-_decoder: Final = msgspec.msgpack.Decoder(Packet)
+_decoder: Final = make_msgpack_decoder(Packet)
 
 
 def encode_packet(packet: Packet, credential: bytes) -> bytes:
@@ -105,7 +106,7 @@
     if not hmac.compare_digest(code, datagram[:MAC_BYTES]):
         return None
     try:
-        return _decoder.decode(body)
+        return _decoder(body)
     except msgspec.MsgspecError:
         return None
 
--- a/guavagate/membership/registry.py
+++ b/guavagate/membership/registry.py
@@ -8,6 +8,7 @@
 
 from guavagate.clock import Clock
 from guavagate.exceptions import StoreConflictError, StoreError
+from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.membership import Membership
 from guavagate.models import Revision
@@ -167,7 +168,7 @@
 
     def _decode(self, stored: StoredObject) -> PeerSettings | None:
         try:
-            return msgspec.json.decode(stored.value, type=PeerSettings)
+            return decode_json(stored.value, PeerSettings)
         except msgspec.MsgspecError as error:
             self._unreadable.report(stored.path, str(error))
             return None
--- a/guavagate/partitions/_blobs.py
+++ b/guavagate/partitions/_blobs.py
@@ -10,6 +10,7 @@
 from guavagate.events import partitions as events
 from guavagate.events import write
 from guavagate.exceptions import StoreError
+from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.store_writes import (
     MaybeWrittenError,
     NotWrittenError,
@@ -74,9 +75,7 @@
         if None in parts:
             raise BlobDeletedError(blob.name)
         return b''.join(
-            msgspec.json.decode(part, type=bytes)
-            for part in parts
-            if part is not None
+            decode_json(part, bytes) for part in parts if part is not None
         )
 
     def put(self, content: bytes) -> Blob:
--- a/guavagate/partitions/_record.py
+++ b/guavagate/partitions/_record.py
@@ -15,6 +15,7 @@
 
 from guavagate.const import DEFAULT_PARTITIONS
 from guavagate.exceptions import StoreError
+from guavagate.helpers.decoding import decode_json
 from guavagate.models import Epoch, InstanceId, PartitionId
 from guavagate.partitions._blobs import Blob
 from guavagate.partitions._messages import Entry
@@ -73,7 +74,7 @@
 def decode_record(stored: StoredObject) -> Record:
     """Decode a record; raise `StoreError` if the object is not a record."""
     try:
-        return msgspec.json.decode(stored.value, type=Record)
+        return decode_json(stored.value, Record)
     except msgspec.MsgspecError as error:
         raise StoreError(
             f'{stored.path} holds no record ({error})',
--- a/guavagate/partitions/_record_writer.py
+++ b/guavagate/partitions/_record_writer.py
@@ -7,7 +7,12 @@
 import msgspec
 
 from guavagate.clock import Clock
-from guavagate.exceptions import StoreConflictError, StoreUnavailableError
+from guavagate.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from guavagate.helpers.decoding import decode_msgpack
 from guavagate.models import Epoch, InstanceId, PartitionId, Revision
 from guavagate.partitions._blobs import Blob, BlobDeletedError, BlobStore
 from guavagate.partitions._messages import Entry
@@ -205,12 +210,18 @@
                 machine.restore(self._blobs.get(record.snapshot))
             for segment in record.segments:
                 machine.apply_all(_decode_segment(self._blobs, segment))
+            machine.apply_all(record.tail)
         except BlobDeletedError as error:
             raise SupersededError(
                 record.holder, may_be_written=False
             ) from error
-        machine.apply_all(record.tail)
+        except msgspec.MsgspecError as error:
+            raise StoreError(
+                f'the record {self._path} can not be read ({error})',
+                'write back its earlier value; until then the keys of its'
+                ' partition are refused',
+            ) from error
 
 
 def _decode_segment(blobs: BlobStore, segment: Blob) -> list[Entry]:
-    return msgspec.msgpack.decode(blobs.get(segment), type=list[Entry])
+    return decode_msgpack(blobs.get(segment), list[Entry])
--- a/guavagate/partitions/_state_machine.py
+++ b/guavagate/partitions/_state_machine.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from guavagate.exceptions import StoreError
+from guavagate.helpers.decoding import decode_msgpack
 from guavagate.partitions._messages import Entry
 from guavagate.partitions._state import Command, PartitionState, SupportsPreview
 
@@ -67,14 +68,14 @@
         state = self._states[kind]
         if not isinstance(state, SupportsPreview):
             return None
-        command = msgspec.msgpack.decode(entry.payload, type=kind)
+        command = decode_msgpack(entry.payload, kind)
         outcome = state.preview(command)
         return None if outcome is None else msgspec.msgpack.encode(outcome)
 
     def apply(self, entry: Entry) -> AppliedCommand:
         """Apply an entry and store its outcome."""
         kind = self._kinds[entry.kind]
-        command = msgspec.msgpack.decode(entry.payload, type=kind)
+        command = decode_msgpack(entry.payload, kind)
         outcome = msgspec.msgpack.encode(self._states[kind].apply(command))
         applied = AppliedCommand(entry.command_id, outcome, entry.at)
         self._store_outcome(applied)
@@ -107,7 +108,7 @@
 
     def restore(self, raw: bytes) -> None:
         """Replace the complete state with a snapshot."""
-        snapshot = msgspec.msgpack.decode(raw, type=_Snapshot)
+        snapshot = decode_msgpack(raw, _Snapshot)
         pairs = zip(self._list_distinct_states(), snapshot.states, strict=True)
         for state, part in pairs:
             state.restore(part)
--- a/guavagate/partitions/_stored.py
+++ b/guavagate/partitions/_stored.py
@@ -12,6 +12,7 @@
     NotAppliedError,
     OutcomeUnknownError,
 )
+from guavagate.helpers.decoding import decode_msgpack
 from guavagate.models import Epoch, InstanceId, PartitionId
 from guavagate.partitions._hosting import (
     HostContext,
@@ -113,7 +114,7 @@
         partition = find_partition(key, self._partitions)
         end = self._context.clock.now() + timeout
         raw = self._submit(partition, entry, end)
-        return msgspec.msgpack.decode(raw, type=outcome)
+        return decode_msgpack(raw, outcome)
 
     def submit_here(
         self,
@@ -134,7 +135,7 @@
         reply = primary.submit(entry, _ATTEMPT_SECONDS, repeated=False)
         maybe_applied = reply.verdict is Verdict.UNKNOWN
         raw = _get_outcome(reply, maybe_applied)
-        return msgspec.msgpack.decode(raw, type=outcome)
+        return decode_msgpack(raw, outcome)
 
     def list_owned(self) -> list[OwnedPartition]:
         """Return the partitions that this instance leads."""
--- a/guavagate/platform/_jobs.py
+++ b/guavagate/platform/_jobs.py
@@ -8,6 +8,7 @@
 import msgspec
 import xxhash
 
+from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.numbers import WholeNumber, parse_whole_number
 from guavagate.jobs import (
     GroupId,
@@ -84,7 +85,7 @@
     if not request_id or len(request_id) > _MAX_ID or '/' in request_id:
         raise BadJobError('send an id of 1 to 200 characters without a slash')
     try:
-        submission = msgspec.json.decode(body, type=_Submission)
+        submission = decode_json(body, _Submission)
     except msgspec.MsgspecError as error:
         raise BadJobError(f'correct the body: {error}') from error
     items = [_to_item(each) for each in submission.items]
--- a/guavagate/platform/_manifest.py
+++ b/guavagate/platform/_manifest.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from guavagate.auth import hash_token
+from guavagate.helpers.decoding import decode_json
 from guavagate.http1 import ServerLimits
 from guavagate.models import ServiceId, TeamId, ZoneId
 from guavagate.platform.const import MILLIS
@@ -108,7 +109,7 @@
 
 def decode_manifest(value: bytes) -> Configuration:
     """Return a manifest as a configuration; raises `msgspec.MsgspecError`."""
-    manifest = msgspec.json.decode(value, type=_Manifest)
+    manifest = decode_json(value, _Manifest)
     limits = manifest.limits
     return Configuration(
         version=manifest.version,
--- a/guavagate/platform/_samplers.py
+++ b/guavagate/platform/_samplers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from guavagate.exceptions import UpstreamError, UpstreamNotStartedError
+from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.event_stream import (
     EventStream,
     make_foreign_block_logger,
@@ -94,7 +95,7 @@
         if answer.status != _OK:
             raise _make_error(f'{upstream.id} answered {answer.status}')
         try:
-            report = msgspec.json.decode(body, type=_Report)
+            report = decode_json(body, _Report)
         except msgspec.MsgspecError as error:
             raise _make_error(f'{upstream.id} sent no valid report') from error
         return SamplerReport(
--- a/guavagate/platform/_servers.py
+++ b/guavagate/platform/_servers.py
@@ -1,22 +1,20 @@
 """Decodes samplers' registrations into upstreams."""
 
-import ipaddress
-from typing import Final, Literal
+from typing import Annotated, Final, Literal
 
 import msgspec
 
-from guavagate.helpers.numbers import (
-    WholeNumber,
-    floor_number,
-    parse_whole_number,
-)
+from guavagate.helpers.addresses import require_ip_address
+from guavagate.helpers.decoding import decode_json
+from guavagate.helpers.numbers import WholeNumber, floor_number
 from guavagate.models import ServiceId, UpstreamId, WeightVersion, ZoneId
 from guavagate.ports.upstreams import Upstream
 
 _READY: Final = 'ready'
-_MAX_PORT: Final = 65_535
 # Far beyond any engine's batch size; a larger number is an error.
 _MAX_SLOTS: Final = 100_000
+# Far longer than any sampler takes to start or to leave.
+_Millis = Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
 
 
 class ModelState(msgspec.Struct, frozen=True):
@@ -38,8 +36,8 @@
     born: float = 0
     spot: bool = False
     # Given while it drains.
-    leaves_ms: float | None = None
-    cold: float | None = msgspec.field(default=None, name='cold-remaining-ms')
+    leaves_ms: _Millis | None = None
+    cold: _Millis | None = msgspec.field(default=None, name='cold-remaining-ms')
 
 
 class _Version(msgspec.Struct, frozen=True, kw_only=True):
@@ -55,9 +53,8 @@
     ValueError
         The value is not a valid registration of a sampler.
     """
-    server = msgspec.json.decode(value, type=_Server)
-    if not _is_address(server.address):
-        raise ValueError(f'{server.address!r} is not an IP address with a port')
+    server = decode_json(value, _Server)
+    require_ip_address(server.address)
     if not 0 <= server.slots <= _MAX_SLOTS:
         raise ValueError(f'slots must be 0 to {_MAX_SLOTS}, not {server.slots}')
     return Upstream(
@@ -75,15 +72,6 @@
     )
 
 
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(':')
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    return 0 < (parse_whole_number(port) or 0) <= _MAX_PORT
-
-
 def read_models(models: list[ModelState]) -> dict[str, WeightVersion]:
     """Return the weight version of each model."""
     return {each.name: WeightVersion(each.version) for each in models}
@@ -91,5 +79,5 @@
 
 def decode_version(value: bytes) -> tuple[str, WeightVersion]:
     """Return the model and version that a trainer has published."""
-    published = msgspec.json.decode(value, type=_Version)
+    published = decode_json(value, _Version)
     return published.model, WeightVersion(published.version)
--- a/guavagate/platform/_settings.py
+++ b/guavagate/platform/_settings.py
@@ -13,6 +13,7 @@
     ListenOptions,
     StoreOptions,
 )
+from guavagate.helpers.decoding import decode_toml
 from guavagate.models import InstanceId, RegionId, ZoneId
 from guavagate.platform import const
 from guavagate.settings import InstanceSettings, PlatformSettings
@@ -169,7 +170,7 @@
     """
     try:
         with open(path, 'rb') as file:
-            return msgspec.toml.decode(file.read(), type=NodeSettings)
+            return decode_toml(file.read(), NodeSettings)
     except (OSError, msgspec.MsgspecError) as error:
         raise SettingsError(
             f'the settings file {path} cannot be used ({error})',
--- a/guavagate/platform/_store.py
+++ b/guavagate/platform/_store.py
@@ -9,6 +9,7 @@
     StoreConflictError,
     StoreUnavailableError,
 )
+from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.lenient import decode_leniently
 from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.integrations.object_api import Priority, RetryingClient
@@ -68,6 +69,10 @@
     events: list[_Event] = []
 
 
+# Within how many lists and objects of an answer the contents of objects lie.
+_SPEC_NESTING: Final[dict[type, int]] = {_Object: 1, _List: 3, _Events: 4}
+
+
 class PlatformStore:
     """Stores objects under ``kind/name``; the value is the ``spec``."""
 
@@ -198,7 +203,7 @@
     read = []
     for raw in items:
         try:
-            read.append(msgspec.json.decode(raw, type=_Object))
+            read.append(decode_json(raw, _Object))
         except msgspec.MsgspecError as error:
             _UNREADABLE.report(prefix, str(error))
     return read
@@ -206,7 +211,7 @@
 
 def _decode(answer: Answer, kind: type[Any]) -> Any:
     try:
-        return decode_leniently(answer.body, kind)
+        return decode_leniently(answer.body, kind, _SPEC_NESTING[kind])
     except msgspec.MsgspecError as error:
         raise StoreUnavailableError(
             f'the store sent a malformed answer ({error})',
--- a/guavagate/quarantine/_records.py
+++ b/guavagate/quarantine/_records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from guavagate.helpers.decoding import decode_json
 from guavagate.models import UpstreamId
 from guavagate.quarantine._identity import ANY_QUERY, RequestIdentity
 
@@ -42,4 +43,4 @@
 
 def decode_record(value: bytes) -> StoppedRequest:
     """Decode an object of the store; raises `ValueError`."""
-    return msgspec.json.decode(value, type=StoppedRequest)
+    return decode_json(value, StoppedRequest)
--- a/guavagate/rollouts/_lease.py
+++ b/guavagate/rollouts/_lease.py
@@ -25,6 +25,7 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import StoreConflictError, StoreUnavailableError
+from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.unreadable import UnreadableObjects
 from guavagate.models import InstanceId, Revision, ServiceId
 from guavagate.ports.store import ObjectStore, StoredObject
@@ -311,7 +312,7 @@
     it cannot exceed the store's revision.
     """
     try:
-        return msgspec.json.decode(stored.value, type=LeaseRecord)
+        return decode_json(stored.value, LeaseRecord)
     except msgspec.MsgspecError as error:
         _UNREADABLE.report(stored.path, str(error))
         return LeaseRecord(InstanceId(''), stored.version, '', ordered=True)
--- a/guavagate/runs/_cursor.py
+++ b/guavagate/runs/_cursor.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from guavagate.exceptions import RefusalError
+from guavagate.helpers.decoding import decode_msgpack
 
 
 class Cursor(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -46,7 +47,7 @@
         return START_CURSOR
     try:
         packed = base64.b64decode(token.encode(), altchars=b'-_', validate=True)
-        return msgspec.msgpack.decode(packed, type=Cursor)
+        return decode_msgpack(packed, Cursor)
     except (binascii.Error, msgspec.MsgspecError, UnicodeError) as error:
         raise RefusalError(
             'the cursor is not one that guavagate issued',
--- a/guavagate/runs/_state.py
+++ b/guavagate/runs/_state.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from guavagate.helpers.decoding import decode_msgpack
 from guavagate.models import DeploymentId, RunId, SampleId, WeightVersion
 from guavagate.partitions import Command, Outcome
 from guavagate.runs._commands import (
@@ -117,7 +118,7 @@
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the state with a snapshot."""
-        decoded = msgspec.msgpack.decode(snapshot, type=_Snapshot)
+        decoded = decode_msgpack(snapshot, _Snapshot)
         self.lineages = decoded.lineages
         self._pending.clear()
 
--- a/guavagate/settings/_digests.py
+++ b/guavagate/settings/_digests.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from guavagate.helpers.decoding import decode_msgpack
 from guavagate.links import Bus, Message, expect
 from guavagate.models import InstanceId
 from guavagate.settings._messages import SettingsDigest
@@ -64,7 +65,7 @@
         if packed is None:
             return
         try:
-            fact = msgspec.msgpack.decode(packed, type=_Fact)
+            fact = decode_msgpack(packed, _Fact)
         except msgspec.DecodeError:
             return
         on_digest(instance, fact.digest, fact.known)
--- a/guavagate/settings/_record.py
+++ b/guavagate/settings/_record.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from guavagate.exceptions import StoreError
+from guavagate.helpers.decoding import decode_json
 from guavagate.models import Revision, TeamId
 
 SETTINGS_PREFIX: Final = 'settings/'
@@ -87,7 +88,7 @@
         The object is not a settings record.
     """
     try:
-        return msgspec.json.decode(value, type=SettingsRecord)
+        return decode_json(value, SettingsRecord)
     except msgspec.DecodeError as error:
         raise StoreError(
             f'the object {path} is no settings record: {error}',
--- a/guavagate/web/_bodies.py
+++ b/guavagate/web/_bodies.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from guavagate.exceptions import RefusalError
+from guavagate.helpers.decoding import decode_json
 
 MAX_BODY: Final = 8_000_000
 
@@ -42,7 +43,7 @@
         The body is not JSON, or a field is missing or has the wrong type.
     """
     try:
-        return msgspec.json.decode(body, type=kind)
+        return decode_json(body, kind)
     except msgspec.ValidationError as error:
         raise RefusalError(
             f'the body is not valid: {error}',
--- a/tests/duties/test_reporter.py
+++ b/tests/duties/test_reporter.py
@@ -19,6 +19,7 @@
     TeamCounts,
 )
 from guavagate.rollouts import Lease, Renewals
+from tests.helpers.odd_bodies import DEEP_OBJECT
 
 _BLUE = TeamId('blue')
 _WINDOW_SECONDS = 5.0
@@ -257,6 +258,24 @@
     assert fleet.platform.list_contents(window + 2)
 
 
+@pytest.mark.parametrize('odd', [b'[]', DEEP_OBJECT], ids=['list', 'deep'])
+def test_a_window_whose_record_can_not_be_read_ends_no_reporter(
+    fleet: _Fleet, odd: bytes
+) -> None:
+    """No window was reported any more, by this reporter or its successor.
+
+    What was reported for that window is unknown, so nothing else may be.
+    """
+    window = fleet.current_window()
+    fleet.world.store.change(f'usage-windows/{window}', odd)
+    fleet.count_requests('a')
+    fleet.clock.advance(_WINDOW_SECONDS)
+    fleet.count_requests('b')
+    fleet.clock.advance(_WINDOW_SECONDS + 4)
+    assert not fleet.platform.list_contents(window)
+    assert fleet.platform.list_contents(window + 1) == [{_BLUE: 1}]
+
+
 def test_a_successor_sends_nothing_within_the_lease_time(
     fleet: _Fleet,
 ) -> None:
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -1,6 +1,7 @@
 """Objects by other writers: any bytes, wrong types, unknown values."""
 
 import contextlib
+import itertools
 import json
 import logging
 import string
@@ -22,6 +23,12 @@
 from guavagate.ports.upstreams import Upstream
 from guavagate.rollouts import list_holders
 from guavagate.routing import UpstreamTable
+from tests.helpers.odd_bodies import (
+    DEEP_LIST,
+    DEEP_OBJECT,
+    LONG_NUMBER,
+    ODD_JSON,
+)
 from tests.jobs.fleet import JobFleet, make_job
 from tests.platform.test_wire import _make_store
 
@@ -46,7 +53,11 @@
 )
 
 
-@given(st.binary() | _JSON.map(msgspec.json.encode))
+@given(
+    st.binary()
+    | _JSON.map(msgspec.json.encode)
+    | st.sampled_from(list(ODD_JSON.values()))
+)
 def test_decoders_raise_only_value_errors(value: bytes) -> None:
     """For any bytes, a decoder returns or raises `ValueError`.
 
@@ -99,6 +110,11 @@
         ('address', '"10.0.0.1:0"'),
         ('address', '"10.0.0.1:\u0662"'),
         ('address', '"nowhere"'),
+        ('address', '"fe80::1%eth0:80"'),
+        ('address', r'"fe80::1%\u0000:80"'),
+        ('cold-remaining-ms', '9' * 300),
+        ('cold-remaining-ms', '1e999'),
+        ('leaves_ms', '9' * 300),
         ('address', '":80"'),
     ],
 )
@@ -176,10 +192,19 @@
         _OBJECT % (b'x', b'{"a":%s}' % _LONE_SURROGATE),
         _OBJECT % (b'x', b'{"a":NaN}'),
         _OBJECT % (b'x', b'{"a":"\xff\xfe"}'),
+        _OBJECT % (b'x', b'{"a":%s}' % DEEP_LIST),
+        _OBJECT % (b'x', b'{"a":[%s,NaN]}' % DEEP_OBJECT),
+        _OBJECT % (b'x', b'{"a":[%s,1e999,NaN]}' % LONG_NUMBER),
+        b'{"metadata":%s,"spec":{}}' % DEEP_OBJECT,
     ],
+    ids=map(str, itertools.count()),
 )
 def test_an_unreadable_object_of_a_page_hides_no_other(bad: bytes) -> None:
-    """The bad object has no name, a lone surrogate, invalid UTF-8 or NaN."""
+    """One entry of another writer ended the tasks that follow its prefix.
+
+    It has no name, half of a character, invalid UTF-8, a number out of range,
+    or lists within lists.
+    """
     page = b'{"items":[%s,%s,%s],"has-more":false,"store-revision":9}'
     good = [_OBJECT % (name, b'{"v":1}') for name in (b'a', b'c')]
     body = page % (good[0], bad, good[1])
@@ -203,6 +228,9 @@
     store.change(job_path(JobId('other')), b'{"id":7}')
     store.change(chunk_path(JobId('job-1'), 0), b'[1]')
     store.change('leases/x', b'null')
+    store.change(job_path(JobId('deep')), b'{"id":%s}' % DEEP_OBJECT)
+    store.change(chunk_path(JobId('job-1'), 1), b'{"x":%s}' % DEEP_LIST)
+    store.change('leases/y', b'{"x":%s}' % DEEP_LIST)
     fleet.submit(make_job(), 'a')
     fleet.clock.advance(20)
     _, results = fleet.read('job-1', 'b')
