Let no peer's claim and no address end a task

What operators saw: nothing yet; found by reading on from the report of a port out of range. One entry of another writer in the list of instances, or one claim of a peer, ended the tasks that probe the others and receive from them, so that the instance counted as lost. A port of 99,999 was taken modulo 65,536.

Cause: sockets raise errors of several types for an address that is none, and the states and numbers of claims were used unchecked: an unknown state raises where it is compared, and an incarnation of 64 bits can't be encoded once it has been overruled.

Change: addresses are split in one place with one type of error, wherever a connection is made or a datagram sent; nothing is sent to one that is none. A packet is read without the claims of unknown states, of incarnations that no clock gives, or of such addresses, so that a claim beside them is applied.

--- a/guavagate/helpers/addresses.py
+++ b/guavagate/helpers/addresses.py
@@ -1,11 +1,16 @@
 """Splits addresses that come from outside the process."""
 
 import ipaddress
+import re
 from typing import Final
 
 from guavagate.helpers.numbers import parse_whole_number
 
 MAX_PORT: Final = 65_535
+# Printable, in labels of the length that names may have (RFC 1035).
+_HOST: Final = re.compile(
+    r'(?=.{1,253}$)([!-\-/-~]{1,63}\.)*[!-\-/-~]{1,63}\.?'
+)
 # IPv6 addresses may name a scope of the machine that wrote them.
 _SCOPE: Final = '%'
 _SHOWN_CHARACTERS: Final = 40
@@ -24,12 +29,20 @@
     """
     host, _, digits = text.rpartition(':')
     port = parse_whole_number(digits, len(str(MAX_PORT)))
-    is_host = host.isascii() and host.isprintable() and ' ' not in host
-    if not host or not is_host or not port or port > MAX_PORT:
+    if not _HOST.fullmatch(host) or not port or port > MAX_PORT:
         raise ValueError(f'{text[:_SHOWN_CHARACTERS]!r} is no HOST:PORT')
     return host, port
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is `HOST:PORT`."""
+    try:
+        split_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def require_ip_address(text: str) -> None:
     """Raise `ValueError` unless a text is an IP address with a port."""
     host, _ = split_address(text)
--- a/guavagate/http1/_client.py
+++ b/guavagate/http1/_client.py
@@ -14,6 +14,7 @@
     UpstreamNotStartedError,
     UpstreamUnreachableError,
 )
+from guavagate.helpers.addresses import split_address
 from guavagate.helpers.numbers import parse_whole_number
 from guavagate.http1._answer import (
     IDLE_SECONDS,
@@ -269,12 +270,11 @@
         return None
 
     def _connect(self, address: str) -> Connection:
-        host, _, port = address.rpartition(':')
         try:
             sock = socket.create_connection(
-                (host, int(port)), timeout=CONNECT_SECONDS
+                split_address(address), timeout=CONNECT_SECONDS
             )
-        except OSError as error:
+        except (OSError, ValueError) as error:
             raise UpstreamUnreachableError(
                 f'{address} accepts no connection ({error})',
                 'check that the upstream runs',
--- a/guavagate/integrations/_http.py
+++ b/guavagate/integrations/_http.py
@@ -26,6 +26,7 @@
     UpstreamError,
     UpstreamNotStartedError,
 )
+from guavagate.helpers.addresses import split_address
 from guavagate.helpers.event_stream import MAX_EVENT_BYTES
 from guavagate.http1 import (
     MAX_BODY_BYTES,
@@ -136,9 +137,9 @@
     """The library's client with a pool of this module."""
 
     def __init__(self, clock: Clock, address: str, max_idle: int) -> None:
-        host, _, port = address.rpartition(':')
-        super().__init__(host, int(port), disable_ipv6=True)
-        self.pool = _Pool(clock, max_idle, host, int(port))
+        host, port = split_address(address)
+        super().__init__(host, port, disable_ipv6=True)
+        self.pool = _Pool(clock, max_idle, host, port)
         self._connection_pool = self.pool
 
 
@@ -178,7 +179,12 @@
         UpstreamError
             Part of the request may have been sent.
         """
-        client = self._get_client(address, reuse=reuse)
+        try:
+            client = self._get_client(address, reuse=reuse)
+        except ValueError as error:
+            raise UpstreamNotStartedError(
+                str(error), 'correct the address in the settings'
+            ) from error
         connecting = client.pool.connecting
 
         def make_timeout_error() -> UpstreamError:
--- a/guavagate/links/_zmq_bus.py
+++ b/guavagate/links/_zmq_bus.py
@@ -11,6 +11,7 @@
 
 from guavagate.clock import Clock, Task
 from guavagate.exceptions import LinkError, LinkRefusedError
+from guavagate.helpers.addresses import is_address
 from guavagate.helpers.decoding import decode_msgpack
 from guavagate.helpers.waits import wait_for
 from guavagate.links._bus import Handler, Message, Reply
@@ -124,7 +125,7 @@
     def probe(self, peer: InstanceId, timeout: float) -> bool:
         """Ping a peer on a new connection; see `Bus.probe`."""
         address = self._resolve(peer)
-        if address is None or not self._open:
+        if address is None or not self._open or not is_address(address):
             return False
         ended = Event()
         answered = False
@@ -153,7 +154,7 @@
 
     def _get_link(self, peer: InstanceId) -> Link:
         address = self._resolve(peer)
-        if address is None or not self._open:
+        if address is None or not self._open or not is_address(address):
             raise LinkRefusedError(
                 f'{peer} is not in use',
                 'ask an instance that the membership shows as alive',
--- a/guavagate/membership/_members.py
+++ b/guavagate/membership/_members.py
@@ -12,6 +12,7 @@
 from guavagate.clock import Clock, Task
 from guavagate.events import fleet, write
 from guavagate.exceptions import SettingsError
+from guavagate.helpers.addresses import split_address
 from guavagate.membership._detector import Detector
 from guavagate.membership._packet import (
     MemberState,
@@ -242,15 +243,16 @@
 
     def _send(self, sends: list[Send]) -> None:
         for address, packet in sends:
-            host, port = address.rsplit(':', 1)
             datagram = encode_packet(packet, self._credential)
             self.traffic.record_sent(len(datagram))
+            # A failure is like a datagram lost on the network. An address may
+            # come from another program's entry in the list of instances.
             try:
                 self._socket and self._socket.sendto(
-                    datagram, (host, int(port))
+                    datagram, split_address(address)
                 )
-            except OSError as error:  # Like a datagram lost on the network.
-                _LOGGER.debug('Sending to %s failed: %s', address, error)
+            except (OSError, ValueError) as error:
+                _LOGGER.debug('Sending to %r failed: %s', address, error)
 
     def _refresh(self) -> None:
         """Rebuild the list of usable instances if anything changed."""
--- a/guavagate/membership/_packet.py
+++ b/guavagate/membership/_packet.py
@@ -8,12 +8,16 @@
 
 import msgspec
 
+from guavagate.helpers.addresses import is_address
 from guavagate.helpers.decoding import make_msgpack_decoder
 from guavagate.models import InstanceId, RegionId, ZoneId
 from guavagate.settings import PeerSettings
 
 WIRE_VERSION: Final = 1
 MAC_BYTES: Final = 16
+# Incarnations begin with a time in milliseconds and grow by one. A claim that
+# can't be overruled by a larger one is false.
+MAX_INCARNATION: Final = 10**15
 
 
 class MemberState(enum.Enum):
@@ -25,6 +29,9 @@
     DEAD = 4
 
 
+_STATES: Final = frozenset(each.value for each in MemberState)
+
+
 class PacketType(enum.IntEnum):
     """Type of a datagram."""
 
@@ -100,15 +107,35 @@
 
 
 def decode_packet(datagram: bytes, credential: bytes) -> Packet | None:
-    """Return the packet, or None if it is not from this cluster."""
+    """Return the packet, or None if it is not from this cluster.
+
+    Claims are left out that this release doesn't understand, or whose address
+    nothing can be sent to.
+    """
     body = datagram[MAC_BYTES:]
     code = _authenticate(body, credential)
     if not hmac.compare_digest(code, datagram[:MAC_BYTES]):
         return None
     try:
-        return _decoder(body)
+        packet = _decoder(body)
     except msgspec.MsgspecError:
         return None
+    if not _is_sound(packet.state, packet.incarnation):
+        return None
+    sound = tuple(filter(_is_sound_claim, packet.updates))
+    if len(sound) == len(packet.updates):
+        return packet
+    return msgspec.structs.replace(packet, updates=sound)
+
+
+def _is_sound_claim(claim: Update) -> bool:
+    contact = claim.contact
+    is_reachable = contact is None or is_address(contact.peer_address)
+    return is_reachable and _is_sound(claim.state, claim.incarnation)
+
+
+def _is_sound(state: int, incarnation: int) -> bool:
+    return state in _STATES and incarnation <= MAX_INCARNATION
 
 
 def describe_contact(peer: PeerSettings, boot: int) -> Contact:
