Take no list for whole whose pages lead to no other

What operators saw: nothing yet; found by reading. A page of which no object could be read ended the list although the store said that there is more, and the objects of the other pages counted as gone. A store that repeats a page was read for ever.

Cause: the name of the last readable object leads to the next page, and without one the list was returned as it was.

Change: such a list fails like any other malformed answer, and what was known before stays.

--- a/guavagate/platform/_store.py
+++ b/guavagate/platform/_store.py
@@ -103,8 +103,11 @@
                 _to_stored(f'{prefix}/{each.metadata.name}', each)
                 for each in read
             ]
-            if not page.has_more or not read:
+            if not page.has_more:
                 return objects, first
+            if not read or read[-1].metadata.name == after:
+                # A list without its other pages would seem to lack the rest.
+                raise _make_malformed_error('a page that leads to no other')
             after = read[-1].metadata.name
 
     def put(
@@ -213,10 +216,14 @@
     try:
         return decode_leniently(answer.body, kind, _SPEC_NESTING[kind])
     except msgspec.MsgspecError as error:
-        raise StoreUnavailableError(
-            f'the store sent a malformed answer ({error})',
-            'check which server listens at the address of the store',
-        ) from error
+        raise _make_malformed_error(str(error)) from error
+
+
+def _make_malformed_error(problem: str) -> StoreUnavailableError:
+    return StoreUnavailableError(
+        f'the store sent a malformed answer ({problem})',
+        'check which server listens at the address of the store',
+    )
 
 
 def _to_stored(path: str, stored: _Object) -> StoredObject:
