Refuse jobs with requests that HTTP can not carry

What trainers saw: items that never ran, and slow steps beside them. A header or path with other characters than HTTP allows raised an error that ended the item's task, again and again, or was refused before it was sent, which counted as a refusal of each sampler tried. A header that is set here, such as Content-Length or Host, did the same; another Last-Event-Id or target reached the sampler beside the true one.

Cause: a submission was decoded, but nothing checked that its requests can be sent.

Change: a job is accepted only if all its requests can be sent; the checks of rewards stand beside those of items now, in the product. What is set here replaces what the trainer sent, hop-by-hop headers are left out, and an item of an earlier release with a header that can't be encoded is errored.

--- a/guavagate/http1/_request_writer.py
+++ b/guavagate/http1/_request_writer.py
@@ -31,7 +31,7 @@
         # With a `Content-Length` the body is sent unchanged.
         content = http.send(h11.Data(data=body)) if body else b''
         http.send(h11.EndOfMessage())
-    except h11.LocalProtocolError as error:
+    except (h11.LocalProtocolError, UnicodeError) as error:
         raise UpstreamNotStartedError(
             f'the request can not be sent on ({error})',
             'send a request that is valid HTTP/1.1',
--- a/guavagate/jobs/__init__.py
+++ b/guavagate/jobs/__init__.py
@@ -13,6 +13,7 @@
     ResultState,
 )
 from guavagate.jobs._owner import JobOwner
+from guavagate.jobs._validity import BadJobError, check_items
 from guavagate.jobs.ownership import Ownership, OwnerWatch
 from guavagate.jobs.records import (
     AnnouncedJobs,
@@ -29,6 +30,7 @@
 
 __all__ = (
     'AnnouncedJobs',
+    'BadJobError',
     'GroupId',
     'ItemId',
     'Job',
@@ -48,5 +50,6 @@
     'ResultState',
     'TextReplicas',
     'TextSnapshots',
+    'check_items',
     'compute_message_limit',
 )
--- a/guavagate/platform/_dialect.py
+++ b/guavagate/platform/_dialect.py
@@ -30,6 +30,15 @@
     )
 )
 _CREDENTIALS = frozenset((const.AUTHORIZATION,))
+_TEAM_HEADERS = _CREDENTIALS | {const.TENANT.lower()}
+_SET_FOR_ITEMS = frozenset(
+    (
+        b'host',
+        const.REQUEST_ID.lower(),
+        const.TARGET.lower(),
+        const.RESUME.lower(),
+    )
+)
 _MISDIRECTED = 421
 # What an upstream reports as the time of its work while nothing slows it down.
 _USUAL_PERCENT = 100
@@ -117,18 +126,21 @@
 def to_headers(headers: dict[str, str], team: TeamId) -> Headers:
     """Return an item's headers as they are sent to a sampler.
 
-    A job's team replaces any team and key that the trainer sent: a trainer must
-    not choose the team of its items, and samplers receive no keys.
+    Those that are set here or concern the connection replace what the trainer
+    sent. A job's team replaces any team and key: a trainer must not choose the
+    team of its items, and samplers receive no keys.
     """
-    encoded = [
-        (name.encode('latin-1'), value.encode('latin-1'))
+    replaced = _SET_FOR_ITEMS | (_TEAM_HEADERS if team else frozenset())
+    encoded = (
+        (name.encode('latin-1'), value.strip().encode('latin-1'))
         for name, value in headers.items()
+    )
+    kept = [
+        each
+        for each in drop_hop_by_hop(encoded)
+        if each[0].lower() not in replaced
     ]
-    if not team:
-        return encoded
-    replaced = {const.TENANT.lower(), const.AUTHORIZATION}
-    forwarded = [each for each in encoded if each[0].lower() not in replaced]
-    return [*forwarded, (const.TENANT, team.encode())]
+    return [*kept, (const.TENANT, team.encode())] if team else kept
 
 
 def decode_load(text: str) -> LoadReport:
--- a/guavagate/platform/_edge.py
+++ b/guavagate/platform/_edge.py
@@ -14,10 +14,10 @@
 )
 from guavagate.helpers.numbers import read_whole_number
 from guavagate.http1 import Exchange, HttpServer
-from guavagate.jobs import ItemId, JobId
+from guavagate.jobs import BadJobError, ItemId, JobId
 from guavagate.models import TeamId
 from guavagate.platform import const
-from guavagate.platform._jobs import BadJobError, decode_submission
+from guavagate.platform._jobs import decode_submission
 from guavagate.ports.configuration import Route, RouteKind
 from guavagate.ports.dialect import Call
 from guavagate.routing import RouteTable, pick_service
--- a/guavagate/platform/_jobs.py
+++ b/guavagate/platform/_jobs.py
@@ -11,6 +11,7 @@
 from guavagate.helpers.decoding import decode_json
 from guavagate.helpers.numbers import WholeNumber, parse_whole_number
 from guavagate.jobs import (
+    BadJobError,
     GroupId,
     ItemId,
     Job,
@@ -19,6 +20,7 @@
     Page,
     PromptPrefix,
     Result,
+    check_items,
 )
 from guavagate.models import ServiceId, TeamId, WeightVersion
 from guavagate.platform import const
@@ -26,10 +28,6 @@
 from guavagate.ports.rewards import RewardRequest
 
 
-class BadJobError(Exception):
-    """The submission is invalid; the message says what to correct."""
-
-
 class _Scorer(msgspec.Struct):
     id: str
     host: str
@@ -60,7 +58,6 @@
 _MAX_ID: Final = 200
 # Longer numbers are no counts of tokens.
 _MAX_DIGITS: Final = 9
-_MAX_REWARD_BYTES: Final = 1_000_000
 
 
 def decode_submission(
@@ -89,11 +86,7 @@
     except msgspec.MsgspecError as error:
         raise BadJobError(f'correct the body: {error}') from error
     items = [_to_item(each) for each in submission.items]
-    if not items:
-        raise BadJobError('send at least one item')
-    if len({each.id for each in items}) < len(items):
-        raise BadJobError('give each item an id of its own')
-    _check_rewards(items, hosts)
+    check_items(items, hosts)
     return Job(
         id=JobId(request_id),
         host=route.host,
@@ -159,32 +152,14 @@
 
 
 def _to_reward(scorer: _Scorer) -> RewardRequest:
-    label = f'scorer {scorer.id}'
-    if not scorer.id or len(scorer.id) > _MAX_ID:
-        raise BadJobError(f'{label}: send an id of 1 to 200 characters')
-    if not scorer.path.startswith('/') or ' ' in scorer.path:
-        raise BadJobError(f'{label}: send a path of /, without spaces')
-    if not f'{scorer.id}{scorer.host}{scorer.path}'.isascii():
-        raise BadJobError(f'{label}: send id, host and path in ASCII')
-    body = _decode_body(scorer.body, label)
-    if len(body) > _MAX_REWARD_BYTES:
-        raise BadJobError(f'{label}: send a body of at most 1 MB')
     return RewardRequest(
-        id=scorer.id, host=scorer.host, path=scorer.path, body=body
+        id=scorer.id,
+        host=scorer.host,
+        path=scorer.path,
+        body=_decode_body(scorer.body, f'scorer {scorer.id}'),
     )
 
 
-def _check_rewards(items: list[JobItem], hosts: Container[str]) -> None:
-    rewards = [each.reward for each in items if each.reward is not None]
-    if len({each.id for each in rewards}) < len(rewards):
-        raise BadJobError('give each scorer an id of its own')
-    for reward in rewards:
-        if reward.host.partition(':')[0].lower() not in hosts:
-            raise BadJobError(
-                f'scorer {reward.id}: no route has the host {reward.host!r}'
-            )
-
-
 def _decode_body(text: str, label: str) -> bytes:
     try:
         return base64.b64decode(text, validate=True)
--- a/guavagate/platform/_samplers.py
+++ b/guavagate/platform/_samplers.py
@@ -58,11 +58,15 @@
         self, upstream: Upstream, item: ItemRequest, model: str
     ) -> EventStream:
         """Start an item and wait for the headers of its stream."""
+        try:
+            own = to_headers(item.headers, item.team)
+        except UnicodeError as error:
+            raise ItemImpossibleError from error
         headers = [
             (b'Host', item.host.encode()),
             (const.REQUEST_ID, item.id.encode()),
             (const.TARGET, upstream.id.encode()),
-            *to_headers(item.headers, item.team),
+            *own,
         ]
         if item.resume_after:
             after = str(item.resume_after).encode()
--- a/tests/platform/answer_bench.py
+++ b/tests/platform/answer_bench.py
@@ -31,20 +31,20 @@
 )
 
 
-def _read_request(sock: socket.socket) -> bool:
-    """Read one whole request; return whether there was one."""
+def _read_request(sock: socket.socket) -> bytes:
+    """Read one whole request; return its head, or nothing without one."""
     data = b''
     while b'\r\n\r\n' not in data:
         received = sock.recv(65_536)
         if not received:
-            return False
+            return b''
         data += received
     head, _, body = data.partition(b'\r\n\r\n')
     length = re.search(rb'(?i)content-length: *(\d+)', head)
     missing = int(length.group(1)) - len(body) if length else 0
     while missing > 0:
         missing -= len(sock.recv(missing))
-    return True
+    return head
 
 
 class AnswerBench:
@@ -53,6 +53,8 @@
     def __init__(self) -> None:
         clock = SystemClock()
         self.script: list[bytes | Iterator[bytes]] = []
+        # Of the requests that arrived.
+        self.heads: list[bytes] = []
         self.peak = 0
         self._held = 0
         self.pool = ConnectionPool(clock, self._charge)
@@ -109,10 +111,17 @@
         """Order a version; return whether the upstream already had it."""
         return self.samplers.order(self.upstream, _ORDER)
 
-    def run_item(self, name: str) -> list[str]:
+    def run_item(
+        self, name: str, headers: dict[str, str] | None = None
+    ) -> list[str]:
         """Run an item; return the texts of its events."""
         item = ItemRequest(
-            id=name, host='h', path='/i', headers={}, body=b'', resume_after=0
+            id=name,
+            host='h',
+            path='/i',
+            headers=headers or {},
+            body=b'',
+            resume_after=0,
         )
         run = self.samplers.run(self.upstream, item, 'm')
         return [event.text for event in run.events()]
@@ -127,7 +136,8 @@
 
     def _serve(self, sock: socket.socket, _: object) -> None:
         try:
-            while _read_request(sock):
+            while head := _read_request(sock):
+                self.heads.append(head)
                 part = self.script.pop(0) if self.script else b''
                 parts = (part,) if isinstance(part, bytes) else part
                 for each in parts:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -12,14 +12,17 @@
 )
 from guavagate.http1 import Request
 from guavagate.integrations.object_api.models import Answer, Call
-from guavagate.jobs import Job, JobItem, Page, Result, ResultState
-from guavagate.models import Revision, ServiceId, UpstreamId, ZoneId
-from guavagate.platform._dialect import PlatformDialect
-from guavagate.platform._jobs import (
+from guavagate.jobs import (
     BadJobError,
-    decode_submission,
-    encode_page,
+    Job,
+    JobItem,
+    Page,
+    Result,
+    ResultState,
 )
+from guavagate.models import Revision, ServiceId, UpstreamId, ZoneId
+from guavagate.platform._dialect import PlatformDialect
+from guavagate.platform._jobs import decode_submission, encode_page
 from guavagate.platform._manifest import decode_manifest
 from guavagate.platform._servers import decode_server
 from guavagate.platform._settings import load_settings
