Refuse requests that a planned stop would cut, and answer the rest

What callers saw: no answer at all. A request whose head or body arrived in parts, or that had waited for a slot, was passed on late in the grace of a planned stop, in calm, and cut when the process ended; some may not be repeated. A request that still ran then got no answer either.

Cause: a stopping process takes no new connections, but served what was under way on open ones as at any other time, and ended under what still ran.

Change: once a stop waits for the last requests, one is passed on only if its deadline lies before the end of the stop, also after it waited for a slot, and a job call if its time limit does. Others are refused at once, with Retry-After 0, as the next connection leads elsewhere. What still runs at the end is answered: its handler is woken, and says 503 for what was sent nowhere and 504 for what may have run; where no handler wakes, the server answers. The product's own interface refuses what comes on open connections while it finishes.

--- a/guavagate/admission/_permissions.py
+++ b/guavagate/admission/_permissions.py
@@ -172,7 +172,7 @@
         def release(refused: bool) -> None:
             self._release(owner, service, id_, refused=refused)
 
-        if exchange.disconnected.is_set():
+        if exchange.must_end:
             release(refused=False)
             return Permission(granted=False, caller_left=True)
         result = 'unreachable' if reply is None else reply.state.value
@@ -218,7 +218,7 @@
                 return _to_reply(pending.verdict)
             if reply is None or reply.state is not AskState.QUEUED:
                 return reply
-            if exchange.disconnected.is_set():
+            if exchange.must_end:
                 return None
 
     def _request(
--- a/guavagate/forwarding/__init__.py
+++ b/guavagate/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """Forwarding of requests to upstreams, with retries where allowed."""
 
 from guavagate.forwarding._answers import (
+    STOPPED_RETRY_SECONDS,
     read_or_refuse,
     refuse,
     send_outcome,
@@ -30,6 +31,7 @@
 from guavagate.forwarding._stream import StreamForwarder
 
 __all__ = (
+    'STOPPED_RETRY_SECONDS',
     'Attempt',
     'AttemptRunner',
     'AttemptState',
--- a/guavagate/forwarding/_answers.py
+++ b/guavagate/forwarding/_answers.py
@@ -19,6 +19,8 @@
     OutcomeKind.LATE: 504,
 }
 NOT_RUN_STATUS: Final = 503
+# An instance that stops gets no new connections, so the next try is elsewhere.
+STOPPED_RETRY_SECONDS: Final = float(0)
 
 
 def read_or_refuse(
@@ -47,7 +49,7 @@
 def send_outcome(exchange: Exchange, outcome: Outcome) -> None:
     """Answer a caller according to the outcome of its request."""
     if outcome.kind is OutcomeKind.CALLER_LEFT:
-        exchange.abort()
+        _end_unanswered(exchange, outcome)
         return
     attempt = outcome.attempt
     if attempt is not None:
@@ -62,6 +64,16 @@
     send_text(exchange, _STATUS[outcome.kind], outcome.reason)
 
 
+def _end_unanswered(exchange: Exchange, outcome: Outcome) -> None:
+    """End a request whose result nobody waits for."""
+    if exchange.interrupted and outcome.began_at is None:
+        refuse(exchange, 'this instance stops', STOPPED_RETRY_SECONDS)
+    elif exchange.interrupted:
+        send_text(exchange, 504, 'this instance stops; it may have run')
+    else:
+        exchange.abort()
+
+
 def refuse(exchange: Exchange, reason: str, retry_after: float) -> None:
     """Answer that the request has not run and when to retry."""
     headers: Headers = [
--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -129,7 +129,7 @@
             kind = OutcomeKind.UNKNOWN if ran else OutcomeKind.NOT_RUN
             return Outcome(kind, reason=error.problem)
         except UpstreamError as error:
-            if progress.exchange.disconnected.is_set():
+            if progress.exchange.must_end:
                 # The answer was closed here, so the upstream is not at fault.
                 progress.may_have_run = True
                 return Outcome(OutcomeKind.CALLER_LEFT)
--- a/guavagate/front/_jobs.py
+++ b/guavagate/front/_jobs.py
@@ -8,7 +8,7 @@
 from guavagate.events import jobs as events
 from guavagate.events import write
 from guavagate.exceptions import OutsideRegionsError
-from guavagate.forwarding import refuse, send_text
+from guavagate.forwarding import STOPPED_RETRY_SECONDS, refuse, send_text
 from guavagate.helpers.store_writes import MaybeWrittenError, NotWrittenError
 from guavagate.http1 import Exchange
 from guavagate.jobs import (
@@ -34,6 +34,8 @@
 ACCEPT_SECONDS: Final = 2.5
 END_SECONDS: Final = 2.5
 MAX_WAIT_SECONDS: Final = 1.0
+# Of a read, with the time that its owner takes.
+READ_SECONDS: Final = 1.5
 
 
 class JobHandler:
@@ -63,6 +65,8 @@
 
     def accept(self, exchange: Exchange, job: Job) -> None:
         """Store a job, and answer once it is durable."""
+        if _refuse_late(exchange, ACCEPT_SECONDS):
+            return
         try:
             new = self._intake.accept(job, ACCEPT_SECONDS)
         except JobConflictError:
@@ -112,6 +116,8 @@
         team: TeamId,
     ) -> None:
         """Answer with the results from a position on; `wait` in seconds."""
+        if _refuse_late(exchange, READ_SECONDS):
+            return
         status, page = self._reader.read(
             self._routes.job_services(),
             job,
@@ -128,6 +134,8 @@
         self, exchange: Exchange, job: JobId, item: ItemId, team: TeamId
     ) -> None:
         """Answer with the body of an item."""
+        if _refuse_late(exchange, READ_SECONDS):
+            return
         status, body = self._reader.read_item(
             self._routes.job_services(), job, item, team
         )
@@ -138,6 +146,8 @@
 
     def end(self, exchange: Exchange, job: JobId, team: TeamId) -> None:
         """End a job, and answer once that is durable."""
+        if _refuse_late(exchange, END_SECONDS):
+            return
         services = self._routes.job_services()
         status = self._reader.exists(services, job, team)
         if status is not LookupStatus.FOUND:
@@ -151,6 +161,14 @@
             exchange.respond(200, [], b'')
 
 
+def _refuse_late(exchange: Exchange, seconds: float) -> bool:
+    """Refuse a call that a planned stop might cut; return whether it was."""
+    if exchange.may_take(seconds):
+        return False
+    refuse(exchange, 'this instance stops', STOPPED_RETRY_SECONDS)
+    return True
+
+
 def _respond_not_found(exchange: Exchange, status: LookupStatus) -> None:
     if status is LookupStatus.MISSING:
         send_text(exchange, 404, 'there is no such job or item')
--- a/guavagate/front/_requests.py
+++ b/guavagate/front/_requests.py
@@ -8,6 +8,7 @@
 from guavagate.admission import Permission, ServiceAdmission
 from guavagate.clock import Clock
 from guavagate.forwarding import (
+    STOPPED_RETRY_SECONDS,
     Forwarder,
     Outcome,
     OutcomeKind,
@@ -59,7 +60,9 @@
     ) -> None:
         """Forward one request and answer it."""
         exchange.deadline = call.until
-        outcome = self._forward(exchange, call, route, service)
+        outcome = self._refuse_late(exchange, call) or self._forward(
+            exchange, call, route, service
+        )
         now = self._clock.now()
         if outcome.began_at is not None:
             self._count_usage(call.team, now - outcome.began_at)
@@ -71,6 +74,19 @@
         if not exchange.started:
             send_outcome(exchange, outcome)
 
+    def _refuse_late(self, exchange: Exchange, call: Call) -> Outcome | None:
+        """Return the outcome of a request that a planned stop might cut.
+
+        It has until its deadline, and may need it.
+        """
+        if exchange.may_take(call.until - self._clock.now()):
+            return None
+        return Outcome(
+            OutcomeKind.NOT_RUN,
+            reason='this instance stops',
+            retry_after=STOPPED_RETRY_SECONDS,
+        )
+
     def _forward(
         self, exchange: Exchange, call: Call, route: Route, service: ServiceId
     ) -> Outcome:
@@ -99,6 +115,10 @@
         permission = self._admission.enter(exchange, call, route, service)
         if not permission.granted:
             return _make_outcome(permission), False
+        late = self._refuse_late(exchange, call)
+        if late is not None:
+            permission.release(False)
+            return late, False
         results: Queue = Queue()
         exchange.on_disconnect(lambda: results.put(None))
         refused = False
--- a/guavagate/http1/_caller_connection.py
+++ b/guavagate/http1/_caller_connection.py
@@ -1,6 +1,7 @@
 """A caller's connection, read ahead to detect disconnects."""
 
 import contextlib
+import math
 import select
 import struct
 from collections.abc import Callable
@@ -65,6 +66,10 @@
     """The caller is still sending after the linger time."""
 
 
+def _get_no_end() -> float:
+    return math.inf
+
+
 class CallerConnection:
     """A caller's connection and its HTTP/1.1 state."""
 
@@ -75,6 +80,7 @@
         limits: ServerLimits,
         is_closing: Callable[[], bool],
         turns: Turns | None = None,
+        get_end: Callable[[], float] = _get_no_end,
     ) -> None:
         self._sock = sock
         self.account: ConnectionAccount = UnlimitedAccount()
@@ -85,6 +91,7 @@
         self.clock = clock
         self._grace_ends_at = clock.now() + FIRST_REQUEST_GRACE_SECONDS
         self.is_closing = is_closing
+        self.get_end = get_end
         self._limits = limits
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
--- a/guavagate/http1/_exchange.py
+++ b/guavagate/http1/_exchange.py
@@ -21,6 +21,10 @@
 }
 
 
+# On a new connection the balancer chooses another instance.
+_RETRY_ELSEWHERE: Final = (b'Retry-After', b'0')
+
+
 class BodyTooLargeError(Exception):
     """The request body exceeds the limit."""
 
@@ -38,6 +42,8 @@
         The request's id, for the log; set by a handler that knows it.
     keep_open
         Whether the connection may carry another request after this one.
+    interrupted
+        Whether the server ends now, so that the request must be answered.
     deadline
         When the caller stops to wait, in seconds of the clock; set by a handler
         that knows it.
@@ -55,6 +61,8 @@
         self.keep_open = True
         self.deadline = math.inf
         self.disconnected = connection.disconnected
+        self.interrupted = False
+        self._is_received = False
         self.started = False
         self.ended = False
         self.arrived_at = connection.clock.now()
@@ -77,6 +85,38 @@
         if call is not None and self.disconnected.is_set():
             call()
 
+    @property
+    def must_end(self) -> bool:
+        """Return whether nobody waits for the result of the request."""
+        return self.interrupted or self.disconnected.is_set()
+
+    def may_take(self, seconds: float) -> bool:
+        """Return whether a request can be answered in so many seconds.
+
+        A planned stop ends the requests that still run at its end. One that
+        comes late is better refused: what has not run may run elsewhere.
+        """
+        now = self._connection.clock.now()
+        return now + seconds <= self._connection.get_end()
+
+    def interrupt(self) -> None:
+        """Have the handler answer at once, if it has not begun to."""
+        if self.started:
+            return
+        self.interrupted = True
+        if self._connection.on_disconnect is not None:
+            self._connection.on_disconnect()
+
+    def answer_unfinished(self) -> None:
+        """Answer in place of a handler that has not."""
+        if self.started:
+            return
+        self.started = True
+        if self._is_received:
+            self._connection.reject(504, 'stopped; it may have run')
+        else:
+            self._connection.reject(503, 'not run: stopped', _RETRY_ELSEWHERE)
+
     def read_body(self, limit: int) -> bytes:
         """Return the complete body.
 
@@ -103,6 +143,7 @@
         while True:
             event = self._connection.next_body_event()
             if isinstance(event, h11.EndOfMessage):
+                self._is_received = True
                 self.account.hold_body(body.tell())
                 self.account.enter(Phase.RUNNING)
                 return body.getvalue()
--- a/guavagate/http1/_server.py
+++ b/guavagate/http1/_server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import math
 import os
 from collections.abc import Callable
 from typing import Final
@@ -44,6 +45,8 @@
 # once its deadline has passed. Several lost packets in a row delay progress by
 # about a second.
 STOP_STALL_SECONDS: Final = 2.0
+# After the end of a planned stop, for handlers to answer what isn't finished.
+INTERRUPT_SECONDS: Final = 0.2
 
 
 class _SlowHeadError(Exception):
@@ -98,6 +101,8 @@
         # Connections whose callers may not have read their answer yet.
         self._lingering = 0
         self.closing = False
+        # When requests that still run are ended, once a stop waits for them.
+        self.ends_at = math.inf
 
     @property
     def active(self) -> int:
@@ -125,9 +130,10 @@
         Returns
         -------
         int
-            How many requests were still running then.
+            How many requests had not been answered then, or only in part.
         """
         self.announce_stop()
+        self.ends_at = until
         self._refuse_new_connections()
         while self._clock.now() < until:
             # Meanwhile the tasks of the connections accepted last start, so
@@ -140,13 +146,7 @@
                     connection.close_idle()
             if not self._must_wait():
                 break
-        for exchange in self._running.values():
-            write(
-                _LOGGER,
-                events.REQUEST_CUT,
-                request=exchange.id,
-                answered=exchange.started,
-            )
+        self._end_running()
         return self.active
 
     def close(self) -> None:
@@ -165,9 +165,30 @@
             self._server.do_handle(*pending)
         self._server.close()
 
+    def _end_running(self) -> None:
+        """Answer the requests that still run, as far as that is possible."""
+        for exchange in list(self._running.values()):
+            write(
+                _LOGGER,
+                events.REQUEST_CUT,
+                request=exchange.id,
+                answered=exchange.started,
+            )
+            exchange.interrupt()
+        # Their handlers know best whether they have run.
+        give_up_at = self._clock.now() + INTERRUPT_SECONDS
+        while self._running and self._clock.now() < give_up_at:
+            self._clock.sleep(_DRAIN_CHECK_SECONDS)
+        for exchange in list(self._running.values()):
+            with contextlib.suppress(CallerDisconnectedError):
+                exchange.answer_unfinished()
+
     def _is_closing(self) -> bool:
         return self.closing
 
+    def _get_end(self) -> float:
+        return self.ends_at
+
     def _must_wait(self) -> bool:
         """Return whether a stop has to wait for a caller.
 
@@ -214,7 +235,12 @@
         limits = self._limits()
         set_caller_options(sock)
         connection = CallerConnection(
-            sock, self._clock, limits, self._is_closing, self._turns
+            sock,
+            self._clock,
+            limits,
+            self._is_closing,
+            self._turns,
+            self._get_end,
         )
         connection.account = account
         account.bind(connection)
--- a/guavagate/instance.py
+++ b/guavagate/instance.py
@@ -99,7 +99,12 @@
         self.server.start()
 
     def finish(self, limit: float) -> None:
-        """Complete requests for up to `limit` seconds, then stop the server."""
+        """Complete requests for up to `limit` seconds, then stop the server.
+
+        Connections stay open meanwhile, and requests that arrive on them could
+        be cut at the end, so they are refused.
+        """
+        self.active.refusing = True
         try:
             with self.runtime.clock.timeout(limit, TimeoutError):
                 self._wait_idle()
--- a/guavagate/web/_active.py
+++ b/guavagate/web/_active.py
@@ -1,21 +1,32 @@
-"""Counts the active requests, streams included."""
+"""Counts the active requests, streams included, and refuses late ones."""
 
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any
+from typing import Any, Final
 
 from gevent.event import Event
 
+from guavagate.exceptions import RefusalError
+from guavagate.web._errors import encode_refusal
+
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 # Called at the start of a request; the function that it returns is called with
 # the status at the end.
 RequestObserver = Callable[[dict[str, Any]], Callable[[str], None]]
 
 
+# Operators watch a stop by these, and they end at once.
+ALWAYS_SERVED: Final = ('/healthz', '/readyz', '/v1/operators/')
+_REFUSED_STATUS: Final = '503 Service Unavailable'
+_RETRY_SECONDS: Final = 1
+
+
 class ActiveRequests:
     """Wraps an app so that a planned stop can wait until no request is active.
 
     While `closing`, each answer asks its caller to close the connection. The
-    load balancer then sends the next request to another instance.
+    load balancer then sends the next request to another instance. While
+    `refusing`, requests on open connections are refused: the stop may end
+    before them, and what has not run may run elsewhere.
     """
 
     def __init__(
@@ -25,6 +36,7 @@
         self._observer = observer or _ignore_request
         self.count = 0
         self.closing = False
+        self.refusing = False
         self._idle = Event()
         self._idle.set()
 
@@ -32,6 +44,9 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterator[bytes]:
         """Answer a request and count it until its last byte is written."""
+        if self.refusing and not environ['PATH_INFO'].startswith(ALWAYS_SERVED):
+            yield _refuse(start_response)
+            return
         self.count += 1
         self._idle.clear()
         try:
@@ -71,5 +86,25 @@
             end(sent_status[0])
 
 
+def _refuse(start_response: Callable[..., Any]) -> bytes:
+    """Begin a refusal, and return its body."""
+    body = encode_refusal(
+        RefusalError(
+            'this instance is being stopped',
+            'send the request again; another instance will get it',
+            reason='stopping',
+            retry_after=_RETRY_SECONDS,
+        )
+    )
+    headers = [
+        ('Content-Type', 'application/json'),
+        ('Content-Length', str(len(body))),
+        ('Retry-After', str(_RETRY_SECONDS)),
+        ('Connection', 'close'),
+    ]
+    start_response(_REFUSED_STATUS, headers)
+    return body
+
+
 def _ignore_request(environ: dict[str, Any]) -> Callable[[str], None]:
     return lambda status: None
--- a/tests/admission/fleet.py
+++ b/tests/admission/fleet.py
@@ -1,7 +1,9 @@
 """Entries before a plain service whose upstreams refuse when they are full."""
 
 import functools
+import math
 from collections import Counter
+from collections.abc import Callable
 
 from gevent.event import Event
 
@@ -41,9 +43,13 @@
 class Caller:
     """A caller without a connection, and what it received when."""
 
-    def __init__(self, now: float) -> None:
-        self.arrived_at = now
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self.arrived_at = now()
         self.started = False
+        self.interrupted = False
+        self.entry_ends_at = math.inf
+        self.leave: object = None
         self.disconnected = Event()
         self.status = 0
         self.retry_after: float = 0
@@ -53,6 +59,21 @@
         """Set what to call when the caller leaves."""
         self.leave = call
 
+    @property
+    def must_end(self) -> bool:
+        """Return whether the caller has left."""
+        return self.interrupted or self.disconnected.is_set()
+
+    def may_take(self, seconds: float) -> bool:
+        """Return whether the entry lives for so many seconds more."""
+        return self._now() + seconds <= self.entry_ends_at
+
+    def interrupt(self) -> None:
+        """End the time of a planned stop of the entry."""
+        self.interrupted = True
+        if callable(self.leave):
+            self.leave()
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Record the answer."""
         self.status = status
@@ -155,7 +176,7 @@
     ) -> Caller:
         """Send one request to an entry."""
         self._count += 1
-        caller = Caller(self.clock.now())
+        caller = Caller(self.clock.now)
         call = Call(
             id=f'r-{self._count}',
             request=Request('GET', '/', []),
--- a/tests/crowds/crowd_bench.py
+++ b/tests/crowds/crowd_bench.py
@@ -18,7 +18,12 @@
 from gevent.pool import Group
 
 from guavagate.clock import SystemClock
-from guavagate.http1 import CallerDisconnectedError, Exchange, HttpServer
+from guavagate.http1 import (
+    CallerDisconnectedError,
+    Exchange,
+    Headers,
+    HttpServer,
+)
 from guavagate.platform import const
 from standins.platform.addresses import AddressBlock
 from standins.platform.fleet import Daemon
@@ -30,6 +35,7 @@
 MAX_DESCRIPTORS: Final = 500
 HOST: Final = 'crowd.example'
 ASK_PATH: Final = '/ask/'
+ONCE_PATH: Final = '/once/'
 LONG_PATH: Final = '/ask/long'
 WAIT_PATH: Final = '/ask/wait'
 STREAM_PATH: Final = '/stream/'
@@ -52,13 +58,17 @@
 class Bench:
     """An entry process with its store, its upstream and a crowd."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        answer: Callable[[Exchange], None] | None = None,
+    ) -> None:
         self._block = AddressBlock(57)
         prefix = f'127.0.{self._block.number}'
         self._store = Store(f'{prefix}.250:8000', 1)
         self._upstream_address = f'{prefix}.200:9000'
         self._upstream = HttpServer(
-            self._upstream_address, SystemClock(), _answer
+            self._upstream_address, SystemClock(), answer or _answer
         )
         self.entry = Daemon(
             'entry-0',
@@ -231,11 +241,16 @@
     return one.encode() * (size // chunk)
 
 
+def make_answer_headers(exchange: Exchange) -> Headers:
+    """Return what makes an answer the one to a request."""
+    request_id = exchange.get_header(const.REQUEST_ID.lower()).encode()
+    return [(const.REQUEST_ID, request_id), (const.SEAL, b's')]
+
+
 def _answer(exchange: Exchange) -> None:
     """Answer as an upstream of both services."""
     exchange.read_body(40_000_000)
-    request_id = exchange.get_header(const.REQUEST_ID.lower()).encode()
-    headers = [(const.REQUEST_ID, request_id), (const.SEAL, b's')]
+    headers = make_answer_headers(exchange)
     path = exchange.request.target
     if path == WAIT_PATH:
         gevent.sleep(60)
@@ -267,6 +282,7 @@
     }
     routes: tuple[dict[str, Any], ...] = (
         {'path-prefix': ASK_PATH, 'route-type': 'idempotent'},
+        {'path-prefix': ONCE_PATH, 'route-type': 'non_idempotent'},
         {'path-prefix': STREAM_PATH, 'route-type': 'streaming'},
         {
             'path-prefix': JOBS_PATH,
--- a/tests/http1/test_stop.py
+++ b/tests/http1/test_stop.py
@@ -6,7 +6,9 @@
 import gevent
 import pytest
 from gevent import monkey, socket
+from gevent.event import Event
 
+from guavagate.clock import SystemClock
 from guavagate.http1 import Exchange
 from tests.http1.server_bench import ServerBench, echo
 
@@ -107,3 +109,91 @@
     bench.server.announce_stop()
     answer = bench.send(b'GET /a HTTP/1.1\r\nHost: x\r\n\r\n')
     assert b'connection: close' in answer.lower()
+
+
+def _read_rest(sock: socket.socket) -> bytes:
+    received = b''
+    with gevent.Timeout(2, TimeoutError):
+        while data := sock.recv(65_536):
+            received += data
+    return received
+
+
+@pytest.mark.parametrize(
+    ('body', 'status'),
+    [(b'body', b'504'), (b'bo', b'503')],
+    ids=['read', 'not read'],
+)
+def test_a_request_that_still_runs_when_the_stop_ends_is_answered(
+    body: bytes, status: bytes
+) -> None:
+    """Its caller got no answer and did not know whether it had run.
+
+    If its body has not arrived, it has not.
+    """
+
+    def work(exchange: Exchange) -> None:
+        exchange.read_body(10)
+        gevent.sleep(60)
+
+    bench = ServerBench(work)
+    head = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n'
+    bench.sock.sendall(head + body)
+    gevent.sleep(0.05)
+    assert bench.server.drain(SystemClock().now() + 0.2) == 1
+    answer = bench.sock.recv(65_536)
+    assert answer.startswith(b'HTTP/1.1 %b' % status)
+    assert (b'retry-after: 0' in answer.lower()) == (status == b'503')
+
+
+def test_an_answer_that_has_begun_is_not_ended_by_a_stop() -> None:
+    """What its handler could add would belong to no answer."""
+
+    def work(exchange: Exchange) -> None:
+        exchange.read_body(10)
+        exchange.start(200, [(b'Content-Length', b'4')])
+        exchange.send(b'ab')
+        gevent.sleep(60)
+
+    bench = ServerBench(work)
+    received = bench.send(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    assert bench.server.drain(SystemClock().now() + 0.2) == 1
+    bench.sock.settimeout(0.2)
+    with pytest.raises(TimeoutError):
+        received += bench.sock.recv(65_536)
+    assert received.endswith(b'\r\n\r\nab')
+
+
+def test_a_handler_learns_that_the_stop_ends() -> None:
+    """It knows best whether its request has run."""
+
+    def work(exchange: Exchange) -> None:
+        exchange.read_body(10)
+        woken = Event()
+        exchange.on_disconnect(woken.set)
+        woken.wait()
+        exchange.respond(503 if exchange.interrupted else 200, [], b'')
+
+    bench = ServerBench(work)
+    bench.sock.sendall(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    gevent.sleep(0.05)
+    assert bench.server.drain(SystemClock().now() + 0.2) == 0
+    assert _read_rest(bench.sock).startswith(b'HTTP/1.1 503')
+
+
+def test_a_request_knows_whether_it_can_be_answered() -> None:
+    """Before a stop always, and in a stop until its end."""
+    answers = []
+
+    def work(exchange: Exchange) -> None:
+        exchange.read_body(10)
+        answers.append(exchange.may_take(100))
+        gevent.sleep(0.1)
+        answers.extend(exchange.may_take(each) for each in (0.5, 5))
+        exchange.respond(200, [], b'')
+
+    bench = ServerBench(work)
+    bench.sock.sendall(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+    gevent.sleep(0.05)
+    assert bench.drain() == 0
+    assert answers == [True, True, False]
--- /dev/null
+++ b/tests/planned_stop/__init__.py
@@ -0,0 +1,1 @@
+"""Planned stops of real processes."""
