Reset the connection of a broken answer that would look whole

What callers saw: nothing that is known; found with the tests of cut answers. A stream that an instance broke off, or that an eviction or the end of a planned stop cut, was a complete answer to a caller of HTTP/1.0.

Cause: such a caller reads no chunks, so an answer without a length ends with its connection, which was shut down and closed in any case.

Change: the connection of such an answer is reset, without a shutdown before it, which would show a plain end first. Other answers are still shut down, as what was sent of them may then be read.

--- a/guavagate/http1/_caller_connection.py
+++ b/guavagate/http1/_caller_connection.py
@@ -219,11 +219,15 @@
     def cut_off(self) -> None:
         """Reset the connection, and discard what waits to be sent."""
         self.writer.cut_off()
-        self._reset_at_once()
+        self.reset_at_once()
         self._record_disconnect()
 
-    def reset(self) -> None:
-        """Shut down both directions at once, even within a response."""
+    def reads_no_chunks(self) -> bool:
+        """Return whether the caller speaks HTTP/1.0."""
+        return bytes(self.http.their_http_version or b'') < b'1.1'
+
+    def shut_down(self) -> None:
+        """Shut down both directions, even within a response."""
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
@@ -258,16 +262,19 @@
     def _abandon(self) -> None:
         """Reset a connection that can't be written to."""
         if self.writer.is_cut_off:
-            self._reset_at_once()
+            self.reset_at_once()
         self._record_disconnect()
 
-    def _reset_at_once(self) -> None:
-        """Reset the connection; frees what the kernel holds for the caller."""
+    def reset_at_once(self) -> None:
+        """Reset the connection; frees what the kernel holds for the caller.
+
+        Without a shutdown before it, which would show the caller a plain end.
+        """
         with contextlib.suppress(OSError):
             self._sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
             )
-        self.reset()
+        self._sock.close()
 
     def _hold_answer(self, size: int) -> None:
         """Count what waits to be sent; the kernel's buffer is full then."""
--- a/guavagate/http1/_exchange.py
+++ b/guavagate/http1/_exchange.py
@@ -63,6 +63,7 @@
         self.disconnected = connection.disconnected
         self.interrupted = False
         self._is_received = False
+        self._ends_with_connection = False
         self.started = False
         self.ended = False
         self.arrived_at = connection.clock.now()
@@ -108,8 +109,10 @@
             self._connection.on_disconnect()
 
     def answer_unfinished(self) -> None:
-        """Answer in place of a handler that has not."""
+        """Answer in place of a handler that has not, or not to the end."""
         if self.started:
+            if self._ends_with_connection:
+                self.abort()
             return
         self.started = True
         if self._is_received:
@@ -178,6 +181,9 @@
         )
         extra = [] if keep_open else [(b'Connection', b'close')]
         self.started = True
+        self._ends_with_connection = self._connection.reads_no_chunks() and (
+            not find_header(headers, b'content-length')
+        )
         self._connection.begin_answer()
         self._connection.write(
             h11.Response(
@@ -201,8 +207,15 @@
         self.ended = True
 
     def abort(self) -> None:
-        """Close the connection, so that the response looks incomplete."""
-        self._connection.reset()
+        """Close the connection, so that the response looks incomplete.
+
+        What was sent may still be read, unless the end of the connection would
+        complete the response.
+        """
+        if self._ends_with_connection and not self.ended:
+            self._connection.reset_at_once()
+        else:
+            self._connection.shut_down()
 
 
 Handler = Callable[[Exchange], None]
