End the operators' tool with a message for an answer that is none

What operators saw: a traceback in place of a message, and of the answers of the other instances, if an endpoint sent bytes that are no answer, a cut one, or a status that HTTP does not have; all of a body without end was kept.

Cause: the errors of the HTTP library are none of those that the tool expects, and it reads as long as bytes arrive.

Change: the tool reads answers as the adapters do, through the sockets that check them, and turns every failure into an error of the endpoint. Over TLS the body and the time are bounded, but the head is not checked.

--- a/guavagate/cli/_client.py
+++ b/guavagate/cli/_client.py
@@ -1,16 +1,15 @@
 """HTTP client that tries the instances in turn until one answers."""
 
 from typing import Any, Final, TypeVar
-from urllib.parse import urlencode, urlsplit
+from urllib.parse import urlencode
 
 import msgspec
-from geventhttpclient import HTTPClient
 
 from guavagate.cli._errors import ExitCode, ToolError, find_exit_code
+from guavagate.cli._http import fetch
 from guavagate.helpers.decoding import decode_json
 from guavagate.operators import ErrorBody, ErrorDetail
 
-_CONNECT_TIMEOUT_SECONDS: Final = 3.0
 _ANSWER_TIMEOUT_SECONDS: Final = 30.0
 _FIRST_ERROR_STATUS: Final = 300
 _OVERLOADED: Final = 502
@@ -77,25 +76,17 @@
     def _request(
         self, endpoint: str, method: str, path: str, body: bytes
     ) -> tuple[int, bytes]:
-        client = HTTPClient.from_url(
+        return fetch(
             endpoint,
-            connection_timeout=_CONNECT_TIMEOUT_SECONDS,
-            network_timeout=_ANSWER_TIMEOUT_SECONDS,
+            method,
+            f'{_PREFIX}{path}',
+            body=body,
+            headers={
+                'Authorization': f'Bearer {self._token}',
+                'Content-Type': 'application/json',
+            },
+            timeout=_ANSWER_TIMEOUT_SECONDS,
         )
-        base = urlsplit(endpoint).path.rstrip('/')
-        try:
-            response = client.request(
-                method,
-                f'{base}{_PREFIX}{path}',
-                body=body,
-                headers={
-                    'Authorization': f'Bearer {self._token}',
-                    'Content-Type': 'application/json',
-                },
-            )
-            return response.status_code, bytes(response.read())
-        finally:
-            client.close()
 
 
 def _decode_answer(status: int, content: bytes, kind: type[_Body]) -> _Body:
@@ -103,7 +94,7 @@
         if status < _FIRST_ERROR_STATUS:
             return decode_json(content, kind)
         detail = decode_json(content, ErrorBody).error
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except msgspec.MsgspecError:
         raise ToolError(
             f'the answer {status} is not from guavagate\ncheck that the'
             ' endpoint is an instance or its balancer',
--- a/guavagate/cli/_exposition.py
+++ b/guavagate/cli/_exposition.py
@@ -5,7 +5,8 @@
 from typing import Final
 
 import msgspec
-from geventhttpclient import HTTPClient
+
+from guavagate.cli._http import fetch
 
 _SAMPLE: Final = re.compile(r'^(\w+)(?:\{(.*)\})? ([-+.\w]+)$')
 # A value may hold any character, so it ends where the next label begins.
@@ -32,18 +33,15 @@
     ValueError
         The text is no address, or an exported value is no number.
     """
-    client = HTTPClient.from_url(
+    status, content = fetch(
         f'http://{address}',
-        connection_timeout=_TIMEOUT_SECONDS,
-        network_timeout=_TIMEOUT_SECONDS,
+        'GET',
+        '/metrics',
+        headers={'Accept': 'text/plain'},
+        timeout=_TIMEOUT_SECONDS,
     )
-    try:
-        response = client.get('/metrics', headers={'Accept': 'text/plain'})
-        content = bytes(response.read())
-    finally:
-        client.close()
-    if response.status_code != _OK:
-        raise OSError(f'answered {response.status_code}')
+    if status != _OK:
+        raise OSError(f'answered {status}')
     return list(parse_samples(content.decode('utf-8', 'replace')))
 
 
--- a/guavagate/cli/_zones.py
+++ b/guavagate/cli/_zones.py
@@ -92,10 +92,10 @@
     for address in dict.fromkeys(addresses):
         try:
             samples = fetch_samples(address)
-        except (OSError, ValueError) as error:
+            rows = read_zones(samples)
+        except (OSError, ValueError, OverflowError) as error:
             body.missing[address] = str(error) or type(error).__name__
             continue
-        rows = read_zones(samples)
         if not rows:
             body.missing[address] = 'it exports no zones'
         body.zones += rows
