Disturb the soak by broken answers and odd entries of the store

The faults of the reports come in series beside the others: each sampler's proxy may send a broken answer in place of the sampler's for 0.3 s, and another writer leaves entries that name no sampler. They have random numbers of their own, so that the other faults of a seed stay the same.

Rows of the safeguards that the reports led to are added, and four rows follow the code that they remove.

--- a/standins/_safeguard_admission.py
+++ b/standins/_safeguard_admission.py
@@ -72,7 +72,7 @@
     Safeguard(
         "a caller that leaves is not its upstream's failure",
         'guavagate/forwarding/_stream.py',
-        'if progress.exchange.disconnected.is_set():',
+        'if progress.exchange.must_end:',
         'if False:',
         'tests/forwarding/test_stream.py',
     ),
--- a/standins/_safeguard_answers.py
+++ b/standins/_safeguard_answers.py
@@ -53,7 +53,7 @@
     ),
     Safeguard(
         'interim answers without end are cut',
-        'guavagate/http1/_answer.py',
+        'guavagate/http1/_answer_head.py',
         'MAX_INTERIM_ANSWERS: Final = 16',
         'MAX_INTERIM_ANSWERS: Final = 10**9',
         'tests/platform/test_answer_ownership.py',
--- a/standins/_safeguard_rows.py
+++ b/standins/_safeguard_rows.py
@@ -319,8 +319,8 @@
     Safeguard(
         'a stop refuses new connections',
         'guavagate/http1/_server.py',
-        '        self._server.close()\n\n    def _is_closing',
-        '        self._server.stop_accepting()\n\n    def _is_closing',
+        '        self._server.close()\n\n    def _end_running',
+        '        self._server.stop_accepting()\n\n    def _end_running',
         'tests/http1/test_stop.py',
     ),
     Safeguard(
--- a/standins/_safeguard_teams.py
+++ b/standins/_safeguard_teams.py
@@ -80,8 +80,8 @@
     Safeguard(
         'a usage window is reported with one content',
         'guavagate/duties/_reporter.py',
-        '            counts = _decode(existing.value)\n',
-        '            pass\n',
+        'own if existing is None else _decode(existing)',
+        'own',
         'tests/duties/test_reporter.py',
     ),
     Safeguard(
--- a/standins/platform/proxy.py
+++ b/standins/platform/proxy.py
@@ -14,6 +14,8 @@
     """Forwards connections unless `fault` is set.
 
     `fault` is empty, delay, reset or silent (connections stay open and stall).
+    While there is a `broken_answer`, it is sent in place of what the target
+    answers, and the connection ends.
     """
 
     def __init__(self, address: str, target: str) -> None:
@@ -21,6 +23,7 @@
         self._address = (host, int(port))
         self._target = target
         self.fault = ''
+        self.broken_answer = b''
         self._server: StreamServer | None = None
         self._sockets: set[socket.socket] = set()
 
@@ -52,12 +55,18 @@
             return
         upstream.settimeout(None)
         self._sockets |= {sock, upstream}
-        responses = gevent.spawn(self._pump, upstream, sock)
+        responses = gevent.spawn(self._pump, upstream, sock, is_answer=True)
         self._pump(sock, upstream)
         responses.join()
         self._sockets -= {sock, upstream}
 
-    def _pump(self, source: socket.socket, target: socket.socket) -> None:
+    def _pump(
+        self,
+        source: socket.socket,
+        target: socket.socket,
+        *,
+        is_answer: bool = False,
+    ) -> None:
         with contextlib.suppress(OSError):
             while True:
                 data = source.recv(_BYTES)
@@ -67,6 +76,9 @@
                     gevent.sleep(0.05)
                 if self.fault == 'delay':
                     gevent.sleep(0.2)
+                if is_answer and self.broken_answer:
+                    target.sendall(self.broken_answer)
+                    break
                 target.sendall(data)
         for sock in (source, target):
             with contextlib.suppress(OSError):
--- a/standins/platform/soak.py
+++ b/standins/platform/soak.py
@@ -25,6 +25,7 @@
     make_expiring_key,
     make_manifest,
 )
+from standins.platform.odd_input import OddInput
 from standins.platform.proxy import Proxy
 from standins.platform.sampler import Journal, Sampler
 from standins.platform.store import Store
@@ -108,6 +109,12 @@
         self.evacuations = Evacuations(
             self.clock, zone_random, self.store, self.samplers
         )
+        self.odd_input = OddInput(
+            random.Random(f'odd {seed}'),
+            self.proxies[1:],
+            self.store,
+            self._record_way,
+        )
         self.crashing = CrashingCallers(
             self.clock,
             self.random,
@@ -209,9 +216,12 @@
             self._step_clock,
             self._restart_with_clock_back,
         ]
+        disturbing = gevent.spawn(self.odd_input.run)
         while self.clock.now() < until:
             gevent.spawn(self.random.choice(kinds))
             gevent.sleep(self.random.uniform(0.3, 2.5))
+        disturbing.kill()
+        self.odd_input.stop()
 
     def _record_fault(self, what: str, daemon: Daemon | None = None) -> None:
         now = self.clock.now()
@@ -275,10 +285,13 @@
 
     def _disturb_connections(self) -> None:
         proxy = self.random.choice(self.proxies)
-        self._record_fault(f'way {self._ways.get(proxy, "")}')
+        self._record_way(proxy)
         proxy.fault = self.random.choice(('delay', 'reset', 'silent'))
         gevent.sleep(self.random.uniform(0.3, 2))
         proxy.fault = ''
+        self._record_way(proxy)
+
+    def _record_way(self, proxy: Proxy) -> None:
         self._record_fault(f'way {self._ways.get(proxy, "")}')
 
     def _cut_streams(self) -> None:
--- a/standins/safeguards.py
+++ b/standins/safeguards.py
@@ -21,6 +21,7 @@
 from standins._safeguard_capacity import CAPACITY_SAFEGUARDS
 from standins._safeguard_evacuation import EVACUATION_SAFEGUARDS
 from standins._safeguard_failover import FAILOVER_SAFEGUARDS
+from standins._safeguard_input import INPUT_SAFEGUARDS
 from standins._safeguard_jobs import JOB_SAFEGUARDS
 from standins._safeguard_recovery import RECOVERY_SAFEGUARDS
 from standins._safeguard_residency import RESIDENCY_SAFEGUARDS
@@ -35,6 +36,7 @@
 SAFEGUARDS: Final = (
     *PLATFORM_SAFEGUARDS,
     *ANSWER_SAFEGUARDS,
+    *INPUT_SAFEGUARDS,
     *JOB_SAFEGUARDS,
     *RECOVERY_SAFEGUARDS,
     *FAILOVER_SAFEGUARDS,
--- a/tests/http1/test_endless_answers.py
+++ b/tests/http1/test_endless_answers.py
@@ -98,6 +98,14 @@
     assert watch.stop() < MAX_PAUSE_SECONDS
 
 
+def test_a_body_of_tiny_parts_is_cut_by_their_number() -> None:
+    """Up to its limit of bytes it would take the parser a minute."""
+    upstream = _EndlessUpstream(*_ENDLESS['tiny chunks'])
+    with pytest.raises(UpstreamError, match='too many parts'):
+        READERS['pool'](upstream.address, b'')
+    upstream.server.stop(0)
+
+
 def test_an_event_without_end_is_read_to_a_limit() -> None:
     """The library reads on until the end of the event arrives."""
     upstream = _EndlessUpstream(_OK % b'\r\ndata: ', b'a' * 100_000)
