--- a/guavagate/feeds/_packing.py
+++ b/guavagate/feeds/_packing.py
@@ -19,8 +19,9 @@
 
 # The fastest level; slower ones save little more on such repetitive text.
 COMPRESSION_LEVEL: Final = 1
-# Limit for an unpacked snapshot; no snapshot of ours is larger.
-MAX_UNPACKED_BYTES: Final = 256_000_000
+# Limit for an unpacked snapshot; those of a thousand registrations take a
+# megabyte. A faulty relay's must not fill the memory of a small instance.
+MAX_UNPACKED_BYTES: Final = 32_000_000
 
 
 def pack(entries: Sequence[FeedEntry]) -> bytes:
--- a/tests/feeds/test_packing.py
+++ b/tests/feeds/test_packing.py
@@ -87,3 +87,13 @@
     assert not ReadFeed().packed
     copy = FeedCopy(boot=1, number=1, age=0, revision=Revision(1))
     assert (copy.entries, copy.packed) == ([], b'')
+
+
+def test_a_snapshot_that_would_fill_the_memory_is_refused() -> None:
+    """A thousandth of its size arrives, and 128 MB are all of some machines."""
+    path = _make_path(1)
+    entry = FeedEntry(path=path, version=Revision(1), value=bytes(33_000_000))
+    packed = pack([entry])
+    assert len(packed) < 1_000_000
+    with pytest.raises(LinkError, match='too large'):
+        unpack(packed)
