--- a/guavagate/cli/_http.py
+++ b/guavagate/cli/_http.py
@@ -5,6 +5,7 @@
 from typing import Final
 from urllib.parse import SplitResult, urlsplit
 
+import msgspec
 from geventhttpclient import HTTPClient
 
 from guavagate.clock import SystemClock
@@ -16,6 +17,17 @@
 _HTTP_PORT: Final = 80
 
 
+class _Call(msgspec.Struct, frozen=True):
+    """A request to an endpoint; its time limit is in seconds."""
+
+    endpoint: SplitResult
+    method: str
+    target: str
+    body: bytes
+    headers: Mapping[str, str]
+    timeout: float
+
+
 def fetch(
     endpoint: str,
     method: str,
@@ -41,51 +53,44 @@
     """
     parts = urlsplit(endpoint)
     target = f'{parts.path.rstrip("/")}{path}'
+    call = _Call(parts, method, target, body, headers, timeout)
     send = _fetch_secure if parts.scheme == 'https' else _fetch_plain
-    clock = SystemClock()
     try:
-        with clock.timeout(timeout, TimeoutError):
-            return send(parts, method, target, body, headers, timeout)
+        with SystemClock().timeout(timeout, TimeoutError):
+            return send(call)
     except (UpstreamError, HTTPException) as error:
         raise OSError(str(error) or type(error).__name__) from error
 
 
-def _fetch_plain(
-    parts: SplitResult,
-    method: str,
-    target: str,
-    body: bytes,
-    headers: Mapping[str, str],
-    timeout: float,
-) -> tuple[int, bytes]:
-    address = f'{parts.hostname}:{parts.port or _HTTP_PORT}'
+def _fetch_plain(call: _Call) -> tuple[int, bytes]:
+    address = f'{call.endpoint.hostname}:{call.endpoint.port or _HTTP_PORT}'
     connections = Connections(SystemClock())
     try:
         answer = connections.send(
-            address, method, target, body=body, headers=headers, timeout=timeout
+            address,
+            call.method,
+            call.target,
+            body=call.body,
+            headers=call.headers,
+            timeout=call.timeout,
         )
-        content = connections.read(address, answer, timeout)
+        content = connections.read(address, answer, call.timeout)
     finally:
         connections.close()
     return answer.status_code, content
 
 
-def _fetch_secure(
-    parts: SplitResult,
-    method: str,
-    target: str,
-    body: bytes,
-    headers: Mapping[str, str],
-    timeout: float,
-) -> tuple[int, bytes]:
+def _fetch_secure(call: _Call) -> tuple[int, bytes]:
     """Fetch over TLS, from a balancer whose heads are not checked."""
     client = HTTPClient.from_url(
-        parts.geturl(),
+        call.endpoint.geturl(),
         connection_timeout=_CONNECT_TIMEOUT_SECONDS,
-        network_timeout=timeout,
+        network_timeout=call.timeout,
     )
     try:
-        answer = client.request(method, target, body, dict(headers))
+        answer = client.request(
+            call.method, call.target, call.body, dict(call.headers)
+        )
         content = bytes(answer.read(MAX_BODY_BYTES + 1))
     finally:
         client.close()
--- a/tests/platform/answer_bench.py
+++ b/tests/platform/answer_bench.py
@@ -3,6 +3,8 @@
 import re
 from collections.abc import Iterator
 
+import gevent
+import pytest
 from gevent import socket
 
 from guavagate.clock import SystemClock
@@ -21,6 +23,7 @@
 from tests.forwarding.common import start_upstream
 from tests.quarantine.common import make_quarantine
 
+_LIMIT_SECONDS = 10
 _ORDER = VersionOrder(
     model='m',
     version=WeightVersion(2),
@@ -144,3 +147,12 @@
                     sock.sendall(each)
         except OSError:
             return
+
+
+@pytest.fixture(name='bench')
+def make_bench() -> Iterator[AnswerBench]:
+    """Return a bench whose server stops after the test."""
+    running = AnswerBench()
+    with gevent.Timeout(_LIMIT_SECONDS):
+        yield running
+    running.close()
