Cut an error without end on a streaming route

What callers saw: an error that never ended. On a streaming route an answer that is no success is passed on as it arrives, for as long as its caller reads.

Cause: only bodies that are read as a whole, and events, had a bound.

--- a/guavagate/forwarding/_stream.py
+++ b/guavagate/forwarding/_stream.py
@@ -177,6 +177,7 @@
             headers = drop_hop_by_hop(answer.headers)
             progress.exchange.start(answer.status, headers)
         if answer.status != _OK:
+            answer.limit_body()
             self._read_chunks(
                 progress, answer, upstream, progress.exchange.send_ahead
             )
--- a/guavagate/http1/_answer.py
+++ b/guavagate/http1/_answer.py
@@ -151,6 +151,11 @@
                 )
         self._release()
 
+    def limit_body(self, limit: int = MAX_BODY_BYTES) -> None:
+        """Set how much more may be read, beside the heads of chunks."""
+        if self._connection is not None:
+            self._connection.sock.limit_reading(limit + MAX_FRAMING_BYTES)
+
     def count_work(self) -> None:
         """Count a piece of work on the body; wait for a turn after a batch.
 
@@ -185,8 +190,7 @@
         declared = parse_whole_number(self.get_header(b'content-length')) or 0
         if declared > limit:
             raise self._make_error('announced more than may be read')
-        if self._connection is not None:
-            self._connection.sock.limit_reading(limit + MAX_FRAMING_BYTES)
+        self.limit_body(limit)
         # Unlike a list of parts, it makes no second copy of the body.
         body = io.BytesIO()
         self._pool.reserve(declared)
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -9,8 +9,9 @@
 
 from guavagate.exceptions import UpstreamError
 from guavagate.forwarding._probes import ProbeState
+from guavagate.http1 import MAX_BODY_BYTES
 from guavagate.ports.sampler import OrderRefusedError
-from tests.forwarding.stream_bench import StreamBench
+from tests.forwarding.stream_bench import END, StreamBench
 from tests.http1.task_watch import MAX_PAUSE_SECONDS, TaskWatch
 from tests.platform.answer_bench import AnswerBench
 from tests.platform.answer_bench import make_bench as make_bench
@@ -111,3 +112,13 @@
     received = bench.stream(resumable=False)
     assert received.startswith(b'HTTP/1.1 503')
     assert b'data: a' not in received
+
+
+def test_an_error_without_end_is_cut() -> None:
+    """It was passed on for as long as its caller read."""
+    bench = StreamBench()
+    head = b'HTTP/1.1 500 X\r\nConnection: close\r\n\r\n'
+    bench.add('a', 'z', head + bytes(3 * MAX_BODY_BYTES))
+    received = bench.stream(resumable=False)
+    assert MAX_BODY_BYTES < len(received) < 2.1 * MAX_BODY_BYTES
+    assert not received.endswith(END)
